--- /dev/null
+++ b/crates/control-state/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated state machine: settings revisions, claims and fences.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control daemon: one replica of the durable state.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Failure detection and peer views from heartbeats.
--- /dev/null
+++ b/crates/prefix-index/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which engine incarnation holds which prompt blocks.
--- /dev/null
+++ b/crates/protocol/src/handshake.rs
@@ -0,0 +1,156 @@
+//! Mutual proof of the cluster key before any message is taken.
+//!
+//! Both sides send a random nonce and their identity, then a keyed hash over
+//! both greetings with their own direction in front, so that a proof can be
+//! neither replayed on another connection nor reflected to its sender.
+
+use std::time::Duration;
+
+use juniper_types::{NodeId, ZoneName};
+use minicbor::{Decode, Encode};
+use rand::RngExt;
+use subtle::ConstantTimeEq;
+use tokio::io::{AsyncRead, AsyncWrite};
+
+use crate::frame::{FrameError, read_frame, write_frame};
+
+/// Time within which a peer must finish the handshake.
+pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Shortest accepted cluster key text, in bytes.
+pub const MIN_KEY_BYTES: usize = 16;
+
+const KEY_CONTEXT: &str = "juniperhollow cluster key v1";
+const CONNECTOR: u8 = 0;
+const ACCEPTOR: u8 = 1;
+
+/// The text is too short to be a cluster key.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a cluster key has at least {MIN_KEY_BYTES} bytes")]
+pub struct ClusterKeyError;
+
+/// The secret that the daemons of one deployment share.
+#[derive(Clone)]
+pub struct ClusterKey([u8; 32]);
+
+impl ClusterKey {
+    /// Derives the key from its configured text.
+    pub fn from_text(text: &str) -> Result<Self, ClusterKeyError> {
+        if text.len() < MIN_KEY_BYTES {
+            return Err(ClusterKeyError);
+        }
+        Ok(ClusterKey(blake3::derive_key(KEY_CONTEXT, text.as_bytes())))
+    }
+
+    fn proof(&self, direction: u8, connector: &[u8], acceptor: &[u8]) -> [u8; 32] {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        hasher.update(&[direction]);
+        hasher.update(&(connector.len() as u64).to_be_bytes());
+        hasher.update(connector);
+        hasher.update(acceptor);
+        *hasher.finalize().as_bytes()
+    }
+}
+
+/// What a daemon is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum PeerRole {
+    /// A replica of the durable state.
+    #[n(0)]
+    Control,
+    /// A router.
+    #[n(1)]
+    Router,
+}
+
+/// Who a daemon says it is; believed only after its proof.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct PeerIdentity {
+    /// Its node number.
+    #[n(0)]
+    pub node: NodeId,
+    /// Its role.
+    #[n(1)]
+    pub role: PeerRole,
+    /// Its zone.
+    #[n(2)]
+    pub zone: ZoneName,
+}
+
+#[derive(Encode, Decode)]
+#[cbor(map)]
+struct Greeting {
+    #[n(0)]
+    identity: PeerIdentity,
+    #[cbor(n(1), with = "minicbor::bytes")]
+    nonce: [u8; 32],
+}
+
+/// Why a handshake failed.
+#[derive(Debug, thiserror::Error)]
+pub enum HandshakeError {
+    /// The connection failed, or a greeting was malformed.
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    /// The peer does not hold the cluster key.
+    #[error("the peer does not hold the cluster key")]
+    WrongKey,
+    /// The peer took longer than [`HANDSHAKE_TIMEOUT`].
+    #[error("handshake timed out")]
+    TimedOut,
+}
+
+/// Runs the handshake as the side that opened the connection.
+pub async fn as_connector<S>(
+    stream: &mut S,
+    key: &ClusterKey,
+    own: &PeerIdentity,
+) -> Result<PeerIdentity, HandshakeError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let exchange = exchange(stream, key, own, CONNECTOR);
+    tokio::time::timeout(HANDSHAKE_TIMEOUT, exchange).await.map_err(|_| HandshakeError::TimedOut)?
+}
+
+/// Runs the handshake as the side that accepted the connection.
+pub async fn as_acceptor<S>(
+    stream: &mut S,
+    key: &ClusterKey,
+    own: &PeerIdentity,
+) -> Result<PeerIdentity, HandshakeError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let exchange = exchange(stream, key, own, ACCEPTOR);
+    tokio::time::timeout(HANDSHAKE_TIMEOUT, exchange).await.map_err(|_| HandshakeError::TimedOut)?
+}
+
+async fn exchange<S>(
+    stream: &mut S,
+    key: &ClusterKey,
+    own: &PeerIdentity,
+    direction: u8,
+) -> Result<PeerIdentity, HandshakeError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let greeting = Greeting { identity: own.clone(), nonce: rand::rng().random() };
+    let own_bytes = crate::message::encode(&greeting);
+    write_frame(stream, &own_bytes).await?;
+    let peer_bytes = read_frame(stream).await?;
+    let peer: Greeting = minicbor::decode(&peer_bytes).map_err(FrameError::from)?;
+    let (connector, acceptor) = match direction {
+        CONNECTOR => (&own_bytes, &peer_bytes),
+        _ => (&peer_bytes, &own_bytes),
+    };
+    write_frame(stream, &key.proof(direction, connector, acceptor)).await?;
+    let expected = key.proof(1 - direction, connector, acceptor);
+    let received = read_frame(stream).await?;
+    if bool::from(expected.as_slice().ct_eq(&received)) {
+        Ok(peer.identity)
+    } else {
+        Err(HandshakeError::WrongKey)
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,17 @@
+//! Framed, versioned, authenticated messages between the daemons.
+//!
+//! A connection starts with a mutual proof of the cluster key ([`handshake`]).
+//! After that both sides exchange frames ([`frame`]), each holding one
+//! CBOR-encoded [`Message`].
+
+pub mod connection;
+pub mod frame;
+pub mod handshake;
+pub mod message;
+
+pub use connection::{Connection, FrameReader, FrameWriter, accept, connect};
+pub use frame::{FrameError, MAX_FRAME_BYTES, PROTOCOL_VERSION};
+pub use handshake::{ClusterKey, ClusterKeyError, HandshakeError, PeerIdentity, PeerRole};
+pub use message::{
+    ClaimAnswer, ClaimOutcome, Message, Push, Refusal, Reply, Request, SettingsDelta,
+};
--- /dev/null
+++ b/crates/protocol/src/message.rs
@@ -0,0 +1,345 @@
+//! Messages that daemons exchange after the handshake.
+
+use std::net::SocketAddr;
+
+use juniper_settings::{ChangeSet, SettingsTree};
+use juniper_types::{
+    BlockHash, ClaimKey, EngineId, Incarnation, NodeId, Revision, TenantName, ZoneName,
+};
+use minicbor::{Decode, Encode};
+
+/// Encodes a message; encoding into memory can't fail.
+pub fn encode<T: Encode<()>>(value: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    if let Err(error) = minicbor::encode(value, &mut bytes) {
+        unreachable!("a vector takes every byte: {error}");
+    }
+    bytes
+}
+
+/// Everything that travels in one frame.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Message {
+    /// A message of the agreement protocol, between control replicas only.
+    #[n(0)]
+    Consensus {
+        /// Encoded by the consensus crate.
+        #[cbor(n(0), with = "minicbor::bytes")]
+        payload: Vec<u8>,
+    },
+    /// A call that expects one [`Message::Reply`] with the same number.
+    #[n(1)]
+    Request {
+        /// Chosen by the caller, unique on its connection.
+        #[n(0)]
+        call: u64,
+        /// What is asked.
+        #[n(1)]
+        request: Request,
+    },
+    /// The answer to a request.
+    #[n(2)]
+    Reply {
+        /// Number of the request.
+        #[n(0)]
+        call: u64,
+        /// The answer.
+        #[n(1)]
+        reply: Reply,
+    },
+    /// Sent without being asked, on a connection that subscribed.
+    #[n(3)]
+    Push(#[n(0)] Push),
+}
+
+/// Calls between daemons.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Request {
+    /// Router to control: push every settings change after `from` on this connection.
+    /// The reply is [`Reply::Subscribed`], then pushes follow.
+    #[n(0)]
+    Subscribe {
+        /// The revision the router has in force, or zero.
+        #[n(0)]
+        from: Revision,
+    },
+    /// Router to control: the latest revision, confirmed by a quorum at the time of the call.
+    #[n(1)]
+    ConfirmedRevision,
+    /// Router to control: `revision` is in force on the sender now.
+    #[n(2)]
+    InForce {
+        /// The revision.
+        #[n(0)]
+        revision: Revision,
+    },
+    /// Router to control: claim the right to run a request once.
+    #[n(3)]
+    Claim {
+        /// Whose request it is.
+        #[n(0)]
+        tenant: TenantName,
+        /// The caller's idempotency key.
+        #[n(1)]
+        key: ClaimKey,
+        /// Hash of the request, so that a key reused for another request is noticed.
+        #[n(2)]
+        fingerprint: BlockHash,
+        /// Drawn by the router for this attempt; a claim resent after a lost answer keeps it.
+        #[n(3)]
+        attempt: u64,
+    },
+    /// Router to control: keep the outcome of a claimed request.
+    #[n(4)]
+    Settle {
+        /// Whose request it is.
+        #[n(0)]
+        tenant: TenantName,
+        /// The key it was claimed under.
+        #[n(1)]
+        key: ClaimKey,
+        /// The attempt that ran it.
+        #[n(2)]
+        attempt: u64,
+        /// What came of it.
+        #[n(3)]
+        outcome: ClaimOutcome,
+    },
+    /// Router to router: who I am and what I have in force.
+    #[n(5)]
+    Heartbeat {
+        /// Changes with every start of the sender.
+        #[n(0)]
+        incarnation: Incarnation,
+        /// Revision in force on the sender.
+        #[n(1)]
+        revision: Revision,
+        /// Whether the sender accepts new requests.
+        #[n(2)]
+        ready: bool,
+    },
+    /// Router to router: which engines hold the longest runs of these blocks.
+    #[n(6)]
+    Lookup {
+        /// Block hashes of one prompt, in order.
+        #[n(0)]
+        blocks: Vec<BlockHash>,
+    },
+    /// Router to router: what an engine's cache gained and lost.
+    #[n(7)]
+    CacheUpdate {
+        /// The engine.
+        #[n(0)]
+        engine: EngineId,
+        /// The life of the engine that the entries belong to.
+        #[n(1)]
+        incarnation: Incarnation,
+        /// Blocks stored.
+        #[n(2)]
+        added: Vec<BlockHash>,
+        /// Blocks evicted.
+        #[n(3)]
+        removed: Vec<BlockHash>,
+    },
+    /// Router to control: which nodes exist, and who leads.
+    #[n(8)]
+    Members,
+}
+
+/// Answers to [`Request`]s.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Reply {
+    /// Done; nothing to tell.
+    #[n(0)]
+    Done,
+    /// The call was not carried out.
+    #[n(1)]
+    Refused(#[n(0)] Refusal),
+    /// The subscription stands.
+    #[n(2)]
+    Subscribed {
+        /// Latest revision the replica has committed.
+        #[n(0)]
+        committed: Revision,
+    },
+    /// A revision confirmed by a quorum.
+    #[n(3)]
+    ConfirmedRevision {
+        /// The revision.
+        #[n(0)]
+        revision: Revision,
+    },
+    /// What a claim came to.
+    #[n(4)]
+    Claim(#[n(0)] ClaimAnswer),
+    /// Engines that hold a prefix of the blocks that were asked for.
+    #[n(5)]
+    Holders {
+        /// Engine, its incarnation and how many leading blocks it holds.
+        #[n(0)]
+        holders: Vec<Holder>,
+    },
+    /// The nodes that the replica knows.
+    #[n(6)]
+    Members {
+        /// The leader, if the replica knows one.
+        #[n(0)]
+        leader: Option<NodeId>,
+        /// Every node heard from lately.
+        #[n(1)]
+        members: Vec<Member>,
+    },
+}
+
+/// An engine that holds the start of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Holder {
+    /// The engine.
+    #[n(0)]
+    pub engine: EngineId,
+    /// The life it holds the blocks in.
+    #[n(1)]
+    pub incarnation: Incarnation,
+    /// Leading blocks held.
+    #[n(2)]
+    pub blocks: u32,
+}
+
+/// A node as the control replicas see it.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct Member {
+    /// The node.
+    #[n(0)]
+    pub node: NodeId,
+    /// Its zone.
+    #[n(1)]
+    pub zone: ZoneName,
+    /// Where other daemons reach it.
+    #[cbor(n(2), with = "juniper_settings::address")]
+    pub internal: SocketAddr,
+    /// The revision it said it has in force.
+    #[n(3)]
+    pub in_force: Revision,
+    /// Milliseconds since the replica last heard from it.
+    #[n(4)]
+    pub silent_ms: u64,
+}
+
+/// Why a call was not carried out. Unless it says otherwise, nothing was changed.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, thiserror::Error)]
+pub enum Refusal {
+    /// The replica doesn't lead; the caller should ask `leader`.
+    #[n(0)]
+    #[error("this replica does not lead")]
+    NotLeader {
+        /// The leader, if known.
+        #[n(0)]
+        leader: Option<NodeId>,
+    },
+    /// No quorum answered in time; nothing is known to have been recorded.
+    #[n(1)]
+    #[error("no quorum")]
+    NoQuorum,
+    /// Whether the call took effect is unknown; asking again with the same ids is safe.
+    #[n(2)]
+    #[error("the outcome is unknown")]
+    Unknown,
+    /// Too many calls at once; come back after the given time.
+    #[n(3)]
+    #[error("overloaded, retry after {retry_after_ms} ms")]
+    Overloaded {
+        /// When to come back, in milliseconds.
+        #[n(0)]
+        retry_after_ms: u64,
+    },
+    /// The peer's role may not make this call.
+    #[n(4)]
+    #[error("not allowed for this role")]
+    NotAllowed,
+}
+
+/// What a claim came to.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum ClaimAnswer {
+    /// The attempt may run the request, now and never again.
+    #[n(0)]
+    Granted,
+    /// Another attempt ran it and this is its outcome.
+    #[n(1)]
+    Settled(#[n(0)] ClaimOutcome),
+    /// Another attempt holds the claim and its outcome isn't known.
+    #[n(2)]
+    OutcomeUnknown,
+    /// The key was used for a different request.
+    #[n(3)]
+    KeyReused,
+    /// The key was made before the horizon below which claims are forgotten.
+    #[n(4)]
+    Expired {
+        /// The horizon, in seconds since the Unix epoch.
+        #[n(0)]
+        horizon: u64,
+    },
+    /// The key's time lies too far in the future.
+    #[n(5)]
+    TooEarly,
+}
+
+/// What came of a claimed request.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct ClaimOutcome {
+    /// HTTP status of the back end's answer.
+    #[n(0)]
+    pub status: u16,
+    /// Content type of the answer.
+    #[n(1)]
+    pub content_type: String,
+    /// The answer, cut to the size that the tree allows to keep.
+    #[cbor(n(2), with = "minicbor::bytes")]
+    pub body: Vec<u8>,
+    /// Whether the kept body is the whole answer.
+    #[n(3)]
+    pub whole: bool,
+}
+
+/// Messages that nobody asked for.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Push {
+    /// The next accepted change.
+    #[n(0)]
+    Delta(#[n(0)] SettingsDelta),
+    /// The whole tree, for a node that has fallen too far behind.
+    #[n(1)]
+    Snapshot {
+        /// Revision of the tree.
+        #[n(0)]
+        revision: Revision,
+        /// The tree.
+        #[n(1)]
+        tree: SettingsTree,
+    },
+    /// Sent at a steady pace so that silence can be told from a quiet tree.
+    #[n(2)]
+    Alive {
+        /// Latest revision committed on the replica.
+        #[n(0)]
+        committed: Revision,
+        /// Milliseconds since a quorum last confirmed that the replica is current.
+        #[n(1)]
+        confirmed_ms: u64,
+    },
+}
+
+/// One accepted change of the tree.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(map)]
+pub struct SettingsDelta {
+    /// The revision that the change makes; its predecessor must be in force already.
+    #[n(0)]
+    pub revision: Revision,
+    /// The edits.
+    #[n(1)]
+    pub change: ChangeSet,
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router daemon: serves callers and relays to back ends.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure routing decisions, admission limits, retry budgets and drains.
--- /dev/null
+++ b/crates/settings/src/tree.rs
@@ -0,0 +1,147 @@
+//! The settings tree itself: nodes by path, lookup and inheritance.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use juniper_types::{EngineId, ServiceName, TenantName, ZoneName};
+use minicbor::{Decode, Encode};
+use serde::{Deserialize, Serialize};
+
+use crate::overrides::{EffectiveSettings, Overrides};
+use crate::path::SettingsPath;
+
+/// Hash of an API key; the key itself is never stored.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+#[derive(Encode, Decode)]
+#[cbor(transparent)]
+pub struct ApiKeyHash(#[n(0)] pub String);
+
+const API_KEY_CONTEXT: &str = "juniperhollow api key v1";
+
+impl ApiKeyHash {
+    /// Hashes `key`.
+    pub fn of(key: &str) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(API_KEY_CONTEXT);
+        hasher.update(key.as_bytes());
+        ApiKeyHash(hasher.finalize().to_hex().to_string())
+    }
+}
+
+/// What a back end serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Encode, Decode)]
+#[serde(rename_all = "kebab-case")]
+pub enum BackEndKind {
+    /// Model engine.
+    #[n(0)]
+    Engine,
+    /// Application server.
+    #[n(1)]
+    Application,
+    /// Preview server.
+    #[n(2)]
+    Preview,
+    /// Store of kept KV cache.
+    #[n(3)]
+    CacheStore,
+}
+
+/// One back end of a zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[serde(deny_unknown_fields)]
+#[cbor(map)]
+pub struct BackEnd {
+    /// Number of the back end, unique in the whole tree.
+    #[n(0)]
+    pub id: EngineId,
+    /// What it serves.
+    #[n(1)]
+    pub kind: BackEndKind,
+    /// Address of its HTTP face.
+    #[cbor(n(2), with = "crate::address")]
+    pub address: SocketAddr,
+    /// Whether an operator is draining it: it gets no new work.
+    #[n(3)]
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// One node of the tree.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, Encode, Decode)]
+#[serde(default, deny_unknown_fields)]
+#[cbor(map)]
+pub struct SettingsNode {
+    /// Values set here; the rest is inherited.
+    #[n(0)]
+    pub overrides: Overrides,
+    /// Back ends; allowed on zones only.
+    #[n(1)]
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub back_ends: Vec<BackEnd>,
+    /// Hashes of the API keys of callers; allowed on tenants only.
+    #[n(2)]
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub api_keys: Vec<ApiKeyHash>,
+}
+
+/// The whole tree. Every node but the root has its parent in the tree.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, Encode, Decode)]
+#[serde(transparent)]
+#[cbor(transparent)]
+pub struct SettingsTree {
+    /// Nodes by path; the root may be absent while it sets nothing.
+    #[n(0)]
+    pub nodes: BTreeMap<SettingsPath, SettingsNode>,
+}
+
+impl SettingsTree {
+    /// The node at `path`, if the tree has it.
+    pub fn node(&self, path: &SettingsPath) -> Option<&SettingsNode> {
+        self.nodes.get(path)
+    }
+
+    /// The values in force at `path`, inherited from every level above it.
+    /// Levels that are absent from the tree contribute nothing.
+    pub fn effective(&self, path: &SettingsPath) -> EffectiveSettings {
+        let mut merged = Overrides::default();
+        let mut current = Some(path.clone());
+        while let Some(level) = current {
+            if let Some(node) = self.nodes.get(&level) {
+                merged.inherit(&node.overrides);
+            }
+            current = level.parent();
+        }
+        EffectiveSettings::resolve(&merged)
+    }
+
+    /// Every back end with its zone, in path order.
+    pub fn back_ends(&self) -> impl Iterator<Item = (&ZoneName, &BackEnd)> {
+        self.nodes.iter().flat_map(|(path, node)| {
+            let zone = match path {
+                SettingsPath::Zone(zone) => Some(zone),
+                _ => None,
+            };
+            zone.into_iter().flat_map(|zone| node.back_ends.iter().map(move |b| (zone, b)))
+        })
+    }
+
+    /// Every tenant with its home zone and node, in path order.
+    pub fn tenants(&self) -> impl Iterator<Item = (&ZoneName, &TenantName, &SettingsNode)> {
+        self.nodes.iter().filter_map(|(path, node)| match path {
+            SettingsPath::Tenant(zone, tenant) => Some((zone, tenant, node)),
+            _ => None,
+        })
+    }
+
+    /// Names of the services below a tenant.
+    pub fn services<'a>(
+        &'a self,
+        zone: &'a ZoneName,
+        tenant: &'a TenantName,
+    ) -> impl Iterator<Item = &'a ServiceName> {
+        self.nodes.keys().filter_map(move |path| match path {
+            SettingsPath::Service(z, t, service) if z == zone && t == tenant => Some(service),
+            _ => None,
+        })
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deterministic simulated network, disk and clock.
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log, snapshots and disk identity of a control replica.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,16 @@
+//! Identifiers, time, cache scopes and prompt block hashes shared by every crate.
+//!
+//! Nothing in this crate performs I/O, reads a clock or draws a random number.
+
+pub mod block;
+pub mod claim;
+pub mod ids;
+pub mod time;
+
+pub use block::{BLOCK_BYTES, BLOCK_TOKENS, BlockHash, CacheScope, PromptBlocks, TOKEN_BYTES};
+pub use claim::{ClaimKey, ClaimKeyError};
+pub use ids::{
+    AdapterName, ChangeId, ChangeIdError, EngineId, Incarnation, ModelName, NameError, NodeId,
+    RequestId, Revision, ServiceName, TenantName, WeightsVersion, ZoneName,
+};
+pub use time::Timestamp;
--- /dev/null
+++ b/src/bin/juniperhollow.rs
@@ -0,0 +1,7 @@
+//! Entry point of the daemons and operator commands.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    juniper_cli::main()
+}
