--- /dev/null
+++ b/crates/lab/src/scale/mod.rs
@@ -0,0 +1,13 @@
+//! Hollow nodes beside real replicas.
+
+use std::process::ExitCode;
+
+use crate::arguments::ArgumentError;
+
+/// Runs the command with the arguments that follow its name.
+///
+/// # Errors
+/// Fails when the arguments are faulty or the run itself fails.
+pub fn run(_parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
+    Err(ArgumentError::Unavailable("scale").into())
+}
