--- /dev/null
+++ b/crates/router/src/control_client.rs
@@ -0,0 +1,107 @@
+//! Calls to the control replicas: follows the leader, retries what is safe.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use juniper_protocol::{PeerIdentity, Refusal, Reply, Request};
+use juniper_types::{NodeId, Revision};
+use tokio::time::Instant;
+
+use crate::config::RouterConfig;
+use crate::link::{CallError, Link, LinkTarget};
+
+/// Longest wait for one replica before the next one is asked.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Pause before all replicas are asked again.
+const ROUND_PAUSE: Duration = Duration::from_millis(60);
+
+/// Why the control replicas gave no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ControlCallError {
+    /// No replica took the call.
+    #[error("no control replica answered in time: {0}")]
+    Unavailable(CallError),
+    /// A replica answered with a refusal that asking another won't change.
+    #[error("refused by the control replica: {0}")]
+    Refused(Refusal),
+    /// The replica answered with something else than the call takes.
+    #[error("unexpected reply from the control replica")]
+    UnexpectedReply,
+}
+
+/// Links to every control replica.
+pub struct ControlClient {
+    replicas: Vec<(NodeId, Link)>,
+    by_node: HashMap<NodeId, usize>,
+    preferred: Mutex<usize>,
+}
+
+impl ControlClient {
+    /// Makes the links; none connects before the first call.
+    pub fn new(config: &RouterConfig, own: &PeerIdentity) -> Self {
+        let make = |peer: &crate::config::Peer| {
+            let key = config.cluster_key.clone();
+            let target = LinkTarget { address: peer.address, key, own: own.clone() };
+            (peer.node, Link::spawn(target))
+        };
+        let replicas: Vec<_> = config.control.iter().map(make).collect();
+        let by_node = replicas.iter().enumerate().map(|(at, (node, _))| (*node, at)).collect();
+        let preferred = Mutex::new(config.node.0 as usize % replicas.len().max(1));
+        ControlClient { replicas, by_node, preferred }
+    }
+
+    fn preferred(&self) -> usize {
+        *self.preferred.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn prefer(&self, replica: usize) {
+        *self.preferred.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = replica;
+    }
+
+    /// Calls the leader until `limit` has passed. Every call of this protocol
+    /// may be repeated: it carries its own ids, so a lost answer is safe to ask
+    /// for again.
+    pub async fn call(&self, request: Request, limit: Duration) -> Result<Reply, ControlCallError> {
+        let deadline = Instant::now() + limit;
+        let mut last = CallError::Unreachable;
+        let mut replica = self.preferred();
+        let mut asked = 0;
+        while Instant::now() < deadline && !self.replicas.is_empty() {
+            let remaining = deadline - Instant::now();
+            let link = &self.replicas[replica].1;
+            let answer = link.call(request.clone(), ATTEMPT_TIMEOUT.min(remaining)).await;
+            asked += 1;
+            let hint = match answer {
+                Ok(Reply::Refused(Refusal::NotLeader { leader })) => {
+                    leader.and_then(|node| self.by_node.get(&node).copied())
+                }
+                Ok(Reply::Refused(Refusal::NoQuorum | Refusal::Unknown)) => None,
+                Ok(Reply::Refused(refusal)) => return Err(ControlCallError::Refused(refusal)),
+                Ok(reply) => {
+                    self.prefer(replica);
+                    return Ok(reply);
+                }
+                Err(error) => {
+                    last = error;
+                    None
+                }
+            };
+            replica =
+                hint.filter(|next| *next != replica).unwrap_or((replica + 1) % self.replicas.len());
+            if asked % self.replicas.len() == 0 {
+                tokio::time::sleep(ROUND_PAUSE.min(remaining)).await;
+            }
+        }
+        Err(ControlCallError::Unavailable(last))
+    }
+
+    /// The latest revision, confirmed by a quorum at the time of the call.
+    pub async fn confirmed_revision(&self, limit: Duration) -> Result<Revision, ControlCallError> {
+        match self.call(Request::ConfirmedRevision, limit).await? {
+            Reply::ConfirmedRevision { revision } => Ok(revision),
+            _ => Err(ControlCallError::UnexpectedReply),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/error.rs
@@ -0,0 +1,203 @@
+//! The errors a caller can get, as typed JSON bodies with stable codes.
+
+use axum::Json;
+use axum::http::{HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use serde::Serialize;
+
+/// Why a request failed, with what is known of its execution.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RequestError {
+    /// No API key, or one that no tenant has.
+    #[error("the API key is missing or unknown")]
+    Unauthenticated,
+    /// The tenant has no such service.
+    #[error("the tenant has no service {0:?}")]
+    UnknownService(String),
+    /// The request names a model that its settings don't.
+    #[error("the service does not serve model {0:?}")]
+    UnknownModel(String),
+    /// The body or a header is not what the call takes.
+    #[error("bad request: {0}")]
+    Malformed(String),
+    /// The body is larger than the settings allow.
+    #[error("the body has more than {limit} bytes")]
+    TooLarge {
+        /// Largest accepted body, in bytes.
+        limit: u64,
+    },
+    /// A limit of the tenant or service is reached.
+    #[error("limit reached: {limit}")]
+    Limited {
+        /// Which limit.
+        limit: &'static str,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The deadline can't be met at the present load.
+    #[error("the deadline can't be met now")]
+    Overloaded {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// No back end of the needed kind is up.
+    #[error("no back end can serve this now")]
+    NoBackEnd {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The router has no settings in force yet, or they are older than allowed.
+    #[error("settings are not in force or too old")]
+    SettingsUnavailable {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The router is stopping.
+    #[error("this router is stopping")]
+    Stopping,
+    /// No quorum of control replicas answered, so the request can't be claimed.
+    #[error("no quorum to claim the request")]
+    NoQuorum {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The idempotency key was used for another request.
+    #[error("the idempotency key was used for a different request")]
+    KeyReused,
+    /// The idempotency key is older than claims are kept, or lies in the future.
+    #[error("the idempotency key is too old or lies in the future")]
+    KeyOutOfRange,
+    /// The request was run, or may have been, and its answer isn't known.
+    #[error("the request may have run; its outcome is unknown")]
+    OutcomeUnknown,
+    /// The back end failed after work may have begun.
+    #[error("the back end failed")]
+    BackEndFailed,
+    /// The deadline passed.
+    #[error("the deadline passed")]
+    DeadlinePassed,
+    /// The stream can't be resumed with the weights it began with.
+    #[error("the weights changed since the stream began")]
+    WeightsChanged,
+}
+
+#[derive(Serialize)]
+struct ErrorBody {
+    error: ErrorDetail,
+}
+
+/// The JSON form of an error.
+#[derive(Clone, Debug, Serialize)]
+pub struct ErrorDetail {
+    /// Stable code.
+    pub code: &'static str,
+    /// Text for people.
+    pub message: String,
+    /// True only when it is known that no back end ran any part of the request.
+    pub not_run: bool,
+    /// When to come back, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+impl RequestError {
+    /// Stable code of the error.
+    pub fn code(&self) -> &'static str {
+        match self {
+            RequestError::Unauthenticated => "unauthenticated",
+            RequestError::UnknownService(_) => "unknown_service",
+            RequestError::UnknownModel(_) => "unknown_model",
+            RequestError::Malformed(_) => "malformed",
+            RequestError::TooLarge { .. } => "too_large",
+            RequestError::Limited { .. } => "limited",
+            RequestError::Overloaded { .. } => "overloaded",
+            RequestError::NoBackEnd { .. } => "no_back_end",
+            RequestError::SettingsUnavailable { .. } => "settings_unavailable",
+            RequestError::Stopping => "stopping",
+            RequestError::NoQuorum { .. } => "no_quorum",
+            RequestError::KeyReused => "key_reused",
+            RequestError::KeyOutOfRange => "key_out_of_range",
+            RequestError::OutcomeUnknown => "outcome_unknown",
+            RequestError::BackEndFailed => "back_end_failed",
+            RequestError::DeadlinePassed => "deadline_passed",
+            RequestError::WeightsChanged => "weights_changed",
+        }
+    }
+
+    /// HTTP status of the error.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            RequestError::Unauthenticated => StatusCode::UNAUTHORIZED,
+            RequestError::UnknownService(_) | RequestError::UnknownModel(_) => {
+                StatusCode::NOT_FOUND
+            }
+            RequestError::Malformed(_) | RequestError::KeyOutOfRange => StatusCode::BAD_REQUEST,
+            RequestError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            RequestError::Limited { .. } => StatusCode::TOO_MANY_REQUESTS,
+            RequestError::KeyReused | RequestError::WeightsChanged => StatusCode::CONFLICT,
+            RequestError::OutcomeUnknown | RequestError::BackEndFailed => StatusCode::BAD_GATEWAY,
+            RequestError::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+            RequestError::Overloaded { .. }
+            | RequestError::NoBackEnd { .. }
+            | RequestError::SettingsUnavailable { .. }
+            | RequestError::Stopping
+            | RequestError::NoQuorum { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Whether it is known that nothing ran. The errors that return true are
+    /// raised only before the first byte leaves for a back end, or after a
+    /// back end said itself that it ran nothing.
+    pub fn not_run(&self) -> bool {
+        !matches!(
+            self,
+            RequestError::OutcomeUnknown
+                | RequestError::BackEndFailed
+                | RequestError::DeadlinePassed
+                | RequestError::KeyReused
+        )
+    }
+
+    /// When the caller should come back, in milliseconds.
+    pub fn retry_after_ms(&self) -> Option<u64> {
+        match self {
+            RequestError::Limited { retry_after_ms, .. }
+            | RequestError::Overloaded { retry_after_ms }
+            | RequestError::NoBackEnd { retry_after_ms }
+            | RequestError::SettingsUnavailable { retry_after_ms }
+            | RequestError::NoQuorum { retry_after_ms } => Some(*retry_after_ms),
+            RequestError::Stopping => Some(0),
+            _ => None,
+        }
+    }
+
+    /// The JSON form.
+    pub fn detail(&self) -> ErrorDetail {
+        ErrorDetail {
+            code: self.code(),
+            message: self.to_string(),
+            not_run: self.not_run(),
+            retry_after_ms: self.retry_after_ms(),
+        }
+    }
+
+    /// The error as the last event of a stream that has already begun.
+    pub fn stream_event(&self) -> String {
+        let body = ErrorBody { error: self.detail() };
+        let json = serde_json::to_string(&body).unwrap_or_default();
+        format!("event: error\ndata: {json}\n\n")
+    }
+}
+
+impl IntoResponse for RequestError {
+    fn into_response(self) -> Response {
+        let body = Json(ErrorBody { error: self.detail() });
+        let mut response = (self.status(), body).into_response();
+        if let Some(millis) = self.retry_after_ms() {
+            // The header counts whole seconds; rounding up keeps it honest.
+            let seconds = HeaderValue::from(millis.div_ceil(1_000).max(1));
+            response.headers_mut().insert(header::RETRY_AFTER, seconds);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/router/src/faces.rs
@@ -0,0 +1,195 @@
+//! The HTTP faces: chat completions for callers, health and metrics for operators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router as AxumRouter;
+use axum::body::{Body, Bytes, to_bytes};
+use axum::extract::{Request, State};
+use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use futures_util::StreamExt;
+use juniper_settings::TrafficKind;
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::access::{REQUEST_ID_HEADER, authenticate, request_id};
+use crate::chat::ChatRequest;
+use crate::error::RequestError;
+use crate::relay::{ChatJob, Piece, caller_event, collect, open};
+use crate::shared::{InFlight, Shared};
+
+/// Pieces buffered for a slow caller before the engine's stream is held back.
+const PIECE_BUFFER: usize = 32;
+
+/// Header with the first output token that the caller lacks.
+const RESUME_HEADER: &str = "x-resume-from";
+
+/// The callers' face.
+pub fn callers(shared: Arc<Shared>) -> AxumRouter {
+    AxumRouter::new().route("/v1/chat/completions", post(chat_completions)).with_state(shared)
+}
+
+/// The operators' face.
+pub fn operators(shared: Arc<Shared>) -> AxumRouter {
+    AxumRouter::new()
+        .route("/healthz", get(|| async { "ok\n" }))
+        .route("/readyz", get(ready))
+        .route("/metrics", get(metrics))
+        .route("/v1/status", get(status))
+        .with_state(shared)
+}
+
+async fn ready(State(shared): State<Arc<Shared>>) -> Response {
+    match shared.is_ready() {
+        true => (StatusCode::OK, "ready\n").into_response(),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response(),
+    }
+}
+
+async fn metrics(State(shared): State<Arc<Shared>>) -> Vec<u8> {
+    let revision = shared.view().in_force.revision.0;
+    shared.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+    let age = shared.settings_age().as_millis();
+    shared.metrics.settings_age_ms.set(i64::try_from(age).unwrap_or(i64::MAX));
+    shared.metrics.render()
+}
+
+async fn status(State(shared): State<Arc<Shared>>) -> Response {
+    let body = json!({
+        "node": shared.config.node.0,
+        "zone": shared.config.zone.as_str(),
+        "ready": shared.is_ready(),
+        "revision": shared.view().in_force.revision.0,
+        "settings_age_ms": shared.settings_age().as_millis() as u64,
+        "in_flight": shared.metrics.in_flight.get(),
+    });
+    axum::Json(body).into_response()
+}
+
+async fn chat_completions(State(shared): State<Arc<Shared>>, request: Request) -> Response {
+    let started = Instant::now();
+    let result = serve_chat(Arc::clone(&shared), request, started).await;
+    let code = match &result {
+        Ok(_) => "accepted",
+        Err(error) => error.code(),
+    };
+    shared.metrics.requests.with_label_values(&["chat", code]).inc();
+    result.unwrap_or_else(|error| {
+        log::info!("event=request_refused kind=chat code={code} reason=\"{error}\"");
+        error.into_response()
+    })
+}
+
+async fn serve_chat(
+    shared: Arc<Shared>,
+    request: Request,
+    started: Instant,
+) -> Result<Response, RequestError> {
+    let in_flight = shared.enter()?;
+    let view = shared.view();
+    let (parts, body) = request.into_parts();
+    let caller = authenticate(&view.in_force, &parts.headers, TrafficKind::Chat)?;
+    shared.check_cut_off(&caller.settings)?;
+    let request_id = request_id(&parts.headers)?;
+    let resume_from = resume_from(&parts.headers)?;
+    let body = read_body(body, caller.settings.max_body_bytes).await?;
+    let chat =
+        ChatRequest::parse(&body, &caller.settings.model, caller.settings.max_output_tokens)?;
+    let stream = chat.stream;
+    let model = caller.settings.model.clone();
+    log::info!(
+        "event=request_accepted request={request_id} tenant={} service={} revision={}",
+        caller.home.tenant,
+        caller.service,
+        view.in_force.revision
+    );
+    let deadline = started + Duration::from_millis(caller.settings.deadline_ms);
+    let job = ChatJob { request_id, caller, chat, deadline, resume_from };
+    let (relay, origin) = open(Arc::clone(&shared), job).await?;
+    log::info!(
+        "event=request_routed request={request_id} engine={} cached_tokens={}",
+        origin.engine,
+        origin.cached_tokens
+    );
+    let (sender, receiver) = mpsc::channel(PIECE_BUFFER);
+    tokio::spawn(relay.run(sender));
+    let pieces = ReceiverStream::new(receiver);
+    let mut response = if stream {
+        let first_token = FirstToken { shared: Arc::clone(&shared), started, seen: false };
+        stream_response(request_id, model.to_string(), pieces, in_flight, first_token)
+    } else {
+        axum::Json(collect(request_id, model.as_str(), pieces).await?).into_response()
+    };
+    let headers = response.headers_mut();
+    insert(headers, REQUEST_ID_HEADER, &request_id.to_string());
+    insert(headers, "x-juniper-engine", &origin.engine.0.to_string());
+    insert(headers, "x-juniper-revision", &view.in_force.revision.to_string());
+    insert(headers, "x-cached-tokens", &origin.cached_tokens.to_string());
+    Ok(response)
+}
+
+fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+fn resume_from(headers: &HeaderMap) -> Result<u64, RequestError> {
+    let Some(value) = headers.get(RESUME_HEADER) else {
+        return Ok(0);
+    };
+    let number = value.to_str().ok().and_then(|text| text.parse().ok());
+    number.ok_or_else(|| RequestError::Malformed("x-resume-from is not a number".into()))
+}
+
+async fn read_body(body: Body, limit: u64) -> Result<Bytes, RequestError> {
+    let bytes = usize::try_from(limit).unwrap_or(usize::MAX);
+    to_bytes(body, bytes).await.map_err(|_| RequestError::TooLarge { limit })
+}
+
+/// Measures the time to first token of one stream.
+struct FirstToken {
+    shared: Arc<Shared>,
+    started: Instant,
+    seen: bool,
+}
+
+impl FirstToken {
+    fn note(&mut self) {
+        if !self.seen {
+            self.seen = true;
+            self.shared.metrics.first_token.observe(self.started.elapsed().as_secs_f64());
+        }
+    }
+}
+
+fn stream_response(
+    request_id: juniper_types::RequestId,
+    model: String,
+    pieces: ReceiverStream<Piece>,
+    in_flight: InFlight,
+    mut first_token: FirstToken,
+) -> Response {
+    let events = pieces.map(move |piece| {
+        // Held by the body, so that the request counts until its last byte.
+        let _held = &in_flight;
+        let text = match piece {
+            Piece::Chunk(chunk) => {
+                first_token.note();
+                caller_event(request_id, &model, &chunk)
+            }
+            Piece::Done => "data: [DONE]\n\n".to_owned(),
+            Piece::Failed(error) => error.stream_event(),
+        };
+        Ok::<_, std::convert::Infallible>(Bytes::from(text))
+    });
+    let mut response = Response::new(Body::from_stream(events));
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    response
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,26 @@
 //! The router daemon: serves callers and relays to back ends.
+//!
+//! Decisions live in the pure crates `juniper-routing` and
+//! `juniper-prefix-index`; this crate holds the I/O around them: the callers'
+//! face, the relay to back ends, the link to the control replicas and the
+//! routers' own internal face.
+
+pub mod access;
+pub mod backends;
+pub mod chat;
+pub mod config;
+pub mod control_client;
+pub mod error;
+pub mod faces;
+pub mod in_force;
+pub mod link;
+pub mod metrics;
+pub mod relay;
+pub mod run;
+pub mod settings_file;
+pub mod shared;
+pub mod sse;
+pub mod subscription;
+
+pub use config::RouterConfig;
+pub use run::{RouterError, run};
--- /dev/null
+++ b/crates/router/src/shared.rs
@@ -0,0 +1,104 @@
+//! What all requests of one router share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use juniper_settings::{CutOffPolicy, EffectiveSettings};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::{Duration, Instant};
+
+use crate::backends::BackEnds;
+use crate::config::RouterConfig;
+use crate::control_client::ControlClient;
+use crate::error::RequestError;
+use crate::metrics::Metrics;
+use crate::subscription::SettingsView;
+
+/// Without a quorum's confirmation for this long a router counts as cut off.
+pub const CUT_OFF_AFTER: Duration = Duration::from_secs(5);
+
+/// Suggested pause when the router itself is full, in milliseconds.
+const FULL_RETRY_MS: u64 = 500;
+
+/// Suggested pause when the settings are unavailable, in milliseconds.
+const SETTINGS_RETRY_MS: u64 = 1_000;
+
+/// Shared by all requests.
+pub struct Shared {
+    /// Settings of the process.
+    pub config: Arc<RouterConfig>,
+    /// Settings tree in force.
+    pub settings: watch::Receiver<SettingsView>,
+    /// Calls to the control replicas.
+    pub control: Arc<ControlClient>,
+    /// Back ends and their load.
+    pub back_ends: Arc<BackEnds>,
+    /// Client for all back ends.
+    pub http: reqwest::Client,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Bounds the requests in flight.
+    pub slots: Arc<Semaphore>,
+    /// Set when a planned stop begins: the router says that it isn't ready, but still serves.
+    pub stopping: AtomicBool,
+    /// Set a little later: new requests are refused.
+    pub closed: AtomicBool,
+    /// When the process started.
+    pub started: Instant,
+}
+
+impl Shared {
+    /// The settings in force now.
+    pub fn view(&self) -> SettingsView {
+        self.settings.borrow().clone()
+    }
+
+    /// Time since a quorum last confirmed that the settings in force are the latest.
+    pub fn settings_age(&self) -> Duration {
+        let confirmed = self.settings.borrow().confirmed_at.unwrap_or(self.started);
+        confirmed.elapsed()
+    }
+
+    /// Whether the router is taking new requests.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.load(Ordering::Acquire) && self.settings.borrow().in_force.revision.0 > 0
+    }
+
+    /// Takes a place among the requests in flight, or says at once why not.
+    pub fn enter(&self) -> Result<InFlight, RequestError> {
+        if self.closed.load(Ordering::Acquire) {
+            return Err(RequestError::Stopping);
+        }
+        if self.settings.borrow().in_force.revision.0 == 0 {
+            return Err(RequestError::SettingsUnavailable { retry_after_ms: SETTINGS_RETRY_MS });
+        }
+        let permit = Arc::clone(&self.slots)
+            .try_acquire_owned()
+            .map_err(|_| RequestError::Overloaded { retry_after_ms: FULL_RETRY_MS })?;
+        self.metrics.in_flight.inc();
+        Ok(InFlight { gauge: self.metrics.in_flight.clone(), _permit: permit })
+    }
+
+    /// Applies the tree's rule for traffic while cut off from the control replicas.
+    pub fn check_cut_off(&self, settings: &EffectiveSettings) -> Result<(), RequestError> {
+        let age = self.settings_age();
+        let too_old = age.as_secs() > settings.max_settings_age_seconds;
+        let refuses = settings.cut_off == CutOffPolicy::Refuse && age > CUT_OFF_AFTER;
+        if too_old || refuses {
+            return Err(RequestError::SettingsUnavailable { retry_after_ms: SETTINGS_RETRY_MS });
+        }
+        Ok(())
+    }
+}
+
+/// A request in flight; a planned stop waits until all are dropped.
+pub struct InFlight {
+    gauge: prometheus::IntGauge,
+    _permit: tokio::sync::OwnedSemaphorePermit,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.gauge.dec();
+    }
+}
