Router: at-most-once, repeatable and preview traffic

An at-most-once request is claimed before the first byte leaves and is never sent again; its execution goes on when the caller stops waiting, so that a repeat finds the outcome.

--- /dev/null
+++ b/crates/router/src/applications.rs
@@ -0,0 +1,298 @@
+//! Relays application requests: those that run at most once, and repeatable ones.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::{Body, Bytes};
+use axum::extract::{Request, State};
+use axum::http::{HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use futures_util::StreamExt;
+use juniper_protocol::ClaimOutcome;
+use juniper_settings::{BackEndKind, TrafficKind};
+use juniper_types::RequestId;
+use tokio::time::{Instant, timeout_at};
+
+use crate::access::{Caller, REQUEST_ID_HEADER, authenticate, request_id};
+use crate::backends::Lease;
+use crate::claims::{Claim, Claimed, KEY_HEADER, MAX_KEPT_BODY_BYTES, fingerprint, key_of};
+use crate::error::RequestError;
+use crate::faces::{answer_or_error, insert, read_body};
+use crate::shared::{InFlight, Shared};
+
+/// Largest answer that is buffered, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Suggested pause when no server can be reached, in milliseconds.
+const NO_SERVER_RETRY_MS: u64 = 1_000;
+
+/// Servers tried for one repeatable request.
+const MAX_ATTEMPTS: usize = 3;
+
+/// How long an at-most-once request may go on after its caller stopped waiting.
+const EXECUTION_LIMIT: Duration = Duration::from_secs(120);
+
+/// A request on its way to an application server.
+#[derive(Clone, Debug)]
+struct Forward {
+    method: reqwest::Method,
+    path: String,
+    content_type: Option<HeaderValue>,
+    key: Option<String>,
+    request_id: RequestId,
+    tenant: String,
+    body: Bytes,
+}
+
+/// A whole answer of an application server.
+#[derive(Clone, Debug)]
+struct Answer {
+    status: u16,
+    content_type: String,
+    body: Bytes,
+}
+
+/// Why sending to one server failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+enum ForwardError {
+    #[error("the server can't be reached; nothing was sent")]
+    Unreachable,
+    #[error("the connection broke after the request was sent")]
+    Broken,
+    #[error("the answer is larger than {MAX_ANSWER_BYTES} bytes")]
+    TooLarge,
+}
+
+impl IntoResponse for Answer {
+    fn into_response(self) -> Response {
+        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let mut response = (status, Body::from(self.body)).into_response();
+        insert(response.headers_mut(), "content-type", &self.content_type);
+        response
+    }
+}
+
+/// Serves `POST /apply/...`: runs at most once.
+pub async fn apply(State(shared): State<Arc<Shared>>, request: Request) -> Response {
+    let result = serve_at_most_once(&shared, request).await;
+    answer_or_error(&shared, "at_most_once", result)
+}
+
+/// Serves `GET /board/...`: may be repeated.
+pub async fn board(State(shared): State<Arc<Shared>>, request: Request) -> Response {
+    let result = serve_repeatable(&shared, request).await;
+    answer_or_error(&shared, "repeatable", result)
+}
+
+async fn accept(
+    shared: &Shared,
+    request: Request,
+    kind: TrafficKind,
+) -> Result<(Caller, Forward), RequestError> {
+    let view = shared.view();
+    let (parts, body) = request.into_parts();
+    let caller = authenticate(&view.in_force, &parts.headers, kind)?;
+    shared.check_cut_off(&caller.settings)?;
+    let body = read_body(body, caller.settings.max_body_bytes).await?;
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let forward = Forward {
+        method: parts.method,
+        path,
+        content_type: parts.headers.get(header::CONTENT_TYPE).cloned(),
+        key: None,
+        request_id: request_id(&parts.headers)?,
+        tenant: caller.home.tenant.to_string(),
+        body,
+    };
+    let forward = match kind {
+        TrafficKind::AtMostOnce => {
+            Forward { key: Some(key_of(&parts.headers)?.to_string()), ..forward }
+        }
+        _ => forward,
+    };
+    log::info!(
+        "event=request_accepted request={} tenant={} service={} revision={}",
+        forward.request_id,
+        caller.home.tenant,
+        caller.service,
+        view.in_force.revision
+    );
+    Ok((caller, forward))
+}
+
+async fn serve_at_most_once(
+    shared: &Arc<Shared>,
+    request: Request,
+) -> Result<Response, RequestError> {
+    let in_flight = shared.enter()?;
+    let started = Instant::now();
+    let (caller, forward) = accept(shared, request, TrafficKind::AtMostOnce).await?;
+    let key_text = forward.key.clone().unwrap_or_default();
+    let claim = Claim {
+        tenant: caller.home.tenant.clone(),
+        key: key_text
+            .parse()
+            .map_err(|error| RequestError::Malformed(format!("{KEY_HEADER}: {error}")))?,
+        fingerprint: fingerprint(forward.method.as_str(), &forward.path, &forward.body),
+        attempt: rand::random(),
+    };
+    let request_id = forward.request_id;
+    let mut response = match claim.take(&shared.control).await? {
+        Claimed::Settled(outcome) => replay(outcome)?,
+        Claimed::Granted => {
+            // The execution outlives its caller: whoever asks again must find the outcome.
+            let execution = tokio::spawn(execute(Arc::clone(shared), claim, forward, in_flight));
+            let deadline = started + Duration::from_millis(caller.settings.deadline_ms);
+            match timeout_at(deadline, execution).await {
+                Ok(Ok(result)) => result?.into_response(),
+                Ok(Err(_)) | Err(_) => return Err(RequestError::OutcomeUnknown),
+            }
+        }
+    };
+    insert(response.headers_mut(), KEY_HEADER, &key_text);
+    insert(response.headers_mut(), REQUEST_ID_HEADER, &request_id.to_string());
+    Ok(response)
+}
+
+/// Answers a repeat with the kept outcome.
+fn replay(outcome: ClaimOutcome) -> Result<Response, RequestError> {
+    if !outcome.whole {
+        return Err(RequestError::AnswerNotKept { status: outcome.status });
+    }
+    let answer = Answer {
+        status: outcome.status,
+        content_type: outcome.content_type,
+        body: Bytes::from(outcome.body),
+    };
+    let mut response = answer.into_response();
+    insert(response.headers_mut(), "x-idempotent-replay", "true");
+    Ok(response)
+}
+
+/// Runs a claimed request once and keeps its outcome.
+async fn execute(
+    shared: Arc<Shared>,
+    claim: Claim,
+    forward: Forward,
+    _in_flight: InFlight,
+) -> Result<Answer, RequestError> {
+    let mut excluded = Vec::new();
+    let deadline = Instant::now() + EXECUTION_LIMIT;
+    loop {
+        let zone = &shared.config.zone;
+        let chosen = shared.back_ends.choose(BackEndKind::Application, zone, &excluded);
+        let Some(lease) = chosen else {
+            let error = RequestError::NoBackEnd { retry_after_ms: NO_SERVER_RETRY_MS };
+            claim.settle(&shared.control, not_run_outcome(&error)).await;
+            return Err(error);
+        };
+        excluded.push(lease.target.id);
+        match timeout_at(deadline, send(&shared, &lease, &forward)).await {
+            Ok(Ok(answer)) => {
+                let outcome = outcome_of(&answer);
+                let control = Arc::clone(&shared.control);
+                tokio::spawn(async move { claim.settle(&control, outcome).await });
+                return Ok(answer);
+            }
+            // Not a byte left for the server, so another one may be tried.
+            Ok(Err(ForwardError::Unreachable)) => {}
+            // It may have run: it is never sent again.
+            Ok(Err(ForwardError::Broken | ForwardError::TooLarge)) | Err(_) => {
+                return Err(RequestError::OutcomeUnknown);
+            }
+        }
+    }
+}
+
+fn outcome_of(answer: &Answer) -> ClaimOutcome {
+    let whole = answer.body.len() <= MAX_KEPT_BODY_BYTES;
+    ClaimOutcome {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: if whole { answer.body.to_vec() } else { Vec::new() },
+        whole,
+    }
+}
+
+fn not_run_outcome(error: &RequestError) -> ClaimOutcome {
+    ClaimOutcome {
+        status: error.status().as_u16(),
+        content_type: "application/json".into(),
+        body: error.json(),
+        whole: true,
+    }
+}
+
+async fn serve_repeatable(
+    shared: &Arc<Shared>,
+    request: Request,
+) -> Result<Response, RequestError> {
+    let _in_flight = shared.enter()?;
+    let started = Instant::now();
+    let (caller, forward) = accept(shared, request, TrafficKind::Repeatable).await?;
+    let deadline = started + Duration::from_millis(caller.settings.deadline_ms);
+    let mut excluded = Vec::new();
+    let mut sent = false;
+    while excluded.len() < MAX_ATTEMPTS {
+        let zone = &shared.config.zone;
+        let chosen = shared.back_ends.choose(BackEndKind::Application, zone, &excluded);
+        let Some(lease) = chosen else { break };
+        excluded.push(lease.target.id);
+        match timeout_at(deadline, send(shared, &lease, &forward)).await {
+            Ok(Ok(answer)) => return Ok(answer.into_response()),
+            Ok(Err(ForwardError::Unreachable)) => {}
+            Ok(Err(ForwardError::TooLarge)) => return Err(RequestError::BackEndFailed),
+            Ok(Err(ForwardError::Broken)) => sent = true,
+            Err(_) => return Err(RequestError::DeadlinePassed),
+        }
+        shared.metrics.retries.with_label_values(&["application"]).inc();
+    }
+    if sent {
+        return Err(RequestError::BackEndFailed);
+    }
+    Err(RequestError::NoBackEnd { retry_after_ms: NO_SERVER_RETRY_MS })
+}
+
+async fn send(shared: &Shared, lease: &Lease, forward: &Forward) -> Result<Answer, ForwardError> {
+    let url = format!("http://{}{}", lease.target.address, forward.path);
+    let mut request = shared
+        .http
+        .request(forward.method.clone(), url)
+        .header(REQUEST_ID_HEADER, forward.request_id.to_string())
+        .header("x-tenant", &forward.tenant)
+        .body(forward.body.clone());
+    if let Some(content_type) = &forward.content_type {
+        request = request.header(header::CONTENT_TYPE, content_type);
+    }
+    if let Some(key) = &forward.key {
+        request = request.header(KEY_HEADER, key);
+    }
+    let response = request.send().await.map_err(|error| {
+        lease.failed();
+        match error.is_connect() {
+            true => ForwardError::Unreachable,
+            false => ForwardError::Broken,
+        }
+    })?;
+    lease.answered();
+    read_answer(response).await
+}
+
+async fn read_answer(response: reqwest::Response) -> Result<Answer, ForwardError> {
+    let status = response.status().as_u16();
+    let content_type = response
+        .headers()
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("application/octet-stream")
+        .to_owned();
+    let mut body = Vec::new();
+    let mut pieces = response.bytes_stream();
+    while let Some(piece) = pieces.next().await {
+        body.extend_from_slice(&piece.map_err(|_| ForwardError::Broken)?);
+        if body.len() > MAX_ANSWER_BYTES {
+            return Err(ForwardError::TooLarge);
+        }
+    }
+    Ok(Answer { status, content_type, body: Bytes::from(body) })
+}
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -76,6 +76,15 @@
     /// The deadline passed.
     #[error("the deadline passed")]
     DeadlinePassed,
+    /// The request has run, but its answer was too large to keep for a repeat.
+    #[error("the request has run with status {status}; its answer was too large to keep")]
+    AnswerNotKept {
+        /// HTTP status of the answer.
+        status: u16,
+    },
+    /// The back ends have nothing under this path.
+    #[error("not found")]
+    NotFound,
     /// The stream can't be resumed with the weights it began with.
     #[error("the weights changed since the stream began")]
     WeightsChanged,
@@ -121,6 +130,8 @@
             RequestError::BackEndFailed => "back_end_failed",
             RequestError::DeadlinePassed => "deadline_passed",
             RequestError::WeightsChanged => "weights_changed",
+            RequestError::AnswerNotKept { .. } => "answer_not_kept",
+            RequestError::NotFound => "not_found",
         }
     }
 
@@ -128,13 +139,15 @@
     pub fn status(&self) -> StatusCode {
         match self {
             RequestError::Unauthenticated => StatusCode::UNAUTHORIZED,
-            RequestError::UnknownService(_) | RequestError::UnknownModel(_) => {
-                StatusCode::NOT_FOUND
-            }
+            RequestError::UnknownService(_)
+            | RequestError::UnknownModel(_)
+            | RequestError::NotFound => StatusCode::NOT_FOUND,
             RequestError::Malformed(_) | RequestError::KeyOutOfRange => StatusCode::BAD_REQUEST,
             RequestError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::Limited { .. } => StatusCode::TOO_MANY_REQUESTS,
-            RequestError::KeyReused | RequestError::WeightsChanged => StatusCode::CONFLICT,
+            RequestError::KeyReused
+            | RequestError::WeightsChanged
+            | RequestError::AnswerNotKept { .. } => StatusCode::CONFLICT,
             RequestError::OutcomeUnknown | RequestError::BackEndFailed => StatusCode::BAD_GATEWAY,
             RequestError::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             RequestError::Overloaded { .. }
@@ -155,6 +168,7 @@
                 | RequestError::BackEndFailed
                 | RequestError::DeadlinePassed
                 | RequestError::KeyReused
+                | RequestError::AnswerNotKept { .. }
         )
     }
 
@@ -181,6 +195,11 @@
         }
     }
 
+    /// The body of the error.
+    pub fn json(&self) -> Vec<u8> {
+        serde_json::to_vec(&ErrorBody { error: self.detail() }).unwrap_or_default()
+    }
+
     /// The error as the last event of a stream that has already begun.
     pub fn stream_event(&self) -> String {
         let body = ErrorBody { error: self.detail() };
--- a/crates/router/src/faces.rs
+++ b/crates/router/src/faces.rs
@@ -17,8 +17,10 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::access::{REQUEST_ID_HEADER, authenticate, request_id};
+use crate::applications;
 use crate::chat::ChatRequest;
 use crate::error::RequestError;
+use crate::previews;
 use crate::relay::{ChatJob, Piece, caller_event, collect, open};
 use crate::shared::{InFlight, Shared};
 
@@ -30,7 +32,12 @@
 
 /// The callers' face.
 pub fn callers(shared: Arc<Shared>) -> AxumRouter {
-    AxumRouter::new().route("/v1/chat/completions", post(chat_completions)).with_state(shared)
+    AxumRouter::new()
+        .route("/v1/chat/completions", post(chat_completions))
+        .route("/apply/{*path}", post(applications::apply))
+        .route("/board/{*path}", get(applications::board))
+        .route("/previews/{*path}", get(previews::preview))
+        .with_state(shared)
 }
 
 /// The operators' face.
@@ -73,13 +80,22 @@
 async fn chat_completions(State(shared): State<Arc<Shared>>, request: Request) -> Response {
     let started = Instant::now();
     let result = serve_chat(Arc::clone(&shared), request, started).await;
+    answer_or_error(&shared, "chat", result)
+}
+
+/// Counts the result of a request and turns an error into its answer.
+pub(crate) fn answer_or_error(
+    shared: &Shared,
+    kind: &str,
+    result: Result<Response, RequestError>,
+) -> Response {
     let code = match &result {
         Ok(_) => "accepted",
         Err(error) => error.code(),
     };
-    shared.metrics.requests.with_label_values(&["chat", code]).inc();
+    shared.metrics.requests.with_label_values(&[kind, code]).inc();
     result.unwrap_or_else(|error| {
-        log::info!("event=request_refused kind=chat code={code} reason=\"{error}\"");
+        log::info!("event=request_refused kind={kind} code={code} reason=\"{error}\"");
         error.into_response()
     })
 }
@@ -132,7 +148,8 @@
     Ok(response)
 }
 
-fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
+/// Sets a header, unless the value can't be one.
+pub(crate) fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         headers.insert(name, value);
     }
@@ -146,7 +163,8 @@
     number.ok_or_else(|| RequestError::Malformed("x-resume-from is not a number".into()))
 }
 
-async fn read_body(body: Body, limit: u64) -> Result<Bytes, RequestError> {
+/// Reads a whole body of at most `limit` bytes.
+pub(crate) async fn read_body(body: Body, limit: u64) -> Result<Bytes, RequestError> {
     let bytes = usize::try_from(limit).unwrap_or(usize::MAX);
     to_bytes(body, bytes).await.map_err(|_| RequestError::TooLarge { limit })
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,8 +6,10 @@
 //! routers' own internal face.
 
 pub mod access;
+pub mod applications;
 pub mod backends;
 pub mod chat;
+pub mod claims;
 pub mod config;
 pub mod control_client;
 pub mod error;
@@ -15,6 +17,7 @@
 pub mod in_force;
 pub mod link;
 pub mod metrics;
+pub mod previews;
 pub mod relay;
 pub mod run;
 pub mod settings_file;
