Control state: settings revisions, claims and fences as a pure state machine

The replicas need one deterministic way to change what they agree on. Claim answers move from the protocol to the shared types so that the state machine needs no network crate; the protocol no longer depends on consensus.

--- /dev/null
+++ b/crates/control-state/src/command.rs
@@ -0,0 +1,106 @@
+//! Commands of the replicated log.
+//!
+//! A command carries everything that its effect depends on, the proposer's
+//! clock included, so that every replica computes the same state.
+
+use juniper_settings::ChangeSet;
+use juniper_types::{BlockHash, ChangeId, ClaimKey, ClaimOutcome, EngineId, Revision, TenantName};
+use minicbor::{Decode, Encode};
+
+/// Longest accepted author, in bytes.
+pub const MAX_AUTHOR_BYTES: usize = 128;
+
+/// Largest accepted encoded command, in bytes. It bounds one log entry.
+pub const MAX_COMMAND_BYTES: usize = 4 << 20;
+
+/// Who writes settings, upon what, and when.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(map)]
+pub struct WriteHeader {
+    /// The revision that the write builds on.
+    #[n(0)]
+    pub base: Revision,
+    /// Chosen by the writer; a resent write keeps it.
+    #[n(1)]
+    pub change_id: ChangeId,
+    /// Who wrote, for the history.
+    #[n(2)]
+    pub author: String,
+    /// The proposer's wall clock, in milliseconds since the Unix epoch.
+    #[n(3)]
+    pub at_ms: u64,
+}
+
+/// One command.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Command {
+    /// Edit the settings tree.
+    #[n(0)]
+    ChangeSettings {
+        /// Who, upon what, when.
+        #[n(0)]
+        header: WriteHeader,
+        /// The edits.
+        #[n(1)]
+        change: ChangeSet,
+    },
+    /// Make a new revision with the tree of an earlier one.
+    #[n(1)]
+    Rollback {
+        /// Who, upon what, when.
+        #[n(0)]
+        header: WriteHeader,
+        /// The earlier revision.
+        #[n(1)]
+        to: Revision,
+    },
+    /// Claim the right to run a request once.
+    #[n(2)]
+    Claim {
+        /// Whose request it is.
+        #[n(0)]
+        tenant: TenantName,
+        /// The caller's idempotency key.
+        #[n(1)]
+        key: ClaimKey,
+        /// Hash of the request.
+        #[n(2)]
+        fingerprint: BlockHash,
+        /// Drawn by the router for this attempt.
+        #[n(3)]
+        attempt: u64,
+        /// The proposer's wall clock, in seconds since the Unix epoch.
+        #[n(4)]
+        now: u64,
+    },
+    /// Keep the outcome of a claimed request.
+    #[n(3)]
+    Settle {
+        /// Whose request it is.
+        #[n(0)]
+        tenant: TenantName,
+        /// The key it was claimed under.
+        #[n(1)]
+        key: ClaimKey,
+        /// The attempt that ran it.
+        #[n(2)]
+        attempt: u64,
+        /// What came of it.
+        #[n(3)]
+        outcome: ClaimOutcome,
+    },
+    /// Forget the claims whose keys are older than the horizon, and refuse such keys for ever.
+    #[n(4)]
+    AdvanceHorizon {
+        /// The new horizon, in seconds since the Unix epoch; a lower one than before has no effect.
+        #[n(0)]
+        to: u64,
+    },
+    /// Draw the next fencing token for orders to an engine.
+    #[n(5)]
+    NextFence {
+        /// The engine.
+        #[n(0)]
+        engine: EngineId,
+    },
+}
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -1,1 +1,24 @@
 //! The replicated state machine: settings revisions, claims and fences.
+//!
+//! [`ControlState::apply`] is deterministic: it performs no I/O, reads no clock
+//! and draws no random number. Replicas that apply the same commands in the
+//! same order hold the same state and give the same answers.
+
+pub mod answer;
+mod change_ids;
+pub mod claims;
+pub mod command;
+pub mod history;
+pub mod rate;
+pub mod settings;
+pub mod snapshot;
+pub mod state;
+
+pub use answer::{Answer, SettleAnswer, WriteAnswer};
+pub use change_ids::MAX_CHANGE_IDS;
+pub use claims::Claims;
+pub use command::{Command, MAX_COMMAND_BYTES, WriteHeader};
+pub use history::{History, HistoryEntry};
+pub use settings::SettingsState;
+pub use snapshot::{SnapshotError, to_bytes};
+pub use state::ControlState;
--- /dev/null
+++ b/crates/control-state/src/state.rs
@@ -0,0 +1,69 @@
+//! The whole replicated state and the one way to change it.
+
+use std::collections::BTreeMap;
+
+use juniper_types::EngineId;
+
+use crate::answer::Answer;
+use crate::claims::{ClaimRequest, Claims};
+use crate::command::Command;
+use crate::settings::SettingsState;
+
+/// What the control replicas agree on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ControlState {
+    pub(crate) applied: u64,
+    pub(crate) settings: SettingsState,
+    pub(crate) claims: Claims,
+    pub(crate) fences: BTreeMap<EngineId, u64>,
+    pub(crate) last_fence: u64,
+}
+
+impl ControlState {
+    /// Index of the last command applied; zero before the first.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// The settings.
+    pub fn settings(&self) -> &SettingsState {
+        &self.settings
+    }
+
+    /// The claims.
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
+    /// The latest fencing token drawn for an engine.
+    pub fn fence(&self, engine: EngineId) -> Option<u64> {
+        self.fences.get(&engine).copied()
+    }
+
+    /// Applies the command at log position `index`. Commands must come in log
+    /// order; the effect depends on the state and the command alone.
+    pub fn apply(&mut self, index: u64, command: Command) -> Answer {
+        self.applied = index;
+        match command {
+            Command::ChangeSettings { header, change } => {
+                Answer::Write(self.settings.change(header, &change))
+            }
+            Command::Rollback { header, to } => Answer::Write(self.settings.rollback(header, to)),
+            Command::Claim { tenant, key, fingerprint, attempt, now } => {
+                self.claims.claim(ClaimRequest { tenant, key, fingerprint, attempt, now })
+            }
+            Command::Settle { tenant, key, attempt, outcome } => {
+                Answer::Settle(self.claims.settle(tenant, key, attempt, outcome))
+            }
+            Command::AdvanceHorizon { to } => Answer::Horizon(self.claims.advance_horizon(to)),
+            Command::NextFence { engine } => Answer::Fence(self.next_fence(engine)),
+        }
+    }
+
+    /// Tokens come from one counter, so they also order orders to different engines.
+    fn next_fence(&mut self, engine: EngineId) -> u64 {
+        self.last_fence += 1;
+        self.fences.insert(engine, self.last_fence);
+        self.last_fence
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -12,6 +12,5 @@
 pub use connection::{Connection, FrameReader, FrameWriter, accept, connect};
 pub use frame::{FrameError, MAX_FRAME_BYTES, PROTOCOL_VERSION};
 pub use handshake::{ClusterKey, ClusterKeyError, HandshakeError, PeerIdentity, PeerRole};
-pub use message::{
-    ClaimAnswer, ClaimOutcome, Message, Push, Refusal, Reply, Request, SettingsDelta,
-};
+pub use juniper_types::{ClaimAnswer, ClaimOutcome};
+pub use message::{Message, Push, Refusal, Reply, Request, SettingsDelta};
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -4,7 +4,8 @@
 
 use juniper_settings::{ChangeSet, SettingsTree};
 use juniper_types::{
-    BlockHash, ClaimKey, EngineId, Incarnation, NodeId, Revision, TenantName, ZoneName,
+    BlockHash, ClaimAnswer, ClaimKey, ClaimOutcome, EngineId, Incarnation, NodeId, Revision,
+    TenantName, ZoneName,
 };
 use minicbor::{Decode, Encode};
 
@@ -144,6 +145,13 @@
     /// Router to control: which nodes exist, and who leads.
     #[n(8)]
     Members,
+    /// Control to control: propose a command in the sender's name.
+    #[n(9)]
+    Propose {
+        /// Encoded by the control-state crate.
+        #[cbor(n(0), with = "minicbor::bytes")]
+        command: Vec<u8>,
+    },
 }
 
 /// Answers to [`Request`]s.
@@ -189,6 +197,13 @@
         #[n(1)]
         members: Vec<Member>,
     },
+    /// What a proposed command came to.
+    #[n(7)]
+    Applied {
+        /// Encoded by the control-state crate.
+        #[cbor(n(0), with = "minicbor::bytes")]
+        answer: Vec<u8>,
+    },
 }
 
 /// An engine that holds the start of a prompt.
@@ -259,51 +274,6 @@
     NotAllowed,
 }
 
-/// What a claim came to.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub enum ClaimAnswer {
-    /// The attempt may run the request, now and never again.
-    #[n(0)]
-    Granted,
-    /// Another attempt ran it and this is its outcome.
-    #[n(1)]
-    Settled(#[n(0)] ClaimOutcome),
-    /// Another attempt holds the claim and its outcome isn't known.
-    #[n(2)]
-    OutcomeUnknown,
-    /// The key was used for a different request.
-    #[n(3)]
-    KeyReused,
-    /// The key was made before the horizon below which claims are forgotten.
-    #[n(4)]
-    Expired {
-        /// The horizon, in seconds since the Unix epoch.
-        #[n(0)]
-        horizon: u64,
-    },
-    /// The key's time lies too far in the future.
-    #[n(5)]
-    TooEarly,
-}
-
-/// What came of a claimed request.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-#[cbor(map)]
-pub struct ClaimOutcome {
-    /// HTTP status of the back end's answer.
-    #[n(0)]
-    pub status: u16,
-    /// Content type of the answer.
-    #[n(1)]
-    pub content_type: String,
-    /// The answer, cut to the size that the tree allows to keep.
-    #[cbor(n(2), with = "minicbor::bytes")]
-    pub body: Vec<u8>,
-    /// Whether the kept body is the whole answer.
-    #[n(3)]
-    pub whole: bool,
-}
-
 /// Messages that nobody asked for.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Push {
--- a/crates/types/src/claim.rs
+++ b/crates/types/src/claim.rs
@@ -81,3 +81,48 @@
         Self::new(made_at, suffix).map_err(DecodeError::custom)
     }
 }
+
+/// What a claim came to.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum ClaimAnswer {
+    /// The attempt may run the request, now and never again.
+    #[n(0)]
+    Granted,
+    /// Another attempt ran it and this is its outcome.
+    #[n(1)]
+    Settled(#[n(0)] ClaimOutcome),
+    /// Another attempt holds the claim and its outcome isn't known.
+    #[n(2)]
+    OutcomeUnknown,
+    /// The key was used for a different request.
+    #[n(3)]
+    KeyReused,
+    /// The key was made before the horizon below which claims are forgotten.
+    #[n(4)]
+    Expired {
+        /// The horizon, in seconds since the Unix epoch.
+        #[n(0)]
+        horizon: u64,
+    },
+    /// The key's time lies too far in the future.
+    #[n(5)]
+    TooEarly,
+}
+
+/// What came of a claimed request.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(map)]
+pub struct ClaimOutcome {
+    /// HTTP status of the back end's answer.
+    #[n(0)]
+    pub status: u16,
+    /// Content type of the answer.
+    #[n(1)]
+    pub content_type: String,
+    /// The answer, cut to the size that the control replicas keep.
+    #[cbor(n(2), with = "minicbor::bytes")]
+    pub body: Vec<u8>,
+    /// Whether the kept body is the whole answer.
+    #[n(3)]
+    pub whole: bool,
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod time;
 
 pub use block::{BLOCK_BYTES, BLOCK_TOKENS, BlockHash, CacheScope, PromptBlocks, TOKEN_BYTES};
-pub use claim::{ClaimKey, ClaimKeyError};
+pub use claim::{ClaimAnswer, ClaimKey, ClaimKeyError, ClaimOutcome};
 pub use ids::{
     AdapterName, ChangeId, ChangeIdError, EngineId, Incarnation, ModelName, NameError, NodeId,
     RequestId, Revision, ServiceName, TenantName, WeightsVersion, ZoneName,
