Settings: prove incremental validation; an undone root no longer removes the tree

Cause, found by quickcheck on the replayed effects of random changes: undoing the change that first made the root node was written as a removal of '/', which takes every node with it; a rollback or a delta would have emptied the tree. An empty root now equals an absent one and undoing puts an empty root. A second fault, found by the test of the node file: a fault of the common part hid those of the sections.

--- a/crates/settings/src/change.rs
+++ b/crates/settings/src/change.rs
@@ -10,7 +10,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Encode, Decode)]
 #[serde(rename_all = "kebab-case", tag = "edit", deny_unknown_fields)]
 pub enum Edit {
-    /// Replaces the node at `path` whole, or makes it.
+    /// Replaces the node at `path` whole, or makes it. An empty root is the
+    /// same as none.
     #[n(0)]
     Put {
         /// Where.
@@ -45,7 +46,11 @@
         for edit in &self.edits {
             match edit {
                 Edit::Put { path, node } => {
-                    tree.nodes.insert(path.clone(), SettingsNode::clone(node));
+                    if SettingsTree::is_implied(path, node) {
+                        tree.nodes.remove(path);
+                    } else {
+                        tree.nodes.insert(path.clone(), SettingsNode::clone(node));
+                    }
                 }
                 Edit::Remove { path } => {
                     for path in tree.paths_within(path) {
--- a/crates/settings/src/node_file/mod.rs
+++ b/crates/settings/src/node_file/mod.rs
@@ -152,16 +152,22 @@
         root.fault_here("the file has neither a [control] nor a [router] section", "at least one");
     }
     root.finish();
-    let common = common?;
-    let control = match control {
-        Some(section) => Some(roles::read_control(section, &common)?),
-        None => None,
-    };
-    let router = match router {
-        Some(section) => Some(roles::read_router(section, &common)?),
-        None => None,
-    };
-    Some(NodeFile { common, control, router })
+    // The sections are read before any fault ends the reading, so that all are found.
+    let control = control.map(|section| roles::read_control(section, common.as_ref()));
+    let router = router.map(|section| roles::read_router(section, common.as_ref()));
+    Some(NodeFile {
+        common: common?,
+        control: all_or_nothing(control)?,
+        router: all_or_nothing(router)?,
+    })
+}
+
+/// Turns an absent section into `Some(None)` and a faulty one into `None`.
+fn all_or_nothing<T>(section: Option<Option<T>>) -> Option<Option<T>> {
+    match section {
+        Some(read) => read.map(Some),
+        None => Some(None),
+    }
 }
 
 fn read_common(root: &mut Section<'_>) -> Option<CommonSettings> {
--- a/crates/settings/src/node_file/roles.rs
+++ b/crates/settings/src/node_file/roles.rs
@@ -97,19 +97,21 @@
 
 pub(super) fn read_control(
     mut section: Section<'_>,
-    common: &CommonSettings,
+    common: Option<&CommonSettings>,
 ) -> Option<ControlSettings> {
+    let own = common.map(|common| common.node);
     let internal = section.required("internal", ADDRESS);
     let operator = section.required("operator", ADDRESS);
-    let peers = read_peers(&mut section, "peers", Some(common.node));
+    let peers = read_peers(&mut section, "peers", own);
     let voters = section.optional::<Vec<u64>>("initial_voters", VOTERS);
     let voters = voters.map(|ids| ids.into_iter().map(NodeId).collect());
-    let voters = check_voters(&mut section, voters, common.node, &peers);
+    let voters = check_voters(&mut section, voters, own, &peers);
     let limits = read_control_limits(section.table("limits"));
-    if common.data_folder.is_none() {
+    if common.is_some_and(|common| common.data_folder.is_none()) {
         section.fault_here("a control replica needs data_folder", "a folder path");
     }
     section.finish();
+    let common = common?;
     Some(ControlSettings {
         common: common.clone(),
         data_folder: common.data_folder.clone()?,
@@ -124,9 +126,10 @@
 fn check_voters(
     section: &mut Section<'_>,
     voters: Option<Vec<NodeId>>,
-    own: NodeId,
+    own: Option<NodeId>,
     peers: &[Peer],
 ) -> Option<Vec<NodeId>> {
+    let own = own?;
     let Some(voters) = voters else {
         return if peers.is_empty() {
             Some(vec![own])
@@ -158,8 +161,9 @@
 
 pub(super) fn read_router(
     mut section: Section<'_>,
-    common: &CommonSettings,
+    common: Option<&CommonSettings>,
 ) -> Option<RouterSettings> {
+    let own = common.map(|common| common.node);
     let caller = section.required("caller", ADDRESS);
     let operator = section.required("operator", ADDRESS);
     let internal = section.required("internal", ADDRESS);
@@ -168,11 +172,11 @@
         section
             .fault_here("router.control names no control replica", "a list of {id, zone, address}");
     }
-    let peers = read_peers(&mut section, "peers", Some(common.node));
+    let peers = read_peers(&mut section, "peers", own);
     let limits = read_router_limits(section.table("limits"));
     section.finish();
     Some(RouterSettings {
-        common: common.clone(),
+        common: common?.clone(),
         caller: caller?,
         operator: operator?,
         internal: internal?,
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -116,6 +116,11 @@
         self.nodes.get(path)
     }
 
+    /// Whether a tree without `node` means the same: a root that sets nothing.
+    pub(crate) fn is_implied(path: &SettingsPath, node: &SettingsNode) -> bool {
+        *path == SettingsPath::Root && *node == SettingsNode::default()
+    }
+
     /// The values in force at `path`, inherited from every level above it.
     /// Levels that are absent from the tree contribute nothing.
     pub fn effective(&self, path: &SettingsPath) -> EffectiveSettings {
--- a/crates/settings/src/validated.rs
+++ b/crates/settings/src/validated.rs
@@ -30,10 +30,14 @@
 
 impl NodeChange {
     /// The edit that does the same.
+    ///
+    /// Removing the root takes the whole tree with it, although the root alone
+    /// may be absent; putting an empty root makes it absent and nothing else.
     pub fn to_edit(&self) -> Edit {
         let path = self.path.clone();
         match &self.after {
             Some(node) => Edit::Put { path, node: Box::new(node.clone()) },
+            None if path == SettingsPath::Root => Edit::Put { path, node: Box::default() },
             None => Edit::Remove { path },
         }
     }
@@ -76,7 +80,8 @@
 
 impl ValidatedTree {
     /// Checks the whole of `tree`.
-    pub fn new(tree: SettingsTree) -> Result<Self, Vec<TreeFault>> {
+    pub fn new(mut tree: SettingsTree) -> Result<Self, Vec<TreeFault>> {
+        tree.nodes.retain(|path, node| !SettingsTree::is_implied(path, node));
         let mut index = TreeIndex::default();
         for (path, node) in &tree.nodes {
             index.insert(path, node, encoded_bytes(path, node));
@@ -148,6 +153,7 @@
         if let Some(old) = &old {
             self.index.remove(path, old, encoded_bytes(path, old));
         }
+        let node = node.filter(|node| !SettingsTree::is_implied(path, node));
         if let Some(node) = node {
             self.index.insert(path, &node, encoded_bytes(path, &node));
             self.tree.nodes.insert(path.clone(), node);
