--- /dev/null
+++ b/crates/control-state/tests/claims.rs
@@ -0,0 +1,124 @@
+//! Claims: never granted twice, whatever is resent, settled or forgotten.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use juniper_control_state::{Answer, Command, ControlState, SettleAnswer};
+use juniper_types::{BlockHash, ClaimAnswer, ClaimKey, ClaimOutcome, EngineId, TenantName};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const CASES: u64 = 3_000;
+const COMMANDS: usize = 60;
+const SEED: u64 = 0xc1a1;
+
+fn claim(made_at: u64, fingerprint: u8, attempt: u64, now: u64) -> Command {
+    Command::Claim {
+        tenant: TenantName::new("acme").unwrap(),
+        key: ClaimKey::new(made_at, "key").unwrap(),
+        fingerprint: BlockHash([fingerprint; 16]),
+        attempt,
+        now,
+    }
+}
+
+fn settle(made_at: u64, attempt: u64, body: usize) -> Command {
+    let (content_type, body) = ("text/plain".to_owned(), vec![7; body]);
+    Command::Settle {
+        tenant: TenantName::new("acme").unwrap(),
+        key: ClaimKey::new(made_at, "key").unwrap(),
+        attempt,
+        outcome: ClaimOutcome { status: 200, content_type, body, whole: true },
+    }
+}
+
+#[test]
+fn a_claim_goes_through_its_life() {
+    let mut state = ControlState::default();
+    let mut index = 0;
+    let mut apply = |command| {
+        index += 1;
+        state.apply(index, command)
+    };
+    assert_eq!(apply(claim(100, 1, 11, 100)), Answer::Claim(ClaimAnswer::Granted));
+    assert_eq!(apply(claim(100, 1, 11, 100)), Answer::Claim(ClaimAnswer::Granted), "resent");
+    assert_eq!(apply(claim(100, 1, 12, 100)), Answer::Claim(ClaimAnswer::OutcomeUnknown));
+    assert_eq!(apply(claim(100, 2, 13, 100)), Answer::Claim(ClaimAnswer::KeyReused));
+    assert_eq!(apply(settle(100, 12, 3)), Answer::Settle(SettleAnswer::NotHeld));
+    assert_eq!(apply(settle(100, 11, 3)), Answer::Settle(SettleAnswer::Kept));
+    let again = apply(claim(100, 1, 14, 100));
+    assert!(matches!(again, Answer::Claim(ClaimAnswer::Settled(ref o)) if o.whole), "{again:?}");
+    assert_eq!(apply(claim(9_999, 1, 15, 100)), Answer::Claim(ClaimAnswer::TooEarly));
+    assert_eq!(apply(Command::AdvanceHorizon { to: 101 }), Answer::Horizon(101));
+    assert_eq!(apply(Command::AdvanceHorizon { to: 50 }), Answer::Horizon(101));
+    let expired = ClaimAnswer::Expired { horizon: 101 };
+    assert_eq!(apply(claim(100, 1, 16, 100)), Answer::Claim(expired));
+    assert_eq!(apply(settle(100, 11, 3)), Answer::Settle(SettleAnswer::NotHeld));
+}
+
+#[test]
+fn a_large_outcome_is_cut_and_says_so() {
+    let mut state = ControlState::default();
+    state.apply(1, claim(100, 1, 11, 100));
+    state.apply(2, settle(100, 11, 100_000));
+    match state.apply(3, claim(100, 1, 12, 100)) {
+        Answer::Claim(ClaimAnswer::Settled(outcome)) => {
+            assert_eq!((outcome.body.len(), outcome.whole), (16 << 10, false));
+        }
+        other => panic!("unexpected {other:?}"),
+    }
+}
+
+#[test]
+fn fences_only_grow() {
+    let mut state = ControlState::default();
+    let draw = |state: &mut ControlState, index, engine| {
+        state.apply(index, Command::NextFence { engine: EngineId(engine) })
+    };
+    assert_eq!(draw(&mut state, 1, 4), Answer::Fence(1));
+    let mut state = ControlState::from_snapshot(&state.to_snapshot()).unwrap();
+    assert_eq!(draw(&mut state, 2, 5), Answer::Fence(2));
+    assert_eq!(draw(&mut state, 3, 4), Answer::Fence(3));
+    assert_eq!((state.fence(EngineId(4)), state.fence(EngineId(5))), (Some(3), Some(2)));
+}
+
+/// A command over few keys and attempts, with clocks that run wild.
+#[derive(Clone, Debug)]
+struct WildCommand(Command);
+
+impl Arbitrary for WildCommand {
+    fn arbitrary(gen_: &mut Gen) -> Self {
+        let small = |gen_: &mut Gen, below: u8| u64::from(u8::arbitrary(gen_) % below);
+        let (made_at, attempt) = (small(gen_, 4), small(gen_, 5));
+        WildCommand(match u8::arbitrary(gen_) % 8 {
+            0 => Command::AdvanceHorizon { to: small(gen_, 6) },
+            1 | 2 => settle(made_at, attempt, 1),
+            _ => claim(made_at, small(gen_, 2) as u8, attempt, small(gen_, 200)),
+        })
+    }
+}
+
+#[test]
+fn no_key_is_ever_granted_to_two_attempts_and_replicas_agree() {
+    fn property(commands: Vec<WildCommand>) -> bool {
+        let mut state = ControlState::default();
+        let mut replica = ControlState::default();
+        let mut granted: BTreeMap<u64, BTreeSet<u64>> = BTreeMap::new();
+        for (place, WildCommand(command)) in commands.into_iter().enumerate() {
+            let index = place as u64 + 1;
+            if place % 7 == 3 {
+                replica = ControlState::from_snapshot(&replica.to_snapshot()).unwrap();
+            }
+            let answer = state.apply(index, command.clone());
+            assert_eq!(answer, replica.apply(index, command.clone()));
+            if let (Command::Claim { key, attempt, .. }, Answer::Claim(ClaimAnswer::Granted)) =
+                (command, answer)
+            {
+                granted.entry(key.made_at()).or_default().insert(attempt);
+            }
+        }
+        assert_eq!(state, replica);
+        granted.values().all(|attempts| attempts.len() == 1)
+    }
+    let random = Gen::from_size_and_seed(COMMANDS, SEED);
+    let mut check = QuickCheck::new().rng(random).tests(CASES);
+    check.quickcheck(property as fn(Vec<WildCommand>) -> bool);
+}
