--- /dev/null
+++ b/crates/cli/src/daemon.rs
@@ -0,0 +1,1 @@
+//! The daemons: `control`, `router`, and checks of their files.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,8 +1,88 @@
 //! The juniperhollow command line: daemons and operator commands.
 
+pub mod arguments;
+pub mod client;
+pub mod daemon;
+pub mod logging;
+pub mod operator;
+pub mod output;
+
 use std::process::ExitCode;
 
+use arguments::ArgumentError;
+
+const HELP: &str = "\
+Usage: juniperhollow COMMAND [OPTIONS]
+
+Daemons:
+  control --settings FILE     run one replica of the durable state
+  router --settings FILE      run a router
+
+Checks:
+  settings check FILE         check a node file whole; list every fault
+  key hash                    read a key on standard input, print its hash
+
+Operator commands (against the operator address of a control replica):
+  tree get [PATH]             print the tree, or the node at PATH
+  tree effective PATH         print the values in force at PATH
+  tree apply FILE             submit a change (JSON: base_revision, change_id, edits)
+  tree diff FROM TO           print what changed between two revisions
+  tree history                list the latest accepted changes
+  tree rollback REVISION      make an earlier tree the newest revision
+  nodes                       status of every node with the revision in force
+  drain ENGINE                give a back end no new work ('--undo' takes it back)
+
+Options of operator commands:
+  --control URL               e.g. http://127.0.0.1:7101; repeat for more replicas
+  --operator-key-file FILE    file with the operators' key
+  --format text|json          default text
+
+Exit codes: 0 success, 1 failure, 2 usage, 3 conflict with a newer revision,
+4 the change or file has faults.
+";
+
+/// Exit code of a write that lost against a newer revision.
+pub const EXIT_CONFLICT: u8 = 3;
+
+/// Exit code of a file or change with faults.
+pub const EXIT_FAULTS: u8 = 4;
+
 /// Runs the program and returns its exit code.
 pub fn main() -> ExitCode {
-    ExitCode::SUCCESS
+    let mut parser = lexopt::Parser::from_env();
+    match dispatch(&mut parser) {
+        Ok(code) => code,
+        Err(report) => {
+            eprintln!("{report:?}");
+            exit_code_of(&report)
+        }
+    }
+}
+
+fn exit_code_of(report: &miette::Report) -> ExitCode {
+    if report.downcast_ref::<ArgumentError>().is_some() {
+        return ExitCode::from(2);
+    }
+    match report.downcast_ref::<client::ClientError>() {
+        Some(client::ClientError::Answer { status: 409, .. }) => ExitCode::from(EXIT_CONFLICT),
+        Some(client::ClientError::Answer { status: 422, .. }) => ExitCode::from(EXIT_FAULTS),
+        _ => ExitCode::FAILURE,
+    }
+}
+
+fn dispatch(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
+    let Some(command) = arguments::next_word(parser)? else {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    };
+    match command.as_str() {
+        "control" => daemon::control(parser),
+        "router" => daemon::router(parser),
+        "settings" => daemon::check(parser),
+        "key" => daemon::hash_key(parser),
+        "tree" => operator::tree(parser),
+        "nodes" => operator::nodes(parser),
+        "drain" => operator::drain(parser),
+        _ => Err(ArgumentError::UnknownCommand(command).into()),
+    }
 }
--- /dev/null
+++ b/crates/cli/src/operator.rs
@@ -0,0 +1,148 @@
+//! Operator commands against a running fleet.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use juniper_settings::SettingsPath;
+use lexopt::{Arg, ValueExt};
+use reqwest::Method;
+use serde_json::{Value, json};
+
+use crate::arguments::{ArgumentError, number};
+use crate::client::OperatorClient;
+use crate::output::{Format, print};
+
+/// Why an operator command failed before it was sent.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum OperatorError {
+    /// The file with the change can't be read.
+    #[error("change file {path}: {source}")]
+    ChangeFile {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file with the change is not JSON.
+    #[error("change file {path}: {source}")]
+    ChangeJson {
+        /// The file.
+        path: PathBuf,
+        /// Where and why.
+        source: serde_json::Error,
+    },
+    /// The runtime could not be started.
+    #[error("can't start the runtime: {0}")]
+    Runtime(std::io::Error),
+}
+
+/// Options and words of an operator command.
+#[derive(Default)]
+struct OperatorArguments {
+    replicas: Vec<String>,
+    key_file: Option<PathBuf>,
+    format: Format,
+    undo: bool,
+    words: Vec<String>,
+}
+
+fn read_arguments(parser: &mut lexopt::Parser) -> Result<OperatorArguments, ArgumentError> {
+    let mut arguments = OperatorArguments::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("control") => arguments.replicas.push(parser.value()?.string()?),
+            Arg::Long("operator-key-file") => arguments.key_file = Some(parser.value()?.into()),
+            Arg::Long("format") => arguments.format = Format::parse(&parser.value()?.string()?)?,
+            Arg::Long("undo") => arguments.undo = true,
+            Arg::Value(word) => arguments.words.push(word.string()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(arguments)
+}
+
+impl OperatorArguments {
+    fn word(&self, at: usize, name: &'static str) -> Result<&str, ArgumentError> {
+        self.words.get(at).map(String::as_str).ok_or(ArgumentError::Missing(name))
+    }
+
+    fn path(&self, at: usize) -> Result<SettingsPath, ArgumentError> {
+        let text = self.word(at, "PATH")?;
+        text.parse().map_err(|_| ArgumentError::Value {
+            name: "PATH",
+            value: text.to_owned(),
+            allowed: "a settings path such as /zone/tenant/service",
+        })
+    }
+
+    /// Sends one call and prints its answer.
+    fn call(&self, method: Method, path: &str, body: Option<&Value>) -> miette::Result<ExitCode> {
+        let key_file =
+            self.key_file.as_deref().ok_or(ArgumentError::Missing("--operator-key-file"))?;
+        let client = OperatorClient::new(self.replicas.clone(), key_file)?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(OperatorError::Runtime)?;
+        let answer = runtime.block_on(client.call(method, path, body))?;
+        print(&answer, self.format);
+        Ok(ExitCode::SUCCESS)
+    }
+
+    fn get(&self, path: &str) -> miette::Result<ExitCode> {
+        self.call(Method::GET, path, None)
+    }
+}
+
+/// `tree get|effective|apply|diff|history|rollback`.
+pub fn tree(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
+    let arguments = read_arguments(parser)?;
+    match arguments.word(0, "a tree command")? {
+        "get" if arguments.words.len() < 2 => arguments.get("/v1/settings"),
+        "get" => arguments.get(&format!("/v1/settings/node?path={}", arguments.path(1)?)),
+        "effective" => {
+            arguments.get(&format!("/v1/settings/effective?path={}", arguments.path(1)?))
+        }
+        "history" => arguments.get("/v1/settings/history"),
+        "diff" => {
+            let from = number("FROM", arguments.word(1, "FROM")?)?;
+            let to = number("TO", arguments.word(2, "TO")?)?;
+            arguments.get(&format!("/v1/settings/diff?from={from}&to={to}"))
+        }
+        "rollback" => {
+            let to = number("REVISION", arguments.word(1, "REVISION")?)?;
+            let body = json!({ "to": to, "change_id": new_change_id("rollback") });
+            arguments.call(Method::POST, "/v1/settings/rollback", Some(&body))
+        }
+        "apply" => {
+            let body = read_change(arguments.word(1, "FILE")?)?;
+            arguments.call(Method::POST, "/v1/settings/changes", Some(&body))
+        }
+        other => Err(ArgumentError::UnknownCommand(format!("tree {other}")).into()),
+    }
+}
+
+fn read_change(path: &str) -> Result<Value, OperatorError> {
+    let path = PathBuf::from(path);
+    let text = std::fs::read_to_string(&path)
+        .map_err(|source| OperatorError::ChangeFile { path: path.clone(), source })?;
+    serde_json::from_str(&text).map_err(|source| OperatorError::ChangeJson { path, source })
+}
+
+fn new_change_id(kind: &str) -> String {
+    let number: u64 = rand::random();
+    format!("{kind}-{number:016x}")
+}
+
+/// `nodes`.
+pub fn nodes(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
+    read_arguments(parser)?.get("/v1/nodes")
+}
+
+/// `drain ENGINE`.
+pub fn drain(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
+    let arguments = read_arguments(parser)?;
+    let engine = number("ENGINE", arguments.word(0, "ENGINE")?)?;
+    let body = json!({ "leaving": !arguments.undo, "change_id": new_change_id("drain") });
+    arguments.call(Method::POST, &format!("/v1/back-ends/{engine}/drain"), Some(&body))
+}
