--- a/crates/lab/src/arguments.rs
+++ b/crates/lab/src/arguments.rs
@@ -23,7 +23,23 @@
         /// What is allowed.
         allowed: &'static str,
     },
+    /// An option's value is not a valid name.
+    #[error(transparent)]
+    Name(#[from] juniper_types::NameError),
     /// The command is not part of this build yet.
     #[error("the command {0} is not available in this build")]
     Unavailable(&'static str),
 }
+
+/// The value that follows `option`, read as a `T`.
+///
+/// # Errors
+/// Fails when there is none, or when it is not what is `allowed`.
+pub fn parsed<T: std::str::FromStr>(
+    parser: &mut lexopt::Parser,
+    option: &'static str,
+    allowed: &'static str,
+) -> Result<T, ArgumentError> {
+    let value = parser.value()?.to_string_lossy().into_owned();
+    value.parse().map_err(|_| ArgumentError::Value { option, value, allowed })
+}
--- /dev/null
+++ b/crates/lab/src/emulate/serve.rs
@@ -0,0 +1,51 @@
+//! Serves the routes of an emulator until the process is ended.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use axum::Router;
+
+/// Why an emulator can't serve.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum ServeError {
+    /// The runtime can't be started.
+    #[error("the runtime can't be started")]
+    Runtime(#[source] std::io::Error),
+    /// The address can't be listened on.
+    #[error("can't listen on {address}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        #[source]
+        source: std::io::Error,
+    },
+    /// Serving ended with a fault.
+    #[error("serving failed")]
+    Serve(#[source] std::io::Error),
+}
+
+/// Serves `routes` on `address` and announces the address on standard output.
+///
+/// # Errors
+/// Fails when the address can't be listened on.
+pub fn serve(address: SocketAddr, routes: Router) -> miette::Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .worker_threads(2)
+        .build()
+        .map_err(ServeError::Runtime)?;
+    runtime.block_on(serve_on(address, routes))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn serve_on(address: SocketAddr, routes: Router) -> Result<(), ServeError> {
+    let listen_fault = |source| ServeError::Listen { address, source };
+    let listener = tokio::net::TcpListener::bind(address).await.map_err(listen_fault)?;
+    let local = listener.local_addr().map_err(listen_fault)?;
+    let mut output = std::io::stdout();
+    let announced = writeln!(output, "listening={local}").and_then(|()| output.flush());
+    announced.map_err(ServeError::Serve)?;
+    axum::serve(listener, routes).await.map_err(ServeError::Serve)
+}
