--- a/crates/router/src/access.rs
+++ b/crates/router/src/access.rs
@@ -1,7 +1,7 @@
 //! Who calls: API key to tenant, and the operators' key.
 
 use axum::http::{HeaderMap, header};
-use juniper_settings::{EffectiveSettings, TrafficKind};
+use juniper_settings::{ApiKeyHash, EffectiveSettings, TrafficKind};
 use juniper_types::{RequestId, ServiceName};
 use std::sync::Arc;
 use subtle::ConstantTimeEq;
@@ -71,11 +71,13 @@
     }
 }
 
-/// Whether `headers` carry the operators' key with this hash.
-pub fn is_operator(headers: &HeaderMap, operator_key_hash: &str) -> bool {
+/// Whether `headers` carry a key of the operators. Every hash is compared, so
+/// that the time taken tells nothing about which one matched.
+pub fn is_operator(headers: &HeaderMap, operator_keys: &[ApiKeyHash]) -> bool {
     let Some(key) = bearer(headers) else {
         return false;
     };
-    let hash = juniper_settings::ApiKeyHash::of(key);
-    bool::from(hash.0.as_bytes().ct_eq(operator_key_hash.as_bytes()))
+    let presented = ApiKeyHash::of(key);
+    let matches = |known: &ApiKeyHash| bool::from(known.0.as_bytes().ct_eq(presented.0.as_bytes()));
+    operator_keys.iter().filter(|known| matches(known)).count() > 0
 }
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -3,21 +3,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use juniper_protocol::ClusterKey;
+use juniper_protocol::{ClusterKey, ClusterKeyError, PeerIdentity, PeerRole};
+use juniper_settings::ApiKeyHash;
+use juniper_settings::node_file::{Peer, RouterLimits, RouterSettings};
 use juniper_types::{NodeId, ZoneName};
 
-/// Another daemon and where it is reached.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Peer {
-    /// Its node number.
-    pub node: NodeId,
-    /// Its zone.
-    pub zone: ZoneName,
-    /// Its internal address.
-    pub address: SocketAddr,
-}
-
-/// Settings of one router process, already checked.
+/// Settings of one router process, ready for use.
 #[derive(Clone)]
 pub struct RouterConfig {
     /// Number of this node.
@@ -25,23 +16,46 @@
     /// Zone this node runs in.
     pub zone: ZoneName,
     /// Where callers connect.
-    pub caller_address: SocketAddr,
+    pub caller: SocketAddr,
     /// Where operators connect.
-    pub operator_address: SocketAddr,
+    pub operator: SocketAddr,
     /// Where other daemons connect.
-    pub internal_address: SocketAddr,
-    /// Hash of the operators' key.
-    pub operator_key_hash: String,
+    pub internal: SocketAddr,
+    /// Hashes of the operators' keys.
+    pub operator_keys: Vec<ApiKeyHash>,
     /// Secret shared by the daemons.
     pub cluster_key: ClusterKey,
     /// Control replicas.
     pub control: Vec<Peer>,
     /// Other routers.
-    pub routers: Vec<Peer>,
+    pub peers: Vec<Peer>,
     /// Folder for the last settings in force; absent on a machine without a disk.
     pub data_folder: Option<PathBuf>,
-    /// Most requests in flight at once.
-    pub max_in_flight: usize,
-    /// Longest time that a planned stop waits for requests in flight, in seconds.
-    pub drain_seconds: u64,
+    /// Bounds.
+    pub limits: RouterLimits,
+}
+
+impl RouterConfig {
+    /// Takes over the checked settings of a node file.
+    pub fn from_settings(settings: RouterSettings) -> Result<Self, ClusterKeyError> {
+        let common = settings.common;
+        Ok(RouterConfig {
+            node: common.node,
+            zone: common.zone,
+            caller: settings.caller,
+            operator: settings.operator,
+            internal: settings.internal,
+            operator_keys: common.operator_keys,
+            cluster_key: ClusterKey::from_text(common.cluster_key.as_str())?,
+            control: settings.control,
+            peers: settings.peers,
+            data_folder: settings.keep_settings.then_some(common.data_folder),
+            limits: settings.limits,
+        })
+    }
+
+    /// Who this router is to other daemons.
+    pub fn identity(&self) -> PeerIdentity {
+        PeerIdentity { node: self.node, role: PeerRole::Router, zone: self.zone.clone() }
+    }
 }
--- a/crates/router/src/control_client.rs
+++ b/crates/router/src/control_client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use juniper_protocol::{PeerIdentity, Refusal, Reply, Request};
+use juniper_settings::node_file::Peer;
 use juniper_types::{NodeId, Revision};
 use tokio::time::Instant;
 
@@ -41,10 +42,10 @@
 impl ControlClient {
     /// Makes the links; none connects before the first call.
     pub fn new(config: &RouterConfig, own: &PeerIdentity) -> Self {
-        let make = |peer: &crate::config::Peer| {
+        let make = |peer: &Peer| {
             let key = config.cluster_key.clone();
             let target = LinkTarget { address: peer.address, key, own: own.clone() };
-            (peer.node, Link::spawn(target))
+            (peer.id, Link::spawn(target))
         };
         let replicas: Vec<_> = config.control.iter().map(make).collect();
         let by_node = replicas.iter().enumerate().map(|(at, (node, _))| (*node, at)).collect();
--- a/crates/router/src/faces.rs
+++ b/crates/router/src/faces.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::access::{REQUEST_ID_HEADER, authenticate, request_id};
+use crate::access::{REQUEST_ID_HEADER, authenticate, is_operator, request_id};
 use crate::applications;
 use crate::chat::ChatRequest;
 use crate::error::RequestError;
@@ -65,7 +65,10 @@
     shared.metrics.render()
 }
 
-async fn status(State(shared): State<Arc<Shared>>) -> Response {
+async fn status(State(shared): State<Arc<Shared>>, headers: HeaderMap) -> Response {
+    if !is_operator(&headers, &shared.config.operator_keys) {
+        return RequestError::Unauthenticated.into_response();
+    }
     let body = json!({
         "node": shared.config.node.0,
         "zone": shared.config.zone.as_str(),
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use juniper_protocol::{PeerIdentity, PeerRole};
 use kameo::actor::Spawn;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
@@ -77,8 +76,8 @@
     stop: impl Future<Output = ()> + Send,
 ) -> Result<(), RouterError> {
     let config = Arc::new(config);
-    let callers = listen(config.caller_address).await?;
-    let operators = listen(config.operator_address).await?;
+    let callers = listen(config.caller).await?;
+    let operators = listen(config.operator).await?;
     let shared = start(Arc::clone(&config))?;
     let (close, closed) = watch::channel(false);
     let caller_face = serve(callers, faces::callers(Arc::clone(&shared)), closed.clone());
@@ -88,8 +87,8 @@
         "event=router_started node={} zone={} callers={} operators={}",
         config.node,
         config.zone,
-        config.caller_address,
-        config.operator_address
+        config.caller,
+        config.operator
     );
     tokio::pin!(faces);
     let drain = async {
@@ -109,8 +108,7 @@
 }
 
 fn start(config: Arc<RouterConfig>) -> Result<Arc<Shared>, RouterError> {
-    let identity =
-        PeerIdentity { node: config.node, role: PeerRole::Router, zone: config.zone.clone() };
+    let identity = config.identity();
     let file = match &config.data_folder {
         Some(folder) => Some(SettingsFile::open(folder)?),
         None => None,
@@ -135,7 +133,7 @@
         back_ends,
         http,
         metrics: Metrics::new()?,
-        slots: Arc::new(Semaphore::new(config.max_in_flight)),
+        slots: Arc::new(Semaphore::new(config.limits.max_in_flight)),
         stopping: AtomicBool::new(false),
         closed: AtomicBool::new(false),
         started: Instant::now(),
@@ -170,7 +168,7 @@
     log::info!("event=drain_started in_flight={}", shared.metrics.in_flight.get());
     sleep(READY_GRACE).await;
     shared.closed.store(true, Ordering::Release);
-    let seconds = shared.config.drain_seconds;
+    let seconds = shared.config.limits.drain_seconds;
     let deadline = Instant::now() + Duration::from_secs(seconds);
     loop {
         let in_flight = shared.metrics.in_flight.get();
--- a/crates/router/src/subscription.rs
+++ b/crates/router/src/subscription.rs
@@ -18,7 +18,9 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::config::{Peer, RouterConfig};
+use juniper_settings::node_file::Peer;
+
+use crate::config::RouterConfig;
 use crate::control_client::ControlClient;
 use crate::in_force::{InForce, MissedRevision};
 use crate::settings_file::{SettingsFile, SettingsFileError};
@@ -181,7 +183,7 @@
         let from = view.borrow().in_force.revision;
         let end = subscribe_once(replica, from, &config, &own, &settings).await;
         let Err(end) = end else { continue };
-        log::warn!("event=subscription_ended replica={} reason=\"{end}\"", replica.node);
+        log::warn!("event=subscription_ended replica={} reason=\"{end}\"", replica.id);
         if matches!(end, SubscriptionEnd::Stopped) {
             return;
         }
@@ -223,7 +225,7 @@
     let mut replicas = config.control.clone();
     replicas.sort_by_key(|peer| {
         let mut hasher = DefaultHasher::new();
-        (config.node, peer.node).hash(&mut hasher);
+        (config.node, peer.id).hash(&mut hasher);
         (peer.zone != config.zone, hasher.finish())
     });
     replicas
--- a/crates/settings/src/node_file/roles.rs
+++ b/crates/settings/src/node_file/roles.rs
@@ -68,12 +68,19 @@
     pub max_in_flight: usize,
     /// Largest request body that any tenant may send, in bytes.
     pub max_body_bytes: usize,
+    /// Longest time that a planned stop waits for requests in flight, in seconds.
+    pub drain_seconds: u64,
 }
 
 impl Default for RouterLimits {
     /// Sized for a machine that carries a third of one zone's peak.
     fn default() -> Self {
-        RouterLimits { max_connections: 8_192, max_in_flight: 4_096, max_body_bytes: 4 << 20 }
+        RouterLimits {
+            max_connections: 8_192,
+            max_in_flight: 4_096,
+            max_body_bytes: 4 << 20,
+            drain_seconds: 120,
+        }
     }
 }
 
@@ -92,6 +99,9 @@
     pub control: Vec<Peer>,
     /// The other routers.
     pub peers: Vec<Peer>,
+    /// Whether the settings in force are kept on disk, so that a restart serves
+    /// them at once; false on a machine without a disk.
+    pub keep_settings: bool,
     /// Bounds.
     pub limits: RouterLimits,
 }
@@ -167,6 +177,7 @@
             .fault_here("router.control names no control replica", "a list of {id, zone, address}");
     }
     let peers = read_peers(&mut section, "peers", Some(common.node));
+    let keep_settings = section.optional("keep_settings", "true or false");
     let limits = read_router_limits(section.table("limits"));
     section.finish();
     Some(RouterSettings {
@@ -176,6 +187,7 @@
         internal: internal?,
         control,
         peers,
+        keep_settings: keep_settings.unwrap_or(true),
         limits,
     })
 }
@@ -188,6 +200,7 @@
     read_positive(&mut section, "max_connections", &mut limits.max_connections);
     read_positive(&mut section, "max_in_flight", &mut limits.max_in_flight);
     read_positive(&mut section, "max_body_bytes", &mut limits.max_body_bytes);
+    read_positive(&mut section, "drain_seconds", &mut limits.drain_seconds);
     section.finish();
     limits
 }
