--- /dev/null
+++ b/crates/prefix-index/tests/coarse.rs
@@ -0,0 +1,123 @@
+//! The sampled, sharded index against the exact one, and its message sizes.
+
+use juniper_prefix_index::coarse::{
+    CHECKPOINT_INTERVAL, CheckpointHolders, CoarseShard, CoarseUpdate, KeyList, UpdateBatcher,
+    checkpoints, combine,
+};
+use juniper_prefix_index::{CacheEvent, EventOutcome, SnapshotOutcome};
+use juniper_types::{BlockHash, EngineId, Incarnation, Timestamp};
+
+const NOW: Timestamp = Timestamp(0);
+const ROUTERS: [u64; 3] = [11, 22, 33];
+const LIFE: Incarnation = Incarnation(1);
+
+fn prompt(seed: u64, length: usize) -> Vec<BlockHash> {
+    let mut previous = BlockHash([0; 16]).next(&seed.to_be_bytes());
+    let mut blocks = Vec::new();
+    for _ in 0..length {
+        previous = previous.next(b"block");
+        blocks.push(previous);
+    }
+    blocks
+}
+
+fn shards_after(events: &[(EngineId, CacheEvent)]) -> Vec<CoarseShard> {
+    let mut batcher = UpdateBatcher::default();
+    for (engine, event) in events {
+        batcher.add(*engine, LIFE, event, &ROUTERS);
+    }
+    let mut shards: Vec<CoarseShard> = ROUTERS.iter().map(|_| CoarseShard::default()).collect();
+    for (owner, update) in batcher.flush() {
+        let shard = ROUTERS.iter().position(|router| *router == owner).unwrap();
+        assert_eq!(shards[shard].apply(&update), Ok(EventOutcome::Applied));
+    }
+    shards
+}
+
+fn ask(shards: &[CoarseShard], blocks: &[BlockHash], silent: Option<u64>) -> Vec<(u32, u32)> {
+    let marks = checkpoints(blocks);
+    let answers: Vec<Option<CheckpointHolders>> = marks
+        .iter()
+        .map(|mark| {
+            let owner = mark.key.owner(ROUTERS).unwrap();
+            let shard = ROUTERS.iter().position(|router| *router == owner).unwrap();
+            let found = shards[shard].lookup(&KeyList::new([mark.key]), NOW).pop();
+            found.filter(|_| silent != Some(owner))
+        })
+        .collect();
+    combine(&marks, &answers).iter().map(|holder| (holder.engine.0, holder.blocks)).collect()
+}
+
+fn stored(blocks: &[BlockHash]) -> CacheEvent {
+    CacheEvent { sequence: 1, stored: blocks.to_vec(), removed: Vec::new() }
+}
+
+#[test]
+fn one_block_in_sixteen_is_a_checkpoint() {
+    let count = checkpoints(&prompt(1, 64_000)).len();
+    let expected = 64_000 / usize::from(CHECKPOINT_INTERVAL);
+    assert!(count.abs_diff(expected) < expected / 20, "{count}");
+}
+
+#[test]
+fn shards_together_find_each_engine_up_to_its_last_checkpoint() {
+    let blocks = prompt(2, 400);
+    let events = [(EngineId(1), stored(&blocks)), (EngineId(2), stored(&blocks[..200]))];
+    let shards = shards_after(&events);
+    let last = |length: u32| {
+        let marks = checkpoints(&blocks);
+        marks.iter().map(|mark| mark.blocks).filter(|blocks| *blocks <= length).max().unwrap()
+    };
+    assert_eq!(ask(&shards, &blocks, None), [(1, last(400)), (2, last(200))]);
+}
+
+#[test]
+fn silent_shard_is_passed_over() {
+    let blocks = prompt(3, 400);
+    let shards = shards_after(&[(EngineId(1), stored(&blocks))]);
+    for silent in ROUTERS {
+        let found = ask(&shards, &blocks, Some(silent));
+        assert!(found[0].1 > 300, "{found:?} without {silent}");
+    }
+}
+
+#[test]
+fn stored_and_evicted_in_one_batch_is_sent_once() {
+    let blocks = prompt(4, 64);
+    let gone = CacheEvent { sequence: 2, stored: Vec::new(), removed: blocks.clone() };
+    let shards = shards_after(&[(EngineId(1), stored(&blocks)), (EngineId(1), gone)]);
+    assert!(ask(&shards, &blocks, None).is_empty());
+}
+
+#[test]
+fn lost_update_needs_a_resync() {
+    let blocks = prompt(5, 64);
+    let keys = KeyList::new(checkpoints(&blocks).iter().map(|mark| mark.key));
+    let update = |sequence| CoarseUpdate {
+        engine: EngineId(1),
+        incarnation: LIFE,
+        sequence,
+        stored: keys.clone(),
+        removed: KeyList::default(),
+    };
+    let mut shard = CoarseShard::default();
+    assert_eq!(shard.apply(&update(2)), Ok(EventOutcome::Gap { missing: 1 }));
+    assert!(shard.lookup(&keys, NOW).iter().all(|holders| holders.engines.is_empty()));
+    assert_eq!(shard.resync(&update(4)), Ok(SnapshotOutcome::Applied));
+    assert!(shard.lookup(&keys, NOW).iter().all(|holders| holders.engines.len() == 1));
+}
+
+#[test]
+fn update_takes_six_bytes_a_key_and_a_short_header() {
+    let keys = checkpoints(&prompt(6, 1_600));
+    let update = CoarseUpdate {
+        engine: EngineId(1_499),
+        incarnation: Incarnation(u64::MAX),
+        sequence: 1_000_000,
+        stored: KeyList::new(keys.iter().map(|mark| mark.key)),
+        removed: KeyList::default(),
+    };
+    let bytes = minicbor::to_vec(&update).unwrap();
+    assert!(bytes.len() <= 6 * keys.len() + 24, "{} bytes, {} keys", bytes.len(), keys.len());
+    assert_eq!(minicbor::decode::<CoarseUpdate>(&bytes).unwrap(), update);
+}
