--- a/crates/protocol/src/handshake.rs
+++ b/crates/protocol/src/handshake.rs
@@ -23,6 +23,7 @@
 const KEY_CONTEXT: &str = "juniperhollow cluster key v1";
 const CONNECTOR: u8 = 0;
 const ACCEPTOR: u8 = 1;
+const DATAGRAM: u8 = 2;
 
 /// The text is too short to be a cluster key.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -42,6 +43,15 @@
         Ok(ClusterKey(blake3::derive_key(KEY_CONTEXT, text.as_bytes())))
     }
 
+    /// Keyed hash of a datagram's payload. The prefix keeps it apart from the
+    /// proofs of handshakes.
+    pub(crate) fn keyed_hash(&self, payload: &[u8]) -> [u8; 32] {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        hasher.update(&[DATAGRAM]);
+        hasher.update(payload);
+        *hasher.finalize().as_bytes()
+    }
+
     fn proof(&self, direction: u8, connector: &[u8], acceptor: &[u8]) -> [u8; 32] {
         let mut hasher = blake3::Hasher::new_keyed(&self.0);
         hasher.update(&[direction]);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 //! CBOR-encoded [`Message`].
 
 pub mod connection;
+pub mod datagram;
 pub mod frame;
 pub mod handshake;
 pub mod message;
--- a/crates/router/src/engine_api.rs
+++ b/crates/router/src/engine_api.rs
@@ -122,10 +122,8 @@
         after: u64,
     ) -> Result<EventBatch, EngineCallError> {
         let wait = EVENT_WAIT.as_millis();
-        let path = format!(
-            "/v1/cache/events?incarnation={}&after={after}&wait_ms={wait}",
-            incarnation.0
-        );
+        let path =
+            format!("/v1/cache/events?incarnation={}&after={after}&wait_ms={wait}", incarnation.0);
         let body: EventBatchBody = self.get(&path, EVENT_WAIT + ANSWER_TIMEOUT).await?;
         let events = body.events.into_iter().map(EventBody::parse).collect::<Result<_, _>>()?;
         Ok(EventBatch { incarnation: body.incarnation, events })
--- /dev/null
+++ b/crates/router/src/peers.rs
@@ -0,0 +1,213 @@
+//! The routers' view of each other: the failure detector over UDP.
+//!
+//! [`MembershipActor`] owns the pure detector and the socket. A timer ticks it,
+//! a reading task hands it datagrams, and it publishes who is up.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniper_membership::{
+    Action, Detector, DetectorConfig, Liveness, Member, MemberRole, Message as Gossip,
+};
+use juniper_protocol::datagram::{MAX_DATAGRAM_BYTES, open, seal};
+use juniper_protocol::{ClusterKey, message::encode};
+use juniper_types::{Incarnation, Timestamp};
+use kameo::Actor;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::message::{Context, Message};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::time::{Instant, interval};
+
+use crate::config::RouterConfig;
+use crate::metrics::Metrics;
+
+/// Time between ticks of the detector, well within its probe timeout.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Routers that are up, this one excluded.
+#[derive(Clone, Debug, Default)]
+pub struct PeerView {
+    /// The peers, by node number.
+    pub routers: Arc<Vec<Member>>,
+}
+
+/// Owns the failure detector.
+pub struct MembershipActor {
+    detector: Detector,
+    socket: Arc<UdpSocket>,
+    key: ClusterKey,
+    started: Instant,
+    view: watch::Sender<PeerView>,
+    metrics: Metrics,
+}
+
+/// What the actor starts with.
+pub struct MembershipArguments {
+    /// Settings of the process.
+    pub config: Arc<RouterConfig>,
+    /// Bound to the internal address.
+    pub socket: UdpSocket,
+    /// Where the view is published.
+    pub view: watch::Sender<PeerView>,
+    /// Counts bytes.
+    pub metrics: Metrics,
+}
+
+struct Tick;
+
+struct Datagram(Vec<u8>);
+
+/// Tells the group that this node leaves.
+pub struct Leave;
+
+impl Actor for MembershipActor {
+    type Args = MembershipArguments;
+    type Error = std::convert::Infallible;
+
+    async fn on_start(
+        arguments: MembershipArguments,
+        actor: ActorRef<Self>,
+    ) -> Result<Self, Self::Error> {
+        let config = arguments.config;
+        let own = Member {
+            node: config.node,
+            zone: config.zone.clone(),
+            role: MemberRole::Router,
+            address: config.internal,
+            life: Incarnation(rand::random()),
+        };
+        let seeds = config.peers.iter().map(|peer| peer.address).collect();
+        let detector = Detector::new(DetectorConfig::default(), own, seeds, rand::random());
+        let socket = Arc::new(arguments.socket);
+        tokio::spawn(tick(actor.clone()));
+        tokio::spawn(receive(actor, Arc::clone(&socket)));
+        Ok(MembershipActor {
+            detector,
+            socket,
+            key: config.cluster_key.clone(),
+            started: Instant::now(),
+            view: arguments.view,
+            metrics: arguments.metrics,
+        })
+    }
+}
+
+async fn tick(actor: ActorRef<MembershipActor>) {
+    let mut ticks = interval(TICK);
+    loop {
+        ticks.tick().await;
+        if actor.tell(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn receive(actor: ActorRef<MembershipActor>, socket: Arc<UdpSocket>) {
+    let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    loop {
+        // A failed receive reports an earlier send that nobody took; go on.
+        let Ok((length, _from)) = socket.recv_from(&mut buffer).await else { continue };
+        if actor.tell(Datagram(buffer[..length].to_vec())).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Message<Tick> for MembershipActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _tick: Tick, _context: &mut Context<Self, ()>) {
+        let actions = self.detector.tick(self.now());
+        self.carry_out(actions).await;
+    }
+}
+
+impl Message<Datagram> for MembershipActor {
+    type Reply = ();
+
+    async fn handle(&mut self, datagram: Datagram, _context: &mut Context<Self, ()>) {
+        let length = datagram.0.len() as u64;
+        self.metrics.control_bytes.with_label_values(&["in"]).inc_by(length);
+        let payload = match open(&self.key, &datagram.0) {
+            Ok(payload) => payload,
+            Err(error) => {
+                log::debug!("event=datagram_refused reason=\"{error}\"");
+                return;
+            }
+        };
+        let Ok(message) = minicbor::decode::<Gossip>(payload) else {
+            log::debug!("event=datagram_refused reason=\"malformed\"");
+            return;
+        };
+        let actions = self.detector.receive(message, self.now());
+        self.carry_out(actions).await;
+    }
+}
+
+impl Message<Leave> for MembershipActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _leave: Leave, _context: &mut Context<Self, ()>) {
+        let actions = self.detector.leave();
+        self.carry_out(actions).await;
+    }
+}
+
+impl MembershipActor {
+    fn now(&self) -> Timestamp {
+        Timestamp::ZERO.after(self.started.elapsed())
+    }
+
+    async fn carry_out(&mut self, actions: Vec<Action>) {
+        let mut changed = false;
+        for action in actions {
+            match action {
+                Action::Send { address, message } => self.send(address, &message).await,
+                Action::Changed(update) => {
+                    changed = true;
+                    log::info!(
+                        "event=member_changed member={} zone={} state={:?} version={}",
+                        update.member.node,
+                        update.member.zone,
+                        update.liveness,
+                        update.version
+                    );
+                }
+            }
+        }
+        if changed {
+            self.publish();
+        }
+    }
+
+    async fn send(&self, address: SocketAddr, message: &Gossip) {
+        let datagram = match seal(&self.key, &encode(message)) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                log::warn!("event=datagram_not_sent reason=\"{error}\"");
+                return;
+            }
+        };
+        let length = datagram.len() as u64;
+        self.metrics.control_bytes.with_label_values(&["out"]).inc_by(length);
+        if let Err(error) = self.socket.send_to(&datagram, address).await {
+            log::debug!("event=datagram_not_sent to={address} reason=\"{error}\"");
+        }
+    }
+
+    fn publish(&self) {
+        let up = self.detector.table().iter().filter(|known| {
+            known.update.liveness == Liveness::Alive
+                && known.update.member.role == MemberRole::Router
+        });
+        let routers = up.map(|known| known.update.member.clone()).collect();
+        self.view.send_replace(PeerView { routers: Arc::new(routers) });
+    }
+}
+
+/// Starts the actor.
+pub fn spawn(arguments: MembershipArguments) -> ActorRef<MembershipActor> {
+    MembershipActor::spawn(arguments)
+}
