--- a/crates/router/src/engine_api.rs
+++ b/crates/router/src/engine_api.rs
@@ -51,10 +51,14 @@
     pub waiting: u32,
     /// Prompt tokens of the waiting requests.
     pub waiting_prompt_tokens: u64,
-    /// Model loaded.
-    pub model: String,
+    /// Model loaded, if any.
+    #[serde(default)]
+    pub model: Option<String>,
     /// Version of its weights.
     pub weights: WeightsVersion,
+    /// Adapters loaded.
+    #[serde(default)]
+    pub adapters: Vec<String>,
     /// Whether the engine takes no new work.
     #[serde(default)]
     pub leaving: bool,
