Write the replicated log as a pure state machine and its durable storage

Cause: the settings tree and claims need an order that a quorum agrees on and a log that survives kills.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,1 +1,30 @@
 //! Replicated log as a pure state machine: elections, replication, snapshots, membership.
+//!
+//! [`Replica`] performs no I/O, reads no clock and draws random numbers only
+//! from the seed it was given. Its driver calls [`Replica::step`] with messages,
+//! [`Replica::tick`] at a steady pace and [`Replica::persisted`] when storage is
+//! done, and after each call does what [`Replica::ready`] asks for.
+
+pub mod config;
+pub mod entry;
+pub mod error;
+pub mod identity;
+mod log;
+pub mod membership;
+pub mod message;
+mod progress;
+pub mod ready;
+pub mod replica;
+
+pub use config::ReplicaConfig;
+pub use entry::{
+    Entry, HardState, Index, Payload, Position, Restored, Snapshot, SnapshotMeta, Term,
+};
+pub use error::{CompactError, MembersError, ProposeError, ReadError, TransferError};
+pub use identity::{ClusterEpoch, DiskIdentity, ReplicaId};
+pub use membership::{
+    MAX_MEMBERS, Member, MemberRole, Membership, MembershipChange, MembershipError,
+};
+pub use message::{Body, Message};
+pub use ready::{ConfirmedRead, Proposal, Ready, Role, Status, StopReason, Write};
+pub use replica::Replica;
--- /dev/null
+++ b/crates/consensus/src/replica/maintain.rs
@@ -0,0 +1,208 @@
+//! Changes of the membership: asked for by an operator, by a replica that wants
+//! to join, or made by the leader to replace voters that are lost.
+//!
+//! The log takes one change of one replica at a time, so any majority before a
+//! change and any majority after it share a voter. A lost voter is replaced by
+//! promoting a standby first and demoting the lost one after that: the number
+//! of live copies that a commit needs never shrinks in between.
+
+use juniper_types::ZoneName;
+
+use super::{Leadership, Replica, State};
+use crate::entry::{Index, Payload};
+use crate::error::{MembersError, ProposeError};
+use crate::identity::ReplicaId;
+use crate::membership::{MAX_MEMBERS, Member, MemberRole, Membership, MembershipChange};
+use crate::progress::Mode;
+use crate::ready::Proposal;
+
+/// Entries by which a learner may lag behind the commit index when it is promoted.
+///
+/// Under steady load the last few answers are always on their way; a lag that
+/// is made up for within a few milliseconds doesn't hold commits back.
+const CAUGHT_UP_LAG: Index = 64;
+
+impl Replica {
+    pub(super) fn change_members(
+        &mut self,
+        change: &MembershipChange,
+    ) -> Result<Proposal, MembersError> {
+        let State::Leader(leadership) = &self.state else {
+            let leader = self.leader.map(|leader| leader.node);
+            return Err(ProposeError::NotLeader { leader }.into());
+        };
+        if self.log.membership_index() > self.commit || !self.has_committed_in_term() {
+            return Err(MembersError::Pending);
+        }
+        let own = self.id();
+        let takes_leader =
+            *change == MembershipChange::Demote(own) || *change == MembershipChange::Remove(own);
+        if takes_leader {
+            return Err(MembersError::IsLeader);
+        }
+        let next = self.log.membership().changed(change)?;
+        if !self.is_safe(leadership, change, &next) {
+            return Err(MembersError::Unsafe);
+        }
+        Ok(self.propose_payload(Payload::Members(next))?)
+    }
+
+    /// Whether enough voters of `next` are heard from to commit, and a new voter
+    /// holds the log.
+    fn is_safe(
+        &self,
+        leadership: &Leadership,
+        change: &MembershipChange,
+        next: &Membership,
+    ) -> bool {
+        if let MembershipChange::Promote(id) = change
+            && !self.is_caught_up(leadership, *id)
+        {
+            return false;
+        }
+        let changes_quorum = !matches!(change, MembershipChange::AddLearner { .. });
+        let active = self.active_in(leadership);
+        let live = next.voters().filter(|member| active.contains(&member.id)).count();
+        !changes_quorum || live >= next.quorum()
+    }
+
+    fn is_caught_up(&self, leadership: &Leadership, id: ReplicaId) -> bool {
+        leadership.progress.get(&id).is_some_and(|progress| {
+            let near = progress.matched + CAUGHT_UP_LAG >= self.commit;
+            near && progress.matched > 0 && matches!(progress.mode, Mode::Replicate)
+        })
+    }
+
+    /// Takes a replica in as a learner. The request is repeated until it succeeds,
+    /// so failing for now needs no answer.
+    pub(super) fn on_join_request(&mut self, id: ReplicaId, zone: ZoneName) {
+        let allowed = self.config.peers.contains(&id.node) || id.node == self.id().node;
+        let membership = self.log.membership();
+        if !self.is_leader() || !allowed || membership.contains(id) {
+            return;
+        }
+        let change = match self.replaceable_learner(id) {
+            Some(learner) if membership.members.len() >= MAX_MEMBERS => {
+                MembershipChange::Remove(learner)
+            }
+            _ => MembershipChange::AddLearner { id, zone },
+        };
+        self.change_members(&change).ok();
+    }
+
+    /// A learner that can make room for a newcomer: a silent one, of the same
+    /// node if possible.
+    fn replaceable_learner(&self, newcomer: ReplicaId) -> Option<ReplicaId> {
+        let State::Leader(leadership) = &self.state else { return None };
+        let active = self.active_in(leadership);
+        let silent = self.log.membership().learners().map(|member| member.id);
+        let silent = silent.filter(|id| !active.contains(id));
+        silent.max_by_key(|id| id.node == newcomer.node)
+    }
+
+    /// Makes the next change that keeps the cluster in shape, if one is due.
+    pub(super) fn maintain_membership(&mut self) {
+        let State::Leader(leadership) = &self.state else { return };
+        let pending = self.log.membership_index() > self.commit;
+        if pending || !self.has_committed_in_term() || leadership.transfer.is_some() {
+            return;
+        }
+        let view = View {
+            replica: self,
+            leadership,
+            membership: self.log.membership(),
+            active: self.active_in(leadership),
+        };
+        if let Some(change) = view.due_change() {
+            self.change_members(&change).ok();
+        }
+    }
+}
+
+/// The membership as the leader sees it at one tick.
+struct View<'a> {
+    replica: &'a Replica,
+    leadership: &'a Leadership,
+    membership: &'a Membership,
+    active: Vec<ReplicaId>,
+}
+
+impl View<'_> {
+    fn due_change(&self) -> Option<MembershipChange> {
+        self.obsolete_learner()
+            .map(MembershipChange::Remove)
+            .or_else(|| self.surplus_voter().map(MembershipChange::Demote))
+            .or_else(|| self.promotion().map(MembershipChange::Promote))
+    }
+
+    fn is_active(&self, id: ReplicaId) -> bool {
+        self.active.contains(&id)
+    }
+
+    /// Ticks since the member was heard from.
+    fn silence(&self, id: ReplicaId) -> u64 {
+        let progress = self.leadership.progress.get(&id);
+        progress.map_or(0, |progress| self.replica.now - progress.heard)
+    }
+
+    /// Whether another disk of the same node is at work.
+    fn is_superseded(&self, id: ReplicaId) -> bool {
+        let mut others = self.membership.on_node(id.node).filter(|member| member.id != id);
+        !self.is_active(id) && others.any(|member| self.is_active(member.id))
+    }
+
+    /// A learner that has been silent for long or whose node has another disk now.
+    fn obsolete_learner(&self) -> Option<ReplicaId> {
+        let limit = self.replica.config.lost_learner_ticks;
+        let mut learners = self.membership.learners().map(|member| member.id);
+        learners.find(|id| self.silence(*id) > limit || self.is_superseded(*id))
+    }
+
+    /// A voter beyond the target: the one that has been silent longest, or else one
+    /// of the zone with the most voters.
+    fn surplus_voter(&self) -> Option<ReplicaId> {
+        if self.membership.voters().count() <= self.replica.config.target_voters {
+            return None;
+        }
+        let own = self.replica.id();
+        let others = || self.membership.voters().filter(move |member| member.id != own);
+        let silent = others().filter(|member| !self.is_active(member.id));
+        let silent = silent.max_by_key(|member| self.silence(member.id));
+        let crowded = || others().max_by_key(|member| self.voters_in(&member.zone));
+        silent.or_else(crowded).map(|member| member.id)
+    }
+
+    fn voters_in(&self, zone: &ZoneName) -> usize {
+        let is_counted = |member: &&Member| member.zone == *zone && !self.is_lost(member.id);
+        self.membership.voters().filter(is_counted).count()
+    }
+
+    /// Whether a voter has been silent for so long that a standby should take its
+    /// place. A voter whose node has come back with another disk can't return.
+    fn is_lost(&self, id: ReplicaId) -> bool {
+        self.silence(id) > self.replica.config.lost_voter_ticks || self.is_superseded(id)
+    }
+
+    /// The learner to promote, if a voter is missing, lost or badly placed.
+    fn promotion(&self) -> Option<ReplicaId> {
+        let candidate = self.best_candidate()?;
+        let missing = self.membership.voters().count() < self.replica.config.target_voters;
+        let lost = || self.membership.voters().any(|member| self.is_lost(member.id));
+        let spreads = || {
+            let crowded = self.membership.voters().any(|voter| self.voters_in(&voter.zone) > 1);
+            crowded && self.voters_in(&candidate.zone) == 0
+        };
+        (missing || lost() || spreads()).then_some(candidate.id)
+    }
+
+    /// The live learner that holds the log, in the zone with the fewest voters.
+    fn best_candidate(&self) -> Option<&Member> {
+        let fit = |member: &&Member| {
+            member.role == MemberRole::Learner
+                && self.is_active(member.id)
+                && self.replica.is_caught_up(self.leadership, member.id)
+        };
+        let candidates = self.membership.members.iter().filter(fit);
+        candidates.min_by_key(|member| self.voters_in(&member.zone))
+    }
+}
