--- a/crates/emulators/src/lib.rs
+++ b/crates/emulators/src/lib.rs
@@ -6,4 +6,6 @@
 //! speaks the back-end protocol.
 
 pub mod content;
+pub mod engine;
 pub mod http;
+pub mod witness;
