--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -49,7 +49,7 @@
             cluster_key: ClusterKey::from_text(common.cluster_key.as_str())?,
             control: settings.control,
             peers: settings.peers,
-            data_folder: settings.keep_settings.then_some(common.data_folder),
+            data_folder: common.data_folder,
             limits: settings.limits,
         })
     }
