Whole path: control, router and engine as separate processes, tested

One streamed chat completion goes from a caller through a router, which takes its settings from a control process, to an emulated engine and back, whole and in order.

--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,96 @@
+//! One request through a control process, a router process and an engine process.
+
+mod support;
+
+use serde_json::{Value, json};
+use support::{
+    Addresses, TENANT_KEY, apply, control_file, first_change, ready, router_file, start_daemon,
+    start_engine,
+};
+
+fn chat(max_tokens: u32, stream: bool) -> Value {
+    json!({
+        "messages": [{ "role": "user", "content": "Does this resume fit the posting?" }],
+        "max_tokens": max_tokens,
+        "stream": stream,
+    })
+}
+
+fn chunks(text: &str) -> Vec<Value> {
+    text.lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter(|data| *data != "[DONE]")
+        .map(|data| serde_json::from_str(data).expect("a chunk is JSON"))
+        .collect()
+}
+
+fn content(chunk: &Value) -> &str {
+    chunk["choices"][0]["delta"]["content"].as_str().unwrap_or("")
+}
+
+#[tokio::test]
+async fn a_streamed_completion_is_served_whole_and_in_order() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (_engine, engine_address) = start_engine(&[]);
+    let (control, router) = (Addresses::free(), Addresses::free());
+    let _control = start_daemon("control", &control_file(folder.path(), control));
+    let _router = start_daemon("router", &router_file(folder.path(), 11, router, control));
+    let http = reqwest::Client::new();
+    apply(&http, control, &first_change(&[engine_address])).await;
+    ready(&http, router).await;
+
+    let url = format!("http://{}/v1/chat/completions", router.caller);
+    let request = http.post(&url).bearer_auth(TENANT_KEY);
+    let response = request.json(&chat(12, true)).send().await.expect("an answer");
+    assert_eq!(response.status(), 200);
+    let text = response.text().await.expect("a whole stream");
+    assert!(text.ends_with("data: [DONE]\n\n"), "the stream has no proper end: {text}");
+    let pieces = chunks(&text);
+    let indexes: Vec<u64> = pieces
+        .iter()
+        .filter(|chunk| !content(chunk).is_empty())
+        .filter_map(|chunk| chunk["juniper"]["index"].as_u64())
+        .collect();
+    assert_eq!(indexes, (0..12).collect::<Vec<u64>>());
+
+    let whole = http.post(&url).bearer_auth(TENANT_KEY).json(&chat(12, false));
+    let whole: Value = whole.send().await.expect("an answer").json().await.expect("JSON");
+    let streamed: String = pieces.iter().map(content).collect();
+    assert_eq!(whole["choices"][0]["message"]["content"], streamed.as_str());
+
+    let resumed = http.post(&url).bearer_auth(TENANT_KEY).header("x-resume-from", "5");
+    let resumed = resumed.json(&chat(12, true)).send().await.expect("an answer");
+    let resumed = resumed.text().await.expect("a whole stream");
+    let rest: String = chunks(&resumed).iter().map(content).collect();
+    assert!(streamed.ends_with(&rest) && rest.len() < streamed.len(), "{streamed:?} / {rest:?}");
+}
+
+#[tokio::test]
+async fn bad_requests_get_typed_errors_and_run_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (_engine, engine_address) = start_engine(&[]);
+    let (control, router) = (Addresses::free(), Addresses::free());
+    let _control = start_daemon("control", &control_file(folder.path(), control));
+    let _router = start_daemon("router", &router_file(folder.path(), 11, router, control));
+    let http = reqwest::Client::new();
+    apply(&http, control, &first_change(&[engine_address])).await;
+    ready(&http, router).await;
+
+    let deep = format!("{}1{}", "[".repeat(100_000), "]".repeat(100_000));
+    let cases: [(&str, String, u16, &str); 6] = [
+        ("another-key", chat(1, true).to_string(), 401, "unauthenticated"),
+        (TENANT_KEY, "not json".to_owned(), 400, "malformed"),
+        (TENANT_KEY, deep, 400, "malformed"),
+        (TENANT_KEY, json!({ "messages": [] }).to_string(), 400, "malformed"),
+        (TENANT_KEY, json!({ "messages": 7 }).to_string(), 400, "malformed"),
+        (TENANT_KEY, "x".repeat(5 << 20), 413, "too_large"),
+    ];
+    let url = format!("http://{}/v1/chat/completions", router.caller);
+    for (key, body, status, code) in cases {
+        let response = http.post(&url).bearer_auth(key).body(body).send().await.expect("answer");
+        assert_eq!(response.status(), status, "{code}");
+        let body: Value = response.json().await.expect("a JSON error");
+        assert_eq!(body["error"]["code"], code);
+        assert_eq!(body["error"]["not_run"], true);
+    }
+}
