Consensus and storage: tests; numbers from outside are bounded

Cause: neither crate had tests. A generator of hostile messages found an arithmetic overflow: an append whose previous index is the highest number panicked a debug build and wrapped in a release build.

Change: a message that names a term or index above 2^62 is dropped before it is looked at.

--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -6,6 +6,12 @@
 use crate::entry::{Entry, Index, Position, SnapshotMeta, Term};
 use crate::identity::{ClusterEpoch, DiskIdentity, ReplicaId};
 
+/// Highest term or index that a message may name.
+///
+/// Guards the arithmetic on numbers from outside. At a million entries a second
+/// a log would take 146,000 years to get there.
+const MAX_NUMBER: u64 = 1 << 62;
+
 /// A message from one replica to another.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Message {
@@ -185,3 +191,22 @@
         matches!(self, Body::Append { .. } | Body::Heartbeat { .. } | Body::SnapshotChunk { .. })
     }
 }
+
+impl Message {
+    /// Whether every term and index in the message can be counted with.
+    pub(crate) fn is_in_bounds(&self) -> bool {
+        let position = |position: &Position| position.term.max(position.index);
+        let highest = match &self.body {
+            Body::PreVoteRequest { last } | Body::VoteRequest { last, .. } => position(last),
+            Body::Append { previous, entries, .. } => {
+                let entries = entries.iter().map(|entry| position(&entry.position()));
+                entries.chain([position(previous)]).max().unwrap_or(0)
+            }
+            Body::AppendReply { matched } => *matched,
+            Body::AppendReject { previous, hint } => position(hint).max(*previous),
+            Body::SnapshotChunk { meta, .. } => position(&meta.position),
+            _ => 0,
+        };
+        self.term.max(highest) <= MAX_NUMBER
+    }
+}
--- a/crates/consensus/src/replica/step.rs
+++ b/crates/consensus/src/replica/step.rs
@@ -9,7 +9,8 @@
     /// Takes a message from another replica. Messages may be lost, repeated,
     /// late and out of order.
     pub fn step(&mut self, message: Message) {
-        if matches!(self.state, State::Stopped(_)) || !self.is_addressee(&message) {
+        let stopped = matches!(self.state, State::Stopped(_));
+        if stopped || !self.is_addressee(&message) || !message.is_in_bounds() {
             return;
         }
         if let Body::JoinRequest { zone } = message.body {
--- /dev/null
+++ b/crates/consensus/tests/members.rs
@@ -0,0 +1,137 @@
+//! Lost disks, standbys, changes of the membership, and fencing after a recovery.
+
+mod support;
+
+use juniper_consensus::{
+    Body, ClusterEpoch, MembersError, Membership, MembershipChange, Message, Restored, StopReason,
+};
+use juniper_types::NodeId;
+use support::{Cluster, ELECTION, founded, id, zone};
+
+/// Ticks in which a lost voter is replaced.
+const REPLACEMENT: u64 = 400;
+
+fn follower(cluster: &mut Cluster) -> u64 {
+    let leader = cluster.leader();
+    cluster.nodes.keys().copied().find(|node| *node != leader).unwrap()
+}
+
+fn voters(cluster: &mut Cluster) -> Vec<String> {
+    let leader = cluster.leader();
+    let membership = cluster.node(leader).replica.status().membership;
+    membership.voters().map(|member| member.id.to_string()).collect()
+}
+
+#[test]
+fn a_wiped_disk_comes_back_as_a_learner_and_votes_once_it_has_caught_up() {
+    let mut cluster = Cluster::of_voters(3);
+    let leader = cluster.elect();
+    cluster.propose(leader, b"one");
+    let wiped = follower(&mut cluster);
+    let new = id(wiped, 99);
+    cluster.start(new, Restored::default());
+    assert!(!cluster.node(wiped).replica.status().membership.is_voter(new));
+    cluster.tick(REPLACEMENT);
+    let membership = cluster.node(leader).replica.status().membership;
+    assert!(membership.is_voter(new), "{membership:?}");
+    assert_eq!(membership.members.len(), 3, "the lost disk is out: {membership:?}");
+    assert_eq!(cluster.node(wiped).applied, [b"one"]);
+}
+
+#[test]
+fn a_wiped_disk_gives_no_vote_and_wins_no_election() {
+    let mut cluster = Cluster::of_voters(3);
+    let leader = cluster.elect();
+    let wiped = follower(&mut cluster);
+    cluster.start(id(wiped, 99), Restored::default());
+    let third = (1..=3).find(|node| *node != leader && *node != wiped).unwrap();
+    cluster.cut.insert(leader);
+    cluster.tick(REPLACEMENT);
+    assert!(cluster.nodes.values().filter(|node| node.replica.is_leader()).count() == 0);
+    let status = cluster.node(third).replica.status();
+    assert!(status.leader.is_none());
+}
+
+#[test]
+fn a_second_machine_lost_before_the_first_has_caught_up_loses_nothing() {
+    let mut cluster = Cluster::of_voters(3);
+    let leader = cluster.elect();
+    cluster.propose(leader, b"one");
+    let first = follower(&mut cluster);
+    let second = (1..=3).find(|node| *node != leader && *node != first).unwrap();
+    cluster.start(id(first, 99), Restored::default());
+    cluster.cut.insert(second);
+    cluster.tick(REPLACEMENT);
+    assert!(!cluster.node(leader).replica.is_leader(), "one old disk of three is no quorum");
+    cluster.cut.clear();
+    cluster.tick(REPLACEMENT);
+    let leader = cluster.leader();
+    cluster.propose(leader, b"two");
+    assert!(cluster.nodes.values().all(|node| node.applied == [&b"one"[..], b"two"]));
+}
+
+#[test]
+fn a_standby_takes_the_place_of_a_lost_voter() {
+    let mut cluster = Cluster::of_voters(3);
+    cluster.elect();
+    cluster.start(id(4, 4), Restored::default());
+    cluster.tick(REPLACEMENT);
+    let lost = follower(&mut cluster);
+    cluster.cut.insert(lost);
+    cluster.tick(REPLACEMENT);
+    let voters = voters(&mut cluster);
+    assert_eq!(voters.len(), 3);
+    assert!(!voters.contains(&id(lost, lost.into()).to_string()), "{voters:?}");
+}
+
+#[test]
+fn changes_that_would_leave_no_live_quorum_are_refused() {
+    let mut cluster = Cluster::of_voters(3);
+    let leader = cluster.elect();
+    let silent = follower(&mut cluster);
+    let third = (1..=3).find(|node| *node != leader && *node != silent).unwrap();
+    let replica = |cluster: &mut Cluster, node| cluster.node(node).replica.status().id;
+    let own = replica(&mut cluster, leader);
+    let refused = cluster.node(leader).replica.propose_members(&MembershipChange::Remove(own));
+    assert_eq!(refused, Err(MembersError::IsLeader));
+    cluster.cut.insert(silent);
+    cluster.tick(15);
+    let change = MembershipChange::Remove(replica(&mut cluster, third));
+    let refused = cluster.node(leader).replica.propose_members(&change);
+    assert_eq!(refused, Err(MembersError::Unsafe));
+    let newcomer = MembershipChange::AddLearner { id: id(5, 5), zone: zone(5) };
+    cluster.node(leader).replica.propose_members(&newcomer).unwrap();
+    let again = cluster.node(leader).replica.propose_members(&newcomer);
+    assert_eq!(again, Err(MembersError::Pending));
+}
+
+#[test]
+fn a_recovery_fences_off_what_it_left_out() {
+    let mut cluster = Cluster::of_voters(3);
+    cluster.elect();
+    let epoch = cluster.node(2).disk.hard_state.epoch.recovered(11);
+    let recovered = Membership::of_voters(epoch, [(id(1, 1), zone(1))]);
+    cluster.start(id(1, 1), founded(&recovered));
+    cluster.tick(ELECTION);
+    for left_out in [2, 3] {
+        let status = cluster.node(left_out).replica.status();
+        assert_eq!(status.stopped, Some(StopReason::Fenced));
+    }
+    assert_eq!(cluster.leader(), 1);
+}
+
+#[test]
+fn the_word_of_another_cluster_is_ignored() {
+    let mut cluster = Cluster::of_voters(3);
+    let leader = cluster.elect();
+    let status = cluster.node(leader).replica.status();
+    cluster.node(leader).replica.step(Message {
+        from: id(2, 2),
+        to: NodeId(leader),
+        to_disk: Some(status.id.disk),
+        epoch: ClusterEpoch { cluster: 8, number: 9, token: 9 },
+        term: 99,
+        body: Body::Heartbeat { commit: 0, read_round: 0 },
+    });
+    assert_eq!(cluster.node(leader).replica.status(), status);
+}
--- /dev/null
+++ b/crates/storage/tests/folder.rs
@@ -0,0 +1,210 @@
+//! A real folder: formatting, restarts, torn tails, damage, copies and wipes.
+
+mod support;
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use juniper_consensus::Position;
+use juniper_storage::{
+    Damage, DiskError, Folder, FormatError, OpenError, Storage, format, inspect, wipe,
+};
+use juniper_types::NodeId;
+use support::{NODE, data, founding, id, open, snapshot, write};
+use tempfile::TempDir;
+
+fn files(folder: &Path, prefix: &str) -> Vec<PathBuf> {
+    let paths = fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
+    let matches = |path: &PathBuf| path.file_name().unwrap().to_str().unwrap().starts_with(prefix);
+    let mut found: Vec<PathBuf> = paths.filter(matches).collect();
+    found.sort();
+    found
+}
+
+fn new_folder() -> TempDir {
+    let folder = tempfile::tempdir().unwrap();
+    format(&mut Folder::new(folder.path()).unwrap(), id(1), Some(&founding())).unwrap();
+    folder
+}
+
+/// A folder that holds entries up to `count + 1`, written one by one.
+fn folder_with(count: u64) -> TempDir {
+    let folder = new_folder();
+    let (mut storage, _) = open(folder.path()).unwrap();
+    (1..=count).for_each(|n| storage.save(&write(n, 1, &[n + 1])).unwrap());
+    folder
+}
+
+#[test]
+fn a_fresh_folder_starts_with_the_founding_membership_or_with_nothing() {
+    let folder = new_folder();
+    let (storage, restored) = open(folder.path()).unwrap();
+    assert_eq!((storage.id(), restored.membership()), (id(1), Some(&founding())));
+    drop(storage);
+    let joining = tempfile::tempdir().unwrap();
+    let mut disk = Folder::new(joining.path()).unwrap();
+    let open_empty = Storage::open(Folder::new(joining.path()).unwrap(), NODE);
+    assert!(matches!(open_empty, Err(OpenError::NotFormatted)));
+    drop(open_empty);
+    format(&mut disk, id(2), None).unwrap();
+    drop(disk);
+    let (_, restored) = open(joining.path()).unwrap();
+    assert_eq!((restored.last(), restored.membership()), (Position::default(), None));
+}
+
+#[test]
+fn a_folder_in_use_formatted_or_of_another_node_is_refused() {
+    let folder = new_folder();
+    let mut disk = Folder::new(folder.path()).unwrap();
+    assert!(matches!(format(&mut disk, id(1), None), Err(FormatError::NotEmpty)));
+    assert!(matches!(open(folder.path()), Err(OpenError::Disk(DiskError::Locked))));
+    drop(disk);
+    let other = Storage::open(Folder::new(folder.path()).unwrap(), NodeId(9));
+    assert!(matches!(other, Err(OpenError::WrongNode { found: NODE, expected: NodeId(9) })));
+}
+
+#[test]
+fn everything_saved_is_there_after_any_number_of_restarts() {
+    let folder = new_folder();
+    for round in 1..=30 {
+        let (mut storage, restored) = open(folder.path()).unwrap();
+        assert_eq!(restored.last().index, round);
+        storage.save(&write(1, round, &[round + 1])).unwrap();
+    }
+    let (mut storage, restored) = open(folder.path()).unwrap();
+    assert_eq!((restored.hard_state.term, restored.entries.len()), (30, 31));
+    storage.save(&write(1, 31, &[5, 6])).unwrap();
+    drop(storage);
+    let (_, restored) = open(folder.path()).unwrap();
+    assert_eq!(restored.last(), Position { term: 31, index: 6 }, "later entries are void");
+}
+
+#[test]
+fn a_snapshot_replaces_the_log_and_frees_its_files() {
+    let folder = folder_with(10);
+    let (mut storage, _) = open(folder.path()).unwrap();
+    let mut with_snapshot = write(1, 1, &[]);
+    with_snapshot.snapshot = Some(snapshot(8));
+    with_snapshot.last = Position { term: 1, index: 11 };
+    storage.save(&with_snapshot).unwrap();
+    storage.save(&write(2, 1, &[12])).unwrap();
+    drop(storage);
+    let (mut storage, restored) = open(folder.path()).unwrap();
+    assert_eq!(restored.snapshot, Some(snapshot(8)));
+    assert_eq!(restored.entries.iter().map(|e| e.index).collect::<Vec<_>>(), [9, 10, 11, 12]);
+    let mut foreign = write(1, 3, &[]);
+    foreign.snapshot = Some(snapshot(40));
+    foreign.last = snapshot(40).meta.position;
+    storage.save(&foreign).unwrap();
+    drop(storage);
+    let (_, restored) = open(folder.path()).unwrap();
+    assert_eq!((restored.snapshot, restored.entries.len()), (Some(snapshot(40)), 0));
+    assert_eq!(files(folder.path(), "snapshot-").len(), 1);
+}
+
+#[test]
+fn a_torn_tail_that_was_never_synced_is_cut() {
+    for torn in [1, 3, 20, 200] {
+        let folder = folder_with(5);
+        let newest = files(folder.path(), "segment-").pop().unwrap();
+        let mut content = fs::read(&newest).unwrap();
+        content.extend(vec![0xa5; torn]);
+        fs::write(&newest, content).unwrap();
+        let (mut storage, restored) = open(folder.path()).unwrap();
+        assert_eq!(restored.last().index, 6);
+        storage.save(&write(1, 1, &[7])).unwrap();
+        drop(storage);
+        assert_eq!(open(folder.path()).unwrap().1.last().index, 7);
+    }
+}
+
+#[test]
+fn any_damaged_byte_of_synced_data_is_a_typed_error() {
+    let folder = folder_with(5);
+    for kind in ["segment-", "identity"] {
+        let file = files(folder.path(), kind).pop().unwrap();
+        let whole = fs::read(&file).unwrap();
+        for at in 0..whole.len() {
+            let mut damaged = whole.clone();
+            damaged[at] ^= 0x10;
+            fs::write(&file, damaged).unwrap();
+            let opened = open(folder.path());
+            assert!(matches!(opened, Err(OpenError::Damaged { .. })), "{kind} byte {at}");
+        }
+        fs::write(&file, &whole).unwrap();
+    }
+}
+
+#[test]
+fn missing_synced_data_is_a_typed_error() {
+    let folder = folder_with(5);
+    let newest = files(folder.path(), "segment-").pop().unwrap();
+    let whole = fs::read(&newest).unwrap();
+    fs::write(&newest, &whole[..whole.len() - 1]).unwrap();
+    assert!(matches!(open(folder.path()), Err(OpenError::Damaged { .. })));
+    fs::remove_file(&newest).unwrap();
+    let opened = open(folder.path());
+    let kind = match opened {
+        Err(OpenError::Damaged { kind, .. }) => kind,
+        other => panic!("unexpected {:?}", other.map(|_| ())),
+    };
+    assert_eq!(kind, Damage::Missing);
+}
+
+#[test]
+fn a_damaged_snapshot_is_a_typed_error() {
+    let folder = folder_with(10);
+    let (mut storage, _) = open(folder.path()).unwrap();
+    let mut with_snapshot = write(1, 1, &[]);
+    with_snapshot.snapshot = Some(snapshot(8));
+    with_snapshot.last = Position { term: 1, index: 11 };
+    storage.save(&with_snapshot).unwrap();
+    drop(storage);
+    let file = files(folder.path(), "snapshot-").pop().unwrap();
+    let whole = fs::read(&file).unwrap();
+    for at in 0..whole.len() {
+        let mut damaged = whole.clone();
+        damaged[at] ^= 1;
+        fs::write(&file, &damaged).unwrap();
+        assert!(matches!(open(folder.path()), Err(OpenError::Damaged { .. })), "byte {at}");
+    }
+    fs::remove_file(&file).unwrap();
+    assert!(matches!(open(folder.path()), Err(OpenError::Damaged { kind: Damage::Gap, .. })));
+}
+
+#[test]
+fn a_copied_folder_is_refused() {
+    let folder = folder_with(3);
+    let copy = tempfile::tempdir().unwrap();
+    for file in files(folder.path(), "") {
+        fs::copy(&file, copy.path().join(file.file_name().unwrap())).unwrap();
+    }
+    assert!(matches!(open(copy.path()), Err(OpenError::Copied)));
+    assert!(open(folder.path()).is_ok());
+}
+
+#[test]
+fn a_wiped_folder_can_be_formatted_under_a_new_identity_only() {
+    let folder = folder_with(3);
+    let mut disk = Folder::new(folder.path()).unwrap();
+    wipe(&mut disk).unwrap();
+    assert!(matches!(inspect(&mut disk), Err(OpenError::NotFormatted)));
+    format(&mut disk, id(77), None).unwrap();
+    drop(disk);
+    let (storage, restored) = open(folder.path()).unwrap();
+    assert_eq!((storage.id(), restored.last()), (id(77), Position::default()));
+}
+
+#[test]
+fn segments_are_rotated_and_read_back_in_order() {
+    let folder = new_folder();
+    let (mut storage, _) = open(folder.path()).unwrap();
+    for n in 1..=12 {
+        let mut large = write(n, 1, &[n + 1]);
+        large.entries[0].payload = data(3 << 20);
+        storage.save(&large).unwrap();
+    }
+    drop(storage);
+    assert!(files(folder.path(), "segment-").len() >= 4);
+    assert_eq!(open(folder.path()).unwrap().1.entries.len(), 13);
+}
