Share engine knowledge between the routers of a zone as a pure crate

Cause: at 1,500 engines no router can poll every engine or hold every block. Excluded: a full copy (270,000 changes a second to each node) and own history alone (a restarted router knows nothing). Change: crate sharing: each engine has one follower in its zone by rendezvous hashing; the follower passes its load to the zone and the sampled entries to their owners in numbered streams that start with, and after a gap return to, a full resync. A resync by another sender replaces what was known: its numbers start again, which the shard took for outdated before (test resync_of_another_sender_replaces_what_was_known). The protocol carries it in place of calls that nothing used.

--- a/crates/control/src/internal/calls.rs
+++ b/crates/control/src/internal/calls.rs
@@ -31,9 +31,8 @@
             Reply::Members { leader: Some(face.own.node), members: face.reports.members() }
         }
         Request::Subscribe { .. }
-        | Request::Heartbeat { .. }
         | Request::Lookup { .. }
-        | Request::CacheUpdate { .. }
+        | Request::Share { .. }
         | Request::Propose { .. } => Reply::Refused(Refusal::NotAllowed),
     }
 }
--- a/crates/prefix-index/src/coarse.rs
+++ b/crates/prefix-index/src/coarse.rs
@@ -119,76 +119,6 @@
     pub removed: KeyList,
 }
 
-/// The last change of each key in one batch; true means stored.
-type Pending = BTreeMap<CheckpointKey, bool>;
-
-#[derive(Debug, Default)]
-struct Stream {
-    incarnation: Incarnation,
-    sequence: u64,
-    pending: Pending,
-}
-
-/// Collects engine events into one update for each owner and engine.
-#[derive(Debug, Default)]
-pub struct UpdateBatcher {
-    streams: BTreeMap<(u64, EngineId), Stream>,
-}
-
-impl UpdateBatcher {
-    /// Adds one event. A key stored and evicted within a batch is sent once.
-    pub fn add(
-        &mut self,
-        engine: EngineId,
-        incarnation: Incarnation,
-        event: &CacheEvent,
-        routers: &[u64],
-    ) {
-        let stored = event.stored.iter().map(|block| (block, true));
-        let removed = event.removed.iter().map(|block| (block, false));
-        for (block, is_stored) in stored.chain(removed) {
-            let Some(key) = CheckpointKey::of(block) else {
-                continue;
-            };
-            let Some(owner) = key.owner(routers.iter().copied()) else {
-                continue;
-            };
-            let stream = self.streams.entry((owner, engine)).or_default();
-            if stream.incarnation != incarnation {
-                *stream = Stream { incarnation, ..Stream::default() };
-            }
-            stream.pending.insert(key, is_stored);
-        }
-    }
-
-    /// The updates collected since the last call, each with its owner.
-    pub fn flush(&mut self) -> Vec<(u64, CoarseUpdate)> {
-        let changed = self.streams.iter_mut().filter(|(_, stream)| !stream.pending.is_empty());
-        changed
-            .map(|((owner, engine), stream)| {
-                stream.sequence += 1;
-                let pending = std::mem::take(&mut stream.pending);
-                (*owner, stream.update(*engine, &pending))
-            })
-            .collect()
-    }
-}
-
-impl Stream {
-    fn update(&self, engine: EngineId, pending: &Pending) -> CoarseUpdate {
-        let keys = |stored: bool| {
-            KeyList::new(pending.iter().filter(|(_, is)| **is == stored).map(|(key, _)| *key))
-        };
-        CoarseUpdate {
-            engine,
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-            stored: keys(true),
-            removed: keys(false),
-        }
-    }
-}
-
 /// One router's part of the sampled index.
 ///
 /// Gaps, incarnations and deaths work as in [`PrefixIndex`].
@@ -220,7 +150,8 @@
     }
 
     /// Replaces what is known of an engine; `update` names everything it stores
-    /// of this shard as of its sequence number.
+    /// of this shard as of its sequence number. A sender that takes the engine
+    /// over numbers its updates anew, so a lower number is no reason to refuse.
     ///
     /// # Errors
     /// [`IndexFull`] when there is no room for another engine.
@@ -230,6 +161,10 @@
             sequence: update.sequence,
             blocks: update.stored.iter().map(|key| key.as_block()).collect(),
         };
+        let known = self.index.position(update.engine);
+        if known.is_some_and(|(incarnation, _)| incarnation == update.incarnation) {
+            self.index.remove_engine(update.engine);
+        }
         self.index.apply_snapshot(update.engine, &snapshot)
     }
 
--- a/crates/prefix-index/tests/coarse.rs
+++ b/crates/prefix-index/tests/coarse.rs
@@ -1,10 +1,10 @@
 //! The sampled, sharded index against the exact one, and its message sizes.
 
 use juniper_prefix_index::coarse::{
-    CHECKPOINT_INTERVAL, CheckpointHolders, CoarseShard, CoarseUpdate, KeyList, UpdateBatcher,
-    checkpoints, combine,
+    CHECKPOINT_INTERVAL, CheckpointHolders, CoarseShard, CoarseUpdate, KeyList, checkpoints,
+    combine,
 };
-use juniper_prefix_index::{CacheEvent, EventOutcome, SnapshotOutcome};
+use juniper_prefix_index::{EventOutcome, SnapshotOutcome};
 use juniper_types::{BlockHash, EngineId, Incarnation, Timestamp};
 
 const NOW: Timestamp = Timestamp(0);
@@ -21,15 +21,22 @@
     blocks
 }
 
-fn shards_after(events: &[(EngineId, CacheEvent)]) -> Vec<CoarseShard> {
-    let mut batcher = UpdateBatcher::default();
-    for (engine, event) in events {
-        batcher.add(*engine, LIFE, event, &ROUTERS);
-    }
+/// Shards that were sent every key that they own.
+fn shards_after(caches: &[(EngineId, &[BlockHash])]) -> Vec<CoarseShard> {
     let mut shards: Vec<CoarseShard> = ROUTERS.iter().map(|_| CoarseShard::default()).collect();
-    for (owner, update) in batcher.flush() {
-        let shard = ROUTERS.iter().position(|router| *router == owner).unwrap();
-        assert_eq!(shards[shard].apply(&update), Ok(EventOutcome::Applied));
+    for (engine, blocks) in caches {
+        for (shard, router) in shards.iter_mut().zip(ROUTERS) {
+            let marks = checkpoints(blocks);
+            let owned = marks.iter().filter(|mark| mark.key.owner(ROUTERS) == Some(router));
+            let update = CoarseUpdate {
+                engine: *engine,
+                incarnation: LIFE,
+                sequence: 1,
+                stored: KeyList::new(owned.map(|mark| mark.key)),
+                removed: KeyList::default(),
+            };
+            assert_eq!(shard.apply(&update), Ok(EventOutcome::Applied));
+        }
     }
     shards
 }
@@ -48,10 +55,6 @@
     combine(&marks, &answers).iter().map(|holder| (holder.engine.0, holder.blocks)).collect()
 }
 
-fn stored(blocks: &[BlockHash]) -> CacheEvent {
-    CacheEvent { sequence: 1, stored: blocks.to_vec(), removed: Vec::new() }
-}
-
 #[test]
 fn one_block_in_sixteen_is_a_checkpoint() {
     let count = checkpoints(&prompt(1, 64_000)).len();
@@ -62,8 +65,7 @@
 #[test]
 fn shards_together_find_each_engine_up_to_its_last_checkpoint() {
     let blocks = prompt(2, 400);
-    let events = [(EngineId(1), stored(&blocks)), (EngineId(2), stored(&blocks[..200]))];
-    let shards = shards_after(&events);
+    let shards = shards_after(&[(EngineId(1), &blocks), (EngineId(2), &blocks[..200])]);
     let last = |length: u32| {
         let marks = checkpoints(&blocks);
         marks.iter().map(|mark| mark.blocks).filter(|blocks| *blocks <= length).max().unwrap()
@@ -74,21 +76,13 @@
 #[test]
 fn silent_shard_is_passed_over() {
     let blocks = prompt(3, 400);
-    let shards = shards_after(&[(EngineId(1), stored(&blocks))]);
+    let shards = shards_after(&[(EngineId(1), &blocks)]);
     for silent in ROUTERS {
         let found = ask(&shards, &blocks, Some(silent));
         assert!(found[0].1 > 300, "{found:?} without {silent}");
     }
 }
 
-#[test]
-fn stored_and_evicted_in_one_batch_is_sent_once() {
-    let blocks = prompt(4, 64);
-    let gone = CacheEvent { sequence: 2, stored: Vec::new(), removed: blocks.clone() };
-    let shards = shards_after(&[(EngineId(1), stored(&blocks)), (EngineId(1), gone)]);
-    assert!(ask(&shards, &blocks, None).is_empty());
-}
-
 #[test]
 fn lost_update_needs_a_resync() {
     let blocks = prompt(5, 64);
@@ -107,6 +101,24 @@
     assert!(shard.lookup(&keys, NOW).iter().all(|holders| holders.engines.len() == 1));
 }
 
+#[test]
+fn resync_of_another_sender_replaces_what_was_known() {
+    let keys = |seed| KeyList::new(checkpoints(&prompt(seed, 64)).iter().map(|mark| mark.key));
+    let resync = |sequence, stored: &KeyList| CoarseUpdate {
+        engine: EngineId(1),
+        incarnation: LIFE,
+        sequence,
+        stored: stored.clone(),
+        removed: KeyList::default(),
+    };
+    let mut shard = CoarseShard::default();
+    let (old, new) = (keys(7), keys(8));
+    assert_eq!(shard.resync(&resync(900, &old)), Ok(SnapshotOutcome::Applied));
+    assert_eq!(shard.resync(&resync(1, &new)), Ok(SnapshotOutcome::Applied));
+    assert!(shard.lookup(&old, NOW).iter().all(|holders| holders.engines.is_empty()));
+    assert!(shard.lookup(&new, NOW).iter().all(|holders| holders.engines.len() == 1));
+}
+
 #[test]
 fn update_takes_six_bytes_a_key_and_a_short_header() {
     let keys = checkpoints(&prompt(6, 1_600));
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
+use juniper_prefix_index::coarse::{CheckpointHolders, KeyList};
 use juniper_settings::{ChangeSet, SettingsTree};
+use juniper_sharing::ShareMessage;
 use juniper_types::{
     BlockHash, ClaimAnswer, ClaimKey, ClaimOutcome, EngineId, Incarnation, NodeId, Revision,
     TenantName, ZoneName,
@@ -106,41 +108,22 @@
         #[n(3)]
         outcome: ClaimOutcome,
     },
-    /// Router to router: who I am and what I have in force.
-    #[n(5)]
-    Heartbeat {
-        /// Changes with every start of the sender.
-        #[n(0)]
-        incarnation: Incarnation,
-        /// Revision in force on the sender.
-        #[n(1)]
-        revision: Revision,
-        /// Whether the sender accepts new requests.
-        #[n(2)]
-        ready: bool,
-    },
-    /// Router to router: which engines hold the longest runs of these blocks.
+    /// Router to router: which engines hold these checkpoints of a prompt.
     #[n(6)]
     Lookup {
-        /// Block hashes of one prompt, in order.
+        /// Keys that the receiver owns.
         #[n(0)]
-        blocks: Vec<BlockHash>,
+        keys: KeyList,
     },
-    /// Router to router: what an engine's cache gained and lost.
+    /// Router to router: news of the engines that the sender follows.
     #[n(7)]
-    CacheUpdate {
-        /// The engine.
+    Share {
+        /// The sender's life, which its streams of updates belong to.
         #[n(0)]
-        engine: EngineId,
-        /// The life of the engine that the entries belong to.
+        life: Incarnation,
+        /// The news.
         #[n(1)]
-        incarnation: Incarnation,
-        /// Blocks stored.
-        #[n(2)]
-        added: Vec<BlockHash>,
-        /// Blocks evicted.
-        #[n(3)]
-        removed: Vec<BlockHash>,
+        news: ShareMessage,
     },
     /// Router to control: which nodes exist, and who leads.
     #[n(8)]
@@ -180,12 +163,12 @@
     /// What a claim came to.
     #[n(4)]
     Claim(#[n(0)] ClaimAnswer),
-    /// Engines that hold a prefix of the blocks that were asked for.
+    /// The holders of each checkpoint asked for, in the order of the keys.
     #[n(5)]
     Holders {
-        /// Engine, its incarnation and how many leading blocks it holds.
+        /// Holders by checkpoint.
         #[n(0)]
-        holders: Vec<Holder>,
+        checkpoints: Vec<CheckpointHolders>,
     },
     /// The nodes that the replica knows.
     #[n(6)]
@@ -204,20 +187,13 @@
         #[cbor(n(0), with = "minicbor::bytes")]
         answer: Vec<u8>,
     },
-}
-
-/// An engine that holds the start of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct Holder {
-    /// The engine.
-    #[n(0)]
-    pub engine: EngineId,
-    /// The life it holds the blocks in.
-    #[n(1)]
-    pub incarnation: Incarnation,
-    /// Leading blocks held.
-    #[n(2)]
-    pub blocks: u32,
+    /// News were taken in.
+    #[n(8)]
+    Shared {
+        /// Engines whose updates have a gap; the sender has to send everything.
+        #[n(0)]
+        in_doubt: Vec<EngineId>,
+    },
 }
 
 /// A node as the control replicas see it.
