Simulated disk; storage: a failed sync and a power cut no longer look like damage

Cause: after a failed sync, opening the folder copied the unproved frames into a new segment. If the power went before the old segment was cut, its end was torn and yet followed by a segment, which reads as damage of synced data: the node would have counted its good disk as lost. Found by the simulated disk (first sync fails, power goes 4 operations after the next start).

Change: what lies beyond the mark is written again in its place and synced before the next segment is made, so a segment that is followed by one never has a torn end. The simulated disk tells cache from platter by sector and name, cuts power at any operation, fails or fakes syncs, fills up and corrupts bytes.

--- /dev/null
+++ b/crates/simulation/tests/storage.rs
@@ -0,0 +1,161 @@
+//! Storage on a simulated disk: power cuts at every operation, failed syncs, a full disk.
+
+use juniper_consensus::{
+    ClusterEpoch, DiskIdentity, Entry, HardState, Membership, Payload, Position, ReplicaId,
+    Restored, Snapshot, SnapshotMeta, Write,
+};
+use juniper_simulation::{Random, SimulatedDisk};
+use juniper_storage::{OpenError, Storage, StorageError, format};
+use juniper_types::{NodeId, ZoneName};
+
+const NODE: NodeId = NodeId(1);
+const ENTRIES: u64 = 24;
+
+fn id() -> ReplicaId {
+    ReplicaId { node: NODE, disk: DiskIdentity::from_random(1) }
+}
+
+fn membership() -> Membership {
+    Membership::of_voters(ClusterEpoch::first(5), [(id(), ZoneName::new("taf").unwrap())])
+}
+
+fn new_disk(seed: u64) -> SimulatedDisk {
+    let mut disk = SimulatedDisk::new(Random::new(seed));
+    format(&mut disk, id(), Some(&membership())).unwrap();
+    disk
+}
+
+fn open(disk: &SimulatedDisk) -> Result<(Storage<SimulatedDisk>, Restored), OpenError> {
+    Storage::open(disk.clone(), NODE)
+}
+
+/// Opens as a daemon does that is started again after the disk failed once.
+fn open_again(disk: &SimulatedDisk) -> Result<(Storage<SimulatedDisk>, Restored), OpenError> {
+    match open(disk) {
+        Err(OpenError::Disk(_)) => open(disk),
+        opened => opened,
+    }
+}
+
+/// The write that follows `last`; every eighth entry comes with a snapshot.
+fn next_write(number: u64, last: Position) -> Write {
+    let index = last.index + 1;
+    let payload = Payload::Data(vec![index as u8; 300]);
+    let entry = Entry { term: 1, index, payload };
+    let meta = SnapshotMeta { position: last, membership: membership() };
+    let snapshot = Snapshot { meta, data: vec![last.index as u8; 700].into() };
+    let epoch = ClusterEpoch::first(5);
+    Write {
+        number,
+        hard_state: Some(HardState { epoch, term: 1, vote: None, commit: last.index }),
+        snapshot: (index % 8 == 0).then_some(snapshot),
+        last: entry.position(),
+        entries: vec![entry],
+    }
+}
+
+/// Writes until the end or a fault; returns the last entry that was acknowledged.
+fn write_all(disk: &SimulatedDisk, acknowledged: Position) -> Position {
+    let Ok((mut storage, restored)) = open(disk) else { return acknowledged };
+    let mut last = restored.last();
+    for number in 1.. {
+        if last.index >= ENTRIES {
+            break;
+        }
+        let write = next_write(number, last);
+        if storage.save(&write).is_err() {
+            assert!(matches!(storage.save(&write), Err(StorageError::Stopped)));
+            return last;
+        }
+        last = write.last;
+    }
+    last
+}
+
+fn check(restored: &Restored, acknowledged: Position, what: &str) {
+    assert!(restored.last() >= acknowledged, "{what}: {acknowledged:?} is lost");
+    let start = restored.snapshot.as_ref().map_or(0, |s| s.meta.position.index);
+    for (place, entry) in restored.entries.iter().enumerate() {
+        assert_eq!(entry.index, start + place as u64 + 1, "{what}: a gap");
+        if let Payload::Data(data) = &entry.payload {
+            assert!(data.iter().all(|byte| u64::from(*byte) == entry.index), "{what}: mixed up");
+        }
+    }
+}
+
+#[test]
+fn a_power_cut_at_any_operation_loses_nothing_that_was_acknowledged() {
+    for cut in 0..160 {
+        for seed in 0..6 {
+            let disk = new_disk(seed);
+            disk.cut_power_after(cut);
+            let mut acknowledged = write_all(&disk, Position::default());
+            disk.lose_power();
+            disk.cut_power_after(cut % 13);
+            acknowledged = write_all(&disk, acknowledged).max(acknowledged);
+            disk.lose_power();
+            let what = format!("cut {cut} seed {seed}");
+            let (_, restored) = open(&disk).unwrap_or_else(|error| panic!("{what}: {error}"));
+            check(&restored, acknowledged, &what);
+        }
+    }
+}
+
+#[test]
+fn a_failed_sync_stops_acknowledging_and_loses_nothing_before_it() {
+    for failing in 0..60 {
+        for cut in 0..24 {
+            let disk = new_disk(failing * 31 + cut);
+            disk.fail_sync_after(failing);
+            let acknowledged = write_all(&disk, Position::default());
+            disk.end_process();
+            disk.cut_power_after(cut);
+            let acknowledged = write_all(&disk, acknowledged).max(acknowledged);
+            disk.lose_power();
+            let what = format!("failing {failing} cut {cut}");
+            let (_, restored) = open_again(&disk).unwrap_or_else(|error| panic!("{what}: {error}"));
+            check(&restored, acknowledged, &what);
+        }
+    }
+}
+
+#[test]
+fn a_full_disk_stops_acknowledging_until_there_is_room_again() {
+    for room in (0..6_000).step_by(97) {
+        let disk = new_disk(room as u64);
+        disk.limit_room(Some(room));
+        let acknowledged = write_all(&disk, Position::default());
+        disk.end_process();
+        disk.limit_room(None);
+        let what = format!("room {room}");
+        let (_, restored) = open(&disk).unwrap_or_else(|error| panic!("{what}: {error}"));
+        check(&restored, acknowledged, &what);
+        assert_eq!(write_all(&disk, Position::default()).index, ENTRIES);
+    }
+}
+
+#[test]
+fn damage_to_sealed_data_is_always_noticed() {
+    for seed in 0..200 {
+        let disk = new_disk(seed);
+        write_all(&disk, Position::default());
+        let (mut storage, _) = open(&disk).unwrap();
+        storage.seal().unwrap();
+        disk.lose_power();
+        let prefix = if seed % 2 == 0 { "segment-" } else { "snapshot-" };
+        assert!(disk.corrupt(prefix));
+        assert!(matches!(open(&disk), Err(OpenError::Damaged { .. })), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_disk_that_lies_about_syncs_is_not_trusted_by_these_tests() {
+    let lost = (0..50).any(|seed| {
+        let disk = new_disk(seed);
+        disk.lie_about_syncs();
+        let acknowledged = write_all(&disk, Position::default());
+        disk.lose_power();
+        open(&disk).map_or(true, |(_, restored)| restored.last() < acknowledged)
+    });
+    assert!(lost, "the simulated disk keeps what was never synced");
+}
--- a/crates/storage/src/replay.rs
+++ b/crates/storage/src/replay.rs
@@ -37,12 +37,6 @@
         self.base
     }
 
-    /// Entries from `index` on.
-    pub(crate) fn entries_from(&self, index: Index) -> &[Entry] {
-        let start = self.offset(index).unwrap_or(0).min(self.entries.len());
-        &self.entries[start..]
-    }
-
     /// Applies the next record.
     pub(crate) fn apply(&mut self, record: Record) -> Result<(), Damage> {
         if let Some(position) = record.continues {
@@ -117,7 +111,7 @@
     }
 
     /// The position at `index`, if the log holds it.
-    pub(crate) fn position(&self, index: Index) -> Option<Position> {
+    fn position(&self, index: Index) -> Option<Position> {
         if index == self.base.index {
             return Some(self.base);
         }
--- a/crates/storage/src/segments.rs
+++ b/crates/storage/src/segments.rs
@@ -1,6 +1,6 @@
 //! Reads the segments of the log and tells a torn tail from damage.
 
-use juniper_consensus::{Index, Position, Snapshot};
+use juniper_consensus::{Index, Snapshot};
 
 use crate::disk::Disk;
 use crate::error::{Damage, OpenError};
@@ -43,15 +43,6 @@
     }
 }
 
-/// What lies beyond the mark, which is not proved to have been synced.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Unproved {
-    /// Last entry before it.
-    pub(crate) after: Position,
-    /// Whether a snapshot was recorded in it.
-    pub(crate) snapshot: bool,
-}
-
 /// All segments, read.
 pub(crate) struct ReadSegments {
     /// The log.
@@ -60,8 +51,6 @@
     pub(crate) segments: Vec<Segment>,
     /// Files that an unfinished write left without content.
     pub(crate) empty: Vec<u64>,
-    /// Set when frames lie beyond the mark.
-    pub(crate) unproved: Option<Unproved>,
 }
 
 /// Reads every segment.
@@ -75,12 +64,8 @@
     mark: Mark,
 ) -> Result<ReadSegments, OpenError> {
     let numbers = segment_numbers(&disk.list()?);
-    let mut read = ReadSegments {
-        replay: Replay::new(snapshot),
-        segments: Vec::new(),
-        empty: Vec::new(),
-        unproved: None,
-    };
+    let mut read =
+        ReadSegments { replay: Replay::new(snapshot), segments: Vec::new(), empty: Vec::new() };
     let newest = numbers.last().copied().unwrap_or(0);
     if mark.segment > newest {
         return Err(damaged(mark.segment, 0, Damage::Missing));
@@ -110,10 +95,6 @@
         while let Some(body) = frame_body(number, content, offset) {
             let malformed = |_| damaged(number, offset as u64, Damage::Malformed);
             let record: Record = minicbor::decode(body).map_err(malformed)?;
-            let place = Mark { segment: number, offset: offset as u64 };
-            if place >= mark {
-                self.note_unproved(&record);
-            }
             highest = record.entries.last().map_or(highest, |entry| highest.max(entry.index));
             let gap = |kind| damaged(number, offset as u64, kind);
             self.replay.apply(record).map_err(gap)?;
@@ -127,21 +108,6 @@
         }
         Ok(())
     }
-
-    fn note_unproved(&mut self, record: &Record) {
-        let last = self.replay.last();
-        let unproved = self.unproved.get_or_insert(Unproved { after: last, snapshot: false });
-        unproved.snapshot |= record.snapshot.is_some();
-        let first = record.entries.first().map_or(u64::MAX, |entry| entry.index);
-        let rewritten = first <= unproved.after.index;
-        let continued = record.continues.filter(|from| from.index < unproved.after.index);
-        if let Some(position) = continued {
-            unproved.after = position;
-        }
-        if rewritten && let Some(before) = self.replay.position(first - 1) {
-            unproved.after = before;
-        }
-    }
 }
 
 /// Decides what the end of the valid frames at `offset` means.
--- a/crates/storage/src/storage.rs
+++ b/crates/storage/src/storage.rs
@@ -208,52 +208,43 @@
     }
 
     /// Starts a new segment after the folder was read.
-    ///
-    /// What lies beyond the mark may be in the system's cache only, left there by
-    /// a sync that failed. It is written again and synced before anything relies
-    /// on it, and cut from where it was.
     fn start_over(&mut self, read: &ReadSegments, mark: Mark) -> Result<(), DiskError> {
-        self.cut_torn_tail(read)?;
-        let last_number = |number: Option<u64>| number.unwrap_or(0);
-        let newest = last_number(read.segments.last().map(|segment| segment.number));
-        let number = newest.max(last_number(read.empty.last().copied())) + 1;
+        self.prove(read, mark)?;
+        let newest = read.segments.last().map_or(0, |segment| segment.number);
+        let closed = read.segments.iter().map(|segment| {
+            let Segment { number, highest, .. } = *segment;
+            ClosedSegment { number, highest }
+        });
+        self.closed.extend(closed);
         let base = read.replay.base();
-        let after = read.unproved.map_or(self.last, |unproved| unproved.after);
         let record = Record {
-            continues: Some(after),
+            continues: Some(self.last),
             snapshot: (base.index > 0).then_some(base),
-            entries: read.replay.entries_from(after.index.max(base.index) + 1).to_vec(),
-            hard_state: None,
+            ..Record::default()
         };
-        self.start_segment(number, record, self.last)?;
+        self.start_segment(newest + 1, record, self.last)?;
         self.sync_mark()?;
-        self.remove_unproved(read, mark)
-    }
-
-    fn cut_torn_tail(&mut self, read: &ReadSegments) -> Result<(), DiskError> {
-        for segment in read.segments.iter().filter(|segment| segment.is_torn()) {
-            let file = segment_name(segment.number);
-            self.disk.truncate(&file, segment.valid)?;
-            self.disk.sync(&file)?;
-        }
-        Ok(())
+        let left_over = read.empty.iter().filter(|number| **number != newest + 1);
+        left_over.into_iter().try_for_each(|number| self.disk.remove(&segment_name(*number)))
     }
 
-    fn remove_unproved(&mut self, read: &ReadSegments, mark: Mark) -> Result<(), DiskError> {
-        for segment in &read.segments {
+    /// Makes durable what was read beyond the mark.
+    ///
+    /// A sync that failed may have left it in the system's cache only, marked as
+    /// if it were on the disk. It is written again in its place and synced before
+    /// another segment is made: a segment that is followed by one has no torn end.
+    fn prove(&mut self, read: &ReadSegments, mark: Mark) -> Result<(), DiskError> {
+        for segment in read.segments.iter().filter(|segment| segment.number >= mark.segment) {
             let file = segment_name(segment.number);
-            if segment.number > mark.segment {
-                self.disk.remove(&file)?;
-                continue;
+            if segment.is_torn() {
+                self.disk.truncate(&file, segment.valid)?;
             }
-            if segment.number == mark.segment && segment.valid > mark.offset {
-                self.disk.truncate(&file, mark.offset)?;
-                self.disk.sync(&file)?;
-            }
-            let Segment { number, highest, .. } = *segment;
-            self.closed.push_back(ClosedSegment { number, highest });
+            let proved = if segment.number == mark.segment { mark.offset } else { 0 };
+            let content = self.disk.read(&file)?;
+            let unproved = usize::try_from(proved).ok().and_then(|start| content.get(start..));
+            self.disk.write_at(&file, proved, unproved.unwrap_or_default())?;
+            self.disk.sync(&file)?;
         }
-        read.empty.iter().try_for_each(|number| self.disk.remove(&segment_name(*number)))?;
         self.disk.sync_folder()
     }
 }
