Storage: a good log no longer reads as a gap after entries were replaced and covered

Cause: a segment's first frame names the end of the log that it continues.

The new test fails without the change.

--- a/crates/storage/src/replay.rs
+++ b/crates/storage/src/replay.rs
@@ -42,7 +42,8 @@
         if let Some(position) = record.continues {
             self.continue_from(position)?;
         }
-        if let Some(position) = record.snapshot {
+        // A snapshot from before the segments that are gone says nothing any more.
+        if let Some(position) = record.snapshot.filter(|at| at.index >= self.base.index) {
             self.start_after(position);
         }
         self.append(record.entries)?;
@@ -81,6 +82,9 @@
 
     fn append(&mut self, entries: Vec<Entry>) -> Result<(), Damage> {
         let Some(first) = entries.first().map(|entry| entry.index) else { return Ok(()) };
+        if first <= self.base.index && self.base.index <= self.snapshot_index {
+            self.replace_covered(first);
+        }
         let fits = first > self.base.index && first <= self.last().index + 1;
         let consecutive = entries.windows(2).all(|pair| pair[1].index == pair[0].index + 1);
         if !fits || !consecutive {
@@ -92,6 +96,13 @@
         Ok(())
     }
 
+    /// Entries from `first` on replace some that were in segments which are gone,
+    /// because a snapshot covers them. The term before `first` is gone with them.
+    fn replace_covered(&mut self, first: Index) {
+        self.entries.clear();
+        self.base = Position { term: 0, index: first.saturating_sub(1) };
+    }
+
     /// Ends with the latest snapshot file: it may be newer than the last record,
     /// because it becomes durable before the record that names it.
     pub(crate) fn finish(mut self, snapshot: Option<&Snapshot>) -> Result<Replay, Damage> {
--- a/crates/storage/tests/folder.rs
+++ b/crates/storage/tests/folder.rs
@@ -102,6 +102,27 @@
     assert_eq!(files(folder.path(), "snapshot-").len(), 1);
 }
 
+#[test]
+fn an_entry_replaced_after_a_restart_and_then_covered_is_no_gap() {
+    let folder = folder_with(10);
+    let (mut storage, _) = open(folder.path()).unwrap();
+    let mut early = write(1, 1, &[]);
+    (early.snapshot, early.last) = (Some(snapshot(5)), Position { term: 1, index: 11 });
+    storage.save(&early).unwrap();
+    drop(storage);
+    let (mut storage, _) = open(folder.path()).unwrap();
+    storage.save(&write(1, 2, &[11, 12])).unwrap();
+    let mut covering = write(2, 2, &[]);
+    covering.snapshot = Some(snapshot(11));
+    covering.snapshot.as_mut().unwrap().meta.position.term = 2;
+    covering.last = Position { term: 2, index: 12 };
+    storage.save(&covering).unwrap();
+    drop(storage);
+    let (_, restored) = open(folder.path()).unwrap();
+    assert_eq!(restored.snapshot, covering.snapshot);
+    assert_eq!(restored.entries.iter().map(|e| e.index).collect::<Vec<_>>(), [12]);
+}
+
 #[test]
 fn a_torn_tail_that_was_never_synced_is_cut() {
     for torn in [1, 3, 20, 200] {
