Consensus: a voter whose disk is gone is taken out before its new disk is promoted

Cause: the new disk of a repaired node was promoted first, which made four voters with a quorum of three while one of them was gone for good. If the repaired disk was lost again within the half second in which the leader does not notice, two good disks of three were left and no quorum ever after.

Change: a silent voter whose node is at work with another disk is removed at once (three voters to two keeps the quorum at two), then the new disk is promoted. A voter that is only silent may return and is still replaced by promoting a standby first.

--- a/crates/consensus/src/replica/maintain.rs
+++ b/crates/consensus/src/replica/maintain.rs
@@ -2,9 +2,12 @@
 //! to join, or made by the leader to replace voters that are lost.
 //!
 //! The log takes one change of one replica at a time, so any majority before a
-//! change and any majority after it share a voter. A lost voter is replaced by
-//! promoting a standby first and demoting the lost one after that: the number
-//! of live copies that a commit needs never shrinks in between.
+//! change and any majority after it share a voter.
+//!
+//! A voter whose node came back with another disk can't return: it is taken out
+//! at once, which makes no quorum harder to reach, and the new disk is promoted
+//! when it has caught up. A voter that is only silent may return: a standby is
+//! promoted first, and the silent voter demoted after that.
 
 use juniper_types::ZoneName;
 
@@ -62,9 +65,7 @@
         {
             return false;
         }
-        let voters = next.voters().count();
-        let takes_voter = voters < self.log.membership().voters().count();
-        if takes_voter && voters < self.config.target_voters {
+        if self.takes_needed_voter(leadership, change, next) {
             return false;
         }
         let changes_quorum = !matches!(change, MembershipChange::AddLearner { .. });
@@ -73,6 +74,23 @@
         !changes_quorum || live >= next.quorum()
     }
 
+    /// Whether the change takes a voter away that the target needs and that may be
+    /// alive or come back.
+    fn takes_needed_voter(
+        &self,
+        leadership: &Leadership,
+        change: &MembershipChange,
+        next: &Membership,
+    ) -> bool {
+        let (MembershipChange::Demote(id) | MembershipChange::Remove(id)) = change else {
+            return false;
+        };
+        let membership = self.log.membership();
+        let scarce = next.voters().count() < self.config.target_voters;
+        let active = self.active_in(leadership);
+        membership.is_voter(*id) && scarce && !is_superseded(membership, &active, *id)
+    }
+
     fn is_caught_up(&self, leadership: &Leadership, id: ReplicaId) -> bool {
         leadership.progress.get(&id).is_some_and(|progress| {
             let near = progress.matched + CAUGHT_UP_LAG >= self.commit;
@@ -137,6 +155,7 @@
 impl View<'_> {
     fn due_change(&self) -> Option<MembershipChange> {
         self.obsolete_learner()
+            .or_else(|| self.superseded_voter())
             .map(MembershipChange::Remove)
             .or_else(|| self.surplus_voter().map(MembershipChange::Demote))
             .or_else(|| self.promotion().map(MembershipChange::Promote))
@@ -152,10 +171,14 @@
         progress.map_or(0, |progress| self.replica.now - progress.heard)
     }
 
-    /// Whether another disk of the same node is at work.
     fn is_superseded(&self, id: ReplicaId) -> bool {
-        let mut others = self.membership.on_node(id.node).filter(|member| member.id != id);
-        !self.is_active(id) && others.any(|member| self.is_active(member.id))
+        is_superseded(self.membership, &self.active, id)
+    }
+
+    /// A voter whose disk is gone for good.
+    fn superseded_voter(&self) -> Option<ReplicaId> {
+        let mut voters = self.membership.voters().map(|member| member.id);
+        voters.find(|id| self.is_superseded(*id))
     }
 
     /// A learner that has been silent for long or whose node has another disk now.
@@ -185,9 +208,9 @@
     }
 
     /// Whether a voter has been silent for so long that a standby should take its
-    /// place. A voter whose node has come back with another disk can't return.
+    /// place.
     fn is_lost(&self, id: ReplicaId) -> bool {
-        self.silence(id) > self.replica.config.lost_voter_ticks || self.is_superseded(id)
+        self.silence(id) > self.replica.config.lost_voter_ticks
     }
 
     /// The learner to promote, if a voter is missing, lost or badly placed.
@@ -213,3 +236,9 @@
         candidates.min_by_key(|member| self.voters_in(&member.zone))
     }
 }
+
+/// Whether the replica is silent and another disk of its node is at work.
+fn is_superseded(membership: &Membership, active: &[ReplicaId], id: ReplicaId) -> bool {
+    let mut others = membership.on_node(id.node).filter(|member| member.id != id);
+    !active.contains(&id) && others.any(|member| active.contains(&member.id))
+}
--- a/crates/consensus/tests/members.rs
+++ b/crates/consensus/tests/members.rs
@@ -123,6 +123,29 @@
     assert!(status.is_leader() && status.membership.is_voter(id(lost, 99)));
 }
 
+#[test]
+fn a_repaired_disk_that_is_lost_again_does_not_take_the_quorum_along() {
+    for noticed_after in 1..12 {
+        let mut cluster = Cluster::of_voters(3);
+        let leader = cluster.elect();
+        let wiped = follower(&mut cluster);
+        let repaired = id(wiped, 99);
+        cluster.start(repaired, Restored::default());
+        while !cluster.node(leader).replica.status().membership.contains(repaired) {
+            cluster.tick(1);
+        }
+        cluster.tick(noticed_after);
+        cluster.cut.insert(wiped);
+        cluster.tick(REPLACEMENT);
+        assert!(cluster.node(leader).replica.is_leader(), "two good disks of three are a quorum");
+        cluster.start(id(wiped, 100), Restored::default());
+        cluster.cut.clear();
+        cluster.tick(REPLACEMENT);
+        let membership = cluster.node(leader).replica.status().membership;
+        assert!(membership.is_voter(id(wiped, 100)), "{membership:?}");
+    }
+}
+
 #[test]
 fn a_recovery_fences_off_what_it_left_out() {
     let mut cluster = Cluster::of_voters(3);
--- a/crates/simulation/src/world/setup.rs
+++ b/crates/simulation/src/world/setup.rs
@@ -191,6 +191,7 @@
                 return Some(state);
             }
         }
+        self.note_statuses();
         let what = match self.workload.is_finished() {
             true => "the replicas do not agree",
             false => "clients wait for answers",
@@ -200,6 +201,14 @@
         None
     }
 
+    /// Writes down where every replica stands.
+    fn note_statuses(&mut self) {
+        let statuses: Vec<_> = self.machines.values().map(Machine::status).collect();
+        for status in statuses.into_iter().flatten() {
+            self.note(|| format!("{status:?}"));
+        }
+    }
+
     fn report(mut self, state: Option<Rc<ControlState>>) -> RunReport {
         let cluster = self.observer.violations().iter().map(ToString::to_string);
         let mut violations: Vec<String> = cluster.collect();
