--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::fault::Fault;
 use crate::machine::Machine;
-use crate::network::{Conditions, Cut, Network, Place, Zone};
+use crate::network::{Cut, Network, Place, Zone};
 use crate::process::ProcessError;
 use crate::queue::{EventQueue, MILLI, Micros, SECOND};
 use crate::random::Random;
@@ -49,7 +49,7 @@
 #[derive(Debug)]
 enum Mend {
     Cut(Cut),
-    Network(Conditions),
+    Network,
     Disk(NodeId),
 }
 
--- a/crates/simulation/src/world/strike.rs
+++ b/crates/simulation/src/world/strike.rs
@@ -6,6 +6,7 @@
 
 use super::{ClusterViolation, Event, Mend, World};
 use crate::fault::{CutKind, Fault, Kill, Target};
+use crate::network::Conditions;
 use crate::queue::{MILLI, Micros};
 use crate::workload::Workload;
 
@@ -15,8 +16,8 @@
         match fault {
             Fault::Cut(kind, time) => self.cut(kind, time),
             Fault::BadNetwork(conditions, time) => {
-                let before = std::mem::replace(&mut self.network.conditions, conditions);
-                self.queue.after(time, Event::Mend(Mend::Network(before)));
+                self.network.conditions = conditions;
+                self.queue.after(time, Event::Mend(Mend::Network));
             }
             Fault::Freeze(target, time) => self.freeze(target, time),
             Fault::Kill(target, kill, time) => self.kill(target, kill, time),
@@ -53,7 +54,7 @@
     pub(super) fn mend(&mut self, mend: Mend) {
         match mend {
             Mend::Cut(cut) => self.network.mend(cut),
-            Mend::Network(conditions) => self.network.conditions = conditions,
+            Mend::Network => self.network.conditions = Conditions::GOOD,
             Mend::Disk(node) => {
                 if let Some(machine) = self.machines.get_mut(&node) {
                     machine.disk.repair();
