--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -74,10 +74,13 @@
     }
 
     /// The follower lacks the entry at `previous`; the logs may agree up to `common`.
-    /// Returns false for an answer to an old message.
+    /// Returns false for an answer to an old message, and for a follower that lost
+    /// what it had acknowledged: no earlier entry may be sent to it, and answering
+    /// at once would go on for ever.
     pub(crate) fn reject(&mut self, previous: Index, common: Position) -> bool {
         match self.mode {
-            Mode::Replicate if previous > self.matched => {}
+            _ if previous <= self.matched => return false,
+            Mode::Replicate => {}
             Mode::Probe { .. } if previous + 1 == self.next => {}
             _ => return false,
         }
--- a/crates/consensus/src/replica/maintain.rs
+++ b/crates/consensus/src/replica/maintain.rs
@@ -25,6 +25,12 @@
 /// is made up for within a few milliseconds doesn't hold commits back.
 const CAUGHT_UP_LAG: Index = 64;
 
+/// Heartbeats within which a learner must have been heard from to be promoted.
+///
+/// A promoted replica counts towards the quorum at once; one that has just been
+/// lost must not. Two leave room for one lost message.
+const PROMOTION_HEARTBEATS: u64 = 2;
+
 impl Replica {
     pub(super) fn change_members(
         &mut self,
@@ -94,7 +100,10 @@
     fn is_caught_up(&self, leadership: &Leadership, id: ReplicaId) -> bool {
         leadership.progress.get(&id).is_some_and(|progress| {
             let near = progress.matched + CAUGHT_UP_LAG >= self.commit;
-            near && progress.matched > 0 && matches!(progress.mode, Mode::Replicate)
+            let silence = self.now - progress.heard;
+            let heard = silence <= PROMOTION_HEARTBEATS * self.config.heartbeat_ticks;
+            let replicates = matches!(progress.mode, Mode::Replicate);
+            near && heard && progress.matched > 0 && replicates
         })
     }
 
--- a/crates/consensus/tests/replication.rs
+++ b/crates/consensus/tests/replication.rs
@@ -137,6 +137,21 @@
     assert_eq!(cluster.node(away).applied.len(), 2);
 }
 
+#[test]
+fn a_follower_that_lost_what_it_acknowledged_does_not_keep_the_leader_busy() {
+    let mut cluster = Cluster::of_voters(3);
+    let leader = cluster.elect();
+    let broken = cluster.nodes.keys().copied().find(|node| *node != leader).unwrap();
+    let early = cluster.node(broken).disk.clone();
+    (0..5).for_each(|number| cluster.propose(leader, &[number]));
+    cluster.node(broken).disk = early;
+    restart(&mut cluster, broken);
+    cluster.propose(leader, b"after");
+    cluster.heard.clear();
+    cluster.tick(ELECTION);
+    assert!(cluster.heard.len() < 10 * ELECTION as usize, "{}", cluster.heard.len());
+}
+
 #[test]
 fn leadership_is_handed_over_without_a_wait() {
     let mut cluster = Cluster::of_voters(3);
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -11,6 +11,9 @@
 /// Ticks in which any live quorum elects a leader.
 pub const ELECTION: u64 = 60;
 
+/// Messages beyond which two replicas must be answering each other for ever.
+const MAX_MESSAGES: usize = 100_000;
+
 /// One node: its replica, its disk and what its state machine got.
 pub struct Node {
     pub replica: Replica,
@@ -100,6 +103,7 @@
                 continue;
             }
             self.heard.push(message.clone());
+            assert!(self.heard.len() < MAX_MESSAGES, "messages multiply");
             if let Some(node) = self.nodes.get_mut(&to) {
                 node.replica.step(message);
             }
--- a/crates/lab/src/prove/configuration/check.rs
+++ b/crates/lab/src/prove/configuration/check.rs
@@ -96,14 +96,18 @@
         Revisions { ids, values }
     }
 
-    /// What `revision` set `key` to, if it changed it.
-    fn written(&self, revision: Revision, key: &SettingsPath) -> Option<u32> {
-        let value = |revision: Revision| {
-            let values = self.values.get(&revision)?;
-            Some(values.get(key).copied().unwrap_or_default())
-        };
-        let (before, after) = (value(Revision(revision.0.checked_sub(1)?))?, value(revision)?);
-        (before != after).then_some(after)
+    /// What each revision that changed `key` set it to.
+    fn written(&self, key: &SettingsPath) -> BTreeMap<Revision, u32> {
+        let mut before = 0;
+        let mut written = BTreeMap::new();
+        for (revision, values) in &self.values {
+            let value = values.get(key).copied().unwrap_or_default();
+            if value != before {
+                written.insert(*revision, value);
+            }
+            before = value;
+        }
+        written
     }
 }
 
@@ -181,8 +185,7 @@
     }
     let keys: BTreeSet<&SettingsPath> = revisions.values.values().flat_map(|v| v.keys()).collect();
     for key in keys {
-        let written = |revision| revisions.written(revision, key);
-        if !is_key_linearizable(record, &effects, key, written) {
+        if !is_key_linearizable(record, &effects, key, &revisions.written(key)) {
             violations.push(ConfigurationViolation::KeyNotLinearizable(key.clone()));
         }
     }
--- a/crates/lab/src/prove/configuration/linear.rs
+++ b/crates/lab/src/prove/configuration/linear.rs
@@ -6,7 +6,6 @@
 use juniper_settings::SettingsPath;
 use juniper_types::Revision;
 use todc_utils::specifications::Specification;
-use todc_utils::specifications::register::{RegisterOperation, RegisterSpecification};
 use todc_utils::{Action, History, WGLChecker};
 
 use super::record::{Answered, Asked, End, Operation, Record, Values};
@@ -45,6 +44,39 @@
     }
 }
 
+/// What a write or a read says about one key.
+#[derive(Clone, Debug)]
+enum KeyOperation {
+    /// The write changed the key, which had last changed with `previous`.
+    Write { previous: Revision, revision: Revision, value: u32 },
+    /// The value was read.
+    Read(u32),
+}
+
+/// One key: a register whose writes follow each other in the order of their
+/// revisions. Blind writes in any order would let the search for an order of a
+/// faulty history take exponential time.
+struct KeySpecification;
+
+impl Specification for KeySpecification {
+    type State = (Revision, u32);
+    type Operation = KeyOperation;
+
+    fn init() -> (Revision, u32) {
+        (Revision::default(), 0)
+    }
+
+    fn apply(operation: &KeyOperation, state: &(Revision, u32)) -> (bool, (Revision, u32)) {
+        match *operation {
+            KeyOperation::Write { previous, revision, value } if previous == state.0 => {
+                (true, (revision, value))
+            }
+            KeyOperation::Write { .. } => (false, *state),
+            KeyOperation::Read(value) => (value == state.1, *state),
+        }
+    }
+}
+
 /// Accepted writes by place in the record, each with the revision it made;
 /// those whose writer never learned it included.
 pub type Effects = BTreeMap<usize, Revision>;
@@ -72,24 +104,30 @@
 }
 
 /// Whether the values of one key seen fit one order of all operations.
-/// `written` tells what a revision set the key to, if it changed it.
+/// `written` holds what each revision that changed the key set it to.
 pub fn is_key_linearizable(
     record: &Record,
     effects: &Effects,
     key: &SettingsPath,
-    written: impl Fn(Revision) -> Option<u32>,
+    written: &BTreeMap<Revision, u32>,
 ) -> bool {
     let read = |values: &Values| values.get(key).copied().unwrap_or_default();
+    let write = |revision: Revision| {
+        let value = *written.get(&revision)?;
+        let previous = written.range(..revision).next_back();
+        let previous = previous.map_or(Revision::default(), |(revision, _)| *revision);
+        Some(KeyOperation::Write { previous, revision, value })
+    };
     let operation = |place: usize, operation: &Operation| {
         if let Some(revision) = effects.get(&place) {
-            return written(*revision).map(RegisterOperation::Write);
+            return write(*revision);
         }
         match operation.answered.as_ref()? {
-            Answered::Read { values, .. } => Some(RegisterOperation::Read(Some(read(values)))),
+            Answered::Read { values, .. } => Some(KeyOperation::Read(read(values))),
             Answered::Write(_) => None,
         }
     };
-    is_linearizable::<RegisterSpecification<u32>>(record, operation)
+    is_linearizable::<KeySpecification>(record, operation)
 }
 
 /// Checks the operations that `translate` knows. An accepted write whose writer
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -30,6 +30,10 @@
 /// One message in so many is delivered as decoded from its bytes.
 const CODEC_SAMPLE: u64 = 16;
 
+/// Events in a run beyond which messages must be multiplying; an ordinary run has
+/// fewer than a tenth.
+const MAX_EVENTS: u64 = 400_000;
+
 /// Something that happens at a time.
 #[derive(Debug)]
 enum Event {
@@ -75,11 +79,14 @@
 impl<W: Workload> World<W> {
     /// Handles events until `end`.
     fn run_until(&mut self, end: Micros) {
-        while self.queue.now() < end {
+        while self.queue.now() < end && self.events < MAX_EVENTS {
             let Some(event) = self.queue.pop() else { return };
             self.events += 1;
             self.handle(event);
         }
+        if self.events >= MAX_EVENTS {
+            self.observer.report(ClusterViolation::Storm { events: MAX_EVENTS });
+        }
     }
 
     fn note(&mut self, text: impl FnOnce() -> String) {
@@ -273,4 +280,11 @@
         };
         processes().all(agrees).then(|| Rc::clone(leader.state()))
     }
+
+    /// The state of the replica that has applied most.
+    fn latest_state(&self) -> Option<Rc<ControlState>> {
+        let processes = self.machines.values().filter_map(|machine| machine.process.as_ref());
+        let latest = processes.max_by_key(|process| process.state().applied())?;
+        Some(Rc::clone(latest.state()))
+    }
 }
--- a/crates/simulation/src/world/observer.rs
+++ b/crates/simulation/src/world/observer.rs
@@ -64,6 +64,12 @@
         /// What it said.
         cause: String,
     },
+    /// Messages multiply.
+    #[error("the run was stopped after {events} events")]
+    Storm {
+        /// Events handled.
+        events: u64,
+    },
     /// Long after the last fault, something is not finished.
     #[error("no progress {waited_seconds} s after the last fault: {what}")]
     NoProgress {
--- a/crates/simulation/src/world/setup.rs
+++ b/crates/simulation/src/world/setup.rs
@@ -7,7 +7,7 @@
 use juniper_control_state::ControlState;
 use juniper_types::NodeId;
 
-use super::{ClusterViolation, Event, Observer, TICK, World};
+use super::{ClusterViolation, Event, MAX_EVENTS, Observer, TICK, World};
 use crate::fault;
 use crate::machine::{Machine, new_identity, zone_name};
 use crate::network::Network;
@@ -179,10 +179,11 @@
         self.with_workload(|workload, bench| workload.finish(bench));
     }
 
-    /// Waits until the clients are done and all replicas agree.
+    /// Waits until the clients are done and all replicas agree. Returns the state
+    /// that they agree on, or else the latest there is.
     fn finish(&mut self) -> Option<Rc<ControlState>> {
         let limit = self.queue.now() + FINISH_LIMIT;
-        while self.queue.now() < limit {
+        while self.queue.now() < limit && self.events < MAX_EVENTS {
             let next = self.queue.now() + 500 * MILLI;
             self.run_until(next);
             if self.workload.is_finished()
@@ -198,7 +199,7 @@
         };
         let waited_seconds = FINISH_LIMIT / SECOND;
         self.observer.report(ClusterViolation::NoProgress { waited_seconds, what });
-        None
+        self.latest_state()
     }
 
     /// Writes down where every replica stands.
