--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -1,4 +1,6 @@
-//! The back ends that this router may send to, with their work in flight.
+//! Addresses of all back ends, and the choice among application and preview servers.
+//!
+//! Model engines are chosen by the decision crates (`crate::engines`).
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -90,6 +92,11 @@
         *table = next;
     }
 
+    /// Where the back end is reached.
+    pub fn address(&self, id: EngineId) -> Option<SocketAddr> {
+        self.lock().get(&id).map(|state| state.address)
+    }
+
     /// Picks the least busy back end of `kind`, own zone first among equals,
     /// passing over those in `excluded`.
     pub fn choose(
--- a/crates/router/src/faces.rs
+++ b/crates/router/src/faces.rs
@@ -19,6 +19,7 @@
 use crate::access::{REQUEST_ID_HEADER, authenticate, is_operator, request_id};
 use crate::applications;
 use crate::chat::ChatRequest;
+use crate::engines::ChatPlan;
 use crate::error::RequestError;
 use crate::previews;
 use crate::relay::{ChatJob, Piece, caller_event, collect, open};
@@ -74,6 +75,7 @@
         "zone": shared.config.zone.as_str(),
         "ready": shared.is_ready(),
         "revision": shared.view().in_force.revision.0,
+        "peers": shared.peers.borrow().routers.iter().map(|peer| peer.node.0).collect::<Vec<_>>(),
         "settings_age_ms": shared.settings_age().as_millis() as u64,
         "in_flight": shared.metrics.in_flight.get(),
     });
@@ -127,10 +129,13 @@
         view.in_force.revision
     );
     let deadline = started + Duration::from_millis(caller.settings.deadline_ms);
-    let job = ChatJob { request_id, caller, chat, deadline, resume_from };
+    let tenant = caller.home.tenant;
+    shared.engines.record_request(caller.settings.retry_budget_percent);
+    let plan = ChatPlan::new(&tenant, caller.settings, &chat.prompt);
+    let job = ChatJob { request_id, tenant, chat, plan, started, deadline, resume_from };
     let (relay, origin) = open(Arc::clone(&shared), job).await?;
     log::info!(
-        "event=request_routed request={request_id} engine={} cached_tokens={}",
+        "event=request_opened request={request_id} engine={} cached_tokens={}",
         origin.engine,
         origin.cached_tokens
     );
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -10,27 +10,34 @@
 //! another one. A connection whose answer was not read to its end is closed
 //! and never used again.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use juniper_settings::BackEndKind;
-use juniper_types::{EngineId, RequestId};
+use juniper_routing::drain::LeavingSource;
+use juniper_routing::retry::{AttemptOutcome, RetryQuestion};
+use juniper_routing::{Refusal, RefusalCode};
+use juniper_settings::TrafficKind;
+use juniper_types::{EngineId, RequestId, TenantName};
 use serde::Deserialize;
 use serde_json::json;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
-use crate::access::{Caller, REQUEST_ID_HEADER};
-use crate::backends::Lease;
+use crate::access::REQUEST_ID_HEADER;
 use crate::chat::ChatRequest;
+use crate::engines::{ChatPlan, Dispatch};
 use crate::error::RequestError;
 use crate::shared::Shared;
 use crate::sse::{Chunk, Event, EventReader};
 
-/// Most engines tried for one request.
-const MAX_ATTEMPTS: usize = 4;
+/// Shortest time in which another attempt makes sense.
+const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
+
+/// Error code of an engine that takes no new work.
+const LEAVING_CODE: &str = "leaving";
 
 /// Time within which an engine must take a cancel.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -42,10 +49,14 @@
 pub struct ChatJob {
     /// Id that the caller sees.
     pub request_id: RequestId,
-    /// Who asks, with the settings in force for it.
-    pub caller: Caller,
+    /// Who asks.
+    pub tenant: TenantName,
     /// What is asked.
     pub chat: ChatRequest,
+    /// What routing needs to know of it.
+    pub plan: ChatPlan,
+    /// When the router received it.
+    pub started: Instant,
     /// When the caller gives up.
     pub deadline: Instant,
     /// First output token that the caller lacks.
@@ -105,7 +116,7 @@
 /// An engine that has taken the request.
 struct Attempt {
     id: RequestId,
-    lease: Lease,
+    dispatch: Dispatch,
     response: reqwest::Response,
     cancel: CancelGuard,
 }
@@ -136,20 +147,27 @@
     shared: Arc<Shared>,
     job: ChatJob,
     attempt: Attempt,
-    excluded: Vec<EngineId>,
-    next_index: u64,
+    progress: Progress,
 }
 
 /// Opens the request on an engine. The error says truthfully whether anything ran.
 pub async fn open(shared: Arc<Shared>, job: ChatJob) -> Result<(Relay, Origin), RequestError> {
-    let mut excluded = Vec::new();
-    let next_index = job.resume_from;
-    let attempt = open_attempt(&shared, &job, &mut excluded, next_index).await?;
+    let mut progress = Progress {
+        excluded: Vec::new(),
+        attempts: 0,
+        next_index: job.resume_from,
+        may_have_run: false,
+    };
+    let attempt = open_attempt(&shared, &job, &mut progress).await?;
     let origin = Origin {
-        engine: attempt.lease.target.id,
+        engine: attempt.dispatch.decision.engine,
         cached_tokens: header_number(&attempt.response, "x-cached-tokens").unwrap_or(0),
     };
-    Ok((Relay { shared, job, attempt, excluded, next_index }, origin))
+    let metrics = &shared.metrics.prompt_tokens;
+    let computed = u64::from(job.plan.blocks.tokens).saturating_sub(origin.cached_tokens);
+    metrics.with_label_values(&["hit"]).inc_by(origin.cached_tokens);
+    metrics.with_label_values(&["miss"]).inc_by(computed);
+    Ok((Relay { shared, job, attempt, progress }, origin))
 }
 
 fn header_number(response: &reqwest::Response, name: &str) -> Option<u64> {
@@ -160,95 +178,196 @@
 async fn open_attempt(
     shared: &Arc<Shared>,
     job: &ChatJob,
-    excluded: &mut Vec<EngineId>,
-    from: u64,
+    progress: &mut Progress,
 ) -> Result<Attempt, RequestError> {
-    let mut may_have_run = from > job.resume_from;
-    while excluded.len() < MAX_ATTEMPTS {
-        let zone = &shared.config.zone;
-        let Some(lease) = shared.back_ends.choose(BackEndKind::Engine, zone, excluded) else {
-            break;
-        };
-        let engine = lease.target.id;
-        let error = match try_engine(shared, job, lease, from).await {
+    loop {
+        let within = job.first_token_within(progress);
+        let chosen = shared.engines.choose(&job.plan, within, &progress.excluded);
+        let dispatch = chosen.map_err(|refusal| progress.refused(refusal))?;
+        let engine = dispatch.decision.engine;
+        log_decision(job, &dispatch);
+        progress.attempts += 1;
+        let error = match try_engine(shared, job, dispatch, progress.next_index).await {
             Ok(attempt) => return Ok(attempt),
             Err(error) => error,
         };
-        log::warn!(
-            "event=attempt_failed request={} engine={engine} reason=\"{error}\"",
-            job.request_id
-        );
-        shared.metrics.retries.with_label_values(&["open"]).inc();
-        match error {
+        progress.excluded.push(engine);
+        match &error {
             AttemptError::Deadline => return Err(RequestError::DeadlinePassed),
-            AttemptError::Rejected(reason) => return Err(RequestError::Malformed(reason)),
-            AttemptError::NotRun(_) | AttemptError::Unreachable => {}
-            AttemptError::Broken | AttemptError::Invalid => may_have_run = true,
+            AttemptError::Rejected(reason) => {
+                return Err(RequestError::Malformed(reason.clone()));
+            }
+            AttemptError::Unreachable => shared.engines.mark_down(engine),
+            _ => {}
+        }
+        ask_for_retry(shared, job, progress, engine, &error)?;
+    }
+}
+
+fn log_decision(job: &ChatJob, dispatch: &Dispatch) {
+    let decision = &dispatch.decision;
+    log::info!(
+        "event=request_routed request={} engine={} reason={:?} expected_blocks={} candidates={} \
+         queue_us={:.0}",
+        job.request_id,
+        decision.engine,
+        decision.reason,
+        decision.expected_blocks,
+        decision.candidates,
+        decision.terms.first_token_us(),
+    );
+}
+
+/// Takes another attempt from the retry budget, or ends the request.
+fn ask_for_retry(
+    shared: &Shared,
+    job: &ChatJob,
+    progress: &mut Progress,
+    engine: EngineId,
+    error: &AttemptError,
+) -> Result<(), RequestError> {
+    let outcome = match error {
+        AttemptError::NotRun(_) | AttemptError::Unreachable => AttemptOutcome::NotRun,
+        _ => AttemptOutcome::Unknown,
+    };
+    progress.may_have_run |= outcome != AttemptOutcome::NotRun;
+    log::warn!(
+        "event=attempt_failed request={} engine={engine} at={} reason=\"{error}\"",
+        job.request_id,
+        progress.next_index
+    );
+    let partly = progress.next_index > job.resume_from;
+    let question = RetryQuestion {
+        kind: TrafficKind::Chat,
+        outcome: if partly { AttemptOutcome::PartlyAnswered } else { outcome },
+        // Generation is deterministic, so an answer goes on at any token.
+        resumable: true,
+        attempts: progress.attempts,
+        time_left: job.deadline.saturating_duration_since(Instant::now()),
+        time_needed: MIN_ATTEMPT_TIME,
+    };
+    shared.engines.may_retry(&question).map_err(|denied| {
+        log::warn!("event=retry_denied request={} reason=\"{denied}\"", job.request_id);
+        progress.given_up()
+    })?;
+    shared.metrics.retries.with_label_values(&["chat"]).inc();
+    Ok(())
+}
+
+impl ChatJob {
+    /// Time until the first token is due. An answer that has begun is only
+    /// bound by its deadline.
+    fn first_token_within(&self, progress: &Progress) -> Duration {
+        let now = Instant::now();
+        let left = self.deadline.saturating_duration_since(now);
+        if progress.next_index > self.resume_from {
+            return left;
+        }
+        let within = Duration::from_millis(self.plan.settings.first_token_deadline_ms);
+        within.saturating_sub(now.saturating_duration_since(self.started)).min(left)
+    }
+}
+
+/// How far a request has come.
+struct Progress {
+    excluded: Vec<EngineId>,
+    attempts: u32,
+    next_index: u64,
+    may_have_run: bool,
+}
+
+impl Progress {
+    /// The error for a caller whose request no engine will take.
+    fn refused(&self, refusal: Refusal) -> RequestError {
+        if self.may_have_run {
+            return RequestError::BackEndFailed;
+        }
+        let retry_after_ms = refusal.retry_after.as_millis() as u64;
+        match refusal.code {
+            RefusalCode::NoEngine => RequestError::NoBackEnd { retry_after_ms },
+            _ => RequestError::Overloaded { retry_after_ms },
         }
-        excluded.push(engine);
     }
-    if may_have_run {
-        return Err(RequestError::BackEndFailed);
+
+    fn given_up(&self) -> RequestError {
+        if self.may_have_run {
+            return RequestError::BackEndFailed;
+        }
+        RequestError::NoBackEnd { retry_after_ms: NO_ENGINE_RETRY_MS }
     }
-    Err(RequestError::NoBackEnd { retry_after_ms: NO_ENGINE_RETRY_MS })
 }
 
 async fn try_engine(
     shared: &Arc<Shared>,
     job: &ChatJob,
-    lease: Lease,
+    dispatch: Dispatch,
     from: u64,
 ) -> Result<Attempt, AttemptError> {
+    let engine = dispatch.decision.engine;
+    let address = shared.back_ends.address(engine).ok_or(AttemptError::Unreachable)?;
     let id = RequestId(rand::random());
-    let base = format!("http://{}", lease.target.address);
-    let url = format!("{base}/v1/requests/{id}/cancel");
+    let url = format!("http://{address}/v1/requests/{id}/cancel");
     let mut cancel = CancelGuard { http: shared.http.clone(), url, armed: true };
-    let settings = &job.caller.settings;
-    let remaining = job.deadline.saturating_duration_since(Instant::now());
-    let mut request = shared
-        .http
-        .post(format!("{base}/v1/chat/completions"))
-        .header("content-type", "application/json")
-        .header(REQUEST_ID_HEADER, id.to_string())
-        .header("x-cache-tenant", job.caller.home.tenant.as_str())
-        .header("x-cache-weights", settings.weights.0.to_string())
-        .header("x-priority", settings.priority.to_string())
-        .header("x-deadline-ms", remaining.as_millis().to_string())
-        .header("x-resume-from", from.to_string())
-        .body(job.chat.engine_body.clone());
-    if let Some(adapter) = settings.adapter() {
-        request = request.header("x-cache-adapter", adapter.as_str());
-    }
-    let sent = timeout_at(job.deadline, request.send()).await;
-    let response = match sent {
+    let request = engine_request(shared, job, &dispatch, address, id, from);
+    let response = match timeout_at(job.deadline, request.send()).await {
         Err(_) => return Err(AttemptError::Deadline),
-        Ok(Err(error)) => {
-            lease.failed();
-            if error.is_connect() {
-                cancel.armed = false;
-                return Err(AttemptError::Unreachable);
-            }
-            return Err(AttemptError::Broken);
+        Ok(Err(error)) if error.is_connect() => {
+            cancel.armed = false;
+            return Err(AttemptError::Unreachable);
         }
+        Ok(Err(_)) => return Err(AttemptError::Broken),
         Ok(Ok(response)) => response,
     };
     if response.status().is_success() {
-        lease.answered();
-        return Ok(Attempt { id, lease, response, cancel });
+        return Ok(Attempt { id, dispatch, response, cancel });
     }
-    let status = response.status();
+    let is_client_error = response.status().is_client_error();
     let body: EngineErrorBody = response.json().await.unwrap_or_default();
     cancel.armed = !body.error.not_run;
+    if body.error.code == LEAVING_CODE {
+        shared.engines.set_leaving(engine, LeavingSource::Engine, true);
+    }
     if body.error.not_run {
         return Err(AttemptError::NotRun(body.error.code));
     }
-    if status.is_client_error() {
+    if is_client_error {
         return Err(AttemptError::Rejected(body.error.code));
     }
-    lease.failed();
     Err(AttemptError::Broken)
 }
 
+fn engine_request(
+    shared: &Shared,
+    job: &ChatJob,
+    dispatch: &Dispatch,
+    address: SocketAddr,
+    id: RequestId,
+    from: u64,
+) -> reqwest::RequestBuilder {
+    let settings = &job.plan.settings;
+    let remaining = job.deadline.saturating_duration_since(Instant::now());
+    let mut request = shared
+        .http
+        .post(format!("http://{address}/v1/chat/completions"))
+        .header("content-type", "application/json")
+        .header(REQUEST_ID_HEADER, id.to_string())
+        .header("x-cache-tenant", job.tenant.as_str())
+        .header("x-cache-weights", settings.weights.0.to_string())
+        .header("x-priority", settings.priority.to_string())
+        .header("x-deadline-ms", remaining.as_millis().to_string())
+        .header("x-expected-blocks", dispatch.decision.expected_blocks.to_string())
+        .header("x-resume-from", from.to_string())
+        .body(job.chat.engine_body.clone());
+    if let Some(adapter) = settings.adapter() {
+        request = request.header("x-cache-adapter", adapter.as_str());
+    }
+    // The engine refuses the request if it has restarted since.
+    if let Some(incarnation) = dispatch.decision.incarnation {
+        request = request.header("x-engine-incarnation", incarnation.to_string());
+    }
+    request
+}
+
 impl Relay {
     /// Passes the answer on until it is complete, can't be completed, or the
     /// receiver is gone.
@@ -273,21 +392,12 @@
     }
 
     async fn continue_elsewhere(&mut self, error: AttemptError) -> Result<(), RequestError> {
-        let engine = self.attempt.lease.target.id;
-        log::warn!(
-            "event=stream_interrupted request={} engine={engine} at={} reason=\"{error}\"",
-            self.job.request_id,
-            self.next_index
-        );
-        self.attempt.lease.failed();
-        self.excluded.push(engine);
-        self.shared.metrics.retries.with_label_values(&["stream"]).inc();
-        let next = open_attempt(&self.shared, &self.job, &mut self.excluded, self.next_index).await;
-        // Work has begun, so whatever the last attempt said, the request has run.
-        self.attempt = next.map_err(|error| match error {
-            RequestError::DeadlinePassed => RequestError::DeadlinePassed,
-            _ => RequestError::BackEndFailed,
-        })?;
+        let engine = self.attempt.dispatch.decision.engine;
+        self.progress.excluded.push(engine);
+        // Work has begun, so whatever later attempts say, the request has run.
+        self.progress.may_have_run = true;
+        ask_for_retry(&self.shared, &self.job, &mut self.progress, engine, &error)?;
+        self.attempt = open_attempt(&self.shared, &self.job, &mut self.progress).await?;
         Ok(())
     }
 
@@ -308,7 +418,7 @@
                     }
                     Event::Done => return Err(AttemptError::Invalid),
                     Event::Chunk(chunk) => {
-                        if chunk.id != id || chunk.juniper.index > self.next_index {
+                        if chunk.id != id || chunk.juniper.index > self.progress.next_index {
                             return Err(AttemptError::Invalid);
                         }
                         finished |= chunk.finish_reason().is_some();
@@ -340,13 +450,16 @@
 
     /// Sends a chunk to the caller; false when the caller has left.
     async fn pass_on(&mut self, chunk: Box<Chunk>, pieces: &mpsc::Sender<Piece>) -> bool {
-        let is_new = chunk.juniper.index == self.next_index;
+        let is_new = chunk.juniper.index == self.progress.next_index;
         let is_last = chunk.finish_reason().is_some();
+        if is_new && self.progress.next_index == self.job.resume_from {
+            self.attempt.dispatch.first_token();
+        }
         if !is_new && !is_last {
             return true;
         }
         if is_new && !chunk.text().is_empty() {
-            self.next_index += chunk.juniper.count;
+            self.progress.next_index += chunk.juniper.count;
         }
         pieces.send(Piece::Chunk(chunk)).await.is_ok()
     }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -6,16 +6,19 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use kameo::actor::Spawn;
-use tokio::net::TcpListener;
+use kameo::actor::{ActorRef, Spawn};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::backends::BackEnds;
 use crate::config::RouterConfig;
 use crate::control_client::ControlClient;
+use crate::engines::Engines;
 use crate::faces;
+use crate::feeds;
 use crate::metrics::Metrics;
+use crate::peers::{self, Leave, MembershipActor, MembershipArguments, PeerView};
 use crate::settings_file::{SettingsFile, SettingsFileError};
 use crate::shared::Shared;
 use crate::subscription::{SettingsActor, SettingsView, keep_subscribed};
@@ -78,7 +81,10 @@
     let config = Arc::new(config);
     let callers = listen(config.caller).await?;
     let operators = listen(config.operator).await?;
-    let shared = start(Arc::clone(&config))?;
+    let gossip = UdpSocket::bind(config.internal)
+        .await
+        .map_err(|source| RouterError::Listen { address: config.internal, source })?;
+    let (shared, membership) = start(Arc::clone(&config), gossip)?;
     let (close, closed) = watch::channel(false);
     let caller_face = serve(callers, faces::callers(Arc::clone(&shared)), closed.clone());
     let operator_face = serve(operators, faces::operators(Arc::clone(&shared)), closed);
@@ -100,6 +106,7 @@
         ended = &mut faces => return ended.map(|_| ()).map_err(RouterError::Serve),
         drained = &mut drain => drained,
     };
+    let _ = membership.ask(Leave).await;
     let _ = close.send(true);
     // Every answer has been sent; what is left are idle connections.
     let _ = timeout(CLOSE_TIMEOUT, faces).await;
@@ -107,7 +114,10 @@
     drained
 }
 
-fn start(config: Arc<RouterConfig>) -> Result<Arc<Shared>, RouterError> {
+fn start(
+    config: Arc<RouterConfig>,
+    gossip: UdpSocket,
+) -> Result<(Arc<Shared>, ActorRef<MembershipActor>), RouterError> {
     let identity = config.identity();
     let file = match &config.data_folder {
         Some(folder) => Some(SettingsFile::open(folder)?),
@@ -117,6 +127,15 @@
     let actor = SettingsActor::spawn(SettingsActor::new(view_sender, file)?);
     let control = Arc::new(ControlClient::new(&config, &identity));
     let back_ends = Arc::new(BackEnds::default());
+    let engines = Arc::new(Engines::new());
+    let metrics = Metrics::new()?;
+    let (peer_sender, peers) = watch::channel(PeerView::default());
+    let membership = peers::spawn(MembershipArguments {
+        config: Arc::clone(&config),
+        socket: gossip,
+        view: peer_sender,
+        metrics: metrics.clone(),
+    });
     tokio::spawn(follow_back_ends(view.clone(), Arc::clone(&back_ends)));
     tokio::spawn(keep_subscribed(
         Arc::clone(&config),
@@ -127,18 +146,23 @@
     ));
     let http =
         reqwest::Client::builder().connect_timeout(BACK_END_CONNECT_TIMEOUT).no_proxy().build()?;
-    Ok(Arc::new(Shared {
+    tokio::spawn(feeds::follow_settings(view.clone(), http.clone(), Arc::clone(&engines)));
+    tokio::spawn(feeds::maintain(Arc::clone(&engines)));
+    let shared = Arc::new(Shared {
         settings: view,
         control,
         back_ends,
+        engines,
+        peers,
         http,
-        metrics: Metrics::new()?,
+        metrics,
         slots: Arc::new(Semaphore::new(config.limits.max_in_flight)),
         stopping: AtomicBool::new(false),
         closed: AtomicBool::new(false),
         started: Instant::now(),
         config,
-    }))
+    });
+    Ok((shared, membership))
 }
 
 async fn follow_back_ends(mut view: watch::Receiver<SettingsView>, back_ends: Arc<BackEnds>) {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -10,8 +10,10 @@
 use crate::backends::BackEnds;
 use crate::config::RouterConfig;
 use crate::control_client::ControlClient;
+use crate::engines::Engines;
 use crate::error::RequestError;
 use crate::metrics::Metrics;
+use crate::peers::PeerView;
 use crate::subscription::SettingsView;
 
 /// Without a quorum's confirmation for this long a router counts as cut off.
@@ -31,8 +33,12 @@
     pub settings: watch::Receiver<SettingsView>,
     /// Calls to the control replicas.
     pub control: Arc<ControlClient>,
-    /// Back ends and their load.
+    /// Addresses of back ends, and the load of servers.
     pub back_ends: Arc<BackEnds>,
+    /// Model engines: cache index, load, retries.
+    pub engines: Arc<Engines>,
+    /// Routers that are up.
+    pub peers: watch::Receiver<PeerView>,
     /// Client for all back ends.
     pub http: reqwest::Client,
     /// Metrics.
