--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use juniper_prefix_index::{CacheEvent, EventOutcome, PrefixIndex, Snapshot};
+use juniper_prefix_index::{CacheEvent, EventOutcome, Holder, PrefixIndex, Snapshot};
 use juniper_routing::drain::LeavingSource;
 use juniper_routing::retry::{RetryBudget, RetryDenied, RetryQuestion};
 use juniper_routing::{
@@ -35,6 +35,8 @@
     pub blocks: PromptBlocks,
     /// Settings in force for the request.
     pub settings: Arc<EffectiveSettings>,
+    /// What other routers of the zone know about the prompt.
+    pub shared_holders: Vec<Holder>,
 }
 
 impl ChatPlan {
@@ -49,7 +51,7 @@
         let blocks = PromptBlocks::of_text(&scope, prompt);
         let serving =
             ServingKey { model: scope.model, adapter: scope.adapter, weights: scope.weights };
-        ChatPlan { serving, blocks, settings }
+        ChatPlan { serving, blocks, settings, shared_holders: Vec::new() }
     }
 }
 
@@ -157,7 +159,8 @@
     ) -> Result<Dispatch, Refusal> {
         let now = self.now();
         let mut state = self.lock();
-        let holders = state.index.lookup(&plan.blocks.hashes, now);
+        let own_holders = state.index.lookup(&plan.blocks.hashes, now);
+        let holders = merge_holders(own_holders, &plan.shared_holders);
         let request = RouteRequest {
             first_token_within,
             excluded,
@@ -258,3 +261,17 @@
         self.lock().index.maintain(now);
     }
 }
+
+/// The best knowledge of each engine. What this router read itself is exact and
+/// the newest, so shared knowledge of the same life only adds to it.
+fn merge_holders(mut own: Vec<Holder>, shared: &[Holder]) -> Vec<Holder> {
+    for holder in shared {
+        match own.iter_mut().find(|known| known.engine == holder.engine) {
+            Some(known) if known.incarnation != holder.incarnation => {}
+            Some(known) if known.blocks >= holder.blocks => {}
+            Some(known) => *known = *holder,
+            None => own.push(*holder),
+        }
+    }
+    own
+}
--- a/crates/router/src/faces.rs
+++ b/crates/router/src/faces.rs
@@ -131,7 +131,8 @@
     let deadline = started + Duration::from_millis(caller.settings.deadline_ms);
     let tenant = caller.home.tenant;
     shared.engines.record_request(caller.settings.retry_budget_percent);
-    let plan = ChatPlan::new(&tenant, caller.settings, &chat.prompt);
+    let mut plan = ChatPlan::new(&tenant, caller.settings, &chat.prompt);
+    plan.shared_holders = shared.hub.holders(&plan.blocks.hashes).await;
     let job = ChatJob { request_id, tenant, chat, plan, started, deadline, resume_from };
     let (relay, origin) = open(Arc::clone(&shared), job).await?;
     log::info!(
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -4,14 +4,14 @@
 //! Reports come late and events have gaps; on a gap the pure index stops
 //! counting the engine's entries and the feed takes a snapshot.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use juniper_prefix_index::EventOutcome;
 use juniper_routing::EngineLoad;
-use juniper_settings::BackEndKind;
+use juniper_settings::{BackEnd, BackEndKind};
 use juniper_types::{AdapterName, EngineId, Incarnation, ModelName, WeightsVersion};
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn, WeakActorRef};
@@ -22,6 +22,9 @@
 
 use crate::engine_api::{EngineApi, EngineCallError, LoadReport};
 use crate::engines::Engines;
+use crate::in_force::InForce;
+use crate::peers::PeerView;
+use crate::sharing::SharingHub;
 use crate::subscription::SettingsView;
 
 /// Time between two load reports of one engine.
@@ -41,13 +44,35 @@
 
 /// Follows one engine as long as it lives.
 struct EngineFeed {
-    tasks: [JoinHandle<()>; 2],
+    reader: EngineReader,
+    with_events: bool,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// What a feed is for; a feed whose key changes is started anew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct FeedKey {
+    engine: EngineId,
+    address: SocketAddr,
+    /// Whether cache events are read besides load.
+    with_events: bool,
+    /// Whether what is read is passed on to the zone.
+    shared: bool,
 }
 
 struct FeedArguments {
+    key: FeedKey,
+    reader: EngineReader,
+}
+
+/// Where a feed reads, and where it puts what it reads.
+#[derive(Clone)]
+struct EngineReader {
     engine: EngineId,
     api: EngineApi,
     engines: Arc<Engines>,
+    /// Set when the engine's knowledge is passed on to the zone.
+    hub: Option<Arc<SharingHub>>,
 }
 
 impl Actor for EngineFeed {
@@ -58,10 +83,12 @@
         arguments: FeedArguments,
         _actor: ActorRef<Self>,
     ) -> Result<Self, Self::Error> {
-        let FeedArguments { engine, api, engines } = arguments;
-        let load = tokio::spawn(follow_load(engine, api.clone(), Arc::clone(&engines)));
-        let events = tokio::spawn(follow_events(engine, api, engines));
-        Ok(EngineFeed { tasks: [load, events] })
+        let FeedArguments { key, reader } = arguments;
+        let mut tasks = vec![tokio::spawn(follow_load(reader.clone()))];
+        if key.with_events {
+            tasks.push(tokio::spawn(follow_events(reader.clone())));
+        }
+        Ok(EngineFeed { reader, with_events: key.with_events, tasks })
     }
 
     async fn on_stop(
@@ -70,44 +97,73 @@
         _reason: ActorStopReason,
     ) -> Result<(), Self::Error> {
         self.tasks.iter().for_each(JoinHandle::abort);
+        if let Some(hub) = &self.reader.hub {
+            hub.unfollow(self.reader.engine);
+        }
+        // Nobody applies events from here on; the next feed begins with a snapshot.
+        if self.with_events {
+            self.reader.engines.void_cache(self.reader.engine);
+        }
         Ok(())
     }
 }
 
-/// Starts and stops feeds as the settings in force name engines.
+/// Starts and stops feeds as settings and group change.
 pub async fn follow_settings(
     mut view: watch::Receiver<SettingsView>,
+    mut peers: watch::Receiver<PeerView>,
     http: reqwest::Client,
     engines: Arc<Engines>,
+    hub: Arc<SharingHub>,
 ) {
-    let mut feeds: HashMap<(EngineId, SocketAddr), ActorRef<EngineFeed>> = HashMap::new();
+    let mut feeds: HashMap<FeedKey, ActorRef<EngineFeed>> = HashMap::new();
     loop {
         let in_force = view.borrow_and_update().in_force.clone();
+        hub.set_peers(&peers.borrow_and_update().clone());
         engines.follow(&in_force);
-        let named: Vec<(EngineId, SocketAddr)> = in_force
-            .back_ends()
-            .filter(|(_, back_end)| back_end.kind == BackEndKind::Engine)
-            .map(|(_, back_end)| (back_end.id, back_end.address))
-            .collect();
+        let wanted = wanted_feeds(&in_force, &hub);
         feeds.retain(|key, feed| {
-            let keep = named.contains(key);
+            let keep = wanted.contains(key);
             if !keep {
                 feed.kill();
             }
             keep
         });
-        for (engine, address) in named {
-            feeds.entry((engine, address)).or_insert_with(|| {
-                let api = EngineApi::new(http.clone(), address);
-                EngineFeed::spawn(FeedArguments { engine, api, engines: Arc::clone(&engines) })
+        for key in wanted {
+            feeds.entry(key).or_insert_with(|| {
+                let api = EngineApi::new(http.clone(), key.address);
+                let hub = key.shared.then(|| Arc::clone(&hub));
+                let engines = Arc::clone(&engines);
+                let reader = EngineReader { engine: key.engine, api, engines, hub };
+                EngineFeed::spawn(FeedArguments { key, reader })
             });
         }
-        if view.changed().await.is_err() {
+        let changed = tokio::select! {
+            changed = view.changed() => changed,
+            changed = peers.changed() => changed,
+        };
+        if changed.is_err() {
             return;
         }
     }
 }
 
+fn wanted_feeds(in_force: &InForce, hub: &SharingHub) -> HashSet<FeedKey> {
+    let plan = hub.follow_plan(in_force);
+    let key = |back_end: &BackEnd| {
+        let followed = plan.followed.contains(&back_end.id);
+        let wanted = followed || plan.sampled.contains(&back_end.id);
+        wanted.then_some(FeedKey {
+            engine: back_end.id,
+            address: back_end.address,
+            with_events: followed,
+            shared: followed && plan.shared,
+        })
+    };
+    let engines = in_force.back_ends().filter(|(_, back_end)| back_end.kind == BackEndKind::Engine);
+    engines.filter_map(|(_, back_end)| key(back_end)).collect()
+}
+
 /// Keeps the index tidy.
 pub async fn maintain(engines: Arc<Engines>) {
     let mut ticks = interval(MAINTENANCE_INTERVAL);
@@ -118,20 +174,21 @@
     }
 }
 
-async fn follow_load(engine: EngineId, api: EngineApi, engines: Arc<Engines>) {
+async fn follow_load(reader: EngineReader) {
     let mut ticks = interval(LOAD_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut failures = 0;
     let mut weights = None;
+    let engine = reader.engine;
     loop {
         ticks.tick().await;
-        let report = match api.load().await {
+        let report = match reader.api.load().await {
             Ok(report) => report,
             Err(error) => {
                 failures += 1;
                 if failures == FAILURES_UNTIL_DOWN {
                     log::warn!("event=engine_down engine={engine} reason=\"{error}\"");
-                    engines.mark_down(engine);
+                    reader.mark_down();
                 }
                 continue;
             }
@@ -140,25 +197,39 @@
             log::info!("event=engine_up engine={engine} incarnation={}", report.incarnation);
         }
         failures = 0;
-        note_weights(engine, &report, &mut weights, &engines);
-        engines.report(engine, &engine_load(report));
+        reader.note_weights(&report, &mut weights);
+        reader.note_load(&engine_load(report));
     }
 }
 
-/// Entries of older weights stop counting with the first report of newer ones.
-fn note_weights(
-    engine: EngineId,
-    report: &LoadReport,
-    known: &mut Option<(Incarnation, WeightsVersion)>,
-    engines: &Engines,
-) {
-    let now = (report.incarnation, report.weights);
-    let switched = known.is_some_and(|(life, weights)| life == now.0 && weights != now.1);
-    if switched {
-        log::info!("event=weights_switched engine={engine} weights={}", report.weights);
-        engines.void_cache(engine);
+impl EngineReader {
+    fn note_load(&self, load: &EngineLoad) {
+        self.engines.report(self.engine, load);
+        if let Some(hub) = &self.hub {
+            hub.load(self.engine, load);
+        }
+    }
+
+    fn mark_down(&self) {
+        self.engines.mark_down(self.engine);
+        if let Some(hub) = &self.hub {
+            hub.mark_down(self.engine);
+        }
+    }
+
+    /// Entries of older weights stop counting with the first report of newer ones.
+    fn note_weights(&self, report: &LoadReport, known: &mut Option<(Incarnation, WeightsVersion)>) {
+        let now = (report.incarnation, report.weights);
+        let switched = known.is_some_and(|(life, weights)| life == now.0 && weights != now.1);
+        if switched {
+            log::info!("event=weights_switched engine={} weights={}", self.engine, report.weights);
+            self.engines.void_cache(self.engine);
+            if let Some(hub) = &self.hub {
+                hub.void_cache(self.engine);
+            }
+        }
+        *known = Some(now);
     }
-    *known = Some(now);
 }
 
 fn engine_load(report: LoadReport) -> EngineLoad {
@@ -176,12 +247,12 @@
     }
 }
 
-async fn follow_events(engine: EngineId, api: EngineApi, engines: Arc<Engines>) {
+async fn follow_events(reader: EngineReader) {
     loop {
-        let pause = match take_events(engine, &api, &engines).await {
+        let pause = match reader.take_events().await {
             Ok(()) => EVENT_BATCH_PAUSE,
             Err(error) => {
-                log::debug!("event=event_poll_failed engine={engine} reason=\"{error}\"");
+                log::debug!("event=event_poll_failed engine={} reason=\"{error}\"", reader.engine);
                 EVENT_RETRY_PAUSE
             }
         };
@@ -189,40 +260,49 @@
     }
 }
 
-async fn take_events(
-    engine: EngineId,
-    api: &EngineApi,
-    engines: &Engines,
-) -> Result<(), EngineCallError> {
-    let Some((incarnation, after)) = engines.position(engine) else {
-        return take_snapshot(engine, api, engines).await;
-    };
-    let batch = api.events(incarnation, after).await?;
-    match engines.apply_events(engine, batch.incarnation, &batch.events) {
-        Some(EventOutcome::Gap { missing }) => {
-            log::info!("event=cache_event_gap engine={engine} missing={missing}");
-            take_snapshot(engine, api, engines).await
-        }
-        Some(EventOutcome::AwaitingSnapshot) => take_snapshot(engine, api, engines).await,
-        Some(EventOutcome::Applied | EventOutcome::StaleIncarnation) => Ok(()),
-        None => {
-            log::error!("event=index_full engine={engine}");
-            Ok(())
+impl EngineReader {
+    async fn take_events(&self) -> Result<(), EngineCallError> {
+        let engine = self.engine;
+        let Some((incarnation, after)) = self.engines.position(engine) else {
+            return self.take_snapshot().await;
+        };
+        let batch = self.api.events(incarnation, after).await?;
+        match self.engines.apply_events(engine, batch.incarnation, &batch.events) {
+            Some(EventOutcome::Applied) => {
+                if let Some(hub) = &self.hub {
+                    hub.cache_events(engine, batch.incarnation, &batch.events);
+                }
+                Ok(())
+            }
+            Some(EventOutcome::Gap { missing }) => {
+                log::info!("event=cache_event_gap engine={engine} missing={missing}");
+                // Entries in doubt stop counting on every router, not only here.
+                if let Some(hub) = &self.hub {
+                    hub.void_cache(engine);
+                }
+                self.take_snapshot().await
+            }
+            Some(EventOutcome::AwaitingSnapshot) => self.take_snapshot().await,
+            Some(EventOutcome::StaleIncarnation) => Ok(()),
+            None => {
+                log::error!("event=index_full engine={engine}");
+                Ok(())
+            }
         }
     }
-}
 
-async fn take_snapshot(
-    engine: EngineId,
-    api: &EngineApi,
-    engines: &Engines,
-) -> Result<(), EngineCallError> {
-    let snapshot = api.snapshot().await?;
-    log::debug!(
-        "event=cache_snapshot engine={engine} sequence={} blocks={}",
-        snapshot.sequence,
-        snapshot.blocks.len()
-    );
-    engines.apply_snapshot(engine, &snapshot);
-    Ok(())
+    async fn take_snapshot(&self) -> Result<(), EngineCallError> {
+        let snapshot = self.api.snapshot().await?;
+        log::debug!(
+            "event=cache_snapshot engine={} sequence={} blocks={}",
+            self.engine,
+            snapshot.sequence,
+            snapshot.blocks.len()
+        );
+        self.engines.apply_snapshot(self.engine, &snapshot);
+        if let Some(hub) = &self.hub {
+            hub.cache_snapshot(self.engine, &snapshot);
+        }
+        Ok(())
+    }
 }
--- a/crates/router/src/in_force.rs
+++ b/crates/router/src/in_force.rs
@@ -4,14 +4,14 @@
 //! or equal to it is dropped, whoever sent it; a delta that skips a revision is
 //! refused so that the subscription starts again from what is in force.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use juniper_protocol::Push;
 use juniper_settings::{
-    ApiKeyHash, BackEnd, EffectiveSettings, SettingsPath, SettingsTree, TrafficKind,
+    ApiKeyHash, BackEnd, BackEndKind, EffectiveSettings, SettingsPath, SettingsTree, TrafficKind,
 };
-use juniper_types::{Revision, ServiceName, TenantName, ZoneName};
+use juniper_types::{EngineId, Revision, ServiceName, TenantName, ZoneName};
 use subtle::ConstantTimeEq;
 
 /// A tenant and where it stands in the tree.
@@ -109,6 +109,18 @@
         }
     }
 
+    /// The engines of `zone`, and those of each other zone.
+    pub fn engines_by_zone(&self, zone: &ZoneName) -> (Vec<EngineId>, Vec<Vec<EngineId>>) {
+        let mut by_zone: BTreeMap<&ZoneName, Vec<EngineId>> = BTreeMap::new();
+        for (home, back_end) in self.back_ends() {
+            if back_end.kind == BackEndKind::Engine {
+                by_zone.entry(home).or_default().push(back_end.id);
+            }
+        }
+        let own = by_zone.remove(zone).unwrap_or_default();
+        (own, by_zone.into_values().collect())
+    }
+
     /// Every back end with its zone.
     pub fn back_ends(&self) -> impl Iterator<Item = (&ZoneName, &BackEnd)> {
         self.tree.back_ends()
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod run;
 pub mod settings_file;
 pub mod shared;
+pub mod sharing;
 pub mod sse;
 pub mod subscription;
 
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -47,6 +47,8 @@
 pub struct MembershipArguments {
     /// Settings of the process.
     pub config: Arc<RouterConfig>,
+    /// Life of this process.
+    pub life: Incarnation,
     /// Bound to the internal address.
     pub socket: UdpSocket,
     /// Where the view is published.
@@ -76,7 +78,7 @@
             zone: config.zone.clone(),
             role: MemberRole::Router,
             address: config.internal,
-            life: Incarnation(rand::random()),
+            life: arguments.life,
         };
         let seeds = config.peers.iter().map(|peer| peer.address).collect();
         let detector = Detector::new(DetectorConfig::default(), own, seeds, rand::random());
--- /dev/null
+++ b/crates/router/src/relay/opening.rs
@@ -0,0 +1,118 @@
+//! Opens a chat completion: chooses engines until one takes it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniper_routing::retry::{AttemptOutcome, RetryQuestion};
+use juniper_settings::TrafficKind;
+use juniper_types::EngineId;
+use tokio::time::Instant;
+
+use super::Relay;
+use super::attempt::{Attempt, AttemptError, try_engine};
+use super::job::{ChatJob, Origin, Progress};
+use crate::engines::Dispatch;
+use crate::error::RequestError;
+use crate::shared::Shared;
+
+/// Shortest time in which another attempt makes sense.
+const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
+
+/// Opens the request on an engine. The error says truthfully whether anything ran.
+pub async fn open(shared: Arc<Shared>, job: ChatJob) -> Result<(Relay, Origin), RequestError> {
+    let mut progress = Progress::new(job.resume_from);
+    let attempt = open_attempt(&shared, &job, &mut progress).await?;
+    let origin = Origin {
+        engine: attempt.dispatch.decision.engine,
+        cached_tokens: header_number(&attempt.response, "x-cached-tokens").unwrap_or(0),
+    };
+    let metrics = &shared.metrics.prompt_tokens;
+    let computed = u64::from(job.plan.blocks.tokens).saturating_sub(origin.cached_tokens);
+    metrics.with_label_values(&["hit"]).inc_by(origin.cached_tokens);
+    metrics.with_label_values(&["miss"]).inc_by(computed);
+    Ok((Relay { shared, job, attempt, progress }, origin))
+}
+
+fn header_number(response: &reqwest::Response, name: &str) -> Option<u64> {
+    response.headers().get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Tries engines until one takes the request.
+pub(super) async fn open_attempt(
+    shared: &Arc<Shared>,
+    job: &ChatJob,
+    progress: &mut Progress,
+) -> Result<Attempt, RequestError> {
+    loop {
+        let within = job.first_token_within(progress);
+        let chosen = shared.engines.choose(&job.plan, within, &progress.excluded);
+        let dispatch = chosen.map_err(|refusal| progress.refused(refusal))?;
+        let engine = dispatch.decision.engine;
+        log_decision(job, &dispatch);
+        progress.attempts += 1;
+        let error = match try_engine(shared, job, dispatch, progress.next_index).await {
+            Ok(attempt) => return Ok(attempt),
+            Err(error) => error,
+        };
+        progress.excluded.push(engine);
+        match &error {
+            AttemptError::Deadline => return Err(RequestError::DeadlinePassed),
+            AttemptError::Rejected(reason) => {
+                return Err(RequestError::Malformed(reason.clone()));
+            }
+            AttemptError::Unreachable => shared.engines.mark_down(engine),
+            _ => {}
+        }
+        ask_for_retry(shared, job, progress, engine, &error)?;
+    }
+}
+
+fn log_decision(job: &ChatJob, dispatch: &Dispatch) {
+    let decision = &dispatch.decision;
+    log::info!(
+        "event=request_routed request={} engine={} reason={:?} expected_blocks={} candidates={} \
+         queue_us={:.0}",
+        job.request_id,
+        decision.engine,
+        decision.reason,
+        decision.expected_blocks,
+        decision.candidates,
+        decision.terms.first_token_us(),
+    );
+}
+
+/// Takes another attempt from the retry budget, or ends the request.
+pub(super) fn ask_for_retry(
+    shared: &Shared,
+    job: &ChatJob,
+    progress: &mut Progress,
+    engine: EngineId,
+    error: &AttemptError,
+) -> Result<(), RequestError> {
+    let outcome = match error {
+        AttemptError::NotRun(_) | AttemptError::Unreachable => AttemptOutcome::NotRun,
+        _ => AttemptOutcome::Unknown,
+    };
+    progress.may_have_run |= outcome != AttemptOutcome::NotRun;
+    log::warn!(
+        "event=attempt_failed request={} engine={engine} at={} reason=\"{error}\"",
+        job.request_id,
+        progress.next_index
+    );
+    let partly = progress.next_index > job.resume_from;
+    let question = RetryQuestion {
+        kind: TrafficKind::Chat,
+        outcome: if partly { AttemptOutcome::PartlyAnswered } else { outcome },
+        // Generation is deterministic, so an answer goes on at any token.
+        resumable: true,
+        attempts: progress.attempts,
+        time_left: job.deadline.saturating_duration_since(Instant::now()),
+        time_needed: MIN_ATTEMPT_TIME,
+    };
+    shared.engines.may_retry(&question).map_err(|denied| {
+        log::warn!("event=retry_denied request={} reason=\"{denied}\"", job.request_id);
+        progress.given_up()
+    })?;
+    shared.metrics.retries.with_label_values(&["chat"]).inc();
+    Ok(())
+}
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use juniper_sharing::RouterLife;
+use juniper_types::Incarnation;
 use kameo::actor::{ActorRef, Spawn};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Semaphore, watch};
@@ -21,6 +23,7 @@
 use crate::peers::{self, Leave, MembershipActor, MembershipArguments, PeerView};
 use crate::settings_file::{SettingsFile, SettingsFileError};
 use crate::shared::Shared;
+use crate::sharing::{self, SharingHub};
 use crate::subscription::{SettingsActor, SettingsView, keep_subscribed};
 
 /// Time within which a connection to a back end must stand.
@@ -84,7 +87,9 @@
     let gossip = UdpSocket::bind(config.internal)
         .await
         .map_err(|source| RouterError::Listen { address: config.internal, source })?;
+    let internal = listen(config.internal).await?;
     let (shared, membership) = start(Arc::clone(&config), gossip)?;
+    tokio::spawn(sharing::serve(Arc::clone(&shared.hub), internal));
     let (close, closed) = watch::channel(false);
     let caller_face = serve(callers, faces::callers(Arc::clone(&shared)), closed.clone());
     let operator_face = serve(operators, faces::operators(Arc::clone(&shared)), closed);
@@ -129,9 +134,18 @@
     let back_ends = Arc::new(BackEnds::default());
     let engines = Arc::new(Engines::new());
     let metrics = Metrics::new()?;
+    let life = Incarnation(rand::random());
+    let hub = Arc::new(SharingHub::new(
+        RouterLife { node: config.node, life },
+        identity.clone(),
+        config.cluster_key.clone(),
+        config.limits.full_follow_engines,
+        Arc::clone(&engines),
+    ));
     let (peer_sender, peers) = watch::channel(PeerView::default());
     let membership = peers::spawn(MembershipArguments {
         config: Arc::clone(&config),
+        life,
         socket: gossip,
         view: peer_sender,
         metrics: metrics.clone(),
@@ -146,13 +160,21 @@
     ));
     let http =
         reqwest::Client::builder().connect_timeout(BACK_END_CONNECT_TIMEOUT).no_proxy().build()?;
-    tokio::spawn(feeds::follow_settings(view.clone(), http.clone(), Arc::clone(&engines)));
+    tokio::spawn(feeds::follow_settings(
+        view.clone(),
+        peers.clone(),
+        http.clone(),
+        Arc::clone(&engines),
+        Arc::clone(&hub),
+    ));
+    tokio::spawn(sharing::run_rounds(Arc::clone(&hub), peers.clone()));
     tokio::spawn(feeds::maintain(Arc::clone(&engines)));
     let shared = Arc::new(Shared {
         settings: view,
         control,
         back_ends,
         engines,
+        hub,
         peers,
         http,
         metrics,
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -14,6 +14,7 @@
 use crate::error::RequestError;
 use crate::metrics::Metrics;
 use crate::peers::PeerView;
+use crate::sharing::SharingHub;
 use crate::subscription::SettingsView;
 
 /// Without a quorum's confirmation for this long a router counts as cut off.
@@ -37,6 +38,8 @@
     pub back_ends: Arc<BackEnds>,
     /// Model engines: cache index, load, retries.
     pub engines: Arc<Engines>,
+    /// Engine knowledge shared with the other routers of the zone.
+    pub hub: Arc<SharingHub>,
     /// Routers that are up.
     pub peers: watch::Receiver<PeerView>,
     /// Client for all back ends.
--- /dev/null
+++ b/crates/router/src/sharing/service.rs
@@ -0,0 +1,82 @@
+//! The internal face for the other routers of the zone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniper_protocol::{Connection, Message, PeerRole, Refusal, Reply, Request, accept};
+use juniper_sharing::RouterLife;
+use juniper_types::NodeId;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep, timeout};
+
+use super::SharingHub;
+
+/// Connections of other routers held at once; a zone has a few dozen routers.
+const MAX_CONNECTIONS: usize = 256;
+
+/// Time within which a peer must prove the cluster key.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause after the listener failed, for example for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Serves other routers for ever.
+pub async fn serve(hub: Arc<SharingHub>, listener: TcpListener) {
+    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_stream(Arc::clone(&hub), stream, slot));
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed face=internal reason=\"{error}\"");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_stream(hub: Arc<SharingHub>, stream: TcpStream, _slot: OwnedSemaphorePermit) {
+    let handshake = accept(stream, &hub.key, &hub.identity);
+    let connection = match timeout(HANDSHAKE_TIMEOUT, handshake).await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => {
+            log::warn!("event=handshake_failed reason=\"{error}\"");
+            return;
+        }
+        Err(_) => {
+            log::warn!("event=handshake_failed reason=\"timed out\"");
+            return;
+        }
+    };
+    let Connection { peer, mut reader, mut writer } = connection;
+    while let Ok(message) = reader.receive().await {
+        let Message::Request { call, request } = message else {
+            return;
+        };
+        let reply = match peer.role {
+            PeerRole::Router => answer(&hub, peer.node, request),
+            _ => Reply::Refused(Refusal::NotAllowed),
+        };
+        if writer.send(&Message::Reply { call, reply }).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn answer(hub: &SharingHub, node: NodeId, request: Request) -> Reply {
+    match request {
+        Request::Lookup { keys } => {
+            let now = hub.engines.now();
+            Reply::Holders { checkpoints: hub.lock().sharing.lookup(&keys, now) }
+        }
+        Request::Share { life, news } => {
+            Reply::Shared { in_doubt: hub.receive(RouterLife { node, life }, &news) }
+        }
+        _ => Reply::Refused(Refusal::NotAllowed),
+    }
+}
--- a/crates/settings/src/node_file/roles.rs
+++ b/crates/settings/src/node_file/roles.rs
@@ -65,6 +65,9 @@
     pub max_connections: usize,
     /// Requests in flight at once.
     pub max_in_flight: usize,
+    /// Engines up to which the router follows every engine itself; above, the
+    /// routers of a zone share them.
+    pub full_follow_engines: usize,
     /// Longest time that a planned stop waits for requests in flight, in seconds.
     pub drain_seconds: u64,
 }
@@ -72,7 +75,12 @@
 impl Default for RouterLimits {
     /// Sized for a machine that carries a third of one zone's peak.
     fn default() -> Self {
-        RouterLimits { max_connections: 8_192, max_in_flight: 4_096, drain_seconds: 120 }
+        RouterLimits {
+            max_connections: 8_192,
+            max_in_flight: 4_096,
+            full_follow_engines: 64,
+            drain_seconds: 120,
+        }
     }
 }
 
@@ -193,6 +201,7 @@
     };
     read_positive(&mut section, "max_connections", &mut limits.max_connections);
     read_positive(&mut section, "max_in_flight", &mut limits.max_in_flight);
+    read_positive(&mut section, "full_follow_engines", &mut limits.full_follow_engines);
     read_positive(&mut section, "drain_seconds", &mut limits.drain_seconds);
     section.finish();
     limits
--- a/crates/sharing/src/group.rs
+++ b/crates/sharing/src/group.rs
@@ -70,11 +70,6 @@
     pub shared: bool,
 }
 
-/// Engines up to which every router follows every engine. Polling 64 engines
-/// for load and events stays below the budget of a control node; see
-/// docs/CAPACITY.md for the measured cost of an engine.
-pub const FULL_FOLLOW_ENGINES: usize = 64;
-
 /// Engines of each other zone that a router keeps an eye on, so that it has
 /// somewhere to send when its own zone has no engine left.
 pub const SAMPLED_PER_ZONE: usize = 2;
