--- a/crates/protocol/src/connection.rs
+++ b/crates/protocol/src/connection.rs
@@ -1,6 +1,8 @@
 //! Authenticated connections: a handshake, then typed messages both ways.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use tokio::io::BufReader;
 use tokio::net::TcpStream;
@@ -10,6 +12,35 @@
 use crate::handshake::{ClusterKey, HandshakeError, PeerIdentity, as_acceptor, as_connector};
 use crate::message::{Message, encode};
 
+/// Bytes that a daemon has sent and received for control.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+impl Traffic {
+    /// Counts `bytes` sent.
+    pub fn add_sent(&self, bytes: usize) {
+        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Counts `bytes` received.
+    pub fn add_received(&self, bytes: usize) {
+        self.received.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Bytes sent since the start.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Bytes received since the start.
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+}
+
 /// A connection whose peer has proved the cluster key.
 #[derive(Debug)]
 pub struct Connection {
@@ -21,21 +52,38 @@
     pub writer: FrameWriter,
 }
 
+impl Connection {
+    /// Counts every frame from here on, the five bytes of its header included.
+    pub fn count_on(&mut self, traffic: &Arc<Traffic>) {
+        self.reader.traffic = Some(Arc::clone(traffic));
+        self.writer.traffic = Some(Arc::clone(traffic));
+    }
+}
+
 /// The receiving half.
 #[derive(Debug)]
-pub struct FrameReader(BufReader<OwnedReadHalf>);
+pub struct FrameReader {
+    stream: BufReader<OwnedReadHalf>,
+    traffic: Option<Arc<Traffic>>,
+}
 
 impl FrameReader {
     /// Waits for the next message.
     pub async fn receive(&mut self) -> Result<Message, FrameError> {
-        let payload = read_frame(&mut self.0).await?;
+        let payload = read_frame(&mut self.stream).await?;
+        if let Some(traffic) = &self.traffic {
+            traffic.add_received(payload.len() + FRAME_HEADER_BYTES);
+        }
         Ok(minicbor::decode(&payload)?)
     }
 }
 
 /// The sending half.
 #[derive(Debug)]
-pub struct FrameWriter(OwnedWriteHalf);
+pub struct FrameWriter {
+    stream: OwnedWriteHalf,
+    traffic: Option<Arc<Traffic>>,
+}
 
 impl FrameWriter {
     /// Sends one message and returns the bytes it took on the wire.
@@ -46,14 +94,20 @@
     /// Sends a message that was encoded before, so that one sent to many is
     /// encoded once. Returns the bytes it took on the wire.
     pub async fn send_encoded(&mut self, payload: &[u8]) -> Result<usize, FrameError> {
-        write_frame(&mut self.0, payload).await?;
-        Ok(payload.len() + FRAME_HEADER_BYTES)
+        write_frame(&mut self.stream, payload).await?;
+        let bytes = payload.len() + FRAME_HEADER_BYTES;
+        if let Some(traffic) = &self.traffic {
+            traffic.add_sent(bytes);
+        }
+        Ok(bytes)
     }
 }
 
 fn split(stream: TcpStream, peer: PeerIdentity) -> Connection {
     let (reader, writer) = stream.into_split();
-    Connection { peer, reader: FrameReader(BufReader::new(reader)), writer: FrameWriter(writer) }
+    let reader = FrameReader { stream: BufReader::new(reader), traffic: None };
+    let writer = FrameWriter { stream: writer, traffic: None };
+    Connection { peer, reader, writer }
 }
 
 /// Opens a connection to `address` and runs the handshake.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod handshake;
 pub mod message;
 
-pub use connection::{Connection, FrameReader, FrameWriter, accept, connect};
+pub use connection::{Connection, FrameReader, FrameWriter, Traffic, accept, connect};
 pub use frame::{FrameError, MAX_FRAME_BYTES, PROTOCOL_VERSION};
 pub use handshake::{ClusterKey, ClusterKeyError, HandshakeError, PeerIdentity, PeerRole};
 pub use juniper_types::{ClaimAnswer, ClaimOutcome};
--- a/crates/router/src/applications.rs
+++ b/crates/router/src/applications.rs
@@ -137,7 +137,7 @@
         attempt: rand::random(),
     };
     let request_id = forward.request_id;
-    let mut response = match claim.take(&shared.control).await? {
+    let mut response = match claim.take(&shared.plane.control).await? {
         Claimed::Settled(outcome) => replay(outcome)?,
         Claimed::Granted => {
             // The execution outlives its caller: whoever asks again must find the outcome.
@@ -183,14 +183,14 @@
         let chosen = shared.back_ends.choose(BackEndKind::Application, zone, &excluded);
         let Some(lease) = chosen else {
             let error = RequestError::NoBackEnd { retry_after_ms: NO_SERVER_RETRY_MS };
-            claim.settle(&shared.control, not_run_outcome(&error)).await;
+            claim.settle(&shared.plane.control, not_run_outcome(&error)).await;
             return Err(error);
         };
         excluded.push(lease.target.id);
         match timeout_at(deadline, send(&shared, &lease, &forward)).await {
             Ok(Ok(answer)) => {
                 let outcome = outcome_of(&answer);
-                let control = Arc::clone(&shared.control);
+                let control = Arc::clone(&shared.plane.control);
                 tokio::spawn(async move { claim.settle(&control, outcome).await });
                 return Ok(answer);
             }
--- a/crates/router/src/control_client.rs
+++ b/crates/router/src/control_client.rs
@@ -1,10 +1,10 @@
 //! Calls to the control replicas: follows the leader, retries what is safe.
 
 use std::collections::HashMap;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use juniper_protocol::{PeerIdentity, Refusal, Reply, Request};
+use juniper_protocol::{Refusal, Reply, Request, Traffic};
 use juniper_settings::node_file::Peer;
 use juniper_types::{NodeId, Revision};
 use tokio::time::Instant;
@@ -41,10 +41,12 @@
 
 impl ControlClient {
     /// Makes the links; none connects before the first call.
-    pub fn new(config: &RouterConfig, own: &PeerIdentity) -> Self {
+    pub fn new(config: &RouterConfig, traffic: &Arc<Traffic>) -> Self {
+        let own = config.identity();
         let make = |peer: &Peer| {
             let key = config.cluster_key.clone();
-            let target = LinkTarget { address: peer.address, key, own: own.clone() };
+            let traffic = Arc::clone(traffic);
+            let target = LinkTarget { address: peer.address, key, own: own.clone(), traffic };
             (peer.id, Link::spawn(target))
         };
         let replicas: Vec<_> = config.control.iter().map(make).collect();
--- /dev/null
+++ b/crates/router/src/control_plane.rs
@@ -0,0 +1,114 @@
+//! Everything that a router runs besides serving: settings, membership and
+//! shared engine knowledge.
+//!
+//! The router daemon runs one; the lab runs many in one process to measure what
+//! a node spends on control.
+
+use std::sync::Arc;
+
+use juniper_protocol::Traffic;
+use juniper_sharing::RouterLife;
+use juniper_types::Incarnation;
+use kameo::actor::{ActorRef, Spawn};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::config::RouterConfig;
+use crate::control_client::ControlClient;
+use crate::engines::Engines;
+use crate::peers::{self, Leave, MembershipActor, MembershipArguments, PeerView};
+use crate::run::RouterError;
+use crate::settings_file::SettingsFile;
+use crate::sharing::{self, SharingHub};
+use crate::subscription::{SettingsActor, SettingsView, SubscriptionArguments, keep_subscribed};
+
+/// The control side of one router, running.
+pub struct ControlPlane {
+    /// Settings tree in force.
+    pub settings: watch::Receiver<SettingsView>,
+    /// Calls to the control replicas.
+    pub control: Arc<ControlClient>,
+    /// Model engines: cache index, load, retries.
+    pub engines: Arc<Engines>,
+    /// Engine knowledge shared with the other routers of the zone.
+    pub hub: Arc<SharingHub>,
+    /// Routers that are up.
+    pub peers: watch::Receiver<PeerView>,
+    /// Bytes sent and received.
+    pub traffic: Arc<Traffic>,
+    membership: ActorRef<MembershipActor>,
+    subscription: ActorRef<SettingsActor>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl ControlPlane {
+    /// Opens the internal address and starts every part.
+    ///
+    /// # Errors
+    /// Fails when the address is taken or the settings file is unusable.
+    pub async fn start(config: &Arc<RouterConfig>) -> Result<Self, RouterError> {
+        let failed = |source| RouterError::Listen { address: config.internal, source };
+        let listener = TcpListener::bind(config.internal).await.map_err(failed)?;
+        let socket = UdpSocket::bind(config.internal).await.map_err(failed)?;
+        let file = match &config.data_folder {
+            Some(folder) => Some(SettingsFile::open(folder)?),
+            None => None,
+        };
+        let traffic = Arc::new(Traffic::default());
+        let (view_sender, settings) = watch::channel(SettingsView::default());
+        let subscription = SettingsActor::spawn(SettingsActor::new(view_sender, file)?);
+        let control = Arc::new(ControlClient::new(config, &traffic));
+        let engines = Arc::new(Engines::new());
+        let life = Incarnation(rand::random());
+        let own = RouterLife { node: config.node, life };
+        let hub = Arc::new(SharingHub::new(own, config, Arc::clone(&engines), &traffic));
+        let (peer_sender, peers) = watch::channel(PeerView::default());
+        let membership = peers::spawn(MembershipArguments {
+            config: Arc::clone(config),
+            life,
+            socket,
+            view: peer_sender,
+            traffic: Arc::clone(&traffic),
+        });
+        let subscribe = keep_subscribed(SubscriptionArguments {
+            config: Arc::clone(config),
+            settings: subscription.clone(),
+            control: Arc::clone(&control),
+            view: settings.clone(),
+            traffic: Arc::clone(&traffic),
+        });
+        let tasks = vec![
+            tokio::spawn(subscribe),
+            tokio::spawn(sharing::serve(Arc::clone(&hub), listener)),
+            tokio::spawn(sharing::run_rounds(Arc::clone(&hub), peers.clone())),
+        ];
+        Ok(ControlPlane {
+            settings,
+            control,
+            engines,
+            hub,
+            peers,
+            traffic,
+            membership,
+            subscription,
+            tasks,
+        })
+    }
+
+    /// Tells the group that this node leaves.
+    pub async fn leave(&self) {
+        let _ = self.membership.ask(Leave).await;
+    }
+
+    /// Stops every part at once, as a crash would.
+    pub async fn abort(self) {
+        for task in self.tasks {
+            task.abort();
+            let _ = task.await;
+        }
+        self.membership.kill();
+        self.membership.wait_for_shutdown().await;
+        self.subscription.kill();
+    }
+}
--- a/crates/router/src/faces.rs
+++ b/crates/router/src/faces.rs
@@ -63,6 +63,11 @@
     shared.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
     let age = shared.settings_age().as_millis();
     shared.metrics.settings_age_ms.set(i64::try_from(age).unwrap_or(i64::MAX));
+    let traffic = &shared.plane.traffic;
+    for (way, bytes) in [("in", traffic.received()), ("out", traffic.sent())] {
+        let counter = shared.metrics.control_bytes.with_label_values(&[way]);
+        counter.inc_by(bytes.saturating_sub(counter.get()));
+    }
     shared.metrics.render()
 }
 
@@ -75,7 +80,7 @@
         "zone": shared.config.zone.as_str(),
         "ready": shared.is_ready(),
         "revision": shared.view().in_force.revision.0,
-        "peers": shared.peers.borrow().routers.iter().map(|peer| peer.node.0).collect::<Vec<_>>(),
+        "peers": shared.plane.peers.borrow().routers.iter().map(|peer| peer.node.0).collect::<Vec<_>>(),
         "settings_age_ms": shared.settings_age().as_millis() as u64,
         "in_flight": shared.metrics.in_flight.get(),
     });
@@ -130,9 +135,9 @@
     );
     let deadline = started + Duration::from_millis(caller.settings.deadline_ms);
     let tenant = caller.home.tenant;
-    shared.engines.record_request(caller.settings.retry_budget_percent);
+    shared.plane.engines.record_request(caller.settings.retry_budget_percent);
     let mut plan = ChatPlan::new(&tenant, caller.settings, &chat.prompt);
-    plan.shared_holders = shared.hub.holders(&plan.blocks.hashes).await;
+    plan.shared_holders = shared.plane.hub.holders(&plan.blocks.hashes).await;
     let job = ChatJob { request_id, tenant, chat, plan, started, deadline, resume_from };
     let (relay, origin) = open(Arc::clone(&shared), job).await?;
     log::info!(
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod claims;
 pub mod config;
 pub mod control_client;
+pub mod control_plane;
 pub mod engine_api;
 pub mod engines;
 pub mod error;
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -5,10 +5,12 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use juniper_protocol::{
-    ClusterKey, Connection, FrameWriter, Message as Frame, PeerIdentity, Reply, Request, connect,
+    ClusterKey, Connection, FrameWriter, Message as Frame, PeerIdentity, Reply, Request, Traffic,
+    connect,
 };
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
@@ -42,6 +44,8 @@
     pub key: ClusterKey,
     /// Who this daemon is.
     pub own: PeerIdentity,
+    /// Counts bytes.
+    pub traffic: Arc<Traffic>,
 }
 
 struct Connected {
@@ -135,9 +139,10 @@
             return true;
         }
         let attempt = connect(self.target.address, &self.target.key, &self.target.own);
-        let Ok(Ok(connection)) = timeout(CONNECT_TIMEOUT, attempt).await else {
+        let Ok(Ok(mut connection)) = timeout(CONNECT_TIMEOUT, attempt).await else {
             return false;
         };
+        connection.count_on(&self.target.traffic);
         self.generation += 1;
         let Connection { mut reader, writer, .. } = connection;
         let generation = self.generation;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -11,17 +11,18 @@
     Action, Detector, DetectorConfig, Liveness, Member, MemberRole, Message as Gossip,
 };
 use juniper_protocol::datagram::{MAX_DATAGRAM_BYTES, open, seal};
-use juniper_protocol::{ClusterKey, message::encode};
+use juniper_protocol::{ClusterKey, Traffic, message::encode};
 use juniper_types::{Incarnation, Timestamp};
 use kameo::Actor;
-use kameo::actor::{ActorRef, Spawn};
+use kameo::actor::{ActorRef, Spawn, WeakActorRef};
+use kameo::error::ActorStopReason;
 use kameo::message::{Context, Message};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, interval};
 
 use crate::config::RouterConfig;
-use crate::metrics::Metrics;
 
 /// Time between ticks of the detector, well within its probe timeout.
 const TICK: Duration = Duration::from_millis(100);
@@ -40,7 +41,8 @@
     key: ClusterKey,
     started: Instant,
     view: watch::Sender<PeerView>,
-    metrics: Metrics,
+    traffic: Arc<Traffic>,
+    tasks: [JoinHandle<()>; 2],
 }
 
 /// What the actor starts with.
@@ -54,7 +56,7 @@
     /// Where the view is published.
     pub view: watch::Sender<PeerView>,
     /// Counts bytes.
-    pub metrics: Metrics,
+    pub traffic: Arc<Traffic>,
 }
 
 struct Tick;
@@ -83,17 +85,28 @@
         let seeds = config.peers.iter().map(|peer| peer.address).collect();
         let detector = Detector::new(DetectorConfig::default(), own, seeds, rand::random());
         let socket = Arc::new(arguments.socket);
-        tokio::spawn(tick(actor.clone()));
-        tokio::spawn(receive(actor, Arc::clone(&socket)));
+        let tasks =
+            [tokio::spawn(tick(actor.clone())), tokio::spawn(receive(actor, Arc::clone(&socket)))];
         Ok(MembershipActor {
             detector,
             socket,
             key: config.cluster_key.clone(),
             started: Instant::now(),
             view: arguments.view,
-            metrics: arguments.metrics,
+            traffic: arguments.traffic,
+            tasks,
         })
     }
+
+    async fn on_stop(
+        &mut self,
+        _actor: WeakActorRef<Self>,
+        _reason: ActorStopReason,
+    ) -> Result<(), Self::Error> {
+        // The reading task holds the socket.
+        self.tasks.iter().for_each(JoinHandle::abort);
+        Ok(())
+    }
 }
 
 async fn tick(actor: ActorRef<MembershipActor>) {
@@ -130,8 +143,7 @@
     type Reply = ();
 
     async fn handle(&mut self, datagram: Datagram, _context: &mut Context<Self, ()>) {
-        let length = datagram.0.len() as u64;
-        self.metrics.control_bytes.with_label_values(&["in"]).inc_by(length);
+        self.traffic.add_received(datagram.0.len());
         let payload = match open(&self.key, &datagram.0) {
             Ok(payload) => payload,
             Err(error) => {
@@ -192,8 +204,7 @@
                 return;
             }
         };
-        let length = datagram.len() as u64;
-        self.metrics.control_bytes.with_label_values(&["out"]).inc_by(length);
+        self.traffic.add_sent(datagram.len());
         if let Err(error) = self.socket.send_to(&datagram, address).await {
             log::debug!("event=datagram_not_sent to={address} reason=\"{error}\"");
         }
--- a/crates/router/src/relay/attempt.rs
+++ b/crates/router/src/relay/attempt.rs
@@ -115,7 +115,7 @@
     let body: EngineErrorBody = response.json().await.unwrap_or_default();
     cancel.armed = !body.error.not_run;
     if body.error.code == LEAVING_CODE {
-        shared.engines.set_leaving(engine, LeavingSource::Engine, true);
+        shared.plane.engines.set_leaving(engine, LeavingSource::Engine, true);
     }
     if body.error.not_run {
         return Err(AttemptError::NotRun(body.error.code));
--- a/crates/router/src/relay/opening.rs
+++ b/crates/router/src/relay/opening.rs
@@ -45,7 +45,7 @@
 ) -> Result<Attempt, RequestError> {
     loop {
         let within = job.first_token_within(progress);
-        let chosen = shared.engines.choose(&job.plan, within, &progress.excluded);
+        let chosen = shared.plane.engines.choose(&job.plan, within, &progress.excluded);
         let dispatch = chosen.map_err(|refusal| progress.refused(refusal))?;
         let engine = dispatch.decision.engine;
         log_decision(job, &dispatch);
@@ -60,7 +60,7 @@
             AttemptError::Rejected(reason) => {
                 return Err(RequestError::Malformed(reason.clone()));
             }
-            AttemptError::Unreachable => shared.engines.mark_down(engine),
+            AttemptError::Unreachable => shared.plane.engines.mark_down(engine),
             _ => {}
         }
         ask_for_retry(shared, job, progress, engine, &error)?;
@@ -109,7 +109,7 @@
         time_left: job.deadline.saturating_duration_since(Instant::now()),
         time_needed: MIN_ATTEMPT_TIME,
     };
-    shared.engines.may_retry(&question).map_err(|denied| {
+    shared.plane.engines.may_retry(&question).map_err(|denied| {
         log::warn!("event=retry_denied request={} reason=\"{denied}\"", job.request_id);
         progress.given_up()
     })?;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -6,25 +6,19 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use juniper_sharing::RouterLife;
-use juniper_types::Incarnation;
-use kameo::actor::{ActorRef, Spawn};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::backends::BackEnds;
 use crate::config::RouterConfig;
-use crate::control_client::ControlClient;
-use crate::engines::Engines;
+use crate::control_plane::ControlPlane;
 use crate::faces;
 use crate::feeds;
 use crate::metrics::Metrics;
-use crate::peers::{self, Leave, MembershipActor, MembershipArguments, PeerView};
-use crate::settings_file::{SettingsFile, SettingsFileError};
+use crate::settings_file::SettingsFileError;
 use crate::shared::Shared;
-use crate::sharing::{self, SharingHub};
-use crate::subscription::{SettingsActor, SettingsView, keep_subscribed};
+use crate::subscription::SettingsView;
 
 /// Time within which a connection to a back end must stand.
 const BACK_END_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -84,12 +78,7 @@
     let config = Arc::new(config);
     let callers = listen(config.caller).await?;
     let operators = listen(config.operator).await?;
-    let gossip = UdpSocket::bind(config.internal)
-        .await
-        .map_err(|source| RouterError::Listen { address: config.internal, source })?;
-    let internal = listen(config.internal).await?;
-    let (shared, membership) = start(Arc::clone(&config), gossip)?;
-    tokio::spawn(sharing::serve(Arc::clone(&shared.hub), internal));
+    let shared = start(Arc::clone(&config)).await?;
     let (close, closed) = watch::channel(false);
     let caller_face = serve(callers, faces::callers(Arc::clone(&shared)), closed.clone());
     let operator_face = serve(operators, faces::operators(Arc::clone(&shared)), closed);
@@ -111,7 +100,7 @@
         ended = &mut faces => return ended.map(|_| ()).map_err(RouterError::Serve),
         drained = &mut drain => drained,
     };
-    let _ = membership.ask(Leave).await;
+    shared.plane.leave().await;
     let _ = close.send(true);
     // Every answer has been sent; what is left are idle connections.
     let _ = timeout(CLOSE_TIMEOUT, faces).await;
@@ -119,72 +108,31 @@
     drained
 }
 
-fn start(
-    config: Arc<RouterConfig>,
-    gossip: UdpSocket,
-) -> Result<(Arc<Shared>, ActorRef<MembershipActor>), RouterError> {
-    let identity = config.identity();
-    let file = match &config.data_folder {
-        Some(folder) => Some(SettingsFile::open(folder)?),
-        None => None,
-    };
-    let (view_sender, view) = watch::channel(SettingsView::default());
-    let actor = SettingsActor::spawn(SettingsActor::new(view_sender, file)?);
-    let control = Arc::new(ControlClient::new(&config, &identity));
+async fn start(config: Arc<RouterConfig>) -> Result<Arc<Shared>, RouterError> {
+    let plane = ControlPlane::start(&config).await?;
     let back_ends = Arc::new(BackEnds::default());
-    let engines = Arc::new(Engines::new());
-    let metrics = Metrics::new()?;
-    let life = Incarnation(rand::random());
-    let hub = Arc::new(SharingHub::new(
-        RouterLife { node: config.node, life },
-        identity.clone(),
-        config.cluster_key.clone(),
-        config.limits.full_follow_engines,
-        Arc::clone(&engines),
-    ));
-    let (peer_sender, peers) = watch::channel(PeerView::default());
-    let membership = peers::spawn(MembershipArguments {
-        config: Arc::clone(&config),
-        life,
-        socket: gossip,
-        view: peer_sender,
-        metrics: metrics.clone(),
-    });
-    tokio::spawn(follow_back_ends(view.clone(), Arc::clone(&back_ends)));
-    tokio::spawn(keep_subscribed(
-        Arc::clone(&config),
-        identity,
-        actor,
-        Arc::clone(&control),
-        view.clone(),
-    ));
+    tokio::spawn(follow_back_ends(plane.settings.clone(), Arc::clone(&back_ends)));
     let http =
         reqwest::Client::builder().connect_timeout(BACK_END_CONNECT_TIMEOUT).no_proxy().build()?;
     tokio::spawn(feeds::follow_settings(
-        view.clone(),
-        peers.clone(),
+        plane.settings.clone(),
+        plane.peers.clone(),
         http.clone(),
-        Arc::clone(&engines),
-        Arc::clone(&hub),
+        Arc::clone(&plane.engines),
+        Arc::clone(&plane.hub),
     ));
-    tokio::spawn(sharing::run_rounds(Arc::clone(&hub), peers.clone()));
-    tokio::spawn(feeds::maintain(Arc::clone(&engines)));
-    let shared = Arc::new(Shared {
-        settings: view,
-        control,
+    tokio::spawn(feeds::maintain(Arc::clone(&plane.engines)));
+    Ok(Arc::new(Shared {
+        plane,
         back_ends,
-        engines,
-        hub,
-        peers,
         http,
-        metrics,
+        metrics: Metrics::new()?,
         slots: Arc::new(Semaphore::new(config.limits.max_in_flight)),
         stopping: AtomicBool::new(false),
         closed: AtomicBool::new(false),
         started: Instant::now(),
         config,
-    });
-    Ok((shared, membership))
+    }))
 }
 
 async fn follow_back_ends(mut view: watch::Receiver<SettingsView>, back_ends: Arc<BackEnds>) {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -4,17 +4,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use juniper_settings::{CutOffPolicy, EffectiveSettings};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::Semaphore;
 use tokio::time::{Duration, Instant};
 
 use crate::backends::BackEnds;
 use crate::config::RouterConfig;
-use crate::control_client::ControlClient;
-use crate::engines::Engines;
+use crate::control_plane::ControlPlane;
 use crate::error::RequestError;
 use crate::metrics::Metrics;
-use crate::peers::PeerView;
-use crate::sharing::SharingHub;
 use crate::subscription::SettingsView;
 
 /// Without a quorum's confirmation for this long a router counts as cut off.
@@ -30,18 +27,10 @@
 pub struct Shared {
     /// Settings of the process.
     pub config: Arc<RouterConfig>,
-    /// Settings tree in force.
-    pub settings: watch::Receiver<SettingsView>,
-    /// Calls to the control replicas.
-    pub control: Arc<ControlClient>,
-    /// Addresses of back ends, and the load of servers.
+    /// Settings, membership and shared engine knowledge.
+    pub plane: ControlPlane,
+    /// Addresses of all back ends, and the load of servers.
     pub back_ends: Arc<BackEnds>,
-    /// Model engines: cache index, load, retries.
-    pub engines: Arc<Engines>,
-    /// Engine knowledge shared with the other routers of the zone.
-    pub hub: Arc<SharingHub>,
-    /// Routers that are up.
-    pub peers: watch::Receiver<PeerView>,
     /// Client for all back ends.
     pub http: reqwest::Client,
     /// Metrics.
@@ -59,18 +48,19 @@
 impl Shared {
     /// The settings in force now.
     pub fn view(&self) -> SettingsView {
-        self.settings.borrow().clone()
+        self.plane.settings.borrow().clone()
     }
 
     /// Time since a quorum last confirmed that the settings in force are the latest.
     pub fn settings_age(&self) -> Duration {
-        let confirmed = self.settings.borrow().confirmed_at.unwrap_or(self.started);
+        let confirmed = self.plane.settings.borrow().confirmed_at.unwrap_or(self.started);
         confirmed.elapsed()
     }
 
     /// Whether the router is taking new requests.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.load(Ordering::Acquire) && self.settings.borrow().in_force.revision.0 > 0
+        !self.stopping.load(Ordering::Acquire)
+            && self.plane.settings.borrow().in_force.revision.0 > 0
     }
 
     /// Takes a place among the requests in flight, or says at once why not.
@@ -78,7 +68,7 @@
         if self.closed.load(Ordering::Acquire) {
             return Err(RequestError::Stopping);
         }
-        if self.settings.borrow().in_force.revision.0 == 0 {
+        if self.plane.settings.borrow().in_force.revision.0 == 0 {
             return Err(RequestError::SettingsUnavailable { retry_after_ms: SETTINGS_RETRY_MS });
         }
         let permit = Arc::clone(&self.slots)
--- a/crates/router/src/sharing/mod.rs
+++ b/crates/router/src/sharing/mod.rs
@@ -16,13 +16,14 @@
 use futures_util::future::join_all;
 use juniper_prefix_index::coarse::CoarseHolder;
 use juniper_prefix_index::{CacheEvent, Holder, Snapshot};
-use juniper_protocol::{ClusterKey, PeerIdentity, Reply, Request};
+use juniper_protocol::{ClusterKey, PeerIdentity, Reply, Request, Traffic};
 use juniper_routing::EngineLoad;
 use juniper_sharing::{
     FollowPlan, Group, LoadDigest, Question, RouterLife, ServingDigest, ShareMessage, Sharing,
 };
 use juniper_types::{BlockHash, EngineId, Incarnation};
 
+use crate::config::RouterConfig;
 use crate::engines::Engines;
 use crate::in_force::InForce;
 use crate::link::{Link, LinkTarget};
@@ -42,6 +43,7 @@
     key: ClusterKey,
     full_follow_engines: usize,
     engines: Arc<Engines>,
+    traffic: Arc<Traffic>,
     state: Mutex<State>,
 }
 
@@ -58,10 +60,9 @@
     /// A hub that knows no other router yet.
     pub fn new(
         own: RouterLife,
-        identity: PeerIdentity,
-        key: ClusterKey,
-        full_follow_engines: usize,
+        config: &RouterConfig,
         engines: Arc<Engines>,
+        traffic: &Arc<Traffic>,
     ) -> Self {
         let state = State {
             sharing: Sharing::new(own),
@@ -69,7 +70,15 @@
             told: HashMap::new(),
             shared: false,
         };
-        SharingHub { own, identity, key, full_follow_engines, engines, state: Mutex::new(state) }
+        SharingHub {
+            own,
+            identity: config.identity(),
+            key: config.cluster_key.clone(),
+            full_follow_engines: config.limits.full_follow_engines,
+            engines,
+            traffic: Arc::clone(traffic),
+            state: Mutex::new(state),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -90,6 +99,7 @@
                 address: *address,
                 key: self.key.clone(),
                 own: self.identity.clone(),
+                traffic: Arc::clone(&self.traffic),
             };
             state.links.entry(*member).or_insert_with(|| Link::spawn(target()));
         }
--- a/crates/router/src/sharing/service.rs
+++ b/crates/router/src/sharing/service.rs
@@ -42,7 +42,7 @@
 
 async fn serve_stream(hub: Arc<SharingHub>, stream: TcpStream, _slot: OwnedSemaphorePermit) {
     let handshake = accept(stream, &hub.key, &hub.identity);
-    let connection = match timeout(HANDSHAKE_TIMEOUT, handshake).await {
+    let mut connection = match timeout(HANDSHAKE_TIMEOUT, handshake).await {
         Ok(Ok(connection)) => connection,
         Ok(Err(error)) => {
             log::warn!("event=handshake_failed reason=\"{error}\"");
@@ -53,6 +53,7 @@
             return;
         }
     };
+    connection.count_on(&hub.traffic);
     let Connection { peer, mut reader, mut writer } = connection;
     while let Ok(message) = reader.receive().await {
         let Message::Request { call, request } = message else {
--- a/crates/router/src/subscription.rs
+++ b/crates/router/src/subscription.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_protocol::{Message as Frame, PeerIdentity, Push, Refusal, Reply, Request, connect};
+use juniper_protocol::{Message as Frame, Push, Refusal, Reply, Request, Traffic, connect};
 use juniper_types::Revision;
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -29,6 +29,10 @@
 /// [`Push::Alive`] every second.
 const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 
+/// Time within which a connection must stand; a replica that is cut off or
+/// frozen accepts none.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Range of the pause before the next replica is tried, in milliseconds.
 const RECONNECT_PAUSE_MS: std::ops::Range<u64> = 50..400;
 
@@ -169,19 +173,26 @@
     Stopped,
 }
 
+/// What the subscription task works with.
+pub struct SubscriptionArguments {
+    /// Settings of the process.
+    pub config: Arc<RouterConfig>,
+    /// Takes every push.
+    pub settings: ActorRef<SettingsActor>,
+    /// Calls to the control replicas.
+    pub control: Arc<ControlClient>,
+    /// The settings in force.
+    pub view: watch::Receiver<SettingsView>,
+    /// Counts bytes.
+    pub traffic: Arc<Traffic>,
+}
+
 /// Runs subscriptions one after another, for ever.
-pub async fn keep_subscribed(
-    config: Arc<RouterConfig>,
-    own: PeerIdentity,
-    settings: ActorRef<SettingsActor>,
-    control: Arc<ControlClient>,
-    view: watch::Receiver<SettingsView>,
-) {
-    learn_floor(&settings, &control).await;
-    let replicas = replica_order(&config);
+pub async fn keep_subscribed(arguments: SubscriptionArguments) {
+    learn_floor(&arguments.settings, &arguments.control).await;
+    let replicas = replica_order(&arguments.config);
     for replica in replicas.iter().cycle() {
-        let from = view.borrow().in_force.revision;
-        let end = subscribe_once(replica, from, &config, &own, &settings).await;
+        let end = subscribe_once(replica, &arguments).await;
         let Err(end) = end else { continue };
         log::warn!("event=subscription_ended replica={} reason=\"{end}\"", replica.id);
         if matches!(end, SubscriptionEnd::Stopped) {
@@ -233,12 +244,14 @@
 
 async fn subscribe_once(
     replica: &Peer,
-    from: Revision,
-    config: &RouterConfig,
-    own: &PeerIdentity,
-    settings: &ActorRef<SettingsActor>,
+    arguments: &SubscriptionArguments,
 ) -> Result<(), SubscriptionEnd> {
-    let mut connection = connect(replica.address, &config.cluster_key, own).await?;
+    let from = arguments.view.borrow().in_force.revision;
+    let config = &arguments.config;
+    let opening = connect(replica.address, &config.cluster_key, &config.identity());
+    let connected = timeout(CONNECT_TIMEOUT, opening).await;
+    let mut connection = connected.map_err(|_| SubscriptionEnd::Silent)??;
+    connection.count_on(&arguments.traffic);
     let request = Request::Subscribe { from };
     connection.writer.send(&Frame::Request { call: 0, request }).await?;
     let mut call = 0;
@@ -254,10 +267,11 @@
             }
             _ => continue,
         };
-        let applied = settings.ask(ApplyPush(push)).await.map_err(|error| match error {
-            kameo::error::SendError::HandlerError(error) => SubscriptionEnd::Apply(error),
-            _ => SubscriptionEnd::Stopped,
-        })?;
+        let applied =
+            arguments.settings.ask(ApplyPush(push)).await.map_err(|error| match error {
+                kameo::error::SendError::HandlerError(error) => SubscriptionEnd::Apply(error),
+                _ => SubscriptionEnd::Stopped,
+            })?;
         if let Some(revision) = applied {
             call += 1;
             let request = Request::InForce { revision };
