--- a/crates/router/src/subscription.rs
+++ b/crates/router/src/subscription.rs
@@ -248,7 +248,8 @@
 ) -> Result<(), SubscriptionEnd> {
     let from = arguments.view.borrow().in_force.revision;
     let config = &arguments.config;
-    let opening = connect(replica.address, &config.cluster_key, &config.identity());
+    let own = config.identity();
+    let opening = connect(replica.address, &config.cluster_key, &own);
     let connected = timeout(CONNECT_TIMEOUT, opening).await;
     let mut connection = connected.map_err(|_| SubscriptionEnd::Silent)??;
     connection.count_on(&arguments.traffic);
