Routing: engine table, decision by expected cost, retry budget, drains

The decision crate was empty, so routers could not choose by cache or load. A decision takes the least expected cost of queue (lagging report plus own work since), missed tokens, import and zone transfer, weighted per service. Near-equal engines are ranked by rendezvous hashing on the first missed block, so routers that miss the same prefix agree and others spread. What can't meet its deadline is refused with the time that the queue needs.

--- /dev/null
+++ b/crates/routing/src/cost.rs
@@ -0,0 +1,74 @@
+//! What serving a request on an engine is expected to cost.
+
+/// Constants of the cost function; all times are in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CostModel {
+    /// Time an engine takes to compute one prompt token. The default is 16
+    /// billion floating-point operations at 60 Tflop/s, as for a model of 8
+    /// billion parameters.
+    pub token_us: f64,
+    /// Time to import one block from the store of kept KV cache. The default is
+    /// 8 MiB at 3 GB/s.
+    pub import_block_us: f64,
+    /// Time until a busy engine starts on new work: half an iteration of 64 ms.
+    pub busy_start_us: f64,
+    /// Costs that differ by less count as equal. About the work that other
+    /// routers send to one engine between two load reports.
+    pub near_equal_us: f64,
+    /// What one microsecond of recomputation costs beside one microsecond of
+    /// waiting, at neutral weights: the engine is kept from other work.
+    pub waste_factor: f64,
+    /// Weight of the expected growth of a busy engine's queue, which spreads hot
+    /// prefixes before the queue is there.
+    pub pressure_factor: f64,
+}
+
+impl Default for CostModel {
+    fn default() -> Self {
+        CostModel {
+            token_us: 267.0,
+            import_block_us: 2_800.0,
+            busy_start_us: 32_000.0,
+            near_equal_us: 10_000.0,
+            waste_factor: 1.0,
+            pressure_factor: 1.0,
+        }
+    }
+}
+
+/// The parts of an expected cost, in microseconds and unweighted.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct CostTerms {
+    /// Round trip to the engine's zone.
+    pub transfer_us: f64,
+    /// Work ahead of the request.
+    pub queue_us: f64,
+    /// Computing the tokens that no cache holds.
+    pub compute_us: f64,
+    /// Importing blocks from the store of kept KV cache.
+    pub import_us: f64,
+    /// Expected growth of the queue that the engine's rate of work stands for.
+    pub pressure_us: f64,
+}
+
+impl CostTerms {
+    /// Expected time to the first token.
+    pub fn first_token_us(&self) -> f64 {
+        self.transfer_us + self.queue_us + self.compute_us + self.import_us
+    }
+
+    /// The one number that is minimised.
+    pub(crate) fn weighted(&self, model: &CostModel, weights: CostWeights) -> f64 {
+        let waste = weights.waste * model.waste_factor * self.compute_us;
+        weights.latency * (self.first_token_us() + self.pressure_us) + waste
+    }
+}
+
+/// How much a service minds waiting and recomputation; 1.0 is neutral.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CostWeights {
+    /// Weight of the time to first token.
+    pub latency: f64,
+    /// Weight of recomputed tokens.
+    pub waste: f64,
+}
--- /dev/null
+++ b/crates/routing/tests/decide.rs
@@ -0,0 +1,264 @@
+//! Decisions on fixed views, and properties of decisions on any view.
+
+mod support;
+
+use std::time::Duration;
+
+use juniper_prefix_index::Holder;
+use juniper_routing::drain::LeavingSource;
+use juniper_routing::{
+    CostWeights, Decision, DispatchId, DispatchedWork, EngineTable, Reason, Refusal, RefusalCode,
+    RouteRequest, decide,
+};
+use juniper_types::{BlockHash, EngineId, Incarnation, Timestamp, WeightsVersion, ZoneName};
+use quickcheck::QuickCheck;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use support::{blocks, holder, idle_load, life, serving, table};
+
+const NOW: Timestamp = Timestamp::from_millis(10_000);
+const TOKENS: u32 = 2_600;
+
+fn route(table: &EngineTable, holders: &[Holder], prompt: u64) -> Result<Decision, Refusal> {
+    let (key, chain) = (serving(), blocks(prompt, 40));
+    decide(table, holders, &request(&key, &chain), NOW, &mut ChaCha8Rng::seed_from_u64(prompt))
+}
+
+fn request<'a>(key: &'a juniper_routing::ServingKey, chain: &'a [BlockHash]) -> RouteRequest<'a> {
+    RouteRequest {
+        serving: key,
+        blocks: chain,
+        tokens: TOKENS,
+        importable_blocks: 0,
+        first_token_within: Duration::from_secs(10),
+        excluded: &[],
+        weights: CostWeights { latency: 1.0, waste: 1.0 },
+    }
+}
+
+fn load_up(table: &mut EngineTable, engine: EngineId, attempts: u64, missed_tokens: u32) {
+    for attempt in 0..attempts {
+        let id = DispatchId(u64::from(engine.0) << 32 | attempt);
+        let work = DispatchedWork { prompt_tokens: TOKENS, missed_tokens };
+        table.dispatched(engine, id, work, NOW);
+    }
+}
+
+#[test]
+fn the_engine_that_holds_most_gets_the_request() {
+    let table = table(6, NOW);
+    let holders = [holder(2, 10), holder(4, 38), holder(5, 20)];
+    let decision = route(&table, &holders, 1).expect("routed");
+    assert_eq!((decision.engine, decision.expected_blocks), (EngineId(4), 38));
+    assert_eq!(decision.reason, Reason::BestHolder);
+    assert_eq!(decision.incarnation, Some(life(4)));
+}
+
+#[test]
+fn a_queue_longer_than_the_missed_tokens_moves_the_request() {
+    let mut table = table(3, NOW);
+    load_up(&mut table, EngineId(1), 4, 2_600);
+    let decision = route(&table, &[holder(1, 38), holder(2, 20)], 1).expect("routed");
+    assert_eq!((decision.engine, decision.reason), (EngineId(2), Reason::Spread));
+}
+
+#[test]
+fn entries_of_an_ended_life_do_not_count() {
+    let table = table(2, NOW);
+    let stale = Holder { incarnation: Incarnation(1), ..holder(1, 38) };
+    let decision = route(&table, &[stale], 1).expect("routed");
+    assert_eq!(decision.expected_blocks, 0);
+}
+
+#[test]
+fn routers_that_miss_the_same_prefix_agree() {
+    let table = table(12, NOW);
+    let chosen = route(&table, &[], 5).expect("routed").engine;
+    let (key, chain) = (serving(), blocks(5, 40));
+    for seed in 0..20 {
+        let random = &mut ChaCha8Rng::seed_from_u64(seed);
+        let decision = decide(&table, &[], &request(&key, &chain), NOW, random).expect("routed");
+        assert_eq!(decision.engine, chosen);
+    }
+}
+
+#[test]
+fn different_prompts_spread_over_equal_engines() {
+    let table = table(12, NOW);
+    let mut counts = [0_u32; 12];
+    for prompt in 0..600 {
+        let engine = route(&table, &[], prompt).expect("routed").engine;
+        counts[engine.0 as usize] += 1;
+    }
+    assert!(counts.iter().all(|count| (20..100).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn no_engine_with_the_weights_is_a_refusal() {
+    let table = table(4, NOW);
+    let key = juniper_routing::ServingKey { weights: WeightsVersion(9), ..serving() };
+    let chain = blocks(1, 40);
+    let random = &mut ChaCha8Rng::seed_from_u64(0);
+    let refusal = decide(&table, &[holder(1, 38)], &request(&key, &chain), NOW, random);
+    assert_eq!(refusal.map_err(|refusal| refusal.code), Err(RefusalCode::NoEngine));
+}
+
+#[test]
+fn an_engine_that_has_not_reported_serves_only_while_no_other_is_known() {
+    let mut fresh = table(0, NOW);
+    support::insert(&mut fresh, EngineId(9));
+    let decision = route(&fresh, &[], 1).expect("routed");
+    assert_eq!((decision.engine, decision.incarnation), (EngineId(9), None));
+    assert_eq!(decision.reason, Reason::Unreported);
+
+    let mut known = table(1, NOW);
+    support::insert(&mut known, EngineId(9));
+    assert!((0..50).all(|prompt| route(&known, &[], prompt).expect("routed").engine.0 == 0));
+}
+
+#[test]
+fn a_leaving_engine_gets_nothing_until_every_source_takes_it_back() {
+    let mut table = table(1, NOW);
+    table.set_leaving(EngineId(0), LeavingSource::Platform, true);
+    table.set_leaving(EngineId(0), LeavingSource::Settings, true);
+    assert_eq!(route(&table, &[holder(0, 38)], 1).map_err(|r| r.code), Err(RefusalCode::NoEngine));
+    table.set_leaving(EngineId(0), LeavingSource::Settings, false);
+    assert!(route(&table, &[holder(0, 38)], 1).is_err());
+    table.set_leaving(EngineId(0), LeavingSource::Platform, false);
+    assert!(route(&table, &[holder(0, 38)], 1).is_ok());
+    let leaving = juniper_routing::EngineLoad { leaving: true, ..idle_load(EngineId(0)) };
+    table.report(EngineId(0), &leaving, NOW);
+    assert!(route(&table, &[holder(0, 38)], 1).is_err());
+}
+
+#[test]
+fn a_dead_engine_gets_nothing_until_it_reports() {
+    let mut table = table(2, NOW);
+    table.mark_down(EngineId(0));
+    assert!((0..50).all(|prompt| route(&table, &[], prompt).expect("routed").engine.0 == 1));
+    table.report(EngineId(0), &idle_load(EngineId(0)), NOW);
+    assert!((0..50).any(|prompt| route(&table, &[], prompt).expect("routed").engine.0 == 0));
+}
+
+#[test]
+fn what_comes_too_late_is_refused_with_the_time_that_the_queue_needs() {
+    let mut table = table(2, NOW);
+    load_up(&mut table, EngineId(0), 30, 2_600);
+    load_up(&mut table, EngineId(1), 30, 2_600);
+    let (key, chain) = (serving(), blocks(1, 40));
+    let random = &mut ChaCha8Rng::seed_from_u64(0);
+    let soon = RouteRequest { first_token_within: Duration::from_secs(2), ..request(&key, &chain) };
+    let refusal = decide(&table, &[], &soon, NOW, random).expect_err("too late");
+    assert_eq!(refusal.code, RefusalCode::Overloaded);
+    // 31 prompts of 2,600 tokens take about 21.5 s; 2 s are allowed.
+    let seconds = refusal.retry_after.as_secs_f64();
+    assert!((19.0..20.0).contains(&seconds), "{seconds}");
+
+    let later = NOW.after(refusal.retry_after);
+    assert!(decide(&table, &[], &soon, later, random).is_ok());
+    let hasty = RouteRequest { first_token_within: Duration::from_millis(100), ..soon };
+    let refusal = decide(&table, &[], &hasty, NOW, random).expect_err("too late");
+    assert_eq!(refusal.code, RefusalCode::DeadlineTooShort);
+}
+
+#[test]
+fn an_import_replaces_computing_where_it_is_cheaper() {
+    let table = table(2, NOW);
+    let (key, chain) = (serving(), blocks(1, 40));
+    let random = &mut ChaCha8Rng::seed_from_u64(0);
+    let importable = RouteRequest { importable_blocks: 30, ..request(&key, &chain) };
+    let decision = decide(&table, &[holder(1, 5)], &importable, NOW, random).expect("routed");
+    assert_eq!(decision.import_blocks, 30);
+    assert!(decision.terms.compute_us < 200_000.0);
+    let nothing_new = RouteRequest { importable_blocks: 5, ..request(&key, &chain) };
+    let decision = decide(&table, &[holder(1, 5)], &nothing_new, NOW, random).expect("routed");
+    assert_eq!((decision.engine, decision.import_blocks), (EngineId(1), 0));
+}
+
+#[test]
+fn work_of_other_routers_counts_by_the_reports() {
+    let mut table = table(2, NOW);
+    let busy = juniper_routing::EngineLoad {
+        running: 8,
+        waiting: 10,
+        waiting_prompt_tokens: 26_000,
+        ..idle_load(EngineId(0))
+    };
+    table.report(EngineId(0), &busy, NOW);
+    assert!((0..50).all(|prompt| route(&table, &[], prompt).expect("routed").engine.0 == 1));
+}
+
+#[test]
+fn a_nearer_zone_wins_between_equals() {
+    let mut table = table(4, NOW);
+    let far = ZoneName::new("zone-1").expect("valid");
+    table.set_round_trip(&far, Duration::from_millis(60));
+    for prompt in 0..100 {
+        let engine = route(&table, &[], prompt).expect("routed").engine;
+        assert_eq!(engine.0 % 2, 0, "engines of zone-0 have even numbers");
+    }
+}
+
+#[test]
+fn a_first_token_shows_that_the_work_ahead_is_done() {
+    let mut table = table(1, NOW);
+    load_up(&mut table, EngineId(0), 4, 2_600);
+    let later = NOW.after(Duration::from_millis(100));
+    table.first_token(EngineId(0), DispatchId(0), later);
+    let view = table.view(EngineId(0), later).expect("known");
+    assert!(view.queue < Duration::from_millis(2_200), "{:?}", view.queue);
+    for attempt in 0..4 {
+        table.finished(EngineId(0), DispatchId(attempt), later);
+    }
+    let view = table.view(EngineId(0), later).expect("known");
+    assert_eq!((view.queue, view.own_in_flight), (Duration::ZERO, 0));
+}
+
+#[test]
+fn a_decision_names_a_usable_engine_that_is_not_excluded() {
+    fn holds(engines: u8, held: Vec<(u8, u8)>, excluded: Vec<u8>, down: Vec<u8>) -> bool {
+        let engines = u32::from(engines % 24);
+        let mut table = table(engines, NOW);
+        for engine in &down {
+            table.mark_down(EngineId(u32::from(*engine)));
+        }
+        let holders: Vec<Holder> = held
+            .iter()
+            .map(|(engine, blocks)| holder(u32::from(*engine), u32::from(*blocks)))
+            .collect();
+        let excluded: Vec<EngineId> =
+            excluded.iter().map(|engine| EngineId(u32::from(*engine))).collect();
+        let (key, chain) = (serving(), blocks(1, 40));
+        let asked = RouteRequest { excluded: &excluded, ..request(&key, &chain) };
+        let mut usable = table.usable_engines().filter(|engine| !excluded.contains(engine));
+        match decide(&table, &holders, &asked, NOW, &mut ChaCha8Rng::seed_from_u64(7)) {
+            Ok(decision) => {
+                let expected = decision.expected_blocks;
+                let holds =
+                    |holder: &Holder| holder.engine == decision.engine && holder.blocks >= expected;
+                usable.any(|engine| engine == decision.engine)
+                    && (expected == 0 || holders.iter().any(holds))
+            }
+            Err(refusal) => refusal.code == RefusalCode::NoEngine && usable.next().is_none(),
+        }
+    }
+    QuickCheck::new()
+        .tests(500)
+        .quickcheck(holds as fn(u8, Vec<(u8, u8)>, Vec<u8>, Vec<u8>) -> bool);
+}
+
+#[test]
+fn a_removed_engine_is_never_chosen() {
+    fn holds(engines: u8, removed: Vec<u8>) -> bool {
+        let mut table = table(u32::from(engines % 24) + 1, NOW);
+        for engine in &removed {
+            table.remove(EngineId(u32::from(*engine)));
+        }
+        (0..20).all(|prompt| match route(&table, &[], prompt) {
+            Ok(decision) => !removed.iter().any(|engine| decision.engine.0 == u32::from(*engine)),
+            Err(_) => table.usable_engines().next().is_none(),
+        })
+    }
+    QuickCheck::new().tests(300).quickcheck(holds as fn(u8, Vec<u8>) -> bool);
+}
--- /dev/null
+++ b/crates/routing/tests/retry.rs
@@ -0,0 +1,76 @@
+//! What may be retried, and how often.
+
+use std::time::Duration;
+
+use juniper_routing::retry::{
+    AttemptOutcome, MAX_ATTEMPTS, RetryBudget, RetryDenied, RetryQuestion,
+};
+use juniper_settings::TrafficKind;
+use juniper_types::Timestamp;
+use quickcheck::QuickCheck;
+
+const CHAT: RetryQuestion = RetryQuestion {
+    kind: TrafficKind::Chat,
+    outcome: AttemptOutcome::Unknown,
+    resumable: true,
+    attempts: 1,
+    time_left: Duration::from_secs(5),
+    time_needed: Duration::from_millis(20),
+};
+
+#[test]
+fn at_most_once_traffic_is_retried_only_if_it_did_not_run() {
+    let mut budget = RetryBudget::new(10);
+    let ask = |outcome| RetryQuestion { kind: TrafficKind::AtMostOnce, outcome, ..CHAT };
+    let denied = Err(RetryDenied::NotRepeatable);
+    assert_eq!(budget.decide(&ask(AttemptOutcome::Unknown), Timestamp::ZERO), denied);
+    assert_eq!(budget.decide(&ask(AttemptOutcome::PartlyAnswered), Timestamp::ZERO), denied);
+    assert_eq!(budget.decide(&ask(AttemptOutcome::NotRun), Timestamp::ZERO), Ok(()));
+}
+
+#[test]
+fn an_answer_that_has_begun_is_only_resumed() {
+    let mut budget = RetryBudget::new(10);
+    let begun = RetryQuestion { outcome: AttemptOutcome::PartlyAnswered, ..CHAT };
+    assert_eq!(budget.decide(&begun, Timestamp::ZERO), Ok(()));
+    let unresumable = RetryQuestion { resumable: false, ..begun };
+    assert_eq!(budget.decide(&unresumable, Timestamp::ZERO), Err(RetryDenied::NotResumable));
+}
+
+#[test]
+fn attempts_and_time_are_bounded() {
+    let mut budget = RetryBudget::new(10);
+    let tried = RetryQuestion { attempts: MAX_ATTEMPTS, ..CHAT };
+    assert_eq!(budget.decide(&tried, Timestamp::ZERO), Err(RetryDenied::Attempts));
+    let late = RetryQuestion { time_left: Duration::from_millis(10), ..CHAT };
+    assert_eq!(budget.decide(&late, Timestamp::ZERO), Err(RetryDenied::Deadline));
+}
+
+#[test]
+fn no_percent_means_no_retry() {
+    let mut budget = RetryBudget::new(0);
+    budget.record_request(Timestamp::from_millis(60_000));
+    let asked = budget.decide(&CHAT, Timestamp::from_millis(60_000));
+    assert_eq!(asked, Err(RetryDenied::Budget));
+}
+
+#[test]
+fn retries_stay_within_their_share_however_many_attempts_fail() {
+    fn holds(percent: u8, requests: u16) -> bool {
+        let percent = percent % 31;
+        let requests = u32::from(requests % 5_000);
+        let mut budget = RetryBudget::new(percent);
+        let mut retries = 0_u32;
+        for request in 0..requests {
+            let now = Timestamp::from_millis(u64::from(request));
+            budget.record_request(now);
+            while budget.decide(&CHAT, now).is_ok() {
+                retries += 1;
+            }
+        }
+        let share = f64::from(requests) * f64::from(percent) / 100.0;
+        let floor = f64::from(requests) / 1_000.0;
+        f64::from(retries) <= share + floor + 21.0
+    }
+    QuickCheck::new().tests(60).quickcheck(holds as fn(u8, u16) -> bool);
+}
