Traces: generated from a seed, versioned format, checked on reading

Experiments, load and replay need the same requests in the same order. A prompt is stored as segments, so a trace is small; the text of a segment is a function of the seed and its number.

--- a/crates/emulators/src/lib.rs
+++ b/crates/emulators/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod content;
 pub mod engine;
 pub mod http;
+pub mod trace;
 pub mod witness;
--- /dev/null
+++ b/crates/emulators/src/trace/file.rs
@@ -0,0 +1,267 @@
+//! Reads, checks and writes trace files.
+
+use std::io::{self, BufRead, Read, Write};
+
+use super::record::{FORMAT, TraceHeader, TraceRecord, TraceRequest, VERSION};
+
+/// Longest line read, in bytes. A record with the most segments has under 2 KiB.
+pub const MAX_LINE_BYTES: u64 = 16 << 10;
+
+/// Most records read: an hour at the peak of the largest deployment planned for.
+pub const MAX_RECORDS: u64 = 13_000_000;
+
+/// Most segments in one prompt.
+pub const MAX_SEGMENTS: usize = 32;
+
+/// Longest prompt, in tokens.
+pub const MAX_PROMPT_TOKENS: u32 = 131_072;
+
+/// Shortest segment, in tokens: its message frame takes two.
+pub const MIN_SEGMENT_TOKENS: u32 = 3;
+
+/// Most tokens generated for one request.
+pub const MAX_OUTPUT_TOKENS: u32 = 32_768;
+
+/// Largest body of a call that runs at most once, in bytes.
+pub const MAX_BODY_BYTES: u32 = 1 << 20;
+
+/// Records for which memory is set aside before they are read.
+const PREALLOCATED_RECORDS: u64 = 10_000;
+
+/// A whole trace.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trace {
+    /// What it is of.
+    pub header: TraceHeader,
+    /// Its requests in order of arrival.
+    pub records: Vec<TraceRecord>,
+}
+
+/// What is wrong with a line of a trace file.
+#[derive(Debug, thiserror::Error)]
+pub enum TraceFault {
+    /// The line is longer than [`MAX_LINE_BYTES`].
+    #[error("the line has more than {MAX_LINE_BYTES} bytes")]
+    LineTooLong,
+    /// The line is not the JSON expected.
+    #[error("the line can't be read: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The first line names another format.
+    #[error("the format is {0:?}, not {FORMAT:?}")]
+    Format(String),
+    /// The file has another version.
+    #[error("the version is {0}, this build reads {VERSION}")]
+    Version(u32),
+    /// The load is not a positive number.
+    #[error("the load {0} is not a positive number")]
+    Load(f64),
+    /// The header announces too many records.
+    #[error("{0} records are more than {MAX_RECORDS}")]
+    TooManyRecords(u64),
+    /// A record arrives before the one above it.
+    #[error("the record arrives before the one above it")]
+    Order,
+    /// A record arrives after the trace's end.
+    #[error("the record arrives after the end of the trace")]
+    AfterEnd,
+    /// A record names a zone that the header doesn't.
+    #[error("zone {0} is not in the header")]
+    Zone(String),
+    /// A record names a tenant that the header doesn't.
+    #[error("tenant {0} is not in the header")]
+    Tenant(String),
+    /// A prompt has no segments or too many.
+    #[error("a prompt has 1 to {MAX_SEGMENTS} segments, this one has {0}")]
+    Segments(usize),
+    /// A segment is too short.
+    #[error("a segment has at least {MIN_SEGMENT_TOKENS} tokens, this one has {0}")]
+    SegmentTokens(u32),
+    /// A prompt is too long.
+    #[error("a prompt has at most {MAX_PROMPT_TOKENS} tokens, this one has {0}")]
+    PromptTokens(u32),
+    /// The number of output tokens is out of range.
+    #[error("an answer has 1 to {MAX_OUTPUT_TOKENS} tokens, this one has {0}")]
+    OutputTokens(u32),
+    /// The priority is out of range.
+    #[error("a priority is 0 to 9, this one is {0}")]
+    Priority(u8),
+    /// The body is too large.
+    #[error("a body has at most {MAX_BODY_BYTES} bytes, this one has {0}")]
+    BodyBytes(u32),
+    /// The file ends before its last record, or goes on after it.
+    #[error("the header announces {announced} records, the file has {found}")]
+    Count {
+        /// Records that the header announces.
+        announced: u64,
+        /// Records found.
+        found: u64,
+    },
+    /// The file has no header.
+    #[error("the file is empty")]
+    Empty,
+}
+
+/// Why a trace can't be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum TraceError {
+    /// The system failed to read or write.
+    #[error("the trace can't be read or written")]
+    Io(#[from] io::Error),
+    /// A line is faulty.
+    #[error("line {line}: {fault}")]
+    Line {
+        /// Number of the line, from one.
+        line: u64,
+        /// What is wrong.
+        fault: TraceFault,
+    },
+}
+
+/// Reads and checks a whole trace. Memory is bounded by what the file holds.
+///
+/// # Errors
+/// Fails at the first faulty line, or when reading fails.
+pub fn read_trace<R: BufRead>(source: R) -> Result<Trace, TraceError> {
+    let mut lines = Lines { source, line: 0, buffer: Vec::new() };
+    let Some(first) = lines.next_line()? else {
+        return Err(TraceError::Line { line: 1, fault: TraceFault::Empty });
+    };
+    let header = read_header(first).map_err(|fault| TraceError::Line { line: 1, fault })?;
+    let mut records = Vec::with_capacity(header.records.min(PREALLOCATED_RECORDS) as usize);
+    let mut earliest = 0;
+    loop {
+        let Some(text) = lines.next_line()? else { break };
+        let record = read_record(text, &header, earliest).map_err(|fault| lines.fault(fault))?;
+        earliest = record.at_us;
+        records.push(record);
+        if records.len() as u64 > header.records {
+            return Err(lines.fault(count_fault(&header, &records)));
+        }
+    }
+    if records.len() as u64 != header.records {
+        return Err(lines.fault(count_fault(&header, &records)));
+    }
+    Ok(Trace { header, records })
+}
+
+fn count_fault(header: &TraceHeader, records: &[TraceRecord]) -> TraceFault {
+    TraceFault::Count { announced: header.records, found: records.len() as u64 }
+}
+
+/// Lines of bounded length, counted.
+struct Lines<R> {
+    source: R,
+    line: u64,
+    buffer: Vec<u8>,
+}
+
+impl<R: BufRead> Lines<R> {
+    fn next_line(&mut self) -> Result<Option<&[u8]>, TraceError> {
+        self.buffer.clear();
+        self.line += 1;
+        let mut limited = self.source.by_ref().take(MAX_LINE_BYTES + 1);
+        let read = limited.read_until(b'\n', &mut self.buffer)?;
+        if read as u64 > MAX_LINE_BYTES {
+            return Err(self.fault(TraceFault::LineTooLong));
+        }
+        Ok((read > 0).then_some(self.buffer.as_slice()))
+    }
+
+    fn fault(&self, fault: TraceFault) -> TraceError {
+        TraceError::Line { line: self.line, fault }
+    }
+}
+
+fn read_header(text: &[u8]) -> Result<TraceHeader, TraceFault> {
+    let header: TraceHeader = serde_json::from_slice(text)?;
+    if header.format != FORMAT {
+        return Err(TraceFault::Format(header.format));
+    }
+    if header.version != VERSION {
+        return Err(TraceFault::Version(header.version));
+    }
+    if !header.load.is_finite() || header.load <= 0.0 {
+        return Err(TraceFault::Load(header.load));
+    }
+    if header.records > MAX_RECORDS {
+        return Err(TraceFault::TooManyRecords(header.records));
+    }
+    Ok(header)
+}
+
+fn read_record(
+    text: &[u8],
+    header: &TraceHeader,
+    earliest: u64,
+) -> Result<TraceRecord, TraceFault> {
+    let record: TraceRecord = serde_json::from_slice(text)?;
+    if record.at_us < earliest {
+        return Err(TraceFault::Order);
+    }
+    if record.at_us > header.duration_ms.saturating_mul(1_000) {
+        return Err(TraceFault::AfterEnd);
+    }
+    if !header.zones.contains(&record.zone) {
+        return Err(TraceFault::Zone(record.zone.to_string()));
+    }
+    if !header.tenants.contains(&record.tenant) {
+        return Err(TraceFault::Tenant(record.tenant.to_string()));
+    }
+    check_request(&record.request)?;
+    Ok(record)
+}
+
+fn check_request(request: &TraceRequest) -> Result<(), TraceFault> {
+    match request {
+        TraceRequest::Chat { prompt, output_tokens, priority } => {
+            if prompt.is_empty() || prompt.len() > MAX_SEGMENTS {
+                return Err(TraceFault::Segments(prompt.len()));
+            }
+            if let Some(short) = prompt.iter().find(|part| part.tokens < MIN_SEGMENT_TOKENS) {
+                return Err(TraceFault::SegmentTokens(short.tokens));
+            }
+            let tokens = request.prompt_tokens();
+            if tokens > MAX_PROMPT_TOKENS {
+                return Err(TraceFault::PromptTokens(tokens));
+            }
+            if !(1..=MAX_OUTPUT_TOKENS).contains(output_tokens) {
+                return Err(TraceFault::OutputTokens(*output_tokens));
+            }
+            if *priority > 9 {
+                return Err(TraceFault::Priority(*priority));
+            }
+            Ok(())
+        }
+        TraceRequest::AtMostOnce { body_bytes, .. } if *body_bytes > MAX_BODY_BYTES => {
+            Err(TraceFault::BodyBytes(*body_bytes))
+        }
+        TraceRequest::AtMostOnce { .. }
+        | TraceRequest::Listing { .. }
+        | TraceRequest::Preview { .. } => Ok(()),
+    }
+}
+
+/// Writes `trace`, one JSON document a line.
+///
+/// # Errors
+/// Fails when writing fails.
+pub fn write_trace<W: Write>(trace: &Trace, mut target: W) -> Result<(), TraceError> {
+    write_line(&trace.header, 1, &mut target)?;
+    for (line, record) in (2..).zip(&trace.records) {
+        write_line(record, line, &mut target)?;
+    }
+    target.flush()?;
+    Ok(())
+}
+
+fn write_line<T: serde::Serialize, W: Write>(
+    value: &T,
+    line: u64,
+    target: &mut W,
+) -> Result<(), TraceError> {
+    let mut text = serde_json::to_vec(value)
+        .map_err(|error| TraceError::Line { line, fault: TraceFault::Json(error) })?;
+    text.push(b'\n');
+    target.write_all(&text)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/emulators/tests/trace.rs
@@ -0,0 +1,124 @@
+//! Traces: the same seed gives the same trace, files survive a round trip, and
+//! damaged ones are refused with a typed error.
+
+use std::collections::HashSet;
+
+use juniper_emulators::trace::{
+    Profile, PromptTexts, Trace, TraceError, TraceFault, TraceOptions, TraceRequest, generate,
+    read_trace, write_trace,
+};
+use juniper_types::{CacheScope, ModelName, TenantName, WeightsVersion};
+use quickcheck::QuickCheck;
+
+fn options(profile: Profile, seed: u64) -> TraceOptions {
+    TraceOptions { profile, seed, load: 0.6, duration_ms: 20_000 }
+}
+
+fn written(trace: &Trace) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    write_trace(trace, &mut bytes).expect("writing to memory");
+    bytes
+}
+
+fn scope(tenant: &TenantName) -> CacheScope {
+    let model = ModelName::new("base").expect("a name");
+    CacheScope { tenant: tenant.clone(), model, adapter: None, weights: WeightsVersion(1) }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_bytes_and_another_seed_does_not() {
+    for profile in [Profile::GraniteLedger, Profile::Pryderi] {
+        let first = written(&generate(options(profile, 7)).expect("names"));
+        assert_eq!(first, written(&generate(options(profile, 7)).expect("names")));
+        assert_ne!(first, written(&generate(options(profile, 8)).expect("names")));
+        assert_eq!(first, written(&read_trace(first.as_slice()).expect("a sound trace")));
+    }
+}
+
+#[test]
+fn prompts_are_nested_and_exactly_as_long_as_their_segments() {
+    let trace = generate(options(Profile::GraniteLedger, 1)).expect("names");
+    let mut texts = PromptTexts::new(trace.header.seed);
+    let mut seen = HashSet::new();
+    let (mut blocks, mut repeated, mut chats) = (0, 0, 0);
+    for record in &trace.records {
+        let TraceRequest::Chat { prompt, .. } = &record.request else { continue };
+        let text = texts.text(prompt);
+        assert_eq!(text.len(), record.request.prompt_tokens() as usize * 4);
+        let messages = texts.messages(prompt);
+        let joined: String =
+            messages.iter().map(|m| format!("{}\n{}\n", m.role, m.content)).collect();
+        assert_eq!(joined.as_bytes(), text);
+        chats += 1;
+        for hash in texts.blocks(&scope(&record.tenant), prompt).hashes {
+            blocks += 1;
+            repeated += u32::from(!seen.insert(hash));
+        }
+    }
+    assert!(chats > 100, "only {chats} chats");
+    assert!(repeated * 2 > blocks, "only {repeated} of {blocks} blocks repeat");
+    assert!(repeated < blocks * 95 / 100, "{repeated} of {blocks} blocks repeat");
+}
+
+#[test]
+fn every_kind_and_tenant_occurs() {
+    for profile in [Profile::GraniteLedger, Profile::Pryderi] {
+        let trace = generate(options(profile, 3)).expect("names");
+        let kinds: HashSet<_> =
+            trace.records.iter().map(|r| std::mem::discriminant(&r.request)).collect();
+        assert_eq!(kinds.len(), 3, "{profile:?}");
+        let tenants: HashSet<_> = trace.records.iter().map(|r| &r.tenant).collect();
+        assert_eq!(tenants.len(), 8, "{profile:?}");
+    }
+}
+
+fn fault_of(text: &str) -> TraceFault {
+    match read_trace(text.as_bytes()) {
+        Err(TraceError::Line { fault, .. }) => fault,
+        other => panic!("expected a faulty line, not {other:?}"),
+    }
+}
+
+#[test]
+fn faulty_files_are_refused_with_their_fault() {
+    let sound = String::from_utf8(written(&generate(options(Profile::Pryderi, 2)).expect("names")))
+        .expect("text");
+    assert!(matches!(fault_of(""), TraceFault::Empty));
+    let cases = [
+        ("\"version\":1", "\"version\":2"),
+        ("juniper-trace", "another"),
+        ("\"records\":", "\"records\":1"),
+        ("\"load\":0.6", "\"load\":-1.0"),
+    ];
+    for (from, to) in cases {
+        let text = sound.replacen(from, to, 1);
+        assert_ne!(text, sound, "{from} does not occur");
+        let fault = fault_of(&text);
+        let expected = match from {
+            "\"version\":1" => matches!(fault, TraceFault::Version(2)),
+            "juniper-trace" => matches!(fault, TraceFault::Format(_)),
+            "\"records\":" => matches!(fault, TraceFault::Count { .. }),
+            _ => matches!(fault, TraceFault::Load(_)),
+        };
+        assert!(expected, "{from}: {fault:?}");
+    }
+    let cut = &sound[..sound.len() / 2];
+    assert!(matches!(fault_of(cut), TraceFault::Json(_) | TraceFault::Count { .. }));
+    let long = format!("{}{}", sound, "x".repeat(1 << 20));
+    assert!(matches!(fault_of(&long), TraceFault::LineTooLong | TraceFault::Count { .. }));
+}
+
+#[test]
+fn damaged_bytes_never_panic() {
+    fn property(place: usize, byte: u8, cut: usize) -> bool {
+        let trace =
+            generate(TraceOptions { duration_ms: 1_000, ..options(Profile::Pryderi, cut as u64) });
+        let mut bytes = written(&trace.expect("names"));
+        bytes.truncate(bytes.len() - 1 - cut % 200);
+        let place = place % bytes.len();
+        bytes[place] = byte;
+        // Cut in its last line, the file never passes, whatever the changed byte.
+        read_trace(bytes.as_slice()).is_err()
+    }
+    QuickCheck::new().tests(200).quickcheck(property as fn(usize, u8, usize) -> bool);
+}
