--- a/crates/emulators/src/trace/file.rs
+++ b/crates/emulators/src/trace/file.rs
@@ -129,8 +129,7 @@
     let header = read_header(first).map_err(|fault| TraceError::Line { line: 1, fault })?;
     let mut records = Vec::with_capacity(header.records.min(PREALLOCATED_RECORDS) as usize);
     let mut earliest = 0;
-    loop {
-        let Some(text) = lines.next_line()? else { break };
+    while let Some(text) = lines.next_line()? {
         let record = read_record(text, &header, earliest).map_err(|fault| lines.fault(fault))?;
         earliest = record.at_us;
         records.push(record);
