Settings below the floor are staged instead of dropped; scale run

Cause: a restarted router without a disk asks a quorum for the latest revision and starts no lower. A replica that still keeps every change answers its subscription with deltas from the first on. Those below the floor were dropped, so the delta at the floor seemed to skip revisions, and the router subscribed again from zero for ever. The first scale run with restarts showed it: the restarted tenth of the nodes stayed behind revision 29 for 60 s. Excluded: lost pushes (the connection was sound) and a stuck replica (others followed it). Change: deltas below the floor are applied to a staged tree that comes into force when it reaches the floor. Router control plane as a unit that the lab can run many of; scale command with hollow nodes, restarts and a zone cut. Conclusion: found by the lab, not by the process tests, which started routers on disks of their own.

--- /dev/null
+++ b/crates/lab/src/scale/fleet.rs
@@ -0,0 +1,410 @@
+//! Starts the processes of a run, takes it through its phases and measures it.
+
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdin, ChildStdout, Command as Program, Stdio};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use juniper_settings::ApiKeyHash;
+use tokio::time::sleep;
+
+use super::Options;
+use super::control::{Operator, WriteError};
+use super::hollow::unix_micros;
+use super::host::{Command, Status};
+use super::layout::{CLUSTER_KEY, Layout, LayoutError, Node, OPERATOR_KEY};
+use super::report::{InForceTimes, Report, RoleCost};
+use super::sample::{Usage, total};
+
+/// Time between two changes of a phase.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Length of the phases with faults.
+const FAULT_PHASE: Duration = Duration::from_secs(8);
+
+/// Longest wait for the run to settle.
+const SETTLE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Time between two looks at whether it has.
+const SETTLE_POLL: Duration = Duration::from_millis(100);
+
+/// Slowest time in force that the histogram holds, in microseconds.
+const MAX_MICROS: u64 = 600_000_000;
+
+/// Why a run failed.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub(super) enum ScaleError {
+    /// The layout could not be made.
+    #[error(transparent)]
+    Layout(#[from] LayoutError),
+    /// A process could not be started, or its pipes failed.
+    #[error("process failed: {0}")]
+    Process(#[from] io::Error),
+    /// An answer of a hollow process is malformed.
+    #[error("malformed: {0}")]
+    Malformed(#[from] serde_json::Error),
+    /// A hollow process ended early.
+    #[error("a hollow process ended early")]
+    HostEnded,
+    /// A change was not accepted.
+    #[error(transparent)]
+    Write(#[from] WriteError),
+    /// The nodes did not agree in time.
+    #[error(
+        "not settled within {SETTLE_LIMIT:?}: {behind} nodes behind revision {revision}, \
+         {blind} nodes know fewer than {others} others"
+    )]
+    NotSettled {
+        /// Nodes that are behind.
+        behind: usize,
+        /// The latest revision.
+        revision: u64,
+        /// Nodes that don't know every other one.
+        blind: usize,
+        /// How many others there are.
+        others: usize,
+    },
+    /// Times could not be collected.
+    #[error("histogram: {0}")]
+    Histogram(#[from] hdrhistogram::CreationError),
+}
+
+/// A process that ends with the run.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A hollow process with its pipes.
+struct Host {
+    process: Process,
+    commands: ChildStdin,
+    answers: BufReader<ChildStdout>,
+}
+
+impl Host {
+    fn ask(&mut self, command: &Command) -> Result<Status, ScaleError> {
+        writeln!(self.commands, "{}", serde_json::to_string(command)?)?;
+        self.commands.flush()?;
+        let mut line = String::new();
+        if self.answers.read_line(&mut line)? == 0 {
+            return Err(ScaleError::HostEnded);
+        }
+        Ok(serde_json::from_str(&line)?)
+    }
+}
+
+struct Fleet {
+    layout: Layout,
+    replicas: Vec<Process>,
+    routers: Vec<(Process, SocketAddr)>,
+    hosts: Vec<Host>,
+    operator: Operator,
+    http: reqwest::Client,
+    _folder: tempfile::TempDir,
+}
+
+/// Carries out one run.
+pub(super) fn run(options: &Options) -> Result<Report, ScaleError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut fleet = Fleet::start(options)?;
+        fleet.operator.write_tree(&fleet.layout, options.tenants).await?;
+        fleet.settle().await?;
+        let mut report = Report {
+            nodes: options.nodes,
+            engines: fleet.layout.engines.len(),
+            zones: fleet.layout.zones.len(),
+            tenants: options.tenants,
+            ..Report::default()
+        };
+        fleet.quiet_phase(options, &mut report).await?;
+        fleet.restart_phase(&mut report).await?;
+        fleet.cut_phase(&mut report).await?;
+        let processes = fleet.ids();
+        report.resident_bytes_total = total(&processes)?.resident;
+        report.processes = processes.len();
+        Ok(report)
+    })
+}
+
+impl Fleet {
+    fn start(options: &Options) -> Result<Self, ScaleError> {
+        let mut layout = Layout::new(options)?;
+        let folder = tempfile::tempdir()?;
+        let mut operators = Vec::new();
+        let mut replicas = Vec::new();
+        for replica in layout.replicas.clone() {
+            let operator = layout.addresses.next();
+            let text = control_file(folder.path(), &layout, &replica, operator);
+            replicas.push(start_daemon("control", folder.path(), replica.node, &text)?);
+            operators.push(operator);
+        }
+        let mut routers = Vec::new();
+        for router in layout.routers.clone() {
+            let operator = layout.addresses.next();
+            let caller = layout.addresses.next();
+            let text = router_file(folder.path(), &layout, &router, operator, caller);
+            let process = start_daemon("router", folder.path(), router.node, &text)?;
+            routers.push((process, operator));
+        }
+        let mut hosts = Vec::new();
+        for (number, host) in layout.hosts.iter().enumerate() {
+            let file = folder.path().join(format!("host-{number}.json"));
+            std::fs::write(&file, serde_json::to_vec(host)?)?;
+            hosts.push(start_host(&file)?);
+        }
+        let operator = Operator::new(operators);
+        let http = reqwest::Client::new();
+        Ok(Fleet { layout, replicas, routers, hosts, operator, http, _folder: folder })
+    }
+
+    fn ids(&self) -> Vec<u32> {
+        let replicas = self.replicas.iter().map(|process| process.0.id());
+        let routers = self.routers.iter().map(|(process, _)| process.0.id());
+        replicas.chain(routers).chain(self.host_ids()).collect()
+    }
+
+    fn host_ids(&self) -> Vec<u32> {
+        self.hosts.iter().map(|host| host.process.0.id()).collect()
+    }
+
+    fn ask_all(&mut self, command: &Command) -> Result<Vec<Status>, ScaleError> {
+        self.hosts.iter_mut().map(|host| host.ask(command)).collect()
+    }
+
+    /// Waits until every hollow node is at the latest revision and knows every
+    /// other node.
+    async fn settle(&mut self) -> Result<Duration, ScaleError> {
+        let started = Instant::now();
+        let others = self.layout.routers.len() + self.hollow_nodes() - 1;
+        loop {
+            let revision = self.operator.revision();
+            let statuses = self.ask_all(&Command::Status)?;
+            let revisions = statuses.iter().flat_map(|status| &status.revisions);
+            let behind = revisions.filter(|at| **at < revision).count();
+            let members = statuses.iter().flat_map(|status| &status.members);
+            let blind = members.filter(|members| **members < others).count();
+            if behind + blind == 0 {
+                return Ok(started.elapsed());
+            }
+            if started.elapsed() > SETTLE_LIMIT {
+                return Err(ScaleError::NotSettled { behind, revision, blind, others });
+            }
+            sleep(SETTLE_POLL).await;
+        }
+    }
+
+    fn hollow_nodes(&self) -> usize {
+        self.layout.hosts.iter().map(|host| host.nodes.len()).sum()
+    }
+
+    /// Writes changes for `length` and collects when each came into force.
+    async fn change_for(&mut self, length: Duration) -> Result<InForceTimes, ScaleError> {
+        self.ask_all(&Command::Status)?;
+        let first = self.operator.revision() + 1;
+        let end = Instant::now() + length;
+        while Instant::now() < end {
+            self.operator.write_small(&self.layout).await?;
+            sleep(CHANGE_INTERVAL).await;
+        }
+        let mut micros = Histogram::<u64>::new_with_bounds(1, MAX_MICROS, 3)?;
+        for status in self.ask_all(&Command::Status)? {
+            for (revision, at) in status.in_force.iter().filter(|(revision, _)| *revision >= first)
+            {
+                if let Some(accepted) = self.operator.accepted.get(revision) {
+                    micros.saturating_record(at.saturating_sub(*accepted).max(1));
+                }
+            }
+        }
+        Ok(InForceTimes::of(&micros))
+    }
+
+    async fn quiet_phase(
+        &mut self,
+        options: &Options,
+        report: &mut Report,
+    ) -> Result<(), ScaleError> {
+        let before = self.measure().await?;
+        report.in_force_quiet = self.change_for(options.seconds).await?;
+        let after = self.measure().await?;
+        let seconds = (after.at - before.at) as f64 / 1e6;
+        let cost = |role: &'static str, count: usize| {
+            let (old, new) = (&before.roles[role], &after.roles[role]);
+            let each = count.max(1) as f64;
+            let processor = new.usage.processor.saturating_sub(old.usage.processor);
+            RoleCost {
+                count,
+                core_percent: 100.0 * processor.as_secs_f64() / seconds / each,
+                resident_bytes: new.usage.resident / count.max(1) as u64,
+                control_bytes_per_second: (new.bytes - old.bytes) as f64 / seconds / each,
+            }
+        };
+        report.hollow_node = cost(HOLLOW, self.hollow_nodes());
+        report.router = cost(ROUTER, self.routers.len());
+        report.control_replica = cost(CONTROL, self.replicas.len());
+        let nodes = self.hollow_nodes() as f64;
+        report.sampled_keys_per_node = after.keys as f64 / nodes;
+        let asked = (after.lookups - before.lookups).max(1);
+        report.lookups_found = (after.found - before.found) as f64 / asked as f64;
+        Ok(())
+    }
+
+    async fn restart_phase(&mut self, report: &mut Report) -> Result<(), ScaleError> {
+        let restarted = Instant::now();
+        self.ask_all(&Command::RestartTenth(3))?;
+        report.in_force_restarts = self.change_for(FAULT_PHASE).await?;
+        self.settle().await?;
+        // Recovery runs beside the changes, so the phase is its upper bound.
+        report.restart_recovery_ms = restarted.elapsed().as_millis() as u64;
+        Ok(())
+    }
+
+    async fn cut_phase(&mut self, report: &mut Report) -> Result<(), ScaleError> {
+        let zone = self.layout.zones[self.layout.zones.len() - 1].clone();
+        self.ask_all(&Command::Cut(zone))?;
+        report.in_force_outside_cut = self.change_for(FAULT_PHASE).await?;
+        self.ask_all(&Command::Heal)?;
+        report.cut_recovery_ms = self.settle().await?.as_millis() as u64;
+        Ok(())
+    }
+
+    async fn measure(&mut self) -> Result<Measurement, ScaleError> {
+        let statuses = self.ask_all(&Command::Status)?;
+        let bytes = statuses.iter().map(|status| status.sent + status.received).sum();
+        let mut router_bytes = 0;
+        for (_, operator) in &self.routers {
+            router_bytes += self.control_bytes(*operator).await;
+        }
+        let replica_ids: Vec<u32> = self.replicas.iter().map(|process| process.0.id()).collect();
+        let router_ids: Vec<u32> = self.routers.iter().map(|(process, _)| process.0.id()).collect();
+        let role = |ids: &[u32], bytes| Ok::<_, io::Error>(RoleUse { usage: total(ids)?, bytes });
+        let mut roles = BTreeMap::new();
+        roles.insert(HOLLOW, role(&self.host_ids(), bytes)?);
+        roles.insert(ROUTER, role(&router_ids, router_bytes)?);
+        roles.insert(CONTROL, role(&replica_ids, 0)?);
+        Ok(Measurement {
+            at: unix_micros(),
+            roles,
+            keys: statuses.iter().map(|status| status.published_keys + status.owned_keys).sum(),
+            lookups: statuses.iter().map(|status| status.lookups).sum(),
+            found: statuses.iter().map(|status| status.found).sum(),
+        })
+    }
+
+    /// The counters of a router's metrics page, added up.
+    async fn control_bytes(&self, operator: SocketAddr) -> u64 {
+        let url = format!("http://{operator}/metrics");
+        let Ok(response) = self.http.get(url).send().await else {
+            return 0;
+        };
+        let text = response.text().await.unwrap_or_default();
+        let lines = text.lines().filter(|line| line.starts_with("juniper_control_bytes_total"));
+        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        values.sum::<f64>() as u64
+    }
+}
+
+const HOLLOW: &str = "hollow node";
+const ROUTER: &str = "router";
+const CONTROL: &str = "control replica";
+
+struct RoleUse {
+    usage: Usage,
+    bytes: u64,
+}
+
+struct Measurement {
+    at: u64,
+    roles: BTreeMap<&'static str, RoleUse>,
+    keys: usize,
+    lookups: u64,
+    found: u64,
+}
+
+/// The program beside this one.
+fn sibling(name: &str) -> Result<PathBuf, io::Error> {
+    Ok(std::env::current_exe()?.with_file_name(name))
+}
+
+fn start_daemon(role: &str, folder: &Path, node: u64, text: &str) -> Result<Process, io::Error> {
+    let file = folder.join(format!("{role}-{node}.toml"));
+    std::fs::write(&file, text)?;
+    let program = sibling("juniperhollow")?;
+    let mut program = Program::new(program);
+    program.args([role, "--settings"]).arg(file).stderr(Stdio::null());
+    Ok(Process(program.spawn()?))
+}
+
+fn start_host(layout: &Path) -> Result<Host, ScaleError> {
+    let mut child = Program::new(std::env::current_exe()?)
+        .args(["scale", "--host"])
+        .arg(layout)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()?;
+    let pipes = child.stdin.take().zip(child.stdout.take());
+    let process = Process(child);
+    let (commands, answers) = pipes.ok_or(ScaleError::HostEnded)?;
+    Ok(Host { process, commands, answers: BufReader::new(answers) })
+}
+
+fn common(folder: &Path, node: &Node) -> String {
+    let data = folder.join(format!("data-{}", node.node));
+    format!(
+        "node = {}\nzone = \"{}\"\ndata_folder = \"{}\"\ncluster_key = \"{CLUSTER_KEY}\"\n\
+         operator_key_hashes = [\"{}\"]\nlog_level = \"warn\"\n",
+        node.node,
+        node.zone,
+        data.display(),
+        ApiKeyHash::of(OPERATOR_KEY).0
+    )
+}
+
+fn peer_tables(table: &str, nodes: &[Node], except: u64) -> String {
+    let others = nodes.iter().filter(|node| node.node != except);
+    others
+        .map(|node| {
+            format!(
+                "[[{table}]]\nid = {}\nzone = \"{}\"\naddress = \"{}\"\n",
+                node.node, node.zone, node.internal
+            )
+        })
+        .collect()
+}
+
+fn control_file(folder: &Path, layout: &Layout, own: &Node, operator: SocketAddr) -> String {
+    let voters: Vec<String> = layout.replicas.iter().map(|node| node.node.to_string()).collect();
+    format!(
+        "{}[control]\ninternal = \"{}\"\noperator = \"{operator}\"\ninitial_voters = [{}]\n{}",
+        common(folder, own),
+        own.internal,
+        voters.join(", "),
+        peer_tables("control.peers", &layout.replicas, own.node)
+    )
+}
+
+fn router_file(
+    folder: &Path,
+    layout: &Layout,
+    own: &Node,
+    operator: SocketAddr,
+    caller: SocketAddr,
+) -> String {
+    let seeds = layout.hosts.first().map(|host| host.seeds.as_slice()).unwrap_or_default();
+    format!(
+        "{}[router]\ncaller = \"{caller}\"\noperator = \"{operator}\"\ninternal = \"{}\"\n{}{}\
+         [router.limits]\nfull_follow_engines = 1\n",
+        common(folder, own),
+        own.internal,
+        peer_tables("router.control", &layout.replicas, 0),
+        peer_tables("router.peers", seeds, own.node)
+    )
+}
--- /dev/null
+++ b/crates/lab/src/scale/synthetic.rs
@@ -0,0 +1,107 @@
+//! Cache events and loads of engines that are not there.
+//!
+//! Each engine holds as many blocks as the size designed for gives it, and
+//! changes them at that rate: 56 million blocks on 1,500 engines, 270,000
+//! changes a second. Prompts are chains, as real ones are.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use juniper_prefix_index::{CacheEvent, Snapshot};
+use juniper_routing::EngineLoad;
+use juniper_types::{BlockHash, Incarnation, ModelName, WeightsVersion};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Blocks that one engine keeps.
+pub(super) const BLOCKS_PER_ENGINE: usize = 56_000_000 / 1_500;
+
+/// Changes of one engine in a second; half of them store, half evict.
+const CHANGES_PER_SECOND: usize = 270_000 / 1_500;
+
+/// Blocks of one prompt that an event stores together.
+const BLOCKS_PER_PROMPT: usize = 30;
+
+/// One engine's cache as its events tell of it.
+pub(super) struct SyntheticEngine {
+    random: ChaCha8Rng,
+    incarnation: Incarnation,
+    sequence: u64,
+    held: VecDeque<BlockHash>,
+    model: ModelName,
+}
+
+impl SyntheticEngine {
+    /// An engine with a full cache.
+    pub(super) fn new(seed: u64, model: ModelName) -> Self {
+        let mut engine = SyntheticEngine {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            incarnation: Incarnation(seed),
+            sequence: 0,
+            held: VecDeque::new(),
+            model,
+        };
+        while engine.held.len() < BLOCKS_PER_ENGINE {
+            let prompt = engine.prompt();
+            engine.held.extend(prompt);
+        }
+        engine
+    }
+
+    /// Life of the engine.
+    pub(super) fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// The whole cache.
+    pub(super) fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            blocks: self.held.iter().copied().collect(),
+        }
+    }
+
+    /// What happened in `elapsed`.
+    pub(super) fn events(&mut self, elapsed: Duration) -> Vec<CacheEvent> {
+        let changes = CHANGES_PER_SECOND as f64 * elapsed.as_secs_f64();
+        let prompts = changes / 2.0 / BLOCKS_PER_PROMPT as f64;
+        let whole = prompts.floor();
+        let extra = usize::from(self.random.random_bool(prompts - whole));
+        (0..whole as usize + extra).map(|_| self.event()).collect()
+    }
+
+    fn event(&mut self) -> CacheEvent {
+        self.sequence += 1;
+        let stored = self.prompt();
+        let removed = self.held.drain(..stored.len()).collect();
+        self.held.extend(&stored);
+        CacheEvent { sequence: self.sequence, stored, removed }
+    }
+
+    /// A load report, as varied as real ones.
+    pub(super) fn load(&mut self) -> EngineLoad {
+        EngineLoad {
+            incarnation: self.incarnation,
+            age: Duration::from_millis(self.random.random_range(5..200)),
+            running: self.random.random_range(0..64),
+            waiting: self.random.random_range(0..16),
+            waiting_prompt_tokens: self.random.random_range(0..65_536),
+            model: Some(self.model.clone()),
+            weights: WeightsVersion(1),
+            adapters: Vec::new(),
+            leaving: false,
+        }
+    }
+
+    /// A prompt that the engine holds, to be looked up.
+    pub(super) fn held_prompt(&mut self) -> Vec<BlockHash> {
+        let prompts = self.held.len() / BLOCKS_PER_PROMPT;
+        let start = self.random.random_range(0..prompts.max(1)) * BLOCKS_PER_PROMPT;
+        self.held.range(start..start + BLOCKS_PER_PROMPT).copied().collect()
+    }
+
+    fn prompt(&mut self) -> Vec<BlockHash> {
+        (0..BLOCKS_PER_PROMPT).map(|_| BlockHash(self.random.random())).collect()
+    }
+}
--- a/crates/router/src/control_client.rs
+++ b/crates/router/src/control_client.rs
@@ -11,6 +11,7 @@
 
 use crate::config::RouterConfig;
 use crate::link::{CallError, Link, LinkTarget};
+use crate::reachability::Reachability;
 
 /// Longest wait for one replica before the next one is asked.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -41,12 +42,14 @@
 
 impl ControlClient {
     /// Makes the links; none connects before the first call.
-    pub fn new(config: &RouterConfig, traffic: &Arc<Traffic>) -> Self {
+    pub fn new(config: &RouterConfig, traffic: &Arc<Traffic>, reachability: &Reachability) -> Self {
         let own = config.identity();
         let make = |peer: &Peer| {
             let key = config.cluster_key.clone();
             let traffic = Arc::clone(traffic);
-            let target = LinkTarget { address: peer.address, key, own: own.clone(), traffic };
+            let reachability = reachability.clone();
+            let own = own.clone();
+            let target = LinkTarget { address: peer.address, key, own, traffic, reachability };
             (peer.id, Link::spawn(target))
         };
         let replicas: Vec<_> = config.control.iter().map(make).collect();
--- a/crates/router/src/control_plane.rs
+++ b/crates/router/src/control_plane.rs
@@ -18,6 +18,7 @@
 use crate::control_client::ControlClient;
 use crate::engines::Engines;
 use crate::peers::{self, Leave, MembershipActor, MembershipArguments, PeerView};
+use crate::reachability::Reachability;
 use crate::run::RouterError;
 use crate::settings_file::SettingsFile;
 use crate::sharing::{self, SharingHub};
@@ -47,7 +48,10 @@
     ///
     /// # Errors
     /// Fails when the address is taken or the settings file is unusable.
-    pub async fn start(config: &Arc<RouterConfig>) -> Result<Self, RouterError> {
+    pub async fn start(
+        config: &Arc<RouterConfig>,
+        reachability: &Reachability,
+    ) -> Result<Self, RouterError> {
         let failed = |source| RouterError::Listen { address: config.internal, source };
         let listener = TcpListener::bind(config.internal).await.map_err(failed)?;
         let socket = UdpSocket::bind(config.internal).await.map_err(failed)?;
@@ -58,11 +62,12 @@
         let traffic = Arc::new(Traffic::default());
         let (view_sender, settings) = watch::channel(SettingsView::default());
         let subscription = SettingsActor::spawn(SettingsActor::new(view_sender, file)?);
-        let control = Arc::new(ControlClient::new(config, &traffic));
+        let control = Arc::new(ControlClient::new(config, &traffic, reachability));
         let engines = Arc::new(Engines::new());
         let life = Incarnation(rand::random());
         let own = RouterLife { node: config.node, life };
-        let hub = Arc::new(SharingHub::new(own, config, Arc::clone(&engines), &traffic));
+        let hub =
+            Arc::new(SharingHub::new(own, config, Arc::clone(&engines), &traffic, reachability));
         let (peer_sender, peers) = watch::channel(PeerView::default());
         let membership = peers::spawn(MembershipArguments {
             config: Arc::clone(config),
@@ -70,6 +75,7 @@
             socket,
             view: peer_sender,
             traffic: Arc::clone(&traffic),
+            reachability: reachability.clone(),
         });
         let subscribe = keep_subscribed(SubscriptionArguments {
             config: Arc::clone(config),
@@ -77,6 +83,7 @@
             control: Arc::clone(&control),
             view: settings.clone(),
             traffic: Arc::clone(&traffic),
+            reachability: reachability.clone(),
         });
         let tasks = vec![
             tokio::spawn(subscribe),
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -12,7 +12,7 @@
 use juniper_prefix_index::EventOutcome;
 use juniper_routing::EngineLoad;
 use juniper_settings::{BackEnd, BackEndKind};
-use juniper_types::{AdapterName, EngineId, Incarnation, ModelName, WeightsVersion};
+use juniper_types::{AdapterName, EngineId, ModelName};
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn, WeakActorRef};
 use kameo::error::ActorStopReason;
@@ -23,6 +23,7 @@
 use crate::engine_api::{EngineApi, EngineCallError, LoadReport};
 use crate::engines::Engines;
 use crate::in_force::InForce;
+use crate::knowledge::EngineKnowledge;
 use crate::peers::PeerView;
 use crate::sharing::SharingHub;
 use crate::subscription::SettingsView;
@@ -68,11 +69,8 @@
 /// Where a feed reads, and where it puts what it reads.
 #[derive(Clone)]
 struct EngineReader {
-    engine: EngineId,
     api: EngineApi,
-    engines: Arc<Engines>,
-    /// Set when the engine's knowledge is passed on to the zone.
-    hub: Option<Arc<SharingHub>>,
+    knowledge: EngineKnowledge,
 }
 
 impl Actor for EngineFeed {
@@ -97,13 +95,7 @@
         _reason: ActorStopReason,
     ) -> Result<(), Self::Error> {
         self.tasks.iter().for_each(JoinHandle::abort);
-        if let Some(hub) = &self.reader.hub {
-            hub.unfollow(self.reader.engine);
-        }
-        // Nobody applies events from here on; the next feed begins with a snapshot.
-        if self.with_events {
-            self.reader.engines.void_cache(self.reader.engine);
-        }
+        self.reader.knowledge.stop_following(self.with_events);
         Ok(())
     }
 }
@@ -133,8 +125,8 @@
             feeds.entry(key).or_insert_with(|| {
                 let api = EngineApi::new(http.clone(), key.address);
                 let hub = key.shared.then(|| Arc::clone(&hub));
-                let engines = Arc::clone(&engines);
-                let reader = EngineReader { engine: key.engine, api, engines, hub };
+                let knowledge = EngineKnowledge::new(key.engine, Arc::clone(&engines), hub);
+                let reader = EngineReader { api, knowledge };
                 EngineFeed::spawn(FeedArguments { key, reader })
             });
         }
@@ -179,7 +171,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut failures = 0;
     let mut weights = None;
-    let engine = reader.engine;
+    let engine = reader.knowledge.engine;
     loop {
         ticks.tick().await;
         let report = match reader.api.load().await {
@@ -188,7 +180,7 @@
                 failures += 1;
                 if failures == FAILURES_UNTIL_DOWN {
                     log::warn!("event=engine_down engine={engine} reason=\"{error}\"");
-                    reader.mark_down();
+                    reader.knowledge.mark_down();
                 }
                 continue;
             }
@@ -197,38 +189,8 @@
             log::info!("event=engine_up engine={engine} incarnation={}", report.incarnation);
         }
         failures = 0;
-        reader.note_weights(&report, &mut weights);
-        reader.note_load(&engine_load(report));
-    }
-}
-
-impl EngineReader {
-    fn note_load(&self, load: &EngineLoad) {
-        self.engines.report(self.engine, load);
-        if let Some(hub) = &self.hub {
-            hub.load(self.engine, load);
-        }
-    }
-
-    fn mark_down(&self) {
-        self.engines.mark_down(self.engine);
-        if let Some(hub) = &self.hub {
-            hub.mark_down(self.engine);
-        }
-    }
-
-    /// Entries of older weights stop counting with the first report of newer ones.
-    fn note_weights(&self, report: &LoadReport, known: &mut Option<(Incarnation, WeightsVersion)>) {
-        let now = (report.incarnation, report.weights);
-        let switched = known.is_some_and(|(life, weights)| life == now.0 && weights != now.1);
-        if switched {
-            log::info!("event=weights_switched engine={} weights={}", self.engine, report.weights);
-            self.engines.void_cache(self.engine);
-            if let Some(hub) = &self.hub {
-                hub.void_cache(self.engine);
-            }
-        }
-        *known = Some(now);
+        reader.knowledge.note_weights((report.incarnation, report.weights), &mut weights);
+        reader.knowledge.note_load(&engine_load(report));
     }
 }
 
@@ -252,7 +214,10 @@
         let pause = match reader.take_events().await {
             Ok(()) => EVENT_BATCH_PAUSE,
             Err(error) => {
-                log::debug!("event=event_poll_failed engine={} reason=\"{error}\"", reader.engine);
+                log::debug!(
+                    "event=event_poll_failed engine={} reason=\"{error}\"",
+                    reader.knowledge.engine
+                );
                 EVENT_RETRY_PAUSE
             }
         };
@@ -262,28 +227,18 @@
 
 impl EngineReader {
     async fn take_events(&self) -> Result<(), EngineCallError> {
-        let engine = self.engine;
-        let Some((incarnation, after)) = self.engines.position(engine) else {
+        let engine = self.knowledge.engine;
+        let Some((incarnation, after)) = self.knowledge.position() else {
             return self.take_snapshot().await;
         };
         let batch = self.api.events(incarnation, after).await?;
-        match self.engines.apply_events(engine, batch.incarnation, &batch.events) {
-            Some(EventOutcome::Applied) => {
-                if let Some(hub) = &self.hub {
-                    hub.cache_events(engine, batch.incarnation, &batch.events);
-                }
-                Ok(())
-            }
+        match self.knowledge.apply_events(batch.incarnation, &batch.events) {
             Some(EventOutcome::Gap { missing }) => {
                 log::info!("event=cache_event_gap engine={engine} missing={missing}");
-                // Entries in doubt stop counting on every router, not only here.
-                if let Some(hub) = &self.hub {
-                    hub.void_cache(engine);
-                }
                 self.take_snapshot().await
             }
             Some(EventOutcome::AwaitingSnapshot) => self.take_snapshot().await,
-            Some(EventOutcome::StaleIncarnation) => Ok(()),
+            Some(EventOutcome::Applied | EventOutcome::StaleIncarnation) => Ok(()),
             None => {
                 log::error!("event=index_full engine={engine}");
                 Ok(())
@@ -295,14 +250,11 @@
         let snapshot = self.api.snapshot().await?;
         log::debug!(
             "event=cache_snapshot engine={} sequence={} blocks={}",
-            self.engine,
+            self.knowledge.engine,
             snapshot.sequence,
             snapshot.blocks.len()
         );
-        self.engines.apply_snapshot(self.engine, &snapshot);
-        if let Some(hub) = &self.hub {
-            hub.cache_snapshot(self.engine, &snapshot);
-        }
+        self.knowledge.apply_snapshot(&snapshot);
         Ok(())
     }
 }
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -18,6 +18,8 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::reachability::Reachability;
+
 /// Time within which a connection must stand.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -46,6 +48,8 @@
     pub own: PeerIdentity,
     /// Counts bytes.
     pub traffic: Arc<Traffic>,
+    /// Whom the node can reach.
+    pub reachability: Reachability,
 }
 
 struct Connected {
@@ -95,6 +99,9 @@
     type Reply = ();
 
     async fn handle(&mut self, call: SendCall, _context: &mut Context<Self, ()>) {
+        if !self.target.reachability.allows(self.target.address) {
+            self.disconnect();
+        }
         if !self.ensure_connected().await {
             let _ = call.answer.send(Err(CallError::Unreachable));
             return;
@@ -138,6 +145,9 @@
         if self.connected.is_some() {
             return true;
         }
+        if !self.target.reachability.allows(self.target.address) {
+            return false;
+        }
         let attempt = connect(self.target.address, &self.target.key, &self.target.own);
         let Ok(Ok(mut connection)) = timeout(CONNECT_TIMEOUT, attempt).await else {
             return false;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -23,6 +23,7 @@
 use tokio::time::{Instant, interval};
 
 use crate::config::RouterConfig;
+use crate::reachability::Reachability;
 
 /// Time between ticks of the detector, well within its probe timeout.
 const TICK: Duration = Duration::from_millis(100);
@@ -42,6 +43,7 @@
     started: Instant,
     view: watch::Sender<PeerView>,
     traffic: Arc<Traffic>,
+    reachability: Reachability,
     tasks: [JoinHandle<()>; 2],
 }
 
@@ -57,11 +59,16 @@
     pub view: watch::Sender<PeerView>,
     /// Counts bytes.
     pub traffic: Arc<Traffic>,
+    /// Whom the node can reach.
+    pub reachability: Reachability,
 }
 
 struct Tick;
 
-struct Datagram(Vec<u8>);
+struct Datagram {
+    from: SocketAddr,
+    bytes: Vec<u8>,
+}
 
 /// Tells the group that this node leaves.
 pub struct Leave;
@@ -94,6 +101,7 @@
             started: Instant::now(),
             view: arguments.view,
             traffic: arguments.traffic,
+            reachability: arguments.reachability,
             tasks,
         })
     }
@@ -103,8 +111,11 @@
         _actor: WeakActorRef<Self>,
         _reason: ActorStopReason,
     ) -> Result<(), Self::Error> {
-        // The reading task holds the socket.
-        self.tasks.iter().for_each(JoinHandle::abort);
+        // The reading task holds the socket; once it is over, another can open the address.
+        for task in &mut self.tasks {
+            task.abort();
+            let _ = task.await;
+        }
         Ok(())
     }
 }
@@ -123,8 +134,9 @@
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         // A failed receive reports an earlier send that nobody took; go on.
-        let Ok((length, _from)) = socket.recv_from(&mut buffer).await else { continue };
-        if actor.tell(Datagram(buffer[..length].to_vec())).await.is_err() {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
+        let bytes = buffer[..length].to_vec();
+        if actor.tell(Datagram { from, bytes }).await.is_err() {
             return;
         }
     }
@@ -143,8 +155,11 @@
     type Reply = ();
 
     async fn handle(&mut self, datagram: Datagram, _context: &mut Context<Self, ()>) {
-        self.traffic.add_received(datagram.0.len());
-        let payload = match open(&self.key, &datagram.0) {
+        if !self.reachability.allows(datagram.from) {
+            return;
+        }
+        self.traffic.add_received(datagram.bytes.len());
+        let payload = match open(&self.key, &datagram.bytes) {
             Ok(payload) => payload,
             Err(error) => {
                 log::debug!("event=datagram_refused reason=\"{error}\"");
@@ -204,6 +219,9 @@
                 return;
             }
         };
+        if !self.reachability.allows(address) {
+            return;
+        }
         self.traffic.add_sent(datagram.len());
         if let Err(error) = self.socket.send_to(&datagram, address).await {
             log::debug!("event=datagram_not_sent to={address} reason=\"{error}\"");
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -16,6 +16,7 @@
 use crate::faces;
 use crate::feeds;
 use crate::metrics::Metrics;
+use crate::reachability::Reachability;
 use crate::settings_file::SettingsFileError;
 use crate::shared::Shared;
 use crate::subscription::SettingsView;
@@ -47,6 +48,9 @@
     /// The settings file is unusable.
     #[error(transparent)]
     SettingsFile(#[from] SettingsFileError),
+    /// The cluster key is unusable.
+    #[error(transparent)]
+    ClusterKey(#[from] juniper_protocol::ClusterKeyError),
     /// The HTTP client could not be made.
     #[error("can't make the HTTP client: {0}")]
     Client(#[from] reqwest::Error),
@@ -109,7 +113,7 @@
 }
 
 async fn start(config: Arc<RouterConfig>) -> Result<Arc<Shared>, RouterError> {
-    let plane = ControlPlane::start(&config).await?;
+    let plane = ControlPlane::start(&config, &Reachability::default()).await?;
     let back_ends = Arc::new(BackEnds::default());
     tokio::spawn(follow_back_ends(plane.settings.clone(), Arc::clone(&back_ends)));
     let http =
--- a/crates/router/src/sharing/mod.rs
+++ b/crates/router/src/sharing/mod.rs
@@ -20,6 +20,7 @@
 use juniper_routing::EngineLoad;
 use juniper_sharing::{
     FollowPlan, Group, LoadDigest, Question, RouterLife, ServingDigest, ShareMessage, Sharing,
+    SharingSize,
 };
 use juniper_types::{BlockHash, EngineId, Incarnation};
 
@@ -28,6 +29,7 @@
 use crate::in_force::InForce;
 use crate::link::{Link, LinkTarget};
 use crate::peers::PeerView;
+use crate::reachability::Reachability;
 
 pub use rounds::run_rounds;
 pub use service::serve;
@@ -44,6 +46,7 @@
     full_follow_engines: usize,
     engines: Arc<Engines>,
     traffic: Arc<Traffic>,
+    reachability: Reachability,
     state: Mutex<State>,
 }
 
@@ -63,6 +66,7 @@
         config: &RouterConfig,
         engines: Arc<Engines>,
         traffic: &Arc<Traffic>,
+        reachability: &Reachability,
     ) -> Self {
         let state = State {
             sharing: Sharing::new(own),
@@ -77,6 +81,7 @@
             full_follow_engines: config.limits.full_follow_engines,
             engines,
             traffic: Arc::clone(traffic),
+            reachability: reachability.clone(),
             state: Mutex::new(state),
         }
     }
@@ -100,6 +105,7 @@
                 key: self.key.clone(),
                 own: self.identity.clone(),
                 traffic: Arc::clone(&self.traffic),
+                reachability: self.reachability.clone(),
             };
             state.links.entry(*member).or_insert_with(|| Link::spawn(target()));
         }
@@ -107,6 +113,11 @@
         state.sharing.set_group(Group::new(lives.chain([self.own])));
     }
 
+    /// How much is kept for sharing.
+    pub fn size(&self) -> SharingSize {
+        self.lock().sharing.size()
+    }
+
     /// Which engines this router reads, under the settings in force and the
     /// present group.
     pub fn follow_plan(&self, in_force: &InForce) -> FollowPlan {
--- a/crates/router/src/subscription.rs
+++ b/crates/router/src/subscription.rs
@@ -23,6 +23,7 @@
 use crate::config::RouterConfig;
 use crate::control_client::ControlClient;
 use crate::in_force::{InForce, MissedRevision};
+use crate::reachability::Reachability;
 use crate::settings_file::{SettingsFile, SettingsFileError};
 
 /// A replica that says nothing for this long is taken for dead; it pushes
@@ -67,6 +68,9 @@
     /// Revisions below it never come into force: a quorum had confirmed it
     /// when this process started without knowing what it had in force before.
     floor: Option<Revision>,
+    /// Settings on their way up to the floor. A replica that still has every
+    /// change sends them one by one, also those below the floor.
+    staged: Option<Arc<InForce>>,
 }
 
 impl SettingsActor {
@@ -85,7 +89,7 @@
             let in_force = Arc::new(InForce::new(revision, tree));
             view.send_modify(|view| view.in_force = in_force);
         }
-        Ok(SettingsActor { view, file, floor })
+        Ok(SettingsActor { view, file, floor, staged: None })
     }
 
     fn put_in_force(&mut self, next: InForce) -> Result<Revision, ApplyError> {
@@ -142,14 +146,21 @@
             }
             return Ok(None);
         }
-        let current = self.view.borrow().in_force.clone();
+        let staged = self.staged.clone();
+        let current = staged.unwrap_or_else(|| self.view.borrow().in_force.clone());
         let Some(next) = current.after(message.0)? else {
             return Ok(None);
         };
         match self.floor {
-            Some(floor) if next.revision >= floor => self.put_in_force(next).map(Some),
-            // An older replica: wait for the deltas or another snapshot.
-            _ => Ok(None),
+            Some(floor) if next.revision >= floor => {
+                self.staged = None;
+                self.put_in_force(next).map(Some)
+            }
+            // Below the floor: wait for the changes up to it.
+            _ => {
+                self.staged = Some(Arc::new(next));
+                Ok(None)
+            }
         }
     }
 }
@@ -185,6 +196,8 @@
     pub view: watch::Receiver<SettingsView>,
     /// Counts bytes.
     pub traffic: Arc<Traffic>,
+    /// Whom the node can reach.
+    pub reachability: Reachability,
 }
 
 /// Runs subscriptions one after another, for ever.
@@ -247,6 +260,9 @@
     arguments: &SubscriptionArguments,
 ) -> Result<(), SubscriptionEnd> {
     let from = arguments.view.borrow().in_force.revision;
+    if !arguments.reachability.allows(replica.address) {
+        return Err(SubscriptionEnd::Silent);
+    }
     let config = &arguments.config;
     let own = config.identity();
     let opening = connect(replica.address, &config.cluster_key, &own);
@@ -258,6 +274,9 @@
     let mut call = 0;
     loop {
         let received = timeout(SILENCE_LIMIT, connection.reader.receive()).await;
+        if !arguments.reachability.allows(replica.address) {
+            return Err(SubscriptionEnd::Silent);
+        }
         let push = match received.map_err(|_| SubscriptionEnd::Silent)?? {
             Frame::Push(push) => push,
             Frame::Reply { reply: Reply::Refused(refusal), .. } => {
