Control: the real replica, with agreement, storage and links to its peers

Cause: the daemon kept its state in memory alone and had no peers. A replica that fails to write or is put out of service ends with a typed error. A new cluster is founded by 'found' on one replica, the others join; a blank disk never founds one, save for a deployment of a single replica. Excluded: founding by daemons that all find blank disks, since a lost disk looks the same.

--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -128,6 +128,20 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// `found --settings FILE`.
+pub fn found(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
+    let arguments = read_arguments(parser)?;
+    let file = NodeFile::load(&arguments.path, &arguments.overrides)?;
+    let no_section = DaemonError::NoSection { path: arguments.path, section: "control" };
+    let settings: ControlSettings = file.control.ok_or(no_section)?;
+    let replica = juniper_control::found(&settings).map_err(DaemonError::from)?;
+    match arguments.format {
+        Format::Text => println!("founded a cluster on {replica}"),
+        Format::Json => println!("{}", json!({ "founded_on": replica.to_string() })),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 /// `router --settings FILE`.
 pub fn router(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
     let arguments = read_arguments(parser)?;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -17,6 +17,8 @@
 Daemons:
   control --settings FILE     run one replica of the durable state
   router --settings FILE      run a router
+  found --settings FILE       make a new cluster on one control replica, once
+                              for a deployment; the other replicas join it
 
 Checks:
   settings check FILE         check a node file whole; list every fault
@@ -29,6 +31,7 @@
   tree diff FROM TO           print what changed between two revisions
   tree history                list the latest accepted changes
   tree rollback REVISION      make an earlier tree the newest revision
+  status                      role, term, leader and members of a control replica
   nodes                       status of every node with the revision in force
   drain ENGINE                give a back end no new work ('--undo' takes it back)
 
@@ -81,6 +84,8 @@
         "settings" => daemon::check(parser),
         "key" => daemon::hash_key(parser),
         "tree" => operator::tree(parser),
+        "found" => daemon::found(parser),
+        "status" => operator::status(parser),
         "nodes" => operator::nodes(parser),
         "drain" => operator::drain(parser),
         _ => Err(ArgumentError::UnknownCommand(command).into()),
--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -112,7 +112,7 @@
         "rollback" => {
             let to = number("REVISION", arguments.word(1, "REVISION")?)?;
             let body = json!({ "to": to, "change_id": new_change_id("rollback") });
-            arguments.call(Method::POST, "/v1/settings/rollback", Some(&body))
+            arguments.call(Method::POST, "/v1/settings/rollbacks", Some(&body))
         }
         "apply" => {
             let body = read_change(arguments.word(1, "FILE")?)?;
@@ -139,6 +139,11 @@
     read_arguments(parser)?.get("/v1/nodes")
 }
 
+/// `status`.
+pub fn status(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
+    read_arguments(parser)?.get("/v1/status")
+}
+
 /// `drain ENGINE`.
 pub fn drain(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
     let arguments = read_arguments(parser)?;
--- a/crates/control/src/internal/calls.rs
+++ b/crates/control/src/internal/calls.rs
@@ -1,13 +1,11 @@
 //! Answers to the calls of other daemons.
 
-use juniper_control_state::{Answer, Command};
-use juniper_protocol::{Refusal, Reply, Request};
-use kameo::error::SendError;
+use juniper_control_state::{Answer, Command, MAX_COMMAND_BYTES, to_bytes};
+use juniper_protocol::{PeerRole, Refusal, Reply, Request};
 
 use super::InternalFace;
 use super::session::Peer;
 use crate::clock::unix_seconds;
-use crate::replica::{Propose, Query};
 
 /// When a router should come back that finds the claim table full, in milliseconds.
 const CLAIMS_FULL_RETRY_MS: u64 = 5_000;
@@ -28,7 +26,11 @@
             propose(face, Command::Settle { tenant, key, attempt, outcome }).await
         }
         Request::Members => {
-            Reply::Members { leader: Some(face.own.node), members: face.reports.members() }
+            let leader = face.view.status.borrow().leader_node();
+            Reply::Members { leader, members: face.reports.members() }
+        }
+        Request::Propose { command } if peer.identity.role == PeerRole::Control => {
+            forwarded(face, command).await
         }
         Request::Subscribe { .. }
         | Request::Heartbeat { .. }
@@ -40,21 +42,32 @@
 
 async fn confirmed_revision(face: &InternalFace) -> Reply {
     let read = |state: &juniper_control_state::ControlState| state.settings().revision();
-    match face.replica.ask(Query { confirm: true, read }).await {
+    match face.replica.query(true, read).await {
         Ok(revision) => Reply::ConfirmedRevision { revision },
-        Err(SendError::HandlerError(refusal)) => Reply::Refused(refusal),
-        Err(_) => Reply::Refused(Refusal::NoQuorum),
+        Err(refusal) => Reply::Refused(refusal),
     }
 }
 
 async fn propose(face: &InternalFace, command: Command) -> Reply {
-    match face.replica.ask(Propose(command)).await {
+    match face.replica.propose(&command).await {
         Ok(Answer::Claim(answer)) => Reply::Claim(answer),
         Ok(Answer::ClaimsFull) => {
             Reply::Refused(Refusal::Overloaded { retry_after_ms: CLAIMS_FULL_RETRY_MS })
         }
         Ok(_) => Reply::Done,
-        Err(SendError::HandlerError(refusal)) => Reply::Refused(refusal),
-        Err(_) => Reply::Refused(Refusal::Unknown),
+        Err(refusal) => Reply::Refused(refusal),
+    }
+}
+
+/// Proposes what another replica forwards. A command that can't be read must not
+/// get into the log, where it would stop every replica.
+async fn forwarded(face: &InternalFace, command: Vec<u8>) -> Reply {
+    let readable = minicbor::decode::<Command>(&command).is_ok();
+    if !readable || command.len() > MAX_COMMAND_BYTES {
+        return Reply::Refused(Refusal::NotAllowed);
+    }
+    match face.replica.propose_encoded(command).await {
+        Ok(answer) => Reply::Applied { answer: to_bytes(&answer) },
+        Err(refusal) => Reply::Refused(refusal),
     }
 }
--- a/crates/control/src/internal/mod.rs
+++ b/crates/control/src/internal/mod.rs
@@ -9,18 +9,17 @@
 
 use juniper_protocol::{ClusterKey, PeerIdentity, accept};
 use juniper_settings::node_file::ControlLimits;
-use kameo::actor::ActorRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
 use crate::metrics::Metrics;
-use crate::replica::{ReplicaActor, ReplicaView};
+use crate::replica::{ReplicaHandle, ReplicaView};
 use crate::reports::NodeReports;
 
 /// Pause after the listener failed, for example for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Snapshots sent to subscribers at once; each may be megabytes.
+/// Snapshots on their way to subscribers at once; each may be megabytes.
 const MAX_SNAPSHOTS_AT_ONCE: usize = 8;
 
 /// What every session needs.
@@ -30,14 +29,14 @@
     /// Secret shared by the daemons.
     pub key: ClusterKey,
     /// The replica.
-    pub replica: ActorRef<ReplicaActor>,
+    pub replica: ReplicaHandle,
     /// What subscribers see.
     pub view: ReplicaView,
     /// What nodes have in force.
     pub reports: Arc<NodeReports>,
     /// Counters.
     pub metrics: Arc<Metrics>,
-    snapshots: Semaphore,
+    snapshots: Arc<Semaphore>,
     connections: Arc<Semaphore>,
     handshakes: Arc<Semaphore>,
 }
@@ -47,7 +46,7 @@
     pub fn new(
         own: PeerIdentity,
         key: ClusterKey,
-        replica: ActorRef<ReplicaActor>,
+        replica: ReplicaHandle,
         view: ReplicaView,
         shared: (Arc<NodeReports>, Arc<Metrics>),
         limits: &ControlLimits,
@@ -60,7 +59,7 @@
             view,
             reports,
             metrics,
-            snapshots: Semaphore::new(MAX_SNAPSHOTS_AT_ONCE),
+            snapshots: Arc::new(Semaphore::new(MAX_SNAPSHOTS_AT_ONCE)),
             connections: Arc::new(Semaphore::new(limits.max_connections)),
             handshakes: Arc::new(Semaphore::new(limits.max_handshakes)),
         }
--- a/crates/control/src/internal/session.rs
+++ b/crates/control/src/internal/session.rs
@@ -1,14 +1,16 @@
 //! One connection of another daemon: reads calls, runs them side by side, writes replies.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use juniper_protocol::message::encode;
 use juniper_protocol::{
-    Connection, FrameError, FrameReader, FrameWriter, Message, PeerIdentity, Reply, Request,
+    Connection, FrameError, FrameReader, FrameWriter, Message, PeerIdentity, PeerRole, Reply,
+    Request,
 };
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -25,25 +27,43 @@
 /// A peer that takes no byte for this long is cut off.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// A frame to write.
+/// An encoded message.
 #[derive(Debug)]
-pub(super) enum Outgoing {
+enum Payload {
     /// Encoded for this connection alone.
     Own(Vec<u8>),
     /// Encoded once for many.
     Shared(Arc<PushFrame>),
 }
 
+/// A frame to write.
+#[derive(Debug)]
+pub(super) struct Outgoing {
+    payload: Payload,
+    /// Given back once the frame is written.
+    _permit: Option<OwnedSemaphorePermit>,
+}
+
 impl Outgoing {
     /// Encodes a message.
     pub fn message(message: &Message) -> Self {
-        Outgoing::Own(encode(message))
+        Outgoing { payload: Payload::Own(encode(message)), _permit: None }
+    }
+
+    /// A settings change.
+    pub fn delta(frame: Arc<PushFrame>) -> Self {
+        Outgoing { payload: Payload::Shared(frame), _permit: None }
+    }
+
+    /// A whole tree, with the permit that bounds how many are on their way.
+    pub fn snapshot(frame: Arc<PushFrame>, permit: OwnedSemaphorePermit) -> Self {
+        Outgoing { payload: Payload::Shared(frame), _permit: Some(permit) }
     }
 
     fn payload(&self) -> &[u8] {
-        match self {
-            Outgoing::Own(payload) => payload,
-            Outgoing::Shared(frame) => &frame.payload,
+        match &self.payload {
+            Payload::Own(payload) => payload,
+            Payload::Shared(frame) => &frame.payload,
         }
     }
 }
@@ -91,9 +111,36 @@
 async fn read_frames(
     face: Arc<InternalFace>,
     peer: Peer,
-    mut reader: FrameReader,
+    reader: FrameReader,
     sender: OutgoingSender,
 ) -> FrameError {
+    match read_until_end(face, peer, reader, sender).await {
+        Err(error) => error,
+        Ok(never) => match never {},
+    }
+}
+
+/// Hands a message of the agreement on. Only another replica may send one, and
+/// only in its own name.
+async fn hand_to_replica(
+    face: &InternalFace,
+    peer: &Peer,
+    payload: &[u8],
+) -> Result<(), FrameError> {
+    let message: juniper_consensus::Message = minicbor::decode(payload)?;
+    let is_own = message.from.node == peer.identity.node;
+    if peer.identity.role != PeerRole::Control || !is_own || !face.replica.receive(message).await {
+        return Err(FrameError::Closed);
+    }
+    Ok(())
+}
+
+async fn read_until_end(
+    face: Arc<InternalFace>,
+    peer: Peer,
+    mut reader: FrameReader,
+    sender: OutgoingSender,
+) -> Result<Infallible, FrameError> {
     let slots = Arc::new(Semaphore::new(MAX_CALLS_AT_ONCE));
     // Dropped with the session, and every call and subscription with it.
     let mut tasks = JoinSet::new();
@@ -101,8 +148,12 @@
     loop {
         let (call, request) = match reader.receive().await {
             Ok(Message::Request { call, request }) => (call, request),
+            Ok(Message::Consensus { payload }) => {
+                hand_to_replica(&face, &peer, &payload).await?;
+                continue;
+            }
             Ok(_) => continue,
-            Err(error) => return error,
+            Err(error) => return Err(error),
         };
         face.reports.touch(peer.identity.node);
         if let Request::Subscribe { from } = request {
@@ -114,7 +165,7 @@
             continue;
         }
         let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
-            return FrameError::Closed;
+            return Err(FrameError::Closed);
         };
         while tasks.try_join_next().is_some() {}
         let (face, peer, sender) = (Arc::clone(&face), peer.clone(), sender.clone());
--- a/crates/control/src/internal/subscriber.rs
+++ b/crates/control/src/internal/subscriber.rs
@@ -11,7 +11,7 @@
 
 use super::InternalFace;
 use super::session::{Outgoing, OutgoingSender, Peer, send_reply};
-use crate::replica::SnapshotFrame;
+use crate::published::PushFrame;
 
 /// Pace of [`Push::Alive`].
 const ALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -71,23 +71,29 @@
 
     async fn push_changes(&mut self) -> Result<(), Ended> {
         let changes = self.face.view.published.borrow().after(self.sent);
-        let frames = match changes {
-            Some(frames) => frames,
-            None => vec![self.snapshot().await?],
-        };
+        let Some(frames) = changes else { return self.push_snapshot().await };
         for frame in frames {
-            self.sent = frame.revision;
-            self.face.metrics.pushed_bytes.inc_by(frame.payload.len() as u64);
-            self.send(Outgoing::Shared(frame)).await?;
+            self.note(&frame);
+            self.send(Outgoing::delta(frame)).await?;
         }
         Ok(())
     }
 
-    /// The permit bounds how many snapshots are being encoded and queued at once.
-    async fn snapshot(&self) -> Result<Arc<crate::published::PushFrame>, Ended> {
-        let _permit = self.face.snapshots.acquire().await.map_err(|_| Ended)?;
+    fn note(&mut self, frame: &PushFrame) {
+        self.sent = frame.revision;
+        self.face.metrics.pushed_bytes.inc_by(frame.payload.len() as u64);
+    }
+
+    /// Sends the whole tree, unless too many are on their way; then the next sign
+    /// of life tries again. Waiting here would silence the signs of life.
+    async fn push_snapshot(&mut self) -> Result<(), Ended> {
+        let Ok(permit) = Arc::clone(&self.face.snapshots).try_acquire_owned() else {
+            return Ok(());
+        };
+        let frame = self.face.replica.snapshot_frame().await.ok_or(Ended)?;
         self.face.metrics.snapshots_pushed.inc();
-        self.face.replica.ask(SnapshotFrame).await.map_err(|_| Ended)
+        self.note(&frame);
+        self.send(Outgoing::snapshot(frame, permit)).await
     }
 
     async fn push_alive(&self) -> Result<(), Ended> {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,13 +1,16 @@
 //! The control daemon: one replica of the durable state.
 //!
-//! [`replica`] owns the replicated state, [`internal`] serves routers and other
-//! replicas over the internal protocol, [`operator`] serves operators over HTTP.
+//! [`replica`] owns the replicated state, [`peers`] reaches the other replicas,
+//! [`internal`] serves routers and other replicas over the internal protocol,
+//! [`operator`] serves operators over HTTP.
 
 pub mod clock;
 pub mod error;
+pub mod forward;
 pub mod internal;
 pub mod metrics;
 pub mod operator;
+pub mod peers;
 pub mod published;
 pub mod replica;
 pub mod reports;
@@ -15,4 +18,5 @@
 
 pub use error::ControlError;
 pub use juniper_settings::ControlSettings;
+pub use replica::found;
 pub use run::{ControlDaemon, Listeners, run};
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters of the control daemon, in Prometheus text form.
 
+use juniper_consensus::Status;
 use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, Registry, TextEncoder};
 
 /// Upper bounds of commit time, in seconds.
@@ -23,6 +24,14 @@
     pub revision: IntGauge,
     /// Whether this replica leads.
     pub leader: IntGauge,
+    /// Current term.
+    pub term: IntGauge,
+    /// Last index known to be committed.
+    pub commit_index: IntGauge,
+    /// Voters in the membership.
+    pub voters: IntGauge,
+    /// Members that don't vote.
+    pub learners: IntGauge,
     /// Claims kept.
     pub claims: IntGauge,
     /// Time from proposal to answer on the leader.
@@ -51,12 +60,26 @@
             pushed_bytes: counter("juniper_control_pushed_bytes", "Bytes of settings pushed")?,
             revision: gauge("juniper_control_revision", "Latest committed settings revision")?,
             leader: gauge("juniper_control_leader", "1 while this replica leads")?,
+            term: gauge("juniper_control_term", "Current term")?,
+            commit_index: gauge("juniper_control_commit_index", "Last committed log index")?,
+            voters: gauge("juniper_control_voters", "Voters in the membership")?,
+            learners: gauge("juniper_control_learners", "Members that don't vote")?,
             claims: gauge("juniper_control_claims", "Claims kept")?,
             commit_seconds: register(&registry, commit)?,
             registry,
         })
     }
 
+    /// Shows where the replica stands.
+    pub fn show_status(&self, status: &Status) {
+        self.leader.set(i64::from(status.is_leader()));
+        self.term.set(to_gauge(status.term));
+        self.commit_index.set(to_gauge(status.commit));
+        let voters = status.membership.voters().count();
+        self.voters.set(to_gauge(voters as u64));
+        self.learners.set(to_gauge((status.membership.members.len() - voters) as u64));
+    }
+
     /// The Prometheus text.
     pub fn text(&self) -> Result<String, prometheus::Error> {
         let mut text = Vec::new();
@@ -65,6 +88,11 @@
     }
 }
 
+/// The nearest value that a gauge holds.
+pub fn to_gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
 fn register<C>(registry: &Registry, collector: C) -> Result<C, prometheus::Error>
 where
     C: prometheus::core::Collector + Clone + 'static,
--- a/crates/control/src/operator/error.rs
+++ b/crates/control/src/operator/error.rs
@@ -8,7 +8,6 @@
 use juniper_protocol::Refusal;
 use juniper_settings::SettingsPath;
 use juniper_types::{EngineId, Revision};
-use kameo::error::SendError;
 use serde::Serialize;
 
 /// Why an operator's call was not carried out.
@@ -46,18 +45,13 @@
     RateLimited { retry_after_ms: u64 },
     #[error("{0}")]
     Refused(Refusal),
-    #[error("the replica is stopping")]
-    Stopping,
     #[error("metrics: {0}")]
     Metrics(#[from] prometheus::Error),
 }
 
-impl<M> From<SendError<M, Refusal>> for OperatorError {
-    fn from(error: SendError<M, Refusal>) -> Self {
-        match error {
-            SendError::HandlerError(refusal) => OperatorError::Refused(refusal),
-            _ => OperatorError::Stopping,
-        }
+impl From<Refusal> for OperatorError {
+    fn from(refusal: Refusal) -> Self {
+        OperatorError::Refused(refusal)
     }
 }
 
@@ -99,7 +93,6 @@
             OperatorError::ChangeIdReused { .. } => (S::CONFLICT, "change_id_reused"),
             OperatorError::RateLimited { .. } => (S::TOO_MANY_REQUESTS, "rate_limited"),
             OperatorError::Refused(refusal) => refusal_status(refusal),
-            OperatorError::Stopping => (S::SERVICE_UNAVAILABLE, "stopping"),
             OperatorError::Metrics(_) => (S::INTERNAL_SERVER_ERROR, "metrics"),
         }
     }
@@ -118,9 +111,7 @@
     fn is_not_run(&self) -> bool {
         !matches!(
             self,
-            OperatorError::Refused(Refusal::Unknown)
-                | OperatorError::Stopping
-                | OperatorError::ChangeIdReused { .. }
+            OperatorError::Refused(Refusal::Unknown) | OperatorError::ChangeIdReused { .. }
         )
     }
 
--- a/crates/control/src/operator/mod.rs
+++ b/crates/control/src/operator/mod.rs
@@ -11,10 +11,11 @@
 use axum::extract::DefaultBodyLimit;
 use axum::routing::{get, post};
 use juniper_settings::ApiKeyHash;
-use kameo::actor::ActorRef;
 
+use crate::forward::Group;
 use crate::metrics::Metrics;
-use crate::replica::{ReplicaActor, ReplicaView};
+use crate::peers::PeerLinks;
+use crate::replica::ReplicaView;
 use crate::reports::NodeReports;
 
 /// Largest accepted body, in bytes: the largest command in JSON, which is
@@ -23,9 +24,11 @@
 
 /// What the handlers need.
 pub struct OperatorFace {
-    /// The replica.
-    pub replica: ActorRef<ReplicaActor>,
-    /// What it publishes.
+    /// The replicas, called through this one.
+    pub group: Group,
+    /// Links to the other replicas.
+    pub peers: Arc<PeerLinks>,
+    /// What this replica publishes.
     pub view: ReplicaView,
     /// What nodes have in force.
     pub reports: Arc<NodeReports>,
--- a/crates/control/src/operator/settings.rs
+++ b/crates/control/src/operator/settings.rs
@@ -20,7 +20,6 @@
 use super::OperatorFace;
 use super::error::OperatorError;
 use crate::clock::unix_millis;
-use crate::replica::{Propose, Query};
 
 /// Author of a write that names none.
 const DEFAULT_AUTHOR: &str = "operator";
@@ -34,9 +33,9 @@
 async fn read<R: Send + 'static>(
     face: &OperatorFace,
     stale: bool,
-    read: impl FnOnce(&ControlState) -> R + Send + 'static,
+    read: impl Fn(&ControlState) -> R + Clone + Send + 'static,
 ) -> Result<R, OperatorError> {
-    Ok(face.replica.ask(Query { confirm: !stale, read }).await?)
+    Ok(face.group.read(stale, read).await?)
 }
 
 /// Whether a read may come from this replica without asking a quorum.
@@ -117,7 +116,7 @@
     let body = read(&face, query.stale, move |state| EffectiveBody {
         revision: state.settings().revision(),
         effective: state.settings().tree().tree().effective(&path),
-        path,
+        path: path.clone(),
     });
     Ok(Json(body.await?))
 }
@@ -227,7 +226,7 @@
     if bytes > MAX_COMMAND_BYTES {
         return Err(OperatorError::TooLarge { bytes, limit: MAX_COMMAND_BYTES });
     }
-    match face.replica.ask(Propose(command)).await? {
+    match face.group.write(&command).await? {
         Answer::Write(answer) => accepted(answer),
         _ => Err(OperatorError::Refused(Refusal::Unknown)),
     }
--- a/crates/control/src/operator/status.rs
+++ b/crates/control/src/operator/status.rs
@@ -11,6 +11,7 @@
 
 use super::OperatorFace;
 use super::error::OperatorError;
+use crate::metrics::to_gauge;
 
 /// A replica that no quorum has confirmed for this long is not ready, in milliseconds.
 const READY_WITHIN_MS: u128 = 5_000;
@@ -48,10 +49,6 @@
     Ok(face.metrics.text()?)
 }
 
-fn to_gauge(value: u64) -> i64 {
-    i64::try_from(value).unwrap_or(i64::MAX)
-}
-
 #[derive(Serialize)]
 pub(super) struct NodesBody {
     /// The latest committed revision on the replica that answers.
--- /dev/null
+++ b/crates/control/src/replica/start.rs
@@ -0,0 +1,104 @@
+//! Starts a replica from its data folder.
+
+use std::sync::{Arc, mpsc};
+use std::thread::JoinHandle;
+
+use juniper_consensus::{Replica, ReplicaConfig};
+use juniper_settings::ControlSettings;
+use kameo::actor::Spawn;
+use kameo::mailbox;
+use tokio::sync::{oneshot, watch};
+
+use super::actor::{ActorParts, ReplicaFailure};
+use super::confirm::keep_confirmed;
+use super::horizon::keep_horizon;
+use super::machine::Machine;
+use super::ticker::keep_ticking;
+use super::writer::write_for_ever;
+use super::{ReplicaActor, ReplicaHandle, ReplicaView, folder};
+use crate::error::ControlError;
+use crate::metrics::Metrics;
+use crate::peers::PeerLinks;
+
+/// Messages that wait for the actor; senders wait beyond that.
+const MAILBOX_CAPACITY: usize = 1_024;
+
+/// What a replica needs of the daemon.
+pub struct ReplicaParts {
+    /// Links to the other replicas.
+    pub peers: Arc<PeerLinks>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+}
+
+/// A replica that works.
+pub struct RunningReplica {
+    /// How to call it.
+    pub handle: ReplicaHandle,
+    /// What it shows.
+    pub view: ReplicaView,
+    /// Tells when and why the replica ended by itself.
+    pub failure: oneshot::Receiver<ReplicaFailure>,
+    writer: JoinHandle<()>,
+}
+
+impl RunningReplica {
+    /// Ends the replica and waits until its data folder is free.
+    pub async fn stop(self) {
+        let RunningReplica { handle, writer, .. } = self;
+        handle.0.kill();
+        handle.0.wait_for_shutdown().await;
+        drop(handle);
+        // The thread ends once the actor and with it the channel is gone.
+        let joined = tokio::task::spawn_blocking(move || writer.join()).await;
+        if !matches!(joined, Ok(Ok(()))) {
+            log::error!("event=writer_thread_failed");
+        }
+    }
+}
+
+/// Opens the data folder and starts the replica on it.
+///
+/// # Errors
+/// Fails when the folder can't be opened or formatted.
+pub fn start(
+    settings: &ControlSettings,
+    parts: ReplicaParts,
+) -> Result<RunningReplica, ControlError> {
+    let (storage, restored) = folder::open(settings)?;
+    let nodes = settings.peers.iter().map(|peer| peer.id).collect();
+    let mut config = ReplicaConfig::new(storage.id(), settings.common.zone.clone(), nodes);
+    config.target_voters = settings.initial_voters.len();
+    let replica = Replica::new(config, restored, rand::random());
+    let (published, published_view) = watch::channel(Arc::default());
+    let (status, status_view) = watch::channel(replica.status());
+    let (confirmed_at, confirmed_view) = watch::channel(None);
+    let (writes, pending_writes) = mpsc::channel();
+    let (failed, failure) = oneshot::channel();
+    let actor = ReplicaActor::new(ActorParts {
+        replica,
+        machine: Machine::new(published),
+        writes,
+        peers: parts.peers,
+        status,
+        metrics: parts.metrics,
+        failure: failed,
+    });
+    let actor = ReplicaActor::spawn_with_mailbox(actor, mailbox::bounded(MAILBOX_CAPACITY));
+    let for_writer = actor.clone();
+    let writer = std::thread::Builder::new()
+        .name("storage".to_owned())
+        .spawn(move || write_for_ever(storage, pending_writes, for_writer))
+        .map_err(ControlError::Thread)?;
+    tokio::spawn(keep_ticking(actor.clone()));
+    let handle = ReplicaHandle(actor);
+    tokio::spawn(keep_confirmed(handle.clone(), confirmed_at));
+    let retention = settings.limits.claim_retention_seconds;
+    tokio::spawn(keep_horizon(handle.clone(), status_view.clone(), retention));
+    let view = ReplicaView {
+        published: published_view,
+        confirmed_at: confirmed_view,
+        status: status_view,
+    };
+    Ok(RunningReplica { handle, view, failure, writer })
+}
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -6,15 +6,16 @@
 
 use juniper_protocol::{ClusterKey, PeerIdentity, PeerRole};
 use juniper_settings::ControlSettings;
-use kameo::actor::{ActorRef, Spawn};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::oneshot;
 
 use crate::error::ControlError;
+use crate::forward::Group;
 use crate::internal::InternalFace;
 use crate::metrics::Metrics;
 use crate::operator::{OperatorFace, routes};
-use crate::replica::{ReplicaActor, ReplicaView, keep_confirmed};
+use crate::peers::PeerLinks;
+use crate::replica::{self, ReplicaFailure, ReplicaParts, RunningReplica};
 use crate::reports::NodeReports;
 
 /// The two sockets that a daemon listens on.
@@ -40,7 +41,7 @@
 
 /// A started daemon.
 pub struct ControlDaemon {
-    replica: ActorRef<ReplicaActor>,
+    replica: RunningReplica,
     internal: Arc<InternalFace>,
     operator: axum::Router,
     listeners: Listeners,
@@ -57,39 +58,48 @@
         };
         let metrics = Arc::new(Metrics::new()?);
         let reports = Arc::new(NodeReports::default());
-        let (published, published_view) = watch::channel(Arc::default());
-        let (confirmed_at, confirmed_view) = watch::channel(None);
-        let view = ReplicaView { published: published_view, confirmed_at: confirmed_view };
-        let replica = ReplicaActor::spawn(ReplicaActor::new(published));
-        tokio::spawn(keep_confirmed(replica.clone(), confirmed_at));
+        let peers = Arc::new(PeerLinks::new(&settings.peers, &key, &own));
+        let parts = ReplicaParts { peers: Arc::clone(&peers), metrics: Arc::clone(&metrics) };
+        let replica = replica::start(settings, parts)?;
+        let (handle, view) = (replica.handle.clone(), replica.view.clone());
         let operator = routes(OperatorFace {
-            replica: replica.clone(),
+            group: Group::new(handle.clone(), Arc::clone(&peers)),
+            peers,
             view: view.clone(),
             reports: Arc::clone(&reports),
             metrics: Arc::clone(&metrics),
             operator_keys: settings.common.operator_keys.clone(),
         });
         let shared = (reports, metrics);
-        let internal = InternalFace::new(own, key, replica.clone(), view, shared, &settings.limits);
+        let internal = InternalFace::new(own, key, handle, view, shared, &settings.limits);
         Ok(ControlDaemon { replica, internal: Arc::new(internal), operator, listeners })
     }
 
     /// Serves until `stop` completes.
     pub async fn serve(self, stop: impl Future<Output = ()> + Send) -> Result<(), ControlError> {
-        let ControlDaemon { replica, internal, operator, listeners } = self;
+        let ControlDaemon { mut replica, internal, operator, listeners } = self;
         let internal = tokio::spawn(internal.serve(listeners.internal));
         let operator = axum::serve(listeners.operator, operator).into_future();
         let ended = tokio::select! {
             served = operator => served.map_err(ControlError::Serve),
+            failure = failed(&mut replica.failure) => Err(ControlError::Replica(failure)),
             () = stop => Ok(()),
         };
         internal.abort();
-        replica.kill();
-        replica.wait_for_shutdown().await;
+        replica.stop().await;
         ended
     }
 }
 
+/// Completes when the replica has ended by itself. A replica that is stopped
+/// tells nothing.
+async fn failed(failure: &mut oneshot::Receiver<ReplicaFailure>) -> ReplicaFailure {
+    match failure.await {
+        Ok(failure) => failure,
+        Err(_) => std::future::pending().await,
+    }
+}
+
 /// Runs a control daemon until `stop` completes.
 pub async fn run(
     settings: ControlSettings,
