Control: status and gathered node reports; three replicas as processes, killed and frozen

Cause: no test ran several replicas, and an operator saw only the nodes that had subscribed to the replica asked. Change: /v1/status; /v1/nodes gathers the reports of all replicas and names those that gave none; a drain or rollback that leaves out its base revision gets the first answer when resent. tests/control_fleet.rs runs three processes: kill -9 of the leader and of everyone, SIGSTOP and SIGCONT of the leader under load, two writers at one revision, a lost disk and then a second machine. Conclusion: accepted changes survive, a frozen leader confirms nothing stale.

--- a/crates/control/src/operator/mod.rs
+++ b/crates/control/src/operator/mod.rs
@@ -2,8 +2,10 @@
 
 mod access;
 mod error;
+mod nodes;
 mod settings;
 mod status;
+mod writes;
 
 use std::sync::Arc;
 
@@ -45,12 +47,13 @@
         .route("/v1/settings", get(settings::tree))
         .route("/v1/settings/node", get(settings::node))
         .route("/v1/settings/effective", get(settings::effective))
-        .route("/v1/settings/changes", post(settings::change))
-        .route("/v1/settings/rollbacks", post(settings::rollback))
+        .route("/v1/settings/changes", post(writes::change))
+        .route("/v1/settings/rollbacks", post(writes::rollback))
         .route("/v1/settings/history", get(settings::history))
         .route("/v1/settings/diff", get(settings::diff))
-        .route("/v1/back-ends/{id}/drain", post(settings::drain))
-        .route("/v1/nodes", get(status::nodes))
+        .route("/v1/back-ends/{id}/drain", post(writes::drain))
+        .route("/v1/nodes", get(nodes::nodes))
+        .route("/v1/status", get(status::status))
         .layer(axum::middleware::from_fn_with_state(Arc::clone(&face), access::require_key));
     Router::new()
         .route("/healthz", get(status::healthz))
--- a/crates/control/src/operator/settings.rs
+++ b/crates/control/src/operator/settings.rs
@@ -1,36 +1,25 @@
-//! Reading and writing the settings tree.
+//! Reading the settings tree and its history.
 
 use std::sync::Arc;
 
 use axum::Json;
-use axum::extract::rejection::{JsonRejection, QueryRejection};
-use axum::extract::{Path, Query as UrlQuery, State};
-use juniper_control_state::command::MAX_AUTHOR_BYTES;
-use juniper_control_state::{
-    Answer, Command, ControlState, HistoryEntry, MAX_COMMAND_BYTES, WriteAnswer, WriteHeader,
-    to_bytes,
-};
-use juniper_protocol::Refusal;
-use juniper_settings::{
-    ChangeSet, Edit, EffectiveSettings, NodeChange, SettingsNode, SettingsPath, SettingsTree,
-};
-use juniper_types::{ChangeId, EngineId, Revision};
+use axum::extract::rejection::QueryRejection;
+use axum::extract::{Query as UrlQuery, State};
+use juniper_control_state::{ControlState, HistoryEntry};
+use juniper_settings::{EffectiveSettings, NodeChange, SettingsNode, SettingsPath, SettingsTree};
+use juniper_types::{ChangeId, Revision};
 use serde::{Deserialize, Serialize};
 
 use super::OperatorFace;
 use super::error::OperatorError;
-use crate::clock::unix_millis;
-
-/// Author of a write that names none.
-const DEFAULT_AUTHOR: &str = "operator";
 
 /// Changes listed where the caller names no limit.
 const DEFAULT_HISTORY: usize = 50;
 
-type Face = State<Arc<OperatorFace>>;
+pub(super) type Face = State<Arc<OperatorFace>>;
 
 /// Reads the state, confirmed by a quorum unless the caller takes a stale one.
-async fn read<R: Send + 'static>(
+pub(super) async fn read<R: Send + 'static>(
     face: &OperatorFace,
     stale: bool,
     read: impl Fn(&ControlState) -> R + Clone + Send + 'static,
@@ -121,134 +110,6 @@
     Ok(Json(body.await?))
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(super) struct ChangeBody {
-    base_revision: Revision,
-    change_id: ChangeId,
-    #[serde(default)]
-    author: Option<String>,
-    edits: ChangeSet,
-}
-
-#[derive(Serialize)]
-pub(super) struct AcceptedBody {
-    revision: Revision,
-}
-
-/// `POST /v1/settings/changes`
-pub(super) async fn change(
-    State(face): Face,
-    body: Result<Json<ChangeBody>, JsonRejection>,
-) -> Result<Json<AcceptedBody>, OperatorError> {
-    let Json(body) = body?;
-    let header = header(body.base_revision, body.change_id, body.author)?;
-    write(&face, Command::ChangeSettings { header, change: body.edits }).await
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(super) struct RollbackBody {
-    base_revision: Revision,
-    change_id: ChangeId,
-    #[serde(default)]
-    author: Option<String>,
-    to: Revision,
-}
-
-/// `POST /v1/settings/rollbacks`
-pub(super) async fn rollback(
-    State(face): Face,
-    body: Result<Json<RollbackBody>, JsonRejection>,
-) -> Result<Json<AcceptedBody>, OperatorError> {
-    let Json(body) = body?;
-    let header = header(body.base_revision, body.change_id, body.author)?;
-    write(&face, Command::Rollback { header, to: body.to }).await
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(super) struct DrainBody {
-    change_id: ChangeId,
-    #[serde(default)]
-    author: Option<String>,
-    /// False takes the back end into service again.
-    #[serde(default = "default_leaving")]
-    leaving: bool,
-}
-
-fn default_leaving() -> bool {
-    true
-}
-
-/// `POST /v1/back-ends/{id}/drain`: a settings change upon the current revision.
-/// A write that comes in between makes it a conflict, like any other change.
-pub(super) async fn drain(
-    State(face): Face,
-    Path(id): Path<u32>,
-    body: Result<Json<DrainBody>, JsonRejection>,
-) -> Result<Json<AcceptedBody>, OperatorError> {
-    let Json(body) = body?;
-    let id = EngineId(id);
-    let leaving = body.leaving;
-    let (revision, edit) = read(&face, false, move |state| {
-        let settings = state.settings();
-        (settings.revision(), drain_edit(settings.tree(), id, leaving))
-    })
-    .await?;
-    let change = ChangeSet { edits: vec![edit.ok_or(OperatorError::NoBackEnd(id))?] };
-    let header = header(revision, body.change_id, body.author)?;
-    write(&face, Command::ChangeSettings { header, change }).await
-}
-
-fn drain_edit(tree: &juniper_settings::ValidatedTree, id: EngineId, leaving: bool) -> Option<Edit> {
-    let path = tree.back_end(id)?.clone();
-    let mut node = tree.tree().node(&path)?.clone();
-    let back_end = node.back_ends.iter_mut().find(|back_end| back_end.id == id)?;
-    back_end.leaving = leaving;
-    Some(Edit::Put { path, node: Box::new(node) })
-}
-
-fn header(
-    base: Revision,
-    change_id: ChangeId,
-    author: Option<String>,
-) -> Result<WriteHeader, OperatorError> {
-    let author = author.unwrap_or_else(|| DEFAULT_AUTHOR.to_owned());
-    if author.len() > MAX_AUTHOR_BYTES {
-        return Err(OperatorError::AuthorTooLong { limit: MAX_AUTHOR_BYTES });
-    }
-    Ok(WriteHeader { base, change_id, author, at_ms: unix_millis() })
-}
-
-async fn write(face: &OperatorFace, command: Command) -> Result<Json<AcceptedBody>, OperatorError> {
-    let bytes = to_bytes(&command).len();
-    if bytes > MAX_COMMAND_BYTES {
-        return Err(OperatorError::TooLarge { bytes, limit: MAX_COMMAND_BYTES });
-    }
-    match face.group.write(&command).await? {
-        Answer::Write(answer) => accepted(answer),
-        _ => Err(OperatorError::Refused(Refusal::Unknown)),
-    }
-}
-
-fn accepted(answer: WriteAnswer) -> Result<Json<AcceptedBody>, OperatorError> {
-    Err(match answer {
-        WriteAnswer::Accepted { revision } => return Ok(Json(AcceptedBody { revision })),
-        WriteAnswer::Conflict { current, .. } => OperatorError::Conflict { current, answer },
-        WriteAnswer::Invalid { ref faults } => {
-            OperatorError::Invalid { count: faults.len(), answer }
-        }
-        WriteAnswer::ChangeIdReused { revision } => OperatorError::ChangeIdReused { revision },
-        WriteAnswer::RateLimited { retry_after_ms } => {
-            OperatorError::RateLimited { retry_after_ms }
-        }
-        WriteAnswer::RevisionUnavailable { oldest, current } => {
-            OperatorError::RevisionUnavailable { oldest, current }
-        }
-    })
-}
-
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct HistoryQuery {
--- a/crates/control/src/operator/status.rs
+++ b/crates/control/src/operator/status.rs
@@ -1,22 +1,19 @@
-//! Health, metrics and the status of every node.
-
-use std::sync::Arc;
+//! Health, metrics and the state of this replica.
 
 use axum::Json;
 use axum::extract::State;
 use axum::http::StatusCode;
-use juniper_protocol::message::Member;
+use juniper_consensus::{Member, MemberRole, Role, Status};
 use juniper_types::{NodeId, Revision, ZoneName};
 use serde::Serialize;
 
 use super::OperatorFace;
 use super::error::OperatorError;
+use super::settings::Face;
 use crate::metrics::to_gauge;
 
 /// A replica that no quorum has confirmed for this long is not ready, in milliseconds.
-const READY_WITHIN_MS: u128 = 5_000;
-
-type Face = State<Arc<OperatorFace>>;
+const READY_WITHIN_MS: u64 = 5_000;
 
 /// `GET /healthz`: the process answers.
 pub(super) async fn healthz() -> StatusCode {
@@ -32,15 +29,17 @@
 
 /// `GET /readyz`: a quorum has confirmed this replica lately.
 pub(super) async fn readyz(State(face): Face) -> (StatusCode, Json<ReadyBody>) {
-    let confirmed = face.view.confirmed_at.borrow().map(|at| at.elapsed().as_millis());
-    let ready = confirmed.is_some_and(|millis| millis < READY_WITHIN_MS);
-    let body = ReadyBody {
-        ready,
-        revision: face.view.published.borrow().revision,
-        confirmed_ms: confirmed.map(|millis| u64::try_from(millis).unwrap_or(u64::MAX)),
-    };
+    let confirmed_ms = confirmed_ms(&face);
+    let ready = confirmed_ms.is_some_and(|millis| millis < READY_WITHIN_MS);
+    let revision = face.view.published.borrow().revision;
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    (status, Json(body))
+    (status, Json(ReadyBody { ready, revision, confirmed_ms }))
+}
+
+/// Milliseconds since a quorum last confirmed that this replica was current.
+fn confirmed_ms(face: &OperatorFace) -> Option<u64> {
+    let elapsed = (*face.view.confirmed_at.borrow())?.elapsed();
+    Some(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
 }
 
 /// `GET /metrics`
@@ -50,34 +49,69 @@
 }
 
 #[derive(Serialize)]
-pub(super) struct NodesBody {
-    /// The latest committed revision on the replica that answers.
+pub(super) struct StatusBody {
+    node: NodeId,
+    disk: String,
+    role: &'static str,
+    cluster: String,
+    term: u64,
+    leader: Option<NodeId>,
+    commit_index: u64,
+    applied_index: u64,
+    last_index: u64,
+    snapshot_index: u64,
     revision: Revision,
-    nodes: Vec<NodeItem>,
+    confirmed_ms: Option<u64>,
+    members: Vec<MemberItem>,
 }
 
 #[derive(Serialize)]
-struct NodeItem {
+struct MemberItem {
     node: NodeId,
+    disk: String,
     zone: ZoneName,
-    in_force: Revision,
-    silent_ms: u64,
+    role: &'static str,
 }
 
-impl From<Member> for NodeItem {
-    fn from(member: Member) -> Self {
-        NodeItem {
-            node: member.node,
-            zone: member.zone,
-            in_force: member.in_force,
-            silent_ms: member.silent_ms,
-        }
+impl From<&Member> for MemberItem {
+    fn from(member: &Member) -> Self {
+        let role = match member.role {
+            MemberRole::Voter => "voter",
+            MemberRole::Learner => "learner",
+        };
+        let disk = member.id.disk.to_string();
+        MemberItem { node: member.id.node, disk, zone: member.zone.clone(), role }
     }
 }
 
-/// `GET /v1/nodes`
-pub(super) async fn nodes(State(face): Face) -> Json<NodesBody> {
-    let revision = face.view.published.borrow().revision;
-    let nodes = face.reports.members().into_iter().map(NodeItem::from).collect();
-    Json(NodesBody { revision, nodes })
+/// `GET /v1/status`
+pub(super) async fn status(State(face): Face) -> Json<StatusBody> {
+    let status = face.view.status.borrow().clone();
+    Json(StatusBody {
+        node: status.id.node,
+        disk: status.id.disk.to_string(),
+        role: role_name(&status),
+        cluster: status.epoch.to_string(),
+        term: status.term,
+        leader: status.leader_node(),
+        commit_index: status.commit,
+        applied_index: status.applied,
+        last_index: status.last.index,
+        snapshot_index: status.snapshot.index,
+        revision: face.view.published.borrow().revision,
+        confirmed_ms: confirmed_ms(&face),
+        members: status.membership.members.iter().map(MemberItem::from).collect(),
+    })
+}
+
+fn role_name(status: &Status) -> &'static str {
+    match status.role {
+        Role::Leader => "leader",
+        Role::Candidate => "candidate",
+        Role::PreCandidate => "pre-candidate",
+        Role::Stopped => "stopped",
+        Role::Follower if status.membership.is_voter(status.id) => "follower",
+        Role::Follower if status.membership.contains(status.id) => "learner",
+        Role::Follower => "joining",
+    }
 }
--- /dev/null
+++ b/crates/control/src/operator/writes.rs
@@ -0,0 +1,194 @@
+//! Writing the settings tree.
+//!
+//! A change names the revision it builds on. A drain and a rollback may leave it
+//! out: they then build on the revision in force when they arrive. Their resent
+//! form would build on a later one, so the log reports the change id as used;
+//! it gets the first answer if the recorded change did what is asked again.
+
+use axum::Json;
+use axum::extract::rejection::JsonRejection;
+use axum::extract::{Path, State};
+use juniper_control_state::command::MAX_AUTHOR_BYTES;
+use juniper_control_state::{
+    Answer, Command, HistoryEntry, MAX_COMMAND_BYTES, WriteAnswer, WriteHeader, to_bytes,
+};
+use juniper_protocol::Refusal;
+use juniper_settings::{ChangeSet, Edit, ValidatedTree};
+use juniper_types::{ChangeId, EngineId, Revision};
+use serde::{Deserialize, Serialize};
+
+use super::OperatorFace;
+use super::error::OperatorError;
+use super::settings::{Face, read};
+use crate::clock::unix_millis;
+
+/// Author of a write that names none.
+const DEFAULT_AUTHOR: &str = "operator";
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct ChangeBody {
+    base_revision: Revision,
+    change_id: ChangeId,
+    #[serde(default)]
+    author: Option<String>,
+    edits: ChangeSet,
+}
+
+#[derive(Serialize)]
+pub(super) struct AcceptedBody {
+    revision: Revision,
+}
+
+type Accepted = Result<Json<AcceptedBody>, OperatorError>;
+
+/// `POST /v1/settings/changes`
+pub(super) async fn change(
+    State(face): Face,
+    body: Result<Json<ChangeBody>, JsonRejection>,
+) -> Accepted {
+    let Json(body) = body?;
+    let header = header(body.base_revision, body.change_id, body.author)?;
+    write(&face, Command::ChangeSettings { header, change: body.edits }).await
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RollbackBody {
+    #[serde(default)]
+    base_revision: Option<Revision>,
+    change_id: ChangeId,
+    #[serde(default)]
+    author: Option<String>,
+    to: Revision,
+}
+
+/// `POST /v1/settings/rollbacks`
+pub(super) async fn rollback(
+    State(face): Face,
+    body: Result<Json<RollbackBody>, JsonRejection>,
+) -> Accepted {
+    let Json(body) = body?;
+    let to = body.to;
+    if let Some(base) = body.base_revision {
+        let header = header(base, body.change_id, body.author)?;
+        return write(&face, Command::Rollback { header, to }).await;
+    }
+    let base = read(&face, false, |state| state.settings().revision()).await?;
+    let header = header(base, body.change_id, body.author)?;
+    let written = write(&face, Command::Rollback { header, to }).await;
+    first_answer(&face, written, move |entry| entry.rolled_back_to == Some(to)).await
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct DrainBody {
+    change_id: ChangeId,
+    #[serde(default)]
+    author: Option<String>,
+    /// False takes the back end into service again.
+    #[serde(default = "default_leaving")]
+    leaving: bool,
+}
+
+fn default_leaving() -> bool {
+    true
+}
+
+/// `POST /v1/back-ends/{id}/drain`: a settings change upon the current revision.
+/// A write that comes in between makes it a conflict, like any other change.
+pub(super) async fn drain(
+    State(face): Face,
+    Path(id): Path<u32>,
+    body: Result<Json<DrainBody>, JsonRejection>,
+) -> Accepted {
+    let Json(body) = body?;
+    let id = EngineId(id);
+    let leaving = body.leaving;
+    let (revision, edit) = read(&face, false, move |state| {
+        let settings = state.settings();
+        (settings.revision(), drain_edit(settings.tree(), id, leaving))
+    })
+    .await?;
+    let change = ChangeSet { edits: vec![edit.ok_or(OperatorError::NoBackEnd(id))?] };
+    let header = header(revision, body.change_id, body.author)?;
+    let written = write(&face, Command::ChangeSettings { header, change }).await;
+    first_answer(&face, written, move |entry| has_drained(entry, id, leaving)).await
+}
+
+fn drain_edit(tree: &ValidatedTree, id: EngineId, leaving: bool) -> Option<Edit> {
+    let path = tree.back_end(id)?.clone();
+    let mut node = tree.tree().node(&path)?.clone();
+    let back_end = node.back_ends.iter_mut().find(|back_end| back_end.id == id)?;
+    back_end.leaving = leaving;
+    Some(Edit::Put { path, node: Box::new(node) })
+}
+
+/// Whether a change left the back end as asked. One that found it so already
+/// recorded no change of any node.
+fn has_drained(entry: &HistoryEntry, id: EngineId, leaving: bool) -> bool {
+    let after = entry.changes.iter().filter_map(|change| change.after.as_ref());
+    let mut changed = after.flat_map(|node| &node.back_ends).filter(|back_end| back_end.id == id);
+    let was_so_already = entry.changes.is_empty() && entry.rolled_back_to.is_none();
+    was_so_already || changed.any(|back_end| back_end.leaving == leaving)
+}
+
+/// Turns a used change id into the first answer if `is_same` holds for the
+/// change that it was used for.
+async fn first_answer(
+    face: &OperatorFace,
+    written: Accepted,
+    is_same: impl Fn(&HistoryEntry) -> bool + Clone + Send + 'static,
+) -> Accepted {
+    let Err(OperatorError::ChangeIdReused { revision }) = written else {
+        return written;
+    };
+    let same = read(face, false, move |state| {
+        let mut entries = state.settings().history().entries();
+        entries.any(|entry| entry.revision == revision && is_same(entry))
+    });
+    if same.await? {
+        return Ok(Json(AcceptedBody { revision }));
+    }
+    Err(OperatorError::ChangeIdReused { revision })
+}
+
+fn header(
+    base: Revision,
+    change_id: ChangeId,
+    author: Option<String>,
+) -> Result<WriteHeader, OperatorError> {
+    let author = author.unwrap_or_else(|| DEFAULT_AUTHOR.to_owned());
+    if author.len() > MAX_AUTHOR_BYTES {
+        return Err(OperatorError::AuthorTooLong { limit: MAX_AUTHOR_BYTES });
+    }
+    Ok(WriteHeader { base, change_id, author, at_ms: unix_millis() })
+}
+
+async fn write(face: &OperatorFace, command: Command) -> Accepted {
+    let bytes = to_bytes(&command).len();
+    if bytes > MAX_COMMAND_BYTES {
+        return Err(OperatorError::TooLarge { bytes, limit: MAX_COMMAND_BYTES });
+    }
+    match face.group.write(&command).await? {
+        Answer::Write(answer) => accepted(answer),
+        _ => Err(OperatorError::Refused(Refusal::Unknown)),
+    }
+}
+
+fn accepted(answer: WriteAnswer) -> Accepted {
+    Err(match answer {
+        WriteAnswer::Accepted { revision } => return Ok(Json(AcceptedBody { revision })),
+        WriteAnswer::Conflict { current, .. } => OperatorError::Conflict { current, answer },
+        WriteAnswer::Invalid { ref faults } => {
+            OperatorError::Invalid { count: faults.len(), answer }
+        }
+        WriteAnswer::ChangeIdReused { revision } => OperatorError::ChangeIdReused { revision },
+        WriteAnswer::RateLimited { retry_after_ms } => {
+            OperatorError::RateLimited { retry_after_ms }
+        }
+        WriteAnswer::RevisionUnavailable { oldest, current } => {
+            OperatorError::RevisionUnavailable { oldest, current }
+        }
+    })
+}
--- /dev/null
+++ b/tests/control_fleet.rs
@@ -0,0 +1,144 @@
+//! Three control replicas as processes: accepted changes survive crashes, frozen
+//! leaders and lost disks.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use fleet::{Fleet, put_zone};
+use serde_json::Value;
+
+/// Writes `count` changes through the replicas in turn and returns them.
+async fn write_changes(fleet: &Fleet, through: &[usize], first: u64, count: u64) -> Vec<Value> {
+    let mut changes = Vec::new();
+    for number in first..first + count {
+        let change = put_zone("hartford", number % 9, number - 1, &format!("change-{number}"));
+        let at = through[number as usize % through.len()];
+        let (status, body) = fleet.write(at, &change).await;
+        assert_eq!((status, body["revision"].as_u64()), (200, Some(number)), "{body}");
+        changes.push(change);
+    }
+    changes
+}
+
+/// Sends every change again: each gets its first answer.
+async fn resend(fleet: &Fleet, at: usize, changes: &[Value]) {
+    for (change, revision) in changes.iter().zip(1..) {
+        let (status, body) = fleet.write(at, change).await;
+        assert_eq!((status, body["revision"].as_u64()), (200, Some(revision)), "{body}");
+    }
+}
+
+#[tokio::test]
+async fn accepted_changes_survive_the_death_of_the_leader_and_of_everyone() {
+    let mut fleet = Fleet::start(3).await;
+    let mut changes = write_changes(&fleet, &[0, 1, 2], 1, 6).await;
+    let leader = fleet.leader().await;
+    let others = fleet.others(leader);
+    fleet.replicas[leader].kill();
+    changes.extend(write_changes(&fleet, &others, 7, 6).await);
+    resend(&fleet, others[0], &changes).await;
+
+    fleet.replicas[leader].start();
+    assert_eq!(fleet.confirmed_revision(leader).await, 12);
+
+    fleet.replicas.iter_mut().for_each(|replica| replica.kill());
+    fleet.replicas.iter_mut().for_each(|replica| replica.start());
+    for at in 0..3 {
+        assert_eq!(fleet.confirmed_revision(at).await, 12);
+    }
+    resend(&fleet, 0, &changes).await;
+    let (status, history) = fleet.get(1, "/v1/settings/history").await.expect("a history");
+    assert_eq!((status, history["changes"].as_array().map(Vec::len)), (200, Some(12)));
+}
+
+/// Writes one change after another until told to stop.
+async fn load(fleet: &Fleet, through: &[usize], accepted: &AtomicU64, stop: &AtomicBool) {
+    while !stop.load(Ordering::SeqCst) {
+        let next = accepted.load(Ordering::SeqCst) + 1;
+        write_changes(fleet, through, next, 1).await;
+        accepted.store(next, Ordering::SeqCst);
+    }
+}
+
+/// Reads through the replica that was frozen while the load goes on.
+async fn read_after_freeze(fleet: &Fleet, frozen: usize, accepted: &AtomicU64) {
+    for _ in 0..40 {
+        let known = accepted.load(Ordering::SeqCst);
+        if let Some((200, tree)) = fleet.get(frozen, "/v1/settings").await {
+            let read = tree["revision"].as_u64().expect("a revision");
+            assert!(read >= known, "read {read} after {known} was accepted");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_frozen_leader_neither_accepts_nor_confirms_anything_stale() {
+    let fleet = Fleet::start(3).await;
+    write_changes(&fleet, &[0, 1, 2], 1, 3).await;
+    let frozen = fleet.leader().await;
+    let others = fleet.others(frozen);
+    let (accepted, stop) = (AtomicU64::new(3), AtomicBool::new(false));
+    let observe = async {
+        fleet.replicas[frozen].freeze();
+        fleet::eventually("writes go on without the frozen leader", async || {
+            (accepted.load(Ordering::SeqCst) >= 12).then_some(())
+        })
+        .await;
+        // A write upon what the frozen replica believes to be the latest revision,
+        // sent before the replica can learn anything.
+        let stale = put_zone("portland", 1, 3, "stale");
+        let (stale, ()) = tokio::join!(fleet.post(frozen, "/v1/settings/changes", &stale), async {
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            fleet.replicas[frozen].resume();
+            read_after_freeze(&fleet, frozen, &accepted).await;
+        });
+        if let Some((status, body)) = stale {
+            assert_ne!(status, 200, "a stale write was accepted: {body}");
+        }
+        stop.store(true, Ordering::SeqCst);
+    };
+    tokio::join!(load(&fleet, &others, &accepted, &stop), observe);
+    let last = accepted.load(Ordering::SeqCst);
+    assert_eq!(fleet.confirmed_revision(frozen).await, last);
+}
+
+#[tokio::test]
+async fn of_two_writers_at_the_same_revision_exactly_one_wins() {
+    let fleet = Fleet::start(3).await;
+    for round in 0..15 {
+        let first = put_zone("hartford", round % 9, round, &format!("first-{round}"));
+        let second = put_zone("portland", round % 9, round, &format!("second-{round}"));
+        let (at, other) = (round as usize % 3, (round as usize + 1) % 3);
+        let (first, second) = tokio::join!(fleet.write(at, &first), fleet.write(other, &second));
+        let (winner, loser) = if first.0 == 200 { (first, second) } else { (second, first) };
+        assert_eq!((winner.0, winner.1["revision"].as_u64()), (200, Some(round + 1)));
+        let detail = &loser.1["error"]["detail"];
+        assert_eq!((loser.0, detail["current"].as_u64()), (409, Some(round + 1)), "{loser:?}");
+        assert_eq!(detail["diff"].as_array().map(Vec::len), Some(1));
+    }
+}
+
+#[tokio::test]
+async fn a_replica_that_lost_its_disk_returns_as_a_new_one_and_votes() {
+    let mut fleet = Fleet::start(3).await;
+    let changes = write_changes(&fleet, &[0, 1, 2], 1, 5).await;
+    let leader = fleet.leader().await;
+    let lost = fleet.others(leader)[0];
+    let disk = fleet.get(lost, "/v1/status").await.expect("a status").1["disk"].clone();
+    fleet.replicas[lost].kill();
+    fleet.replicas[lost].lose_disk();
+    fleet.replicas[lost].start();
+    fleet::eventually("the new disk votes", async || {
+        let (_, status) = fleet.get(lost, "/v1/status").await?;
+        (status["role"] == "follower" && status["disk"] != disk).then_some(())
+    })
+    .await;
+    fleet.all_vote().await;
+    // Now a second machine: the repaired one and the third are a quorum.
+    let other = fleet.others(lost).into_iter().find(|at| *at != leader).expect("a third");
+    fleet.replicas[other].kill();
+    resend(&fleet, lost, &changes).await;
+    assert_eq!(fleet.confirmed_revision(lost).await, 5);
+}
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,255 @@
+//! Control replicas as processes, which tests kill, freeze and start again.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+const OPERATOR_KEY: &str = "operator-secret-for-tests";
+
+/// Longest wait for anything that should happen soon; a test never asserts how soon.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Longest wait for one answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+
+pub struct Replica {
+    pub node: u64,
+    pub operator: SocketAddr,
+    internal: SocketAddr,
+    folder: PathBuf,
+    process: Option<Child>,
+}
+
+impl Replica {
+    fn file(&self) -> PathBuf {
+        self.folder.join("node.toml")
+    }
+
+    pub fn start(&mut self) {
+        let mut options = std::fs::File::options();
+        let log =
+            options.create(true).append(true).open(self.folder.join("log")).expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_juniperhollow"))
+            .args(["control", "--settings"])
+            .arg(self.file())
+            .stderr(log)
+            .spawn()
+            .expect("the daemon starts");
+        self.process = Some(child);
+    }
+
+    /// Kills the process at once, as a crash would.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.process.take() {
+            child.kill().expect("the process is killed");
+            child.wait().expect("the process is gone");
+        }
+    }
+
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.process.as_ref().expect("the replica runs").id().to_string();
+        let status = Command::new("kill").args([name, &id]).status().expect("kill runs");
+        assert!(status.success(), "kill {name} {id}");
+    }
+
+    /// Takes the disk away: the folder is blank again.
+    pub fn lose_disk(&self) {
+        std::fs::remove_dir_all(self.folder.join("data")).expect("the data folder is removed");
+    }
+}
+
+impl Drop for Replica {
+    fn drop(&mut self) {
+        self.kill();
+        if std::thread::panicking() {
+            let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            let latest = &lines[lines.len().saturating_sub(40)..];
+            eprintln!("--- node {} ---\n{}", self.node, latest.join("\n"));
+        }
+    }
+}
+
+pub struct Fleet {
+    pub replicas: Vec<Replica>,
+    http: reqwest::Client,
+    _folder: tempfile::TempDir,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound address")
+}
+
+fn key_hash() -> String {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_juniperhollow"))
+        .args(["key", "hash"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the binary runs");
+    let mut input = child.stdin.take().expect("a pipe");
+    std::io::Write::write_all(&mut input, OPERATOR_KEY.as_bytes()).expect("the key is written");
+    drop(input);
+    let output = child.wait_with_output().expect("the binary ends");
+    String::from_utf8(output.stdout).expect("text").trim().to_owned()
+}
+
+fn write_file(replica: &Replica, all: &[(u64, SocketAddr)], hash: &str) {
+    let voters: Vec<u64> = all.iter().map(|(node, _)| *node).collect();
+    let mut text = format!(
+        "node = {}\nzone = \"zone-{}\"\ndata_folder = \"{}\"\n\
+         cluster_key = \"a-shared-cluster-key\"\noperator_key_hashes = [\"{hash}\"]\n\
+         [control]\ninternal = \"{}\"\noperator = \"{}\"\ninitial_voters = {voters:?}\n",
+        replica.node,
+        replica.node,
+        replica.folder.join("data").display(),
+        replica.internal,
+        replica.operator,
+    );
+    for (node, address) in all.iter().filter(|(node, _)| *node != replica.node) {
+        let peer = format!("id = {node}\nzone = \"zone-{node}\"\naddress = \"{address}\"\n");
+        text += &format!("[[control.peers]]\n{peer}");
+    }
+    std::fs::write(replica.file(), text).expect("the file is written");
+}
+
+impl Fleet {
+    /// Starts a cluster and waits until every replica votes.
+    pub async fn start(count: u64) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let make = |node: u64| {
+            let own = folder.path().join(format!("node-{node}"));
+            std::fs::create_dir(&own).expect("a folder");
+            let (operator, internal) = (free_address(), free_address());
+            Replica { node, operator, internal, folder: own, process: None }
+        };
+        let mut replicas: Vec<Replica> = (1..=count).map(make).collect();
+        let all: Vec<_> = replicas.iter().map(|replica| (replica.node, replica.internal)).collect();
+        let hash = key_hash();
+        replicas.iter().for_each(|replica| write_file(replica, &all, &hash));
+        found(&replicas[0].file());
+        replicas.iter_mut().for_each(Replica::start);
+        let http = reqwest::Client::builder().no_proxy().timeout(CALL_TIMEOUT);
+        let http = http.build().expect("a client");
+        let fleet = Fleet { replicas, http, _folder: folder };
+        fleet.all_vote().await;
+        fleet
+    }
+
+    /// Waits until the leader counts every replica as a voter.
+    pub async fn all_vote(&self) {
+        let wanted = self.replicas.len();
+        eventually("every replica votes", async || {
+            let leader = self.leader_now().await?;
+            let (_, status) = self.get(leader, "/v1/status").await?;
+            let members = status["members"].as_array()?.clone();
+            let voters = members.iter().filter(|member| member["role"] == "voter").count();
+            (voters == wanted && members.len() == wanted).then_some(())
+        })
+        .await;
+    }
+
+    async fn leader_now(&self) -> Option<usize> {
+        for at in 0..self.replicas.len() {
+            let status = self.get(at, "/v1/status").await;
+            if status.is_some_and(|(_, status)| status["role"] == "leader") {
+                return Some(at);
+            }
+        }
+        None
+    }
+
+    /// Position of the replica that leads.
+    pub async fn leader(&self) -> usize {
+        eventually("a replica leads", async || self.leader_now().await).await
+    }
+
+    /// Positions of the others.
+    pub fn others(&self, than: usize) -> Vec<usize> {
+        (0..self.replicas.len()).filter(|at| *at != than).collect()
+    }
+
+    pub async fn get(&self, at: usize, path: &str) -> Option<(u16, Value)> {
+        self.replicas[at].process.as_ref()?;
+        let url = format!("http://{}{path}", self.replicas[at].operator);
+        let response = self.http.get(url).bearer_auth(OPERATOR_KEY).send().await.ok()?;
+        let status = response.status().as_u16();
+        Some((status, response.json().await.ok()?))
+    }
+
+    pub async fn post(&self, at: usize, path: &str, body: &Value) -> Option<(u16, Value)> {
+        let url = format!("http://{}{path}", self.replicas[at].operator);
+        let request = self.http.post(url).bearer_auth(OPERATOR_KEY).json(body);
+        let response = request.send().await.ok()?;
+        let status = response.status().as_u16();
+        Some((status, response.json().await.ok()?))
+    }
+
+    /// Writes through one replica until there is a verdict.
+    pub async fn write(&self, at: usize, change: &Value) -> (u16, Value) {
+        eventually("a write has a verdict", async || {
+            let (status, body) = self.post(at, "/v1/settings/changes", change).await?;
+            (status < 500 && status != 429).then_some((status, body))
+        })
+        .await
+    }
+
+    /// The revision in force, as a quorum confirms it through one replica.
+    pub async fn confirmed_revision(&self, at: usize) -> u64 {
+        eventually("a confirmed read is answered", async || {
+            let (status, body) = self.get(at, "/v1/settings").await?;
+            (status == 200).then(|| body["revision"].as_u64()).flatten()
+        })
+        .await
+    }
+}
+
+fn found(file: &Path) {
+    let status = Command::new(env!("CARGO_BIN_EXE_juniperhollow"))
+        .args(["found", "--settings"])
+        .arg(file)
+        .stdout(Stdio::null())
+        .status()
+        .expect("the binary runs");
+    assert!(status.success(), "the cluster is founded");
+}
+
+/// Waits until `check` holds.
+pub async fn eventually<F, T>(what: &str, mut check: F) -> T
+where
+    F: AsyncFnMut() -> Option<T>,
+{
+    let start = Instant::now();
+    while start.elapsed() < PATIENCE {
+        if let Some(value) = check().await {
+            return value;
+        }
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    panic!("waited in vain for: {what}");
+}
+
+/// A change that puts a zone, upon `base`.
+pub fn put_zone(zone: &str, priority: u64, base: u64, change_id: &str) -> Value {
+    json!({
+        "base_revision": base,
+        "change_id": change_id,
+        "edits": [{
+            "edit": "put",
+            "path": format!("/{zone}"),
+            "node": { "overrides": { "priority": priority } },
+        }],
+    })
+}
