Control: tests of three replicas in one process: claims, operator face, data folders

Claims raced by two routers while the leader goes away and after all replicas were restarted; no quorum, no claim; a resent drain or rollback; gathered reports; typed refusals without a quorum; a copied folder; a blank replica that never founds a cluster.

--- /dev/null
+++ b/crates/control/tests/daemons/main.rs
@@ -0,0 +1,7 @@
+//! Control daemons inside the test process, over their real sockets and disks.
+
+mod folders;
+mod group_claims;
+mod group_operator;
+mod one_replica;
+mod support;
--- a/crates/control/tests/one_replica.rs
+++ b/crates/control/tests/daemons/one_replica.rs
@@ -1,10 +1,8 @@
 //! One replica, over its real sockets: operators' writes reach a subscribed router.
 
-mod support;
-
+use crate::support::{Daemon, PATIENCE, key, put_zone, router_identity};
 use juniper_protocol::{Message, Push, Reply, Request, connect};
 use juniper_types::Revision;
-use support::{Daemon, PATIENCE, key, put_zone, router_identity};
 use tokio::time::timeout;
 
 async fn next_push(connection: &mut juniper_protocol::Connection) -> Push {
@@ -56,7 +54,7 @@
     let folder = tempfile::tempdir().unwrap();
     let daemon = Daemon::start(folder.path()).await;
     let url = format!("http://{}/v1/settings", daemon.operator);
-    let response = support::client().get(&url).send().await.unwrap();
+    let response = crate::support::client().get(&url).send().await.unwrap();
     assert_eq!(response.status(), 401);
     let body: serde_json::Value = response.json().await.unwrap();
     assert_eq!(body["error"]["code"], "unauthorized");
--- /dev/null
+++ b/crates/control/tests/daemons/support/group.rs
@@ -0,0 +1,143 @@
+//! Three control daemons that form a cluster.
+
+use std::time::Instant;
+
+use juniper_control::{Listeners, found};
+use juniper_protocol::{Message, Refusal, Reply, Request, connect};
+use juniper_settings::ControlSettings;
+use juniper_settings::node_file::Peer;
+use juniper_types::{NodeId, ZoneName};
+use tempfile::TempDir;
+use tokio::time::{Duration, sleep, timeout};
+
+use super::{Daemon, PATIENCE, key, listeners, router_identity, settings};
+
+/// Longest wait for one replica's answer.
+const ATTEMPT: Duration = Duration::from_millis(700);
+
+pub struct Group {
+    pub settings: Vec<ControlSettings>,
+    daemons: Vec<Option<Daemon>>,
+    _folder: TempDir,
+}
+
+impl Group {
+    /// Starts three replicas and waits until all vote.
+    pub async fn start() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let mut all = Vec::new();
+        let mut settings_of_all = Vec::new();
+        for node in 1..=3_u64 {
+            let listeners = listeners().await;
+            let internal = listeners.internal.local_addr().unwrap();
+            let operator = listeners.operator.local_addr().unwrap();
+            let own = folder.path().join(node.to_string());
+            settings_of_all.push(settings(node, internal, operator, &own));
+            all.push(listeners);
+        }
+        know_each_other(&mut settings_of_all);
+        found(&settings_of_all[0]).unwrap();
+        let pairs = settings_of_all.iter().zip(all);
+        let daemons = pairs.map(|(own, sockets)| Some(Daemon::start_on(own, sockets))).collect();
+        let group = Group { settings: settings_of_all, daemons, _folder: folder };
+        group.wait_for("three voters", async || group.voters().await == Some(3)).await;
+        group
+    }
+
+    pub fn daemon(&self, at: usize) -> &Daemon {
+        self.daemons[at].as_ref().unwrap()
+    }
+
+    pub async fn stop(&mut self, at: usize) {
+        if let Some(daemon) = self.daemons[at].take() {
+            daemon.stop().await;
+        }
+    }
+
+    pub async fn restart(&mut self, at: usize) {
+        self.stop(at).await;
+        let own = &self.settings[at];
+        let sockets = Listeners::open(own).await.unwrap();
+        self.daemons[at] = Some(Daemon::start_on(own, sockets));
+    }
+
+    pub async fn stop_all(mut self) {
+        for at in 0..self.daemons.len() {
+            self.stop(at).await;
+        }
+    }
+
+    fn running(&self) -> impl Iterator<Item = usize> {
+        (0..self.daemons.len()).filter(|at| self.daemons[*at].is_some())
+    }
+
+    pub async fn leader_now(&self) -> Option<usize> {
+        for at in self.running() {
+            if self.daemon(at).get("/v1/status").await.1["role"] == "leader" {
+                return Some(at);
+            }
+        }
+        None
+    }
+
+    pub async fn leader(&self) -> usize {
+        self.wait_for("a leader", async || self.leader_now().await.is_some()).await;
+        self.leader_now().await.unwrap()
+    }
+
+    async fn voters(&self) -> Option<usize> {
+        let (_, status) = self.daemon(self.leader_now().await?).get("/v1/status").await;
+        let members = status["members"].as_array()?;
+        Some(members.iter().filter(|member| member["role"] == "voter").count())
+    }
+
+    pub async fn wait_for(&self, what: &str, mut check: impl AsyncFnMut() -> bool) {
+        let start = Instant::now();
+        while !check().await {
+            assert!(start.elapsed() < PATIENCE, "waited in vain for {what}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Calls as a router does: asks one replica after the other until one
+    /// carries the call out.
+    pub async fn call(&self, node: u64, request: &Request) -> Reply {
+        let start = Instant::now();
+        for at in (0..self.settings.len()).cycle() {
+            assert!(start.elapsed() < PATIENCE, "no replica carries out {request:?}");
+            let reply = timeout(ATTEMPT, self.call_one(at, node, request)).await;
+            match reply.ok().flatten() {
+                Some(Reply::Refused(Refusal::NotLeader { .. } | Refusal::NoQuorum))
+                | Some(Reply::Refused(Refusal::Unknown))
+                | None => sleep(Duration::from_millis(20)).await,
+                Some(reply) => return reply,
+            }
+        }
+        unreachable!("the replicas are asked in turn for ever")
+    }
+
+    async fn call_one(&self, at: usize, node: u64, request: &Request) -> Option<Reply> {
+        let address = self.settings[at].internal;
+        let mut connection = connect(address, &key(), &router_identity(node)).await.ok()?;
+        let frame = Message::Request { call: 1, request: request.clone() };
+        connection.writer.send(&frame).await.ok()?;
+        match connection.reader.receive().await.ok()? {
+            Message::Reply { reply, .. } => Some(reply),
+            _ => None,
+        }
+    }
+}
+
+fn know_each_other(all: &mut [ControlSettings]) {
+    let peer = |own: &ControlSettings| Peer {
+        id: own.common.node,
+        zone: ZoneName::new("hartford").unwrap(),
+        address: own.internal,
+    };
+    let peers: Vec<Peer> = all.iter().map(peer).collect();
+    for own in all {
+        let node = own.common.node;
+        own.peers = peers.iter().filter(|peer| peer.id != node).cloned().collect();
+        own.initial_voters = vec![NodeId(1), NodeId(2), NodeId(3)];
+    }
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/daemons/support/mod.rs
@@ -1,4 +1,8 @@
 //! Control daemons inside the test process, on ports that the OS chooses.
+//!
+//! Every test file uses its own part of this module.
+
+pub mod group;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -28,14 +32,14 @@
 
 impl Daemon {
     pub async fn start(folder: &std::path::Path) -> Self {
-        let listeners = Listeners {
-            internal: TcpListener::bind("127.0.0.1:0").await.unwrap(),
-            operator: TcpListener::bind("127.0.0.1:0").await.unwrap(),
-        };
+        let listeners = listeners().await;
         let internal = listeners.internal.local_addr().unwrap();
         let operator = listeners.operator.local_addr().unwrap();
-        let settings = settings(1, internal, operator, folder);
-        let daemon = ControlDaemon::start(&settings, listeners).unwrap();
+        Self::start_on(&settings(1, internal, operator, folder), listeners)
+    }
+
+    pub fn start_on(settings: &ControlSettings, listeners: Listeners) -> Self {
+        let daemon = ControlDaemon::start(settings, listeners).unwrap();
         let (stop, stopped) = oneshot::channel();
         let task = tokio::spawn(async move {
             daemon
@@ -45,7 +49,7 @@
                 .await
                 .unwrap();
         });
-        Daemon { internal, operator, stop: Some(stop), task }
+        Daemon { internal: settings.internal, operator: settings.operator, stop: Some(stop), task }
     }
 
     pub async fn stop(mut self) {
@@ -70,6 +74,13 @@
     }
 }
 
+pub async fn listeners() -> Listeners {
+    Listeners {
+        internal: TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        operator: TcpListener::bind("127.0.0.1:0").await.unwrap(),
+    }
+}
+
 pub fn client() -> reqwest::Client {
     reqwest::Client::builder().no_proxy().timeout(PATIENCE).build().unwrap()
 }
