--- a/crates/control/src/internal/calls.rs
+++ b/crates/control/src/internal/calls.rs
@@ -33,9 +33,8 @@
             forwarded(face, command).await
         }
         Request::Subscribe { .. }
-        | Request::Heartbeat { .. }
         | Request::Lookup { .. }
-        | Request::CacheUpdate { .. }
+        | Request::Share { .. }
         | Request::Propose { .. } => Reply::Refused(Refusal::NotAllowed),
     }
 }
