--- /dev/null
+++ b/crates/cli/src/check.rs
@@ -0,0 +1,155 @@
+//! `settings check FILE`: a node file, or a change of the settings tree.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use juniper_settings::{ChangeSet, NodeFile, SettingsTree, TreeFault, ValidatedTree};
+use juniper_types::{ChangeId, Revision};
+use lexopt::{Arg, ValueExt};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+use crate::EXIT_FAULTS;
+use crate::arguments::{ArgumentError, next_word};
+use crate::daemon::{print_faults, read_override};
+use crate::output::Format;
+
+/// Why a file can't be checked.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum CheckError {
+    /// The file can't be read.
+    #[error("can't read {path}: {source}")]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file is not what it should be.
+    #[error("{path}: {source}")]
+    Malformed {
+        /// The file.
+        path: PathBuf,
+        /// Where and why.
+        source: serde_json::Error,
+    },
+    /// The change builds on a tree that wasn't given.
+    #[error("the change builds on revision {0}")]
+    #[diagnostic(help("name the tree with --upon FILE, as `tree get --format json` prints it"))]
+    NoTree(Revision),
+    /// The tree given is another one.
+    #[error("the change builds on revision {wanted}, the tree given is revision {given}")]
+    OtherTree {
+        /// What the change names.
+        wanted: Revision,
+        /// What was given.
+        given: Revision,
+    },
+}
+
+/// A change as operators submit it.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChangeFile {
+    base_revision: Revision,
+    #[serde(rename = "change_id")]
+    _change_id: ChangeId,
+    #[serde(default, rename = "author")]
+    _author: Option<String>,
+    edits: ChangeSet,
+}
+
+/// A tree as `tree get` prints it.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TreeFile {
+    revision: Revision,
+    tree: SettingsTree,
+}
+
+#[derive(Default)]
+struct CheckArguments {
+    path: Option<PathBuf>,
+    upon: Option<PathBuf>,
+    overrides: Vec<juniper_settings::NodeOverride>,
+    format: Format,
+}
+
+fn read_arguments(parser: &mut lexopt::Parser) -> Result<CheckArguments, ArgumentError> {
+    let mut arguments = CheckArguments::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("set") => arguments.overrides.push(read_override(parser.value()?.string()?)?),
+            Arg::Long("upon") => arguments.upon = Some(parser.value()?.into()),
+            Arg::Long("format") => arguments.format = Format::parse(&parser.value()?.string()?)?,
+            Arg::Value(word) if arguments.path.is_none() => arguments.path = Some(word.into()),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(arguments)
+}
+
+/// `settings check FILE`. A file whose name ends in `.json` is a change of the
+/// tree, any other a node file.
+pub fn settings(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
+    match next_word(parser)?.as_deref() {
+        Some("check") => {}
+        Some(other) => {
+            return Err(ArgumentError::UnknownCommand(format!("settings {other}")).into());
+        }
+        None => return Err(ArgumentError::Missing("settings check FILE").into()),
+    }
+    let arguments = read_arguments(parser)?;
+    let path = arguments.path.as_deref().ok_or(ArgumentError::Missing("FILE"))?;
+    if path.extension().is_some_and(|extension| extension == "json") {
+        return Ok(check_change(path, arguments.upon.as_deref(), arguments.format)?);
+    }
+    match NodeFile::load(path, &arguments.overrides) {
+        Ok(_) => Ok(print_sound(path, arguments.format)),
+        Err(error) => Ok(print_faults(error, arguments.format)),
+    }
+}
+
+fn check_change(path: &Path, upon: Option<&Path>, format: Format) -> Result<ExitCode, CheckError> {
+    let change: ChangeFile = read_json(path)?;
+    let base: TreeFile = match upon {
+        Some(upon) => read_json(upon)?,
+        None if change.base_revision == Revision(0) => TreeFile::default(),
+        None => return Err(CheckError::NoTree(change.base_revision)),
+    };
+    if base.revision != change.base_revision {
+        let (wanted, given) = (change.base_revision, base.revision);
+        return Err(CheckError::OtherTree { wanted, given });
+    }
+    let applied = ValidatedTree::new(base.tree).and_then(|mut tree| tree.apply(&change.edits));
+    match applied {
+        Ok(_) => Ok(print_sound(path, format)),
+        Err(faults) => Ok(print_tree_faults(path, &faults, format)),
+    }
+}
+
+fn read_json<T: DeserializeOwned>(path: &Path) -> Result<T, CheckError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| CheckError::Unreadable { path: path.to_owned(), source })?;
+    serde_json::from_str(&text)
+        .map_err(|source| CheckError::Malformed { path: path.to_owned(), source })
+}
+
+fn print_sound(path: &Path, format: Format) -> ExitCode {
+    match format {
+        Format::Text => println!("{}: ok", path.display()),
+        Format::Json => println!("{}", json!({ "ok": true })),
+    }
+    ExitCode::SUCCESS
+}
+
+fn print_tree_faults(path: &Path, faults: &[TreeFault], format: Format) -> ExitCode {
+    match format {
+        Format::Json => println!("{}", json!({ "ok": false, "faults": faults })),
+        Format::Text => {
+            faults.iter().for_each(|fault| eprintln!("{}: {fault}", path.display()));
+        }
+    }
+    ExitCode::from(EXIT_FAULTS)
+}
--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -73,7 +73,7 @@
     Ok(DaemonArguments { path, overrides, format })
 }
 
-fn read_override(text: String) -> Result<NodeOverride, ArgumentError> {
+pub(crate) fn read_override(text: String) -> Result<NodeOverride, ArgumentError> {
     match text.split_once('=') {
         Some((key, value)) => Ok(NodeOverride { key: key.to_owned(), value: value.to_owned() }),
         None => Err(ArgumentError::Value {
@@ -154,29 +154,8 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// `settings check FILE`.
-pub fn check(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
-    match crate::arguments::next_word(parser)?.as_deref() {
-        Some("check") => {}
-        Some(other) => {
-            return Err(ArgumentError::UnknownCommand(format!("settings {other}")).into());
-        }
-        None => return Err(ArgumentError::Missing("settings check FILE").into()),
-    }
-    let arguments = read_arguments(parser)?;
-    match NodeFile::load(&arguments.path, &arguments.overrides) {
-        Ok(_) => {
-            match arguments.format {
-                Format::Text => println!("{}: ok", arguments.path.display()),
-                Format::Json => println!("{}", json!({ "ok": true })),
-            }
-            Ok(ExitCode::SUCCESS)
-        }
-        Err(error) => Ok(print_faults(error, arguments.format)),
-    }
-}
-
-fn print_faults(error: NodeFileError, format: Format) -> ExitCode {
+/// Prints every fault of a node file.
+pub(crate) fn print_faults(error: NodeFileError, format: Format) -> ExitCode {
     match format {
         Format::Json => println!("{}", json!({ "ok": false, "faults": error.to_string() })),
         Format::Text => eprintln!("{:?}", miette::Report::new(error)),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! The juniperhollow command line: daemons and operator commands.
 
 pub mod arguments;
+pub mod check;
 pub mod client;
 pub mod daemon;
 pub mod logging;
@@ -21,7 +22,8 @@
                               for a deployment; the other replicas join it
 
 Checks:
-  settings check FILE         check a node file whole; list every fault
+  settings check FILE         check a node file, or a change (*.json) upon an empty
+                              tree or '--upon FILE'; list every fault
   key hash                    read a key on standard input, print its hash
 
 Operator commands (against the operator address of a control replica):
@@ -81,7 +83,7 @@
     match command.as_str() {
         "control" => daemon::control(parser),
         "router" => daemon::router(parser),
-        "settings" => daemon::check(parser),
+        "settings" => check::settings(parser),
         "key" => daemon::hash_key(parser),
         "tree" => operator::tree(parser),
         "found" => daemon::found(parser),
