--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! with the least expected cost for a request. Time and random numbers are
 //! passed in; nothing here performs I/O.
 
+pub mod admission;
 mod cost;
 mod decide;
 pub mod drain;
