--- /dev/null
+++ b/crates/lab/src/experiment/baselines.rs
@@ -0,0 +1,216 @@
+//! The policies that the project compares itself with.
+//!
+//! Each reads the same load reports as the project's routers and counts its own
+//! requests since; none reads cache events.
+
+use std::collections::HashMap;
+
+use juniper_emulators::engine::LoadReport;
+use juniper_prefix_index::rendezvous::{self, LoadedNode};
+use juniper_types::{BlockHash, Timestamp};
+
+use super::policy::{AttemptId, Choice, Policy, Question, Refused, Truth};
+
+/// Block whose hash names a prompt's group in the prefix affinity baseline:
+/// 1,024 tokens reach past the outer prefix into the middle one in both
+/// profiles, so that requests which share these stay together.
+const AFFINITY_DEPTH: usize = 16;
+
+/// Load that an engine may have, relative to the mean (the usual 1.25).
+const BOUNDED_LOAD_FACTOR: f64 = 1.25;
+
+/// Share of a prompt that an engine must have seen to be preferred by history.
+const HISTORY_MATCH: f64 = 0.5;
+
+/// Requests beyond which history gives way to balance, and the factor on the mean.
+const HISTORY_IMBALANCE: f64 = 8.0;
+
+/// Factor on the mean load beyond which history gives way to balance.
+const HISTORY_IMBALANCE_FACTOR: f64 = 1.5;
+
+/// Which baseline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Baseline {
+    /// One engine after the other.
+    RoundRobin,
+    /// The fewest requests.
+    LeastLoaded,
+    /// Rendezvous hashing of the prompt's start, with bounded load.
+    PrefixAffinity,
+    /// The engine that this router sent most of the prompt to before, unless it is overloaded.
+    OwnHistory,
+}
+
+/// Requests at one engine as one router counts them.
+#[derive(Clone, Debug, Default)]
+struct Load {
+    reported: f64,
+    taken_at: Timestamp,
+    own: Vec<(AttemptId, Timestamp)>,
+}
+
+impl Load {
+    /// Reported requests and those sent since.
+    fn requests(&self) -> f64 {
+        let since = self.own.iter().filter(|(_, at)| *at >= self.taken_at).count();
+        self.reported + since as f64
+    }
+}
+
+/// Blocks that one router sent to one engine, forgotten in order of last use
+/// once they are more than the engine's cache holds.
+#[derive(Clone, Debug, Default)]
+struct History {
+    last_sent: HashMap<BlockHash, u64>,
+    by_age: std::collections::BTreeMap<u64, BlockHash>,
+    clock: u64,
+}
+
+impl History {
+    fn matched(&self, blocks: &[BlockHash]) -> usize {
+        blocks.iter().take_while(|block| self.last_sent.contains_key(block)).count()
+    }
+
+    fn note(&mut self, blocks: &[BlockHash], capacity: usize) {
+        // The end of a prompt is forgotten before its start, as in the engines.
+        for block in blocks.iter().rev() {
+            self.clock += 1;
+            if let Some(before) = self.last_sent.insert(*block, self.clock) {
+                self.by_age.remove(&before);
+            }
+            self.by_age.insert(self.clock, *block);
+        }
+        while self.by_age.len() > capacity {
+            if let Some((_, oldest)) = self.by_age.pop_first() {
+                self.last_sent.remove(&oldest);
+            }
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Router {
+    turn: usize,
+    loads: Vec<Load>,
+    histories: Vec<History>,
+}
+
+/// One of the baselines, for all routers.
+pub struct BaselinePolicy {
+    baseline: Baseline,
+    engines: usize,
+    cache_blocks: usize,
+    routers: Vec<Router>,
+}
+
+impl BaselinePolicy {
+    /// `routers` routers in front of `engines` engines of `cache_blocks` each.
+    pub fn new(baseline: Baseline, routers: usize, engines: usize, cache_blocks: usize) -> Self {
+        let mut policy = BaselinePolicy {
+            baseline,
+            engines,
+            cache_blocks,
+            routers: Vec::with_capacity(routers),
+        };
+        policy.routers = (0..routers).map(|router| policy.fresh(router)).collect();
+        policy
+    }
+
+    fn fresh(&self, router: usize) -> Router {
+        Router {
+            // Routers start at different engines, or they would move in step.
+            turn: router * self.engines / 3,
+            loads: vec![Load::default(); self.engines],
+            histories: vec![History::default(); self.engines],
+        }
+    }
+
+    fn pick(&mut self, question: &Question<'_>) -> Option<usize> {
+        let engines = self.engines;
+        let router = &mut self.routers[question.router];
+        let allowed: Vec<usize> =
+            (0..engines).filter(|engine| !question.excluded.contains(engine)).collect();
+        match self.baseline {
+            Baseline::RoundRobin => {
+                let turn = router.turn;
+                router.turn += 1;
+                allowed.get(turn % allowed.len().max(1)).copied()
+            }
+            Baseline::LeastLoaded => router.least_loaded(&allowed, question.attempt),
+            Baseline::PrefixAffinity => router.by_affinity(&allowed, &question.job.blocks),
+            Baseline::OwnHistory => router.by_history(&allowed, question),
+        }
+    }
+}
+
+impl Router {
+    /// Ties are broken by the attempt, so that they don't favour an engine.
+    fn least_loaded(&self, allowed: &[usize], attempt: AttemptId) -> Option<usize> {
+        allowed.iter().copied().min_by(|a, b| {
+            let tie = |engine: &usize| rendezvous::score(attempt.0, *engine as u64);
+            let (left, right) = (self.loads[*a].requests(), self.loads[*b].requests());
+            left.total_cmp(&right).then_with(|| tie(a).cmp(&tie(b)))
+        })
+    }
+
+    fn by_affinity(&self, allowed: &[usize], blocks: &[BlockHash]) -> Option<usize> {
+        let block =
+            blocks.get(AFFINITY_DEPTH - 1).or(blocks.last()).copied().unwrap_or(BlockHash([0; 16]));
+        let key = u64::from_le_bytes(std::array::from_fn(|index| block.0[index]));
+        let nodes: Vec<LoadedNode> = allowed
+            .iter()
+            .map(|engine| LoadedNode { node: *engine as u64, load: self.loads[*engine].requests() })
+            .collect();
+        rendezvous::owner_with_bounded_load(key, &nodes, 1.0, BOUNDED_LOAD_FACTOR)
+            .map(|engine| engine as usize)
+    }
+
+    fn by_history(&self, allowed: &[usize], question: &Question<'_>) -> Option<usize> {
+        let blocks = &question.job.blocks;
+        let matched = |engine: &usize| self.histories[*engine].matched(blocks);
+        let best = allowed.iter().copied().max_by_key(|engine| {
+            (matched(engine), rendezvous::score(question.attempt.0, *engine as u64))
+        })?;
+        let total: f64 = allowed.iter().map(|engine| self.loads[*engine].requests()).sum();
+        let mean = total / allowed.len() as f64;
+        let load = self.loads[best].requests();
+        let overloaded = load > mean * HISTORY_IMBALANCE_FACTOR && load > mean + HISTORY_IMBALANCE;
+        let share = matched(&best) as f64 / blocks.len().max(1) as f64;
+        if share >= HISTORY_MATCH && !overloaded {
+            return Some(best);
+        }
+        self.least_loaded(allowed, question.attempt)
+    }
+}
+
+impl Policy for BaselinePolicy {
+    fn choose(
+        &mut self,
+        question: &Question<'_>,
+        _truth: Truth<'_>,
+        now: Timestamp,
+    ) -> Result<Choice, Refused> {
+        let refused = Refused { retry_after: std::time::Duration::from_secs(1) };
+        let engine = self.pick(question).ok_or(refused)?;
+        let router = &mut self.routers[question.router];
+        router.loads[engine].own.push((question.attempt, now));
+        if self.baseline == Baseline::OwnHistory {
+            router.histories[engine].note(&question.job.blocks, self.cache_blocks);
+        }
+        Ok(Choice { engine, incarnation: None, expected_blocks: 0 })
+    }
+
+    fn load(&mut self, router: usize, engine: usize, report: &LoadReport, now: Timestamp) {
+        let load = &mut self.routers[router].loads[engine];
+        load.reported = f64::from(report.running) + f64::from(report.waiting);
+        load.taken_at = Timestamp(now.0.saturating_sub(report.age_ms * 1_000));
+    }
+
+    fn finished(&mut self, router: usize, engine: usize, attempt: AttemptId, _now: Timestamp) {
+        self.routers[router].loads[engine].own.retain(|(id, _)| *id != attempt);
+    }
+
+    fn restart(&mut self) {
+        self.routers = (0..self.routers.len()).map(|router| self.fresh(router)).collect();
+    }
+}
--- /dev/null
+++ b/crates/lab/src/experiment/workload.rs
@@ -0,0 +1,112 @@
+//! The chat requests of a trace, ready to be routed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use juniper_emulators::trace::{PromptTexts, Trace, TraceRequest};
+use juniper_routing::ServingKey;
+use juniper_settings::{EffectiveSettings, Overrides};
+use juniper_types::{CacheScope, PromptBlocks, ServiceName, TenantName, Timestamp, WeightsVersion};
+
+use super::deployment::Deployment;
+
+/// Weights version that every engine serves.
+pub const WEIGHTS: WeightsVersion = WeightsVersion(1);
+
+/// One chat request.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// When it reaches its router.
+    pub at: Timestamp,
+    /// Zone of the caller and of the router that it asks.
+    pub zone: usize,
+    /// Whose it is.
+    pub tenant: TenantName,
+    /// Service that it asks for.
+    pub service: ServiceName,
+    /// Cache scope of the prompt.
+    pub scope: CacheScope,
+    /// What has to be loaded.
+    pub serving: ServingKey,
+    /// Blocks of the prompt.
+    pub blocks: Arc<[juniper_types::BlockHash]>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens to generate.
+    pub output_tokens: u32,
+    /// 0 (lowest) to 9.
+    pub priority: u8,
+    /// Settings in force for the service.
+    pub settings: Arc<EffectiveSettings>,
+}
+
+/// The chat requests of `trace` in order of arrival. Other kinds of traffic
+/// don't use engines and are left out.
+pub fn jobs(trace: &Trace, deployment: &Deployment) -> Vec<Job> {
+    let mut builder = Builder {
+        trace,
+        deployment,
+        texts: PromptTexts::new(trace.header.seed),
+        settings: BTreeMap::new(),
+    };
+    trace.records.iter().filter_map(|record| builder.job(record)).collect()
+}
+
+struct Builder<'a> {
+    trace: &'a Trace,
+    deployment: &'a Deployment,
+    texts: PromptTexts,
+    settings: BTreeMap<ServiceName, Arc<EffectiveSettings>>,
+}
+
+impl Builder<'_> {
+    fn job(&mut self, record: &juniper_emulators::trace::TraceRecord) -> Option<Job> {
+        let TraceRequest::Chat { prompt, output_tokens, priority } = &record.request else {
+            return None;
+        };
+        let scope = CacheScope {
+            tenant: record.tenant.clone(),
+            model: self.trace.header.model.clone(),
+            adapter: None,
+            weights: WEIGHTS,
+        };
+        let PromptBlocks { hashes, tokens } = self.texts.blocks(&scope, prompt);
+        let zone = self.trace.header.zones.iter().position(|zone| *zone == record.zone)?;
+        let serving = ServingKey {
+            model: scope.model.clone(),
+            adapter: scope.adapter.clone(),
+            weights: scope.weights,
+        };
+        Some(Job {
+            at: Timestamp(record.at_us),
+            zone,
+            tenant: record.tenant.clone(),
+            service: record.service.clone(),
+            scope,
+            serving,
+            blocks: hashes.into(),
+            prompt_tokens: tokens,
+            output_tokens: *output_tokens,
+            priority: *priority,
+            settings: self.settings_of(&record.service, *priority),
+        })
+    }
+
+    fn settings_of(&mut self, service: &ServiceName, priority: u8) -> Arc<EffectiveSettings> {
+        let deployment = self.deployment;
+        let known = self.settings.entry(service.clone()).or_insert_with(|| {
+            let overrides = Overrides {
+                model: Some(self.trace.header.model.clone()),
+                weights: Some(WEIGHTS),
+                priority: Some(priority),
+                waste_weight: Some(deployment.waste_weight),
+                latency_weight: Some(deployment.latency_weight),
+                first_token_deadline_ms: Some(deployment.first_token_deadline_ms),
+                deadline_ms: Some(deployment.deadline_ms),
+                ..Overrides::default()
+            };
+            Arc::new(EffectiveSettings::resolve(&overrides))
+        });
+        Arc::clone(known)
+    }
+}
