Routing: wait for an attempt that is computing the same prefix

In bursts on a new prefix every request began at once and computed the prefix again, as an engine shares a block only once it is computed; queue estimates were too low by that work (tail of 4 to 5 s) and one cold start ended in a collapse. Predictions now name the request that computes them, and a decision says which attempt to wait for. The wait ends with its first token, after a bounded time, or when the engine goes out of use. The queue is served in order, so the wait costs nothing. The router waits before it sends.

--- a/crates/lab/src/experiment/baselines.rs
+++ b/crates/lab/src/experiment/baselines.rs
@@ -197,7 +197,7 @@
         if self.baseline == Baseline::OwnHistory {
             router.histories[engine].note(&question.job.blocks, self.cache_blocks);
         }
-        Ok(Choice { engine, incarnation: None, expected_blocks: 0 })
+        Ok(Choice { engine, incarnation: None, expected_blocks: 0, wait: None })
     }
 
     fn load(&mut self, router: usize, engine: usize, report: &LoadReport, now: Timestamp) {
--- a/crates/lab/src/experiment/juniper.rs
+++ b/crates/lab/src/experiment/juniper.rs
@@ -6,14 +6,14 @@
 use juniper_emulators::engine::{CacheEvent, Engine, LoadReport};
 use juniper_prefix_index::{CacheEvent as IndexEvent, EventOutcome, PrefixIndex, Snapshot};
 use juniper_routing::{
-    CostModel, DispatchId, DispatchedWork, EngineDescriptor, EngineLoad, EngineTable, RouteRequest,
-    decide,
+    CostModel, DispatchId, DispatchedWork, EngineDescriptor, EngineLoad, EngineTable, PrefixWait,
+    RouteRequest, decide,
 };
 use juniper_types::{EngineId, Incarnation, Timestamp, ZoneName};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::policy::{AttemptId, Choice, EventsWanted, Policy, Question, Refused, Truth};
+use super::policy::{AttemptId, Choice, EventsWanted, Policy, Question, Refused, Truth, Wait};
 
 /// Where the engines stand, for each router's table.
 #[derive(Clone, Debug)]
@@ -103,14 +103,19 @@
             prompt_tokens: job.prompt_tokens,
             missed_tokens: request.missed_tokens(decision.expected_blocks),
         };
-        table.dispatched(decision.engine, DispatchId(question.attempt.0), work, now);
+        let id = DispatchId(question.attempt.0);
+        table.dispatched(decision.engine, id, work, now);
         if let Some(incarnation) = decision.incarnation {
-            index.predict(decision.engine, incarnation, &job.blocks, now);
+            index.predict(decision.engine, incarnation, &job.blocks, id.into(), now);
         }
         Ok(Choice {
             engine: decision.engine.0 as usize,
             incarnation: decision.incarnation,
             expected_blocks: decision.expected_blocks,
+            wait: decision.wait.map(|PrefixWait { dispatch, at_most }| Wait {
+                attempt: AttemptId(dispatch.0),
+                at_most,
+            }),
         })
     }
 
--- a/crates/lab/src/experiment/oracle.rs
+++ b/crates/lab/src/experiment/oracle.rs
@@ -71,7 +71,7 @@
         }
         let refused = Refused { retry_after: std::time::Duration::from_secs(1) };
         let (_, engine) = best.ok_or(refused)?;
-        Ok(Choice { engine, incarnation: None, expected_blocks: 0 })
+        Ok(Choice { engine, incarnation: None, expected_blocks: 0, wait: None })
     }
 
     fn restart(&mut self) {}
--- a/crates/lab/src/experiment/policy.rs
+++ b/crates/lab/src/experiment/policy.rs
@@ -20,6 +20,17 @@
     pub incarnation: Option<Incarnation>,
     /// Leading blocks that the engine should hold.
     pub expected_blocks: u32,
+    /// What to wait for before the request is sent.
+    pub wait: Option<Wait>,
+}
+
+/// A wait of the router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wait {
+    /// Over when this attempt has its first token or has ended.
+    pub attempt: AttemptId,
+    /// Over after this time in any case.
+    pub at_most: Duration,
 }
 
 /// The policy refuses the request; it was not run.
--- a/crates/lab/src/experiment/world.rs
+++ b/crates/lab/src/experiment/world.rs
@@ -10,7 +10,7 @@
 
 use super::deployment::Deployment;
 use super::measure::{Measure, Recorder};
-use super::policy::{AttemptId, Choice, EventsWanted, Policy, Question, Truth};
+use super::policy::{AttemptId, Choice, EventsWanted, Policy, Question, Truth, Wait};
 use super::workload::Job;
 
 /// Attempts at one request, the first one included.
@@ -44,6 +44,14 @@
     PollLoad { router: usize, engine: usize },
     PollEvents { router: usize, engine: usize },
     RoutersRestart,
+    WaitExpires(u64),
+}
+
+/// A request that its router has not sent yet.
+struct Held {
+    waits_for: AttemptId,
+    engine: usize,
+    request: EngineRequest,
 }
 
 /// The request as the engine gets it.
@@ -73,6 +81,7 @@
     engine_zones: Vec<usize>,
     wakes: Vec<Option<Timestamp>>,
     in_transit: Vec<(usize, EngineRequest)>,
+    held: Vec<Held>,
     events: BinaryHeap<Reverse<(Timestamp, u64, Event)>>,
     sequence: u64,
     end: Timestamp,
@@ -110,6 +119,7 @@
             engines,
             engine_zones,
             in_transit: Vec::new(),
+            held: Vec::new(),
             events: BinaryHeap::new(),
             sequence: 0,
             end: last.after(DRAIN_TIME),
@@ -167,9 +177,15 @@
             Event::Delivered(attempt) => self.deliver(attempt, now),
             Event::FirstToken { engine, attempt, router } => {
                 self.policy.first_token(router, engine, attempt, now);
+                self.release(now, |held| held.waits_for == attempt);
             }
             Event::Ended { engine, attempt, router } => {
                 self.policy.finished(router, engine, attempt, now);
+                self.release(now, |held| held.waits_for == attempt);
+            }
+            Event::WaitExpires(attempt) => {
+                let id = RequestId(u128::from(attempt));
+                self.release(now, |held| held.request.id == id);
             }
             Event::PollLoad { router, engine } => {
                 self.poll_load(router, engine, now);
@@ -193,9 +209,32 @@
             return;
         };
         let request = engine_request(&question, Some(&choice));
-        self.in_transit.push((choice.engine, request));
-        let one_way = self.one_way(router, choice.engine);
-        self.schedule(now.after(one_way), Event::Delivered(attempt.0));
+        let engine = choice.engine;
+        match choice.wait {
+            None => self.send(engine, request, router, now),
+            Some(Wait { attempt: waits_for, at_most }) => {
+                self.held.push(Held { waits_for, engine, request });
+                self.schedule(now.after(at_most), Event::WaitExpires(attempt.0));
+            }
+        }
+    }
+
+    fn send(&mut self, engine: usize, request: EngineRequest, router: usize, now: Timestamp) {
+        let attempt = request.id.0 as u64;
+        self.in_transit.push((engine, request));
+        let one_way = self.one_way(router, engine);
+        self.schedule(now.after(one_way), Event::Delivered(attempt));
+    }
+
+    /// Sends the held requests for which the wait `is_over`.
+    fn release(&mut self, now: Timestamp, is_over: impl Fn(&Held) -> bool) {
+        let (over, held): (Vec<Held>, Vec<Held>) =
+            std::mem::take(&mut self.held).into_iter().partition(is_over);
+        self.held = held;
+        for Held { engine, request, .. } in over {
+            let router = self.jobs[(request.id.0 as u64 / MAX_ATTEMPTS) as usize].zone;
+            self.send(engine, request, router, now);
+        }
     }
 
     fn one_way(&self, router: usize, engine: usize) -> Duration {
--- a/crates/prefix-index/src/index.rs
+++ b/crates/prefix-index/src/index.rs
@@ -6,7 +6,7 @@
 use juniper_types::{BlockHash, EngineId, Incarnation, Timestamp};
 
 use crate::event::{CacheEvent, EventOutcome, IndexFull, Snapshot, SnapshotOutcome};
-use crate::predictions::{Prediction, Predictions};
+use crate::predictions::{Prediction, PredictionSource, Predictions};
 use crate::slots::{Slot, SlotAllocator};
 use crate::table::{BlockTable, SHARDS};
 
@@ -30,6 +30,8 @@
     pub blocks: u32,
     /// How many of them are only predicted.
     pub predicted: u32,
+    /// The request that computes the last predicted one.
+    pub computed_by: Option<PredictionSource>,
 }
 
 /// How much the index holds.
@@ -164,13 +166,14 @@
         Ok(SnapshotOutcome::Applied)
     }
 
-    /// Notes that a request with these prompt blocks was sent to an engine life.
-    /// Blocks that it is known to hold already are not predicted.
+    /// Notes that request `source` with these prompt blocks was sent to an engine
+    /// life. Blocks that it is known to hold already are not predicted.
     pub fn predict(
         &mut self,
         engine: EngineId,
         incarnation: Incarnation,
         blocks: &[BlockHash],
+        source: PredictionSource,
         now: Timestamp,
     ) {
         let Some(position) = self.positions.get(&engine).copied() else {
@@ -183,7 +186,7 @@
         let expires = now.after(PREDICTION_LIFETIME);
         for block in blocks {
             if !self.table.contains(block, life.slot) {
-                let prediction = Prediction { engine: position, incarnation, expires };
+                let prediction = Prediction { engine: position, incarnation, expires, source };
                 self.predictions.insert(*block, prediction);
             }
         }
--- a/crates/prefix-index/src/lib.rs
+++ b/crates/prefix-index/src/lib.rs
@@ -17,3 +17,4 @@
 
 pub use event::{CacheEvent, EventOutcome, IndexFull, Snapshot, SnapshotOutcome};
 pub use index::{Holder, IndexSize, PREDICTION_LIFETIME, PrefixIndex};
+pub use predictions::PredictionSource;
--- a/crates/prefix-index/src/lookup.rs
+++ b/crates/prefix-index/src/lookup.rs
@@ -3,6 +3,7 @@
 use juniper_types::{BlockHash, Timestamp};
 
 use crate::index::{Holder, PrefixIndex};
+use crate::predictions::PredictionSource;
 use crate::slots::{Slot, SlotSet};
 
 impl PrefixIndex {
@@ -41,7 +42,7 @@
                 && !walk.found.contains(life.slot)
             {
                 walk.found.insert(life.slot);
-                walk.found_predicted.push(life.slot);
+                walk.found_predicted.push((life.slot, prediction.source));
             }
         }
     }
@@ -53,9 +54,10 @@
         let holder = |(slot, blocks): (Slot, u32)| {
             let position = self.slots.engine(slot)?;
             let engine = &self.engines[usize::from(position)];
-            let predicted = walk.predicted[usize::from(slot)];
+            let (predicted, source) = walk.predicted[usize::from(slot)];
             let incarnation = engine.life?.incarnation;
-            Some(Holder { engine: engine.id, incarnation, blocks, predicted })
+            let computed_by = (predicted > 0).then_some(source);
+            Some(Holder { engine: engine.id, incarnation, blocks, predicted, computed_by })
         };
         walk.ended.iter().copied().filter_map(holder).collect()
     }
@@ -66,11 +68,11 @@
     /// Holders of the block at hand.
     found: SlotSet,
     /// Which of them hold it only by prediction.
-    found_predicted: Vec<Slot>,
+    found_predicted: Vec<(Slot, PredictionSource)>,
     /// Slots that hold every block so far.
     active: SlotSet,
-    /// Blocks that counted only as predicted, by slot.
-    predicted: Vec<u32>,
+    /// Blocks that counted only as predicted, by slot, with the source of the last.
+    predicted: Vec<(u32, PredictionSource)>,
     /// Slots that lacked a block, with the blocks they held before it.
     ended: Vec<(Slot, u32)>,
     /// Blocks that the active slots hold.
@@ -83,7 +85,7 @@
             found: SlotSet::with_slots(slots),
             found_predicted: Vec::new(),
             active: SlotSet::default(),
-            predicted: vec![0; slots],
+            predicted: vec![(0, PredictionSource::default()); slots],
             ended: Vec::new(),
             reached: 0,
         }
@@ -102,9 +104,11 @@
     }
 
     fn count_predicted(&mut self) {
-        for slot in &self.found_predicted {
+        for (slot, source) in &self.found_predicted {
             if self.active.contains(*slot) {
-                self.predicted[usize::from(*slot)] += 1;
+                let (count, last) = &mut self.predicted[usize::from(*slot)];
+                *count += 1;
+                *last = *source;
             }
         }
     }
--- a/crates/prefix-index/src/predictions.rs
+++ b/crates/prefix-index/src/predictions.rs
@@ -13,6 +13,10 @@
 /// Most predictions kept; beyond it the oldest go first.
 const MAX_PREDICTIONS: usize = 1 << 20;
 
+/// Names the request whose computing a prediction relies on; the caller chooses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PredictionSource(pub u64);
+
 /// One block expected in the cache of one engine life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Prediction {
@@ -22,6 +26,8 @@
     pub(crate) incarnation: Incarnation,
     /// When it stops counting.
     pub(crate) expires: Timestamp,
+    /// The request that computes it.
+    pub(crate) source: PredictionSource,
 }
 
 /// All predictions, by block.
@@ -32,10 +38,14 @@
 }
 
 impl Predictions {
-    /// Adds a prediction or moves its expiry. Expiries must not go backwards.
+    /// Adds a prediction or moves its expiry; the request that was the first to
+    /// compute the block stays its source. Expiries must not go backwards.
     pub(crate) fn insert(&mut self, block: BlockHash, prediction: Prediction) {
         let known = self.by_block.entry(block).or_default();
         match known.iter_mut().find(|other| other.engine == prediction.engine) {
+            Some(other) if other.incarnation == prediction.incarnation => {
+                other.expires = prediction.expires;
+            }
             Some(other) => *other = prediction,
             None => known.push(prediction),
         }
--- a/crates/prefix-index/tests/index.rs
+++ b/crates/prefix-index/tests/index.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use juniper_prefix_index::{
-    CacheEvent, EventOutcome, Holder, PREDICTION_LIFETIME, PrefixIndex, Snapshot, SnapshotOutcome,
+    CacheEvent, EventOutcome, Holder, PREDICTION_LIFETIME, PredictionSource, PrefixIndex, Snapshot,
+    SnapshotOutcome,
 };
 use juniper_types::{BlockHash, EngineId, Incarnation, Timestamp};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -12,6 +13,7 @@
 const ENGINE: EngineId = EngineId(7);
 const LIFE: Incarnation = Incarnation(70);
 const NOW: Timestamp = Timestamp(0);
+const SOURCE: PredictionSource = PredictionSource(5);
 
 fn block(number: u64) -> BlockHash {
     BlockHash([0; 16]).next(&number.to_be_bytes())
@@ -30,7 +32,8 @@
 }
 
 fn holder(blocks: u32, predicted: u32) -> Holder {
-    Holder { engine: ENGINE, incarnation: LIFE, blocks, predicted }
+    let computed_by = (predicted > 0).then_some(SOURCE);
+    Holder { engine: ENGINE, incarnation: LIFE, blocks, predicted, computed_by }
 }
 
 fn with_ten_blocks() -> PrefixIndex {
@@ -83,7 +86,7 @@
     assert_eq!(late, Ok(EventOutcome::StaleIncarnation));
     let snapshot = Snapshot { incarnation: LIFE, sequence: 9, blocks: blocks(0..10) };
     assert_eq!(index.apply_snapshot(ENGINE, &snapshot), Ok(SnapshotOutcome::StaleIncarnation));
-    index.predict(ENGINE, LIFE, &blocks(0..10), NOW);
+    index.predict(ENGINE, LIFE, &blocks(0..10), SOURCE, NOW);
     assert!(index.lookup(&blocks(0..20), NOW).is_empty());
     assert_eq!(index.position(ENGINE), Some((next, 0)));
 }
@@ -109,7 +112,7 @@
 #[test]
 fn predictions_count_until_confirmed_or_expired() {
     let mut index = with_ten_blocks();
-    index.predict(ENGINE, LIFE, &blocks(0..15), NOW);
+    index.predict(ENGINE, LIFE, &blocks(0..15), SOURCE, NOW);
     assert_eq!(index.lookup(&blocks(0..20), NOW), [holder(15, 5)]);
     index.apply_events(ENGINE, LIFE, &[stored(2, 10..12)]).unwrap();
     assert_eq!(index.lookup(&blocks(0..20), NOW), [holder(15, 3)]);
@@ -119,12 +122,23 @@
     assert_eq!(index.size().predictions, 0);
 }
 
+#[test]
+fn a_shared_block_names_the_request_that_was_first_to_compute_it() {
+    let mut index = with_ten_blocks();
+    let second = PredictionSource(6);
+    index.predict(ENGINE, LIFE, &blocks(0..15), SOURCE, NOW);
+    index.predict(ENGINE, LIFE, &blocks(0..18), second, NOW);
+    assert_eq!(index.lookup(&blocks(0..15), NOW), [holder(15, 5)]);
+    let deeper = Holder { computed_by: Some(second), ..holder(18, 8) };
+    assert_eq!(index.lookup(&blocks(0..20), NOW), [deeper]);
+}
+
 #[test]
 fn renewed_prediction_outlives_the_first_one() {
     let mut index = with_ten_blocks();
-    index.predict(ENGINE, LIFE, &blocks(0..11), NOW);
+    index.predict(ENGINE, LIFE, &blocks(0..11), SOURCE, NOW);
     let second = NOW.after(PREDICTION_LIFETIME / 2);
-    index.predict(ENGINE, LIFE, &blocks(0..11), second);
+    index.predict(ENGINE, LIFE, &blocks(0..11), SOURCE, second);
     let after_first = NOW.after(PREDICTION_LIFETIME + Duration::from_millis(1));
     index.maintain(after_first);
     assert_eq!(index.lookup(&blocks(0..20), after_first), [holder(11, 1)]);
@@ -134,7 +148,7 @@
 fn eviction_of_an_older_copy_leaves_the_prediction() {
     let mut index = PrefixIndex::new();
     index.start_incarnation(ENGINE, LIFE).unwrap();
-    index.predict(ENGINE, LIFE, &blocks(0..2), NOW);
+    index.predict(ENGINE, LIFE, &blocks(0..2), SOURCE, NOW);
     index.apply_events(ENGINE, LIFE, &[removed(1, 0..2)]).unwrap();
     assert_eq!(index.lookup(&blocks(0..2), NOW), [holder(2, 2)]);
 }
@@ -144,7 +158,7 @@
     let mut index = PrefixIndex::new();
     index.start_incarnation(ENGINE, LIFE).unwrap();
     index.apply_events(ENGINE, LIFE, &[stored(1, [0])]).unwrap();
-    index.predict(ENGINE, LIFE, &blocks([2, 3]), NOW);
+    index.predict(ENGINE, LIFE, &blocks([2, 3]), SOURCE, NOW);
     assert_eq!(index.lookup(&blocks(0..4), NOW), [holder(1, 0)]);
 }
 
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -4,6 +4,7 @@
 //! takes microseconds and nothing waits while the lock is held, so a message to
 //! an actor and back for each request would cost more than the lock.
 
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -13,13 +14,14 @@
 use juniper_routing::retry::{RetryBudget, RetryDenied, RetryQuestion};
 use juniper_routing::{
     CostModel, Decision, DispatchId, DispatchedWork, EngineDescriptor, EngineLoad, EngineTable,
-    Refusal, RouteRequest, ServingKey, decide,
+    PrefixWait, Refusal, RouteRequest, ServingKey, decide,
 };
 use juniper_settings::{BackEndKind, EffectiveSettings};
 use juniper_types::{CacheScope, EngineId, Incarnation, PromptBlocks, TenantName, Timestamp};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use tokio::time::Instant;
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout};
 
 use crate::in_force::InForce;
 
@@ -68,6 +70,8 @@
     state: Mutex<State>,
     started: Instant,
     next_dispatch: AtomicU64,
+    /// Told when an attempt has its first token or ends.
+    progress: Notify,
 }
 
 /// Counts one attempt against its engine until it is dropped.
@@ -83,6 +87,31 @@
     pub fn first_token(&self) {
         let now = self.engines.now();
         self.engines.lock().table.first_token(self.decision.engine, self.id, now);
+        self.engines.progress.notify_waiters();
+    }
+
+    /// Waits until the attempt that computes this one's prefix has done so.
+    /// Bounded by the decision; returns at once when there is nothing to wait for.
+    /// False when the engine has gone out of use meanwhile: a leaving engine gets
+    /// no work that was chosen for it earlier.
+    pub async fn wait_for_prefix(&self) -> bool {
+        let Some(PrefixWait { dispatch, at_most }) = self.decision.wait else {
+            return true;
+        };
+        let computed = async {
+            loop {
+                // Registered before the check, so that no notice is missed.
+                let mut notice = pin!(self.engines.progress.notified());
+                notice.as_mut().enable();
+                if !self.engines.lock().table.is_prefilling(self.decision.engine, dispatch) {
+                    return;
+                }
+                notice.await;
+            }
+        };
+        // Sent after the time limit, the request computes the prefix itself.
+        let _ = timeout(at_most, computed).await;
+        self.engines.lock().table.is_usable(self.decision.engine)
     }
 }
 
@@ -90,6 +119,7 @@
     fn drop(&mut self) {
         let now = self.engines.now();
         self.engines.lock().table.finished(self.decision.engine, self.id, now);
+        self.engines.progress.notify_waiters();
     }
 }
 
@@ -113,6 +143,7 @@
             state: Mutex::new(state),
             started: Instant::now(),
             next_dispatch: AtomicU64::new(1),
+            progress: Notify::new(),
         }
     }
 
@@ -180,7 +211,7 @@
         let id = DispatchId(self.next_dispatch.fetch_add(1, Ordering::Relaxed));
         table.dispatched(decision.engine, id, work, now);
         if let Some(incarnation) = decision.incarnation {
-            index.predict(decision.engine, incarnation, &plan.blocks.hashes, now);
+            index.predict(decision.engine, incarnation, &plan.blocks.hashes, id.into(), now);
         }
         drop(state);
         Ok(Dispatch { engines: Arc::clone(self), decision, id })
--- a/crates/router/src/relay/attempt.rs
+++ b/crates/router/src/relay/attempt.rs
@@ -94,6 +94,9 @@
     from: u64,
 ) -> Result<Attempt, AttemptError> {
     let engine = dispatch.decision.engine;
+    if !dispatch.wait_for_prefix().await {
+        return Err(AttemptError::NotRun(LEAVING_CODE.to_owned()));
+    }
     let address = shared.back_ends.address(engine).ok_or(AttemptError::Unreachable)?;
     let id = RequestId(rand::random());
     let url = format!("http://{address}/v1/requests/{id}/cancel");
--- a/crates/router/src/sharing/mod.rs
+++ b/crates/router/src/sharing/mod.rs
@@ -246,6 +246,7 @@
         incarnation: holder.incarnation,
         blocks: holder.blocks,
         predicted: 0,
+        computed_by: None,
     }
 }
 
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -9,12 +9,12 @@
 
 use std::time::Duration;
 
-use juniper_prefix_index::{Holder, rendezvous};
+use juniper_prefix_index::{Holder, PredictionSource, rendezvous};
 use juniper_types::{EngineId, Incarnation, Timestamp};
 use rand::{Rng, RngExt};
 
 use crate::cost::{CostModel, CostTerms};
-use crate::request::RouteRequest;
+use crate::request::{DispatchId, RouteRequest};
 use crate::table::{EngineTable, Estimate};
 
 /// Shortest suggested pause.
@@ -24,6 +24,12 @@
 /// takes to report again.
 const NO_ENGINE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Predicted blocks that are worth a wait.
+const MIN_AWAITED_BLOCKS: u32 = 2;
+
+/// Time that a wait may take beyond twice the expected queue.
+const WAIT_SLACK: Duration = Duration::from_millis(500);
+
 /// Why the engine was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
@@ -57,6 +63,21 @@
     }
 }
 
+/// A wait for an attempt that is computing the prefix.
+///
+/// An engine shares a block only once it is computed. A request that arrives
+/// earlier computes the prefix a second time, behind the first in the same
+/// queue; sent when the first one has its first token, it finds the prefix and
+/// is served no later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PrefixWait {
+    /// The router's own attempt, on the same engine. The wait is over when it
+    /// has its first token or has ended.
+    pub dispatch: DispatchId,
+    /// The wait is over after this time in any case.
+    pub at_most: Duration,
+}
+
 /// The choice for one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Decision {
@@ -68,6 +89,8 @@
     pub expected_blocks: u32,
     /// Leading blocks to import from the store of kept KV cache first; zero for none.
     pub import_blocks: u32,
+    /// What to wait for before sending the request; `None` sends it at once.
+    pub wait: Option<PrefixWait>,
     /// Why this engine.
     pub reason: Reason,
     /// Engines that were considered.
@@ -113,6 +136,9 @@
     engine: EngineId,
     blocks: u32,
     import_blocks: u32,
+    /// Leading blocks that are only predicted, and who computes them.
+    predicted: u32,
+    computed_by: Option<PredictionSource>,
     terms: CostTerms,
     cost: f64,
 }
@@ -198,29 +224,35 @@
             let estimate =
                 table.serving_estimate(holder.engine, holder.incarnation, request.serving);
             if let Some(estimate) = estimate {
-                visit(self.candidate(estimate, holder.blocks));
+                let candidate = self.candidate(estimate, holder.blocks, self.work(holder.blocks));
+                let Holder { predicted, computed_by, .. } = *holder;
+                visit(Candidate { predicted, computed_by, ..candidate });
             }
         }
         let unheld = self.work(0);
         for position in table.group(request.serving) {
             let estimate = &table.estimates[*position as usize];
             if !request.excluded.contains(&estimate.engine) {
-                visit(self.candidate_with(estimate, 0, unheld));
+                visit(self.candidate(estimate, 0, unheld));
             }
         }
     }
 
-    fn candidate(&self, estimate: &Estimate, blocks: u32) -> Candidate {
-        self.candidate_with(estimate, blocks, self.work(blocks))
-    }
-
-    fn candidate_with(&self, estimate: &Estimate, blocks: u32, work: Work) -> Candidate {
+    fn candidate(&self, estimate: &Estimate, blocks: u32, work: Work) -> Candidate {
         let model = &self.table.model;
         let mut terms = estimate.terms(model, work.compute_us, self.now);
         terms.import_us = work.import_us;
         let cost = terms.weighted(model, self.request.weights);
         let import_blocks = work.import_blocks;
-        Candidate { engine: estimate.engine, blocks, import_blocks, terms, cost }
+        Candidate {
+            engine: estimate.engine,
+            blocks,
+            import_blocks,
+            predicted: 0,
+            computed_by: None,
+            terms,
+            cost,
+        }
     }
 
     /// What is left to do where `blocks` blocks are cached.
@@ -301,12 +333,25 @@
             incarnation,
             expected_blocks: chosen.blocks,
             import_blocks: chosen.import_blocks,
+            wait: self.wait(&chosen),
             reason,
             candidates: survey.candidates,
             terms: chosen.terms,
         }
     }
 
+    /// The wait for the attempt that computes the chosen engine's predicted blocks.
+    fn wait(&self, chosen: &Candidate) -> Option<PrefixWait> {
+        let dispatch = DispatchId(chosen.computed_by?.0);
+        let worthwhile = chosen.predicted >= MIN_AWAITED_BLOCKS;
+        if !worthwhile || !self.table.is_prefilling(chosen.engine, dispatch) {
+            return None;
+        }
+        let queue = Duration::from_micros(chosen.terms.queue_us as u64);
+        let at_most = (queue * 2 + WAIT_SLACK).min(self.request.first_token_within / 2);
+        Some(PrefixWait { dispatch, at_most })
+    }
+
     /// The queue has to drain by as much as the first token would be late.
     fn refusal(&self, cheapest: &CostTerms) -> Refusal {
         let within_us = self.request.first_token_within.as_micros() as f64;
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -236,6 +236,12 @@
         }
     }
 
+    /// Whether an own attempt is there and waits for its first token.
+    pub(crate) fn is_prefilling(&self, id: DispatchId) -> bool {
+        let dispatch = self.dispatches.iter().find(|dispatch| dispatch.id == id);
+        dispatch.is_some_and(|dispatch| dispatch.first_token_at.is_none())
+    }
+
     pub(crate) fn remove(&mut self, id: DispatchId) -> Option<Dispatch> {
         let position = self.dispatches.iter().position(|dispatch| dispatch.id == id)?;
         Some(self.dispatches.remove(position))
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,7 +15,7 @@
 mod table;
 
 pub use cost::{CostModel, CostTerms, CostWeights};
-pub use decide::{Decision, Reason, Refusal, RefusalCode, decide};
+pub use decide::{Decision, PrefixWait, Reason, Refusal, RefusalCode, decide};
 pub use engine::{EngineDescriptor, EngineLoad, EngineView};
 pub use request::{DispatchId, DispatchedWork, RouteRequest, ServingKey};
 pub use table::EngineTable;
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use juniper_prefix_index::PredictionSource;
 use juniper_settings::EffectiveSettings;
 use juniper_types::{
     AdapterName, BLOCK_TOKENS, BlockHash, EngineId, ModelName, PromptBlocks, WeightsVersion,
@@ -33,6 +34,12 @@
     pub missed_tokens: u32,
 }
 
+impl From<DispatchId> for PredictionSource {
+    fn from(id: DispatchId) -> Self {
+        PredictionSource(id.0)
+    }
+}
+
 /// One request to route.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteRequest<'a> {
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -284,6 +284,11 @@
         })
     }
 
+    /// Whether new work may be sent to `engine`.
+    pub fn is_usable(&self, engine: EngineId) -> bool {
+        self.position(engine).is_some_and(|position| self.engines[position].is_usable())
+    }
+
     /// The engines that new work may be sent to.
     pub fn usable_engines(&self) -> impl Iterator<Item = EngineId> + '_ {
         self.engines.iter().filter(|engine| engine.is_usable()).map(|engine| engine.id)
@@ -306,6 +311,12 @@
         (serves && known.serves(key)).then(|| &self.estimates[position])
     }
 
+    /// Whether an own attempt on `engine` waits for its first token, and so has
+    /// not computed its whole prompt.
+    pub fn is_prefilling(&self, engine: EngineId, id: DispatchId) -> bool {
+        self.position(engine).is_some_and(|position| self.engines[position].is_prefilling(id))
+    }
+
     /// The life that the engine reported last.
     pub(crate) fn incarnation(&self, engine: EngineId) -> Option<Incarnation> {
         self.engines[self.position(engine)?].incarnation
--- a/crates/routing/tests/decide.rs
+++ b/crates/routing/tests/decide.rs
@@ -190,6 +190,24 @@
     assert!((0..50).all(|prompt| route(&table, &[], prompt).expect("routed").engine.0 == 1));
 }
 
+#[test]
+fn a_request_waits_for_the_attempt_that_computes_its_prefix() {
+    let mut table = table(2, NOW);
+    let computing = DispatchId(8);
+    let work = DispatchedWork { prompt_tokens: TOKENS, missed_tokens: TOKENS };
+    table.dispatched(EngineId(1), computing, work, NOW);
+    let predicted = Holder { predicted: 38, computed_by: Some(computing.into()), ..holder(1, 38) };
+    let decision = route(&table, &[predicted], 1).expect("routed");
+    assert_eq!(decision.engine, EngineId(1));
+    assert_eq!(decision.wait.map(|wait| wait.dispatch), Some(computing));
+    assert!(decision.wait.is_some_and(|wait| wait.at_most <= Duration::from_secs(5)));
+
+    table.first_token(EngineId(1), computing, NOW);
+    assert_eq!(route(&table, &[predicted], 1).expect("routed").wait, None);
+    let known = Holder { predicted: 0, computed_by: None, ..predicted };
+    assert_eq!(route(&table, &[known], 1).expect("routed").wait, None);
+}
+
 #[test]
 fn a_nearer_zone_wins_between_equals() {
     let mut table = table(4, NOW);
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -23,7 +23,13 @@
 }
 
 pub fn holder(engine: u32, blocks: u32) -> Holder {
-    Holder { engine: EngineId(engine), incarnation: life(engine), blocks, predicted: 0 }
+    Holder {
+        engine: EngineId(engine),
+        incarnation: life(engine),
+        blocks,
+        predicted: 0,
+        computed_by: None,
+    }
 }
 
 pub fn idle_load(engine: EngineId) -> EngineLoad {
