--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -6,19 +6,19 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use kameo::actor::Spawn;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::backends::BackEnds;
 use crate::config::RouterConfig;
-use crate::control_client::ControlClient;
+use crate::control_plane::ControlPlane;
 use crate::faces;
+use crate::feeds;
 use crate::metrics::Metrics;
-use crate::settings_file::{SettingsFile, SettingsFileError};
+use crate::settings_file::SettingsFileError;
 use crate::shared::Shared;
-use crate::subscription::{SettingsActor, SettingsView, keep_subscribed};
+use crate::subscription::SettingsView;
 
 /// Time within which a connection to a back end must stand.
 const BACK_END_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -78,7 +78,7 @@
     let config = Arc::new(config);
     let callers = listen(config.caller).await?;
     let operators = listen(config.operator).await?;
-    let shared = start(Arc::clone(&config))?;
+    let shared = start(Arc::clone(&config)).await?;
     let (close, closed) = watch::channel(false);
     let caller_face = serve(callers, faces::callers(Arc::clone(&shared)), closed.clone());
     let operator_face = serve(operators, faces::operators(Arc::clone(&shared)), closed);
@@ -100,6 +100,7 @@
         ended = &mut faces => return ended.map(|_| ()).map_err(RouterError::Serve),
         drained = &mut drain => drained,
     };
+    shared.plane.leave().await;
     let _ = close.send(true);
     // Every answer has been sent; what is left are idle connections.
     let _ = timeout(CLOSE_TIMEOUT, faces).await;
@@ -107,29 +108,22 @@
     drained
 }
 
-fn start(config: Arc<RouterConfig>) -> Result<Arc<Shared>, RouterError> {
-    let identity = config.identity();
-    let file = match &config.data_folder {
-        Some(folder) => Some(SettingsFile::open(folder)?),
-        None => None,
-    };
-    let (view_sender, view) = watch::channel(SettingsView::default());
-    let actor = SettingsActor::spawn(SettingsActor::new(view_sender, file)?);
-    let control = Arc::new(ControlClient::new(&config, &identity));
+async fn start(config: Arc<RouterConfig>) -> Result<Arc<Shared>, RouterError> {
+    let plane = ControlPlane::start(&config).await?;
     let back_ends = Arc::new(BackEnds::default());
-    tokio::spawn(follow_back_ends(view.clone(), Arc::clone(&back_ends)));
-    tokio::spawn(keep_subscribed(
-        Arc::clone(&config),
-        identity,
-        actor,
-        Arc::clone(&control),
-        view.clone(),
-    ));
+    tokio::spawn(follow_back_ends(plane.settings.clone(), Arc::clone(&back_ends)));
     let http =
         reqwest::Client::builder().connect_timeout(BACK_END_CONNECT_TIMEOUT).no_proxy().build()?;
+    tokio::spawn(feeds::follow_settings(
+        plane.settings.clone(),
+        plane.peers.clone(),
+        http.clone(),
+        Arc::clone(&plane.engines),
+        Arc::clone(&plane.hub),
+    ));
+    tokio::spawn(feeds::maintain(Arc::clone(&plane.engines)));
     Ok(Arc::new(Shared {
-        settings: view,
-        control,
+        plane,
         back_ends,
         http,
         metrics: Metrics::new()?,
