Emulators over HTTP: the engine model in real time, servers, stores, platform

The HTTP engine answered at a fixed pace and had no cache, events or load. It now drives the same model as the simulator: batching, eviction, late and lost events, lagging load, cancel, orders, export and import. Every witness can be read over HTTP. A request that ends before it enters the batch is answered as not run, otherwise not.

--- a/crates/emulators/src/http/chat.rs
+++ b/crates/emulators/src/http/chat.rs
@@ -21,6 +21,9 @@
     /// Seed of the sampling.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub seed: Option<u64>,
+    /// Who the caller says it is; callers of the lab name their tenant, and the witness reads it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub user: Option<String>,
 }
 
 /// One message of a prompt.
--- a/crates/emulators/src/http/error.rs
+++ b/crates/emulators/src/http/error.rs
@@ -68,6 +68,21 @@
     /// The byte range lies outside the resource.
     #[error("the range can't be satisfied")]
     Range,
+    /// Weights are being loaded.
+    #[error("weights are being loaded")]
+    Loading,
+    /// The request was cancelled before it entered the batch.
+    #[error("the request was cancelled")]
+    Cancelled,
+    /// The request ended after its work had begun.
+    #[error("the request was interrupted")]
+    Interrupted,
+    /// No memory is free for an import.
+    #[error("no memory is free")]
+    NoMemory,
+    /// The emulator's own files can't be written.
+    #[error("the record of executions can't be written")]
+    Journal,
 }
 
 impl ApiError {
@@ -92,6 +107,11 @@
             ApiError::Damaged => "damaged",
             ApiError::NotFound => "not_found",
             ApiError::Range => "range",
+            ApiError::Loading => "loading",
+            ApiError::Cancelled => "cancelled",
+            ApiError::Interrupted => "interrupted",
+            ApiError::NoMemory => "no_memory",
+            ApiError::Journal => "journal",
         }
     }
 
@@ -109,14 +129,24 @@
             | ApiError::DuplicateRequest
             | ApiError::Fenced { .. }
             | ApiError::ForeignEntry
-            | ApiError::Damaged => StatusCode::CONFLICT,
-            ApiError::Overloaded { .. } | ApiError::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+            | ApiError::Damaged
+            | ApiError::Cancelled => StatusCode::CONFLICT,
+            ApiError::Overloaded { .. }
+            | ApiError::Leaving
+            | ApiError::Loading
+            | ApiError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+            ApiError::Interrupted | ApiError::Journal => StatusCode::INTERNAL_SERVER_ERROR,
             ApiError::Deadline => StatusCode::GATEWAY_TIMEOUT,
             ApiError::PromptTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             ApiError::NotFound => StatusCode::NOT_FOUND,
             ApiError::Range => StatusCode::RANGE_NOT_SATISFIABLE,
         }
     }
+
+    /// Whether nothing of the request was run.
+    pub fn not_run(&self) -> bool {
+        !matches!(self, ApiError::Interrupted)
+    }
 }
 
 #[derive(Serialize)]
@@ -132,9 +162,9 @@
 }
 
 impl IntoResponse for ApiError {
-    /// Every error is answered before the work starts, so none of it was run.
     fn into_response(self) -> Response {
-        let detail = ErrorDetail { code: self.code(), message: self.to_string(), not_run: true };
+        let not_run = self.not_run();
+        let detail = ErrorDetail { code: self.code(), message: self.to_string(), not_run };
         let mut response = (self.status(), Json(ErrorBody { error: detail })).into_response();
         if let ApiError::Overloaded { retry_after_seconds } = self {
             let value = HeaderValue::from(retry_after_seconds);
--- a/crates/emulators/src/lib.rs
+++ b/crates/emulators/src/lib.rs
@@ -5,8 +5,13 @@
 //! virtual time. The [`http`] module drives the same models in real time and
 //! speaks the back-end protocol.
 
+pub mod application;
 pub mod content;
 pub mod engine;
 pub mod http;
+pub mod kept;
+pub mod platform;
+pub mod preview;
 pub mod trace;
+pub mod weights;
 pub mod witness;
--- /dev/null
+++ b/crates/emulators/src/preview.rs
@@ -0,0 +1,19 @@
+//! Previews: bytes that are a pure function of the clip.
+
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Shortest preview: 12 s at 32 kbit/s, watermarked.
+pub const MIN_PREVIEW_BYTES: usize = 48 << 10;
+
+/// Longest preview: 40 s at 32 kbit/s.
+pub const MAX_PREVIEW_BYTES: usize = 160 << 10;
+
+/// All bytes of the preview of `clip`, of a length of its own.
+pub fn preview_bytes(clip: u64) -> Vec<u8> {
+    let mut random = ChaCha8Rng::seed_from_u64(clip);
+    let length = random.random_range(MIN_PREVIEW_BYTES..=MAX_PREVIEW_BYTES);
+    let mut bytes = vec![0; length];
+    random.fill_bytes(&mut bytes);
+    bytes
+}
--- a/crates/lab/src/arguments.rs
+++ b/crates/lab/src/arguments.rs
@@ -7,6 +7,9 @@
     #[error("unknown command {0:?}")]
     #[diagnostic(help("'juniper-lab --help' lists the commands"))]
     UnknownCommand(String),
+    /// No such option.
+    #[error("unknown option --{0}")]
+    UnknownOption(String),
     /// The parser refused the arguments.
     #[error(transparent)]
     Parse(#[from] lexopt::Error),
--- a/crates/lab/src/emulate/engine.rs
+++ b/crates/lab/src/emulate/engine.rs
@@ -3,39 +3,76 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
+use juniper_emulators::engine::EngineConfig;
 use juniper_emulators::http::engine::{EngineOptions, router};
-use juniper_types::{Incarnation, ModelName, WeightsVersion, ZoneName};
+use juniper_types::{AdapterName, Incarnation, ModelName, WeightsVersion, ZoneName};
 use lexopt::Arg;
 
 use super::serve::serve;
 use crate::arguments::{ArgumentError, parsed};
 
+/// Zone of an engine that is told none.
+const DEFAULT_ZONE: &str = "local";
+
+/// Model of an engine that is told none.
+const DEFAULT_MODEL: &str = "base";
+
+struct Arguments {
+    listen: SocketAddr,
+    zone: ZoneName,
+    options: EngineOptions,
+}
+
 /// Runs an engine emulator until the process is ended.
 ///
 /// # Errors
 /// Fails when the arguments are faulty or the address can't be served.
 pub fn run(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
+    let Arguments { listen, zone, options } = read(parser)?;
+    log::info!("event=start kind=engine zone={zone}");
+    serve(listen, || router(options))
+}
+
+fn read(parser: &mut lexopt::Parser) -> Result<Arguments, ArgumentError> {
     let mut listen: Option<SocketAddr> = None;
-    let mut zone: Option<ZoneName> = None;
-    let mut model: Option<ModelName> = None;
+    let mut zone = ZoneName::new(DEFAULT_ZONE)?;
+    let mut model = ModelName::new(DEFAULT_MODEL)?;
     let mut weights = WeightsVersion(1);
-    while let Some(argument) = parser.next().map_err(ArgumentError::from)? {
+    let mut weight_store = None;
+    let mut config = EngineConfig::reference(model.clone(), weights, 1);
+    while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("listen") => listen = Some(parsed(parser, "--listen", "an address")?),
-            Arg::Long("zone") => zone = Some(parsed(parser, "--zone", "a name")?),
-            Arg::Long("model") => model = Some(parsed(parser, "--model", "a name")?),
+            Arg::Long("zone") => zone = parsed(parser, "--zone", "a name")?,
+            Arg::Long("model") => model = parsed(parser, "--model", "a name")?,
             Arg::Long("weights") => {
-                weights = WeightsVersion(parsed(parser, "--weights", "a number")?)
+                weights = WeightsVersion(parsed(parser, "--weights", "a number")?);
+            }
+            Arg::Long("adapter") => {
+                config.adapters.push(parsed::<AdapterName>(parser, "--adapter", "a name")?);
+            }
+            Arg::Long("cache-blocks") => {
+                config.cache_blocks = parsed(parser, "--cache-blocks", "a number")?;
+            }
+            Arg::Long("prefill-us") => {
+                let micros: u32 = parsed(parser, "--prefill-us", "a number")?;
+                config.prefill_token_ns = u64::from(micros) * 1_000;
+            }
+            Arg::Long("event-loss") => {
+                config.events.loss = parsed(parser, "--event-loss", "a share")?;
+            }
+            Arg::Long("seed") => config.seed = parsed(parser, "--seed", "a number")?,
+            Arg::Long("weight-store") => {
+                weight_store = Some(parsed(parser, "--weight-store", "an address")?);
             }
-            other => return Err(ArgumentError::from(other.unexpected()).into()),
+            other => return Err(other.unexpected().into()),
         }
     }
-    let listen = listen.ok_or(ArgumentError::Missing("--listen"))?;
-    let model = match model {
-        Some(model) => model,
-        None => ModelName::new("base").map_err(ArgumentError::from)?,
-    };
-    log::info!("event=start kind=engine zone={}", zone.as_ref().map_or("local", |z| z.as_str()));
-    let options = EngineOptions { model, weights, incarnation: Incarnation(rand::random()) };
-    serve(listen, router(options))
+    config.model = Some((model, weights));
+    let incarnation = Incarnation(rand::random());
+    Ok(Arguments {
+        listen: listen.ok_or(ArgumentError::Missing("--listen"))?,
+        zone,
+        options: EngineOptions { config, incarnation, weight_store },
+    })
 }
--- a/crates/lab/src/emulate/serve.rs
+++ b/crates/lab/src/emulate/serve.rs
@@ -21,22 +21,26 @@
         #[source]
         source: std::io::Error,
     },
+    /// The journal can't be read or opened.
+    #[error("the journal can't be read or opened")]
+    Journal(#[source] std::io::Error),
     /// Serving ended with a fault.
     #[error("serving failed")]
     Serve(#[source] std::io::Error),
 }
 
-/// Serves `routes` on `address` and announces the address on standard output.
+/// Serves the routes that `routes` makes within the runtime on `address`, and
+/// announces the address on standard output.
 ///
 /// # Errors
 /// Fails when the address can't be listened on.
-pub fn serve(address: SocketAddr, routes: Router) -> miette::Result<ExitCode> {
+pub fn serve(address: SocketAddr, routes: impl FnOnce() -> Router) -> miette::Result<ExitCode> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .worker_threads(2)
         .build()
         .map_err(ServeError::Runtime)?;
-    runtime.block_on(serve_on(address, routes))?;
+    runtime.block_on(async { serve_on(address, routes()).await })?;
     Ok(ExitCode::SUCCESS)
 }
 
