Load: open-loop traces against a fleet, every answer checked

Streams are checked for order, content, id and usage and resumed through another router; previews byte by byte; calls that run at most once against the application servers' record, so that a false 'not run' is found. The checks are tested with damaged answers. juniper-lab replay sends a recorded trace.

Not yet run against a fleet.

--- a/crates/emulators/src/http/chat.rs
+++ b/crates/emulators/src/http/chat.rs
@@ -97,6 +97,9 @@
 pub struct ChunkPlace {
     /// Number of the first output token of the chunk.
     pub index: u32,
+    /// Output tokens in the chunk.
+    #[serde(default)]
+    pub count: u32,
 }
 
 /// Token counts of a whole answer.
--- a/crates/emulators/src/http/engine/completion.rs
+++ b/crates/emulators/src/http/engine/completion.rs
@@ -181,8 +181,10 @@
         }
     }
 
-    fn chunk(&self, index: u32, content: Option<String>) -> Chunk {
-        let last = content.is_none();
+    /// The chunk with `count` tokens from `index` on, or without any the last one.
+    fn chunk(&self, index: u32, count: u32) -> Chunk {
+        let last = count == 0;
+        let content = (!last).then(|| self.text.range(index, index + count));
         Chunk {
             id: self.id.to_string(),
             object: "chat.completion.chunk".to_owned(),
@@ -192,7 +194,7 @@
                 delta: Delta { content },
                 finish_reason: last.then(|| "length".to_owned()),
             }],
-            juniper: ChunkPlace { index },
+            juniper: ChunkPlace { index, count },
             usage: last.then(|| self.usage()),
         }
     }
@@ -217,11 +219,10 @@
         match update {
             Update::Started { .. } => Vec::new(),
             Update::Tokens { index, count } => {
-                let text = self.text.range(index, index + count);
-                vec![chunk_event(&self.chunk(index, Some(text)))]
+                vec![chunk_event(&self.chunk(index, count))]
             }
             Update::Finished => {
-                vec![chunk_event(&self.chunk(self.to, None)), Event::default().data("[DONE]")]
+                vec![chunk_event(&self.chunk(self.to, 0)), Event::default().data("[DONE]")]
             }
             // The stream ends without its last chunk, which the reader can't take for the end.
             Update::Dropped(_) => Vec::new(),
--- /dev/null
+++ b/crates/lab/src/load/executions.rs
@@ -0,0 +1,115 @@
+//! Compares what callers were told with what the application servers ran.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use juniper_emulators::application::{Execution, ExecutionCount, Executions};
+use juniper_emulators::http::application::EXECUTIONS_PATH;
+
+use super::client::AttemptError;
+use super::outcome::{Violation, ViolationKind};
+
+/// What a caller may believe of its call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Belief {
+    /// Every answer said that nothing ran, or nothing was ever sent.
+    NotRun,
+    /// It was answered as done.
+    Run,
+    /// Some attempt left it open.
+    Open,
+}
+
+impl Belief {
+    /// What to believe after an attempt that brought `error`.
+    pub fn after(self, error: &AttemptError) -> Self {
+        match error {
+            AttemptError::NotReached => self,
+            AttemptError::Refused(detail) if detail.not_run => self,
+            _ => Belief::Open,
+        }
+    }
+}
+
+/// One call that runs at most once, as its caller saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallRecord {
+    /// The call.
+    pub execution: Execution,
+    /// What its caller believes.
+    pub belief: Belief,
+}
+
+/// Where the record of what ran is read from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ExecutionSource {
+    /// A running application server.
+    Server(SocketAddr),
+    /// The journal of an application server, running or not.
+    Journal(PathBuf),
+}
+
+/// Why a record can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum ExecutionSourceError {
+    /// The server doesn't answer, or with something else.
+    #[error("the record of {0} can't be read")]
+    Server(SocketAddr, #[source] reqwest::Error),
+    /// The journal can't be read.
+    #[error("the journal {0} can't be read")]
+    Journal(PathBuf, #[source] io::Error),
+}
+
+/// Everything that ran, over all sources.
+///
+/// # Errors
+/// Fails when one source can't be read: without it nothing can be said.
+pub async fn read_sources(
+    sources: &[ExecutionSource],
+) -> Result<BTreeMap<Execution, u64>, ExecutionSourceError> {
+    let mut all = BTreeMap::new();
+    for source in sources {
+        for ExecutionCount { execution, count } in read_source(source).await? {
+            *all.entry(execution).or_default() += count;
+        }
+    }
+    Ok(all)
+}
+
+async fn read_source(
+    source: &ExecutionSource,
+) -> Result<Vec<ExecutionCount>, ExecutionSourceError> {
+    match source {
+        ExecutionSource::Server(address) => {
+            let fault = |error| ExecutionSourceError::Server(*address, error);
+            let url = format!("http://{address}{EXECUTIONS_PATH}");
+            let response = reqwest::get(url).await.map_err(fault)?;
+            response.error_for_status().map_err(fault)?.json().await.map_err(fault)
+        }
+        ExecutionSource::Journal(path) => {
+            let fault = |error| ExecutionSourceError::Journal(path.clone(), error);
+            Ok(Executions::open(path).map_err(fault)?.counts())
+        }
+    }
+}
+
+/// Violations that the record of what ran shows.
+pub fn compare(calls: &[CallRecord], ran: &BTreeMap<Execution, u64>) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (execution, count) in ran.iter().filter(|(_, count)| **count > 1) {
+        let detail = format!("{execution:?} ran {count} times");
+        violations.push(Violation::new(ViolationKind::RanTwice, detail));
+    }
+    let ran: BTreeSet<&Execution> = ran.keys().collect();
+    for CallRecord { execution, belief } in calls {
+        let kind = match (belief, ran.contains(execution)) {
+            (Belief::NotRun, true) => ViolationKind::FalseRefusal,
+            (Belief::Run, false) => ViolationKind::AnsweredWithoutRunning,
+            _ => continue,
+        };
+        violations.push(Violation::new(kind, format!("{execution:?}")));
+    }
+    violations
+}
