Demo: a fleet of processes under checked load and faults

A fleet module starts control replicas, routers and emulators as processes with ports below the ephemeral range, applies the tree of a profile and stops all it started. The demo kills an engine and a router, restarts them, drains an engine and stops a router as planned, under load. A TCP proxy cuts links.

--- /dev/null
+++ b/crates/lab/src/demo/script.rs
@@ -0,0 +1,184 @@
+//! The faults of a demo, one after the other, while the load runs.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use juniper_emulators::http::report::WitnessReport;
+use juniper_emulators::trace::{Profile, Trace, TraceOptions, TraceRequest, generate};
+use juniper_settings::BackEndKind;
+use juniper_types::ServiceName;
+use tokio::time::{Instant, sleep_until};
+
+use super::{DemoError, DemoReport, FaultDone};
+use crate::fleet::{Binaries, Fleet, FleetError, FleetOptions, FleetSizes, PREVIEW_SERVICE};
+use crate::load::arguments::{complete, default_options};
+use crate::load::{LoadReport, run_load};
+
+/// One listing in this many becomes a preview, so that a demo has every kind.
+const PREVIEW_SHARE: usize = 3;
+
+/// What a demo does.
+#[derive(Clone, Debug)]
+pub struct DemoOptions {
+    /// Deployment that the fleet is modelled on.
+    pub profile: Profile,
+    /// Seed of the load.
+    pub seed: u64,
+    /// Time of load.
+    pub duration: Duration,
+    /// Share of what the engines can serve.
+    pub load: f64,
+    /// Numbers of processes.
+    pub sizes: FleetSizes,
+    /// Folder to keep; a temporary one otherwise.
+    pub folder: Option<PathBuf>,
+}
+
+/// Steps of the script.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    KillEngine,
+    KillRouter,
+    RestartBoth,
+    DrainEngine,
+    StopRouter,
+    StartRouter,
+}
+
+/// When each step is done, in percent of the load's time.
+const SCRIPT: [(u32, Step); 6] = [
+    (20, Step::KillEngine),
+    (30, Step::KillRouter),
+    (45, Step::RestartBoth),
+    (55, Step::DrainEngine),
+    (70, Step::StopRouter),
+    (85, Step::StartRouter),
+];
+
+impl Step {
+    fn describe(self) -> &'static str {
+        match self {
+            Step::KillEngine => "kill -9 of an engine",
+            Step::KillRouter => "kill -9 of a router",
+            Step::RestartBoth => "engine and router started again",
+            Step::DrainEngine => "engine drained",
+            Step::StopRouter => "planned stop of a router",
+            Step::StartRouter => "router started again",
+        }
+    }
+}
+
+/// A trace for `engines` engines with every kind of request.
+///
+/// # Errors
+/// Never for the profiles of this build: their names are checked constants.
+pub fn demo_trace(
+    profile: Profile,
+    seed: u64,
+    load: f64,
+    engines: usize,
+    duration: Duration,
+) -> Result<Trace, FleetError> {
+    let share = engines as f64 / f64::from(profile.shape().engines);
+    let duration_ms = duration.as_millis() as u64;
+    let mut trace = generate(TraceOptions { profile, seed, load: load * share, duration_ms })?;
+    let service = ServiceName::new(PREVIEW_SERVICE)?;
+    for (number, record) in trace.records.iter_mut().enumerate() {
+        let TraceRequest::Listing { resource } = record.request else { continue };
+        if number.is_multiple_of(PREVIEW_SHARE) {
+            record.request = TraceRequest::Preview { clip: resource };
+            record.service = service.clone();
+        }
+    }
+    Ok(trace)
+}
+
+/// Runs the whole demo and stops everything it started.
+///
+/// # Errors
+/// Fails when the fleet or the load can't be run; broken promises are in the report.
+pub async fn run_demo(options: DemoOptions) -> Result<DemoReport, DemoError> {
+    let temporary = tempfile::tempdir().map_err(DemoError::Folder)?;
+    let folder = options.folder.unwrap_or_else(|| temporary.path().to_owned());
+    std::fs::create_dir_all(&folder).map_err(DemoError::Folder)?;
+    let engines = options.sizes.engines;
+    let trace = demo_trace(options.profile, options.seed, options.load, engines, options.duration)?;
+    let mut fleet = Fleet::start(FleetOptions {
+        binaries: Binaries::beside_this_program()?,
+        folder,
+        profile: options.profile,
+        sizes: options.sizes,
+        cuttable: false,
+    })
+    .await?;
+    let mut load = default_options();
+    load.routers = fleet.router_targets();
+    load.executions = fleet.execution_sources();
+    let load = complete(load).map_err(|_| FleetError::NoSuch("router".to_owned()))?;
+    let (report, done) =
+        tokio::join!(run_load(&trace, load), run_script(&mut fleet, options.duration));
+    let (report, done) = (report?, done?);
+    let breaches = fleet.witnesses().await?;
+    let mut ended_badly = done.ended_badly;
+    ended_badly.extend(fleet.stop_daemons().await?);
+    Ok(summary(report, breaches, done.faults, ended_badly))
+}
+
+/// What the script has done and seen.
+#[derive(Default)]
+struct Done {
+    faults: Vec<FaultDone>,
+    ended_badly: Vec<String>,
+}
+
+async fn run_script(fleet: &mut Fleet, duration: Duration) -> Result<Done, FleetError> {
+    let start = Instant::now();
+    let mut done = Done::default();
+    for (percent, step) in SCRIPT {
+        sleep_until(start + duration * percent / 100).await;
+        done.faults
+            .push(FaultDone { at_ms: start.elapsed().as_millis() as u64, fault: step.describe() });
+        do_step(fleet, step, &mut done).await?;
+    }
+    Ok(done)
+}
+
+async fn do_step(fleet: &mut Fleet, step: Step, done: &mut Done) -> Result<(), FleetError> {
+    match step {
+        Step::KillEngine => fleet.back_end_process(BackEndKind::Engine, 0)?.kill(),
+        Step::KillRouter => fleet.router_process(0)?.kill(),
+        Step::RestartBoth => {
+            fleet.restart_back_end(BackEndKind::Engine, 0).await?;
+            fleet.restart_router(0).await?;
+        }
+        Step::DrainEngine => fleet.drain_engine(1).await?,
+        Step::StopRouter => {
+            if !fleet.stop_router(1).await?.success() {
+                done.ended_badly.push("router stopped as planned".to_owned());
+            }
+        }
+        Step::StartRouter => fleet.restart_router(1).await?,
+    }
+    Ok(())
+}
+
+fn summary(
+    load: LoadReport,
+    breaches: WitnessReport,
+    faults: Vec<FaultDone>,
+    ended_badly: Vec<String>,
+) -> DemoReport {
+    DemoReport {
+        requests: load.requests,
+        complete: load.complete,
+        refused: load.refused,
+        failed: load.failed + load.unknown,
+        violations: load.violations + breaches.total + ended_badly.len() as u64,
+        hit_rate: load.hit_rate,
+        ttft_p99_ms: load.ttft_p99_ms,
+        faults,
+        breaches,
+        ended_badly,
+        load,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/mod.rs
@@ -0,0 +1,274 @@
+//! A small fleet of real processes on one machine.
+//!
+//! The lab starts the daemons and the emulators, breaks them, and stops
+//! whatever it started when the [`Fleet`] is dropped.
+
+mod back_ends;
+mod binaries;
+mod error;
+mod faults;
+mod node_files;
+mod operator;
+mod ports;
+mod process;
+mod tree;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use juniper_emulators::trace::Profile;
+use juniper_types::{ChangeId, ZoneName};
+
+pub use self::back_ends::{BackEndProcess, FleetSizes};
+pub use self::binaries::Binaries;
+pub use self::error::FleetError;
+pub use self::node_files::{NodeAddress, OPERATOR_KEY};
+pub use self::operator::Operator;
+pub use self::process::{ManagedProcess, Signal};
+pub use self::tree::{LISTING_SERVICE, PREVIEW_SERVICE};
+
+use self::node_files::{ControlNode, RouterNode, write_control, write_router};
+use self::ports::Ports;
+use self::tree::{SettingsChange, ZoneBackEnds, whole_tree};
+use crate::load::{ExecutionSource, RouterTarget};
+use crate::proxy::{LinkProxy, LinkState};
+
+/// Number of the first router; control replicas count from one.
+const FIRST_ROUTER: u64 = 11;
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// Programs.
+    pub binaries: Binaries,
+    /// Folder for files, logs and data.
+    pub folder: PathBuf,
+    /// Deployment that the fleet is modelled on.
+    pub profile: Profile,
+    /// Numbers of processes.
+    pub sizes: FleetSizes,
+    /// Whether the last zone stands behind proxies and can be cut off.
+    pub cuttable: bool,
+}
+
+/// A control replica with its process.
+#[derive(Debug)]
+struct Control {
+    node: ControlNode,
+    process: ManagedProcess,
+}
+
+/// A router with its process.
+#[derive(Debug)]
+struct Router {
+    node: RouterNode,
+    process: ManagedProcess,
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    folder: PathBuf,
+    zones: Vec<ZoneBackEnds>,
+    control: Vec<Control>,
+    routers: Vec<Router>,
+    back_ends: Vec<BackEndProcess>,
+    /// Links of the last zone to the others.
+    links: Vec<LinkProxy>,
+    operator: Operator,
+    revision: u64,
+}
+
+impl Fleet {
+    /// Starts every process, applies the tree of the profile and waits until
+    /// all routers serve it.
+    ///
+    /// # Errors
+    /// Fails when a process can't be started or doesn't come to serve in time.
+    pub async fn start(options: FleetOptions) -> Result<Self, FleetError> {
+        let FleetOptions { binaries, folder, profile, sizes, cuttable } = options;
+        let mut ports = Ports::new();
+        let zone_names = profile.names()?.zones;
+        let control = start_control(&binaries, &folder, sizes.control, &zone_names, &mut ports)?;
+        let back_ends =
+            back_ends::start(&binaries, &folder, profile, sizes, &zone_names, &mut ports)?;
+        let mut fleet = Fleet {
+            folder,
+            zones: Vec::new(),
+            control,
+            routers: Vec::new(),
+            back_ends,
+            links: Vec::new(),
+            operator: Operator::default(),
+            revision: 0,
+        };
+        fleet.zones = fleet.zone_back_ends(&zone_names, cuttable).await?;
+        fleet.start_routers(&binaries, sizes.routers, &zone_names, cuttable, &mut ports).await?;
+        fleet.wait_for_back_ends().await?;
+        let edits = whole_tree(profile, &fleet.zones)?;
+        fleet.change("first", edits).await?;
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// The zones as the tree has them. In a cuttable fleet the back ends of all
+    /// zones but the last are reached through proxies.
+    async fn zone_back_ends(
+        &mut self,
+        zone_names: &[ZoneName],
+        cuttable: bool,
+    ) -> Result<Vec<ZoneBackEnds>, FleetError> {
+        let mut zones = Vec::new();
+        for (place, zone) in zone_names.iter().enumerate() {
+            let is_last = place + 1 == zone_names.len();
+            let own: Vec<_> = self
+                .back_ends
+                .iter()
+                .filter(|b| b.zone == *zone)
+                .map(|b| b.entry.clone())
+                .collect();
+            let mut back_ends = Vec::new();
+            for mut entry in own {
+                if cuttable && !is_last {
+                    entry.address = self.link(entry.address).await?;
+                }
+                back_ends.push(entry);
+            }
+            zones.push(ZoneBackEnds { zone: zone.clone(), back_ends });
+        }
+        Ok(zones)
+    }
+
+    /// A link to `target` that is cut together with the last zone.
+    async fn link(&mut self, target: SocketAddr) -> Result<SocketAddr, FleetError> {
+        let link = LinkProxy::start(target).await.map_err(FleetError::Proxy)?;
+        let address = link.address();
+        self.links.push(link);
+        Ok(address)
+    }
+
+    async fn start_routers(
+        &mut self,
+        binaries: &Binaries,
+        count: usize,
+        zone_names: &[ZoneName],
+        cuttable: bool,
+        ports: &mut Ports,
+    ) -> Result<(), FleetError> {
+        let control: Vec<NodeAddress> = self.control.iter().map(|c| c.node.node.clone()).collect();
+        let mut far_control = control.clone();
+        for node in far_control.iter_mut().filter(|_| cuttable) {
+            node.internal = self.link(node.internal).await?;
+        }
+        let mut nodes = Vec::new();
+        for (id, zone) in (FIRST_ROUTER..).zip(zone_names.iter().cycle()).take(count) {
+            let node = NodeAddress { id, zone: zone.clone(), internal: ports.take()? };
+            nodes.push(RouterNode { node, operator: ports.take()?, caller: ports.take()? });
+        }
+        let peers: Vec<NodeAddress> = nodes.iter().map(|router| router.node.clone()).collect();
+        for node in nodes {
+            let is_last_zone = zone_names.last() == Some(&node.node.zone);
+            let known = if is_last_zone { &far_control } else { &control };
+            let file = write_router(&self.folder, &node, known, &peers)?;
+            let name = format!("router-{}", node.node.id);
+            let process = start_daemon(binaries, &self.folder, "router", name, &file)?;
+            self.routers.push(Router { node, process });
+        }
+        Ok(())
+    }
+
+    async fn wait_for_back_ends(&self) -> Result<(), FleetError> {
+        for back_end in &self.back_ends {
+            self.operator.wait_for(back_end.entry.address, "/healthz").await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every router serves the latest settings.
+    ///
+    /// # Errors
+    /// Fails when one doesn't in time.
+    pub async fn wait_until_ready(&self) -> Result<(), FleetError> {
+        for router in &self.routers {
+            self.operator.wait_for(router.node.operator, "/readyz").await?;
+        }
+        let faces: Vec<SocketAddr> = self.routers.iter().map(|r| r.node.operator).collect();
+        self.operator.wait_for_revision(&faces, self.revision).await
+    }
+
+    /// Applies edits as one change; returns the new revision.
+    ///
+    /// # Errors
+    /// Fails when the change is refused or not taken in time.
+    async fn change(
+        &mut self,
+        name: &str,
+        edits: Vec<juniper_settings::Edit>,
+    ) -> Result<u64, FleetError> {
+        let text = format!("{name}-{}", self.revision);
+        let change_id = ChangeId::new(text).map_err(|_| FleetError::NoSuch(name.to_owned()))?;
+        let change = SettingsChange { base_revision: self.revision, change_id, edits };
+        let faces: Vec<SocketAddr> = self.control.iter().map(|c| c.node.operator).collect();
+        self.revision = self.operator.apply(&faces, &change).await?;
+        Ok(self.revision)
+    }
+
+    /// Routers as callers know them.
+    pub fn router_targets(&self) -> Vec<RouterTarget> {
+        let target = |router: &Router| RouterTarget {
+            zone: Some(router.node.node.zone.clone()),
+            address: router.node.caller,
+        };
+        self.routers.iter().map(target).collect()
+    }
+
+    /// Journals of the application servers.
+    pub fn execution_sources(&self) -> Vec<ExecutionSource> {
+        let journals = self.back_ends.iter().filter_map(|back_end| back_end.journal.clone());
+        journals.map(ExecutionSource::Journal).collect()
+    }
+
+    /// Cuts the last zone off, or mends it.
+    pub fn set_last_zone(&self, state: LinkState) {
+        self.links.iter().for_each(|link| link.set(state));
+    }
+
+    /// Folder with the files, logs and data of the fleet.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+}
+
+fn start_control(
+    binaries: &Binaries,
+    folder: &Path,
+    count: usize,
+    zones: &[ZoneName],
+    ports: &mut Ports,
+) -> Result<Vec<Control>, FleetError> {
+    let mut nodes = Vec::new();
+    for (id, zone) in (1..).zip(zones.iter().cycle()).take(count) {
+        let node = NodeAddress { id, zone: zone.clone(), internal: ports.take()? };
+        nodes.push(ControlNode { node, operator: ports.take()? });
+    }
+    let group: Vec<NodeAddress> = nodes.iter().map(|control| control.node.clone()).collect();
+    let start = |node: ControlNode| {
+        let file = write_control(folder, &node, &group)?;
+        let name = format!("control-{}", node.node.id);
+        let process = start_daemon(binaries, folder, "control", name, &file)?;
+        Ok(Control { node, process })
+    };
+    nodes.into_iter().map(start).collect()
+}
+
+fn start_daemon(
+    binaries: &Binaries,
+    folder: &Path,
+    command: &str,
+    name: String,
+    file: &Path,
+) -> Result<ManagedProcess, FleetError> {
+    let log = folder.join(format!("{name}.log"));
+    let arguments = vec![command.into(), "--settings".into(), file.into()];
+    ManagedProcess::start(name, binaries.daemon.clone(), arguments, log)
+}
