--- a/crates/lab/src/demo/script.rs
+++ b/crates/lab/src/demo/script.rs
@@ -3,19 +3,17 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use juniper_emulators::http::application::WORK_TIME;
 use juniper_emulators::http::report::WitnessReport;
-use juniper_emulators::trace::{Profile, Trace, TraceOptions, TraceRequest, generate};
+use juniper_emulators::trace::Profile;
 use juniper_settings::BackEndKind;
-use juniper_types::ServiceName;
 use tokio::time::{Instant, sleep_until};
 
 use super::{DemoError, DemoReport, FaultDone};
-use crate::fleet::{Binaries, Fleet, FleetError, FleetOptions, FleetSizes, PREVIEW_SERVICE};
+use crate::fleet::{Binaries, Fleet, FleetError, FleetOptions, FleetSizes};
 use crate::load::arguments::{complete, default_options};
 use crate::load::{LoadReport, run_load};
-
-/// One listing in this many becomes a preview, so that a demo has every kind.
-const PREVIEW_SHARE: usize = 3;
+use crate::trace::fleet_trace;
 
 /// What a demo does.
 #[derive(Clone, Debug)]
@@ -68,31 +66,6 @@
     }
 }
 
-/// A trace for `engines` engines with every kind of request.
-///
-/// # Errors
-/// Never for the profiles of this build: their names are checked constants.
-pub fn demo_trace(
-    profile: Profile,
-    seed: u64,
-    load: f64,
-    engines: usize,
-    duration: Duration,
-) -> Result<Trace, FleetError> {
-    let share = engines as f64 / f64::from(profile.shape().engines);
-    let duration_ms = duration.as_millis() as u64;
-    let mut trace = generate(TraceOptions { profile, seed, load: load * share, duration_ms })?;
-    let service = ServiceName::new(PREVIEW_SERVICE)?;
-    for (number, record) in trace.records.iter_mut().enumerate() {
-        let TraceRequest::Listing { resource } = record.request else { continue };
-        if number.is_multiple_of(PREVIEW_SHARE) {
-            record.request = TraceRequest::Preview { clip: resource };
-            record.service = service.clone();
-        }
-    }
-    Ok(trace)
-}
-
 /// Runs the whole demo and stops everything it started.
 ///
 /// # Errors
@@ -102,12 +75,14 @@
     let folder = options.folder.unwrap_or_else(|| temporary.path().to_owned());
     std::fs::create_dir_all(&folder).map_err(DemoError::Folder)?;
     let engines = options.sizes.engines;
-    let trace = demo_trace(options.profile, options.seed, options.load, engines, options.duration)?;
+    let trace = fleet_trace(options.profile, options.seed, options.load, engines, options.duration)
+        .map_err(FleetError::from)?;
     let mut fleet = Fleet::start(FleetOptions {
         binaries: Binaries::beside_this_program()?,
         folder,
         profile: options.profile,
         sizes: options.sizes,
+        application_work: WORK_TIME,
         cuttable: false,
     })
     .await?;
--- a/crates/lab/src/fleet/back_ends.rs
+++ b/crates/lab/src/fleet/back_ends.rs
@@ -2,6 +2,7 @@
 
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use juniper_emulators::trace::Profile;
 use juniper_settings::{BackEnd, BackEndKind};
@@ -40,40 +41,75 @@
     pub process: ManagedProcess,
 }
 
-/// Starts the emulators, spread evenly over `zones`.
-///
-/// # Errors
-/// Fails when one can't be started.
-pub(super) fn start(
-    binaries: &Binaries,
-    folder: &Path,
-    profile: Profile,
-    sizes: FleetSizes,
-    zones: &[ZoneName],
-    ports: &mut Ports,
-) -> Result<Vec<BackEndProcess>, FleetError> {
-    let kinds = [
-        (BackEndKind::Engine, sizes.engines),
-        (BackEndKind::Application, sizes.applications),
-        (BackEndKind::Preview, sizes.previews),
-    ];
-    let mut ids = 1..;
-    let mut started = Vec::new();
-    for (kind, count) in kinds {
-        for zone in zones.iter().cycle().take(count) {
-            let id = EngineId(ids.next().unwrap_or(u32::MAX));
-            let address = ports.take()?;
-            let entry = BackEnd { id, kind, address, leaving: false };
-            let name = format!("{}-{}", kind_name(kind), id.0);
-            let journal =
-                (kind == BackEndKind::Application).then(|| folder.join(format!("{name}.journal")));
-            let arguments = arguments(&entry, zone, profile, journal.as_deref());
-            let log = folder.join(format!("{name}.log"));
-            let process = ManagedProcess::start(name, binaries.lab.clone(), arguments, log)?;
-            started.push(BackEndProcess { entry, zone: zone.clone(), journal, process });
+/// The emulators that a fleet is to have.
+pub(super) struct BackEndPlan<'a> {
+    /// Programs.
+    pub binaries: &'a Binaries,
+    /// Folder for logs and journals.
+    pub folder: &'a Path,
+    /// Deployment that the fleet is modelled on.
+    pub profile: Profile,
+    /// Numbers of processes.
+    pub sizes: FleetSizes,
+    /// Time that one call of an application server takes.
+    pub application_work: Duration,
+    /// Zones, over which the emulators are spread evenly.
+    pub zones: &'a [ZoneName],
+}
+
+impl BackEndPlan<'_> {
+    /// Starts the emulators.
+    ///
+    /// # Errors
+    /// Fails when one can't be started.
+    pub fn start(&self, ports: &mut Ports) -> Result<Vec<BackEndProcess>, FleetError> {
+        let kinds = [
+            (BackEndKind::Engine, self.sizes.engines),
+            (BackEndKind::Application, self.sizes.applications),
+            (BackEndKind::Preview, self.sizes.previews),
+        ];
+        let mut ids = 1..;
+        let mut started = Vec::new();
+        for (kind, count) in kinds {
+            for zone in self.zones.iter().cycle().take(count) {
+                let id = EngineId(ids.next().unwrap_or(u32::MAX));
+                let entry = BackEnd { id, kind, address: ports.take()?, leaving: false };
+                started.push(self.start_one(entry, zone)?);
+            }
+        }
+        Ok(started)
+    }
+
+    fn start_one(&self, entry: BackEnd, zone: &ZoneName) -> Result<BackEndProcess, FleetError> {
+        let name = format!("{}-{}", kind_name(entry.kind), entry.id.0);
+        let is_application = entry.kind == BackEndKind::Application;
+        let journal = is_application.then(|| self.folder.join(format!("{name}.journal")));
+        let arguments = self.arguments(&entry, zone, journal.as_deref());
+        let log = self.folder.join(format!("{name}.log"));
+        let process = ManagedProcess::start(name, self.binaries.lab.clone(), arguments, log)?;
+        Ok(BackEndProcess { entry, zone: zone.clone(), journal, process })
+    }
+
+    fn arguments(&self, entry: &BackEnd, zone: &ZoneName, journal: Option<&Path>) -> Vec<OsString> {
+        let mut arguments: Vec<OsString> = vec![
+            "emulate".into(),
+            kind_name(entry.kind).into(),
+            "--listen".into(),
+            entry.address.to_string().into(),
+        ];
+        if entry.kind == BackEndKind::Engine {
+            let blocks = self.profile.shape().cache_blocks.to_string();
+            let seed = entry.id.0.to_string();
+            let options = ["--zone", zone.as_str(), "--cache-blocks", &blocks, "--seed", &seed];
+            arguments.extend(options.map(OsString::from));
+        }
+        if let Some(journal) = journal {
+            let work = self.application_work.as_millis().to_string();
+            arguments.extend(["--work-ms", &work, "--journal"].map(OsString::from));
+            arguments.push(journal.into());
         }
+        arguments
     }
-    Ok(started)
 }
 
 fn kind_name(kind: BackEndKind) -> &'static str {
@@ -84,27 +120,3 @@
         BackEndKind::CacheStore => "store",
     }
 }
-
-fn arguments(
-    entry: &BackEnd,
-    zone: &ZoneName,
-    profile: Profile,
-    journal: Option<&Path>,
-) -> Vec<OsString> {
-    let mut arguments: Vec<OsString> = vec![
-        "emulate".into(),
-        kind_name(entry.kind).into(),
-        "--listen".into(),
-        entry.address.to_string().into(),
-    ];
-    if entry.kind == BackEndKind::Engine {
-        let blocks = profile.shape().cache_blocks.to_string();
-        let seed = entry.id.0.to_string();
-        let options = ["--zone", zone.as_str(), "--cache-blocks", &blocks, "--seed", &seed];
-        arguments.extend(options.map(OsString::from));
-    }
-    if let Some(journal) = journal {
-        arguments.extend([OsString::from("--journal"), journal.into()]);
-    }
-    arguments
-}
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -15,10 +15,13 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use juniper_emulators::trace::Profile;
 use juniper_types::{ChangeId, ZoneName};
 
+pub use juniper_settings::BackEndKind;
+
 pub use self::back_ends::{BackEndProcess, FleetSizes};
 pub use self::binaries::Binaries;
 pub use self::error::FleetError;
@@ -27,6 +30,7 @@
 pub use self::process::{ManagedProcess, Signal};
 pub use self::tree::{LISTING_SERVICE, PREVIEW_SERVICE};
 
+use self::back_ends::BackEndPlan;
 use self::node_files::{ControlNode, RouterNode, write_control, write_router};
 use self::ports::Ports;
 use self::tree::{SettingsChange, ZoneBackEnds, whole_tree};
@@ -47,6 +51,8 @@
     pub profile: Profile,
     /// Numbers of processes.
     pub sizes: FleetSizes,
+    /// Time that one call of an application server takes.
+    pub application_work: Duration,
     /// Whether the last zone stands behind proxies and can be cut off.
     pub cuttable: bool,
 }
@@ -86,12 +92,19 @@
     /// # Errors
     /// Fails when a process can't be started or doesn't come to serve in time.
     pub async fn start(options: FleetOptions) -> Result<Self, FleetError> {
-        let FleetOptions { binaries, folder, profile, sizes, cuttable } = options;
+        let FleetOptions { binaries, folder, profile, sizes, application_work, cuttable } = options;
         let mut ports = Ports::new();
         let zone_names = profile.names()?.zones;
         let control = start_control(&binaries, &folder, sizes.control, &zone_names, &mut ports)?;
-        let back_ends =
-            back_ends::start(&binaries, &folder, profile, sizes, &zone_names, &mut ports)?;
+        let plan = BackEndPlan {
+            binaries: &binaries,
+            folder: &folder,
+            profile,
+            sizes,
+            application_work,
+            zones: &zone_names,
+        };
+        let back_ends = plan.start(&mut ports)?;
         let mut fleet = Fleet {
             folder,
             zones: Vec::new(),
--- a/crates/lab/src/trace/mod.rs
+++ b/crates/lab/src/trace/mod.rs
@@ -1,5 +1,6 @@
 //! `juniper-lab trace`: generates and checks trace files.
 
+mod fleet;
 mod summary;
 
 use std::fs::File;
@@ -12,8 +13,12 @@
 };
 use lexopt::Arg;
 
+pub use self::fleet::fleet_trace;
 pub use self::summary::Summary;
 use crate::arguments::{ArgumentError, parsed};
+pub use juniper_emulators::trace::{
+    Profile as TraceProfile, Trace as RequestTrace, TraceRecord, TraceRequest,
+};
 
 const HELP: &str = "\
 Usage: juniper-lab trace generate [OPTIONS]
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,109 @@
+//! Starts fleets through the lab and sends them checked load.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use juniper_lab::fleet::{Binaries, Fleet, FleetOptions, FleetSizes};
+use juniper_lab::load::arguments::{complete, default_options};
+use juniper_lab::load::{LoadOptions, LoadReport, run_load};
+use juniper_lab::trace::{RequestTrace, TraceProfile, TraceRequest, fleet_trace};
+use tempfile::TempDir;
+use tokio::sync::{Semaphore, SemaphorePermit};
+
+/// Fleets at once: each has some fifteen processes.
+static FLEETS: Semaphore = Semaphore::const_new(2);
+
+pub const PROFILE: TraceProfile = TraceProfile::GraniteLedger;
+
+pub const SIZES: FleetSizes =
+    FleetSizes { control: 1, routers: 3, engines: 6, applications: 3, previews: 3 };
+
+/// Share of what the engines can serve: enough to keep every engine busy.
+const LOAD: f64 = 0.4;
+
+/// A fleet that is stopped, and its folder removed, when dropped.
+pub struct TestFleet {
+    pub fleet: Fleet,
+    _folder: TempDir,
+    _permit: SemaphorePermit<'static>,
+}
+
+pub struct Setup {
+    pub application_work: Duration,
+    pub cuttable: bool,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Setup { application_work: Duration::from_millis(30), cuttable: false }
+    }
+}
+
+pub async fn start(setup: Setup) -> TestFleet {
+    let permit = FLEETS.acquire().await.expect("never closed");
+    let folder = tempfile::tempdir().expect("a folder");
+    let fleet = Fleet::start(FleetOptions {
+        binaries: Binaries {
+            daemon: PathBuf::from(env!("CARGO_BIN_EXE_juniperhollow")),
+            lab: PathBuf::from(env!("CARGO_BIN_EXE_juniper-lab")),
+        },
+        folder: folder.path().to_owned(),
+        profile: PROFILE,
+        sizes: SIZES,
+        application_work: setup.application_work,
+        cuttable: setup.cuttable,
+    });
+    let fleet = fleet.await.expect("the fleet starts");
+    TestFleet { fleet, _folder: folder, _permit: permit }
+}
+
+/// Every kind of request.
+pub fn mixed(seed: u64, seconds: u64) -> RequestTrace {
+    let duration = Duration::from_secs(seconds);
+    fleet_trace(PROFILE, seed, LOAD, SIZES.engines, duration).expect("constant names")
+}
+
+/// Only calls that run at most once, one for each request of the mixed trace.
+pub fn only_at_most_once(seed: u64, seconds: u64) -> RequestTrace {
+    let mut trace = mixed(seed, seconds);
+    let service = trace
+        .records
+        .iter()
+        .find(|record| matches!(record.request, TraceRequest::AtMostOnce { .. }))
+        .map(|record| record.service.clone())
+        .expect("a call");
+    for (record, number) in trace.records.iter_mut().zip(1..) {
+        record.service = service.clone();
+        record.request = TraceRequest::AtMostOnce { number, body_bytes: 300 };
+    }
+    trace
+}
+
+/// Callers that go to another router after five seconds of silence.
+pub fn load_options(fleet: &Fleet) -> LoadOptions {
+    let mut options = default_options();
+    options.routers = fleet.router_targets();
+    options.executions = fleet.execution_sources();
+    options.patience.stall = Duration::from_secs(5);
+    options.patience.refusals = 5;
+    complete(options).expect("the fleet has routers")
+}
+
+pub async fn send(trace: &RequestTrace, options: LoadOptions) -> LoadReport {
+    run_load(trace, options).await.expect("the load runs")
+}
+
+/// No promise was broken, as callers and engines saw it.
+pub async fn assert_kept(fleet: &mut Fleet, report: &LoadReport) {
+    assert_eq!(report.violations, 0, "{:#?}", report.violation_details);
+    let breaches = fleet.witnesses().await.expect("the engines answer");
+    assert_eq!(breaches.total, 0, "{:#?}", breaches.described);
+}
+
+/// Every request that may be repeated got its whole answer.
+pub fn assert_complete(report: &LoadReport) {
+    assert_eq!(report.failed, 0, "{:?}", report.failures);
+    assert_eq!(report.refused, 0, "{:?}", report.refusals);
+    assert_eq!(report.requests, report.complete + report.unknown);
+    assert!(report.complete > 0);
+}
