--- a/crates/router/tests/subscription.rs
+++ b/crates/router/tests/subscription.rs
@@ -47,10 +47,8 @@
 async fn a_snapshot_of_an_older_replica_never_comes_into_force() {
     let (actor, view) = start();
     actor.ask(SetFloor(Revision(5))).await.unwrap();
-    let snapshot = |revision| Push::Snapshot {
-        revision: Revision(revision),
-        tree: SettingsTree::default(),
-    };
+    let snapshot =
+        |revision| Push::Snapshot { revision: Revision(revision), tree: SettingsTree::default() };
     assert_eq!(actor.ask(ApplyPush(snapshot(4))).await.unwrap(), None);
     assert_eq!(view.borrow().in_force.revision, Revision(0));
     assert_eq!(actor.ask(ApplyPush(snapshot(6))).await.unwrap(), Some(Revision(6)));
