--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -4,22 +4,24 @@
 //! takes microseconds and nothing waits while the lock is held, so a message to
 //! an actor and back for each request would cost more than the lock.
 
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use juniper_prefix_index::{CacheEvent, EventOutcome, PrefixIndex, Snapshot};
+use juniper_prefix_index::{CacheEvent, EventOutcome, Holder, PrefixIndex, Snapshot};
 use juniper_routing::drain::LeavingSource;
 use juniper_routing::retry::{RetryBudget, RetryDenied, RetryQuestion};
 use juniper_routing::{
     CostModel, Decision, DispatchId, DispatchedWork, EngineDescriptor, EngineLoad, EngineTable,
-    Refusal, RouteRequest, ServingKey, decide,
+    PrefixWait, Refusal, RouteRequest, ServingKey, decide,
 };
 use juniper_settings::{BackEndKind, EffectiveSettings};
 use juniper_types::{CacheScope, EngineId, Incarnation, PromptBlocks, TenantName, Timestamp};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use tokio::time::Instant;
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout};
 
 use crate::in_force::InForce;
 
@@ -35,6 +37,8 @@
     pub blocks: PromptBlocks,
     /// Settings in force for the request.
     pub settings: Arc<EffectiveSettings>,
+    /// What other routers of the zone know about the prompt.
+    pub shared_holders: Vec<Holder>,
 }
 
 impl ChatPlan {
@@ -49,7 +53,7 @@
         let blocks = PromptBlocks::of_text(&scope, prompt);
         let serving =
             ServingKey { model: scope.model, adapter: scope.adapter, weights: scope.weights };
-        ChatPlan { serving, blocks, settings }
+        ChatPlan { serving, blocks, settings, shared_holders: Vec::new() }
     }
 }
 
@@ -66,6 +70,8 @@
     state: Mutex<State>,
     started: Instant,
     next_dispatch: AtomicU64,
+    /// Told when an attempt has its first token or ends.
+    progress: Notify,
 }
 
 /// Counts one attempt against its engine until it is dropped.
@@ -81,6 +87,31 @@
     pub fn first_token(&self) {
         let now = self.engines.now();
         self.engines.lock().table.first_token(self.decision.engine, self.id, now);
+        self.engines.progress.notify_waiters();
+    }
+
+    /// Waits until the attempt that computes this one's prefix has done so.
+    /// Bounded by the decision; returns at once when there is nothing to wait for.
+    /// False when the engine has gone out of use meanwhile: a leaving engine gets
+    /// no work that was chosen for it earlier.
+    pub async fn wait_for_prefix(&self) -> bool {
+        let Some(PrefixWait { dispatch, at_most }) = self.decision.wait else {
+            return true;
+        };
+        let computed = async {
+            loop {
+                // Registered before the check, so that no notice is missed.
+                let mut notice = pin!(self.engines.progress.notified());
+                notice.as_mut().enable();
+                if !self.engines.lock().table.is_prefilling(self.decision.engine, dispatch) {
+                    return;
+                }
+                notice.await;
+            }
+        };
+        // Sent after the time limit, the request computes the prefix itself.
+        let _ = timeout(at_most, computed).await;
+        self.engines.lock().table.is_usable(self.decision.engine)
     }
 }
 
@@ -88,6 +119,7 @@
     fn drop(&mut self) {
         let now = self.engines.now();
         self.engines.lock().table.finished(self.decision.engine, self.id, now);
+        self.engines.progress.notify_waiters();
     }
 }
 
@@ -111,6 +143,7 @@
             state: Mutex::new(state),
             started: Instant::now(),
             next_dispatch: AtomicU64::new(1),
+            progress: Notify::new(),
         }
     }
 
@@ -157,7 +190,8 @@
     ) -> Result<Dispatch, Refusal> {
         let now = self.now();
         let mut state = self.lock();
-        let holders = state.index.lookup(&plan.blocks.hashes, now);
+        let own_holders = state.index.lookup(&plan.blocks.hashes, now);
+        let holders = merge_holders(own_holders, &plan.shared_holders);
         let request = RouteRequest {
             first_token_within,
             excluded,
@@ -177,7 +211,7 @@
         let id = DispatchId(self.next_dispatch.fetch_add(1, Ordering::Relaxed));
         table.dispatched(decision.engine, id, work, now);
         if let Some(incarnation) = decision.incarnation {
-            index.predict(decision.engine, incarnation, &plan.blocks.hashes, now);
+            index.predict(decision.engine, incarnation, &plan.blocks.hashes, id.into(), now);
         }
         drop(state);
         Ok(Dispatch { engines: Arc::clone(self), decision, id })
@@ -258,3 +292,17 @@
         self.lock().index.maintain(now);
     }
 }
+
+/// The best knowledge of each engine. What this router read itself is exact and
+/// the newest, so shared knowledge of the same life only adds to it.
+fn merge_holders(mut own: Vec<Holder>, shared: &[Holder]) -> Vec<Holder> {
+    for holder in shared {
+        match own.iter_mut().find(|known| known.engine == holder.engine) {
+            Some(known) if known.incarnation != holder.incarnation => {}
+            Some(known) if known.blocks >= holder.blocks => {}
+            Some(known) => *known = *holder,
+            None => own.push(*holder),
+        }
+    }
+    own
+}
--- a/crates/router/src/faces.rs
+++ b/crates/router/src/faces.rs
@@ -19,6 +19,7 @@
 use crate::access::{REQUEST_ID_HEADER, authenticate, is_operator, request_id};
 use crate::applications;
 use crate::chat::ChatRequest;
+use crate::engines::ChatPlan;
 use crate::error::RequestError;
 use crate::previews;
 use crate::relay::{ChatJob, Piece, caller_event, collect, open};
@@ -62,6 +63,11 @@
     shared.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
     let age = shared.settings_age().as_millis();
     shared.metrics.settings_age_ms.set(i64::try_from(age).unwrap_or(i64::MAX));
+    let traffic = &shared.plane.traffic;
+    for (way, bytes) in [("in", traffic.received()), ("out", traffic.sent())] {
+        let counter = shared.metrics.control_bytes.with_label_values(&[way]);
+        counter.inc_by(bytes.saturating_sub(counter.get()));
+    }
     shared.metrics.render()
 }
 
@@ -74,6 +80,7 @@
         "zone": shared.config.zone.as_str(),
         "ready": shared.is_ready(),
         "revision": shared.view().in_force.revision.0,
+        "peers": shared.plane.peers.borrow().routers.iter().map(|peer| peer.node.0).collect::<Vec<_>>(),
         "settings_age_ms": shared.settings_age().as_millis() as u64,
         "in_flight": shared.metrics.in_flight.get(),
     });
@@ -127,10 +134,14 @@
         view.in_force.revision
     );
     let deadline = started + Duration::from_millis(caller.settings.deadline_ms);
-    let job = ChatJob { request_id, caller, chat, deadline, resume_from };
+    let tenant = caller.home.tenant;
+    shared.plane.engines.record_request(caller.settings.retry_budget_percent);
+    let mut plan = ChatPlan::new(&tenant, caller.settings, &chat.prompt);
+    plan.shared_holders = shared.plane.hub.holders(&plan.blocks.hashes).await;
+    let job = ChatJob { request_id, tenant, chat, plan, started, deadline, resume_from };
     let (relay, origin) = open(Arc::clone(&shared), job).await?;
     log::info!(
-        "event=request_routed request={request_id} engine={} cached_tokens={}",
+        "event=request_opened request={request_id} engine={} cached_tokens={}",
         origin.engine,
         origin.cached_tokens
     );
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -5,10 +5,12 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use juniper_protocol::{
-    ClusterKey, Connection, FrameWriter, Message as Frame, PeerIdentity, Reply, Request, connect,
+    ClusterKey, Connection, FrameWriter, Message as Frame, PeerIdentity, Reply, Request, Traffic,
+    connect,
 };
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
@@ -16,6 +18,8 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::reachability::Reachability;
+
 /// Time within which a connection must stand.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -42,6 +46,10 @@
     pub key: ClusterKey,
     /// Who this daemon is.
     pub own: PeerIdentity,
+    /// Counts bytes.
+    pub traffic: Arc<Traffic>,
+    /// Whom the node can reach.
+    pub reachability: Reachability,
 }
 
 struct Connected {
@@ -91,6 +99,9 @@
     type Reply = ();
 
     async fn handle(&mut self, call: SendCall, _context: &mut Context<Self, ()>) {
+        if !self.target.reachability.allows(self.target.address) {
+            self.disconnect();
+        }
         if !self.ensure_connected().await {
             let _ = call.answer.send(Err(CallError::Unreachable));
             return;
@@ -134,10 +145,14 @@
         if self.connected.is_some() {
             return true;
         }
+        if !self.target.reachability.allows(self.target.address) {
+            return false;
+        }
         let attempt = connect(self.target.address, &self.target.key, &self.target.own);
-        let Ok(Ok(connection)) = timeout(CONNECT_TIMEOUT, attempt).await else {
+        let Ok(Ok(mut connection)) = timeout(CONNECT_TIMEOUT, attempt).await else {
             return false;
         };
+        connection.count_on(&self.target.traffic);
         self.generation += 1;
         let Connection { mut reader, writer, .. } = connection;
         let generation = self.generation;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -11,17 +11,19 @@
     Action, Detector, DetectorConfig, Liveness, Member, MemberRole, Message as Gossip,
 };
 use juniper_protocol::datagram::{MAX_DATAGRAM_BYTES, open, seal};
-use juniper_protocol::{ClusterKey, message::encode};
+use juniper_protocol::{ClusterKey, Traffic, message::encode};
 use juniper_types::{Incarnation, Timestamp};
 use kameo::Actor;
-use kameo::actor::{ActorRef, Spawn};
+use kameo::actor::{ActorRef, Spawn, WeakActorRef};
+use kameo::error::ActorStopReason;
 use kameo::message::{Context, Message};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, interval};
 
 use crate::config::RouterConfig;
-use crate::metrics::Metrics;
+use crate::reachability::Reachability;
 
 /// Time between ticks of the detector, well within its probe timeout.
 const TICK: Duration = Duration::from_millis(100);
@@ -40,24 +42,33 @@
     key: ClusterKey,
     started: Instant,
     view: watch::Sender<PeerView>,
-    metrics: Metrics,
+    traffic: Arc<Traffic>,
+    reachability: Reachability,
+    tasks: [JoinHandle<()>; 2],
 }
 
 /// What the actor starts with.
 pub struct MembershipArguments {
     /// Settings of the process.
     pub config: Arc<RouterConfig>,
+    /// Life of this process.
+    pub life: Incarnation,
     /// Bound to the internal address.
     pub socket: UdpSocket,
     /// Where the view is published.
     pub view: watch::Sender<PeerView>,
     /// Counts bytes.
-    pub metrics: Metrics,
+    pub traffic: Arc<Traffic>,
+    /// Whom the node can reach.
+    pub reachability: Reachability,
 }
 
 struct Tick;
 
-struct Datagram(Vec<u8>);
+struct Datagram {
+    from: SocketAddr,
+    bytes: Vec<u8>,
+}
 
 /// Tells the group that this node leaves.
 pub struct Leave;
@@ -76,22 +87,37 @@
             zone: config.zone.clone(),
             role: MemberRole::Router,
             address: config.internal,
-            life: Incarnation(rand::random()),
+            life: arguments.life,
         };
         let seeds = config.peers.iter().map(|peer| peer.address).collect();
         let detector = Detector::new(DetectorConfig::default(), own, seeds, rand::random());
         let socket = Arc::new(arguments.socket);
-        tokio::spawn(tick(actor.clone()));
-        tokio::spawn(receive(actor, Arc::clone(&socket)));
+        let tasks =
+            [tokio::spawn(tick(actor.clone())), tokio::spawn(receive(actor, Arc::clone(&socket)))];
         Ok(MembershipActor {
             detector,
             socket,
             key: config.cluster_key.clone(),
             started: Instant::now(),
             view: arguments.view,
-            metrics: arguments.metrics,
+            traffic: arguments.traffic,
+            reachability: arguments.reachability,
+            tasks,
         })
     }
+
+    async fn on_stop(
+        &mut self,
+        _actor: WeakActorRef<Self>,
+        _reason: ActorStopReason,
+    ) -> Result<(), Self::Error> {
+        // The reading task holds the socket; once it is over, another can open the address.
+        for task in &mut self.tasks {
+            task.abort();
+            let _ = task.await;
+        }
+        Ok(())
+    }
 }
 
 async fn tick(actor: ActorRef<MembershipActor>) {
@@ -108,8 +134,9 @@
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         // A failed receive reports an earlier send that nobody took; go on.
-        let Ok((length, _from)) = socket.recv_from(&mut buffer).await else { continue };
-        if actor.tell(Datagram(buffer[..length].to_vec())).await.is_err() {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
+        let bytes = buffer[..length].to_vec();
+        if actor.tell(Datagram { from, bytes }).await.is_err() {
             return;
         }
     }
@@ -128,9 +155,11 @@
     type Reply = ();
 
     async fn handle(&mut self, datagram: Datagram, _context: &mut Context<Self, ()>) {
-        let length = datagram.0.len() as u64;
-        self.metrics.control_bytes.with_label_values(&["in"]).inc_by(length);
-        let payload = match open(&self.key, &datagram.0) {
+        if !self.reachability.allows(datagram.from) {
+            return;
+        }
+        self.traffic.add_received(datagram.bytes.len());
+        let payload = match open(&self.key, &datagram.bytes) {
             Ok(payload) => payload,
             Err(error) => {
                 log::debug!("event=datagram_refused reason=\"{error}\"");
@@ -190,8 +219,10 @@
                 return;
             }
         };
-        let length = datagram.len() as u64;
-        self.metrics.control_bytes.with_label_values(&["out"]).inc_by(length);
+        if !self.reachability.allows(address) {
+            return;
+        }
+        self.traffic.add_sent(datagram.len());
         if let Err(error) = self.socket.send_to(&datagram, address).await {
             log::debug!("event=datagram_not_sent to={address} reason=\"{error}\"");
         }
--- a/crates/router/src/subscription.rs
+++ b/crates/router/src/subscription.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_protocol::{Message as Frame, PeerIdentity, Push, Refusal, Reply, Request, connect};
+use juniper_protocol::{Message as Frame, Push, Refusal, Reply, Request, Traffic, connect};
 use juniper_types::Revision;
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -23,12 +23,17 @@
 use crate::config::RouterConfig;
 use crate::control_client::ControlClient;
 use crate::in_force::{InForce, MissedRevision};
+use crate::reachability::Reachability;
 use crate::settings_file::{SettingsFile, SettingsFileError};
 
 /// A replica that says nothing for this long is taken for dead; it pushes
 /// [`Push::Alive`] every second.
 const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 
+/// Time within which a connection must stand; a replica that is cut off or
+/// frozen accepts none.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Range of the pause before the next replica is tried, in milliseconds.
 const RECONNECT_PAUSE_MS: std::ops::Range<u64> = 50..400;
 
@@ -63,6 +68,9 @@
     /// Revisions below it never come into force: a quorum had confirmed it
     /// when this process started without knowing what it had in force before.
     floor: Option<Revision>,
+    /// Settings on their way up to the floor. A replica that still has every
+    /// change sends them one by one, also those below the floor.
+    staged: Option<Arc<InForce>>,
 }
 
 impl SettingsActor {
@@ -81,7 +89,7 @@
             let in_force = Arc::new(InForce::new(revision, tree));
             view.send_modify(|view| view.in_force = in_force);
         }
-        Ok(SettingsActor { view, file, floor })
+        Ok(SettingsActor { view, file, floor, staged: None })
     }
 
     fn put_in_force(&mut self, next: InForce) -> Result<Revision, ApplyError> {
@@ -138,14 +146,21 @@
             }
             return Ok(None);
         }
-        let current = self.view.borrow().in_force.clone();
+        let staged = self.staged.clone();
+        let current = staged.unwrap_or_else(|| self.view.borrow().in_force.clone());
         let Some(next) = current.after(message.0)? else {
             return Ok(None);
         };
         match self.floor {
-            Some(floor) if next.revision >= floor => self.put_in_force(next).map(Some),
-            // An older replica: wait for the deltas or another snapshot.
-            _ => Ok(None),
+            Some(floor) if next.revision >= floor => {
+                self.staged = None;
+                self.put_in_force(next).map(Some)
+            }
+            // Below the floor: wait for the changes up to it.
+            _ => {
+                self.staged = Some(Arc::new(next));
+                Ok(None)
+            }
         }
     }
 }
@@ -169,19 +184,28 @@
     Stopped,
 }
 
+/// What the subscription task works with.
+pub struct SubscriptionArguments {
+    /// Settings of the process.
+    pub config: Arc<RouterConfig>,
+    /// Takes every push.
+    pub settings: ActorRef<SettingsActor>,
+    /// Calls to the control replicas.
+    pub control: Arc<ControlClient>,
+    /// The settings in force.
+    pub view: watch::Receiver<SettingsView>,
+    /// Counts bytes.
+    pub traffic: Arc<Traffic>,
+    /// Whom the node can reach.
+    pub reachability: Reachability,
+}
+
 /// Runs subscriptions one after another, for ever.
-pub async fn keep_subscribed(
-    config: Arc<RouterConfig>,
-    own: PeerIdentity,
-    settings: ActorRef<SettingsActor>,
-    control: Arc<ControlClient>,
-    view: watch::Receiver<SettingsView>,
-) {
-    learn_floor(&settings, &control).await;
-    let replicas = replica_order(&config);
+pub async fn keep_subscribed(arguments: SubscriptionArguments) {
+    learn_floor(&arguments.settings, &arguments.control).await;
+    let replicas = replica_order(&arguments.config);
     for replica in replicas.iter().cycle() {
-        let from = view.borrow().in_force.revision;
-        let end = subscribe_once(replica, from, &config, &own, &settings).await;
+        let end = subscribe_once(replica, &arguments).await;
         let Err(end) = end else { continue };
         log::warn!("event=subscription_ended replica={} reason=\"{end}\"", replica.id);
         if matches!(end, SubscriptionEnd::Stopped) {
@@ -233,17 +257,26 @@
 
 async fn subscribe_once(
     replica: &Peer,
-    from: Revision,
-    config: &RouterConfig,
-    own: &PeerIdentity,
-    settings: &ActorRef<SettingsActor>,
+    arguments: &SubscriptionArguments,
 ) -> Result<(), SubscriptionEnd> {
-    let mut connection = connect(replica.address, &config.cluster_key, own).await?;
+    let from = arguments.view.borrow().in_force.revision;
+    if !arguments.reachability.allows(replica.address) {
+        return Err(SubscriptionEnd::Silent);
+    }
+    let config = &arguments.config;
+    let own = config.identity();
+    let opening = connect(replica.address, &config.cluster_key, &own);
+    let connected = timeout(CONNECT_TIMEOUT, opening).await;
+    let mut connection = connected.map_err(|_| SubscriptionEnd::Silent)??;
+    connection.count_on(&arguments.traffic);
     let request = Request::Subscribe { from };
     connection.writer.send(&Frame::Request { call: 0, request }).await?;
     let mut call = 0;
     loop {
         let received = timeout(SILENCE_LIMIT, connection.reader.receive()).await;
+        if !arguments.reachability.allows(replica.address) {
+            return Err(SubscriptionEnd::Silent);
+        }
         let push = match received.map_err(|_| SubscriptionEnd::Silent)?? {
             Frame::Push(push) => push,
             Frame::Reply { reply: Reply::Refused(refusal), .. } => {
@@ -254,10 +287,11 @@
             }
             _ => continue,
         };
-        let applied = settings.ask(ApplyPush(push)).await.map_err(|error| match error {
-            kameo::error::SendError::HandlerError(error) => SubscriptionEnd::Apply(error),
-            _ => SubscriptionEnd::Stopped,
-        })?;
+        let applied =
+            arguments.settings.ask(ApplyPush(push)).await.map_err(|error| match error {
+                kameo::error::SendError::HandlerError(error) => SubscriptionEnd::Apply(error),
+                _ => SubscriptionEnd::Stopped,
+            })?;
         if let Some(revision) = applied {
             call += 1;
             let request = Request::InForce { revision };
