--- /dev/null
+++ b/crates/simulation/examples/measure.rs
@@ -0,0 +1,202 @@
+//! Measures storage on a real folder: group commit and start-up after many changes.
+//!
+//! Usage: cargo run --release -p juniper-simulation --example measure -- FOLDER
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Instant;
+
+use juniper_consensus::{
+    ClusterEpoch, DiskIdentity, Entry, HardState, Membership, Payload, Position, Replica,
+    ReplicaConfig, ReplicaId, Snapshot, SnapshotMeta, Write,
+};
+use juniper_control_state::{Command, ControlState, WriteHeader, to_bytes};
+use juniper_settings::{ChangeSet, Edit, SettingsNode, SettingsPath};
+use juniper_storage::{DiskError, Folder, FormatError, OpenError, Storage, StorageError, format};
+use juniper_types::{ChangeId, NodeId, Revision, ZoneName};
+
+const NODE: NodeId = NodeId(1);
+const TERM: u64 = 1;
+const ENTRY_BYTES: usize = 300;
+const WRITES: u64 = 400;
+
+/// Bytes of applied commands between snapshots, at least, as in the control daemon.
+const SNAPSHOT_INTERVAL_BYTES: usize = 8 << 20;
+
+/// Entries of one write while the log is made; it only saves time.
+const BATCH: u64 = 500;
+
+/// Distinct nodes in the tree that is written.
+const PATHS: u64 = 400;
+
+#[derive(Debug, thiserror::Error)]
+enum MeasureError {
+    #[error("a folder to work in is needed")]
+    NoFolder,
+    #[error("a name is not valid")]
+    Name,
+    #[error(transparent)]
+    Disk(#[from] DiskError),
+    #[error(transparent)]
+    Format(#[from] FormatError),
+    #[error(transparent)]
+    Open(#[from] OpenError),
+    #[error(transparent)]
+    Storage(#[from] StorageError),
+    #[error("a snapshot or command can't be read back")]
+    Decode,
+}
+
+fn main() -> ExitCode {
+    let folder = std::env::args().nth(1).map(PathBuf::from).ok_or(MeasureError::NoFolder);
+    match folder.and_then(|folder| measure(&folder)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn measure(folder: &Path) -> Result<(), MeasureError> {
+    for batch in [1, 16, 256] {
+        measure_commits(&folder.join(format!("commits-{batch}")), batch)?;
+    }
+    for changes in [1_000, 100_000] {
+        measure_start(&folder.join(format!("start-{changes}")), changes)?;
+    }
+    Ok(())
+}
+
+fn own() -> ReplicaId {
+    ReplicaId { node: NODE, disk: DiskIdentity::from_random(1) }
+}
+
+fn zone() -> Result<ZoneName, MeasureError> {
+    ZoneName::new("zone-1").map_err(|_| MeasureError::Name)
+}
+
+fn membership() -> Result<Membership, MeasureError> {
+    Ok(Membership::of_voters(ClusterEpoch::first(1), [(own(), zone()?)]))
+}
+
+fn new_storage(path: &Path) -> Result<Storage<Folder>, MeasureError> {
+    let mut disk = Folder::new(path)?;
+    format(&mut disk, own(), Some(&membership()?))?;
+    Ok(Storage::open(disk, NODE)?.0)
+}
+
+fn write(number: u64, entries: Vec<Entry>, last: Position) -> Write {
+    let epoch = ClusterEpoch::first(1);
+    let commit = last.index;
+    let hard_state = Some(HardState { epoch, term: TERM, vote: None, commit });
+    Write { number, hard_state, snapshot: None, entries, last }
+}
+
+fn measure_commits(path: &Path, batch: u64) -> Result<(), MeasureError> {
+    let mut storage = new_storage(path)?;
+    let mut times = Vec::new();
+    let start = Instant::now();
+    for number in 0..WRITES {
+        let payload = Payload::Data(vec![7; ENTRY_BYTES]);
+        let first = 2 + number * batch;
+        let entry = |index| Entry { term: TERM, index, payload: payload.clone() };
+        let entries: Vec<Entry> = (first..first + batch).map(entry).collect();
+        let last = Position { term: TERM, index: first + batch - 1 };
+        let begun = Instant::now();
+        storage.save(&write(number + 1, entries, last))?;
+        times.push(begun.elapsed().as_micros());
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    times.sort_unstable();
+    let at = |share: usize| times[times.len() * share / 100];
+    println!(
+        "commits batch={batch} entries_per_s={:.0} syncs_per_s={:.0} p50_us={} p99_us={}",
+        (WRITES * batch) as f64 / seconds,
+        WRITES as f64 / seconds,
+        at(50),
+        at(99)
+    );
+    Ok(())
+}
+
+fn change(number: u64) -> Result<Command, MeasureError> {
+    let zone = ZoneName::new(format!("zone-{}", number % PATHS)).map_err(|_| MeasureError::Name)?;
+    let mut node = SettingsNode::default();
+    node.overrides.concurrency = Some((number % 1_000_000) as u32);
+    let edit = Edit::Put { path: SettingsPath::Zone(zone), node: Box::new(node) };
+    let header = WriteHeader {
+        base: Revision(number),
+        change_id: ChangeId::new(format!("change-{number}")).map_err(|_| MeasureError::Name)?,
+        author: "measure".to_owned(),
+        at_ms: number * 1_000,
+    };
+    Ok(Command::ChangeSettings { header, change: ChangeSet { edits: vec![edit] } })
+}
+
+/// Fills a folder as a replica does: changes, and a snapshot every so often.
+fn fill(path: &Path, changes: u64) -> Result<(), MeasureError> {
+    let mut storage = new_storage(path)?;
+    let mut state = ControlState::default();
+    let mut entries = Vec::new();
+    let (mut bytes, mut snapshot_bytes) = (0, SNAPSHOT_INTERVAL_BYTES);
+    for number in 0..changes {
+        let index = number + 2;
+        let command = change(number)?;
+        let data = to_bytes(&command);
+        bytes += data.len();
+        entries.push(Entry { term: TERM, index, payload: Payload::Data(data) });
+        state.apply(index, command);
+        let snapshot_due = bytes >= snapshot_bytes;
+        if entries.len() as u64 == BATCH || snapshot_due || number + 1 == changes {
+            let last = Position { term: TERM, index };
+            storage.save(&write(number, std::mem::take(&mut entries), last))?;
+            if snapshot_due {
+                let meta = SnapshotMeta { position: last, membership: membership()? };
+                let data = state.to_snapshot();
+                (bytes, snapshot_bytes) = (0, SNAPSHOT_INTERVAL_BYTES.max(data.len()));
+                let snapshot = Some(Snapshot { meta, data: data.into() });
+                storage.save(&Write { snapshot, ..write(number, Vec::new(), last) })?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn measure_start(path: &Path, changes: u64) -> Result<(), MeasureError> {
+    fill(path, changes)?;
+    let start = Instant::now();
+    let (storage, restored) = Storage::open(Folder::new(path)?, NODE)?;
+    let opened = start.elapsed();
+    let kept = restored.entries.len();
+    let config = ReplicaConfig::new(storage.id(), zone()?, vec![NODE]);
+    let mut replica = Replica::new(config, restored, 1);
+    let mut state = ControlState::default();
+    let mut applied = 0;
+    while applied < changes + 1 {
+        replica.tick();
+        let ready = replica.ready();
+        if let Some(snapshot) = ready.installed {
+            state =
+                ControlState::from_snapshot(&snapshot.data).map_err(|_| MeasureError::Decode)?;
+            applied = snapshot.meta.position.index;
+        }
+        for entry in ready.committed {
+            applied = entry.index;
+            if let Payload::Data(data) = entry.payload {
+                let command = minicbor::decode(&data).map_err(|_| MeasureError::Decode)?;
+                state.apply(entry.index, command);
+            }
+        }
+        if let Some(write) = ready.write {
+            replica.persisted(write.number);
+        }
+    }
+    let revision = state.settings().revision();
+    println!(
+        "start changes={changes} revision={revision} replayed={kept} open_ms={:.1} total_ms={:.1}",
+        opened.as_secs_f64() * 1e3,
+        start.elapsed().as_secs_f64() * 1e3
+    );
+    Ok(())
+}
