--- a/crates/control-state/src/claims.rs
+++ b/crates/control-state/src/claims.rs
@@ -6,9 +6,12 @@
 //! attempts, ever.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use juniper_types::{BlockHash, ClaimAnswer, ClaimKey, ClaimOutcome, TenantName};
-use minicbor::{Decode, Encode};
+use minicbor::decode::Error as DecodeError;
+use minicbor::encode::{Error as EncodeError, Write};
+use minicbor::{Decode, Decoder, Encode, Encoder};
 
 use crate::answer::{Answer, SettleAnswer};
 
@@ -48,11 +51,45 @@
     pub now: u64,
 }
 
-/// The claim table, ordered by the time of the key so that expiry is a prefix.
+/// Seconds of keys in one bucket. At 23 claims a second a bucket holds some 1,400.
+const BUCKET_SECONDS: u64 = 60;
+
+/// Claims whose keys were made within the same minute.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Bucket(Arc<BTreeMap<(ClaimKey, TenantName), Claim>>);
+
+impl Bucket {
+    /// The claims, to change them; copied first if a clone of the state shares them.
+    fn claims_mut(&mut self) -> &mut BTreeMap<(ClaimKey, TenantName), Claim> {
+        Arc::make_mut(&mut self.0)
+    }
+}
+
+impl<C> Encode<C> for Bucket {
+    fn encode<W: Write>(
+        &self,
+        encoder: &mut Encoder<W>,
+        context: &mut C,
+    ) -> Result<(), EncodeError<W::Error>> {
+        self.0.as_ref().encode(encoder, context)
+    }
+}
+
+impl<'b, C> Decode<'b, C> for Bucket {
+    fn decode(decoder: &mut Decoder<'b>, context: &mut C) -> Result<Self, DecodeError> {
+        Ok(Bucket(Arc::new(BTreeMap::decode(decoder, context)?)))
+    }
+}
+
+/// The claim table. It is ordered by the time of the key, so that expiry is a
+/// prefix, and shared by buckets, so that a copy to write a snapshot from costs
+/// one counter a bucket; a bucket is copied when it changes meanwhile.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Claims {
     #[n(0)]
-    table: BTreeMap<(ClaimKey, TenantName), Claim>,
+    buckets: BTreeMap<u64, Bucket>,
+    #[n(3)]
+    count: u64,
     #[n(1)]
     horizon: u64,
     #[n(2)]
@@ -62,12 +99,12 @@
 impl Claims {
     /// Claims kept.
     pub fn len(&self) -> usize {
-        self.table.len()
+        usize::try_from(self.count).unwrap_or(usize::MAX)
     }
 
     /// Whether no claim is kept.
     pub fn is_empty(&self) -> bool {
-        self.table.is_empty()
+        self.count == 0
     }
 
     /// Keys made before this second since the Unix epoch are refused for ever.
@@ -83,14 +120,18 @@
             return Answer::Claim(ClaimAnswer::TooEarly);
         }
         let ClaimRequest { tenant, key, fingerprint, attempt, .. } = request;
+        let number = key.made_at() / BUCKET_SECONDS;
         let place = (key, tenant);
-        if let Some(claim) = self.table.get(&place) {
+        let known = self.buckets.get(&number).and_then(|bucket| bucket.0.get(&place));
+        if let Some(claim) = known {
             return Answer::Claim(claim.answer(&fingerprint, attempt));
         }
-        if self.table.len() >= MAX_CLAIMS {
+        if self.len() >= MAX_CLAIMS {
             return Answer::ClaimsFull;
         }
-        self.table.insert(place, Claim { fingerprint, attempt, outcome: None });
+        let bucket = self.buckets.entry(number).or_default().claims_mut();
+        bucket.insert(place, Claim { fingerprint, attempt, outcome: None });
+        self.count += 1;
         Answer::Claim(ClaimAnswer::Granted)
     }
 
@@ -102,7 +143,10 @@
         outcome: ClaimOutcome,
     ) -> SettleAnswer {
         let room = (MAX_OUTCOME_BYTES as u64).saturating_sub(self.body_bytes);
-        let Some(claim) = self.table.get_mut(&(key, tenant)) else {
+        let Some(bucket) = self.buckets.get_mut(&(key.made_at() / BUCKET_SECONDS)) else {
+            return SettleAnswer::NotHeld;
+        };
+        let Some(claim) = bucket.claims_mut().get_mut(&(key, tenant)) else {
             return SettleAnswer::NotHeld;
         };
         if claim.attempt != attempt {
@@ -117,12 +161,17 @@
     }
 
     pub(crate) fn advance_horizon(&mut self, to: u64) -> u64 {
-        while let Some(oldest) = self.table.first_entry() {
-            if oldest.key().0.made_at() >= to {
+        while let Some(mut oldest) = self.buckets.first_entry() {
+            if oldest.key() * BUCKET_SECONDS >= to {
+                break;
+            }
+            let (forgotten, bytes) = forget_before(oldest.get_mut(), to);
+            self.count -= forgotten;
+            self.body_bytes -= bytes;
+            if !oldest.get().0.is_empty() {
                 break;
             }
-            let claim = oldest.remove();
-            self.body_bytes -= claim.outcome.map_or(0, |outcome| outcome.body.len() as u64);
+            oldest.remove();
         }
         self.horizon = self.horizon.max(to);
         self.horizon
@@ -143,6 +192,21 @@
     }
 }
 
+/// Removes the claims made before `to`; returns how many and their bodies' bytes.
+fn forget_before(bucket: &mut Bucket, to: u64) -> (u64, u64) {
+    let claims = bucket.claims_mut();
+    let (mut count, mut bytes) = (0, 0);
+    while let Some(oldest) = claims.first_entry() {
+        if oldest.key().0.made_at() >= to {
+            break;
+        }
+        let claim = oldest.remove();
+        count += 1;
+        bytes += claim.outcome.map_or(0, |outcome| outcome.body.len() as u64);
+    }
+    (count, bytes)
+}
+
 /// Cuts an outcome to the bounds; a body that doesn't fit `room` is left out.
 fn bounded(mut outcome: ClaimOutcome, room: u64) -> ClaimOutcome {
     let limit = if outcome.body.len() as u64 > room { 0 } else { MAX_OUTCOME_BODY_BYTES };
--- a/crates/control-state/src/snapshot.rs
+++ b/crates/control-state/src/snapshot.rs
@@ -4,6 +4,7 @@
 //! own and writes its own, so replicas are upgraded one after the other.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 use juniper_settings::{SettingsTree, TreeFault, ValidatedTree};
 use juniper_types::{EngineId, Revision};
@@ -118,7 +119,7 @@
         };
         Ok(ControlState {
             applied: decoded.applied,
-            settings,
+            settings: Arc::new(settings),
             claims: decoded.claims,
             fences: decoded.fences,
             last_fence: decoded.last_fence,
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -1,6 +1,7 @@
 //! The whole replicated state and the one way to change it.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use juniper_types::EngineId;
 
@@ -9,11 +10,13 @@
 use crate::command::Command;
 use crate::settings::SettingsState;
 
-/// What the control replicas agree on.
+/// What the control replicas agree on. A clone shares the large parts, which are
+/// copied when they change; a snapshot can be written from one while the state
+/// goes on.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ControlState {
     pub(crate) applied: u64,
-    pub(crate) settings: SettingsState,
+    pub(crate) settings: Arc<SettingsState>,
     pub(crate) claims: Claims,
     pub(crate) fences: BTreeMap<EngineId, u64>,
     pub(crate) last_fence: u64,
@@ -46,9 +49,11 @@
         self.applied = index;
         match command {
             Command::ChangeSettings { header, change } => {
-                Answer::Write(self.settings.change(header, &change))
+                Answer::Write(Arc::make_mut(&mut self.settings).change(header, &change))
+            }
+            Command::Rollback { header, to } => {
+                Answer::Write(Arc::make_mut(&mut self.settings).rollback(header, to))
             }
-            Command::Rollback { header, to } => Answer::Write(self.settings.rollback(header, to)),
             Command::Claim { tenant, key, fingerprint, attempt, now } => {
                 self.claims.claim(ClaimRequest { tenant, key, fingerprint, attempt, now })
             }
--- a/crates/control/examples/measure/main.rs
+++ b/crates/control/examples/measure/main.rs
@@ -3,13 +3,16 @@
 //! `cargo run --release -p juniper-control --example measure -- CASE [NUMBERS]`
 //! where a case is one of
 //! `commit REPLICAS`, `claims REPLICAS`, `failover REPLICAS`,
-//! `spread REPLICAS SUBSCRIBERS` and `start CHANGES`.
+//! `spread REPLICAS SUBSCRIBERS`, `herd REPLICAS SUBSCRIBERS`, `start CHANGES` and
+//! `snapshot CLAIMS`.
 //! The data goes below the current folder's `target`, so choose the disk by it.
 
 mod client;
 mod commit;
 mod failover;
 mod fleet;
+mod herd;
+mod snapshot;
 mod spread;
 mod start;
 
@@ -26,8 +29,10 @@
         "claims" => runtime.block_on(commit::at_full_load(number(1))),
         "failover" => runtime.block_on(failover::measure(number(1))),
         "spread" => runtime.block_on(spread::measure(number(1), number(2))),
+        "herd" => runtime.block_on(herd::measure(number(1), number(2))),
+        "snapshot" => snapshot::measure(number(1)),
         "start" => runtime.block_on(start::measure(number(1))),
-        _ => eprintln!("cases: commit, claims, failover, spread, start"),
+        _ => eprintln!("cases: commit, claims, failover, spread, herd, start, snapshot"),
     }
 }
 
--- a/crates/control/src/internal/mod.rs
+++ b/crates/control/src/internal/mod.rs
@@ -4,10 +4,11 @@
 mod session;
 mod subscriber;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_protocol::{ClusterKey, PeerIdentity, accept};
+use juniper_protocol::{ClusterKey, Connection, PeerIdentity, PeerRole, accept};
 use juniper_settings::node_file::ControlLimits;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -65,16 +66,13 @@
         }
     }
 
-    /// Accepts connections for ever. Beyond the limits they wait in the listen
-    /// queue, so a herd of restarting routers costs no memory here.
+    /// Accepts connections for ever. Beyond the limit on handshakes they wait in
+    /// the listen queue, so a herd of restarting routers costs no memory here.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         loop {
             let Ok(handshake) = Arc::clone(&self.handshakes).acquire_owned().await else {
                 return;
             };
-            let Ok(connection) = Arc::clone(&self.connections).acquire_owned().await else {
-                return;
-            };
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(error) => {
@@ -84,10 +82,7 @@
                 }
             };
             let face = Arc::clone(&self);
-            tokio::spawn(async move {
-                face.serve_stream(stream, handshake).await;
-                drop(connection);
-            });
+            tokio::spawn(face.serve_stream(stream, handshake));
         }
     }
 
@@ -102,11 +97,25 @@
         let connection = accept(stream, &self.key, &self.own).await;
         drop(handshake);
         match connection {
-            Ok(connection) => session::run(self, connection, address).await,
+            Ok(connection) => self.serve_peer(connection, address).await,
             Err(error) => {
                 self.metrics.handshakes_failed.inc();
                 log::warn!("event=handshake_failed peer={address} reason=\"{error}\"");
             }
         }
     }
+
+    /// Only routers count towards the limit on connections: however many there
+    /// are, the replicas must reach each other.
+    async fn serve_peer(self: Arc<Self>, connection: Connection, address: SocketAddr) {
+        let is_replica = connection.peer.role == PeerRole::Control;
+        let permit = Arc::clone(&self.connections).try_acquire_owned();
+        if permit.is_err() && !is_replica {
+            self.metrics.connections_refused.inc();
+            log::warn!("event=too_many_connections peer={}", connection.peer.node);
+            return;
+        }
+        session::run(self, connection, address).await;
+        drop(permit);
+    }
 }
--- a/crates/control/src/internal/subscriber.rs
+++ b/crates/control/src/internal/subscriber.rs
@@ -7,6 +7,7 @@
 use juniper_protocol::{Message, Push, Refusal, Reply};
 use juniper_types::Revision;
 use rand::RngExt;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::InternalFace;
@@ -32,27 +33,28 @@
     from: Revision,
 ) {
     let committed = face.view.published.borrow().revision;
-    if needs_snapshot(&face, from) && face.snapshots.available_permits() == 0 {
+    let permit = Arc::clone(&face.snapshots).try_acquire_owned().ok();
+    let needs_snapshot = face.view.published.borrow().after(from).is_none();
+    if needs_snapshot && permit.is_none() {
         let retry_after_ms = rand::rng().random_range(RETRY_RANGE_MS);
         face.metrics.subscriptions_refused.inc();
-        return send_reply(&sender, call, Reply::Refused(Refusal::Overloaded { retry_after_ms }))
-            .await;
+        let refusal = Refusal::Overloaded { retry_after_ms };
+        return send_reply(&sender, call, Reply::Refused(refusal)).await;
     }
     send_reply(&sender, call, Reply::Subscribed { committed }).await;
     face.reports.report(&peer.identity, peer.address, from);
-    let subscriber = Subscriber { face, sender, sent: from };
+    let permit = permit.filter(|_| needs_snapshot);
+    let subscriber = Subscriber { face, sender, sent: from, permit };
     let Err(Ended) = subscriber.push_for_ever().await;
 }
 
-fn needs_snapshot(face: &InternalFace, from: Revision) -> bool {
-    face.view.published.borrow().after(from).is_none()
-}
-
 struct Subscriber {
     face: Arc<InternalFace>,
     sender: OutgoingSender,
     /// The revision that the node has once it has read everything sent.
     sent: Revision,
+    /// Permit for the first snapshot, taken before the subscription was granted.
+    permit: Option<OwnedSemaphorePermit>,
 }
 
 impl Subscriber {
@@ -87,9 +89,8 @@
     /// Sends the whole tree, unless too many are on their way; then the next sign
     /// of life tries again. Waiting here would silence the signs of life.
     async fn push_snapshot(&mut self) -> Result<(), Ended> {
-        let Ok(permit) = Arc::clone(&self.face.snapshots).try_acquire_owned() else {
-            return Ok(());
-        };
+        let free = || Arc::clone(&self.face.snapshots).try_acquire_owned().ok();
+        let Some(permit) = self.permit.take().or_else(free) else { return Ok(()) };
         let frame = self.face.replica.snapshot_frame().await.ok_or(Ended)?;
         self.face.metrics.snapshots_pushed.inc();
         self.note(&frame);
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -12,6 +12,8 @@
     registry: Registry,
     /// Connections of other daemons.
     pub connections: IntGauge,
+    /// Connections of routers turned away because there were too many.
+    pub connections_refused: IntCounter,
     /// Handshakes that failed.
     pub handshakes_failed: IntCounter,
     /// Subscriptions turned away because too many snapshots were under way.
@@ -51,6 +53,10 @@
         let commit = Histogram::with_opts(commit.buckets(COMMIT_BUCKETS.to_vec()))?;
         Ok(Metrics {
             connections: gauge("juniper_control_connections", "Connections of other daemons")?,
+            connections_refused: counter(
+                "juniper_control_connections_refused",
+                "Connections turned away",
+            )?,
             handshakes_failed: counter("juniper_control_handshakes_failed", "Handshakes failed")?,
             subscriptions_refused: counter(
                 "juniper_control_subscriptions_refused",
--- a/crates/control/src/published.rs
+++ b/crates/control/src/published.rs
@@ -12,12 +12,17 @@
 use juniper_settings::validated::to_change_set;
 use juniper_types::Revision;
 
-/// Most changes kept; a subscriber further behind is served from the history.
+/// Most changes kept; a subscriber further behind gets the whole tree.
 const MAX_DELTAS: usize = 256;
 
 /// Most bytes of changes kept.
 const MAX_DELTA_BYTES: usize = 8 << 20;
 
+/// Most bytes of several changes sent to catch up. Beyond that the whole tree is
+/// sent, whose sending is bounded, so that a herd of restarted nodes can't ask
+/// for megabytes each at once.
+const MAX_CATCH_UP_BYTES: usize = 1 << 20;
+
 /// An encoded [`Message::Push`].
 #[derive(Debug)]
 pub struct PushFrame {
@@ -61,7 +66,8 @@
         }
     }
 
-    /// The changes after `from`, if all of them are kept.
+    /// The changes after `from`, if all of them are kept and few enough bytes. The
+    /// very next change is always served, whatever its size.
     pub fn after(&self, from: Revision) -> Option<Vec<Arc<PushFrame>>> {
         if from >= self.revision {
             return Some(Vec::new());
@@ -71,6 +77,8 @@
         if next < oldest {
             return None;
         }
-        Some(self.deltas.iter().filter(|delta| delta.revision >= next).cloned().collect())
+        let missing: Vec<_> = self.deltas.iter().filter(|d| d.revision >= next).cloned().collect();
+        let bytes: usize = missing.iter().map(|delta| delta.payload.len()).sum();
+        (missing.len() == 1 || bytes <= MAX_CATCH_UP_BYTES).then_some(missing)
     }
 }
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -3,11 +3,13 @@
 use std::sync::{Arc, mpsc};
 
 use juniper_consensus::{
-    Message as ConsensusMessage, ProposeError, ReadError, Ready, Replica, Status, StopReason, Write,
+    Index, Message as ConsensusMessage, ProposeError, ReadError, Ready, Replica, Status,
+    StopReason, Write,
 };
 use juniper_protocol::Refusal;
 use juniper_storage::StorageError;
 use kameo::Actor;
+use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use tokio::sync::{oneshot, watch};
 
@@ -53,6 +55,8 @@
     status: watch::Sender<Status>,
     metrics: Arc<Metrics>,
     failure: Option<oneshot::Sender<ReplicaFailure>>,
+    /// A snapshot is being encoded.
+    encoding: bool,
 }
 
 /// What an actor is made of.
@@ -78,13 +82,13 @@
             status: parts.status,
             metrics: parts.metrics,
             failure: Some(parts.failure),
+            encoding: false,
         }
     }
 
     /// Does everything that the agreement asks for and publishes the outcome.
     fn drive<R: kameo::reply::Reply>(&mut self, context: &mut Context<Self, R>) {
-        let driven = self.drain_ready().and_then(|()| self.compact_if_due());
-        if let Err(failure) = driven {
+        if let Err(failure) = self.drain_ready() {
             self.fail(failure);
             context.stop();
             return;
@@ -92,6 +96,9 @@
         if !self.replica.is_leader() {
             self.proposals.lose_all();
         }
+        if !self.encoding {
+            self.encode_if_due(context.actor_ref());
+        }
         self.publish_status();
     }
 
@@ -139,14 +146,17 @@
         Ok(())
     }
 
-    fn compact_if_due(&mut self) -> Result<(), ReplicaFailure> {
-        let Some((index, data)) = self.machine.due_snapshot() else { return Ok(()) };
-        let bytes = data.len();
-        match self.replica.compact(index, data) {
-            Ok(()) => log::info!("event=snapshot_taken index={index} bytes={bytes}"),
-            Err(error) => log::warn!("event=snapshot_skipped index={index} reason=\"{error}\""),
-        }
-        self.drain_ready()
+    /// Encodes a snapshot beside the actor, if one is due.
+    fn encode_if_due(&mut self, actor: &ActorRef<Self>) {
+        let Some((index, state)) = self.machine.due_snapshot() else { return };
+        self.encoding = true;
+        let actor = actor.clone();
+        tokio::task::spawn_blocking(move || {
+            let data = state.to_snapshot();
+            drop(state);
+            // A replica that has ended needs no snapshot.
+            let _ = actor.tell(Encoded { index, data }).blocking_send();
+        });
     }
 
     fn publish_status(&mut self) {
@@ -278,6 +288,31 @@
     }
 }
 
+/// A snapshot of the state as of `index`.
+pub(super) struct Encoded {
+    index: Index,
+    data: Vec<u8>,
+}
+
+impl Message<Encoded> for ReplicaActor {
+    type Reply = ();
+
+    async fn handle(&mut self, encoded: Encoded, context: &mut Context<Self, ()>) {
+        self.encoding = false;
+        let Encoded { index, data } = encoded;
+        let bytes = data.len();
+        match self.replica.compact(index, data) {
+            Ok(()) => {
+                self.machine.snapshot_taken(bytes);
+                log::info!("event=snapshot_taken index={index} bytes={bytes}");
+            }
+            // A leader's snapshot has come in between.
+            Err(error) => log::warn!("event=snapshot_skipped index={index} reason=\"{error}\""),
+        }
+        self.drive(context);
+    }
+}
+
 /// The write with this number is on disk and synced.
 pub(super) struct Persisted(pub u64);
 
--- a/crates/control/src/replica/horizon.rs
+++ b/crates/control/src/replica/horizon.rs
@@ -43,8 +43,9 @@
     }
 }
 
-/// The next horizon, if it should move.
-pub(super) fn next_horizon(current: u64, now: u64, retention_seconds: u64) -> Option<u64> {
+/// The horizon to move to from `current` at the time `now`, if it should move.
+/// All three are in seconds, the first two since the Unix epoch.
+pub fn next_horizon(current: u64, now: u64, retention_seconds: u64) -> Option<u64> {
     let wanted = now.saturating_sub(retention_seconds);
     let bounded = match current {
         0 => wanted,
--- a/crates/control/src/replica/machine.rs
+++ b/crates/control/src/replica/machine.rs
@@ -83,15 +83,20 @@
         Ok(())
     }
 
-    /// A snapshot of the state with the index it stands for, if one is due.
-    pub fn due_snapshot(&mut self) -> Option<(Index, Vec<u8>)> {
+    /// A copy of the state to write a snapshot from, with the index it stands for,
+    /// if one is due. The copy shares what is large, so that it takes no time; to
+    /// encode millions of claims takes seconds, in which a leader would be missed.
+    pub fn due_snapshot(&mut self) -> Option<(Index, ControlState)> {
         if self.bytes_since_snapshot < MIN_SNAPSHOT_INTERVAL_BYTES.max(self.snapshot_bytes) {
             return None;
         }
-        let data = self.state.to_snapshot();
         self.bytes_since_snapshot = 0;
-        self.snapshot_bytes = data.len();
-        Some((self.applied, data))
+        Some((self.applied, self.state.clone()))
+    }
+
+    /// A snapshot of this many bytes was taken.
+    pub fn snapshot_taken(&mut self, bytes: usize) {
+        self.snapshot_bytes = bytes;
     }
 
     /// The whole tree as a push, encoded once for each revision.
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -26,6 +26,7 @@
 pub use actor::{ReplicaActor, ReplicaFailure};
 pub use folder::{found, replica_folder};
 pub use handle::ReplicaHandle;
+pub use horizon::next_horizon;
 pub use machine::MachineError;
 pub use start::{ReplicaParts, RunningReplica, start};
 
--- a/crates/control/tests/daemons/main.rs
+++ b/crates/control/tests/daemons/main.rs
@@ -3,5 +3,7 @@
 mod folders;
 mod group_claims;
 mod group_operator;
+mod horizon;
 mod one_replica;
+mod snapshots;
 mod support;
--- a/tests/control_fleet.rs
+++ b/tests/control_fleet.rs
@@ -142,3 +142,36 @@
     resend(&fleet, lost, &changes).await;
     assert_eq!(fleet.confirmed_revision(lost).await, 5);
 }
+
+#[tokio::test]
+async fn a_full_disk_ends_the_replica_and_loses_nothing_that_was_accepted() {
+    let mut fleet = Fleet::start(1).await;
+    let changes = write_changes(&fleet, &[0], 1, 3).await;
+    fleet.replicas[0].kill();
+    fleet.replicas[0].start_with_file_limit(64);
+    assert_eq!(fleet.confirmed_revision(0).await, 3);
+    let text = "warm ".repeat(1_000);
+    let mut accepted = 3;
+    loop {
+        let mut change = put_zone("hartford", 1, accepted, &format!("large-{accepted}"));
+        change["edits"][0]["node"]["overrides"]["warm_prefixes"] = vec![text.clone()].into();
+        match fleet.post(0, "/v1/settings/changes", &change).await {
+            Some((200, _)) => accepted += 1,
+            answer => {
+                let known = answer.is_none_or(|(_, body)| body["error"]["not_run"] != true);
+                assert!(known, "a change that may be on the disk is called not run");
+                break;
+            }
+        }
+    }
+    fleet::eventually("the replica ends", async || fleet.replicas[0].has_failed().then_some(()))
+        .await;
+    let log = fleet.replicas[0].log();
+    assert!(log.contains("event=replica_failed reason=\"storage failed: write"), "{log}");
+    fleet.replicas[0].kill();
+    fleet.replicas[0].start();
+    let revision = fleet.confirmed_revision(0).await;
+    // The write that failed may have reached the disk all the same.
+    assert!(revision == accepted || revision == accepted + 1, "{revision} after {accepted}");
+    resend(&fleet, 0, &changes).await;
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -29,22 +29,40 @@
     }
 
     pub fn start(&mut self) {
+        self.start_by(Command::new(env!("CARGO_BIN_EXE_juniperhollow")));
+    }
+
+    /// Starts it so that no file can grow beyond `kib`: writes fail as on a full disk.
+    pub fn start_with_file_limit(&mut self, kib: u32) {
+        let script = format!("trap '' XFSZ; ulimit -f {kib}; exec \"$0\" \"$@\"");
+        let mut shell = Command::new("bash");
+        shell.args(["-c", &script, env!("CARGO_BIN_EXE_juniperhollow")]);
+        self.start_by(shell);
+    }
+
+    fn start_by(&mut self, mut command: Command) {
         let mut options = std::fs::File::options();
-        let log =
-            options.create(true).append(true).open(self.folder.join("log")).expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_juniperhollow"))
-            .args(["control", "--settings"])
-            .arg(self.file())
-            .stderr(log)
-            .spawn()
-            .expect("the daemon starts");
-        self.process = Some(child);
+        let log = options.create(true).append(true).open(self.folder.join("log"));
+        command.args(["control", "--settings"]).arg(self.file());
+        command.stderr(log.expect("a log file"));
+        self.process = Some(command.spawn().expect("the daemon starts"));
+    }
+
+    /// Whether the process has ended by itself, and badly.
+    pub fn has_failed(&mut self) -> bool {
+        let child = self.process.as_mut().expect("the replica was started");
+        child.try_wait().expect("the process is known").is_some_and(|status| !status.success())
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
     }
 
     /// Kills the process at once, as a crash would.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.process.take() {
-            child.kill().expect("the process is killed");
+            // It may have ended by itself.
+            let _ = child.kill();
             child.wait().expect("the process is gone");
         }
     }
@@ -73,7 +91,7 @@
     fn drop(&mut self) {
         self.kill();
         if std::thread::panicking() {
-            let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
+            let log = self.log();
             let lines: Vec<&str> = log.lines().collect();
             let latest = &lines[lines.len().saturating_sub(40)..];
             eprintln!("--- node {} ---\n{}", self.node, latest.join("\n"));
