--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -9,12 +9,12 @@
 
 use std::time::Duration;
 
-use juniper_prefix_index::{Holder, rendezvous};
+use juniper_prefix_index::{Holder, PredictionSource, rendezvous};
 use juniper_types::{EngineId, Incarnation, Timestamp};
 use rand::{Rng, RngExt};
 
 use crate::cost::{CostModel, CostTerms};
-use crate::request::RouteRequest;
+use crate::request::{DispatchId, RouteRequest};
 use crate::table::{EngineTable, Estimate};
 
 /// Shortest suggested pause.
@@ -24,6 +24,12 @@
 /// takes to report again.
 const NO_ENGINE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Predicted blocks that are worth a wait.
+const MIN_AWAITED_BLOCKS: u32 = 2;
+
+/// Time that a wait may take beyond twice the expected queue.
+const WAIT_SLACK: Duration = Duration::from_millis(500);
+
 /// Why the engine was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
@@ -57,6 +63,21 @@
     }
 }
 
+/// A wait for an attempt that is computing the prefix.
+///
+/// An engine shares a block only once it is computed. A request that arrives
+/// earlier computes the prefix a second time, behind the first in the same
+/// queue; sent when the first one has its first token, it finds the prefix and
+/// is served no later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PrefixWait {
+    /// The router's own attempt, on the same engine. The wait is over when it
+    /// has its first token or has ended.
+    pub dispatch: DispatchId,
+    /// The wait is over after this time in any case.
+    pub at_most: Duration,
+}
+
 /// The choice for one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Decision {
@@ -68,6 +89,8 @@
     pub expected_blocks: u32,
     /// Leading blocks to import from the store of kept KV cache first; zero for none.
     pub import_blocks: u32,
+    /// What to wait for before sending the request; `None` sends it at once.
+    pub wait: Option<PrefixWait>,
     /// Why this engine.
     pub reason: Reason,
     /// Engines that were considered.
@@ -113,6 +136,9 @@
     engine: EngineId,
     blocks: u32,
     import_blocks: u32,
+    /// Leading blocks that are only predicted, and who computes them.
+    predicted: u32,
+    computed_by: Option<PredictionSource>,
     terms: CostTerms,
     cost: f64,
 }
@@ -131,26 +157,52 @@
 ) -> Result<Decision, Refusal> {
     let search = Search { table, holders, request, now };
     let survey = search.survey();
-    if survey.candidates == 0 {
+    let Some(cheapest) = survey.cheapest else {
         let retry_after = NO_ENGINE_RETRY_AFTER;
         return Err(Refusal { code: RefusalCode::NoEngine, retry_after });
-    }
-    if !survey.least_cost.is_finite() {
-        return Err(search.refusal(&survey));
-    }
+    };
     let chosen = search.pick(&survey, random.random());
-    chosen.map(|chosen| search.decision(&survey, chosen)).ok_or(search.refusal(&survey))
+    chosen
+        .map(|chosen| search.decision(&survey, chosen))
+        .ok_or_else(|| search.refusal(&cheapest.terms))
 }
 
 /// What the first pass found.
 struct Survey {
     candidates: u32,
+    /// The least cost of all, in time or not.
+    cheapest: Option<Candidate>,
     /// Least cost among engines that meet the deadline.
+    timely: Best,
+    /// Least cost among those of them that have short queues.
+    calm: Best,
+}
+
+/// The best of some candidates.
+#[derive(Clone, Copy)]
+struct Best {
     least_cost: f64,
-    /// Leading blocks that an engine near the least cost holds at most.
     most_blocks: u32,
-    /// Earliest first token anywhere, and the queue before it.
-    earliest: CostTerms,
+}
+
+impl Best {
+    const NONE: Best = Best { least_cost: f64::INFINITY, most_blocks: 0 };
+
+    fn note(&mut self, candidate: &Candidate) {
+        self.least_cost = self.least_cost.min(candidate.cost);
+        self.most_blocks = self.most_blocks.max(candidate.blocks);
+    }
+}
+
+impl Survey {
+    fn cheapest_is_late(&self) -> bool {
+        self.cheapest.is_some_and(|cheapest| cheapest.cost < self.timely.least_cost)
+    }
+
+    /// The candidates to pick from.
+    fn best(&self) -> Best {
+        if self.cheapest_is_late() { self.calm } else { self.timely }
+    }
 }
 
 struct Search<'a> {
@@ -172,29 +224,35 @@
             let estimate =
                 table.serving_estimate(holder.engine, holder.incarnation, request.serving);
             if let Some(estimate) = estimate {
-                visit(self.candidate(estimate, holder.blocks));
+                let candidate = self.candidate(estimate, holder.blocks, self.work(holder.blocks));
+                let Holder { predicted, computed_by, .. } = *holder;
+                visit(Candidate { predicted, computed_by, ..candidate });
             }
         }
         let unheld = self.work(0);
         for position in table.group(request.serving) {
             let estimate = &table.estimates[*position as usize];
             if !request.excluded.contains(&estimate.engine) {
-                visit(self.candidate_with(estimate, 0, unheld));
+                visit(self.candidate(estimate, 0, unheld));
             }
         }
     }
 
-    fn candidate(&self, estimate: &Estimate, blocks: u32) -> Candidate {
-        self.candidate_with(estimate, blocks, self.work(blocks))
-    }
-
-    fn candidate_with(&self, estimate: &Estimate, blocks: u32, work: Work) -> Candidate {
+    fn candidate(&self, estimate: &Estimate, blocks: u32, work: Work) -> Candidate {
         let model = &self.table.model;
         let mut terms = estimate.terms(model, work.compute_us, self.now);
         terms.import_us = work.import_us;
         let cost = terms.weighted(model, self.request.weights);
         let import_blocks = work.import_blocks;
-        Candidate { engine: estimate.engine, blocks, import_blocks, terms, cost }
+        Candidate {
+            engine: estimate.engine,
+            blocks,
+            import_blocks,
+            predicted: 0,
+            computed_by: None,
+            terms,
+            cost,
+        }
     }
 
     /// What is left to do where `blocks` blocks are cached.
@@ -206,21 +264,27 @@
         terms.first_token_us() <= self.request.first_token_within.as_micros() as f64
     }
 
+    /// Whether the request may go there. When the cheapest engine is too late,
+    /// one with a queue that would have to compute more is no way out: it would
+    /// only spread the overload, and cost the fleet the cached prefix as well.
+    fn is_acceptable(&self, candidate: &Candidate, cheapest_is_late: bool) -> bool {
+        let is_calm = candidate.terms.queue_us <= self.table.model.calm_queue_us;
+        self.meets_deadline(&candidate.terms) && (is_calm || !cheapest_is_late)
+    }
+
     fn survey(&self) -> Survey {
-        let mut survey = Survey {
-            candidates: 0,
-            least_cost: f64::INFINITY,
-            most_blocks: 0,
-            earliest: CostTerms { queue_us: f64::INFINITY, ..CostTerms::default() },
-        };
+        let mut survey =
+            Survey { candidates: 0, cheapest: None, timely: Best::NONE, calm: Best::NONE };
         self.for_each(|candidate| {
             survey.candidates += 1;
-            if candidate.terms.first_token_us() < survey.earliest.first_token_us() {
-                survey.earliest = candidate.terms;
+            if survey.cheapest.is_none_or(|known| candidate.cost < known.cost) {
+                survey.cheapest = Some(candidate);
+            }
+            if self.is_acceptable(&candidate, false) {
+                survey.timely.note(&candidate);
             }
-            if self.meets_deadline(&candidate.terms) {
-                survey.least_cost = survey.least_cost.min(candidate.cost);
-                survey.most_blocks = survey.most_blocks.max(candidate.blocks);
+            if self.is_acceptable(&candidate, true) {
+                survey.calm.note(&candidate);
             }
         });
         survey
@@ -228,25 +292,27 @@
 
     /// The best-ranked candidate among those near the least cost.
     fn pick(&self, survey: &Survey, random: u64) -> Option<Candidate> {
-        let bound = survey.least_cost + self.table.model.near_equal_us;
-        let key = self.spread_key(survey, random);
-        let mut best: Option<(u64, Candidate)> = None;
+        let best = survey.best();
+        let bound = best.least_cost + self.table.model.near_equal_us;
+        let key = self.spread_key(best, random);
+        let cheapest_is_late = survey.cheapest_is_late();
+        let mut first: Option<(u64, Candidate)> = None;
         self.for_each(|candidate| {
-            if candidate.cost > bound || !self.meets_deadline(&candidate.terms) {
+            if candidate.cost > bound || !self.is_acceptable(&candidate, cheapest_is_late) {
                 return;
             }
             let score = rendezvous::score(key, u64::from(candidate.engine.0));
             // The first visit of a holder counts what it holds; the second doesn't.
-            if best.is_none_or(|(known, _)| score > known) {
-                best = Some((score, candidate));
+            if first.is_none_or(|(known, _)| score > known) {
+                first = Some((score, candidate));
             }
         });
-        best.map(|(_, candidate)| candidate)
+        first.map(|(_, candidate)| candidate)
     }
 
     /// Names the first block that has to be computed, or nothing in particular.
-    fn spread_key(&self, survey: &Survey, random: u64) -> u64 {
-        match self.request.blocks.get(survey.most_blocks as usize) {
+    fn spread_key(&self, best: Best, random: u64) -> u64 {
+        match self.request.blocks.get(best.most_blocks as usize) {
             Some(block) => u64::from_le_bytes(std::array::from_fn(|index| block.0[index])),
             None => random,
         }
@@ -254,11 +320,12 @@
 
     fn decision(&self, survey: &Survey, chosen: Candidate) -> Decision {
         let incarnation = self.table.incarnation(chosen.engine);
+        let most_blocks = survey.best().most_blocks;
         let reason = match (incarnation, chosen.blocks) {
             (None, _) => Reason::Unreported,
-            (_, 0) if survey.most_blocks == 0 => Reason::NobodyHolds,
+            (_, 0) if most_blocks == 0 => Reason::NobodyHolds,
             (_, 0) => Reason::LeastLoaded,
-            (_, blocks) if blocks == survey.most_blocks => Reason::BestHolder,
+            (_, blocks) if blocks == most_blocks => Reason::BestHolder,
             _ => Reason::Spread,
         };
         Decision {
@@ -266,18 +333,30 @@
             incarnation,
             expected_blocks: chosen.blocks,
             import_blocks: chosen.import_blocks,
+            wait: self.wait(&chosen),
             reason,
             candidates: survey.candidates,
             terms: chosen.terms,
         }
     }
 
+    /// The wait for the attempt that computes the chosen engine's predicted blocks.
+    fn wait(&self, chosen: &Candidate) -> Option<PrefixWait> {
+        let dispatch = DispatchId(chosen.computed_by?.0);
+        let worthwhile = chosen.predicted >= MIN_AWAITED_BLOCKS;
+        if !worthwhile || !self.table.is_prefilling(chosen.engine, dispatch) {
+            return None;
+        }
+        let queue = Duration::from_micros(chosen.terms.queue_us as u64);
+        let at_most = (queue * 2 + WAIT_SLACK).min(self.request.first_token_within / 2);
+        Some(PrefixWait { dispatch, at_most })
+    }
+
     /// The queue has to drain by as much as the first token would be late.
-    fn refusal(&self, survey: &Survey) -> Refusal {
+    fn refusal(&self, cheapest: &CostTerms) -> Refusal {
         let within_us = self.request.first_token_within.as_micros() as f64;
-        let earliest = &survey.earliest;
-        let late_us = earliest.first_token_us() - within_us;
-        let code = if earliest.first_token_us() - earliest.queue_us > within_us {
+        let late_us = cheapest.first_token_us() - within_us;
+        let code = if late_us > cheapest.queue_us {
             RefusalCode::DeadlineTooShort
         } else {
             RefusalCode::Overloaded
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -17,6 +17,9 @@
 /// Time over which the rate of work of an engine is averaged, in microseconds.
 const RATE_WINDOW_US: f64 = 1_000_000.0;
 
+/// Work of one request in a queue, in microseconds: about 1,000 missed tokens.
+const QUEUED_WORK_US: f64 = 270_000.0;
+
 /// Utilisation above which the expected queue is no longer extrapolated.
 const MAX_UTILISATION: f64 = 0.95;
 
@@ -89,9 +92,11 @@
     /// The cost of a request that needs `compute_us` here.
     pub(crate) fn terms(&self, model: &CostModel, compute_us: f64, now: Timestamp) -> CostTerms {
         let utilisation = self.decayed_rate(now).min(MAX_UTILISATION);
+        let queue_us = self.queue_us(model, now);
         CostTerms {
             transfer_us: self.transfer_us,
-            queue_us: self.queue_us(model, now),
+            queue_us,
+            congestion_us: model.congestion_factor * compute_us * queue_us / QUEUED_WORK_US,
             compute_us,
             import_us: 0.0,
             pressure_us: model.pressure_factor * model.busy_start_us * utilisation
@@ -279,6 +284,11 @@
         })
     }
 
+    /// Whether new work may be sent to `engine`.
+    pub fn is_usable(&self, engine: EngineId) -> bool {
+        self.position(engine).is_some_and(|position| self.engines[position].is_usable())
+    }
+
     /// The engines that new work may be sent to.
     pub fn usable_engines(&self) -> impl Iterator<Item = EngineId> + '_ {
         self.engines.iter().filter(|engine| engine.is_usable()).map(|engine| engine.id)
@@ -301,6 +311,12 @@
         (serves && known.serves(key)).then(|| &self.estimates[position])
     }
 
+    /// Whether an own attempt on `engine` waits for its first token, and so has
+    /// not computed its whole prompt.
+    pub fn is_prefilling(&self, engine: EngineId, id: DispatchId) -> bool {
+        self.position(engine).is_some_and(|position| self.engines[position].is_prefilling(id))
+    }
+
     /// The life that the engine reported last.
     pub(crate) fn incarnation(&self, engine: EngineId) -> Option<Incarnation> {
         self.engines[self.position(engine)?].incarnation
