Control state: orders to engines recorded before they are sent; plan of loads

Cause: the limit on loads from the weight store and the fence of orders must hold across leaders, and a new leader can't know what its predecessor started. A pure plan: empty engines first, then moves, then newer weights with a share serving. The leader has to poll engines and send what is recorded, for which the control daemon needs an HTTP client.

--- a/crates/control-state/src/answer.rs
+++ b/crates/control-state/src/answer.rs
@@ -5,6 +5,8 @@
 use minicbor::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 
+use crate::orders::OrderAnswer;
+
 /// The answer to one command. Every replica computes the same one.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Answer {
@@ -26,6 +28,9 @@
     /// A fencing token, higher than every earlier one.
     #[n(5)]
     Fence(#[n(0)] u64),
+    /// What the recording of an order, or of its end, came to.
+    #[n(6)]
+    Order(#[n(0)] OrderAnswer),
 }
 
 /// What a write of settings came to. Only `Accepted` changed anything.
--- a/crates/control-state/src/command.rs
+++ b/crates/control-state/src/command.rs
@@ -4,9 +4,13 @@
 //! clock included, so that every replica computes the same state.
 
 use juniper_settings::ChangeSet;
-use juniper_types::{BlockHash, ChangeId, ClaimKey, ClaimOutcome, EngineId, Revision, TenantName};
+use juniper_types::{
+    BlockHash, ChangeId, ClaimKey, ClaimOutcome, EngineId, Incarnation, Revision, TenantName,
+};
 use minicbor::{Decode, Encode};
 
+use crate::orders::{EndProof, OrderAction};
+
 /// Longest accepted author, in bytes.
 pub const MAX_AUTHOR_BYTES: usize = 128;
 
@@ -103,4 +107,30 @@
         #[n(0)]
         engine: EngineId,
     },
+    /// Record an order to an engine before it is sent.
+    #[n(6)]
+    BeginOrder {
+        /// The engine.
+        #[n(0)]
+        engine: EngineId,
+        /// The life of it that the order is meant for.
+        #[n(1)]
+        incarnation: Incarnation,
+        /// What is ordered.
+        #[n(2)]
+        action: OrderAction,
+    },
+    /// An order can't be under way any more.
+    #[n(7)]
+    EndOrder {
+        /// The engine.
+        #[n(0)]
+        engine: EngineId,
+        /// Its token.
+        #[n(1)]
+        token: u64,
+        /// How that is known.
+        #[n(2)]
+        proof: EndProof,
+    },
 }
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -1,4 +1,4 @@
-//! The replicated state machine: settings revisions, claims and fences.
+//! The replicated state machine: settings revisions, claims, fences and orders.
 //!
 //! [`ControlState::apply`] is deterministic: it performs no I/O, reads no clock
 //! and draws no random number. Replicas that apply the same commands in the
@@ -9,6 +9,8 @@
 pub mod claims;
 pub mod command;
 pub mod history;
+pub mod orders;
+pub mod plan;
 pub mod rate;
 pub mod settings;
 pub mod snapshot;
@@ -19,6 +21,7 @@
 pub use claims::Claims;
 pub use command::{Command, MAX_COMMAND_BYTES, WriteHeader};
 pub use history::{History, HistoryEntry};
+pub use orders::{OrderAction, OrderAnswer, OrderBook};
 pub use settings::SettingsState;
 pub use snapshot::{SnapshotError, to_bytes};
 pub use state::ControlState;
--- a/crates/control-state/src/snapshot.rs
+++ b/crates/control-state/src/snapshot.rs
@@ -13,6 +13,7 @@
 use crate::change_ids::{ChangeIds, ChangeRecord};
 use crate::claims::Claims;
 use crate::history::History;
+use crate::orders::OrderBook;
 use crate::rate::WriteRate;
 use crate::settings::SettingsState;
 use crate::state::ControlState;
@@ -56,6 +57,9 @@
     fences: BTreeMap<EngineId, u64>,
     #[n(9)]
     last_fence: u64,
+    /// Absent in snapshots written before there were orders.
+    #[n(10)]
+    orders: Option<OrderBook>,
 }
 
 /// The same fields in the same order, borrowed.
@@ -81,6 +85,8 @@
     fences: &'a BTreeMap<EngineId, u64>,
     #[n(9)]
     last_fence: u64,
+    #[n(10)]
+    orders: Option<&'a OrderBook>,
 }
 
 impl ControlState {
@@ -97,6 +103,7 @@
             claims: &self.claims,
             fences: &self.fences,
             last_fence: self.last_fence,
+            orders: Some(&self.orders),
         })
     }
 
@@ -123,6 +130,7 @@
             claims: decoded.claims,
             fences: decoded.fences,
             last_fence: decoded.last_fence,
+            orders: decoded.orders.unwrap_or_default(),
         })
     }
 }
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use juniper_types::EngineId;
+use juniper_settings::SettingsPath;
+use juniper_types::{EngineId, Incarnation};
 
 use crate::answer::Answer;
 use crate::claims::{ClaimRequest, Claims};
 use crate::command::Command;
+use crate::orders::{ActiveOrder, OrderAction, OrderAnswer, OrderBook};
 use crate::settings::SettingsState;
 
 /// What the control replicas agree on. A clone shares the large parts, which are
@@ -20,6 +22,7 @@
     pub(crate) claims: Claims,
     pub(crate) fences: BTreeMap<EngineId, u64>,
     pub(crate) last_fence: u64,
+    pub(crate) orders: OrderBook,
 }
 
 impl ControlState {
@@ -62,7 +65,39 @@
             }
             Command::AdvanceHorizon { to } => Answer::Horizon(self.claims.advance_horizon(to)),
             Command::NextFence { engine } => Answer::Fence(self.next_fence(engine)),
+            Command::BeginOrder { engine, incarnation, action } => {
+                Answer::Order(self.begin_order(engine, incarnation, action))
+            }
+            Command::EndOrder { engine, token, .. } => {
+                Answer::Order(self.orders.end(engine, token))
+            }
+        }
+    }
+
+    /// Orders that may be under way.
+    pub fn orders(&self) -> &OrderBook {
+        &self.orders
+    }
+
+    /// Loads from the weight store that the tree allows at once.
+    pub fn load_limit(&self) -> u32 {
+        let root = self.settings.tree().tree().effective(&SettingsPath::Root);
+        root.weight_loads_at_once
+    }
+
+    fn begin_order(
+        &mut self,
+        engine: EngineId,
+        incarnation: Incarnation,
+        action: OrderAction,
+    ) -> OrderAnswer {
+        let token = self.last_fence + 1;
+        let order = ActiveOrder { token, incarnation, action };
+        let answer = self.orders.begin(engine, order, self.load_limit());
+        if answer == OrderAnswer::Recorded(token) {
+            self.next_fence(engine);
         }
+        answer
     }
 
     /// Tokens come from one counter, so they also order orders to different engines.
--- a/crates/settings/src/overrides.rs
+++ b/crates/settings/src/overrides.rs
@@ -124,6 +124,8 @@
     19 warm_prefixes: Vec<String> = Vec::new();
     /// Copies kept of each warm prefix.
     20 warm_copies: u32 = 1;
+    /// Loads from the weight store at once over the whole fleet; read at the root.
+    21 weight_loads_at_once: u32 = 2;
 }
 
 impl EffectiveSettings {
--- a/crates/settings/src/ranges.rs
+++ b/crates/settings/src/ranges.rs
@@ -13,6 +13,8 @@
 /// Far above the 3,600 requests a second of the largest deployment.
 const MAX_RATE: f64 = 1_000_000.0;
 const MAX_COUNT: u32 = 1_000_000;
+/// Every one of the 3,100 accelerators of the largest deployment.
+const MAX_WEIGHT_LOADS: u32 = 3_100;
 /// Thirty days; older settings are as good as none.
 const MAX_SETTINGS_AGE_SECONDS: u64 = 2_592_000;
 /// A body is held in memory while it is relayed.
@@ -48,6 +50,7 @@
 
 fn check_overrides(check: &mut RangeCheck<'_>, values: &Overrides) {
     check.range("weights", values.weights.map(|version| version.0), 1..=u32::MAX);
+    check.range("weight_loads_at_once", values.weight_loads_at_once, 1..=MAX_WEIGHT_LOADS);
     check.range("deadline_ms", values.deadline_ms, 1..=MAX_DEADLINE_MS);
     check.range("first_token_deadline_ms", values.first_token_deadline_ms, 1..=MAX_DEADLINE_MS);
     check.range("priority", values.priority, 0..=9);
