--- a/tests/control_fleet.rs
+++ b/tests/control_fleet.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use fleet::{Fleet, put_zone};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 /// Writes `count` changes through the replicas in turn and returns them.
 async fn write_changes(fleet: &Fleet, through: &[usize], first: u64, count: u64) -> Vec<Value> {
@@ -175,3 +175,40 @@
     assert!(revision == accepted || revision == accepted + 1, "{revision} after {accepted}");
     resend(&fleet, 0, &changes).await;
 }
+
+#[tokio::test]
+async fn the_operator_commands_reach_the_fleet_and_exit_as_documented() {
+    let fleet = Fleet::start(3).await;
+    let mut first = put_zone("hartford", 3, 0, "first");
+    let back_end = json!({ "id": 7, "kind": "engine", "address": "127.0.0.1:9000" });
+    first["edits"][0]["node"]["back_ends"] = json!([back_end]);
+    let first = fleet.change_file(&first);
+    for _ in 0..2 {
+        let (code, answer) = fleet.command(&["tree", "apply", &first]);
+        assert_eq!((code, &answer["revision"]), (Some(0), &1.into()), "{answer}");
+    }
+    let late = fleet.change_file(&put_zone("portland", 3, 0, "late"));
+    assert_eq!(fleet.command(&["tree", "apply", &late]).0, Some(3));
+    let faulty = fleet.change_file(&put_zone("portland", 12, 1, "faulty"));
+    assert_eq!(fleet.command(&["tree", "apply", &faulty]).0, Some(4));
+
+    let (code, answer) = fleet.command(&["drain", "7"]);
+    assert_eq!((code, &answer["revision"]), (Some(0), &2.into()), "{answer}");
+    let (_, answer) = fleet.command(&["tree", "get", "/hartford"]);
+    assert_eq!(answer["node"]["back_ends"][0]["leaving"], true, "{answer}");
+    let (_, answer) = fleet.command(&["tree", "effective", "/hartford"]);
+    assert_eq!(answer["effective"]["priority"], 3, "{answer}");
+    let (_, answer) = fleet.command(&["tree", "diff", "1", "2"]);
+    assert_eq!(answer["changes"].as_array().map(Vec::len), Some(1), "{answer}");
+    let (code, answer) = fleet.command(&["tree", "rollback", "1"]);
+    assert_eq!((code, &answer["revision"]), (Some(0), &3.into()), "{answer}");
+    let (_, answer) = fleet.command(&["tree", "history"]);
+    assert_eq!(answer["changes"].as_array().map(Vec::len), Some(3), "{answer}");
+    let (_, answer) = fleet.command(&["tree", "get"]);
+    assert_eq!(answer["tree"]["/hartford"]["back_ends"][0]["leaving"], false, "{answer}");
+    let (code, answer) = fleet.command(&["nodes"]);
+    assert_eq!((code, &answer["nodes"]), (Some(0), &json!([])), "{answer}");
+    let (code, answer) = fleet.command(&["status"]);
+    assert_eq!((code, answer["members"].as_array().map(Vec::len)), (Some(0), Some(3)));
+    assert_eq!(fleet.command(&["tree", "diff", "1"]).0, Some(2));
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -102,7 +102,7 @@
 pub struct Fleet {
     pub replicas: Vec<Replica>,
     http: reqwest::Client,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 fn free_address() -> SocketAddr {
@@ -161,7 +161,7 @@
         replicas.iter_mut().for_each(Replica::start);
         let http = reqwest::Client::builder().no_proxy().timeout(CALL_TIMEOUT);
         let http = http.build().expect("a client");
-        let fleet = Fleet { replicas, http, _folder: folder };
+        let fleet = Fleet { replicas, http, folder };
         fleet.all_vote().await;
         fleet
     }
@@ -215,6 +215,30 @@
         Some((status, response.json().await.ok()?))
     }
 
+    /// Runs an operator command against the replicas in turn; the first address
+    /// is one that nobody listens on. Returns its exit code and its JSON output.
+    pub fn command(&self, words: &[&str]) -> (Option<i32>, Value) {
+        let key_file = self.folder.path().join("operator-key");
+        std::fs::write(&key_file, OPERATOR_KEY).expect("the key is written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_juniperhollow"));
+        command.args(words).args(["--format", "json", "--operator-key-file"]).arg(key_file);
+        command.arg(format!("--control=http://{}", free_address()));
+        for replica in &self.replicas {
+            command.arg(format!("--control=http://{}", replica.operator));
+        }
+        let output = command.output().expect("the binary runs");
+        let json = serde_json::from_slice(&output.stdout).unwrap_or(Value::Null);
+        (output.status.code(), json)
+    }
+
+    /// A file with a change, for commands.
+    pub fn change_file(&self, change: &Value) -> String {
+        let id = change["change_id"].as_str().expect("a change id");
+        let path = self.folder.path().join(format!("{id}.json"));
+        std::fs::write(&path, change.to_string()).expect("the change is written");
+        path.display().to_string()
+    }
+
     /// Writes through one replica until there is a verdict.
     pub async fn write(&self, at: usize, change: &Value) -> (u16, Value) {
         eventually("a write has a verdict", async || {
