--- a/crates/lab/src/experiment/policy.rs
+++ b/crates/lab/src/experiment/policy.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use juniper_emulators::engine::{CacheEvent, Engine, LoadReport};
+use juniper_emulators::engine::{CacheEvent, Engine, EngineRequest, LoadReport};
 use juniper_types::{Incarnation, Timestamp};
 
 use super::workload::Job;
@@ -60,7 +60,20 @@
     /// The engines.
     pub engines: &'a [Engine],
     /// Requests sent and not yet arrived, with their engines.
-    pub in_transit: &'a [(usize, juniper_emulators::engine::EngineRequest)],
+    pub in_transit: &'a [(usize, EngineRequest)],
+    /// Requests that routers have not sent yet.
+    pub held: &'a [Held],
+}
+
+/// A request that its router has not sent yet.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// The attempt whose first token or end it waits for.
+    pub waits_for: AttemptId,
+    /// Where it will go.
+    pub engine: usize,
+    /// The request.
+    pub request: EngineRequest,
 }
 
 /// A routing policy, one instance for all routers. Baselines and juniper keep
