Traces: tenants share the outer prefix, so that a forgotten tenant is found out

A router changed to leave the tenant out of the cache scope passed every fleet test: no two tenants had a common prompt. With a common outer prefix the witness counts foreign blocks and the test fails.

--- a/crates/emulators/src/trace/generate.rs
+++ b/crates/emulators/src/trace/generate.rs
@@ -125,11 +125,16 @@
         let mut random = ChaCha8Rng::seed_from_u64(options.seed);
         let mut numbers = SegmentNumbers::default();
         let largest = shape.tenant_weights[0];
-        let tenants = shape
+        let mut tenants: Vec<Prefixes> = shape
             .tenant_weights
             .iter()
             .map(|weight| Prefixes::new(shape, weight / largest, &mut numbers, &mut random))
             .collect();
+        // All tenants use the platform's own instructions, so that a router which
+        // forgets the tenant would find another tenant's blocks.
+        if let Some(root) = tenants.first().map(Prefixes::root) {
+            tenants.iter_mut().for_each(|tenant| tenant.set_root(root));
+        }
         Generator { options, shape, names, random, numbers, tenants, calls: 0 }
     }
 
--- a/crates/emulators/src/trace/popularity.rs
+++ b/crates/emulators/src/trace/popularity.rs
@@ -80,6 +80,16 @@
         Prefixes { root, groups, leaves, ranking, cumulative, leaf_tokens: shape.leaf_tokens }
     }
 
+    /// The outer prefix.
+    pub fn root(&self) -> Segment {
+        self.root
+    }
+
+    /// Uses another outer prefix.
+    pub fn set_root(&mut self, root: Segment) {
+        self.root = root;
+    }
+
     /// A leaf by popularity.
     pub fn pick<R: Rng>(&self, random: &mut R) -> usize {
         let total = self.cumulative.last().copied().unwrap_or(0.0);
--- a/crates/lab/src/trace/summary.rs
+++ b/crates/lab/src/trace/summary.rs
@@ -29,7 +29,7 @@
     pub by_tenant: BTreeMap<TenantName, u64>,
     /// Prompt tokens of all chats.
     pub prompt_tokens: u64,
-    /// Prompt tokens in segments that an earlier chat had: what an endless cache would hit.
+    /// Prompt tokens in segments that an earlier chat of the tenant had: what an endless cache would hit.
     pub repeated_tokens: u64,
     /// Tokens of all distinct shared segments, the memory they would take in one cache.
     pub shared_tokens: u64,
@@ -60,7 +60,7 @@
             *summary.by_tenant.entry(record.tenant.clone()).or_default() += 1;
             match &record.request {
                 TraceRequest::Chat { prompt, output_tokens, .. } => {
-                    summary.count_chat(prompt, *output_tokens, &mut seen);
+                    summary.count_chat(&record.tenant, prompt, *output_tokens, &mut seen);
                 }
                 TraceRequest::AtMostOnce { .. } => summary.at_most_once += 1,
                 TraceRequest::Listing { .. } => summary.listings += 1,
@@ -70,14 +70,20 @@
         summary
     }
 
-    fn count_chat(&mut self, prompt: &[Segment], output_tokens: u32, seen: &mut HashSet<Segment>) {
+    fn count_chat(
+        &mut self,
+        tenant: &TenantName,
+        prompt: &[Segment],
+        output_tokens: u32,
+        seen: &mut HashSet<(TenantName, Segment)>,
+    ) {
         self.chats += 1;
         self.output_tokens += u64::from(output_tokens);
         let last = prompt.len().saturating_sub(1);
         for (place, segment) in prompt.iter().enumerate() {
             let tokens = u64::from(segment.tokens);
             self.prompt_tokens += tokens;
-            if !seen.insert(*segment) {
+            if !seen.insert((tenant.clone(), *segment)) {
                 self.repeated_tokens += tokens;
             } else if place < last {
                 self.shared_tokens += tokens;
