--- a/crates/control/src/operator/mod.rs
+++ b/crates/control/src/operator/mod.rs
@@ -2,8 +2,10 @@
 
 mod access;
 mod error;
+mod nodes;
 mod settings;
 mod status;
+mod writes;
 
 use std::sync::Arc;
 
@@ -11,10 +13,11 @@
 use axum::extract::DefaultBodyLimit;
 use axum::routing::{get, post};
 use juniper_settings::ApiKeyHash;
-use kameo::actor::ActorRef;
 
+use crate::forward::Group;
 use crate::metrics::Metrics;
-use crate::replica::{ReplicaActor, ReplicaView};
+use crate::peers::PeerLinks;
+use crate::replica::ReplicaView;
 use crate::reports::NodeReports;
 
 /// Largest accepted body, in bytes: the largest command in JSON, which is
@@ -23,9 +26,11 @@
 
 /// What the handlers need.
 pub struct OperatorFace {
-    /// The replica.
-    pub replica: ActorRef<ReplicaActor>,
-    /// What it publishes.
+    /// The replicas, called through this one.
+    pub group: Group,
+    /// Links to the other replicas.
+    pub peers: Arc<PeerLinks>,
+    /// What this replica publishes.
     pub view: ReplicaView,
     /// What nodes have in force.
     pub reports: Arc<NodeReports>,
@@ -42,12 +47,13 @@
         .route("/v1/settings", get(settings::tree))
         .route("/v1/settings/node", get(settings::node))
         .route("/v1/settings/effective", get(settings::effective))
-        .route("/v1/settings/changes", post(settings::change))
-        .route("/v1/settings/rollbacks", post(settings::rollback))
+        .route("/v1/settings/changes", post(writes::change))
+        .route("/v1/settings/rollbacks", post(writes::rollback))
         .route("/v1/settings/history", get(settings::history))
         .route("/v1/settings/diff", get(settings::diff))
-        .route("/v1/back-ends/{id}/drain", post(settings::drain))
-        .route("/v1/nodes", get(status::nodes))
+        .route("/v1/back-ends/{id}/drain", post(writes::drain))
+        .route("/v1/nodes", get(nodes::nodes))
+        .route("/v1/status", get(status::status))
         .layer(axum::middleware::from_fn_with_state(Arc::clone(&face), access::require_key));
     Router::new()
         .route("/healthz", get(status::healthz))
