--- a/tests/fleet_faults.rs
+++ b/tests/fleet_faults.rs
@@ -4,7 +4,7 @@
 //! patience of the callers.
 
 mod support {
-    pub mod fleet;
+    pub mod loaded_fleet;
 }
 
 use std::time::Duration;
@@ -12,7 +12,7 @@
 use juniper_lab::fleet::{BackEndKind, Signal};
 use juniper_lab::load::outcome::RequestKind;
 use juniper_lab::proxy::LinkState;
-use support::fleet::{
+use support::loaded_fleet::{
     SIZES, Setup, assert_complete, assert_kept, load_options, mixed, only_at_most_once, send, start,
 };
 use tokio::time::sleep;
@@ -163,3 +163,43 @@
     assert_kept(fleet, &mended).await;
     assert_complete(&mended);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn traffic_goes_on_and_settings_stay_while_control_restarts() {
+    let mut test = start(Setup::default()).await;
+    let fleet = &mut test.fleet;
+    let (trace, options) = (mixed(8, 8), load_options(fleet));
+    let faults = async {
+        seconds(1).await;
+        fleet.drain_engine(0).await.unwrap();
+        fleet.control_process(0).unwrap().kill();
+        fleet.restart_router(0).await.unwrap();
+        seconds(1).await;
+        fleet.control_process(0).unwrap().restart().unwrap();
+        fleet.wait_until_ready().await.unwrap();
+    };
+    let (report, ()) = tokio::join!(send(&trace, options), faults);
+    assert_kept(fleet, &report).await;
+    assert_eq!(report.failed, 0, "{:?}", report.failures);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_go_on_when_one_of_three_control_replicas_is_lost() {
+    let mut test = start(Setup { control: 3, ..Setup::default() }).await;
+    let fleet = &mut test.fleet;
+    let (trace, options) = (only_at_most_once(9, 10), load_options(fleet));
+    let faults = async {
+        for place in 0..3 {
+            seconds(1).await;
+            fleet.control_process(place).unwrap().kill();
+            seconds(2).await;
+            fleet.control_process(place).unwrap().restart().unwrap();
+        }
+        fleet.drain_engine(0).await.unwrap();
+        fleet.wait_until_ready().await.unwrap();
+    };
+    let (report, ()) = tokio::join!(send(&trace, options), faults);
+    assert_kept(fleet, &report).await;
+    assert_eq!(report.failed, 0, "{:?}", report.failures);
+    assert!(report.complete > 0);
+}
