--- a/tests/support/replicas.rs
+++ b/tests/support/replicas.rs
@@ -1,109 +1,297 @@
-//! Starts fleets through the lab and sends them checked load.
+//! Control replicas as processes, which tests kill, freeze and start again.
 
-use std::path::PathBuf;
-use std::time::Duration;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
 
-use juniper_lab::fleet::{Binaries, Fleet, FleetOptions, FleetSizes};
-use juniper_lab::load::arguments::{complete, default_options};
-use juniper_lab::load::{LoadOptions, LoadReport, run_load};
-use juniper_lab::trace::{RequestTrace, TraceProfile, TraceRequest, fleet_trace};
-use tempfile::TempDir;
-use tokio::sync::{Semaphore, SemaphorePermit};
+use serde_json::{Value, json};
 
-/// Fleets at once: each has some fifteen processes.
-static FLEETS: Semaphore = Semaphore::const_new(2);
+const OPERATOR_KEY: &str = "operator-secret-for-tests";
 
-pub const PROFILE: TraceProfile = TraceProfile::GraniteLedger;
+/// Longest wait for anything that should happen soon; a test never asserts how soon.
+const PATIENCE: Duration = Duration::from_secs(60);
 
-pub const SIZES: FleetSizes =
-    FleetSizes { control: 1, routers: 3, engines: 6, applications: 3, previews: 3 };
+/// Longest wait for one answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Share of what the engines can serve: enough to keep every engine busy.
-const LOAD: f64 = 0.4;
-
-/// A fleet that is stopped, and its folder removed, when dropped.
-pub struct TestFleet {
-    pub fleet: Fleet,
-    _folder: TempDir,
-    _permit: SemaphorePermit<'static>,
+pub struct Replica {
+    pub node: u64,
+    pub operator: SocketAddr,
+    internal: SocketAddr,
+    folder: PathBuf,
+    process: Option<Child>,
 }
 
-pub struct Setup {
-    pub application_work: Duration,
-    pub cuttable: bool,
+impl Replica {
+    fn file(&self) -> PathBuf {
+        self.folder.join("node.toml")
+    }
+
+    pub fn start(&mut self) {
+        self.start_by(Command::new(env!("CARGO_BIN_EXE_juniperhollow")));
+    }
+
+    /// Starts it so that no file can grow beyond `kib`: writes fail as on a full disk.
+    pub fn start_with_file_limit(&mut self, kib: u32) {
+        let script = format!("trap '' XFSZ; ulimit -f {kib}; exec \"$0\" \"$@\"");
+        let mut shell = Command::new("bash");
+        shell.args(["-c", &script, env!("CARGO_BIN_EXE_juniperhollow")]);
+        self.start_by(shell);
+    }
+
+    fn start_by(&mut self, mut command: Command) {
+        let mut options = std::fs::File::options();
+        let log = options.create(true).append(true).open(self.folder.join("log"));
+        command.args(["control", "--settings"]).arg(self.file());
+        command.stderr(log.expect("a log file"));
+        self.process = Some(command.spawn().expect("the daemon starts"));
+    }
+
+    /// Whether the process has ended by itself, and badly.
+    pub fn has_failed(&mut self) -> bool {
+        let child = self.process.as_mut().expect("the replica was started");
+        child.try_wait().expect("the process is known").is_some_and(|status| !status.success())
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+
+    /// Kills the process at once, as a crash would.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.process.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            child.wait().expect("the process is gone");
+        }
+    }
+
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.process.as_ref().expect("the replica runs").id().to_string();
+        let status = Command::new("kill").args([name, &id]).status().expect("kill runs");
+        assert!(status.success(), "kill {name} {id}");
+    }
+
+    /// Takes the disk away: the folder is blank again.
+    pub fn lose_disk(&self) {
+        std::fs::remove_dir_all(self.folder.join("data")).expect("the data folder is removed");
+    }
 }
 
-impl Default for Setup {
-    fn default() -> Self {
-        Setup { application_work: Duration::from_millis(30), cuttable: false }
+impl Drop for Replica {
+    fn drop(&mut self) {
+        self.kill();
+        if std::thread::panicking() {
+            let log = self.log();
+            let lines: Vec<&str> = log.lines().collect();
+            let latest = &lines[lines.len().saturating_sub(40)..];
+            eprintln!("--- node {} ---\n{}", self.node, latest.join("\n"));
+        }
     }
 }
 
-pub async fn start(setup: Setup) -> TestFleet {
-    let permit = FLEETS.acquire().await.expect("never closed");
-    let folder = tempfile::tempdir().expect("a folder");
-    let fleet = Fleet::start(FleetOptions {
-        binaries: Binaries {
-            daemon: PathBuf::from(env!("CARGO_BIN_EXE_juniperhollow")),
-            lab: PathBuf::from(env!("CARGO_BIN_EXE_juniper-lab")),
-        },
-        folder: folder.path().to_owned(),
-        profile: PROFILE,
-        sizes: SIZES,
-        application_work: setup.application_work,
-        cuttable: setup.cuttable,
-    });
-    let fleet = fleet.await.expect("the fleet starts");
-    TestFleet { fleet, _folder: folder, _permit: permit }
+pub struct Fleet {
+    pub replicas: Vec<Replica>,
+    http: reqwest::Client,
+    folder: tempfile::TempDir,
 }
 
-/// Every kind of request.
-pub fn mixed(seed: u64, seconds: u64) -> RequestTrace {
-    let duration = Duration::from_secs(seconds);
-    fleet_trace(PROFILE, seed, LOAD, SIZES.engines, duration).expect("constant names")
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound address")
 }
 
-/// Only calls that run at most once, one for each request of the mixed trace.
-pub fn only_at_most_once(seed: u64, seconds: u64) -> RequestTrace {
-    let mut trace = mixed(seed, seconds);
-    let service = trace
-        .records
-        .iter()
-        .find(|record| matches!(record.request, TraceRequest::AtMostOnce { .. }))
-        .map(|record| record.service.clone())
-        .expect("a call");
-    for (record, number) in trace.records.iter_mut().zip(1..) {
-        record.service = service.clone();
-        record.request = TraceRequest::AtMostOnce { number, body_bytes: 300 };
-    }
-    trace
+fn key_hash() -> String {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_juniperhollow"))
+        .args(["key", "hash"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the binary runs");
+    let mut input = child.stdin.take().expect("a pipe");
+    std::io::Write::write_all(&mut input, OPERATOR_KEY.as_bytes()).expect("the key is written");
+    drop(input);
+    let output = child.wait_with_output().expect("the binary ends");
+    String::from_utf8(output.stdout).expect("text").trim().to_owned()
 }
 
-/// Callers that go to another router after five seconds of silence.
-pub fn load_options(fleet: &Fleet) -> LoadOptions {
-    let mut options = default_options();
-    options.routers = fleet.router_targets();
-    options.executions = fleet.execution_sources();
-    options.patience.stall = Duration::from_secs(5);
-    options.patience.refusals = 5;
-    complete(options).expect("the fleet has routers")
+fn write_file(replica: &Replica, all: &[(u64, SocketAddr)], hash: &str) {
+    let voters: Vec<u64> = all.iter().map(|(node, _)| *node).collect();
+    let mut text = format!(
+        "node = {}\nzone = \"zone-{}\"\ndata_folder = \"{}\"\n\
+         cluster_key = \"a-shared-cluster-key\"\noperator_key_hashes = [\"{hash}\"]\n\
+         [control]\ninternal = \"{}\"\noperator = \"{}\"\ninitial_voters = {voters:?}\n",
+        replica.node,
+        replica.node,
+        replica.folder.join("data").display(),
+        replica.internal,
+        replica.operator,
+    );
+    for (node, address) in all.iter().filter(|(node, _)| *node != replica.node) {
+        let peer = format!("id = {node}\nzone = \"zone-{node}\"\naddress = \"{address}\"\n");
+        text += &format!("[[control.peers]]\n{peer}");
+    }
+    std::fs::write(replica.file(), text).expect("the file is written");
 }
 
-pub async fn send(trace: &RequestTrace, options: LoadOptions) -> LoadReport {
-    run_load(trace, options).await.expect("the load runs")
+impl Fleet {
+    /// Starts a cluster and waits until every replica votes.
+    pub async fn start(count: u64) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let make = |node: u64| {
+            let own = folder.path().join(format!("node-{node}"));
+            std::fs::create_dir(&own).expect("a folder");
+            let (operator, internal) = (free_address(), free_address());
+            Replica { node, operator, internal, folder: own, process: None }
+        };
+        let mut replicas: Vec<Replica> = (1..=count).map(make).collect();
+        let all: Vec<_> = replicas.iter().map(|replica| (replica.node, replica.internal)).collect();
+        let hash = key_hash();
+        replicas.iter().for_each(|replica| write_file(replica, &all, &hash));
+        found(&replicas[0].file());
+        replicas.iter_mut().for_each(Replica::start);
+        let http = reqwest::Client::builder().no_proxy().timeout(CALL_TIMEOUT);
+        let http = http.build().expect("a client");
+        let fleet = Fleet { replicas, http, folder };
+        fleet.all_vote().await;
+        fleet
+    }
+
+    /// Waits until the leader counts every replica as a voter.
+    pub async fn all_vote(&self) {
+        let wanted = self.replicas.len();
+        eventually("every replica votes", async || {
+            let leader = self.leader_now().await?;
+            let (_, status) = self.get(leader, "/v1/status").await?;
+            let members = status["members"].as_array()?.clone();
+            let voters = members.iter().filter(|member| member["role"] == "voter").count();
+            (voters == wanted && members.len() == wanted).then_some(())
+        })
+        .await;
+    }
+
+    async fn leader_now(&self) -> Option<usize> {
+        for at in 0..self.replicas.len() {
+            let status = self.get(at, "/v1/status").await;
+            if status.is_some_and(|(_, status)| status["role"] == "leader") {
+                return Some(at);
+            }
+        }
+        None
+    }
+
+    /// Position of the replica that leads.
+    pub async fn leader(&self) -> usize {
+        eventually("a replica leads", async || self.leader_now().await).await
+    }
+
+    /// Positions of the others.
+    pub fn others(&self, than: usize) -> Vec<usize> {
+        (0..self.replicas.len()).filter(|at| *at != than).collect()
+    }
+
+    pub async fn get(&self, at: usize, path: &str) -> Option<(u16, Value)> {
+        self.replicas[at].process.as_ref()?;
+        let url = format!("http://{}{path}", self.replicas[at].operator);
+        let response = self.http.get(url).bearer_auth(OPERATOR_KEY).send().await.ok()?;
+        let status = response.status().as_u16();
+        Some((status, response.json().await.ok()?))
+    }
+
+    pub async fn post(&self, at: usize, path: &str, body: &Value) -> Option<(u16, Value)> {
+        let url = format!("http://{}{path}", self.replicas[at].operator);
+        let request = self.http.post(url).bearer_auth(OPERATOR_KEY).json(body);
+        let response = request.send().await.ok()?;
+        let status = response.status().as_u16();
+        Some((status, response.json().await.ok()?))
+    }
+
+    /// Runs an operator command against the replicas in turn; the first address
+    /// is one that nobody listens on. Returns its exit code and its JSON output.
+    pub fn command(&self, words: &[&str]) -> (Option<i32>, Value) {
+        let key_file = self.folder.path().join("operator-key");
+        std::fs::write(&key_file, OPERATOR_KEY).expect("the key is written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_juniperhollow"));
+        command.args(words).args(["--format", "json", "--operator-key-file"]).arg(key_file);
+        command.arg(format!("--control=http://{}", free_address()));
+        for replica in &self.replicas {
+            command.arg(format!("--control=http://{}", replica.operator));
+        }
+        let output = command.output().expect("the binary runs");
+        let json = serde_json::from_slice(&output.stdout).unwrap_or(Value::Null);
+        (output.status.code(), json)
+    }
+
+    /// A file with a change, for commands.
+    pub fn change_file(&self, change: &Value) -> String {
+        let id = change["change_id"].as_str().expect("a change id");
+        let path = self.folder.path().join(format!("{id}.json"));
+        std::fs::write(&path, change.to_string()).expect("the change is written");
+        path.display().to_string()
+    }
+
+    /// Writes through one replica until there is a verdict.
+    pub async fn write(&self, at: usize, change: &Value) -> (u16, Value) {
+        eventually("a write has a verdict", async || {
+            let (status, body) = self.post(at, "/v1/settings/changes", change).await?;
+            (status < 500 && status != 429).then_some((status, body))
+        })
+        .await
+    }
+
+    /// The revision in force, as a quorum confirms it through one replica.
+    pub async fn confirmed_revision(&self, at: usize) -> u64 {
+        eventually("a confirmed read is answered", async || {
+            let (status, body) = self.get(at, "/v1/settings").await?;
+            (status == 200).then(|| body["revision"].as_u64()).flatten()
+        })
+        .await
+    }
 }
 
-/// No promise was broken, as callers and engines saw it.
-pub async fn assert_kept(fleet: &mut Fleet, report: &LoadReport) {
-    assert_eq!(report.violations, 0, "{:#?}", report.violation_details);
-    let breaches = fleet.witnesses().await.expect("the engines answer");
-    assert_eq!(breaches.total, 0, "{:#?}", breaches.described);
+fn found(file: &Path) {
+    let status = Command::new(env!("CARGO_BIN_EXE_juniperhollow"))
+        .args(["found", "--settings"])
+        .arg(file)
+        .stdout(Stdio::null())
+        .status()
+        .expect("the binary runs");
+    assert!(status.success(), "the cluster is founded");
+}
+
+/// Waits until `check` holds.
+pub async fn eventually<F, T>(what: &str, mut check: F) -> T
+where
+    F: AsyncFnMut() -> Option<T>,
+{
+    let start = Instant::now();
+    while start.elapsed() < PATIENCE {
+        if let Some(value) = check().await {
+            return value;
+        }
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    panic!("waited in vain for: {what}");
 }
 
-/// Every request that may be repeated got its whole answer.
-pub fn assert_complete(report: &LoadReport) {
-    assert_eq!(report.failed, 0, "{:?}", report.failures);
-    assert_eq!(report.refused, 0, "{:?}", report.refusals);
-    assert_eq!(report.requests, report.complete + report.unknown);
-    assert!(report.complete > 0);
+/// A change that puts a zone, upon `base`.
+pub fn put_zone(zone: &str, priority: u64, base: u64, change_id: &str) -> Value {
+    json!({
+        "base_revision": base,
+        "change_id": change_id,
+        "edits": [{
+            "edit": "put",
+            "path": format!("/{zone}"),
+            "node": { "overrides": { "priority": priority } },
+        }],
+    })
 }
