--- a/tests/control_fleet.rs
+++ b/tests/control_fleet.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use replicas::{Fleet, put_zone};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 /// Writes `count` changes through the replicas in turn and returns them.
 async fn write_changes(fleet: &Fleet, through: &[usize], first: u64, count: u64) -> Vec<Value> {
@@ -142,3 +142,136 @@
     resend(&fleet, lost, &changes).await;
     assert_eq!(fleet.confirmed_revision(lost).await, 5);
 }
+
+#[tokio::test]
+async fn a_full_disk_ends_the_replica_and_loses_nothing_that_was_accepted() {
+    let mut fleet = Fleet::start(1).await;
+    let changes = write_changes(&fleet, &[0], 1, 3).await;
+    fleet.replicas[0].kill();
+    fleet.replicas[0].start_with_file_limit(64);
+    assert_eq!(fleet.confirmed_revision(0).await, 3);
+    let text = "warm ".repeat(1_000);
+    let mut accepted = 3;
+    loop {
+        let mut change = put_zone("hartford", 1, accepted, &format!("large-{accepted}"));
+        change["edits"][0]["node"]["overrides"]["warm_prefixes"] = vec![text.clone()].into();
+        match fleet.post(0, "/v1/settings/changes", &change).await {
+            Some((200, _)) => accepted += 1,
+            answer => {
+                let known = answer.is_none_or(|(_, body)| body["error"]["not_run"] != true);
+                assert!(known, "a change that may be on the disk is called not run");
+                break;
+            }
+        }
+    }
+    replicas::eventually("the replica ends", async || fleet.replicas[0].has_failed().then_some(()))
+        .await;
+    let log = fleet.replicas[0].log();
+    assert!(log.contains("event=replica_failed reason=\"storage failed: write"), "{log}");
+    fleet.replicas[0].kill();
+    fleet.replicas[0].start();
+    let revision = fleet.confirmed_revision(0).await;
+    // The write that failed may have reached the disk all the same.
+    assert!(revision == accepted || revision == accepted + 1, "{revision} after {accepted}");
+    resend(&fleet, 0, &changes).await;
+}
+
+#[tokio::test]
+async fn the_operator_commands_reach_the_fleet_and_exit_as_documented() {
+    let fleet = Fleet::start(3).await;
+    let mut first = put_zone("hartford", 3, 0, "first");
+    let back_end = json!({ "id": 7, "kind": "engine", "address": "127.0.0.1:9000" });
+    first["edits"][0]["node"]["back_ends"] = json!([back_end]);
+    let first = fleet.change_file(&first);
+    for _ in 0..2 {
+        let (code, answer) = fleet.command(&["tree", "apply", &first]);
+        assert_eq!((code, &answer["revision"]), (Some(0), &1.into()), "{answer}");
+    }
+    let late = fleet.change_file(&put_zone("portland", 3, 0, "late"));
+    assert_eq!(fleet.command(&["tree", "apply", &late]).0, Some(3));
+    let faulty = fleet.change_file(&put_zone("portland", 12, 1, "faulty"));
+    assert_eq!(fleet.command(&["tree", "apply", &faulty]).0, Some(4));
+
+    let (code, answer) = fleet.command(&["drain", "7"]);
+    assert_eq!((code, &answer["revision"]), (Some(0), &2.into()), "{answer}");
+    let (_, answer) = fleet.command(&["tree", "get", "/hartford"]);
+    assert_eq!(answer["node"]["back_ends"][0]["leaving"], true, "{answer}");
+    let (_, answer) = fleet.command(&["tree", "effective", "/hartford"]);
+    assert_eq!(answer["effective"]["priority"], 3, "{answer}");
+    let (_, answer) = fleet.command(&["tree", "diff", "1", "2"]);
+    assert_eq!(answer["changes"].as_array().map(Vec::len), Some(1), "{answer}");
+    let (code, answer) = fleet.command(&["tree", "rollback", "1"]);
+    assert_eq!((code, &answer["revision"]), (Some(0), &3.into()), "{answer}");
+    let (_, answer) = fleet.command(&["tree", "history"]);
+    assert_eq!(answer["changes"].as_array().map(Vec::len), Some(3), "{answer}");
+    let (_, answer) = fleet.command(&["tree", "get"]);
+    assert_eq!(answer["tree"]["/hartford"]["back_ends"][0]["leaving"], false, "{answer}");
+    let (code, answer) = fleet.command(&["nodes"]);
+    assert_eq!((code, &answer["nodes"]), (Some(0), &json!([])), "{answer}");
+    let (code, answer) = fleet.command(&["status"]);
+    assert_eq!((code, answer["members"].as_array().map(Vec::len)), (Some(0), Some(3)));
+    assert_eq!(fleet.command(&["tree", "diff", "1"]).0, Some(2));
+}
+
+/// What can go wrong with one replica while the others work.
+#[derive(Clone, Copy, Debug)]
+enum Mishap {
+    Crash,
+    Freeze,
+    LostDisk,
+}
+
+/// Mishaps with the replica that each befalls, drawn from a fixed seed.
+fn mishaps(seed: u64, count: usize) -> Vec<(Mishap, usize)> {
+    let mut state = seed;
+    let mut draw = |below: u64| {
+        // Constants of Knuth's MMIX generator.
+        state =
+            state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (state >> 33) % below
+    };
+    let kinds = [Mishap::Crash, Mishap::Crash, Mishap::Freeze, Mishap::Freeze, Mishap::LostDisk];
+    let next = |_| (kinds[draw(5) as usize], draw(3) as usize);
+    (0..count).map(next).collect()
+}
+
+async fn befall(fleet: &mut Fleet, mishap: Mishap, at: usize, writes: u64, next: u64) -> u64 {
+    let others = fleet.others(at);
+    match mishap {
+        Mishap::Crash | Mishap::LostDisk => fleet.replicas[at].kill(),
+        Mishap::Freeze => fleet.replicas[at].freeze(),
+    }
+    write_changes(fleet, &others, next, writes).await;
+    match mishap {
+        Mishap::Crash => fleet.replicas[at].start(),
+        Mishap::Freeze => fleet.replicas[at].resume(),
+        Mishap::LostDisk => {
+            fleet.replicas[at].lose_disk();
+            fleet.replicas[at].start();
+        }
+    }
+    // Through the one that is just back as well.
+    write_changes(fleet, &[at], next + writes, writes).await;
+    next + 2 * writes
+}
+
+#[tokio::test]
+async fn no_accepted_change_is_lost_in_a_row_of_mishaps() {
+    const WRITES: u64 = 4;
+    let mut fleet = Fleet::start(3).await;
+    let mut next = 1;
+    for (mishap, at) in mishaps(0x5707, 12) {
+        eprintln!("{mishap:?} of replica {at} at revision {next}");
+        next = befall(&mut fleet, mishap, at, WRITES, next).await;
+        fleet.all_vote().await;
+    }
+    for at in 0..3 {
+        assert_eq!(fleet.confirmed_revision(at).await, next - 1);
+        let (_, history) =
+            fleet.get(at, "/v1/settings/history?limit=1000").await.expect("a history");
+        let ids = history["changes"].as_array().expect("changes").iter().rev();
+        let ids: Vec<_> = ids.filter_map(|change| change["change_id"].as_str()).collect();
+        let expected: Vec<_> = (1..next).map(|number| format!("change-{number}")).collect();
+        assert_eq!(ids, expected);
+    }
+}
--- a/tests/support/replicas.rs
+++ b/tests/support/replicas.rs
@@ -29,22 +29,40 @@
     }
 
     pub fn start(&mut self) {
+        self.start_by(Command::new(env!("CARGO_BIN_EXE_juniperhollow")));
+    }
+
+    /// Starts it so that no file can grow beyond `kib`: writes fail as on a full disk.
+    pub fn start_with_file_limit(&mut self, kib: u32) {
+        let script = format!("trap '' XFSZ; ulimit -f {kib}; exec \"$0\" \"$@\"");
+        let mut shell = Command::new("bash");
+        shell.args(["-c", &script, env!("CARGO_BIN_EXE_juniperhollow")]);
+        self.start_by(shell);
+    }
+
+    fn start_by(&mut self, mut command: Command) {
         let mut options = std::fs::File::options();
-        let log =
-            options.create(true).append(true).open(self.folder.join("log")).expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_juniperhollow"))
-            .args(["control", "--settings"])
-            .arg(self.file())
-            .stderr(log)
-            .spawn()
-            .expect("the daemon starts");
-        self.process = Some(child);
+        let log = options.create(true).append(true).open(self.folder.join("log"));
+        command.args(["control", "--settings"]).arg(self.file());
+        command.stderr(log.expect("a log file"));
+        self.process = Some(command.spawn().expect("the daemon starts"));
+    }
+
+    /// Whether the process has ended by itself, and badly.
+    pub fn has_failed(&mut self) -> bool {
+        let child = self.process.as_mut().expect("the replica was started");
+        child.try_wait().expect("the process is known").is_some_and(|status| !status.success())
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
     }
 
     /// Kills the process at once, as a crash would.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.process.take() {
-            child.kill().expect("the process is killed");
+            // It may have ended by itself.
+            let _ = child.kill();
             child.wait().expect("the process is gone");
         }
     }
@@ -73,7 +91,7 @@
     fn drop(&mut self) {
         self.kill();
         if std::thread::panicking() {
-            let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
+            let log = self.log();
             let lines: Vec<&str> = log.lines().collect();
             let latest = &lines[lines.len().saturating_sub(40)..];
             eprintln!("--- node {} ---\n{}", self.node, latest.join("\n"));
@@ -84,7 +102,7 @@
 pub struct Fleet {
     pub replicas: Vec<Replica>,
     http: reqwest::Client,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 fn free_address() -> SocketAddr {
@@ -143,7 +161,7 @@
         replicas.iter_mut().for_each(Replica::start);
         let http = reqwest::Client::builder().no_proxy().timeout(CALL_TIMEOUT);
         let http = http.build().expect("a client");
-        let fleet = Fleet { replicas, http, _folder: folder };
+        let fleet = Fleet { replicas, http, folder };
         fleet.all_vote().await;
         fleet
     }
@@ -197,6 +215,30 @@
         Some((status, response.json().await.ok()?))
     }
 
+    /// Runs an operator command against the replicas in turn; the first address
+    /// is one that nobody listens on. Returns its exit code and its JSON output.
+    pub fn command(&self, words: &[&str]) -> (Option<i32>, Value) {
+        let key_file = self.folder.path().join("operator-key");
+        std::fs::write(&key_file, OPERATOR_KEY).expect("the key is written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_juniperhollow"));
+        command.args(words).args(["--format", "json", "--operator-key-file"]).arg(key_file);
+        command.arg(format!("--control=http://{}", free_address()));
+        for replica in &self.replicas {
+            command.arg(format!("--control=http://{}", replica.operator));
+        }
+        let output = command.output().expect("the binary runs");
+        let json = serde_json::from_slice(&output.stdout).unwrap_or(Value::Null);
+        (output.status.code(), json)
+    }
+
+    /// A file with a change, for commands.
+    pub fn change_file(&self, change: &Value) -> String {
+        let id = change["change_id"].as_str().expect("a change id");
+        let path = self.folder.path().join(format!("{id}.json"));
+        std::fs::write(&path, change.to_string()).expect("the change is written");
+        path.display().to_string()
+    }
+
     /// Writes through one replica until there is a verdict.
     pub async fn write(&self, at: usize, change: &Value) -> (u16, Value) {
         eventually("a write has a verdict", async || {
