Consensus: a replica whose own demotion is not committed still campaigns

Cause: a leader of four voters replicated the demotion of one voter to that voter alone and lost its disk. The demoted one had the longest log and, as a learner in its own latest membership, did not campaign; the other two needed its vote and could not get it. No leader ever after, with three good disks of four.

Change: a replica may campaign while it is a voter in its latest membership or in the one it knows as committed. A leader that turns out to be no voter once that is committed hands over to a voter that holds the whole log.

--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -18,7 +18,7 @@
     pub(super) fn tick_follower(&mut self) {
         if self.now >= self.election_due {
             self.schedule_election();
-            if self.log.membership().is_voter(self.id()) {
+            if self.is_electable() {
                 self.start_pre_vote();
             } else {
                 self.lose_leader();
@@ -27,6 +27,14 @@
         self.ask_to_join_if_due();
     }
 
+    /// Whether this replica may campaign: it is a voter, or was one before a change
+    /// that isn't known to be committed. If only it has received that change, its
+    /// log is the longest and the others, which need its vote, can't win.
+    fn is_electable(&self) -> bool {
+        let own = self.id();
+        self.log.membership().is_voter(own) || self.log.membership_at(self.commit).is_voter(own)
+    }
+
     /// Forgets a leader that has been silent for too long.
     fn lose_leader(&mut self) {
         if self.leader.take().is_some() {
--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -221,6 +221,25 @@
             self.send_append(id, true);
         }
         self.start_waiting_reads();
+        self.step_down_if_no_voter();
+    }
+
+    /// Hands over once it is committed that this leader is no voter.
+    fn step_down_if_no_voter(&mut self) {
+        let is_pending = self.log.membership_index() > self.commit;
+        if is_pending || self.log.membership().is_voter(self.id()) {
+            return;
+        }
+        let last = self.log.last().index;
+        let State::Leader(leadership) = &self.state else { return };
+        let holds_all = |id: &ReplicaId| {
+            leadership.progress.get(id).is_some_and(|progress| progress.matched == last)
+        };
+        let heir = self.log.membership().voters().map(|member| member.id).find(holds_all);
+        if let Some(heir) = heir {
+            self.send(heir, Body::TakeOver);
+        }
+        self.become_follower(self.term(), None);
     }
 
     /// Continues with what had to wait for the disk.
--- a/crates/consensus/tests/members.rs
+++ b/crates/consensus/tests/members.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use juniper_consensus::{
-    Body, ClusterEpoch, MembersError, Membership, MembershipChange, Message, Restored, StopReason,
+    Body, ClusterEpoch, Entry, MembersError, Membership, MembershipChange, Message, Payload,
+    Restored, StopReason,
 };
 use juniper_types::NodeId;
 use support::{Cluster, ELECTION, founded, id, zone};
@@ -146,6 +147,28 @@
     }
 }
 
+#[test]
+fn a_replica_whose_demotion_only_it_has_received_is_elected_and_then_steps_down() {
+    let voters = (1..=4).map(|node| (id(node, node.into()), zone(node)));
+    let membership = Membership::of_voters(ClusterEpoch::first(7), voters);
+    let demoted = membership.changed(&MembershipChange::Demote(id(1, 1))).unwrap();
+    let disk = founded(&membership);
+    let mut ahead = disk.clone();
+    let payload = Payload::Members(demoted);
+    ahead.entries.push(Entry { term: 1, index: 2, payload });
+    let mut cluster = Cluster::of_voters(0);
+    // The leader, node 4, is gone for good. Nodes 2 and 3 need the vote of node 1,
+    // whose log is longer than theirs.
+    cluster.start(id(1, 1), ahead);
+    cluster.start(id(2, 2), disk.clone());
+    cluster.start(id(3, 3), disk);
+    cluster.tick(3 * ELECTION);
+    let leader = cluster.leader();
+    cluster.propose(leader, b"one");
+    assert_ne!(leader, 1, "a learner does not lead for long");
+    assert!(cluster.nodes.values().all(|node| node.applied == [b"one"]));
+}
+
 #[test]
 fn a_recovery_fences_off_what_it_left_out() {
     let mut cluster = Cluster::of_voters(3);
