--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -244,7 +244,15 @@
                 count,
                 core_percent: 100.0 * processor.as_secs_f64() / seconds / each,
                 resident_bytes: new.usage.resident / count.max(1) as u64,
-                control_bytes_per_second: (new.bytes - old.bytes) as f64 / seconds / each,
+                control_bytes_per_second: (new.bytes.control() - old.bytes.control()) as f64
+                    / seconds
+                    / each,
+                control_bytes_sent_per_second: (new.bytes.sent - old.bytes.sent) as f64
+                    / seconds
+                    / each,
+                lookup_bytes_per_second: (new.bytes.lookups - old.bytes.lookups) as f64
+                    / seconds
+                    / each,
             }
         };
         report.hollow_node = cost(HOLLOW, self.hollow_nodes());
@@ -260,10 +268,12 @@
     async fn restart_phase(&mut self, report: &mut Report) -> Result<(), ScaleError> {
         let restarted = Instant::now();
         self.ask_all(&Command::RestartTenth(3))?;
-        report.in_force_restarts = self.change_for(FAULT_PHASE).await?;
         self.settle().await?;
-        // Recovery runs beside the changes, so the phase is its upper bound.
         report.restart_recovery_ms = restarted.elapsed().as_millis() as u64;
+        // Again, with changes written while nodes come back.
+        self.ask_all(&Command::RestartTenth(7))?;
+        report.in_force_restarts = self.change_for(FAULT_PHASE).await?;
+        self.settle().await?;
         Ok(())
     }
 
@@ -278,10 +288,14 @@
 
     async fn measure(&mut self) -> Result<Measurement, ScaleError> {
         let statuses = self.ask_all(&Command::Status)?;
-        let bytes = statuses.iter().map(|status| status.sent + status.received).sum();
-        let mut router_bytes = 0;
+        let bytes = Bytes {
+            sent: statuses.iter().map(|status| status.sent).sum(),
+            received: statuses.iter().map(|status| status.received).sum(),
+            lookups: statuses.iter().map(|status| status.lookup_bytes).sum(),
+        };
+        let mut router_bytes = Bytes::default();
         for (_, operator) in &self.routers {
-            router_bytes += self.control_bytes(*operator).await;
+            self.add_bytes(*operator, &mut router_bytes).await;
         }
         let replica_ids: Vec<u32> = self.replicas.iter().map(|process| process.0.id()).collect();
         let router_ids: Vec<u32> = self.routers.iter().map(|(process, _)| process.0.id()).collect();
@@ -289,7 +303,7 @@
         let mut roles = BTreeMap::new();
         roles.insert(HOLLOW, role(&self.host_ids(), bytes)?);
         roles.insert(ROUTER, role(&router_ids, router_bytes)?);
-        roles.insert(CONTROL, role(&replica_ids, 0)?);
+        roles.insert(CONTROL, role(&replica_ids, Bytes::default())?);
         Ok(Measurement {
             at: unix_micros(),
             roles,
@@ -299,16 +313,35 @@
         })
     }
 
-    /// The counters of a router's metrics page, added up.
-    async fn control_bytes(&self, operator: SocketAddr) -> u64 {
+    /// Adds the counters of a router's metrics page.
+    async fn add_bytes(&self, operator: SocketAddr, sum: &mut Bytes) {
         let url = format!("http://{operator}/metrics");
         let Ok(response) = self.http.get(url).send().await else {
-            return 0;
+            return;
         };
         let text = response.text().await.unwrap_or_default();
-        let lines = text.lines().filter(|line| line.starts_with("juniper_control_bytes_total"));
-        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
-        values.sum::<f64>() as u64
+        let value = |name: &str| {
+            let line = text.lines().find(|line| line.starts_with(name));
+            let value = line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+            value.unwrap_or(0.0) as u64
+        };
+        sum.sent += value("juniper_control_bytes_total{way=\"out\"}");
+        sum.received += value("juniper_control_bytes_total{way=\"in\"}");
+        sum.lookups += value("juniper_lookup_bytes_total");
+    }
+}
+
+/// Bytes of all nodes of a role since their starts.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bytes {
+    sent: u64,
+    received: u64,
+    lookups: u64,
+}
+
+impl Bytes {
+    fn control(&self) -> u64 {
+        self.sent + self.received
     }
 }
 
@@ -318,7 +351,7 @@
 
 struct RoleUse {
     usage: Usage,
-    bytes: u64,
+    bytes: Bytes,
 }
 
 struct Measurement {
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -41,6 +41,8 @@
     pub(super) sent: AtomicU64,
     /// Bytes received by lives that have ended.
     pub(super) received: AtomicU64,
+    /// Bytes of lookups of lives that have ended.
+    pub(super) lookup_bytes: AtomicU64,
     /// Lookups made.
     pub(super) lookups: AtomicU64,
     /// Lookups that found the engine which holds the prompt.
@@ -113,6 +115,7 @@
         }
         self.counters.sent.fetch_add(self.plane.traffic.sent(), Ordering::Relaxed);
         self.counters.received.fetch_add(self.plane.traffic.received(), Ordering::Relaxed);
+        self.counters.lookup_bytes.fetch_add(self.plane.traffic.lookups(), Ordering::Relaxed);
         if let Some(plane) = Arc::into_inner(self.plane) {
             plane.abort().await;
         }
--- a/crates/lab/src/scale/host.rs
+++ b/crates/lab/src/scale/host.rs
@@ -36,6 +36,7 @@
     pub(super) members: Vec<usize>,
     pub(super) sent: u64,
     pub(super) received: u64,
+    pub(super) lookup_bytes: u64,
     pub(super) lookups: u64,
     pub(super) found: u64,
     /// Revisions with the time they came into force on some node, since the last report.
@@ -136,6 +137,7 @@
             let traffic = &node.plane.traffic;
             status.sent += traffic.sent();
             status.received += traffic.received();
+            status.lookup_bytes += traffic.lookups();
             status.revisions.push(node.plane.settings.borrow().in_force.revision.0);
             status.members.push(node.plane.peers.borrow().routers.len());
             let size = node.plane.hub.size();
@@ -145,6 +147,7 @@
         for counters in &self.counters {
             status.sent += counters.sent.load(Ordering::Relaxed);
             status.received += counters.received.load(Ordering::Relaxed);
+            status.lookup_bytes += counters.lookup_bytes.load(Ordering::Relaxed);
             status.lookups += counters.lookups.load(Ordering::Relaxed);
             status.found += counters.found.load(Ordering::Relaxed);
             let mut times = counters.in_force.lock().unwrap_or_else(|held| held.into_inner());
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -14,8 +14,12 @@
     pub(super) core_percent: f64,
     /// Resident bytes for each.
     pub(super) resident_bytes: u64,
-    /// Bytes sent and received for control in a second, for each.
+    /// Control bytes sent and received in a second, for each.
     pub(super) control_bytes_per_second: f64,
+    /// Of these, sent.
+    pub(super) control_bytes_sent_per_second: f64,
+    /// Bytes of lookups, either way, in a second, for each.
+    pub(super) lookup_bytes_per_second: f64,
 }
 
 /// Accepted-to-in-force times over all nodes and changes of a phase.
@@ -56,6 +60,7 @@
     /// Share of lookups that found the engine that holds the prompt.
     pub(super) lookups_found: f64,
     pub(super) in_force_quiet: InForceTimes,
+    /// While a tenth of the nodes restarts.
     pub(super) in_force_restarts: InForceTimes,
     /// From the restart of a tenth of the nodes until every node is at the
     /// latest revision and knows every member, in milliseconds.
@@ -101,11 +106,14 @@
         for (name, cost) in roles {
             writeln!(
                 formatter,
-                "{name:16} {:4}  {:6.2}% of a core  {:7.1} MiB  {:8.0} control bytes/s",
+                "{name:16} {:4}  {:6.2}% of a core  {:7.1} MiB  {:6.0} control bytes/s ({:.0} sent)  \
+                 {:6.0} lookup bytes/s",
                 cost.count,
                 cost.core_percent,
                 cost.resident_bytes as f64 / MEBIBYTE,
-                cost.control_bytes_per_second
+                cost.control_bytes_per_second,
+                cost.control_bytes_sent_per_second,
+                cost.lookup_bytes_per_second
             )?;
         }
         let phases = [
--- a/crates/prefix-index/src/coarse.rs
+++ b/crates/prefix-index/src/coarse.rs
@@ -119,6 +119,24 @@
     pub removed: KeyList,
 }
 
+/// A change of what a [`CoarseUpdate`] told before on the same stream. It leaves
+/// the incarnation out: a new life always begins with a whole update.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct CoarseDelta {
+    /// The engine.
+    #[n(0)]
+    pub engine: EngineId,
+    /// One more than that of the update or delta before it.
+    #[n(1)]
+    pub sequence: u64,
+    /// Checkpoints stored.
+    #[n(2)]
+    pub stored: KeyList,
+    /// Checkpoints evicted.
+    #[n(3)]
+    pub removed: KeyList,
+}
+
 /// One router's part of the sampled index.
 ///
 /// Gaps, incarnations and deaths work as in [`PrefixIndex`].
@@ -127,6 +145,11 @@
     index: PrefixIndex,
 }
 
+fn event(sequence: u64, stored: &KeyList, removed: &KeyList) -> CacheEvent {
+    let blocks = |keys: &KeyList| keys.iter().map(|key| key.as_block()).collect();
+    CacheEvent { sequence, stored: blocks(stored), removed: blocks(removed) }
+}
+
 /// The engines that hold one checkpoint.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct CheckpointHolders {
@@ -141,14 +164,22 @@
     /// # Errors
     /// [`IndexFull`] when there is no room for another engine.
     pub fn apply(&mut self, update: &CoarseUpdate) -> Result<EventOutcome, IndexFull> {
-        let event = CacheEvent {
-            sequence: update.sequence,
-            stored: update.stored.iter().map(|key| key.as_block()).collect(),
-            removed: update.removed.iter().map(|key| key.as_block()).collect(),
-        };
+        let event = event(update.sequence, &update.stored, &update.removed);
         self.index.apply_events(update.engine, update.incarnation, &[event])
     }
 
+    /// Applies a change to what the shard holds of the engine's current life.
+    ///
+    /// # Errors
+    /// [`IndexFull`] when there is no room for another engine.
+    pub fn apply_delta(&mut self, delta: &CoarseDelta) -> Result<EventOutcome, IndexFull> {
+        let Some((incarnation, _)) = self.index.position(delta.engine) else {
+            return Ok(EventOutcome::AwaitingSnapshot);
+        };
+        let event = event(delta.sequence, &delta.stored, &delta.removed);
+        self.index.apply_events(delta.engine, incarnation, &[event])
+    }
+
     /// Replaces what is known of an engine; `update` names everything it stores
     /// of this shard as of its sequence number. A sender that takes the engine
     /// over numbers its updates anew, so a lower number is no reason to refuse.
--- a/crates/protocol/src/connection.rs
+++ b/crates/protocol/src/connection.rs
@@ -12,30 +12,43 @@
 use crate::handshake::{ClusterKey, HandshakeError, PeerIdentity, as_acceptor, as_connector};
 use crate::message::{Message, encode};
 
-/// Bytes that a daemon has sent and received for control.
+/// Bytes that a daemon has exchanged with other daemons. Control is what flows
+/// whether or not callers ask for anything; lookups are part of serving, since
+/// each belongs to one request.
 #[derive(Debug, Default)]
 pub struct Traffic {
     sent: AtomicU64,
     received: AtomicU64,
+    lookups: AtomicU64,
 }
 
 impl Traffic {
-    /// Counts `bytes` sent.
+    /// Counts `bytes` of control sent.
     pub fn add_sent(&self, bytes: usize) {
         self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
-    /// Counts `bytes` received.
+    /// Counts `bytes` of control received.
     pub fn add_received(&self, bytes: usize) {
         self.received.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
-    /// Bytes sent since the start.
+    /// Counts `bytes` of lookups, either way.
+    pub fn add_lookups(&self, bytes: usize) {
+        self.lookups.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Bytes of lookups sent and received since the start.
+    pub fn lookups(&self) -> u64 {
+        self.lookups.load(Ordering::Relaxed)
+    }
+
+    /// Control bytes sent since the start.
     pub fn sent(&self) -> u64 {
         self.sent.load(Ordering::Relaxed)
     }
 
-    /// Bytes received since the start.
+    /// Control bytes received since the start.
     pub fn received(&self) -> u64 {
         self.received.load(Ordering::Relaxed)
     }
@@ -71,10 +84,15 @@
     /// Waits for the next message.
     pub async fn receive(&mut self) -> Result<Message, FrameError> {
         let payload = read_frame(&mut self.stream).await?;
+        let message: Message = minicbor::decode(&payload)?;
         if let Some(traffic) = &self.traffic {
-            traffic.add_received(payload.len() + FRAME_HEADER_BYTES);
+            let bytes = payload.len() + FRAME_HEADER_BYTES;
+            match message.is_lookup() {
+                true => traffic.add_lookups(bytes),
+                false => traffic.add_received(bytes),
+            }
         }
-        Ok(minicbor::decode(&payload)?)
+        Ok(message)
     }
 }
 
@@ -88,19 +106,30 @@
 impl FrameWriter {
     /// Sends one message and returns the bytes it took on the wire.
     pub async fn send(&mut self, message: &Message) -> Result<usize, FrameError> {
-        self.send_encoded(&encode(message)).await
+        let bytes = self.write(&encode(message)).await?;
+        if let Some(traffic) = &self.traffic {
+            match message.is_lookup() {
+                true => traffic.add_lookups(bytes),
+                false => traffic.add_sent(bytes),
+            }
+        }
+        Ok(bytes)
     }
 
     /// Sends a message that was encoded before, so that one sent to many is
     /// encoded once. Returns the bytes it took on the wire.
     pub async fn send_encoded(&mut self, payload: &[u8]) -> Result<usize, FrameError> {
-        write_frame(&mut self.stream, payload).await?;
-        let bytes = payload.len() + FRAME_HEADER_BYTES;
+        let bytes = self.write(payload).await?;
         if let Some(traffic) = &self.traffic {
             traffic.add_sent(bytes);
         }
         Ok(bytes)
     }
+
+    async fn write(&mut self, payload: &[u8]) -> Result<usize, FrameError> {
+        write_frame(&mut self.stream, payload).await?;
+        Ok(payload.len() + FRAME_HEADER_BYTES)
+    }
 }
 
 fn split(stream: TcpStream, peer: PeerIdentity) -> Connection {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -55,6 +55,17 @@
     Push(#[n(0)] Push),
 }
 
+impl Message {
+    /// Whether the message is part of looking up one caller's prompt.
+    pub fn is_lookup(&self) -> bool {
+        matches!(
+            self,
+            Message::Request { request: Request::Lookup { .. }, .. }
+                | Message::Reply { reply: Reply::Holders { .. }, .. }
+        )
+    }
+}
+
 /// Calls between daemons.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Request {
--- a/crates/router/src/faces.rs
+++ b/crates/router/src/faces.rs
@@ -64,8 +64,13 @@
     let age = shared.settings_age().as_millis();
     shared.metrics.settings_age_ms.set(i64::try_from(age).unwrap_or(i64::MAX));
     let traffic = &shared.plane.traffic;
-    for (way, bytes) in [("in", traffic.received()), ("out", traffic.sent())] {
-        let counter = shared.metrics.control_bytes.with_label_values(&[way]);
+    let control = &shared.metrics.control_bytes;
+    let counted = [
+        (control.with_label_values(&["in"]), traffic.received()),
+        (control.with_label_values(&["out"]), traffic.sent()),
+        (shared.metrics.lookup_bytes.with_label_values(&["both"]), traffic.lookups()),
+    ];
+    for (counter, bytes) in counted {
         counter.inc_by(bytes.saturating_sub(counter.get()));
     }
     shared.metrics.render()
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -32,6 +32,8 @@
     pub decision: Histogram,
     /// Prompt tokens by whether the engine found them in its cache.
     pub prompt_tokens: IntCounterVec,
+    /// Bytes of lookups among routers, both ways.
+    pub lookup_bytes: IntCounterVec,
     /// Bytes sent and received for control.
     pub control_bytes: IntCounterVec,
 }
@@ -73,6 +75,7 @@
                 &DECISION_BUCKETS,
             )?,
             prompt_tokens: counters("juniper_prompt_tokens_total", "Prompt tokens", &["cache"])?,
+            lookup_bytes: counters("juniper_lookup_bytes_total", "Lookup bytes", &["way"])?,
             control_bytes: counters("juniper_control_bytes_total", "Control bytes", &["way"])?,
             registry,
         })
--- a/crates/router/src/sharing/rounds.rs
+++ b/crates/router/src/sharing/rounds.rs
@@ -7,24 +7,20 @@
 use juniper_protocol::{Reply, Request};
 use juniper_sharing::{RouterLife, ShareMessage};
 use tokio::sync::watch;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, sleep_until};
 
 use super::SharingHub;
 use crate::link::Link;
 use crate::peers::PeerView;
 
-/// Time between two rounds. A prefix is looked up by other routers at most this
-/// long after its engine reported it; until then they know their own requests.
-const ROUND_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Longest wait for a router to take a message.
 const DELIVERY_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Follows the group and sends a round every [`ROUND_INTERVAL`].
+/// Follows the group and sends a round whenever one is due.
 pub async fn run_rounds(hub: Arc<SharingHub>, mut peers: watch::Receiver<PeerView>) {
-    let mut ticks = interval(ROUND_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = Instant::now();
     loop {
+        let due = last + hub.lock().sharing.round_interval();
         tokio::select! {
             changed = peers.changed() => {
                 if changed.is_err() {
@@ -33,7 +29,10 @@
                 let view = peers.borrow_and_update().clone();
                 hub.set_peers(&view);
             }
-            _ = ticks.tick() => hub.send_round().await,
+            () = sleep_until(due) => {
+                last = Instant::now();
+                hub.send_round().await;
+            }
         }
     }
 }
--- a/crates/sharing/src/message.rs
+++ b/crates/sharing/src/message.rs
@@ -1,6 +1,6 @@
 //! What routers of a zone send each other.
 
-use juniper_prefix_index::coarse::CoarseUpdate;
+use juniper_prefix_index::coarse::{CoarseDelta, CoarseUpdate};
 use juniper_types::{AdapterName, EngineId, Incarnation, ModelName, WeightsVersion};
 use minicbor::{Decode, Encode};
 
@@ -61,7 +61,7 @@
     pub loads: Vec<LoadDigest>,
     /// Changes of the receiver's shard.
     #[n(2)]
-    pub updates: Vec<CoarseUpdate>,
+    pub deltas: Vec<CoarseDelta>,
     /// Whole contents of the receiver's shard, by engine.
     #[n(3)]
     pub resyncs: Vec<CoarseUpdate>,
--- a/crates/sharing/src/publisher.rs
+++ b/crates/sharing/src/publisher.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use juniper_prefix_index::coarse::{CheckpointKey, CoarseUpdate, KeyList};
+use juniper_prefix_index::coarse::{CheckpointKey, CoarseDelta, CoarseUpdate, KeyList};
 use juniper_prefix_index::{CacheEvent, Snapshot};
 use juniper_types::{BlockHash, EngineId, Incarnation};
 
@@ -38,7 +38,7 @@
 /// Updates for one owner.
 #[derive(Debug, Default)]
 pub(crate) struct Outgoing {
-    pub(crate) updates: Vec<CoarseUpdate>,
+    pub(crate) deltas: Vec<CoarseDelta>,
     pub(crate) resyncs: Vec<CoarseUpdate>,
 }
 
@@ -135,27 +135,26 @@
             if !stream.needs_resync && stream.pending.is_empty() {
                 continue;
             }
+            let to_owner = outgoing.entry(*owner).or_default();
             stream.sequence += 1;
             let pending = std::mem::take(&mut stream.pending);
-            let to_owner = outgoing.entry(*owner).or_default();
-            let resync = std::mem::take(&mut stream.needs_resync);
-            let (stored, removed) = if resync {
+            if std::mem::take(&mut stream.needs_resync) {
                 let group = &self.group;
                 let owned = known.keys.iter().filter(|key| group.owner(key) == Some(*owner));
-                (KeyList::new(owned.copied()), KeyList::default())
+                to_owner.resyncs.push(CoarseUpdate {
+                    engine: *engine,
+                    incarnation: known.incarnation,
+                    sequence: stream.sequence,
+                    stored: KeyList::new(owned.copied()),
+                    removed: KeyList::default(),
+                });
             } else {
-                (keys_with(&pending, true), keys_with(&pending, false))
-            };
-            let update = CoarseUpdate {
-                engine: *engine,
-                incarnation: known.incarnation,
-                sequence: stream.sequence,
-                stored,
-                removed,
-            };
-            match resync {
-                true => to_owner.resyncs.push(update),
-                false => to_owner.updates.push(update),
+                to_owner.deltas.push(CoarseDelta {
+                    engine: *engine,
+                    sequence: stream.sequence,
+                    stored: keys_with(&pending, true),
+                    removed: keys_with(&pending, false),
+                });
             }
         }
         outgoing
--- a/crates/sharing/src/sharing.rs
+++ b/crates/sharing/src/sharing.rs
@@ -1,10 +1,11 @@
 //! The sharing state of one router.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use juniper_prefix_index::coarse::{
-    Checkpoint, CheckpointHolders, CoarseHolder, CoarseShard, CoarseUpdate, KeyList, checkpoints,
-    combine,
+    Checkpoint, CheckpointHolders, CoarseDelta, CoarseHolder, CoarseShard, CoarseUpdate, KeyList,
+    checkpoints, combine,
 };
 use juniper_prefix_index::{CacheEvent, EventOutcome, IndexFull, Snapshot};
 use juniper_types::{BlockHash, EngineId, Incarnation, Timestamp};
@@ -14,6 +15,13 @@
 use crate::message::{LoadDigest, ServingDigest, ShareMessage};
 use crate::publisher::Publisher;
 
+/// Shortest time between two rounds. Other routers look a prefix up this long
+/// after its engine reported it; until then each knows its own requests.
+const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time between two rounds for each member of the group: ten messages a second.
+const ROUND_INTERVAL_PER_MEMBER: Duration = Duration::from_millis(100);
+
 /// How much a router keeps for sharing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SharingSize {
@@ -87,6 +95,13 @@
         sharing
     }
 
+    /// Time until the next round. It grows with the group, so that the messages
+    /// of one router in a second stay the same.
+    pub fn round_interval(&self) -> Duration {
+        let members = u32::try_from(self.group.members().len()).unwrap_or(u32::MAX);
+        ROUND_INTERVAL_PER_MEMBER.saturating_mul(members).max(MIN_ROUND_INTERVAL)
+    }
+
     /// Who shares with whom.
     pub fn group(&self) -> &Group {
         &self.group
@@ -153,14 +168,14 @@
     pub fn flush(&mut self, now: Timestamp) -> Result<Vec<(RouterLife, ShareMessage)>, IndexFull> {
         let mut outgoing = self.publisher.flush();
         if let Some(own) = outgoing.remove(&self.own) {
-            self.apply(self.own, &own.updates, &own.resyncs)?;
+            self.apply(self.own, &own.deltas, &own.resyncs)?;
         }
         let mut messages = Vec::new();
         for member in self.group.members().iter().copied().filter(|member| *member != self.own) {
             let cache = outgoing.remove(&member).unwrap_or_default();
             let (serving, loads) = self.loads.digests_for(member, now);
             let message =
-                ShareMessage { serving, loads, updates: cache.updates, resyncs: cache.resyncs };
+                ShareMessage { serving, loads, deltas: cache.deltas, resyncs: cache.resyncs };
             if !message.is_empty() {
                 messages.push((member, message));
             }
@@ -179,13 +194,13 @@
         from: RouterLife,
         message: &ShareMessage,
     ) -> Result<Vec<EngineId>, IndexFull> {
-        self.apply(from, &message.updates, &message.resyncs)
+        self.apply(from, &message.deltas, &message.resyncs)
     }
 
     fn apply(
         &mut self,
         from: RouterLife,
-        updates: &[CoarseUpdate],
+        deltas: &[CoarseDelta],
         resyncs: &[CoarseUpdate],
     ) -> Result<Vec<EngineId>, IndexFull> {
         for resync in resyncs {
@@ -193,14 +208,14 @@
             self.senders.insert(resync.engine, from);
         }
         let mut in_doubt = Vec::new();
-        for update in updates {
-            if self.senders.get(&update.engine) != Some(&from) {
-                in_doubt.push(update.engine);
+        for delta in deltas {
+            if self.senders.get(&delta.engine) != Some(&from) {
+                in_doubt.push(delta.engine);
                 continue;
             }
-            let outcome = self.shard.apply(update)?;
+            let outcome = self.shard.apply_delta(delta)?;
             if matches!(outcome, EventOutcome::Gap { .. } | EventOutcome::AwaitingSnapshot) {
-                in_doubt.push(update.engine);
+                in_doubt.push(delta.engine);
             }
         }
         Ok(in_doubt)
