Consensus: a replica left out by a recovery learns of it from any peer; crash loops

Cause: after a recovery, a voter that was left out asked only the voters that it remembered. If these were left out too, it never learned that it is fenced off, and two such voters could have gone on by themselves next to the recovered cluster. Found by a test that takes a lost quorum from end to end.

Change: a campaigning replica asks every peer for a pre-vote; answers of peers without a vote don't count. New faults in the simulation: crash loops of voters together with rival candidates on a slow network.

--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -5,6 +5,7 @@
 use super::{Leadership, Replica, State};
 use crate::entry::{Payload, Position, Term};
 use crate::identity::{ClusterEpoch, ReplicaId};
+use crate::membership::Member;
 use crate::message::{Body, Message};
 use crate::progress::Progress;
 
@@ -54,9 +55,25 @@
             message.term = term;
             self.send_raw(message);
         }
+        self.ask_other_peers(last, term);
         self.count_pre_votes();
     }
 
+    /// Asks peers without a vote too. Their answers don't count, but a peer that
+    /// knows of a recovery since tells a replica that was left out: the voters it
+    /// remembers may all have been left out as well.
+    fn ask_other_peers(&mut self, last: Position, term: Term) {
+        let own = self.id();
+        for node in self.config.peers.clone() {
+            let votes = |member: &Member| member.id.node == node;
+            if node != own.node && !self.log.membership().voters().any(votes) {
+                let mut message = self.message(own, Body::PreVoteRequest { last });
+                (message.to, message.to_disk, message.term) = (node, None, term);
+                self.send_raw(message);
+            }
+        }
+    }
+
     /// Starts an election in the next term.
     pub(super) fn campaign(&mut self, transfer: bool) {
         self.lose_leader();
--- a/crates/lab/src/prove/areas.rs
+++ b/crates/lab/src/prove/areas.rs
@@ -53,6 +53,7 @@
             "no-sync",
             "early-acknowledgement",
             "wiped-disk-votes",
+            "vote-forgotten",
             "local-read",
             "change-ids-forgotten",
             "stale-revision-applied",
--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -39,6 +39,8 @@
     Kill(Target, Kill, Micros),
     /// Every process ends at once.
     KillAll(Kill),
+    /// The process ends and starts again this many times, at once each time.
+    CrashLoop(Target, Kill, u64),
     /// The disk is lost; after a while the machine has an empty one.
     LoseDisk(Target, Micros),
     /// A voter's disk is lost and repaired, and a second voter ends for a while
@@ -76,7 +78,7 @@
 }
 
 /// The names that `--list` shows.
-pub const FAULT_NAMES: [&str; 17] = [
+pub const FAULT_NAMES: [&str; 18] = [
     "lost, repeated, reordered and late messages",
     "cuts between zones",
     "one-way cuts between zones",
@@ -85,6 +87,7 @@
     "killed processes",
     "power cuts at every disk operation",
     "all replicas killed at once",
+    "crash loops, together with elections on a bad network",
     "lost disks",
     "a lost and repaired disk, then a second machine lost before the first has caught up",
     "slow disks",
@@ -128,10 +131,36 @@
         }
         planned.push((at + random.between(0, 30 * MILLI), draw(random, machines)));
     }
+    if random.chance(250) {
+        planned.extend(unsteady_election(random, machines, start, end));
+    }
     planned.sort_by_key(|(at, _)| *at);
     planned
 }
 
+/// The leader ends on a bad network while voters crash again and again: rival
+/// candidates in one term meet voters that have just restarted.
+fn unsteady_election(
+    random: &mut Random,
+    machines: u64,
+    start: Micros,
+    end: Micros,
+) -> Vec<Planned> {
+    let at = random.between(start, end);
+    let conditions = Conditions { delay_max: random.between(50, 900) * MILLI, ..Conditions::GOOD };
+    let time = random.between(2 * SECOND, 5 * SECOND);
+    let mut planned = vec![
+        (at, Fault::BadNetwork(conditions, time)),
+        (at, Fault::Kill(Target::Leader, Kill::Process, time)),
+    ];
+    for _ in 0..random.between(1, 2) {
+        let target = Target::Machine(random.between(0, machines - 1));
+        let times = random.between(5, 40);
+        planned.push((at + MILLI, Fault::CrashLoop(target, draw_kill(random), times)));
+    }
+    planned
+}
+
 fn draw(random: &mut Random, machines: u64) -> Fault {
     let target = match random.chance(450) {
         true => Target::Leader,
--- a/crates/simulation/src/world/strike.rs
+++ b/crates/simulation/src/world/strike.rs
@@ -25,6 +25,7 @@
                 let count = self.machines.len() as u64;
                 (0..count).for_each(|place| self.kill(Target::Machine(place), kill, 200 * MILLI));
             }
+            Fault::CrashLoop(target, kill, times) => self.crash_again(target, kill, times),
             Fault::LoseDisk(target, time) => {
                 if let Some(node) = self.find(target) {
                     self.lose_disk(node, time);
@@ -137,6 +138,16 @@
         self.queue.after(time, Event::Start(node));
     }
 
+    /// Ends the process for a moment, and again as often as is left.
+    fn crash_again(&mut self, target: Target, kill: Kill, times: u64) {
+        self.kill(target, kill, 2 * MILLI);
+        if times > 0 {
+            let delay = self.random.between(10 * MILLI, 200 * MILLI);
+            let fault = Fault::CrashLoop(target, kill, times - 1);
+            self.queue.after(delay, Event::Strike(fault));
+        }
+    }
+
     /// Takes the disk away and gives the machine an empty one after `time`.
     /// Refused if more would be lost than a quorum bears. Returns whether it happened.
     fn lose_disk(&mut self, node: NodeId, time: Micros) -> bool {
