Prove: histories and their check in one place; no-sync strikes after formatting

Cause: two areas recorded and translated histories with the same code, and the planted fault of missing syncs was found by a folder that was never formatted rather than by what was acknowledged.

Change: `prove::history` holds operations, their ends and the call of the library's checker. Disks lie about syncs only once they are formatted.

--- a/crates/lab/src/prove/claims/caller.rs
+++ b/crates/lab/src/prove/claims/caller.rs
@@ -146,7 +146,7 @@
     fn claim(&mut self, bench: &mut Bench, record: &mut Record, key: ClaimKey) {
         let attempt = bench.random.number();
         bench.note(|| format!("router {} claims {key} as {attempt:x}", self.client));
-        let place = record.call(Asked::Claim { key: key.clone(), attempt });
+        let place = record.history.call(Asked::Claim { key: key.clone(), attempt });
         self.work = Some((Work::Claim { key: key.clone(), attempt }, place));
         let fingerprint = BlockHash([7; 16]);
         let command = Command::Claim { tenant: tenant(), key, fingerprint, attempt, now: 0 };
@@ -155,7 +155,7 @@
 
     fn settle(&mut self, bench: &mut Bench, record: &mut Record, key: ClaimKey, attempt: u64) {
         bench.note(|| format!("router {} settles {key} of {attempt:x}", self.client));
-        let place = record.call(Asked::Settle { key: key.clone(), attempt });
+        let place = record.history.call(Asked::Settle { key: key.clone(), attempt });
         self.work = Some((Work::Settle, place));
         let outcome = outcome_of(attempt);
         let command = Command::Settle { tenant: tenant(), key, attempt, outcome };
@@ -165,7 +165,7 @@
     fn advance(&mut self, bench: &mut Bench, record: &mut Record) {
         let to = START_MS / 1_000 + (bench.now / 1_000_000).saturating_sub(RETENTION_SECONDS);
         bench.note(|| format!("router {} moves the horizon to {to}", self.client));
-        self.work = Some((Work::Advance, record.call(Asked::Advance { to })));
+        self.work = Some((Work::Advance, record.history.call(Asked::Advance { to })));
         self.asker.ask(bench, Request::Propose(Command::AdvanceHorizon { to }));
     }
 
@@ -185,7 +185,7 @@
         let Some(Reply::Answer(answer)) = self.asker.on_reply(bench, token, reply) else { return };
         let Some((work, place)) = self.work.take() else { return };
         bench.note(|| format!("router {} is told {answer:?}", self.client));
-        record.response(place, answer.clone());
+        record.history.response(place, answer.clone());
         if let (Work::Claim { key, attempt }, Answer::Claim(ClaimAnswer::Granted)) = (work, answer)
         {
             self.ran.insert(token, (key.clone(), attempt));
--- a/crates/lab/src/prove/claims/linear.rs
+++ b/crates/lab/src/prove/claims/linear.rs
@@ -3,9 +3,9 @@
 use juniper_control_state::{Answer, SettleAnswer};
 use juniper_types::{ClaimAnswer, ClaimKey};
 use todc_utils::specifications::Specification;
-use todc_utils::{Action, History, WGLChecker};
 
-use super::record::{Asked, End, Operation, Record};
+use super::record::{Asked, Operation, Record};
+use crate::prove::history::Translated;
 
 /// One operation as it concerns one key; no answer means that it isn't known.
 #[derive(Clone, Debug)]
@@ -116,23 +116,8 @@
 
 /// Whether everything that was said about `key` fits one order of all operations.
 pub fn is_key_linearizable(record: &Record, key: &ClaimKey) -> bool {
-    let mut actions = Vec::new();
-    let mut open = Vec::new();
-    for end in &record.ends {
-        let (place, is_call) = match end {
-            End::Call(place) => (*place, true),
-            End::Response(place) => (*place, false),
-        };
-        let operation = record.operations.get(place);
-        let Some(operation) = operation.and_then(|found| concerning(key, found)) else { continue };
-        if is_call {
-            actions.push((place, Action::Call(operation.clone())));
-            open.extend(is_open(&operation).then_some((place, Action::Response(operation))));
-        } else if !is_open(&operation) {
-            actions.push((place, Action::Response(operation)));
-        }
-    }
-    actions.extend(open);
-    actions.is_empty()
-        || WGLChecker::<KeySpecification>::is_linearizable(History::from_actions(actions))
+    record.history.is_linearizable::<KeySpecification>(|_, known| {
+        let operation = concerning(key, known)?;
+        Some(Translated { is_open: is_open(&operation), operation })
+    })
 }
--- a/crates/lab/src/prove/configuration/check.rs
+++ b/crates/lab/src/prove/configuration/check.rs
@@ -138,7 +138,7 @@
             violations.push(ConfigurationViolation::AppliedTwice(id.clone()));
         }
     }
-    violations.extend(record.operations.iter().filter_map(|one| check_write(one, revisions)));
+    violations.extend(record.operations().iter().filter_map(|one| check_write(one, revisions)));
     violations
 }
 
@@ -178,7 +178,7 @@
         Asked::Write { id, .. } => Some((place, made(id, revisions)?)),
         _ => None,
     };
-    let effects: Effects = record.operations.iter().enumerate().filter_map(effect).collect();
+    let effects: Effects = record.operations().iter().enumerate().filter_map(effect).collect();
     let mut violations = Vec::new();
     if !is_revision_linearizable(record, &effects) {
         violations.push(ConfigurationViolation::RevisionsNotLinearizable);
--- a/crates/lab/src/prove/configuration/linear.rs
+++ b/crates/lab/src/prove/configuration/linear.rs
@@ -6,9 +6,9 @@
 use juniper_settings::SettingsPath;
 use juniper_types::Revision;
 use todc_utils::specifications::Specification;
-use todc_utils::{Action, History, WGLChecker};
 
-use super::record::{Answered, Asked, End, Operation, Record, Values};
+use super::record::{Answered, Asked, Operation, Record, Values};
+use crate::prove::history::Translated;
 
 /// What a write or a read says about the revision.
 #[derive(Clone, Debug)]
@@ -97,7 +97,9 @@
             _ => None,
         }
     };
-    is_linearizable::<RevisionSpecification>(record, operation)
+    record.is_linearizable::<RevisionSpecification>(|place, known| {
+        Some(Translated { operation: operation(place, known)?, is_open: known.answered.is_none() })
+    })
 }
 
 /// Whether the values of one key seen fit one order of all operations.
@@ -124,36 +126,7 @@
             Answered::Write(_) => None,
         }
     };
-    is_linearizable::<KeySpecification>(record, operation)
-}
-
-/// Checks the operations that `translate` knows. An accepted write whose writer
-/// was never told responds at the end of time.
-fn is_linearizable<S: Specification>(
-    record: &Record,
-    translate: impl Fn(usize, &Operation) -> Option<S::Operation>,
-) -> bool {
-    let translated: BTreeMap<usize, S::Operation> = record
-        .operations
-        .iter()
-        .enumerate()
-        .filter_map(|(place, operation)| Some((place, translate(place, operation)?)))
-        .collect();
-    let mut actions = Vec::new();
-    for end in &record.ends {
-        let (place, is_call) = match end {
-            End::Call(place) => (*place, true),
-            End::Response(place) => (*place, false),
-        };
-        if let Some(operation) = translated.get(&place).cloned() {
-            let call = Action::Call(operation.clone());
-            actions.push((place, if is_call { call } else { Action::Response(operation) }));
-        }
-    }
-    for (place, operation) in translated {
-        if record.operations.get(place).is_some_and(|known| known.answered.is_none()) {
-            actions.push((place, Action::Response(operation)));
-        }
-    }
-    actions.is_empty() || WGLChecker::<S>::is_linearizable(History::from_actions(actions))
+    record.is_linearizable::<KeySpecification>(|place, known| {
+        Some(Translated { operation: operation(place, known)?, is_open: known.answered.is_none() })
+    })
 }
--- a/crates/lab/src/prove/configuration/mod.rs
+++ b/crates/lab/src/prove/configuration/mod.rs
@@ -13,7 +13,7 @@
 use juniper_types::Revision;
 
 use check::ConfigurationViolation;
-use record::Record;
+use record::{Record, highest_accepted};
 use router::FollowingRouter;
 use writer::Writer;
 
@@ -40,7 +40,7 @@
     }
 
     fn accepted(&self) -> Revision {
-        self.record.highest_accepted()
+        highest_accepted(&self.record)
     }
 }
 
--- a/crates/lab/src/prove/configuration/record.rs
+++ b/crates/lab/src/prove/configuration/record.rs
@@ -6,6 +6,8 @@
 use juniper_settings::{SettingsPath, SettingsTree};
 use juniper_types::{ChangeId, Revision};
 
+use crate::prove::history::History;
+
 /// The value that each key has; a key that is not there has none.
 pub type Values = BTreeMap<SettingsPath, u32>;
 
@@ -51,55 +53,16 @@
 }
 
 /// One operation of one writer.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Operation {
-    /// What was asked.
-    pub asked: Asked,
-    /// The answer; `None` while it isn't known.
-    pub answered: Option<Answered>,
-}
-
-/// One end of an operation, by its place among all.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// The first sending.
-    Call(usize),
-    /// The answer.
-    Response(usize),
-}
+pub type Operation = crate::prove::history::Operation<Asked, Answered>;
 
 /// Everything the writers did.
-#[derive(Clone, Debug, Default)]
-pub struct Record {
-    /// The operations.
-    pub operations: Vec<Operation>,
-    /// Their ends in order of time.
-    pub ends: Vec<End>,
-}
-
-impl Record {
-    /// An operation begins; returns its place.
-    pub fn call(&mut self, asked: Asked) -> usize {
-        self.operations.push(Operation { asked, answered: None });
-        let place = self.operations.len() - 1;
-        self.ends.push(End::Call(place));
-        place
-    }
-
-    /// An operation has its answer.
-    pub fn response(&mut self, place: usize, answered: Answered) {
-        self.ends.push(End::Response(place));
-        if let Some(operation) = self.operations.get_mut(place) {
-            operation.answered = Some(answered);
-        }
-    }
+pub type Record = History<Asked, Answered>;
 
-    /// The highest revision that a writer knows as accepted.
-    pub fn highest_accepted(&self) -> Revision {
-        let accepted = self.operations.iter().filter_map(|operation| match &operation.answered {
-            Some(Answered::Write(WriteAnswer::Accepted { revision })) => Some(*revision),
-            _ => None,
-        });
-        accepted.max().unwrap_or_default()
-    }
+/// The highest revision that a writer knows as accepted.
+pub fn highest_accepted(record: &Record) -> Revision {
+    let accepted = record.operations().iter().filter_map(|operation| match &operation.answered {
+        Some(Answered::Write(WriteAnswer::Accepted { revision })) => Some(*revision),
+        _ => None,
+    });
+    accepted.max().unwrap_or_default()
 }
--- a/crates/lab/src/prove/mod.rs
+++ b/crates/lab/src/prove/mod.rs
@@ -5,6 +5,7 @@
 pub mod campaign;
 pub mod claims;
 pub mod configuration;
+mod history;
 pub mod orders;
 
 use std::fs;
--- a/crates/simulation/src/machine.rs
+++ b/crates/simulation/src/machine.rs
@@ -93,10 +93,11 @@
     /// # Errors
     /// Fails when the disk does.
     pub fn format(&mut self, initial: Option<&Membership>) -> Result<(), FormatError> {
+        format(&mut self.disk, self.id, initial)?;
         if self.options.planted == Some(Planted::NoSync) {
             self.disk.lie_about_syncs();
         }
-        format(&mut self.disk, self.id, initial)
+        Ok(())
     }
 
     /// Puts an empty disk in the place of the one it has.
