--- a/crates/lab/src/scale/control.rs
+++ b/crates/lab/src/scale/control.rs
@@ -18,7 +18,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Tries before a write is given up.
-const MAX_TRIES: usize = 200;
+const MAX_TRIES: usize = 60;
 
 /// Why a write failed.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -46,6 +46,9 @@
     /// An answer of a hollow process is malformed.
     #[error("malformed: {0}")]
     Malformed(#[from] serde_json::Error),
+    /// The cluster of control replicas could not be made.
+    #[error("the first control replica could not found its cluster")]
+    NotFounded,
     /// A hollow process ended early.
     #[error("a hollow process ended early")]
     HostEnded,
@@ -144,6 +147,9 @@
         for replica in layout.replicas.clone() {
             let operator = layout.addresses.next();
             let text = control_file(folder.path(), &layout, &replica, operator);
+            if replicas.is_empty() {
+                found_cluster(folder.path(), &text)?;
+            }
             replicas.push(start_daemon("control", folder.path(), replica.node, &text)?);
             operators.push(operator);
         }
@@ -367,6 +373,18 @@
     Ok(std::env::current_exe()?.with_file_name(name))
 }
 
+/// Makes the cluster on the first replica; the others join it when they start.
+fn found_cluster(folder: &Path, text: &str) -> Result<(), ScaleError> {
+    let file = folder.join("found.toml");
+    std::fs::write(&file, text)?;
+    let mut program = Program::new(sibling("juniperhollow")?);
+    let status = program.args(["found", "--settings"]).arg(file).stdout(Stdio::null()).status()?;
+    match status.success() {
+        true => Ok(()),
+        false => Err(ScaleError::NotFounded),
+    }
+}
+
 fn start_daemon(role: &str, folder: &Path, node: u64, text: &str) -> Result<Process, io::Error> {
     let file = folder.join(format!("{role}-{node}.toml"));
     std::fs::write(&file, text)?;
