Storage: numbers in files are bounded before they are counted with

Cause: a record under a right checksum whose entry has the highest index overflowed an addition and panicked a debug build. Found by generated records.

--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -13,6 +13,12 @@
 /// Position in the log; the first entry has index 1, and 0 stands before it.
 pub type Index = u64;
 
+/// Highest term or index that is taken from outside, be it a message or a file.
+///
+/// Guards the arithmetic on such numbers. At a million entries a second a log
+/// would take 146,000 years to get there.
+pub const MAX_NUMBER: u64 = 1 << 62;
+
 /// A position in the log together with the term of the entry there.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 pub struct Position {
@@ -25,6 +31,13 @@
     pub index: Index,
 }
 
+impl Position {
+    /// Whether the term and the index can be counted with.
+    pub fn is_in_bounds(&self) -> bool {
+        self.term.max(self.index) <= MAX_NUMBER
+    }
+}
+
 /// What an entry holds.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum Payload {
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -3,15 +3,9 @@
 use juniper_types::{NodeId, ZoneName};
 use minicbor::{Decode, Encode};
 
-use crate::entry::{Entry, Index, Position, SnapshotMeta, Term};
+use crate::entry::{Entry, Index, MAX_NUMBER, Position, SnapshotMeta, Term};
 use crate::identity::{ClusterEpoch, DiskIdentity, ReplicaId};
 
-/// Highest term or index that a message may name.
-///
-/// Guards the arithmetic on numbers from outside. At a million entries a second
-/// a log would take 146,000 years to get there.
-const MAX_NUMBER: u64 = 1 << 62;
-
 /// A message from one replica to another.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Message {
--- a/crates/storage/src/frame.rs
+++ b/crates/storage/src/frame.rs
@@ -4,6 +4,7 @@
 //! written only after everything before it was synced, so a valid frame proves
 //! that whatever stands before it in the segment was durable once.
 
+use juniper_consensus::entry::MAX_NUMBER;
 use juniper_consensus::{Entry, HardState, Position};
 use minicbor::{Decode, Encode};
 
@@ -34,6 +35,16 @@
     pub(crate) hard_state: Option<HardState>,
 }
 
+impl Record {
+    /// Whether every term and index in the record can be counted with.
+    pub(crate) fn is_in_bounds(&self) -> bool {
+        let entries = self.entries.iter().map(Entry::position);
+        let mut positions = entries.chain(self.continues).chain(self.snapshot);
+        let promises = self.hard_state.unwrap_or_default();
+        promises.term <= MAX_NUMBER && positions.all(|position| position.is_in_bounds())
+    }
+}
+
 /// The frame of `record` at a place in a segment.
 pub(crate) fn encode_frame(segment: u64, offset: u64, record: &Record) -> Vec<u8> {
     let body = encode(record);
--- a/crates/storage/src/replay.rs
+++ b/crates/storage/src/replay.rs
@@ -39,6 +39,9 @@
 
     /// Applies the next record.
     pub(crate) fn apply(&mut self, record: Record) -> Result<(), Damage> {
+        if !record.is_in_bounds() {
+            return Err(Damage::Malformed);
+        }
         if let Some(position) = record.continues {
             self.continue_from(position)?;
         }
--- a/crates/storage/src/snapshot.rs
+++ b/crates/storage/src/snapshot.rs
@@ -63,6 +63,9 @@
     let end = HEADER_BYTES.checked_add(length).ok_or(Damage::Malformed)?;
     let meta = bytes.get(HEADER_BYTES..end).ok_or(Damage::Malformed)?;
     let meta: SnapshotMeta = minicbor::decode(meta).map_err(|_| Damage::Malformed)?;
+    if !meta.position.is_in_bounds() {
+        return Err(Damage::Malformed);
+    }
     Ok(Snapshot { meta, data: Arc::new(bytes[end..].to_vec()) })
 }
 
