--- a/crates/storage/tests/folder.rs
+++ b/crates/storage/tests/folder.rs
@@ -4,13 +4,14 @@
 
 use std::fs;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
-use juniper_consensus::Position;
+use juniper_consensus::{Position, Snapshot, SnapshotMeta};
 use juniper_storage::{
     Damage, DiskError, Folder, FormatError, OpenError, Storage, format, inspect, wipe,
 };
 use juniper_types::NodeId;
-use support::{NODE, data, founding, id, open, snapshot, write};
+use support::{NODE, data, founding, id, open, write};
 use tempfile::TempDir;
 
 fn files(folder: &Path, prefix: &str) -> Vec<PathBuf> {
@@ -21,6 +22,12 @@
     found
 }
 
+fn snapshot(index: u64) -> Snapshot {
+    let position = Position { term: 1, index };
+    let meta = SnapshotMeta { position, membership: founding() };
+    Snapshot { meta, data: Arc::new(vec![3; 50]) }
+}
+
 fn new_folder() -> TempDir {
     let folder = tempfile::tempdir().unwrap();
     format(&mut Folder::new(folder.path()).unwrap(), id(1), Some(&founding())).unwrap();
--- a/crates/storage/tests/support/mod.rs
+++ b/crates/storage/tests/support/mod.rs
@@ -1,11 +1,10 @@
 //! Identities, writes and snapshots for the tests of storage.
 
 use std::path::Path;
-use std::sync::Arc;
 
 use juniper_consensus::{
     ClusterEpoch, DiskIdentity, Entry, HardState, Membership, Payload, Position, ReplicaId,
-    Restored, Snapshot, SnapshotMeta, Write,
+    Restored, Write,
 };
 use juniper_storage::{Folder, OpenError, Storage};
 use juniper_types::{NodeId, ZoneName};
@@ -37,9 +36,3 @@
     let hard_state = Some(HardState { epoch, term, vote: None, commit: 1 });
     Write { number, hard_state, snapshot: None, entries, last }
 }
-
-pub fn snapshot(index: u64) -> Snapshot {
-    let position = Position { term: 1, index };
-    let meta = SnapshotMeta { position, membership: founding() };
-    Snapshot { meta, data: Arc::new(vec![3; 50]) }
-}
