Control: a leader whose disk hangs hands over

Cause: commits need a majority of disks, but a leader answers only what is on its own; while its disk hung without an error, every write waited. Change: after 1 s in one write a leader hands over to another voter. The disk can be put in front of the folder from outside, as the test does. Test: a write during the hang got outcome_unknown after 8 s before, and is accepted now.

--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -1,6 +1,7 @@
 //! The actor that drives the agreement.
 
 use std::sync::{Arc, mpsc};
+use std::time::{Duration, Instant};
 
 use juniper_consensus::{
     Index, Message as ConsensusMessage, ProposeError, ReadError, Ready, Replica, Status,
@@ -26,6 +27,10 @@
 /// When a caller should come back that finds too much waiting, in milliseconds.
 const OVERLOADED_RETRY_MS: u64 = 200;
 
+/// A write that takes this long counts as stalled. Syncs take milliseconds, and a
+/// hand-over that wasn't needed costs less than an election.
+const STALLED_AFTER: Duration = Duration::from_secs(1);
+
 /// Why a replica ended by itself. It acknowledges nothing from then on.
 #[derive(Debug, thiserror::Error)]
 pub enum ReplicaFailure {
@@ -57,6 +62,8 @@
     failure: Option<oneshot::Sender<ReplicaFailure>>,
     /// A snapshot is being encoded.
     encoding: bool,
+    /// When the write that storage works on was handed over.
+    writing_since: Option<Instant>,
 }
 
 /// What an actor is made of.
@@ -83,6 +90,7 @@
             metrics: parts.metrics,
             failure: Some(parts.failure),
             encoding: false,
+            writing_since: None,
         }
     }
 
@@ -115,6 +123,7 @@
     fn handle_ready(&mut self, ready: Ready) -> Result<(), ReplicaFailure> {
         if let Some(write) = ready.write {
             self.writes.send(write).map_err(|_| ReplicaFailure::WriterGone)?;
+            self.writing_since = Some(Instant::now());
         }
         for message in ready.messages {
             self.peers.send(&message);
@@ -146,6 +155,22 @@
         Ok(())
     }
 
+    /// Hands leadership over while the disk hangs: the others could go on, but a
+    /// leader answers only what is on its own disk too.
+    fn hand_over_if_stalled(&mut self) {
+        let stalled = self.writing_since.is_some_and(|since| since.elapsed() > STALLED_AFTER);
+        if !stalled || !self.replica.is_leader() {
+            return;
+        }
+        let own = self.replica.status().id;
+        let active = self.replica.active_members();
+        let mut others = active.into_iter().filter(|member| member.node != own.node);
+        let taken = others.find(|other| self.replica.transfer_leadership(other.node).is_ok());
+        if let Some(other) = taken {
+            log::warn!("event=disk_stalled handing_over_to={}", other.node);
+        }
+    }
+
     /// Encodes a snapshot beside the actor, if one is due.
     fn encode_if_due(&mut self, actor: &ActorRef<Self>) {
         let Some((index, state)) = self.machine.due_snapshot() else { return };
@@ -272,6 +297,7 @@
 
     async fn handle(&mut self, _tick: Tick, context: &mut Context<Self, ()>) {
         self.replica.tick();
+        self.hand_over_if_stalled();
         self.drive(context);
     }
 }
@@ -320,6 +346,7 @@
     type Reply = ();
 
     async fn handle(&mut self, persisted: Persisted, context: &mut Context<Self, ()>) {
+        self.writing_since = None;
         self.replica.persisted(persisted.0);
         self.drive(context);
     }
--- a/crates/control/src/replica/folder.rs
+++ b/crates/control/src/replica/folder.rs
@@ -9,7 +9,7 @@
 
 use juniper_consensus::{ClusterEpoch, Membership, ReplicaId, Restored};
 use juniper_settings::ControlSettings;
-use juniper_storage::{Folder, OpenError, Storage, format, new_disk_identity, wipe};
+use juniper_storage::{Disk, Folder, OpenError, Storage, format, new_disk_identity, wipe};
 
 use crate::error::ControlError;
 
@@ -38,17 +38,18 @@
     ReplicaId { node: settings.common.node, disk: new_disk_identity() }
 }
 
-/// Opens the folder; a blank one is formatted first.
-pub(super) fn open(
+/// Opens the replica's folder as `disk` shows it; a blank one is formatted first.
+pub(super) fn open<D: Disk>(
     settings: &ControlSettings,
-) -> Result<(Storage<Folder>, Restored), ControlError> {
+    disk: impl Fn(Folder) -> D,
+) -> Result<(Storage<D>, Restored), ControlError> {
     let node = settings.common.node;
     let path = replica_folder(settings);
-    match Storage::open(Folder::new(&path)?, node) {
+    match Storage::open(disk(Folder::new(&path)?), node) {
         Err(OpenError::NotFormatted) => format_blank(settings)?,
         opened => return Ok(opened?),
     }
-    Ok(Storage::open(Folder::new(&path)?, node)?)
+    Ok(Storage::open(disk(Folder::new(&path)?), node)?)
 }
 
 /// What an interrupted wipe or format left behind is removed first, so that no
--- a/crates/control/src/replica/start.rs
+++ b/crates/control/src/replica/start.rs
@@ -5,6 +5,7 @@
 
 use juniper_consensus::{Replica, ReplicaConfig};
 use juniper_settings::ControlSettings;
+use juniper_storage::{Disk, Folder};
 use kameo::actor::Spawn;
 use kameo::mailbox;
 use tokio::sync::{oneshot, watch};
@@ -57,15 +58,17 @@
     }
 }
 
-/// Opens the data folder and starts the replica on it.
+/// Opens the data folder and starts the replica on it. All its reading and
+/// writing goes through `disk`, save for the formatting of a blank folder.
 ///
 /// # Errors
 /// Fails when the folder can't be opened or formatted.
-pub fn start(
+pub fn start<D: Disk + Send + 'static>(
     settings: &ControlSettings,
     parts: ReplicaParts,
+    disk: impl Fn(Folder) -> D,
 ) -> Result<RunningReplica, ControlError> {
-    let (storage, restored) = folder::open(settings)?;
+    let (storage, restored) = folder::open(settings, disk)?;
     let nodes = settings.peers.iter().map(|peer| peer.id).collect();
     let mut config = ReplicaConfig::new(storage.id(), settings.common.zone.clone(), nodes);
     config.target_voters = settings.initial_voters.len();
--- a/crates/control/src/replica/writer.rs
+++ b/crates/control/src/replica/writer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use juniper_consensus::Write;
-use juniper_storage::{Folder, Storage};
+use juniper_storage::{Disk, Storage};
 use kameo::actor::ActorRef;
 
 use super::ReplicaActor;
@@ -15,8 +15,8 @@
 
 /// Writes until the actor is gone or the disk fails. A failed write ends the
 /// replica: what reached the disk is unknown, so nothing more may be acknowledged.
-pub(super) fn write_for_ever(
-    mut storage: Storage<Folder>,
+pub(super) fn write_for_ever<D: Disk>(
+    mut storage: Storage<D>,
     writes: Receiver<Write>,
     replica: ActorRef<ReplicaActor>,
 ) {
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -6,6 +6,7 @@
 
 use juniper_protocol::{ClusterKey, PeerIdentity, PeerRole};
 use juniper_settings::ControlSettings;
+use juniper_storage::{Disk, Folder};
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
@@ -50,6 +51,16 @@
 impl ControlDaemon {
     /// Starts the replica; nothing is served before [`ControlDaemon::serve`].
     pub fn start(settings: &ControlSettings, listeners: Listeners) -> Result<Self, ControlError> {
+        Self::start_on(settings, listeners, |folder| folder)
+    }
+
+    /// As [`ControlDaemon::start`], with a disk in front of the folder, such as one
+    /// that fails on purpose.
+    pub fn start_on<D: Disk + Send + 'static>(
+        settings: &ControlSettings,
+        listeners: Listeners,
+        disk: impl Fn(Folder) -> D,
+    ) -> Result<Self, ControlError> {
         let key = ClusterKey::from_text(settings.common.cluster_key.as_str())?;
         let own = PeerIdentity {
             node: settings.common.node,
@@ -60,7 +71,7 @@
         let reports = Arc::new(NodeReports::default());
         let peers = Arc::new(PeerLinks::new(&settings.peers, &key, &own));
         let parts = ReplicaParts { peers: Arc::clone(&peers), metrics: Arc::clone(&metrics) };
-        let replica = replica::start(settings, parts)?;
+        let replica = replica::start(settings, parts, disk)?;
         let (handle, view) = (replica.handle.clone(), replica.view.clone());
         let operator = routes(OperatorFace {
             group: Group::new(handle.clone(), Arc::clone(&peers)),
--- a/crates/control/tests/daemons/main.rs
+++ b/crates/control/tests/daemons/main.rs
@@ -6,4 +6,5 @@
 mod horizon;
 mod one_replica;
 mod snapshots;
+mod stalled_disk;
 mod support;
--- a/crates/control/tests/daemons/support/group.rs
+++ b/crates/control/tests/daemons/support/group.rs
@@ -1,5 +1,7 @@
 //! Three control daemons that form a cluster.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Instant;
 
 use juniper_control::{Listeners, found};
@@ -17,6 +19,8 @@
 
 pub struct Group {
     pub settings: Vec<ControlSettings>,
+    /// Switches that make the replicas' disks hang.
+    pub stalls: Vec<Arc<AtomicBool>>,
     daemons: Vec<Option<Daemon>>,
     _folder: TempDir,
 }
@@ -37,9 +41,11 @@
         }
         know_each_other(&mut settings_of_all);
         found(&settings_of_all[0]).unwrap();
-        let pairs = settings_of_all.iter().zip(all);
-        let daemons = pairs.map(|(own, sockets)| Some(Daemon::start_on(own, sockets))).collect();
-        let group = Group { settings: settings_of_all, daemons, _folder: folder };
+        let stalls: Vec<Arc<AtomicBool>> = settings_of_all.iter().map(|_| Arc::default()).collect();
+        let parts = settings_of_all.iter().zip(all).zip(&stalls);
+        let start = |((own, sockets), stall)| Some(Daemon::start_stalling(own, sockets, stall));
+        let daemons = parts.map(start).collect();
+        let group = Group { settings: settings_of_all, stalls, daemons, _folder: folder };
         group.wait_for("three voters", async || group.voters().await == Some(3)).await;
         group
     }
@@ -58,7 +64,7 @@
         self.stop(at).await;
         let own = &self.settings[at];
         let sockets = Listeners::open(own).await.unwrap();
-        self.daemons[at] = Some(Daemon::start_on(own, sockets));
+        self.daemons[at] = Some(Daemon::start_stalling(own, sockets, &self.stalls[at]));
     }
 
     pub async fn stop_all(mut self) {
--- a/crates/control/tests/daemons/support/mod.rs
+++ b/crates/control/tests/daemons/support/mod.rs
@@ -3,8 +3,11 @@
 //! Every test file uses its own part of this module.
 
 pub mod group;
+pub mod stalling;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use juniper_control::{ControlDaemon, ControlSettings, Listeners};
@@ -17,6 +20,8 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
+use stalling::StallingDisk;
+
 pub const CLUSTER_KEY: &str = "a cluster key for tests";
 pub const OPERATOR_KEY: &str = "an operator key for tests";
 
@@ -40,6 +45,21 @@
 
     pub fn start_on(settings: &ControlSettings, listeners: Listeners) -> Self {
         let daemon = ControlDaemon::start(settings, listeners).unwrap();
+        Self::serve(settings, daemon)
+    }
+
+    /// Starts on a disk that hangs while `stalled` is on.
+    pub fn start_stalling(
+        settings: &ControlSettings,
+        listeners: Listeners,
+        stalled: &Arc<AtomicBool>,
+    ) -> Self {
+        let disk = |folder| StallingDisk { folder, stalled: Arc::clone(stalled) };
+        let daemon = ControlDaemon::start_on(settings, listeners, disk).unwrap();
+        Self::serve(settings, daemon)
+    }
+
+    fn serve(settings: &ControlSettings, daemon: ControlDaemon) -> Self {
         let (stop, stopped) = oneshot::channel();
         let task = tokio::spawn(async move {
             daemon
