--- a/crates/lab/src/prove/configuration/linear.rs
+++ b/crates/lab/src/prove/configuration/linear.rs
@@ -56,12 +56,9 @@
             return Some(RevisionOperation::Accept(revision.0));
         }
         match (&operation.asked, operation.answered.as_ref()?) {
-            (Asked::Write { base, .. }, Answered::Write(answer)) => match answer {
-                WriteAnswer::Conflict { current, .. } => {
-                    Some(RevisionOperation::Conflict { base: base.0, current: current.0 })
-                }
-                _ => None,
-            },
+            (Asked::Write { base, .. }, Answered::Write(WriteAnswer::Conflict { current, .. })) => {
+                Some(RevisionOperation::Conflict { base: base.0, current: current.0 })
+            }
             (Asked::Read, Answered::Read { revision, .. }) => {
                 Some(RevisionOperation::Read(revision.0))
             }
--- a/tests/control_fleet.rs
+++ b/tests/control_fleet.rs
@@ -1,12 +1,12 @@
 //! Three control replicas as processes: accepted changes survive crashes, frozen
 //! leaders and lost disks.
 
-#[path = "support/fleet.rs"]
-mod fleet;
+#[path = "support/replicas.rs"]
+mod replicas;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use fleet::{Fleet, put_zone};
+use replicas::{Fleet, put_zone};
 use serde_json::{Value, json};
 
 /// Writes `count` changes through the replicas in turn and returns them.
@@ -82,7 +82,7 @@
     let (accepted, stop) = (AtomicU64::new(3), AtomicBool::new(false));
     let observe = async {
         fleet.replicas[frozen].freeze();
-        fleet::eventually("writes go on without the frozen leader", async || {
+        replicas::eventually("writes go on without the frozen leader", async || {
             (accepted.load(Ordering::SeqCst) >= 12).then_some(())
         })
         .await;
@@ -130,7 +130,7 @@
     fleet.replicas[lost].kill();
     fleet.replicas[lost].lose_disk();
     fleet.replicas[lost].start();
-    fleet::eventually("the new disk votes", async || {
+    replicas::eventually("the new disk votes", async || {
         let (_, status) = fleet.get(lost, "/v1/status").await?;
         (status["role"] == "follower" && status["disk"] != disk).then_some(())
     })
@@ -164,7 +164,7 @@
             }
         }
     }
-    fleet::eventually("the replica ends", async || fleet.replicas[0].has_failed().then_some(()))
+    replicas::eventually("the replica ends", async || fleet.replicas[0].has_failed().then_some(()))
         .await;
     let log = fleet.replicas[0].log();
     assert!(log.contains("event=replica_failed reason=\"storage failed: write"), "{log}");
