--- a/tests/control_fleet.rs
+++ b/tests/control_fleet.rs
@@ -212,3 +212,66 @@
     assert_eq!((code, answer["members"].as_array().map(Vec::len)), (Some(0), Some(3)));
     assert_eq!(fleet.command(&["tree", "diff", "1"]).0, Some(2));
 }
+
+/// What can go wrong with one replica while the others work.
+#[derive(Clone, Copy, Debug)]
+enum Mishap {
+    Crash,
+    Freeze,
+    LostDisk,
+}
+
+/// Mishaps with the replica that each befalls, drawn from a fixed seed.
+fn mishaps(seed: u64, count: usize) -> Vec<(Mishap, usize)> {
+    let mut state = seed;
+    let mut draw = |below: u64| {
+        // Constants of Knuth's MMIX generator.
+        state =
+            state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (state >> 33) % below
+    };
+    let kinds = [Mishap::Crash, Mishap::Crash, Mishap::Freeze, Mishap::Freeze, Mishap::LostDisk];
+    let next = |_| (kinds[draw(5) as usize], draw(3) as usize);
+    (0..count).map(next).collect()
+}
+
+async fn befall(fleet: &mut Fleet, mishap: Mishap, at: usize, writes: u64, next: u64) -> u64 {
+    let others = fleet.others(at);
+    match mishap {
+        Mishap::Crash | Mishap::LostDisk => fleet.replicas[at].kill(),
+        Mishap::Freeze => fleet.replicas[at].freeze(),
+    }
+    write_changes(fleet, &others, next, writes).await;
+    match mishap {
+        Mishap::Crash => fleet.replicas[at].start(),
+        Mishap::Freeze => fleet.replicas[at].resume(),
+        Mishap::LostDisk => {
+            fleet.replicas[at].lose_disk();
+            fleet.replicas[at].start();
+        }
+    }
+    // Through the one that is just back as well.
+    write_changes(fleet, &[at], next + writes, writes).await;
+    next + 2 * writes
+}
+
+#[tokio::test]
+async fn no_accepted_change_is_lost_in_a_row_of_mishaps() {
+    const WRITES: u64 = 4;
+    let mut fleet = Fleet::start(3).await;
+    let mut next = 1;
+    for (mishap, at) in mishaps(0x5707, 12) {
+        eprintln!("{mishap:?} of replica {at} at revision {next}");
+        next = befall(&mut fleet, mishap, at, WRITES, next).await;
+        fleet.all_vote().await;
+    }
+    for at in 0..3 {
+        assert_eq!(fleet.confirmed_revision(at).await, next - 1);
+        let (_, history) =
+            fleet.get(at, "/v1/settings/history?limit=1000").await.expect("a history");
+        let ids = history["changes"].as_array().expect("changes").iter().rev();
+        let ids: Vec<_> = ids.filter_map(|change| change["change_id"].as_str()).collect();
+        let expected: Vec<_> = (1..next).map(|number| format!("change-{number}")).collect();
+        assert_eq!(ids, expected);
+    }
+}
