--- a/crates/control-state/tests/settings.rs
+++ b/crates/control-state/tests/settings.rs
@@ -139,6 +139,20 @@
     assert_eq!(answer, accepted(revision + 1));
 }
 
+#[test]
+fn one_writer_whose_clock_is_a_day_ahead_does_not_shut_the_others_out() {
+    const DAY_MS: u64 = 86_400_000;
+    let mut writer = Writer::default();
+    let mut header = writer.header(0, "ahead");
+    header.at_ms += DAY_MS;
+    let change = put("hartford", 1);
+    assert_eq!(writer.apply(Command::ChangeSettings { header, change }), accepted(1));
+    for revision in 1..1_000 {
+        let answer = writer.put(revision, &format!("id-{revision}"), "hartford", 1);
+        assert_eq!(answer, accepted(revision + 1));
+    }
+}
+
 #[test]
 fn a_snapshot_of_a_newer_version_is_refused_and_damage_is_an_error() {
     let mut snapshot = ControlState::default().to_snapshot();
