--- a/crates/lab/src/fleet/error.rs
+++ b/crates/lab/src/fleet/error.rs
@@ -37,6 +37,14 @@
         #[source]
         source: io::Error,
     },
+    /// A command ended with a fault.
+    #[error("{name} failed: {message}")]
+    Failed {
+        /// The command.
+        name: String,
+        /// What it printed.
+        message: String,
+    },
     /// A signal can't be sent.
     #[error("{name} can't be signalled")]
     Signal {
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process::Command;
 use std::time::Duration;
 
 use juniper_emulators::trace::Profile;
@@ -37,7 +38,10 @@
 use crate::load::{ExecutionSource, RouterTarget};
 use crate::proxy::{LinkProxy, LinkState};
 
-/// Number of the first router; control replicas count from one.
+/// Number of the first control replica, on which the cluster is founded.
+const FIRST_CONTROL: u64 = 1;
+
+/// Number of the first router.
 const FIRST_ROUTER: u64 = 11;
 
 /// What a fleet is made of.
@@ -260,13 +264,16 @@
     ports: &mut Ports,
 ) -> Result<Vec<Control>, FleetError> {
     let mut nodes = Vec::new();
-    for (id, zone) in (1..).zip(zones.iter().cycle()).take(count) {
+    for (id, zone) in (FIRST_CONTROL..).zip(zones.iter().cycle()).take(count) {
         let node = NodeAddress { id, zone: zone.clone(), internal: ports.take()? };
         nodes.push(ControlNode { node, operator: ports.take()? });
     }
     let group: Vec<NodeAddress> = nodes.iter().map(|control| control.node.clone()).collect();
     let start = |node: ControlNode| {
         let file = write_control(folder, &node, &group)?;
+        if node.node.id == FIRST_CONTROL {
+            found(binaries, &file)?;
+        }
         let name = format!("control-{}", node.node.id);
         let process = start_daemon(binaries, folder, "control", name, &file)?;
         Ok(Control { node, process })
@@ -274,6 +281,21 @@
     nodes.into_iter().map(start).collect()
 }
 
+/// Makes a new cluster on the replica whose settings are in `file`.
+fn found(binaries: &Binaries, file: &Path) -> Result<(), FleetError> {
+    let mut command = Command::new(&binaries.daemon);
+    let output = command.args(["found", "--settings"]).arg(file).output();
+    let name = "found".to_owned();
+    match output {
+        Ok(output) if output.status.success() => Ok(()),
+        Ok(output) => {
+            let message = String::from_utf8_lossy(&output.stderr).into_owned();
+            Err(FleetError::Failed { name, message })
+        }
+        Err(source) => Err(FleetError::Start { name, source }),
+    }
+}
+
 fn start_daemon(
     binaries: &Binaries,
     folder: &Path,
--- a/tests/support/fleet.rs
+++ b/tests/support/loaded_fleet.rs
@@ -29,13 +29,14 @@
 }
 
 pub struct Setup {
+    pub control: usize,
     pub application_work: Duration,
     pub cuttable: bool,
 }
 
 impl Default for Setup {
     fn default() -> Self {
-        Setup { application_work: Duration::from_millis(30), cuttable: false }
+        Setup { control: 1, application_work: Duration::from_millis(30), cuttable: false }
     }
 }
 
@@ -49,7 +50,7 @@
         },
         folder: folder.path().to_owned(),
         profile: PROFILE,
-        sizes: SIZES,
+        sizes: FleetSizes { control: setup.control, ..SIZES },
         application_work: setup.application_work,
         cuttable: setup.cuttable,
     });
