Control: a daemon whose writer thread has panicked ends with an error

Cause: the write in flight was waited for without end, and the daemon answered on without a replica that works. Change: the thread tells the replica when it ends, also by a panic; a daemon whose replica is gone ends too. Test: a disk that panics; the daemon hung before, ends with a typed error now.

--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -43,6 +43,9 @@
     /// The state can't be kept up.
     #[error(transparent)]
     Machine(#[from] MachineError),
+    /// The replica's actor is gone; it must have panicked.
+    #[error("the replica ended unexpectedly")]
+    Gone,
     /// The thread that writes is gone.
     #[error("the writer thread ended")]
     WriterGone,
@@ -369,6 +372,18 @@
     }
 }
 
+/// The thread that writes has ended.
+pub(super) struct WriterEnded;
+
+impl Message<WriterEnded> for ReplicaActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _ended: WriterEnded, context: &mut Context<Self, ()>) {
+        self.fail(ReplicaFailure::WriterGone);
+        context.stop();
+    }
+}
+
 /// A write failed.
 pub(super) struct WriteFailed(pub StorageError);
 
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -105,13 +105,10 @@
     }
 }
 
-/// Completes when the replica has ended by itself. A replica that is stopped
-/// tells nothing.
+/// Completes when the replica has ended by itself. A daemon whose replica is gone
+/// without a word must not go on answering either.
 async fn failed(failure: &mut oneshot::Receiver<ReplicaFailure>) -> ReplicaFailure {
-    match failure.await {
-        Ok(failure) => failure,
-        Err(_) => std::future::pending().await,
-    }
+    failure.await.unwrap_or(ReplicaFailure::Gone)
 }
 
 /// Runs a control daemon until `stop` completes.
--- a/crates/control/tests/daemons/main.rs
+++ b/crates/control/tests/daemons/main.rs
@@ -1,5 +1,6 @@
 //! Control daemons inside the test process, over their real sockets and disks.
 
+mod broken_disk;
 mod folders;
 mod group_claims;
 mod group_operator;
--- a/crates/control/tests/daemons/support/mod.rs
+++ b/crates/control/tests/daemons/support/mod.rs
@@ -54,7 +54,10 @@
         listeners: Listeners,
         stalled: &Arc<AtomicBool>,
     ) -> Self {
-        let disk = |folder| StallingDisk { folder, stalled: Arc::clone(stalled) };
+        let disk = |folder| {
+            let stalled = Arc::clone(stalled);
+            StallingDisk { folder, stalled, broken: Arc::default() }
+        };
         let daemon = ControlDaemon::start_on(settings, listeners, disk).unwrap();
         Self::serve(settings, daemon)
     }
--- a/crates/control/tests/daemons/support/stalling.rs
+++ b/crates/control/tests/daemons/support/stalling.rs
@@ -1,4 +1,4 @@
-//! A disk that hangs for as long as a test wants.
+//! A disk that hangs or breaks when a test wants it to.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -6,10 +6,11 @@
 
 use juniper_storage::{Disk, DiskError, Folder};
 
-/// A folder whose syncs don't return while the switch is on.
+/// A folder whose syncs don't return while one switch is on and panic while the other is.
 pub struct StallingDisk {
     pub folder: Folder,
     pub stalled: Arc<AtomicBool>,
+    pub broken: Arc<AtomicBool>,
 }
 
 impl Disk for StallingDisk {
@@ -17,6 +18,7 @@
         while self.stalled.load(Ordering::SeqCst) {
             std::thread::sleep(Duration::from_millis(10));
         }
+        assert!(!self.broken.load(Ordering::SeqCst), "the test breaks the disk");
         self.folder.sync(file)
     }
 
