Fleet tests: ports below those of outgoing connections

Cause: with three copies of the tests at once 5 of 6 copies failed, all while waiting for every replica to vote; in the log that was read a replica found its address in use, a free port of the ephemeral range that a connection had taken. Excluded: the elections; the other two replicas of that fleet had a leader. Change: ports from 10,000 to 30,000, apart for each test process.

--- a/tests/support/replicas.rs
+++ b/tests/support/replicas.rs
@@ -1,8 +1,9 @@
 //! Control replicas as processes, which tests kill, freeze and start again.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -12,6 +13,13 @@
 /// Longest wait for anything that should happen soon; a test never asserts how soon.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Ports that replicas get.
+const FIRST_PORT: u32 = 10_000;
+const PORTS: u32 = 20_000;
+
+/// Apart from the next test process by more ports than one takes.
+const PORTS_OF_A_PROCESS: u32 = 131;
+
 /// Longest wait for one answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -105,9 +113,19 @@
     folder: tempfile::TempDir,
 }
 
+/// An address that nobody listens on. Its port lies below those that the system
+/// gives to outgoing connections, one of which could take it before the replica
+/// does, or while the replica is down.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(PORTS_OF_A_PROCESS);
+    loop {
+        let offset = first.wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst)) % PORTS;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, (FIRST_PORT + offset) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn key_hash() -> String {
