--- a/crates/control/tests/daemons/main.rs
+++ b/crates/control/tests/daemons/main.rs
@@ -1,9 +1,11 @@
 //! Control daemons inside the test process, over their real sockets and disks.
 
+mod broken_disk;
 mod folders;
 mod group_claims;
 mod group_operator;
 mod horizon;
 mod one_replica;
 mod snapshots;
+mod stalled_disk;
 mod support;
