Routing: bounded queues; under overload, requests that find their prefix go first

Cause: engines were given queues up to the deadline, and a request whose holder was too late went to any engine with less than 1 s of queue and recomputed there. Change: an engine's queue plus twice the request's own computing is bounded by 2.5 s, and only engines with under 100 ms of queue take requests away from a late holder. Retry-After is the time until the queue has room.

--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -12,6 +12,7 @@
 pub mod policy;
 pub mod report;
 pub mod suite;
+pub mod tuning;
 pub mod workload;
 pub mod world;
 
@@ -25,6 +26,7 @@
 use crate::arguments::{ArgumentError, parsed};
 use report::Comparison;
 use suite::{ExperimentOptions, PolicyName};
+use tuning::CostChange;
 
 const HELP: &str = "\
 Usage: juniper-lab experiment --profile PROFILE [OPTIONS]
@@ -40,6 +42,7 @@
   --warm-up-ms N       time at the start that is not measured (default 15000)
   --restart-at-ms N    restart every router at this time
   --policy NAME        run only this policy; may be given more than once
+  --cost NAME=VALUE    set a constant of juniper's cost function, for tuning
   --format FORMAT      text or json (default text)
   --plots DIR          write SVG plots into the folder
   --help               print this help
@@ -121,6 +124,10 @@
                 let policy: PolicyName = parsed(parser, "--policy", "the name of a policy")?;
                 options.policies.push(policy);
             }
+            Arg::Long("cost") => {
+                let change: CostChange = parsed(parser, "--cost", "NAME=VALUE of a constant")?;
+                change.apply(&mut options.cost);
+            }
             Arg::Long("format") => format = parsed(parser, "--format", "text or json")?,
             Arg::Long("plots") => plots = Some(PathBuf::from(parser.value()?)),
             Arg::Long("help") | Arg::Short('h') => return Ok(None),
--- a/crates/lab/src/experiment/suite.rs
+++ b/crates/lab/src/experiment/suite.rs
@@ -32,6 +32,8 @@
     pub warm_up_ms: u64,
     /// When every router restarts, in milliseconds.
     pub restart_at_ms: Option<u64>,
+    /// Constants of juniper's cost function.
+    pub cost: CostModel,
     /// Policies to run; none means all.
     pub policies: Vec<PolicyName>,
 }
@@ -45,6 +47,7 @@
             duration_ms: 90_000,
             warm_up_ms: 15_000,
             restart_at_ms: None,
+            cost: CostModel::default(),
             policies: Vec::new(),
         }
     }
@@ -152,12 +155,11 @@
 }
 
 fn policy(setting: &Setting<'_>, name: PolicyName) -> Box<dyn Policy> {
-    let header = &setting.trace.header;
+    let Setting { options, trace, .. } = setting;
+    let header = &trace.header;
     let zones = engine_zones(header);
     match name {
-        PolicyName::Juniper => {
-            Box::new(Juniper::new(fleet_map(setting, &zones), CostModel::default()))
-        }
+        PolicyName::Juniper => Box::new(Juniper::new(fleet_map(setting, &zones), options.cost)),
         PolicyName::Baseline(baseline) => Box::new(BaselinePolicy::new(
             baseline,
             header.zones.len(),
--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -16,6 +16,12 @@
     /// Costs that differ by less count as equal. About the work that other
     /// routers send to one engine between two load reports.
     pub near_equal_us: f64,
+    /// Longest queue that an engine is given. A longer one doesn't raise the
+    /// throughput, but the cache is overwritten while requests wait in it.
+    pub max_queue_us: f64,
+    /// Part of a request's own computing that counts towards the longest queue:
+    /// as queues grow, requests that find their prefix are still taken.
+    pub room_factor: f64,
     /// Longest queue of an engine that takes requests whose cheapest engine is too late.
     pub calm_queue_us: f64,
     /// What one microsecond of recomputation costs beside one microsecond of
@@ -36,7 +42,9 @@
             import_block_us: 2_800.0,
             busy_start_us: 32_000.0,
             near_equal_us: 10_000.0,
-            calm_queue_us: 1_000_000.0,
+            max_queue_us: 2_500_000.0,
+            room_factor: 2.0,
+            calm_queue_us: 100_000.0,
             waste_factor: 1.0,
             congestion_factor: 1.0,
             pressure_factor: 1.0,
@@ -44,6 +52,16 @@
     }
 }
 
+impl CostModel {
+    /// How much of a queue has to drain until it has room for a request; not
+    /// above zero when it has.
+    pub(crate) fn excess_queue_us(&self, terms: &CostTerms) -> f64 {
+        let over_calm = terms.queue_us - self.calm_queue_us;
+        let over_room = terms.queue_us + self.room_factor * terms.compute_us - self.max_queue_us;
+        over_calm.min(over_room)
+    }
+}
+
 /// The parts of an expected cost, in microseconds and unweighted.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct CostTerms {
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -170,6 +170,8 @@
 /// What the first pass found.
 struct Survey {
     candidates: u32,
+    /// Leading blocks that any engine holds at most.
+    most_blocks: u32,
     /// The least cost of all, in time or not.
     cheapest: Option<Candidate>,
     /// Least cost among engines that meet the deadline.
@@ -268,15 +270,23 @@
     /// one with a queue that would have to compute more is no way out: it would
     /// only spread the overload, and cost the fleet the cached prefix as well.
     fn is_acceptable(&self, candidate: &Candidate, cheapest_is_late: bool) -> bool {
-        let is_calm = candidate.terms.queue_us <= self.table.model.calm_queue_us;
-        self.meets_deadline(&candidate.terms) && (is_calm || !cheapest_is_late)
+        let model = &self.table.model;
+        let is_calm = candidate.terms.queue_us <= model.calm_queue_us;
+        let has_room = model.excess_queue_us(&candidate.terms) <= 0.0;
+        has_room && self.meets_deadline(&candidate.terms) && (is_calm || !cheapest_is_late)
     }
 
     fn survey(&self) -> Survey {
-        let mut survey =
-            Survey { candidates: 0, cheapest: None, timely: Best::NONE, calm: Best::NONE };
+        let mut survey = Survey {
+            candidates: 0,
+            most_blocks: 0,
+            cheapest: None,
+            timely: Best::NONE,
+            calm: Best::NONE,
+        };
         self.for_each(|candidate| {
             survey.candidates += 1;
+            survey.most_blocks = survey.most_blocks.max(candidate.blocks);
             if survey.cheapest.is_none_or(|known| candidate.cost < known.cost) {
                 survey.cheapest = Some(candidate);
             }
@@ -320,7 +330,7 @@
 
     fn decision(&self, survey: &Survey, chosen: Candidate) -> Decision {
         let incarnation = self.table.incarnation(chosen.engine);
-        let most_blocks = survey.best().most_blocks;
+        let most_blocks = survey.most_blocks;
         let reason = match (incarnation, chosen.blocks) {
             (None, _) => Reason::Unreported,
             (_, 0) if most_blocks == 0 => Reason::NobodyHolds,
@@ -352,7 +362,7 @@
         Some(PrefixWait { dispatch, at_most })
     }
 
-    /// The queue has to drain by as much as the first token would be late.
+    /// The queue has to drain until it has room and the first token isn't late.
     fn refusal(&self, cheapest: &CostTerms) -> Refusal {
         let within_us = self.request.first_token_within.as_micros() as f64;
         let late_us = cheapest.first_token_us() - within_us;
@@ -361,7 +371,8 @@
         } else {
             RefusalCode::Overloaded
         };
-        let drained = Duration::from_micros(late_us.max(0.0) as u64);
+        let excess_us = self.table.model.excess_queue_us(cheapest);
+        let drained = Duration::from_micros(late_us.max(excess_us).max(0.0) as u64);
         Refusal { code, retry_after: drained.max(MIN_RETRY_AFTER) }
     }
 }
