Routing: decision in one pass over a compact list

At 1,500 engines a decision took 57 us (p50) when nobody held the prompt and 198 us when all engines held its start. Cause: two full cost evaluations for each engine with divisions and large copies, and a string comparison and hash lookup for each holder. Change: prices are multiplied out once for each request, estimates are compact, membership is a bit, positions an array, the second pass reads a list of scores.

--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -52,6 +52,10 @@
     }
 }
 
+/// Requests that come while a microsecond of queue drains: one for the work of
+/// a request, about 1,000 missed tokens or 0.27 s.
+pub(crate) const ARRIVALS_PER_US: f64 = 1.0 / 270_000.0;
+
 impl CostModel {
     /// How much of a queue has to drain until it has room for a request; not
     /// above zero when it has.
@@ -84,12 +88,6 @@
     pub fn first_token_us(&self) -> f64 {
         self.transfer_us + self.queue_us + self.compute_us + self.import_us
     }
-
-    /// The one number that is minimised.
-    pub(crate) fn weighted(&self, model: &CostModel, weights: CostWeights) -> f64 {
-        let waste = weights.waste * model.waste_factor * self.compute_us;
-        weights.latency * (self.first_token_us() + self.pressure_us + self.congestion_us) + waste
-    }
 }
 
 /// How much a service minds waiting and recomputation; 1.0 is neutral.
@@ -100,3 +98,75 @@
     /// Weight of recomputed tokens.
     pub waste: f64,
 }
+
+/// Why an engine may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Fit {
+    /// It may not.
+    Unfit,
+    /// It meets the deadline and has room.
+    Timely,
+    /// And its queue is short.
+    Calm,
+}
+
+/// One engine's score for a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Score {
+    /// The one number that is minimised.
+    pub(crate) cost: f64,
+    pub(crate) fit: Fit,
+}
+
+impl Score {
+    pub(crate) const UNFIT: Score = Score { cost: f64::INFINITY, fit: Fit::Unfit };
+}
+
+/// The cost of some work as a function of the engine: everything that doesn't
+/// depend on the engine is multiplied out, as a decision asks 1,500 times.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Price {
+    fixed: f64,
+    latency: f64,
+    by_queue: f64,
+    room_queue_us: f64,
+    timely_us: f64,
+    calm_queue_us: f64,
+}
+
+impl Price {
+    /// The price of computing and importing for so long, with the first token
+    /// due after `within_us`.
+    pub(crate) fn new(
+        model: &CostModel,
+        weights: CostWeights,
+        compute_us: f64,
+        import_us: f64,
+        within_us: f64,
+    ) -> Self {
+        let own_us = compute_us + import_us;
+        let waste = weights.waste * model.waste_factor * compute_us;
+        let congestion = model.congestion_factor * compute_us * ARRIVALS_PER_US;
+        let room_queue_us = model.max_queue_us - model.room_factor * compute_us;
+        Price {
+            fixed: weights.latency * own_us + waste,
+            latency: weights.latency,
+            by_queue: weights.latency * (1.0 + congestion),
+            room_queue_us: room_queue_us.max(model.calm_queue_us),
+            timely_us: within_us - own_us,
+            calm_queue_us: model.calm_queue_us,
+        }
+    }
+
+    pub(crate) fn score(&self, queue_us: f64, transfer_us: f64, pressure_us: f64) -> Score {
+        let cost =
+            self.fixed + self.latency * (transfer_us + pressure_us) + self.by_queue * queue_us;
+        let is_timely = queue_us <= self.room_queue_us && queue_us + transfer_us <= self.timely_us;
+        let fit = match (is_timely, queue_us <= self.calm_queue_us) {
+            (false, _) => Fit::Unfit,
+            (true, false) => Fit::Timely,
+            (true, true) => Fit::Calm,
+        };
+        Score { cost, fit }
+    }
+}
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -8,6 +8,7 @@
 
 use crate::cost::CostModel;
 use crate::drain::{LeavingSource, LeavingSources};
+use crate::estimate::WorkRate;
 use crate::request::{DispatchId, DispatchedWork, ServingKey};
 
 /// An engine of the settings in force.
@@ -139,6 +140,8 @@
     adapters: Vec<AdapterName>,
     reported: Option<ReportedLoad>,
     dispatches: Vec<Dispatch>,
+    /// Own work sent lately.
+    pub(crate) rate: WorkRate,
 }
 
 impl Engine {
@@ -153,6 +156,7 @@
             adapters: Vec::new(),
             reported: None,
             dispatches: Vec::new(),
+            rate: WorkRate::default(),
         }
     }
 
@@ -174,14 +178,6 @@
         })
     }
 
-    pub(crate) fn serves(&self, key: &ServingKey) -> bool {
-        let has_model = self
-            .model
-            .as_ref()
-            .is_some_and(|(model, weights)| *weights == key.weights && *model == key.model);
-        has_model && key.adapter.as_ref().is_none_or(|adapter| self.adapters.contains(adapter))
-    }
-
     /// Whether a report changes what the engine may be used for.
     pub(crate) fn changes_service(&self, load: &EngineLoad) -> bool {
         let known = self.model.as_ref().map(|(model, weights)| (model, *weights));
--- /dev/null
+++ b/crates/routing/src/estimate.rs
@@ -0,0 +1,129 @@
+//! What a decision reads of each engine, kept small so that 1,500 of them are
+//! scanned within microseconds.
+
+use juniper_types::{EngineId, Incarnation, Timestamp};
+
+use crate::cost::{ARRIVALS_PER_US, CostModel, CostTerms, Price, Score};
+
+/// Time over which the rate of work of an engine is averaged, in microseconds.
+const RATE_WINDOW_US: f64 = 1_000_000.0;
+
+/// Utilisation above which the expected queue is no longer extrapolated.
+const MAX_UTILISATION: f64 = 0.95;
+
+/// The expected queue of one engine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Estimate {
+    pub(crate) engine: EngineId,
+    /// Life that the estimate is of.
+    pub(crate) incarnation: Option<Incarnation>,
+    /// When the own work there will be computed.
+    own_until: Timestamp,
+    /// Work of other routers and waits for the batch, in microseconds.
+    others_us: f64,
+    /// Time until the engine starts on new work.
+    start_us: f64,
+    /// Both together.
+    fixed_queue_us: f64,
+    transfer_us: f64,
+    pressure_us: f64,
+}
+
+impl Estimate {
+    pub(crate) fn new(engine: EngineId, transfer_us: f64) -> Self {
+        Estimate {
+            engine,
+            incarnation: None,
+            own_until: Timestamp::ZERO,
+            others_us: 0.0,
+            start_us: 0.0,
+            fixed_queue_us: 0.0,
+            transfer_us,
+            pressure_us: 0.0,
+        }
+    }
+
+    /// The estimate of an engine about which nothing is known.
+    pub(crate) fn reset(&mut self) {
+        *self = Estimate::new(self.engine, self.transfer_us);
+    }
+
+    pub(crate) fn set_transfer(&mut self, transfer_us: f64) {
+        self.transfer_us = transfer_us;
+    }
+
+    pub(crate) fn set_others(&mut self, others_us: f64) {
+        self.others_us = others_us;
+        self.fixed_queue_us = self.others_us + self.start_us;
+    }
+
+    pub(crate) fn set_busy(&mut self, busy: bool, model: &CostModel) {
+        self.start_us = if busy { model.busy_start_us } else { 0.0 };
+        self.fixed_queue_us = self.others_us + self.start_us;
+    }
+
+    /// Expected growth of the queue at this rate of work (as in a queue with
+    /// one server), which grows before the queue does.
+    pub(crate) fn set_rate(&mut self, rate: &WorkRate, model: &CostModel, now: Timestamp) {
+        let utilisation = rate.at(now).min(MAX_UTILISATION);
+        let growth = utilisation / (1.0 - utilisation);
+        self.pressure_us = model.pressure_factor * model.busy_start_us * growth;
+    }
+
+    /// Adds own work to the end of the queue.
+    pub(crate) fn add_work(&mut self, work_us: f64, now: Timestamp) {
+        self.own_until = Timestamp(self.own_until.max(now).0 + work_us as u64);
+    }
+
+    /// Own work of `left_us` is all that is left from `now` on.
+    pub(crate) fn restart_work(&mut self, left_us: f64, now: Timestamp) {
+        self.own_until = Timestamp(now.0 + left_us as u64);
+    }
+
+    pub(crate) fn queue_us(&self, now: Timestamp) -> f64 {
+        let own = self.own_until.0.saturating_sub(now.0) as f64;
+        own + self.fixed_queue_us
+    }
+
+    /// The score of work with this price here.
+    pub(crate) fn score(&self, price: &Price, now: Timestamp) -> Score {
+        price.score(self.queue_us(now), self.transfer_us, self.pressure_us)
+    }
+
+    /// The parts of the cost of a request that needs `compute_us` and `import_us` here.
+    pub(crate) fn terms(
+        &self,
+        model: &CostModel,
+        compute_us: f64,
+        import_us: f64,
+        now: Timestamp,
+    ) -> CostTerms {
+        let queue_us = self.queue_us(now);
+        CostTerms {
+            transfer_us: self.transfer_us,
+            queue_us,
+            compute_us,
+            import_us,
+            congestion_us: model.congestion_factor * compute_us * queue_us * ARRIVALS_PER_US,
+            pressure_us: self.pressure_us,
+        }
+    }
+}
+
+/// Own work sent to one engine lately, in microseconds for each microsecond.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WorkRate {
+    rate: f64,
+    as_of: Timestamp,
+}
+
+impl WorkRate {
+    pub(crate) fn at(&self, now: Timestamp) -> f64 {
+        let elapsed = now.0.saturating_sub(self.as_of.0) as f64;
+        self.rate / (1.0 + elapsed / RATE_WINDOW_US)
+    }
+
+    pub(crate) fn add(&mut self, work_us: f64, now: Timestamp) {
+        *self = WorkRate { rate: self.at(now) + work_us / RATE_WINDOW_US, as_of: now };
+    }
+}
--- /dev/null
+++ b/crates/routing/src/groups.rs
@@ -0,0 +1,87 @@
+//! Which engines may take new work, by what they serve.
+
+use std::collections::HashMap;
+
+use crate::engine::Engine;
+use crate::request::ServingKey;
+
+/// Position of an engine in the table.
+pub(crate) type Position = u32;
+
+const WORD_BITS: usize = u64::BITS as usize;
+
+/// Some engines of a table.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Group {
+    positions: Vec<Position>,
+    /// One bit for each position, for fast membership.
+    members: Vec<u64>,
+}
+
+impl Group {
+    pub(crate) fn positions(&self) -> &[Position] {
+        &self.positions
+    }
+
+    pub(crate) fn contains(&self, position: Position) -> bool {
+        let word = self.members.get(position as usize / WORD_BITS).copied().unwrap_or(0);
+        word >> (position as usize % WORD_BITS) & 1 == 1
+    }
+
+    fn insert(&mut self, position: Position) {
+        let word = position as usize / WORD_BITS;
+        if word >= self.members.len() {
+            self.members.resize(word + 1, 0);
+        }
+        self.members[word] |= 1 << (position as usize % WORD_BITS);
+        self.positions.push(position);
+    }
+
+    fn remove(&mut self, position: Position) {
+        if let Some(word) = self.members.get_mut(position as usize / WORD_BITS) {
+            *word &= !(1 << (position as usize % WORD_BITS));
+        }
+        self.positions.retain(|member| *member != position);
+    }
+}
+
+/// The groups of a table.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Groups {
+    by_key: HashMap<ServingKey, Group>,
+    /// Usable engines that have not reported what they serve.
+    unknown: Group,
+}
+
+impl Groups {
+    /// Engines that serve `key`, or else those that may: after a restart a
+    /// router serves before the first reports have come.
+    pub(crate) fn get(&self, key: &ServingKey) -> &Group {
+        let known = self.by_key.get(key).filter(|group| !group.positions.is_empty());
+        known.unwrap_or(&self.unknown)
+    }
+
+    pub(crate) fn leave(&mut self, position: Position, engine: &Engine) {
+        for key in engine.serving() {
+            if let Some(group) = self.by_key.get_mut(&key) {
+                group.remove(position);
+                if group.positions.is_empty() {
+                    self.by_key.remove(&key);
+                }
+            }
+        }
+        self.unknown.remove(position);
+    }
+
+    pub(crate) fn join(&mut self, position: Position, engine: &Engine) {
+        if !engine.is_usable() {
+            return;
+        }
+        if !engine.is_known() {
+            self.unknown.insert(position);
+        }
+        for key in engine.serving() {
+            self.by_key.entry(key).or_default().insert(position);
+        }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,8 +10,12 @@
 mod decide;
 pub mod drain;
 mod engine;
+mod estimate;
+mod groups;
+mod positions;
 mod request;
 pub mod retry;
+mod search;
 mod table;
 
 pub use cost::{CostModel, CostTerms, CostWeights};
