--- a/crates/control/src/internal/mod.rs
+++ b/crates/control/src/internal/mod.rs
@@ -4,23 +4,23 @@
 mod session;
 mod subscriber;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_protocol::{ClusterKey, PeerIdentity, accept};
+use juniper_protocol::{ClusterKey, Connection, PeerIdentity, PeerRole, accept};
 use juniper_settings::node_file::ControlLimits;
-use kameo::actor::ActorRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
 use crate::metrics::Metrics;
-use crate::replica::{ReplicaActor, ReplicaView};
+use crate::replica::{ReplicaHandle, ReplicaView};
 use crate::reports::NodeReports;
 
 /// Pause after the listener failed, for example for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Snapshots sent to subscribers at once; each may be megabytes.
+/// Snapshots on their way to subscribers at once; each may be megabytes.
 const MAX_SNAPSHOTS_AT_ONCE: usize = 8;
 
 /// What every session needs.
@@ -30,14 +30,14 @@
     /// Secret shared by the daemons.
     pub key: ClusterKey,
     /// The replica.
-    pub replica: ActorRef<ReplicaActor>,
+    pub replica: ReplicaHandle,
     /// What subscribers see.
     pub view: ReplicaView,
     /// What nodes have in force.
     pub reports: Arc<NodeReports>,
     /// Counters.
     pub metrics: Arc<Metrics>,
-    snapshots: Semaphore,
+    snapshots: Arc<Semaphore>,
     connections: Arc<Semaphore>,
     handshakes: Arc<Semaphore>,
 }
@@ -47,7 +47,7 @@
     pub fn new(
         own: PeerIdentity,
         key: ClusterKey,
-        replica: ActorRef<ReplicaActor>,
+        replica: ReplicaHandle,
         view: ReplicaView,
         shared: (Arc<NodeReports>, Arc<Metrics>),
         limits: &ControlLimits,
@@ -60,22 +60,19 @@
             view,
             reports,
             metrics,
-            snapshots: Semaphore::new(MAX_SNAPSHOTS_AT_ONCE),
+            snapshots: Arc::new(Semaphore::new(MAX_SNAPSHOTS_AT_ONCE)),
             connections: Arc::new(Semaphore::new(limits.max_connections)),
             handshakes: Arc::new(Semaphore::new(limits.max_handshakes)),
         }
     }
 
-    /// Accepts connections for ever. Beyond the limits they wait in the listen
-    /// queue, so a herd of restarting routers costs no memory here.
+    /// Accepts connections for ever. Beyond the limit on handshakes they wait in
+    /// the listen queue, so a herd of restarting routers costs no memory here.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         loop {
             let Ok(handshake) = Arc::clone(&self.handshakes).acquire_owned().await else {
                 return;
             };
-            let Ok(connection) = Arc::clone(&self.connections).acquire_owned().await else {
-                return;
-            };
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(error) => {
@@ -85,10 +82,7 @@
                 }
             };
             let face = Arc::clone(&self);
-            tokio::spawn(async move {
-                face.serve_stream(stream, handshake).await;
-                drop(connection);
-            });
+            tokio::spawn(face.serve_stream(stream, handshake));
         }
     }
 
@@ -103,11 +97,25 @@
         let connection = accept(stream, &self.key, &self.own).await;
         drop(handshake);
         match connection {
-            Ok(connection) => session::run(self, connection, address).await,
+            Ok(connection) => self.serve_peer(connection, address).await,
             Err(error) => {
                 self.metrics.handshakes_failed.inc();
                 log::warn!("event=handshake_failed peer={address} reason=\"{error}\"");
             }
         }
     }
+
+    /// Only routers count towards the limit on connections: however many there
+    /// are, the replicas must reach each other.
+    async fn serve_peer(self: Arc<Self>, connection: Connection, address: SocketAddr) {
+        let is_replica = connection.peer.role == PeerRole::Control;
+        let permit = Arc::clone(&self.connections).try_acquire_owned();
+        if permit.is_err() && !is_replica {
+            self.metrics.connections_refused.inc();
+            log::warn!("event=too_many_connections peer={}", connection.peer.node);
+            return;
+        }
+        session::run(self, connection, address).await;
+        drop(permit);
+    }
 }
--- a/crates/control/src/internal/subscriber.rs
+++ b/crates/control/src/internal/subscriber.rs
@@ -7,11 +7,12 @@
 use juniper_protocol::{Message, Push, Refusal, Reply};
 use juniper_types::Revision;
 use rand::RngExt;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::InternalFace;
 use super::session::{Outgoing, OutgoingSender, Peer, send_reply};
-use crate::replica::SnapshotFrame;
+use crate::published::PushFrame;
 
 /// Pace of [`Push::Alive`].
 const ALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -32,27 +33,28 @@
     from: Revision,
 ) {
     let committed = face.view.published.borrow().revision;
-    if needs_snapshot(&face, from) && face.snapshots.available_permits() == 0 {
+    let permit = Arc::clone(&face.snapshots).try_acquire_owned().ok();
+    let needs_snapshot = face.view.published.borrow().after(from).is_none();
+    if needs_snapshot && permit.is_none() {
         let retry_after_ms = rand::rng().random_range(RETRY_RANGE_MS);
         face.metrics.subscriptions_refused.inc();
-        return send_reply(&sender, call, Reply::Refused(Refusal::Overloaded { retry_after_ms }))
-            .await;
+        let refusal = Refusal::Overloaded { retry_after_ms };
+        return send_reply(&sender, call, Reply::Refused(refusal)).await;
     }
     send_reply(&sender, call, Reply::Subscribed { committed }).await;
     face.reports.report(&peer.identity, peer.address, from);
-    let subscriber = Subscriber { face, sender, sent: from };
+    let permit = permit.filter(|_| needs_snapshot);
+    let subscriber = Subscriber { face, sender, sent: from, permit };
     let Err(Ended) = subscriber.push_for_ever().await;
 }
 
-fn needs_snapshot(face: &InternalFace, from: Revision) -> bool {
-    face.view.published.borrow().after(from).is_none()
-}
-
 struct Subscriber {
     face: Arc<InternalFace>,
     sender: OutgoingSender,
     /// The revision that the node has once it has read everything sent.
     sent: Revision,
+    /// Permit for the first snapshot, taken before the subscription was granted.
+    permit: Option<OwnedSemaphorePermit>,
 }
 
 impl Subscriber {
@@ -71,23 +73,28 @@
 
     async fn push_changes(&mut self) -> Result<(), Ended> {
         let changes = self.face.view.published.borrow().after(self.sent);
-        let frames = match changes {
-            Some(frames) => frames,
-            None => vec![self.snapshot().await?],
-        };
+        let Some(frames) = changes else { return self.push_snapshot().await };
         for frame in frames {
-            self.sent = frame.revision;
-            self.face.metrics.pushed_bytes.inc_by(frame.payload.len() as u64);
-            self.send(Outgoing::Shared(frame)).await?;
+            self.note(&frame);
+            self.send(Outgoing::delta(frame)).await?;
         }
         Ok(())
     }
 
-    /// The permit bounds how many snapshots are being encoded and queued at once.
-    async fn snapshot(&self) -> Result<Arc<crate::published::PushFrame>, Ended> {
-        let _permit = self.face.snapshots.acquire().await.map_err(|_| Ended)?;
+    fn note(&mut self, frame: &PushFrame) {
+        self.sent = frame.revision;
+        self.face.metrics.pushed_bytes.inc_by(frame.payload.len() as u64);
+    }
+
+    /// Sends the whole tree, unless too many are on their way; then the next sign
+    /// of life tries again. Waiting here would silence the signs of life.
+    async fn push_snapshot(&mut self) -> Result<(), Ended> {
+        let free = || Arc::clone(&self.face.snapshots).try_acquire_owned().ok();
+        let Some(permit) = self.permit.take().or_else(free) else { return Ok(()) };
+        let frame = self.face.replica.snapshot_frame().await.ok_or(Ended)?;
         self.face.metrics.snapshots_pushed.inc();
-        self.face.replica.ask(SnapshotFrame).await.map_err(|_| Ended)
+        self.note(&frame);
+        self.send(Outgoing::snapshot(frame, permit)).await
     }
 
     async fn push_alive(&self) -> Result<(), Ended> {
--- /dev/null
+++ b/crates/control/tests/daemons/main.rs
@@ -0,0 +1,9 @@
+//! Control daemons inside the test process, over their real sockets and disks.
+
+mod folders;
+mod group_claims;
+mod group_operator;
+mod horizon;
+mod one_replica;
+mod snapshots;
+mod support;
