--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -99,39 +99,63 @@
     pub waste: f64,
 }
 
-/// Why an engine may be chosen.
+/// Whether an engine may be chosen; a greater fit includes the lesser ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Fit {
+pub(crate) struct Fit(u8);
+
+impl Fit {
     /// It may not.
-    Unfit,
+    pub(crate) const UNFIT: Fit = Fit(0);
     /// It meets the deadline and has room.
-    Timely,
+    pub(crate) const TIMELY: Fit = Fit(1);
     /// And its queue is short.
-    Calm,
+    pub(crate) const CALM: Fit = Fit(2);
 }
 
 /// One engine's score for a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Score {
     /// The one number that is minimised.
-    pub(crate) cost: f64,
+    pub(crate) cost: f32,
     pub(crate) fit: Fit,
 }
 
 impl Score {
-    pub(crate) const UNFIT: Score = Score { cost: f64::INFINITY, fit: Fit::Unfit };
+    pub(crate) const UNFIT: Score = Score { cost: f32::INFINITY, fit: Fit::UNFIT };
+}
+
+/// Independent minima in [`least`], so that none waits for the one before.
+const LANES: usize = 8;
+
+fn lesser(one: f32, other: f32) -> f32 {
+    // Costs are never NaN; `f32::min` would take care of it, at twice the time.
+    if one < other { one } else { other }
+}
+
+/// The least cost of the scores with at least `fit`.
+pub(crate) fn least(scores: &[Score], fit: Fit) -> f32 {
+    let cost_if = |score: &Score| if score.fit >= fit { score.cost } else { f32::INFINITY };
+    let mut lanes = [f32::INFINITY; LANES];
+    let mut chunks = scores.chunks_exact(LANES);
+    for chunk in &mut chunks {
+        for (lane, score) in lanes.iter_mut().zip(chunk) {
+            *lane = lesser(*lane, cost_if(score));
+        }
+    }
+    let rest = chunks.remainder().iter().map(cost_if);
+    lanes.into_iter().chain(rest).fold(f32::INFINITY, lesser)
 }
 
 /// The cost of some work as a function of the engine: everything that doesn't
 /// depend on the engine is multiplied out, as a decision asks 1,500 times.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Price {
-    fixed: f64,
-    latency: f64,
-    by_queue: f64,
-    room_queue_us: f64,
-    timely_us: f64,
-    calm_queue_us: f64,
+    fixed: f32,
+    latency: f32,
+    by_queue: f32,
+    room_queue_us: f32,
+    timely_us: f32,
+    calm_queue_us: f32,
 }
 
 impl Price {
@@ -149,24 +173,22 @@
         let congestion = model.congestion_factor * compute_us * ARRIVALS_PER_US;
         let room_queue_us = model.max_queue_us - model.room_factor * compute_us;
         Price {
-            fixed: weights.latency * own_us + waste,
-            latency: weights.latency,
-            by_queue: weights.latency * (1.0 + congestion),
-            room_queue_us: room_queue_us.max(model.calm_queue_us),
-            timely_us: within_us - own_us,
-            calm_queue_us: model.calm_queue_us,
+            fixed: (weights.latency * own_us + waste) as f32,
+            latency: weights.latency as f32,
+            by_queue: (weights.latency * (1.0 + congestion)) as f32,
+            room_queue_us: room_queue_us.max(model.calm_queue_us) as f32,
+            timely_us: (within_us - own_us) as f32,
+            calm_queue_us: model.calm_queue_us as f32,
         }
     }
 
-    pub(crate) fn score(&self, queue_us: f64, transfer_us: f64, pressure_us: f64) -> Score {
+    pub(crate) fn score(&self, queue_us: f32, transfer_us: f32, pressure_us: f32) -> Score {
         let cost =
             self.fixed + self.latency * (transfer_us + pressure_us) + self.by_queue * queue_us;
-        let is_timely = queue_us <= self.room_queue_us && queue_us + transfer_us <= self.timely_us;
-        let fit = match (is_timely, queue_us <= self.calm_queue_us) {
-            (false, _) => Fit::Unfit,
-            (true, false) => Fit::Timely,
-            (true, true) => Fit::Calm,
-        };
-        Score { cost, fit }
+        // Without branches: which engines fit is as good as random.
+        let has_room = queue_us <= self.room_queue_us;
+        let is_timely = has_room & (queue_us + transfer_us <= self.timely_us);
+        let is_calm = is_timely & (queue_us <= self.calm_queue_us);
+        Score { cost, fit: Fit(u8::from(is_timely) + u8::from(is_calm)) }
     }
 }
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -1,7 +1,7 @@
 //! What a decision reads of each engine, kept small so that 1,500 of them are
 //! scanned within microseconds.
 
-use juniper_types::{EngineId, Incarnation, Timestamp};
+use juniper_types::{EngineId, Timestamp};
 
 use crate::cost::{ARRIVALS_PER_US, CostModel, CostTerms, Price, Score};
 
@@ -11,55 +11,44 @@
 /// Utilisation above which the expected queue is no longer extrapolated.
 const MAX_UTILISATION: f64 = 0.95;
 
-/// The expected queue of one engine.
+/// The expected queue of one engine: 24 bytes, as a scan of many waits for memory
+/// rather than for arithmetic. Single precision tells microseconds apart up to
+/// 16 s.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Estimate {
-    pub(crate) engine: EngineId,
-    /// Life that the estimate is of.
-    pub(crate) incarnation: Option<Incarnation>,
     /// When the own work there will be computed.
     own_until: Timestamp,
-    /// Work of other routers and waits for the batch, in microseconds.
-    others_us: f64,
-    /// Time until the engine starts on new work.
-    start_us: f64,
-    /// Both together.
-    fixed_queue_us: f64,
-    transfer_us: f64,
-    pressure_us: f64,
+    /// What is before a request beside the own work, in microseconds.
+    fixed_queue_us: f32,
+    transfer_us: f32,
+    pressure_us: f32,
+    pub(crate) engine: EngineId,
 }
 
 impl Estimate {
     pub(crate) fn new(engine: EngineId, transfer_us: f64) -> Self {
         Estimate {
-            engine,
-            incarnation: None,
             own_until: Timestamp::ZERO,
-            others_us: 0.0,
-            start_us: 0.0,
             fixed_queue_us: 0.0,
-            transfer_us,
+            transfer_us: transfer_us as f32,
             pressure_us: 0.0,
+            engine,
         }
     }
 
     /// The estimate of an engine about which nothing is known.
     pub(crate) fn reset(&mut self) {
-        *self = Estimate::new(self.engine, self.transfer_us);
+        *self = Estimate::new(self.engine, f64::from(self.transfer_us));
     }
 
     pub(crate) fn set_transfer(&mut self, transfer_us: f64) {
-        self.transfer_us = transfer_us;
-    }
-
-    pub(crate) fn set_others(&mut self, others_us: f64) {
-        self.others_us = others_us;
-        self.fixed_queue_us = self.others_us + self.start_us;
+        self.transfer_us = transfer_us as f32;
     }
 
-    pub(crate) fn set_busy(&mut self, busy: bool, model: &CostModel) {
-        self.start_us = if busy { model.busy_start_us } else { 0.0 };
-        self.fixed_queue_us = self.others_us + self.start_us;
+    /// Work of other routers, and half an iteration if anything runs.
+    pub(crate) fn set_queue(&mut self, others_us: f64, busy: bool, model: &CostModel) {
+        let start_us = if busy { model.busy_start_us } else { 0.0 };
+        self.fixed_queue_us = (others_us + start_us) as f32;
     }
 
     /// Expected growth of the queue at this rate of work (as in a queue with
@@ -67,7 +56,7 @@
     pub(crate) fn set_rate(&mut self, rate: &WorkRate, model: &CostModel, now: Timestamp) {
         let utilisation = rate.at(now).min(MAX_UTILISATION);
         let growth = utilisation / (1.0 - utilisation);
-        self.pressure_us = model.pressure_factor * model.busy_start_us * growth;
+        self.pressure_us = (model.pressure_factor * model.busy_start_us * growth) as f32;
     }
 
     /// Adds own work to the end of the queue.
@@ -80,9 +69,10 @@
         self.own_until = Timestamp(now.0 + left_us as u64);
     }
 
-    pub(crate) fn queue_us(&self, now: Timestamp) -> f64 {
-        let own = self.own_until.0.saturating_sub(now.0) as f64;
-        own + self.fixed_queue_us
+    pub(crate) fn queue_us(&self, now: Timestamp) -> f32 {
+        // Signed numbers turn into floating point in one instruction.
+        let own = (self.own_until.0 as i64 - now.0 as i64).max(0);
+        own as f32 + self.fixed_queue_us
     }
 
     /// The score of work with this price here.
@@ -98,14 +88,14 @@
         import_us: f64,
         now: Timestamp,
     ) -> CostTerms {
-        let queue_us = self.queue_us(now);
+        let queue_us = f64::from(self.queue_us(now));
         CostTerms {
-            transfer_us: self.transfer_us,
+            transfer_us: f64::from(self.transfer_us),
             queue_us,
             compute_us,
             import_us,
             congestion_us: model.congestion_factor * compute_us * queue_us * ARRIVALS_PER_US,
-            pressure_us: self.pressure_us,
+            pressure_us: f64::from(self.pressure_us),
         }
     }
 }
--- a/crates/routing/src/search.rs
+++ b/crates/routing/src/search.rs
@@ -9,7 +9,7 @@
 use juniper_prefix_index::{Holder, rendezvous};
 use juniper_types::Timestamp;
 
-use crate::cost::{CostModel, CostTerms, Fit, Price, Score};
+use crate::cost::{CostModel, CostTerms, Fit, Price, Score, least};
 use crate::decide::{Decision, PrefixWait, Reason, Refusal, RefusalCode};
 use crate::estimate::Estimate;
 use crate::groups::Group;
@@ -25,64 +25,39 @@
 /// Time that a wait may take beyond twice the expected queue.
 const WAIT_SLACK: Duration = Duration::from_millis(500);
 
-/// The best of some candidates.
-#[derive(Clone, Copy)]
-struct Best {
-    least_cost: f64,
-    most_blocks: u32,
-}
-
-impl Best {
-    const NONE: Best = Best { least_cost: f64::INFINITY, most_blocks: 0 };
-
-    fn note(&mut self, cost: f64, blocks: u32) {
-        self.least_cost = self.least_cost.min(cost);
-        self.most_blocks = self.most_blocks.max(blocks);
-    }
-}
-
 /// What the first pass found.
 pub(crate) struct Survey {
     /// Scores of the holders and then of the group, in their order.
     scores: Vec<Score>,
     /// Leading blocks that any engine holds at most.
     most_blocks: u32,
-    /// The least cost of all, in time or not, and its place.
-    least_cost: f64,
-    cheapest: Option<usize>,
-    /// Best of those that meet the deadline.
-    timely: Best,
-    /// Best of those of them that have short queues.
-    calm: Best,
+    /// The least cost of all, in time or not.
+    least_cost: f32,
+    /// The fit that is asked for.
+    wanted: Fit,
+    /// The least cost with it.
+    least_wanted: f32,
 }
 
 impl Survey {
-    /// Adds the score of something that holds `blocks` blocks.
-    #[inline]
-    fn add(&mut self, score: Score, blocks: u32) {
-        if score.cost < self.least_cost {
-            self.least_cost = score.cost;
-            self.cheapest = Some(self.scores.len());
-        }
-        if score.fit >= Fit::Timely {
-            self.timely.note(score.cost, blocks);
-        }
-        if score.fit == Fit::Calm {
-            self.calm.note(score.cost, blocks);
-        }
-        self.scores.push(score);
+    /// When the cheapest engine is too late or full, one with a queue that would
+    /// have to compute more is no way out: it would only spread the overload, and
+    /// cost the fleet the cached prefix as well.
+    fn new(scores: Vec<Score>, most_blocks: u32) -> Self {
+        let least_cost = least(&scores, Fit::UNFIT);
+        let timely = least(&scores, Fit::TIMELY);
+        let (wanted, least_wanted) = if least_cost < timely {
+            (Fit::CALM, least(&scores, Fit::CALM))
+        } else {
+            (Fit::TIMELY, timely)
+        };
+        Survey { scores, most_blocks, least_cost, wanted, least_wanted }
     }
 
-    /// The fit that is asked for, and the best with it. When the cheapest engine
-    /// is too late or full, one with a queue that would have to compute more is
-    /// no way out: it would only spread the overload, and cost the fleet the
-    /// cached prefix as well.
-    fn wanted(&self) -> (Fit, Best) {
-        if self.least_cost < self.timely.least_cost {
-            (Fit::Calm, self.calm)
-        } else {
-            (Fit::Timely, self.timely)
-        }
+    /// Place of the least cost of all, unless there is no candidate.
+    fn cheapest(&self) -> Option<usize> {
+        let place = self.scores.iter().position(|score| score.cost <= self.least_cost);
+        place.filter(|_| self.least_cost.is_finite())
     }
 }
 
@@ -123,53 +98,51 @@
     /// Scores every candidate. Holders come twice, the second time as if they
     /// held nothing, which never is the better score.
     pub(crate) fn survey(&self) -> Survey {
-        let mut survey = Survey {
-            scores: Vec::with_capacity(self.holders.len() + self.group.positions().len()),
-            most_blocks: 0,
-            least_cost: f64::INFINITY,
-            cheapest: None,
-            timely: Best::NONE,
-            calm: Best::NONE,
-        };
+        let members = self.group.positions();
+        let mut scores = Vec::with_capacity(self.holders.len() + members.len());
+        let mut most_blocks = 0;
         let mut priced = 0;
         let mut price = self.price(self.work(priced));
         for holder in self.holders {
+            let Some(estimate) = self.holder_estimate(holder) else {
+                scores.push(Score::UNFIT);
+                continue;
+            };
             // Many engines hold the same outer prefix and no more.
             if holder.blocks != priced {
                 priced = holder.blocks;
                 price = self.price(self.work(priced));
             }
-            match self.holder_estimate(holder).filter(|estimate| self.is_allowed(estimate)) {
-                Some(estimate) => {
-                    survey.most_blocks = survey.most_blocks.max(holder.blocks);
-                    survey.add(estimate.score(&price, self.now), holder.blocks);
-                }
-                None => survey.scores.push(Score::UNFIT),
-            }
+            most_blocks = most_blocks.max(holder.blocks);
+            scores.push(estimate.score(&price, self.now));
         }
         let price = self.price(self.work(0));
-        for position in self.group.positions() {
-            let estimate = &self.table.estimates[*position as usize];
-            if self.is_allowed(estimate) {
-                survey.add(estimate.score(&price, self.now), 0);
-            } else {
-                survey.scores.push(Score::UNFIT);
+        let estimates = &self.table.estimates;
+        scores
+            .extend(members.iter().map(|place| estimates[*place as usize].score(&price, self.now)));
+        self.exclude(&mut scores);
+        Survey::new(scores, most_blocks)
+    }
+
+    fn exclude(&self, scores: &mut [Score]) {
+        if self.request.excluded.is_empty() {
+            return;
+        }
+        for (place, score) in scores.iter_mut().enumerate() {
+            let engine = self.estimate(place).map(|estimate| estimate.engine);
+            if engine.is_some_and(|engine| self.request.excluded.contains(&engine)) {
+                *score = Score::UNFIT;
             }
         }
-        survey
     }
 
     /// The estimate of a holder that may take new work of the key. What another
     /// life of the engine held doesn't count.
     fn holder_estimate(&self, holder: &Holder) -> Option<&'a Estimate> {
         let position = self.table.position(holder.engine)?;
-        let estimate = &self.table.estimates[position as usize];
-        let counts = estimate.incarnation == Some(holder.incarnation);
-        (counts && self.group.contains(position)).then_some(estimate)
-    }
-
-    fn is_allowed(&self, estimate: &Estimate) -> bool {
-        !self.request.excluded.contains(&estimate.engine)
+        let counts = self.table.lives[position as usize] == Some(holder.incarnation);
+        let usable = counts && self.group.contains(position);
+        usable.then(|| &self.table.estimates[position as usize])
     }
 
     /// What is left to do where `blocks` blocks are cached.
@@ -193,21 +166,21 @@
         survey: &Survey,
         random: u64,
     ) -> Option<Result<Decision, Refusal>> {
-        let cheapest = survey.cheapest?;
         let Some(chosen) = self.pick(survey, random) else {
-            return self.candidate(cheapest).map(|cheapest| Err(self.refusal(&cheapest.terms)));
+            let cheapest = self.candidate(survey.cheapest()?)?;
+            return Some(Err(self.refusal(&cheapest.terms)));
         };
         self.candidate(chosen).map(|chosen| Ok(self.decision(survey, &chosen)))
     }
 
     /// Place of the best-ranked candidate among those near the least cost.
     fn pick(&self, survey: &Survey, random: u64) -> Option<usize> {
-        let (fit, best) = survey.wanted();
-        let bound = best.least_cost + self.table.model.near_equal_us;
-        let key = self.spread_key(best, random);
+        let bound = survey.least_wanted + self.table.model.near_equal_us as f32;
+        let near = |score: &Score| score.cost <= bound && score.fit >= survey.wanted;
+        let key = self.spread_key(survey, near, random);
         let mut first: Option<(u64, usize)> = None;
         for (place, score) in survey.scores.iter().enumerate() {
-            if score.cost > bound || score.fit < fit {
+            if !near(score) {
                 continue;
             }
             let rank = rendezvous::score(key, u64::from(self.estimate(place)?.engine.0));
@@ -219,9 +192,12 @@
         first.map(|(_, place)| place)
     }
 
-    /// Names the first block that has to be computed, or nothing in particular.
-    fn spread_key(&self, best: Best, random: u64) -> u64 {
-        match self.request.blocks.get(best.most_blocks as usize) {
+    /// Names the first block that none of those near the least cost holds, or
+    /// nothing in particular.
+    fn spread_key(&self, survey: &Survey, near: impl Fn(&Score) -> bool, random: u64) -> u64 {
+        let scored = self.holders.iter().zip(&survey.scores);
+        let held = scored.filter(|(_, score)| near(score)).map(|(holder, _)| holder.blocks);
+        match self.request.blocks.get(held.max().unwrap_or(0) as usize) {
             Some(block) => u64::from_le_bytes(std::array::from_fn(|index| block.0[index])),
             None => random,
         }
@@ -243,7 +219,7 @@
     }
 
     fn decision(&self, survey: &Survey, chosen: &Candidate<'_>) -> Decision {
-        let incarnation = chosen.estimate.incarnation;
+        let incarnation = self.table.life(chosen.estimate.engine);
         let reason = match (incarnation, chosen.blocks()) {
             (None, _) => Reason::Unreported,
             (_, 0) if survey.most_blocks == 0 => Reason::NobodyHolds,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use juniper_types::{EngineId, Timestamp, ZoneName};
+use juniper_types::{EngineId, Incarnation, Timestamp, ZoneName};
 
 use crate::cost::CostModel;
 use crate::drain::LeavingSource;
@@ -17,7 +17,12 @@
 #[derive(Clone, Debug)]
 pub struct EngineTable {
     pub(crate) model: CostModel,
+    /// One for each engine, as are the lives, others' work and engines below.
     pub(crate) estimates: Vec<Estimate>,
+    /// The life that each engine reported last.
+    pub(crate) lives: Vec<Option<Incarnation>>,
+    /// Work of other routers and waits for the batch, in microseconds.
+    others_us: Vec<f64>,
     engines: Vec<Engine>,
     positions: Positions,
     groups: Groups,
@@ -31,6 +36,8 @@
         EngineTable {
             model,
             estimates: Vec::new(),
+            lives: Vec::new(),
+            others_us: Vec::new(),
             engines: Vec::new(),
             positions: Positions::default(),
             groups: Groups::default(),
@@ -61,6 +68,8 @@
         self.positions.insert(descriptor.engine, self.engines.len() as Position);
         self.engines.push(Engine::new(descriptor));
         self.estimates.push(Estimate::new(descriptor.engine, transfer_us));
+        self.lives.push(None);
+        self.others_us.push(0.0);
         self.join_groups(self.engines.len() - 1);
     }
 
@@ -74,6 +83,8 @@
         self.leave_groups(last);
         self.engines.swap_remove(position);
         self.estimates.swap_remove(position);
+        self.lives.swap_remove(position);
+        self.others_us.swap_remove(position);
         self.positions.remove(engine);
         if position != last {
             self.positions.insert(self.engines[position].id, position as Position);
@@ -86,6 +97,8 @@
         if let Some(position) = self.index(engine) {
             self.change(position, Engine::mark_down);
             self.estimates[position].reset();
+            self.lives[position] = None;
+            self.others_us[position] = 0.0;
         }
     }
 
@@ -111,10 +124,10 @@
         }
         let known = &self.engines[position];
         let others_us = known.others_us(&self.own, &self.model) + known.batch_wait_us(&self.own);
+        self.lives[position] = known.incarnation;
+        self.others_us[position] = others_us;
         let estimate = &mut self.estimates[position];
-        estimate.incarnation = known.incarnation;
-        estimate.set_others(others_us);
-        estimate.set_busy(known.is_busy(), &self.model);
+        estimate.set_queue(others_us, known.is_busy(), &self.model);
         estimate.set_rate(&known.rate, &self.model, now);
         if new_life {
             estimate.restart_work(0.0, now);
@@ -140,7 +153,7 @@
         known.rate.add(work_us, now);
         let estimate = &mut self.estimates[position];
         estimate.add_work(work_us, now);
-        estimate.set_busy(true, &self.model);
+        estimate.set_queue(self.others_us[position], true, &self.model);
         estimate.set_rate(&known.rate, &self.model, now);
     }
 
@@ -164,7 +177,7 @@
                 self.restart_own_work(position, now);
             }
             let busy = self.engines[position].is_busy();
-            self.estimates[position].set_busy(busy, &self.model);
+            self.estimates[position].set_queue(self.others_us[position], busy, &self.model);
         }
     }
 
@@ -213,6 +226,11 @@
         self.index(engine).is_some_and(|position| self.engines[position].is_prefilling(id))
     }
 
+    /// The life that `engine` reported last.
+    pub(crate) fn life(&self, engine: EngineId) -> Option<Incarnation> {
+        self.lives[self.index(engine)?]
+    }
+
     /// Engines that serve `key`, or else those that may.
     pub(crate) fn group(&self, key: &ServingKey) -> &Group {
         self.groups.get(key)
