--- a/crates/lab/src/load/chat.rs
+++ b/crates/lab/src/load/chat.rs
@@ -1,26 +1,23 @@
 //! One chat completion, asked for until its whole answer has come.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use juniper_emulators::http::chat::{ChatBody, ChatMessage, Usage};
-use juniper_types::{RequestId, ServiceName, TenantName, ZoneName};
+use juniper_settings::overrides::DEFAULT_MODEL;
+use juniper_types::RequestId;
 use reqwest::{Method, Response};
 use serde::Deserialize;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::timeout;
 
-use super::client::{AttemptError, Client, Next};
-use super::outcome::{Ending, Outcome, RequestKind, Violation, ViolationKind};
+use super::client::{AttemptError, Client};
+use super::outcome::{Outcome, RequestKind, Violation, ViolationKind};
+use super::persist::{Caller, Persistent, Reading, persist};
 use super::stream::{AnswerCheck, StreamEvent, StreamReader};
 
-/// A chat that is about to be asked.
+/// What is asked.
 #[derive(Clone, Debug)]
-pub struct ChatCall {
-    /// Number of the request in the trace.
-    pub number: usize,
-    /// Zone of the caller.
-    pub zone: ZoneName,
-    /// Whose request.
-    pub tenant: TenantName,
-    /// Service.
-    pub service: ServiceName,
+pub struct ChatQuestion {
     /// The prompt.
     pub messages: Vec<ChatMessage>,
     /// Whether the answer is streamed.
@@ -29,20 +26,15 @@
     pub prompt_tokens: u32,
     /// Tokens wanted.
     pub output_tokens: u32,
-    /// When the request arrived.
-    pub arrived: Instant,
-}
-
-/// How one connection ended that brought at least a head.
-enum Reading {
-    Complete,
-    Broken(AttemptError),
-    Violated(Violation),
 }
 
-struct Progress {
+/// A chat under way.
+#[derive(Clone, Debug)]
+pub struct ChatCall {
+    caller: Caller,
+    question: ChatQuestion,
     check: AnswerCheck,
-    first: Option<std::time::Duration>,
+    first: Option<Duration>,
     cached_tokens: Option<u64>,
 }
 
@@ -60,79 +52,22 @@
 }
 
 impl ChatCall {
-    /// Asks until the answer is complete or the caller gives up.
-    pub async fn run(self, client: &Client, check: AnswerCheck) -> Outcome {
-        let mut progress = Progress { check, first: None, cached_tokens: None };
-        let (mut attempts, mut resumed, mut refusals) = (0, 0, 0);
-        let ending = loop {
-            let Some(router) = client.router(&self.zone, self.number, attempts) else {
-                break Ending::Failed("no_router".to_owned());
-            };
-            attempts += 1;
-            resumed += u32::from(progress.check.next() > 0);
-            let error = match self.attempt(client, router, &mut progress).await {
-                Reading::Complete => break Ending::Complete,
-                Reading::Violated(violation) => break Ending::Violated(violation),
-                Reading::Broken(error) => error,
-            };
-            match client.next(&error, self.arrived, &mut refusals) {
-                Next::Again(pause) => sleep(pause).await,
-                Next::Leave => break error.ending(),
-            }
-        };
-        Outcome {
-            kind: RequestKind::Chat,
-            ending,
-            first: progress.first,
-            total: self.arrived.elapsed(),
-            attempts,
-            resumed,
-            prompt_tokens: u64::from(self.prompt_tokens),
-            cached_tokens: progress.cached_tokens.unwrap_or(0),
-        }
+    /// A chat whose answer must pass `check`.
+    pub fn new(caller: Caller, question: ChatQuestion, check: AnswerCheck) -> Self {
+        ChatCall { caller, question, check, first: None, cached_tokens: None }
     }
 
-    async fn attempt(
-        &self,
-        client: &Client,
-        router: std::net::SocketAddr,
-        progress: &mut Progress,
-    ) -> Reading {
-        let id = RequestId(rand::random()).to_string();
-        progress.check.resume(id.clone());
-        let body = ChatBody {
-            model: model(),
-            messages: self.messages.clone(),
-            stream: self.stream,
-            max_tokens: Some(self.output_tokens),
-            seed: None,
-            user: Some(self.tenant.to_string()),
-        };
-        let call = client
-            .call(Method::POST, router, "/v1/chat/completions", &self.tenant)
-            .header("x-service", self.service.as_str())
-            .header("x-request-id", id)
-            .header("x-resume-from", progress.check.next())
-            .json(&body);
-        let response = match client.send(call).await {
-            Ok(response) => response,
-            Err(error) => return Reading::Broken(error),
-        };
-        if progress.cached_tokens.is_none() {
-            progress.cached_tokens = Some(cached_tokens(&response));
-        }
-        match self.stream {
-            true => self.read_stream(client, response, progress).await,
-            false => read_whole(client, response, progress).await,
+    /// Asks until the answer is complete or the caller gives up.
+    pub async fn run(mut self, client: &Client) -> Outcome {
+        let outcome = persist(&mut self, client).await;
+        Outcome {
+            prompt_tokens: u64::from(self.question.prompt_tokens),
+            cached_tokens: self.cached_tokens.unwrap_or(0),
+            ..outcome
         }
     }
 
-    async fn read_stream(
-        &self,
-        client: &Client,
-        mut response: Response,
-        progress: &mut Progress,
-    ) -> Reading {
+    async fn read_stream(&mut self, client: &Client, mut response: Response) -> Reading {
         let mut reader = StreamReader::default();
         loop {
             let bytes = match timeout(client.patience.stall, response.chunk()).await {
@@ -142,61 +77,98 @@
             };
             let events = match reader.push(&bytes) {
                 Ok(events) => events,
-                Err(error) => return violated(ViolationKind::WrongContent, error.to_string()),
+                Err(error) => return wrong_content(error.to_string()),
             };
             for event in events {
-                match self.take(event, progress) {
-                    None => {}
-                    Some(reading) => return reading,
+                if let Some(reading) = self.take(event) {
+                    return reading;
                 }
             }
         }
     }
 
-    /// Takes one event; returns how the connection has ended, if it has.
-    fn take(&self, event: StreamEvent, progress: &mut Progress) -> Option<Reading> {
-        let checked = match event {
+    /// Takes one event; returns how the attempt has ended, if it has.
+    fn take(&mut self, event: StreamEvent) -> Option<Reading> {
+        let chunk = match event {
             StreamEvent::Error(detail) => {
                 return Some(Reading::Broken(AttemptError::Refused(detail)));
             }
-            StreamEvent::Done => {
-                let done = progress.check.done();
-                return Some(done.map_or_else(Reading::Violated, |()| Reading::Complete));
-            }
-            StreamEvent::Chunk(chunk) => progress.check.push(&chunk),
+            StreamEvent::Done => return Some(self.check.done().into()),
+            StreamEvent::Chunk(chunk) => chunk,
         };
-        if progress.first.is_none() && progress.check.next() > 0 {
-            progress.first = Some(self.arrived.elapsed());
+        let checked = self.check.push(&chunk);
+        if self.first.is_none() && self.check.next() > 0 {
+            self.first = Some(self.caller.arrived.elapsed());
         }
         checked.err().map(Reading::Violated)
     }
+
+    async fn read_whole(&mut self, client: &Client, response: Response) -> Reading {
+        let body = match timeout(client.patience.stall, response.bytes()).await {
+            Err(_) => return Reading::Broken(AttemptError::Stalled),
+            Ok(Err(_)) => return Reading::Broken(AttemptError::Broken),
+            Ok(Ok(body)) => body,
+        };
+        let answer: WholeAnswer = match serde_json::from_slice(&body) {
+            Ok(answer) => answer,
+            Err(error) => return wrong_content(error.to_string()),
+        };
+        let pieces = answer.choices.into_iter().map(|choice| choice.message.content);
+        self.check.whole(&answer.id, &pieces.collect::<String>(), answer.usage).into()
+    }
 }
 
-fn violated(kind: ViolationKind, detail: String) -> Reading {
-    Reading::Violated(Violation::new(kind, detail))
+impl Persistent for ChatCall {
+    const KIND: RequestKind = RequestKind::Chat;
+
+    fn caller(&self) -> &Caller {
+        &self.caller
+    }
+
+    async fn attempt(&mut self, client: &Client, router: SocketAddr) -> Reading {
+        let id = RequestId(rand::random()).to_string();
+        self.check.resume(id.clone());
+        let body = ChatBody {
+            model: DEFAULT_MODEL.to_owned(),
+            messages: self.question.messages.clone(),
+            stream: self.question.stream,
+            max_tokens: Some(self.question.output_tokens),
+            seed: None,
+            user: Some(self.caller.tenant.to_string()),
+        };
+        let call = self
+            .caller
+            .call(client, Method::POST, router, "/v1/chat/completions")
+            .header("x-request-id", id)
+            .header("x-resume-from", self.check.next())
+            .json(&body);
+        let response = match client.send(call).await {
+            Ok(response) => response,
+            Err(error) => return Reading::Broken(error),
+        };
+        if self.cached_tokens.is_none() {
+            self.cached_tokens = Some(cached_tokens(&response));
+        }
+        match self.question.stream {
+            true => self.read_stream(client, response).await,
+            false => self.read_whole(client, response).await,
+        }
+    }
+
+    fn has_begun(&self) -> bool {
+        self.check.next() > 0
+    }
+
+    fn first(&self) -> Option<Duration> {
+        self.first
+    }
 }
 
-/// The name of the model that traces ask for.
-fn model() -> String {
-    juniper_settings::overrides::DEFAULT_MODEL.to_owned()
+fn wrong_content(detail: String) -> Reading {
+    Reading::Violated(Violation::new(ViolationKind::WrongContent, detail))
 }
 
 fn cached_tokens(response: &Response) -> u64 {
     let header = response.headers().get("x-cached-tokens");
     header.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0)
 }
-
-async fn read_whole(client: &Client, response: Response, progress: &mut Progress) -> Reading {
-    let body = match timeout(client.patience.stall, response.bytes()).await {
-        Err(_) => return Reading::Broken(AttemptError::Stalled),
-        Ok(Err(_)) => return Reading::Broken(AttemptError::Broken),
-        Ok(Ok(body)) => body,
-    };
-    let answer: WholeAnswer = match serde_json::from_slice(&body) {
-        Ok(answer) => answer,
-        Err(error) => return violated(ViolationKind::WrongContent, error.to_string()),
-    };
-    let text: String = answer.choices.into_iter().map(|choice| choice.message.content).collect();
-    let checked = progress.check.whole(&answer.id, &text, answer.usage);
-    checked.map_or_else(Reading::Violated, |()| Reading::Complete)
-}
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod executions;
 pub mod outcome;
+pub mod persist;
 pub mod preview;
 pub mod report;
 pub mod runner;
--- a/crates/lab/src/load/runner.rs
+++ b/crates/lab/src/load/runner.rs
@@ -11,11 +11,12 @@
 use tokio::task::{JoinError, JoinSet};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::applications::ApplicationCall;
-use super::chat::ChatCall;
+use super::applications::{ListingCall, OnceCall};
+use super::chat::{ChatCall, ChatQuestion};
 use super::client::{Client, Patience, RouterTarget};
 use super::executions::{CallRecord, ExecutionSource, ExecutionSourceError, compare, read_sources};
 use super::outcome::Outcome;
+use super::persist::Caller;
 use super::preview::PreviewCall;
 use super::report::{Collector, LoadReport};
 use super::stream::{AnswerCheck, Expected};
@@ -129,35 +130,34 @@
         tasks: &mut JoinSet<Ended>,
     ) {
         let client = Arc::clone(&self.client);
+        let caller = Caller {
+            number,
+            zone: record.zone.clone(),
+            tenant: record.tenant.clone(),
+            service: record.service.clone(),
+            arrived,
+        };
         match &record.request {
-            TraceRequest::Chat { .. } => {
-                let (call, check) = self.chat(number, record, arrived);
-                tasks.spawn(async move { (call.run(&client, check).await, None) });
+            TraceRequest::Chat { output_tokens, priority, .. } => {
+                let stream = *priority >= HEAVY_PRIORITY || !number.is_multiple_of(WHOLE_ANSWERS);
+                let call = self.chat(caller, &record.request, *output_tokens, stream);
+                tasks.spawn(async move { (call.run(&client).await, None) });
             }
-            TraceRequest::AtMostOnce { number: own, body_bytes } => {
-                let path = format!("/apply/{}/{own}", record.service);
-                let call = application_call(number, record, path, arrived);
-                let key = self.key(*own);
-                let body = vec![b'a' + (own % 26) as u8; *body_bytes as usize];
+            TraceRequest::AtMostOnce { number, body_bytes } => {
+                let path = format!("/apply/{}/{number}", record.service);
+                let body = vec![b'a' + (number % 26) as u8; *body_bytes as usize];
+                let call = OnceCall::new(caller, path, self.key(*number), body);
                 tasks.spawn(async move {
-                    let (outcome, record) = call.run_once(&client, key, body).await;
+                    let (outcome, record) = call.run(&client).await;
                     (outcome, Some(record))
                 });
             }
             TraceRequest::Listing { resource } => {
-                let path = format!("/board/postings/{resource}");
-                let call = application_call(number, record, path, arrived);
-                tasks.spawn(async move { (call.run_listing(&client).await, None) });
+                let call = ListingCall::new(caller, format!("/board/postings/{resource}"));
+                tasks.spawn(async move { (call.run(&client).await, None) });
             }
             TraceRequest::Preview { clip } => {
-                let call = PreviewCall {
-                    number,
-                    zone: record.zone.clone(),
-                    tenant: record.tenant.clone(),
-                    service: record.service.clone(),
-                    clip: *clip,
-                    arrived,
-                };
+                let call = PreviewCall::new(caller, *clip);
                 tasks.spawn(async move { (call.run(&client).await, None) });
             }
         }
@@ -165,33 +165,24 @@
 
     fn chat(
         &mut self,
-        number: usize,
-        record: &TraceRecord,
-        arrived: Instant,
-    ) -> (ChatCall, AnswerCheck) {
-        let (output_tokens, priority) = match record.request {
-            TraceRequest::Chat { output_tokens, priority, .. } => (output_tokens, priority),
-            _ => (0, 0),
-        };
-        let prompt = record.request.prompt();
-        let text = self.texts.text(prompt);
-        let texts =
-            self.weights.iter().map(|weights| GeneratedText::new(&text, GENERATION_SEED, *weights));
-        let prompt_tokens = record.request.prompt_tokens();
-        let expected =
-            Expected { id: String::new(), texts: texts.collect(), prompt_tokens, output_tokens };
-        let call = ChatCall {
-            number,
-            zone: record.zone.clone(),
-            tenant: record.tenant.clone(),
-            service: record.service.clone(),
-            messages: self.texts.messages(prompt),
-            stream: priority >= HEAVY_PRIORITY || !number.is_multiple_of(WHOLE_ANSWERS),
+        caller: Caller,
+        request: &TraceRequest,
+        output_tokens: u32,
+        stream: bool,
+    ) -> ChatCall {
+        let text = self.texts.text(request.prompt());
+        let of_weights =
+            |weights: &WeightsVersion| GeneratedText::new(&text, GENERATION_SEED, *weights);
+        let prompt_tokens = request.prompt_tokens();
+        let expected = Expected {
+            id: String::new(),
+            texts: self.weights.iter().map(of_weights).collect(),
             prompt_tokens,
             output_tokens,
-            arrived,
         };
-        (call, AnswerCheck::new(expected))
+        let messages = self.texts.messages(request.prompt());
+        let question = ChatQuestion { messages, stream, prompt_tokens, output_tokens };
+        ChatCall::new(caller, question, AnswerCheck::new(expected))
     }
 
     fn key(&self, number: u64) -> String {
@@ -199,19 +190,3 @@
         format!("{seconds}-{:016x}-{number}", self.run)
     }
 }
-
-fn application_call(
-    number: usize,
-    record: &TraceRecord,
-    path: String,
-    arrived: Instant,
-) -> ApplicationCall {
-    ApplicationCall {
-        number,
-        zone: record.zone.clone(),
-        tenant: record.tenant.clone(),
-        service: record.service.clone(),
-        path,
-        arrived,
-    }
-}
--- a/crates/settings/tests/hostile.rs
+++ b/crates/settings/tests/hostile.rs
@@ -8,19 +8,21 @@
 const SEED: u64 = 0x5e77;
 
 const NODE_FILE: &str = r#"
-node = 1
-zone = "hartford"
-data_folder = "data"
+node = 3
+zone = "taf-hall"
 cluster_key = "sixteen bytes or more"
 
-[control]
+[router]
 internal = "127.0.0.1:7001"
 operator = "127.0.0.1:7002"
-initial_voters = [1, 2, 3]
-peers = [
-    { id = 2, zone = "worcester", address = "127.0.0.1:7011" },
-    { id = 3, zone = "portland", address = "127.0.0.1:7021" },
+caller = "127.0.0.1:7003"
+control = [
+    { id = 1, zone = "tywi-hall", address = "127.0.0.1:7011" },
+    { id = 2, zone = "gwendraeth-hall", address = "127.0.0.1:7021" },
 ]
+
+[router.limits]
+drain_seconds = 60
 "#;
 
 const CHANGE: &str = r#"[
--- a/tests/support/loaded_fleet.rs
+++ b/tests/support/loaded_fleet.rs
@@ -94,7 +94,19 @@
     run_load(trace, options).await.expect("the load runs")
 }
 
-/// No promise was broken, as callers and engines saw it.
+/// Sends `trace` while `faults` are done. No promise may be broken, as callers
+/// and engines see it.
+pub async fn under_load(
+    fleet: &mut Fleet,
+    trace: &RequestTrace,
+    faults: impl AsyncFnOnce(&mut Fleet),
+) -> LoadReport {
+    let options = load_options(fleet);
+    let (report, ()) = tokio::join!(send(trace, options), faults(fleet));
+    assert_kept(fleet, &report).await;
+    report
+}
+
 pub async fn assert_kept(fleet: &mut Fleet, report: &LoadReport) {
     assert_eq!(report.violations, 0, "{:#?}", report.violation_details);
     let breaches = fleet.witnesses().await.expect("the engines answer");
