--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod operator;
 pub mod output;
 
+use std::ffi::OsString;
 use std::process::ExitCode;
 
 use arguments::ArgumentError;
@@ -54,7 +55,13 @@
 
 /// Runs the program and returns its exit code.
 pub fn main() -> ExitCode {
-    let mut parser = lexopt::Parser::from_env();
+    run(std::env::args_os().skip(1))
+}
+
+/// Runs the program with `arguments`, its own name left out, and returns its exit code.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let arguments: Vec<OsString> = arguments.into_iter().collect();
+    let mut parser = lexopt::Parser::from_args(arguments);
     match dispatch(&mut parser) {
         Ok(code) => code,
         Err(report) => {
--- a/crates/lab/src/fleet/error.rs
+++ b/crates/lab/src/fleet/error.rs
@@ -12,10 +12,6 @@
     /// The path of this program is unknown.
     #[error("the path of this program is unknown")]
     CurrentProgram(#[source] io::Error),
-    /// The daemons' program is missing.
-    #[error("{0} is not there")]
-    #[diagnostic(help("build both programs: cargo build --release --bins"))]
-    NoDaemon(PathBuf),
     /// No port is free.
     #[error("no port is free")]
     NoPort,
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -24,7 +24,7 @@
 pub use juniper_settings::BackEndKind;
 
 pub use self::back_ends::{BackEndProcess, FleetSizes};
-pub use self::binaries::Binaries;
+pub use self::binaries::{Binaries, DAEMON_COMMAND};
 pub use self::error::FleetError;
 pub use self::node_files::{NodeAddress, OPERATOR_KEY};
 pub use self::operator::Operator;
@@ -283,8 +283,9 @@
 
 /// Makes a new cluster on the replica whose settings are in `file`.
 fn found(binaries: &Binaries, file: &Path) -> Result<(), FleetError> {
-    let mut command = Command::new(&binaries.daemon);
-    let output = command.args(["found", "--settings"]).arg(file).output();
+    let (program, arguments) = binaries.daemon_command();
+    let mut command = Command::new(program);
+    let output = command.args(arguments).args(["found", "--settings"]).arg(file).output();
     let name = "found".to_owned();
     match output {
         Ok(output) if output.status.success() => Ok(()),
@@ -304,6 +305,7 @@
     file: &Path,
 ) -> Result<ManagedProcess, FleetError> {
     let log = folder.join(format!("{name}.log"));
-    let arguments = vec![command.into(), "--settings".into(), file.into()];
-    ManagedProcess::start(name, binaries.daemon.clone(), arguments, log)
+    let (program, mut arguments) = binaries.daemon_command();
+    arguments.extend([command.into(), "--settings".into(), file.into()]);
+    ManagedProcess::start(name, program, arguments, log)
 }
--- a/tests/fleet_faults.rs
+++ b/tests/fleet_faults.rs
@@ -4,7 +4,8 @@
 //! patience of the callers.
 
 mod support {
-    pub mod loaded_fleet;
+    pub mod checked_load;
+    pub mod fleets;
 }
 
 use std::time::Duration;
@@ -12,10 +13,10 @@
 use juniper_lab::fleet::{BackEndKind, Signal};
 use juniper_lab::load::outcome::RequestKind;
 use juniper_lab::proxy::LinkState;
-use support::loaded_fleet::{
-    SIZES, Setup, assert_complete, assert_kept, load_options, mixed, only_at_most_once, send,
-    start, under_load,
+use support::checked_load::{
+    assert_complete, assert_kept, load_options, mixed, only_at_most_once, send, under_load,
 };
+use support::fleets::{SIZES, Setup, start};
 use tokio::time::sleep;
 
 async fn seconds(count: u64) {
