Prove: areas routing and drain; an engine that never reported is no way out

Two routers with the deployed decision code and index in front of four engine models: crashes, restarts of routers, lost and late events, lost polls, leaving engines under a platform list that lags by 3 s. Checked: the engines' witness, and at the end that no router believes more blocks than are there.

Cause: engines that haven't reported were used whenever no known one was left. Now only before the first report of any engine. (The campaign first gave a restarted router no first poll and no platform list, which real ones read at once; that was a fault of the campaign.)

--- a/crates/lab/src/prove/areas.rs
+++ b/crates/lab/src/prove/areas.rs
@@ -7,6 +7,7 @@
 
 use super::claims::ClaimsWorkload;
 use super::configuration::Configuration;
+use super::decisions;
 
 /// One seed to run.
 #[derive(Clone, Copy, Debug)]
@@ -75,6 +76,20 @@
         ],
         run: run_claims,
     },
+    Area {
+        name: "routing",
+        summary: "no request relies on blocks of another tenant, an ended life or a lost event",
+        faults: decisions::FAULTS,
+        planted: decisions::ROUTING_PLANTED,
+        run: decisions::run_routing,
+    },
+    Area {
+        name: "drain",
+        summary: "an engine that is leaving gets no new work after two seconds",
+        faults: decisions::FAULTS,
+        planted: decisions::DRAIN_PLANTED,
+        run: decisions::run_drain,
+    },
 ];
 
 /// The area with this name.
--- /dev/null
+++ b/crates/lab/src/prove/decisions/router.rs
@@ -0,0 +1,162 @@
+//! One router: its index, its table and what it reads of the engines.
+
+use std::time::Duration;
+
+use juniper_emulators::engine::{Engine, EngineRequest};
+use juniper_prefix_index::{CacheEvent, EventOutcome, PrefixIndex, Snapshot};
+use juniper_routing::drain::LeavingSource;
+use juniper_routing::{
+    CostModel, CostWeights, Decision, DispatchId, DispatchedWork, EngineDescriptor, EngineTable,
+    RouteRequest, ServingKey, decide,
+};
+use juniper_types::{BlockHash, EngineId, RequestId, Timestamp, ZoneName};
+use rand_chacha::ChaCha8Rng;
+
+use super::PlantedFault;
+use crate::experiment::juniper::{engine_id, engine_load};
+
+/// Time within which a first token is due.
+const FIRST_TOKEN_WITHIN: Duration = Duration::from_secs(10);
+
+pub(super) struct Router {
+    table: EngineTable,
+    index: PrefixIndex,
+    planted: Option<PlantedFault>,
+}
+
+impl Router {
+    /// A router that knows the engines of the settings and nothing else.
+    pub(super) fn new(engines: usize, zone: &ZoneName, planted: Option<PlantedFault>) -> Self {
+        let mut table = EngineTable::new(CostModel::default());
+        for position in 0..engines {
+            let descriptor = EngineDescriptor { engine: engine_id(position), zone: zone.clone() };
+            table.insert(&descriptor);
+        }
+        Router { table, index: PrefixIndex::new(), planted }
+    }
+
+    /// Chooses an engine for `request` and completes the request for it.
+    pub(super) fn route(
+        &mut self,
+        request: &mut EngineRequest,
+        serving: &ServingKey,
+        now: Timestamp,
+        random: &mut ChaCha8Rng,
+    ) -> Option<Decision> {
+        let holders = self.index.lookup(&request.blocks, now);
+        let question = RouteRequest {
+            serving,
+            blocks: &request.blocks,
+            tokens: request.prompt_tokens,
+            importable_blocks: 0,
+            first_token_within: FIRST_TOKEN_WITHIN,
+            excluded: &[],
+            weights: CostWeights { latency: 1.0, waste: 1.0 },
+        };
+        let decision = decide(&self.table, &holders, &question, now, random).ok()?;
+        let missed_tokens = question.missed_tokens(decision.expected_blocks);
+        let work = DispatchedWork { prompt_tokens: request.prompt_tokens, missed_tokens };
+        let id = dispatch_id(request.id);
+        self.table.dispatched(decision.engine, id, work, now);
+        if let Some(incarnation) = decision.incarnation {
+            self.index.predict(decision.engine, incarnation, &request.blocks, id.into(), now);
+        }
+        request.incarnation = decision.incarnation;
+        request.expected_blocks = decision.expected_blocks;
+        Some(decision)
+    }
+
+    pub(super) fn first_token(&mut self, engine: usize, id: RequestId, now: Timestamp) {
+        self.table.first_token(engine_id(engine), dispatch_id(id), now);
+    }
+
+    pub(super) fn finished(&mut self, engine: usize, id: RequestId, now: Timestamp) {
+        self.table.finished(engine_id(engine), dispatch_id(id), now);
+    }
+
+    pub(super) fn platform_says(&mut self, engine: usize, leaving: bool) {
+        if self.planted != Some(PlantedFault::DrainIgnored) {
+            self.table.set_leaving(engine_id(engine), LeavingSource::Platform, leaving);
+        }
+    }
+
+    /// Reads the load of an engine, or finds that it doesn't answer.
+    pub(super) fn poll_load(&mut self, position: usize, engine: &Engine, now: Timestamp) {
+        let id = engine_id(position);
+        let Some(report) = engine.load_report(now) else {
+            self.table.mark_down(id);
+            self.index.remove_engine(id);
+            return;
+        };
+        let mut load = engine_load(&report);
+        let own_word_ignored =
+            matches!(self.planted, Some(PlantedFault::DrainIgnored | PlantedFault::OwnWordIgnored));
+        load.leaving &= !own_word_ignored;
+        self.table.report(id, &load, now);
+        // Four engines are far below the index's limit.
+        let _ = self.index.start_incarnation(id, load.incarnation);
+    }
+
+    /// Reads the cache events of an engine. The answer names the latest number,
+    /// so that a loss of the latest event is noticed as well.
+    pub(super) fn poll_events(&mut self, position: usize, engine: &Engine, now: Timestamp) {
+        if engine.is_down() {
+            return;
+        }
+        let id = engine_id(position);
+        let known = self.index.position(id);
+        let Some((_, after)) = known.filter(|(life, _)| *life == engine.incarnation()) else {
+            return self.take_snapshot(id, engine);
+        };
+        let mut events: Vec<CacheEvent> = engine
+            .events()
+            .after(after, now)
+            .iter()
+            .map(|event| CacheEvent {
+                sequence: event.sequence,
+                stored: event.stored.clone(),
+                removed: event.removed.clone(),
+            })
+            .collect();
+        if self.planted == Some(PlantedFault::GapIgnored) {
+            (after + 1..).zip(&mut events).for_each(|(number, event)| event.sequence = number);
+        }
+        let last = events.last().map_or(after, |event| event.sequence);
+        let outcome = self.index.apply_events(id, engine.incarnation(), &events);
+        let gap = !matches!(outcome, Ok(EventOutcome::Applied));
+        let behind = last < engine.events().published(now);
+        if gap || (behind && self.planted != Some(PlantedFault::GapIgnored)) {
+            self.take_snapshot(id, engine);
+        }
+    }
+
+    fn take_snapshot(&mut self, id: EngineId, engine: &Engine) {
+        let (sequence, blocks) = engine.snapshot();
+        let snapshot = Snapshot { incarnation: engine.incarnation(), sequence, blocks };
+        let _ = self.index.apply_snapshot(id, &snapshot);
+    }
+
+    /// Leading blocks of `chain` that the router takes `engine` to hold, beyond
+    /// what it holds in truth.
+    pub(super) fn believed_too_much(
+        &self,
+        chain: &[BlockHash],
+        engines: &[Engine],
+        now: Timestamp,
+    ) -> Option<(EngineId, u32)> {
+        self.index.lookup(chain, now).into_iter().find_map(|holder| {
+            let engine = engines.get(holder.engine.0 as usize)?;
+            let truth = if engine.is_down() || engine.incarnation() != holder.incarnation {
+                0
+            } else {
+                engine.cached_prefix(chain) as u32
+            };
+            let excess = holder.blocks.saturating_sub(truth);
+            (excess > 0).then_some((holder.engine, excess))
+        })
+    }
+}
+
+fn dispatch_id(id: RequestId) -> DispatchId {
+    DispatchId(id.0 as u64)
+}
--- a/crates/lab/src/prove/mod.rs
+++ b/crates/lab/src/prove/mod.rs
@@ -5,6 +5,7 @@
 pub mod campaign;
 pub mod claims;
 pub mod configuration;
+pub mod decisions;
 
 use std::fs;
 use std::io;
--- a/crates/routing/src/groups.rs
+++ b/crates/routing/src/groups.rs
@@ -51,14 +51,23 @@
     by_key: HashMap<ServingKey, Group>,
     /// Usable engines that have not reported what they serve.
     unknown: Group,
+    empty: Group,
 }
 
 impl Groups {
-    /// Engines that serve `key`, or else those that may: after a restart a
-    /// router serves before the first reports have come.
-    pub(crate) fn get(&self, key: &ServingKey) -> &Group {
-        let known = self.by_key.get(key).filter(|group| !group.positions.is_empty());
-        known.unwrap_or(&self.unknown)
+    /// Engines that serve `key`.
+    pub(crate) fn serving(&self, key: &ServingKey) -> Option<&Group> {
+        self.by_key.get(key)
+    }
+
+    /// Usable engines that have not reported.
+    pub(crate) fn unknown(&self) -> &Group {
+        &self.unknown
+    }
+
+    /// No engines.
+    pub(crate) fn none(&self) -> &Group {
+        &self.empty
     }
 
     pub(crate) fn leave(&mut self, position: Position, engine: &Engine) {
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -231,9 +231,15 @@
         self.lives[self.index(engine)?]
     }
 
-    /// Engines that serve `key`, or else those that may.
+    /// Engines that serve `key`. Before the first report of any engine, those that
+    /// may: a router that restarts serves at once. Later an engine that hasn't
+    /// reported may be leaving and gets nothing.
     pub(crate) fn group(&self, key: &ServingKey) -> &Group {
-        self.groups.get(key)
+        match self.groups.serving(key) {
+            Some(group) => group,
+            None if self.engines.iter().any(Engine::is_known) => self.groups.none(),
+            None => self.groups.unknown(),
+        }
     }
 
     /// Changes what decides about an engine's groups, and moves it between them.
--- a/crates/routing/tests/decide.rs
+++ b/crates/routing/tests/decide.rs
@@ -117,6 +117,15 @@
     assert!((0..50).all(|prompt| route(&known, &[], prompt).expect("routed").engine.0 == 0));
 }
 
+#[test]
+fn an_engine_that_has_not_reported_is_no_way_out_when_the_others_leave() {
+    let mut table = table(1, NOW);
+    support::insert(&mut table, EngineId(9));
+    table.set_leaving(EngineId(0), LeavingSource::Engine, true);
+    let refusal = route(&table, &[], 1).expect_err("engine 9 may be leaving as well");
+    assert_eq!(refusal.code, RefusalCode::NoEngine);
+}
+
 #[test]
 fn a_leaving_engine_gets_nothing_until_every_source_takes_it_back() {
     let mut table = table(1, NOW);
