--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -5,6 +5,7 @@
 use super::{Leadership, Replica, State};
 use crate::entry::{Payload, Position, Term};
 use crate::identity::{ClusterEpoch, ReplicaId};
+use crate::membership::Member;
 use crate::message::{Body, Message};
 use crate::progress::Progress;
 
@@ -18,7 +19,7 @@
     pub(super) fn tick_follower(&mut self) {
         if self.now >= self.election_due {
             self.schedule_election();
-            if self.log.membership().is_voter(self.id()) {
+            if self.is_electable() {
                 self.start_pre_vote();
             } else {
                 self.lose_leader();
@@ -27,6 +28,14 @@
         self.ask_to_join_if_due();
     }
 
+    /// Whether this replica may campaign: it is a voter, or was one before a change
+    /// that isn't known to be committed. If only it has received that change, its
+    /// log is the longest and the others, which need its vote, can't win.
+    fn is_electable(&self) -> bool {
+        let own = self.id();
+        self.log.membership().is_voter(own) || self.log.membership_at(self.commit).is_voter(own)
+    }
+
     /// Forgets a leader that has been silent for too long.
     fn lose_leader(&mut self) {
         if self.leader.take().is_some() {
@@ -46,9 +55,25 @@
             message.term = term;
             self.send_raw(message);
         }
+        self.ask_other_peers(last, term);
         self.count_pre_votes();
     }
 
+    /// Asks peers without a vote too. Their answers don't count, but a peer that
+    /// knows of a recovery since tells a replica that was left out: the voters it
+    /// remembers may all have been left out as well.
+    fn ask_other_peers(&mut self, last: Position, term: Term) {
+        let own = self.id();
+        for node in self.config.peers.clone() {
+            let votes = |member: &Member| member.id.node == node;
+            if node != own.node && !self.log.membership().voters().any(votes) {
+                let mut message = self.message(own, Body::PreVoteRequest { last });
+                (message.to, message.to_disk, message.term) = (node, None, term);
+                self.send_raw(message);
+            }
+        }
+    }
+
     /// Starts an election in the next term.
     pub(super) fn campaign(&mut self, transfer: bool) {
         self.lose_leader();
--- a/crates/lab/src/prove/areas.rs
+++ b/crates/lab/src/prove/areas.rs
@@ -8,6 +8,7 @@
 use super::claims::ClaimsWorkload;
 use super::configuration::Configuration;
 use super::decisions;
+use super::orders::{ORDER_FAULTS, Orders};
 
 /// One seed to run.
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +54,7 @@
             "no-sync",
             "early-acknowledgement",
             "wiped-disk-votes",
+            "vote-forgotten",
             "local-read",
             "change-ids-forgotten",
             "stale-revision-applied",
@@ -90,6 +92,19 @@
         planted: decisions::DRAIN_PLANTED,
         run: decisions::run_drain,
     },
+    Area {
+        name: "orders",
+        summary: "no order takes effect after one of a later holder, however late it arrives",
+        faults: &ORDER_FAULTS,
+        planted: &[
+            "no-sync",
+            "wiped-disk-votes",
+            "fences-forgotten",
+            "token-guessed",
+            "order-renumbered",
+        ],
+        run: run_orders,
+    },
 ];
 
 /// The area with this name.
@@ -114,6 +129,11 @@
     outcome(run(options, ClaimsWorkload::new(options.planted)))
 }
 
+fn run_orders(seed: SeedRun) -> SeedOutcome {
+    let options = options(seed);
+    outcome(run(options, Orders::new(options.planted)))
+}
+
 fn options(seed: SeedRun) -> RunOptions {
     let planted = seed.planted.and_then(Planted::named);
     RunOptions { seed: seed.seed, planted, traced: seed.traced }
--- a/crates/lab/src/prove/mod.rs
+++ b/crates/lab/src/prove/mod.rs
@@ -6,6 +6,8 @@
 pub mod claims;
 pub mod configuration;
 pub mod decisions;
+mod history;
+pub mod orders;
 
 use std::fs;
 use std::io;
