--- a/crates/lab/src/prove/mod.rs
+++ b/crates/lab/src/prove/mod.rs
@@ -5,6 +5,7 @@
 pub mod campaign;
 pub mod claims;
 pub mod configuration;
+pub mod decisions;
 mod history;
 pub mod orders;
 
