Router: limits of the tree are enforced before an engine is chosen

Cause: the limits were decided by a pure crate that nothing called, so a tenant's rate, concurrency and shares were not held. Change: every request asks for admission after authentication and counts until its last byte; the queue part ends with the first token. A refusal is a 429 with code limited, not_run true and Retry-After. Conclusion: even shares; shares by demand are left.

--- a/crates/router/src/applications.rs
+++ b/crates/router/src/applications.rs
@@ -124,9 +124,10 @@
     shared: &Arc<Shared>,
     request: Request,
 ) -> Result<Response, RequestError> {
-    let in_flight = shared.enter()?;
+    let mut in_flight = shared.enter()?;
     let started = Instant::now();
     let (caller, forward) = accept(shared, request, TrafficKind::AtMostOnce).await?;
+    shared.admit(&mut in_flight, &caller, 0)?;
     let key_text = forward.key.clone().unwrap_or_default();
     let claim = Claim {
         tenant: caller.home.tenant.clone(),
@@ -227,9 +228,10 @@
     shared: &Arc<Shared>,
     request: Request,
 ) -> Result<Response, RequestError> {
-    let _in_flight = shared.enter()?;
+    let mut in_flight = shared.enter()?;
     let started = Instant::now();
     let (caller, forward) = accept(shared, request, TrafficKind::Repeatable).await?;
+    shared.admit(&mut in_flight, &caller, 0)?;
     let deadline = started + Duration::from_millis(caller.settings.deadline_ms);
     let mut excluded = Vec::new();
     let mut sent = false;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod feeds;
 pub mod in_force;
 pub mod knowledge;
+pub mod limits;
 pub mod link;
 pub mod metrics;
 pub mod peers;
--- a/crates/router/src/previews.rs
+++ b/crates/router/src/previews.rs
@@ -82,12 +82,13 @@
 }
 
 async fn serve_preview(shared: &Arc<Shared>, request: Request) -> Result<Response, RequestError> {
-    let in_flight = shared.enter()?;
+    let mut in_flight = shared.enter()?;
     let started = Instant::now();
     let view = shared.view();
     let (parts, _body) = request.into_parts();
     let caller = authenticate(&view.in_force, &parts.headers, TrafficKind::Preview)?;
     shared.check_cut_off(&caller.settings)?;
+    shared.admit(&mut in_flight, &caller, 0)?;
     let request_id = request_id(&parts.headers)?;
     let start = range_start(&parts.headers)?;
     let path = parts.uri.path().to_owned();
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -15,6 +15,7 @@
 use crate::control_plane::ControlPlane;
 use crate::faces;
 use crate::feeds;
+use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::reachability::Reachability;
 use crate::settings_file::SettingsFileError;
@@ -131,6 +132,7 @@
         back_ends,
         http,
         metrics: Metrics::new()?,
+        limits: Arc::new(Limits::default()),
         slots: Arc::new(Semaphore::new(config.limits.max_in_flight)),
         stopping: AtomicBool::new(false),
         closed: AtomicBool::new(false),
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -3,14 +3,17 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use juniper_routing::admission::AdmissionQuestion;
 use juniper_settings::{CutOffPolicy, EffectiveSettings};
 use tokio::sync::Semaphore;
 use tokio::time::{Duration, Instant};
 
+use crate::access::Caller;
 use crate::backends::BackEnds;
 use crate::config::RouterConfig;
 use crate::control_plane::ControlPlane;
 use crate::error::RequestError;
+use crate::limits::{Admitted, FleetView, Limits};
 use crate::metrics::Metrics;
 use crate::subscription::SettingsView;
 
@@ -35,6 +38,8 @@
     pub http: reqwest::Client,
     /// Metrics.
     pub metrics: Metrics,
+    /// Limits of tenants and services.
+    pub limits: Arc<Limits>,
     /// Bounds the requests in flight.
     pub slots: Arc<Semaphore>,
     /// Set when a planned stop begins: the router says that it isn't ready, but still serves.
@@ -75,7 +80,30 @@
             .try_acquire_owned()
             .map_err(|_| RequestError::Overloaded { retry_after_ms: FULL_RETRY_MS })?;
         self.metrics.in_flight.inc();
-        Ok(InFlight { gauge: self.metrics.in_flight.clone(), _permit: permit })
+        Ok(InFlight { gauge: self.metrics.in_flight.clone(), admitted: None, _permit: permit })
+    }
+
+    /// Holds a request to the limits of its tenant and service. `tokens` is the
+    /// length of its prompt; zero for traffic that no engine serves.
+    pub fn admit(
+        &self,
+        in_flight: &mut InFlight,
+        caller: &Caller,
+        tokens: u32,
+    ) -> Result<(), RequestError> {
+        let question = AdmissionQuestion {
+            tenant: &caller.home.tenant,
+            service: &caller.service,
+            settings: &caller.settings,
+            tokens,
+        };
+        let others = self.plane.peers.borrow().routers.len();
+        let fleet = FleetView {
+            routers: u32::try_from(others + 1).unwrap_or(u32::MAX),
+            engines: self.plane.engines.known(),
+        };
+        in_flight.admitted = Some(self.limits.admit(&question, fleet)?);
+        Ok(())
     }
 
     /// Applies the tree's rule for traffic while cut off from the control replicas.
@@ -93,9 +121,19 @@
 /// A request in flight; a planned stop waits until all are dropped.
 pub struct InFlight {
     gauge: prometheus::IntGauge,
+    admitted: Option<Admitted>,
     _permit: tokio::sync::OwnedSemaphorePermit,
 }
 
+impl InFlight {
+    /// Notes that the answer has begun.
+    pub fn first_token(&mut self) {
+        if let Some(admitted) = &mut self.admitted {
+            admitted.first_token();
+        }
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.gauge.dec();
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -94,3 +94,31 @@
         assert_eq!(body["error"]["not_run"], true);
     }
 }
+
+#[tokio::test]
+async fn a_service_over_its_limit_is_refused_at_once_and_told_when_to_come_back() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (_engine, engine_address) = start_engine(&[]);
+    let (control, router) = (Addresses::free(), Addresses::free());
+    let _control = start_daemon("control", &control_file(folder.path(), control));
+    let _router = start_daemon("router", &router_file(folder.path(), 11, router, control));
+    let http = reqwest::Client::new();
+    let mut change = first_change(&[engine_address]);
+    // One request, and the next after two minutes.
+    let limits = json!({ "traffic": "chat", "rate_per_second": 1.0 / 120.0, "burst": 1 });
+    change["edits"][3]["node"]["overrides"] = limits;
+    apply(&http, control, &change).await;
+    ready(&http, router).await;
+
+    let url = format!("http://{}/v1/chat/completions", router.caller);
+    let ask = || http.post(&url).bearer_auth(TENANT_KEY).json(&chat(1, false)).send();
+    assert_eq!(ask().await.expect("an answer").status(), 200);
+    let refused = ask().await.expect("an answer");
+    assert_eq!(refused.status(), 429);
+    let header = refused.headers()["retry-after"].to_str().expect("text").to_owned();
+    let seconds: u64 = header.parse().expect("seconds");
+    assert!((1..=120).contains(&seconds), "{seconds}");
+    let body: Value = refused.json().await.expect("a JSON error");
+    assert_eq!(body["error"]["code"], "limited");
+    assert_eq!(body["error"]["not_run"], true);
+}
