Sharing: a router that has just started waits for its group before it follows engines

Cause: a scale run of 340 nodes did not settle: until membership had spread, each node took itself for alone and followed all 107 engines of its zone; the hollow processes held 0.8 to 1.5 GB and a core each. Change: for 4 s after its start a router of a large fleet only samples loads.

--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -164,9 +164,14 @@
     let mut settings = plane.settings.clone();
     let mut peers = plane.peers.clone();
     settings.mark_changed();
+    let mut was_settled = false;
     loop {
         ticks.tick().await;
-        if settings.has_changed().unwrap_or(false) || peers.has_changed().unwrap_or(false) {
+        let settled = plane.hub.is_settled();
+        let changed =
+            settings.has_changed().unwrap_or(false) || peers.has_changed().unwrap_or(false);
+        if changed || settled != was_settled {
+            was_settled = settled;
             let in_force = settings.borrow_and_update().in_force.clone();
             plane.hub.set_peers(&peers.borrow_and_update().clone());
             follow(&plane, &in_force, &mut engines);
--- a/crates/lab/src/scale/host.rs
+++ b/crates/lab/src/scale/host.rs
@@ -139,7 +139,8 @@
             status.received += traffic.received();
             status.lookup_bytes += traffic.lookups();
             status.revisions.push(node.plane.settings.borrow().in_force.revision.0);
-            status.members.push(node.plane.peers.borrow().routers.len());
+            let known = node.plane.peers.borrow().routers.len();
+            status.members.push(if node.plane.hub.is_settled() { known } else { 0 });
             let size = node.plane.hub.size();
             status.published_keys += size.published_keys;
             status.owned_keys += size.owned_keys;
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -133,6 +133,7 @@
         let changed = tokio::select! {
             changed = view.changed() => changed,
             changed = peers.changed() => changed,
+            () = hub.settled(), if !hub.is_settled() => Ok(()),
         };
         if changed.is_err() {
             return;
--- a/crates/router/src/sharing/mod.rs
+++ b/crates/router/src/sharing/mod.rs
@@ -24,6 +24,8 @@
 };
 use juniper_types::{BlockHash, EngineId, Incarnation};
 
+use tokio::time::{Instant, sleep_until};
+
 use crate::config::RouterConfig;
 use crate::engines::Engines;
 use crate::in_force::InForce;
@@ -38,12 +40,17 @@
 /// and little beside the recomputation that a known prefix saves.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(5);
 
+/// Time after the start in which a router learns which others there are: a join,
+/// and a few probes.
+const GROUP_SETTLE_TIME: Duration = Duration::from_secs(4);
+
 /// Shares engine knowledge with the routers of the zone.
 pub struct SharingHub {
     own: RouterLife,
     identity: PeerIdentity,
     key: ClusterKey,
     full_follow_engines: usize,
+    settled_at: Instant,
     engines: Arc<Engines>,
     traffic: Arc<Traffic>,
     reachability: Reachability,
@@ -79,6 +86,7 @@
             identity: config.identity(),
             key: config.cluster_key.clone(),
             full_follow_engines: config.limits.full_follow_engines,
+            settled_at: Instant::now() + GROUP_SETTLE_TIME,
             engines,
             traffic: Arc::clone(traffic),
             reachability: reachability.clone(),
@@ -113,6 +121,16 @@
         state.sharing.set_group(Group::new(lives.chain([self.own])));
     }
 
+    /// Whether the router has been up long enough to know the others.
+    pub fn is_settled(&self) -> bool {
+        Instant::now() >= self.settled_at
+    }
+
+    /// Waits until the router has been up long enough to know the others.
+    pub async fn settled(&self) {
+        sleep_until(self.settled_at).await;
+    }
+
     /// How much is kept for sharing.
     pub fn size(&self) -> SharingSize {
         self.lock().sharing.size()
@@ -129,6 +147,7 @@
             &own_zone,
             &other_zones,
             self.full_follow_engines,
+            self.is_settled(),
         );
         state.shared = plan.shared;
         plan
--- a/crates/sharing/src/group.rs
+++ b/crates/sharing/src/group.rs
@@ -70,6 +70,10 @@
     pub shared: bool,
 }
 
+/// Engines of the own zone whose load a router reads while it doesn't know yet
+/// which other routers there are.
+pub const SAMPLED_OF_OWN_ZONE: usize = 8;
+
 /// Engines of each other zone that a router keeps an eye on, so that it has
 /// somewhere to send when its own zone has no engine left.
 pub const SAMPLED_PER_ZONE: usize = 2;
@@ -77,29 +81,39 @@
 impl FollowPlan {
     /// The plan of router `own` in `group`. `own_zone` and `other_zones` name the
     /// engines of its zone and of each other zone.
+    ///
+    /// A router that has just started takes itself for alone. Until `settled` it
+    /// follows no engine of a large fleet: a herd of restarted routers would
+    /// otherwise read the cache of every engine of the zone, each for itself.
     pub fn new(
         own: RouterLife,
         group: &Group,
         own_zone: &[EngineId],
         other_zones: &[Vec<EngineId>],
         full_follow_engines: usize,
+        settled: bool,
     ) -> Self {
         let total = own_zone.len() + other_zones.iter().map(Vec::len).sum::<usize>();
         if total <= full_follow_engines {
             let followed = own_zone.iter().chain(other_zones.iter().flatten()).copied().collect();
             return FollowPlan { followed, sampled: Vec::new(), shared: false };
         }
+        let foreign = other_zones.iter().flat_map(|zone| sample(own, zone, SAMPLED_PER_ZONE));
+        if !settled {
+            let near = sample(own, own_zone, SAMPLED_OF_OWN_ZONE);
+            let sampled = near.into_iter().chain(foreign).collect();
+            return FollowPlan { followed: Vec::new(), sampled, shared: true };
+        }
         let mine = |engine: &&EngineId| group.follower(**engine) == Some(own);
         let followed = own_zone.iter().filter(mine).copied().collect();
-        let sampled = other_zones.iter().flat_map(|zone| sample(own, zone)).collect();
-        FollowPlan { followed, sampled, shared: true }
+        FollowPlan { followed, sampled: foreign.collect(), shared: true }
     }
 }
 
-/// Spreads the routers over the engines of another zone.
-fn sample(own: RouterLife, zone: &[EngineId]) -> Vec<EngineId> {
+/// Spreads the routers over the engines of a zone.
+fn sample(own: RouterLife, zone: &[EngineId], count: usize) -> Vec<EngineId> {
     let engines = zone.iter().map(|engine| u64::from(engine.0));
     let ranked = rendezvous::ranked(own.node.0, engines);
-    let chosen = ranked.into_iter().take(SAMPLED_PER_ZONE);
+    let chosen = ranked.into_iter().take(count);
     chosen.filter_map(|engine| u32::try_from(engine).ok().map(EngineId)).collect()
 }
--- a/crates/sharing/tests/sharing.rs
+++ b/crates/sharing/tests/sharing.rs
@@ -222,10 +222,11 @@
     let own = router(1, 10);
     let group = Group::new(three());
     let engines = |from: u32, count: u32| (from..from + count).map(EngineId).collect::<Vec<_>>();
-    let small = FollowPlan::new(own, &group, &engines(0, 6), &[engines(6, 6), engines(12, 6)], 64);
+    let small =
+        FollowPlan::new(own, &group, &engines(0, 6), &[engines(6, 6), engines(12, 6)], 64, true);
     assert_eq!((small.followed.len(), small.shared), (18, false));
     let zones = [engines(100, 107), engines(300, 107)];
-    let plans = three().map(|own| FollowPlan::new(own, &group, &engines(0, 107), &zones, 64));
+    let plans = three().map(|own| FollowPlan::new(own, &group, &engines(0, 107), &zones, 64, true));
     let mut followed: Vec<EngineId> =
         plans.iter().flat_map(|plan| plan.followed.iter().copied()).collect();
     followed.sort_unstable();
@@ -233,6 +234,17 @@
     assert!(plans.iter().all(|plan| plan.shared && plan.sampled.len() == 4));
 }
 
+#[test]
+fn a_router_that_does_not_know_its_group_yet_follows_no_engine_of_a_large_fleet() {
+    let own = router(1, 10);
+    let alone = Group::new([own]);
+    let engines: Vec<EngineId> = (0..107).map(EngineId).collect();
+    let unsettled = FollowPlan::new(own, &alone, &engines, &[], 64, false);
+    assert_eq!((unsettled.followed.len(), unsettled.sampled.len()), (0, 8));
+    let settled = FollowPlan::new(own, &alone, &engines, &[], 64, true);
+    assert_eq!(settled.followed.len(), 107);
+}
+
 quickcheck! {
     fn hostile_bytes_are_refused_without_a_panic(bytes: Vec<u8>) -> bool {
         let _ = minicbor::decode::<ShareMessage>(&bytes);
