Recover: the operator's command for a lost quorum

Cause: the operators' page told operators to call functions of a library; no command planned or applied a recovery.

All folders stay locked until the last is read. An absent folder is refused rather than made. Replicas that never joined are listed. juniper-control exports the name of the replica's folder.

Excluded: an exit code of its own for an incomplete plan; the plan says `is_complete` and a note, and after a lost majority it is the ordinary case.

The test is a module of control_fleet: as a test target of its own it would leave half of the shared support unused, which the lints refuse.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod logging;
 pub mod operator;
 pub mod output;
+pub mod recover;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
@@ -38,6 +39,11 @@
   nodes                       status of every node with the revision in force
   drain ENGINE                give a back end no new work ('--undo' takes it back)
 
+Recovery (on data folders, while every control replica is stopped):
+  recover --folder DIR        plan the way out of a lost quorum and change nothing;
+                              repeat --folder for every data folder that is left.
+                              '--apply' makes the latest the only voter
+
 Options of operator commands:
   --control URL               e.g. http://127.0.0.1:7101; repeat for more replicas
   --operator-key-file FILE    file with the operators' key
@@ -97,6 +103,7 @@
         "status" => operator::status(parser),
         "nodes" => operator::nodes(parser),
         "drain" => operator::drain(parser),
+        "recover" => recover::recover(parser),
         _ => Err(ArgumentError::UnknownCommand(command).into()),
     }
 }
--- a/crates/control/src/replica/folder.rs
+++ b/crates/control/src/replica/folder.rs
@@ -14,7 +14,7 @@
 use crate::error::ControlError;
 
 /// Folder below the data folder that holds the replica's files and no others.
-const REPLICA_FOLDER: &str = "replica";
+pub const REPLICA_FOLDER: &str = "replica";
 
 /// Where a replica keeps its log, snapshots and identity.
 pub fn replica_folder(settings: &ControlSettings) -> PathBuf {
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -24,7 +24,7 @@
 use crate::published::Published;
 
 pub use actor::{ReplicaActor, ReplicaFailure};
-pub use folder::{found, replica_folder};
+pub use folder::{REPLICA_FOLDER, found, replica_folder};
 pub use handle::ReplicaHandle;
 pub use horizon::next_horizon;
 pub use machine::MachineError;
--- a/tests/control_fleet.rs
+++ b/tests/control_fleet.rs
@@ -4,6 +4,9 @@
 #[path = "support/replicas.rs"]
 mod replicas;
 
+#[path = "control_fleet/recovery.rs"]
+mod recovery;
+
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use replicas::{Fleet, put_zone};
--- a/tests/support/replicas.rs
+++ b/tests/support/replicas.rs
@@ -89,9 +89,13 @@
         assert!(status.success(), "kill {name} {id}");
     }
 
+    pub fn data_folder(&self) -> PathBuf {
+        self.folder.join("data")
+    }
+
     /// Takes the disk away: the folder is blank again.
     pub fn lose_disk(&self) {
-        std::fs::remove_dir_all(self.folder.join("data")).expect("the data folder is removed");
+        std::fs::remove_dir_all(self.data_folder()).expect("the data folder is removed");
     }
 }
 
@@ -150,7 +154,7 @@
          [control]\ninternal = \"{}\"\noperator = \"{}\"\ninitial_voters = {voters:?}\n",
         replica.node,
         replica.node,
-        replica.folder.join("data").display(),
+        replica.data_folder().display(),
         replica.internal,
         replica.operator,
     );
