--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -12,6 +12,7 @@
 mod host;
 mod layout;
 mod plot;
+mod processes;
 mod report;
 mod sample;
 mod synthetic;
--- a/crates/router/src/applications.rs
+++ b/crates/router/src/applications.rs
@@ -127,7 +127,7 @@
     let mut in_flight = shared.enter()?;
     let started = Instant::now();
     let (caller, forward) = accept(shared, request, TrafficKind::AtMostOnce).await?;
-    shared.admit(&mut in_flight, &caller, 0)?;
+    shared.admit(&mut in_flight, &caller)?;
     let key_text = forward.key.clone().unwrap_or_default();
     let claim = Claim {
         tenant: caller.home.tenant.clone(),
@@ -231,7 +231,7 @@
     let mut in_flight = shared.enter()?;
     let started = Instant::now();
     let (caller, forward) = accept(shared, request, TrafficKind::Repeatable).await?;
-    shared.admit(&mut in_flight, &caller, 0)?;
+    shared.admit(&mut in_flight, &caller)?;
     let deadline = started + Duration::from_millis(caller.settings.deadline_ms);
     let mut excluded = Vec::new();
     let mut sent = false;
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -156,11 +156,6 @@
         Timestamp::ZERO.after(self.started.elapsed())
     }
 
-    /// How many engines the settings in force name.
-    pub fn known(&self) -> usize {
-        self.lock().known.len()
-    }
-
     /// Takes over the engines of new settings.
     pub fn follow(&self, in_force: &InForce) {
         let mut state = self.lock();
--- a/crates/router/src/faces.rs
+++ b/crates/router/src/faces.rs
@@ -142,7 +142,7 @@
     let tenant = caller.home.tenant.clone();
     shared.plane.engines.record_request(caller.settings.retry_budget_percent);
     let mut plan = ChatPlan::new(&tenant, Arc::clone(&caller.settings), &chat.prompt);
-    shared.admit(&mut in_flight, &caller, plan.blocks.tokens)?;
+    shared.admit(&mut in_flight, &caller)?;
     plan.shared_holders = shared.plane.hub.holders(&plan.blocks.hashes).await;
     let job = ChatJob { request_id, tenant, chat, plan, started, deadline, resume_from };
     let (relay, origin) = open(Arc::clone(&shared), job).await?;
@@ -209,15 +209,15 @@
     request_id: juniper_types::RequestId,
     model: String,
     pieces: ReceiverStream<Piece>,
-    mut in_flight: InFlight,
+    in_flight: InFlight,
     mut first_token: FirstToken,
 ) -> Response {
     let events = pieces.map(move |piece| {
+        // Held by the body, so that the request counts until its last byte.
+        let _held = &in_flight;
         let text = match piece {
             Piece::Chunk(chunk) => {
                 first_token.note();
-                // Held by the body, so that the request counts until its last byte.
-                in_flight.first_token();
                 caller_event(request_id, &model, &chunk)
             }
             Piece::Done => "data: [DONE]\n\n".to_owned(),
--- a/crates/router/src/previews.rs
+++ b/crates/router/src/previews.rs
@@ -88,7 +88,7 @@
     let (parts, _body) = request.into_parts();
     let caller = authenticate(&view.in_force, &parts.headers, TrafficKind::Preview)?;
     shared.check_cut_off(&caller.settings)?;
-    shared.admit(&mut in_flight, &caller, 0)?;
+    shared.admit(&mut in_flight, &caller)?;
     let request_id = request_id(&parts.headers)?;
     let start = range_start(&parts.headers)?;
     let path = parts.uri.path().to_owned();
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -13,7 +13,7 @@
 use crate::config::RouterConfig;
 use crate::control_plane::ControlPlane;
 use crate::error::RequestError;
-use crate::limits::{Admitted, FleetView, Limits};
+use crate::limits::{Admitted, Limits};
 use crate::metrics::Metrics;
 use crate::subscription::SettingsView;
 
@@ -26,6 +26,11 @@
 /// Suggested pause when the settings are unavailable, in milliseconds.
 const SETTINGS_RETRY_MS: u64 = 1_000;
 
+/// Tokens that a request brings to the queue. The prompt's length would count
+/// what engines have cached as work, and refuse requests that cost nothing; the
+/// engine's choice refuses what can't meet its deadline.
+const NO_QUEUED_TOKENS: u32 = 0;
+
 /// Shared by all requests.
 pub struct Shared {
     /// Settings of the process.
@@ -80,29 +85,20 @@
             .try_acquire_owned()
             .map_err(|_| RequestError::Overloaded { retry_after_ms: FULL_RETRY_MS })?;
         self.metrics.in_flight.inc();
-        Ok(InFlight { gauge: self.metrics.in_flight.clone(), admitted: None, _permit: permit })
+        Ok(InFlight { gauge: self.metrics.in_flight.clone(), _admitted: None, _permit: permit })
     }
 
-    /// Holds a request to the limits of its tenant and service. `tokens` is the
-    /// length of its prompt; zero for traffic that no engine serves.
-    pub fn admit(
-        &self,
-        in_flight: &mut InFlight,
-        caller: &Caller,
-        tokens: u32,
-    ) -> Result<(), RequestError> {
+    /// Holds a request to the rate and concurrency of its service.
+    pub fn admit(&self, in_flight: &mut InFlight, caller: &Caller) -> Result<(), RequestError> {
         let question = AdmissionQuestion {
             tenant: &caller.home.tenant,
             service: &caller.service,
             settings: &caller.settings,
-            tokens,
+            tokens: NO_QUEUED_TOKENS,
         };
         let others = self.plane.peers.borrow().routers.len();
-        let fleet = FleetView {
-            routers: u32::try_from(others + 1).unwrap_or(u32::MAX),
-            engines: self.plane.engines.known(),
-        };
-        in_flight.admitted = Some(self.limits.admit(&question, fleet)?);
+        let routers = u32::try_from(others + 1).unwrap_or(u32::MAX);
+        in_flight._admitted = Some(self.limits.admit(&question, routers)?);
         Ok(())
     }
 
@@ -121,19 +117,10 @@
 /// A request in flight; a planned stop waits until all are dropped.
 pub struct InFlight {
     gauge: prometheus::IntGauge,
-    admitted: Option<Admitted>,
+    _admitted: Option<Admitted>,
     _permit: tokio::sync::OwnedSemaphorePermit,
 }
 
-impl InFlight {
-    /// Notes that the answer has begun.
-    pub fn first_token(&mut self) {
-        if let Some(admitted) = &mut self.admitted {
-            admitted.first_token();
-        }
-    }
-}
-
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.gauge.dec();
