Routing: a request that has begun is bound by its deadline only

Change: RouteRequest.begun leaves the bound out; the router sets it on every attempt after the first. Test of the decision.

--- a/crates/lab/src/prove/decisions/router.rs
+++ b/crates/lab/src/prove/decisions/router.rs
@@ -51,6 +51,7 @@
             importable_blocks: 0,
             first_token_within: FIRST_TOKEN_WITHIN,
             excluded: &[],
+            begun: false,
             weights: CostWeights { latency: 1.0, waste: 1.0 },
         };
         let decision = decide(&self.table, &holders, &question, now, random).ok()?;
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -195,6 +195,7 @@
         let request = RouteRequest {
             first_token_within,
             excluded,
+            begun: !excluded.is_empty(),
             ..RouteRequest::new(
                 &plan.settings,
                 &plan.serving,
--- a/crates/routing/examples/measure.rs
+++ b/crates/routing/examples/measure.rs
@@ -116,6 +116,7 @@
             importable_blocks: 0,
             first_token_within: Duration::from_secs(10),
             excluded: &[],
+            begun: false,
             weights: CostWeights { latency: 1.0, waste: 1.0 },
         };
         let started = Instant::now();
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -55,6 +55,9 @@
     pub first_token_within: Duration,
     /// Engines that must not be used, such as those that failed already.
     pub excluded: &'a [EngineId],
+    /// Whether the request was accepted before and its engine failed. It is then
+    /// bound by its deadline only: refusing it would break what was begun.
+    pub begun: bool,
     /// Weights of the service in the cost.
     pub weights: CostWeights,
 }
@@ -74,6 +77,7 @@
             importable_blocks: 0,
             first_token_within: Duration::from_millis(settings.first_token_deadline_ms),
             excluded: &[],
+            begun: false,
             weights: CostWeights { latency: settings.latency_weight, waste: settings.waste_weight },
         }
     }
--- a/crates/routing/src/search.rs
+++ b/crates/routing/src/search.rs
@@ -154,10 +154,18 @@
         estimate.terms(&self.table.model, work.compute_us, work.import_us, self.now)
     }
 
+    /// The cost model, without the bound on queues for a request that has begun.
+    fn model(&self) -> CostModel {
+        match self.request.begun {
+            true => CostModel { max_queue_us: f64::INFINITY, ..self.table.model },
+            false => self.table.model,
+        }
+    }
+
     fn price(&self, work: Work) -> Price {
         let Work { compute_us, import_us, .. } = work;
         let weights = self.request.weights;
-        Price::new(&self.table.model, weights, compute_us, import_us, self.within_us)
+        Price::new(&self.model(), weights, compute_us, import_us, self.within_us)
     }
 
     /// The decision, or the refusal; `None` when there is no candidate at all.
--- a/crates/routing/tests/decide.rs
+++ b/crates/routing/tests/decide.rs
@@ -33,6 +33,7 @@
         importable_blocks: 0,
         first_token_within: Duration::from_secs(10),
         excluded: &[],
+        begun: false,
         weights: CostWeights { latency: 1.0, waste: 1.0 },
     }
 }
@@ -150,6 +151,23 @@
     assert!((0..50).any(|prompt| route(&table, &[], prompt).expect("routed").engine.0 == 0));
 }
 
+#[test]
+fn a_request_that_has_begun_is_bound_by_its_deadline_only() {
+    let mut table = table(2, NOW);
+    load_up(&mut table, EngineId(0), 10, 2_600);
+    load_up(&mut table, EngineId(1), 10, 2_600);
+    let (key, chain) = (serving(), blocks(1, 40));
+    let random = &mut ChaCha8Rng::seed_from_u64(0);
+    let within = Duration::from_secs(40);
+    let fresh = RouteRequest { first_token_within: within, ..request(&key, &chain) };
+    let refusal = decide(&table, &[], &fresh, NOW, random).expect_err("the queues are full");
+    assert_eq!(refusal.code, RefusalCode::Overloaded);
+    let begun = RouteRequest { begun: true, ..fresh };
+    assert!(decide(&table, &[], &begun, NOW, random).is_ok());
+    let late = RouteRequest { first_token_within: Duration::from_secs(1), ..begun };
+    assert!(decide(&table, &[], &late, NOW, random).is_err());
+}
+
 #[test]
 fn what_comes_too_late_is_refused_with_the_time_that_the_queue_needs() {
     let mut table = table(2, NOW);
