--- a/crates/lab/tests/prove.rs
+++ b/crates/lab/tests/prove.rs
@@ -50,3 +50,17 @@
         }
     }
 }
+
+/// A voter's disk and, within 16 ms, the disk of the standby that takes its place
+/// are lost; the other two voters still have everything that was accepted.
+#[test]
+fn a_voter_and_its_standby_lost_together_leave_a_quorum() {
+    const SEED: u64 = 27_352;
+    let claims = AREAS.iter().find(|area| area.name == "claims").expect("the area is listed");
+    let summary = run(
+        claims,
+        Campaign { first_seed: SEED, seeds: 1, planted: None, stop_at_first: false },
+        1,
+    );
+    assert_eq!(summary.failed, []);
+}
--- a/crates/sharing/tests/sharing.rs
+++ b/crates/sharing/tests/sharing.rs
@@ -104,6 +104,24 @@
     assert!(zone.found(router(2, 20), &blocks).is_empty());
 }
 
+#[test]
+fn stored_and_evicted_in_one_round_is_sent_at_most_once() {
+    let [first, second, third] = three();
+    let mut sharing = Sharing::new(first);
+    sharing.set_group(Group::new([first, second, third]));
+    // A first message to every owner, so that the next one holds changes only.
+    sharing.cache_events(ENGINE, LIFE, &[event(1, &prompt(1, 640), &[])]);
+    sharing.flush(NOW).unwrap();
+    let blocks = prompt(4, 640);
+    sharing.cache_events(ENGINE, LIFE, &[event(2, &blocks, &[]), event(3, &[], &blocks)]);
+    let messages = sharing.flush(NOW).unwrap();
+    assert_eq!(messages.len(), 2);
+    for delta in messages.iter().flat_map(|(_, message)| &message.deltas) {
+        assert_eq!(delta.stored.iter().count(), 0, "a block that is gone again is not stored");
+        assert!(delta.removed.iter().count() > 0);
+    }
+}
+
 #[test]
 fn lost_message_is_repaired_whether_or_not_the_sender_noticed() {
     for noticed in [true, false] {
