--- a/crates/control/examples/measure/main.rs
+++ b/crates/control/examples/control_group/main.rs
@@ -1,6 +1,6 @@
 //! Measures a group of control replicas: real processes, loopback TCP, synced disks.
 //!
-//! `cargo run --release -p juniper-control --example measure -- CASE [NUMBERS]`
+//! `cargo run --release -p juniper-control --example control_group -- CASE [NUMBERS]`
 //! where a case is one of
 //! `commit REPLICAS`, `claims REPLICAS`, `failover REPLICAS`,
 //! `spread REPLICAS SUBSCRIBERS`, `herd REPLICAS SUBSCRIBERS`, `start CHANGES` and
--- a/crates/lab/src/scale/host.rs
+++ b/crates/lab/src/scale/host.rs
@@ -139,8 +139,7 @@
             status.received += traffic.received();
             status.lookup_bytes += traffic.lookups();
             status.revisions.push(node.plane.settings.borrow().in_force.revision.0);
-            let known = node.plane.peers.borrow().routers.len();
-            status.members.push(if node.plane.hub.is_settled() { known } else { 0 });
+            status.members.push(members_known(node));
             let size = node.plane.hub.size();
             status.published_keys += size.published_keys;
             status.owned_keys += size.owned_keys;
@@ -157,3 +156,12 @@
         status
     }
 }
+
+/// Other members that `node` holds for up. A node that has just started counts as
+/// knowing none: it follows no engine yet, so the run hasn't settled.
+fn members_known(node: &HollowNode) -> usize {
+    match node.plane.hub.is_settled() {
+        true => node.plane.peers.borrow().routers.len(),
+        false => 0,
+    }
+}
--- a/crates/prefix-index/examples/measure.rs
+++ b/crates/prefix-index/examples/index_size.rs
@@ -1,6 +1,6 @@
 //! Memory for a million block entries and the time of a lookup.
 //!
-//! `cargo run --release -p juniper-prefix-index --example measure`
+//! `cargo run --release -p juniper-prefix-index --example index_size`
 
 use std::time::Instant;
 
--- a/crates/routing/examples/measure.rs
+++ b/crates/routing/examples/decision_time.rs
@@ -1,6 +1,6 @@
 //! Measures the time of one decision at several fleet sizes.
 //!
-//! `cargo run --release -p juniper-routing --example measure`
+//! `cargo run --release -p juniper-routing --example decision_time`
 //!
 //! Three cases: nobody holds the prompt; eight engines hold part of it; every
 //! engine holds its outermost part, as with a prefix that all requests share.
--- a/crates/simulation/examples/measure.rs
+++ b/crates/simulation/examples/storage_speed.rs
@@ -1,6 +1,6 @@
 //! Measures storage on a real folder: group commit and start-up after many changes.
 //!
-//! Usage: cargo run --release -p juniper-simulation --example measure -- FOLDER
+//! Usage: cargo run --release -p juniper-simulation --example storage_speed -- FOLDER
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
