Routing: the longest queue follows the time that a request has left

Cause: the bound of 2.5 s on an engine's queue held whatever the deadline, so a chat with ten seconds left was refused as overloaded while one of six engines was frozen or two were leaving. Excluded: the queue estimate itself (with the bound off the tests passed), the retry budget (no retry was denied). Change: the bound is three quarters of the time within which the first token is due, 2.5 s if that is more.

--- a/crates/lab/src/experiment/tuning.rs
+++ b/crates/lab/src/experiment/tuning.rs
@@ -24,6 +24,7 @@
         "busy_start_us" => |model| &mut model.busy_start_us,
         "near_equal_us" => |model| &mut model.near_equal_us,
         "max_queue_us" => |model| &mut model.max_queue_us,
+        "max_queue_share" => |model| &mut model.max_queue_share,
         "room_factor" => |model| &mut model.room_factor,
         "calm_queue_us" => |model| &mut model.calm_queue_us,
         "waste_factor" => |model| &mut model.waste_factor,
--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -16,9 +16,13 @@
     /// Costs that differ by less count as equal. About the work that other
     /// routers send to one engine between two load reports.
     pub near_equal_us: f64,
-    /// Longest queue that an engine is given. A longer one doesn't raise the
-    /// throughput, but the cache is overwritten while requests wait in it.
+    /// Longest queue that an engine is given by requests that are due soon.
     pub max_queue_us: f64,
+    /// Longest queue that an engine is given by requests that are due later, as a
+    /// share of the time within which the first token is due. A queue that would
+    /// use up the whole of it leaves nothing for an estimate that is wrong, and the
+    /// cache is overwritten while requests wait.
+    pub max_queue_share: f64,
     /// Part of a request's own computing that counts towards the longest queue:
     /// as queues grow, requests that find their prefix are still taken.
     pub room_factor: f64,
@@ -43,6 +47,7 @@
             busy_start_us: 32_000.0,
             near_equal_us: 10_000.0,
             max_queue_us: 2_500_000.0,
+            max_queue_share: 0.75,
             room_factor: 2.0,
             calm_queue_us: 100_000.0,
             waste_factor: 1.0,
@@ -59,9 +64,11 @@
 impl CostModel {
     /// How much of a queue has to drain until it has room for a request; not
     /// above zero when it has.
-    pub(crate) fn excess_queue_us(&self, terms: &CostTerms) -> f64 {
+    ///
+    /// `max_queue_us` is the longest queue that the request may be given.
+    pub(crate) fn excess_queue_us(&self, terms: &CostTerms, max_queue_us: f64) -> f64 {
         let over_calm = terms.queue_us - self.calm_queue_us;
-        let over_room = terms.queue_us + self.room_factor * terms.compute_us - self.max_queue_us;
+        let over_room = terms.queue_us + self.room_factor * terms.compute_us - max_queue_us;
         over_calm.min(over_room)
     }
 }
@@ -146,6 +153,27 @@
     lanes.into_iter().chain(rest).fold(f32::INFINITY, lesser)
 }
 
+/// What bounds the queue that a request may be given, in microseconds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QueueBounds {
+    /// Time within which the first token is due.
+    pub(crate) within_us: f64,
+    /// Longest queue that an engine is given.
+    pub(crate) max_queue_us: f64,
+}
+
+impl QueueBounds {
+    /// The bounds of a request whose first token is due after `within_us`. One
+    /// that has begun is bound by that time only.
+    pub(crate) fn new(model: &CostModel, within_us: f64, begun: bool) -> Self {
+        let max_queue_us = match begun {
+            true => f64::INFINITY,
+            false => model.max_queue_us.max(within_us * model.max_queue_share),
+        };
+        QueueBounds { within_us, max_queue_us }
+    }
+}
+
 /// The cost of some work as a function of the engine: everything that doesn't
 /// depend on the engine is multiplied out, as a decision asks 1,500 times.
 #[derive(Clone, Copy, Debug)]
@@ -160,24 +188,24 @@
 
 impl Price {
     /// The price of computing and importing for so long, with the first token
-    /// due after `within_us`.
+    /// due in time.
     pub(crate) fn new(
         model: &CostModel,
         weights: CostWeights,
         compute_us: f64,
         import_us: f64,
-        within_us: f64,
+        bounds: QueueBounds,
     ) -> Self {
         let own_us = compute_us + import_us;
         let waste = weights.waste * model.waste_factor * compute_us;
         let congestion = model.congestion_factor * compute_us * ARRIVALS_PER_US;
-        let room_queue_us = model.max_queue_us - model.room_factor * compute_us;
+        let room_queue_us = bounds.max_queue_us - model.room_factor * compute_us;
         Price {
             fixed: (weights.latency * own_us + waste) as f32,
             latency: weights.latency as f32,
             by_queue: (weights.latency * (1.0 + congestion)) as f32,
             room_queue_us: room_queue_us.max(model.calm_queue_us) as f32,
-            timely_us: (within_us - own_us) as f32,
+            timely_us: (bounds.within_us - own_us) as f32,
             calm_queue_us: model.calm_queue_us as f32,
         }
     }
--- a/crates/routing/src/search.rs
+++ b/crates/routing/src/search.rs
@@ -9,7 +9,7 @@
 use juniper_prefix_index::{Holder, rendezvous};
 use juniper_types::Timestamp;
 
-use crate::cost::{CostModel, CostTerms, Fit, Price, Score, least};
+use crate::cost::{CostModel, CostTerms, Fit, Price, QueueBounds, Score, least};
 use crate::decide::{Decision, PrefixWait, Reason, Refusal, RefusalCode};
 use crate::estimate::Estimate;
 use crate::groups::Group;
@@ -80,7 +80,7 @@
     group: &'a Group,
     holders: &'a [Holder],
     request: &'a RouteRequest<'a>,
-    within_us: f64,
+    bounds: QueueBounds,
     now: Timestamp,
 }
 
@@ -92,7 +92,8 @@
         now: Timestamp,
     ) -> Self {
         let within_us = request.first_token_within.as_micros() as f64;
-        Search { table, group: table.group(request.serving), holders, request, within_us, now }
+        let bounds = QueueBounds::new(&table.model, within_us, request.begun);
+        Search { table, group: table.group(request.serving), holders, request, bounds, now }
     }
 
     /// Scores every candidate. Holders come twice, the second time as if they
@@ -154,18 +155,10 @@
         estimate.terms(&self.table.model, work.compute_us, work.import_us, self.now)
     }
 
-    /// The cost model, without the bound on queues for a request that has begun.
-    fn model(&self) -> CostModel {
-        match self.request.begun {
-            true => CostModel { max_queue_us: f64::INFINITY, ..self.table.model },
-            false => self.table.model,
-        }
-    }
-
     fn price(&self, work: Work) -> Price {
         let Work { compute_us, import_us, .. } = work;
         let weights = self.request.weights;
-        Price::new(&self.model(), weights, compute_us, import_us, self.within_us)
+        Price::new(&self.table.model, weights, compute_us, import_us, self.bounds)
     }
 
     /// The decision, or the refusal; `None` when there is no candidate at all.
@@ -262,13 +255,13 @@
 
     /// The queue has to drain until it has room and the first token isn't late.
     fn refusal(&self, cheapest: &CostTerms) -> Refusal {
-        let late_us = cheapest.first_token_us() - self.within_us;
+        let late_us = cheapest.first_token_us() - self.bounds.within_us;
         let code = if late_us > cheapest.queue_us {
             RefusalCode::DeadlineTooShort
         } else {
             RefusalCode::Overloaded
         };
-        let excess_us = self.table.model.excess_queue_us(cheapest);
+        let excess_us = self.table.model.excess_queue_us(cheapest, self.bounds.max_queue_us);
         let drained = Duration::from_micros(late_us.max(excess_us).max(0.0) as u64);
         Refusal { code, retry_after: drained.max(MIN_RETRY_AFTER) }
     }
