--- /dev/null
+++ b/crates/catalog/tests/catalog.rs
@@ -0,0 +1,149 @@
+//! Validation and lookup of whole configurations.
+
+use std::sync::Arc;
+
+use juniper_catalog::{
+    Catalog, CatalogFault, CatalogIndex, KeyAccess, RequestLimits, Route, RouteKind, Service,
+    SplitPart, Tenant, WeightedSplit,
+};
+use quickcheck::quickcheck;
+
+fn part(service: &str, weight: u32) -> SplitPart {
+    SplitPart { service: service.to_owned(), weight }
+}
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "board.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Repeatable,
+        timeout_ms: 2_000,
+        objective_ms: 300,
+        priority: 1,
+        split: vec![part("app", 1)],
+        max_attempts: 2,
+        anonymous: false,
+        has_prompt: false,
+        resumable: false,
+        max_pause_ms: None,
+    }
+}
+
+fn tenant(name: &str, keys: &[&str]) -> Tenant {
+    let keys = keys.iter().map(|key| (*key).to_owned()).collect();
+    Tenant { name: name.to_owned(), keys, priority: None, isolated: false }
+}
+
+fn catalog() -> Catalog {
+    let service = |name: &str| Service {
+        name: name.to_owned(),
+        health_path: "/health".to_owned(),
+        max_connections: 10,
+        engine: None,
+        store: None,
+    };
+    Catalog {
+        version: 7,
+        routes: vec![route("short", "/a/"), route("long", "/a/b/")],
+        services: vec![service("app"), service("other")],
+        limits: RequestLimits::default(),
+        tenants: vec![tenant("one", &["k1", "k2"]), tenant("two", &["k3"])],
+    }
+}
+
+#[test]
+fn a_valid_configuration_has_no_faults() {
+    assert_eq!(catalog().faults(), []);
+}
+
+#[test]
+fn every_fault_is_named_at_once() {
+    let mut broken = catalog();
+    broken.routes[0].split = vec![part("nowhere", 1)];
+    broken.routes[1].split = vec![part("app", 0)];
+    broken.routes.push(Route { timeout_ms: 0, ..route("third", "/a/") });
+    broken.tenants.push(tenant("three", &["k1"]));
+    let faults = broken.faults();
+    let expected = [
+        CatalogFault::UnknownService { route: "short".into(), service: "nowhere".into() },
+        CatalogFault::NoWeight { route: "long".into() },
+        CatalogFault::NoTimeout { route: "third".into() },
+        CatalogFault::SamePlace { first: "short".into(), second: "third".into() },
+        CatalogFault::SharedKey { first: "one".into(), second: "three".into() },
+    ];
+    assert_eq!(faults, expected);
+}
+
+#[test]
+fn a_route_without_any_part_has_no_weight() {
+    let mut broken = catalog();
+    broken.routes[0].split.clear();
+    assert_eq!(broken.faults(), [CatalogFault::NoWeight { route: "short".into() }]);
+}
+
+#[test]
+fn a_key_that_a_tenant_holds_twice_is_no_fault() {
+    let mut doubled = catalog();
+    doubled.tenants[0].keys.push("k1".into());
+    assert_eq!(doubled.faults(), []);
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let index = CatalogIndex::new(Arc::new(catalog()));
+    let name = |host: &str, path: &str| {
+        let place = index.route_at(host, path)?;
+        index.route(place).map(|route| route.name.clone())
+    };
+    assert_eq!(name("board.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(name("board.example", "/a/c").as_deref(), Some("short"));
+    assert_eq!(name("BOARD.example", "/a/c").as_deref(), Some("short"));
+    assert_eq!(name("board.example", "/b"), None);
+    assert_eq!(name("elsewhere.example", "/a/c"), None);
+}
+
+#[test]
+fn keys_belong_to_one_tenant_and_unknown_ones_are_denied() {
+    let index = CatalogIndex::new(Arc::new(catalog()));
+    let closed = route("closed", "/x/");
+    let open = Route { anonymous: true, ..closed.clone() };
+    let tenant_of = |key: &str| match index.access(&closed, Some(key)) {
+        KeyAccess::Tenant(tenant) => Some(tenant.name.clone()),
+        _ => None,
+    };
+    assert_eq!(tenant_of("k2").as_deref(), Some("one"));
+    assert_eq!(tenant_of("k3").as_deref(), Some("two"));
+    assert_eq!(index.access(&closed, Some("k4")), KeyAccess::Denied);
+    assert_eq!(index.access(&closed, None), KeyAccess::Denied);
+    assert_eq!(index.access(&open, None), KeyAccess::Open);
+    let without_tenants = Catalog { tenants: Vec::new(), ..catalog() };
+    let index = CatalogIndex::new(Arc::new(without_tenants));
+    assert_eq!(index.access(&closed, None), KeyAccess::Open);
+}
+
+#[test]
+fn an_encoded_configuration_is_read_back_whole() {
+    let bytes = minicbor::to_vec(catalog()).expect("encodes");
+    assert_eq!(minicbor::decode::<Catalog>(&bytes).expect("decodes"), catalog());
+}
+
+quickcheck! {
+    /// Each part has its share to within one request for each part.
+    fn splits_follow_the_weights(weights: Vec<u8>, picks: u8) -> bool {
+        let parts: Vec<_> = weights.iter().take(5).map(|w| part("s", u32::from(*w))).collect();
+        let total: u32 = parts.iter().map(|part| part.weight).sum();
+        let mut split = WeightedSplit::default();
+        let mut counts = vec![0_u32; parts.len()];
+        for _ in 0..picks {
+            match split.pick(&parts) {
+                Some(place) => counts[place] += 1,
+                None => return total == 0,
+            }
+        }
+        parts.iter().zip(&counts).all(|(part, count)| {
+            let share = f64::from(part.weight) / f64::from(total.max(1)) * f64::from(picks);
+            (f64::from(*count) - share).abs() <= parts.len() as f64
+        })
+    }
+}
--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -19,6 +19,10 @@
     pub zone: ZoneName,
     /// Nodes that may hold replicas; a replica that isn't a member asks them to let it join.
     pub peers: Vec<NodeId>,
+    /// Whether any node may join. Who may speak at all is then up to the driver.
+    pub admits_any_node: bool,
+    /// Whether standbys replace voters only to spread them over zones.
+    pub spreads_zones: bool,
     /// Voters that the leader keeps up, from the learners it has: 3 or 5.
     pub target_voters: usize,
     /// Ticks between heartbeats.
@@ -54,6 +58,8 @@
             id,
             zone,
             peers,
+            admits_any_node: false,
+            spreads_zones: true,
             target_voters: 3,
             heartbeat_ticks: 2,
             election_ticks: 10,
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -177,6 +177,9 @@
     /// The receiver's epoch was left behind by a recovery; its state is void.
     #[n(16)]
     Fenced,
+    /// The sender is about to stop and asks the leader for a standby in its place.
+    #[n(17)]
+    Retire,
 }
 
 impl Body {
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -1,6 +1,6 @@
 //! Elections: pre-vote, vote, and the clock that starts them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{Leadership, Replica, State};
 use crate::entry::{Payload, Position, Term};
@@ -211,6 +211,7 @@
             quorum_check_due: self.now + self.config.election_ticks,
             transfer: None,
             uncommitted_bytes,
+            retiring: BTreeMap::new(),
         });
         self.append_own(Payload::Empty);
     }
--- a/crates/consensus/src/replica/maintain.rs
+++ b/crates/consensus/src/replica/maintain.rs
@@ -16,6 +16,7 @@
 use crate::error::{MembersError, ProposeError};
 use crate::identity::ReplicaId;
 use crate::membership::{MAX_MEMBERS, Member, MemberRole, Membership, MembershipChange};
+use crate::message::Message;
 use crate::progress::Mode;
 use crate::ready::Proposal;
 
@@ -25,6 +26,9 @@
 /// is made up for within a few milliseconds doesn't hold commits back.
 const CAUGHT_UP_LAG: Index = 64;
 
+/// Election timeouts for which a voter counts as about to stop after it said so.
+const RETIRING_TIMEOUTS: u64 = 6;
+
 /// Heartbeats within which a learner must have been heard from to be promoted.
 ///
 /// A promoted replica counts towards the quorum at once; one that has just been
@@ -110,7 +114,8 @@
     /// Takes a replica in as a learner. The request is repeated until it succeeds,
     /// so failing for now needs no answer.
     pub(super) fn on_join_request(&mut self, id: ReplicaId, zone: ZoneName) {
-        let allowed = self.config.peers.contains(&id.node) || id.node == self.id().node;
+        let listed = self.config.peers.contains(&id.node) || id.node == self.id().node;
+        let allowed = listed || self.config.admits_any_node;
         let membership = self.log.membership();
         if !self.is_leader() || !allowed || membership.contains(id) {
             return;
@@ -124,6 +129,27 @@
         self.change_members(&change).ok();
     }
 
+    /// Hands a request to join to the leader, since a newcomer knows only some
+    /// replicas. A request that was handed on names a disk and goes no further.
+    pub(super) fn pass_join_request_on(&mut self, request: &Message) {
+        let leader = self.leader.filter(|leader| *leader != self.id());
+        let Some(leader) = leader.filter(|_| request.to_disk.is_none()) else { return };
+        if self.config.admits_any_node && leader.node != request.from.node {
+            let mut passed_on = request.clone();
+            passed_on.to = leader.node;
+            passed_on.to_disk = Some(leader.disk);
+            self.send_raw(passed_on);
+        }
+    }
+
+    /// Notes that a voter is about to stop; a standby may take its place for a while.
+    pub(super) fn on_retire(&mut self, id: ReplicaId) {
+        let until = self.now + RETIRING_TIMEOUTS * self.config.election_ticks;
+        if let State::Leader(leadership) = &mut self.state {
+            leadership.retiring.insert(id, until);
+        }
+    }
+
     /// A learner that can make room for a newcomer: a silent one, of the same
     /// node if possible.
     fn replaceable_learner(&self, newcomer: ReplicaId) -> Option<ReplicaId> {
@@ -207,6 +233,7 @@
         let others = || self.membership.voters().filter(move |member| member.id != own);
         let silent = others().filter(|member| !self.is_active(member.id));
         let silent = silent.max_by_key(|member| self.silence(member.id));
+        let silent = silent.or_else(|| others().find(|member| self.is_retiring(member.id)));
         let crowded = || others().max_by_key(|member| self.voters_in(&member.zone));
         silent.or_else(crowded).map(|member| member.id)
     }
@@ -222,12 +249,22 @@
         self.silence(id) > self.replica.config.lost_voter_ticks
     }
 
+    /// Whether a voter has said that it is about to stop.
+    fn is_retiring(&self, id: ReplicaId) -> bool {
+        let until = self.leadership.retiring.get(&id);
+        until.is_some_and(|until| self.replica.now < *until)
+    }
+
     /// The learner to promote, if a voter is missing, lost or badly placed.
     fn promotion(&self) -> Option<ReplicaId> {
         let candidate = self.best_candidate()?;
         let missing = self.membership.voters().count() < self.replica.config.target_voters;
-        let lost = || self.membership.voters().any(|member| self.is_lost(member.id));
+        let goes = |member: &Member| self.is_lost(member.id) || self.is_retiring(member.id);
+        let lost = || self.membership.voters().any(goes);
         let spreads = || {
+            if !self.replica.config.spreads_zones {
+                return false;
+            }
             let crowded = self.membership.voters().any(|voter| self.voters_in(&voter.zone) > 1);
             crowded && self.voters_in(&candidate.zone) == 0
         };
@@ -239,6 +276,7 @@
         let fit = |member: &&Member| {
             member.role == MemberRole::Learner
                 && self.is_active(member.id)
+                && !self.is_retiring(member.id)
                 && self.replica.is_caught_up(self.leadership, member.id)
         };
         let candidates = self.membership.members.iter().filter(fit);
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -54,6 +54,8 @@
     transfer: Option<(ReplicaId, u64)>,
     /// Approximate bytes of entries that are not committed yet.
     uncommitted_bytes: usize,
+    /// Voters that are about to stop, with the tick until which that counts.
+    retiring: BTreeMap<ReplicaId, u64>,
 }
 
 /// A replica of the log. See the crate's documentation for how to drive it.
@@ -179,6 +181,16 @@
         self.take_snapshot(index, data)
     }
 
+    /// Asks the leader to put a standby in this replica's place, because it is
+    /// about to stop. Without a standby nothing happens. Returns whether this
+    /// replica still votes.
+    pub fn retire(&mut self) -> bool {
+        if let Some(leader) = self.leader.filter(|leader| *leader != self.id()) {
+            self.send(leader, crate::message::Body::Retire);
+        }
+        self.log.membership().is_voter(self.id())
+    }
+
     /// Where the replica stands.
     pub fn status(&self) -> Status {
         Status {
--- a/crates/consensus/src/replica/step.rs
+++ b/crates/consensus/src/replica/step.rs
@@ -13,7 +13,9 @@
         if stopped || !self.is_addressee(&message) || !message.is_in_bounds() {
             return;
         }
-        if let Body::JoinRequest { zone } = message.body {
+        if let Body::JoinRequest { zone } = &message.body {
+            let zone = zone.clone();
+            self.pass_join_request_on(&message);
             self.on_join_request(message.from, zone);
             return;
         }
@@ -141,6 +143,7 @@
                 self.on_read_reply(session, context, index);
             }
             Body::NotMember => self.told_not_member = true,
+            Body::Retire => self.on_retire(from),
             Body::JoinRequest { .. } | Body::Fenced => {}
         }
     }
--- a/crates/control-state/src/answer.rs
+++ b/crates/control-state/src/answer.rs
@@ -5,6 +5,7 @@
 use minicbor::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::{CatalogAnswer, OrderLease};
 use crate::orders::OrderAnswer;
 
 /// The answer to one command. Every replica computes the same one.
@@ -31,6 +32,18 @@
     /// What the recording of an order, or of its end, came to.
     #[n(6)]
     Order(#[n(0)] OrderAnswer),
+    /// What a configuration of generic services came to.
+    #[n(7)]
+    Catalog(#[n(0)] CatalogAnswer),
+    /// The version of weights that the model should have now.
+    #[n(8)]
+    Weights(#[n(0)] u64),
+    /// The departure is recorded.
+    #[n(9)]
+    Departed,
+    /// Who gives orders from now on.
+    #[n(10)]
+    OrderLease(#[n(0)] OrderLease),
 }
 
 /// What a write of settings came to. Only `Accepted` changed anything.
--- a/crates/control-state/src/command.rs
+++ b/crates/control-state/src/command.rs
@@ -3,12 +3,15 @@
 //! A command carries everything that its effect depends on, the proposer's
 //! clock included, so that every replica computes the same state.
 
+use juniper_registry::InstanceId;
 use juniper_settings::ChangeSet;
 use juniper_types::{
-    BlockHash, ChangeId, ClaimKey, ClaimOutcome, EngineId, Incarnation, Revision, TenantName,
+    BlockHash, ChangeId, ClaimKey, ClaimOutcome, EngineId, Incarnation, NodeId, Revision,
+    TenantName,
 };
 use minicbor::{Decode, Encode};
 
+use crate::fleet::AcceptedCatalog;
 use crate::orders::{EndProof, OrderAction};
 
 /// Longest accepted author, in bytes.
@@ -133,4 +136,36 @@
         #[n(2)]
         proof: EndProof,
     },
+    /// Put a configuration of generic services in force, if it is the newest.
+    /// It has been found valid.
+    #[n(8)]
+    PutCatalog {
+        /// The configuration.
+        #[n(0)]
+        catalog: AcceptedCatalog,
+    },
+    /// Name the version of weights that a model should have.
+    #[n(9)]
+    NameWeights {
+        /// The model.
+        #[n(0)]
+        model: String,
+        /// The version.
+        #[n(1)]
+        version: u64,
+    },
+    /// A server is leaving or has left.
+    #[n(10)]
+    Depart {
+        /// Its life.
+        #[n(0)]
+        instance: InstanceId,
+    },
+    /// Make a control node the one that gives orders to servers.
+    #[n(11)]
+    TakeOrderLease {
+        /// The node.
+        #[n(0)]
+        node: NodeId,
+    },
 }
--- /dev/null
+++ b/crates/control-state/src/fleet.rs
@@ -0,0 +1,194 @@
+//! What the fleet of generic services agrees on: the configuration in force, the
+//! versions of weights that are wanted, the servers that left, and which control
+//! node gives orders.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use juniper_registry::InstanceId;
+use juniper_types::NodeId;
+use minicbor::{Decode, Encode};
+
+/// Departures kept. A server that left is silent for good within seconds, so
+/// that the oldest of so many can be forgotten.
+pub const MAX_DEPARTURES: usize = 1_024;
+
+/// An accepted configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct AcceptedCatalog {
+    /// Its version.
+    #[n(0)]
+    pub version: u64,
+    /// The encoded [`juniper_catalog::Catalog`], as routers get it.
+    #[cbor(n(1), with = "minicbor::bytes")]
+    pub body: Vec<u8>,
+    /// The operator's own text, handed back unchanged.
+    #[cbor(n(2), with = "minicbor::bytes")]
+    pub document: Vec<u8>,
+}
+
+/// The control node that gives orders to servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct OrderLease {
+    /// The node.
+    #[n(0)]
+    pub holder: NodeId,
+    /// Fencing token of its orders.
+    #[n(1)]
+    pub token: u64,
+    /// Node that gave orders before it, if another one did.
+    #[n(2)]
+    pub previous: Option<NodeId>,
+}
+
+/// What a configuration came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum CatalogAnswer {
+    /// It is the newest and in force.
+    #[n(0)]
+    Accepted,
+    /// A version at least as high is in force; nothing was changed.
+    #[n(1)]
+    Unchanged {
+        /// The version in force.
+        #[n(0)]
+        held: u64,
+    },
+}
+
+/// What the fleet of generic services agrees on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetState {
+    pub(crate) revision: u64,
+    pub(crate) catalog: Option<Arc<AcceptedCatalog>>,
+    pub(crate) weights: BTreeMap<String, u64>,
+    pub(crate) departures: VecDeque<InstanceId>,
+    pub(crate) departures_total: u64,
+    pub(crate) order_lease: Option<OrderLease>,
+}
+
+/// The encoded form of a [`FleetState`].
+#[derive(Encode, Decode)]
+pub(crate) struct EncodedFleet {
+    #[n(0)]
+    revision: u64,
+    #[n(1)]
+    catalog: Option<AcceptedCatalog>,
+    #[n(2)]
+    weights: BTreeMap<String, u64>,
+    #[n(3)]
+    departures: VecDeque<InstanceId>,
+    #[n(4)]
+    departures_total: u64,
+    #[n(5)]
+    order_lease: Option<OrderLease>,
+}
+
+impl From<&FleetState> for EncodedFleet {
+    fn from(state: &FleetState) -> Self {
+        EncodedFleet {
+            revision: state.revision,
+            catalog: state.catalog.as_deref().cloned(),
+            weights: state.weights.clone(),
+            departures: state.departures.clone(),
+            departures_total: state.departures_total,
+            order_lease: state.order_lease,
+        }
+    }
+}
+
+impl From<EncodedFleet> for FleetState {
+    fn from(encoded: EncodedFleet) -> Self {
+        FleetState {
+            revision: encoded.revision,
+            catalog: encoded.catalog.map(Arc::new),
+            weights: encoded.weights,
+            departures: encoded.departures,
+            departures_total: encoded.departures_total,
+            order_lease: encoded.order_lease,
+        }
+    }
+}
+
+impl FleetState {
+    /// Log position of the latest change; zero before the first.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The configuration in force.
+    pub fn catalog(&self) -> Option<&Arc<AcceptedCatalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// Version of the weights that each model should have.
+    pub fn weights(&self) -> &BTreeMap<String, u64> {
+        &self.weights
+    }
+
+    /// Number of servers that left so far.
+    pub fn departures_total(&self) -> u64 {
+        self.departures_total
+    }
+
+    /// The kept departures after the first `known` ones, oldest first.
+    pub fn departures_after(&self, known: u64) -> impl Iterator<Item = &InstanceId> {
+        let first_kept = self.departures_total - self.departures.len() as u64;
+        let skipped = known.saturating_sub(first_kept);
+        self.departures.iter().skip(usize::try_from(skipped).unwrap_or(usize::MAX))
+    }
+
+    /// Whether the server is known to have left.
+    pub fn has_departed(&self, id: &InstanceId) -> bool {
+        self.departures.contains(id)
+    }
+
+    /// Who gives orders.
+    pub fn order_lease(&self) -> Option<OrderLease> {
+        self.order_lease
+    }
+
+    pub(crate) fn put_catalog(&mut self, index: u64, catalog: AcceptedCatalog) -> CatalogAnswer {
+        let held = self.catalog.as_ref().map(|held| held.version);
+        if let Some(held) = held.filter(|held| *held >= catalog.version) {
+            return CatalogAnswer::Unchanged { held };
+        }
+        self.catalog = Some(Arc::new(catalog));
+        self.revision = index;
+        CatalogAnswer::Accepted
+    }
+
+    /// Names the weights that `model` should have. A lower version than before
+    /// has no effect. Returns the version in force.
+    pub(crate) fn name_weights(&mut self, index: u64, model: String, version: u64) -> u64 {
+        let held = self.weights.get(&model).copied().unwrap_or(0);
+        if version > held {
+            self.weights.insert(model, version);
+            self.revision = index;
+        }
+        held.max(version)
+    }
+
+    pub(crate) fn depart(&mut self, index: u64, id: InstanceId) {
+        if self.departures.contains(&id) {
+            return;
+        }
+        self.departures.push_back(id);
+        self.departures_total += 1;
+        if self.departures.len() > MAX_DEPARTURES {
+            self.departures.pop_front();
+        }
+        self.revision = index;
+    }
+
+    /// Makes `node` the one that gives orders, under a new token.
+    pub(crate) fn take_order_lease(&mut self, node: NodeId, token: u64) -> OrderLease {
+        let previous = self.order_lease.and_then(|lease| match lease.holder == node {
+            true => lease.previous,
+            false => Some(lease.holder),
+        });
+        let lease = OrderLease { holder: node, token, previous };
+        self.order_lease = Some(lease);
+        lease
+    }
+}
--- a/crates/control-state/src/snapshot.rs
+++ b/crates/control-state/src/snapshot.rs
@@ -12,6 +12,7 @@
 
 use crate::change_ids::{ChangeIds, ChangeRecord};
 use crate::claims::Claims;
+use crate::fleet::{EncodedFleet, FleetState};
 use crate::history::History;
 use crate::orders::OrderBook;
 use crate::rate::WriteRate;
@@ -60,6 +61,9 @@
     /// Absent in snapshots written before there were orders.
     #[n(10)]
     orders: Option<OrderBook>,
+    /// Absent in snapshots written before there were generic services.
+    #[n(11)]
+    fleet: Option<EncodedFleet>,
 }
 
 /// The same fields in the same order, borrowed.
@@ -87,6 +91,8 @@
     last_fence: u64,
     #[n(10)]
     orders: Option<&'a OrderBook>,
+    #[n(11)]
+    fleet: Option<EncodedFleet>,
 }
 
 impl ControlState {
@@ -104,6 +110,7 @@
             fences: &self.fences,
             last_fence: self.last_fence,
             orders: Some(&self.orders),
+            fleet: Some(EncodedFleet::from(&*self.fleet)),
         })
     }
 
@@ -131,6 +138,7 @@
             fences: decoded.fences,
             last_fence: decoded.last_fence,
             orders: decoded.orders.unwrap_or_default(),
+            fleet: Arc::new(decoded.fleet.map(FleetState::from).unwrap_or_default()),
         })
     }
 }
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -9,6 +9,7 @@
 use crate::answer::Answer;
 use crate::claims::{ClaimRequest, Claims};
 use crate::command::Command;
+use crate::fleet::FleetState;
 use crate::orders::{ActiveOrder, OrderAction, OrderAnswer, OrderBook};
 use crate::settings::SettingsState;
 
@@ -23,6 +24,7 @@
     pub(crate) fences: BTreeMap<EngineId, u64>,
     pub(crate) last_fence: u64,
     pub(crate) orders: OrderBook,
+    pub(crate) fleet: Arc<FleetState>,
 }
 
 impl ControlState {
@@ -71,9 +73,33 @@
             Command::EndOrder { engine, token, .. } => {
                 Answer::Order(self.orders.end(engine, token))
             }
+            Command::PutCatalog { catalog } => {
+                Answer::Catalog(self.fleet_mut().put_catalog(index, catalog))
+            }
+            Command::NameWeights { model, version } => {
+                Answer::Weights(self.fleet_mut().name_weights(index, model, version))
+            }
+            Command::Depart { instance } => {
+                self.fleet_mut().depart(index, instance);
+                Answer::Departed
+            }
+            Command::TakeOrderLease { node } => {
+                self.last_fence += 1;
+                let token = self.last_fence;
+                Answer::OrderLease(self.fleet_mut().take_order_lease(node, token))
+            }
         }
     }
 
+    /// What the fleet of generic services agrees on.
+    pub fn fleet(&self) -> &Arc<FleetState> {
+        &self.fleet
+    }
+
+    fn fleet_mut(&mut self) -> &mut FleetState {
+        Arc::make_mut(&mut self.fleet)
+    }
+
     /// Orders that may be under way.
     pub fn orders(&self) -> &OrderBook {
         &self.orders
--- /dev/null
+++ b/crates/control/src/fleet.rs
@@ -0,0 +1,143 @@
+//! The calls of operators and servers of generic services, which any replica takes.
+//!
+//! What must not be lost (configurations, versions of weights, departures) is
+//! answered once it is committed. Heartbeats are kept in memory only.
+
+use std::sync::Arc;
+
+use juniper_catalog::{Catalog, CatalogFault};
+use juniper_control_state::{AcceptedCatalog, Answer, CatalogAnswer, Command, to_bytes};
+use juniper_protocol::Refusal;
+use juniper_registry::{InstanceId, InstanceReport, InstanceState};
+use juniper_types::NodeId;
+
+use crate::forward::Group;
+use crate::instances::InstanceBoard;
+use crate::replica::ReplicaView;
+
+/// Why a call was not carried out.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetCallError {
+    /// The configuration is invalid.
+    #[error("the configuration has {} fault(s), the first: {}", .0.len(), .0[0])]
+    Invalid(Vec<CatalogFault>),
+    /// No quorum carried it out in time.
+    #[error(transparent)]
+    Refused(#[from] Refusal),
+}
+
+/// Takes the calls.
+#[derive(Clone)]
+pub struct FleetCalls {
+    group: Group,
+    board: Arc<InstanceBoard>,
+    view: ReplicaView,
+}
+
+impl FleetCalls {
+    pub(crate) fn new(group: Group, board: Arc<InstanceBoard>, view: ReplicaView) -> Self {
+        FleetCalls { group, board, view }
+    }
+
+    /// Puts a configuration in force, if it is valid and the newest. `document` is
+    /// the operator's own text of it.
+    ///
+    /// # Errors
+    /// Fails when it is invalid, whatever its version, or when no quorum takes it.
+    pub async fn put_catalog(
+        &self,
+        catalog: &Catalog,
+        document: Vec<u8>,
+    ) -> Result<CatalogAnswer, FleetCallError> {
+        let version = catalog.version;
+        let faults = catalog.faults();
+        if !faults.is_empty() {
+            log::warn!("event=catalog_refused version={version} reason=\"{}\"", faults[0]);
+            return Err(FleetCallError::Invalid(faults));
+        }
+        let catalog = AcceptedCatalog { version, body: to_bytes(catalog), document };
+        let answer = self.write("catalog", Command::PutCatalog { catalog }).await?;
+        let Answer::Catalog(answer) = answer else { return Err(Refusal::Unknown.into()) };
+        log::info!("event=catalog_acknowledged version={version} answer=\"{answer:?}\"");
+        Ok(answer)
+    }
+
+    /// The operator's text of the newest configuration, confirmed by a quorum.
+    ///
+    /// # Errors
+    /// Fails when no quorum confirms it in time.
+    pub async fn catalog_document(&self) -> Result<Option<Vec<u8>>, Refusal> {
+        let document = |state: &juniper_control_state::ControlState| {
+            state.fleet().catalog().map(|held| held.document.clone())
+        };
+        self.group.read(false, document).await
+    }
+
+    /// Takes a heartbeat. That a server is leaving is recorded before the answer.
+    ///
+    /// # Errors
+    /// Fails when the server is leaving and no quorum records it in time.
+    pub async fn heartbeat(&self, report: InstanceReport) -> Result<(), Refusal> {
+        let leaving = (report.state == InstanceState::Draining).then(|| report.id.clone());
+        self.board.hear(report);
+        match leaving {
+            Some(id) => self.depart(id, "draining").await,
+            None => Ok(()),
+        }
+    }
+
+    /// A server has left.
+    ///
+    /// # Errors
+    /// Fails when no quorum records it in time.
+    pub async fn leave(&self, id: InstanceId) -> Result<(), Refusal> {
+        self.depart(id, "left").await
+    }
+
+    async fn depart(&self, id: InstanceId, word: &str) -> Result<(), Refusal> {
+        if self.view.fleet.borrow().has_departed(&id) {
+            return Ok(());
+        }
+        self.write("departure", Command::Depart { instance: id.clone() }).await?;
+        log::info!("event=departure_recorded instance={id} word={word}");
+        Ok(())
+    }
+
+    /// Names the version of weights that a model should have.
+    ///
+    /// # Errors
+    /// Fails when no quorum takes it in time.
+    pub async fn name_weights(&self, model: String, version: u64) -> Result<(), Refusal> {
+        let command = Command::NameWeights { model: model.clone(), version };
+        self.write("weights", command).await?;
+        log::info!("event=weights_named model={model} version={version}");
+        Ok(())
+    }
+
+    /// Makes `node` the one that gives orders.
+    ///
+    /// # Errors
+    /// Fails when no quorum takes it in time.
+    pub async fn take_order_lease(
+        &self,
+        node: NodeId,
+    ) -> Result<juniper_control_state::OrderLease, Refusal> {
+        match self.write("order_lease", Command::TakeOrderLease { node }).await? {
+            Answer::OrderLease(lease) => Ok(lease),
+            _ => Err(Refusal::Unknown),
+        }
+    }
+
+    /// What the replica publishes.
+    pub fn view(&self) -> &ReplicaView {
+        &self.view
+    }
+
+    async fn write(&self, what: &str, command: Command) -> Result<Answer, Refusal> {
+        let written = self.group.write(&command).await;
+        if let Err(refusal) = &written {
+            log::warn!("event=write_failed what={what} reason=\"{refusal}\"");
+        }
+        written
+    }
+}
--- a/crates/control/src/internal/calls.rs
+++ b/crates/control/src/internal/calls.rs
@@ -3,8 +3,8 @@
 use juniper_control_state::{Answer, Command, MAX_COMMAND_BYTES, to_bytes};
 use juniper_protocol::{PeerRole, Refusal, Reply, Request};
 
-use super::InternalFace;
 use super::session::Peer;
+use super::{InternalFace, follower};
 use crate::clock::unix_seconds;
 
 /// When a router should come back that finds the claim table full, in milliseconds.
@@ -32,7 +32,10 @@
         Request::Propose { command } if peer.identity.role == PeerRole::Control => {
             forwarded(face, command).await
         }
-        Request::Subscribe { .. }
+        Request::Catalog { above } => follower::catalog(face, above),
+        Request::Confirm => follower::confirmed(face),
+        Request::Follow
+        | Request::Subscribe { .. }
         | Request::Lookup { .. }
         | Request::Share { .. }
         | Request::Propose { .. } => Reply::Refused(Refusal::NotAllowed),
--- /dev/null
+++ b/crates/control/src/internal/follower.rs
@@ -0,0 +1,148 @@
+//! Pushes what the fleet of generic services agrees on, and the servers that
+//! this replica hears of, to one node.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use juniper_control_state::FleetState;
+use juniper_protocol::message::{CatalogBody, FleetNews};
+use juniper_protocol::{Message, PeerRole, Push, Reply};
+use juniper_types::NodeId;
+
+use super::InternalFace;
+use super::session::{Outgoing, OutgoingSender, send_reply};
+
+/// The session ended, or the replica stopped.
+struct Ended;
+
+/// Counts a router until it is dropped.
+struct Counted(Arc<AtomicU32>);
+
+impl Counted {
+    fn new(count: &Arc<AtomicU32>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Counted(Arc::clone(count))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Pushes until the session ends.
+pub(super) async fn run(
+    face: Arc<InternalFace>,
+    role: PeerRole,
+    sender: OutgoingSender,
+    call: u64,
+) {
+    let _counted = (role == PeerRole::Router).then(|| Counted::new(&face.following_routers));
+    send_reply(&sender, call, Reply::Done).await;
+    let follower = Follower { face, sender, fleet: None, instances: None };
+    let Err(Ended) = follower.push_for_ever().await;
+}
+
+/// What the node was sent last.
+struct SentFleet {
+    revision: u64,
+    members: Vec<NodeId>,
+    departures: u64,
+}
+
+struct Follower {
+    face: Arc<InternalFace>,
+    sender: OutgoingSender,
+    fleet: Option<SentFleet>,
+    /// Number of the latest change of servers that was sent.
+    instances: Option<u64>,
+}
+
+impl Follower {
+    async fn push_for_ever(mut self) -> Result<std::convert::Infallible, Ended> {
+        let mut fleet = self.face.view.fleet.clone();
+        let mut status = self.face.view.status.clone();
+        let mut instances = self.face.board.watch();
+        loop {
+            // Marked as seen before they are read, so that no change is missed.
+            fleet.mark_unchanged();
+            status.mark_unchanged();
+            instances.mark_unchanged();
+            self.push_fleet().await?;
+            self.push_instances().await?;
+            tokio::select! {
+                changed = fleet.changed() => changed.map_err(|_| Ended)?,
+                changed = status.changed() => changed.map_err(|_| Ended)?,
+                changed = instances.changed() => changed.map_err(|_| Ended)?,
+            }
+        }
+    }
+
+    async fn push_fleet(&mut self) -> Result<(), Ended> {
+        let state = Arc::clone(&self.face.view.fleet.borrow());
+        let members = self.members();
+        let sent = self.fleet.as_ref();
+        if sent.is_some_and(|sent| sent.revision == state.revision() && sent.members == members) {
+            return Ok(());
+        }
+        let departures_sent = sent.map_or(0, |sent| sent.departures);
+        let news = news_after(&state, departures_sent, members.clone());
+        let (revision, departures) = (state.revision(), state.departures_total());
+        self.fleet = Some(SentFleet { revision, members, departures });
+        self.send(Push::Fleet(news)).await
+    }
+
+    fn members(&self) -> Vec<NodeId> {
+        let status = self.face.view.status.borrow();
+        status.membership.members.iter().map(|member| member.id.node).collect()
+    }
+
+    async fn push_instances(&mut self) -> Result<(), Ended> {
+        let (revision, heard) = self.face.board.changes_after(self.instances.unwrap_or(0));
+        if self.instances == Some(revision) {
+            return Ok(());
+        }
+        let whole = self.instances.is_none();
+        self.instances = Some(revision);
+        self.send(Push::Instances { heard, whole }).await
+    }
+
+    async fn send(&self, push: Push) -> Result<(), Ended> {
+        self.sender.send(Outgoing::message(&Message::Push(push))).await.map_err(|_| Ended)
+    }
+}
+
+fn news_after(state: &FleetState, departures_sent: u64, members: Vec<NodeId>) -> FleetNews {
+    let departures: Vec<_> = state.departures_after(departures_sent).cloned().collect();
+    FleetNews {
+        revision: state.revision(),
+        catalog_version: state.catalog().map_or(0, |catalog| catalog.version),
+        weights: state.weights().clone(),
+        departures_before: state.departures_total() - departures.len() as u64,
+        departures,
+        members,
+    }
+}
+
+/// The configuration in force, for who has an older one.
+pub(super) fn catalog(face: &InternalFace, above: u64) -> Reply {
+    let state = Arc::clone(&face.view.fleet.borrow());
+    let newer = state.catalog().filter(|catalog| catalog.version > above);
+    Reply::Catalog(
+        newer.map(|catalog| CatalogBody { version: catalog.version, body: catalog.body.clone() }),
+    )
+}
+
+/// How current this replica is.
+pub(super) fn confirmed(face: &InternalFace) -> Reply {
+    let confirmed_at = *face.view.confirmed_at.borrow();
+    let Some(confirmed_at) = confirmed_at else {
+        return Reply::Refused(juniper_protocol::Refusal::NoQuorum);
+    };
+    let age_ms = u64::try_from(confirmed_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    // Read after the time: what was confirmed then is in it.
+    let revision = face.view.fleet.borrow().revision();
+    let routers = face.following_routers.load(Ordering::Relaxed);
+    Reply::Confirmed { age_ms, revision, routers }
+}
--- a/crates/control/src/internal/mod.rs
+++ b/crates/control/src/internal/mod.rs
@@ -1,11 +1,13 @@
 //! The face for other daemons: authenticated connections with calls and pushes.
 
 mod calls;
+mod follower;
 mod session;
 mod subscriber;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
 use juniper_protocol::{ClusterKey, Connection, PeerIdentity, PeerRole, accept};
@@ -13,6 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
+use crate::instances::InstanceBoard;
 use crate::metrics::Metrics;
 use crate::replica::{ReplicaHandle, ReplicaView};
 use crate::reports::NodeReports;
@@ -35,8 +38,12 @@
     pub view: ReplicaView,
     /// What nodes have in force.
     pub reports: Arc<NodeReports>,
+    /// Servers that this replica hears of.
+    pub board: Arc<InstanceBoard>,
     /// Counters.
     pub metrics: Arc<Metrics>,
+    /// Routers that follow this replica.
+    pub following_routers: Arc<AtomicU32>,
     snapshots: Arc<Semaphore>,
     connections: Arc<Semaphore>,
     handshakes: Arc<Semaphore>,
@@ -49,17 +56,19 @@
         key: ClusterKey,
         replica: ReplicaHandle,
         view: ReplicaView,
-        shared: (Arc<NodeReports>, Arc<Metrics>),
+        shared: (Arc<NodeReports>, Arc<InstanceBoard>, Arc<Metrics>),
         limits: &ControlLimits,
     ) -> Self {
-        let (reports, metrics) = shared;
+        let (reports, board, metrics) = shared;
         InternalFace {
             own,
             key,
             replica,
             view,
             reports,
+            board,
             metrics,
+            following_routers: Arc::default(),
             snapshots: Arc::new(Semaphore::new(MAX_SNAPSHOTS_AT_ONCE)),
             connections: Arc::new(Semaphore::new(limits.max_connections)),
             handshakes: Arc::new(Semaphore::new(limits.max_handshakes)),
--- a/crates/control/src/internal/session.rs
+++ b/crates/control/src/internal/session.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use super::{InternalFace, calls, subscriber};
+use super::{InternalFace, calls, follower, subscriber};
 use crate::published::PushFrame;
 
 /// Calls of one connection that run at once; more wait unread in its socket.
@@ -121,20 +121,24 @@
 }
 
 /// Hands a message of the agreement on. Only another replica may send one, and
-/// only in its own name.
+/// only in its own name, save for a request to join that it hands on.
 async fn hand_to_replica(
     face: &InternalFace,
     peer: &Peer,
     payload: &[u8],
 ) -> Result<(), FrameError> {
     let message: juniper_consensus::Message = minicbor::decode(payload)?;
-    let is_own = message.from.node == peer.identity.node;
+    let is_own = message.from.node == peer.identity.node || is_join_request(&message);
     if peer.identity.role != PeerRole::Control || !is_own || !face.replica.receive(message).await {
         return Err(FrameError::Closed);
     }
     Ok(())
 }
 
+fn is_join_request(message: &juniper_consensus::Message) -> bool {
+    matches!(message.body, juniper_consensus::Body::JoinRequest { .. })
+}
+
 async fn read_until_end(
     face: Arc<InternalFace>,
     peer: Peer,
@@ -145,6 +149,7 @@
     // Dropped with the session, and every call and subscription with it.
     let mut tasks = JoinSet::new();
     let mut subscribed = false;
+    let mut following = false;
     loop {
         let (call, request) = match reader.receive().await {
             Ok(Message::Request { call, request }) => (call, request),
@@ -164,6 +169,14 @@
             }
             continue;
         }
+        if request == Request::Follow {
+            if !following {
+                following = true;
+                let role = peer.identity.role;
+                tasks.spawn(follower::run(Arc::clone(&face), role, sender.clone(), call));
+            }
+            continue;
+        }
         let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
             return Err(FrameError::Closed);
         };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod clock;
 pub mod error;
+pub mod fleet;
 pub mod forward;
+pub mod instances;
 pub mod internal;
 pub mod metrics;
 pub mod operator;
@@ -17,6 +19,7 @@
 pub mod run;
 
 pub use error::ControlError;
+pub use fleet::{FleetCallError, FleetCalls};
 pub use juniper_settings::ControlSettings;
 pub use replica::found;
 pub use run::{ControlDaemon, Listeners, run};
--- a/crates/control/src/peers/link.rs
+++ b/crates/control/src/peers/link.rs
@@ -39,7 +39,7 @@
 /// each failure, and half of it is drawn at random, so that replicas that lost
 /// a peer together don't return to it together.
 const MIN_PAUSE: Duration = Duration::from_millis(50);
-const MAX_PAUSE: Duration = Duration::from_secs(1);
+const MAX_PAUSE: Duration = Duration::from_millis(400);
 
 /// Why a call got no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -65,6 +65,7 @@
 }
 
 /// A handle to send to one peer.
+#[derive(Clone)]
 pub(super) struct Link {
     actor: ActorRef<LinkActor>,
     queued_bytes: Arc<AtomicUsize>,
--- a/crates/control/src/peers/mod.rs
+++ b/crates/control/src/peers/mod.rs
@@ -3,35 +3,65 @@
 mod link;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use juniper_consensus::Message;
 use juniper_protocol::message::encode;
 use juniper_protocol::{ClusterKey, Message as Frame, PeerIdentity, Reply, Request};
+use juniper_settings::PeerDiscovery;
 use juniper_settings::node_file::Peer;
 use juniper_types::NodeId;
 
 pub use link::CallError;
 use link::{Link, LinkTarget};
 
-/// One link to each configured replica.
-pub struct PeerLinks(BTreeMap<NodeId, Link>);
+/// One link to each replica that there was something to send to.
+pub struct PeerLinks {
+    links: Mutex<BTreeMap<NodeId, Link>>,
+    listed: BTreeMap<NodeId, SocketAddr>,
+    /// Whether the number of a node that isn't listed is its address.
+    addressed: bool,
+    key: ClusterKey,
+    own: PeerIdentity,
+}
 
 impl PeerLinks {
-    /// Starts the links; each connects when there is something to send.
-    pub fn new(peers: &[Peer], key: &ClusterKey, own: &PeerIdentity) -> Self {
-        let start = |peer: &Peer| {
-            let (key, own) = (key.clone(), own.clone());
-            let target = LinkTarget { node: peer.id, address: peer.address, key, own };
-            (peer.id, Link::spawn(target))
-        };
-        PeerLinks(peers.iter().map(start).collect())
+    /// Links to the listed peers and, if numbers are addresses, to any other node.
+    /// Each connects when there is something to send.
+    pub fn new(
+        listed: &[Peer],
+        discovery: &PeerDiscovery,
+        key: &ClusterKey,
+        own: &PeerIdentity,
+    ) -> Self {
+        PeerLinks {
+            links: Mutex::default(),
+            listed: listed.iter().map(|peer| (peer.id, peer.address)).collect(),
+            addressed: matches!(discovery, PeerDiscovery::Seeded { .. }),
+            key: key.clone(),
+            own: own.clone(),
+        }
+    }
+
+    fn link(&self, node: NodeId) -> Option<Link> {
+        let mut links = self.links.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        if let Some(link) = links.get(&node) {
+            return Some(link.clone());
+        }
+        let by_number = || node.address().filter(|_| self.addressed).map(SocketAddr::V4);
+        let address = self.listed.get(&node).copied().or_else(by_number)?;
+        let (key, own) = (self.key.clone(), self.own.clone());
+        let link = Link::spawn(LinkTarget { node, address, key, own });
+        links.insert(node, link.clone());
+        Some(link)
     }
 
     /// Sends a message of the agreement, or drops it if the peer takes none at
     /// the moment; the agreement repeats what matters.
     pub fn send(&self, message: &Message) {
-        if let Some(link) = self.0.get(&message.to) {
+        if let Some(link) = self.link(message.to) {
             link.send(encode(&Frame::Consensus { payload: encode(message) }));
         }
     }
@@ -46,7 +76,7 @@
         request: Request,
         limit: Duration,
     ) -> Result<Reply, CallError> {
-        match self.0.get(&node) {
+        match self.link(node) {
             Some(link) => link.call(request, limit).await,
             None => Err(CallError::Unreachable),
         }
@@ -54,6 +84,6 @@
 
     /// The configured replicas.
     pub fn nodes(&self) -> impl Iterator<Item = NodeId> {
-        self.0.keys().copied()
+        self.listed.keys().copied()
     }
 }
--- a/crates/control/src/replica/actor.rs
+++ b/crates/control/src/replica/actor.rs
@@ -20,7 +20,8 @@
 
 use messages::Encoded;
 pub(super) use messages::{
-    HandOver, Persisted, Propose, Query, Received, SnapshotFrame, Tick, WriteFailed, WriterEnded,
+    HandOver, Persisted, Propose, Query, Received, Retire, SnapshotFrame, Tick, WriteFailed,
+    WriterEnded,
 };
 
 /// A write that takes this long counts as stalled. Syncs take milliseconds, and a
@@ -208,7 +209,11 @@
                 status.term
             );
         }
-        self.status.send_replace(status);
+        self.status.send_if_modified(|known| {
+            let changed = *known != status;
+            *known = status;
+            changed
+        });
     }
 
     fn fail(&mut self, failure: ReplicaFailure) {
--- a/crates/control/src/replica/actor/messages.rs
+++ b/crates/control/src/replica/actor/messages.rs
@@ -118,6 +118,18 @@
     }
 }
 
+/// Ask for a standby in this replica's place, because it is about to stop.
+pub(in crate::replica) struct Retire;
+
+impl Message<Retire> for ReplicaActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _message: Retire, context: &mut Context<Self, ()>) {
+        self.replica.retire();
+        self.drive(context);
+    }
+}
+
 /// A message from another replica.
 pub(in crate::replica) struct Received(pub ConsensusMessage);
 
--- a/crates/control/src/replica/machine.rs
+++ b/crates/control/src/replica/machine.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use juniper_consensus::{Entry, Index, Payload, Snapshot};
-use juniper_control_state::{Answer, Command, ControlState, SnapshotError};
+use juniper_control_state::{Answer, Command, ControlState, FleetState, SnapshotError};
 use juniper_protocol::message::encode;
 use juniper_protocol::{Message, Push};
 use juniper_types::Revision;
@@ -11,11 +11,6 @@
 
 use crate::published::{Published, PushFrame};
 
-/// Bytes of applied entries after which a snapshot takes the log's place, unless
-/// the last snapshot was larger: writing snapshots then costs no more than
-/// writing the log. A start reads about as much again.
-const MIN_SNAPSHOT_INTERVAL_BYTES: usize = 8 << 20;
-
 /// Why a replica can't go on applying the log.
 #[derive(Debug, thiserror::Error)]
 pub enum MachineError {
@@ -36,6 +31,8 @@
 pub(super) struct Machine {
     state: ControlState,
     published: watch::Sender<Arc<Published>>,
+    fleet: watch::Sender<Arc<FleetState>>,
+    snapshot_interval_bytes: usize,
     frame: Option<Arc<PushFrame>>,
     applied: Index,
     bytes_since_snapshot: usize,
@@ -43,10 +40,16 @@
 }
 
 impl Machine {
-    pub fn new(published: watch::Sender<Arc<Published>>) -> Self {
+    pub fn new(
+        published: watch::Sender<Arc<Published>>,
+        fleet: watch::Sender<Arc<FleetState>>,
+        snapshot_interval_bytes: usize,
+    ) -> Self {
         Machine {
             state: ControlState::default(),
             published,
+            fleet,
+            snapshot_interval_bytes,
             frame: None,
             applied: 0,
             bytes_since_snapshot: 0,
@@ -68,6 +71,7 @@
         let before = self.state.settings().revision();
         let answer = self.state.apply(entry.index, command);
         self.publish_after(before);
+        self.publish_fleet();
         Ok(Some(answer))
     }
 
@@ -80,14 +84,29 @@
         self.frame = None;
         let revision = self.state.settings().revision();
         self.published.send_replace(Arc::new(Published::at(revision)));
+        self.publish_fleet();
         Ok(())
     }
 
+    fn publish_fleet(&self) {
+        let latest = self.state.fleet();
+        self.fleet.send_if_modified(|published| {
+            let changed = published.revision() != latest.revision();
+            if changed {
+                *published = Arc::clone(latest);
+            }
+            changed
+        });
+    }
+
     /// A copy of the state to write a snapshot from, with the index it stands for,
-    /// if one is due. The copy shares what is large, so that it takes no time; to
+    /// if one is due: after so many bytes of applied entries, or as many as the last
+    /// snapshot had. Writing snapshots then costs no more than writing the log, and
+    /// a start reads about as much again.
+    /// The copy shares what is large, so that it takes no time; to
     /// encode millions of claims takes seconds, in which a leader would be missed.
     pub fn due_snapshot(&mut self) -> Option<(Index, ControlState)> {
-        if self.bytes_since_snapshot < MIN_SNAPSHOT_INTERVAL_BYTES.max(self.snapshot_bytes) {
+        if self.bytes_since_snapshot < self.snapshot_interval_bytes.max(self.snapshot_bytes) {
             return None;
         }
         self.bytes_since_snapshot = 0;
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -19,6 +19,7 @@
 use std::time::Instant;
 
 use juniper_consensus::Status;
+use juniper_control_state::FleetState;
 use tokio::sync::watch;
 
 use crate::published::Published;
@@ -35,6 +36,8 @@
 pub struct ReplicaView {
     /// Settings changes for subscribers.
     pub published: watch::Receiver<Arc<Published>>,
+    /// What the fleet of generic services agrees on.
+    pub fleet: watch::Receiver<Arc<FleetState>>,
     /// When a quorum last confirmed that this replica was current.
     pub confirmed_at: watch::Receiver<Option<Instant>>,
     /// Role, term, leader and membership.
--- a/crates/control/src/replica/start.rs
+++ b/crates/control/src/replica/start.rs
@@ -4,19 +4,19 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use juniper_consensus::{Replica, ReplicaConfig, Status};
-use juniper_settings::ControlSettings;
+use juniper_consensus::{Replica, ReplicaConfig, ReplicaId, Status};
+use juniper_settings::{ControlSettings, PeerDiscovery};
 use juniper_storage::{Disk, Folder};
 use kameo::actor::Spawn;
 use kameo::mailbox;
 use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 
-use super::actor::{ActorParts, HandOver, ReplicaFailure};
+use super::actor::{ActorParts, HandOver, ReplicaFailure, Retire};
 use super::confirm::keep_confirmed;
 use super::horizon::keep_horizon;
 use super::machine::Machine;
-use super::ticker::keep_ticking;
+use super::ticker::{TICK, keep_ticking};
 use super::writer::write_for_ever;
 use super::{ReplicaActor, ReplicaHandle, ReplicaView, folder};
 use crate::error::ControlError;
@@ -33,6 +33,10 @@
 /// How often another replica is asked to take over.
 const HAND_OVER_ATTEMPTS: usize = 4;
 
+/// How often, and how far apart, a standby is asked for.
+const RETIRE_ATTEMPTS: usize = 10;
+const RETIRE_PAUSE: Duration = Duration::from_millis(150);
+
 /// What a replica needs of the daemon.
 pub struct ReplicaParts {
     /// Links to the other replicas.
@@ -70,6 +74,23 @@
         log::warn!("event=not_handed_over");
     }
 
+    /// Before a planned stop: a standby takes this replica's vote over, if there
+    /// is one, so that the cluster bears the next loss at once.
+    pub async fn retire(&mut self) {
+        let mut status = self.view.status.clone();
+        let has_standby = status.borrow().membership.learners().next().is_some();
+        for _ in 0..RETIRE_ATTEMPTS {
+            if !has_standby || self.handle.0.tell(Retire).await.is_err() {
+                return;
+            }
+            let retired = |status: &Status| !status.membership.is_voter(status.id);
+            if timeout(RETIRE_PAUSE, status.wait_for(retired)).await.is_ok() {
+                log::info!("event=retired");
+                return;
+            }
+        }
+    }
+
     /// Ends the replica and waits until its data folder is free.
     pub async fn stop(self) {
         let RunningReplica { handle, writer, .. } = self;
@@ -95,18 +116,17 @@
     disk: impl Fn(Folder) -> D,
 ) -> Result<RunningReplica, ControlError> {
     let (storage, restored) = folder::open(settings, disk)?;
-    let nodes = settings.peers.iter().map(|peer| peer.id).collect();
-    let mut config = ReplicaConfig::new(storage.id(), settings.common.zone.clone(), nodes);
-    config.target_voters = settings.initial_voters.len();
+    let config = replica_config(settings, storage.id());
     let replica = Replica::new(config, restored, rand::random());
     let (published, published_view) = watch::channel(Arc::default());
+    let (fleet, fleet_view) = watch::channel(Arc::default());
     let (status, status_view) = watch::channel(replica.status());
     let (confirmed_at, confirmed_view) = watch::channel(None);
     let (writes, pending_writes) = mpsc::channel();
     let (failed, failure) = oneshot::channel();
     let actor = ReplicaActor::new(ActorParts {
         replica,
-        machine: Machine::new(published),
+        machine: Machine::new(published, fleet, settings.tuning.snapshot_interval_bytes),
         writes,
         peers: parts.peers,
         status,
@@ -126,8 +146,25 @@
     tokio::spawn(keep_horizon(handle.clone(), status_view.clone(), retention));
     let view = ReplicaView {
         published: published_view,
+        fleet: fleet_view,
         confirmed_at: confirmed_view,
         status: status_view,
     };
     Ok(RunningReplica { handle, view, failure, writer })
 }
+
+fn replica_config(settings: &ControlSettings, id: ReplicaId) -> ReplicaConfig {
+    let listed = settings.peers.iter().map(|peer| peer.id).collect();
+    let mut config = ReplicaConfig::new(id, settings.common.zone.clone(), listed);
+    let tuning = settings.tuning;
+    let tick_ms = u64::try_from(TICK.as_millis()).unwrap_or(1);
+    config.target_voters = tuning.target_voters;
+    config.lost_voter_ticks = tuning.lost_voter_ms / tick_ms;
+    config.keep_entries = tuning.keep_entries;
+    if let PeerDiscovery::Seeded { seeds, .. } = &settings.discovery {
+        config.peers = seeds.clone();
+        config.admits_any_node = true;
+        config.spreads_zones = false;
+    }
+    config
+}
--- a/crates/control/src/replica/ticker.rs
+++ b/crates/control/src/replica/ticker.rs
@@ -9,7 +9,7 @@
 use super::actor::Tick;
 
 /// Length of a tick. The agreement's settings are chosen for it.
-const TICK: Duration = Duration::from_millis(50);
+pub(super) const TICK: Duration = Duration::from_millis(50);
 
 /// Ticks until the replica ends. Ticks that were missed, for example while the
 /// process was frozen, are left out: they would look like silence of the peers.
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -11,7 +11,9 @@
 use tokio::sync::oneshot;
 
 use crate::error::ControlError;
+use crate::fleet::FleetCalls;
 use crate::forward::Group;
+use crate::instances::InstanceBoard;
 use crate::internal::InternalFace;
 use crate::metrics::Metrics;
 use crate::operator::{OperatorFace, routes};
@@ -46,9 +48,16 @@
     internal: Arc<InternalFace>,
     operator: axum::Router,
     listeners: Listeners,
+    fleet: FleetCalls,
+    board: Arc<InstanceBoard>,
 }
 
 impl ControlDaemon {
+    /// Takes the calls of operators and servers of generic services.
+    pub fn fleet(&self) -> FleetCalls {
+        self.fleet.clone()
+    }
+
     /// Starts the replica; nothing is served before [`ControlDaemon::serve`].
     pub fn start(settings: &ControlSettings, listeners: Listeners) -> Result<Self, ControlError> {
         Self::start_on(settings, listeners, |folder| folder)
@@ -69,26 +78,31 @@
         };
         let metrics = Arc::new(Metrics::new()?);
         let reports = Arc::new(NodeReports::default());
-        let peers = Arc::new(PeerLinks::new(&settings.peers, &key, &own));
+        let peers = Arc::new(PeerLinks::new(&settings.peers, &settings.discovery, &key, &own));
         let parts = ReplicaParts { peers: Arc::clone(&peers), metrics: Arc::clone(&metrics) };
         let replica = replica::start(settings, parts, disk)?;
         let (handle, view) = (replica.handle.clone(), replica.view.clone());
+        let group = Group::new(handle.clone(), Arc::clone(&peers));
+        let board = Arc::new(InstanceBoard::default());
+        let fleet = FleetCalls::new(group.clone(), Arc::clone(&board), view.clone());
         let operator = routes(OperatorFace {
-            group: Group::new(handle.clone(), Arc::clone(&peers)),
+            group,
             peers,
             view: view.clone(),
             reports: Arc::clone(&reports),
             metrics: Arc::clone(&metrics),
             operator_keys: settings.common.operator_keys.clone(),
         });
-        let shared = (reports, metrics);
+        let shared = (reports, Arc::clone(&board), metrics);
         let internal = InternalFace::new(own, key, handle, view, shared, &settings.limits);
-        Ok(ControlDaemon { replica, internal: Arc::new(internal), operator, listeners })
+        let internal = Arc::new(internal);
+        Ok(ControlDaemon { replica, internal, operator, listeners, fleet, board })
     }
 
     /// Serves until `stop` completes.
     pub async fn serve(self, stop: impl Future<Output = ()> + Send) -> Result<(), ControlError> {
-        let ControlDaemon { mut replica, internal, operator, listeners } = self;
+        let ControlDaemon { mut replica, internal, operator, listeners, board, .. } = self;
+        let expiry = tokio::spawn(async move { board.keep_expiring().await });
         let internal = tokio::spawn(internal.serve(listeners.internal));
         let operator = axum::serve(listeners.operator, operator).into_future();
         let ended = tokio::select! {
@@ -96,10 +110,12 @@
             failure = failed(&mut replica.failure) => Err(ControlError::Replica(failure)),
             () = stop => {
                 replica.hand_over().await;
+                replica.retire().await;
                 Ok(())
             }
         };
         internal.abort();
+        expiry.abort();
         replica.stop().await;
         ended
     }
--- a/crates/control/tests/daemons/support/mod.rs
+++ b/crates/control/tests/daemons/support/mod.rs
@@ -13,7 +13,7 @@
 use juniper_control::{ControlDaemon, ControlSettings, Listeners};
 use juniper_protocol::{ClusterKey, PeerIdentity, PeerRole};
 use juniper_settings::node_file::{ClusterKeyText, CommonSettings, ControlLimits, LogLevel};
-use juniper_settings::{ApiKeyHash, SettingsNode, SettingsPath};
+use juniper_settings::{ApiKeyHash, PeerDiscovery, ReplicaTuning, SettingsNode, SettingsPath};
 use juniper_types::{NodeId, ZoneName};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -129,6 +129,8 @@
         operator,
         peers: Vec::new(),
         initial_voters: vec![NodeId(node)],
+        discovery: PeerDiscovery::Listed,
+        tuning: ReplicaTuning::default(),
         limits: ControlLimits::default(),
     }
 }
--- /dev/null
+++ b/crates/feed/src/actor.rs
@@ -0,0 +1,311 @@
+//! The actor that owns the view and the connections to the replicas.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniper_protocol::message::{CatalogBody, FleetNews};
+use juniper_protocol::{ClusterKey, PeerIdentity};
+use juniper_registry::HeardInstance;
+use juniper_types::{NodeId, Timestamp};
+use kameo::Actor;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use kameo::message::{Context, Message};
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use crate::fold::{FleetFold, FoldOutcome};
+use crate::link::{self, LinkParts};
+use crate::view::FleetView;
+
+/// Events that wait for the actor; links wait beyond that.
+const MAILBOX_CAPACITY: usize = 64;
+
+/// Pace at which a configuration that didn't come is asked for again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Routers that are assumed until a replica has told their number. More is the
+/// safe side: each keeps to a smaller part of what they share.
+const UNKNOWN_ROUTERS: u32 = 32;
+
+/// What a feed needs.
+pub struct FeedSettings {
+    /// Secret shared by the daemons.
+    pub key: ClusterKey,
+    /// Who this node is.
+    pub own: PeerIdentity,
+    /// Replicas to begin with; the numbers are addresses.
+    pub seeds: Vec<NodeId>,
+}
+
+/// What a link has to say.
+pub(crate) enum LinkEvent {
+    Connected,
+    Disconnected,
+    News(FleetNews),
+    Instances { heard: Vec<HeardInstance>, whole: bool },
+    Catalog(Option<CatalogBody>),
+    Confirmed { at: Instant, revision: u64, routers: u32 },
+}
+
+struct Link {
+    fetches: mpsc::UnboundedSender<u64>,
+    task: AbortHandle,
+}
+
+/// Owns the view.
+pub(crate) struct FeedActor {
+    settings: FeedSettings,
+    own_ref: ActorRef<FeedActor>,
+    started: Instant,
+    fold: FleetFold,
+    links: BTreeMap<NodeId, Link>,
+    view: watch::Sender<Arc<FleetView>>,
+    confirmed_at: watch::Sender<Option<Instant>>,
+    routers: watch::Sender<u32>,
+}
+
+/// What the actor publishes.
+pub(crate) struct Published {
+    view: watch::Sender<Arc<FleetView>>,
+    confirmed_at: watch::Sender<Option<Instant>>,
+    routers: watch::Sender<u32>,
+}
+
+type Arguments = (FeedSettings, Instant, Published);
+
+impl Actor for FeedActor {
+    type Args = Arguments;
+    type Error = std::convert::Infallible;
+
+    async fn on_start(arguments: Arguments, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
+        let (settings, started, published) = arguments;
+        let mut feed = FeedActor {
+            settings,
+            own_ref: actor.clone(),
+            started,
+            fold: FleetFold::default(),
+            links: BTreeMap::new(),
+            view: published.view,
+            confirmed_at: published.confirmed_at,
+            routers: published.routers,
+        };
+        feed.follow_members();
+        tokio::spawn(keep_retrying(actor));
+        Ok(feed)
+    }
+}
+
+async fn keep_retrying(feed: ActorRef<FeedActor>) {
+    let mut ticks = interval(RETRY_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if feed.tell(RetryFetch).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Message<(NodeId, LinkEvent)> for FeedActor {
+    type Reply = ();
+
+    async fn handle(
+        &mut self,
+        (node, event): (NodeId, LinkEvent),
+        _context: &mut Context<Self, ()>,
+    ) {
+        if !self.links.contains_key(&node) {
+            return;
+        }
+        let now = self.now();
+        let outcome = match event {
+            LinkEvent::Connected => self.connected(node, true),
+            LinkEvent::Disconnected => self.connected(node, false),
+            LinkEvent::News(news) => self.fold.news(node, news, now),
+            LinkEvent::Instances { heard, whole } => self.fold.instances(node, heard, whole),
+            LinkEvent::Catalog(body) => match self.fold.catalog(body, now) {
+                Ok(outcome) => outcome,
+                Err(error) => {
+                    log::error!("event=catalog_unreadable replica={node} reason=\"{error}\"");
+                    FoldOutcome::default()
+                }
+            },
+            LinkEvent::Confirmed { at, revision, routers } => {
+                self.fold.set_routers(node, routers);
+                self.routers.send_replace(self.fold.routers());
+                let at = Timestamp::ZERO.after(at.saturating_duration_since(self.started));
+                self.fold.confirmed(node, at, revision);
+                FoldOutcome::default()
+            }
+        };
+        self.act_on(outcome);
+    }
+}
+
+/// Ask again for a configuration that didn't come.
+struct RetryFetch;
+
+impl Message<RetryFetch> for FeedActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _retry: RetryFetch, _context: &mut Context<Self, ()>) {
+        let fetch = self.fold.next_fetch(self.now());
+        self.act_on(FoldOutcome { changed: false, fetch });
+    }
+}
+
+/// Other seeds stand in the settings now.
+struct SetSeeds(Vec<NodeId>);
+
+impl Message<SetSeeds> for FeedActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: SetSeeds, _context: &mut Context<Self, ()>) {
+        self.settings.seeds = message.0;
+        self.follow_members();
+    }
+}
+
+impl FeedActor {
+    fn now(&self) -> Timestamp {
+        Timestamp::ZERO.after(self.started.elapsed())
+    }
+
+    fn connected(&mut self, node: NodeId, connected: bool) -> FoldOutcome {
+        self.fold.set_connected(node, connected);
+        FoldOutcome::default()
+    }
+
+    fn act_on(&mut self, outcome: FoldOutcome) {
+        if outcome.changed {
+            self.publish();
+        }
+        self.confirmed_at.send_if_modified(|published| {
+            let latest = self.fold.confirmed_at();
+            let latest = latest.map(|at| self.started + at.since(Timestamp::ZERO));
+            let changed = *published != latest;
+            *published = latest;
+            changed
+        });
+        if let Some((node, above)) = outcome.fetch
+            && let Some(link) = self.links.get(&node)
+        {
+            // The link asks again if it has just ended.
+            let _ = link.fetches.send(above);
+        }
+        self.follow_members();
+    }
+
+    fn publish(&self) {
+        let view = self.fold.view();
+        let before = self.view.borrow().catalog_version();
+        if view.catalog_version() != before {
+            let (version, revision) = (view.catalog_version(), view.revision);
+            log::info!("event=catalog_in_force version={version} revision={revision}");
+        }
+        self.view.send_replace(Arc::new(view.clone()));
+    }
+
+    /// Follows the members that replicas name, and the seeds while no replica is
+    /// connected. A link to a replica that is no member any more is ended.
+    fn follow_members(&mut self) {
+        let mut wanted = self.fold.members();
+        if wanted.is_empty() {
+            wanted.extend(self.settings.seeds.iter().copied());
+            wanted.extend(self.links.keys().copied());
+        }
+        let unwanted: BTreeSet<NodeId> =
+            self.links.keys().copied().filter(|node| !wanted.contains(node)).collect();
+        for node in unwanted {
+            if let Some(link) = self.links.remove(&node) {
+                link.task.abort();
+                self.fold.set_connected(node, false);
+            }
+        }
+        for node in wanted {
+            if !self.links.contains_key(&node) {
+                let link = self.spawn_link(node);
+                self.links.insert(node, link);
+            }
+        }
+    }
+
+    fn spawn_link(&self, node: NodeId) -> Link {
+        let (fetches, receiver) = mpsc::unbounded_channel();
+        let parts = LinkParts {
+            node,
+            key: self.settings.key.clone(),
+            own: self.settings.own.clone(),
+            feed: self.own_ref.clone(),
+            fetches: receiver,
+        };
+        Link { fetches, task: tokio::spawn(link::run(parts)).abort_handle() }
+    }
+}
+
+/// A running feed.
+#[derive(Clone)]
+pub struct Feed {
+    actor: ActorRef<FeedActor>,
+    started: Instant,
+    view: watch::Receiver<Arc<FleetView>>,
+    confirmed_at: watch::Receiver<Option<Instant>>,
+    routers: watch::Receiver<u32>,
+}
+
+impl Feed {
+    /// Starts to follow the replicas.
+    pub fn start(settings: FeedSettings) -> Self {
+        let started = Instant::now();
+        let (view_sender, view) = watch::channel(Arc::default());
+        let (confirmed_sender, confirmed_at) = watch::channel(None);
+        let (routers_sender, routers) = watch::channel(UNKNOWN_ROUTERS);
+        let published = Published {
+            view: view_sender,
+            confirmed_at: confirmed_sender,
+            routers: routers_sender,
+        };
+        let arguments = (settings, started, published);
+        let actor = FeedActor::spawn_with_mailbox(arguments, mailbox::bounded(MAILBOX_CAPACITY));
+        Feed { actor, started, view, confirmed_at, routers }
+    }
+
+    /// What the node knows of the fleet.
+    pub fn view(&self) -> watch::Receiver<Arc<FleetView>> {
+        self.view.clone()
+    }
+
+    /// The latest view.
+    pub fn latest(&self) -> Arc<FleetView> {
+        Arc::clone(&self.view.borrow())
+    }
+
+    /// Time since a quorum confirmed that the view was complete, if ever.
+    pub fn age(&self) -> Option<Duration> {
+        self.confirmed_at.borrow().map(|at| at.elapsed())
+    }
+
+    /// Tells of confirmations.
+    pub fn confirmations(&self) -> watch::Receiver<Option<Instant>> {
+        self.confirmed_at.clone()
+    }
+
+    /// Routers that follow the replicas.
+    pub fn routers(&self) -> u32 {
+        *self.routers.borrow()
+    }
+
+    /// The origin of the times in the view.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Takes over the seeds of settings that have changed.
+    pub async fn set_seeds(&self, seeds: Vec<NodeId>) {
+        // A feed that has ended follows nobody.
+        let _ = self.actor.tell(SetSeeds(seeds)).await;
+    }
+}
--- /dev/null
+++ b/crates/feed/src/fold.rs
@@ -0,0 +1,209 @@
+//! Makes one view of what several replicas push. Pure: pushes and time in, view out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniper_catalog::{Catalog, CatalogIndex};
+use juniper_protocol::message::{CatalogBody, FleetNews};
+use juniper_registry::{Directory, HeardInstance, Instance, InstanceId};
+use juniper_types::{NodeId, Timestamp};
+
+use crate::view::{FleetView, WantedWeights};
+
+/// Time after which a configuration that was asked for is asked for elsewhere.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// What the latest news of a replica amount to.
+#[derive(Clone, Debug, Default)]
+struct Source {
+    revision: u64,
+    catalog_version: u64,
+    members: Vec<NodeId>,
+    connected: bool,
+    routers: u32,
+    /// A confirmation that waits until the view has caught up with its revision.
+    unproved: Option<(Timestamp, u64)>,
+}
+
+/// What has to be done after something was taken in.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FoldOutcome {
+    /// The view has changed.
+    pub changed: bool,
+    /// Ask this replica for the configuration above the version.
+    pub fetch: Option<(NodeId, u64)>,
+}
+
+/// Merges the pushes of all replicas.
+#[derive(Debug, Default)]
+pub struct FleetFold {
+    view: FleetView,
+    sources: BTreeMap<NodeId, Source>,
+    directory: Directory,
+    departed: BTreeSet<InstanceId>,
+    confirmed_at: Option<Timestamp>,
+    /// The configuration that was asked for, and when.
+    fetching: Option<(u64, Timestamp)>,
+}
+
+impl FleetFold {
+    /// The view.
+    pub fn view(&self) -> &FleetView {
+        &self.view
+    }
+
+    /// Time up to which a quorum has confirmed that the view was complete.
+    pub fn confirmed_at(&self) -> Option<Timestamp> {
+        self.confirmed_at
+    }
+
+    /// The replicas that connected ones name as members.
+    pub fn members(&self) -> BTreeSet<NodeId> {
+        let connected = self.sources.values().filter(|source| source.connected);
+        connected.flat_map(|source| source.members.iter().copied()).collect()
+    }
+
+    /// A replica is followed from now on, or can't be any more.
+    pub fn set_connected(&mut self, node: NodeId, connected: bool) {
+        self.sources.entry(node).or_default().connected = connected;
+    }
+
+    /// Routers that follow a replica.
+    pub fn set_routers(&mut self, node: NodeId, routers: u32) {
+        self.sources.entry(node).or_default().routers = routers;
+    }
+
+    /// Routers that are known to exist: as many as the best informed replica
+    /// names that is connected.
+    pub fn routers(&self) -> u32 {
+        let connected = self.sources.values().filter(|source| source.connected);
+        connected.map(|source| source.routers).max().unwrap_or(0).max(1)
+    }
+
+    /// News of what the fleet agrees on.
+    pub fn news(&mut self, node: NodeId, news: FleetNews, now: Timestamp) -> FoldOutcome {
+        let source = self.sources.entry(node).or_default();
+        source.revision = source.revision.max(news.revision);
+        source.catalog_version = source.catalog_version.max(news.catalog_version);
+        source.members = news.members;
+        let mut changed = self.want_weights(news.weights, now);
+        let before = self.departed.len();
+        self.departed.extend(news.departures);
+        if self.departed.len() != before {
+            self.directory.set_departed(self.departed.clone());
+            changed |= self.refresh_instances();
+        }
+        let members = self.members();
+        let members: Vec<NodeId> = members.into_iter().collect();
+        if !members.is_empty() {
+            self.directory.keep_sources(&members);
+            changed |= self.refresh_instances();
+        }
+        changed |= self.advance();
+        FoldOutcome { changed, fetch: self.next_fetch(now) }
+    }
+
+    /// Servers that a replica has heard of.
+    pub fn instances(
+        &mut self,
+        node: NodeId,
+        heard: Vec<HeardInstance>,
+        whole: bool,
+    ) -> FoldOutcome {
+        self.directory.hear(node, heard, whole);
+        FoldOutcome { changed: self.refresh_instances(), fetch: None }
+    }
+
+    /// A configuration that was asked for.
+    ///
+    /// # Errors
+    /// Fails when it can't be read.
+    pub fn catalog(
+        &mut self,
+        body: Option<CatalogBody>,
+        now: Timestamp,
+    ) -> Result<FoldOutcome, minicbor::decode::Error> {
+        self.fetching = None;
+        if let Some(body) = body.filter(|body| body.version > self.view.catalog_version()) {
+            let catalog: Catalog = minicbor::decode(&body.body)?;
+            self.view.catalog = Some(Arc::new(CatalogIndex::new(Arc::new(catalog))));
+            self.advance();
+            return Ok(FoldOutcome { changed: true, fetch: self.next_fetch(now) });
+        }
+        Ok(FoldOutcome { changed: false, fetch: self.next_fetch(now) })
+    }
+
+    /// A replica said that it was current at `at` and had applied the log up to
+    /// `revision` for certain then.
+    pub fn confirmed(&mut self, node: NodeId, at: Timestamp, revision: u64) {
+        if self.view.revision >= revision {
+            self.confirmed_at = self.confirmed_at.max(Some(at));
+        } else {
+            self.sources.entry(node).or_default().unproved = Some((at, revision));
+        }
+    }
+
+    /// The configuration to ask for and where, if one is missing and none is on its way.
+    pub fn next_fetch(&mut self, now: Timestamp) -> Option<(NodeId, u64)> {
+        let held = self.view.catalog_version();
+        let has_newer = |source: &Source| source.connected && source.catalog_version > held;
+        let newer = self.sources.iter().filter(|(_, source)| has_newer(source));
+        let (node, newest) = newer
+            .map(|(node, source)| (*node, source.catalog_version))
+            .max_by_key(|found| found.1)?;
+        let under_way = self
+            .fetching
+            .is_some_and(|(version, asked)| version >= newest && now.since(asked) < FETCH_TIMEOUT);
+        if under_way {
+            return None;
+        }
+        self.fetching = Some((newest, now));
+        Some((node, held))
+    }
+
+    fn want_weights(&mut self, wanted: BTreeMap<String, u64>, now: Timestamp) -> bool {
+        let mut changed = false;
+        for (model, version) in wanted {
+            let known = self.view.weights.get(&model).map_or(0, WantedWeights::version);
+            if version > known {
+                self.view.weights.entry(model).or_default().name(version, now);
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Moves the view's revision up to what it holds whole, and accepts the
+    /// confirmations that waited for it.
+    fn advance(&mut self) -> bool {
+        let held = self.view.catalog_version();
+        let whole = self.sources.values().filter(|source| source.catalog_version <= held);
+        let revision = whole.map(|source| source.revision).max().unwrap_or(0);
+        if revision <= self.view.revision {
+            return false;
+        }
+        self.view.revision = revision;
+        for source in self.sources.values_mut() {
+            if let Some((at, _)) = source.unproved.take_if(|(_, needed)| *needed <= revision) {
+                self.confirmed_at = self.confirmed_at.max(Some(at));
+            }
+        }
+        true
+    }
+
+    fn refresh_instances(&mut self) -> bool {
+        let directory = &self.directory;
+        let is_newest = |instance: &&Instance| {
+            let newest = directory.newest_at(instance.report.address);
+            newest.is_none_or(|newest| *newest == instance.report.id)
+        };
+        let usable = directory.instances().filter(|instance| !instance.leaving).filter(is_newest);
+        let usable: Vec<Instance> = usable.cloned().collect();
+        let changed = usable != *self.view.instances;
+        if changed {
+            self.view.instances = Arc::new(usable);
+        }
+        changed
+    }
+}
--- /dev/null
+++ b/crates/feed/src/lib.rs
@@ -0,0 +1,16 @@
+//! Follows the control replicas.
+//!
+//! A node keeps a connection to every replica that it knows of. Each replica
+//! pushes what the fleet agrees on and the servers that it hears of; a
+//! [`FleetFold`] makes one view of it that never goes back, and the [`Feed`]
+//! publishes that view. Because every replica is followed, the loss or the cut
+//! of one delays nothing.
+
+mod actor;
+mod fold;
+mod link;
+mod view;
+
+pub use actor::{Feed, FeedSettings};
+pub use fold::{FleetFold, FoldOutcome};
+pub use view::{FleetView, WantedWeights};
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,272 @@
+//! One sending of a request to one server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use juniper_placement::{Choice, Outcome, Ticket};
+use juniper_registry::InstanceId;
+use tokio::time::{Instant, timeout_at};
+
+use crate::body::WholeBody;
+use crate::call::Call;
+use crate::dialect::{AnswerFacts, AttemptFacts};
+use crate::gateway::Gateway;
+use crate::pool::{ConnectError, ServerConnection};
+
+/// Statuses that promise that a request has not run.
+const PROMISES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// Whether the status promises that a request has not run.
+pub(crate) fn is_promise(status: StatusCode) -> bool {
+    PROMISES.contains(&status)
+}
+
+/// Why an attempt brought no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum AttemptError {
+    /// Nothing was sent.
+    #[error("not sent: {0}")]
+    NotSent(ConnectError),
+    /// The server stated that it did not run the request.
+    #[error("the server did not run it")]
+    NotRun,
+    /// Another server has the address.
+    #[error("another server has the address")]
+    OtherServer,
+    /// The connection broke; the request may have run.
+    #[error("the connection broke: {0}")]
+    Broken(hyper::Error),
+    /// What came is no answer to this request; it may have run.
+    #[error("what came is no answer to the request")]
+    NoAnswer,
+    /// No answer came in time; the request may have run.
+    #[error("no answer in time")]
+    Silent,
+}
+
+impl AttemptError {
+    pub(crate) fn may_have_run(&self) -> bool {
+        matches!(self, AttemptError::Broken(_) | AttemptError::NoAnswer | AttemptError::Silent)
+    }
+
+    fn outcome(&self) -> Outcome {
+        match self {
+            AttemptError::NotSent(ConnectError::Exhausted) | AttemptError::NotRun => Outcome::Full,
+            AttemptError::NotSent(_) => Outcome::Unreachable,
+            AttemptError::OtherServer => Outcome::Replaced,
+            AttemptError::Broken(_) | AttemptError::NoAnswer | AttemptError::Silent => {
+                Outcome::Broken
+            }
+        }
+    }
+}
+
+/// A request under way on a server. Dropping it closes the connection, so that
+/// the server stops working on it.
+pub(crate) struct Attempt {
+    gateway: Arc<Gateway>,
+    pub instance: InstanceId,
+    connection: Option<ServerConnection>,
+    ticket: Option<Ticket>,
+    rest: Option<Duration>,
+    may_keep: bool,
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.close(Outcome::Cancelled);
+    }
+}
+
+impl Attempt {
+    fn close(&mut self, outcome: Outcome) {
+        self.connection = None;
+        if let Some(ticket) = self.ticket.take() {
+            let now = self.gateway.now();
+            self.gateway.placement().end(ticket, outcome, now);
+        }
+    }
+
+    /// The attempt has failed; its connection is closed.
+    pub(crate) fn fail(mut self, outcome: Outcome) {
+        self.close(outcome);
+    }
+
+    /// The answer was read to its end; the connection is kept for the next request.
+    pub(crate) fn finish(mut self, outcome: Outcome) {
+        let connection = self.connection.take().filter(|_| self.may_keep);
+        if let Some(connection) = connection {
+            self.gateway.pool.keep(&self.instance, connection, self.rest);
+        }
+        self.close(outcome);
+    }
+
+    /// The server has begun to answer.
+    pub(crate) fn first_output(&mut self) {
+        if let Some(ticket) = &mut self.ticket {
+            let now = self.gateway.now();
+            self.gateway.placement().first_output(ticket, now);
+        }
+    }
+}
+
+/// An answer whose head has come.
+pub(crate) struct Answered {
+    pub attempt: Attempt,
+    pub response: Response<Incoming>,
+}
+
+/// Sends the request to the chosen server and waits for the head of its answer
+/// until `until`.
+pub(crate) async fn send(
+    gateway: &Arc<Gateway>,
+    call: &Call,
+    choice: &Choice,
+    last_event: Option<u64>,
+    until: Instant,
+) -> Result<Answered, AttemptError> {
+    let now = gateway.now();
+    let ticket = gateway.placement().begin(choice, call.has_prompt(), now);
+    let mut attempt = Attempt {
+        gateway: Arc::clone(gateway),
+        instance: choice.instance.clone(),
+        connection: None,
+        ticket: Some(ticket),
+        rest: None,
+        may_keep: false,
+    };
+    match exchange(gateway, call, choice, last_event, until, &mut attempt).await {
+        Ok(response) => Ok(Answered { attempt, response }),
+        Err(error) => {
+            attempt.fail(error.outcome());
+            Err(error)
+        }
+    }
+}
+
+async fn exchange(
+    gateway: &Arc<Gateway>,
+    call: &Call,
+    choice: &Choice,
+    last_event: Option<u64>,
+    until: Instant,
+    attempt: &mut Attempt,
+) -> Result<Response<Incoming>, AttemptError> {
+    let limit = gateway.connection_limit(&call.view, &call.service);
+    let opening = gateway.pool.connect(&choice.instance, choice.address, limit);
+    let connection = opening.await.map_err(AttemptError::NotSent)?;
+    if !connection.reused {
+        gateway.metrics.connections.inc();
+    }
+    let connection = attempt.connection.insert(connection);
+    let request = request(gateway, call, choice, last_event);
+    let sending = connection.sender.try_send_request(request);
+    let mut response = match timeout_at(until, sending).await {
+        Err(_) => return Err(AttemptError::Silent),
+        Ok(Err(error)) => return Err(sending_failed(error)),
+        Ok(Ok(response)) => response,
+    };
+    attempt.rest = stated_rest(response.headers());
+    attempt.may_keep = !closes(response.headers());
+    strip_hop_headers(response.headers_mut());
+    let (head, body) = response.into_parts();
+    let facts = gateway.dialect.read_answer(&head, &call.facts.id);
+    if let Some(version) = facts.version {
+        gateway.placement().saw_version(&choice.instance, version);
+    }
+    check(&facts, head.status)?;
+    Ok(Response::from_parts(head, body))
+}
+
+/// A request that comes back was not sent.
+fn sending_failed(mut error: TrySendError<Request<WholeBody>>) -> AttemptError {
+    match error.take_message() {
+        Some(_unsent) => AttemptError::NotSent(ConnectError::Handshake(error.into_error())),
+        None => AttemptError::Broken(error.into_error()),
+    }
+}
+
+/// Whether the answer may be passed on.
+fn check(facts: &AnswerFacts, status: StatusCode) -> Result<(), AttemptError> {
+    if facts.is_other_server {
+        return Err(AttemptError::OtherServer);
+    }
+    if facts.not_run && !status.is_success() {
+        return Err(AttemptError::NotRun);
+    }
+    if !facts.is_own || (status.is_success() && !facts.is_sealed) {
+        return Err(AttemptError::NoAnswer);
+    }
+    Ok(())
+}
+
+fn request(
+    gateway: &Gateway,
+    call: &Call,
+    choice: &Choice,
+    last_event: Option<u64>,
+) -> Request<WholeBody> {
+    let mut headers = call.headers.clone();
+    let facts = AttemptFacts {
+        instance: &choice.instance,
+        deadline: call.deadline.saturating_duration_since(Instant::now()),
+        tenant: call.tenant.as_deref(),
+        priority: call.priority,
+        sharing: &call.sharing,
+        last_event,
+        has_prompt: call.has_prompt(),
+    };
+    gateway.dialect.write_attempt(&mut headers, &facts);
+    let mut request = Request::new(WholeBody(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes the headers that concern one connection only, and those that it names.
+pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named.iter().map(String::as_str).chain(HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let close = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
+    headers.get_all(CONNECTION).iter().any(close)
+}
+
+/// Longest rest of the connection that the server states.
+fn stated_rest(headers: &HeaderMap) -> Option<Duration> {
+    let stated = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = stated.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,141 @@
+//! What every request of the gateway needs.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use juniper_catalog::{Route, WeightedSplit};
+use juniper_feed::{Feed, FleetView};
+use juniper_placement::{Placement, RetryBudget};
+use juniper_registry::InstanceId;
+use juniper_types::Timestamp;
+use tokio::sync::watch;
+
+use crate::dialect::Dialect;
+use crate::life::Stop;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::settings::GatewaySettings;
+
+/// Part of a server's connections that all routers together open. The rest is
+/// for health checks and orders, and for routers that have just started.
+const CONNECTION_PART: f64 = 0.7;
+
+/// Fewest connections that a router may open to one server.
+const MIN_CONNECTIONS: u32 = 2;
+
+/// Connections to a server that states no bound.
+const USUAL_CONNECTIONS: u32 = 64;
+
+/// Pace at which resting connections are looked through.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What every request needs.
+pub(crate) struct Gateway {
+    pub settings: GatewaySettings,
+    pub dialect: Box<dyn Dialect>,
+    pub feed: Feed,
+    pub pool: Pool,
+    pub metrics: Metrics,
+    pub stop: watch::Receiver<Stop>,
+    placement: Mutex<Placement>,
+    budget: Mutex<RetryBudget>,
+    splits: Mutex<HashMap<String, WeightedSplit>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Gateway {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        dialect: Box<dyn Dialect>,
+        feed: Feed,
+        metrics: Metrics,
+        stop: watch::Receiver<Stop>,
+    ) -> Self {
+        Gateway {
+            placement: Mutex::new(Placement::new(settings.zone.clone())),
+            budget: Mutex::new(RetryBudget::new(settings.retry)),
+            splits: Mutex::default(),
+            pool: Pool::default(),
+            settings,
+            dialect,
+            feed,
+            metrics,
+            stop,
+        }
+    }
+
+    /// The time as the pure crates see it.
+    pub(crate) fn now(&self) -> Timestamp {
+        Timestamp::ZERO.after(self.feed.started().elapsed())
+    }
+
+    /// The servers. The guard must not be held across an await.
+    pub(crate) fn placement(&self) -> MutexGuard<'_, Placement> {
+        lock(&self.placement)
+    }
+
+    /// The retry budget. The guard must not be held across an await.
+    pub(crate) fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        lock(&self.budget)
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let age = self.feed.age();
+        let is_current = age.is_some_and(|age| age < self.settings.ready_age_limit());
+        let has_catalog = self.feed.latest().catalog.is_some();
+        *self.stop.borrow() == Stop::Running && is_current && has_catalog
+    }
+
+    /// The service that takes the next request of the route.
+    pub(crate) fn pick_service(&self, route: &Route) -> Option<String> {
+        let mut splits = lock(&self.splits);
+        if !splits.contains_key(&route.name) {
+            splits.insert(route.name.clone(), WeightedSplit::default());
+        }
+        let place = splits.get_mut(&route.name)?.pick(&route.split)?;
+        route.split.get(place).map(|part| part.service.clone())
+    }
+
+    /// Most connections that this node may have open to one server of the service.
+    pub(crate) fn connection_limit(&self, view: &FleetView, service: &str) -> u32 {
+        let service = view.catalog.as_ref().and_then(|index| index.service(service));
+        let stated = service.map_or(0, |service| service.max_connections);
+        if stated == 0 {
+            return USUAL_CONNECTIONS;
+        }
+        let routers = f64::from(self.feed.routers().max(1));
+        let share = (f64::from(stated) * CONNECTION_PART / routers) as u32;
+        share.max(MIN_CONNECTIONS)
+    }
+
+    /// Keeps the servers in step with the feed, and closes connections that
+    /// aren't used, for ever.
+    pub(crate) async fn keep_in_step(self: Arc<Self>) {
+        let mut view = self.feed.view();
+        let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
+        sweep.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                changed = view.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let latest = Arc::clone(&view.borrow_and_update());
+                    self.placement().set_instances(&latest.instances);
+                }
+                _ = sweep.tick() => self.sweep(),
+            }
+        }
+    }
+
+    fn sweep(&self) {
+        let view = self.feed.latest();
+        let is_used = |id: &InstanceId| view.instances.iter().any(|known| known.report.id == *id);
+        self.pool.sweep(is_used);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,31 @@
+//! The router of generic services.
+//!
+//! A caller's request is matched with a route of the configuration in force,
+//! sent to the server that the placement chooses, and its answer passed on. What
+//! headers say is the business of a [`Dialect`]; everything else is the same
+//! wherever the gateway runs.
+//!
+//! - `face` accepts connections, `call` takes one request from its head to its
+//!   answer, `attempt` is one sending to one server, `relay` passes streams on.
+//! - `pool` holds connections to servers.
+//! - `life` starts, drains and stops the whole.
+
+mod answer;
+mod attempt;
+mod body;
+mod call;
+mod dialect;
+mod events;
+mod face;
+mod gateway;
+mod life;
+mod metrics;
+mod pool;
+mod relay;
+mod retry;
+mod settings;
+
+pub use dialect::{AnswerFacts, AttemptFacts, CallFacts, CallFault, Dialect};
+pub use events::EventSplitter;
+pub use life::{GatewayError, Listeners, Stop, run};
+pub use settings::GatewaySettings;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,152 @@
+//! Counters and latencies of a gateway, in Prometheus text form.
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use juniper_catalog::RouteKind;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
+
+use crate::answer::OwnAnswer;
+use crate::attempt::AttemptError;
+
+/// Upper bounds of times, in seconds.
+const TIME_BUCKETS: [f64; 11] = [0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 10.0];
+
+/// The counters.
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests by kind of route, outcome and reason.
+    requests: IntCounterVec,
+    /// Sendings that came to nothing, by reason.
+    attempts_failed: IntCounterVec,
+    /// Repeats that the budget didn't allow.
+    pub budget_spent: IntCounter,
+    /// New connections to servers.
+    pub connections: IntCounter,
+    /// Connections of callers.
+    pub callers: IntGauge,
+    /// Time to the answer, or to the first event of a stream, by kind of route.
+    answer_seconds: HistogramVec,
+    /// Longest pause between two events of a stream.
+    pub pause_seconds: Histogram,
+    /// Prompt tokens that a server should have kept.
+    pub kept_tokens: IntCounter,
+    /// Prompt tokens that a server had to read.
+    pub missed_tokens: IntCounter,
+    /// Version of the configuration in force.
+    pub catalog_version: IntGauge,
+    /// Milliseconds since the configuration was confirmed; -1 for never.
+    pub catalog_age_ms: IntGauge,
+}
+
+fn kind_text(kind: RouteKind) -> &'static str {
+    match kind {
+        RouteKind::Repeatable => "repeatable",
+        RouteKind::AtMostOnce => "at_most_once",
+        RouteKind::Stream => "stream",
+    }
+}
+
+impl Metrics {
+    /// Registers every counter.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let name = |name: &str| format!("juniper_gateway_{name}");
+        let counter = |short: &str, help: &str| -> Result<IntCounter, prometheus::Error> {
+            let counter = IntCounter::new(name(short), help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |short: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
+            let gauge = IntGauge::new(name(short), help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let counters = |short: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name(short), help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let times = |short: &str, help: &str| {
+            HistogramOpts::new(name(short), help).buckets(TIME_BUCKETS.to_vec())
+        };
+        let answer_seconds = HistogramVec::new(
+            times("answer_seconds", "Time to the answer or to the first event."),
+            &["kind"],
+        )?;
+        registry.register(Box::new(answer_seconds.clone()))?;
+        let pause_seconds =
+            Histogram::with_opts(times("pause_seconds", "Longest pause in a stream."))?;
+        registry.register(Box::new(pause_seconds.clone()))?;
+        Ok(Metrics {
+            requests: counters(
+                "requests_total",
+                "Requests by kind of route, outcome and reason.",
+                &["kind", "outcome", "reason"],
+            )?,
+            attempts_failed: counters(
+                "attempts_failed_total",
+                "Sendings that came to nothing, by reason.",
+                &["reason"],
+            )?,
+            budget_spent: counter("budget_spent_total", "Repeats that the budget didn't allow.")?,
+            connections: counter("server_connections_total", "New connections to servers.")?,
+            callers: gauge("caller_connections", "Connections of callers.")?,
+            answer_seconds,
+            pause_seconds,
+            kept_tokens: counter("kept_tokens_total", "Prompt tokens that should be kept.")?,
+            missed_tokens: counter("missed_tokens_total", "Prompt tokens that had to be read.")?,
+            catalog_version: gauge("catalog_version", "Version of the configuration.")?,
+            catalog_age_ms: gauge("catalog_age_ms", "Age of the configuration; -1 for never.")?,
+            registry,
+        })
+    }
+
+    /// The gateway itself answered.
+    pub(crate) fn own_answer(&self, kind: Option<RouteKind>, own: OwnAnswer) {
+        let kind = kind.map_or("none", kind_text);
+        self.requests.with_label_values(&[kind, "own_answer", own.reason()]).inc();
+    }
+
+    /// A server's answer was passed on whole.
+    pub(crate) fn answered(&self, kind: RouteKind, status: StatusCode, took: Duration) {
+        let kind = kind_text(kind);
+        let reason = if status.is_success() { "success" } else { "server_status" };
+        self.requests.with_label_values(&[kind, "answered", reason]).inc();
+        self.answer_seconds.with_label_values(&[kind]).observe(took.as_secs_f64());
+    }
+
+    /// A stream has ended.
+    pub(crate) fn streamed(&self, outcome: &str, first: Option<Duration>) {
+        let kind = kind_text(RouteKind::Stream);
+        self.requests.with_label_values(&[kind, outcome, "stream"]).inc();
+        if let Some(first) = first {
+            self.answer_seconds.with_label_values(&[kind]).observe(first.as_secs_f64());
+        }
+    }
+
+    /// A sending came to nothing.
+    pub(crate) fn attempt_failed(&self, error: &AttemptError) {
+        let reason = match error {
+            AttemptError::NotSent(_) => "not_sent",
+            AttemptError::NotRun => "not_run",
+            AttemptError::OtherServer => "other_server",
+            AttemptError::Broken(_) => "broken",
+            AttemptError::NoAnswer => "no_answer",
+            AttemptError::Silent => "silent",
+        };
+        self.attempts_failed.with_label_values(&[reason]).inc();
+    }
+
+    /// Everything as text.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("event=metrics_failed reason=\"{error}\"");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pool.rs
@@ -0,0 +1,178 @@
+//! Connections to servers.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use juniper_registry::InstanceId;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+
+use crate::body::WholeBody;
+
+/// Time within which a connection must stand: many round trips between zones.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A server that acknowledges no byte for this long is cut off.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Longest rest of a kept connection, unless the server states a shorter one.
+const MAX_REST: Duration = Duration::from_secs(4);
+
+/// Time by which a connection is given up before the server would close it.
+const REST_MARGIN: Duration = Duration::from_millis(900);
+
+/// Read buffer of a connection, in bytes; the least that hyper takes.
+const BUFFER_BYTES: usize = 8 << 10;
+
+/// Why there is no connection. Nothing was sent.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ConnectError {
+    #[error("no connection in time")]
+    Timeout,
+    #[error("can't connect: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error("can't start HTTP: {0}")]
+    Handshake(#[from] hyper::Error),
+    #[error("all connections that this node may open are in use")]
+    Exhausted,
+}
+
+/// A connection that serves one request at a time. Dropping it closes it.
+pub(crate) struct ServerConnection {
+    pub sender: SendRequest<WholeBody>,
+    pub reused: bool,
+    task: AbortHandle,
+    /// Counts the connection as open until it is dropped.
+    _open: OpenGuard,
+}
+
+impl Drop for ServerConnection {
+    fn drop(&mut self) {
+        // Ends the task that owns the socket, so that the server notices at once.
+        self.task.abort();
+    }
+}
+
+struct Idle {
+    connection: ServerConnection,
+    until: Instant,
+}
+
+/// Counts of open connections by server.
+type OpenCounts = Arc<Mutex<HashMap<InstanceId, u32>>>;
+
+struct OpenGuard {
+    counts: OpenCounts,
+    instance: InstanceId,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        let mut counts = self.counts.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        if let Some(count) = counts.get_mut(&self.instance) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.instance);
+            }
+        }
+    }
+}
+
+/// Connections that rest, by server.
+#[derive(Default)]
+pub(crate) struct Pool {
+    idle: Mutex<HashMap<InstanceId, Vec<Idle>>>,
+    open: OpenCounts,
+}
+
+impl Pool {
+    fn lock(&self) -> MutexGuard<'_, HashMap<InstanceId, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// A connection to the server: the one that rested shortest, or a new one if
+    /// fewer than `limit` are open.
+    pub(crate) async fn connect(
+        &self,
+        instance: &InstanceId,
+        address: SocketAddrV4,
+        limit: u32,
+    ) -> Result<ServerConnection, ConnectError> {
+        if let Some(connection) = self.take_idle(instance) {
+            return Ok(connection);
+        }
+        let open = self.count_open(instance, limit).ok_or(ConnectError::Exhausted)?;
+        let opening = TcpStream::connect(address);
+        let stream =
+            timeout(CONNECT_TIMEOUT, opening).await.map_err(|_| ConnectError::Timeout)??;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER_BYTES);
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
+        let task = tokio::spawn(async move {
+            // Whoever waits for the answer is told of the error.
+            let _ = connection.await;
+        });
+        Ok(ServerConnection { sender, reused: false, task: task.abort_handle(), _open: open })
+    }
+
+    fn count_open(&self, instance: &InstanceId, limit: u32) -> Option<OpenGuard> {
+        let mut counts = self.open.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let count = counts.entry(instance.clone()).or_default();
+        if *count >= limit {
+            return None;
+        }
+        *count += 1;
+        Some(OpenGuard { counts: Arc::clone(&self.open), instance: instance.clone() })
+    }
+
+    fn take_idle(&self, instance: &InstanceId) -> Option<ServerConnection> {
+        let mut idle = self.lock();
+        let resting = idle.get_mut(instance)?;
+        let now = Instant::now();
+        while let Some(Idle { mut connection, until }) = resting.pop() {
+            if now < until && connection.sender.is_ready() {
+                connection.reused = true;
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was read to its end. `rest` is what the
+    /// server states as the longest rest.
+    pub(crate) fn keep(
+        &self,
+        instance: &InstanceId,
+        connection: ServerConnection,
+        rest: Option<Duration>,
+    ) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let rest = rest.map_or(MAX_REST, |rest| rest.saturating_sub(REST_MARGIN).min(MAX_REST));
+        if rest.is_zero() {
+            return;
+        }
+        let until = Instant::now() + rest;
+        self.lock().entry(instance.clone()).or_default().push(Idle { connection, until });
+    }
+
+    /// Closes connections that have rested for long, and those to servers that
+    /// aren't used any more.
+    pub(crate) fn sweep(&self, is_used: impl Fn(&InstanceId) -> bool) {
+        let now = Instant::now();
+        let mut idle = self.lock();
+        idle.retain(|instance, resting| {
+            resting.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
+            !resting.is_empty() && is_used(instance)
+        });
+    }
+}
--- /dev/null
+++ b/crates/placement/src/cost.rs
@@ -0,0 +1,87 @@
+//! What serving a request on one server is expected to cost, in milliseconds.
+
+use std::time::Duration;
+
+use juniper_types::Timestamp;
+
+use crate::health::Health;
+use crate::load::{Load, ReadingSpeed};
+
+/// What a server in another zone costs more: the way there and back, and the
+/// bytes between zones.
+const OTHER_ZONE_MS: f64 = 12.0;
+
+/// What each request under way adds, because servers slow down as they fill.
+const UNDER_WAY_MS: f64 = 2.0;
+
+/// What a full queue adds, relative to the objective.
+const FULL_FACTOR: f64 = 0.5;
+
+/// What a certain failure adds, relative to the objective.
+const FAILURE_FACTOR: f64 = 3.0;
+
+/// Share of failures that servers have without being unhealthy.
+const USUAL_FAILURES: f64 = 0.1;
+
+/// What silence towards the control replicas adds, relative to the objective.
+const SILENCE_FACTOR: f64 = 0.5;
+
+/// Slots that one router expects to fill before a server queues, as a share.
+const SLOT_SHARE: f64 = 0.5;
+
+/// A server as a request sees it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServerView<'a> {
+    pub health: &'a Health,
+    pub load: Load,
+    pub slots: u32,
+    pub same_zone: bool,
+    pub silent: bool,
+    pub cold_ms: f64,
+    /// Tokens that the server would have to read.
+    pub missed_tokens: u32,
+}
+
+/// What does not depend on the server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CostContext {
+    pub speed: ReadingSpeed,
+    pub objective: Duration,
+    /// Mean share of failures of the service's servers.
+    pub mean_failures: f64,
+    pub now: Timestamp,
+}
+
+impl CostContext {
+    /// The expected cost.
+    pub(crate) fn cost_ms(&self, server: &ServerView<'_>) -> f64 {
+        let objective_ms = self.objective.as_secs_f64() * 1_000.0;
+        let reading = self.speed.ms_for(f64::from(server.missed_tokens));
+        let queue = self.speed.ms_for(server.load.waiting_tokens as f64);
+        let zone = if server.same_zone { 0.0 } else { OTHER_ZONE_MS };
+        let under_way = f64::from(server.load.requests) * UNDER_WAY_MS;
+        let crowded = self.crowded_ms(server, objective_ms);
+        let delay = server.health.delay_ms(self.now);
+        let full = if server.health.is_full(self.now) { FULL_FACTOR * objective_ms } else { 0.0 };
+        let silent = if server.silent { SILENCE_FACTOR * objective_ms } else { 0.0 };
+        let excess = server.health.failure_share(self.now) - self.mean_failures - USUAL_FAILURES;
+        let failures = excess.max(0.0) * FAILURE_FACTOR * objective_ms;
+        reading
+            + queue
+            + zone
+            + under_way
+            + crowded
+            + delay
+            + full
+            + silent
+            + failures
+            + server.cold_ms
+    }
+
+    /// A server whose slots fill up makes requests wait.
+    fn crowded_ms(&self, server: &ServerView<'_>, objective_ms: f64) -> f64 {
+        let comfortable = (f64::from(server.slots) * SLOT_SHARE).max(1.0);
+        let over = f64::from(server.load.requests) + 1.0 - comfortable;
+        over.max(0.0) / comfortable * objective_ms * 0.5
+    }
+}
--- a/crates/protocol/src/connection.rs
+++ b/crates/protocol/src/connection.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::BufReader;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -139,6 +141,16 @@
     Connection { peer, reader, writer }
 }
 
+/// A peer that acknowledges no byte for this long is cut off. Without this bound
+/// a connection through a cut would hang for minutes.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_800);
+
+fn prepare(stream: &TcpStream) -> Result<(), FrameError> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+    Ok(())
+}
+
 /// Opens a connection to `address` and runs the handshake.
 pub async fn connect(
     address: SocketAddr,
@@ -146,7 +158,7 @@
     own: &PeerIdentity,
 ) -> Result<Connection, HandshakeError> {
     let mut stream = TcpStream::connect(address).await.map_err(FrameError::from)?;
-    stream.set_nodelay(true).map_err(FrameError::from)?;
+    prepare(&stream)?;
     let peer = as_connector(&mut stream, key, own).await?;
     Ok(split(stream, peer))
 }
@@ -157,7 +169,7 @@
     key: &ClusterKey,
     own: &PeerIdentity,
 ) -> Result<Connection, HandshakeError> {
-    stream.set_nodelay(true).map_err(FrameError::from)?;
+    prepare(&stream)?;
     let peer = as_acceptor(&mut stream, key, own).await?;
     Ok(split(stream, peer))
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -1,8 +1,10 @@
 //! Messages that daemons exchange after the handshake.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use juniper_prefix_index::coarse::{CheckpointHolders, KeyList};
+use juniper_registry::{HeardInstance, InstanceId};
 use juniper_settings::{ChangeSet, SettingsTree};
 use juniper_sharing::ShareMessage;
 use juniper_types::{
@@ -146,6 +148,23 @@
         #[cbor(n(0), with = "minicbor::bytes")]
         command: Vec<u8>,
     },
+    /// To control: push what the fleet of generic services agrees on, and the
+    /// servers that the replica hears of. The reply is [`Reply::Done`], then
+    /// pushes follow.
+    #[n(10)]
+    Follow,
+    /// To control: the configuration of generic services, if its version is above `above`.
+    #[n(11)]
+    Catalog {
+        /// The version that the sender has.
+        #[n(0)]
+        above: u64,
+    },
+    /// To control: how current the replica is. The sender counts from when it
+    /// asked, so an answer that was held up on its way vouches for no more than
+    /// it should.
+    #[n(12)]
+    Confirm,
 }
 
 /// Answers to [`Request`]s.
@@ -198,6 +217,23 @@
         #[cbor(n(0), with = "minicbor::bytes")]
         answer: Vec<u8>,
     },
+    /// The configuration of generic services; `None` if there is none above the
+    /// version asked for.
+    #[n(9)]
+    Catalog(#[n(0)] Option<CatalogBody>),
+    /// How current the replica is.
+    #[n(10)]
+    Confirmed {
+        /// Milliseconds since a quorum last confirmed that the replica was current.
+        #[n(0)]
+        age_ms: u64,
+        /// Log position of the latest change of the fleet that it has applied.
+        #[n(1)]
+        revision: u64,
+        /// Routers that follow it.
+        #[n(2)]
+        routers: u32,
+    },
     /// News were taken in.
     #[n(8)]
     Shared {
@@ -207,6 +243,40 @@
     },
 }
 
+/// An encoded [`juniper_catalog::Catalog`].
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct CatalogBody {
+    /// Its version.
+    #[n(0)]
+    pub version: u64,
+    /// The encoded configuration.
+    #[cbor(n(1), with = "minicbor::bytes")]
+    pub body: Vec<u8>,
+}
+
+/// What the fleet of generic services agrees on, in short.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct FleetNews {
+    /// Log position of the latest change.
+    #[n(0)]
+    pub revision: u64,
+    /// Version of the configuration in force; zero for none. Who hasn't got it asks for it.
+    #[n(1)]
+    pub catalog_version: u64,
+    /// Version of the weights that each model should have.
+    #[n(2)]
+    pub weights: BTreeMap<String, u64>,
+    /// Servers that left before the ones named here.
+    #[n(3)]
+    pub departures_before: u64,
+    /// Servers that left since, oldest first.
+    #[n(4)]
+    pub departures: Vec<InstanceId>,
+    /// The control replicas, standbys included.
+    #[n(5)]
+    pub members: Vec<NodeId>,
+}
+
 /// A node as the control replicas see it.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 #[cbor(map)]
@@ -287,6 +357,19 @@
         #[n(1)]
         confirmed_ms: u64,
     },
+    /// What the fleet of generic services agrees on has changed.
+    #[n(3)]
+    Fleet(#[n(0)] FleetNews),
+    /// Servers that the replica has heard of.
+    #[n(4)]
+    Instances {
+        /// The servers.
+        #[n(0)]
+        heard: Vec<HeardInstance>,
+        /// Whether these are all that the replica knows.
+        #[n(1)]
+        whole: bool,
+    },
 }
 
 /// One accepted change of the tree.
--- /dev/null
+++ b/crates/renewal/src/lib.rs
@@ -0,0 +1,15 @@
+//! Brings model servers to the weights that are wanted.
+//!
+//! The leader of the control replicas holds a lease in the replicated log and
+//! gives the orders; a fencing token that rises with each lease keeps a former
+//! holder's orders out. [`RenewalPlan`] decides who is ordered next and when; it
+//! is pure. [`OrderGiver`] holds the lease and talks to the servers; how an order
+//! is written is the business of an [`OrderDialect`].
+
+mod exchange;
+mod giver;
+mod plan;
+
+pub use exchange::{Order, OrderAnswer, OrderDialect, ServerState};
+pub use giver::{GiverSettings, OrderGiver};
+pub use plan::{PlanSettings, RenewalPlan, RenewalServer};
--- /dev/null
+++ b/crates/renewal/src/plan.rs
@@ -0,0 +1,115 @@
+//! Who is ordered next. Pure: servers, wanted versions and time in, one order out.
+//!
+//! Each version has to be in use within a bound after it was named, and a server
+//! serves nothing while it takes new weights. So orders are spaced evenly over
+//! most of that time, the server whose time is up first goes first, and it goes
+//! to the newest version at once: versions in between are skipped.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use juniper_feed::WantedWeights;
+use juniper_registry::InstanceId;
+use juniper_types::Timestamp;
+
+/// Bounds on a renewal.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanSettings {
+    /// Time after the naming of a version within which all servers should have it.
+    pub within: Duration,
+    /// Time after which an order that changed nothing is given again.
+    pub repeat_after: Duration,
+}
+
+/// Part of a service's servers that may be under way at once, unless time is short.
+const MAX_UNDER_WAY: f64 = 0.34;
+
+/// A server of a model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RenewalServer {
+    /// Its life.
+    pub instance: InstanceId,
+    /// The model.
+    pub model: String,
+    /// Version of the model's weights that it has.
+    pub version: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    version: u64,
+    at: Timestamp,
+    /// Another order may follow from then on.
+    again_at: Timestamp,
+}
+
+/// Orders that were given, and when the next one is due.
+#[derive(Clone, Debug)]
+pub struct RenewalPlan {
+    settings: PlanSettings,
+    ordered: BTreeMap<InstanceId, Ordered>,
+    last_order: Option<Timestamp>,
+}
+
+impl RenewalPlan {
+    /// Nothing was ordered yet.
+    pub fn new(settings: PlanSettings) -> Self {
+        RenewalPlan { settings, ordered: BTreeMap::new(), last_order: None }
+    }
+
+    /// The server to order next, with the version, if one is due now.
+    pub fn next(
+        &mut self,
+        servers: &[RenewalServer],
+        wanted: &BTreeMap<String, WantedWeights>,
+        now: Timestamp,
+    ) -> Option<(RenewalServer, u64)> {
+        self.ordered.retain(|id, _| servers.iter().any(|server| server.instance == *id));
+        let mut behind: Vec<(Timestamp, &RenewalServer, u64)> = servers
+            .iter()
+            .filter_map(|server| {
+                let wanted = wanted.get(&server.model)?;
+                let since = wanted.overdue_since(server.version)?;
+                Some((since, server, wanted.version()))
+            })
+            .collect();
+        if behind.is_empty() {
+            return None;
+        }
+        behind.sort_by(|a, b| (a.0, &a.1.instance).cmp(&(b.0, &b.1.instance)));
+        let under_way = behind.iter().filter(|entry| self.is_under_way(entry.1, now)).count();
+        let waiting: Vec<_> =
+            behind.iter().filter(|entry| !self.is_under_way(entry.1, now)).collect();
+        let (since, server, version) = waiting.first()?;
+        let left = self.settings.within.saturating_sub(now.since(*since));
+        let interval = left / u32::try_from(waiting.len() + 1).unwrap_or(u32::MAX);
+        let paced = self.last_order.is_none_or(|last| now.since(last) >= interval);
+        let most = (servers.len() as f64 * MAX_UNDER_WAY).ceil() as usize;
+        let has_room = under_way < most || left.is_zero();
+        (paced && has_room).then(|| ((*server).clone(), *version))
+    }
+
+    fn is_under_way(&self, server: &RenewalServer, now: Timestamp) -> bool {
+        self.ordered
+            .get(&server.instance)
+            .is_some_and(|ordered| ordered.version > server.version && now < ordered.again_at)
+    }
+
+    /// An order was taken, or may have been.
+    pub fn ordered(&mut self, instance: &InstanceId, version: u64, now: Timestamp) {
+        let again_at = now.after(self.settings.repeat_after);
+        self.ordered.insert(instance.clone(), Ordered { version, at: now, again_at });
+        self.last_order = Some(now);
+    }
+
+    /// The server is to be asked again after a while.
+    pub fn postpone(&mut self, instance: &InstanceId, version: u64, by: Duration, now: Timestamp) {
+        let again_at = now.after(by);
+        self.ordered.insert(instance.clone(), Ordered { version, at: now, again_at });
+    }
+
+    /// Time since the latest order to a server, if there was one.
+    pub fn since_order(&self, instance: &InstanceId, now: Timestamp) -> Option<Duration> {
+        self.ordered.get(instance).map(|ordered| now.since(ordered.at))
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -19,7 +19,8 @@
 pub use change::{ChangeSet, Edit};
 pub use fault::TreeFault;
 pub use node_file::{
-    CommonSettings, ControlSettings, NodeFile, NodeFileError, NodeOverride, RouterSettings,
+    CommonSettings, ControlSettings, NodeFile, NodeFileError, NodeOverride, PeerDiscovery,
+    ReplicaTuning, RouterSettings,
 };
 pub use overrides::{CutOffPolicy, EffectiveSettings, Overrides, TrafficKind};
 pub use path::{PathError, SettingsPath};
--- a/crates/settings/src/node_file/mod.rs
+++ b/crates/settings/src/node_file/mod.rs
@@ -15,7 +15,9 @@
 use serde::{Deserialize, Serialize};
 
 pub use fault::{FaultPlace, NodeFault, NodeFileError};
-pub use roles::{ControlLimits, ControlSettings, RouterLimits, RouterSettings};
+pub use roles::{
+    ControlLimits, ControlSettings, PeerDiscovery, ReplicaTuning, RouterLimits, RouterSettings,
+};
 
 use crate::tree::ApiKeyHash;
 use section::{Document, Section};
--- a/crates/settings/src/node_file/roles.rs
+++ b/crates/settings/src/node_file/roles.rs
@@ -39,6 +39,52 @@
     }
 }
 
+/// How a control replica finds the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerDiscovery {
+    /// The node file lists them, and an operator founds the cluster.
+    Listed,
+    /// The number of a node is its address ([`NodeId::address`]). Any node that
+    /// holds the cluster key may join through a seed.
+    Seeded {
+        /// Replicas to ask, as they stood when the settings were written.
+        seeds: Vec<NodeId>,
+        /// Whether the whole deployment starts for the first time, with blank
+        /// disks. The seeds then found the cluster together.
+        founds: bool,
+    },
+}
+
+/// How a replica keeps its log, and when it replaces a voter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReplicaTuning {
+    /// Voters that are kept up, if the cluster has as many replicas.
+    pub target_voters: usize,
+    /// Silence after which a standby takes a voter's place, in milliseconds.
+    pub lost_voter_ms: u64,
+    /// Entries kept in memory behind a snapshot.
+    pub keep_entries: usize,
+    /// Bytes of the log after which a snapshot takes its place.
+    pub snapshot_interval_bytes: usize,
+    /// Whether the file system keeps the numbers of files, by which a copied data
+    /// folder is told from the original.
+    pub numbers_files: bool,
+}
+
+impl Default for ReplicaTuning {
+    /// Three voters on machines with gigabytes of disk and hundreds of megabytes
+    /// of memory.
+    fn default() -> Self {
+        ReplicaTuning {
+            target_voters: 3,
+            lost_voter_ms: 30_000,
+            keep_entries: 4_096,
+            snapshot_interval_bytes: 8 << 20,
+            numbers_files: true,
+        }
+    }
+}
+
 /// Settings of the control daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ControlSettings {
@@ -54,6 +100,10 @@
     pub peers: Vec<Peer>,
     /// Voters of a deployment that starts for the first time.
     pub initial_voters: Vec<NodeId>,
+    /// How this replica finds the others.
+    pub discovery: PeerDiscovery,
+    /// How the log is kept.
+    pub tuning: ReplicaTuning,
     /// Bounds.
     pub limits: ControlLimits,
 }
@@ -120,13 +170,17 @@
     }
     section.finish();
     let common = common?;
+    let voters = voters?;
+    let tuning = ReplicaTuning { target_voters: voters.len(), ..ReplicaTuning::default() };
     Some(ControlSettings {
         common: common.clone(),
         data_folder: common.data_folder.clone()?,
         internal: internal?,
         operator: operator?,
         peers,
-        initial_voters: voters?,
+        initial_voters: voters,
+        discovery: PeerDiscovery::Listed,
+        tuning,
         limits,
     })
 }
--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -19,6 +19,8 @@
     path: PathBuf,
     open: HashMap<String, File>,
     lock: Option<File>,
+    /// Whether the number of a file tells it from a copy.
+    numbers_files: bool,
 }
 
 impl Folder {
@@ -28,8 +30,15 @@
     /// Fails when the folder can't be made.
     pub fn new(path: impl Into<PathBuf>) -> Result<Self, DiskError> {
         let path = path.into();
-        fs::create_dir_all(&path).map_err(|error| DiskError::io("create", ".", error))?;
-        Ok(Folder { path, open: HashMap::new(), lock: None })
+        make_durably(&path).map_err(|error| DiskError::io("create", ".", error))?;
+        Ok(Folder { path, open: HashMap::new(), lock: None, numbers_files: true })
+    }
+
+    /// On a file system whose numbers of files change by themselves, a copied
+    /// folder can't be told from the original.
+    pub fn without_file_numbers(mut self) -> Self {
+        self.numbers_files = false;
+        self
     }
 
     /// Where the folder is.
@@ -54,6 +63,19 @@
     }
 }
 
+/// Makes the folder if it isn't there, and syncs its name: after a power cut a
+/// folder that was lost would look like a disk that was never used.
+fn make_durably(path: &Path) -> std::io::Result<()> {
+    if path.is_dir() {
+        return Ok(());
+    }
+    fs::create_dir_all(path)?;
+    match path.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+        Some(parent) => File::open(parent)?.sync_all(),
+        None => Ok(()),
+    }
+}
+
 impl Disk for Folder {
     fn lock(&mut self) -> Result<(), DiskError> {
         if self.lock.is_some() {
@@ -129,6 +151,9 @@
     }
 
     fn file_number(&mut self, file: &str) -> Result<u64, DiskError> {
+        if !self.numbers_files {
+            return Ok(0);
+        }
         let metadata = fs::metadata(self.path.join(file));
         metadata.map(|m| m.ino()).map_err(|error| DiskError::io("stat", file, error))
     }
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -1,6 +1,7 @@
 //! Names and numbers that identify the parts of a deployment.
 
 use std::fmt;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 
 use minicbor::decode::Error as DecodeError;
@@ -110,6 +111,13 @@
     /// A zone: machines that share their fate and a short network path.
     ZoneName
 );
+impl ZoneName {
+    /// Stands for a zone that isn't known.
+    pub fn unknown() -> Self {
+        Self(Arc::from("unknown"))
+    }
+}
+
 name_type!(
     /// A tenant: one company whose traffic and cache entries are kept apart.
     TenantName
@@ -167,6 +175,25 @@
     Revision, "", u64
 );
 
+/// Bits of a socket address in a node number: 32 of the IPv4 address, 16 of the port.
+const ADDRESS_BITS: u32 = 48;
+
+/// Where nodes find each other without a list, the number of a node is the
+/// address at which other daemons reach it.
+impl NodeId {
+    /// The number of the node at `address`.
+    pub fn of_address(address: SocketAddrV4) -> Self {
+        NodeId(u64::from(u32::from(*address.ip())) << 16 | u64::from(address.port()))
+    }
+
+    /// The address that the number stands for, unless it can't be one.
+    pub fn address(self) -> Option<SocketAddrV4> {
+        let ip = u32::try_from(self.0 >> 16).ok().filter(|ip| *ip != 0)?;
+        let port = u16::try_from(self.0 & 0xffff).ok().filter(|port| *port != 0)?;
+        (self.0 >> ADDRESS_BITS == 0).then(|| SocketAddrV4::new(Ipv4Addr::from(ip), port))
+    }
+}
+
 /// Identifies one caller request across routers and engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u128);
