Renewal: orders in parallel, announced to routers; parts are fetched from their home

Excluded: the routers' floor of versions (it held; the requests had queued at the server for 2 s before they began). Change: each order is a task of its own that tells routers first, and asks the server until it has the weights; salts name the version, so a fetch never finds older parts.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -8,6 +8,7 @@
 use juniper_catalog::{Catalog, CatalogFault};
 use juniper_control_state::{AcceptedCatalog, Answer, CatalogAnswer, Command, to_bytes};
 use juniper_protocol::Refusal;
+use juniper_protocol::message::RenewalNews;
 use juniper_registry::{InstanceId, InstanceReport, InstanceState};
 use juniper_types::NodeId;
 
@@ -128,6 +129,11 @@
         }
     }
 
+    /// Tells those who follow this replica which servers are being renewed.
+    pub fn announce(&self, news: RenewalNews) {
+        self.board.announce(news);
+    }
+
     /// What the replica publishes.
     pub fn view(&self) -> &ReplicaView {
         &self.view
--- a/crates/control/src/instances.rs
+++ b/crates/control/src/instances.rs
@@ -1,8 +1,9 @@
 //! The servers that send their heartbeats to this replica.
 
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use juniper_protocol::message::RenewalNews;
 use juniper_registry::{HeardInstance, HeardInstances, InstanceReport, Intake};
 use juniper_types::Timestamp;
 use tokio::sync::watch;
@@ -20,6 +21,7 @@
     started: Instant,
     heard: Mutex<HeardInstances>,
     revision: watch::Sender<u64>,
+    renewals: watch::Sender<Arc<RenewalNews>>,
 }
 
 impl Default for InstanceBoard {
@@ -28,6 +30,7 @@
             started: Instant::now(),
             heard: Mutex::new(HeardInstances::new(SILENT_AFTER)),
             revision: watch::Sender::new(0),
+            renewals: watch::Sender::new(Arc::default()),
         }
     }
 }
@@ -66,6 +69,22 @@
         (heard.revision(), heard.changes_after(revision))
     }
 
+    /// Tells those who follow this replica which servers are being renewed.
+    pub fn announce(&self, news: RenewalNews) {
+        self.renewals.send_if_modified(|known| {
+            let changed = **known != news;
+            if changed {
+                *known = Arc::new(news);
+            }
+            changed
+        });
+    }
+
+    /// The servers that are being renewed.
+    pub fn renewals(&self) -> watch::Receiver<Arc<RenewalNews>> {
+        self.renewals.subscribe()
+    }
+
     /// Tells of changes.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.revision.subscribe()
--- a/crates/control/src/internal/follower.rs
+++ b/crates/control/src/internal/follower.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use juniper_control_state::FleetState;
-use juniper_protocol::message::{CatalogBody, FleetNews};
+use juniper_protocol::message::{CatalogBody, FleetNews, RenewalNews};
 use juniper_protocol::{Message, PeerRole, Push, Reply};
 use juniper_types::NodeId;
 
@@ -40,7 +40,8 @@
 ) {
     let _counted = (role == PeerRole::Router).then(|| Counted::new(&face.following_routers));
     send_reply(&sender, call, Reply::Done).await;
-    let follower = Follower { face, sender, fleet: None, instances: None };
+    let follower =
+        Follower { face, sender, fleet: None, instances: None, renewals: Arc::default() };
     let Err(Ended) = follower.push_for_ever().await;
 }
 
@@ -57,6 +58,7 @@
     fleet: Option<SentFleet>,
     /// Number of the latest change of servers that was sent.
     instances: Option<u64>,
+    renewals: Arc<RenewalNews>,
 }
 
 impl Follower {
@@ -64,17 +66,21 @@
         let mut fleet = self.face.view.fleet.clone();
         let mut status = self.face.view.status.clone();
         let mut instances = self.face.board.watch();
+        let mut renewals = self.face.board.renewals();
         loop {
             // Marked as seen before they are read, so that no change is missed.
             fleet.mark_unchanged();
             status.mark_unchanged();
             instances.mark_unchanged();
+            let renewing = Arc::clone(&renewals.borrow_and_update());
             self.push_fleet().await?;
             self.push_instances().await?;
+            self.push_renewals(renewing).await?;
             tokio::select! {
                 changed = fleet.changed() => changed.map_err(|_| Ended)?,
                 changed = status.changed() => changed.map_err(|_| Ended)?,
                 changed = instances.changed() => changed.map_err(|_| Ended)?,
+                changed = renewals.changed() => changed.map_err(|_| Ended)?,
             }
         }
     }
@@ -108,6 +114,14 @@
         self.send(Push::Instances { heard, whole }).await
     }
 
+    async fn push_renewals(&mut self, renewing: Arc<RenewalNews>) -> Result<(), Ended> {
+        if self.renewals == renewing {
+            return Ok(());
+        }
+        self.renewals = Arc::clone(&renewing);
+        self.send(Push::Renewals(RenewalNews::clone(&renewing))).await
+    }
+
     async fn send(&self, push: Push) -> Result<(), Ended> {
         self.sender.send(Outgoing::message(&Message::Push(push))).await.map_err(|_| Ended)
     }
--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_protocol::message::{CatalogBody, FleetNews};
+use juniper_protocol::message::{CatalogBody, FleetNews, RenewalNews};
 use juniper_protocol::{ClusterKey, PeerIdentity};
 use juniper_registry::HeardInstance;
 use juniper_types::{NodeId, Timestamp};
@@ -46,6 +46,7 @@
     Disconnected,
     News(FleetNews),
     Instances { heard: Vec<HeardInstance>, whole: bool },
+    Renewals(RenewalNews),
     Catalog(Option<CatalogBody>),
     Confirmed { at: Instant, revision: u64, routers: u32 },
 }
@@ -126,6 +127,7 @@
             LinkEvent::Disconnected => self.connected(node, false),
             LinkEvent::News(news) => self.fold.news(node, news, now),
             LinkEvent::Instances { heard, whole } => self.fold.instances(node, heard, whole),
+            LinkEvent::Renewals(news) => self.fold.renewals(node, news),
             LinkEvent::Catalog(body) => match self.fold.catalog(body, now) {
                 Ok(outcome) => outcome,
                 Err(error) => {
@@ -175,8 +177,7 @@
     }
 
     fn connected(&mut self, node: NodeId, connected: bool) -> FoldOutcome {
-        self.fold.set_connected(node, connected);
-        FoldOutcome::default()
+        self.fold.set_connected(node, connected)
     }
 
     fn act_on(&mut self, outcome: FoldOutcome) {
--- a/crates/feed/src/fold.rs
+++ b/crates/feed/src/fold.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use juniper_catalog::{Catalog, CatalogIndex};
-use juniper_protocol::message::{CatalogBody, FleetNews};
+use juniper_protocol::message::{CatalogBody, FleetNews, RenewalNews};
 use juniper_registry::{Directory, HeardInstance, Instance, InstanceId};
 use juniper_types::{NodeId, Timestamp};
 
@@ -22,6 +22,7 @@
     members: Vec<NodeId>,
     connected: bool,
     routers: u32,
+    renewals: RenewalNews,
     /// A confirmation that waits until the view has caught up with its revision.
     unproved: Option<(Timestamp, u64)>,
 }
@@ -65,8 +66,30 @@
     }
 
     /// A replica is followed from now on, or can't be any more.
-    pub fn set_connected(&mut self, node: NodeId, connected: bool) {
-        self.sources.entry(node).or_default().connected = connected;
+    pub fn set_connected(&mut self, node: NodeId, connected: bool) -> FoldOutcome {
+        let source = self.sources.entry(node).or_default();
+        source.connected = connected;
+        // Who gives orders is known again only once it says so.
+        source.renewals.under_way.clear();
+        FoldOutcome { changed: self.refresh_renewals(), fetch: None }
+    }
+
+    /// Servers that a replica is renewing.
+    pub fn renewals(&mut self, node: NodeId, news: RenewalNews) -> FoldOutcome {
+        self.sources.entry(node).or_default().renewals = news;
+        FoldOutcome { changed: self.refresh_renewals(), fetch: None }
+    }
+
+    fn refresh_renewals(&mut self) -> bool {
+        let news = || self.sources.values().map(|source| &source.renewals);
+        let renewing = news().flat_map(|news| news.under_way.iter().cloned()).collect();
+        let versions: Vec<_> = news().flat_map(|news| news.versions.iter().cloned()).collect();
+        let changed = *self.view.renewing != renewing || *self.view.versions != versions;
+        if changed {
+            self.view.renewing = Arc::new(renewing);
+            self.view.versions = Arc::new(versions);
+        }
+        changed
     }
 
     /// Routers that follow a replica.
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -181,6 +181,7 @@
     let event = match frame {
         Message::Push(Push::Fleet(news)) => LinkEvent::News(news),
         Message::Push(Push::Instances { heard, whole }) => LinkEvent::Instances { heard, whole },
+        Message::Push(Push::Renewals(news)) => LinkEvent::Renewals(news),
         Message::Reply { reply: Reply::Catalog(body), .. } => LinkEvent::Catalog(body),
         Message::Reply { call, reply } => {
             let Some(asked) = calls.asked(call) else { return Ok(()) };
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -1,11 +1,12 @@
 //! What a node knows of the fleet.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use juniper_catalog::CatalogIndex;
-use juniper_registry::Instance;
+use juniper_protocol::message::KnownVersion;
+use juniper_registry::{Instance, InstanceId};
 use juniper_types::Timestamp;
 
 /// Weights that a model should have.
@@ -64,6 +65,10 @@
     /// Servers that may be used. Those that left, are leaving or were restarted
     /// under another id aren't among them.
     pub instances: Arc<Vec<Instance>>,
+    /// Servers that take no new requests, because they are given new weights.
+    pub renewing: Arc<BTreeSet<InstanceId>>,
+    /// Versions of weights that servers are known to have, before they say so.
+    pub versions: Arc<Vec<KnownVersion>>,
 }
 
 impl FleetView {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -42,6 +42,9 @@
     /// Another server has the address.
     #[error("another server has the address")]
     OtherServer,
+    /// The server has weights of another version than was thought.
+    #[error("the server has other weights")]
+    OtherVersion,
     /// The connection broke; the request may have run.
     #[error("the connection broke: {0}")]
     Broken(hyper::Error),
@@ -63,6 +66,7 @@
             AttemptError::NotSent(ConnectError::Exhausted) | AttemptError::NotRun => Outcome::Full,
             AttemptError::NotSent(_) => Outcome::Unreachable,
             AttemptError::OtherServer => Outcome::Replaced,
+            AttemptError::OtherVersion => Outcome::Cancelled,
             AttemptError::Broken(_) | AttemptError::NoAnswer | AttemptError::Silent => {
                 Outcome::Broken
             }
@@ -179,7 +183,7 @@
     attempt.may_keep = !closes(response.headers());
     strip_hop_headers(response.headers_mut());
     let (head, body) = response.into_parts();
-    let facts = gateway.dialect.read_answer(&head, &call.facts.id);
+    let facts = gateway.dialect.read_answer(&head, &call.facts.id, &choice.instance);
     if let Some(version) = facts.version {
         gateway.placement().saw_version(&choice.instance, version);
     }
@@ -200,6 +204,9 @@
     if facts.is_other_server {
         return Err(AttemptError::OtherServer);
     }
+    if facts.is_other_version {
+        return Err(AttemptError::OtherVersion);
+    }
     if facts.not_run && !status.is_success() {
         return Err(AttemptError::NotRun);
     }
@@ -216,14 +223,18 @@
     last_event: Option<u64>,
 ) -> Request<WholeBody> {
     let mut headers = call.headers.clone();
+    // Parts that other weights have made are never found under this name.
+    let sharing = format!("{}.w{}", call.sharing, choice.version);
     let facts = AttemptFacts {
         instance: &choice.instance,
         deadline: call.deadline.saturating_duration_since(Instant::now()),
         tenant: call.tenant.as_deref(),
         priority: call.priority,
-        sharing: &call.sharing,
+        sharing: &sharing,
         last_event,
         has_prompt: call.has_prompt(),
+        version: choice.version,
+        source: choice.source,
     };
     gateway.dialect.write_attempt(&mut headers, &facts);
     let mut request = Request::new(WholeBody(call.body.clone()));
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -323,7 +323,9 @@
                 self.progress.may_have_run += u32::from(error.may_have_run());
             }
         }
-        self.excluded.push(instance);
+        if !matches!(error, AttemptError::OtherVersion) {
+            self.excluded.push(instance);
+        }
         self.last_error = Some(error);
     }
 
@@ -397,7 +399,7 @@
         self.gateway.metrics.missed_tokens.inc_by(u64::from(choice.missed_tokens));
         log::info!(
             "event=attempt request={} route={} service={} instance={} reason={} cost_ms={:.1} \
-             kept={} missed={} candidates={} catalog={} age_ms={} sent={}",
+             kept={} missed={} version={} source={} candidates={} catalog={} age_ms={} sent={}",
             self.call.id(),
             self.call.route.name,
             self.call.service,
@@ -406,6 +408,8 @@
             choice.cost_ms,
             choice.kept_tokens,
             choice.missed_tokens,
+            choice.version,
+            choice.source.map_or_else(|| "-".to_owned(), |source| source.to_string()),
             choice.candidates,
             self.call.view.catalog_version(),
             self.call.config_age.as_millis(),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,5 +1,6 @@
 //! What headers say, in the words of whoever the gateway serves.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use hyper::header::{HeaderMap, HeaderValue};
@@ -50,6 +51,10 @@
     pub last_event: Option<u64>,
     /// Whether the request states a prompt.
     pub has_prompt: bool,
+    /// Version of the weights that it must run under; zero for any.
+    pub version: u64,
+    /// A server that should have kept more of the prompt.
+    pub source: Option<SocketAddrV4>,
 }
 
 /// What a server's answer says of itself.
@@ -63,6 +68,8 @@
     pub not_run: bool,
     /// The server states that it is another one than was meant.
     pub is_other_server: bool,
+    /// The server states that its weights are of another version than was meant.
+    pub is_other_version: bool,
     /// Version of the weights that it was made with.
     pub version: Option<u64>,
 }
@@ -78,8 +85,13 @@
     /// Turns the caller's headers into those for a server.
     fn write_attempt(&self, headers: &mut HeaderMap, facts: &AttemptFacts<'_>);
 
-    /// Reads a server's answer to the request with this id.
-    fn read_answer(&self, head: &response::Parts, id: &HeaderValue) -> AnswerFacts;
+    /// Reads what `instance` answered to the request with this id.
+    fn read_answer(
+        &self,
+        head: &response::Parts,
+        id: &HeaderValue,
+        instance: &InstanceId,
+    ) -> AnswerFacts;
 
     /// Marks an answer of the gateway's own as one to the request with this id.
     fn write_own_answer(&self, headers: &mut HeaderMap, id: &HeaderValue);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -126,7 +126,12 @@
                         return;
                     }
                     let latest = Arc::clone(&view.borrow_and_update());
-                    self.placement().set_instances(&latest.instances);
+                    let mut placement = self.placement();
+                    placement.set_instances(&latest.instances);
+                    placement.set_renewing(&latest.renewing);
+                    for known in latest.versions.iter() {
+                        placement.saw_version(&known.instance, known.version);
+                    }
                 }
                 _ = sweep.tick() => self.sweep(),
             }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,6 +1,6 @@
 //! The servers as one router knows them, and the choice among them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -65,6 +65,10 @@
     pub missed_tokens: u32,
     /// Servers that were considered.
     pub candidates: usize,
+    /// Version of the weights that it is known to have; zero without a model.
+    pub version: u64,
+    /// A server with the same weights that should have kept more of the prompt.
+    pub source: Option<SocketAddrV4>,
 }
 
 /// Why no server was chosen.
@@ -99,13 +103,15 @@
     load: Load,
     /// Highest version of weights that it answered with.
     seen_version: u64,
+    /// It takes no new requests, because it is given new weights.
+    renewing: bool,
 }
 
 impl Server {
     fn new(instance: Instance) -> Self {
         let hash = hash_of(instance.report.id.as_str());
         let (health, load) = (Health::default(), Load::default());
-        Server { instance, hash, health, load, seen_version: 0 }
+        Server { instance, hash, health, load, seen_version: 0, renewing: false }
     }
 
     fn version_of(&self, model: &str) -> u64 {
@@ -153,6 +159,13 @@
         self.services = services;
     }
 
+    /// These servers, and no others, take no new requests for now.
+    pub fn set_renewing(&mut self, renewing: &BTreeSet<InstanceId>) {
+        for (id, server) in &mut self.servers {
+            server.renewing = renewing.contains(id);
+        }
+    }
+
     /// Chooses a server for the request.
     ///
     /// # Errors
@@ -168,8 +181,8 @@
             return Err(NoChoice::NoServer);
         }
         let candidates = self.candidates(members, request)?;
-        let working: Vec<&Server> =
-            candidates.iter().copied().filter(|server| !server.health.is_resting(now)).collect();
+        let works = |server: &&Server| !server.health.is_resting(now) && !server.renewing;
+        let working: Vec<&Server> = candidates.iter().copied().filter(works).collect();
         if working.is_empty() {
             return Ok(last_resort(&candidates, request, random));
         }
@@ -220,12 +233,13 @@
             mean_failures: mean_failures(servers, now),
             now,
         };
-        let kept = self.expected_kept(servers, keys, now);
+        let (kept, home) = self.expected_kept(servers, keys, now);
+        let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
         let mut best: Option<(f64, u64, usize)> = None;
         for (place, server) in servers.iter().enumerate() {
             let missed_tokens = tokens.saturating_sub(kept[place].0);
-            let cost = context.cost_ms(&self.view(server, missed_tokens, now));
+            let cost = context.cost_ms(&self.view(server, missed_tokens));
             let tie = random.rotate_left(place as u32 * 7) ^ server.hash;
             let is_better = best.is_none_or(|(least, least_tie, _)| {
                 cost < least - NEAR_EQUAL_MS || (cost < least + NEAR_EQUAL_MS && tie < least_tie)
@@ -237,6 +251,9 @@
         let (cost_ms, _, place) = best.ok_or(NoChoice::NoServer)?;
         let (kept_tokens, reason) = kept[place];
         let report = &servers[place].instance.report;
+        let version = servers[place].version_of(model);
+        let source = home.filter(|home| *home != place).map(|home| servers[home]);
+        let source = source.filter(|home| home.version_of(model) == version);
         Ok(Choice {
             instance: report.id.clone(),
             address: report.address,
@@ -245,10 +262,12 @@
             kept_tokens: kept_tokens.min(tokens),
             missed_tokens: tokens.saturating_sub(kept_tokens),
             candidates: servers.len(),
+            version,
+            source: source.map(|home| home.instance.report.address),
         })
     }
 
-    fn view<'a>(&self, server: &'a Server, missed_tokens: u32, _now: Timestamp) -> ServerView<'a> {
+    fn view<'a>(&self, server: &'a Server, missed_tokens: u32) -> ServerView<'a> {
         let report = &server.instance.report;
         ServerView {
             health: &server.health,
@@ -261,18 +280,20 @@
         }
     }
 
-    /// Tokens that each server should have kept, and what it is for the prompt.
+    /// Tokens that each server should have kept, and what it is for the prompt; and
+    /// the home of the whole prompt.
     fn expected_kept(
         &self,
         servers: &[&Server],
         keys: Option<&PromptKeys>,
         now: Timestamp,
-    ) -> Vec<(u32, Reason)> {
+    ) -> (Vec<(u32, Reason)>, Option<usize>) {
         let mut kept = vec![(0, Reason::LeastCost); servers.len()];
-        let Some(keys) = keys else { return kept };
+        let Some(keys) = keys else { return (kept, None) };
         let hashes: Vec<(usize, u64)> =
             servers.iter().enumerate().map(|(place, server)| (place, server.hash)).collect();
         let ranked = self.homes.rank(keys, &hashes, now);
+        let home = ranked.first().copied();
         for (rank, place) in ranked.into_iter().enumerate() {
             let first = (f64::from(keys.first_tokens) * FIRST_PART_KEPT) as u32;
             kept[place] = match rank {
@@ -280,7 +301,7 @@
                 _ => (first, Reason::FirstPart),
             };
         }
-        kept
+        (kept, home)
     }
 
     /// The request is sent to the chosen server.
@@ -355,6 +376,8 @@
         kept_tokens: 0,
         missed_tokens: request.prompt.map_or(0, |prompt| prompt.tokens),
         candidates: candidates.len(),
+        version: request.prompt.map_or(0, |prompt| candidates[place].version_of(&prompt.model)),
+        source: None,
     }
 }
 
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -370,6 +370,34 @@
         #[n(1)]
         whole: bool,
     },
+    /// Servers that the one who gives orders is renewing; all of them each time.
+    #[n(5)]
+    Renewals(#[n(0)] RenewalNews),
+}
+
+/// What the one who gives orders knows before the servers say so themselves.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct RenewalNews {
+    /// Servers that take no new requests until they have new weights.
+    #[n(0)]
+    pub under_way: Vec<InstanceId>,
+    /// Versions of weights that servers are known to have.
+    #[n(1)]
+    pub versions: Vec<KnownVersion>,
+}
+
+/// The version of a model's weights that a server has.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct KnownVersion {
+    /// The server's life.
+    #[n(0)]
+    pub instance: InstanceId,
+    /// The model.
+    #[n(1)]
+    pub model: String,
+    /// The version.
+    #[n(2)]
+    pub version: u64,
 }
 
 /// One accepted change of the tree.
--- a/crates/renewal/src/exchange.rs
+++ b/crates/renewal/src/exchange.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 /// Time within which a server answers.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Largest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
@@ -53,12 +53,14 @@
 }
 
 /// What a server says of itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ServerState {
     /// Orders that it has taken.
     pub orders: u64,
     /// Whether an order is under way.
     pub busy: bool,
+    /// Versions of the weights of its models.
+    pub versions: Vec<(String, u64)>,
 }
 
 /// Writes orders and reads what servers say to them.
--- a/crates/renewal/src/giver.rs
+++ b/crates/renewal/src/giver.rs
@@ -1,18 +1,22 @@
-//! The one who gives orders: holds the lease and talks to the servers.
+//! The one who gives orders: holds the lease and decides whom to order next.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
 use juniper_control::FleetCalls;
 use juniper_control_state::OrderLease;
 use juniper_feed::{Feed, FleetView};
-use juniper_registry::{Instance, InstanceId};
+use juniper_protocol::message::{KnownVersion, RenewalNews};
+use juniper_registry::InstanceId;
 use juniper_types::{NodeId, Timestamp};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::exchange::{Order, OrderAnswer, OrderDialect, ask_state, give};
+use crate::exchange::{Order, OrderDialect};
 use crate::plan::{PlanSettings, RenewalPlan, RenewalServer};
+use crate::task::{OrderTask, TaskEnd, TaskOutcome};
 
 /// Pace at which the plan is looked at.
 const PACE: Duration = Duration::from_millis(100);
@@ -27,8 +31,8 @@
 /// Pause before the lease is asked for again.
 const LEASE_PAUSE: Duration = Duration::from_millis(300);
 
-/// Pause before a server that was busy, or didn't answer, is ordered again.
-const BUSY_PAUSE: Duration = Duration::from_millis(700);
+/// Pause before a server that didn't take an order is ordered again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(300);
 
 /// Settings of the one who gives orders.
 #[derive(Clone, Debug)]
@@ -52,6 +56,16 @@
     from: Instant,
 }
 
+/// Whether this node leads, in `term` if one is given, and a quorum has confirmed
+/// so just now.
+pub(crate) fn leads(calls: &FleetCalls, term: Option<u64>) -> bool {
+    let view = calls.view();
+    let status = view.status.borrow();
+    let same_term = term.is_none_or(|term| term == status.term);
+    let confirmed = view.confirmed_at.borrow().is_some_and(|at| at.elapsed() < CONFIRMED_WITHIN);
+    status.is_leader() && same_term && confirmed
+}
+
 /// Gives orders while its node leads.
 pub struct OrderGiver {
     settings: GiverSettings,
@@ -62,6 +76,11 @@
     held: Option<HeldLease>,
     /// Orders that each server is believed to have taken.
     orders: BTreeMap<InstanceId, u64>,
+    /// Servers with an order under way.
+    under_way: BTreeSet<InstanceId>,
+    versions: BTreeMap<(InstanceId, String), u64>,
+    outcomes: mpsc::UnboundedReceiver<TaskOutcome>,
+    outcome_sender: mpsc::UnboundedSender<TaskOutcome>,
     next_lease_try: Instant,
 }
 
@@ -73,6 +92,7 @@
         calls: FleetCalls,
         feed: Feed,
     ) -> Self {
+        let (outcome_sender, outcomes) = mpsc::unbounded_channel();
         OrderGiver {
             plan: RenewalPlan::new(settings.plan),
             settings,
@@ -81,6 +101,10 @@
             feed,
             held: None,
             orders: BTreeMap::new(),
+            under_way: BTreeSet::new(),
+            versions: BTreeMap::new(),
+            outcomes,
+            outcome_sender,
             next_lease_try: Instant::now(),
         }
     }
@@ -90,35 +114,34 @@
         let mut ticks = interval(PACE);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
-            let view = self.feed.latest();
-            if view.weights.is_empty() || !self.leads() {
-                self.held = None;
-                continue;
-            }
-            if self.held.is_none() {
-                self.take_lease().await;
-            }
-            let ready = self.held.is_some_and(|held| Instant::now() >= held.from);
-            if ready {
-                self.give_next(&view).await;
+            tokio::select! {
+                _ = ticks.tick() => self.tick().await,
+                outcome = self.outcomes.recv() => match outcome {
+                    Some(outcome) => self.note(outcome),
+                    None => return,
+                },
             }
+            self.announce();
         }
     }
 
-    fn now(&self) -> Timestamp {
-        Timestamp::ZERO.after(self.feed.started().elapsed())
+    async fn tick(&mut self) {
+        let view = self.feed.latest();
+        let term = self.held.map(|held| held.term);
+        if view.weights.is_empty() || !leads(&self.calls, term) {
+            self.held = None;
+            return;
+        }
+        if self.held.is_none() {
+            self.take_lease().await;
+        }
+        if self.held.is_some_and(|held| Instant::now() >= held.from) {
+            self.give_next(&view);
+        }
     }
 
-    /// Whether this node leads in the term of its lease, and a quorum has
-    /// confirmed so just now.
-    fn leads(&self) -> bool {
-        let view = self.calls.view();
-        let status = view.status.borrow();
-        let same_term = self.held.is_none_or(|held| held.term == status.term);
-        let confirmed =
-            view.confirmed_at.borrow().is_some_and(|at| at.elapsed() < CONFIRMED_WITHIN);
-        status.is_leader() && same_term && confirmed
+    fn now(&self) -> Timestamp {
+        Timestamp::ZERO.after(self.feed.started().elapsed())
     }
 
     async fn take_lease(&mut self) {
@@ -147,18 +170,36 @@
         self.held = Some(HeldLease { lease, term, from: Instant::now() + wait });
     }
 
-    async fn give_next(&mut self, view: &FleetView) {
-        let servers = renewal_servers(view);
+    fn give_next(&mut self, view: &FleetView) {
+        let servers = self.servers(view);
         let now = self.now();
         let Some((server, version)) = self.plan.next(&servers, &view.weights, now) else { return };
         let found = view.instances.iter().find(|known| known.report.id == server.instance);
-        let Some(instance) = found else { return };
-        self.give(instance, &server, version).await;
+        if let Some(address) = found.map(|instance| instance.report.address) {
+            self.give(&server, version, address);
+        }
     }
 
-    async fn give(&mut self, instance: &Instance, server: &RenewalServer, version: u64) {
+    /// The servers of all models with the versions that they are known to have.
+    fn servers(&self, view: &FleetView) -> Vec<RenewalServer> {
+        let usable = view.instances.iter().filter(|instance| !instance.silent);
+        let held = usable.flat_map(|instance| {
+            let id = &instance.report.id;
+            instance.report.models.iter().map(move |held| (id, held))
+        });
+        held.map(|(id, held)| {
+            let known = self.versions.get(&(id.clone(), held.model.clone()));
+            RenewalServer {
+                instance: id.clone(),
+                model: held.model.clone(),
+                version: held.version.max(known.copied().unwrap_or(0)),
+            }
+        })
+        .collect()
+    }
+
+    fn give(&mut self, server: &RenewalServer, version: u64, address: SocketAddrV4) {
         let Some(held) = self.held else { return };
-        let address = instance.report.address;
         let order = Order {
             instance: server.instance.clone(),
             model: server.model.clone(),
@@ -168,65 +209,55 @@
             expected_orders: self.orders.get(&server.instance).copied().unwrap_or(0),
         };
         self.plan.ordered(&order.instance, version, self.now());
-        let answer = give(&*self.dialect, address, &order).await;
-        let shown = match &answer {
-            Ok(answer) => format!("{answer:?}"),
-            Err(error) => error.to_string(),
+        self.under_way.insert(order.instance.clone());
+        let task = OrderTask {
+            dialect: Arc::clone(&self.dialect),
+            calls: self.calls.clone(),
+            term: held.term,
+            address,
+            order,
+            from_version: server.version,
         };
-        log::info!(
-            "event=order_given instance={} model={} version={version} from_version={} token={} \
-             expected_orders={} answer=\"{shown}\"",
-            order.instance,
-            order.model,
-            server.version,
-            order.token,
-            order.expected_orders
-        );
-        match answer {
-            Ok(OrderAnswer::Taken) => {
-                self.orders.insert(order.instance, order.expected_orders + 1);
-            }
-            Ok(OrderAnswer::AlreadyDone | OrderAnswer::Refused(_) | OrderAnswer::OtherServer) => {}
-            Ok(OrderAnswer::Fenced) => self.held = None,
-            Ok(OrderAnswer::Conflict) | Err(_) => self.learn_state(&order, address).await,
-        }
+        let outcomes = self.outcome_sender.clone();
+        tokio::spawn(async move {
+            // The giver lives as long as the process.
+            let _ = outcomes.send(task.run().await);
+        });
     }
 
-    /// Asks a server what it has taken, since it is not as believed.
-    async fn learn_state(&mut self, order: &Order, address: std::net::SocketAddrV4) {
-        let state = ask_state(&*self.dialect, address).await;
+    fn note(&mut self, outcome: TaskOutcome) {
+        let TaskOutcome { order, end, orders } = outcome;
+        self.under_way.remove(&order.instance);
+        if let Some(orders) = orders {
+            self.orders.insert(order.instance.clone(), orders);
+        }
         let now = self.now();
-        match state {
-            Ok(state) => {
-                log::info!(
-                    "event=order_state instance={} orders={} busy={}",
-                    order.instance,
-                    state.orders,
-                    state.busy
-                );
-                self.orders.insert(order.instance.clone(), state.orders);
+        match end {
+            TaskEnd::Renewed(version) => {
+                self.versions.insert((order.instance, order.model), version);
             }
-            Err(error) => {
-                log::warn!(
-                    "event=order_state_unknown instance={} reason=\"{error}\"",
-                    order.instance
-                );
+            TaskEnd::Fenced => self.held = None,
+            TaskEnd::Again => {
+                self.plan.postpone(&order.instance, order.version, REPEAT_PAUSE, now);
             }
+            TaskEnd::Gone => {}
         }
-        self.plan.postpone(&order.instance, order.version, BUSY_PAUSE, now);
     }
-}
 
-/// The servers of all models, once each.
-fn renewal_servers(view: &FleetView) -> Vec<RenewalServer> {
-    let mut seen = BTreeSet::new();
-    let usable = view.instances.iter().filter(|instance| !instance.silent);
-    let held = usable.flat_map(|instance| {
-        instance.report.models.iter().map(|held| RenewalServer {
-            instance: instance.report.id.clone(),
-            model: held.model.clone(),
-            version: held.version,
-        })
-    });
-    held.filter(|server| seen.insert((server.instance.clone(), server.model.clone()))).collect()
+    /// Tells routers what they can't know from the servers yet.
+    fn announce(&mut self) {
+        let view = self.feed.latest();
+        let is_known = |id: &InstanceId| view.instances.iter().any(|known| known.report.id == *id);
+        self.versions.retain(|(instance, _), _| is_known(instance));
+        self.orders.retain(|instance, _| is_known(instance));
+        let versions = self.versions.iter().map(|((instance, model), version)| KnownVersion {
+            instance: instance.clone(),
+            model: model.clone(),
+            version: *version,
+        });
+        self.calls.announce(RenewalNews {
+            under_way: self.under_way.iter().cloned().collect(),
+            versions: versions.collect(),
+        });
+    }
 }
--- a/crates/renewal/src/lib.rs
+++ b/crates/renewal/src/lib.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod giver;
 mod plan;
+mod task;
 
 pub use exchange::{Order, OrderAnswer, OrderDialect, ServerState};
 pub use giver::{GiverSettings, OrderGiver};
