Placement: parts go to the store once read and are fetched from there

Change: one home for the whole chain, every server saves to the store and fetches from it; reading weighs four times its time.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -235,6 +235,7 @@
         has_prompt: call.has_prompt(),
         version: choice.version,
         source: choice.source,
+        store: choice.store,
     };
     gateway.dialect.write_attempt(&mut headers, &facts);
     let mut request = Request::new(WholeBody(call.body.clone()));
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -53,8 +53,10 @@
     pub has_prompt: bool,
     /// Version of the weights that it must run under; zero for any.
     pub version: u64,
-    /// A server that should have kept more of the prompt.
+    /// A server or store that should have kept more of the prompt.
     pub source: Option<SocketAddrV4>,
+    /// A store that should get the prompt's parts once they are read.
+    pub store: Option<SocketAddrV4>,
 }
 
 /// What a server's answer says of itself.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 
 use juniper_catalog::{Route, WeightedSplit};
 use juniper_feed::{Feed, FleetView};
-use juniper_placement::{Placement, RetryBudget};
+use juniper_placement::{Placement, RetryBudget, ServiceProfile};
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 use tokio::sync::watch;
@@ -128,6 +128,7 @@
                     let latest = Arc::clone(&view.borrow_and_update());
                     let mut placement = self.placement();
                     placement.set_instances(&latest.instances);
+                    placement.set_profiles(service_profiles(&latest));
                     placement.set_renewing(&latest.renewing);
                     for known in latest.versions.iter() {
                         placement.saw_version(&known.instance, known.version);
@@ -144,3 +145,23 @@
         self.pool.sweep(is_used);
     }
 }
+
+/// Part of the speed of a link that a move has, on average: ways between zones
+/// are half as fast, and moves wait for one another.
+const LINK_PART: f64 = 0.5;
+
+/// What moves of memory cost at each service with model engines.
+fn service_profiles(view: &FleetView) -> HashMap<String, ServiceProfile> {
+    let Some(index) = &view.catalog else { return HashMap::new() };
+    let services = &index.catalog().services;
+    let store = services.iter().find_map(|service| service.store.as_ref());
+    let engines = services.iter().filter_map(|service| {
+        let engine = service.engine.as_ref()?;
+        let bits_per_ms = engine.link_mbps * 1_000.0 * LINK_PART;
+        let bits = engine.token_bytes as f64 * 8.0;
+        let move_ms = if bits_per_ms > 0.0 { bits / bits_per_ms } else { 0.0 };
+        let store = store.map(|store| store.address);
+        Some((service.name.clone(), ServiceProfile { move_ms, store }))
+    });
+    engines.collect()
+}
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -9,7 +9,11 @@
 
 /// What a server in another zone costs more: the way there and back, and the
 /// bytes between zones.
-const OTHER_ZONE_MS: f64 = 12.0;
+const OTHER_ZONE_MS: f64 = 5.0;
+
+/// What reading shared parts again costs beside the time: the engine is kept from
+/// other work, and the parts displace others.
+const WASTE_FACTOR: f64 = 4.0;
 
 /// What each request under way adds, because servers slow down as they fill.
 const UNDER_WAY_MS: f64 = 2.0;
@@ -40,6 +44,10 @@
     pub cold_ms: f64,
     /// Tokens that the server would have to read.
     pub missed_tokens: u32,
+    /// Tokens of shared parts among those, which some server has read already.
+    pub shared_missed: u32,
+    /// Time to move parts to the server.
+    pub move_ms: f64,
 }
 
 /// What does not depend on the server.
@@ -57,6 +65,7 @@
     pub(crate) fn cost_ms(&self, server: &ServerView<'_>) -> f64 {
         let objective_ms = self.objective.as_secs_f64() * 1_000.0;
         let reading = self.speed.ms_for(f64::from(server.missed_tokens));
+        let waste = self.speed.ms_for(f64::from(server.shared_missed)) * WASTE_FACTOR;
         let queue = self.speed.ms_for(server.load.waiting_tokens as f64);
         let zone = if server.same_zone { 0.0 } else { OTHER_ZONE_MS };
         let under_way = f64::from(server.load.requests) * UNDER_WAY_MS;
@@ -66,16 +75,9 @@
         let silent = if server.silent { SILENCE_FACTOR * objective_ms } else { 0.0 };
         let excess = server.health.failure_share(self.now) - self.mean_failures - USUAL_FAILURES;
         let failures = excess.max(0.0) * FAILURE_FACTOR * objective_ms;
-        reading
-            + queue
-            + zone
-            + under_way
-            + crowded
-            + delay
-            + full
-            + silent
-            + failures
-            + server.cold_ms
+        let moving = server.move_ms;
+        let work = reading + waste + moving + queue + under_way + crowded + delay;
+        work + zone + full + silent + failures + server.cold_ms
     }
 
     /// A server whose slots fill up makes requests wait.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,10 +1,10 @@
 //! Chooses the server of a generic request. Pure: the servers, the request, time
 //! and a random number go in; a choice with its reasons comes out.
 //!
-//! A prompt is known by the chain of its parts. Parts that are asked for again
-//! have homes, which every router works out alike by rendezvous hashing; the
-//! cost of reading a part anew, the load and the health of a server decide
-//! whether a request goes home ([`Placement::choose`]).
+//! A prompt is known by the chain of its parts. Shared parts have a home, which
+//! every router works out alike by rendezvous hashing ([`ChainKey`]); the cost of
+//! reading or moving them, the load and the health of a server decide whether a
+//! request goes home ([`Placement::choose`]).
 
 mod budget;
 mod cost;
@@ -16,6 +16,6 @@
 
 pub use budget::{RetryBudget, RetrySettings};
 pub use health::Outcome;
-pub use homes::Homes;
-pub use placement::{Choice, NoChoice, Placement, Reason, Ticket};
+pub use homes::ChainKey;
+pub use placement::{Choice, NoChoice, Placement, Reason, ServiceProfile, Ticket};
 pub use request::{Prompt, PromptPart, ServerRequest};
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -9,16 +9,15 @@
 
 use crate::cost::{CostContext, ServerView};
 use crate::health::{Health, Outcome};
-use crate::homes::{Homes, PromptKeys};
+use crate::homes::ChainKey;
 use crate::load::{Load, ReadingSpeed};
 use crate::request::ServerRequest;
 
 /// Costs that differ by less count as equal, in milliseconds.
 const NEAR_EQUAL_MS: f64 = 1.0;
 
-/// Part of the first shared part that a server which isn't the home of the whole
-/// chain is expected to keep.
-const FIRST_PART_KEPT: f64 = 0.9;
+/// Fewest shared tokens that are worth a move between servers.
+const MIN_MOVED_TOKENS: u32 = 1_000;
 
 /// What a server that is cold costs more, in milliseconds, at most.
 const MAX_COLD_MS: f64 = 400.0;
@@ -28,8 +27,8 @@
 pub enum Reason {
     /// It is the home of the prompt's shared parts.
     Home,
-    /// It keeps the first shared part; the home is busier or worse.
-    FirstPart,
+    /// It fetches them; the home is busier or worse.
+    Fetch,
     /// It costs least.
     LeastCost,
     /// None is known to work; this one has rested longest.
@@ -41,7 +40,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Reason::Home => "home",
-            Reason::FirstPart => "first_part",
+            Reason::Fetch => "fetch",
             Reason::LeastCost => "least_cost",
             Reason::LastResort => "last_resort",
         }
@@ -67,8 +66,20 @@
     pub candidates: usize,
     /// Version of the weights that it is known to have; zero without a model.
     pub version: u64,
-    /// A server with the same weights that should have kept more of the prompt.
+    /// A server with the same weights, or the store, that should have kept more of
+    /// the prompt.
     pub source: Option<SocketAddrV4>,
+    /// The store that should get the prompt's parts once they are read.
+    pub store: Option<SocketAddrV4>,
+}
+
+/// What moves of memory cost at a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServiceProfile {
+    /// Time to move one token, in milliseconds; zero where nothing can be moved.
+    pub move_ms: f64,
+    /// The store of kept parts, if there is one.
+    pub store: Option<SocketAddrV4>,
 }
 
 /// Why no server was chosen.
@@ -126,7 +137,7 @@
     servers: HashMap<InstanceId, Server>,
     services: HashMap<String, Vec<InstanceId>>,
     speeds: HashMap<String, ReadingSpeed>,
-    homes: Homes,
+    profiles: HashMap<String, ServiceProfile>,
 }
 
 impl Placement {
@@ -137,7 +148,7 @@
             servers: HashMap::new(),
             services: HashMap::new(),
             speeds: HashMap::new(),
-            homes: Homes::default(),
+            profiles: HashMap::new(),
         }
     }
 
@@ -159,6 +170,11 @@
         self.services = services;
     }
 
+    /// What moves of memory cost, by service.
+    pub fn set_profiles(&mut self, profiles: HashMap<String, ServiceProfile>) {
+        self.profiles = profiles;
+    }
+
     /// These servers, and no others, take no new requests for now.
     pub fn set_renewing(&mut self, renewing: &BTreeSet<InstanceId>) {
         for (id, server) in &mut self.servers {
@@ -171,7 +187,7 @@
     /// # Errors
     /// A [`NoChoice`] when none may be used.
     pub fn choose(
-        &mut self,
+        &self,
         request: &ServerRequest<'_>,
         now: Timestamp,
         random: u64,
@@ -186,12 +202,7 @@
         if working.is_empty() {
             return Ok(last_resort(&candidates, request, random));
         }
-        let keys = request.prompt.and_then(|prompt| PromptKeys::of(prompt, request.sharing));
-        let choice = self.cheapest(&working, request, keys.as_ref(), now, random);
-        if let (Some(keys), Some(prompt)) = (keys, request.prompt) {
-            self.homes.record(&keys, prompt.tokens, now);
-        }
-        choice
+        self.cheapest(&working, request, now, random)
     }
 
     /// The servers that the request may be sent to at all.
@@ -223,7 +234,6 @@
         &self,
         servers: &[&Server],
         request: &ServerRequest<'_>,
-        keys: Option<&PromptKeys>,
         now: Timestamp,
         random: u64,
     ) -> Result<Choice, NoChoice> {
@@ -233,13 +243,10 @@
             mean_failures: mean_failures(servers, now),
             now,
         };
-        let (kept, home) = self.expected_kept(servers, keys, now);
-        let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
-        let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
+        let works = self.works(servers, request);
         let mut best: Option<(f64, u64, usize)> = None;
         for (place, server) in servers.iter().enumerate() {
-            let missed_tokens = tokens.saturating_sub(kept[place].0);
-            let cost = context.cost_ms(&self.view(server, missed_tokens));
+            let cost = context.cost_ms(&self.view(server, works[place]));
             let tie = random.rotate_left(place as u32 * 7) ^ server.hash;
             let is_better = best.is_none_or(|(least, least_tie, _)| {
                 cost < least - NEAR_EQUAL_MS || (cost < least + NEAR_EQUAL_MS && tie < least_tie)
@@ -249,25 +256,75 @@
             }
         }
         let (cost_ms, _, place) = best.ok_or(NoChoice::NoServer)?;
-        let (kept_tokens, reason) = kept[place];
-        let report = &servers[place].instance.report;
-        let version = servers[place].version_of(model);
-        let source = home.filter(|home| *home != place).map(|home| servers[home]);
-        let source = source.filter(|home| home.version_of(model) == version);
-        Ok(Choice {
-            instance: report.id.clone(),
-            address: report.address,
-            reason,
+        Ok(self.decision(servers, request, place, works[place], cost_ms))
+    }
+
+    fn decision(
+        &self,
+        servers: &[&Server],
+        request: &ServerRequest<'_>,
+        place: usize,
+        work: PromptWork,
+        cost_ms: f64,
+    ) -> Choice {
+        let server = servers[place];
+        let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
+        let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
+        let version = server.version_of(model);
+        let is_worth_moving = work.shared_tokens >= MIN_MOVED_TOKENS && work.can_move;
+        let store = self.profile(request.service).store.filter(|_| is_worth_moving);
+        let home = work.home.filter(|home| *home != place && is_worth_moving);
+        let home = home.map(|home| servers[home]).filter(|home| home.version_of(model) == version);
+        Choice {
+            instance: server.instance.report.id.clone(),
+            address: server.instance.report.address,
+            reason: work.reason,
             cost_ms,
-            kept_tokens: kept_tokens.min(tokens),
-            missed_tokens: tokens.saturating_sub(kept_tokens),
+            kept_tokens: tokens.saturating_sub(work.missed_tokens),
+            missed_tokens: work.missed_tokens,
             candidates: servers.len(),
             version,
-            source: source.map(|home| home.instance.report.address),
-        })
+            source: store.or(home.map(|home| home.instance.report.address)),
+            store,
+        }
+    }
+
+    fn profile(&self, service: &str) -> ServiceProfile {
+        self.profiles.get(service).copied().unwrap_or_default()
+    }
+
+    /// What the prompt means for each server.
+    fn works(&self, servers: &[&Server], request: &ServerRequest<'_>) -> Vec<PromptWork> {
+        let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
+        let keyed = request.prompt.and_then(|prompt| ChainKey::of(prompt, request.sharing));
+        let Some(chain) = keyed else {
+            let all_missed = PromptWork { missed_tokens: tokens, ..PromptWork::default() };
+            return vec![all_missed; servers.len()];
+        };
+        let home = chain.home(servers.iter().map(|server| server.hash));
+        let move_ms = self.profile(request.service).move_ms;
+        let can_move = move_ms > 0.0 && chain.tokens >= MIN_MOVED_TOKENS;
+        let work = |place: usize| {
+            let is_home = home == Some(place);
+            let kept = if is_home || can_move { chain.tokens } else { 0 };
+            PromptWork {
+                missed_tokens: tokens.saturating_sub(kept),
+                shared_missed: if is_home || can_move { 0 } else { chain.tokens },
+                move_ms: if can_move && !is_home { move_ms * f64::from(chain.tokens) } else { 0.0 },
+                shared_tokens: chain.tokens,
+                can_move,
+                home,
+                reason: match (is_home, can_move) {
+                    (true, _) => Reason::Home,
+                    (false, true) => Reason::Fetch,
+                    (false, false) => Reason::LeastCost,
+                },
+            }
+        };
+        (0..servers.len()).map(work).collect()
     }
 
-    fn view<'a>(&self, server: &'a Server, missed_tokens: u32) -> ServerView<'a> {
+    fn view<'a>(&self, server: &'a Server, work: PromptWork) -> ServerView<'a> {
         let report = &server.instance.report;
         ServerView {
             health: &server.health,
@@ -276,34 +333,12 @@
             same_zone: report.zone == self.zone,
             silent: server.instance.silent,
             cold_ms: (report.cold_remaining_ms as f64).min(MAX_COLD_MS),
-            missed_tokens,
+            missed_tokens: work.missed_tokens,
+            shared_missed: work.shared_missed,
+            move_ms: work.move_ms,
         }
     }
 
-    /// Tokens that each server should have kept, and what it is for the prompt; and
-    /// the home of the whole prompt.
-    fn expected_kept(
-        &self,
-        servers: &[&Server],
-        keys: Option<&PromptKeys>,
-        now: Timestamp,
-    ) -> (Vec<(u32, Reason)>, Option<usize>) {
-        let mut kept = vec![(0, Reason::LeastCost); servers.len()];
-        let Some(keys) = keys else { return (kept, None) };
-        let hashes: Vec<(usize, u64)> =
-            servers.iter().enumerate().map(|(place, server)| (place, server.hash)).collect();
-        let ranked = self.homes.rank(keys, &hashes, now);
-        let home = ranked.first().copied();
-        for (rank, place) in ranked.into_iter().enumerate() {
-            let first = (f64::from(keys.first_tokens) * FIRST_PART_KEPT) as u32;
-            kept[place] = match rank {
-                0 => (keys.chain_tokens, Reason::Home),
-                _ => (first, Reason::FirstPart),
-            };
-        }
-        (kept, home)
-    }
-
     /// The request is sent to the chosen server.
     pub fn begin(&mut self, choice: &Choice, has_prompt: bool, now: Timestamp) -> Ticket {
         if let Some(server) = self.servers.get_mut(&choice.instance) {
@@ -359,6 +394,38 @@
     }
 }
 
+/// What a prompt means for one server.
+#[derive(Clone, Copy, Debug)]
+struct PromptWork {
+    /// Tokens that it would have to read.
+    missed_tokens: u32,
+    /// Tokens of shared parts among those.
+    shared_missed: u32,
+    /// Time to move the shared parts to it.
+    move_ms: f64,
+    /// Tokens of all shared parts.
+    shared_tokens: u32,
+    /// Whether parts can be moved at all.
+    can_move: bool,
+    /// Place of the home.
+    home: Option<usize>,
+    reason: Reason,
+}
+
+impl Default for PromptWork {
+    fn default() -> Self {
+        PromptWork {
+            missed_tokens: 0,
+            shared_missed: 0,
+            move_ms: 0.0,
+            shared_tokens: 0,
+            can_move: false,
+            home: None,
+            reason: Reason::LeastCost,
+        }
+    }
+}
+
 fn mean_failures(servers: &[&Server], now: Timestamp) -> f64 {
     let sum: f64 = servers.iter().map(|server| server.health.failure_share(now)).sum();
     sum / servers.len().max(1) as f64
@@ -378,6 +445,7 @@
         candidates: candidates.len(),
         version: request.prompt.map_or(0, |prompt| candidates[place].version_of(&prompt.model)),
         source: None,
+        store: None,
     }
 }
 
