Routers tell each other where prompts were sent; a chain is saved to the store once

Change: sightings of chains go from a router through one replica to the others; what is known anywhere is fetched from there and not saved again.

--- a/crates/catalog/src/model.rs
+++ b/crates/catalog/src/model.rs
@@ -160,6 +160,9 @@
     /// Tokens that it holds.
     #[n(2)]
     pub capacity_tokens: u64,
+    /// Speed of its link, in megabits a second.
+    #[n(3)]
+    pub link_mbps: f64,
 }
 
 /// Bounds on what a caller may send, and how long it may take.
--- a/crates/control/src/internal/session.rs
+++ b/crates/control/src/internal/session.rs
@@ -157,6 +157,10 @@
                 hand_to_replica(&face, &peer, &payload).await?;
                 continue;
             }
+            Ok(Message::Sightings(sightings)) => {
+                face.board.relay(peer.identity.node, sightings);
+                continue;
+            }
             Ok(_) => continue,
             Err(error) => return Err(error),
         };
@@ -173,7 +177,8 @@
             if !following {
                 following = true;
                 let role = peer.identity.role;
-                tasks.spawn(follower::run(Arc::clone(&face), role, sender.clone(), call));
+                let _ = role;
+                tasks.spawn(follower::run(Arc::clone(&face), peer.clone(), sender.clone(), call));
             }
             continue;
         }
--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -4,20 +4,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_protocol::message::{CatalogBody, FleetNews, RenewalNews};
+use juniper_protocol::message::{CatalogBody, FleetNews, RenewalNews, Sighting};
 use juniper_protocol::{ClusterKey, PeerIdentity};
 use juniper_registry::HeardInstance;
-use juniper_types::{NodeId, Timestamp};
+use juniper_types::{NodeId, Timestamp, ZoneName};
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
 use kameo::message::{Context, Message};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{broadcast, mpsc, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::fold::{FleetFold, FoldOutcome};
-use crate::link::{self, LinkParts};
+use crate::link::{self, LinkOrder, LinkParts};
 use crate::view::FleetView;
 
 /// Events that wait for the actor; links wait beyond that.
@@ -30,6 +30,9 @@
 /// safe side: each keeps to a smaller part of what they share.
 const UNKNOWN_ROUTERS: u32 = 32;
 
+/// Batches of sightings that wait for whoever listens; older ones are lost.
+const WAITING_SIGHTINGS: usize = 64;
+
 /// What a feed needs.
 pub struct FeedSettings {
     /// Secret shared by the daemons.
@@ -42,8 +45,9 @@
 
 /// What a link has to say.
 pub(crate) enum LinkEvent {
-    Connected,
+    Connected { zone: ZoneName },
     Disconnected,
+    Sightings(Vec<Sighting>),
     News(FleetNews),
     Instances { heard: Vec<HeardInstance>, whole: bool },
     Renewals(RenewalNews),
@@ -52,7 +56,7 @@
 }
 
 struct Link {
-    fetches: mpsc::UnboundedSender<u64>,
+    orders: mpsc::UnboundedSender<LinkOrder>,
     task: AbortHandle,
 }
 
@@ -66,6 +70,9 @@
     view: watch::Sender<Arc<FleetView>>,
     confirmed_at: watch::Sender<Option<Instant>>,
     routers: watch::Sender<u32>,
+    sightings: broadcast::Sender<Vec<Sighting>>,
+    /// Zones of the replicas that are connected.
+    zones: BTreeMap<NodeId, ZoneName>,
 }
 
 /// What the actor publishes.
@@ -73,6 +80,7 @@
     view: watch::Sender<Arc<FleetView>>,
     confirmed_at: watch::Sender<Option<Instant>>,
     routers: watch::Sender<u32>,
+    sightings: broadcast::Sender<Vec<Sighting>>,
 }
 
 type Arguments = (FeedSettings, Instant, Published);
@@ -92,6 +100,8 @@
             view: published.view,
             confirmed_at: published.confirmed_at,
             routers: published.routers,
+            sightings: published.sightings,
+            zones: BTreeMap::new(),
         };
         feed.follow_members();
         tokio::spawn(keep_retrying(actor));
@@ -123,8 +133,19 @@
         }
         let now = self.now();
         let outcome = match event {
-            LinkEvent::Connected => self.connected(node, true),
-            LinkEvent::Disconnected => self.connected(node, false),
+            LinkEvent::Connected { zone } => {
+                self.zones.insert(node, zone);
+                self.fold.set_connected(node, true)
+            }
+            LinkEvent::Disconnected => {
+                self.zones.remove(&node);
+                self.fold.set_connected(node, false)
+            }
+            LinkEvent::Sightings(sightings) => {
+                // A node without use for them doesn't listen.
+                let _ = self.sightings.send(sightings);
+                FoldOutcome::default()
+            }
             LinkEvent::News(news) => self.fold.news(node, news, now),
             LinkEvent::Instances { heard, whole } => self.fold.instances(node, heard, whole),
             LinkEvent::Renewals(news) => self.fold.renewals(node, news),
@@ -159,6 +180,23 @@
     }
 }
 
+/// Tell other routers of sightings.
+struct TellSightings(Vec<Sighting>);
+
+impl Message<TellSightings> for FeedActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: TellSightings, _context: &mut Context<Self, ()>) {
+        let own_zone = &self.settings.own.zone;
+        let near = self.zones.iter().find(|(_, zone)| *zone == own_zone);
+        let relay = near.or_else(|| self.zones.iter().next()).map(|(node, _)| node);
+        if let Some(link) = relay.and_then(|node| self.links.get(node)) {
+            // A link that has just ended loses them.
+            let _ = link.orders.send(LinkOrder::Tell(message.0));
+        }
+    }
+}
+
 /// Other seeds stand in the settings now.
 struct SetSeeds(Vec<NodeId>);
 
@@ -176,10 +214,6 @@
         Timestamp::ZERO.after(self.started.elapsed())
     }
 
-    fn connected(&mut self, node: NodeId, connected: bool) -> FoldOutcome {
-        self.fold.set_connected(node, connected)
-    }
-
     fn act_on(&mut self, outcome: FoldOutcome) {
         if outcome.changed {
             self.publish();
@@ -195,7 +229,7 @@
             && let Some(link) = self.links.get(&node)
         {
             // The link asks again if it has just ended.
-            let _ = link.fetches.send(above);
+            let _ = link.orders.send(LinkOrder::Fetch(above));
         }
         self.follow_members();
     }
@@ -235,15 +269,15 @@
     }
 
     fn spawn_link(&self, node: NodeId) -> Link {
-        let (fetches, receiver) = mpsc::unbounded_channel();
+        let (orders, receiver) = mpsc::unbounded_channel();
         let parts = LinkParts {
             node,
             key: self.settings.key.clone(),
             own: self.settings.own.clone(),
             feed: self.own_ref.clone(),
-            fetches: receiver,
+            orders: receiver,
         };
-        Link { fetches, task: tokio::spawn(link::run(parts)).abort_handle() }
+        Link { orders, task: tokio::spawn(link::run(parts)).abort_handle() }
     }
 }
 
@@ -255,6 +289,7 @@
     view: watch::Receiver<Arc<FleetView>>,
     confirmed_at: watch::Receiver<Option<Instant>>,
     routers: watch::Receiver<u32>,
+    sightings: broadcast::Sender<Vec<Sighting>>,
 }
 
 impl Feed {
@@ -263,15 +298,17 @@
         let started = Instant::now();
         let (view_sender, view) = watch::channel(Arc::default());
         let (confirmed_sender, confirmed_at) = watch::channel(None);
+        let sightings = broadcast::Sender::new(WAITING_SIGHTINGS);
         let (routers_sender, routers) = watch::channel(UNKNOWN_ROUTERS);
         let published = Published {
             view: view_sender,
             confirmed_at: confirmed_sender,
             routers: routers_sender,
+            sightings: sightings.clone(),
         };
         let arguments = (settings, started, published);
         let actor = FeedActor::spawn_with_mailbox(arguments, mailbox::bounded(MAILBOX_CAPACITY));
-        Feed { actor, started, view, confirmed_at, routers }
+        Feed { actor, started, view, confirmed_at, routers, sightings }
     }
 
     /// What the node knows of the fleet.
@@ -304,6 +341,17 @@
         self.started
     }
 
+    /// Sightings of other routers.
+    pub fn sightings(&self) -> broadcast::Receiver<Vec<Sighting>> {
+        self.sightings.subscribe()
+    }
+
+    /// Tells other routers of sightings.
+    pub async fn tell(&self, sightings: Vec<Sighting>) {
+        // A feed that has ended reaches nobody.
+        let _ = self.actor.tell(TellSightings(sightings)).await;
+    }
+
     /// Takes over the seeds of settings that have changed.
     pub async fn set_seeds(&self, seeds: Vec<NodeId>) {
         // A feed that has ended follows nobody.
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use juniper_protocol::message::Sighting;
 use juniper_protocol::{
     ClusterKey, Connection, FrameError, FrameWriter, HandshakeError, Message, PeerIdentity, Push,
     Reply, Request, connect,
@@ -55,8 +56,16 @@
     pub own: PeerIdentity,
     /// Gets everything that the replica says.
     pub feed: ActorRef<FeedActor>,
-    /// Versions above which the configuration is asked for.
-    pub fetches: mpsc::UnboundedReceiver<u64>,
+    /// What to send to the replica.
+    pub orders: mpsc::UnboundedReceiver<LinkOrder>,
+}
+
+/// What a link is to send.
+pub(crate) enum LinkOrder {
+    /// Ask for the configuration above this version.
+    Fetch(u64),
+    /// Tell of sightings.
+    Tell(Vec<Sighting>),
 }
 
 /// Follows the replica until the feed ends.
@@ -110,6 +119,18 @@
         }
     }
 
+    async fn tell(
+        &mut self,
+        writer: &mut FrameWriter,
+        sightings: Vec<Sighting>,
+    ) -> Result<(), LinkEnd> {
+        let message = Message::Sightings(sightings);
+        match timeout(SILENCE_LIMIT, writer.send(&message)).await {
+            Ok(sent) => sent.map(|_| ()).map_err(LinkEnd::Frame),
+            Err(_) => Err(LinkEnd::Silent),
+        }
+    }
+
     async fn confirm(&mut self, writer: &mut FrameWriter) -> Result<(), LinkEnd> {
         let oldest = self.confirms.front();
         if oldest.is_some_and(|(_, asked)| asked.elapsed() > SILENCE_LIMIT) {
@@ -139,10 +160,10 @@
     let connection = opened.map_err(|_| LinkEnd::ConnectTimeout)??;
     *connected = true;
     log::info!("event=replica_followed replica={}", parts.node);
-    let Connection { mut reader, mut writer, .. } = connection;
+    let Connection { peer, mut reader, mut writer } = connection;
     let mut calls = Calls::default();
     calls.send(&mut writer, Request::Follow).await?;
-    parts.tell(LinkEvent::Connected).await?;
+    parts.tell(LinkEvent::Connected { zone: peer.zone }).await?;
     let mut ticks = interval(CONFIRM_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (frames, mut received) = mpsc::channel(16);
@@ -164,8 +185,9 @@
                 None => Err(FrameError::Closed.into()),
             },
             _ = ticks.tick() => calls.confirm(&mut writer).await,
-            above = parts.fetches.recv() => match above {
-                Some(above) => calls.send(&mut writer, Request::Catalog { above }).await.map(|_| ()),
+            order = parts.orders.recv() => match order {
+                Some(LinkOrder::Tell(sightings)) => calls.tell(&mut writer, sightings).await,
+                Some(LinkOrder::Fetch(above)) => calls.send(&mut writer, Request::Catalog { above }).await.map(|_| ()),
                 None => Err(LinkEnd::Stopped),
             },
         };
@@ -181,6 +203,7 @@
     let event = match frame {
         Message::Push(Push::Fleet(news)) => LinkEvent::News(news),
         Message::Push(Push::Instances { heard, whole }) => LinkEvent::Instances { heard, whole },
+        Message::Sightings(sightings) => LinkEvent::Sightings(sightings),
         Message::Push(Push::Renewals(news)) => LinkEvent::Renewals(news),
         Message::Reply { reply: Reply::Catalog(body), .. } => LinkEvent::Catalog(body),
         Message::Reply { call, reply } => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,8 @@
 
 use juniper_catalog::{Route, WeightedSplit};
 use juniper_feed::{Feed, FleetView};
-use juniper_placement::{Placement, RetryBudget, ServiceProfile};
+use juniper_placement::{ChainSighting, Choice, Placement, RetryBudget, ServiceProfile};
+use juniper_protocol::message::Sighting;
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 use tokio::sync::watch;
@@ -30,6 +31,12 @@
 /// Pace at which resting connections are looked through.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Pace at which other routers are told where prompts were sent.
+const SIGHTING_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Sightings told at once; the rest is left out.
+const MAX_WAITING_SIGHTINGS: usize = 16;
+
 /// What every request needs.
 pub(crate) struct Gateway {
     pub settings: GatewaySettings,
@@ -41,6 +48,7 @@
     placement: Mutex<Placement>,
     budget: Mutex<RetryBudget>,
     splits: Mutex<HashMap<String, WeightedSplit>>,
+    sightings: Mutex<Vec<Sighting>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -59,6 +67,7 @@
             placement: Mutex::new(Placement::new(settings.zone.clone())),
             budget: Mutex::new(RetryBudget::new(settings.retry)),
             splits: Mutex::default(),
+            sightings: Mutex::default(),
             pool: Pool::default(),
             settings,
             dialect,
@@ -113,6 +122,52 @@
         share.max(MIN_CONNECTIONS)
     }
 
+    /// Notes where a prompt is sent, for the other routers.
+    pub(crate) fn sight(&self, choice: &Choice) {
+        if choice.keys.is_empty() || !choice.is_movable() {
+            return;
+        }
+        let sighting = choice.sighting();
+        let mut waiting = lock(&self.sightings);
+        if waiting.len() < MAX_WAITING_SIGHTINGS {
+            waiting.push(Sighting {
+                instance: sighting.instance,
+                version: sighting.version,
+                chains: sighting.keys,
+            });
+        }
+    }
+
+    /// Tells the other routers where prompts were sent, and learns it from them.
+    pub(crate) async fn keep_sighting(self: Arc<Self>) {
+        let mut received = self.feed.sightings();
+        let mut ticks = tokio::time::interval(SIGHTING_INTERVAL);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                sightings = received.recv() => match sightings {
+                    Ok(sightings) => self.learn(sightings),
+                    Err(tokio::sync::broadcast::error::RecvError::Lagged(_)) => {}
+                    Err(tokio::sync::broadcast::error::RecvError::Closed) => return,
+                },
+                _ = ticks.tick() => {
+                    let waiting = std::mem::take(&mut *lock(&self.sightings));
+                    if !waiting.is_empty() {
+                        self.feed.tell(waiting).await;
+                    }
+                }
+            }
+        }
+    }
+
+    fn learn(&self, sightings: Vec<Sighting>) {
+        let now = self.now();
+        let mut placement = self.placement();
+        for Sighting { instance, version, chains } in sightings {
+            placement.sighted(&ChainSighting { instance, version, keys: chains }, now);
+        }
+    }
+
     /// Keeps the servers in step with the feed, and closes connections that
     /// aren't used, for ever.
     pub(crate) async fn keep_in_step(self: Arc<Self>) {
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -128,6 +128,7 @@
         tokio::spawn(Arc::clone(&gateway).keep_in_step()),
         tokio::spawn(serve_callers(Arc::clone(&gateway), listeners.callers, tracker)),
         tokio::spawn(note_readiness(Arc::clone(&gateway))),
+        tokio::spawn(Arc::clone(&gateway).keep_sighting()),
     ];
     if let Some(listener) = listeners.readiness {
         tasks.push(tokio::spawn(serve_readiness(Arc::clone(&gateway), listener)));
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,10 +12,12 @@
 mod homes;
 mod load;
 mod placement;
+mod recent;
 mod request;
 
 pub use budget::{RetryBudget, RetrySettings};
 pub use health::Outcome;
-pub use homes::ChainKey;
+pub use homes::ChainKeys;
 pub use placement::{Choice, NoChoice, Placement, Reason, ServiceProfile, Ticket};
+pub use recent::ChainSighting;
 pub use request::{Prompt, PromptPart, ServerRequest};
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -9,8 +9,9 @@
 
 use crate::cost::{CostContext, ServerView};
 use crate::health::{Health, Outcome};
-use crate::homes::ChainKey;
+use crate::homes::ChainKeys;
 use crate::load::{Load, ReadingSpeed};
+use crate::recent::{ChainSighting, RecentChains};
 use crate::request::ServerRequest;
 
 /// Costs that differ by less count as equal, in milliseconds.
@@ -25,9 +26,11 @@
 /// Why a server was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
-    /// It is the home of the prompt's shared parts.
+    /// It has the prompt's shared parts.
+    Holder,
+    /// It is meant to keep them; nobody has them.
     Home,
-    /// It fetches them; the home is busier or worse.
+    /// It fetches them; who has them is busier or worse.
     Fetch,
     /// It costs least.
     LeastCost,
@@ -39,6 +42,7 @@
     /// The reason for logs.
     pub fn as_str(self) -> &'static str {
         match self {
+            Reason::Holder => "holder",
             Reason::Home => "home",
             Reason::Fetch => "fetch",
             Reason::LeastCost => "least_cost",
@@ -71,6 +75,21 @@
     pub source: Option<SocketAddrV4>,
     /// The store that should get the prompt's parts once they are read.
     pub store: Option<SocketAddrV4>,
+    /// Names the beginnings of the prompt's shared parts.
+    pub keys: Vec<u64>,
+}
+
+impl Choice {
+    /// What other routers should know of the choice.
+    pub fn sighting(&self) -> ChainSighting {
+        let (instance, version) = (self.instance.clone(), self.version);
+        ChainSighting { instance, version, keys: self.keys.clone() }
+    }
+
+    /// Whether the prompt's shared parts are large enough to be moved.
+    pub fn is_movable(&self) -> bool {
+        self.store.is_some() || self.source.is_some()
+    }
 }
 
 /// What moves of memory cost at a service.
@@ -138,6 +157,7 @@
     services: HashMap<String, Vec<InstanceId>>,
     speeds: HashMap<String, ReadingSpeed>,
     profiles: HashMap<String, ServiceProfile>,
+    recent: RecentChains,
 }
 
 impl Placement {
@@ -149,6 +169,7 @@
             services: HashMap::new(),
             speeds: HashMap::new(),
             profiles: HashMap::new(),
+            recent: RecentChains::default(),
         }
     }
 
@@ -243,7 +264,9 @@
             mean_failures: mean_failures(servers, now),
             now,
         };
-        let works = self.works(servers, request);
+        let chain = request.prompt.map(|prompt| ChainKeys::of(prompt, request.sharing));
+        let chain = chain.unwrap_or_default();
+        let works = self.works(servers, request, &chain, now);
         let mut best: Option<(f64, u64, usize)> = None;
         for (place, server) in servers.iter().enumerate() {
             let cost = context.cost_ms(&self.view(server, works[place]));
@@ -256,25 +279,27 @@
             }
         }
         let (cost_ms, _, place) = best.ok_or(NoChoice::NoServer)?;
-        Ok(self.decision(servers, request, place, works[place], cost_ms))
+        let found = Found { place, work: works[place], cost_ms };
+        Ok(self.decision(servers, request, chain, found, now))
     }
 
     fn decision(
         &self,
         servers: &[&Server],
         request: &ServerRequest<'_>,
-        place: usize,
-        work: PromptWork,
-        cost_ms: f64,
+        chain: ChainKeys,
+        found: Found,
+        now: Timestamp,
     ) -> Choice {
+        let Found { place, work, cost_ms } = found;
         let server = servers[place];
         let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
         let version = server.version_of(model);
-        let is_worth_moving = work.shared_tokens >= MIN_MOVED_TOKENS && work.can_move;
-        let store = self.profile(request.service).store.filter(|_| is_worth_moving);
-        let home = work.home.filter(|home| *home != place && is_worth_moving);
-        let home = home.map(|home| servers[home]).filter(|home| home.version_of(model) == version);
+        let store = self.profile(request.service).store.filter(|_| work.can_move);
+        let longest = chain.keys.last().copied().unwrap_or(0);
+        let is_known = self.recent.is_known(longest, version, now);
+        let holder = work.source.map(|place| servers[place].instance.report.address);
         Choice {
             instance: server.instance.report.id.clone(),
             address: server.instance.report.address,
@@ -284,8 +309,9 @@
             missed_tokens: work.missed_tokens,
             candidates: servers.len(),
             version,
-            source: store.or(home.map(|home| home.instance.report.address)),
-            store,
+            source: holder.or(store).filter(|_| work.can_move),
+            store: store.filter(|_| !is_known),
+            keys: chain.keys,
         }
     }
 
@@ -294,36 +320,81 @@
     }
 
     /// What the prompt means for each server.
-    fn works(&self, servers: &[&Server], request: &ServerRequest<'_>) -> Vec<PromptWork> {
+    fn works(
+        &self,
+        servers: &[&Server],
+        request: &ServerRequest<'_>,
+        chain: &ChainKeys,
+        now: Timestamp,
+    ) -> Vec<PromptWork> {
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
-        let keyed = request.prompt.and_then(|prompt| ChainKey::of(prompt, request.sharing));
-        let Some(chain) = keyed else {
-            let all_missed = PromptWork { missed_tokens: tokens, ..PromptWork::default() };
-            return vec![all_missed; servers.len()];
-        };
-        let home = chain.home(servers.iter().map(|server| server.hash));
+        let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
+        let all = chain.all_tokens();
         let move_ms = self.profile(request.service).move_ms;
-        let can_move = move_ms > 0.0 && chain.tokens >= MIN_MOVED_TOKENS;
+        let can_move = move_ms > 0.0 && all >= MIN_MOVED_TOKENS;
+        let home = chain.home(servers.iter().map(|server| server.hash));
+        let kept = self.kept_tokens(servers, chain, model, now);
         let work = |place: usize| {
+            let own = kept[place];
+            let source = self.source(servers, &kept, place, model).filter(|_| can_move);
+            let fetched = source.map_or(0, |source| kept[source] - own);
+            let missed = all - own - fetched;
             let is_home = home == Some(place);
-            let kept = if is_home || can_move { chain.tokens } else { 0 };
+            // Whoever has nothing to go by agrees on the home.
+            let astray = if is_home { 0 } else { missed };
             PromptWork {
-                missed_tokens: tokens.saturating_sub(kept),
-                shared_missed: if is_home || can_move { 0 } else { chain.tokens },
-                move_ms: if can_move && !is_home { move_ms * f64::from(chain.tokens) } else { 0.0 },
-                shared_tokens: chain.tokens,
+                missed_tokens: tokens.saturating_sub(own + fetched),
+                shared_missed: astray,
+                move_ms: move_ms * f64::from(fetched),
                 can_move,
-                home,
-                reason: match (is_home, can_move) {
-                    (true, _) => Reason::Home,
-                    (false, true) => Reason::Fetch,
-                    (false, false) => Reason::LeastCost,
+                source,
+                reason: match (own > 0, fetched > 0, is_home) {
+                    (true, false, _) => Reason::Holder,
+                    (_, true, _) => Reason::Fetch,
+                    (false, false, true) => Reason::Home,
+                    (false, false, false) => Reason::LeastCost,
                 },
             }
         };
         (0..servers.len()).map(work).collect()
     }
 
+    /// Shared tokens that each server should have, by what was sent there lately.
+    fn kept_tokens(
+        &self,
+        servers: &[&Server],
+        chain: &ChainKeys,
+        model: &str,
+        now: Timestamp,
+    ) -> Vec<u32> {
+        let mut kept = vec![0; servers.len()];
+        for (key, tokens) in chain.keys.iter().zip(&chain.tokens) {
+            for (place, server) in servers.iter().enumerate() {
+                let version = server.version_of(model);
+                let mut holders = self.recent.holders(*key, version, now);
+                if holders.any(|holder| *holder == server.instance.report.id) {
+                    kept[place] = *tokens;
+                }
+            }
+        }
+        kept
+    }
+
+    /// The server with the same weights that has most of what `place` lacks.
+    fn source(
+        &self,
+        servers: &[&Server],
+        kept: &[u32],
+        place: usize,
+        model: &str,
+    ) -> Option<usize> {
+        let version = servers[place].version_of(model);
+        let has_more = |other: &usize| {
+            kept[*other] > kept[place] && servers[*other].version_of(model) == version
+        };
+        (0..servers.len()).filter(has_more).max_by_key(|other| kept[*other])
+    }
+
     fn view<'a>(&self, server: &'a Server, work: PromptWork) -> ServerView<'a> {
         let report = &server.instance.report;
         ServerView {
@@ -341,6 +412,7 @@
 
     /// The request is sent to the chosen server.
     pub fn begin(&mut self, choice: &Choice, has_prompt: bool, now: Timestamp) -> Ticket {
+        self.recent.record(&choice.sighting(), now);
         if let Some(server) = self.servers.get_mut(&choice.instance) {
             server.load.begin(choice.missed_tokens);
         }
@@ -353,6 +425,11 @@
         }
     }
 
+    /// Another router has sent shared parts to a server.
+    pub fn sighted(&mut self, sighting: &ChainSighting, now: Timestamp) {
+        self.recent.record(sighting, now);
+    }
+
     /// The server has begun to answer.
     pub fn first_output(&mut self, ticket: &mut Ticket, now: Timestamp) {
         if std::mem::replace(&mut ticket.had_output, true) {
@@ -394,6 +471,13 @@
     }
 }
 
+/// The server that costs least.
+struct Found {
+    place: usize,
+    work: PromptWork,
+    cost_ms: f64,
+}
+
 /// What a prompt means for one server.
 #[derive(Clone, Copy, Debug)]
 struct PromptWork {
@@ -403,12 +487,10 @@
     shared_missed: u32,
     /// Time to move the shared parts to it.
     move_ms: f64,
-    /// Tokens of all shared parts.
-    shared_tokens: u32,
     /// Whether parts can be moved at all.
     can_move: bool,
-    /// Place of the home.
-    home: Option<usize>,
+    /// Place of the server to move them from.
+    source: Option<usize>,
     reason: Reason,
 }
 
@@ -418,9 +500,8 @@
             missed_tokens: 0,
             shared_missed: 0,
             move_ms: 0.0,
-            shared_tokens: 0,
             can_move: false,
-            home: None,
+            source: None,
             reason: Reason::LeastCost,
         }
     }
@@ -446,6 +527,7 @@
         version: request.prompt.map_or(0, |prompt| candidates[place].version_of(&prompt.model)),
         source: None,
         store: None,
+        keys: Vec::new(),
     }
 }
 
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -55,6 +55,24 @@
     /// Sent without being asked, on a connection that subscribed.
     #[n(3)]
     Push(#[n(0)] Push),
+    /// Router to control, and from there to every other router that follows the
+    /// replica: where shared parts of prompts were sent. Losing some costs a read.
+    #[n(4)]
+    Sightings(#[n(0)] Vec<Sighting>),
+}
+
+/// Shared parts of a prompt that were sent to a server.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Sighting {
+    /// The server.
+    #[n(0)]
+    pub instance: InstanceId,
+    /// Version of its weights.
+    #[n(1)]
+    pub version: u64,
+    /// Names each beginning of the chain of parts, the longest last.
+    #[n(2)]
+    pub chains: Vec<u64>,
 }
 
 impl Message {
