Placement: new parts go where memory turns over slowest

Excluded: homes that routers disagree on (shared sightings). Change: sightings carry the tokens that come in; displacing parts that are still useful costs.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -399,7 +399,7 @@
         self.gateway.metrics.missed_tokens.inc_by(u64::from(choice.missed_tokens));
         log::info!(
             "event=attempt request={} route={} service={} instance={} reason={} cost_ms={:.1} \
-             kept={} missed={} version={} source={} candidates={} catalog={} age_ms={} sent={}",
+             kept={} missed={} chain={:08x} version={} source={} candidates={} catalog={} age_ms={} sent={}",
             self.call.id(),
             self.call.route.name,
             self.call.service,
@@ -408,6 +408,7 @@
             choice.cost_ms,
             choice.kept_tokens,
             choice.missed_tokens,
+            choice.keys.last().copied().unwrap_or(0) >> 32,
             choice.version,
             choice.source.map_or_else(|| "-".to_owned(), |source| source.to_string()),
             choice.candidates,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -134,6 +134,7 @@
                 instance: sighting.instance,
                 version: sighting.version,
                 chains: sighting.keys,
+                tokens: sighting.tokens,
             });
         }
     }
@@ -163,8 +164,9 @@
     fn learn(&self, sightings: Vec<Sighting>) {
         let now = self.now();
         let mut placement = self.placement();
-        for Sighting { instance, version, chains } in sightings {
-            placement.sighted(&ChainSighting { instance, version, keys: chains }, now);
+        for Sighting { instance, version, chains, tokens } in sightings {
+            let sighting = ChainSighting { instance, version, keys: chains, tokens };
+            placement.sighted(&sighting, now);
         }
     }
 
@@ -216,7 +218,10 @@
         let bits = engine.token_bytes as f64 * 8.0;
         let move_ms = if bits_per_ms > 0.0 { bits / bits_per_ms } else { 0.0 };
         let store = store.map(|store| store.address);
-        Some((service.name.clone(), ServiceProfile { move_ms, store }))
+        Some((
+            service.name.clone(),
+            ServiceProfile { move_ms, cache_tokens: engine.cache_tokens, store },
+        ))
     });
     engines.collect()
 }
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -48,6 +48,8 @@
     pub shared_missed: u32,
     /// Time to move parts to the server.
     pub move_ms: f64,
+    /// Tokens that give way to the prompt and would have been asked for again.
+    pub displaced: f64,
 }
 
 /// What does not depend on the server.
@@ -75,7 +77,8 @@
         let silent = if server.silent { SILENCE_FACTOR * objective_ms } else { 0.0 };
         let excess = server.health.failure_share(self.now) - self.mean_failures - USUAL_FAILURES;
         let failures = excess.max(0.0) * FAILURE_FACTOR * objective_ms;
-        let moving = server.move_ms;
+        let displaced = self.speed.ms_for(server.displaced);
+        let moving = server.move_ms + displaced;
         let work = reading + waste + moving + queue + under_way + crowded + delay;
         work + zone + full + silent + failures + server.cold_ms
     }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,6 +11,7 @@
 mod health;
 mod homes;
 mod load;
+mod memory;
 mod placement;
 mod recent;
 mod request;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -11,6 +11,7 @@
 use crate::health::{Health, Outcome};
 use crate::homes::ChainKeys;
 use crate::load::{Load, ReadingSpeed};
+use crate::memory::MemoryTurnover;
 use crate::recent::{ChainSighting, RecentChains};
 use crate::request::ServerRequest;
 
@@ -77,13 +78,16 @@
     pub store: Option<SocketAddrV4>,
     /// Names the beginnings of the prompt's shared parts.
     pub keys: Vec<u64>,
+    /// Tokens that it has to read or fetch.
+    pub inserted_tokens: u32,
 }
 
 impl Choice {
     /// What other routers should know of the choice.
     pub fn sighting(&self) -> ChainSighting {
         let (instance, version) = (self.instance.clone(), self.version);
-        ChainSighting { instance, version, keys: self.keys.clone() }
+        let tokens = self.inserted_tokens;
+        ChainSighting { instance, version, keys: self.keys.clone(), tokens }
     }
 
     /// Whether the prompt's shared parts are large enough to be moved.
@@ -97,6 +101,8 @@
 pub struct ServiceProfile {
     /// Time to move one token, in milliseconds; zero where nothing can be moved.
     pub move_ms: f64,
+    /// Tokens that the memory of a server holds.
+    pub cache_tokens: u64,
     /// The store of kept parts, if there is one.
     pub store: Option<SocketAddrV4>,
 }
@@ -135,13 +141,22 @@
     seen_version: u64,
     /// It takes no new requests, because it is given new weights.
     renewing: bool,
+    turnover: MemoryTurnover,
 }
 
 impl Server {
     fn new(instance: Instance) -> Self {
         let hash = hash_of(instance.report.id.as_str());
         let (health, load) = (Health::default(), Load::default());
-        Server { instance, hash, health, load, seen_version: 0, renewing: false }
+        Server {
+            instance,
+            hash,
+            health,
+            load,
+            seen_version: 0,
+            renewing: false,
+            turnover: MemoryTurnover::default(),
+        }
     }
 
     fn version_of(&self, model: &str) -> u64 {
@@ -280,7 +295,7 @@
         }
         let (cost_ms, _, place) = best.ok_or(NoChoice::NoServer)?;
         let found = Found { place, work: works[place], cost_ms };
-        Ok(self.decision(servers, request, chain, found, now))
+        Ok(self.decision(servers, request, chain, found))
     }
 
     fn decision(
@@ -289,7 +304,6 @@
         request: &ServerRequest<'_>,
         chain: ChainKeys,
         found: Found,
-        now: Timestamp,
     ) -> Choice {
         let Found { place, work, cost_ms } = found;
         let server = servers[place];
@@ -297,8 +311,6 @@
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
         let version = server.version_of(model);
         let store = self.profile(request.service).store.filter(|_| work.can_move);
-        let longest = chain.keys.last().copied().unwrap_or(0);
-        let is_known = self.recent.is_known(longest, version, now);
         let holder = work.source.map(|place| servers[place].instance.report.address);
         Choice {
             instance: server.instance.report.id.clone(),
@@ -310,8 +322,10 @@
             candidates: servers.len(),
             version,
             source: holder.or(store).filter(|_| work.can_move),
-            store: store.filter(|_| !is_known),
+            // A store full of what nobody shares has no room for what is shared.
+            store: store.filter(|_| tokens < 2 * chain.all_tokens()),
             keys: chain.keys,
+            inserted_tokens: work.inserted_tokens,
         }
     }
 
@@ -330,7 +344,7 @@
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
         let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
         let all = chain.all_tokens();
-        let move_ms = self.profile(request.service).move_ms;
+        let ServiceProfile { move_ms, cache_tokens, .. } = self.profile(request.service);
         let can_move = move_ms > 0.0 && all >= MIN_MOVED_TOKENS;
         let home = chain.home(servers.iter().map(|server| server.hash));
         let kept = self.kept_tokens(servers, chain, model, now);
@@ -346,6 +360,8 @@
                 missed_tokens: tokens.saturating_sub(own + fetched),
                 shared_missed: astray,
                 move_ms: move_ms * f64::from(fetched),
+                inserted_tokens: tokens.saturating_sub(own),
+                loss: servers[place].turnover.loss(cache_tokens, now),
                 can_move,
                 source,
                 reason: match (own > 0, fetched > 0, is_home) {
@@ -407,12 +423,14 @@
             missed_tokens: work.missed_tokens,
             shared_missed: work.shared_missed,
             move_ms: work.move_ms,
+            displaced: f64::from(work.inserted_tokens) * work.loss,
         }
     }
 
     /// The request is sent to the chosen server.
     pub fn begin(&mut self, choice: &Choice, has_prompt: bool, now: Timestamp) -> Ticket {
-        self.recent.record(&choice.sighting(), now);
+        let sighting = choice.sighting();
+        self.sighted(&sighting, now);
         if let Some(server) = self.servers.get_mut(&choice.instance) {
             server.load.begin(choice.missed_tokens);
         }
@@ -428,6 +446,9 @@
     /// Another router has sent shared parts to a server.
     pub fn sighted(&mut self, sighting: &ChainSighting, now: Timestamp) {
         self.recent.record(sighting, now);
+        if let Some(server) = self.servers.get_mut(&sighting.instance) {
+            server.turnover.record(sighting.tokens, now);
+        }
     }
 
     /// The server has begun to answer.
@@ -487,6 +508,10 @@
     shared_missed: u32,
     /// Time to move the shared parts to it.
     move_ms: f64,
+    /// Tokens that come into its memory.
+    inserted_tokens: u32,
+    /// Chance that what gives way to them would have been asked for again.
+    loss: f64,
     /// Whether parts can be moved at all.
     can_move: bool,
     /// Place of the server to move them from.
@@ -500,6 +525,8 @@
             missed_tokens: 0,
             shared_missed: 0,
             move_ms: 0.0,
+            inserted_tokens: 0,
+            loss: 0.0,
             can_move: false,
             source: None,
             reason: Reason::LeastCost,
@@ -528,6 +555,7 @@
         source: None,
         store: None,
         keys: Vec::new(),
+        inserted_tokens: 0,
     }
 }
 
--- a/crates/placement/src/recent.rs
+++ b/crates/placement/src/recent.rs
@@ -7,7 +7,7 @@
 use juniper_types::Timestamp;
 
 /// Time after which a server may have let the parts go.
-const KEPT_FOR: Duration = Duration::from_secs(15);
+const KEPT_FOR: Duration = Duration::from_secs(25);
 
 /// Beginnings of chains remembered; long unused ones make room.
 const MAX_CHAINS: usize = 8_192;
@@ -24,6 +24,8 @@
     pub version: u64,
     /// Names each beginning of the chain.
     pub keys: Vec<u64>,
+    /// Tokens that the server had to read or fetch.
+    pub tokens: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -74,9 +76,4 @@
             move |known: &&Holder| known.version == version && now.since(known.at) < KEPT_FOR;
         known.filter(fits).map(|known| &known.instance)
     }
-
-    /// Whether any server should have this beginning under weights of `version`.
-    pub(crate) fn is_known(&self, key: u64, version: u64, now: Timestamp) -> bool {
-        self.holders(key, version, now).next().is_some()
-    }
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -73,6 +73,9 @@
     /// Names each beginning of the chain of parts, the longest last.
     #[n(2)]
     pub chains: Vec<u64>,
+    /// Tokens that the server had to read or fetch.
+    #[n(3)]
+    pub tokens: u32,
 }
 
 impl Message {
