Placement: lanes for short and for long prompts

Excluded: first events (p50 0.1 to 0.3 s). Change: servers are divided as the work is, in one order for all routers; the other lane costs 0.4 of the objective.

--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -5,6 +5,7 @@
 use juniper_types::Timestamp;
 
 use crate::health::Health;
+use crate::lanes::OTHER_LANE_FACTOR;
 use crate::load::{Load, ReadingSpeed};
 
 /// What a server in another zone costs more: the way there and back, and the
@@ -48,6 +49,8 @@
     pub shared_missed: u32,
     /// Time to move parts to the server.
     pub move_ms: f64,
+    /// Whether the server belongs to the lane of prompts of the other length.
+    pub other_lane: bool,
     /// Tokens that give way to the prompt and would have been asked for again.
     pub displaced: f64,
 }
@@ -73,6 +76,7 @@
         let under_way = f64::from(server.load.requests) * UNDER_WAY_MS;
         let crowded = self.crowded_ms(server, objective_ms);
         let delay = server.health.delay_ms(self.now);
+        let lane = if server.other_lane { OTHER_LANE_FACTOR * objective_ms } else { 0.0 };
         let full = if server.health.is_full(self.now) { FULL_FACTOR * objective_ms } else { 0.0 };
         let silent = if server.silent { SILENCE_FACTOR * objective_ms } else { 0.0 };
         let excess = server.health.failure_share(self.now) - self.mean_failures - USUAL_FAILURES;
@@ -80,7 +84,7 @@
         let displaced = self.speed.ms_for(server.displaced);
         let moving = server.move_ms + displaced;
         let work = reading + waste + moving + queue + under_way + crowded + delay;
-        work + zone + full + silent + failures + server.cold_ms
+        work + zone + lane + full + silent + failures + server.cold_ms
     }
 
     /// A server whose slots fill up makes requests wait.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -10,6 +10,7 @@
 mod cost;
 mod health;
 mod homes;
+mod lanes;
 mod load;
 mod memory;
 mod placement;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -10,6 +10,7 @@
 use crate::cost::{CostContext, ServerView};
 use crate::health::{Health, Outcome};
 use crate::homes::ChainKeys;
+use crate::lanes::{Lanes, is_long};
 use crate::load::{Load, ReadingSpeed};
 use crate::memory::MemoryTurnover;
 use crate::recent::{ChainSighting, RecentChains};
@@ -173,6 +174,7 @@
     speeds: HashMap<String, ReadingSpeed>,
     profiles: HashMap<String, ServiceProfile>,
     recent: RecentChains,
+    lanes: HashMap<String, Lanes>,
 }
 
 impl Placement {
@@ -185,6 +187,7 @@
             speeds: HashMap::new(),
             profiles: HashMap::new(),
             recent: RecentChains::default(),
+            lanes: HashMap::new(),
         }
     }
 
@@ -344,6 +347,7 @@
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
         let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
         let all = chain.all_tokens();
+        let other_lane = self.other_lane(servers, request, now);
         let ServiceProfile { move_ms, cache_tokens, .. } = self.profile(request.service);
         let can_move = move_ms > 0.0 && all >= MIN_MOVED_TOKENS;
         let home = chain.home(servers.iter().map(|server| server.hash));
@@ -360,6 +364,7 @@
                 missed_tokens: tokens.saturating_sub(own + fetched),
                 shared_missed: astray,
                 move_ms: move_ms * f64::from(fetched),
+                other_lane: other_lane[place],
                 inserted_tokens: tokens.saturating_sub(own),
                 loss: servers[place].turnover.loss(cache_tokens, now),
                 can_move,
@@ -375,6 +380,33 @@
         (0..servers.len()).map(work).collect()
     }
 
+    /// Whether each server belongs to the lane of prompts of the other length. The
+    /// lanes are parts of all servers, so that they stay the same while some are
+    /// renewed or can't be reached.
+    fn other_lane(
+        &self,
+        servers: &[&Server],
+        request: &ServerRequest<'_>,
+        now: Timestamp,
+    ) -> Vec<bool> {
+        let none = vec![false; servers.len()];
+        let Some(prompt) = request.prompt else { return none };
+        let Some(lanes) = self.lanes.get(request.service) else { return none };
+        let members = self.services.get(request.service).map_or(&[][..], Vec::as_slice);
+        let members = members.iter().filter_map(|id| self.servers.get(id));
+        let mut hashes: Vec<u64> =
+            members.filter(|server| !server.health.replaced).map(|server| server.hash).collect();
+        hashes.sort_unstable();
+        let short = lanes.short_servers(hashes.len(), now);
+        let first_long = hashes.get(short).copied();
+        let wants_long = is_long(prompt.tokens);
+        let is_other = |server: &&Server| {
+            let is_long_lane = first_long.is_some_and(|first| server.hash >= first);
+            is_long_lane != wants_long
+        };
+        servers.iter().map(is_other).collect()
+    }
+
     /// Shared tokens that each server should have, by what was sent there lately.
     fn kept_tokens(
         &self,
@@ -423,6 +455,7 @@
             missed_tokens: work.missed_tokens,
             shared_missed: work.shared_missed,
             move_ms: work.move_ms,
+            other_lane: work.other_lane,
             displaced: f64::from(work.inserted_tokens) * work.loss,
         }
     }
@@ -431,6 +464,11 @@
     pub fn begin(&mut self, choice: &Choice, has_prompt: bool, now: Timestamp) -> Ticket {
         let sighting = choice.sighting();
         self.sighted(&sighting, now);
+        if has_prompt && let Some(server) = self.servers.get(&choice.instance) {
+            let service = server.instance.report.service.clone();
+            let tokens = choice.kept_tokens + choice.missed_tokens;
+            self.lanes.entry(service).or_default().record(tokens, choice.missed_tokens, now);
+        }
         if let Some(server) = self.servers.get_mut(&choice.instance) {
             server.load.begin(choice.missed_tokens);
         }
@@ -508,6 +546,8 @@
     shared_missed: u32,
     /// Time to move the shared parts to it.
     move_ms: f64,
+    /// Whether it belongs to the lane of prompts of the other length.
+    other_lane: bool,
     /// Tokens that come into its memory.
     inserted_tokens: u32,
     /// Chance that what gives way to them would have been asked for again.
@@ -525,6 +565,7 @@
             missed_tokens: 0,
             shared_missed: 0,
             move_ms: 0.0,
+            other_lane: false,
             inserted_tokens: 0,
             loss: 0.0,
             can_move: false,
