--- /dev/null
+++ b/crates/feed/tests/fold.rs
@@ -0,0 +1,157 @@
+//! One view of what several replicas push: it is complete when it says so, and it
+//! never goes back.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use juniper_catalog::{Catalog, RequestLimits};
+use juniper_feed::FleetFold;
+use juniper_protocol::message::{CatalogBody, FleetNews, KnownVersion, RenewalNews};
+use juniper_registry::{HeardInstance, InstanceId, InstanceReport, InstanceState, ModelHolding};
+use juniper_types::{NodeId, Timestamp};
+
+const FIRST: NodeId = NodeId(1);
+const SECOND: NodeId = NodeId(2);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn news(revision: u64, catalog_version: u64) -> FleetNews {
+    FleetNews {
+        revision,
+        catalog_version,
+        weights: BTreeMap::new(),
+        departures_before: 0,
+        departures: Vec::new(),
+        members: vec![FIRST, SECOND],
+    }
+}
+
+fn body(version: u64) -> Option<CatalogBody> {
+    let catalog = Catalog { version, limits: RequestLimits::default(), ..Catalog::default() };
+    Some(CatalogBody { version, body: minicbor::to_vec(&catalog).expect("encodes") })
+}
+
+fn heard(id: &str, sequence: u64) -> HeardInstance {
+    let report = InstanceReport {
+        id: InstanceId::new(id),
+        service: "llm".to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 80),
+        zone: "north".to_owned(),
+        slots: 4,
+        state: InstanceState::Ready,
+        cold_remaining_ms: 0,
+        models: vec![ModelHolding { model: "m".to_owned(), version: 1 }],
+        sequence,
+    };
+    HeardInstance { report, silent: false }
+}
+
+fn connected() -> FleetFold {
+    let mut fold = FleetFold::default();
+    fold.set_connected(FIRST, true);
+    fold.set_connected(SECOND, true);
+    fold
+}
+
+fn ids(fold: &FleetFold) -> Vec<String> {
+    fold.view().instances.iter().map(|known| known.report.id.to_string()).collect()
+}
+
+#[test]
+fn a_configuration_is_asked_for_once_and_again_when_it_does_not_come() {
+    let mut fold = connected();
+    assert_eq!(fold.news(FIRST, news(5, 3), at(0)).fetch, Some((FIRST, 0)));
+    assert_eq!(fold.news(SECOND, news(5, 3), at(10)).fetch, None);
+    assert_eq!(fold.next_fetch(at(200)), None);
+    assert!(fold.next_fetch(at(500)).is_some());
+    let outcome = fold.catalog(body(3), at(600)).expect("readable");
+    assert!(outcome.changed && outcome.fetch.is_none());
+    assert_eq!((fold.view().catalog_version(), fold.view().revision), (3, 5));
+}
+
+#[test]
+fn a_replica_that_lags_takes_nothing_back() {
+    let mut fold = connected();
+    fold.news(FIRST, news(9, 4), at(0));
+    fold.catalog(body(4), at(1)).expect("readable");
+    let late = fold.news(SECOND, news(2, 1), at(2));
+    assert_eq!(late.fetch, None);
+    let outcome = fold.catalog(body(1), at(3)).expect("readable");
+    assert!(!outcome.changed);
+    assert_eq!((fold.view().catalog_version(), fold.view().revision), (4, 9));
+}
+
+#[test]
+fn a_confirmation_counts_once_the_view_is_as_new() {
+    let mut fold = connected();
+    fold.news(FIRST, news(5, 3), at(0));
+    fold.confirmed(FIRST, at(100), 5);
+    assert_eq!(fold.confirmed_at(), None, "the configuration has not come yet");
+    fold.catalog(body(3), at(200)).expect("readable");
+    assert_eq!(fold.confirmed_at(), Some(at(100)));
+    fold.confirmed(SECOND, at(50), 2);
+    assert_eq!(fold.confirmed_at(), Some(at(100)), "an older one takes nothing back");
+}
+
+#[test]
+fn a_server_that_left_stays_away_whatever_heartbeats_say() {
+    let mut fold = connected();
+    fold.instances(FIRST, vec![heard("a", 1), heard("b", 1)], true);
+    let left = FleetNews { departures: vec![InstanceId::new("a")], ..news(7, 0) };
+    assert!(fold.news(FIRST, left, at(0)).changed);
+    fold.instances(SECOND, vec![heard("a", 9)], true);
+    assert_eq!(ids(&fold), ["b"]);
+}
+
+#[test]
+fn servers_of_a_lost_replica_stay_usable() {
+    let mut fold = connected();
+    fold.news(FIRST, news(1, 0), at(0));
+    fold.instances(FIRST, vec![heard("a", 1)], true);
+    fold.set_connected(FIRST, false);
+    assert_eq!(ids(&fold), ["a"]);
+}
+
+#[test]
+fn renewals_end_when_their_giver_is_lost() {
+    let mut fold = connected();
+    let versions =
+        vec![KnownVersion { instance: InstanceId::new("b"), model: "m".to_owned(), version: 2 }];
+    let renewing = RenewalNews { under_way: vec![InstanceId::new("a")], versions };
+    assert!(fold.renewals(FIRST, renewing).changed);
+    assert!(fold.view().renewing.contains(&InstanceId::new("a")));
+    assert!(fold.set_connected(FIRST, false).changed);
+    assert!(fold.view().renewing.is_empty());
+    assert_eq!(fold.view().versions.len(), 1, "what is known of versions stays true");
+}
+
+#[test]
+fn each_version_of_weights_has_a_time_of_its_own() {
+    let mut fold = connected();
+    let named = |version| BTreeMap::from([("m".to_owned(), version)]);
+    fold.news(FIRST, FleetNews { weights: named(2), ..news(1, 0) }, at(1_000));
+    fold.news(FIRST, FleetNews { weights: named(3), ..news(2, 0) }, at(4_000));
+    let wanted = &fold.view().weights["m"];
+    let after = Duration::from_secs(5);
+    assert_eq!(wanted.version(), 3);
+    assert_eq!(wanted.floor(at(5_500), after), 0);
+    assert_eq!(wanted.floor(at(6_500), after), 2);
+    assert_eq!(wanted.floor(at(9_500), after), 3);
+    assert_eq!(wanted.overdue_since(1), Some(at(1_000)));
+    assert_eq!(wanted.overdue_since(2), Some(at(4_000)));
+    assert_eq!(wanted.overdue_since(3), None);
+}
+
+#[test]
+fn the_number_of_routers_is_that_of_the_best_informed_replica() {
+    let mut fold = connected();
+    assert_eq!(fold.routers(), 1);
+    fold.set_routers(FIRST, 3);
+    fold.set_routers(SECOND, 7);
+    assert_eq!(fold.routers(), 7);
+    fold.set_connected(SECOND, false);
+    assert_eq!(fold.routers(), 3);
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,6 @@
 mod settings;
 
 pub use dialect::{AnswerFacts, AttemptFacts, CallFacts, CallFault, Dialect};
-pub use events::EventSplitter;
+pub use events::{Event, EventSplitter, EventTooLong};
 pub use life::{GatewayError, Listeners, Stop, run};
 pub use settings::GatewaySettings;
--- /dev/null
+++ b/crates/gateway/tests/events.rs
@@ -0,0 +1,52 @@
+//! Whole events of a stream, however its bytes are cut.
+
+use juniper_gateway::EventSplitter;
+use quickcheck::quickcheck;
+
+const STREAM: &[u8] =
+    b"weight-versions: 3\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 7\ndata: c\n\n";
+
+#[test]
+fn events_keep_their_bytes_and_numbers() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(STREAM).expect("short events");
+    let ids: Vec<_> = events.iter().map(|event| event.id).collect();
+    assert_eq!(ids, [Some(1), Some(2), Some(7)]);
+    let bytes: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
+    assert_eq!(bytes, STREAM);
+    assert!(splitter.is_between_events());
+}
+
+#[test]
+fn an_event_that_is_cut_off_is_not_passed_on() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("short events");
+    assert_eq!(events.len(), 1);
+    assert!(!splitter.is_between_events());
+}
+
+#[test]
+fn an_event_without_end_is_refused() {
+    let mut splitter = EventSplitter::default();
+    let mut refused = false;
+    for _ in 0..40 {
+        refused |= splitter.push(&[b'x'; 64 << 10]).is_err();
+    }
+    assert!(refused);
+}
+
+quickcheck! {
+    /// The same events come out wherever the bytes are cut.
+    fn cuts_make_no_difference(cuts: Vec<u8>) -> bool {
+        let mut splitter = EventSplitter::default();
+        let mut events = Vec::new();
+        let mut rest = STREAM;
+        for cut in cuts {
+            let (piece, left) = rest.split_at(usize::from(cut % 9).min(rest.len()));
+            events.extend(splitter.push(piece).expect("short events"));
+            rest = left;
+        }
+        events.extend(splitter.push(rest).expect("short events"));
+        events.len() == 3 && splitter.is_between_events()
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/paths/answers.rs
@@ -0,0 +1,203 @@
+//! True answers: what reaches a caller is what its server gave, whole or visibly
+//! broken, and what may not run twice never does.
+
+use std::time::{Duration, Instant};
+
+use crate::support::TestGateway;
+use crate::support::caller::{ask, get, request};
+use crate::support::server::{END, FakeServer, Step, chunk, event, header, stream_head, whole};
+
+async fn good(name: &str) -> FakeServer {
+    FakeServer::start(name, |_, head| vec![Step::Send(whole(head, "200 OK", "fine"))]).await
+}
+
+/// Runs of requests on both servers.
+fn runs(servers: [&FakeServer; 2]) -> usize {
+    servers.iter().map(|server| server.requests().len()).sum()
+}
+
+#[tokio::test]
+async fn an_answer_is_passed_on_with_its_status_seal_and_body() {
+    let server = good("a").await;
+    let gateway = TestGateway::start(&[&server]).await;
+    let answer = get(gateway.callers, "/once/x?q=1", "r1").await;
+    assert_eq!((answer.status, answer.body.as_str(), answer.complete), (200, "fine", true));
+    assert_eq!(answer.header("x-seal"), Some("s"));
+    let sent = server.requests();
+    assert!(sent[0].starts_with("GET /once/x?q=1 HTTP/1.1"), "{}", sent[0]);
+    assert_eq!(header(&sent[0], "x-tenant"), Some("tenant-1"));
+    assert_eq!(header(&sent[0], "x-instance"), Some("a"));
+    assert_eq!(header(&sent[0], "x-key"), None);
+    let left: u64 =
+        header(&sent[0], "x-deadline").and_then(|ms| ms.parse().ok()).expect("a number");
+    assert!(left <= 3_000);
+}
+
+#[tokio::test]
+async fn a_request_that_runs_at_most_once_is_not_sent_again_when_its_server_breaks_off() {
+    let broken = |_: usize, _: &str| vec![Step::Close];
+    let (one, other) = (FakeServer::start("a", broken).await, FakeServer::start("b", broken).await);
+    let gateway = TestGateway::start(&[&one, &other]).await;
+    let answer = get(gateway.callers, "/once/x", "r1").await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(runs([&one, &other]), 1);
+}
+
+#[tokio::test]
+async fn a_repeatable_request_is_answered_by_another_server_when_an_answer_is_cut() {
+    let cut = "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: s\r\ncontent-length: 100\r\n\r\npart";
+    let cutting = move |number: usize, head: &str| match number {
+        0 => vec![Step::Send(cut.to_owned()), Step::Close],
+        _ => vec![Step::Send(whole(head, "200 OK", "fine"))],
+    };
+    let (one, other) =
+        (FakeServer::start("a", cutting).await, FakeServer::start("b", cutting).await);
+    let gateway = TestGateway::start(&[&one, &other]).await;
+    let answer = get(gateway.callers, "/safe/x", "r1").await;
+    // Both servers cut their first answer, and two attempts are the most.
+    assert_eq!((answer.status, runs([&one, &other])), (502, 2));
+    let answer = get(gateway.callers, "/safe/x", "r2").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "fine"));
+}
+
+#[tokio::test]
+async fn what_a_server_did_not_run_goes_to_another() {
+    let full = FakeServer::start("a", |_, _| {
+        let answer = "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+        vec![Step::Send(answer.to_owned())]
+    })
+    .await;
+    let free = good("b").await;
+    let gateway = TestGateway::start(&[&full, &free]).await;
+    for number in 0..6 {
+        let answer = get(gateway.callers, "/once/x", &format!("r{number}")).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "fine"));
+    }
+    assert_eq!(free.requests().len(), 6);
+}
+
+#[tokio::test]
+async fn a_promise_is_not_passed_on_for_a_request_that_may_have_run() {
+    let server =
+        FakeServer::start("a", |_, head| vec![Step::Send(whole(head, "503 No", ""))]).await;
+    let gateway = TestGateway::start(&[&server]).await;
+    let answer = get(gateway.callers, "/once/x", "r1").await;
+    assert_eq!((answer.status, answer.header("x-seal")), (502, None));
+}
+
+#[tokio::test]
+async fn a_success_without_a_seal_and_an_answer_to_another_request_are_not_passed_on() {
+    let server = FakeServer::start("a", |number, head| {
+        let answer = match number {
+            0 => whole(head, "200 OK", "fine").replace("x-seal: s\r\n", ""),
+            1 => whole(head, "200 OK", "of another").replace("x-id: r1", "x-id: r0"),
+            _ => whole(head, "200 OK", "fine"),
+        };
+        vec![Step::Send(answer)]
+    })
+    .await;
+    let gateway = TestGateway::start(&[&server]).await;
+    assert_eq!(get(gateway.callers, "/once/x", "r0").await.status, 502);
+    let crossed = get(gateway.callers, "/once/x", "r1").await;
+    assert_eq!((crossed.status, crossed.body.contains("another")), (502, false));
+    // A connection that has shown such an answer is closed.
+    assert_eq!(get(gateway.callers, "/once/x", "r2").await.body, "fine");
+    assert_eq!(server.connections(), 3);
+}
+
+#[tokio::test]
+async fn a_broken_stream_goes_on_elsewhere_under_the_head_that_it_began_with() {
+    let breaking = |name: &'static str| {
+        move |_: usize, head: &str| match header(head, "x-last") {
+            None => vec![
+                Step::Send(stream_head(head, name)),
+                Step::Send(event(1)),
+                Step::Send(event(2)),
+                // Half an event.
+                Step::Send(chunk("id: 3\nda")),
+                Step::Close,
+            ],
+            Some(last) => {
+                let next = last.parse::<u64>().expect("a number") + 1;
+                // The last event comes twice.
+                let steps =
+                    [stream_head(head, name), event(next - 1), event(next), event(next + 1)];
+                steps.into_iter().chain([END.to_owned()]).map(Step::Send).collect()
+            }
+        }
+    };
+    let one = FakeServer::start("a", breaking("a")).await;
+    let other = FakeServer::start("b", breaking("b")).await;
+    let gateway = TestGateway::start(&[&one, &other]).await;
+    let answer = get(gateway.callers, "/resumable/x", "r1").await;
+    assert!(answer.complete, "{answer:?}");
+    let numbers: Vec<&str> =
+        answer.body.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+    assert_eq!(numbers, ["1", "2", "3", "4"]);
+    let first = if one.requests()[0].contains("x-last") { "b" } else { "a" };
+    let began = if header(&one.requests()[0], "x-last").is_none() { "a" } else { first };
+    assert_eq!(answer.header("x-seal"), Some(began));
+    assert_eq!(runs([&one, &other]), 2);
+}
+
+#[tokio::test]
+async fn a_broken_stream_that_can_not_go_on_does_not_look_complete() {
+    let server = FakeServer::start("a", |_, head| {
+        vec![Step::Send(stream_head(head, "a")), Step::Send(event(1)), Step::Close]
+    })
+    .await;
+    let gateway = TestGateway::start(&[&server]).await;
+    let answer = get(gateway.callers, "/stream/x", "r1").await;
+    assert_eq!((answer.status, answer.complete), (200, false));
+    assert!(answer.body.contains("d1"));
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_frees_its_server() {
+    let server = FakeServer::start("a", |_, head| {
+        vec![
+            Step::Send(stream_head(head, "a")),
+            Step::Send(event(1)),
+            Step::Wait(Duration::from_secs(10)),
+        ]
+    })
+    .await;
+    let gateway = TestGateway::start(&[&server]).await;
+    let left =
+        tokio::time::timeout(Duration::from_millis(300), get(gateway.callers, "/stream/x", "r1"));
+    assert!(left.await.is_err(), "the stream goes on");
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(server.abandoned(), 1);
+}
+
+#[tokio::test]
+async fn a_request_ends_at_the_time_out_of_its_route() {
+    let server = FakeServer::start("a", |_, _| vec![Step::Wait(Duration::from_secs(10))]).await;
+    let gateway = TestGateway::start(&[&server]).await;
+    let started = Instant::now();
+    let answer = get(gateway.callers, "/hasty/x", "r1").await;
+    assert_eq!(answer.status, 504);
+    let took = started.elapsed();
+    assert!((300..900).contains(&took.as_millis()), "{took:?}");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(server.abandoned(), 1, "the server is told to stop");
+}
+
+#[tokio::test]
+async fn bodies_reach_the_server_and_too_large_ones_are_refused() {
+    let server = good("a").await;
+    let gateway = TestGateway::start(&[&server]).await;
+    let with = |id: &str, body: &str| {
+        format!("{}content-length: {}\r\n\r\n{body}", request("POST", "/once/x", id), body.len())
+    };
+    assert_eq!(ask(gateway.callers, &with("r1", "hello")).await.status, 200);
+    assert_eq!(header(&server.requests()[0], "content-length"), Some("5"));
+    let chunked = format!(
+        "{}transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+        request("POST", "/once/x", "r2")
+    );
+    assert_eq!(ask(gateway.callers, &chunked).await.status, 200);
+    assert_eq!(header(&server.requests()[1], "content-length"), Some("5"));
+    assert_eq!(ask(gateway.callers, &with("r3", &"x".repeat(1_001))).await.status, 413);
+    assert_eq!(server.requests().len(), 2);
+}
--- /dev/null
+++ b/crates/gateway/tests/paths/main.rs
@@ -0,0 +1,5 @@
+//! The gateway between callers and servers, over loopback.
+
+mod admission;
+mod answers;
+mod support;
--- /dev/null
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -0,0 +1,104 @@
+//! A control replica that says what it is told to.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use juniper_catalog::Catalog;
+use juniper_protocol::message::{CatalogBody, FleetNews};
+use juniper_protocol::{
+    ClusterKey, Connection, Message, PeerRole, Push, Refusal, Reply, Request, accept,
+};
+use juniper_registry::{HeardInstance, InstanceReport};
+use juniper_types::NodeId;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{KEY, identity};
+
+const REVISION: u64 = 4;
+
+struct Said {
+    node: NodeId,
+    catalog: Catalog,
+    reports: Vec<InstanceReport>,
+    confirms: AtomicBool,
+}
+
+pub struct FakeControl {
+    pub node: NodeId,
+    said: Arc<Said>,
+}
+
+impl FakeControl {
+    pub async fn start(catalog: Catalog, reports: Vec<InstanceReport>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let port = listener.local_addr().expect("bound").port();
+        let node = NodeId::of_address(super::loopback(port));
+        let said = Arc::new(Said { node, catalog, reports, confirms: AtomicBool::new(false) });
+        let serving = Arc::clone(&said);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(Arc::clone(&serving), stream));
+            }
+        });
+        FakeControl { node, said }
+    }
+
+    /// From now on the replica confirms that it is current.
+    pub fn confirm(&self) {
+        self.said.confirms.store(true, Ordering::Relaxed);
+    }
+
+    /// From now on it doesn't.
+    pub fn stop_confirming(&self) {
+        self.said.confirms.store(false, Ordering::Relaxed);
+    }
+}
+
+async fn serve(said: Arc<Said>, stream: TcpStream) {
+    let key = ClusterKey::from_text(KEY).expect("long enough");
+    let own = identity(PeerRole::Control, said.node.0);
+    let Ok(Connection { mut reader, mut writer, .. }) = accept(stream, &key, &own).await else {
+        return;
+    };
+    while let Ok(message) = reader.receive().await {
+        let Message::Request { call, request } = message else { continue };
+        for answer in answers(&said, call, &request) {
+            if writer.send(&answer).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn answers(said: &Said, call: u64, request: &Request) -> Vec<Message> {
+    let reply = |reply| Message::Reply { call, reply };
+    match request {
+        Request::Follow => vec![reply(Reply::Done), news(said), instances(said)],
+        Request::Catalog { .. } => {
+            let body = minicbor::to_vec(&said.catalog).expect("encodes");
+            vec![reply(Reply::Catalog(Some(CatalogBody { version: said.catalog.version, body })))]
+        }
+        Request::Confirm if said.confirms.load(Ordering::Relaxed) => {
+            vec![reply(Reply::Confirmed { age_ms: 0, revision: REVISION, routers: 1 })]
+        }
+        _ => vec![reply(Reply::Refused(Refusal::NoQuorum))],
+    }
+}
+
+fn news(said: &Said) -> Message {
+    Message::Push(Push::Fleet(FleetNews {
+        revision: REVISION,
+        catalog_version: said.catalog.version,
+        weights: BTreeMap::new(),
+        departures_before: 0,
+        departures: Vec::new(),
+        members: vec![said.node],
+    }))
+}
+
+fn instances(said: &Said) -> Message {
+    let heard = said.reports.iter().cloned();
+    let heard = heard.map(|report| HeardInstance { report, silent: false }).collect();
+    Message::Push(Push::Instances { heard, whole: true })
+}
--- /dev/null
+++ b/crates/gateway/tests/paths/support/dialect.rs
@@ -0,0 +1,63 @@
+//! Headers for tests.
+
+use std::time::Duration;
+
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::http::{request, response};
+use juniper_gateway::{AnswerFacts, AttemptFacts, CallFacts, CallFault, Dialect};
+use juniper_registry::InstanceId;
+
+pub struct TestDialect;
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+impl Dialect for TestDialect {
+    fn read_call(&self, head: &request::Parts) -> Result<CallFacts, CallFault> {
+        let headers = &head.headers;
+        let key = headers.get("x-key").and_then(|key| key.to_str().ok());
+        Ok(CallFacts {
+            id: headers.get("x-id").cloned().ok_or(CallFault::NoId)?,
+            deadline: number(headers, "x-deadline").map(Duration::from_millis),
+            key: key.map(str::to_owned),
+            prompt: None,
+            last_event: number(headers, "x-last"),
+        })
+    }
+
+    fn write_attempt(&self, headers: &mut HeaderMap, facts: &AttemptFacts<'_>) {
+        headers.remove("x-key");
+        let mut set = |name: &'static str, value: &str| {
+            headers.insert(name, HeaderValue::from_str(value).expect("visible"));
+        };
+        set("x-deadline", &facts.deadline.as_millis().to_string());
+        set("x-instance", facts.instance.as_str());
+        if let Some(tenant) = facts.tenant {
+            set("x-tenant", tenant);
+        }
+        if let Some(last) = facts.last_event {
+            set("x-last", &last.to_string());
+        }
+    }
+
+    fn read_answer(
+        &self,
+        head: &response::Parts,
+        id: &HeaderValue,
+        _instance: &InstanceId,
+    ) -> AnswerFacts {
+        AnswerFacts {
+            is_own: head.headers.get("x-id") == Some(id),
+            is_sealed: head.headers.contains_key("x-seal"),
+            not_run: head.headers.contains_key("x-not-run"),
+            is_other_server: head.status.as_u16() == 421,
+            is_other_version: false,
+            version: None,
+        }
+    }
+
+    fn write_own_answer(&self, headers: &mut HeaderMap, id: &HeaderValue) {
+        headers.insert("x-id", id.clone());
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -0,0 +1,167 @@
+//! A gateway on loopback with a control replica and servers that follow a script.
+
+pub mod caller;
+pub mod control;
+pub mod dialect;
+pub mod server;
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+use juniper_catalog::{Catalog, RequestLimits, Route, RouteKind, Service, SplitPart, Tenant};
+use juniper_feed::{Feed, FeedSettings};
+use juniper_gateway::{GatewaySettings, Listeners, run};
+use juniper_placement::RetrySettings;
+use juniper_protocol::{ClusterKey, PeerIdentity, PeerRole};
+use juniper_types::{NodeId, ZoneName};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+use control::FakeControl;
+use dialect::TestDialect;
+use server::FakeServer;
+
+pub const KEY: &str = "a cluster key for tests";
+
+/// Longest wait for something that must happen.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub fn zone() -> ZoneName {
+    ZoneName::new("north").expect("valid")
+}
+
+pub fn identity(role: PeerRole, number: u64) -> PeerIdentity {
+    PeerIdentity { node: NodeId(number), role, zone: zone() }
+}
+
+fn route(path: &str, kind: RouteKind, max_attempts: u32) -> Route {
+    Route {
+        name: path.trim_matches('/').to_owned(),
+        host: "test.example".to_owned(),
+        path_prefix: path.to_owned(),
+        kind,
+        timeout_ms: 3_000,
+        objective_ms: 300,
+        priority: 1,
+        split: vec![SplitPart { service: "app".to_owned(), weight: 1 }],
+        max_attempts,
+        anonymous: false,
+        has_prompt: false,
+        resumable: false,
+        max_pause_ms: Some(200),
+    }
+}
+
+/// Routes for each kind of request, one tenant, one service.
+pub fn catalog() -> Catalog {
+    let resumable = Route { resumable: true, ..route("/resumable/", RouteKind::Stream, 2) };
+    Catalog {
+        version: 1,
+        routes: vec![
+            route("/safe/", RouteKind::Repeatable, 2),
+            route("/once/", RouteKind::AtMostOnce, 1),
+            route("/stream/", RouteKind::Stream, 1),
+            resumable,
+            Route { timeout_ms: 400, ..route("/hasty/", RouteKind::AtMostOnce, 1) },
+        ],
+        services: vec![Service {
+            name: "app".to_owned(),
+            health_path: "/health".to_owned(),
+            max_connections: 50,
+            engine: None,
+            store: None,
+        }],
+        limits: RequestLimits { body_bytes: 1_000, ..RequestLimits::default() },
+        tenants: vec![Tenant {
+            name: "tenant-1".to_owned(),
+            keys: vec!["good".to_owned()],
+            priority: None,
+            isolated: false,
+        }],
+    }
+}
+
+/// A running gateway. It stops, as planned, when told to, and dies when dropped.
+pub struct TestGateway {
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub control: FakeControl,
+    stop: Option<oneshot::Sender<()>>,
+    task: JoinHandle<()>,
+}
+
+async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    listener.local_addr().expect("bound")
+}
+
+impl TestGateway {
+    /// Starts a gateway that knows `servers` and waits until it is ready.
+    pub async fn start(servers: &[&FakeServer]) -> Self {
+        let gateway = Self::start_unready(servers).await;
+        gateway.control.confirm();
+        let ready = async {
+            while caller::ask(gateway.readiness, "GET / HTTP/1.1\r\nHost: x\r\n\r\n").await.status
+                != 200
+            {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, ready).await.expect("ready in time");
+        gateway
+    }
+
+    /// Starts a gateway whose replica confirms nothing yet.
+    pub async fn start_unready(servers: &[&FakeServer]) -> Self {
+        let reports = servers.iter().map(|server| server.report()).collect();
+        let control = FakeControl::start(catalog(), reports).await;
+        let feed = Feed::start(FeedSettings {
+            key: ClusterKey::from_text(KEY).expect("long enough"),
+            own: identity(PeerRole::Router, 77),
+            seeds: vec![control.node],
+        });
+        let (callers, readiness) = (free_address().await, free_address().await);
+        let listeners = Listeners::open(callers, Some(readiness), None).await.expect("free ports");
+        let settings = GatewaySettings {
+            node: "gateway".to_owned(),
+            zone: "north".to_owned(),
+            retry: RetrySettings { ratio: 1.0, free: 50.0, window: Duration::from_secs(10) },
+            revoke_within: Duration::from_secs(5),
+            renew_within: Duration::from_secs(8),
+            grace: Duration::from_secs(8),
+        };
+        let (stop, stopped) = oneshot::channel::<()>();
+        let stopped = async {
+            if stopped.await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        let task = tokio::spawn(async move {
+            run(settings, TestDialect, feed, listeners, stopped).await.expect("it runs");
+        });
+        TestGateway { callers, readiness, control, stop: Some(stop), task }
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+    }
+
+    /// Waits until a planned stop is over.
+    pub async fn stopped(mut self) {
+        tokio::time::timeout(PATIENCE, &mut self.task).await.expect("in time").expect("no panic");
+    }
+}
+
+impl Drop for TestGateway {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+pub fn loopback(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
+}
--- /dev/null
+++ b/crates/gateway/tests/paths/support/server.rs
@@ -0,0 +1,168 @@
+//! A server whose answers are bytes from a script.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use juniper_registry::{InstanceId, InstanceReport, InstanceState};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What a server does with a request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    Send(String),
+    Wait(Duration),
+    /// Closes the connection.
+    Close,
+}
+
+type Script = Arc<dyn Fn(usize, &str) -> Vec<Step> + Send + Sync>;
+
+#[derive(Clone)]
+pub struct FakeServer {
+    name: String,
+    port: u16,
+    requests: Arc<Mutex<Vec<String>>>,
+    /// Connections that the caller closed while the server was at work.
+    abandoned: Arc<AtomicUsize>,
+    connections: Arc<AtomicUsize>,
+}
+
+impl FakeServer {
+    /// Starts a server; `script` gets the number of the request, from 0, and its head.
+    pub async fn start(
+        name: &str,
+        script: impl Fn(usize, &str) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let port = listener.local_addr().expect("bound").port();
+        let server = FakeServer {
+            name: name.to_owned(),
+            port,
+            requests: Arc::default(),
+            abandoned: Arc::default(),
+            connections: Arc::default(),
+        };
+        let (serving, script): (_, Script) = (server.clone(), Arc::new(script));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                serving.connections.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(serving.clone().serve(stream, Arc::clone(&script)));
+            }
+        });
+        server
+    }
+
+    pub fn report(&self) -> InstanceReport {
+        InstanceReport {
+            id: InstanceId::new(&self.name),
+            service: "app".to_owned(),
+            address: super::loopback(self.port),
+            zone: "north".to_owned(),
+            slots: 8,
+            state: InstanceState::Ready,
+            cold_remaining_ms: 0,
+            models: Vec::new(),
+            sequence: 1,
+        }
+    }
+
+    /// Heads of the requests that came.
+    pub fn requests(&self) -> Vec<String> {
+        self.requests.lock().expect("not poisoned").clone()
+    }
+
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    pub fn abandoned(&self) -> usize {
+        self.abandoned.load(Ordering::Relaxed)
+    }
+
+    async fn serve(self, mut stream: TcpStream, script: Script) {
+        while let Some(head) = read_request(&mut stream).await {
+            let number = {
+                let mut requests = self.requests.lock().expect("not poisoned");
+                requests.push(head.clone());
+                requests.len() - 1
+            };
+            for step in script(number, &head) {
+                match step {
+                    Step::Send(bytes) if stream.write_all(bytes.as_bytes()).await.is_err() => {
+                        return;
+                    }
+                    Step::Send(_) => {}
+                    Step::Close => return,
+                    Step::Wait(time) => {
+                        let mut byte = [0];
+                        let left = tokio::time::timeout(time, stream.read(&mut byte)).await;
+                        if left.is_ok() {
+                            self.abandoned.fetch_add(1, Ordering::Relaxed);
+                            return;
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Reads a head and its body; `None` at the end of the connection.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        if stream.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8(bytes).ok()?;
+    let length = header(&head, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(head)
+}
+
+/// The value of a header in a head.
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let lines = head.lines().filter_map(|line| line.split_once(':'));
+    let mut values = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+    values.next().map(|(_, value)| value.trim())
+}
+
+fn id(head: &str) -> &str {
+    header(head, "x-id").unwrap_or("none")
+}
+
+/// A whole answer with a seal.
+pub fn whole(head: &str, status: &str, body: &str) -> String {
+    let (id, length) = (id(head), body.len());
+    format!(
+        "HTTP/1.1 {status}\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// The head of a stream, signed by `seal`.
+pub fn stream_head(head: &str, seal: &str) -> String {
+    let id = id(head);
+    format!(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: {seal}\r\ncontent-type: text/event-stream\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    )
+}
+
+/// A chunk of a stream.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// One event.
+pub fn event(number: u64) -> String {
+    chunk(&format!("id: {number}\ndata: d{number}\n\n"))
+}
+
+/// The end of a chunked body.
+pub const END: &str = "0\r\n\r\n";
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -22,6 +22,10 @@
 /// Fewest shared tokens that are worth a move between servers.
 const MIN_MOVED_TOKENS: u32 = 1_000;
 
+/// Part of new shared parts that counts as read again where they don't go to their
+/// home.
+const ASTRAY_PART: u32 = 8;
+
 /// What a server that is cold costs more, in milliseconds, at most.
 const MAX_COLD_MS: f64 = 400.0;
 
@@ -352,14 +356,19 @@
         let can_move = move_ms > 0.0 && all >= MIN_MOVED_TOKENS;
         let home = chain.home(servers.iter().map(|server| server.hash));
         let kept = self.kept_tokens(servers, chain, model, now);
+        let nobody_has_any = kept.iter().all(|tokens| *tokens == 0);
         let work = |place: usize| {
             let own = kept[place];
             let source = self.source(servers, &kept, place, model).filter(|_| can_move);
             let fetched = source.map_or(0, |source| kept[source] - own);
             let missed = all - own - fetched;
             let is_home = home == Some(place);
-            // Whoever has nothing to go by agrees on the home.
-            let astray = if is_home { 0 } else { missed };
+            let astray = match (is_home, nobody_has_any) {
+                (true, _) => 0,
+                // Only a router that asks at the same moment would look at the home.
+                (false, true) => missed / ASTRAY_PART,
+                (false, false) => missed,
+            };
             PromptWork {
                 missed_tokens: tokens.saturating_sub(own + fetched),
                 shared_missed: astray,
--- /dev/null
+++ b/crates/placement/tests/placement.rs
@@ -0,0 +1,257 @@
+//! The choice of a server: homes, what is kept, health, lanes and versions.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use juniper_placement::{
+    Choice, NoChoice, Outcome, Placement, Prompt, PromptPart, Reason, ServerRequest, ServiceProfile,
+};
+use juniper_registry::{Instance, InstanceId, InstanceReport, InstanceState, ModelHolding};
+use juniper_types::Timestamp;
+
+const SERVICE: &str = "llm";
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn address(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 80)
+}
+
+fn instance(number: u8, version: u64) -> Instance {
+    let report = InstanceReport {
+        id: InstanceId::new(format!("i-{number}")),
+        service: SERVICE.to_owned(),
+        address: address(number),
+        zone: "north".to_owned(),
+        slots: 32,
+        state: InstanceState::Ready,
+        cold_remaining_ms: 0,
+        models: vec![ModelHolding { model: "m".to_owned(), version }],
+        sequence: 1,
+    };
+    Instance { report, silent: false, leaving: false }
+}
+
+fn placement(count: u8) -> Placement {
+    let mut placement = Placement::new("north");
+    let instances: Vec<Instance> = (1..=count).map(|number| instance(number, 1)).collect();
+    placement.set_instances(&instances);
+    let profile = ServiceProfile { move_ms: 0.005, cache_tokens: 160_000, store: None };
+    placement.set_profiles(HashMap::from([(SERVICE.to_owned(), profile)]));
+    placement
+}
+
+fn prompt(shared: u64, own: u64) -> Prompt {
+    let part = |id, tokens| PromptPart { id, tokens };
+    Prompt {
+        model: "m".to_owned(),
+        parts: vec![part(shared, 6_000), part(own, 1_000)],
+        tokens: 7_000,
+        output_tokens: 50,
+    }
+}
+
+fn request<'a>(prompt: &'a Prompt, excluded: &'a [InstanceId]) -> ServerRequest<'a> {
+    ServerRequest {
+        service: SERVICE,
+        prompt: Some(prompt),
+        sharing: 7,
+        excluded,
+        min_version: 0,
+        objective: Duration::from_millis(800),
+    }
+}
+
+fn choose(placement: &mut Placement, prompt: &Prompt, millis: u64) -> Choice {
+    placement.choose(&request(prompt, &[]), at(millis), millis).expect("a server")
+}
+
+/// Sends a prompt and lets it end.
+fn send(placement: &mut Placement, prompt: &Prompt, millis: u64) -> Choice {
+    let choice = choose(placement, prompt, millis);
+    let ticket = placement.begin(&choice, true, at(millis));
+    placement.end(ticket, Outcome::Answered, at(millis + 200));
+    choice
+}
+
+#[test]
+fn routers_agree_on_the_home_of_parts_that_nobody_has() {
+    for shared in 0..40 {
+        let (mut one, mut other) = (placement(12), placement(12));
+        let first = choose(&mut one, &prompt(shared, 1), 0);
+        let second = choose(&mut other, &prompt(shared, 2), 99);
+        assert_eq!(first.instance, second.instance);
+        assert_eq!(first.reason, Reason::Home);
+    }
+}
+
+#[test]
+fn homes_spread_over_the_servers() {
+    let mut placement = placement(8);
+    let homes: BTreeSet<InstanceId> =
+        (0..100).map(|shared| choose(&mut placement, &prompt(shared, 1), 0).instance).collect();
+    assert!(homes.len() >= 6, "{homes:?}");
+}
+
+#[test]
+fn a_prompt_goes_to_the_server_that_has_its_parts() {
+    let mut placement = placement(6);
+    let first = send(&mut placement, &prompt(1, 1), 0);
+    let second = choose(&mut placement, &prompt(1, 2), 1_000);
+    assert_eq!((second.instance, second.reason), (first.instance, Reason::Holder));
+    assert_eq!((second.kept_tokens, second.missed_tokens), (6_000, 1_000));
+}
+
+#[test]
+fn what_another_router_tells_counts_like_an_own_sending() {
+    let (mut one, mut other) = (placement(6), placement(6));
+    let busy = choose(&mut one, &prompt(1, 1), 0).instance;
+    let excluded = [busy];
+    let elsewhere = one.choose(&request(&prompt(1, 1), &excluded), at(0), 0).expect("a server");
+    other.sighted(&elsewhere.sighting(), at(10));
+    let told = choose(&mut other, &prompt(1, 2), 20);
+    assert_eq!((told.instance, told.reason), (elsewhere.instance, Reason::Holder));
+}
+
+#[test]
+fn parts_are_fetched_from_who_has_them_when_that_server_is_busy() {
+    let mut placement = placement(3);
+    let holder = send(&mut placement, &prompt(1, 1), 0);
+    for own in 0..12 {
+        let busy = choose(&mut placement, &prompt(1, own), 300);
+        if busy.instance == holder.instance {
+            placement.begin(&busy, true, at(300));
+        }
+    }
+    let spilled = choose(&mut placement, &prompt(1, 99), 300);
+    assert_ne!(spilled.instance, holder.instance);
+    assert_eq!((spilled.reason, spilled.source), (Reason::Fetch, Some(holder.address)));
+}
+
+#[test]
+fn parts_made_under_other_weights_are_neither_kept_nor_fetched() {
+    let mut placement = placement(4);
+    let first = send(&mut placement, &prompt(1, 1), 0);
+    placement.saw_version(&first.instance, 2);
+    let second = choose(&mut placement, &prompt(1, 2), 1_000);
+    assert_eq!((second.kept_tokens, second.source), (0, None));
+}
+
+#[test]
+fn weights_below_the_least_version_are_not_used() {
+    let mut placement = placement(3);
+    let prompt = prompt(1, 1);
+    let strict = ServerRequest { min_version: 2, ..request(&prompt, &[]) };
+    assert_eq!(placement.choose(&strict, at(0), 0), Err(NoChoice::OldWeights));
+    let id = InstanceId::new("i-2");
+    placement.saw_version(&id, 2);
+    assert_eq!(placement.choose(&strict, at(0), 0).map(|choice| choice.instance), Ok(id));
+}
+
+#[test]
+fn a_server_under_renewal_gets_nothing_new_while_another_works() {
+    let mut placement = placement(2);
+    let first = choose(&mut placement, &prompt(1, 1), 0).instance;
+    placement.set_renewing(&BTreeSet::from([first.clone()]));
+    assert_ne!(choose(&mut placement, &prompt(1, 1), 0).instance, first);
+    placement.set_renewing(&BTreeSet::new());
+    assert_eq!(choose(&mut placement, &prompt(1, 1), 0).instance, first);
+}
+
+#[test]
+fn a_server_that_can_not_be_reached_rests_and_is_tried_again() {
+    let mut placement = placement(2);
+    let first = choose(&mut placement, &prompt(1, 1), 0);
+    let ticket = placement.begin(&first, true, at(0));
+    placement.end(ticket, Outcome::Unreachable, at(0));
+    let prompt = prompt(1, 1);
+    assert_ne!(choose(&mut placement, &prompt, 100).instance, first.instance);
+    let excluded = [choose(&mut placement, &prompt, 100).instance];
+    let last = placement.choose(&request(&prompt, &excluded), at(100), 0).expect("a server");
+    assert_eq!((last.instance, last.reason), (first.instance, Reason::LastResort));
+}
+
+#[test]
+fn an_address_that_belongs_to_another_life_is_not_used() {
+    let mut placement = placement(1);
+    let choice = choose(&mut placement, &prompt(1, 1), 0);
+    let ticket = placement.begin(&choice, true, at(0));
+    placement.end(ticket, Outcome::Replaced, at(0));
+    let prompt = prompt(1, 1);
+    assert_eq!(placement.choose(&request(&prompt, &[]), at(0), 0), Err(NoChoice::NoServer));
+}
+
+#[test]
+fn a_server_that_fails_more_than_the_others_is_avoided() {
+    let mut placement = placement(3);
+    let nothing = Prompt::default();
+    let plain = ServerRequest { prompt: None, ..request(&nothing, &[]) };
+    let bad = InstanceId::new("i-1");
+    for step in 0..60 {
+        let choice = placement.choose(&plain, at(step * 20), step * 977).expect("a server");
+        let ticket = placement.begin(&choice, false, at(step * 20));
+        let failed = choice.instance == bad;
+        let outcome = if failed { Outcome::ServerError } else { Outcome::Answered };
+        placement.end(ticket, outcome, at(step * 20 + 10));
+    }
+    let chosen = (0..40).filter(|step| {
+        let choice = placement.choose(&plain, at(1_200), step * 977).expect("a server");
+        choice.instance == bad
+    });
+    assert_eq!(chosen.count(), 0);
+}
+
+/// Streams pause while a long prompt is read beside them.
+#[test]
+fn short_and_long_prompts_keep_to_servers_of_their_own() {
+    let mut placement = placement(10);
+    let short = |number: u64| Prompt {
+        parts: vec![
+            PromptPart { id: 1_000 + number % 9, tokens: 100 },
+            PromptPart { id: number, tokens: 400 },
+        ],
+        tokens: 500,
+        ..prompt(0, 0)
+    };
+    let (mut longs, mut shorts) = (BTreeSet::new(), BTreeSet::new());
+    for step in 0..400 {
+        let millis = step * 25;
+        let long = send(&mut placement, &prompt(step % 37, step), millis);
+        let brief = send(&mut placement, &short(step), millis + 5);
+        if step > 100 {
+            longs.insert(long.instance);
+            shorts.insert(brief.instance);
+        }
+    }
+    // The measured shares move the border by a server at most.
+    assert!(longs.intersection(&shorts).count() <= 1, "{longs:?} {shorts:?}");
+    assert!(!shorts.is_empty() && longs.len() > shorts.len());
+}
+
+/// Memory that turns over fast gets no more new parts than it must.
+#[test]
+fn new_parts_go_where_memory_turns_over_slowest() {
+    let mut placement = placement(2);
+    let home = choose(&mut placement, &prompt(1, 1), 0);
+    for step in 0..60 {
+        let mut sighting = home.sighting();
+        sighting.keys = vec![step];
+        sighting.tokens = 30_000;
+        placement.sighted(&sighting, at(step * 50));
+    }
+    assert_ne!(choose(&mut placement, &prompt(1, 1), 3_000).instance, home.instance);
+}
+
+#[test]
+fn nothing_is_known_of_a_service_without_servers() {
+    let placement = Placement::new("north");
+    let prompt = prompt(1, 1);
+    assert_eq!(placement.choose(&request(&prompt, &[]), at(0), 0), Err(NoChoice::NoServer));
+    let one = self::placement(1);
+    let excluded = [InstanceId::new("i-1")];
+    let refused = one.choose(&request(&prompt, &excluded), at(0), 0);
+    assert_eq!(refused, Err(NoChoice::AllExcluded));
+}
--- a/crates/renewal/src/giver.rs
+++ b/crates/renewal/src/giver.rs
@@ -34,6 +34,9 @@
 /// Pause before a server that didn't take an order is ordered again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(300);
 
+/// Orders given at one look at the plan.
+const MAX_ORDERS_AT_ONCE: usize = 16;
+
 /// Settings of the one who gives orders.
 #[derive(Clone, Debug)]
 pub struct GiverSettings {
@@ -136,7 +139,7 @@
             self.take_lease().await;
         }
         if self.held.is_some_and(|held| Instant::now() >= held.from) {
-            self.give_next(&view);
+            self.give_due(&view);
         }
     }
 
@@ -170,13 +173,15 @@
         self.held = Some(HeldLease { lease, term, from: Instant::now() + wait });
     }
 
-    fn give_next(&mut self, view: &FleetView) {
+    /// Gives every order that is due.
+    fn give_due(&mut self, view: &FleetView) {
         let servers = self.servers(view);
-        let now = self.now();
-        let Some((server, version)) = self.plan.next(&servers, &view.weights, now) else { return };
-        let found = view.instances.iter().find(|known| known.report.id == server.instance);
-        if let Some(address) = found.map(|instance| instance.report.address) {
-            self.give(&server, version, address);
+        for _ in 0..MAX_ORDERS_AT_ONCE {
+            let next = self.plan.next(&servers, &view.weights, self.now());
+            let Some((server, version)) = next else { return };
+            let found = view.instances.iter().find(|known| known.report.id == server.instance);
+            let Some(instance) = found else { return };
+            self.give(&server, version, instance.report.address);
         }
     }
 
--- a/crates/renewal/src/plan.rs
+++ b/crates/renewal/src/plan.rs
@@ -24,6 +24,9 @@
 /// Part of a service's servers that may be under way at once, unless time is short.
 const MAX_UNDER_WAY: f64 = 0.34;
 
+/// Longest time for which missed orders are made up for.
+const MAX_ARREARS: Duration = Duration::from_millis(250);
+
 /// A server of a model.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RenewalServer {
@@ -48,13 +51,17 @@
 pub struct RenewalPlan {
     settings: PlanSettings,
     ordered: BTreeMap<InstanceId, Ordered>,
-    last_order: Option<Timestamp>,
+    /// When the next order is due.
+    due_at: Timestamp,
+    /// Time between two orders, as the latest look at the servers has it.
+    interval: Duration,
 }
 
 impl RenewalPlan {
     /// Nothing was ordered yet.
     pub fn new(settings: PlanSettings) -> Self {
-        RenewalPlan { settings, ordered: BTreeMap::new(), last_order: None }
+        let (due_at, interval) = (Timestamp::ZERO, Duration::ZERO);
+        RenewalPlan { settings, ordered: BTreeMap::new(), due_at, interval }
     }
 
     /// The server to order next, with the version, if one is due now.
@@ -83,10 +90,12 @@
         let (since, server, version) = waiting.first()?;
         let left = self.settings.within.saturating_sub(now.since(*since));
         let interval = left / u32::try_from(waiting.len() + 1).unwrap_or(u32::MAX);
-        let paced = self.last_order.is_none_or(|last| now.since(last) >= interval);
+        let paced = now >= self.due_at;
         let most = (servers.len() as f64 * MAX_UNDER_WAY).ceil() as usize;
         let has_room = under_way < most || left.is_zero();
-        (paced && has_room).then(|| ((*server).clone(), *version))
+        let due = (paced && has_room).then(|| ((*server).clone(), *version));
+        self.interval = interval;
+        due
     }
 
     fn is_under_way(&self, server: &RenewalServer, now: Timestamp) -> bool {
@@ -99,7 +108,10 @@
     pub fn ordered(&mut self, instance: &InstanceId, version: u64, now: Timestamp) {
         let again_at = now.after(self.settings.repeat_after);
         self.ordered.insert(instance.clone(), Ordered { version, at: now, again_at });
-        self.last_order = Some(now);
+        // What the pace of looking has missed is made up for, but not what was due
+        // long ago.
+        let earliest = Timestamp(now.0.saturating_sub(MAX_ARREARS.as_micros() as u64));
+        self.due_at = self.due_at.max(earliest).after(self.interval);
     }
 
     /// The server is to be asked again after a while.
--- /dev/null
+++ b/crates/renewal/tests/plan.rs
@@ -0,0 +1,103 @@
+//! Who is ordered next: in time, spread out, and never through versions in between.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use juniper_feed::WantedWeights;
+use juniper_registry::InstanceId;
+use juniper_renewal::{PlanSettings, RenewalPlan, RenewalServer};
+use juniper_types::Timestamp;
+
+const SETTINGS: PlanSettings =
+    PlanSettings { within: Duration::from_secs(6), repeat_after: Duration::from_secs(4) };
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn servers(versions: &[u64]) -> Vec<RenewalServer> {
+    let server = |(number, version): (usize, &u64)| RenewalServer {
+        instance: InstanceId::new(format!("i-{number:03}")),
+        model: "m".to_owned(),
+        version: *version,
+    };
+    versions.iter().enumerate().map(server).collect()
+}
+
+fn wanted(named: &[(u64, u64)]) -> BTreeMap<String, WantedWeights> {
+    let mut weights = WantedWeights::default();
+    named.iter().for_each(|(version, millis)| weights.name(*version, at(*millis)));
+    BTreeMap::from([("m".to_owned(), weights)])
+}
+
+/// Looks at the plan every 100 ms as the giver does; each order takes `load_ms`.
+/// Returns when each server had the weights that it was ordered to take.
+fn roll_out(count: usize, load_ms: u64) -> (u64, usize) {
+    let mut known = servers(&vec![1; count]);
+    let wanted = wanted(&[(2, 0)]);
+    let mut plan = RenewalPlan::new(SETTINGS);
+    let mut loading: Vec<(u64, InstanceId)> = Vec::new();
+    let mut most_at_once = 0;
+    for millis in (0..20_000).step_by(100) {
+        for (done, instance) in &loading {
+            if *done <= millis {
+                known.iter_mut().filter(|s| s.instance == *instance).for_each(|s| s.version = 2);
+            }
+        }
+        loading.retain(|(done, _)| *done > millis);
+        if known.iter().all(|server| server.version == 2) {
+            return (millis, most_at_once);
+        }
+        while let Some((server, version)) = plan.next(&known, &wanted, at(millis)) {
+            assert_eq!(version, 2);
+            plan.ordered(&server.instance, version, at(millis));
+            loading.push((millis + load_ms, server.instance));
+            most_at_once = most_at_once.max(loading.len());
+        }
+    }
+    panic!("not all servers were renewed");
+}
+
+/// One order for each look at the plan left 90 servers on old weights after 9 s.
+#[test]
+fn ninety_servers_are_renewed_in_time() {
+    let (done, _) = roll_out(90, 1_200);
+    assert!(done < 8_000, "{done}");
+}
+
+#[test]
+fn a_dozen_servers_are_spread_over_the_time_there_is() {
+    let (done, most_at_once) = roll_out(12, 1_200);
+    assert!((4_000..8_000).contains(&done), "{done}");
+    assert!(most_at_once <= 4, "{most_at_once}");
+}
+
+#[test]
+fn the_newest_version_is_ordered_and_the_most_overdue_server_comes_first() {
+    let known = servers(&[2, 1, 3]);
+    let wanted = wanted(&[(2, 0), (3, 1_000), (4, 2_000)]);
+    let mut plan = RenewalPlan::new(SETTINGS);
+    let (server, version) = plan.next(&known, &wanted, at(2_500)).expect("one is due");
+    assert_eq!((server.instance.as_str(), version), ("i-001", 4));
+}
+
+#[test]
+fn an_order_is_given_again_only_after_a_while() {
+    let known = servers(&[1]);
+    let wanted = wanted(&[(2, 0)]);
+    let mut plan = RenewalPlan::new(SETTINGS);
+    let id = known[0].instance.clone();
+    plan.ordered(&id, 2, at(0));
+    assert_eq!(plan.next(&known, &wanted, at(3_000)), None);
+    assert!(plan.next(&known, &wanted, at(4_500)).is_some());
+    plan.postpone(&id, 2, Duration::from_millis(300), at(4_500));
+    assert_eq!(plan.next(&known, &wanted, at(4_700)), None);
+    assert!(plan.next(&known, &wanted, at(4_900)).is_some());
+}
+
+#[test]
+fn nothing_is_ordered_when_all_have_the_weights() {
+    let mut plan = RenewalPlan::new(SETTINGS);
+    assert_eq!(plan.next(&servers(&[2, 3]), &wanted(&[(2, 0)]), at(9_000)), None);
+    assert_eq!(plan.next(&servers(&[1]), &BTreeMap::new(), at(9_000)), None);
+}
