--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod client;
 pub mod daemon;
+pub mod explain;
 pub mod logging;
 pub mod operator;
 pub mod output;
@@ -44,6 +45,13 @@
                               repeat --folder for every data folder that is left.
                               '--apply' makes the latest the only voter
 
+Looking into a failure:
+  explain REQUEST FILE...     print the story of one request from the logs of any
+                              number of processes; '-' reads standard input
+
+On the platform the daemons are run by juniperhollow-platform ('--help' tells its
+roles, router and control).
+
 Options of operator commands:
   --control URL               e.g. http://127.0.0.1:7101; repeat for more replicas
   --operator-key-file FILE    file with the operators' key
@@ -104,6 +112,7 @@
         "nodes" => operator::nodes(parser),
         "drain" => operator::drain(parser),
         "recover" => recover::recover(parser),
+        "explain" => explain::explain(parser),
         _ => Err(ArgumentError::UnknownCommand(command).into()),
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -124,7 +124,7 @@
 
     /// Notes where a prompt is sent, for the other routers.
     pub(crate) fn sight(&self, choice: &Choice) {
-        if choice.keys.is_empty() || !choice.is_movable() {
+        if choice.keys.is_empty() || !choice.is_movable {
             return;
         }
         let sighting = choice.sighting();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //! wherever the gateway runs.
 //!
 //! - `face` accepts connections, `call` takes one request from its head to its
-//!   answer, `attempt` is one sending to one server, `relay` passes streams on.
+//!   answer, `search` looks for a server, `attempt` is one sending to one server.
+//! - `relay` passes whole answers on, `stream` streams.
 //! - `pool` holds connections to servers.
 //! - `life` starts, drains and stops the whole.
 
@@ -23,7 +24,9 @@
 mod pool;
 mod relay;
 mod retry;
+mod search;
 mod settings;
+mod stream;
 
 pub use dialect::{AnswerFacts, AttemptFacts, CallFacts, CallFault, Dialect};
 pub use events::{Event, EventSplitter, EventTooLong};
--- /dev/null
+++ b/crates/gateway/src/search.rs
@@ -0,0 +1,212 @@
+//! The search for a server that answers a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniper_placement::{Choice, NoChoice, ServerRequest};
+use juniper_registry::InstanceId;
+use tokio::time::Instant;
+
+use crate::answer::OwnAnswer;
+use crate::attempt::{Answered, AttemptError, send};
+use crate::call::{Call, NO_SERVER_PAUSE};
+use crate::gateway::Gateway;
+use crate::retry::Progress;
+
+/// Shortest time that is worth sending a request for.
+const LEAST_TIME: Duration = Duration::from_millis(10);
+
+/// Pause asked of a caller when servers are full.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+
+/// Silence of a server, relative to the objective, after which a request that
+/// may be repeated is sent to another one.
+const SILENCE_FACTOR: f64 = 2.0;
+
+/// The same for a prompt. A server that is only busy would have read part of it
+/// for nothing, and one without power is noticed by the connection.
+const PROMPT_SILENCE_FACTOR: f64 = 3.2;
+
+/// Shortest silence after which another server is asked.
+const LEAST_SILENCE: Duration = Duration::from_millis(500);
+
+/// The search for a server that answers.
+pub(crate) struct ServerSearch<'a> {
+    gateway: &'a Arc<Gateway>,
+    call: &'a Call,
+    pub progress: Progress,
+    excluded: Vec<InstanceId>,
+    last_error: Option<AttemptError>,
+}
+
+impl<'a> ServerSearch<'a> {
+    pub(crate) fn new(gateway: &'a Arc<Gateway>, call: &'a Call) -> Self {
+        let (progress, excluded) = (Progress::default(), Vec::new());
+        ServerSearch { gateway, call, progress, excluded, last_error: None }
+    }
+
+    /// Goes on after sendings that came to nothing.
+    pub(crate) fn after(mut self, progress: Progress, failed: InstanceId) -> Self {
+        self.progress = progress;
+        self.excluded.push(failed);
+        self
+    }
+
+    /// Sends to one server after another until one answers.
+    pub(crate) async fn run(&mut self, last_event: Option<u64>) -> Result<Answered, OwnAnswer> {
+        loop {
+            let left = self.call.deadline.saturating_duration_since(Instant::now());
+            if left < LEAST_TIME {
+                return Err(self.given_up(OwnAnswer::TooLate));
+            }
+            if !self.call.may_repeat(self.progress) || !self.is_within_budget() {
+                return Err(self.given_up(OwnAnswer::Full(FULL_PAUSE)));
+            }
+            let choice = match self.choose() {
+                Ok(choice) => choice,
+                Err(refusal) => return Err(self.given_up(self.refusal(refusal))),
+            };
+            self.log_choice(&choice);
+            let sent = send(self.gateway, self.call, &choice, last_event, self.patience()).await;
+            match sent {
+                Ok(answered) => {
+                    self.progress.sent += 1;
+                    let status = answered.response.status();
+                    if !self.should_ask_again(status) {
+                        return Ok(answered);
+                    }
+                    answered.attempt.fail(juniper_placement::Outcome::ServerError);
+                    self.progress.may_have_run += 1;
+                    self.excluded.push(choice.instance);
+                }
+                Err(error) => self.note(choice.instance, error),
+            }
+        }
+    }
+
+    /// A server's own failure is asked about once more where that is allowed.
+    fn should_ask_again(&self, status: hyper::StatusCode) -> bool {
+        let mut after = self.progress;
+        after.may_have_run += 1;
+        let failed = status.is_server_error();
+        let time_left = self.call.deadline.saturating_duration_since(Instant::now());
+        failed && self.call.may_repeat(after) && time_left > LEAST_TIME * 2
+    }
+
+    fn note(&mut self, instance: InstanceId, error: AttemptError) {
+        log::info!(
+            "event=attempt_failed request={} instance={instance} reason=\"{error}\" after_ms={}",
+            self.call.id(),
+            self.call.arrived.elapsed().as_millis()
+        );
+        self.gateway.metrics.attempt_failed(&error);
+        match &error {
+            AttemptError::NotSent(_) => self.progress.unreachable += 1,
+            error => {
+                self.progress.sent += 1;
+                self.progress.may_have_run += u32::from(error.may_have_run());
+            }
+        }
+        if !matches!(error, AttemptError::OtherVersion) {
+            self.excluded.push(instance);
+        }
+        self.last_error = Some(error);
+    }
+
+    /// Only sendings beyond the first are charged.
+    fn is_within_budget(&self) -> bool {
+        if self.progress.sent == 0 {
+            return true;
+        }
+        let now = self.gateway.now();
+        let routers = self.gateway.feed.routers();
+        let taken = self.gateway.budget().take(&self.call.service, routers, now);
+        if !taken {
+            self.gateway.metrics.budget_spent.inc();
+        }
+        taken
+    }
+
+    fn choose(&self) -> Result<Choice, NoChoice> {
+        let request = ServerRequest {
+            service: &self.call.service,
+            prompt: self.call.facts.prompt.as_ref(),
+            sharing: sharing_key(&self.call.sharing),
+            excluded: &self.excluded,
+            min_version: self.min_version(),
+            objective: self.call.objective(),
+        };
+        let now = self.gateway.now();
+        self.gateway.placement().choose(&request, now, rand::random())
+    }
+
+    fn min_version(&self) -> u64 {
+        let Some(prompt) = &self.call.facts.prompt else { return 0 };
+        let view = self.gateway.feed.latest();
+        let strict_after = self.gateway.settings.strict_weights_after();
+        let wanted = view.weights.get(&prompt.model);
+        wanted.map_or(0, |wanted| wanted.floor(self.gateway.now(), strict_after))
+    }
+
+    /// Until when the answer is waited for before another server is asked.
+    fn patience(&self) -> Instant {
+        let mut after = self.progress;
+        after.sent += 1;
+        after.may_have_run += 1;
+        if !self.call.may_repeat(after) {
+            return self.call.deadline;
+        }
+        let factor = match self.call.has_prompt() {
+            true => PROMPT_SILENCE_FACTOR,
+            false => SILENCE_FACTOR,
+        };
+        let patience = self.call.objective().mul_f64(factor).max(LEAST_SILENCE);
+        self.call.deadline.min(Instant::now() + patience)
+    }
+
+    fn refusal(&self, refusal: NoChoice) -> OwnAnswer {
+        match refusal {
+            NoChoice::NoServer | NoChoice::OldWeights => OwnAnswer::NoServer(NO_SERVER_PAUSE),
+            NoChoice::AllExcluded => OwnAnswer::Full(FULL_PAUSE),
+        }
+    }
+
+    /// The final answer: a promise that the request has not run only where that is so.
+    fn given_up(&self, unless_run: OwnAnswer) -> OwnAnswer {
+        if self.progress.may_have_run == 0 {
+            return unless_run;
+        }
+        match &self.last_error {
+            Some(AttemptError::Silent) => OwnAnswer::DeadlinePassed,
+            _ => OwnAnswer::ServerFailed,
+        }
+    }
+
+    fn log_choice(&self, choice: &Choice) {
+        self.gateway.metrics.kept_tokens.inc_by(u64::from(choice.kept_tokens));
+        self.gateway.metrics.missed_tokens.inc_by(u64::from(choice.missed_tokens));
+        log::info!(
+            "event=attempt request={} route={} service={} instance={} reason={} cost_ms={:.1} \
+             kept={} missed={} chain={:08x} version={} source={} candidates={} catalog={} age_ms={} sent={}",
+            self.call.id(),
+            self.call.route.name,
+            self.call.service,
+            choice.instance,
+            choice.reason.as_str(),
+            choice.cost_ms,
+            choice.kept_tokens,
+            choice.missed_tokens,
+            choice.keys.last().copied().unwrap_or(0) >> 32,
+            choice.version,
+            choice.source.map_or_else(|| "-".to_owned(), |source| source.to_string()),
+            choice.candidates,
+            self.call.view.catalog_version(),
+            self.call.config_age.as_millis(),
+            self.progress.sent
+        );
+    }
+}
+
+fn sharing_key(sharing: &str) -> u64 {
+    sharing.bytes().fold(0, |key, byte| key.wrapping_mul(31).wrapping_add(u64::from(byte)))
+}
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -3,8 +3,7 @@
 use juniper_gateway::EventSplitter;
 use quickcheck::quickcheck;
 
-const STREAM: &[u8] =
-    b"weight-versions: 3\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 7\ndata: c\n\n";
+const STREAM: &[u8] = b"first: line\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 7\ndata: c\n\n";
 
 #[test]
 fn events_keep_their_bytes_and_numbers() {
--- /dev/null
+++ b/crates/placement/src/choice.rs
@@ -0,0 +1,112 @@
+//! What a choice comes to.
+
+use std::net::SocketAddrV4;
+
+use juniper_registry::InstanceId;
+use juniper_types::Timestamp;
+
+use crate::recent::ChainSighting;
+
+/// Why a server was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// It has the prompt's shared parts.
+    Holder,
+    /// It is meant to keep them; nobody has them.
+    Home,
+    /// It fetches them; who has them is busier or worse.
+    Fetch,
+    /// It costs least.
+    LeastCost,
+    /// None is known to work; this one has rested longest.
+    LastResort,
+}
+
+impl Reason {
+    /// The reason for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Reason::Holder => "holder",
+            Reason::Home => "home",
+            Reason::Fetch => "fetch",
+            Reason::LeastCost => "least_cost",
+            Reason::LastResort => "last_resort",
+        }
+    }
+}
+
+/// A chosen server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Its life.
+    pub instance: InstanceId,
+    /// Where it takes requests.
+    pub address: SocketAddrV4,
+    /// Why it was chosen.
+    pub reason: Reason,
+    /// Expected cost, in milliseconds.
+    pub cost_ms: f64,
+    /// Tokens that it should have kept.
+    pub kept_tokens: u32,
+    /// Tokens that it has to read.
+    pub missed_tokens: u32,
+    /// Servers that were considered.
+    pub candidates: usize,
+    /// Version of the weights that it is known to have; zero without a model.
+    pub version: u64,
+    /// A server with the same weights, or the store, that should have kept more of
+    /// the prompt.
+    pub source: Option<SocketAddrV4>,
+    /// The store that should get the prompt's parts once they are read.
+    pub store: Option<SocketAddrV4>,
+    /// Names the beginnings of the prompt's shared parts.
+    pub keys: Vec<u64>,
+    /// Tokens that it has to read or fetch.
+    pub inserted_tokens: u32,
+    /// Whether the shared parts are large enough to be moved between servers.
+    pub is_movable: bool,
+}
+
+impl Choice {
+    /// What other routers should know of the choice.
+    pub fn sighting(&self) -> ChainSighting {
+        let (instance, version) = (self.instance.clone(), self.version);
+        let tokens = self.inserted_tokens;
+        ChainSighting { instance, version, keys: self.keys.clone(), tokens }
+    }
+}
+
+/// What moves of memory cost at a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServiceProfile {
+    /// Time to move one token, in milliseconds; zero where nothing can be moved.
+    pub move_ms: f64,
+    /// Tokens that the memory of a server holds.
+    pub cache_tokens: u64,
+    /// The store of kept parts, if there is one.
+    pub store: Option<SocketAddrV4>,
+}
+
+/// Why no server was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NoChoice {
+    /// No server of the service is known.
+    #[error("no server of the service is known")]
+    NoServer,
+    /// Every server failed this request already.
+    #[error("every server failed this request already")]
+    AllExcluded,
+    /// Every server has older weights than may be used.
+    #[error("every server has older weights than may be used")]
+    OldWeights,
+}
+
+/// A request under way on a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ticket {
+    pub(crate) instance: InstanceId,
+    pub(crate) missed_tokens: u32,
+    pub(crate) has_prompt: bool,
+    pub(crate) begun: Timestamp,
+    pub(crate) had_output: bool,
+}
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -4,6 +4,8 @@
 
 use juniper_types::Timestamp;
 
+use crate::decay::Decaying;
+
 /// Weight of one outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 
@@ -42,30 +44,11 @@
     Cancelled,
 }
 
-/// A value that fades to zero.
-#[derive(Clone, Copy, Debug, Default)]
-struct Fading {
-    value: f64,
-    updated: Timestamp,
-}
-
-impl Fading {
-    fn at(&self, now: Timestamp, half_life: Duration) -> f64 {
-        let halves = now.since(self.updated).as_secs_f64() / half_life.as_secs_f64();
-        self.value * (-halves).exp2()
-    }
-
-    fn mix(&mut self, sample: f64, weight: f64, now: Timestamp, half_life: Duration) {
-        self.value = self.at(now, half_life) * (1.0 - weight) + sample * weight;
-        self.updated = now;
-    }
-}
-
 /// What is known of the health of a server.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Health {
-    failures: Fading,
-    delay_ms: Fading,
+    failures: Decaying,
+    delay_ms: Decaying,
     rest: Duration,
     resting_until: Timestamp,
     full_until: Timestamp,
@@ -73,6 +56,19 @@
     pub(crate) replaced: bool,
 }
 
+impl Default for Health {
+    fn default() -> Self {
+        Health {
+            failures: Decaying::new(FAILURE_HALF_LIFE),
+            delay_ms: Decaying::new(TIME_HALF_LIFE),
+            rest: Duration::ZERO,
+            resting_until: Timestamp::ZERO,
+            full_until: Timestamp::ZERO,
+            replaced: false,
+        }
+    }
+}
+
 impl Health {
     /// Takes an outcome in.
     pub(crate) fn record(&mut self, outcome: Outcome, now: Timestamp) {
@@ -97,23 +93,23 @@
             }
             Outcome::Cancelled => return,
         };
-        self.failures.mix(failed, FAILURE_WEIGHT, now, FAILURE_HALF_LIFE);
+        self.failures.mix(failed, FAILURE_WEIGHT, now);
     }
 
     /// Takes in by how much an answer came later than its work explains.
     pub(crate) fn record_delay(&mut self, delay: Duration, now: Timestamp) {
         let delay_ms = delay.as_secs_f64() * 1_000.0;
-        self.delay_ms.mix(delay_ms, TIME_WEIGHT, now, TIME_HALF_LIFE);
+        self.delay_ms.mix(delay_ms, TIME_WEIGHT, now);
     }
 
     /// Share of the latest requests that failed.
     pub(crate) fn failure_share(&self, now: Timestamp) -> f64 {
-        self.failures.at(now, FAILURE_HALF_LIFE)
+        self.failures.at(now)
     }
 
     /// By how much answers came late lately, in milliseconds.
     pub(crate) fn delay_ms(&self, now: Timestamp) -> f64 {
-        self.delay_ms.at(now, TIME_HALF_LIFE)
+        self.delay_ms.at(now)
     }
 
     /// Whether it could not be reached and should be left alone.
--- a/crates/placement/src/lanes.rs
+++ b/crates/placement/src/lanes.rs
@@ -10,6 +10,8 @@
 
 use juniper_types::Timestamp;
 
+use crate::decay::Decaying;
+
 /// Tokens from which a prompt counts as long.
 const LONG_TOKENS: u32 = 2_000;
 
@@ -23,37 +25,24 @@
 /// What a server of the other lane costs, relative to the objective.
 pub(crate) const OTHER_LANE_FACTOR: f64 = 0.4;
 
-/// A decaying sum.
-#[derive(Clone, Copy, Debug, Default)]
-struct Decaying {
-    value: f64,
-    updated: Timestamp,
-}
-
-impl Decaying {
-    fn at(&self, now: Timestamp) -> f64 {
-        let halves = now.since(self.updated).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.value * (-halves).exp2()
-    }
-
-    fn add(&mut self, amount: f64, now: Timestamp) {
-        self.value = self.at(now) + amount;
-        self.updated = now;
-    }
-}
-
 /// Whether a prompt belongs to the lane of long ones.
 pub(crate) fn is_long(tokens: u32) -> bool {
     tokens >= LONG_TOKENS
 }
 
 /// The work of both lanes, in tokens read.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Lanes {
     short: Decaying,
     long: Decaying,
 }
 
+impl Default for Lanes {
+    fn default() -> Self {
+        Lanes { short: Decaying::new(HALF_LIFE), long: Decaying::new(HALF_LIFE) }
+    }
+}
+
 impl Lanes {
     /// A prompt of `tokens`, of which `missed` have to be read, is sent.
     pub(crate) fn record(&mut self, tokens: u32, missed: u32, now: Timestamp) {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,7 +7,9 @@
 //! request goes home ([`Placement::choose`]).
 
 mod budget;
+mod choice;
 mod cost;
+mod decay;
 mod health;
 mod homes;
 mod lanes;
@@ -16,10 +18,13 @@
 mod placement;
 mod recent;
 mod request;
+mod search;
+mod server;
 
 pub use budget::{RetryBudget, RetrySettings};
+pub use choice::{Choice, NoChoice, Reason, ServiceProfile, Ticket};
 pub use health::Outcome;
 pub use homes::ChainKeys;
-pub use placement::{Choice, NoChoice, Placement, Reason, ServiceProfile, Ticket};
+pub use placement::Placement;
 pub use recent::ChainSighting;
 pub use request::{Prompt, PromptPart, ServerRequest};
--- a/crates/placement/src/memory.rs
+++ b/crates/placement/src/memory.rs
@@ -4,6 +4,8 @@
 
 use juniper_types::Timestamp;
 
+use crate::decay::Decaying;
+
 /// Time in which what was measured loses half of its weight.
 const HALF_LIFE: Duration = Duration::from_secs(6);
 
@@ -11,22 +13,19 @@
 const USEFUL_AGE_S: f64 = 30.0;
 
 /// Tokens that came into the memory of a server lately.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct MemoryTurnover {
-    tokens: f64,
-    updated: Timestamp,
-}
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MemoryTurnover(Decaying);
 
-impl MemoryTurnover {
-    fn at(&self, now: Timestamp) -> f64 {
-        let halves = now.since(self.updated).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.tokens * (-halves).exp2()
+impl Default for MemoryTurnover {
+    fn default() -> Self {
+        MemoryTurnover(Decaying::new(HALF_LIFE))
     }
+}
 
+impl MemoryTurnover {
     /// So many tokens come in.
     pub(crate) fn record(&mut self, tokens: u32, now: Timestamp) {
-        self.tokens = self.at(now) + f64::from(tokens);
-        self.updated = now;
+        self.0.add(f64::from(tokens), now);
     }
 
     /// The chance that what gives way to new tokens would have been asked for
@@ -34,7 +33,7 @@
     pub(crate) fn loss(&self, capacity: u64, now: Timestamp) -> f64 {
         // The mean age of what decays is the half-life over the logarithm of two.
         let window_s = HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
-        let per_second = self.at(now) / window_s;
+        let per_second = self.0.at(now) / window_s;
         if per_second <= 0.0 || capacity == 0 {
             return 0.0;
         }
--- /dev/null
+++ b/crates/placement/src/server.rs
@@ -0,0 +1,50 @@
+//! One server as a router knows it.
+
+use juniper_registry::Instance;
+
+use crate::health::Health;
+use crate::load::Load;
+use crate::memory::MemoryTurnover;
+
+/// What is known of a server.
+#[derive(Clone, Debug)]
+pub(crate) struct Server {
+    pub(crate) instance: Instance,
+    pub(crate) hash: u64,
+    pub(crate) health: Health,
+    pub(crate) load: Load,
+    /// Highest version of weights that it answered with.
+    pub(crate) seen_version: u64,
+    /// It takes no new requests, because it is given new weights.
+    pub(crate) renewing: bool,
+    pub(crate) turnover: MemoryTurnover,
+}
+
+impl Server {
+    /// A server of which nothing is known but its report.
+    pub(crate) fn new(instance: Instance) -> Self {
+        let hash = hash_of(instance.report.id.as_str());
+        let (health, load) = (Health::default(), Load::default());
+        Server {
+            instance,
+            hash,
+            health,
+            load,
+            seen_version: 0,
+            renewing: false,
+            turnover: MemoryTurnover::default(),
+        }
+    }
+
+    /// Version of the model's weights that it is known to have; zero for none.
+    pub(crate) fn version_of(&self, model: &str) -> u64 {
+        self.instance.report.version_of(model).unwrap_or(0).max(self.seen_version)
+    }
+}
+
+/// FNV-1a, the same in every process and version.
+fn hash_of(text: &str) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    text.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod connection;
 pub mod datagram;
+pub mod fleet;
 pub mod frame;
 pub mod handshake;
 pub mod message;
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -1,10 +1,9 @@
 //! Messages that daemons exchange after the handshake.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use juniper_prefix_index::coarse::{CheckpointHolders, KeyList};
-use juniper_registry::{HeardInstance, InstanceId};
+use juniper_registry::HeardInstance;
 use juniper_settings::{ChangeSet, SettingsTree};
 use juniper_sharing::ShareMessage;
 use juniper_types::{
@@ -13,6 +12,8 @@
 };
 use minicbor::{Decode, Encode};
 
+pub use crate::fleet::{CatalogBody, FleetNews, KnownVersion, RenewalNews, Sighting};
+
 /// Encodes a message; encoding into memory can't fail.
 pub fn encode<T: Encode<()>>(value: &T) -> Vec<u8> {
     let mut bytes = Vec::new();
@@ -61,23 +62,6 @@
     Sightings(#[n(0)] Vec<Sighting>),
 }
 
-/// Shared parts of a prompt that were sent to a server.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct Sighting {
-    /// The server.
-    #[n(0)]
-    pub instance: InstanceId,
-    /// Version of its weights.
-    #[n(1)]
-    pub version: u64,
-    /// Names each beginning of the chain of parts, the longest last.
-    #[n(2)]
-    pub chains: Vec<u64>,
-    /// Tokens that the server had to read or fetch.
-    #[n(3)]
-    pub tokens: u32,
-}
-
 impl Message {
     /// Whether the message is part of looking up one caller's prompt.
     pub fn is_lookup(&self) -> bool {
@@ -264,40 +248,6 @@
     },
 }
 
-/// An encoded [`juniper_catalog::Catalog`].
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct CatalogBody {
-    /// Its version.
-    #[n(0)]
-    pub version: u64,
-    /// The encoded configuration.
-    #[cbor(n(1), with = "minicbor::bytes")]
-    pub body: Vec<u8>,
-}
-
-/// What the fleet of generic services agrees on, in short.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub struct FleetNews {
-    /// Log position of the latest change.
-    #[n(0)]
-    pub revision: u64,
-    /// Version of the configuration in force; zero for none. Who hasn't got it asks for it.
-    #[n(1)]
-    pub catalog_version: u64,
-    /// Version of the weights that each model should have.
-    #[n(2)]
-    pub weights: BTreeMap<String, u64>,
-    /// Servers that left before the ones named here.
-    #[n(3)]
-    pub departures_before: u64,
-    /// Servers that left since, oldest first.
-    #[n(4)]
-    pub departures: Vec<InstanceId>,
-    /// The control replicas, standbys included.
-    #[n(5)]
-    pub members: Vec<NodeId>,
-}
-
 /// A node as the control replicas see it.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 #[cbor(map)]
@@ -396,31 +346,6 @@
     Renewals(#[n(0)] RenewalNews),
 }
 
-/// What the one who gives orders knows before the servers say so themselves.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
-pub struct RenewalNews {
-    /// Servers that take no new requests until they have new weights.
-    #[n(0)]
-    pub under_way: Vec<InstanceId>,
-    /// Versions of weights that servers are known to have.
-    #[n(1)]
-    pub versions: Vec<KnownVersion>,
-}
-
-/// The version of a model's weights that a server has.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct KnownVersion {
-    /// The server's life.
-    #[n(0)]
-    pub instance: InstanceId,
-    /// The model.
-    #[n(1)]
-    pub model: String,
-    /// The version.
-    #[n(2)]
-    pub version: u64,
-}
-
 /// One accepted change of the tree.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 #[cbor(map)]
