Readiness waits until the back ends are taken over

The router said ready as soon as settings were in force, while two other tasks take engines and addresses over from them. Shown by delaying either task by 200 ms: the same assertion fails, 2 of 3 tests. Excluded: an engine not yet asked for a report (a path that delays connections by 600 ms: 200). Change: ready once both have been taken over.

--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use juniper_settings::BackEndKind;
@@ -34,6 +35,8 @@
 #[derive(Debug, Default)]
 pub struct BackEnds {
     table: Mutex<BTreeMap<EngineId, BackEndState>>,
+    /// Set once the back ends of some settings in force were taken over.
+    followed: AtomicBool,
 }
 
 /// Counts one request against a back end until it is dropped.
@@ -90,6 +93,14 @@
             next.insert(back_end.id, state);
         }
         *table = next;
+        if in_force.revision.0 > 0 {
+            self.followed.store(true, Ordering::Release);
+        }
+    }
+
+    /// Whether the back ends of some settings in force were taken over.
+    pub fn has_followed(&self) -> bool {
+        self.followed.load(Ordering::Acquire)
     }
 
     /// Where the back end is reached.
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -17,7 +17,9 @@
     PrefixWait, Refusal, RouteRequest, ServingKey, decide,
 };
 use juniper_settings::{BackEndKind, EffectiveSettings};
-use juniper_types::{CacheScope, EngineId, Incarnation, PromptBlocks, TenantName, Timestamp};
+use juniper_types::{
+    CacheScope, EngineId, Incarnation, PromptBlocks, Revision, TenantName, Timestamp,
+};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
@@ -63,6 +65,8 @@
     retries: RetryBudget,
     random: StdRng,
     known: Vec<EngineId>,
+    /// Revision that `known` comes from.
+    followed: Revision,
 }
 
 /// The engines as this router knows them.
@@ -138,6 +142,7 @@
             retries: RetryBudget::new(DEFAULT_RETRY_PERCENT),
             random: StdRng::from_rng(&mut rand::rng()),
             known: Vec::new(),
+            followed: Revision(0),
         };
         Engines {
             state: Mutex::new(state),
@@ -176,6 +181,12 @@
             state.index.remove_engine(engine);
         }
         state.known = named;
+        state.followed = in_force.revision;
+    }
+
+    /// Whether the engines of some settings in force were taken over.
+    pub fn has_followed(&self) -> bool {
+        self.lock().followed.0 > 0
     }
 
     /// Picks an engine for `plan` and counts the work against it.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -67,10 +67,13 @@
         confirmed.elapsed()
     }
 
-    /// Whether the router is taking new requests.
+    /// Whether the router is taking new requests. Settings in force are not enough:
+    /// other tasks take the engines and addresses over from them, and a request that
+    /// came first would be refused for want of a back end.
     pub fn is_ready(&self) -> bool {
         !self.stopping.load(Ordering::Acquire)
-            && self.plane.settings.borrow().in_force.revision.0 > 0
+            && self.plane.engines.has_followed()
+            && self.back_ends.has_followed()
     }
 
     /// Takes a place among the requests in flight, or says at once why not.
--- /dev/null
+++ b/crates/router/tests/readiness.rs
@@ -0,0 +1,30 @@
+//! A router is ready once its back ends are taken over from the settings in force.
+
+use juniper_router::backends::BackEnds;
+use juniper_router::engines::Engines;
+use juniper_router::in_force::InForce;
+use juniper_settings::SettingsTree;
+use juniper_types::Revision;
+
+fn settings(revision: u64) -> InForce {
+    InForce::new(Revision(revision), SettingsTree::default())
+}
+
+#[test]
+fn engines_count_as_taken_over_only_from_settings_in_force() {
+    let engines = Engines::new();
+    assert!(!engines.has_followed());
+    engines.follow(&settings(0));
+    assert!(!engines.has_followed(), "nothing is in force yet");
+    engines.follow(&settings(1));
+    assert!(engines.has_followed());
+}
+
+#[test]
+fn back_ends_count_as_taken_over_only_from_settings_in_force() {
+    let back_ends = BackEnds::default();
+    back_ends.follow(&settings(0));
+    assert!(!back_ends.has_followed(), "nothing is in force yet");
+    back_ends.follow(&settings(1));
+    assert!(back_ends.has_followed());
+}
