A server that turned a version of weights away isn't asked again for the same request

A 421 for weights was the one failure that did not exclude its server, and it does not say which version the server has. Excluded: restarted servers (ids are the same), the holder's orders (carried out). Change: such a server is excluded like any other, and rests for 1 s or until another version is known of it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -42,9 +42,9 @@
     /// Another server has the address.
     #[error("another server has the address")]
     OtherServer,
-    /// The server has weights of another version than was thought.
-    #[error("the server has other weights")]
-    OtherVersion,
+    /// The server has no weights of the version that it was thought to have.
+    #[error("the server has no weights of version {0}")]
+    OtherVersion(u64),
     /// The connection broke; the request may have run.
     #[error("the connection broke: {0}")]
     Broken(hyper::Error),
@@ -66,7 +66,7 @@
             AttemptError::NotSent(ConnectError::Exhausted) | AttemptError::NotRun => Outcome::Full,
             AttemptError::NotSent(_) => Outcome::Unreachable,
             AttemptError::OtherServer => Outcome::Replaced,
-            AttemptError::OtherVersion => Outcome::Cancelled,
+            AttemptError::OtherVersion(version) => Outcome::OtherWeights(*version),
             AttemptError::Broken(_) | AttemptError::NoAnswer | AttemptError::Silent => {
                 Outcome::Broken
             }
@@ -188,7 +188,7 @@
     if let Some(version) = facts.version {
         gateway.placement().saw_version(&choice.instance, version);
     }
-    check(&facts, head.status)?;
+    check(&facts, head.status, choice.version)?;
     Ok(Response::from_parts(head, body))
 }
 
@@ -201,12 +201,16 @@
 }
 
 /// Whether the answer may be passed on.
-fn check(facts: &AnswerFacts, status: StatusCode) -> Result<(), AttemptError> {
+fn check(
+    facts: &AnswerFacts,
+    status: StatusCode,
+    expected_version: u64,
+) -> Result<(), AttemptError> {
     if facts.is_other_server {
         return Err(AttemptError::OtherServer);
     }
     if facts.is_other_version {
-        return Err(AttemptError::OtherVersion);
+        return Err(AttemptError::OtherVersion(expected_version));
     }
     if facts.not_run && !status.is_success() {
         return Err(AttemptError::NotRun);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -134,7 +134,7 @@
             AttemptError::NotSent(_) => "not_sent",
             AttemptError::NotRun => "not_run",
             AttemptError::OtherServer => "other_server",
-            AttemptError::OtherVersion => "other_version",
+            AttemptError::OtherVersion(_) => "other_version",
             AttemptError::Broken(_) => "broken",
             AttemptError::NoAnswer => "no_answer",
             AttemptError::Silent => "silent",
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -107,9 +107,7 @@
                 self.progress.may_have_run += u32::from(error.may_have_run());
             }
         }
-        if !matches!(error, AttemptError::OtherVersion) {
-            self.excluded.push(instance);
-        }
+        self.excluded.push(instance);
         self.last_error = Some(error);
     }
 
--- a/crates/gateway/tests/paths/answers.rs
+++ b/crates/gateway/tests/paths/answers.rs
@@ -1,6 +1,7 @@
 //! True answers: what reaches a caller is what its server gave, whole or visibly
 //! broken, and what may not run twice never does.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use crate::support::TestGateway;
@@ -76,6 +77,27 @@
     assert_eq!(free.requests().len(), 6);
 }
 
+/// A server may be thought to have old weights for as long as nobody hears its reports.
+#[tokio::test]
+async fn what_a_server_with_other_weights_turned_away_goes_to_another() {
+    let renewed = FakeServer::start("a", |_, _| {
+        let answer = "HTTP/1.1 421 No\r\nx-other-weights: 1\r\ncontent-length: 0\r\n\r\n";
+        vec![Step::Send(answer.to_owned())]
+    })
+    .await;
+    let other = good("b").await;
+    let gateway = TestGateway::start(&[&renewed, &other]).await;
+    for number in 0..40 {
+        let answer = get(gateway.callers, &format!("/once/{number}"), &format!("r{number}")).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "fine"));
+    }
+    assert_eq!(other.requests().len(), 40);
+    // It was never asked twice about one request.
+    let asked = renewed.requests();
+    let lines: BTreeSet<&str> = asked.iter().filter_map(|head| head.lines().next()).collect();
+    assert_eq!(lines.len(), asked.len());
+}
+
 #[tokio::test]
 async fn a_promise_is_not_passed_on_for_a_request_that_may_have_run() {
     let server =
--- a/crates/gateway/tests/paths/support/dialect.rs
+++ b/crates/gateway/tests/paths/support/dialect.rs
@@ -47,12 +47,14 @@
         id: &HeaderValue,
         _instance: &InstanceId,
     ) -> AnswerFacts {
+        let is_misdirected = head.status.as_u16() == 421;
+        let has_other_weights = head.headers.contains_key("x-other-weights");
         AnswerFacts {
             is_own: head.headers.get("x-id") == Some(id),
             is_sealed: head.headers.contains_key("x-seal"),
             not_run: head.headers.contains_key("x-not-run"),
-            is_other_server: head.status.as_u16() == 421,
-            is_other_version: false,
+            is_other_server: is_misdirected && !has_other_weights,
+            is_other_version: is_misdirected && has_other_weights,
             version: None,
         }
     }
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -19,6 +19,10 @@
 /// Rest of a server that was full.
 const FULL_REST: Duration = Duration::from_millis(120);
 
+/// Time for which a server is left alone after it has turned a version of weights away,
+/// unless its own report names another version before.
+const DENIAL_REST: Duration = Duration::from_secs(1);
+
 /// Weight of one measured time.
 const TIME_WEIGHT: f64 = 0.2;
 
@@ -40,10 +44,19 @@
     Full,
     /// Another server has its address.
     Replaced,
+    /// It did not run the request, because it has no weights of this version.
+    OtherWeights(u64),
     /// The caller left; nothing is known of the server.
     Cancelled,
 }
 
+/// A version of weights that a server has turned away.
+#[derive(Clone, Copy, Debug)]
+struct Denial {
+    version: u64,
+    until: Timestamp,
+}
+
 /// What is known of the health of a server.
 #[derive(Clone, Debug)]
 pub(crate) struct Health {
@@ -52,6 +65,7 @@
     rest: Duration,
     resting_until: Timestamp,
     full_until: Timestamp,
+    denial: Option<Denial>,
     /// The address belongs to another life.
     pub(crate) replaced: bool,
 }
@@ -64,6 +78,7 @@
             rest: Duration::ZERO,
             resting_until: Timestamp::ZERO,
             full_until: Timestamp::ZERO,
+            denial: None,
             replaced: false,
         }
     }
@@ -91,6 +106,10 @@
                 self.replaced = true;
                 return;
             }
+            Outcome::OtherWeights(version) => {
+                self.denial = Some(Denial { version, until: now.after(DENIAL_REST) });
+                return;
+            }
             Outcome::Cancelled => return,
         };
         self.failures.mix(failed, FAILURE_WEIGHT, now);
@@ -117,6 +136,11 @@
         now < self.resting_until
     }
 
+    /// Whether it has turned weights of `version` away a moment ago.
+    pub(crate) fn denies(&self, version: u64, now: Timestamp) -> bool {
+        self.denial.is_some_and(|denial| denial.version == version && now < denial.until)
+    }
+
     /// Whether it was full a moment ago.
     pub(crate) fn is_full(&self, now: Timestamp) -> bool {
         now < self.full_until
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -40,7 +40,13 @@
             return Err(NoChoice::NoServer);
         }
         let candidates = self.candidates(members, request)?;
-        let works = |server: &&Server| !server.health.is_resting(now) && !server.renewing;
+        let denies = |server: &Server| {
+            let version = request.prompt.map(|prompt| server.version_of(&prompt.model));
+            version.is_some_and(|version| server.health.denies(version, now))
+        };
+        let works = |server: &&Server| {
+            !server.health.is_resting(now) && !server.renewing && !denies(server)
+        };
         let working: Vec<&Server> = candidates.iter().copied().filter(works).collect();
         if working.is_empty() {
             return Ok(last_resort(&candidates, request, random));
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -184,6 +184,22 @@
     assert_eq!(placement.choose(&request(&prompt, &[]), at(0), 0), Err(NoChoice::NoServer));
 }
 
+#[test]
+fn a_server_that_turned_a_version_away_rests_until_it_reports_another() {
+    let mut placement = placement(4);
+    let choice = choose(&mut placement, &prompt(1, 1), 0);
+    let ticket = placement.begin(&choice, true, at(0));
+    placement.end(ticket, Outcome::OtherWeights(choice.version), at(0));
+    let meanwhile = choose(&mut placement, &prompt(1, 1), 900);
+    assert_ne!(meanwhile.instance, choice.instance);
+    placement.saw_version(&choice.instance, choice.version + 1);
+    // Its parts are void under other weights, so only whether it is used at all is seen.
+    let used = (0..40).any(|shared| {
+        choose(&mut placement, &prompt(shared + 10, 1), 900).instance == choice.instance
+    });
+    assert!(used);
+}
+
 #[test]
 fn a_server_that_fails_more_than_the_others_is_avoided() {
     let mut placement = placement(3);
