--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -131,8 +131,7 @@
     ) -> Result<(), BodyEnd> {
         let mut splitter = EventSplitter::default();
         loop {
-            let stalled_at = Instant::now() + self.patience();
-            let until = stalled_at.min(self.call.deadline);
+            let until = self.give_up_at();
             let frame = tokio::select! {
                 frame = timeout_at(until, upstream.frame()) => frame,
                 () = self.pieces.closed() => return Err(BodyEnd::CallerLeft),
@@ -186,24 +185,22 @@
         self.last_piece_at = Some(now);
     }
 
-    /// Longest pause before the server is given up. Where the stream can't go on
-    /// elsewhere, that is not before the deadline.
-    fn patience(&self) -> Duration {
+    /// Until when the server is waited for. Where the stream can't go on elsewhere,
+    /// that is the deadline.
+    fn give_up_at(&self) -> Instant {
         let mut after = self.progress;
         after.may_have_run += 1;
-        let left = self.call.deadline.saturating_duration_since(Instant::now());
         if !self.call.may_repeat(after) {
-            return left;
+            return self.call.deadline;
         }
-        let pause = match self.last_piece_at {
-            None => self.call.objective() * 3,
-            Some(_) => Duration::from_millis(self.call.route.max_pause_ms.unwrap_or(0)),
-        };
         let stall = match self.last_piece_at {
-            None => pause,
-            Some(_) => pause * STALL_FACTOR,
+            None => self.call.objective() * 3,
+            Some(_) => {
+                let longest = self.call.route.max_pause_ms.unwrap_or(0);
+                Duration::from_millis(longest) * STALL_FACTOR
+            }
         };
-        stall.max(LEAST_STALL).min(left)
+        self.call.deadline.min(Instant::now() + stall.max(LEAST_STALL))
     }
 
     fn done(self, outcome: &str, instance: &str) {
