--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -8,10 +8,10 @@
 use std::time::{Duration, Instant};
 
 use juniper_control_state::{Answer, Command, ControlState, to_bytes};
-use juniper_protocol::{Refusal, Reply, Request};
+use juniper_protocol::{CallError, Refusal, Reply, Request};
 use juniper_types::NodeId;
 
-use crate::peers::{CallError, PeerLinks};
+use crate::peers::PeerLinks;
 use crate::replica::ReplicaHandle;
 
 /// Time within which an operator's call is answered: several elections.
--- a/crates/control/src/peers/link.rs
+++ b/crates/control/src/peers/link.rs
@@ -4,7 +4,6 @@
 //! away; the peer's own messages come over the connection that it opens. Calls
 //! get their replies back on it.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -12,7 +11,8 @@
 
 use juniper_protocol::message::encode;
 use juniper_protocol::{
-    ClusterKey, Connection, FrameWriter, Message as Frame, PeerIdentity, Reply, Request, connect,
+    CallAnswer, CallError, ClusterKey, Connection, IncomingFrame, OpenCalls, PeerIdentity, Reply,
+    Request, connect,
 };
 use juniper_types::NodeId;
 use kameo::Actor;
@@ -41,20 +41,6 @@
 const MIN_PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 
-/// Why a call got no reply.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum CallError {
-    /// The peer can't be reached; the call was not sent.
-    #[error("the peer can't be reached")]
-    Unreachable,
-    /// The connection broke after the call was sent.
-    #[error("the connection broke before the reply")]
-    Disconnected,
-    /// No reply came in time.
-    #[error("no reply in time")]
-    TimedOut,
-}
-
 /// What a link needs to connect.
 #[derive(Clone)]
 pub(super) struct LinkTarget {
@@ -103,20 +89,12 @@
     }
 }
 
-struct Connected {
-    generation: u64,
-    writer: FrameWriter,
-}
-
 /// The actor behind a [`Link`].
 struct LinkActor {
     target: LinkTarget,
     own_ref: ActorRef<LinkActor>,
     queued_bytes: Arc<AtomicUsize>,
-    connected: Option<Connected>,
-    generation: u64,
-    next_call: u64,
-    waiting: HashMap<u64, oneshot::Sender<Result<Reply, CallError>>>,
+    calls: OpenCalls,
     pause: Duration,
     retry_at: Instant,
 }
@@ -131,10 +109,7 @@
             target,
             own_ref: actor,
             queued_bytes,
-            connected: None,
-            generation: 0,
-            next_call: 0,
-            waiting: HashMap::new(),
+            calls: OpenCalls::default(),
             pause: MIN_PAUSE,
             retry_at: Instant::now(),
         })
@@ -158,7 +133,7 @@
 /// A call, and where its reply goes.
 struct SendCall {
     request: Request,
-    answer: oneshot::Sender<Result<Reply, CallError>>,
+    answer: CallAnswer,
 }
 
 impl Message<SendCall> for LinkActor {
@@ -169,42 +144,24 @@
             let _ = call.answer.send(Err(CallError::Unreachable));
             return;
         }
-        self.next_call += 1;
-        self.waiting.insert(self.next_call, call.answer);
-        let frame = Frame::Request { call: self.next_call, request: call.request };
-        self.write(&encode(&frame)).await;
+        let message = self.calls.begin(call.request, call.answer);
+        self.write(&encode(&message)).await;
     }
 }
 
-/// Something that the reading task saw on connection `generation`.
-struct Incoming {
-    generation: u64,
-    frame: Option<Frame>,
-}
-
-impl Message<Incoming> for LinkActor {
+impl Message<IncomingFrame> for LinkActor {
     type Reply = ();
 
-    async fn handle(&mut self, incoming: Incoming, _context: &mut Context<Self, ()>) {
-        let current = self.connected.as_ref().map(|connected| connected.generation);
-        if current != Some(incoming.generation) {
-            return;
-        }
-        match incoming.frame {
-            Some(Frame::Reply { call, reply }) => {
-                if let Some(answer) = self.waiting.remove(&call) {
-                    let _ = answer.send(Ok(reply));
-                }
-            }
-            Some(_) => {}
-            None => self.disconnect(),
+    async fn handle(&mut self, incoming: IncomingFrame, _context: &mut Context<Self, ()>) {
+        if self.calls.take(incoming) {
+            self.disconnect();
         }
     }
 }
 
 impl LinkActor {
     async fn ensure_connected(&mut self) -> bool {
-        if self.connected.is_some() {
+        if self.calls.is_connected() {
             return true;
         }
         if Instant::now() < self.retry_at {
@@ -226,26 +183,14 @@
     fn use_connection(&mut self, connection: Connection) {
         log::info!("event=replica_connected peer={}", self.target.node);
         self.pause = MIN_PAUSE;
-        self.generation += 1;
-        let Connection { mut reader, writer, .. } = connection;
-        let generation = self.generation;
-        self.connected = Some(Connected { generation, writer });
+        let reader = self.calls.connected(connection);
         let actor = self.own_ref.clone();
-        tokio::spawn(async move {
-            loop {
-                let frame = reader.receive().await.ok();
-                let ended = frame.is_none();
-                let delivered = actor.tell(Incoming { generation, frame }).await.is_ok();
-                if ended || !delivered {
-                    return;
-                }
-            }
-        });
+        tokio::spawn(reader.run(async move |incoming| actor.tell(incoming).await.is_ok()));
     }
 
     async fn write(&mut self, payload: &[u8]) {
-        let Some(connected) = &mut self.connected else { return };
-        let sent = timeout(WRITE_TIMEOUT, connected.writer.send_encoded(payload)).await;
+        let Some(writer) = self.calls.writer() else { return };
+        let sent = timeout(WRITE_TIMEOUT, writer.send_encoded(payload)).await;
         if !matches!(sent, Ok(Ok(_))) {
             self.disconnect();
         }
@@ -253,10 +198,7 @@
 
     fn disconnect(&mut self) {
         log::warn!("event=replica_disconnected peer={}", self.target.node);
-        self.connected = None;
-        for (_, answer) in self.waiting.drain() {
-            let _ = answer.send(Err(CallError::Disconnected));
-        }
+        self.calls.disconnect();
         self.back_off();
     }
 
--- a/crates/control/src/peers/mod.rs
+++ b/crates/control/src/peers/mod.rs
@@ -9,12 +9,11 @@
 
 use juniper_consensus::Message;
 use juniper_protocol::message::encode;
-use juniper_protocol::{ClusterKey, Message as Frame, PeerIdentity, Reply, Request};
+use juniper_protocol::{CallError, ClusterKey, Message as Frame, PeerIdentity, Reply, Request};
 use juniper_settings::PeerDiscovery;
 use juniper_settings::node_file::Peer;
 use juniper_types::NodeId;
 
-pub use link::CallError;
 use link::{Link, LinkTarget};
 
 /// One link to each replica that there was something to send to.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 //! After that both sides exchange frames ([`frame`]), each holding one
 //! CBOR-encoded [`Message`].
 
+pub mod calls;
 pub mod connection;
 pub mod datagram;
 pub mod fleet;
@@ -11,6 +12,7 @@
 pub mod handshake;
 pub mod message;
 
+pub use calls::{CallAnswer, CallError, GenerationReader, IncomingFrame, OpenCalls};
 pub use connection::{Connection, FrameReader, FrameWriter, Traffic, accept, connect};
 pub use frame::{FrameError, MAX_FRAME_BYTES, PROTOCOL_VERSION};
 pub use handshake::{ClusterKey, ClusterKeyError, HandshakeError, PeerIdentity, PeerRole};
--- a/crates/router/src/control_client.rs
+++ b/crates/router/src/control_client.rs
@@ -4,13 +4,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use juniper_protocol::{Refusal, Reply, Request, Traffic};
+use juniper_protocol::{CallError, Refusal, Reply, Request, Traffic};
 use juniper_settings::node_file::Peer;
 use juniper_types::{NodeId, Revision};
 use tokio::time::Instant;
 
 use crate::config::RouterConfig;
-use crate::link::{CallError, Link, LinkTarget};
+use crate::link::{Link, LinkTarget};
 use crate::reachability::Reachability;
 
 /// Longest wait for one replica before the next one is asked.
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -3,14 +3,13 @@
 //! The actor connects when a call needs it and forgets the connection when it
 //! fails; every call that was waiting then fails with [`CallError::Disconnected`].
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use juniper_protocol::{
-    ClusterKey, Connection, FrameWriter, Message as Frame, PeerIdentity, Reply, Request, Traffic,
-    connect,
+    CallAnswer, CallError, ClusterKey, IncomingFrame, OpenCalls, PeerIdentity, Reply, Request,
+    Traffic, connect,
 };
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
@@ -23,20 +22,6 @@
 /// Time within which a connection must stand.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Why a call got no reply.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum CallError {
-    /// The peer can't be reached; the call was not sent.
-    #[error("the peer can't be reached")]
-    Unreachable,
-    /// The connection broke after the call was sent.
-    #[error("the connection broke before the reply")]
-    Disconnected,
-    /// No reply came in time.
-    #[error("no reply in time")]
-    TimedOut,
-}
-
 /// What a link needs to connect.
 #[derive(Clone)]
 pub struct LinkTarget {
@@ -52,19 +37,11 @@
     pub reachability: Reachability,
 }
 
-struct Connected {
-    generation: u64,
-    writer: FrameWriter,
-}
-
 /// The actor behind a [`Link`].
 pub struct LinkActor {
     target: LinkTarget,
-    own_ref: Option<ActorRef<LinkActor>>,
-    connected: Option<Connected>,
-    generation: u64,
-    next_call: u64,
-    waiting: HashMap<u64, oneshot::Sender<Result<Reply, CallError>>>,
+    own_ref: ActorRef<LinkActor>,
+    calls: OpenCalls,
 }
 
 impl Actor for LinkActor {
@@ -72,27 +49,14 @@
     type Error = std::convert::Infallible;
 
     async fn on_start(target: LinkTarget, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
-        Ok(LinkActor {
-            target,
-            own_ref: Some(actor),
-            connected: None,
-            generation: 0,
-            next_call: 0,
-            waiting: HashMap::new(),
-        })
+        Ok(LinkActor { target, own_ref: actor, calls: OpenCalls::default() })
     }
 }
 
 /// A call to send, and where its reply goes.
 pub struct SendCall {
     request: Request,
-    answer: oneshot::Sender<Result<Reply, CallError>>,
-}
-
-/// Something the reading task saw on connection `generation`.
-pub struct Incoming {
-    generation: u64,
-    frame: Option<Frame>,
+    answer: CallAnswer,
 }
 
 impl Message<SendCall> for LinkActor {
@@ -100,49 +64,36 @@
 
     async fn handle(&mut self, call: SendCall, _context: &mut Context<Self, ()>) {
         if !self.target.reachability.allows(self.target.address) {
-            self.disconnect();
+            self.calls.disconnect();
         }
         if !self.ensure_connected().await {
             let _ = call.answer.send(Err(CallError::Unreachable));
             return;
         }
-        self.next_call += 1;
-        let number = self.next_call;
-        self.waiting.insert(number, call.answer);
-        let frame = Frame::Request { call: number, request: call.request };
-        let sent = match &mut self.connected {
-            Some(connected) => connected.writer.send(&frame).await.is_ok(),
+        let message = self.calls.begin(call.request, call.answer);
+        let sent = match self.calls.writer() {
+            Some(writer) => writer.send(&message).await.is_ok(),
             None => false,
         };
         if !sent {
-            self.disconnect();
+            self.calls.disconnect();
         }
     }
 }
 
-impl Message<Incoming> for LinkActor {
+impl Message<IncomingFrame> for LinkActor {
     type Reply = ();
 
-    async fn handle(&mut self, incoming: Incoming, _context: &mut Context<Self, ()>) {
-        let current = self.connected.as_ref().map(|connected| connected.generation);
-        if current != Some(incoming.generation) {
-            return;
-        }
-        match incoming.frame {
-            Some(Frame::Reply { call, reply }) => {
-                if let Some(answer) = self.waiting.remove(&call) {
-                    let _ = answer.send(Ok(reply));
-                }
-            }
-            Some(_) => {}
-            None => self.disconnect(),
+    async fn handle(&mut self, incoming: IncomingFrame, _context: &mut Context<Self, ()>) {
+        if self.calls.take(incoming) {
+            self.calls.disconnect();
         }
     }
 }
 
 impl LinkActor {
     async fn ensure_connected(&mut self) -> bool {
-        if self.connected.is_some() {
+        if self.calls.is_connected() {
             return true;
         }
         if !self.target.reachability.allows(self.target.address) {
@@ -153,32 +104,11 @@
             return false;
         };
         connection.count_on(&self.target.traffic);
-        self.generation += 1;
-        let Connection { mut reader, writer, .. } = connection;
-        let generation = self.generation;
-        self.connected = Some(Connected { generation, writer });
-        let Some(actor) = self.own_ref.clone() else {
-            return false;
-        };
-        tokio::spawn(async move {
-            loop {
-                let frame = reader.receive().await.ok();
-                let ended = frame.is_none();
-                let delivered = actor.tell(Incoming { generation, frame }).await.is_ok();
-                if ended || !delivered {
-                    return;
-                }
-            }
-        });
+        let reader = self.calls.connected(connection);
+        let actor = self.own_ref.clone();
+        tokio::spawn(reader.run(async move |incoming| actor.tell(incoming).await.is_ok()));
         true
     }
-
-    fn disconnect(&mut self) {
-        self.connected = None;
-        for (_, answer) in self.waiting.drain() {
-            let _ = answer.send(Err(CallError::Disconnected));
-        }
-    }
 }
 
 /// A handle to call one peer.
