Gateway: sightings, the end of a request and the retry rule each stand once

Read as a newcomer: whether a request may run twice was decided in two places, the last log line of a request was built in two files, and the task that accepts was found by its place in a list. No change of behaviour.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -140,7 +140,7 @@
 ) -> Result<Answered, AttemptError> {
     let now = gateway.now();
     let ticket = gateway.placement().begin(choice, call.has_prompt(), now);
-    gateway.sight(choice);
+    gateway.sightings.push(choice);
     let mut attempt = Attempt {
         gateway: Arc::clone(gateway),
         instance: choice.instance.clone(),
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -14,9 +14,10 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::OwnAnswer;
-use crate::attempt::{is_promise, strip_hop_headers};
+use crate::attempt::strip_hop_headers;
 use crate::body::AnswerBody;
 use crate::dialect::CallFacts;
+use crate::finish::own_answer;
 use crate::gateway::Gateway;
 use crate::relay;
 use crate::retry::{Progress, RetryQuestion};
@@ -73,8 +74,7 @@
     pub(crate) fn may_repeat(&self, progress: Progress) -> bool {
         let question = RetryQuestion {
             progress,
-            kind: self.route.kind,
-            resumable: self.route.resumable,
+            repeatable: self.route.is_repeatable(),
             max_attempts: self.route.max_attempts,
         };
         question.is_allowed()
@@ -208,31 +208,3 @@
         Err(own) => own_answer(gateway, &call, own, search.progress),
     }
 }
-
-/// Gives up on the request with an answer of the gateway's own.
-pub(crate) fn own_answer(
-    gateway: &Gateway,
-    call: &Call,
-    own: OwnAnswer,
-    progress: Progress,
-) -> Response<AnswerBody> {
-    log::info!(
-        "event=request_done request={} route={} outcome=own_answer reason={} status={} sent={} \
-         may_have_run={} unreachable={} took_ms={}",
-        call.id(),
-        call.route.name,
-        own.reason(),
-        own.status().as_u16(),
-        progress.sent,
-        progress.may_have_run,
-        progress.unreachable,
-        call.arrived.elapsed().as_millis()
-    );
-    gateway.metrics.own_answer(Some(call.route.kind), own);
-    own.response(&*gateway.dialect, Some(&call.facts.id))
-}
-
-/// Whether a status that a server gave may be passed on for a request that may have run.
-pub(crate) fn is_truthful(status: hyper::StatusCode) -> bool {
-    !is_promise(status)
-}
--- /dev/null
+++ b/crates/gateway/src/finish.rs
@@ -0,0 +1,64 @@
+//! The end of a request: its line in the log, and the gateway's own answers.
+
+use hyper::Response;
+
+use crate::answer::OwnAnswer;
+use crate::body::AnswerBody;
+use crate::call::Call;
+use crate::gateway::Gateway;
+use crate::retry::Progress;
+use crate::stream::StreamCounts;
+
+/// Gives up on the request with an answer of the gateway's own.
+pub(crate) fn own_answer(
+    gateway: &Gateway,
+    call: &Call,
+    own: OwnAnswer,
+    progress: Progress,
+) -> Response<AnswerBody> {
+    log::info!(
+        "event=request_done request={} route={} outcome=own_answer reason={} status={} sent={} \
+         may_have_run={} unreachable={} took_ms={}",
+        call.id(),
+        call.route.name,
+        own.reason(),
+        own.status().as_u16(),
+        progress.sent,
+        progress.may_have_run,
+        progress.unreachable,
+        call.arrived.elapsed().as_millis()
+    );
+    gateway.metrics.own_answer(Some(call.route.kind), own);
+    own.response(&*gateway.dialect, Some(&call.facts.id))
+}
+
+/// Logs how a request that a server answered has ended.
+pub(crate) fn log_done(
+    call: &Call,
+    status: u16,
+    outcome: &str,
+    instance: &str,
+    progress: Progress,
+    stream: Option<&StreamCounts>,
+) {
+    let counts = stream.map(|counts| {
+        format!(
+            " first_ms={} events={} resumed={} longest_pause_ms={}",
+            counts.first.map_or(-1, |first| first.as_millis() as i64),
+            counts.events,
+            counts.resumed,
+            counts.longest_pause.as_millis()
+        )
+    });
+    log::info!(
+        "event=request_done request={} route={} outcome={outcome} status={status} \
+         instance={instance} sent={} may_have_run={} unreachable={} took_ms={}{}",
+        call.id(),
+        call.route.name,
+        progress.sent,
+        progress.may_have_run,
+        progress.unreachable,
+        call.arrived.elapsed().as_millis(),
+        counts.unwrap_or_default()
+    );
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,22 +1,24 @@
 //! What every request of the gateway needs.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use juniper_catalog::{Route, WeightedSplit};
 use juniper_feed::{Feed, FleetView};
-use juniper_placement::{ChainSighting, Choice, Placement, RetryBudget, ServiceProfile};
-use juniper_protocol::message::Sighting;
+use juniper_placement::{Placement, RetryBudget, ServiceProfile};
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::dialect::Dialect;
 use crate::life::Stop;
+use crate::lock::lock;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::settings::GatewaySettings;
+use crate::sightings::SightingQueue;
 
 /// Part of a server's connections that all routers together open. The rest is
 /// for health checks and orders, and for routers that have just started.
@@ -28,14 +30,12 @@
 /// Connections to a server that states no bound.
 const USUAL_CONNECTIONS: u32 = 64;
 
-/// Pace at which resting connections are looked through.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Pace at which other routers are told where prompts were sent.
-const SIGHTING_INTERVAL: Duration = Duration::from_millis(25);
+/// Part of the speed of a link that a move has, on average: ways between zones
+/// are half as fast, and moves wait for one another.
+const LINK_PART: f64 = 0.5;
 
-/// Sightings told at once; the rest is left out.
-const MAX_WAITING_SIGHTINGS: usize = 16;
+/// Time between two looks for idle connections to close.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What every request needs.
 pub(crate) struct Gateway {
@@ -45,14 +45,11 @@
     pub pool: Pool,
     pub metrics: Metrics,
     pub stop: watch::Receiver<Stop>,
+    /// Placements that the other routers haven't been told of yet.
+    pub sightings: SightingQueue,
     placement: Mutex<Placement>,
     budget: Mutex<RetryBudget>,
     splits: Mutex<HashMap<String, WeightedSplit>>,
-    sightings: Mutex<Vec<Sighting>>,
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Gateway {
@@ -67,7 +64,7 @@
             placement: Mutex::new(Placement::new(settings.zone.clone())),
             budget: Mutex::new(RetryBudget::new(settings.retry)),
             splits: Mutex::default(),
-            sightings: Mutex::default(),
+            sightings: SightingQueue::default(),
             pool: Pool::default(),
             settings,
             dialect,
@@ -122,60 +119,11 @@
         share.max(MIN_CONNECTIONS)
     }
 
-    /// Notes where a prompt is sent, for the other routers.
-    pub(crate) fn sight(&self, choice: &Choice) {
-        if choice.keys.is_empty() || !choice.is_movable {
-            return;
-        }
-        let sighting = choice.sighting();
-        let mut waiting = lock(&self.sightings);
-        if waiting.len() < MAX_WAITING_SIGHTINGS {
-            waiting.push(Sighting {
-                instance: sighting.instance,
-                version: sighting.version,
-                chains: sighting.keys,
-                tokens: sighting.tokens,
-            });
-        }
-    }
-
-    /// Tells the other routers where prompts were sent, and learns it from them.
-    pub(crate) async fn keep_sighting(self: Arc<Self>) {
-        let mut received = self.feed.sightings();
-        let mut ticks = tokio::time::interval(SIGHTING_INTERVAL);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                sightings = received.recv() => match sightings {
-                    Ok(sightings) => self.learn(sightings),
-                    Err(tokio::sync::broadcast::error::RecvError::Lagged(_)) => {}
-                    Err(tokio::sync::broadcast::error::RecvError::Closed) => return,
-                },
-                _ = ticks.tick() => {
-                    let waiting = std::mem::take(&mut *lock(&self.sightings));
-                    if !waiting.is_empty() {
-                        self.feed.tell(waiting).await;
-                    }
-                }
-            }
-        }
-    }
-
-    fn learn(&self, sightings: Vec<Sighting>) {
-        let now = self.now();
-        let mut placement = self.placement();
-        for Sighting { instance, version, chains, tokens } in sightings {
-            let sighting = ChainSighting { instance, version, keys: chains, tokens };
-            placement.sighted(&sighting, now);
-        }
-    }
-
-    /// Keeps the servers in step with the feed, and closes connections that
-    /// aren't used, for ever.
-    pub(crate) async fn keep_in_step(self: Arc<Self>) {
+    /// Takes over what the feed publishes, and closes idle connections, for ever.
+    pub(crate) async fn follow_feed(self: Arc<Self>) {
         let mut view = self.feed.view();
-        let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
-        sweep.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut sweep = interval(SWEEP_INTERVAL);
+        sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 changed = view.changed() => {
@@ -183,19 +131,23 @@
                         return;
                     }
                     let latest = Arc::clone(&view.borrow_and_update());
-                    let mut placement = self.placement();
-                    placement.set_instances(&latest.instances);
-                    placement.set_profiles(service_profiles(&latest));
-                    placement.set_renewing(&latest.renewing);
-                    for known in latest.versions.iter() {
-                        placement.saw_version(&known.instance, known.version);
-                    }
+                    self.take_over(&latest);
                 }
                 _ = sweep.tick() => self.sweep(),
             }
         }
     }
 
+    fn take_over(&self, view: &FleetView) {
+        let mut placement = self.placement();
+        placement.set_instances(&view.instances);
+        placement.set_profiles(service_profiles(view));
+        placement.set_renewing(&view.renewing);
+        for known in view.versions.iter() {
+            placement.saw_version(&known.instance, known.version);
+        }
+    }
+
     fn sweep(&self) {
         let view = self.feed.latest();
         let is_used = |id: &InstanceId| view.instances.iter().any(|known| known.report.id == *id);
@@ -203,10 +155,6 @@
     }
 }
 
-/// Part of the speed of a link that a move has, on average: ways between zones
-/// are half as fast, and moves wait for one another.
-const LINK_PART: f64 = 0.5;
-
 /// What moves of memory cost at each service with model engines.
 fn service_profiles(view: &FleetView) -> HashMap<String, ServiceProfile> {
     let Some(index) = &view.catalog else { return HashMap::new() };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,8 +7,9 @@
 //!
 //! - `face` accepts connections, `call` takes one request from its head to its
 //!   answer, `search` looks for a server, `attempt` is one sending to one server.
-//! - `relay` passes whole answers on, `stream` streams.
-//! - `pool` holds connections to servers.
+//! - `relay` passes whole answers on, `stream` streams; `finish` logs how requests end.
+//! - `pool` holds connections to servers; `sightings` tells other routers where
+//!   prompts were sent.
 //! - `life` starts, drains and stops the whole.
 
 mod answer;
@@ -18,14 +19,17 @@
 mod dialect;
 mod events;
 mod face;
+mod finish;
 mod gateway;
 mod life;
+mod lock;
 mod metrics;
 mod pool;
 mod relay;
 mod retry;
 mod search;
 mod settings;
+mod sightings;
 mod stream;
 
 pub use dialect::{AnswerFacts, AttemptFacts, CallFacts, CallFault, Dialect};
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -8,6 +8,7 @@
 use juniper_feed::Feed;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::dialect::Dialect;
@@ -15,6 +16,7 @@
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
+use crate::sightings;
 
 /// Time for which new connections are taken after the stop began. Those who hand
 /// out connections ask for readiness every second and leave a node out after two
@@ -24,6 +26,9 @@
 /// Part of the grace after which what is still open is broken off.
 const GRACE_PART: f64 = 0.92;
 
+/// Time between two looks at the readiness for the log.
+const READINESS_INTERVAL: Duration = Duration::from_millis(250);
+
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stop {
@@ -124,36 +129,46 @@
     let gateway = Gateway::new(settings, Box::new(dialect), feed, Metrics::new()?, phases);
     let gateway = Arc::new(gateway);
     let (tracker, mut open) = Tracker::new();
-    let mut tasks = vec![
-        tokio::spawn(Arc::clone(&gateway).keep_in_step()),
-        tokio::spawn(serve_callers(Arc::clone(&gateway), listeners.callers, tracker)),
-        tokio::spawn(note_readiness(Arc::clone(&gateway))),
-        tokio::spawn(Arc::clone(&gateway).keep_sighting()),
-    ];
-    if let Some(listener) = listeners.readiness {
-        tasks.push(tokio::spawn(serve_readiness(Arc::clone(&gateway), listener)));
-    }
-    if let Some(listener) = listeners.metrics {
-        tasks.push(tokio::spawn(serve_metrics(Arc::clone(&gateway), listener)));
-    }
+    let Listeners { callers, readiness, metrics } = listeners;
+    let accepting = tokio::spawn(serve_callers(Arc::clone(&gateway), callers, tracker));
+    let helpers = start_helpers(&gateway, readiness, metrics);
     log::info!("event=gateway_started node={node}");
     stop.await;
     log::info!("event=gateway_leaving node={node}");
     phase.send_replace(Stop::Leaving);
     sleep(LEAVE_TIME).await;
     phase.send_replace(Stop::ClosingConnections);
-    // The task that accepts holds a tracker too; nothing new is taken from here on.
-    tasks.swap_remove(1).abort();
+    // Nothing new is taken from here on. The task holds a tracker too.
+    accepting.abort();
     let left = grace.mul_f64(GRACE_PART).saturating_sub(LEAVE_TIME);
     let is_done = timeout(left, open.recv()).await.is_ok();
     log::info!("event=gateway_stopped node={node} drained={is_done}");
-    tasks.iter().for_each(|task| task.abort());
+    helpers.iter().for_each(JoinHandle::abort);
     Ok(())
 }
 
+/// Starts what runs beside the serving of callers.
+fn start_helpers(
+    gateway: &Arc<Gateway>,
+    readiness: Option<TcpListener>,
+    metrics: Option<TcpListener>,
+) -> Vec<JoinHandle<()>> {
+    let mut helpers = vec![
+        tokio::spawn(Arc::clone(gateway).follow_feed()),
+        tokio::spawn(sightings::share(Arc::clone(gateway))),
+        tokio::spawn(log_readiness(Arc::clone(gateway))),
+    ];
+    if let Some(listener) = readiness {
+        helpers.push(tokio::spawn(serve_readiness(Arc::clone(gateway), listener)));
+    }
+    if let Some(listener) = metrics {
+        helpers.push(tokio::spawn(serve_metrics(Arc::clone(gateway), listener)));
+    }
+    helpers
+}
+
 /// Logs when callers may be sent here and when not any more.
-async fn note_readiness(gateway: Arc<Gateway>) {
-    const PACE: Duration = Duration::from_millis(250);
+async fn log_readiness(gateway: Arc<Gateway>) {
     let mut ready = false;
     loop {
         if gateway.is_ready() != ready {
@@ -162,6 +177,6 @@
             let version = gateway.feed.latest().catalog_version();
             log::info!("event=readiness ready={ready} catalog={version} age_ms={age_ms}");
         }
-        sleep(PACE).await;
+        sleep(READINESS_INTERVAL).await;
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,16 +10,18 @@
 use hyper::{Method, Response};
 use juniper_catalog::RouteKind;
 use juniper_placement::Outcome;
+use juniper_registry::InstanceId;
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::OwnAnswer;
-use crate::attempt::{Answered, Attempt};
+use crate::attempt::{Answered, Attempt, is_promise};
 use crate::body::{AnswerBody, Incomplete, PieceSender};
-use crate::call::{Call, is_truthful, own_answer};
+use crate::call::Call;
+use crate::finish::{log_done, own_answer};
 use crate::gateway::Gateway;
 use crate::retry::Progress;
 use crate::search::ServerSearch;
-use crate::stream::{self, StreamCounts};
+use crate::stream;
 
 /// Largest answer that is read whole before it is passed on, in bytes. One that
 /// breaks off can then be asked for again.
@@ -89,13 +91,7 @@
                 );
                 attempt.fail(Outcome::Broken);
                 progress.may_have_run += 1;
-                let mut search = ServerSearch::new(&gateway, &call).after(progress, instance);
-                let again = match end {
-                    BodyEnd::Broken | BodyEnd::Stalled => search.run(None).await,
-                    _ => Err(OwnAnswer::DeadlinePassed),
-                };
-                progress = search.progress;
-                answered = match again {
+                answered = match ask_again(&gateway, &call, &mut progress, instance, end).await {
                     Ok(answered) => answered,
                     Err(own) => return own_answer(&gateway, &call, own, progress),
                 };
@@ -104,6 +100,23 @@
     }
 }
 
+/// Asks another server after the answer of `failed` has ended early.
+async fn ask_again(
+    gateway: &Arc<Gateway>,
+    call: &Call,
+    progress: &mut Progress,
+    failed: InstanceId,
+    end: BodyEnd,
+) -> Result<Answered, OwnAnswer> {
+    if !matches!(end, BodyEnd::Broken | BodyEnd::Stalled) {
+        return Err(OwnAnswer::DeadlinePassed);
+    }
+    let mut search = ServerSearch::new(gateway, call).after(*progress, failed);
+    let again = search.run(None).await;
+    *progress = search.progress;
+    again
+}
+
 fn outcome_of(head: &Parts) -> Outcome {
     match head.status.is_server_error() {
         true => Outcome::ServerError,
@@ -180,44 +193,14 @@
     call: &Call,
     head: Parts,
     body: AnswerBody,
-    instance: &juniper_registry::InstanceId,
+    instance: &InstanceId,
     progress: Progress,
 ) -> Response<AnswerBody> {
     // For a request that has run, a promise that it has not must not be passed on.
-    if !is_truthful(head.status) {
+    if is_promise(head.status) {
         return own_answer(gateway, call, OwnAnswer::ServerFailed, progress);
     }
     log_done(call, head.status.as_u16(), "answered", instance.as_str(), progress, None);
     gateway.metrics.answered(call.route.kind, head.status, call.arrived.elapsed());
     Response::from_parts(head, body)
 }
-
-pub(crate) fn log_done(
-    call: &Call,
-    status: u16,
-    outcome: &str,
-    instance: &str,
-    progress: Progress,
-    stream: Option<&StreamCounts>,
-) {
-    let counts = stream.map(|counts| {
-        format!(
-            " first_ms={} events={} resumed={} longest_pause_ms={}",
-            counts.first.map_or(-1, |first| first.as_millis() as i64),
-            counts.events,
-            counts.resumed,
-            counts.longest_pause.as_millis()
-        )
-    });
-    log::info!(
-        "event=request_done request={} route={} outcome={outcome} status={status} \
-         instance={instance} sent={} may_have_run={} unreachable={} took_ms={}{}",
-        call.id(),
-        call.route.name,
-        progress.sent,
-        progress.may_have_run,
-        progress.unreachable,
-        call.arrived.elapsed().as_millis(),
-        counts.unwrap_or_default()
-    );
-}
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -1,7 +1,5 @@
 //! Whether a request may be sent to another server.
 
-use juniper_catalog::RouteKind;
-
 /// Servers beyond the route's most that may be asked when the ones before said
 /// that they did not run the request.
 const SPARE_ASKS: u32 = 2;
@@ -24,8 +22,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RetryQuestion {
     pub progress: Progress,
-    pub kind: RouteKind,
-    pub resumable: bool,
+    /// Whether the request may run a second time after it may have run once.
+    pub repeatable: bool,
     pub max_attempts: u32,
 }
 
@@ -35,19 +33,11 @@
     pub(crate) fn is_allowed(&self) -> bool {
         let Progress { sent, may_have_run, unreachable } = self.progress;
         let most = self.max_attempts.max(1);
-        if may_have_run > 0 && !self.is_repeatable() {
+        if may_have_run > 0 && !self.repeatable {
             return false;
         }
         may_have_run < most
             && sent < most.saturating_add(SPARE_ASKS)
             && unreachable <= SPARE_CONNECTS
     }
-
-    fn is_repeatable(&self) -> bool {
-        match self.kind {
-            RouteKind::Repeatable => true,
-            RouteKind::AtMostOnce => false,
-            RouteKind::Stream => self.resumable,
-        }
-    }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -15,8 +15,9 @@
 use crate::body::{AnswerBody, Incomplete, PieceSender};
 use crate::call::Call;
 use crate::events::EventSplitter;
+use crate::finish::log_done;
 use crate::gateway::Gateway;
-use crate::relay::{BodyEnd, log_done};
+use crate::relay::BodyEnd;
 use crate::retry::Progress;
 use crate::search::ServerSearch;
 
