--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -81,7 +81,8 @@
     pub instance: InstanceId,
     connection: Option<ServerConnection>,
     ticket: Option<Ticket>,
-    rest: Option<Duration>,
+    /// Idle time after which the server closes the connection, if it tells.
+    stated_idle: Option<Duration>,
     may_keep: bool,
 }
 
@@ -109,7 +110,7 @@
     pub(crate) fn finish(mut self, outcome: Outcome) {
         let connection = self.connection.take().filter(|_| self.may_keep);
         if let Some(connection) = connection {
-            self.gateway.pool.keep(&self.instance, connection, self.rest);
+            self.gateway.pool.keep(&self.instance, connection, self.stated_idle);
         }
         self.close(outcome);
     }
@@ -146,7 +147,7 @@
         instance: choice.instance.clone(),
         connection: None,
         ticket: Some(ticket),
-        rest: None,
+        stated_idle: None,
         may_keep: false,
     };
     match exchange(gateway, call, choice, last_event, until, &mut attempt).await {
@@ -180,7 +181,7 @@
         Ok(Err(error)) => return Err(sending_failed(error)),
         Ok(Ok(response)) => response,
     };
-    attempt.rest = stated_rest(response.headers());
+    attempt.stated_idle = stated_idle(response.headers());
     attempt.may_keep = !closes(response.headers());
     strip_hop_headers(response.headers_mut());
     let (head, body) = response.into_parts();
@@ -281,8 +282,8 @@
     headers.get_all(CONNECTION).iter().any(close)
 }
 
-/// Longest rest of the connection that the server states.
-fn stated_rest(headers: &HeaderMap) -> Option<Duration> {
+/// Idle time after which the server closes the connection, if it tells.
+fn stated_idle(headers: &HeaderMap) -> Option<Duration> {
     let stated = headers.get("keep-alive")?.to_str().ok()?;
     let seconds = stated.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
     seconds.trim().parse().ok().map(Duration::from_secs)
--- a/crates/gateway/src/face.rs
+++ b/crates/gateway/src/face.rs
@@ -22,15 +22,19 @@
 /// Pause after the listener failed, for example for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Rest of a caller's connection while no configuration states one.
-const USUAL_REST: Duration = Duration::from_secs(15);
+/// Idle time of a caller's connection while no configuration states one.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// What a connection may rest longer than callers are told.
-const REST_SLACK: Duration = Duration::from_millis(1_000);
+/// By how much a connection may be idle longer than callers are told.
+const IDLE_SLACK: Duration = Duration::from_millis(1_000);
 
 /// Least read buffer that hyper takes, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
+/// Longest time for one question for readiness or metrics. They are answered one
+/// after the other.
+const PLAIN_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Accepts connections of callers, for ever.
 pub(crate) async fn serve_callers(gateway: Arc<Gateway>, listener: TcpListener, open: Tracker) {
     loop {
@@ -63,9 +67,9 @@
         let gateway = Arc::clone(gateway);
         async move { answer(&gateway, request).await }
     });
-    let (rest, buffer_bytes) = connection_bounds(gateway);
+    let (idle_timeout, buffer_bytes) = connection_bounds(gateway);
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(rest).max_buf_size(buffer_bytes);
+    builder.timer(TokioTimer::new()).header_read_timeout(idle_timeout).max_buf_size(buffer_bytes);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut stop = gateway.stop.clone();
@@ -90,14 +94,16 @@
     }
 }
 
-/// How long a connection may rest or take for a head, and its buffer.
+/// How long a connection may be idle or take for a head, and its buffer in bytes.
 fn connection_bounds(gateway: &Gateway) -> (Duration, usize) {
     let view = gateway.feed.latest();
-    let Some(index) = &view.catalog else { return (USUAL_REST + REST_SLACK, MIN_BUFFER_BYTES * 2) };
+    let Some(index) = &view.catalog else {
+        return (DEFAULT_IDLE_TIMEOUT + IDLE_SLACK, MIN_BUFFER_BYTES * 2);
+    };
     let limits = index.catalog().limits;
-    let rest = limits.idle_timeout_ms.max(limits.header_timeout_ms);
+    let idle_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
     let buffer_bytes = (limits.header_bytes as usize).max(MIN_BUFFER_BYTES);
-    (Duration::from_millis(rest) + REST_SLACK, buffer_bytes)
+    (Duration::from_millis(idle_ms) + IDLE_SLACK, buffer_bytes)
 }
 
 /// The caller has left, so there is nobody to answer.
@@ -152,7 +158,7 @@
             Ok::<_, Infallible>(response)
         });
         let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new()).header_read_timeout(USUAL_REST);
+        builder.timer(TokioTimer::new()).header_read_timeout(DEFAULT_IDLE_TIMEOUT);
         let connection = builder.keep_alive(false).serve_connection(TokioIo::new(stream), service);
         let served = tokio::time::timeout(PLAIN_TIMEOUT, connection).await;
         if !matches!(served, Ok(Ok(()))) {
@@ -160,7 +166,3 @@
         }
     }
 }
-
-/// Longest time for one question for readiness or metrics. They are answered one
-/// after the other.
-const PLAIN_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -37,7 +37,7 @@
     /// Not ready any more; everything that comes is still served, and each
     /// connection ends with its answer.
     Leaving,
-    /// Connections that rest are closed.
+    /// Idle connections are closed.
     ClosingConnections,
 }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hyper::client::conn::http1::{self, SendRequest};
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::body::WholeBody;
+use crate::lock::lock;
 
 /// Time within which a connection must stand: many round trips between zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -28,11 +29,11 @@
 /// Probes without an answer after which the server is cut off.
 const PROBES: u32 = 2;
 
-/// Longest rest of a kept connection, unless the server states a shorter one.
-const MAX_REST: Duration = Duration::from_secs(4);
+/// Longest idle time of a kept connection, unless the server states a shorter one.
+const MAX_IDLE: Duration = Duration::from_secs(4);
 
 /// Time by which a connection is given up before the server would close it.
-const REST_MARGIN: Duration = Duration::from_millis(900);
+const IDLE_MARGIN: Duration = Duration::from_millis(900);
 
 /// Read buffer of a connection, in bytes; the least that hyper takes.
 const BUFFER_BYTES: usize = 8 << 10;
@@ -90,7 +91,7 @@
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        let mut counts = self.counts.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut counts = lock(&self.counts);
         if let Some(count) = counts.get_mut(&self.instance) {
             *count -= 1;
             if *count == 0 {
@@ -100,7 +101,7 @@
     }
 }
 
-/// Connections that rest, by server.
+/// Idle connections by server, and how many are open.
 #[derive(Default)]
 pub(crate) struct Pool {
     idle: Mutex<HashMap<InstanceId, Vec<Idle>>>,
@@ -108,11 +109,7 @@
 }
 
 impl Pool {
-    fn lock(&self) -> MutexGuard<'_, HashMap<InstanceId, Vec<Idle>>> {
-        self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
-    }
-
-    /// A connection to the server: the one that rested shortest, or a new one if
+    /// A connection to the server: the one that was idle for the shortest time, or a new one if
     /// fewer than `limit` are open.
     pub(crate) async fn connect(
         &self,
@@ -140,7 +137,7 @@
     }
 
     fn count_open(&self, instance: &InstanceId, limit: u32) -> Option<OpenGuard> {
-        let mut counts = self.open.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut counts = lock(&self.open);
         let count = counts.entry(instance.clone()).or_default();
         if *count >= limit {
             return None;
@@ -150,10 +147,10 @@
     }
 
     fn take_idle(&self, instance: &InstanceId) -> Option<ServerConnection> {
-        let mut idle = self.lock();
-        let resting = idle.get_mut(instance)?;
+        let mut idle = lock(&self.idle);
+        let kept = idle.get_mut(instance)?;
         let now = Instant::now();
-        while let Some(Idle { mut connection, until }) = resting.pop() {
+        while let Some(Idle { mut connection, until }) = kept.pop() {
             if now < until && connection.sender.is_ready() {
                 connection.reused = true;
                 return Some(connection);
@@ -162,33 +159,33 @@
         None
     }
 
-    /// Keeps a connection whose answer was read to its end. `rest` is what the
-    /// server states as the longest rest.
+    /// Keeps a connection whose answer was read to its end. `stated` is the idle time
+    /// after which the server closes it, if the server tells.
     pub(crate) fn keep(
         &self,
         instance: &InstanceId,
         connection: ServerConnection,
-        rest: Option<Duration>,
+        stated: Option<Duration>,
     ) {
         if connection.sender.is_closed() {
             return;
         }
-        let rest = rest.map_or(MAX_REST, |rest| rest.saturating_sub(REST_MARGIN).min(MAX_REST));
-        if rest.is_zero() {
+        let idle = stated.map_or(MAX_IDLE, |idle| idle.saturating_sub(IDLE_MARGIN).min(MAX_IDLE));
+        if idle.is_zero() {
             return;
         }
-        let until = Instant::now() + rest;
-        self.lock().entry(instance.clone()).or_default().push(Idle { connection, until });
+        let until = Instant::now() + idle;
+        lock(&self.idle).entry(instance.clone()).or_default().push(Idle { connection, until });
     }
 
-    /// Closes connections that have rested for long, and those to servers that
+    /// Closes connections that have been idle for long, and those to servers that
     /// aren't used any more.
     pub(crate) fn sweep(&self, is_used: impl Fn(&InstanceId) -> bool) {
         let now = Instant::now();
-        let mut idle = self.lock();
-        idle.retain(|instance, resting| {
-            resting.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
-            !resting.is_empty() && is_used(instance)
+        let mut idle = lock(&self.idle);
+        idle.retain(|instance, kept| {
+            kept.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
+            !kept.is_empty() && is_used(instance)
         });
     }
 }
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -67,7 +67,7 @@
                 Err(refusal) => return Err(self.given_up(self.refusal(refusal))),
             };
             self.log_choice(&choice);
-            let sent = send(self.gateway, self.call, &choice, last_event, self.patience()).await;
+            let sent = send(self.gateway, self.call, &choice, last_event, self.give_up_at()).await;
             match sent {
                 Ok(answered) => {
                     self.progress.sent += 1;
@@ -147,7 +147,7 @@
     }
 
     /// Until when the answer is waited for before another server is asked.
-    fn patience(&self) -> Instant {
+    fn give_up_at(&self) -> Instant {
         let mut after = self.progress;
         after.sent += 1;
         after.may_have_run += 1;
@@ -158,8 +158,8 @@
             true => PROMPT_SILENCE_FACTOR,
             false => SILENCE_FACTOR,
         };
-        let patience = self.call.objective().mul_f64(factor).max(LEAST_SILENCE);
-        self.call.deadline.min(Instant::now() + patience)
+        let silence = self.call.objective().mul_f64(factor).max(LEAST_SILENCE);
+        self.call.deadline.min(Instant::now() + silence)
     }
 
     fn refusal(&self, refusal: NoChoice) -> OwnAnswer {
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -12,16 +12,16 @@
 /// Time in which a share of failures halves when nothing is sent.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
 
-/// Shortest and longest rest of a server that can't be reached.
-const MIN_REST: Duration = Duration::from_millis(250);
-const MAX_REST: Duration = Duration::from_secs(2);
+/// Shortest and longest back-off from a server that can't be reached; it doubles.
+const MIN_BACK_OFF: Duration = Duration::from_millis(250);
+const MAX_BACK_OFF: Duration = Duration::from_secs(2);
 
-/// Rest of a server that was full.
-const FULL_REST: Duration = Duration::from_millis(120);
+/// Time for which a server that was full costs more.
+const FULL_PAUSE: Duration = Duration::from_millis(120);
 
 /// Time for which a server is left alone after it has turned a version of weights away,
 /// unless its own report names another version before.
-const DENIAL_REST: Duration = Duration::from_secs(1);
+const DENIAL_PAUSE: Duration = Duration::from_secs(1);
 
 /// Weight of one measured time.
 const TIME_WEIGHT: f64 = 0.2;
@@ -62,8 +62,8 @@
 pub(crate) struct Health {
     failures: Decaying,
     delay_ms: Decaying,
-    rest: Duration,
-    resting_until: Timestamp,
+    back_off: Duration,
+    backing_off_until: Timestamp,
     full_until: Timestamp,
     denial: Option<Denial>,
     /// The address belongs to another life.
@@ -75,8 +75,8 @@
         Health {
             failures: Decaying::new(FAILURE_HALF_LIFE),
             delay_ms: Decaying::new(TIME_HALF_LIFE),
-            rest: Duration::ZERO,
-            resting_until: Timestamp::ZERO,
+            back_off: Duration::ZERO,
+            backing_off_until: Timestamp::ZERO,
             full_until: Timestamp::ZERO,
             denial: None,
             replaced: false,
@@ -89,17 +89,17 @@
     pub(crate) fn record(&mut self, outcome: Outcome, now: Timestamp) {
         let failed = match outcome {
             Outcome::Answered => {
-                self.rest = Duration::ZERO;
+                self.back_off = Duration::ZERO;
                 0.0
             }
             Outcome::ServerError | Outcome::Broken => 1.0,
             Outcome::Unreachable => {
-                self.rest = (self.rest * 2).clamp(MIN_REST, MAX_REST);
-                self.resting_until = now.after(self.rest);
+                self.back_off = (self.back_off * 2).clamp(MIN_BACK_OFF, MAX_BACK_OFF);
+                self.backing_off_until = now.after(self.back_off);
                 1.0
             }
             Outcome::Full => {
-                self.full_until = now.after(FULL_REST);
+                self.full_until = now.after(FULL_PAUSE);
                 return;
             }
             Outcome::Replaced => {
@@ -107,7 +107,7 @@
                 return;
             }
             Outcome::OtherWeights(version) => {
-                self.denial = Some(Denial { version, until: now.after(DENIAL_REST) });
+                self.denial = Some(Denial { version, until: now.after(DENIAL_PAUSE) });
                 return;
             }
             Outcome::Cancelled => return,
@@ -131,9 +131,9 @@
         self.delay_ms.at(now)
     }
 
-    /// Whether it could not be reached and should be left alone.
-    pub(crate) fn is_resting(&self, now: Timestamp) -> bool {
-        now < self.resting_until
+    /// Whether it could not be reached and is left alone for now.
+    pub(crate) fn is_backing_off(&self, now: Timestamp) -> bool {
+        now < self.backing_off_until
     }
 
     /// Whether it has turned weights of `version` away a moment ago.
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -45,7 +45,7 @@
             version.is_some_and(|version| server.health.denies(version, now))
         };
         let works = |server: &&Server| {
-            !server.health.is_resting(now) && !server.renewing && !denies(server)
+            !server.health.is_backing_off(now) && !server.renewing && !denies(server)
         };
         let working: Vec<&Server> = candidates.iter().copied().filter(works).collect();
         if working.is_empty() {
