Placement: candidates and prompt work in files of their own, indices and re-reads named so

search.rs held who may be asked, what a prompt means for each server and the choice. The reason last_resort claimed another rule than the code has; it is drawn at random. No change of behaviour.

--- a/crates/placement/src/budget.rs
+++ b/crates/placement/src/budget.rs
@@ -75,9 +75,6 @@
     }
 
     fn counts(&mut self, service: &str) -> &mut Counts {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.to_owned(), Counts::default());
-        }
         self.services.entry(service.to_owned()).or_default()
     }
 
--- /dev/null
+++ b/crates/placement/src/candidates.rs
@@ -0,0 +1,68 @@
+//! The servers that a request may be sent to, and those of them that are known to work.
+
+use juniper_registry::InstanceId;
+use juniper_types::Timestamp;
+
+use crate::choice::{Choice, NoChoice, Reason};
+use crate::placement::Placement;
+use crate::request::ServerRequest;
+use crate::server::Server;
+
+impl Placement {
+    /// The servers that the request may be sent to at all.
+    pub(crate) fn candidates(
+        &self,
+        members: &[InstanceId],
+        request: &ServerRequest<'_>,
+    ) -> Result<Vec<&Server>, NoChoice> {
+        let known = members.iter().filter_map(|id| self.servers.get(id));
+        let known: Vec<&Server> = known.filter(|server| !server.health.replaced).collect();
+        if known.is_empty() {
+            return Err(NoChoice::NoServer);
+        }
+        let mut fresh: Vec<&Server> = known;
+        if let Some(prompt) = request.prompt {
+            fresh.retain(|server| server.version_of(&prompt.model) >= request.min_version);
+            if fresh.is_empty() {
+                return Err(NoChoice::OldWeights);
+            }
+        }
+        fresh.retain(|server| !request.excluded.contains(&server.instance.report.id));
+        match fresh.is_empty() {
+            true => Err(NoChoice::AllExcluded),
+            false => Ok(fresh),
+        }
+    }
+}
+
+/// Whether the server is known to work and takes new requests of this kind.
+pub(crate) fn is_usable(server: &Server, request: &ServerRequest<'_>, now: Timestamp) -> bool {
+    let version = request.prompt.map(|prompt| server.version_of(&prompt.model));
+    let denied = version.is_some_and(|version| server.health.denies(version, now));
+    !server.health.is_backing_off(now) && !server.renewing && !denied
+}
+
+/// Any of the servers, when none is known to work: it may work again.
+pub(crate) fn last_resort(
+    candidates: &[&Server],
+    request: &ServerRequest<'_>,
+    random: u64,
+) -> Choice {
+    let index = (random % candidates.len().max(1) as u64) as usize;
+    let report = &candidates[index].instance.report;
+    Choice {
+        instance: report.id.clone(),
+        address: report.address,
+        reason: Reason::LastResort,
+        cost_ms: 0.0,
+        kept_tokens: 0,
+        missed_tokens: request.prompt.map_or(0, |prompt| prompt.tokens),
+        candidates: candidates.len(),
+        version: request.prompt.map_or(0, |prompt| candidates[index].version_of(&prompt.model)),
+        source: None,
+        store: None,
+        keys: Vec::new(),
+        inserted_tokens: 0,
+        is_movable: false,
+    }
+}
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -18,7 +18,7 @@
     Fetch,
     /// It costs least.
     LeastCost,
-    /// None is known to work; this one has rested longest.
+    /// None is known to work; this one was drawn at random.
     LastResort,
 }
 
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -14,7 +14,7 @@
 
 /// What reading shared parts again costs beside the time: the engine is kept from
 /// other work, and the parts displace others.
-const WASTE_FACTOR: f64 = 4.0;
+const REREAD_FACTOR: f64 = 4.0;
 
 /// What each request under way adds, because servers slow down as they fill.
 const UNDER_WAY_MS: f64 = 2.0;
@@ -46,7 +46,7 @@
     /// Tokens that the server would have to read.
     pub missed_tokens: u32,
     /// Tokens of shared parts among those, which some server has read already.
-    pub shared_missed: u32,
+    pub reread_tokens: u32,
     /// Time to move parts to the server.
     pub move_ms: f64,
     /// Whether the server belongs to the lane of prompts of the other length.
@@ -70,7 +70,7 @@
     pub(crate) fn cost_ms(&self, server: &ServerView<'_>) -> f64 {
         let objective_ms = self.objective.as_secs_f64() * 1_000.0;
         let reading = self.speed.ms_for(f64::from(server.missed_tokens));
-        let waste = self.speed.ms_for(f64::from(server.shared_missed)) * WASTE_FACTOR;
+        let reread = self.speed.ms_for(f64::from(server.reread_tokens)) * REREAD_FACTOR;
         let queue = self.speed.ms_for(server.load.waiting_tokens as f64);
         let zone = if server.same_zone { 0.0 } else { OTHER_ZONE_MS };
         let under_way = f64::from(server.load.requests) * UNDER_WAY_MS;
@@ -83,7 +83,7 @@
         let failures = excess.max(0.0) * FAILURE_FACTOR * objective_ms;
         let displaced = self.speed.ms_for(server.displaced);
         let moving = server.move_ms + displaced;
-        let work = reading + waste + moving + queue + under_way + crowded + delay;
+        let work = reading + reread + moving + queue + under_way + crowded + delay;
         work + zone + lane + full + silent + failures + server.cold_ms
     }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,11 +2,12 @@
 //! and a random number go in; a choice with its reasons comes out.
 //!
 //! A prompt is known by the chain of its parts. Shared parts have a home, which
-//! every router works out alike by rendezvous hashing ([`ChainKey`]); the cost of
+//! every router works out alike by rendezvous hashing ([`ChainKeys`]); the cost of
 //! reading or moving them, the load and the health of a server decide whether a
 //! request goes home ([`Placement::choose`]).
 
 mod budget;
+mod candidates;
 mod choice;
 mod cost;
 mod decay;
@@ -16,6 +17,7 @@
 mod load;
 mod memory;
 mod placement;
+mod prompt_work;
 mod recent;
 mod request;
 mod search;
--- /dev/null
+++ b/crates/placement/src/prompt_work.rs
@@ -0,0 +1,169 @@
+//! What a prompt means for each server: what it keeps, reads, fetches and displaces.
+
+use juniper_types::Timestamp;
+
+use crate::choice::{Reason, ServiceProfile};
+use crate::homes::ChainKeys;
+use crate::lanes::is_long;
+use crate::placement::Placement;
+use crate::request::ServerRequest;
+use crate::server::Server;
+
+/// Fewest shared tokens that are worth a move between servers.
+const MIN_MOVED_TOKENS: u32 = 1_000;
+
+/// Shared parts that nobody has, placed elsewhere than at their home, count as read
+/// again by one part in so many: another router may be reading them at the home.
+const OFF_HOME_DIVISOR: u32 = 8;
+
+/// What a prompt means for one server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PromptWork {
+    /// Tokens that it would have to read.
+    pub missed_tokens: u32,
+    /// Tokens of shared parts among those that some server has read already.
+    pub reread_tokens: u32,
+    /// Time to move the shared parts to it.
+    pub move_ms: f64,
+    /// Whether it belongs to the lane of prompts of the other length.
+    pub other_lane: bool,
+    /// Tokens that come into its memory.
+    pub inserted_tokens: u32,
+    /// Chance that what gives way to them would have been asked for again.
+    pub displacement_loss: f64,
+    /// Whether parts can be moved at all.
+    pub can_move: bool,
+    /// Index of the server to move them from.
+    pub source: Option<usize>,
+    /// Why this server would be chosen.
+    pub reason: Reason,
+}
+
+impl Default for PromptWork {
+    fn default() -> Self {
+        PromptWork {
+            missed_tokens: 0,
+            reread_tokens: 0,
+            move_ms: 0.0,
+            other_lane: false,
+            inserted_tokens: 0,
+            displacement_loss: 0.0,
+            can_move: false,
+            source: None,
+            reason: Reason::LeastCost,
+        }
+    }
+}
+
+impl Placement {
+    /// What the prompt means for each server.
+    pub(crate) fn prompt_works(
+        &self,
+        servers: &[&Server],
+        request: &ServerRequest<'_>,
+        chain: &ChainKeys,
+        now: Timestamp,
+    ) -> Vec<PromptWork> {
+        let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
+        let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
+        let all = chain.all_tokens();
+        let other_lane = self.other_lane(servers, request, now);
+        let ServiceProfile { move_ms, cache_tokens, .. } = self.profile(request.service);
+        let can_move = move_ms > 0.0 && all >= MIN_MOVED_TOKENS;
+        let home = chain.home(servers.iter().map(|server| server.hash));
+        let kept = self.kept_tokens(servers, chain, model, now);
+        let nobody_has_any = kept.iter().all(|tokens| *tokens == 0);
+        let work = |index: usize| {
+            let own = kept[index];
+            let source = self.source(servers, &kept, index, model).filter(|_| can_move);
+            let fetched = source.map_or(0, |source| kept[source] - own);
+            let missed = all - own - fetched;
+            let is_home = home == Some(index);
+            let reread = match (is_home, nobody_has_any) {
+                (true, _) => 0,
+                (false, true) => missed / OFF_HOME_DIVISOR,
+                (false, false) => missed,
+            };
+            PromptWork {
+                missed_tokens: tokens.saturating_sub(own + fetched),
+                reread_tokens: reread,
+                move_ms: move_ms * f64::from(fetched),
+                other_lane: other_lane[index],
+                inserted_tokens: tokens.saturating_sub(own),
+                displacement_loss: servers[index].turnover.loss(cache_tokens, now),
+                can_move,
+                source,
+                reason: match (own > 0, fetched > 0, is_home) {
+                    (true, false, _) => Reason::Holder,
+                    (_, true, _) => Reason::Fetch,
+                    (false, false, true) => Reason::Home,
+                    (false, false, false) => Reason::LeastCost,
+                },
+            }
+        };
+        (0..servers.len()).map(work).collect()
+    }
+
+    /// Whether each server belongs to the lane of prompts of the other length. The
+    /// lanes are parts of all servers, so that they stay the same while some are
+    /// renewed or can't be reached.
+    fn other_lane(
+        &self,
+        servers: &[&Server],
+        request: &ServerRequest<'_>,
+        now: Timestamp,
+    ) -> Vec<bool> {
+        let none = vec![false; servers.len()];
+        let Some(prompt) = request.prompt else { return none };
+        let Some(lanes) = self.lanes.get(request.service) else { return none };
+        let members = self.services.get(request.service).map_or(&[][..], Vec::as_slice);
+        let members = members.iter().filter_map(|id| self.servers.get(id));
+        let mut hashes: Vec<u64> =
+            members.filter(|server| !server.health.replaced).map(|server| server.hash).collect();
+        hashes.sort_unstable();
+        let short = lanes.short_servers(hashes.len(), now);
+        let first_long = hashes.get(short).copied();
+        let wants_long = is_long(prompt.tokens);
+        let is_other = |server: &&Server| {
+            let is_long_lane = first_long.is_some_and(|first| server.hash >= first);
+            is_long_lane != wants_long
+        };
+        servers.iter().map(is_other).collect()
+    }
+
+    /// Shared tokens that each server should have, by what was sent there lately.
+    fn kept_tokens(
+        &self,
+        servers: &[&Server],
+        chain: &ChainKeys,
+        model: &str,
+        now: Timestamp,
+    ) -> Vec<u32> {
+        let mut kept = vec![0; servers.len()];
+        for (key, tokens) in chain.keys.iter().zip(&chain.tokens) {
+            for (index, server) in servers.iter().enumerate() {
+                let version = server.version_of(model);
+                let mut holders = self.recent.holders(*key, version, now);
+                if holders.any(|holder| *holder == server.instance.report.id) {
+                    kept[index] = *tokens;
+                }
+            }
+        }
+        kept
+    }
+
+    /// The server with the same weights that has most of what the one at `index` lacks.
+    fn source(
+        &self,
+        servers: &[&Server],
+        kept: &[u32],
+        index: usize,
+        model: &str,
+    ) -> Option<usize> {
+        let version = servers[index].version_of(model);
+        let has_more = |other: &usize| {
+            kept[*other] > kept[index] && servers[*other].version_of(model) == version
+        };
+        (0..servers.len()).filter(has_more).max_by_key(|other| kept[*other])
+    }
+}
