Feed, renewal: typed events and commands, a session of its own; unused parts gone

Read as a newcomer: the link to a replica did everything in one loop and took tuples and 'orders', which are orders of new weights elsewhere. departures_before, since_order and a time that nobody read are gone. No change of behaviour.

--- a/crates/control/src/internal/follower.rs
+++ b/crates/control/src/internal/follower.rs
@@ -143,13 +143,11 @@
 }
 
 fn news_after(state: &FleetState, departures_sent: u64, members: Vec<NodeId>) -> FleetNews {
-    let departures: Vec<_> = state.departures_after(departures_sent).cloned().collect();
     FleetNews {
         revision: state.revision(),
         catalog_version: state.catalog().map_or(0, |catalog| catalog.version),
         weights: state.weights().clone(),
-        departures_before: state.departures_total() - departures.len() as u64,
-        departures,
+        departures: state.departures_after(departures_sent).cloned().collect(),
         members,
     }
 }
--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::fold::{FleetFold, FoldOutcome};
-use crate::link::{self, LinkOrder, LinkParts};
+use crate::link::{self, LinkCommand, LinkParts};
 use crate::view::FleetView;
 
 /// Events that wait for the actor; links wait beyond that.
@@ -43,7 +43,15 @@
     pub seeds: Vec<NodeId>,
 }
 
-/// What a link has to say.
+/// Something that happened on the link to a replica.
+pub(crate) struct ReplicaEvent {
+    /// The replica.
+    pub node: NodeId,
+    /// What happened.
+    pub event: LinkEvent,
+}
+
+/// What can happen on a link.
 pub(crate) enum LinkEvent {
     Connected { zone: ZoneName },
     Disconnected,
@@ -56,7 +64,7 @@
 }
 
 struct Link {
-    orders: mpsc::UnboundedSender<LinkOrder>,
+    commands: mpsc::UnboundedSender<LinkCommand>,
     task: AbortHandle,
 }
 
@@ -83,14 +91,22 @@
     sightings: broadcast::Sender<Vec<Sighting>>,
 }
 
-type Arguments = (FeedSettings, Instant, Published);
+/// What the actor starts with.
+pub(crate) struct FeedArguments {
+    settings: FeedSettings,
+    started: Instant,
+    published: Published,
+}
 
 impl Actor for FeedActor {
-    type Args = Arguments;
+    type Args = FeedArguments;
     type Error = std::convert::Infallible;
 
-    async fn on_start(arguments: Arguments, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
-        let (settings, started, published) = arguments;
+    async fn on_start(
+        arguments: FeedArguments,
+        actor: ActorRef<Self>,
+    ) -> Result<Self, Self::Error> {
+        let FeedArguments { settings, started, published } = arguments;
         let mut feed = FeedActor {
             settings,
             own_ref: actor.clone(),
@@ -120,12 +136,12 @@
     }
 }
 
-impl Message<(NodeId, LinkEvent)> for FeedActor {
+impl Message<ReplicaEvent> for FeedActor {
     type Reply = ();
 
     async fn handle(
         &mut self,
-        (node, event): (NodeId, LinkEvent),
+        ReplicaEvent { node, event }: ReplicaEvent,
         _context: &mut Context<Self, ()>,
     ) {
         if !self.links.contains_key(&node) {
@@ -192,7 +208,7 @@
         let relay = near.or_else(|| self.zones.iter().next()).map(|(node, _)| node);
         if let Some(link) = relay.and_then(|node| self.links.get(node)) {
             // A link that has just ended loses them.
-            let _ = link.orders.send(LinkOrder::Tell(message.0));
+            let _ = link.commands.send(LinkCommand::Tell(message.0));
         }
     }
 }
@@ -229,7 +245,7 @@
             && let Some(link) = self.links.get(&node)
         {
             // The link asks again if it has just ended.
-            let _ = link.orders.send(LinkOrder::Fetch(above));
+            let _ = link.commands.send(LinkCommand::Fetch(above));
         }
         self.follow_members();
     }
@@ -269,16 +285,16 @@
     }
 
     fn spawn_link(&self, node: NodeId) -> Link {
-        let (orders, receiver) = mpsc::unbounded_channel();
+        let (commands, receiver) = mpsc::unbounded_channel();
         let parts = LinkParts {
             node,
             key: self.settings.key.clone(),
             own: self.settings.own.clone(),
             feed: self.own_ref.clone(),
             confirmed_at: self.confirmed_at.subscribe(),
-            orders: receiver,
+            commands: receiver,
         };
-        Link { orders, task: tokio::spawn(link::run(parts)).abort_handle() }
+        Link { commands, task: tokio::spawn(link::run(parts)).abort_handle() }
     }
 }
 
@@ -307,7 +323,7 @@
             routers: routers_sender,
             sightings: sightings.clone(),
         };
-        let arguments = (settings, started, published);
+        let arguments = FeedArguments { settings, started, published };
         let actor = FeedActor::spawn_with_mailbox(arguments, mailbox::bounded(MAILBOX_CAPACITY));
         Feed { actor, started, view, confirmed_at, routers, sightings }
     }
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -1,12 +1,13 @@
 //! The connection to one control replica.
 
 use std::collections::VecDeque;
+use std::convert::Infallible;
 use std::time::Duration;
 
 use juniper_protocol::message::Sighting;
 use juniper_protocol::{
-    ClusterKey, Connection, FrameError, FrameWriter, HandshakeError, Message, PeerIdentity, Push,
-    Reply, Request, connect,
+    ClusterKey, Connection, FrameError, FrameReader, FrameWriter, HandshakeError, Message,
+    PeerIdentity, Push, Reply, Request, connect,
 };
 use juniper_types::NodeId;
 use kameo::actor::ActorRef;
@@ -14,7 +15,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
-use crate::actor::{FeedActor, LinkEvent};
+use crate::actor::{FeedActor, LinkEvent, ReplicaEvent};
 
 /// Time within which a connection must stand.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -63,11 +64,11 @@
     /// Whether a quorum has confirmed anything yet.
     pub confirmed_at: watch::Receiver<Option<Instant>>,
     /// What to send to the replica.
-    pub orders: mpsc::UnboundedReceiver<LinkOrder>,
+    pub commands: mpsc::UnboundedReceiver<LinkCommand>,
 }
 
 /// What a link is to send.
-pub(crate) enum LinkOrder {
+pub(crate) enum LinkCommand {
     /// Ask for the configuration above this version.
     Fetch(u64),
     /// Tell of sightings.
@@ -79,8 +80,7 @@
     let mut known_down = false;
     loop {
         let mut connected = false;
-        let end = follow(&mut parts, &mut connected).await;
-        let Err(end) = end else { return };
+        let Err(end) = follow(&mut parts, &mut connected).await;
         if connected {
             known_down = false;
             if parts.tell(LinkEvent::Disconnected).await.is_err() {
@@ -104,50 +104,62 @@
 
 impl LinkParts {
     async fn tell(&self, event: LinkEvent) -> Result<(), LinkEnd> {
-        self.feed.tell((self.node, event)).await.map_err(|_| LinkEnd::Stopped)
+        let event = ReplicaEvent { node: self.node, event };
+        self.feed.tell(event).await.map_err(|_| LinkEnd::Stopped)
     }
 }
 
-/// Questions on their way, by their numbers.
-#[derive(Default)]
-struct Calls {
-    last: u64,
+/// Messages that wait to be taken in; the replica is read no faster.
+const WAITING_FRAMES: usize = 16;
+
+/// A connection that stands.
+struct Session {
+    writer: FrameWriter,
+    /// Number of the latest call.
+    last_call: u64,
+    /// Questions for a confirmation that aren't answered, with the time of each.
     confirms: VecDeque<(u64, Instant)>,
 }
 
-impl Calls {
-    async fn send(&mut self, writer: &mut FrameWriter, request: Request) -> Result<u64, LinkEnd> {
-        self.last += 1;
-        let message = Message::Request { call: self.last, request };
-        match timeout(SILENCE_LIMIT, writer.send(&message)).await {
-            Ok(sent) => sent.map(|_| self.last).map_err(LinkEnd::Frame),
-            Err(_) => Err(LinkEnd::Silent),
-        }
+impl Session {
+    fn new(writer: FrameWriter) -> Self {
+        Session { writer, last_call: 0, confirms: VecDeque::new() }
     }
 
-    async fn tell(
-        &mut self,
-        writer: &mut FrameWriter,
-        sightings: Vec<Sighting>,
-    ) -> Result<(), LinkEnd> {
-        let message = Message::Sightings(sightings);
-        match timeout(SILENCE_LIMIT, writer.send(&message)).await {
+    async fn write(&mut self, message: &Message) -> Result<(), LinkEnd> {
+        match timeout(SILENCE_LIMIT, self.writer.send(message)).await {
             Ok(sent) => sent.map(|_| ()).map_err(LinkEnd::Frame),
             Err(_) => Err(LinkEnd::Silent),
         }
     }
 
-    async fn confirm(&mut self, writer: &mut FrameWriter) -> Result<(), LinkEnd> {
+    /// Sends a call and returns its number.
+    async fn call(&mut self, request: Request) -> Result<u64, LinkEnd> {
+        self.last_call += 1;
+        let call = self.last_call;
+        self.write(&Message::Request { call, request }).await?;
+        Ok(call)
+    }
+
+    /// Asks the replica how current it is.
+    async fn confirm(&mut self) -> Result<(), LinkEnd> {
         let oldest = self.confirms.front();
         if oldest.is_some_and(|(_, asked)| asked.elapsed() > SILENCE_LIMIT) {
             return Err(LinkEnd::Silent);
         }
         let asked = Instant::now();
-        let call = self.send(writer, Request::Confirm).await?;
+        let call = self.call(Request::Confirm).await?;
         self.confirms.push_back((call, asked));
         Ok(())
     }
 
+    async fn carry_out(&mut self, command: LinkCommand) -> Result<(), LinkEnd> {
+        match command {
+            LinkCommand::Tell(sightings) => self.write(&Message::Sightings(sightings)).await,
+            LinkCommand::Fetch(above) => self.call(Request::Catalog { above }).await.map(|_| ()),
+        }
+    }
+
     /// When the question that `call` answers was asked.
     fn asked(&mut self, call: u64) -> Option<Instant> {
         while let Some((number, asked)) = self.confirms.pop_front() {
@@ -157,73 +169,82 @@
         }
         None
     }
+
+    /// What a message of the replica means for the feed, if anything.
+    fn event_of(&mut self, message: Message) -> Option<LinkEvent> {
+        match message {
+            Message::Push(Push::Fleet(news)) => Some(LinkEvent::News(news)),
+            Message::Push(Push::Instances { heard, whole }) => {
+                Some(LinkEvent::Instances { heard, whole })
+            }
+            Message::Push(Push::Renewals(news)) => Some(LinkEvent::Renewals(news)),
+            Message::Sightings(sightings) => Some(LinkEvent::Sightings(sightings)),
+            Message::Reply { reply: Reply::Catalog(body), .. } => Some(LinkEvent::Catalog(body)),
+            Message::Reply { call, reply } => {
+                let asked = self.asked(call)?;
+                let Reply::Confirmed { age_ms, revision, routers } = reply else { return None };
+                let at = asked.checked_sub(Duration::from_millis(age_ms)).unwrap_or(asked);
+                Some(LinkEvent::Confirmed { at, revision, routers })
+            }
+            _ => None,
+        }
+    }
 }
 
-async fn follow(parts: &mut LinkParts, connected: &mut bool) -> Result<(), LinkEnd> {
+/// Connects and follows until the connection ends. Sets `connected` once it stands.
+async fn follow(parts: &mut LinkParts, connected: &mut bool) -> Result<Infallible, LinkEnd> {
     let address = parts.node.address().ok_or(LinkEnd::NoAddress)?;
     let opening = connect(address.into(), &parts.key, &parts.own);
     let opened = timeout(CONNECT_TIMEOUT, opening).await;
-    let connection = opened.map_err(|_| LinkEnd::ConnectTimeout)??;
+    let Connection { peer, reader, writer } = opened.map_err(|_| LinkEnd::ConnectTimeout)??;
     *connected = true;
     log::info!("event=replica_followed replica={}", parts.node);
-    let Connection { peer, mut reader, mut writer } = connection;
-    let mut calls = Calls::default();
-    calls.send(&mut writer, Request::Follow).await?;
+    let mut session = Session::new(writer);
+    session.call(Request::Follow).await?;
     parts.tell(LinkEvent::Connected { zone: peer.zone }).await?;
+    let (frames, received) = mpsc::channel(WAITING_FRAMES);
+    let reading = tokio::spawn(read_frames(reader, frames));
+    let ended = exchange(parts, &mut session, received).await;
+    reading.abort();
+    ended
+}
+
+/// Reading a frame can't be interrupted, so a task of its own does it.
+async fn read_frames(mut reader: FrameReader, frames: mpsc::Sender<Result<Message, FrameError>>) {
+    loop {
+        let frame = reader.receive().await;
+        let ended = frame.is_err();
+        if frames.send(frame).await.is_err() || ended {
+            return;
+        }
+    }
+}
+
+/// Asks for confirmations, carries commands out and hands on what comes.
+async fn exchange(
+    parts: &mut LinkParts,
+    session: &mut Session,
+    mut received: mpsc::Receiver<Result<Message, FrameError>>,
+) -> Result<Infallible, LinkEnd> {
     let mut ticks = interval(CONFIRM_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let (frames, mut received) = mpsc::channel(16);
-    // Reading a frame can't be interrupted, so a task of its own does it.
-    let reading = tokio::spawn(async move {
-        loop {
-            let frame = reader.receive().await;
-            let ended = frame.is_err();
-            if frames.send(frame).await.is_err() || ended {
-                return;
+    loop {
+        tokio::select! {
+            frame = received.recv() => {
+                let message = frame.ok_or(LinkEnd::Frame(FrameError::Closed))??;
+                if let Some(event) = session.event_of(message) {
+                    parts.tell(event).await?;
+                }
             }
-        }
-    });
-    let ended = loop {
-        let step = tokio::select! {
-            frame = received.recv() => match frame {
-                Some(Ok(frame)) => take(parts, &mut calls, frame).await,
-                Some(Err(error)) => Err(error.into()),
-                None => Err(FrameError::Closed.into()),
-            },
             _ = ticks.tick() => {
                 if parts.confirmed_at.borrow().is_none() {
                     ticks.reset_after(FIRST_CONFIRM_INTERVAL);
                 }
-                calls.confirm(&mut writer).await
+                session.confirm().await?;
+            }
+            command = parts.commands.recv() => {
+                session.carry_out(command.ok_or(LinkEnd::Stopped)?).await?;
             }
-            order = parts.orders.recv() => match order {
-                Some(LinkOrder::Tell(sightings)) => calls.tell(&mut writer, sightings).await,
-                Some(LinkOrder::Fetch(above)) => calls.send(&mut writer, Request::Catalog { above }).await.map(|_| ()),
-                None => Err(LinkEnd::Stopped),
-            },
-        };
-        if let Err(end) = step {
-            break end;
-        }
-    };
-    reading.abort();
-    Err(ended)
-}
-
-async fn take(parts: &LinkParts, calls: &mut Calls, frame: Message) -> Result<(), LinkEnd> {
-    let event = match frame {
-        Message::Push(Push::Fleet(news)) => LinkEvent::News(news),
-        Message::Push(Push::Instances { heard, whole }) => LinkEvent::Instances { heard, whole },
-        Message::Sightings(sightings) => LinkEvent::Sightings(sightings),
-        Message::Push(Push::Renewals(news)) => LinkEvent::Renewals(news),
-        Message::Reply { reply: Reply::Catalog(body), .. } => LinkEvent::Catalog(body),
-        Message::Reply { call, reply } => {
-            let Some(asked) = calls.asked(call) else { return Ok(()) };
-            let Reply::Confirmed { age_ms, revision, routers } = reply else { return Ok(()) };
-            let at = asked.checked_sub(Duration::from_millis(age_ms)).unwrap_or(asked);
-            LinkEvent::Confirmed { at, revision, routers }
         }
-        _ => return Ok(()),
-    };
-    parts.tell(event).await
+    }
 }
--- a/crates/feed/tests/fold.rs
+++ b/crates/feed/tests/fold.rs
@@ -23,7 +23,6 @@
         revision,
         catalog_version,
         weights: BTreeMap::new(),
-        departures_before: 0,
         departures: Vec::new(),
         members: vec![FIRST, SECOND],
     }
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -91,7 +91,6 @@
         revision: REVISION,
         catalog_version: said.catalog.version,
         weights: BTreeMap::new(),
-        departures_before: 0,
         departures: Vec::new(),
         members: vec![said.node],
     }))
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -46,10 +46,7 @@
     /// Version of the weights that each model should have.
     #[n(2)]
     pub weights: BTreeMap<String, u64>,
-    /// Servers that left before the ones named here.
-    #[n(3)]
-    pub departures_before: u64,
-    /// Servers that left since, oldest first.
+    /// Servers that left and weren't named on this connection yet, oldest first.
     #[n(4)]
     pub departures: Vec<InstanceId>,
     /// The control replicas, standbys included.
--- a/crates/renewal/src/plan.rs
+++ b/crates/renewal/src/plan.rs
@@ -38,10 +38,18 @@
     pub version: u64,
 }
 
+/// A server with older weights than its model should have.
+struct Behind<'a> {
+    server: &'a RenewalServer,
+    /// When the first version that it lacks was named.
+    since: Timestamp,
+    /// Version that it should have.
+    wanted: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Ordered {
     version: u64,
-    at: Timestamp,
     /// Another order may follow from then on.
     again_at: Timestamp,
 }
@@ -72,30 +80,23 @@
         now: Timestamp,
     ) -> Option<(RenewalServer, u64)> {
         self.ordered.retain(|id, _| servers.iter().any(|server| server.instance == *id));
-        let mut behind: Vec<(Timestamp, &RenewalServer, u64)> = servers
-            .iter()
-            .filter_map(|server| {
-                let wanted = wanted.get(&server.model)?;
-                let since = wanted.overdue_since(server.version)?;
-                Some((since, server, wanted.version()))
-            })
-            .collect();
-        if behind.is_empty() {
-            return None;
-        }
-        behind.sort_by(|a, b| (a.0, &a.1.instance).cmp(&(b.0, &b.1.instance)));
-        let under_way = behind.iter().filter(|entry| self.is_under_way(entry.1, now)).count();
-        let waiting: Vec<_> =
-            behind.iter().filter(|entry| !self.is_under_way(entry.1, now)).collect();
-        let (since, server, version) = waiting.first()?;
-        let left = self.settings.within.saturating_sub(now.since(*since));
-        let interval = left / u32::try_from(waiting.len() + 1).unwrap_or(u32::MAX);
-        let paced = now >= self.due_at;
+        let behind = servers.iter().filter_map(|server| {
+            let weights = wanted.get(&server.model)?;
+            let since = weights.overdue_since(server.version)?;
+            Some(Behind { server, since, wanted: weights.version() })
+        });
+        let mut behind: Vec<Behind<'_>> = behind.collect();
+        behind.sort_by(|a, b| (a.since, &a.server.instance).cmp(&(b.since, &b.server.instance)));
+        let total = behind.len();
+        behind.retain(|behind| !self.is_under_way(behind.server, now));
+        let under_way = total - behind.len();
+        let first = behind.first()?;
+        let left = self.settings.within.saturating_sub(now.since(first.since));
+        self.interval = left / u32::try_from(behind.len() + 1).unwrap_or(u32::MAX);
         let most = (servers.len() as f64 * MAX_UNDER_WAY).ceil() as usize;
         let has_room = under_way < most || left.is_zero();
-        let due = (paced && has_room).then(|| ((*server).clone(), *version));
-        self.interval = interval;
-        due
+        let is_due = now >= self.due_at && has_room;
+        is_due.then(|| (first.server.clone(), first.wanted))
     }
 
     fn is_under_way(&self, server: &RenewalServer, now: Timestamp) -> bool {
@@ -107,7 +108,7 @@
     /// An order was taken, or may have been.
     pub fn ordered(&mut self, instance: &InstanceId, version: u64, now: Timestamp) {
         let again_at = now.after(self.settings.repeat_after);
-        self.ordered.insert(instance.clone(), Ordered { version, at: now, again_at });
+        self.ordered.insert(instance.clone(), Ordered { version, again_at });
         // What the pace of looking has missed is made up for, but not what was due
         // long ago.
         let earliest = Timestamp(now.0.saturating_sub(MAX_ARREARS.as_micros() as u64));
@@ -117,11 +118,6 @@
     /// The server is to be asked again after a while.
     pub fn postpone(&mut self, instance: &InstanceId, version: u64, by: Duration, now: Timestamp) {
         let again_at = now.after(by);
-        self.ordered.insert(instance.clone(), Ordered { version, at: now, again_at });
-    }
-
-    /// Time since the latest order to a server, if there was one.
-    pub fn since_order(&self, instance: &InstanceId, now: Timestamp) -> Option<Duration> {
-        self.ordered.get(instance).map(|ordered| now.since(ordered.at))
+        self.ordered.insert(instance.clone(), Ordered { version, again_at });
     }
 }
