--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -10,11 +10,11 @@
 use juniper_settings::node_file::{
     CommonSettings, ControlSettings, LogLevel, NodeFile, NodeFileError, NodeOverride,
 };
+use juniper_signals::stopped;
 use lexopt::{Arg, ValueExt};
 use log::LevelFilter;
 use serde_json::json;
 use tokio::runtime::Runtime;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::EXIT_FAULTS;
 use crate::arguments::ArgumentError;
@@ -100,23 +100,6 @@
     tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(DaemonError::Runtime)
 }
 
-/// Completes on SIGTERM or SIGINT.
-async fn stop_signal() -> Result<(), std::io::Error> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
-
-async fn stopped() {
-    if let Err(error) = stop_signal().await {
-        log::error!("event=signal_handler_failed reason=\"{error}\"");
-    }
-}
-
 /// `control --settings FILE`.
 pub fn control(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
     let arguments = read_arguments(parser)?;
--- a/crates/control-state/src/fleet.rs
+++ b/crates/control-state/src/fleet.rs
@@ -19,7 +19,7 @@
     /// Its version.
     #[n(0)]
     pub version: u64,
-    /// The encoded [`juniper_catalog::Catalog`], as routers get it.
+    /// The encoded `juniper_catalog::Catalog`, as routers get it.
     #[cbor(n(1), with = "minicbor::bytes")]
     pub body: Vec<u8>,
     /// The operator's own text, handed back unchanged.
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -1,7 +1,7 @@
 //! One replica: the agreement state machine, its storage and the replicated state.
 //!
 //! [`ReplicaActor`] owns all three and does what the agreement asks for. It
-//! never waits: storage works on a thread of its own ([`writer`]), peers have
+//! never waits: storage works on a thread of its own (`writer`), peers have
 //! actors of their own, and callers wait on channels ([`ReplicaHandle`]).
 
 mod actor;
--- a/crates/lab/src/fleet/operator.rs
+++ b/crates/lab/src/fleet/operator.rs
@@ -34,7 +34,7 @@
     /// Waits until a GET of `path` at `address` succeeds.
     ///
     /// # Errors
-    /// Fails when it doesn't within [`PATIENCE`].
+    /// Fails when it doesn't within `PATIENCE`.
     pub async fn wait_for(&self, address: SocketAddr, path: &str) -> Result<(), FleetError> {
         let start = Instant::now();
         let url = format!("http://{address}{path}");
@@ -52,7 +52,7 @@
     /// keeps its id, so that it takes effect once however often it is sent.
     ///
     /// # Errors
-    /// Fails when it is refused, or not taken within [`PATIENCE`].
+    /// Fails when it is refused, or not taken within `PATIENCE`.
     pub async fn apply(
         &self,
         control: &[SocketAddr],
@@ -97,7 +97,7 @@
     /// Waits until `revision` is in force at every router of `routers`.
     ///
     /// # Errors
-    /// Fails when it isn't within [`PATIENCE`].
+    /// Fails when it isn't within `PATIENCE`.
     pub async fn wait_for_revision(
         &self,
         routers: &[SocketAddr],
--- a/crates/lab/src/load/stream.rs
+++ b/crates/lab/src/load/stream.rs
@@ -19,7 +19,7 @@
 /// Why a stream can't be read.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum StreamError {
-    /// A line is longer than [`MAX_LINE_BYTES`].
+    /// A line is longer than `MAX_LINE_BYTES`.
     #[error("a line is too long")]
     LineTooLong,
     /// An event is not the JSON expected.
@@ -58,7 +58,7 @@
     pub error: ErrorDetail,
 }
 
-/// Splits bytes into events; memory is bounded by [`MAX_LINE_BYTES`] and one piece.
+/// Splits bytes into events; memory is bounded by `MAX_LINE_BYTES` and one piece.
 #[derive(Debug, Default)]
 pub struct StreamReader {
     buffer: Vec<u8>,
--- a/crates/router/src/engine_api.rs
+++ b/crates/router/src/engine_api.rs
@@ -26,7 +26,7 @@
     /// The call failed.
     #[error("engine call failed: {0}")]
     Http(#[from] reqwest::Error),
-    /// The answer is larger than [`MAX_ANSWER_BYTES`].
+    /// The answer is larger than `MAX_ANSWER_BYTES`.
     #[error("the engine's answer has more than {MAX_ANSWER_BYTES} bytes")]
     TooLarge,
     /// The answer is not the expected JSON.
--- a/crates/settings/src/node_file/mod.rs
+++ b/crates/settings/src/node_file/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Every fault is reported at once with its place in the file and what is
 //! allowed there. Serde stops at the first fault of a document, so the document
-//! is read key by key ([`section`]) and serde reads each value.
+//! is read key by key (`section`) and serde reads each value.
 
 mod fault;
 mod roles;
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,6 +1,6 @@
 //! Durable log, snapshots and disk identity of a control replica.
 //!
-//! A data folder is made by [`format`], opened by [`Storage::open`] and written
+//! A data folder is made by [`format()`], opened by [`Storage::open`] and written
 //! by [`Storage::save`], which returns only after everything is synced. The
 //! design and the layout of the files are described in `docs/design/storage.md`.
 
