--- /dev/null
+++ b/crates/protocol/tests/sizes.rs
@@ -0,0 +1,37 @@
+//! Sizes of the messages that every router sends or gets all the time. The figures in
+//! docs/CAPACITY.md rest on them.
+
+use juniper_protocol::message::{Sighting, encode};
+use juniper_protocol::{Message, Reply, Request};
+use juniper_registry::InstanceId;
+
+/// Bytes before each message on the wire.
+const FRAME_HEADER: usize = 5;
+
+fn bytes(message: &Message) -> usize {
+    encode(message).len() + FRAME_HEADER
+}
+
+#[test]
+fn a_confirmation_is_small() {
+    let request = Message::Request { call: 100_000, request: Request::Confirm };
+    let reply = Reply::Confirmed { age_ms: 300, revision: 1_000_000, routers: 340 };
+    let both_ways = bytes(&request) + bytes(&Message::Reply { call: 100_000, reply });
+    println!("confirmation: {both_ways} bytes both ways");
+    assert!(both_ways <= 50, "{both_ways}");
+}
+
+#[test]
+fn a_sighting_is_small() {
+    let sighting = |number: u64| Sighting {
+        instance: InstanceId::new("i-0123456789"),
+        version: 12,
+        chains: vec![u64::MAX - number; 2],
+        tokens: 20_000,
+    };
+    let one = bytes(&Message::Sightings(vec![sighting(0)]));
+    let more = bytes(&Message::Sightings((0..11).map(sighting).collect()));
+    let each = (more - one) / 10;
+    println!("sighting of two beginnings: {each} bytes, alone {one}");
+    assert!(each <= 50, "{each}");
+}
