--- a/crates/cli/src/recover.rs
+++ b/crates/cli/src/recover.rs
@@ -208,6 +208,8 @@
     let role = match member.role {
         MemberRole::Voter => "voter",
         MemberRole::Learner => "learner",
+        MemberRole::Incoming => "incoming voter",
+        MemberRole::Outgoing => "outgoing voter",
     };
     let disk = member.id.disk.to_string();
     json!({ "node": member.id.node, "disk": disk, "zone": member.zone, "role": role })
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -1,4 +1,8 @@
 //! The set of replicas, kept in the log and changed one replica at a time.
+//!
+//! The exception is the replacement of a voter by a standby, which goes through a
+//! joint membership: while it lasts, whatever needs a majority needs one of the
+//! voters before and one of the voters after.
 
 use juniper_types::{NodeId, ZoneName};
 use minicbor::{Decode, Encode};
@@ -20,8 +24,40 @@
     /// Receives the log only; a standby that may be promoted to a voter.
     #[n(1)]
     Learner,
+    /// A standby that is taking a voter's place: votes among the voters after only.
+    #[n(2)]
+    Incoming,
+    /// A voter that a standby is replacing: votes among the voters before only.
+    #[n(3)]
+    Outgoing,
+}
+
+impl MemberRole {
+    /// Whether a member of this role votes at all.
+    pub const fn votes(self) -> bool {
+        !matches!(self, MemberRole::Learner)
+    }
+
+    /// Whether a member of this role votes in the given half of a joint membership.
+    const fn votes_in(self, half: Half) -> bool {
+        match self {
+            MemberRole::Voter => true,
+            MemberRole::Learner => false,
+            MemberRole::Incoming => matches!(half, Half::After),
+            MemberRole::Outgoing => matches!(half, Half::Before),
+        }
+    }
 }
 
+/// The voters before and those after a replacement. Without one they are the same.
+#[derive(Clone, Copy, Debug)]
+enum Half {
+    Before,
+    After,
+}
+
+const HALVES: [Half; 2] = [Half::Before, Half::After];
+
 /// One replica of a membership.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Member {
@@ -52,6 +88,15 @@
     Demote(ReplicaId),
     /// Takes a replica out.
     Remove(ReplicaId),
+    /// Begins to put a learner in a voter's place: the membership becomes joint.
+    Replace {
+        /// The voter that goes.
+        voter: ReplicaId,
+        /// The learner that takes its place.
+        standby: ReplicaId,
+    },
+    /// Ends a replacement: the voters after it are the voters.
+    FinishReplacement,
 }
 
 /// Why a change doesn't fit the membership.
@@ -63,6 +108,12 @@
     /// The replica isn't in the membership in the role that the change needs.
     #[error("{0} does not have the role that the change needs")]
     WrongRole(ReplicaId),
+    /// A voter is being replaced, which has to end first.
+    #[error("a voter is being replaced")]
+    Replacing,
+    /// No voter is being replaced.
+    #[error("no voter is being replaced")]
+    NotReplacing,
     /// The last voter can't be taken away.
     #[error("a membership needs a voter")]
     LastVoter,
@@ -102,7 +153,7 @@
 
     /// Whether this very replica, disk included, votes.
     pub fn is_voter(&self, id: ReplicaId) -> bool {
-        self.get(id).is_some_and(|member| member.role == MemberRole::Voter)
+        self.get(id).is_some_and(|member| member.role.votes())
     }
 
     /// Whether this very replica, disk included, is a member.
@@ -110,9 +161,25 @@
         self.get(id).is_some()
     }
 
-    /// Members whose role is voter.
+    /// Members that vote; while one replaces another, both of them.
     pub fn voters(&self) -> impl Iterator<Item = &Member> {
-        self.members.iter().filter(|member| member.role == MemberRole::Voter)
+        self.members.iter().filter(|member| member.role.votes())
+    }
+
+    /// Voters once a replacement that is under way has ended.
+    pub fn next_voters(&self) -> impl Iterator<Item = &Member> {
+        self.voters_in(Half::After)
+    }
+
+    /// Whether a voter is being replaced.
+    pub fn is_joint(&self) -> bool {
+        let replaced =
+            |member: &Member| matches!(member.role, MemberRole::Incoming | MemberRole::Outgoing);
+        self.members.iter().any(replaced)
+    }
+
+    fn voters_in(&self, half: Half) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(move |member| member.role.votes_in(half))
     }
 
     /// Members whose role is learner.
@@ -125,9 +192,21 @@
         self.members.iter().filter(move |member| member.id.node == node)
     }
 
-    /// Votes that make a majority.
-    pub fn quorum(&self) -> usize {
-        self.voters().count() / 2 + 1
+    /// Whether the replicas that `counts` holds for make a majority, of the voters
+    /// before and of those after while a voter is being replaced.
+    pub fn has_majority(&self, counts: impl Fn(ReplicaId) -> bool) -> bool {
+        self.reached_by_majority(|id| u64::from(counts(id))) > 0
+    }
+
+    /// The highest number that a majority has reached, of the voters before and of
+    /// those after while a voter is being replaced. 0 without voters.
+    pub fn reached_by_majority(&self, reached: impl Fn(ReplicaId) -> u64) -> u64 {
+        let reached_in = |half: Half| {
+            let mut numbers: Vec<u64> = self.voters_in(half).map(|m| reached(m.id)).collect();
+            numbers.sort_unstable_by(|left, right| right.cmp(left));
+            numbers.get(numbers.len() / 2).copied().unwrap_or(0)
+        };
+        HALVES.into_iter().map(reached_in).min().unwrap_or(0)
     }
 
     /// The membership after `change`.
@@ -136,11 +215,27 @@
     /// Fails when the change doesn't fit.
     pub fn changed(&self, change: &MembershipChange) -> Result<Membership, MembershipError> {
         let mut next = self.clone();
+        let touches_votes = !matches!(
+            change,
+            MembershipChange::AddLearner { .. } | MembershipChange::FinishReplacement
+        );
+        if touches_votes && self.is_joint() {
+            return Err(MembershipError::Replacing);
+        }
         match change {
             MembershipChange::AddLearner { id, zone } => next.add_learner(*id, zone.clone())?,
-            MembershipChange::Promote(id) => next.set_role(*id, MemberRole::Voter)?,
-            MembershipChange::Demote(id) => next.set_role(*id, MemberRole::Learner)?,
+            MembershipChange::Promote(id) => {
+                next.turn(*id, MemberRole::Learner, MemberRole::Voter)?;
+            }
+            MembershipChange::Demote(id) => {
+                next.turn(*id, MemberRole::Voter, MemberRole::Learner)?;
+            }
             MembershipChange::Remove(id) => next.remove(*id)?,
+            MembershipChange::Replace { voter, standby } => {
+                next.turn(*voter, MemberRole::Voter, MemberRole::Outgoing)?;
+                next.turn(*standby, MemberRole::Learner, MemberRole::Incoming)?;
+            }
+            MembershipChange::FinishReplacement => next.finish_replacement()?,
         }
         if next.voters().next().is_none() {
             return Err(MembershipError::LastVoter);
@@ -160,9 +255,28 @@
         Ok(())
     }
 
-    fn set_role(&mut self, id: ReplicaId, role: MemberRole) -> Result<(), MembershipError> {
-        let found = self.members.iter_mut().find(|member| member.id == id && member.role != role);
-        found.ok_or(MembershipError::WrongRole(id))?.role = role;
+    fn turn(
+        &mut self,
+        id: ReplicaId,
+        from: MemberRole,
+        to: MemberRole,
+    ) -> Result<(), MembershipError> {
+        let found = self.members.iter_mut().find(|member| member.id == id && member.role == from);
+        found.ok_or(MembershipError::WrongRole(id))?.role = to;
+        Ok(())
+    }
+
+    fn finish_replacement(&mut self) -> Result<(), MembershipError> {
+        if !self.is_joint() {
+            return Err(MembershipError::NotReplacing);
+        }
+        for member in &mut self.members {
+            member.role = match member.role {
+                MemberRole::Incoming => MemberRole::Voter,
+                MemberRole::Outgoing => MemberRole::Learner,
+                role => role,
+            };
+        }
         Ok(())
     }
 
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -176,7 +176,7 @@
     fn is_majority(&self, ballot: &Ballot) -> bool {
         let membership = self.log.membership();
         let granted = |id: ReplicaId| id == self.id() || ballot.granted.contains(&id);
-        membership.voters().filter(|member| granted(member.id)).count() >= membership.quorum()
+        membership.has_majority(granted)
     }
 
     pub(super) fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>) {
--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -38,8 +38,7 @@
         let State::Leader(leadership) = &self.state else { return false };
         let active = self.active_in(leadership);
         let membership = self.log.membership();
-        let voters = membership.voters().filter(|member| active.contains(&member.id)).count();
-        voters >= membership.quorum()
+        membership.has_majority(|id| active.contains(&id))
     }
 
     /// Members heard from within an election timeout, the leader included.
@@ -200,9 +199,7 @@
             false => leadership.progress.get(&id).map_or(0, |progress| progress.matched),
         };
         let membership = self.log.membership();
-        let mut matched: Vec<Index> = membership.voters().map(|m| on_disk(m.id)).collect();
-        matched.sort_unstable_by(|left, right| right.cmp(left));
-        let Some(&reached) = matched.get(membership.quorum() - 1) else { return };
+        let reached = membership.reached_by_majority(on_disk);
         if reached > self.commit && reached >= leadership.first_index {
             let committed_bytes = self.log.bytes_between(self.commit, reached);
             self.commit = reached;
--- a/crates/consensus/src/replica/maintain.rs
+++ b/crates/consensus/src/replica/maintain.rs
@@ -2,12 +2,15 @@
 //! to join, or made by the leader to replace voters that are lost.
 //!
 //! The log takes one change of one replica at a time, so any majority before a
-//! change and any majority after it share a voter.
+//! change and any majority after it share a voter. A replacement changes two
+//! replicas and is made in two steps, with a joint membership between them.
 //!
 //! A voter whose node came back with another disk can't return: it is taken out
 //! at once, which makes no quorum harder to reach, and the new disk is promoted
-//! when it has caught up. A voter that is only silent may return: a standby is
-//! promoted first, and the silent voter demoted after that.
+//! when it has caught up. A voter that is only silent may return: a standby takes
+//! its place. Were the standby promoted first and the voter demoted after that,
+//! four voters would count in between, and losing the standby's disk as well
+//! would leave two of four; of a joint membership two of three are left.
 
 use juniper_types::ZoneName;
 
@@ -70,18 +73,25 @@
         change: &MembershipChange,
         next: &Membership,
     ) -> bool {
-        if let MembershipChange::Promote(id) = change
-            && !self.is_caught_up(leadership, *id)
-        {
+        let new_voter = match change {
+            MembershipChange::Promote(id) => Some(*id),
+            MembershipChange::Replace { standby, .. } => Some(*standby),
+            _ => None,
+        };
+        if new_voter.is_some_and(|id| !self.is_caught_up(leadership, id)) {
             return false;
         }
         if self.takes_needed_voter(leadership, change, next) {
             return false;
         }
         let changes_quorum = !matches!(change, MembershipChange::AddLearner { .. });
-        let active = self.active_in(leadership);
-        let live = next.voters().filter(|member| active.contains(&member.id)).count();
-        !changes_quorum || live >= next.quorum()
+        let mut active = self.active_in(leadership);
+        if let MembershipChange::Replace { standby, .. } = change {
+            // The standby may be lost before it has voted once, and another voter
+            // may be gone already: the majority that lets it in must do without it.
+            active.retain(|id| id != standby);
+        }
+        !changes_quorum || next.has_majority(|id| active.contains(&id))
     }
 
     /// Whether the change takes a voter away that the target needs and that may be
@@ -189,11 +199,15 @@
 
 impl View<'_> {
     fn due_change(&self) -> Option<MembershipChange> {
+        if self.membership.is_joint() {
+            return Some(MembershipChange::FinishReplacement);
+        }
         self.obsolete_learner()
             .or_else(|| self.superseded_voter())
             .map(MembershipChange::Remove)
             .or_else(|| self.surplus_voter().map(MembershipChange::Demote))
             .or_else(|| self.promotion().map(MembershipChange::Promote))
+            .or_else(|| self.replacement())
     }
 
     fn is_active(&self, id: ReplicaId) -> bool {
@@ -229,13 +243,30 @@
         if self.membership.voters().count() <= self.replica.config.target_voters {
             return None;
         }
-        let own = self.replica.id();
-        let others = || self.membership.voters().filter(move |member| member.id != own);
-        let silent = others().filter(|member| !self.is_active(member.id));
+        let silent = self.other_voters().filter(|member| !self.is_active(member.id));
         let silent = silent.max_by_key(|member| self.silence(member.id));
-        let silent = silent.or_else(|| others().find(|member| self.is_retiring(member.id)));
-        let crowded = || others().max_by_key(|member| self.voters_in(&member.zone));
-        silent.or_else(crowded).map(|member| member.id)
+        let silent = silent.or_else(|| self.retiring_voter());
+        silent.or_else(|| self.crowded_voter()).map(|member| member.id)
+    }
+
+    fn other_voters(&self) -> impl Iterator<Item = &Member> {
+        let own = self.replica.id();
+        self.membership.voters().filter(move |member| member.id != own)
+    }
+
+    /// The voter that has been silent longest, if that is long enough to replace it.
+    fn lost_voter(&self) -> Option<&Member> {
+        let lost = self.other_voters().filter(|member| self.is_lost(member.id));
+        lost.max_by_key(|member| self.silence(member.id))
+    }
+
+    fn retiring_voter(&self) -> Option<&Member> {
+        self.other_voters().find(|member| self.is_retiring(member.id))
+    }
+
+    /// A voter of the zone with the most voters.
+    fn crowded_voter(&self) -> Option<&Member> {
+        self.other_voters().max_by_key(|member| self.voters_in(&member.zone))
     }
 
     fn voters_in(&self, zone: &ZoneName) -> usize {
@@ -255,20 +286,25 @@
         until.is_some_and(|until| self.replica.now < *until)
     }
 
-    /// The learner to promote, if a voter is missing, lost or badly placed.
+    /// The learner to promote if there are fewer voters than there should be.
     fn promotion(&self) -> Option<ReplicaId> {
-        let candidate = self.best_candidate()?;
         let missing = self.membership.voters().count() < self.replica.config.target_voters;
-        let goes = |member: &Member| self.is_lost(member.id) || self.is_retiring(member.id);
-        let lost = || self.membership.voters().any(goes);
-        let spreads = || {
-            if !self.replica.config.spreads_zones {
-                return false;
-            }
-            let crowded = self.membership.voters().any(|voter| self.voters_in(&voter.zone) > 1);
-            crowded && self.voters_in(&candidate.zone) == 0
-        };
-        (missing || lost() || spreads()).then_some(candidate.id)
+        self.best_candidate().filter(|_| missing).map(|member| member.id)
+    }
+
+    /// A standby for a voter that is lost, about to stop or badly placed.
+    fn replacement(&self) -> Option<MembershipChange> {
+        let standby = self.best_candidate()?;
+        let voter = self.lost_voter().or_else(|| self.retiring_voter());
+        let voter = voter.or_else(|| self.badly_placed_voter(standby))?;
+        Some(MembershipChange::Replace { voter: voter.id, standby: standby.id })
+    }
+
+    /// A voter that shares its zone with another while the standby's zone has none.
+    fn badly_placed_voter(&self, standby: &Member) -> Option<&Member> {
+        let spreads = self.replica.config.spreads_zones && self.voters_in(&standby.zone) == 0;
+        let voter = self.crowded_voter().filter(|_| spreads)?;
+        (self.voters_in(&voter.zone) > 1).then_some(voter)
     }
 
     /// The live learner that holds the log, in the zone with the fewest voters.
--- a/crates/consensus/src/replica/read.rs
+++ b/crates/consensus/src/replica/read.rs
@@ -141,9 +141,7 @@
             true => self.reads.sent,
             false => leadership.progress.get(&id).map_or(0, |progress| progress.read_round),
         };
-        let mut rounds: Vec<u64> = membership.voters().map(|m| round_of(m.id)).collect();
-        rounds.sort_unstable_by(|left, right| right.cmp(left));
-        let confirmed = rounds.get(membership.quorum() - 1).copied().unwrap_or(0);
+        let confirmed = membership.reached_by_majority(round_of);
         if confirmed <= self.reads.confirmed {
             return;
         }
--- a/crates/control-state/src/answer.rs
+++ b/crates/control-state/src/answer.rs
@@ -106,7 +106,15 @@
     /// The outcome is kept, now or since an earlier sending.
     #[n(0)]
     Kept,
-    /// The attempt doesn't hold the claim, or the claim is forgotten.
+    /// The attempt doesn't hold the claim.
     #[n(1)]
     NotHeld,
+    /// The key lies before the horizon: the claim is forgotten, and with it whether
+    /// an earlier sending of the same settlement was kept.
+    #[n(2)]
+    Expired {
+        /// The horizon, in seconds since the Unix epoch.
+        #[n(0)]
+        horizon: u64,
+    },
 }
--- a/crates/control-state/src/claims.rs
+++ b/crates/control-state/src/claims.rs
@@ -142,6 +142,9 @@
         attempt: u64,
         outcome: ClaimOutcome,
     ) -> SettleAnswer {
+        if key.made_at() < self.horizon {
+            return SettleAnswer::Expired { horizon: self.horizon };
+        }
         let room = (MAX_OUTCOME_BYTES as u64).saturating_sub(self.body_bytes);
         let Some(bucket) = self.buckets.get_mut(&(key.made_at() / BUCKET_SECONDS)) else {
             return SettleAnswer::NotHeld;
--- a/crates/control/src/operator/status.rs
+++ b/crates/control/src/operator/status.rs
@@ -78,6 +78,8 @@
         let role = match member.role {
             MemberRole::Voter => "voter",
             MemberRole::Learner => "learner",
+            MemberRole::Incoming => "incoming voter",
+            MemberRole::Outgoing => "outgoing voter",
         };
         let disk = member.id.disk.to_string();
         MemberItem { node: member.id.node, disk, zone: member.zone.clone(), role }
--- a/crates/lab/src/prove/claims/linear.rs
+++ b/crates/lab/src/prove/claims/linear.rs
@@ -76,7 +76,8 @@
 /// The operation as it concerns `key`, if it does.
 ///
 /// An answer of "too early" counts as none: another sending of the same question
-/// may have met a replica with a better clock later.
+/// may have met a replica with a better clock later. So does a settlement that is
+/// told "expired": an earlier sending may have been kept before the horizon moved.
 fn concerning(key: &ClaimKey, operation: &Operation) -> Option<KeyOperation> {
     let made_at = key.made_at();
     match (&operation.asked, &operation.answered) {
@@ -90,6 +91,7 @@
         }
         (Asked::Settle { key: asked, attempt }, answered) if asked == key => {
             let answer = match answered {
+                Some(Answer::Settle(SettleAnswer::Expired { .. })) => None,
                 Some(Answer::Settle(answer)) => Some(*answer),
                 _ => None,
             };
--- a/crates/simulation/src/world/strike.rs
+++ b/crates/simulation/src/world/strike.rs
@@ -180,7 +180,7 @@
             let machine = self.machines.get(&id.node).filter(|_| id.node != node);
             machine.is_some_and(|machine| machine.id == id && !machine.damaged)
         };
-        membership.voters().filter(|member| has_disk(member.id)).count() >= membership.quorum()
+        membership.has_majority(has_disk)
     }
 
     /// One voter's disk is lost and repaired; a second voter ends before the first
--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -130,8 +130,7 @@
     let given = |id: ReplicaId| id == chosen.id || given_up.iter().any(|other| other.id == id);
     let voters = chosen.membership.voters().map(|member| member.id);
     let missing_voters: Vec<ReplicaId> = voters.filter(|id| !given(*id)).collect();
-    let present = chosen.membership.voters().count() - missing_voters.len();
-    let is_complete = present >= chosen.membership.quorum();
+    let is_complete = chosen.membership.has_majority(given);
     Ok(RecoveryPlan { chosen, given_up, missing_voters, is_complete, epoch, membership })
 }
 
