--- a/crates/renewal/src/exchange.rs
+++ b/crates/renewal/src/exchange.rs
@@ -18,6 +18,15 @@
 /// Largest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
 
+/// What becomes of the requests that run on a server when it takes other weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunningRequests {
+    /// They finish first; the server begins nothing new until then.
+    FinishFirst,
+    /// They go on under the new weights, after a pause.
+    GoOn,
+}
+
 /// An order to take weights of another version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
@@ -27,6 +36,8 @@
     pub model: String,
     /// Version of its weights.
     pub version: u64,
+    /// What becomes of the requests that run.
+    pub running: RunningRequests,
     /// Who gives the order.
     pub holder: String,
     /// The holder's fencing token.
--- a/crates/renewal/src/giver.rs
+++ b/crates/renewal/src/giver.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::exchange::{Order, OrderDialect};
+use crate::exchange::{Order, OrderDialect, RunningRequests};
 use crate::plan::{PlanSettings, RenewalPlan, RenewalServer};
 use crate::task::{OrderTask, TaskEnd, TaskOutcome};
 
@@ -209,6 +209,9 @@
             instance: server.instance.clone(),
             model: server.model.clone(),
             version,
+            // A stream runs for seconds. A server that waits for its streams is out
+            // for as long, and with several of them out at once the others are crowded.
+            running: RunningRequests::GoOn,
             holder: self.settings.name.clone(),
             token: held.lease.token,
             expected_orders: self.orders.get(&server.instance).copied().unwrap_or(0),
--- a/crates/renewal/src/lib.rs
+++ b/crates/renewal/src/lib.rs
@@ -11,6 +11,6 @@
 mod plan;
 mod task;
 
-pub use exchange::{Order, OrderAnswer, OrderDialect, ServerState};
+pub use exchange::{Order, OrderAnswer, OrderDialect, RunningRequests, ServerState};
 pub use giver::{GiverSettings, OrderGiver};
 pub use plan::{PlanSettings, RenewalPlan, RenewalServer};
--- a/crates/renewal/src/task.rs
+++ b/crates/renewal/src/task.rs
@@ -13,8 +13,9 @@
 use crate::giver::leads;
 
 /// Time from the word to the routers to the order: they stop sending to the
-/// server, so that it has to turn nothing away.
-const NOTICE: Duration = Duration::from_millis(60);
+/// server, so that it has to turn nothing away, and what was sent before is read
+/// under the weights that it was sent for.
+const NOTICE: Duration = Duration::from_millis(300);
 
 /// Time after which a server is first asked whether it has the weights.
 const FIRST_LOOK: Duration = Duration::from_millis(700);
