Placement: short shared parts are fetched and told of too

Parts below 1,000 tokens were neither moved nor told of, and tag calls share about 200 tokens each, 46 times a second. Change: the bound is 64 tokens. Test that failed first: short_parts_are_fetched_and_told_of_too.

--- a/crates/placement/src/prompt_work.rs
+++ b/crates/placement/src/prompt_work.rs
@@ -10,7 +10,7 @@
 use crate::server::Server;
 
 /// Fewest shared tokens that are worth a move between servers.
-const MIN_MOVED_TOKENS: u32 = 1_000;
+const MIN_MOVED_TOKENS: u32 = 64;
 
 /// Shared parts that nobody has, placed elsewhere than at their home, count as read
 /// again by one part in so many: another router may be reading them at the home.
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -131,6 +131,24 @@
     assert_eq!((spilled.reason, spilled.source), (Reason::Fetch, Some(holder.address)));
 }
 
+/// A hundred short calls a second that read their parts again cost as much as a few
+/// long prompts that do; a move of a few parts takes less than a millisecond.
+#[test]
+fn short_parts_are_fetched_and_told_of_too() {
+    let mut placement = placement(2);
+    let part = |id, tokens| PromptPart { id, tokens };
+    let parts = vec![part(1, 120), part(2, 80), part(3, 600)];
+    let short = Prompt { parts, tokens: 800, ..prompt(1, 1) };
+    let holder = send(&mut placement, &short, 0);
+    assert!(holder.is_movable);
+    for _ in 0..40 {
+        placement.begin(&holder, true, at(300));
+    }
+    let other = choose(&mut placement, &short, 300);
+    assert_eq!((other.reason, other.source), (Reason::Fetch, Some(holder.address)));
+    assert_eq!(other.missed_tokens, 600);
+}
+
 #[test]
 fn parts_made_under_other_weights_are_neither_kept_nor_fetched() {
     let mut placement = placement(4);
