Placement: a server's load is what all routers together have sent it

Excluded: too few servers (time in use, from tokens read); the retry budget (few repeats refused). Change: what routers tell each other of a prompt says how much of it had to be read. Each router keeps an estimate for every server: tokens unread, which shrink at the measured speed, and requests under way, from their pace and mean duration. Cost takes it where it is above its own.

--- a/crates/gateway/src/sightings.rs
+++ b/crates/gateway/src/sightings.rs
@@ -27,10 +27,10 @@
         if choice.keys.is_empty() || !choice.is_movable {
             return;
         }
-        let ChainSighting { instance, version, keys, tokens } = choice.sighting();
+        let ChainSighting { instance, version, keys, tokens, read_tokens } = choice.sighting();
         let mut queued = lock(&self.0);
         if queued.len() < MAX_QUEUED {
-            queued.push(Sighting { instance, version, chains: keys, tokens });
+            queued.push(Sighting { instance, version, chains: keys, tokens, read_tokens });
         }
     }
 
@@ -64,8 +64,8 @@
 fn learn(gateway: &Gateway, sightings: Vec<Sighting>) {
     let now = gateway.now();
     let mut placement = gateway.placement();
-    for Sighting { instance, version, chains, tokens } in sightings {
-        let sighting = ChainSighting { instance, version, keys: chains, tokens };
+    for Sighting { instance, version, chains, tokens, read_tokens } in sightings {
+        let sighting = ChainSighting { instance, version, keys: chains, tokens, read_tokens };
         placement.sighted(&sighting, now);
     }
 }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -72,7 +72,8 @@
     pub fn sighting(&self) -> ChainSighting {
         let (instance, version) = (self.instance.clone(), self.version);
         let tokens = self.inserted_tokens;
-        ChainSighting { instance, version, keys: self.keys.clone(), tokens }
+        let read_tokens = self.missed_tokens;
+        ChainSighting { instance, version, keys: self.keys.clone(), tokens, read_tokens }
     }
 }
 
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -39,6 +39,10 @@
 pub(crate) struct ServerView<'a> {
     pub health: &'a Health,
     pub load: Load,
+    /// Tokens to read of what all routers have sent.
+    pub fleet_tokens: f64,
+    /// Requests under way of all routers.
+    pub fleet_requests: f64,
     pub slots: u32,
     pub same_zone: bool,
     pub silent: bool,
@@ -71,10 +75,11 @@
         let objective_ms = self.objective.as_secs_f64() * 1_000.0;
         let reading = self.speed.ms_for(f64::from(server.missed_tokens));
         let reread = self.speed.ms_for(f64::from(server.reread_tokens)) * REREAD_FACTOR;
-        let queue = self.speed.ms_for(server.load.waiting_tokens as f64);
+        let queue = self.speed.ms_for(server.fleet_tokens.max(server.load.waiting_tokens as f64));
         let zone = if server.same_zone { 0.0 } else { OTHER_ZONE_MS };
-        let under_way = f64::from(server.load.requests) * UNDER_WAY_MS;
-        let crowded = self.crowded_ms(server, objective_ms);
+        let requests = server.fleet_requests.max(f64::from(server.load.requests));
+        let under_way = requests * UNDER_WAY_MS;
+        let crowded = self.crowded_ms(server, requests, objective_ms);
         let delay = server.health.delay_ms(self.now);
         let lane = if server.other_lane { OTHER_LANE_FACTOR * objective_ms } else { 0.0 };
         let full = if server.health.is_full(self.now) { FULL_FACTOR * objective_ms } else { 0.0 };
@@ -88,9 +93,9 @@
     }
 
     /// A server whose slots fill up makes requests wait.
-    fn crowded_ms(&self, server: &ServerView<'_>, objective_ms: f64) -> f64 {
+    fn crowded_ms(&self, server: &ServerView<'_>, requests: f64, objective_ms: f64) -> f64 {
         let comfortable = (f64::from(server.slots) * SLOT_SHARE).max(1.0);
-        let over = f64::from(server.load.requests) + 1.0 - comfortable;
+        let over = requests + 1.0 - comfortable;
         over.max(0.0) / comfortable * objective_ms * 0.5
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,6 +11,7 @@
 mod choice;
 mod cost;
 mod decay;
+mod fleet_load;
 mod health;
 mod homes;
 mod lanes;
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -42,6 +42,34 @@
     }
 }
 
+/// Time that a request with a prompt takes, until it was measured.
+const FIRST_DURATION_MS: f64 = 1_000.0;
+
+/// Weight of one measured duration.
+const DURATION_WEIGHT: f64 = 0.02;
+
+/// Mean time that requests with a prompt take at a service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MeanDuration(f64);
+
+impl Default for MeanDuration {
+    fn default() -> Self {
+        MeanDuration(FIRST_DURATION_MS)
+    }
+}
+
+impl MeanDuration {
+    /// A request has ended after `took`.
+    pub(crate) fn record(&mut self, took: Duration) {
+        self.0 += DURATION_WEIGHT * (took.as_secs_f64() * 1_000.0 - self.0);
+    }
+
+    /// The mean.
+    pub(crate) fn get(self) -> Duration {
+        Duration::from_secs_f64(self.0 / 1_000.0)
+    }
+}
+
 /// How fast the engines of a service read prompts.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReadingSpeed(f64);
@@ -58,6 +86,11 @@
         tokens / self.0
     }
 
+    /// Tokens read in a time.
+    pub(crate) fn tokens_in(self, time: Duration) -> f64 {
+        self.0 * time.as_secs_f64() * 1_000.0
+    }
+
     /// A prompt of which `tokens` had to be read had its first output after `took`.
     pub(crate) fn record(&mut self, tokens: u32, took: Duration) {
         if tokens < MIN_MEASURED_TOKENS {
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -9,7 +9,7 @@
 use crate::choice::{Choice, ServiceProfile, Ticket};
 use crate::health::Outcome;
 use crate::lanes::Lanes;
-use crate::load::ReadingSpeed;
+use crate::load::{MeanDuration, ReadingSpeed};
 use crate::recent::{ChainSighting, RecentChains};
 use crate::server::Server;
 
@@ -20,6 +20,7 @@
     pub(crate) servers: HashMap<InstanceId, Server>,
     pub(crate) services: HashMap<String, Vec<InstanceId>>,
     pub(crate) speeds: HashMap<String, ReadingSpeed>,
+    pub(crate) durations: HashMap<String, MeanDuration>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
     pub(crate) recent: RecentChains,
     pub(crate) lanes: HashMap<String, Lanes>,
@@ -33,6 +34,7 @@
             servers: HashMap::new(),
             services: HashMap::new(),
             speeds: HashMap::new(),
+            durations: HashMap::new(),
             profiles: HashMap::new(),
             recent: RecentChains::default(),
             lanes: HashMap::new(),
@@ -95,6 +97,9 @@
         self.recent.record(sighting, now);
         if let Some(server) = self.servers.get_mut(&sighting.instance) {
             server.turnover.record(sighting.tokens, now);
+            let speed = self.speeds.get(&server.instance.report.service);
+            let speed = speed.copied().unwrap_or_default();
+            server.fleet_load.begin(sighting.read_tokens, speed, now);
         }
     }
 
@@ -123,6 +128,10 @@
             server.load.first_output(ticket.missed_tokens);
         }
         server.load.end();
+        if ticket.has_prompt && outcome == Outcome::Answered {
+            let service = server.instance.report.service.clone();
+            self.durations.entry(service).or_default().record(now.since(ticket.begun));
+        }
         server.health.record(outcome, now);
     }
 
--- a/crates/placement/src/recent.rs
+++ b/crates/placement/src/recent.rs
@@ -26,6 +26,8 @@
     pub keys: Vec<u64>,
     /// Tokens that the server had to read or fetch.
     pub tokens: u32,
+    /// Tokens among those that it had to read.
+    pub read_tokens: u32,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -64,7 +64,7 @@
         let works = self.prompt_works(servers, request, &chain, now);
         let mut best: Option<(f64, u64, usize)> = None;
         for (index, server) in servers.iter().enumerate() {
-            let cost = context.cost_ms(&self.view(server, works[index]));
+            let cost = context.cost_ms(&self.view(server, works[index], &context));
             let tie = random.rotate_left(index as u32 * TIE_ROTATION) ^ server.hash;
             let is_better = best.is_none_or(|(least, least_tie, _)| {
                 cost < least - NEAR_EQUAL_MS || (cost < least + NEAR_EQUAL_MS && tie < least_tie)
@@ -117,11 +117,19 @@
     }
 
     /// The server as the request sees it.
-    fn view<'a>(&self, server: &'a Server, work: PromptWork) -> ServerView<'a> {
+    fn view<'a>(
+        &self,
+        server: &'a Server,
+        work: PromptWork,
+        context: &CostContext,
+    ) -> ServerView<'a> {
         let report = &server.instance.report;
+        let mean = self.durations.get(&report.service).copied().unwrap_or_default().get();
         ServerView {
             health: &server.health,
             load: server.load,
+            fleet_tokens: server.fleet_load.waiting_tokens(context.speed, context.now),
+            fleet_requests: server.fleet_load.requests(mean, context.now),
             slots: report.slots,
             same_zone: report.zone == self.zone,
             silent: server.instance.silent,
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -2,6 +2,7 @@
 
 use juniper_registry::Instance;
 
+use crate::fleet_load::FleetLoad;
 use crate::health::Health;
 use crate::load::Load;
 use crate::memory::MemoryTurnover;
@@ -13,6 +14,8 @@
     pub(crate) hash: u64,
     pub(crate) health: Health,
     pub(crate) load: Load,
+    /// What all routers together have sent to it.
+    pub(crate) fleet_load: FleetLoad,
     /// Highest version of weights that it answered with.
     pub(crate) seen_version: u64,
     /// It takes no new requests, because it is given new weights.
@@ -30,6 +33,7 @@
             hash,
             health,
             load,
+            fleet_load: FleetLoad::default(),
             seen_version: 0,
             renewing: false,
             turnover: MemoryTurnover::default(),
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -21,6 +21,9 @@
     /// Tokens that the server had to read or fetch.
     #[n(3)]
     pub tokens: u32,
+    /// Tokens among those that it had to read.
+    #[n(4)]
+    pub read_tokens: u32,
 }
 
 /// An encoded [`juniper_catalog::Catalog`].
--- a/crates/protocol/tests/sizes.rs
+++ b/crates/protocol/tests/sizes.rs
@@ -28,6 +28,7 @@
         version: 12,
         chains: vec![u64::MAX - number; 2],
         tokens: 20_000,
+        read_tokens: 3_000,
     };
     let one = bytes(&Message::Sightings(vec![sighting(0)]));
     let more = bytes(&Message::Sightings((0..11).map(sighting).collect()));
