Placement: long reads go where few streams run

Excluded: renewals (the streams that go on then pause once, most such pauses fall elsewhere), first events (one late), the network (propagation is in the pause and under 5 ms). Change: where queue and prompt together would be read for over 0.8 of the longest pause in time, every stream on the server adds a quarter of the objective to the cost. Test that failed first: a_long_read_goes_where_few_streams_run.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -65,6 +65,11 @@
         Duration::from_millis(self.route.objective_ms)
     }
 
+    /// Longest pause within an answer that is still in time, if it is a stream.
+    pub(crate) fn max_pause(&self) -> Option<Duration> {
+        self.route.max_pause_ms.map(Duration::from_millis)
+    }
+
     /// The id for logs.
     pub(crate) fn id(&self) -> &str {
         self.facts.id.to_str().unwrap_or("-")
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -133,6 +133,7 @@
             excluded: &self.excluded,
             min_version: self.min_version(),
             objective: self.call.objective(),
+            max_pause: self.call.max_pause(),
         };
         let now = self.gateway.now();
         self.gateway.placement().choose(&request, now, rand::random())
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -22,6 +22,13 @@
 /// What a full queue adds, relative to the objective.
 const FULL_FACTOR: f64 = 0.5;
 
+/// Part of the longest pause that reading without a break may take: the engine
+/// makes tokens between the pieces it reads, and events hold several tokens.
+const SAFE_READING_PART: f64 = 0.8;
+
+/// What each stream adds that would pause for too long, relative to the objective.
+const PAUSED_STREAM_FACTOR: f64 = 0.25;
+
 /// What a certain failure adds, relative to the objective.
 const FAILURE_FACTOR: f64 = 3.0;
 
@@ -64,6 +71,8 @@
 pub(crate) struct CostContext {
     pub speed: ReadingSpeed,
     pub objective: Duration,
+    /// Longest pause within a stream that is still in time.
+    pub max_pause: Option<Duration>,
     /// Mean share of failures of the service's servers.
     pub mean_failures: f64,
     pub now: Timestamp,
@@ -88,10 +97,20 @@
         let failures = excess.max(0.0) * FAILURE_FACTOR * objective_ms;
         let displaced = self.speed.ms_for(server.displaced);
         let moving = server.move_ms + displaced;
-        let work = reading + reread + moving + queue + under_way + crowded + delay;
+        let pauses = self.pauses_ms(queue + reading, requests, objective_ms);
+        let work = reading + reread + moving + queue + under_way + crowded + delay + pauses;
         work + zone + lane + full + silent + failures + server.cold_ms
     }
 
+    /// Streams that run on the server pause while it reads without a break; so will
+    /// the request's own stream if the queue before it is long.
+    fn pauses_ms(&self, reading_ms: f64, requests: f64, objective_ms: f64) -> f64 {
+        let Some(max_pause) = self.max_pause else { return 0.0 };
+        let safe_ms = max_pause.as_secs_f64() * 1_000.0 * SAFE_READING_PART;
+        let is_too_long = reading_ms > safe_ms;
+        if is_too_long { requests * PAUSED_STREAM_FACTOR * objective_ms } else { 0.0 }
+    }
+
     /// A server whose slots fill up makes requests wait.
     fn crowded_ms(&self, server: &ServerView<'_>, requests: f64, objective_ms: f64) -> f64 {
         let comfortable = (f64::from(server.slots) * SLOT_SHARE).max(1.0);
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -56,4 +56,6 @@
     pub min_version: u64,
     /// Time within which an answer earns its full worth.
     pub objective: Duration,
+    /// Longest pause within an answer that still earns its full worth, if it is a stream.
+    pub max_pause: Option<Duration>,
 }
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -56,6 +56,7 @@
         let context = CostContext {
             speed: self.speeds.get(request.service).copied().unwrap_or_default(),
             objective: request.objective,
+            max_pause: request.max_pause,
             mean_failures: mean_failures(servers, now),
             now,
         };
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -63,6 +63,7 @@
         excluded,
         min_version: 0,
         objective: Duration::from_millis(800),
+        max_pause: None,
     }
 }
 
@@ -131,6 +132,28 @@
     assert_eq!(choose(&mut placement, &prompt(1, 1), 10_000).instance, home.instance);
 }
 
+/// Streams pause while a server reads a long prompt. Where a pause makes them late,
+/// the prompt goes where no streams run, though its home is elsewhere.
+#[test]
+fn a_long_read_goes_where_few_streams_run() {
+    let mut placement = placement(4);
+    let part = |id, tokens| PromptPart { id, tokens };
+    let parts = vec![part(1, 6_000), part(2, 20_000)];
+    let long = Prompt { parts, tokens: 26_000, ..prompt(1, 1) };
+    let home = choose(&mut placement, &long, 0);
+    for own in 0..10 {
+        let stream =
+            ChainSighting { keys: vec![own], tokens: 100, read_tokens: 100, ..home.sighting() };
+        placement.sighted(&stream, at(0));
+    }
+    let patient = request(&long, &[]);
+    let chosen = |request| placement.choose(request, at(10), 10).expect("a server").instance;
+    assert_eq!(chosen(&patient), home.instance);
+    let max_pause = Some(Duration::from_millis(500));
+    let pressed = ServerRequest { max_pause, ..patient };
+    assert_ne!(chosen(&pressed), home.instance);
+}
+
 #[test]
 fn parts_are_fetched_from_who_has_them_when_that_server_is_busy() {
     let mut placement = placement(3);
