Gateway: what routers tell each other of prompts is bounded

Cause: every sighting reaches every router; at the size designed for that is 3,600 a second to each of 340 (docs/CAPACITY.md: does not fit), and nothing bounded it. Test that failed first (no such bound): what_a_router_is_told_is_bounded_however_many_routers_there_are.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -141,7 +141,9 @@
 ) -> Result<Answered, AttemptError> {
     let now = gateway.now();
     let ticket = gateway.placement().begin(choice, call.has_prompt(), now);
-    gateway.sightings.push(choice);
+    if !gateway.sightings.push(choice) {
+        gateway.metrics.sightings_left_out.inc();
+    }
     let mut attempt = Attempt {
         gateway: Arc::clone(gateway),
         instance: choice.instance.clone(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,8 @@
     attempts_failed: IntCounterVec,
     /// Repeats that the budget didn't allow.
     pub budget_spent: IntCounter,
+    /// Sightings that the other routers weren't told of.
+    pub sightings_left_out: IntCounter,
     /// New connections to servers.
     pub connections: IntCounter,
     /// Connections of callers.
@@ -92,6 +94,10 @@
                 "Sendings that came to nothing, by reason.",
                 &["reason"],
             )?,
+            sightings_left_out: counter(
+                "sightings_left_out_total",
+                "Prompts that the other routers weren't told of.",
+            )?,
             budget_spent: counter("budget_spent_total", "Repeats that the budget didn't allow.")?,
             connections: counter("server_connections_total", "New connections to servers.")?,
             callers: gauge("caller_connections", "Connections of callers.")?,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -23,6 +23,7 @@
 mod request;
 mod search;
 mod server;
+mod sighting_budget;
 
 pub use budget::{RetryBudget, RetrySettings};
 pub use choice::{Choice, NoChoice, Reason, ServiceProfile, Ticket};
@@ -31,3 +32,4 @@
 pub use placement::Placement;
 pub use recent::ChainSighting;
 pub use request::{Prompt, PromptPart, ServerRequest};
+pub use sighting_budget::SightingBudget;
--- a/crates/placement/tests/budget.rs
+++ b/crates/placement/tests/budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use juniper_placement::{RetryBudget, RetrySettings};
+use juniper_placement::{RetryBudget, RetrySettings, SightingBudget};
 use juniper_types::Timestamp;
 use quickcheck::quickcheck;
 
@@ -55,3 +55,25 @@
         })
     }
 }
+
+/// Sightings that each of so many routers tells in ten seconds if it has enough of them.
+fn told(routers: u32) -> usize {
+    let mut budget = SightingBudget::default();
+    let looks = (0..10_000).step_by(25);
+    looks
+        .map(|millis| {
+            let allowed = budget.allowed(routers, at(millis));
+            budget.spend(allowed);
+            allowed
+        })
+        .sum()
+}
+
+/// Without a bound a router would get 3,600 sightings a second at the size designed for.
+#[test]
+fn what_a_router_is_told_is_bounded_however_many_routers_there_are() {
+    for routers in [1, 7, 78, 340] {
+        let received = told(routers) * routers as usize;
+        assert!((9_000..=11_500).contains(&received), "{routers} routers: {received} in 10 s");
+    }
+}
