Lab: soak, a fleet of real processes under random faults

Change: juniper-lab soak draws faults from a seed (pure plan), makes them on a fleet with three replicas, and reports as the demo does. Tests: soak_plan.rs, short_soaks_break_no_promise.

--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use juniper_emulators::http::report::WitnessReport;
 use juniper_emulators::trace::Profile;
 use lexopt::Arg;
 use serde::Serialize;
@@ -79,7 +80,7 @@
     /// What was done to the fleet, and when, in milliseconds of the load.
     pub faults: Vec<FaultDone>,
     /// Breaches that the engines saw.
-    pub breaches: juniper_emulators::http::report::WitnessReport,
+    pub breaches: WitnessReport,
     /// Daemons that did not end well when they were stopped as planned.
     pub ended_badly: Vec<String>,
     /// The load's own report.
@@ -92,7 +93,31 @@
     /// When, in milliseconds since the load began.
     pub at_ms: u64,
     /// What.
-    pub fault: &'static str,
+    pub fault: String,
+}
+
+impl DemoReport {
+    /// Sums up what callers, back ends and the ends of daemons have shown.
+    pub(crate) fn new(
+        load: LoadReport,
+        breaches: WitnessReport,
+        faults: Vec<FaultDone>,
+        ended_badly: Vec<String>,
+    ) -> Self {
+        DemoReport {
+            requests: load.requests,
+            complete: load.complete,
+            refused: load.refused,
+            failed: load.failed + load.unknown,
+            violations: load.violations + breaches.total + ended_badly.len() as u64,
+            hit_rate: load.hit_rate,
+            ttft_p99_ms: load.ttft_p99_ms,
+            faults,
+            breaches,
+            ended_badly,
+            load,
+        }
+    }
 }
 
 /// Runs the command with the arguments that follow its name.
--- a/crates/lab/src/demo/script.rs
+++ b/crates/lab/src/demo/script.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use juniper_emulators::http::application::WORK_TIME;
-use juniper_emulators::http::report::WitnessReport;
 use juniper_emulators::trace::Profile;
 use juniper_settings::BackEndKind;
 use tokio::time::{Instant, sleep_until};
@@ -12,7 +11,7 @@
 use super::{DemoError, DemoReport, FaultDone};
 use crate::fleet::{Binaries, Fleet, FleetError, FleetOptions, FleetSizes};
 use crate::load::arguments::{complete, default_options};
-use crate::load::{LoadReport, run_load};
+use crate::load::run_load;
 use crate::trace::fleet_trace;
 
 /// What a demo does.
@@ -96,7 +95,7 @@
     let breaches = fleet.witnesses().await?;
     let mut ended_badly = done.ended_badly;
     ended_badly.extend(fleet.stop_daemons().await?);
-    Ok(summary(report, breaches, done.faults, ended_badly))
+    Ok(DemoReport::new(report, breaches, done.faults, ended_badly))
 }
 
 /// What the script has done and seen.
@@ -111,8 +110,8 @@
     let mut done = Done::default();
     for (percent, step) in SCRIPT {
         sleep_until(start + duration * percent / 100).await;
-        done.faults
-            .push(FaultDone { at_ms: start.elapsed().as_millis() as u64, fault: step.describe() });
+        let at_ms = start.elapsed().as_millis() as u64;
+        done.faults.push(FaultDone { at_ms, fault: step.describe().to_owned() });
         do_step(fleet, step, &mut done).await?;
     }
     Ok(done)
@@ -136,24 +135,3 @@
     }
     Ok(())
 }
-
-fn summary(
-    load: LoadReport,
-    breaches: WitnessReport,
-    faults: Vec<FaultDone>,
-    ended_badly: Vec<String>,
-) -> DemoReport {
-    DemoReport {
-        requests: load.requests,
-        complete: load.complete,
-        refused: load.refused,
-        failed: load.failed + load.unknown,
-        violations: load.violations + breaches.total + ended_badly.len() as u64,
-        hit_rate: load.hit_rate,
-        ttft_p99_ms: load.ttft_p99_ms,
-        faults,
-        breaches,
-        ended_badly,
-        load,
-    }
-}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod proxy;
 pub mod replay;
 pub mod scale;
+pub mod soak;
 pub mod trace;
 
 use std::process::ExitCode;
@@ -28,6 +29,7 @@
   prove       run fault campaigns in the simulator and check their histories
   replay      replay a recorded trace against a policy or a fleet
   scale       run hollow nodes beside real replicas and measure them
+  soak        a fleet of processes under load and random faults
   trace       generate, show or check a trace file
 
 'juniper-lab COMMAND --help' lists the options of a command.
@@ -70,6 +72,7 @@
         "prove" => prove::run(parser),
         "replay" => replay::run(parser),
         "scale" => scale::run(parser),
+        "soak" => soak::run(parser),
         "trace" => trace::run(parser),
         other => Err(arguments::ArgumentError::UnknownCommand(other.to_owned()).into()),
     }
--- /dev/null
+++ b/crates/lab/src/soak/run.rs
@@ -0,0 +1,110 @@
+//! Carries out the faults of a soak on a fleet of real processes.
+
+use std::time::Duration;
+
+use juniper_settings::BackEndKind;
+use tokio::time::{Instant, sleep_until};
+
+use super::plan::{Fault, Part, PlannedFault};
+use crate::demo::FaultDone;
+use crate::fleet::{Fleet, FleetError, ManagedProcess, Signal};
+use crate::proxy::LinkState;
+
+/// Longest time that a planned stop may take.
+const STOP_LIMIT: Duration = Duration::from_secs(60);
+
+/// One end of a planned fault.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Begin(PlannedFault),
+    End(PlannedFault),
+}
+
+impl Step {
+    fn time(&self) -> Duration {
+        match self {
+            Step::Begin(planned) => planned.at,
+            Step::End(planned) => planned.until,
+        }
+    }
+}
+
+/// What was done, and which daemons did not end well.
+#[derive(Debug, Default)]
+pub(super) struct Done {
+    pub faults: Vec<FaultDone>,
+    pub ended_badly: Vec<String>,
+}
+
+/// Makes every fault of the plan at its time and mends it again.
+pub(super) async fn carry_out(
+    fleet: &mut Fleet,
+    plan: &[PlannedFault],
+) -> Result<Done, FleetError> {
+    let begins = plan.iter().map(|planned| Step::Begin(*planned));
+    let ends = plan.iter().map(|planned| Step::End(*planned));
+    let mut steps: Vec<Step> = begins.chain(ends).collect();
+    steps.sort_by_key(Step::time);
+    let start = Instant::now();
+    let mut done = Done::default();
+    for step in steps {
+        sleep_until(start + step.time()).await;
+        let at_ms = start.elapsed().as_millis() as u64;
+        match step {
+            Step::Begin(planned) => {
+                begin(fleet, planned)?;
+                done.faults.push(FaultDone { at_ms, fault: describe(planned) });
+            }
+            Step::End(planned) => {
+                let ended_well = mend(fleet, planned).await?;
+                if !ended_well {
+                    done.ended_badly.push(describe(planned));
+                }
+                let fault = format!("over: {}", describe(planned));
+                done.faults.push(FaultDone { at_ms, fault });
+            }
+        }
+    }
+    Ok(done)
+}
+
+fn describe(planned: PlannedFault) -> String {
+    format!("{:?} of {:?} {}", planned.fault, planned.part, planned.place)
+}
+
+fn process(fleet: &mut Fleet, planned: PlannedFault) -> Result<&mut ManagedProcess, FleetError> {
+    match planned.part {
+        Part::Engines => fleet.back_end_process(BackEndKind::Engine, planned.place),
+        Part::Routers => fleet.router_process(planned.place),
+        Part::Control => fleet.control_process(planned.place),
+        Part::Links => Err(FleetError::NoSuch("process of a link".to_owned())),
+    }
+}
+
+fn begin(fleet: &mut Fleet, planned: PlannedFault) -> Result<(), FleetError> {
+    match planned.fault {
+        Fault::Cut => fleet.set_last_zone(LinkState::Cut),
+        Fault::AnswersLost => fleet.set_last_zone(LinkState::AnswersLost),
+        Fault::Kill => process(fleet, planned)?.kill(),
+        Fault::PlannedStop => process(fleet, planned)?.signal(Signal::Terminate)?,
+        Fault::Freeze => process(fleet, planned)?.signal(Signal::Stop)?,
+    }
+    Ok(())
+}
+
+/// Ends a fault. Returns false if a process that was stopped as planned did not
+/// end well.
+async fn mend(fleet: &mut Fleet, planned: PlannedFault) -> Result<bool, FleetError> {
+    match planned.fault {
+        Fault::Cut | Fault::AnswersLost => fleet.set_last_zone(LinkState::Whole),
+        Fault::Kill => process(fleet, planned)?.restart()?,
+        Fault::Freeze => process(fleet, planned)?.signal(Signal::Continue)?,
+        Fault::PlannedStop => {
+            let process = process(fleet, planned)?;
+            let ended_well = process.ended(STOP_LIMIT).await?.success();
+            process.restart()?;
+            return Ok(ended_well);
+        }
+    }
+    Ok(true)
+}
--- /dev/null
+++ b/crates/lab/tests/soak_plan.rs
@@ -0,0 +1,44 @@
+//! The faults that a soak draws: in time, one at a time in each part, of every kind.
+
+use std::time::Duration;
+
+use juniper_lab::soak::{Fault, Part, PartSizes, PlannedFault, draw};
+
+const DURATION: Duration = Duration::from_secs(60);
+const SIZES: PartSizes = PartSizes { engines: 6, routers: 4, control: 3 };
+
+fn of_part(plan: &[PlannedFault], part: Part) -> Vec<PlannedFault> {
+    plan.iter().copied().filter(|planned| planned.part == part).collect()
+}
+
+#[test]
+fn a_part_has_one_fault_at_a_time_and_the_end_is_calm() {
+    for seed in 0..200 {
+        let plan = draw(seed, DURATION, SIZES);
+        assert!(plan.iter().all(|planned| planned.until <= DURATION.mul_f64(0.8)));
+        for part in [Part::Engines, Part::Routers, Part::Control, Part::Links] {
+            let faults = of_part(&plan, part);
+            assert!(faults.windows(2).all(|pair| pair[0].until < pair[1].at), "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn faults_of_several_parts_come_together_and_every_kind_comes() {
+    let plans: Vec<_> = (0..50).map(|seed| draw(seed, DURATION, SIZES)).collect();
+    let all = plans.concat();
+    let kinds = [Fault::Kill, Fault::PlannedStop, Fault::Freeze, Fault::Cut, Fault::AnswersLost];
+    assert!(kinds.iter().all(|kind| all.iter().any(|planned| planned.fault == *kind)));
+    let overlap = |plan: &Vec<PlannedFault>| {
+        plan.windows(2).any(|pair| pair[0].part != pair[1].part && pair[1].at < pair[0].until)
+    };
+    assert!(plans.iter().all(overlap));
+}
+
+#[test]
+fn a_seed_draws_the_same_plan_again_and_two_replicas_are_left_alone() {
+    assert_eq!(draw(7, DURATION, SIZES), draw(7, DURATION, SIZES));
+    assert_ne!(draw(7, DURATION, SIZES), draw(8, DURATION, SIZES));
+    let plan = draw(7, DURATION, PartSizes { control: 2, ..SIZES });
+    assert!(of_part(&plan, Part::Control).is_empty());
+}
--- a/tests/lab_commands.rs
+++ b/tests/lab_commands.rs
@@ -62,3 +62,15 @@
     assert_eq!(report["requests"], summary["requests"]);
     assert_eq!(report["complete"], report["requests"], "{report:#}");
 }
+
+/// Faults of several parts of the fleet together, drawn from seeds.
+#[test]
+fn short_soaks_break_no_promise() {
+    for seed in ["3", "4"] {
+        let soak = lab(&["soak", "--seed", seed, "--seconds", "12"]);
+        let report: Value = serde_json::from_slice(&soak.stdout).expect("JSON");
+        assert_eq!(soak.status.code(), Some(0), "seed {seed}: {report:#}");
+        assert_eq!(report["violations"], 0);
+        assert!(report["complete"].as_u64().is_some_and(|complete| complete > 0));
+    }
+}
