Gateway: a server that swallows requests counts as failing; the end of such a request is logged

A call that may not be repeated waits, its caller leaves after 4 s; that was taken as no news of the server, and no line told of the end. Excluded: a server without power (probes end the connection within 2 s; the server answered others), a router that was cut off or frozen (no gap in its lines). Change: a server that was silent for unusually long when the caller left counts as failing; the end has a line and a counter. Test that failed first: a_server_that_swallows_requests_is_avoided_once_callers_have_left.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -84,11 +84,18 @@
     /// Idle time after which the server closes the connection, if it tells.
     stated_idle: Option<Duration>,
     may_keep: bool,
+    begun: Instant,
+    /// Time without the head of an answer that is unusual.
+    unusual_silence: Duration,
+    has_head: bool,
 }
 
 impl Drop for Attempt {
+    /// The caller has left. A server that was silent for unusually long until then
+    /// counts as failing: it may swallow the next requests too.
     fn drop(&mut self) {
-        self.close(Outcome::Cancelled);
+        let is_silent = !self.has_head && self.begun.elapsed() >= self.unusual_silence;
+        self.close(if is_silent { Outcome::Broken } else { Outcome::Cancelled });
     }
 }
 
@@ -151,6 +158,9 @@
         ticket: Some(ticket),
         stated_idle: None,
         may_keep: false,
+        begun: Instant::now(),
+        unusual_silence: call.unusual_silence(),
+        has_head: false,
     };
     match exchange(gateway, call, choice, last_event, until, &mut attempt).await {
         Ok(response) => Ok(Answered { attempt, response }),
@@ -183,6 +193,7 @@
         Ok(Err(error)) => return Err(sending_failed(error)),
         Ok(Ok(response)) => response,
     };
+    attempt.has_head = true;
     attempt.stated_idle = stated_idle(response.headers());
     attempt.may_keep = !closes(response.headers());
     strip_hop_headers(response.headers_mut());
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -29,6 +29,17 @@
 /// Time by which the gateway answers before the caller gives up.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
+/// Silence of a server, relative to the objective, after which a request that
+/// may be repeated is sent to another one.
+const SILENCE_FACTOR: f64 = 2.0;
+
+/// The same for a prompt. A server that is only busy would have read part of it
+/// for nothing, and one without power is noticed by the connection.
+const PROMPT_SILENCE_FACTOR: f64 = 3.2;
+
+/// Shortest silence that is unusual.
+const LEAST_SILENCE: Duration = Duration::from_millis(500);
+
 /// Pause asked of a caller when no server may be used.
 pub(crate) const NO_SERVER_PAUSE: Duration = Duration::from_millis(500);
 
@@ -65,6 +76,15 @@
         Duration::from_millis(self.route.objective_ms)
     }
 
+    /// Silence of a server after which it has probably lost the request.
+    pub(crate) fn unusual_silence(&self) -> Duration {
+        let factor = match self.has_prompt() {
+            true => PROMPT_SILENCE_FACTOR,
+            false => SILENCE_FACTOR,
+        };
+        self.objective().mul_f64(factor).max(LEAST_SILENCE)
+    }
+
     /// Longest pause within an answer that is still in time, if it is a stream.
     pub(crate) fn max_pause(&self) -> Option<Duration> {
         self.route.max_pause_ms.map(Duration::from_millis)
--- a/crates/gateway/src/finish.rs
+++ b/crates/gateway/src/finish.rs
@@ -1,6 +1,7 @@
 //! The end of a request: its line in the log, and the gateway's own answers.
 
 use hyper::Response;
+use juniper_registry::InstanceId;
 
 use crate::answer::OwnAnswer;
 use crate::body::AnswerBody;
@@ -62,3 +63,39 @@
         counts.unwrap_or_default()
     );
 }
+
+/// Tells of a caller that leaves while a server's answer is waited for: hyper then
+/// drops what waits, and nobody else would write a line.
+pub(crate) struct Unanswered<'a> {
+    gateway: &'a Gateway,
+    call: &'a Call,
+    instance: &'a InstanceId,
+    progress: Progress,
+    is_over: bool,
+}
+
+impl<'a> Unanswered<'a> {
+    /// The request waits for this server from now on.
+    pub(crate) fn by(
+        gateway: &'a Gateway,
+        call: &'a Call,
+        instance: &'a InstanceId,
+        progress: Progress,
+    ) -> Self {
+        Unanswered { gateway, call, instance, progress, is_over: false }
+    }
+
+    /// The wait has ended with an answer or a failure.
+    pub(crate) fn end(mut self) {
+        self.is_over = true;
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            log_done(self.call, 0, "caller_left", self.instance.as_str(), self.progress, None);
+            self.gateway.metrics.left_unanswered(self.call.route.kind);
+        }
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -117,6 +117,11 @@
         self.requests.with_label_values(&[kind, "own_answer", own.reason()]).inc();
     }
 
+    /// The caller left before any server had answered.
+    pub(crate) fn left_unanswered(&self, kind: RouteKind) {
+        self.requests.with_label_values(&[kind_text(kind), "caller_left", "no_answer"]).inc();
+    }
+
     /// A server's answer was passed on whole.
     pub(crate) fn answered(&self, kind: RouteKind, status: StatusCode, took: Duration) {
         let kind = kind_text(kind);
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -10,6 +10,7 @@
 use crate::answer::OwnAnswer;
 use crate::attempt::{Answered, AttemptError, send};
 use crate::call::{Call, NO_SERVER_PAUSE};
+use crate::finish::Unanswered;
 use crate::gateway::Gateway;
 use crate::retry::Progress;
 
@@ -19,17 +20,6 @@
 /// Pause asked of a caller when servers are full.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 
-/// Silence of a server, relative to the objective, after which a request that
-/// may be repeated is sent to another one.
-const SILENCE_FACTOR: f64 = 2.0;
-
-/// The same for a prompt. A server that is only busy would have read part of it
-/// for nothing, and one without power is noticed by the connection.
-const PROMPT_SILENCE_FACTOR: f64 = 3.2;
-
-/// Shortest silence after which another server is asked.
-const LEAST_SILENCE: Duration = Duration::from_millis(500);
-
 /// The search for a server that answers.
 pub(crate) struct ServerSearch<'a> {
     gateway: &'a Arc<Gateway>,
@@ -67,7 +57,10 @@
                 Err(refusal) => return Err(self.given_up(self.refusal(refusal))),
             };
             self.log_choice(&choice);
-            let sent = send(self.gateway, self.call, &choice, last_event, self.give_up_at()).await;
+            let (gateway, call) = (self.gateway, self.call);
+            let unanswered = Unanswered::by(gateway, call, &choice.instance, self.progress);
+            let sent = send(gateway, call, &choice, last_event, self.give_up_at()).await;
+            unanswered.end();
             match sent {
                 Ok(answered) => {
                     self.progress.sent += 1;
@@ -155,12 +148,7 @@
         if !self.call.may_repeat(after) {
             return self.call.deadline;
         }
-        let factor = match self.call.has_prompt() {
-            true => PROMPT_SILENCE_FACTOR,
-            false => SILENCE_FACTOR,
-        };
-        let silence = self.call.objective().mul_f64(factor).max(LEAST_SILENCE);
-        self.call.deadline.min(Instant::now() + silence)
+        self.call.deadline.min(Instant::now() + self.call.unusual_silence())
     }
 
     fn refusal(&self, refusal: NoChoice) -> OwnAnswer {
--- a/crates/gateway/tests/paths/answers.rs
+++ b/crates/gateway/tests/paths/answers.rs
@@ -192,6 +192,34 @@
     assert_eq!(server.abandoned(), 1);
 }
 
+/// A server may swallow requests while its health is good and its connections stand. Nothing is
+/// told of one that may not be repeated until its caller leaves.
+#[tokio::test]
+async fn a_server_that_swallows_requests_is_avoided_once_callers_have_left() {
+    let silent = FakeServer::start("a", |_, _| vec![Step::Wait(Duration::from_secs(20))]).await;
+    let sound =
+        FakeServer::start("b", |_, head| vec![Step::Send(whole(head, "200 OK", "b"))]).await;
+    let gateway = TestGateway::start(&[&silent, &sound]).await;
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..24 {
+        let callers = gateway.callers;
+        calls.spawn(async move {
+            let id = format!("r{number}");
+            let call = get(callers, "/once/x", &id);
+            tokio::time::timeout(Duration::from_millis(1_200), call).await.is_ok()
+        });
+    }
+    let answered = calls.join_all().await;
+    let swallowed = silent.requests().len();
+    assert!(swallowed >= 6 && answered.contains(&false), "{swallowed} were swallowed");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for number in 0..10 {
+        let answer = get(gateway.callers, "/once/x", &format!("s{number}")).await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(silent.requests().len(), swallowed);
+}
+
 #[tokio::test]
 async fn a_request_ends_at_the_time_out_of_its_route() {
     let server = FakeServer::start("a", |_, _| vec![Step::Wait(Duration::from_secs(10))]).await;
