--- a/crates/cli/src/recover.rs
+++ b/crates/cli/src/recover.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use juniper_consensus::{ClusterEpoch, Member, MemberRole, ReplicaId};
+use juniper_consensus::{ClusterEpoch, Member, ReplicaId};
 use juniper_control::replica::REPLICA_FOLDER;
 use juniper_storage::{
     Folder, FolderReport, OpenError, RecoveryError, RecoveryPlan, apply, inspect, plan,
@@ -205,12 +205,7 @@
 }
 
 fn describe_member(member: &Member) -> Value {
-    let role = match member.role {
-        MemberRole::Voter => "voter",
-        MemberRole::Learner => "learner",
-        MemberRole::Incoming => "incoming voter",
-        MemberRole::Outgoing => "outgoing voter",
-    };
+    let role = member.role.as_str();
     let disk = member.id.disk.to_string();
     json!({ "node": member.id.node, "disk": disk, "zone": member.zone, "role": role })
 }
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -33,6 +33,16 @@
 }
 
 impl MemberRole {
+    /// The role for operators and logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            MemberRole::Voter => "voter",
+            MemberRole::Learner => "learner",
+            MemberRole::Incoming => "incoming voter",
+            MemberRole::Outgoing => "outgoing voter",
+        }
+    }
+
     /// Whether a member of this role votes at all.
     pub const fn votes(self) -> bool {
         !matches!(self, MemberRole::Learner)
--- a/crates/control/src/operator/status.rs
+++ b/crates/control/src/operator/status.rs
@@ -3,7 +3,7 @@
 use axum::Json;
 use axum::extract::State;
 use axum::http::StatusCode;
-use juniper_consensus::{Member, MemberRole, Role, Status};
+use juniper_consensus::{Member, Role, Status};
 use juniper_types::{NodeId, Revision, ZoneName};
 use serde::Serialize;
 
@@ -75,12 +75,7 @@
 
 impl From<&Member> for MemberItem {
     fn from(member: &Member) -> Self {
-        let role = match member.role {
-            MemberRole::Voter => "voter",
-            MemberRole::Learner => "learner",
-            MemberRole::Incoming => "incoming voter",
-            MemberRole::Outgoing => "outgoing voter",
-        };
+        let role = member.role.as_str();
         let disk = member.id.disk.to_string();
         MemberItem { node: member.id.node, disk, zone: member.zone.clone(), role }
     }
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -130,10 +130,19 @@
         return Ok(ExitCode::SUCCESS);
     };
     let limit = options.duration + TIME_BEYOND_LOAD;
+    print_report(limit, run_demo(options))
+}
+
+/// Runs to the end, or to the limit, and prints the report. The exit code tells
+/// whether a promise was broken.
+pub(crate) fn print_report(
+    limit: Duration,
+    run: impl Future<Output = Result<DemoReport, DemoError>>,
+) -> miette::Result<ExitCode> {
     let runtime = tokio::runtime::Runtime::new().map_err(ReportError::Runtime)?;
     let report = runtime.block_on(async {
-        let run = tokio::time::timeout(limit, run_demo(options));
-        run.await.unwrap_or(Err(DemoError::TooLong(limit)))
+        let limited = tokio::time::timeout(limit, run);
+        limited.await.unwrap_or(Err(DemoError::TooLong(limit)))
     })?;
     println!("{}", serde_json::to_string_pretty(&report).map_err(ReportError::from)?);
     Ok(if report.violations == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -14,10 +14,10 @@
 pub use self::plan::{Fault, Part, PartSizes, PlannedFault, draw};
 use self::run::carry_out;
 use crate::arguments::{ArgumentError, parsed};
-use crate::demo::{DemoError, DemoReport};
+use crate::demo::{DemoError, DemoReport, print_report};
 use crate::fleet::{Binaries, Fleet, FleetError, FleetOptions, FleetSizes};
 use crate::load::arguments::{complete, default_options};
-use crate::load::{ReportError, run_load};
+use crate::load::run_load;
 use crate::trace::{fleet_trace, parse_load};
 
 const HELP: &str = "\
@@ -72,13 +72,7 @@
         return Ok(ExitCode::SUCCESS);
     };
     let limit = options.duration + TIME_BEYOND_LOAD;
-    let runtime = tokio::runtime::Runtime::new().map_err(ReportError::Runtime)?;
-    let report = runtime.block_on(async {
-        let run = tokio::time::timeout(limit, soak(options));
-        run.await.unwrap_or(Err(DemoError::TooLong(limit)))
-    })?;
-    println!("{}", serde_json::to_string_pretty(&report).map_err(ReportError::from)?);
-    Ok(if report.violations == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    print_report(limit, soak(options))
 }
 
 fn read(parser: &mut lexopt::Parser) -> Result<Option<SoakOptions>, ArgumentError> {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,16 +5,15 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::{Duration, Instant};
+
+mod waiting;
 
 use serde_json::{Value, json};
+pub use waiting::eventually;
 
 pub const OPERATOR_KEY: &str = "operator-secret-for-tests";
 pub const TENANT_KEY: &str = "tenant-secret-for-tests";
 
-/// Longest wait for anything that should happen soon; a test never asserts how soon.
-const PATIENCE: Duration = Duration::from_secs(30);
-
 /// A process that is killed when the test ends.
 pub struct Process(pub Child);
 
@@ -38,21 +37,6 @@
     SocketAddr::from(([127, network, block, host], PORT))
 }
 
-/// Waits until `check` holds.
-pub async fn eventually<F, T>(what: &str, mut check: F) -> T
-where
-    F: AsyncFnMut() -> Option<T>,
-{
-    let start = Instant::now();
-    while start.elapsed() < PATIENCE {
-        if let Some(value) = check().await {
-            return value;
-        }
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-    panic!("waited in vain for: {what}");
-}
-
 pub fn key_hash(key: &str) -> String {
     let mut child = Command::new(env!("CARGO_BIN_EXE_juniperhollow"))
         .args(["key", "hash"])
--- a/tests/support/replicas.rs
+++ b/tests/support/replicas.rs
@@ -4,14 +4,16 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 
-const OPERATOR_KEY: &str = "operator-secret-for-tests";
+#[path = "waiting.rs"]
+mod waiting;
+
+pub use waiting::eventually;
 
-/// Longest wait for anything that should happen soon; a test never asserts how soon.
-const PATIENCE: Duration = Duration::from_secs(60);
+const OPERATOR_KEY: &str = "operator-secret-for-tests";
 
 /// Ports that replicas get.
 const FIRST_PORT: u32 = 10_000;
@@ -290,21 +292,6 @@
     assert!(status.success(), "the cluster is founded");
 }
 
-/// Waits until `check` holds.
-pub async fn eventually<F, T>(what: &str, mut check: F) -> T
-where
-    F: AsyncFnMut() -> Option<T>,
-{
-    let start = Instant::now();
-    while start.elapsed() < PATIENCE {
-        if let Some(value) = check().await {
-            return value;
-        }
-        tokio::time::sleep(Duration::from_millis(30)).await;
-    }
-    panic!("waited in vain for: {what}");
-}
-
 /// A change that puts a zone, upon `base`.
 pub fn put_zone(zone: &str, priority: u64, base: u64, change_id: &str) -> Value {
     json!({
