--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -38,7 +38,7 @@
 /// What silence towards the control replicas adds, relative to the objective.
 const SILENCE_FACTOR: f64 = 0.5;
 
-/// Slots that one router expects to fill before a server queues, as a share.
+/// Share of its slots beyond which a server that fills up makes requests wait.
 const SLOT_SHARE: f64 = 0.5;
 
 /// A server as a request sees it.
