Placement: the test of the load that others have sent shows just that

Cause: its sightings also brought tokens into the server's memory, and that estimate alone sent the prompt elsewhere: the test passed without the change that it is for, though says that it failed first. Now they bring none. Shown: with the routers' own load only, it and a_long_read_goes_where_few_streams_run fail; with the code as it is all 18 pass.

--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -125,7 +125,8 @@
     let mut placement = placement(6);
     let home = choose(&mut placement, &prompt(1, 1), 0);
     for own in 0..20 {
-        let sent = ChainSighting { keys: vec![own], ..home.sighting() };
+        // They bring nothing into its memory, so that only the reading counts.
+        let sent = ChainSighting { keys: vec![own], tokens: 0, ..home.sighting() };
         placement.sighted(&sent, at(0));
     }
     assert_ne!(choose(&mut placement, &prompt(1, 1), 50).instance, home.instance);
