--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -176,11 +176,6 @@
         self.members.iter().filter(|member| member.role.votes())
     }
 
-    /// Voters once a replacement that is under way has ended.
-    pub fn next_voters(&self) -> impl Iterator<Item = &Member> {
-        self.voters_in(Half::After)
-    }
-
     /// Whether a voter is being replaced.
     pub fn is_joint(&self) -> bool {
         let replaced =
@@ -235,15 +230,15 @@
         match change {
             MembershipChange::AddLearner { id, zone } => next.add_learner(*id, zone.clone())?,
             MembershipChange::Promote(id) => {
-                next.turn(*id, MemberRole::Learner, MemberRole::Voter)?;
+                next.change_role(*id, MemberRole::Learner, MemberRole::Voter)?;
             }
             MembershipChange::Demote(id) => {
-                next.turn(*id, MemberRole::Voter, MemberRole::Learner)?;
+                next.change_role(*id, MemberRole::Voter, MemberRole::Learner)?;
             }
             MembershipChange::Remove(id) => next.remove(*id)?,
             MembershipChange::Replace { voter, standby } => {
-                next.turn(*voter, MemberRole::Voter, MemberRole::Outgoing)?;
-                next.turn(*standby, MemberRole::Learner, MemberRole::Incoming)?;
+                next.change_role(*voter, MemberRole::Voter, MemberRole::Outgoing)?;
+                next.change_role(*standby, MemberRole::Learner, MemberRole::Incoming)?;
             }
             MembershipChange::FinishReplacement => next.finish_replacement()?,
         }
@@ -265,7 +260,7 @@
         Ok(())
     }
 
-    fn turn(
+    fn change_role(
         &mut self,
         id: ReplicaId,
         from: MemberRole,
