Placement: chains are spread over all stores

Cause: of several stores the first in the configuration was used alone, by every zone. Now rendezvous hashing names one store for each chain. Test: chains_are_spread_over_all_stores_and_each_has_one_of_its_own (the earlier code knew one store only).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -159,17 +159,15 @@
 fn service_profiles(view: &FleetView) -> HashMap<String, ServiceProfile> {
     let Some(index) = &view.catalog else { return HashMap::new() };
     let services = &index.catalog().services;
-    let store = services.iter().find_map(|service| service.store.as_ref());
+    let stores = services.iter().filter_map(|service| service.store.as_ref());
+    let stores: Vec<_> = stores.map(|store| store.address).collect();
     let engines = services.iter().filter_map(|service| {
         let engine = service.engine.as_ref()?;
         let bits_per_ms = engine.link_mbps * 1_000.0 * LINK_PART;
         let bits = engine.token_bytes as f64 * 8.0;
         let move_ms = if bits_per_ms > 0.0 { bits / bits_per_ms } else { 0.0 };
-        let store = store.map(|store| store.address);
-        Some((
-            service.name.clone(),
-            ServiceProfile { move_ms, cache_tokens: engine.cache_tokens, store },
-        ))
+        let (cache_tokens, stores) = (engine.cache_tokens, stores.clone());
+        Some((service.name.clone(), ServiceProfile { move_ms, cache_tokens, stores }))
     });
     engines.collect()
 }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddrV4;
 
+use juniper_prefix_index::rendezvous;
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 
+use crate::homes::ChainKeys;
 use crate::recent::ChainSighting;
 
 /// Why a server was chosen.
@@ -54,7 +56,7 @@
     pub candidates: usize,
     /// Version of the weights that it is known to have; zero without a model.
     pub version: u64,
-    /// A server with the same weights, or the store, that should have kept more of
+    /// A server with the same weights, or a store, that should have kept more of
     /// the prompt.
     pub source: Option<SocketAddrV4>,
     /// The store that should get the prompt's parts once they are read.
@@ -78,14 +80,28 @@
 }
 
 /// What moves of memory cost at a service.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServiceProfile {
     /// Time to move one token, in milliseconds; zero where nothing can be moved.
     pub move_ms: f64,
     /// Tokens that the memory of a server holds.
     pub cache_tokens: u64,
-    /// The store of kept parts, if there is one.
-    pub store: Option<SocketAddrV4>,
+    /// The stores of kept parts, if there are any.
+    pub stores: Vec<SocketAddrV4>,
+}
+
+impl ServiceProfile {
+    /// The store that is meant to keep a chain of parts. All routers name the same one,
+    /// so that nothing is kept twice and the stores' memory and links add up.
+    pub(crate) fn store_of(&self, chain: &ChainKeys) -> Option<SocketAddrV4> {
+        let key = chain.keys.last()?;
+        let score = |store: &SocketAddrV4| rendezvous::score(*key, hash_of_address(*store));
+        self.stores.iter().copied().max_by_key(|store| (score(store), *store))
+    }
+}
+
+fn hash_of_address(address: SocketAddrV4) -> u64 {
+    u64::from(u32::from(*address.ip())) << 16 | u64::from(address.port())
 }
 
 /// Why no server was chosen.
--- a/crates/placement/src/prompt_work.rs
+++ b/crates/placement/src/prompt_work.rs
@@ -68,7 +68,7 @@
         let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
         let all = chain.all_tokens();
         let other_lane = self.other_lane(servers, request, now);
-        let ServiceProfile { move_ms, cache_tokens, .. } = self.profile(request.service);
+        let ServiceProfile { move_ms, cache_tokens, .. } = *self.profile(request.service);
         let can_move = move_ms > 0.0 && all >= MIN_MOVED_TOKENS;
         let home = chain.home(servers.iter().map(|server| server.hash));
         let kept = self.kept_tokens(servers, chain, model, now);
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -18,6 +18,10 @@
 /// differently among them.
 const TIE_ROTATION: u32 = 7;
 
+/// The profile of a service of which nothing is known.
+static NO_MOVES: ServiceProfile =
+    ServiceProfile { move_ms: 0.0, cache_tokens: 0, stores: Vec::new() };
+
 /// What a server that is cold costs more, in milliseconds, at most.
 const MAX_COLD_MS: f64 = 400.0;
 
@@ -92,7 +96,8 @@
         let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
         let version = server.version_of(model);
-        let store = self.profile(request.service).store.filter(|_| work.can_move);
+        let profile = self.profile(request.service);
+        let store = profile.store_of(&chain).filter(|_| work.can_move);
         let holder = work.source.map(|source| servers[source].instance.report.address);
         Choice {
             instance: server.instance.report.id.clone(),
@@ -113,8 +118,8 @@
     }
 
     /// What moves of memory cost at the service.
-    pub(crate) fn profile(&self, service: &str) -> ServiceProfile {
-        self.profiles.get(service).copied().unwrap_or_default()
+    pub(crate) fn profile(&self, service: &str) -> &ServiceProfile {
+        self.profiles.get(service).unwrap_or(&NO_MOVES)
     }
 
     /// The server as the request sees it.
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -40,7 +40,7 @@
     let mut placement = Placement::new("north");
     let instances: Vec<Instance> = (1..=count).map(|number| instance(number, 1)).collect();
     placement.set_instances(&instances);
-    let profile = ServiceProfile { move_ms: 0.005, cache_tokens: 160_000, store: None };
+    let profile = ServiceProfile { move_ms: 0.005, cache_tokens: 160_000, stores: Vec::new() };
     placement.set_profiles(HashMap::from([(SERVICE.to_owned(), profile)]));
     placement
 }
@@ -328,3 +328,21 @@
     let refused = one.choose(&request(&prompt, &excluded), at(0), 0);
     assert_eq!(refused, Err(NoChoice::AllExcluded));
 }
+
+#[test]
+fn chains_are_spread_over_all_stores_and_each_has_one_of_its_own() {
+    let mut placement = placement(6);
+    let stores: Vec<SocketAddrV4> =
+        (1..=3).map(|number| SocketAddrV4::new(Ipv4Addr::new(172, 20, 0, number), 8_000)).collect();
+    let profile = ServiceProfile { move_ms: 0.005, cache_tokens: 160_000, stores: stores.clone() };
+    placement.set_profiles(HashMap::from([(SERVICE.to_owned(), profile)]));
+    let mut chains = [0; 3];
+    for shared in 0..90 {
+        let first = choose(&mut placement, &prompt(shared, 1), 0).store.expect("a store");
+        let again = choose(&mut placement, &prompt(shared, 2), 500).store;
+        assert_eq!(again, Some(first), "the store of a chain doesn't depend on the request");
+        let place = stores.iter().position(|store| *store == first).expect("a known store");
+        chains[place] += 1;
+    }
+    assert!(chains.iter().all(|chains| *chains >= 15), "{chains:?} of 90 chains");
+}
