Gateway: servers that can't be reached are probed beside requests, not by them

Excluded: connections of the pool that hang (144). A server that could not be connected to now gets no request until a bare connection succeeds, tried with a doubling pause of 0.25 to 2 s. Test: a_server_that_can_not_be_reached_gets_no_request_until_a_probe_reaches_it (the earlier code chooses the server again at 300 ms).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,8 +8,8 @@
 //! - `face` accepts connections, `call` takes one request from its head to its
 //!   answer, `search` looks for a server, `attempt` is one sending to one server.
 //! - `relay` passes whole answers on, `stream` streams; `finish` logs how requests end.
-//! - `pool` holds connections to servers; `sightings` tells other routers where
-//!   prompts were sent.
+//! - `pool` holds connections to servers, `probe` finds out when lost ones are back.
+//! - `sightings` tells other routers where prompts were sent.
 //! - `life` starts, drains and stops the whole.
 
 mod answer;
@@ -25,6 +25,7 @@
 mod lock;
 mod metrics;
 mod pool;
+mod probe;
 mod relay;
 mod retry;
 mod search;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -15,6 +15,7 @@
 use crate::face::{serve_callers, serve_metrics, serve_readiness};
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
+use crate::probe::probe_unreachable;
 use crate::settings::GatewaySettings;
 use crate::sightings;
 
@@ -156,6 +157,7 @@
     let mut helpers = vec![
         tokio::spawn(Arc::clone(gateway).follow_feed()),
         tokio::spawn(sightings::share(Arc::clone(gateway))),
+        tokio::spawn(probe_unreachable(Arc::clone(gateway))),
         tokio::spawn(log_readiness(Arc::clone(gateway))),
     ];
     if let Some(listener) = readiness {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -81,6 +81,11 @@
     socket.set_tcp_keepalive(&probes.with_retries(PROBES))
 }
 
+/// Whether a connection to the address can be opened; it is closed at once.
+pub(crate) async fn can_connect(address: SocketAddrV4) -> bool {
+    matches!(timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
+}
+
 /// Counts of open connections by server.
 type OpenCounts = Arc<Mutex<HashMap<InstanceId, u32>>>;
 
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -39,7 +39,7 @@
 pub(crate) fn is_usable(server: &Server, request: &ServerRequest<'_>, now: Timestamp) -> bool {
     let version = request.prompt.map(|prompt| server.version_of(&prompt.model));
     let denied = version.is_some_and(|version| server.health.denies(version, now));
-    !server.health.is_backing_off(now) && !server.renewing && !denied
+    !server.health.is_unreachable() && !server.renewing && !denied
 }
 
 /// Any of the servers, when none is known to work: it may work again.
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -12,9 +12,9 @@
 /// Time in which a share of failures halves when nothing is sent.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
 
-/// Shortest and longest back-off from a server that can't be reached; it doubles.
-const MIN_BACK_OFF: Duration = Duration::from_millis(250);
-const MAX_BACK_OFF: Duration = Duration::from_secs(2);
+/// Shortest and longest pause between probes of a server that can't be reached; it doubles.
+const MIN_PROBE_PAUSE: Duration = Duration::from_millis(250);
+const MAX_PROBE_PAUSE: Duration = Duration::from_secs(2);
 
 /// Time for which a server that was full costs more.
 const FULL_PAUSE: Duration = Duration::from_millis(120);
@@ -57,13 +57,19 @@
     until: Timestamp,
 }
 
+/// A server that could not be connected to, until a probe of its address succeeds.
+#[derive(Clone, Copy, Debug)]
+struct Unreachable {
+    next_probe: Timestamp,
+    pause: Duration,
+}
+
 /// What is known of the health of a server.
 #[derive(Clone, Debug)]
 pub(crate) struct Health {
     failures: Decaying,
     delay_ms: Decaying,
-    back_off: Duration,
-    backing_off_until: Timestamp,
+    unreachable: Option<Unreachable>,
     full_until: Timestamp,
     denial: Option<Denial>,
     /// The address belongs to another life.
@@ -75,8 +81,7 @@
         Health {
             failures: Decaying::new(FAILURE_HALF_LIFE),
             delay_ms: Decaying::new(TIME_HALF_LIFE),
-            back_off: Duration::ZERO,
-            backing_off_until: Timestamp::ZERO,
+            unreachable: None,
             full_until: Timestamp::ZERO,
             denial: None,
             replaced: false,
@@ -89,13 +94,13 @@
     pub(crate) fn record(&mut self, outcome: Outcome, now: Timestamp) {
         let failed = match outcome {
             Outcome::Answered => {
-                self.back_off = Duration::ZERO;
+                self.unreachable = None;
                 0.0
             }
             Outcome::ServerError | Outcome::Broken => 1.0,
             Outcome::Unreachable => {
-                self.back_off = (self.back_off * 2).clamp(MIN_BACK_OFF, MAX_BACK_OFF);
-                self.backing_off_until = now.after(self.back_off);
+                let (pause, next_probe) = (MIN_PROBE_PAUSE, now.after(MIN_PROBE_PAUSE));
+                self.unreachable.get_or_insert(Unreachable { next_probe, pause });
                 1.0
             }
             Outcome::Full => {
@@ -131,9 +136,25 @@
         self.delay_ms.at(now)
     }
 
-    /// Whether it could not be reached and is left alone for now.
-    pub(crate) fn is_backing_off(&self, now: Timestamp) -> bool {
-        now < self.backing_off_until
+    /// Whether it could not be reached, and no probe has succeeded since.
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.unreachable.is_some()
+    }
+
+    /// Whether it is to be probed now. If so, the next probe follows after a longer pause.
+    pub(crate) fn take_due_probe(&mut self, now: Timestamp) -> bool {
+        let Some(unreachable) = &mut self.unreachable else { return false };
+        if now < unreachable.next_probe {
+            return false;
+        }
+        unreachable.pause = (unreachable.pause * 2).min(MAX_PROBE_PAUSE);
+        unreachable.next_probe = now.after(unreachable.pause);
+        true
+    }
+
+    /// A probe has succeeded.
+    pub(crate) fn reached(&mut self) {
+        self.unreachable = None;
     }
 
     /// Whether it has turned weights of `version` away a moment ago.
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,6 +1,7 @@
 //! The servers as one router knows them.
 
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use juniper_registry::{Instance, InstanceId};
@@ -135,6 +136,23 @@
         server.health.record(outcome, now);
     }
 
+    /// Servers that could not be connected to and are to be probed now, with their
+    /// addresses. No request is sent to them until a probe succeeds.
+    pub fn take_due_probes(&mut self, now: Timestamp) -> Vec<(InstanceId, SocketAddrV4)> {
+        let due = self.servers.iter_mut().filter_map(|(id, server)| {
+            let is_due = server.health.take_due_probe(now);
+            is_due.then(|| (id.clone(), server.instance.report.address))
+        });
+        due.collect()
+    }
+
+    /// A probe of the server has succeeded.
+    pub fn reached(&mut self, instance: &InstanceId) {
+        if let Some(server) = self.servers.get_mut(instance) {
+            server.health.reached();
+        }
+    }
+
     /// A server answered with weights of this version.
     pub fn saw_version(&mut self, instance: &InstanceId, version: u64) {
         if let Some(server) = self.servers.get_mut(instance) {
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -231,6 +231,25 @@
     assert_eq!((last.instance, last.reason), (first.instance, Reason::LastResort));
 }
 
+#[test]
+fn a_server_that_can_not_be_reached_gets_no_request_until_a_probe_reaches_it() {
+    let mut placement = placement(2);
+    let home = choose(&mut placement, &prompt(1, 1), 0);
+    let ticket = placement.begin(&home, true, at(0));
+    placement.end(ticket, Outcome::Unreachable, at(0));
+    for millis in [100, 300, 5_000, 60_000] {
+        assert_ne!(choose(&mut placement, &prompt(1, 1), millis).instance, home.instance);
+    }
+    let due = vec![(home.instance.clone(), home.address)];
+    assert_eq!(placement.take_due_probes(at(200)), []);
+    assert_eq!(placement.take_due_probes(at(250)), due);
+    assert_eq!(placement.take_due_probes(at(700)), [], "the pause has doubled");
+    assert_eq!(placement.take_due_probes(at(750)), due);
+    placement.reached(&home.instance);
+    assert_eq!(placement.take_due_probes(at(60_000)), []);
+    assert_eq!(choose(&mut placement, &prompt(1, 1), 60_000).instance, home.instance);
+}
+
 #[test]
 fn an_address_that_belongs_to_another_life_is_not_used() {
     let mut placement = placement(1);
