Lab: what a demo and a soak share stands once

Options, report, errors and the run of a fleet under load and faults are in fleet_run.rs; demo and soak keep their faults.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -17,9 +17,10 @@
 const CONTEXT_MS: u64 = 3_000;
 
 /// Events that tell of the state of a server or a node.
-const CONTEXT_EVENTS: [&str; 10] = [
+const CONTEXT_EVENTS: [&str; 11] = [
     "instance_heard",
     "instance_silent",
+    "server_reached",
     "departure_recorded",
     "order_given",
     "order_state",
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -8,6 +8,8 @@
 time_ms=5000 level=info node=front-1 event=attempt request=r1 instance=i-1 reason=home kept=0
 time_ms=5001 level=info node=front-1 event=attempt request=r2 instance=i-2 reason=home kept=0
 time_ms=5300 level=info node=front-1 event=attempt_failed request=r1 instance=i-1 reason=\"no answer in time\"
+time_ms=5305 level=info node=front-1 event=server_reached instance=i-1 address=10.0.0.1:80
+time_ms=5306 level=info node=front-1 event=server_reached instance=i-9 address=10.0.0.9:80
 time_ms=5310 level=info node=front-1 event=request_done request=r1 outcome=own_answer status=502
       a line of something else
 time_ms=53";
@@ -24,7 +26,8 @@
 fn events_of_all_processes_are_told_in_their_order() {
     let story = story("r1");
     let names: Vec<&str> = story.events.iter().map(|event| event.name.as_str()).collect();
-    assert_eq!(names, ["order_given", "attempt", "attempt_failed", "request_done"]);
+    let expected = ["order_given", "attempt", "attempt_failed", "server_reached", "request_done"];
+    assert_eq!(names, expected);
     assert_eq!(story.unreadable, 2);
     assert_eq!(story.events[2].get("reason"), Some("no answer in time"));
     let text = story.text("r1");
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod emulate;
 pub mod experiment;
 pub mod fleet;
+pub mod fleet_run;
 pub mod load;
 pub mod prove;
 pub mod proxy;
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -3,22 +3,16 @@
 mod plan;
 mod run;
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
-use juniper_emulators::http::application::WORK_TIME;
-use juniper_emulators::trace::Profile;
 use lexopt::Arg;
 
 pub use self::plan::{Fault, Part, PartSizes, PlannedFault, draw};
 use self::run::carry_out;
-use crate::arguments::{ArgumentError, parsed};
-use crate::demo::{DemoError, DemoReport, print_report};
-use crate::fleet::{Binaries, Fleet, FleetError, FleetOptions, FleetSizes};
-use crate::load::arguments::{complete, default_options};
-use crate::load::run_load;
-use crate::trace::{fleet_trace, parse_load};
+use crate::arguments::ArgumentError;
+use crate::fleet::{Fleet, FleetSizes};
+use crate::fleet_run::{RunOptions, print_report, run_fleet};
 
 const HELP: &str = "\
 Usage: juniper-lab soak [OPTIONS]
@@ -41,27 +35,9 @@
 const SIZES: FleetSizes =
     FleetSizes { control: 3, routers: 4, engines: 6, applications: 3, previews: 3 };
 
-/// Shortest time of load, in seconds.
-const MIN_SECONDS: u64 = 10;
-
 /// Longest time that a soak takes beyond its load.
 const TIME_BEYOND_LOAD: Duration = Duration::from_secs(240);
 
-/// What a soak does.
-#[derive(Clone, Debug)]
-pub struct SoakOptions {
-    /// Deployment that the fleet is modelled on.
-    pub profile: Profile,
-    /// Seed of the load and of the faults.
-    pub seed: u64,
-    /// Time of load.
-    pub duration: Duration,
-    /// Share of what the engines can serve.
-    pub load: f64,
-    /// Folder to keep; a temporary one otherwise.
-    pub folder: Option<PathBuf>,
-}
-
 /// Runs the command with the arguments that follow its name.
 ///
 /// # Errors
@@ -71,68 +47,25 @@
         print!("{HELP}");
         return Ok(ExitCode::SUCCESS);
     };
-    let limit = options.duration + TIME_BEYOND_LOAD;
-    print_report(limit, soak(options))
+    let duration = options.duration;
+    let sizes =
+        PartSizes { engines: SIZES.engines, routers: SIZES.routers, control: SIZES.control };
+    let plan = draw(options.seed, duration, sizes);
+    let faults = async move |fleet: &mut Fleet| carry_out(fleet, &plan).await;
+    print_report(duration + TIME_BEYOND_LOAD, run_fleet(options, SIZES, true, faults))
 }
 
-fn read(parser: &mut lexopt::Parser) -> Result<Option<SoakOptions>, ArgumentError> {
-    let mut options = SoakOptions {
-        profile: Profile::GraniteLedger,
-        seed: 1,
-        duration: Duration::from_secs(60),
-        load: 0.3,
-        folder: None,
-    };
+fn read(parser: &mut lexopt::Parser) -> Result<Option<RunOptions>, ArgumentError> {
+    let mut options = RunOptions::usual(60, 0.3);
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("help") | Arg::Short('h') => return Ok(None),
-            Arg::Long("profile") => {
-                options.profile = parsed(parser, "--profile", "granite-ledger or pryderi")?;
-            }
-            Arg::Long("seed") => options.seed = parsed(parser, "--seed", "a number")?,
-            Arg::Long("seconds") => {
-                let seconds: u64 = parsed(parser, "--seconds", "a number")?;
-                options.duration = Duration::from_secs(seconds.max(MIN_SECONDS));
+            Arg::Long(name) => {
+                let name = name.to_owned();
+                options.take(&name, parser)?;
             }
-            Arg::Long("load") => options.load = parse_load(parser)?,
-            Arg::Long("keep") => options.folder = Some(parser.value()?.into()),
             other => return Err(other.unexpected().into()),
         }
     }
     Ok(Some(options))
 }
-
-/// Runs a whole soak and stops everything it started.
-///
-/// # Errors
-/// Fails when the fleet or the load can't be run; broken promises are in the report.
-pub async fn soak(options: SoakOptions) -> Result<DemoReport, DemoError> {
-    let temporary = tempfile::tempdir().map_err(DemoError::Folder)?;
-    let folder = options.folder.unwrap_or_else(|| temporary.path().to_owned());
-    std::fs::create_dir_all(&folder).map_err(DemoError::Folder)?;
-    let SoakOptions { profile, seed, duration, .. } = options;
-    let trace = fleet_trace(profile, seed, options.load, SIZES.engines, duration)
-        .map_err(FleetError::from)?;
-    let mut fleet = Fleet::start(FleetOptions {
-        binaries: Binaries::beside_this_program()?,
-        folder,
-        profile,
-        sizes: SIZES,
-        application_work: WORK_TIME,
-        cuttable: true,
-    })
-    .await?;
-    let mut load = default_options();
-    load.routers = fleet.router_targets();
-    load.executions = fleet.execution_sources();
-    let load = complete(load).map_err(|_| FleetError::NoSuch("router".to_owned()))?;
-    let sizes =
-        PartSizes { engines: SIZES.engines, routers: SIZES.routers, control: SIZES.control };
-    let plan = draw(seed, duration, sizes);
-    let (report, done) = tokio::join!(run_load(&trace, load), carry_out(&mut fleet, &plan));
-    let (report, done) = (report?, done?);
-    let breaches = fleet.witnesses().await?;
-    let mut ended_badly = done.ended_badly;
-    ended_badly.extend(fleet.stop_daemons().await?);
-    Ok(DemoReport::new(report, breaches, done.faults, ended_badly))
-}
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -6,8 +6,8 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::plan::{Fault, Part, PlannedFault};
-use crate::demo::FaultDone;
 use crate::fleet::{Fleet, FleetError, ManagedProcess, Signal};
+use crate::fleet_run::{FaultDone, FaultsDone};
 use crate::proxy::LinkState;
 
 /// Longest time that a planned stop may take.
@@ -29,24 +29,17 @@
     }
 }
 
-/// What was done, and which daemons did not end well.
-#[derive(Debug, Default)]
-pub(super) struct Done {
-    pub faults: Vec<FaultDone>,
-    pub ended_badly: Vec<String>,
-}
-
 /// Makes every fault of the plan at its time and mends it again.
 pub(super) async fn carry_out(
     fleet: &mut Fleet,
     plan: &[PlannedFault],
-) -> Result<Done, FleetError> {
+) -> Result<FaultsDone, FleetError> {
     let begins = plan.iter().map(|planned| Step::Begin(*planned));
     let ends = plan.iter().map(|planned| Step::End(*planned));
     let mut steps: Vec<Step> = begins.chain(ends).collect();
     steps.sort_by_key(Step::time);
     let start = Instant::now();
-    let mut done = Done::default();
+    let mut done = FaultsDone::default();
     for step in steps {
         sleep_until(start + step.time()).await;
         let at_ms = start.elapsed().as_millis() as u64;
