--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -11,7 +11,7 @@
 use crate::gateway::Gateway;
 use crate::pool::can_connect;
 
-/// Pace at which is looked for probes that are due.
+/// Pause between two looks for probes that are due.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Probes what is due, for ever.
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -137,7 +137,8 @@
     }
 
     /// Servers that could not be connected to and are to be probed now, with their
-    /// addresses. No request is sent to them until a probe succeeds.
+    /// addresses. Until a probe succeeds a request is sent to them only if no other server
+    /// may be used.
     pub fn take_due_probes(&mut self, now: Timestamp) -> Vec<(InstanceId, SocketAddrV4)> {
         let due = self.servers.iter_mut().filter_map(|(id, server)| {
             let is_due = server.health.take_due_probe(now);
