--- a/crates/control/examples/control_group/fleet.rs
+++ b/crates/control/examples/control_group/fleet.rs
@@ -1,10 +1,11 @@
 //! Control replicas as child processes of this example.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
+use juniper_loopback::unused_address;
 use juniper_protocol::{ClusterKey, PeerIdentity, PeerRole};
 use juniper_settings::{ApiKeyHash, NodeFile};
 use juniper_types::{NodeId, ZoneName};
@@ -60,11 +61,6 @@
     _folder: tempfile::TempDir,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address")
-}
-
 fn node_file(replica: &Replica, all: &[(u64, SocketAddr)], folder: &Path) -> String {
     let voters: Vec<u64> = all.iter().map(|(node, _)| *node).collect();
     let mut text = format!(
@@ -91,8 +87,8 @@
         let folder = tempfile::tempdir_in(base).expect("a folder for the data");
         let make = |node: u64| Replica {
             node,
-            internal: free_address(),
-            operator: free_address(),
+            internal: unused_address(),
+            operator: unused_address(),
             file: folder.path().join(format!("node-{node}.toml")),
             child: None,
         };
--- a/crates/control/tests/daemons/support/mod.rs
+++ b/crates/control/tests/daemons/support/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use juniper_control::{ControlDaemon, ControlSettings, Listeners};
+use juniper_loopback::unused_address;
 use juniper_protocol::{ClusterKey, PeerIdentity, PeerRole};
 use juniper_settings::node_file::{ClusterKeyText, CommonSettings, ControlLimits, LogLevel};
 use juniper_settings::{ApiKeyHash, PeerDiscovery, ReplicaTuning, SettingsNode, SettingsPath};
@@ -99,8 +100,8 @@
 
 pub async fn listeners() -> Listeners {
     Listeners {
-        internal: TcpListener::bind("127.0.0.1:0").await.unwrap(),
-        operator: TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        internal: TcpListener::bind(unused_address()).await.unwrap(),
+        operator: TcpListener::bind(unused_address()).await.unwrap(),
     }
 }
 
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -66,6 +66,11 @@
 }
 
 impl Listeners {
+    /// Takes over sockets that are bound already.
+    pub fn bound(callers: TcpListener, readiness: TcpListener) -> Self {
+        Listeners { callers, readiness: Some(readiness), metrics: None }
+    }
+
     /// Opens the sockets for callers and, where wanted, readiness and metrics.
     ///
     /// # Errors
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -91,9 +91,11 @@
     task: JoinHandle<()>,
 }
 
-async fn free_address() -> SocketAddr {
+/// A listener on a port that the system chose, and its address.
+async fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    listener.local_addr().expect("bound")
+    let address = listener.local_addr().expect("bound");
+    (listener, address)
 }
 
 impl TestGateway {
@@ -121,8 +123,9 @@
             own: identity(PeerRole::Router, 77),
             seeds: vec![control.node],
         });
-        let (callers, readiness) = (free_address().await, free_address().await);
-        let listeners = Listeners::open(callers, Some(readiness), None).await.expect("free ports");
+        let (caller_listener, callers) = listener().await;
+        let (readiness_listener, readiness) = listener().await;
+        let listeners = Listeners::bound(caller_listener, readiness_listener);
         let settings = GatewaySettings {
             node: "gateway".to_owned(),
             zone: "north".to_owned(),
--- a/crates/lab/src/fleet/back_ends.rs
+++ b/crates/lab/src/fleet/back_ends.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use juniper_emulators::trace::Profile;
+use juniper_loopback::unused_address;
 use juniper_settings::{BackEnd, BackEndKind};
 use juniper_types::{EngineId, ZoneName};
 
 use super::FleetError;
 use super::binaries::Binaries;
-use super::ports::Ports;
 use super::process::ManagedProcess;
 
 /// Numbers of processes of a fleet.
@@ -62,7 +62,7 @@
     ///
     /// # Errors
     /// Fails when one can't be started.
-    pub fn start(&self, ports: &mut Ports) -> Result<Vec<BackEndProcess>, FleetError> {
+    pub fn start(&self) -> Result<Vec<BackEndProcess>, FleetError> {
         let kinds = [
             (BackEndKind::Engine, self.sizes.engines),
             (BackEndKind::Application, self.sizes.applications),
@@ -73,7 +73,7 @@
         for (kind, count) in kinds {
             for zone in self.zones.iter().cycle().take(count) {
                 let id = EngineId(ids.next().unwrap_or(u32::MAX));
-                let entry = BackEnd { id, kind, address: ports.take()?, leaving: false };
+                let entry = BackEnd { id, kind, address: unused_address(), leaving: false };
                 started.push(self.start_one(entry, zone)?);
             }
         }
--- a/crates/lab/src/fleet/error.rs
+++ b/crates/lab/src/fleet/error.rs
@@ -12,9 +12,6 @@
     /// The path of this program is unknown.
     #[error("the path of this program is unknown")]
     CurrentProgram(#[source] io::Error),
-    /// No port is free.
-    #[error("no port is free")]
-    NoPort,
     /// A file of the fleet can't be written.
     #[error("{path} can't be written")]
     File {
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -9,7 +9,6 @@
 mod faults;
 mod node_files;
 mod operator;
-mod ports;
 mod process;
 mod tree;
 
@@ -19,6 +18,7 @@
 use std::time::Duration;
 
 use juniper_emulators::trace::Profile;
+use juniper_loopback::unused_address;
 use juniper_types::{ChangeId, ZoneName};
 
 pub use juniper_settings::BackEndKind;
@@ -33,7 +33,6 @@
 
 use self::back_ends::BackEndPlan;
 use self::node_files::{ControlNode, RouterNode, write_control, write_router};
-use self::ports::Ports;
 use self::tree::{SettingsChange, ZoneBackEnds, whole_tree};
 use crate::load::{ExecutionSource, RouterTarget};
 use crate::proxy::{LinkProxy, LinkState};
@@ -97,9 +96,8 @@
     /// Fails when a process can't be started or doesn't come to serve in time.
     pub async fn start(options: FleetOptions) -> Result<Self, FleetError> {
         let FleetOptions { binaries, folder, profile, sizes, application_work, cuttable } = options;
-        let mut ports = Ports::new();
         let zone_names = profile.names()?.zones;
-        let control = start_control(&binaries, &folder, sizes.control, &zone_names, &mut ports)?;
+        let control = start_control(&binaries, &folder, sizes.control, &zone_names)?;
         let plan = BackEndPlan {
             binaries: &binaries,
             folder: &folder,
@@ -108,7 +106,7 @@
             application_work,
             zones: &zone_names,
         };
-        let back_ends = plan.start(&mut ports)?;
+        let back_ends = plan.start()?;
         let mut fleet = Fleet {
             folder,
             zones: Vec::new(),
@@ -120,7 +118,7 @@
             revision: 0,
         };
         fleet.zones = fleet.zone_back_ends(&zone_names, cuttable).await?;
-        fleet.start_routers(&binaries, sizes.routers, &zone_names, cuttable, &mut ports).await?;
+        fleet.start_routers(&binaries, sizes.routers, &zone_names, cuttable).await?;
         fleet.wait_for_back_ends().await?;
         let edits = whole_tree(profile, &fleet.zones)?;
         fleet.change("first", edits).await?;
@@ -170,7 +168,6 @@
         count: usize,
         zone_names: &[ZoneName],
         cuttable: bool,
-        ports: &mut Ports,
     ) -> Result<(), FleetError> {
         let control: Vec<NodeAddress> = self.control.iter().map(|c| c.node.node.clone()).collect();
         let mut far_control = control.clone();
@@ -179,8 +176,8 @@
         }
         let mut nodes = Vec::new();
         for (id, zone) in (FIRST_ROUTER..).zip(zone_names.iter().cycle()).take(count) {
-            let node = NodeAddress { id, zone: zone.clone(), internal: ports.take()? };
-            nodes.push(RouterNode { node, operator: ports.take()?, caller: ports.take()? });
+            let node = NodeAddress { id, zone: zone.clone(), internal: unused_address() };
+            nodes.push(RouterNode { node, operator: unused_address(), caller: unused_address() });
         }
         let peers: Vec<NodeAddress> = nodes.iter().map(|router| router.node.clone()).collect();
         for node in nodes {
@@ -261,12 +258,11 @@
     folder: &Path,
     count: usize,
     zones: &[ZoneName],
-    ports: &mut Ports,
 ) -> Result<Vec<Control>, FleetError> {
     let mut nodes = Vec::new();
     for (id, zone) in (FIRST_CONTROL..).zip(zones.iter().cycle()).take(count) {
-        let node = NodeAddress { id, zone: zone.clone(), internal: ports.take()? };
-        nodes.push(ControlNode { node, operator: ports.take()? });
+        let node = NodeAddress { id, zone: zone.clone(), internal: unused_address() };
+        nodes.push(ControlNode { node, operator: unused_address() });
     }
     let group: Vec<NodeAddress> = nodes.iter().map(|control| control.node.clone()).collect();
     let start = |node: ControlNode| {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
 
 mod waiting;
 
+use juniper_loopback::unused_address;
 use serde_json::{Value, json};
 pub use waiting::eventually;
 
@@ -24,19 +24,6 @@
     }
 }
 
-/// Port of every address; each has a loopback host of its own.
-const PORT: u16 = 7_100;
-
-/// An address that nobody else uses: the host is made of this process's number
-/// and a counter, so neither another test nor an outgoing connection can take it.
-pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let process = std::process::id();
-    let [network, block] = [(process / 250 % 230) as u8 + 20, (process % 250) as u8];
-    let host = NEXT.fetch_add(1, Ordering::Relaxed);
-    SocketAddr::from(([127, network, block, host], PORT))
-}
-
 pub fn key_hash(key: &str) -> String {
     let mut child = Command::new(env!("CARGO_BIN_EXE_juniperhollow"))
         .args(["key", "hash"])
@@ -74,7 +61,11 @@
 
 impl Addresses {
     pub fn free() -> Self {
-        Addresses { internal: free_address(), operator: free_address(), caller: free_address() }
+        Addresses {
+            internal: unused_address(),
+            operator: unused_address(),
+            caller: unused_address(),
+        }
     }
 }
 
--- a/tests/support/replicas.rs
+++ b/tests/support/replicas.rs
@@ -1,11 +1,11 @@
 //! Control replicas as processes, which tests kill, freeze and start again.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use juniper_loopback::unused_address;
 use serde_json::{Value, json};
 
 #[path = "waiting.rs"]
@@ -15,13 +15,6 @@
 
 const OPERATOR_KEY: &str = "operator-secret-for-tests";
 
-/// Ports that replicas get.
-const FIRST_PORT: u32 = 10_000;
-const PORTS: u32 = 20_000;
-
-/// Apart from the next test process by more ports than one takes.
-const PORTS_OF_A_PROCESS: u32 = 131;
-
 /// Longest wait for one answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -119,21 +112,6 @@
     folder: tempfile::TempDir,
 }
 
-/// An address that nobody listens on. Its port lies below those that the system
-/// gives to outgoing connections, one of which could take it before the replica
-/// does, or while the replica is down.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let first = std::process::id().wrapping_mul(PORTS_OF_A_PROCESS);
-    loop {
-        let offset = first.wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst)) % PORTS;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, (FIRST_PORT + offset) as u16));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 fn key_hash() -> String {
     let mut child = Command::new(env!("CARGO_BIN_EXE_juniperhollow"))
         .args(["key", "hash"])
@@ -174,7 +152,7 @@
         let make = |node: u64| {
             let own = folder.path().join(format!("node-{node}"));
             std::fs::create_dir(&own).expect("a folder");
-            let (operator, internal) = (free_address(), free_address());
+            let (operator, internal) = (unused_address(), unused_address());
             Replica { node, operator, internal, folder: own, process: None }
         };
         let mut replicas: Vec<Replica> = (1..=count).map(make).collect();
@@ -246,7 +224,7 @@
         std::fs::write(&key_file, OPERATOR_KEY).expect("the key is written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_juniperhollow"));
         command.args(words).args(["--format", "json", "--operator-key-file"]).arg(key_file);
-        command.arg(format!("--control=http://{}", free_address()));
+        command.arg(format!("--control=http://{}", unused_address()));
         for replica in &self.replicas {
             command.arg(format!("--control=http://{}", replica.operator));
         }
