Gateway: requests that come before the first confirmation wait for it

With replicas and routers that start together a configuration is confirmed 0.5 s later. Excluded: missing servers (no refusal for that), time of the election. Change: such a request is read (128 KiB at most, 256 requests) and waits for a third of its time, 2 s at most, for the first confirmation, and likewise for the first server of its service while servers may not have been heard since the start; then it is refused at once with a time to come back.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -22,6 +22,7 @@
 use crate::relay;
 use crate::retry::{Progress, RetryQuestion};
 use crate::search::ServerSearch;
+use crate::starting::MAX_BODY_BYTES;
 
 /// Time of a caller that states no deadline.
 const USUAL_DEADLINE: Duration = Duration::from_secs(30);
@@ -149,6 +150,14 @@
     facts: CallFacts,
     arrived: Instant,
 ) -> Result<Option<Call>, OwnAnswer> {
+    let wait = facts.deadline.unwrap_or(USUAL_DEADLINE);
+    let body = match gateway.has_started() {
+        true => RequestBody::Unread(body),
+        false => match wait_for_start(gateway, &head.headers, body, arrived, wait).await? {
+            Some(bytes) => RequestBody::Read(bytes),
+            None => return Ok(None),
+        },
+    };
     let view = gateway.feed.latest();
     let (Some(index), Some(age)) = (view.catalog.clone(), gateway.feed.age()) else {
         return Err(OwnAnswer::Starting);
@@ -167,13 +176,15 @@
         KeyAccess::Denied if is_certain => return Err(OwnAnswer::UnknownKey),
         KeyAccess::Denied => return Err(OwnAnswer::Unconfirmed),
     };
-    let wait = Duration::from_millis(route.timeout_ms);
-    let wait = wait.min(facts.deadline.unwrap_or(USUAL_DEADLINE));
+    let wait = wait.min(Duration::from_millis(route.timeout_ms));
     let deadline = arrived + wait.saturating_sub(ANSWER_MARGIN);
     let limit = index.catalog().limits.body_bytes;
-    let Some(body) = read_body(&head.headers, body, limit, deadline).await? else {
-        return Ok(None);
+    let body = match body {
+        RequestBody::Unread(body) => read_body(&head.headers, body, limit, deadline).await?,
+        RequestBody::Read(bytes) if bytes.len() as u64 > limit => return Err(OwnAnswer::TooLarge),
+        RequestBody::Read(bytes) => Some(bytes),
     };
+    let Some(body) = body else { return Ok(None) };
     let isolated = tenant.filter(|tenant| tenant.isolated);
     let mut headers = head.headers;
     strip_hop_headers(&mut headers);
@@ -197,6 +208,34 @@
     }))
 }
 
+/// The body of a request.
+enum RequestBody {
+    Unread(Incoming),
+    /// It was read while the request waited for the gateway's start.
+    Read(Bytes),
+}
+
+/// Reads the body of a request that came before the first confirmation, and waits for that.
+/// `Ok(None)` means that the caller has left.
+async fn wait_for_start(
+    gateway: &Gateway,
+    headers: &HeaderMap,
+    body: Incoming,
+    arrived: Instant,
+    wait: Duration,
+) -> Result<Option<Bytes>, OwnAnswer> {
+    let _place = gateway.starting.enter().ok_or(OwnAnswer::Starting)?;
+    let deadline = arrived + wait.saturating_sub(ANSWER_MARGIN);
+    let read = read_body(headers, body, MAX_BODY_BYTES, deadline).await;
+    // Longer bodies may be allowed; that isn't known yet.
+    let read = read.map_err(|_| OwnAnswer::Starting)?;
+    if !gateway.wait_for_start(arrived, deadline).await {
+        return Err(OwnAnswer::Starting);
+    }
+    log::info!("event=start_awaited waited_ms={}", arrived.elapsed().as_millis());
+    Ok(read)
+}
+
 /// Reads a body whole. `Ok(None)` means that the caller has left.
 async fn read_body(
     headers: &HeaderMap,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::pool::Pool;
 use crate::settings::GatewaySettings;
 use crate::sightings::SightingQueue;
+use crate::starting::StartQueue;
 
 /// Part of a server's connections that all routers together open. The rest is
 /// for health checks and orders, and for routers that have just started.
@@ -47,6 +48,10 @@
     pub stop: watch::Receiver<Stop>,
     /// Placements that the other routers haven't been told of yet.
     pub sightings: SightingQueue,
+    /// Requests that wait for the first confirmation.
+    pub starting: StartQueue,
+    /// Counts the views of the fleet that the placement has taken over.
+    pub views_taken: watch::Sender<u64>,
     placement: Mutex<Placement>,
     budget: Mutex<RetryBudget>,
     splits: Mutex<HashMap<String, WeightedSplit>>,
@@ -65,7 +70,9 @@
             budget: Mutex::new(RetryBudget::new(settings.retry)),
             splits: Mutex::default(),
             sightings: SightingQueue::default(),
+            starting: StartQueue::default(),
             pool: Pool::default(),
+            views_taken: watch::Sender::new(0),
             settings,
             dialect,
             feed,
@@ -93,8 +100,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         let age = self.feed.age();
         let is_current = age.is_some_and(|age| age < self.settings.ready_age_limit());
-        let has_catalog = self.feed.latest().catalog.is_some();
-        *self.stop.borrow() == Stop::Running && is_current && has_catalog
+        *self.stop.borrow() == Stop::Running && self.has_started() && is_current
     }
 
     /// The service that takes the next request of the route.
@@ -146,6 +152,8 @@
         for known in view.versions.iter() {
             placement.saw_version(&known.instance, known.version);
         }
+        drop(placement);
+        self.views_taken.send_modify(|taken| *taken += 1);
     }
 
     fn sweep(&self) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod search;
 mod settings;
 mod sightings;
+mod starting;
 mod stream;
 
 pub use dialect::{AnswerFacts, AttemptFacts, CallFacts, CallFault, Dialect};
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -52,8 +52,10 @@
             if !self.call.may_repeat(self.progress) || !self.is_within_budget() {
                 return Err(self.given_up(OwnAnswer::Full(FULL_PAUSE)));
             }
+            let views = *self.gateway.views_taken.borrow();
             let choice = match self.choose() {
                 Ok(choice) => choice,
+                Err(NoChoice::NoServer) if self.waits_for_servers(views).await => continue,
                 Err(refusal) => return Err(self.given_up(self.refusal(refusal))),
             };
             self.log_choice(&choice);
@@ -151,6 +153,12 @@
         self.call.deadline.min(Instant::now() + self.call.unusual_silence())
     }
 
+    /// Whether more is known of servers after a wait than when `views` were taken over.
+    async fn waits_for_servers(&self, views: u64) -> bool {
+        let (arrived, deadline) = (self.call.arrived, self.call.deadline);
+        self.gateway.wait_for_servers(views, arrived, deadline).await
+    }
+
     fn refusal(&self, refusal: NoChoice) -> OwnAnswer {
         match refusal {
             NoChoice::NoServer | NoChoice::OldWeights => OwnAnswer::NoServer(NO_SERVER_PAUSE),
--- a/crates/gateway/tests/paths/admission.rs
+++ b/crates/gateway/tests/paths/admission.rs
@@ -4,11 +4,7 @@
 
 use crate::support::TestGateway;
 use crate::support::caller::{ask, get, request};
-use crate::support::server::{FakeServer, Step, whole};
-
-async fn good(name: &str) -> FakeServer {
-    FakeServer::start(name, |_, head| vec![Step::Send(whole(head, "200 OK", "fine"))]).await
-}
+use crate::support::server::{FakeServer, Step, good, whole};
 
 #[tokio::test]
 async fn requests_without_id_route_or_key_are_refused_and_reach_no_server() {
--- a/crates/gateway/tests/paths/answers.rs
+++ b/crates/gateway/tests/paths/answers.rs
@@ -6,11 +6,9 @@
 
 use crate::support::TestGateway;
 use crate::support::caller::{ask, get, request};
-use crate::support::server::{END, FakeServer, Step, chunk, event, header, stream_head, whole};
-
-async fn good(name: &str) -> FakeServer {
-    FakeServer::start(name, |_, head| vec![Step::Send(whole(head, "200 OK", "fine"))]).await
-}
+use crate::support::server::{
+    END, FakeServer, Step, chunk, event, good, header, stream_head, whole,
+};
 
 /// Runs of requests on both servers.
 fn runs(servers: [&FakeServer; 2]) -> usize {
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -2,4 +2,5 @@
 
 mod admission;
 mod answers;
+mod starting;
 mod support;
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -1,8 +1,8 @@
 //! A control replica that says what it is told to.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 
 use juniper_catalog::Catalog;
 use juniper_protocol::message::{CatalogBody, FleetNews};
@@ -12,6 +12,7 @@
 use juniper_registry::{HeardInstance, InstanceReport};
 use juniper_types::NodeId;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{broadcast, mpsc};
 
 use super::{KEY, identity};
 
@@ -20,8 +21,10 @@
 struct Said {
     node: NodeId,
     catalog: Catalog,
-    reports: Vec<InstanceReport>,
+    reports: Mutex<Vec<InstanceReport>>,
     confirms: AtomicBool,
+    /// Tells connections that servers were heard.
+    heard: broadcast::Sender<()>,
 }
 
 pub struct FakeControl {
@@ -34,7 +37,13 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let port = listener.local_addr().expect("bound").port();
         let node = NodeId::of_address(super::loopback(port));
-        let said = Arc::new(Said { node, catalog, reports, confirms: AtomicBool::new(false) });
+        let said = Arc::new(Said {
+            node,
+            catalog,
+            reports: Mutex::new(reports),
+            confirms: AtomicBool::new(false),
+            heard: broadcast::Sender::new(4),
+        });
         let serving = Arc::clone(&said);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -49,6 +58,13 @@
         self.said.confirms.store(true, Ordering::Relaxed);
     }
 
+    /// The replica hears of another server and tells so.
+    pub fn hear(&self, report: InstanceReport) {
+        self.said.reports.lock().expect("no panic").push(report);
+        // Nobody is told before somebody follows.
+        let _ = self.said.heard.send(());
+    }
+
     /// From now on it doesn't.
     pub fn stop_confirming(&self) {
         self.said.confirms.store(false, Ordering::Relaxed);
@@ -61,10 +77,27 @@
     let Ok(Connection { mut reader, mut writer, .. }) = accept(stream, &key, &own).await else {
         return;
     };
-    while let Ok(message) = reader.receive().await {
-        let Message::Request { call, request } = message else { continue };
-        for answer in answers(&said, call, &request) {
-            if writer.send(&answer).await.is_err() {
+    let (sender, mut messages) = mpsc::unbounded_channel();
+    // A frame must be read whole, so a task of its own does it.
+    tokio::spawn(async move {
+        while let Ok(message) = reader.receive().await {
+            if sender.send(message).is_err() {
+                return;
+            }
+        }
+    });
+    let mut heard = said.heard.subscribe();
+    loop {
+        let to_send = tokio::select! {
+            message = messages.recv() => match message {
+                Some(Message::Request { call, request }) => answers(&said, call, &request),
+                Some(_) => continue,
+                None => return,
+            },
+            _ = heard.recv() => vec![instances(&said)],
+        };
+        for message in to_send {
+            if writer.send(&message).await.is_err() {
                 return;
             }
         }
@@ -97,7 +130,7 @@
 }
 
 fn instances(said: &Said) -> Message {
-    let heard = said.reports.iter().cloned();
+    let heard = said.reports.lock().expect("no panic").clone().into_iter();
     let heard = heard.map(|report| HeardInstance { report, silent: false }).collect();
     Message::Push(Push::Instances { heard, whole: true })
 }
--- a/crates/gateway/tests/paths/support/server.rs
+++ b/crates/gateway/tests/paths/support/server.rs
@@ -109,7 +109,12 @@
     }
 }
 
-/// Reads a head and its body; `None` at the end of the connection.
+/// A server that answers everything with success.
+pub async fn good(name: &str) -> FakeServer {
+    FakeServer::start(name, |_, head| vec![Step::Send(whole(head, "200 OK", "fine"))]).await
+}
+
+/// Reads a request, its head and then its body; `None` at the end of the connection.
 async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     while !bytes.ends_with(b"\r\n\r\n") {
@@ -123,7 +128,7 @@
     let length = header(&head, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await.ok()?;
-    Some(head)
+    Some(head + &String::from_utf8_lossy(&body))
 }
 
 /// The value of a header in a head.
--- a/crates/protocol/tests/opening.rs
+++ b/crates/protocol/tests/opening.rs
@@ -3,9 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use juniper_protocol::{
-    ClusterKey, FrameError, HandshakeError, PeerIdentity, PeerRole, connect,
-};
+use juniper_protocol::{ClusterKey, FrameError, HandshakeError, PeerIdentity, PeerRole, connect};
 use juniper_types::{NodeId, ZoneName};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
