--- a/crates/placement/src/prompt_work.rs
+++ b/crates/placement/src/prompt_work.rs
@@ -55,6 +55,17 @@
     }
 }
 
+impl PromptWork {
+    /// Whether the parts that the server reads should be saved in a store. A server sends
+    /// everything that it has read, the request's own part too, which nobody will ask for: it takes
+    /// the store's link and room. So the server has to read shared parts, and those have to be
+    /// most of the prompt.
+    pub(crate) fn is_worth_saving(&self, tokens: u32, shared_tokens: u32) -> bool {
+        let own_tokens = tokens.saturating_sub(shared_tokens);
+        self.missed_tokens > own_tokens && tokens < 2 * shared_tokens
+    }
+}
+
 impl Placement {
     /// What the prompt means for each server.
     pub(crate) fn prompt_works(
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -109,8 +109,7 @@
             candidates: servers.len(),
             version,
             source: holder.or(store).filter(|_| work.can_move),
-            // A store full of what nobody shares has no room for what is shared.
-            store: store.filter(|_| tokens < 2 * chain.all_tokens()),
+            store: store.filter(|_| work.is_worth_saving(tokens, chain.all_tokens())),
             keys: chain.keys,
             inserted_tokens: work.inserted_tokens,
             is_movable: work.can_move,
