Placement: what a server keeps is followed by least recent use, prompt by prompt

Cause: routers believed that a server keeps parts for 25 s, by four holders a part. Change: each router goes through the motions of a server's memory with every prompt that any router sends; sightings tell the tokens of each part (fields with defaults, so that daemons of two versions understand each other). The 25 s, the four holders and the table of chains are gone.

--- a/crates/gateway/src/sightings.rs
+++ b/crates/gateway/src/sightings.rs
@@ -28,11 +28,11 @@
         if choice.keys.is_empty() || !choice.is_movable {
             return true;
         }
-        let ChainSighting { instance, version, keys, tokens, read_tokens } = choice.sighting();
+        let sighting = message(choice.sighting());
         let mut queued = lock(&self.0);
         let has_room = queued.len() < MAX_QUEUED;
         if has_room {
-            queued.push(Sighting { instance, version, chains: keys, tokens, read_tokens });
+            queued.push(sighting);
         }
         has_room
     }
@@ -81,8 +81,19 @@
 fn learn(gateway: &Gateway, sightings: Vec<Sighting>) {
     let now = gateway.now();
     let mut placement = gateway.placement();
-    for Sighting { instance, version, chains, tokens, read_tokens } in sightings {
-        let sighting = ChainSighting { instance, version, keys: chains, tokens, read_tokens };
-        placement.sighted(&sighting, now);
+    for sighting in sightings {
+        placement.sighted(&read(sighting), now);
     }
 }
+
+fn message(sighting: ChainSighting) -> Sighting {
+    let ChainSighting { instance, version, keys, part_tokens, own_tokens, tokens, read_tokens } =
+        sighting;
+    Sighting { instance, version, chains: keys, part_tokens, own_tokens, tokens, read_tokens }
+}
+
+fn read(sighting: Sighting) -> ChainSighting {
+    let Sighting { instance, version, chains, part_tokens, own_tokens, tokens, read_tokens } =
+        sighting;
+    ChainSighting { instance, version, keys: chains, part_tokens, own_tokens, tokens, read_tokens }
+}
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -7,7 +7,7 @@
 use juniper_types::Timestamp;
 
 use crate::homes::ChainKeys;
-use crate::recent::ChainSighting;
+use crate::sighting::ChainSighting;
 
 /// Why a server was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,6 +63,10 @@
     pub store: Option<SocketAddrV4>,
     /// Names the beginnings of the prompt's shared parts.
     pub keys: Vec<u64>,
+    /// Tokens of each shared part.
+    pub part_tokens: Vec<u32>,
+    /// Tokens that no other prompt has.
+    pub own_tokens: u32,
     /// Tokens that it has to read or fetch.
     pub inserted_tokens: u32,
     /// Whether the shared parts are large enough to be moved between servers.
@@ -72,10 +76,15 @@
 impl Choice {
     /// What other routers should know of the choice.
     pub fn sighting(&self) -> ChainSighting {
-        let (instance, version) = (self.instance.clone(), self.version);
-        let tokens = self.inserted_tokens;
-        let read_tokens = self.missed_tokens;
-        ChainSighting { instance, version, keys: self.keys.clone(), tokens, read_tokens }
+        ChainSighting {
+            instance: self.instance.clone(),
+            version: self.version,
+            keys: self.keys.clone(),
+            part_tokens: self.part_tokens.clone(),
+            own_tokens: self.own_tokens,
+            tokens: self.inserted_tokens,
+            read_tokens: self.missed_tokens,
+        }
     }
 }
 
--- a/crates/placement/src/homes.rs
+++ b/crates/placement/src/homes.rs
@@ -37,6 +37,12 @@
         self.tokens.last().copied().unwrap_or(0)
     }
 
+    /// Tokens of each part.
+    pub fn part_tokens(&self) -> Vec<u32> {
+        let starts = std::iter::once(0).chain(self.tokens.iter().copied());
+        self.tokens.iter().zip(starts).map(|(end, start)| end - start).collect()
+    }
+
     /// The place of the home among servers, given by their hashes.
     pub fn home(&self, hashes: impl Iterator<Item = u64>) -> Option<usize> {
         let key = self.keys.last()?;
--- /dev/null
+++ b/crates/placement/src/kept_parts.rs
@@ -0,0 +1,102 @@
+//! What the memory of a server should keep, by what was sent there.
+//!
+//! Engines publish what they keep late and with gaps, and asking costs them time. But what
+//! they do is known: parts that were used come first, and those unused for longest give way when
+//! memory is full. So each router goes through the same motions with every prompt that it or
+//! another router sends.
+
+use std::collections::{HashMap, VecDeque};
+
+/// Part of the memory that is counted on. The rest goes to generated tokens, to the ends of
+/// blocks, and to prompts that this router was not told of.
+const COUNTED_PART: f64 = 0.9;
+
+/// Uses remembered, at most; a server whose memory is not stated keeps the latest.
+const MAX_USES: usize = 1_024;
+
+/// Parts of one prompt that a server was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SentParts<'a> {
+    /// Names of the beginnings of the prompt, one for each shared part.
+    pub keys: &'a [u64],
+    /// Tokens of each shared part.
+    pub tokens: &'a [u32],
+    /// Tokens that no other prompt has.
+    pub own_tokens: u32,
+}
+
+/// One use of a part.
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    /// Names the part; `None` for what no other prompt has.
+    key: Option<u64>,
+    tokens: u32,
+    /// Number of the use.
+    number: u64,
+}
+
+/// Parts that a server should keep.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct KeptParts {
+    /// Weights that made them; other weights find none of them.
+    version: u64,
+    /// Number of the latest use of each part.
+    latest: HashMap<u64, u64>,
+    /// Uses, the latest last. Those that aren't the latest of their part count for nothing.
+    uses: VecDeque<Use>,
+    /// Tokens of all parts that are kept.
+    held_tokens: u64,
+    next_number: u64,
+}
+
+impl KeptParts {
+    /// A prompt was sent to the server, which has weights of `version` and memory for
+    /// `capacity` tokens; zero if that is not known.
+    pub(crate) fn record(&mut self, version: u64, parts: SentParts<'_>, capacity: u64) {
+        if version < self.version {
+            return;
+        }
+        if version > self.version {
+            *self = KeptParts { version, ..KeptParts::default() };
+        }
+        for (key, tokens) in parts.keys.iter().zip(parts.tokens) {
+            self.record_use(Some(*key), *tokens);
+        }
+        self.record_use(None, parts.own_tokens);
+        self.make_room(capacity);
+    }
+
+    fn record_use(&mut self, key: Option<u64>, tokens: u32) {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.uses.push_back(Use { key, tokens, number });
+        let was_kept = key.is_some_and(|key| self.latest.insert(key, number).is_some());
+        if !was_kept {
+            self.held_tokens += u64::from(tokens);
+        }
+    }
+
+    /// Lets go what was unused for longest.
+    fn make_room(&mut self, capacity: u64) {
+        let room = (capacity as f64 * COUNTED_PART) as u64;
+        let is_full = |kept: &KeptParts| {
+            kept.uses.len() > MAX_USES || (capacity > 0 && kept.held_tokens > room)
+        };
+        while is_full(self)
+            && let Some(oldest) = self.uses.pop_front()
+        {
+            if let Some(key) = oldest.key {
+                if self.latest.get(&key) != Some(&oldest.number) {
+                    continue;
+                }
+                self.latest.remove(&key);
+            }
+            self.held_tokens = self.held_tokens.saturating_sub(u64::from(oldest.tokens));
+        }
+    }
+
+    /// Whether the server should keep the part, made by weights of `version`.
+    pub(crate) fn holds(&self, version: u64, key: u64) -> bool {
+        version == self.version && self.latest.contains_key(&key)
+    }
+}
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -9,10 +9,11 @@
 
 use crate::choice::{Choice, ServiceProfile, Ticket};
 use crate::health::Outcome;
+use crate::kept_parts::SentParts;
 use crate::lanes::Lanes;
 use crate::load::{MeanDuration, ReadingSpeed};
-use crate::recent::{ChainSighting, RecentChains};
 use crate::server::Server;
+use crate::sighting::ChainSighting;
 
 /// The servers as one router knows them.
 #[derive(Clone, Debug)]
@@ -23,7 +24,6 @@
     pub(crate) speeds: HashMap<String, ReadingSpeed>,
     pub(crate) durations: HashMap<String, MeanDuration>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
-    pub(crate) recent: RecentChains,
     pub(crate) lanes: HashMap<String, Lanes>,
 }
 
@@ -37,7 +37,6 @@
             speeds: HashMap::new(),
             durations: HashMap::new(),
             profiles: HashMap::new(),
-            recent: RecentChains::default(),
             lanes: HashMap::new(),
         }
     }
@@ -95,13 +94,18 @@
 
     /// Another router has sent shared parts to a server.
     pub fn sighted(&mut self, sighting: &ChainSighting, now: Timestamp) {
-        self.recent.record(sighting, now);
-        if let Some(server) = self.servers.get_mut(&sighting.instance) {
-            server.turnover.record(sighting.tokens, now);
-            let speed = self.speeds.get(&server.instance.report.service);
-            let speed = speed.copied().unwrap_or_default();
-            server.fleet_load.begin(sighting.read_tokens, speed, now);
-        }
+        let Some(server) = self.servers.get_mut(&sighting.instance) else { return };
+        server.turnover.record(sighting.tokens, now);
+        let service = &server.instance.report.service;
+        let speed = self.speeds.get(service).copied().unwrap_or_default();
+        server.fleet_load.begin(sighting.read_tokens, speed, now);
+        let capacity = self.profiles.get(service).map_or(0, |profile| profile.cache_tokens);
+        let parts = SentParts {
+            keys: &sighting.keys,
+            tokens: &sighting.part_tokens,
+            own_tokens: sighting.own_tokens,
+        };
+        server.kept.record(sighting.version, parts, capacity);
     }
 
     /// The server has begun to answer.
--- a/crates/placement/src/prompt_work.rs
+++ b/crates/placement/src/prompt_work.rs
@@ -82,7 +82,7 @@
         let ServiceProfile { move_ms, cache_tokens, .. } = *self.profile(request.service);
         let can_move = move_ms > 0.0 && all >= MIN_MOVED_TOKENS;
         let home = chain.home(servers.iter().map(|server| server.hash));
-        let kept = self.kept_tokens(servers, chain, model, now);
+        let kept = kept_tokens(servers, chain, model);
         let nobody_has_any = kept.iter().all(|tokens| *tokens == 0);
         let work = |index: usize| {
             let own = kept[index];
@@ -142,27 +142,6 @@
         servers.iter().map(is_other).collect()
     }
 
-    /// Shared tokens that each server should have, by what was sent there lately.
-    fn kept_tokens(
-        &self,
-        servers: &[&Server],
-        chain: &ChainKeys,
-        model: &str,
-        now: Timestamp,
-    ) -> Vec<u32> {
-        let mut kept = vec![0; servers.len()];
-        for (key, tokens) in chain.keys.iter().zip(&chain.tokens) {
-            for (index, server) in servers.iter().enumerate() {
-                let version = server.version_of(model);
-                let mut holders = self.recent.holders(*key, version, now);
-                if holders.any(|holder| *holder == server.instance.report.id) {
-                    kept[index] = *tokens;
-                }
-            }
-        }
-        kept
-    }
-
     /// The server with the same weights that has most of what the one at `index` lacks.
     fn source(
         &self,
@@ -178,3 +157,14 @@
         (0..servers.len()).filter(has_more).max_by_key(|other| kept[*other])
     }
 }
+
+/// Shared tokens that each server should have, by what was sent there lately.
+fn kept_tokens(servers: &[&Server], chain: &ChainKeys, model: &str) -> Vec<u32> {
+    let kept = |server: &&Server| {
+        let version = server.version_of(model);
+        let mut longest_first = chain.keys.iter().zip(&chain.tokens).rev();
+        let held = longest_first.find(|(key, _)| server.kept.holds(version, **key));
+        held.map_or(0, |(_, tokens)| *tokens)
+    };
+    servers.iter().map(kept).collect()
+}
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -110,6 +110,8 @@
             version,
             source: holder.or(store).filter(|_| work.can_move),
             store: store.filter(|_| work.is_worth_saving(tokens, chain.all_tokens())),
+            part_tokens: chain.part_tokens(),
+            own_tokens: tokens.saturating_sub(chain.all_tokens()),
             keys: chain.keys,
             inserted_tokens: work.inserted_tokens,
             is_movable: work.can_move,
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet_load::FleetLoad;
 use crate::health::Health;
+use crate::kept_parts::KeptParts;
 use crate::load::Load;
 use crate::memory::MemoryTurnover;
 
@@ -21,6 +22,8 @@
     /// It takes no new requests, because it is given new weights.
     pub(crate) renewing: bool,
     pub(crate) turnover: MemoryTurnover,
+    /// What it should keep of what all routers have sent.
+    pub(crate) kept: KeptParts,
 }
 
 impl Server {
@@ -37,6 +40,7 @@
             seen_version: 0,
             renewing: false,
             turnover: MemoryTurnover::default(),
+            kept: KeptParts::default(),
         }
     }
 
--- /dev/null
+++ b/crates/placement/src/sighting.rs
@@ -0,0 +1,22 @@
+//! What routers tell each other of a prompt that was sent.
+
+use juniper_registry::InstanceId;
+
+/// Shared parts of a prompt that were sent to a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChainSighting {
+    /// The server.
+    pub instance: InstanceId,
+    /// Version of its weights.
+    pub version: u64,
+    /// Names each beginning of the chain.
+    pub keys: Vec<u64>,
+    /// Tokens of each part of the chain.
+    pub part_tokens: Vec<u32>,
+    /// Tokens that no other prompt has.
+    pub own_tokens: u32,
+    /// Tokens that the server had to read or fetch.
+    pub tokens: u32,
+    /// Tokens among those that it had to read.
+    pub read_tokens: u32,
+}
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -119,14 +119,50 @@
     assert_eq!((told.instance, told.reason), (elsewhere.instance, Reason::Holder));
 }
 
+/// Tells a placement of one server that prompts of 7,000 tokens with these shared parts were
+/// sent to it, one after the other.
+fn tell(placement: &mut Placement, shared: impl IntoIterator<Item = u64>) {
+    for shared in shared {
+        let sent = choose(placement, &prompt(shared, 1), 0).sighting();
+        placement.sighted(&sent, at(0));
+    }
+}
+
+fn kept(placement: &mut Placement, shared: u64) -> u32 {
+    choose(placement, &prompt(shared, 1), 0).kept_tokens
+}
+
+/// A server that was sent more than its memory holds has let the oldest parts go.
+#[test]
+fn parts_that_were_unused_for_longest_give_way_when_memory_is_full() {
+    let mut placement = placement(1);
+    tell(&mut placement, 0..20);
+    assert_eq!(kept(&mut placement, 0), 6_000, "140,000 tokens fit into nine tenths of 160,000");
+    tell(&mut placement, 20..22);
+    let kept = [0, 1, 2, 21].map(|shared| kept(&mut placement, shared));
+    assert_eq!(kept, [0, 0, 6_000, 6_000], "10,000 tokens too many");
+}
+
+#[test]
+fn a_part_that_is_used_again_stays_and_is_counted_once() {
+    let mut placement = placement(1);
+    for new in 1..60 {
+        tell(&mut placement, [0, new]);
+    }
+    assert_eq!(kept(&mut placement, 0), 6_000);
+    let still_kept = (1..60).filter(|shared| kept(&mut placement, *shared) > 0).count();
+    // A pair adds 8,000 tokens: one shared part and two own ones.
+    assert_eq!(still_kept, 17);
+}
+
 /// Each of many routers sends little, and none of them sees the queue by itself.
 #[test]
 fn what_other_routers_have_sent_counts_as_load_until_it_should_be_read() {
     let mut placement = placement(6);
     let home = choose(&mut placement, &prompt(1, 1), 0);
-    for own in 0..20 {
+    for _ in 0..20 {
         // They bring nothing into its memory, so that only the reading counts.
-        let sent = ChainSighting { keys: vec![own], tokens: 0, ..home.sighting() };
+        let sent = ChainSighting { keys: Vec::new(), own_tokens: 0, tokens: 0, ..home.sighting() };
         placement.sighted(&sent, at(0));
     }
     assert_ne!(choose(&mut placement, &prompt(1, 1), 50).instance, home.instance);
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -24,6 +24,14 @@
     /// Tokens among those that it had to read.
     #[n(4)]
     pub read_tokens: u32,
+    /// Tokens of each part of the chain; none from a peer of an earlier version.
+    #[n(5)]
+    #[cbor(default)]
+    pub part_tokens: Vec<u32>,
+    /// Tokens that no other prompt has; zero from a peer of an earlier version.
+    #[n(6)]
+    #[cbor(default)]
+    pub own_tokens: u32,
 }
 
 /// An encoded [`juniper_catalog::Catalog`].
--- a/crates/protocol/tests/sizes.rs
+++ b/crates/protocol/tests/sizes.rs
@@ -29,6 +29,8 @@
         chains: vec![u64::MAX - number; 2],
         tokens: 20_000,
         read_tokens: 3_000,
+        part_tokens: vec![9_000; 2],
+        own_tokens: 2_000,
     };
     let one = bytes(&Message::Sightings(vec![sighting(0)]));
     let more = bytes(&Message::Sightings((0..11).map(sighting).collect()));
@@ -36,3 +38,17 @@
     println!("sighting of two beginnings: {each} bytes, alone {one}");
     assert!(each <= 50, "{each}");
 }
+
+/// Daemons are replaced one after the other, so two versions talk to each other for a while.
+#[test]
+fn a_sighting_of_an_earlier_version_can_be_read() {
+    let earlier = ("i-1", 12_u64, [7_u64, 8], 20_000_u32, 3_000_u32);
+    let mut bytes = Vec::new();
+    let mut encoder = minicbor::Encoder::new(&mut bytes);
+    let (instance, version, chains, tokens, read_tokens) = earlier;
+    encoder.array(5).expect("memory").str(instance).expect("memory");
+    encoder.u64(version).expect("memory").encode(chains).expect("memory");
+    encoder.u32(tokens).expect("memory").u32(read_tokens).expect("memory");
+    let read: Sighting = minicbor::decode(&bytes).expect("it is read");
+    assert_eq!((read.chains.len(), read.tokens, read.part_tokens.len()), (2, 20_000, 0));
+}
