--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //!   answer, `search` looks for a server, `attempt` is one sending to one server.
 //! - `relay` passes whole answers on, `stream` streams; `finish` logs how requests end.
 //! - `pool` holds connections to servers, `probe` finds out when lost ones are back.
+//! - `starting` has requests wait that come before the gateway can serve.
 //! - `sightings` tells other routers where prompts were sent.
 //! - `life` starts, drains and stops the whole.
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! A prompt is known by the chain of its parts. Shared parts have a home, which
 //! every router works out alike by rendezvous hashing ([`ChainKeys`]); the cost of
-//! reading or moving them, the load and the health of a server decide whether a
+//! reading or moving them, what each server should keep (worked out by following what
+//! routers send it), the load and the health of a server decide whether a
 //! request goes home ([`Placement::choose`]).
 
 mod budget;
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -401,3 +401,20 @@
     }
     assert!(chains.iter().all(|chains| *chains >= 15), "{chains:?} of 90 chains");
 }
+
+/// A server saves all that it reads, also the part that no other prompt has. It would fill the
+/// store and its link.
+#[test]
+fn a_store_gets_only_prompts_with_shared_parts_to_read() {
+    let mut placement = placement(1);
+    let store = SocketAddrV4::new(Ipv4Addr::new(172, 20, 0, 1), 8_000);
+    let profile = ServiceProfile { move_ms: 0.005, cache_tokens: 160_000, stores: vec![store] };
+    placement.set_profiles(HashMap::from([(SERVICE.to_owned(), profile)]));
+    assert_eq!(send(&mut placement, &prompt(1, 1), 0).store, Some(store));
+    let kept = choose(&mut placement, &prompt(1, 2), 1_000);
+    assert_eq!((kept.reason, kept.store), (Reason::Holder, None));
+    assert_eq!(kept.source, Some(store), "the server may have let them go");
+    let mut little_shared = prompt(2, 2);
+    little_shared.parts[0].tokens = 3_000;
+    assert_eq!(choose(&mut placement, &little_shared, 1_000).store, None);
+}
