Command line: each command tells its own help; a near miss names what was meant

Change: one table of commands, from which the general help and each command's help (options, an example, exit codes) are made; an unknown command or option names the one that was probably meant.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -2,13 +2,20 @@
 
 use lexopt::Arg;
 
+use crate::commands::nearest;
+
 /// A command line that can't be carried out.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum ArgumentError {
     /// No such command.
-    #[error("unknown command {0:?}")]
-    #[diagnostic(help("'juniperhollow --help' lists the commands"))]
-    UnknownCommand(String),
+    #[error("unknown command {command:?}")]
+    UnknownCommand {
+        /// What was given.
+        command: String,
+        /// What was probably meant, or how to find it.
+        #[help]
+        advice: String,
+    },
     /// The parser refused the arguments.
     #[error(transparent)]
     Parse(#[from] lexopt::Error),
@@ -27,6 +34,17 @@
     },
 }
 
+impl ArgumentError {
+    /// There is no such command.
+    pub fn unknown_command(command: &str) -> Self {
+        let advice = match nearest(command) {
+            Some(meant) => format!("did you mean '{meant}'? '--help' lists the commands"),
+            None => "'juniperhollow --help' lists the commands".to_owned(),
+        };
+        ArgumentError::UnknownCommand { command: command.to_owned(), advice }
+    }
+}
+
 /// The next plain word; `None` at the end or for `--help`.
 pub fn next_word(parser: &mut lexopt::Parser) -> Result<Option<String>, ArgumentError> {
     match parser.next()? {
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -96,7 +96,7 @@
     match next_word(parser)?.as_deref() {
         Some("check") => {}
         Some(other) => {
-            return Err(ArgumentError::UnknownCommand(format!("settings {other}")).into());
+            return Err(ArgumentError::unknown_command(&format!("settings {other}")).into());
         }
         None => return Err(ArgumentError::Missing("settings check FILE").into()),
     }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod arguments;
 pub mod check;
 pub mod client;
+pub mod commands;
 pub mod daemon;
 pub mod explain;
 pub mod logging;
@@ -15,52 +16,6 @@
 
 use arguments::ArgumentError;
 
-const HELP: &str = "\
-Usage: juniperhollow COMMAND [OPTIONS]
-
-Daemons:
-  control --settings FILE     run one replica of the durable state
-  router --settings FILE      run a router
-  found --settings FILE       make a new cluster on one control replica, once
-                              for a deployment; the other replicas join it
-
-Checks:
-  settings check FILE         check a node file, or a change (*.json) upon an empty
-                              tree or '--upon FILE'; list every fault
-  key hash                    read a key on standard input, print its hash
-
-Operator commands (against the operator address of a control replica):
-  tree get [PATH]             print the tree, or the node at PATH
-  tree effective PATH         print the values in force at PATH
-  tree apply FILE             submit a change (JSON: base_revision, change_id, edits)
-  tree diff FROM TO           print what changed between two revisions
-  tree history                list the latest accepted changes
-  tree rollback REVISION      make an earlier tree the newest revision
-  status                      role, term, leader and members of a control replica
-  nodes                       status of every node with the revision in force
-  drain ENGINE                give a back end no new work ('--undo' takes it back)
-
-Recovery (on data folders, while every control replica is stopped):
-  recover --folder DIR        plan the way out of a lost quorum and change nothing;
-                              repeat --folder for every data folder that is left.
-                              '--apply' makes the latest the only voter
-
-Looking into a failure:
-  explain REQUEST FILE...     print the story of one request from the logs of any
-                              number of processes; '-' reads standard input
-
-On the platform the daemons are run by juniperhollow-platform ('--help' tells its
-roles, router and control).
-
-Options of operator commands:
-  --control URL               e.g. http://127.0.0.1:7101; repeat for more replicas
-  --operator-key-file FILE    file with the operators' key
-  --format text|json          default text
-
-Exit codes: 0 success, 1 failure, 2 usage, 3 conflict with a newer revision,
-4 the change or file has faults.
-";
-
 /// Exit code of a write that lost against a newer revision.
 pub const EXIT_CONFLICT: u8 = 3;
 
@@ -75,16 +30,53 @@
 /// Runs the program with `arguments`, its own name left out, and returns its exit code.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
     let arguments: Vec<OsString> = arguments.into_iter().collect();
+    if let Some(help) = help_asked_for(&arguments) {
+        print!("{help}");
+        return ExitCode::SUCCESS;
+    }
     let mut parser = lexopt::Parser::from_args(arguments);
     match dispatch(&mut parser) {
         Ok(code) => code,
         Err(report) => {
             eprintln!("{report:?}");
+            if let Some(option) = option_meant(&report) {
+                eprintln!("Did you mean '{option}'?");
+            }
             exit_code_of(&report)
         }
     }
 }
 
+/// The help that the arguments ask for, if they do: that of the command they name, or the
+/// general one.
+fn help_asked_for(arguments: &[OsString]) -> Option<String> {
+    let is_help = |argument: &OsString| argument == "--help" || argument == "-h";
+    let (first_help, _) = arguments.iter().enumerate().find(|(_, given)| is_help(given))?;
+    let words = arguments[..first_help].iter().map(|word| word.to_string_lossy().into_owned());
+    let words: Vec<String> = words.take_while(|word| !word.starts_with('-')).collect();
+    if words.is_empty() {
+        return Some(commands::general_help());
+    }
+    if let Some(command) = commands::find(&words) {
+        return Some(command.help());
+    }
+    // A word such as `tree`, which several commands begin with.
+    commands::COMMANDS
+        .iter()
+        .any(|command| command.words.starts_with(&format!("{} ", words[0])))
+        .then(commands::general_help)
+}
+
+/// The option that was probably meant, if the failure is that there is no such option.
+fn option_meant(report: &miette::Report) -> Option<&'static str> {
+    match report.downcast_ref::<ArgumentError>()? {
+        ArgumentError::Parse(lexopt::Error::UnexpectedOption(given)) => {
+            commands::nearest_option(given)
+        }
+        _ => None,
+    }
+}
+
 fn exit_code_of(report: &miette::Report) -> ExitCode {
     if report.downcast_ref::<ArgumentError>().is_some() {
         return ExitCode::from(2);
@@ -98,7 +90,7 @@
 
 fn dispatch(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
     let Some(command) = arguments::next_word(parser)? else {
-        print!("{HELP}");
+        print!("{}", commands::general_help());
         return Ok(ExitCode::SUCCESS);
     };
     match command.as_str() {
@@ -113,6 +105,6 @@
         "drain" => operator::drain(parser),
         "recover" => recover::recover(parser),
         "explain" => explain::explain(parser),
-        _ => Err(ArgumentError::UnknownCommand(command).into()),
+        _ => Err(ArgumentError::unknown_command(&command).into()),
     }
 }
--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -118,7 +118,7 @@
             let body = read_change(arguments.word(1, "FILE")?)?;
             arguments.call(Method::POST, "/v1/settings/changes", Some(&body))
         }
-        other => Err(ArgumentError::UnknownCommand(format!("tree {other}")).into()),
+        other => Err(ArgumentError::unknown_command(&format!("tree {other}")).into()),
     }
 }
 
