--- a/crates/gateway/src/starting.rs
+++ b/crates/gateway/src/starting.rs
@@ -3,8 +3,8 @@
 //! A gateway knows no configuration until a quorum of replicas has confirmed one, some
 //! tenths of a second after its start; after a fault that took the replicas too, it comes up beside
 //! them. Callers come back a few times only, so a request that is refused in that time is
-//! mostly lost. It waits instead, for a bounded part of its own time, and so many at once only;
-//! what can't be served by then is refused with a time to come back.
+//! mostly lost. It waits instead, for a bounded part of its own time; the number that waits is
+//! bounded too. What can't be served by then is refused with a time to come back.
 
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -14,8 +14,8 @@
 
 use crate::gateway::Gateway;
 
-/// Part of a caller's time that its request may wait for the start. Callers themselves
-/// wait for no longer part before they come back.
+/// Part of a caller's time that its request may wait for the start. It is the part that
+/// callers themselves are ready to wait when they are told to come back later.
 const WAIT_PART: f64 = 1.0 / 3.0;
 
 /// Longest wait: replicas that all lost power have a leader within about a second.
--- a/crates/placement/src/kept_parts.rs
+++ b/crates/placement/src/kept_parts.rs
@@ -1,14 +1,14 @@
 //! What the memory of a server should keep, by what was sent there.
 //!
-//! Engines publish what they keep late and with gaps, and asking costs them time. But what
-//! they do is known: parts that were used come first, and those unused for longest give way when
-//! memory is full. So each router goes through the same motions with every prompt that it or
-//! another router sends.
+//! Engines publish what they keep late and with gaps, and asking costs them time. But how they
+//! choose is known: the least recently used parts give way when memory is full. So each router
+//! keeps a model of each server's memory and applies every prompt to it that any router sends.
 
 use std::collections::{HashMap, VecDeque};
 
 /// Part of the memory that is counted on. The rest goes to generated tokens, to the ends of
-/// blocks, and to prompts that this router was not told of.
+/// blocks, and to prompts that this router was not told of. Measured on ikaze-shops: 0.7 lost
+/// 0.011 of a day's worth against it, 1.1 made no difference (docs/experiments/ikaze-shops.md).
 const COUNTED_PART: f64 = 0.9;
 
 /// Uses remembered, at most; a server whose memory is not stated keeps the latest.
