Placement: the server to fetch from is looked for once a choice, not once a server

Cause: for each of n candidates all n were looked through for the one that has most of the prompt. Excluded: the ranking of homes (one hash a server) and the view of each server are in proportion to their number. Which source is named is unchanged.

--- a/crates/placement/src/prompt_work.rs
+++ b/crates/placement/src/prompt_work.rs
@@ -1,5 +1,7 @@
 //! What a prompt means for each server: what it keeps, reads, fetches and displaces.
 
+use std::collections::HashMap;
+
 use juniper_types::Timestamp;
 
 use crate::choice::{Reason, ServiceProfile};
@@ -82,11 +84,14 @@
         let ServiceProfile { move_ms, cache_tokens, .. } = *self.profile(request.service);
         let can_move = move_ms > 0.0 && all >= MIN_MOVED_TOKENS;
         let home = chain.home(servers.iter().map(|server| server.hash));
-        let kept = kept_tokens(servers, chain, model);
+        let versions: Vec<u64> = servers.iter().map(|server| server.version_of(model)).collect();
+        let kept = kept_tokens(servers, &versions, chain);
+        let holders = best_holders(&versions, &kept);
         let nobody_has_any = kept.iter().all(|tokens| *tokens == 0);
         let work = |index: usize| {
             let own = kept[index];
-            let source = self.source(servers, &kept, index, model).filter(|_| can_move);
+            let holder = holders.get(&versions[index]).copied();
+            let source = holder.filter(|holder| can_move && kept[*holder] > own);
             let fetched = source.map_or(0, |source| kept[source] - own);
             let missed = all - own - fetched;
             let is_home = home == Some(index);
@@ -141,30 +146,27 @@
         };
         servers.iter().map(is_other).collect()
     }
+}
 
-    /// The server with the same weights that has most of what the one at `index` lacks.
-    fn source(
-        &self,
-        servers: &[&Server],
-        kept: &[u32],
-        index: usize,
-        model: &str,
-    ) -> Option<usize> {
-        let version = servers[index].version_of(model);
-        let has_more = |other: &usize| {
-            kept[*other] > kept[index] && servers[*other].version_of(model) == version
-        };
-        (0..servers.len()).filter(has_more).max_by_key(|other| kept[*other])
+/// The server that has most of the prompt, by version of weights. Looked for once: to look
+/// anew for each server would take the square of their number.
+fn best_holders(versions: &[u64], kept: &[u32]) -> HashMap<u64, usize> {
+    let mut holders: HashMap<u64, usize> = HashMap::new();
+    for (index, version) in versions.iter().enumerate() {
+        let best = holders.entry(*version).or_insert(index);
+        if kept[index] >= kept[*best] {
+            *best = index;
+        }
     }
+    holders
 }
 
 /// Shared tokens that each server should have, by what was sent there lately.
-fn kept_tokens(servers: &[&Server], chain: &ChainKeys, model: &str) -> Vec<u32> {
-    let kept = |server: &&Server| {
-        let version = server.version_of(model);
+fn kept_tokens(servers: &[&Server], versions: &[u64], chain: &ChainKeys) -> Vec<u32> {
+    let kept = |(server, version): (&&Server, &u64)| {
         let mut longest_first = chain.keys.iter().zip(&chain.tokens).rev();
-        let held = longest_first.find(|(key, _)| server.kept.holds(version, **key));
+        let held = longest_first.find(|(key, _)| server.kept.holds(*version, **key));
         held.map_or(0, |(_, tokens)| *tokens)
     };
-    servers.iter().map(kept).collect()
+    servers.iter().zip(versions).map(kept).collect()
 }
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -1,83 +1,18 @@
 //! The choice of a server: homes, what is kept, health, lanes and versions.
 
+mod support;
+
 use std::collections::{BTreeSet, HashMap};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use juniper_placement::{
-    ChainSighting, Choice, NoChoice, Outcome, Placement, Prompt, PromptPart, Reason, ServerRequest,
+    ChainSighting, NoChoice, Outcome, Placement, Prompt, PromptPart, Reason, ServerRequest,
     ServiceProfile,
 };
-use juniper_registry::{Instance, InstanceId, InstanceReport, InstanceState, ModelHolding};
-use juniper_types::Timestamp;
-
-const SERVICE: &str = "llm";
-
-fn at(millis: u64) -> Timestamp {
-    Timestamp::from_millis(millis)
-}
-
-fn address(number: u8) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 80)
-}
-
-fn instance(number: u8, version: u64) -> Instance {
-    let report = InstanceReport {
-        id: InstanceId::new(format!("i-{number}")),
-        service: SERVICE.to_owned(),
-        address: address(number),
-        zone: "north".to_owned(),
-        slots: 32,
-        state: InstanceState::Ready,
-        cold_remaining_ms: 0,
-        models: vec![ModelHolding { model: "m".to_owned(), version }],
-        sequence: 1,
-    };
-    Instance { report, silent: false, leaving: false }
-}
-
-fn placement(count: u8) -> Placement {
-    let mut placement = Placement::new("north");
-    let instances: Vec<Instance> = (1..=count).map(|number| instance(number, 1)).collect();
-    placement.set_instances(&instances);
-    let profile = ServiceProfile { move_ms: 0.005, cache_tokens: 160_000, stores: Vec::new() };
-    placement.set_profiles(HashMap::from([(SERVICE.to_owned(), profile)]));
-    placement
-}
-
-fn prompt(shared: u64, own: u64) -> Prompt {
-    let part = |id, tokens| PromptPart { id, tokens };
-    Prompt {
-        model: "m".to_owned(),
-        parts: vec![part(shared, 6_000), part(own, 1_000)],
-        tokens: 7_000,
-        output_tokens: 50,
-    }
-}
+use juniper_registry::InstanceId;
 
-fn request<'a>(prompt: &'a Prompt, excluded: &'a [InstanceId]) -> ServerRequest<'a> {
-    ServerRequest {
-        service: SERVICE,
-        prompt: Some(prompt),
-        sharing: 7,
-        excluded,
-        min_version: 0,
-        objective: Duration::from_millis(800),
-        max_pause: None,
-    }
-}
-
-fn choose(placement: &mut Placement, prompt: &Prompt, millis: u64) -> Choice {
-    placement.choose(&request(prompt, &[]), at(millis), millis).expect("a server")
-}
-
-/// Sends a prompt and lets it end.
-fn send(placement: &mut Placement, prompt: &Prompt, millis: u64) -> Choice {
-    let choice = choose(placement, prompt, millis);
-    let ticket = placement.begin(&choice, true, at(millis));
-    placement.end(ticket, Outcome::Answered, at(millis + 200));
-    choice
-}
+use support::{SERVICE, at, choose, placement, prompt, request, send};
 
 #[test]
 fn routers_agree_on_the_home_of_parts_that_nobody_has() {
--- /dev/null
+++ b/crates/placement/tests/support/mod.rs
@@ -0,0 +1,82 @@
+//! Servers, prompts and requests for the tests of placement.
+
+// Each test program uses some of them.
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use juniper_placement::{
+    Choice, Outcome, Placement, Prompt, PromptPart, ServerRequest, ServiceProfile,
+};
+use juniper_registry::{Instance, InstanceId, InstanceReport, InstanceState, ModelHolding};
+use juniper_types::Timestamp;
+
+pub const SERVICE: &str = "llm";
+
+pub fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+pub fn address(number: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, (number >> 8) as u8, number as u8), 80)
+}
+
+pub fn instance(number: u16, version: u64) -> Instance {
+    let report = InstanceReport {
+        id: InstanceId::new(format!("i-{number}")),
+        service: SERVICE.to_owned(),
+        address: address(number),
+        zone: "north".to_owned(),
+        slots: 32,
+        state: InstanceState::Ready,
+        cold_remaining_ms: 0,
+        models: vec![ModelHolding { model: "m".to_owned(), version }],
+        sequence: 1,
+    };
+    Instance { report, silent: false, leaving: false }
+}
+
+pub fn placement(count: u16) -> Placement {
+    let mut placement = Placement::new("north");
+    let instances: Vec<Instance> = (1..=count).map(|number| instance(number, 1)).collect();
+    placement.set_instances(&instances);
+    let profile = ServiceProfile { move_ms: 0.005, cache_tokens: 160_000, stores: Vec::new() };
+    placement.set_profiles(HashMap::from([(SERVICE.to_owned(), profile)]));
+    placement
+}
+
+pub fn prompt(shared: u64, own: u64) -> Prompt {
+    let part = |id, tokens| PromptPart { id, tokens };
+    Prompt {
+        model: "m".to_owned(),
+        parts: vec![part(shared, 6_000), part(own, 1_000)],
+        tokens: 7_000,
+        output_tokens: 50,
+    }
+}
+
+pub fn request<'a>(prompt: &'a Prompt, excluded: &'a [InstanceId]) -> ServerRequest<'a> {
+    ServerRequest {
+        service: SERVICE,
+        prompt: Some(prompt),
+        sharing: 7,
+        excluded,
+        min_version: 0,
+        objective: Duration::from_millis(800),
+        max_pause: None,
+    }
+}
+
+pub fn choose(placement: &mut Placement, prompt: &Prompt, millis: u64) -> Choice {
+    placement.choose(&request(prompt, &[]), at(millis), millis).expect("a server")
+}
+
+/// Sends a prompt and lets it end.
+pub fn send(placement: &mut Placement, prompt: &Prompt, millis: u64) -> Choice {
+    let choice = choose(placement, prompt, millis);
+    let ticket = placement.begin(&choice, true, at(millis));
+    placement.end(ticket, Outcome::Answered, at(millis + 200));
+    choice
+}
