Routers tell each other which servers they can't reach

Cause: whether a server works was learnt by each router for itself. Change: who can't open a connection tells the others, probes and tells again each 2 s at most. A server whose connection broke under a request is probed at once. A kept connection that its server has closed doesn't count as unreachable.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -64,6 +64,8 @@
     fn outcome(&self) -> Outcome {
         match self {
             AttemptError::NotSent(ConnectError::Exhausted) | AttemptError::NotRun => Outcome::Full,
+            // A kept connection that the server has closed tells nothing of new ones.
+            AttemptError::NotSent(ConnectError::Handshake(_)) => Outcome::Broken,
             AttemptError::NotSent(_) => Outcome::Unreachable,
             AttemptError::OtherServer => Outcome::Replaced,
             AttemptError::OtherVersion(version) => Outcome::OtherWeights(*version),
@@ -106,6 +108,9 @@
             let now = self.gateway.now();
             self.gateway.placement().end(ticket, outcome, now);
         }
+        if outcome == Outcome::Unreachable {
+            self.gateway.news.push_reachability(&self.instance, false);
+        }
     }
 
     /// The attempt has failed; its connection is closed.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub sightings_left_out: IntCounter,
     /// Batches of what other routers told that this one was too slow to take in.
     pub news_missed: IntCounter,
+    /// Servers that counted as unreachable because other routers said so.
+    pub servers_reported: IntCounter,
     /// New connections to servers.
     pub connections: IntCounter,
     /// Connections of callers.
@@ -104,6 +106,10 @@
                 "router_news_missed_total",
                 "Batches of what other routers told that came too fast.",
             )?,
+            servers_reported: counter(
+                "servers_reported_unreachable_total",
+                "Servers left alone because other routers can't reach them.",
+            )?,
             budget_spent: counter("budget_spent_total", "Repeats that the budget didn't allow.")?,
             connections: counter("server_connections_total", "New connections to servers.")?,
             callers: gauge("caller_connections", "Connections of callers.")?,
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -1,10 +1,11 @@
-//! Routers tell each other where prompts were sent.
+//! Routers tell each other where prompts were sent, and which servers they can't reach.
 
 use std::sync::{Arc, Mutex};
 
 use juniper_feed::RelayedBatch;
-use juniper_placement::{ChainSighting, Choice, SightingBudget};
-use juniper_protocol::message::{RelayedNews, RouterNews, Sighting};
+use juniper_placement::{ChainSighting, Choice, Reporter, SightingBudget};
+use juniper_protocol::message::{Reachability, RelayedNews, RouterNews, Sighting};
+use juniper_registry::InstanceId;
 use tokio::sync::Notify;
 use tokio::sync::broadcast::error::RecvError;
 
@@ -14,6 +15,9 @@
 /// Sightings that wait to be told; the rest is left out.
 const MAX_QUEUED: usize = 16;
 
+/// Servers whose reachability waits to be told; the rest is told with its next probe.
+const MAX_QUEUED_SERVERS: usize = 64;
+
 /// What the other routers haven't been told yet.
 #[derive(Default)]
 pub(crate) struct NewsQueue {
@@ -38,6 +42,16 @@
         has_room
     }
 
+    /// Notes that this router has reached a server, or could not.
+    pub(crate) fn push_reachability(&self, instance: &InstanceId, reached: bool) {
+        let queued = &mut lock(&self.waiting).reachability;
+        queued.retain(|told| told.instance != *instance);
+        if queued.len() < MAX_QUEUED_SERVERS {
+            queued.push(Reachability { instance: instance.clone(), reached });
+            self.wake.notify_one();
+        }
+    }
+
     /// What waits, with the sightings that tell most, and how many of them are left out.
     fn take(&self, allowed: usize) -> (RouterNews, usize) {
         let mut news = std::mem::take(&mut *lock(&self.waiting));
@@ -83,10 +97,17 @@
 fn learn(gateway: &Gateway, batch: &RelayedBatch) {
     let now = gateway.now();
     let mut placement = gateway.placement();
-    for RelayedNews { news, .. } in batch.iter() {
+    for RelayedNews { from, zone, news } in batch.iter() {
         for sighting in &news.sightings {
             placement.sighted(&read(sighting), now);
         }
+        let reporter = Reporter { node: from.0, zone: zone.as_str() };
+        for Reachability { instance, reached } in &news.reachability {
+            if placement.heard_reachability(reporter, instance, *reached, now) {
+                log::info!("event=server_reported_unreachable instance={instance}");
+                gateway.metrics.servers_reported.inc();
+            }
+        }
     }
 }
 
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -28,8 +28,10 @@
 }
 
 async fn probe(gateway: Arc<Gateway>, instance: InstanceId, address: SocketAddrV4) {
-    if can_connect(address).await {
+    let reached = can_connect(address).await;
+    if reached {
         log::info!("event=server_reached instance={instance} address={address}");
         gateway.placement().reached(&instance);
     }
+    gateway.news.push_reachability(&instance, reached);
 }
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -2,5 +2,6 @@
 
 mod admission;
 mod answers;
+mod reachability;
 mod starting;
 mod support;
--- /dev/null
+++ b/crates/gateway/tests/paths/reachability.rs
@@ -0,0 +1,61 @@
+//! Routers tell each other which servers are down.
+
+use std::time::{Duration, Instant};
+
+use juniper_protocol::message::{Reachability, RouterNews};
+use juniper_registry::{InstanceId, InstanceReport};
+
+use crate::support::caller::get;
+use crate::support::server::{FakeServer, good};
+use crate::support::{PATIENCE, TestGateway, loopback};
+
+/// A server that nothing listens for. The port is bound and dropped, so it is free.
+async fn dead(name: &str) -> InstanceReport {
+    let free = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let port = free.local_addr().expect("bound").port();
+    InstanceReport {
+        id: InstanceId::new(name),
+        address: loopback(port),
+        ..good(name).await.report()
+    }
+}
+
+fn down(server: &FakeServer) -> RouterNews {
+    let instance = server.report().id;
+    let reachability = vec![Reachability { instance, reached: false }];
+    RouterNews { reachability, ..RouterNews::default() }
+}
+
+async fn wait_for(what: &str, condition: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !condition() {
+        assert!(begun.elapsed() < PATIENCE, "{what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_server_that_can_not_be_reached_is_told_of_and_again_with_each_probe() {
+    let gateway = TestGateway::start(&[]).await;
+    gateway.control.hear(dead("down").await);
+    let answer = get(gateway.callers, "/once/x", "r1").await;
+    assert_eq!(answer.status, 503);
+    let told = || gateway.control.told_reachability();
+    wait_for("told, and told again", || told().len() >= 2).await;
+    let expected = Reachability { instance: InstanceId::new("down"), reached: false };
+    assert!(told().iter().all(|told| *told == expected), "{:?}", told());
+}
+
+#[tokio::test]
+async fn a_server_that_other_routers_can_not_reach_gets_no_request() {
+    let (one, other) = (good("a").await, good("b").await);
+    let gateway = TestGateway::start(&[&one, &other]).await;
+    gateway.control.relay(1, "north", down(&one));
+    gateway.control.relay(2, "north", down(&one));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for number in 0..12 {
+        let answer = get(gateway.callers, "/once/x", &format!("r{number}")).await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!((one.requests().len(), other.requests().len()), (0, 12));
+}
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -5,12 +5,12 @@
 use std::sync::{Arc, Mutex};
 
 use juniper_catalog::Catalog;
-use juniper_protocol::message::{CatalogBody, FleetNews};
+use juniper_protocol::message::{CatalogBody, FleetNews, Reachability, RelayedNews, RouterNews};
 use juniper_protocol::{
     ClusterKey, Connection, Message, PeerRole, Push, Refusal, Reply, Request, accept,
 };
 use juniper_registry::{HeardInstance, InstanceReport};
-use juniper_types::NodeId;
+use juniper_types::{NodeId, ZoneName};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{broadcast, mpsc};
 
@@ -25,6 +25,10 @@
     confirms: AtomicBool,
     /// Tells connections that servers were heard.
     heard: broadcast::Sender<()>,
+    /// What the gateway has told the other routers.
+    told: Mutex<Vec<RouterNews>>,
+    /// What other routers tell the gateway.
+    relayed: broadcast::Sender<RelayedNews>,
 }
 
 pub struct FakeControl {
@@ -43,6 +47,8 @@
             reports: Mutex::new(reports),
             confirms: AtomicBool::new(false),
             heard: broadcast::Sender::new(4),
+            told: Mutex::default(),
+            relayed: broadcast::Sender::new(16),
         });
         let serving = Arc::clone(&said);
         tokio::spawn(async move {
@@ -65,6 +71,19 @@
         let _ = self.said.heard.send(());
     }
 
+    /// Another router tells the gateway something.
+    pub fn relay(&self, from: u64, zone: &str, news: RouterNews) {
+        let zone = ZoneName::new(zone).expect("a name");
+        // Nobody is told before somebody follows.
+        let _ = self.said.relayed.send(RelayedNews { from: NodeId(from), zone, news });
+    }
+
+    /// Servers whose reachability the gateway has told of.
+    pub fn told_reachability(&self) -> Vec<Reachability> {
+        let told = self.said.told.lock().expect("no panic");
+        told.iter().flat_map(|news| news.reachability.clone()).collect()
+    }
+
     /// From now on it doesn't.
     pub fn stop_confirming(&self) {
         self.said.confirms.store(false, Ordering::Relaxed);
@@ -87,14 +106,20 @@
         }
     });
     let mut heard = said.heard.subscribe();
+    let mut relayed = said.relayed.subscribe();
     loop {
         let to_send = tokio::select! {
             message = messages.recv() => match message {
                 Some(Message::Request { call, request }) => answers(&said, call, &request),
+                Some(Message::RouterNews(news)) => {
+                    said.told.lock().expect("no panic").push(news);
+                    continue;
+                }
                 Some(_) => continue,
                 None => return,
             },
             _ = heard.recv() => vec![instances(&said)],
+            told = relayed.recv() => vec![Message::RelayedNews(told.into_iter().collect())],
         };
         for message in to_send {
             if writer.send(&message).await.is_err() {
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -14,7 +14,7 @@
 
 /// Shortest and longest pause between probes of a server that can't be reached; it doubles.
 const MIN_PROBE_PAUSE: Duration = Duration::from_millis(250);
-const MAX_PROBE_PAUSE: Duration = Duration::from_secs(2);
+pub(crate) const MAX_PROBE_PAUSE: Duration = Duration::from_secs(2);
 
 /// Time for which a server that was full costs more.
 const FULL_PAUSE: Duration = Duration::from_millis(120);
@@ -57,7 +57,7 @@
     until: Timestamp,
 }
 
-/// A server that could not be connected to, until a probe of its address succeeds.
+/// A server that could not be connected to, or whose connection broke, until a probe of its address succeeds.
 #[derive(Clone, Copy, Debug)]
 struct Unreachable {
     next_probe: Timestamp,
@@ -97,7 +97,13 @@
                 self.unreachable = None;
                 0.0
             }
-            Outcome::ServerError | Outcome::Broken => 1.0,
+            Outcome::ServerError => 1.0,
+            Outcome::Broken => {
+                // A server that has lost power looks the same until it is tried.
+                let (pause, next_probe) = (MIN_PROBE_PAUSE, now);
+                self.unreachable.get_or_insert(Unreachable { next_probe, pause });
+                1.0
+            }
             Outcome::Unreachable => {
                 let (pause, next_probe) = (MIN_PROBE_PAUSE, now.after(MIN_PROBE_PAUSE));
                 self.unreachable.get_or_insert(Unreachable { next_probe, pause });
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -12,6 +12,7 @@
 use crate::kept_parts::SentParts;
 use crate::lanes::Lanes;
 use crate::load::{MeanDuration, ReadingSpeed};
+use crate::reports::Reporter;
 use crate::server::Server;
 use crate::sighting::ChainSighting;
 
@@ -108,6 +109,25 @@
         server.kept.record(sighting.version, parts, capacity);
     }
 
+    /// Another router has tried to reach the server. Returns whether the server counts as
+    /// unreachable from now on and did not before.
+    pub fn heard_reachability(
+        &mut self,
+        reporter: Reporter<'_>,
+        instance: &InstanceId,
+        reached: bool,
+        now: Timestamp,
+    ) -> bool {
+        let Some(server) = self.servers.get_mut(instance) else { return false };
+        if reached {
+            server.reports.reached();
+            return false;
+        }
+        let was_believed = server.reports.are_believed(&self.zone, now);
+        server.reports.unreachable(reporter, now);
+        !was_believed && server.reports.are_believed(&self.zone, now)
+    }
+
     /// The server has begun to answer.
     pub fn first_output(&mut self, ticket: &mut Ticket, now: Timestamp) {
         if std::mem::replace(&mut ticket.had_output, true) {
@@ -115,6 +135,7 @@
         }
         let took = now.since(ticket.begun);
         let Some(server) = self.servers.get_mut(&ticket.instance) else { return };
+        server.reports.reached();
         server.load.first_output(ticket.missed_tokens);
         if !ticket.has_prompt {
             return;
@@ -155,6 +176,7 @@
     pub fn reached(&mut self, instance: &InstanceId) {
         if let Some(server) = self.servers.get_mut(instance) {
             server.health.reached();
+            server.reports.reached();
         }
     }
 
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -46,7 +46,12 @@
         if usable.is_empty() {
             return Ok(last_resort(&candidates, request, random));
         }
-        self.cheapest(&usable, request, now, random)
+        let is_reported = |server: &&Server| server.reports.are_believed(&self.zone, now);
+        let reachable: Vec<&Server> =
+            usable.iter().copied().filter(|server| !is_reported(server)).collect();
+        // Where others can reach none, this router may still.
+        let preferred = if reachable.is_empty() { &usable } else { &reachable };
+        self.cheapest(preferred, request, now, random)
     }
 
     /// Chooses the server that costs least; `random` decides among nearly equal ones.
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -7,6 +7,7 @@
 use crate::kept_parts::KeptParts;
 use crate::load::Load;
 use crate::memory::MemoryTurnover;
+use crate::reports::Reports;
 
 /// What is known of a server.
 #[derive(Clone, Debug)]
@@ -14,6 +15,8 @@
     pub(crate) instance: Instance,
     pub(crate) hash: u64,
     pub(crate) health: Health,
+    /// What other routers say of it.
+    pub(crate) reports: Reports,
     pub(crate) load: Load,
     /// What all routers together have sent to it.
     pub(crate) fleet_load: FleetLoad,
@@ -35,6 +38,7 @@
             instance,
             hash,
             health,
+            reports: Reports::default(),
             load,
             fleet_load: FleetLoad::default(),
             seen_version: 0,
