Rollouts: routers are told what changes, encoded once, at most each 50 ms

Cause: each order and each outcome changed RenewalNews, which named every server ever renewed (240) and went to each of 295 followers as a frame of its own, some 68 times a second during a rollout; the list was never shortened. Each server that reported new weights was a push of its own too, encoded for each follower, and each push made every router rebuild its view of 248 servers. Change: replicas publish servers and renewals at most each 50 ms (the first change at once), renewals as changes, both encoded once for followers that are equally far. The giver and the routers forget versions that servers report themselves. Routers take a view over at most each 30 ms.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -8,12 +8,12 @@
 use juniper_catalog::{Catalog, CatalogFault};
 use juniper_control_state::{AcceptedCatalog, Answer, CatalogAnswer, Command, to_bytes};
 use juniper_protocol::Refusal;
-use juniper_protocol::message::RenewalNews;
 use juniper_registry::{InstanceId, InstanceReport, InstanceState};
 use juniper_types::NodeId;
 
 use crate::forward::Group;
 use crate::instances::InstanceBoard;
+use crate::renewals::Renewals;
 use crate::replica::ReplicaView;
 
 /// Why a call was not carried out.
@@ -130,8 +130,8 @@
     }
 
     /// Tells those who follow this replica which servers are being renewed.
-    pub fn announce(&self, news: RenewalNews) {
-        self.board.announce(news);
+    pub fn announce(&self, latest: Renewals) {
+        self.board.announce(latest);
     }
 
     /// What the replica publishes.
--- a/crates/control/src/instances.rs
+++ b/crates/control/src/instances.rs
@@ -1,13 +1,16 @@
 //! The servers that send their heartbeats to this replica.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use juniper_protocol::message::RenewalNews;
-use juniper_registry::{HeardInstance, HeardInstances, InstanceReport, Intake};
+use juniper_protocol::message::encode;
+use juniper_protocol::{Message, Push};
+use juniper_registry::{HeardInstances, InstanceReport, Intake};
 use juniper_types::Timestamp;
-use tokio::sync::watch;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::sync::{Notify, watch};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::renewals::{RenewalLog, Renewals, SharedFrame};
 
 /// Silence after which a server counts as gone. Heartbeats come about every
 /// second and may be late by some.
@@ -16,12 +19,31 @@
 /// Pace at which silence is looked for.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What this replica heard, and a number that tells of changes.
+/// Shortest time between two pushes to the nodes that follow this replica. While weights are
+/// rolled out, dozens of servers change each second; hundreds of nodes are told of each change.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// An encoded push of what changed between two numbers.
+#[derive(Debug)]
+struct InstanceFrame {
+    after: Option<u64>,
+    up_to: u64,
+    payload: SharedFrame,
+}
+
+/// What this replica heard, and numbers that tell of changes.
 pub struct InstanceBoard {
     started: Instant,
     heard: Mutex<HeardInstances>,
-    revision: watch::Sender<u64>,
-    renewals: watch::Sender<Arc<RenewalNews>>,
+    renewals: Mutex<RenewalLog>,
+    /// Something is to be published.
+    wake: Notify,
+    /// Number of the latest change of servers that is published.
+    instances_published: watch::Sender<u64>,
+    /// Number of the latest change of renewals that is published.
+    renewals_published: watch::Sender<u64>,
+    /// The latest push of servers: most followers have the same behind them.
+    frame: Mutex<Option<InstanceFrame>>,
 }
 
 impl Default for InstanceBoard {
@@ -29,15 +51,18 @@
         InstanceBoard {
             started: Instant::now(),
             heard: Mutex::new(HeardInstances::new(SILENT_AFTER)),
-            revision: watch::Sender::new(0),
-            renewals: watch::Sender::new(Arc::default()),
+            renewals: Mutex::default(),
+            wake: Notify::new(),
+            instances_published: watch::Sender::new(0),
+            renewals_published: watch::Sender::new(0),
+            frame: Mutex::new(None),
         }
     }
 }
 
 impl InstanceBoard {
     fn lock(&self) -> MutexGuard<'_, HeardInstances> {
-        self.heard.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn now(&self) -> Timestamp {
@@ -59,35 +84,62 @@
         let mut heard = self.lock();
         if heard.hear(report, self.now()) == Intake::News {
             log::info!("event=instance_heard {described}");
-            self.revision.send_replace(heard.revision());
+            self.wake.notify_one();
         }
     }
 
-    /// What changed after `revision`, with the number of the latest change.
-    pub fn changes_after(&self, revision: u64) -> (u64, Vec<HeardInstance>) {
-        let heard = self.lock();
-        (heard.revision(), heard.changes_after(revision))
+    /// A push of what changed after `after`, or of everything, with the number of the latest
+    /// change.
+    pub fn instances_after(&self, after: Option<u64>) -> (u64, SharedFrame) {
+        let mut frame = self.frame.lock().unwrap_or_else(PoisonError::into_inner);
+        let (up_to, heard) = {
+            let heard = self.lock();
+            let up_to = heard.revision();
+            let same = frame.as_ref().filter(|known| known.after == after && known.up_to == up_to);
+            if let Some(known) = same {
+                return (up_to, Arc::clone(&known.payload));
+            }
+            (up_to, heard.changes_after(after.unwrap_or(0)))
+        };
+        let push = Push::Instances { heard, whole: after.is_none() };
+        let payload = Arc::new(encode(&Message::Push(push)));
+        *frame = Some(InstanceFrame { after, up_to, payload: Arc::clone(&payload) });
+        (up_to, payload)
     }
 
-    /// Tells those who follow this replica which servers are being renewed.
-    pub fn announce(&self, news: RenewalNews) {
-        self.renewals.send_if_modified(|known| {
-            let changed = **known != news;
-            if changed {
-                *known = Arc::new(news);
-            }
-            changed
-        });
+    /// Notes which servers are being renewed, for those who follow this replica.
+    pub fn announce(&self, latest: Renewals) {
+        if self.renewals().announce(latest) {
+            self.wake.notify_one();
+        }
     }
 
-    /// The servers that are being renewed.
-    pub fn renewals(&self) -> watch::Receiver<Arc<RenewalNews>> {
-        self.renewals.subscribe()
+    /// What is told of renewals.
+    pub fn renewals(&self) -> MutexGuard<'_, RenewalLog> {
+        self.renewals.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Tells of changes.
-    pub fn watch(&self) -> watch::Receiver<u64> {
-        self.revision.subscribe()
+    /// Tells of changes of servers.
+    pub fn watch_instances(&self) -> watch::Receiver<u64> {
+        self.instances_published.subscribe()
+    }
+
+    /// Tells of changes of renewals.
+    pub fn watch_renewals(&self) -> watch::Receiver<u64> {
+        self.renewals_published.subscribe()
+    }
+
+    /// Publishes what has changed, for ever: the first change at once, what follows it within
+    /// [`PUBLISH_INTERVAL`] together.
+    pub async fn keep_publishing(&self) {
+        loop {
+            self.wake.notified().await;
+            let instances = self.lock().revision();
+            publish(&self.instances_published, instances);
+            let renewals = self.renewals().publish();
+            publish(&self.renewals_published, renewals);
+            sleep(PUBLISH_INTERVAL).await;
+        }
     }
 
     fn expire(&self) {
@@ -97,7 +149,7 @@
             log::warn!("event=instance_silent instance={id} after_ms={}", SILENT_AFTER.as_millis());
         }
         if !expired.is_empty() {
-            self.revision.send_replace(heard.revision());
+            self.wake.notify_one();
         }
     }
 
@@ -111,3 +163,7 @@
         }
     }
 }
+
+fn publish(published: &watch::Sender<u64>, latest: u64) {
+    published.send_if_modified(|known| std::mem::replace(known, latest) != latest);
+}
--- a/crates/control/src/internal/follower.rs
+++ b/crates/control/src/internal/follower.rs
@@ -5,12 +5,13 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use juniper_control_state::FleetState;
-use juniper_protocol::message::{CatalogBody, FleetNews, RenewalNews};
+use juniper_protocol::message::{CatalogBody, FleetNews};
 use juniper_protocol::{Message, PeerRole, Push, Reply};
 use juniper_types::NodeId;
 
 use super::InternalFace;
 use super::session::{Outgoing, OutgoingSender, Peer, send_reply};
+use crate::renewals::SharedFrame;
 
 /// The session ended, or the replica stopped.
 struct Ended;
@@ -36,8 +37,7 @@
     let role = peer.identity.role;
     let _counted = (role == PeerRole::Router).then(|| Counted::new(&face.following_routers));
     send_reply(&sender, call, Reply::Done).await;
-    let renewals = Arc::default();
-    let follower = Follower { face, sender, fleet: None, instances: None, renewals };
+    let follower = Follower { face, sender, fleet: None, instances: None, renewals: None };
     let Err(Ended) = follower.push_for_ever().await;
 }
 
@@ -54,24 +54,25 @@
     fleet: Option<SentFleet>,
     /// Number of the latest change of servers that was sent.
     instances: Option<u64>,
-    renewals: Arc<RenewalNews>,
+    /// Number of the latest change of renewals that was sent.
+    renewals: Option<u64>,
 }
 
 impl Follower {
     async fn push_for_ever(mut self) -> Result<std::convert::Infallible, Ended> {
         let mut fleet = self.face.view.fleet.clone();
         let mut status = self.face.view.status.clone();
-        let mut instances = self.face.board.watch();
-        let mut renewals = self.face.board.renewals();
+        let mut instances = self.face.board.watch_instances();
+        let mut renewals = self.face.board.watch_renewals();
         loop {
             // Marked as seen before they are read, so that no change is missed.
             fleet.mark_unchanged();
             status.mark_unchanged();
             instances.mark_unchanged();
-            let renewing = Arc::clone(&renewals.borrow_and_update());
+            renewals.mark_unchanged();
             self.push_fleet().await?;
             self.push_instances().await?;
-            self.push_renewals(renewing).await?;
+            self.push_renewals().await?;
             tokio::select! {
                 changed = fleet.changed() => changed.map_err(|_| Ended)?,
                 changed = status.changed() => changed.map_err(|_| Ended)?,
@@ -101,21 +102,25 @@
     }
 
     async fn push_instances(&mut self) -> Result<(), Ended> {
-        let (revision, heard) = self.face.board.changes_after(self.instances.unwrap_or(0));
+        let (revision, frame) = self.face.board.instances_after(self.instances);
         if self.instances == Some(revision) {
             return Ok(());
         }
-        let whole = self.instances.is_none();
         self.instances = Some(revision);
-        self.send(Push::Instances { heard, whole }).await
+        self.send_encoded(frame).await
     }
 
-    async fn push_renewals(&mut self, renewing: Arc<RenewalNews>) -> Result<(), Ended> {
-        if self.renewals == renewing {
-            return Ok(());
+    async fn push_renewals(&mut self) -> Result<(), Ended> {
+        let (revision, frames) = self.face.board.renewals().frames_after(self.renewals);
+        self.renewals = Some(revision);
+        for frame in frames {
+            self.send_encoded(frame).await?;
         }
-        self.renewals = Arc::clone(&renewing);
-        self.send(Push::Renewals(RenewalNews::clone(&renewing))).await
+        Ok(())
+    }
+
+    async fn send_encoded(&self, frame: SharedFrame) -> Result<(), Ended> {
+        self.sender.send(Outgoing::encoded(frame)).await.map_err(|_| Ended)
     }
 
     async fn send(&self, push: Push) -> Result<(), Ended> {
--- a/crates/control/src/internal/listener.rs
+++ b/crates/control/src/internal/listener.rs
@@ -37,7 +37,7 @@
 async fn pass_on(face: Arc<InternalFace>, sender: OutgoingSender) {
     let mut relayed = face.relay.listen();
     while let Some(frame) = relayed.next().await {
-        if sender.send(Outgoing::relayed(frame)).await.is_err() {
+        if sender.send(Outgoing::encoded(frame)).await.is_err() {
             return;
         }
     }
--- a/crates/control/src/internal/session.rs
+++ b/crates/control/src/internal/session.rs
@@ -17,7 +17,7 @@
 use super::listener::Listening;
 use super::{InternalFace, calls, follower, subscriber};
 use crate::published::PushFrame;
-use crate::relay::RelayFrame;
+use crate::renewals::SharedFrame;
 
 /// Calls of one connection that run at once; more wait unread in its socket.
 const MAX_CALLS_AT_ONCE: usize = 512;
@@ -36,8 +36,8 @@
     Own(Vec<u8>),
     /// A change of the settings, encoded once for many.
     Shared(Arc<PushFrame>),
-    /// What routers tell each other, encoded once for many.
-    Relayed(RelayFrame),
+    /// Any other message, encoded once for many.
+    Encoded(SharedFrame),
 }
 
 /// A frame to write.
@@ -64,16 +64,16 @@
         Outgoing { payload: Payload::Shared(frame), _permit: Some(permit) }
     }
 
-    /// What routers tell each other.
-    pub fn relayed(frame: RelayFrame) -> Self {
-        Outgoing { payload: Payload::Relayed(frame), _permit: None }
+    /// A message that was encoded once for many.
+    pub fn encoded(frame: SharedFrame) -> Self {
+        Outgoing { payload: Payload::Encoded(frame), _permit: None }
     }
 
     fn payload(&self) -> &[u8] {
         match &self.payload {
             Payload::Own(payload) => payload,
             Payload::Shared(frame) => &frame.payload,
-            Payload::Relayed(frame) => frame,
+            Payload::Encoded(frame) => frame,
         }
     }
 }
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -20,6 +20,7 @@
 
 use crate::metrics::Metrics;
 use crate::peers::PeerLinks;
+use crate::renewals::SharedFrame;
 use crate::replica::ReplicaView;
 
 /// Time for which news are gathered. Two of them pass between two zones; a prompt
@@ -49,14 +50,11 @@
     }
 }
 
-/// An encoded message for all listeners.
-pub(crate) type RelayFrame = Arc<Vec<u8>>;
-
 /// What routers tell each other, on its way through this replica.
 pub struct NewsRelay {
     gathered: Mutex<Gathered>,
     wake: Notify,
-    frames: broadcast::Sender<RelayFrame>,
+    frames: broadcast::Sender<SharedFrame>,
     metrics: Arc<Metrics>,
 }
 
@@ -141,13 +139,13 @@
 /// What one listener is sent.
 pub(crate) struct RelayListener<'a> {
     relay: &'a NewsRelay,
-    frames: broadcast::Receiver<RelayFrame>,
+    frames: broadcast::Receiver<SharedFrame>,
 }
 
 impl RelayListener<'_> {
     /// The next message; `None` once the replica has ended. What a slow listener has missed
     /// is lost for it.
-    pub(crate) async fn next(&mut self) -> Option<RelayFrame> {
+    pub(crate) async fn next(&mut self) -> Option<SharedFrame> {
         loop {
             match self.frames.recv().await {
                 Ok(frame) => return Some(frame),
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -63,7 +63,11 @@
 
 impl Helpers {
     async fn run(self) {
-        tokio::join!(self.board.keep_expiring(), self.relay.run(&self.peers, &self.view));
+        tokio::join!(
+            self.board.keep_expiring(),
+            self.board.keep_publishing(),
+            self.relay.run(&self.peers, &self.view)
+        );
     }
 }
 
--- a/crates/feed/src/fold.rs
+++ b/crates/feed/src/fold.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use juniper_catalog::{Catalog, CatalogIndex};
-use juniper_protocol::message::{CatalogBody, FleetNews, RenewalNews};
+use juniper_protocol::message::{CatalogBody, FleetNews, KnownVersion, RenewalNews};
 use juniper_registry::{Directory, HeardInstance, Instance, InstanceId};
 use juniper_types::{NodeId, Timestamp};
 
@@ -22,7 +22,8 @@
     members: Vec<NodeId>,
     connected: bool,
     routers: u32,
-    renewals: RenewalNews,
+    /// Servers that the replica is renewing.
+    renewing: BTreeSet<InstanceId>,
     /// A confirmation that waits until the view has caught up with its revision.
     unproved: Option<(Timestamp, u64)>,
 }
@@ -70,28 +71,55 @@
         let source = self.sources.entry(node).or_default();
         source.connected = connected;
         // Who gives orders is known again only once it says so.
-        source.renewals.under_way.clear();
-        FoldOutcome { changed: self.refresh_renewals(), fetch: None }
+        source.renewing.clear();
+        FoldOutcome { changed: self.refresh_renewing(), fetch: None }
     }
 
-    /// Servers that a replica is renewing.
+    /// Servers that a replica is renewing, and versions of weights that it knows of.
     pub fn renewals(&mut self, node: NodeId, news: RenewalNews) -> FoldOutcome {
-        self.sources.entry(node).or_default().renewals = news;
-        FoldOutcome { changed: self.refresh_renewals(), fetch: None }
+        let source = self.sources.entry(node).or_default();
+        if news.is_whole {
+            source.renewing.clear();
+        }
+        source.renewing.retain(|instance| !news.ended.contains(instance));
+        source.renewing.extend(news.under_way);
+        let changed = self.learn_versions(news.versions);
+        FoldOutcome { changed: self.refresh_renewing() || changed, fetch: None }
     }
 
-    fn refresh_renewals(&mut self) -> bool {
-        let news = || self.sources.values().map(|source| &source.renewals);
-        let renewing = news().flat_map(|news| news.under_way.iter().cloned()).collect();
-        let versions: Vec<_> = news().flat_map(|news| news.versions.iter().cloned()).collect();
-        let changed = *self.view.renewing != renewing || *self.view.versions != versions;
+    fn refresh_renewing(&mut self) -> bool {
+        let sources = self.sources.values();
+        let renewing = sources.flat_map(|source| source.renewing.iter().cloned()).collect();
+        let changed = *self.view.renewing != renewing;
         if changed {
             self.view.renewing = Arc::new(renewing);
-            self.view.versions = Arc::new(versions);
         }
         changed
     }
 
+    /// Keeps versions until the servers' own reports have them.
+    fn learn_versions(&mut self, latest: Vec<KnownVersion>) -> bool {
+        if latest.is_empty() {
+            return false;
+        }
+        let directory = &self.directory;
+        let is_news = |known: &KnownVersion| {
+            let server = directory.get(&known.instance);
+            server
+                .is_some_and(|server| server.report.version_of(&known.model) < Some(known.version))
+        };
+        let latest: Vec<KnownVersion> = latest.into_iter().filter(is_news).collect();
+        let is_told_anew = |known: &KnownVersion| {
+            latest.iter().any(|new| (&new.instance, &new.model) == (&known.instance, &known.model))
+        };
+        let earlier = self.view.versions.iter().filter(|known| is_news(known));
+        let mut versions: Vec<KnownVersion> =
+            earlier.filter(|known| !is_told_anew(known)).cloned().collect();
+        versions.extend(latest.iter().cloned());
+        self.view.versions = Arc::new(versions);
+        true
+    }
+
     /// Routers that follow a replica.
     pub fn set_routers(&mut self, node: NodeId, routers: u32) {
         self.sources.entry(node).or_default().routers = routers;
--- a/crates/feed/tests/fold.rs
+++ b/crates/feed/tests/fold.rs
@@ -114,19 +114,54 @@
     assert_eq!(ids(&fold), ["a"]);
 }
 
+fn renewing(under_way: &[&str], ended: &[&str], versions: &[(&str, u64)]) -> RenewalNews {
+    let ids = |ids: &[&str]| ids.iter().map(InstanceId::new).collect();
+    let version = |(id, version): &(&str, u64)| KnownVersion {
+        instance: InstanceId::new(id),
+        model: "m".to_owned(),
+        version: *version,
+    };
+    let versions = versions.iter().map(version).collect();
+    RenewalNews { under_way: ids(under_way), ended: ids(ended), versions, is_whole: false }
+}
+
 #[test]
 fn renewals_end_when_their_giver_is_lost() {
     let mut fold = connected();
-    let versions =
-        vec![KnownVersion { instance: InstanceId::new("b"), model: "m".to_owned(), version: 2 }];
-    let renewing = RenewalNews { under_way: vec![InstanceId::new("a")], versions };
-    assert!(fold.renewals(FIRST, renewing).changed);
+    fold.instances(FIRST, vec![heard("b", 1)], true);
+    assert!(fold.renewals(FIRST, renewing(&["a"], &[], &[("b", 2)])).changed);
     assert!(fold.view().renewing.contains(&InstanceId::new("a")));
     assert!(fold.set_connected(FIRST, false).changed);
     assert!(fold.view().renewing.is_empty());
     assert_eq!(fold.view().versions.len(), 1, "what is known of versions stays true");
 }
 
+#[test]
+fn renewals_are_told_as_changes_after_the_first_time() {
+    let mut fold = connected();
+    let ids = |fold: &FleetFold| fold.view().renewing.iter().cloned().collect::<Vec<_>>();
+    fold.renewals(FIRST, renewing(&["a", "b"], &[], &[]));
+    fold.renewals(FIRST, renewing(&["c"], &["a"], &[]));
+    assert_eq!(ids(&fold), ["b", "c"].map(InstanceId::new));
+    fold.renewals(FIRST, RenewalNews { is_whole: true, ..renewing(&["d"], &[], &[]) });
+    assert_eq!(ids(&fold), ["d"].map(InstanceId::new));
+}
+
+/// A list that only grows would be pushed and walked through for ever.
+#[test]
+fn a_version_that_a_server_reports_itself_is_kept_no_longer() {
+    let mut fold = connected();
+    fold.instances(FIRST, vec![heard("a", 1), heard("b", 1)], true);
+    fold.renewals(FIRST, renewing(&[], &[], &[("a", 2)]));
+    let mut reported = heard("a", 2);
+    reported.report.models = vec![ModelHolding { model: "m".to_owned(), version: 2 }];
+    fold.instances(FIRST, vec![reported], false);
+    fold.renewals(FIRST, renewing(&[], &[], &[("b", 2), ("gone", 2)]));
+    let versions = fold.view().versions.iter();
+    let servers: Vec<_> = versions.map(|known| known.instance.as_str()).collect();
+    assert_eq!(servers, ["b"]);
+}
+
 #[test]
 fn each_version_of_weights_has_a_time_of_its_own() {
     let mut fold = connected();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 use tokio::sync::watch;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::dialect::Dialect;
 use crate::life::Stop;
@@ -35,6 +35,10 @@
 /// are half as fast, and moves wait for one another.
 const LINK_PART: f64 = 0.5;
 
+/// Shortest time between two views that are taken over. While weights are rolled out, views
+/// change dozens of times a second, and each is in proportion to the number of servers.
+const TAKE_OVER_PAUSE: Duration = Duration::from_millis(30);
+
 /// Time between two looks for idle connections to close.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -138,6 +142,7 @@
                     }
                     let latest = Arc::clone(&view.borrow_and_update());
                     self.take_over(&latest);
+                    sleep(TAKE_OVER_PAUSE).await;
                 }
                 _ = sweep.tick() => self.sweep(),
             }
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -117,6 +117,19 @@
     /// Versions of weights that servers are known to have.
     #[n(1)]
     pub versions: Vec<KnownVersion>,
+    /// Servers that take new requests again.
+    #[n(2)]
+    pub ended: Vec<InstanceId>,
+    /// Whether this is everything, and not what has changed.
+    #[n(3)]
+    pub is_whole: bool,
+}
+
+impl RenewalNews {
+    /// Whether nothing has changed.
+    pub fn is_empty(&self) -> bool {
+        self.under_way.is_empty() && self.ended.is_empty() && self.versions.is_empty()
+    }
 }
 
 /// The version of a model's weights that a server has.
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -354,7 +354,7 @@
         #[n(1)]
         whole: bool,
     },
-    /// Servers that the one who gives orders is renewing; all of them each time.
+    /// Servers that the one who gives orders is renewing: all of them, then what changes.
     #[n(5)]
     Renewals(#[n(0)] RenewalNews),
 }
--- a/crates/renewal/src/giver.rs
+++ b/crates/renewal/src/giver.rs
@@ -5,10 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_control::FleetCalls;
+use juniper_control::{FleetCalls, Renewals};
 use juniper_control_state::OrderLease;
 use juniper_feed::{Feed, FleetView};
-use juniper_protocol::message::{KnownVersion, RenewalNews};
 use juniper_registry::InstanceId;
 use juniper_types::{NodeId, Timestamp};
 use tokio::sync::mpsc;
@@ -255,17 +254,17 @@
     /// Tells routers what they can't know from the servers yet.
     fn announce(&mut self) {
         let view = self.feed.latest();
-        let is_known = |id: &InstanceId| view.instances.iter().any(|known| known.report.id == *id);
-        self.versions.retain(|(instance, _), _| is_known(instance));
-        self.orders.retain(|instance, _| is_known(instance));
-        let versions = self.versions.iter().map(|((instance, model), version)| KnownVersion {
-            instance: instance.clone(),
-            model: model.clone(),
-            version: *version,
+        let report = |id: &InstanceId| {
+            let known = view.instances.iter().find(|known| known.report.id == *id);
+            known.map(|known| &known.report)
+        };
+        self.orders.retain(|instance, _| report(instance).is_some());
+        self.versions.retain(|(instance, model), version| {
+            report(instance).is_some_and(|report| report.version_of(model) < Some(*version))
         });
-        self.calls.announce(RenewalNews {
-            under_way: self.under_way.iter().cloned().collect(),
-            versions: versions.collect(),
+        self.calls.announce(Renewals {
+            under_way: self.under_way.clone(),
+            versions: self.versions.clone(),
         });
     }
 }
