Routers tell each other of every request they send, also without a prompt

Cause: load was told only with prompts that can be moved. A server for calls gets from one of 295 routers one call in eight seconds, so nobody knew how full it was; its zone's routers all kept to it (another zone costs 5 ms). What calls take was never learnt either: 1,000 ms were assumed, and samples of prompts weighed 2 %. Change: each sending is told; durations are learnt for all services, the first fifty samples by plain mean. Uses of memory are recorded for prompts only. 2,000 sightings a second in all may be told (1,000 before: 861 prompts a second came near it, and routers with more callers than others left some out).

--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -26,12 +26,9 @@
 }
 
 impl NewsQueue {
-    /// Notes where a prompt was sent. Parts that can't be moved concern nobody else.
-    /// Returns whether there was room for it.
+    /// Notes where a request was sent, which others can't see otherwise: with hundreds of routers
+    /// each sends a small part of what a server gets. Returns whether there was room for it.
     pub(crate) fn push_sighting(&self, choice: &Choice) -> bool {
-        if choice.keys.is_empty() || !choice.is_movable {
-            return true;
-        }
         let sighting = message(choice.sighting());
         let queued = &mut lock(&self.waiting).sightings;
         let has_room = queued.len() < MAX_QUEUED;
--- a/crates/gateway/tests/paths/reachability.rs
+++ b/crates/gateway/tests/paths/reachability.rs
@@ -1,4 +1,4 @@
-//! Routers tell each other which servers are down.
+//! Routers tell each other which servers are down, and what they send to those that work.
 
 use std::time::{Duration, Instant};
 
@@ -59,3 +59,13 @@
     }
     assert_eq!((one.requests().len(), other.requests().len()), (0, 12));
 }
+
+/// Servers without prompts are crowded too, and no router sends them more than a few requests.
+#[tokio::test]
+async fn a_request_without_a_prompt_is_told_of() {
+    let server = good("a").await;
+    let gateway = TestGateway::start(&[&server]).await;
+    assert_eq!(get(gateway.callers, "/once/x", "r1").await.status, 200);
+    wait_for("told", || !gateway.control.told_sightings().is_empty()).await;
+    assert_eq!(gateway.control.told_sightings(), [server.report().id]);
+}
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -9,7 +9,7 @@
 use juniper_protocol::{
     ClusterKey, Connection, Message, PeerRole, Push, Refusal, Reply, Request, accept,
 };
-use juniper_registry::{HeardInstance, InstanceReport};
+use juniper_registry::{HeardInstance, InstanceId, InstanceReport};
 use juniper_types::{NodeId, ZoneName};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{broadcast, mpsc};
@@ -78,6 +78,13 @@
         let _ = self.said.relayed.send(RelayedNews { from: NodeId(from), zone, news });
     }
 
+    /// Servers that the gateway has told of sending requests to.
+    pub fn told_sightings(&self) -> Vec<InstanceId> {
+        let told = self.said.told.lock().expect("no panic");
+        let sightings = told.iter().flat_map(|news| &news.sightings);
+        sightings.map(|sighting| sighting.instance.clone()).collect()
+    }
+
     /// Servers whose reachability the gateway has told of.
     pub fn told_reachability(&self) -> Vec<Reachability> {
         let told = self.said.told.lock().expect("no panic");
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -65,6 +65,5 @@
         part_tokens: Vec::new(),
         own_tokens: request.prompt.map_or(0, |prompt| prompt.tokens),
         inserted_tokens: 0,
-        is_movable: false,
     }
 }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -69,8 +69,6 @@
     pub own_tokens: u32,
     /// Tokens that it has to read or fetch.
     pub inserted_tokens: u32,
-    /// Whether the shared parts are large enough to be moved between servers.
-    pub is_movable: bool,
 }
 
 impl Choice {
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -42,31 +42,37 @@
     }
 }
 
-/// Time that a request with a prompt takes, until it was measured.
+/// Time that a request takes, until it was measured.
 const FIRST_DURATION_MS: f64 = 1_000.0;
 
-/// Weight of one measured duration.
+/// Least weight of one measured duration. Until that many were measured each weighs the same,
+/// so that a router with few requests learns as soon as it can.
 const DURATION_WEIGHT: f64 = 0.02;
 
-/// Mean time that requests with a prompt take at a service.
+/// Mean time that requests take at a service.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct MeanDuration(f64);
+pub(crate) struct MeanDuration {
+    ms: f64,
+    measured: u32,
+}
 
 impl Default for MeanDuration {
     fn default() -> Self {
-        MeanDuration(FIRST_DURATION_MS)
+        MeanDuration { ms: FIRST_DURATION_MS, measured: 0 }
     }
 }
 
 impl MeanDuration {
     /// A request has ended after `took`.
     pub(crate) fn record(&mut self, took: Duration) {
-        self.0 += DURATION_WEIGHT * (took.as_secs_f64() * 1_000.0 - self.0);
+        self.measured = self.measured.saturating_add(1);
+        let weight = DURATION_WEIGHT.max(1.0 / f64::from(self.measured));
+        self.ms += weight * (took.as_secs_f64() * 1_000.0 - self.ms);
     }
 
     /// The mean.
     pub(crate) fn get(self) -> Duration {
-        Duration::from_secs_f64(self.0 / 1_000.0)
+        Duration::from_secs_f64(self.ms / 1_000.0)
     }
 }
 
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -93,13 +93,16 @@
         }
     }
 
-    /// Another router has sent shared parts to a server.
+    /// A request was sent to a server, by this router or another one.
     pub fn sighted(&mut self, sighting: &ChainSighting, now: Timestamp) {
         let Some(server) = self.servers.get_mut(&sighting.instance) else { return };
         server.turnover.record(sighting.tokens, now);
         let service = &server.instance.report.service;
         let speed = self.speeds.get(service).copied().unwrap_or_default();
         server.fleet_load.begin(sighting.read_tokens, speed, now);
+        if sighting.keys.is_empty() && sighting.own_tokens == 0 {
+            return;
+        }
         let capacity = self.profiles.get(service).map_or(0, |profile| profile.cache_tokens);
         let parts = SentParts {
             keys: &sighting.keys,
@@ -154,7 +157,7 @@
             server.load.first_output(ticket.missed_tokens);
         }
         server.load.end();
-        if ticket.has_prompt && outcome == Outcome::Answered {
+        if outcome == Outcome::Answered {
             let service = server.instance.report.service.clone();
             self.durations.entry(service).or_default().record(now.since(ticket.begun));
         }
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -119,7 +119,6 @@
             own_tokens: tokens.saturating_sub(chain.all_tokens()),
             keys: chain.keys,
             inserted_tokens: work.inserted_tokens,
-            is_movable: work.can_move,
         }
     }
 
--- a/crates/placement/src/sighting.rs
+++ b/crates/placement/src/sighting.rs
@@ -1,8 +1,8 @@
-//! What routers tell each other of a prompt that was sent.
+//! What routers tell each other of a request that was sent.
 
 use juniper_registry::InstanceId;
 
-/// Shared parts of a prompt that were sent to a server.
+/// A request that was sent to a server, with the parts of its prompt if it has one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ChainSighting {
     /// The server.
--- a/crates/placement/src/sighting_budget.rs
+++ b/crates/placement/src/sighting_budget.rs
@@ -5,8 +5,9 @@
 
 use juniper_types::Timestamp;
 
-/// Sightings that all routers together may tell, each second.
-const FLEET_PER_SECOND: f64 = 1_000.0;
+/// Sightings that all routers together may tell, each second. At some 50 bytes each that is a
+/// twelfth of the smallest link of the users' sheets (10 Mbit/s).
+const FLEET_PER_SECOND: f64 = 2_000.0;
 
 /// Longest time for which unused allowance is kept, in seconds.
 const KEPT_S: f64 = 1.0;
