Placement: parts are fetched from any server that has them, first of the reader's zone

Cause: the last of the servers that have most of a prompt was named by every router. Excluded: load by tokens to read (small in the expected cost), dark servers (another row of the same table), stores (no more of them than of fetches). Test: sources fails before (one source of the far zone every time).

--- a/crates/placement/src/prompt_work.rs
+++ b/crates/placement/src/prompt_work.rs
@@ -21,6 +21,8 @@
 /// What a prompt means for one server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PromptWork {
+    /// Shared tokens that it should have.
+    pub kept_tokens: u32,
     /// Tokens that it would have to read.
     pub missed_tokens: u32,
     /// Tokens of shared parts among those that some server has read already.
@@ -35,7 +37,7 @@
     pub displacement_loss: f64,
     /// Whether parts can be moved at all.
     pub can_move: bool,
-    /// Index of the server to move them from.
+    /// Index of a server that they can be moved from; others may have as much.
     pub source: Option<usize>,
     /// Why this server would be chosen.
     pub reason: Reason,
@@ -44,6 +46,7 @@
 impl Default for PromptWork {
     fn default() -> Self {
         PromptWork {
+            kept_tokens: 0,
             missed_tokens: 0,
             reread_tokens: 0,
             move_ms: 0.0,
@@ -101,6 +104,7 @@
                 (false, false) => missed,
             };
             PromptWork {
+                kept_tokens: own,
                 missed_tokens: tokens.saturating_sub(own + fetched),
                 reread_tokens: reread,
                 move_ms: move_ms * f64::from(fetched),
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -1,5 +1,6 @@
 //! The search for the server that costs least.
 
+use juniper_prefix_index::rendezvous;
 use juniper_types::Timestamp;
 
 use crate::candidates::{is_usable, last_resort};
@@ -84,8 +85,11 @@
             }
         }
         let (cost_ms, _, index) = best.ok_or(NoChoice::NoServer)?;
-        let found = Found { index, work: works[index], cost_ms };
-        Ok(self.decision(servers, request, chain, found))
+        let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
+        let source =
+            works[index].source.map(|known| spread(servers, &works, index, known, (model, random)));
+        let work = PromptWork { source, ..works[index] };
+        Ok(self.decision(servers, request, chain, Found { index, work, cost_ms }))
     }
 
     /// The choice of the server that was found.
@@ -154,6 +158,31 @@
     }
 }
 
+/// A server that has as much of the prompt as the one at `known`, for the server at `reader`.
+///
+/// A server's moves run one after another. If all routers named the same source of a part that
+/// many servers have, readers would wait for it in line. So it is drawn, first among those in
+/// the reader's zone, from where a move takes half the time.
+fn spread(
+    servers: &[&Server],
+    works: &[PromptWork],
+    reader: usize,
+    known: usize,
+    (model, random): (&str, u64),
+) -> usize {
+    let version = servers[known].version_of(model);
+    let zone = &servers[reader].instance.report.zone;
+    let has_as_much = |other: &usize| {
+        works[*other].kept_tokens == works[known].kept_tokens
+            && servers[*other].version_of(model) == version
+    };
+    let rank = |other: &usize| {
+        let is_far = servers[*other].instance.report.zone != *zone;
+        (is_far, rendezvous::score(random, servers[*other].hash))
+    };
+    (0..servers.len()).filter(has_as_much).min_by_key(rank).unwrap_or(known)
+}
+
 /// The server that costs least.
 struct Found {
     index: usize,
--- /dev/null
+++ b/crates/placement/tests/sources.rs
@@ -0,0 +1,60 @@
+//! Where parts of a prompt are fetched from.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use juniper_placement::{ChainSighting, Placement, Reason};
+use juniper_registry::{Instance, InstanceId};
+
+use support::{at, choose, instance, placement, prompt, request};
+
+/// Servers, of which the even ones are in the south.
+const SERVERS: u16 = 12;
+
+/// All servers but the last hold the parts of one prompt and are busy reading.
+fn all_but_the_last_hold() -> (Placement, InstanceId) {
+    let mut placement = placement(SERVERS);
+    let in_zone = |number: u16| {
+        let mut instance: Instance = instance(number, 1);
+        let zone = if number.is_multiple_of(2) { "south" } else { "north" };
+        instance.report.zone = zone.to_owned();
+        instance
+    };
+    let instances: Vec<Instance> = (1..=SERVERS).map(in_zone).collect();
+    placement.set_instances(&instances);
+    let sent = choose(&mut placement, &prompt(1, 1), 0).sighting();
+    let (last, holders) = instances.split_last().expect("servers");
+    for holder in holders {
+        let instance = holder.report.id.clone();
+        let busy = ChainSighting { instance, read_tokens: 40_000, ..sent.clone() };
+        placement.sighted(&busy, at(9_990));
+    }
+    (placement, last.report.id.clone())
+}
+
+/// How often each source is named in so many choices.
+fn sources(choices: u64) -> BTreeMap<SocketAddrV4, u64> {
+    let (placement, last) = all_but_the_last_hold();
+    let prompt = prompt(1, 2);
+    let mut sources = BTreeMap::new();
+    for random in 0..choices {
+        let chosen = placement.choose(&request(&prompt, &[]), at(10_000), random);
+        let choice = chosen.expect("a server");
+        assert_eq!((&choice.instance, choice.reason), (&last, Reason::Fetch));
+        *sources.entry(choice.source.expect("a source")).or_default() += 1;
+    }
+    sources
+}
+
+/// A server's moves run one after another: hundreds of routers that name the same one make
+/// their prompts wait in line.
+#[test]
+fn what_many_servers_have_is_fetched_from_any_of_those_in_the_readers_zone() {
+    let sources = sources(500);
+    let near: Vec<SocketAddrV4> =
+        (1..SERVERS).filter(|number| number.is_multiple_of(2)).map(support::address).collect();
+    assert_eq!(sources.keys().copied().collect::<Vec<_>>(), near);
+    assert!(sources.values().all(|times| *times > 50), "{sources:?}");
+}
