--- a/crates/control/src/internal/session.rs
+++ b/crates/control/src/internal/session.rs
@@ -169,11 +169,11 @@
                 continue;
             }
             Ok(Message::RouterNews(news)) if peer.identity.role == PeerRole::Router => {
-                face.relay.from_router(&peer.identity, news);
+                face.relay.hear_router(&peer.identity, news);
                 continue;
             }
             Ok(Message::RelayedNews(told)) if peer.identity.role == PeerRole::Control => {
-                face.relay.from_replica(told);
+                face.relay.hear_replica(told);
                 continue;
             }
             Ok(_) => continue,
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -74,13 +74,13 @@
     }
 
     /// A router that listens here tells something.
-    pub(crate) fn from_router(&self, from: &PeerIdentity, news: RouterNews) {
+    pub(crate) fn hear_router(&self, from: &PeerIdentity, news: RouterNews) {
         let told = RelayedNews { from: from.node, zone: from.zone.clone(), news };
         self.gather(vec![told], |gathered| &mut gathered.from_routers);
     }
 
     /// Another replica passes on what its routers told.
-    pub(crate) fn from_replica(&self, told: Vec<RelayedNews>) {
+    pub(crate) fn hear_replica(&self, told: Vec<RelayedNews>) {
         self.gather(told, |gathered| &mut gathered.from_replicas);
     }
 
--- a/crates/protocol/tests/sizes.rs
+++ b/crates/protocol/tests/sizes.rs
@@ -1,9 +1,10 @@
 //! Sizes of the messages that every router sends or gets all the time. The figures in
 //! docs/CAPACITY.md rest on them.
 
-use juniper_protocol::message::{Sighting, encode};
+use juniper_protocol::message::{RelayedNews, RouterNews, Sighting, encode};
 use juniper_protocol::{Message, Reply, Request};
 use juniper_registry::InstanceId;
+use juniper_types::{NodeId, ZoneName};
 
 /// Bytes before each message on the wire.
 const FRAME_HEADER: usize = 5;
@@ -32,13 +33,26 @@
         part_tokens: vec![9_000; 2],
         own_tokens: 2_000,
     };
-    let one = bytes(&Message::Sightings(vec![sighting(0)]));
-    let more = bytes(&Message::Sightings((0..11).map(sighting).collect()));
+    let told =
+        |sightings| bytes(&Message::RouterNews(RouterNews { sightings, ..RouterNews::default() }));
+    let one = told(vec![sighting(0)]);
+    let more = told((0..11).map(sighting).collect());
     let each = (more - one) / 10;
     println!("sighting of two beginnings: {each} bytes, alone {one}");
     assert!(each <= 50, "{each}");
 }
 
+/// What the size of a message to a listener grows by with each router that told something.
+#[test]
+fn the_name_of_a_router_and_its_zone_is_small() {
+    let zone = ZoneName::new("new-england-1").expect("a name");
+    let relayed = RelayedNews { from: NodeId(u64::MAX), zone, news: RouterNews::default() };
+    let each = bytes(&Message::RelayedNews(vec![relayed.clone(); 2]))
+        - bytes(&Message::RelayedNews(vec![relayed]));
+    println!("router in a relayed message: {each} bytes");
+    assert!(each <= 30, "{each}");
+}
+
 /// Daemons are replaced one after the other, so two versions talk to each other for a while.
 #[test]
 fn a_sighting_of_an_earlier_version_can_be_read() {
