Routers tell each other when requests end

Cause: requests under way on a server were worked out from those begun and the mean duration that a router had seen. Change: ends are told like sendings; what nobody ends is forgotten after 10 s. The learnt mean of durations goes. Tests: placement calls (4; rewritten for ends), gateway paths (end is told).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -107,6 +107,7 @@
         if let Some(ticket) = self.ticket.take() {
             let now = self.gateway.now();
             self.gateway.placement().end(ticket, outcome, now);
+            self.gateway.news.push_end(&self.instance);
         }
         if outcome == Outcome::Unreachable {
             self.gateway.news.push_reachability(&self.instance, false);
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -18,10 +18,28 @@
 /// Servers whose reachability waits to be told; the rest is told with its next probe.
 const MAX_QUEUED_SERVERS: usize = 64;
 
+/// Requests that the others weren't told of and that haven't ended, at most.
+const MAX_UNTOLD: usize = 64;
+
+#[derive(Default)]
+struct Waiting {
+    news: RouterNews,
+    /// Servers of requests that were left out. Their ends must not be told either.
+    untold: Vec<InstanceId>,
+}
+
+impl Waiting {
+    fn leave_out(&mut self, instance: InstanceId) {
+        if self.untold.len() < MAX_UNTOLD {
+            self.untold.push(instance);
+        }
+    }
+}
+
 /// What the other routers haven't been told yet.
 #[derive(Default)]
 pub(crate) struct NewsQueue {
-    waiting: Mutex<RouterNews>,
+    waiting: Mutex<Waiting>,
     wake: Notify,
 }
 
@@ -29,19 +47,31 @@
     /// Notes where a request was sent, which others can't see otherwise: with hundreds of routers
     /// each sends a small part of what a server gets. Returns whether there was room for it.
     pub(crate) fn push_sighting(&self, choice: &Choice) -> bool {
-        let sighting = message(choice.sighting());
-        let queued = &mut lock(&self.waiting).sightings;
-        let has_room = queued.len() < MAX_QUEUED;
-        if has_room {
-            queued.push(sighting);
+        let mut waiting = lock(&self.waiting);
+        if waiting.news.sightings.len() >= MAX_QUEUED {
+            waiting.leave_out(choice.instance.clone());
+            return false;
+        }
+        waiting.news.sightings.push(message(choice.sighting()));
+        self.wake.notify_one();
+        true
+    }
+
+    /// Notes that a request has ended. If too many ends wait, the others forget the request
+    /// after a while by themselves.
+    pub(crate) fn push_end(&self, instance: &InstanceId) {
+        let mut waiting = lock(&self.waiting);
+        if let Some(place) = waiting.untold.iter().position(|untold| untold == instance) {
+            waiting.untold.swap_remove(place);
+        } else if waiting.news.ended.len() < MAX_QUEUED {
+            waiting.news.ended.push(instance.clone());
             self.wake.notify_one();
         }
-        has_room
     }
 
     /// Notes that this router has reached a server, or could not.
     pub(crate) fn push_reachability(&self, instance: &InstanceId, reached: bool) {
-        let queued = &mut lock(&self.waiting).reachability;
+        let queued = &mut lock(&self.waiting).news.reachability;
         queued.retain(|told| told.instance != *instance);
         if queued.len() < MAX_QUEUED_SERVERS {
             queued.push(Reachability { instance: instance.clone(), reached });
@@ -51,13 +81,16 @@
 
     /// What waits, with the sightings that tell most, and how many of them are left out.
     fn take(&self, allowed: usize) -> (RouterNews, usize) {
-        let mut news = std::mem::take(&mut *lock(&self.waiting));
-        let left_out = news.sightings.len().saturating_sub(allowed);
-        if left_out > 0 {
-            news.sightings.sort_by_key(|sighting| std::cmp::Reverse(sighting.tokens));
-            news.sightings.truncate(allowed);
+        let mut waiting = lock(&self.waiting);
+        let mut news = std::mem::take(&mut waiting.news);
+        if news.sightings.len() <= allowed {
+            return (news, 0);
         }
-        (news, left_out)
+        news.sightings.sort_by_key(|sighting| std::cmp::Reverse(sighting.tokens));
+        let left_out = news.sightings.split_off(allowed);
+        let count = left_out.len();
+        left_out.into_iter().for_each(|sighting| waiting.leave_out(sighting.instance));
+        (news, count)
     }
 }
 
@@ -98,6 +131,7 @@
         for sighting in &news.sightings {
             placement.sighted(&read(sighting), now);
         }
+        news.ended.iter().for_each(|instance| placement.heard_end(instance));
         let reporter = Reporter { node: from.0, zone: zone.as_str() };
         for Reachability { instance, reached } in &news.reachability {
             if placement.heard_reachability(reporter, instance, *reached, now) {
--- a/crates/gateway/tests/paths/reachability.rs
+++ b/crates/gateway/tests/paths/reachability.rs
@@ -62,10 +62,12 @@
 
 /// Servers without prompts are crowded too, and no router sends them more than a few requests.
 #[tokio::test]
-async fn a_request_without_a_prompt_is_told_of() {
+async fn a_request_without_a_prompt_is_told_of_and_so_is_its_end() {
     let server = good("a").await;
     let gateway = TestGateway::start(&[&server]).await;
     assert_eq!(get(gateway.callers, "/once/x", "r1").await.status, 200);
     wait_for("told", || !gateway.control.told_sightings().is_empty()).await;
     assert_eq!(gateway.control.told_sightings(), [server.report().id]);
+    wait_for("its end told", || !gateway.control.told_ends().is_empty()).await;
+    assert_eq!(gateway.control.told_ends(), [server.report().id]);
 }
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -85,6 +85,12 @@
         sightings.map(|sighting| sighting.instance.clone()).collect()
     }
 
+    /// Servers that the gateway has told of the end of requests on.
+    pub fn told_ends(&self) -> Vec<InstanceId> {
+        let told = self.said.told.lock().expect("no panic");
+        told.iter().flat_map(|news| news.ended.clone()).collect()
+    }
+
     /// Servers whose reachability the gateway has told of.
     pub fn told_reachability(&self) -> Vec<Reachability> {
         let told = self.said.told.lock().expect("no panic");
--- a/crates/placement/src/fleet_load.rs
+++ b/crates/placement/src/fleet_load.rs
@@ -1,30 +1,27 @@
 //! The work that all routers together have sent to a server, as far as they tell
 //! each other.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use juniper_types::Timestamp;
 
-use crate::decay::Decaying;
 use crate::load::ReadingSpeed;
 
-/// Time in which a request begun loses half of its weight in the pace of requests.
-const PACE_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Age from which a request whose end nobody told of counts no more: its router was killed, or
+/// the word was lost. Few streams take longer.
+const MAX_AGE: Duration = Duration::from_secs(10);
 
-/// Work on one server, estimated: what was sent, less what it should have done since.
-#[derive(Clone, Copy, Debug)]
+/// Work on one server: requests that were begun and not ended, and an estimate of what they
+/// still have to read.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct FleetLoad {
     /// Tokens that were still to be read when the last request was told of.
     waiting_tokens: f64,
     updated: Timestamp,
-    begun: Decaying,
-}
-
-impl Default for FleetLoad {
-    fn default() -> Self {
-        let begun = Decaying::new(PACE_HALF_LIFE);
-        FleetLoad { waiting_tokens: 0.0, updated: Timestamp::ZERO, begun }
-    }
+    /// When each request under way was begun, the oldest first. Which of them ends is not told:
+    /// only their number is used.
+    under_way: VecDeque<Timestamp>,
 }
 
 impl FleetLoad {
@@ -32,7 +29,15 @@
     pub(crate) fn begin(&mut self, tokens: u32, speed: ReadingSpeed, now: Timestamp) {
         self.waiting_tokens = self.waiting_tokens(speed, now) + f64::from(tokens);
         self.updated = now;
-        self.begun.add(1.0, now);
+        while self.under_way.front().is_some_and(|begun| is_forgotten(*begun, now)) {
+            self.under_way.pop_front();
+        }
+        self.under_way.push_back(now);
+    }
+
+    /// A request has ended.
+    pub(crate) fn end(&mut self) {
+        self.under_way.pop_front();
     }
 
     /// Tokens that should still be unread.
@@ -40,9 +45,12 @@
         (self.waiting_tokens - speed.tokens_in(now.since(self.updated))).max(0.0)
     }
 
-    /// Requests that should be under way if each takes `mean` (Little's law).
-    pub(crate) fn requests(&self, mean: Duration, now: Timestamp) -> f64 {
-        let window_s = PACE_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
-        self.begun.at(now) / window_s * mean.as_secs_f64()
+    /// Requests that are under way.
+    pub(crate) fn requests(&self, now: Timestamp) -> usize {
+        self.under_way.iter().rev().take_while(|begun| !is_forgotten(**begun, now)).count()
     }
 }
+
+fn is_forgotten(begun: Timestamp, now: Timestamp) -> bool {
+    now.since(begun) >= MAX_AGE
+}
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -42,40 +42,6 @@
     }
 }
 
-/// Time that a request takes, until it was measured.
-const FIRST_DURATION_MS: f64 = 1_000.0;
-
-/// Least weight of one measured duration. Until that many were measured each weighs the same,
-/// so that a router with few requests learns as soon as it can.
-const DURATION_WEIGHT: f64 = 0.02;
-
-/// Mean time that requests take at a service.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct MeanDuration {
-    ms: f64,
-    measured: u32,
-}
-
-impl Default for MeanDuration {
-    fn default() -> Self {
-        MeanDuration { ms: FIRST_DURATION_MS, measured: 0 }
-    }
-}
-
-impl MeanDuration {
-    /// A request has ended after `took`.
-    pub(crate) fn record(&mut self, took: Duration) {
-        self.measured = self.measured.saturating_add(1);
-        let weight = DURATION_WEIGHT.max(1.0 / f64::from(self.measured));
-        self.ms += weight * (took.as_secs_f64() * 1_000.0 - self.ms);
-    }
-
-    /// The mean.
-    pub(crate) fn get(self) -> Duration {
-        Duration::from_secs_f64(self.ms / 1_000.0)
-    }
-}
-
 /// How fast the engines of a service read prompts.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReadingSpeed(f64);
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -11,7 +11,7 @@
 use crate::health::Outcome;
 use crate::kept_parts::SentParts;
 use crate::lanes::Lanes;
-use crate::load::{MeanDuration, ReadingSpeed};
+use crate::load::ReadingSpeed;
 use crate::reports::Reporter;
 use crate::server::Server;
 use crate::sighting::ChainSighting;
@@ -23,7 +23,6 @@
     pub(crate) servers: HashMap<InstanceId, Server>,
     pub(crate) services: HashMap<String, Vec<InstanceId>>,
     pub(crate) speeds: HashMap<String, ReadingSpeed>,
-    pub(crate) durations: HashMap<String, MeanDuration>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
     pub(crate) lanes: HashMap<String, Lanes>,
 }
@@ -36,7 +35,6 @@
             servers: HashMap::new(),
             services: HashMap::new(),
             speeds: HashMap::new(),
-            durations: HashMap::new(),
             profiles: HashMap::new(),
             lanes: HashMap::new(),
         }
@@ -112,6 +110,13 @@
         server.kept.record(sighting.version, parts, capacity);
     }
 
+    /// A request that another router had told of has ended.
+    pub fn heard_end(&mut self, instance: &InstanceId) {
+        if let Some(server) = self.servers.get_mut(instance) {
+            server.fleet_load.end();
+        }
+    }
+
     /// Another router has tried to reach the server. Returns whether the server counts as
     /// unreachable from now on and did not before.
     pub fn heard_reachability(
@@ -157,10 +162,7 @@
             server.load.first_output(ticket.missed_tokens);
         }
         server.load.end();
-        if outcome == Outcome::Answered {
-            let service = server.instance.report.service.clone();
-            self.durations.entry(service).or_default().record(now.since(ticket.begun));
-        }
+        server.fleet_load.end();
         server.health.record(outcome, now);
     }
 
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -139,12 +139,11 @@
         context: &CostContext,
     ) -> ServerView<'a> {
         let report = &server.instance.report;
-        let mean = self.durations.get(&report.service).copied().unwrap_or_default().get();
         ServerView {
             health: &server.health,
             load: server.load,
             fleet_tokens: server.fleet_load.waiting_tokens(context.speed, context.now),
-            fleet_requests: server.fleet_load.requests(mean, context.now),
+            fleet_requests: server.fleet_load.requests(context.now) as f64,
             slots: report.slots,
             same_zone: report.zone == self.zone,
             silent: server.instance.silent,
--- a/crates/placement/tests/calls.rs
+++ b/crates/placement/tests/calls.rs
@@ -37,36 +37,46 @@
     placement.choose(&call(), at(millis), millis).expect("a server")
 }
 
-/// Five own calls of 60 ms each, long before what a test looks at.
-fn learn_duration(placement: &mut Placement) {
-    for millis in (0..5).map(|number| number * 100) {
-        let choice = choose(placement, millis);
-        let ticket = placement.begin(&choice, false, at(millis));
-        placement.end(ticket, Outcome::Answered, at(millis + 60));
-    }
-}
-
-/// The others send so many calls a second to the near server, for two seconds.
-fn others_send(placement: &mut Placement, per_second: u64) -> Choice {
-    learn_duration(placement);
-    let near = choose(placement, 60_000);
-    for number in 0..2 * per_second {
-        placement.sighted(&near.sighting(), at(60_000 + number * 1_000 / per_second));
+/// The others have so many calls under way on the near server, and many more behind them.
+fn others_send(placement: &mut Placement, under_way: usize) -> Choice {
+    let near = choose(placement, 0);
+    for number in 0..100 {
+        placement.sighted(&near.sighting(), at(number));
+        placement.heard_end(&near.instance);
     }
+    (0..under_way).for_each(|_| placement.sighted(&near.sighting(), at(1_000)));
     near
 }
 
 #[test]
 fn a_server_that_the_others_crowd_is_left_for_one_in_another_zone() {
     let mut placement = near_and_far();
-    let near = others_send(&mut placement, 90);
-    assert_ne!(choose(&placement, 62_000).instance, near.instance, "5.4 of 6 slots are taken");
+    let near = others_send(&mut placement, 6);
+    assert_ne!(choose(&placement, 1_050).instance, near.instance);
+}
+
+#[test]
+fn a_server_on_which_calls_have_ended_is_kept_to() {
+    let mut placement = near_and_far();
+    let near = others_send(&mut placement, 1);
+    assert_eq!(choose(&placement, 1_050).instance, near.instance);
+}
+
+/// Its router was killed, or its word was lost.
+#[test]
+fn a_call_whose_end_nobody_tells_of_is_forgotten() {
+    let mut placement = near_and_far();
+    let near = others_send(&mut placement, 6);
+    assert_ne!(choose(&placement, 10_900).instance, near.instance);
+    assert_eq!(choose(&placement, 11_000).instance, near.instance);
 }
 
-/// What calls take is learnt from a few of them: a router makes one a second.
 #[test]
-fn a_server_with_room_is_kept_to() {
+fn an_own_call_counts_until_it_ends() {
     let mut placement = near_and_far();
-    let near = others_send(&mut placement, 15);
-    assert_eq!(choose(&placement, 62_000).instance, near.instance, "0.9 of 6 slots are taken");
+    let near = choose(&placement, 0);
+    let tickets: Vec<_> = (0..6).map(|_| placement.begin(&near, false, at(0))).collect();
+    assert_ne!(choose(&placement, 50).instance, near.instance);
+    tickets.into_iter().for_each(|ticket| placement.end(ticket, Outcome::Answered, at(60)));
+    assert_eq!(choose(&placement, 70).instance, near.instance);
 }
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -54,12 +54,15 @@
     /// Servers that it can't reach, and those that it can reach again.
     #[n(1)]
     pub reachability: Vec<Reachability>,
+    /// Servers on which a request has ended that it had told of, once for each request.
+    #[n(2)]
+    pub ended: Vec<InstanceId>,
 }
 
 impl RouterNews {
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.sightings.is_empty() && self.reachability.is_empty()
+        self.sightings.is_empty() && self.reachability.is_empty() && self.ended.is_empty()
     }
 }
 
