--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -116,7 +116,8 @@
                 let payload = encode(&Message::RelayedNews(from_routers.clone()));
                 other_replicas(view).for_each(|node| peers.send_encoded(node, payload.clone()));
             }
-            let all = [from_routers, from_replicas].concat();
+            let mut all = from_routers;
+            all.extend(from_replicas);
             self.metrics.relayed.inc_by(all.len() as u64);
             // Nobody may listen at the moment.
             let _ = self.frames.send(Arc::new(encode(&Message::RelayedNews(all))));
--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -9,8 +9,7 @@
 use juniper_registry::HeardInstance;
 use juniper_types::{NodeId, Timestamp, ZoneName};
 use kameo::Actor;
-use kameo::actor::{ActorRef, Spawn};
-use kameo::mailbox;
+use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use tokio::sync::{broadcast, mpsc, watch};
 use tokio::task::AbortHandle;
@@ -18,21 +17,12 @@
 
 use crate::fold::{FleetFold, FoldOutcome};
 use crate::link::{self, LinkCommand, LinkParts};
+use crate::relay::relay_among;
 use crate::view::FleetView;
 
-/// Events that wait for the actor; links wait beyond that.
-const MAILBOX_CAPACITY: usize = 64;
-
 /// Pace at which a configuration that didn't come is asked for again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Routers that are assumed until a replica has told their number. More is the
-/// safe side: each keeps to a smaller part of what they share.
-const UNKNOWN_ROUTERS: u32 = 32;
-
-/// Batches of news that wait for whoever listens; older ones are lost.
-const WAITING_NEWS: usize = 64;
-
 /// What several routers told.
 pub type RelayedBatch = Arc<Vec<RelayedNews>>;
 
@@ -90,17 +80,17 @@
 
 /// What the actor publishes.
 pub(crate) struct Published {
-    view: watch::Sender<Arc<FleetView>>,
-    confirmed_at: watch::Sender<Option<Instant>>,
-    routers: watch::Sender<u32>,
-    news: broadcast::Sender<RelayedBatch>,
+    pub(crate) view: watch::Sender<Arc<FleetView>>,
+    pub(crate) confirmed_at: watch::Sender<Option<Instant>>,
+    pub(crate) routers: watch::Sender<u32>,
+    pub(crate) news: broadcast::Sender<RelayedBatch>,
 }
 
 /// What the actor starts with.
 pub(crate) struct FeedArguments {
-    settings: FeedSettings,
-    started: Instant,
-    published: Published,
+    pub(crate) settings: FeedSettings,
+    pub(crate) started: Instant,
+    pub(crate) published: Published,
 }
 
 impl Actor for FeedActor {
@@ -204,7 +194,7 @@
 }
 
 /// Tell the other routers.
-struct TellRouters(RouterNews);
+pub(crate) struct TellRouters(pub(crate) RouterNews);
 
 impl Message<TellRouters> for FeedActor {
     type Reply = ();
@@ -217,7 +207,7 @@
 }
 
 /// Other seeds stand in the settings now.
-struct SetSeeds(Vec<NodeId>);
+pub(crate) struct SetSeeds(pub(crate) Vec<NodeId>);
 
 impl Message<SetSeeds> for FeedActor {
     type Reply = ();
@@ -240,15 +230,12 @@
         }
     }
 
-    /// Chooses the replica that this router tells and listens to: one of its own zone, if it
-    /// follows one, so that what routers tell each other crosses to each zone once.
+    /// Chooses anew the replica that this router tells and listens to.
     fn choose_relay(&mut self) {
         if self.settings.own.role != PeerRole::Router {
             return;
         }
-        let own_zone = &self.settings.own.zone;
-        let near = self.zones.iter().find(|(_, zone)| *zone == own_zone);
-        let relay = near.or_else(|| self.zones.iter().next()).map(|(node, _)| *node);
+        let relay = relay_among(&self.zones, &self.settings.own.zone);
         if relay == self.relay {
             return;
         }
@@ -346,81 +333,3 @@
         Link { commands, task: tokio::spawn(link::run(parts)).abort_handle() }
     }
 }
-
-/// A running feed.
-#[derive(Clone)]
-pub struct Feed {
-    actor: ActorRef<FeedActor>,
-    started: Instant,
-    view: watch::Receiver<Arc<FleetView>>,
-    confirmed_at: watch::Receiver<Option<Instant>>,
-    routers: watch::Receiver<u32>,
-    news: broadcast::Sender<RelayedBatch>,
-}
-
-impl Feed {
-    /// Starts to follow the replicas.
-    pub fn start(settings: FeedSettings) -> Self {
-        let started = Instant::now();
-        let (view_sender, view) = watch::channel(Arc::default());
-        let (confirmed_sender, confirmed_at) = watch::channel(None);
-        let news = broadcast::Sender::new(WAITING_NEWS);
-        let (routers_sender, routers) = watch::channel(UNKNOWN_ROUTERS);
-        let published = Published {
-            view: view_sender,
-            confirmed_at: confirmed_sender,
-            routers: routers_sender,
-            news: news.clone(),
-        };
-        let arguments = FeedArguments { settings, started, published };
-        let actor = FeedActor::spawn_with_mailbox(arguments, mailbox::bounded(MAILBOX_CAPACITY));
-        Feed { actor, started, view, confirmed_at, routers, news }
-    }
-
-    /// What the node knows of the fleet.
-    pub fn view(&self) -> watch::Receiver<Arc<FleetView>> {
-        self.view.clone()
-    }
-
-    /// The latest view.
-    pub fn latest(&self) -> Arc<FleetView> {
-        Arc::clone(&self.view.borrow())
-    }
-
-    /// Time since a quorum confirmed that the view was complete, if ever.
-    pub fn age(&self) -> Option<Duration> {
-        self.confirmed_at.borrow().map(|at| at.elapsed())
-    }
-
-    /// Tells of confirmations.
-    pub fn confirmations(&self) -> watch::Receiver<Option<Instant>> {
-        self.confirmed_at.clone()
-    }
-
-    /// Routers that follow the replicas.
-    pub fn routers(&self) -> u32 {
-        *self.routers.borrow()
-    }
-
-    /// The origin of the times in the view.
-    pub fn started(&self) -> Instant {
-        self.started
-    }
-
-    /// What other routers tell.
-    pub fn news(&self) -> broadcast::Receiver<RelayedBatch> {
-        self.news.subscribe()
-    }
-
-    /// Tells the other routers.
-    pub async fn tell(&self, news: RouterNews) {
-        // A feed that has ended reaches nobody.
-        let _ = self.actor.tell(TellRouters(news)).await;
-    }
-
-    /// Takes over the seeds of settings that have changed.
-    pub async fn set_seeds(&self, seeds: Vec<NodeId>) {
-        // A feed that has ended follows nobody.
-        let _ = self.actor.tell(SetSeeds(seeds)).await;
-    }
-}
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -7,10 +7,14 @@
 //! of one delays nothing.
 
 mod actor;
+mod feed;
 mod fold;
 mod link;
+mod relay;
 mod view;
 
-pub use actor::{Feed, FeedSettings, RelayedBatch};
+pub use actor::{FeedSettings, RelayedBatch};
+pub use feed::Feed;
 pub use fold::{FleetFold, FoldOutcome};
+pub use relay::relay_among;
 pub use view::{FleetView, WantedWeights};
