Feed: a reply to one call discards no confirmation that is under way

Cause: replies are matched to questions for confirmations by dropping all questions before the reply's call. A replica answers side by side, so the reply to Follow, or to the new ListenToRouters, could come first and discard the confirmation that a starting router waits for; it asked again after 80 ms. Test: gateway paths a_confirmation_counts_though_a_later_call_was_answered_before_it (503 before).

--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -173,14 +173,11 @@
         }
     }
 
-    /// When the question that `call` answers was asked.
+    /// When the question that `call` answers was asked. Replies come in any order: one to another
+    /// call says nothing of the questions before it.
     fn asked(&mut self, call: u64) -> Option<Instant> {
-        while let Some((number, asked)) = self.confirms.pop_front() {
-            if number == call {
-                return Some(asked);
-            }
-        }
-        None
+        let place = self.confirms.iter().position(|(number, _)| *number == call)?;
+        self.confirms.drain(..=place).next_back().map(|(_, asked)| asked)
     }
 
     /// What a message of the replica means for the feed, if anything.
--- a/crates/gateway/tests/paths/starting.rs
+++ b/crates/gateway/tests/paths/starting.rs
@@ -5,6 +5,7 @@
 
 use crate::support::TestGateway;
 use crate::support::caller::{ask, get, request};
+use crate::support::control::FakeControl;
 use crate::support::server::good;
 
 /// Time until the replica confirms or hears; far below a third of the callers' 3 s.
@@ -56,6 +57,15 @@
     assert_eq!(answer.status, 200);
 }
 
+/// A replica answers calls side by side, so the answer to a later one may come first.
+#[tokio::test]
+async fn a_confirmation_counts_though_a_later_call_was_answered_before_it() {
+    let server = good("a").await;
+    let gateway = TestGateway::start_with(&[&server], FakeControl::confirm_once_late).await;
+    let answer = get(gateway.callers, "/once/x", "r1").await;
+    assert_eq!(answer.status, 200);
+}
+
 /// Bodies that wait take memory, so too large a one is refused, but not for good.
 #[tokio::test]
 async fn a_large_body_does_not_wait_for_the_start() {
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -23,6 +23,8 @@
     catalog: Catalog,
     reports: Mutex<Vec<InstanceReport>>,
     confirms: AtomicBool,
+    /// It answers one question for a confirmation only, behind the answer to another call.
+    confirms_once_late: AtomicBool,
     /// Tells connections that servers were heard.
     heard: broadcast::Sender<()>,
     /// What the gateway has told the other routers.
@@ -46,6 +48,7 @@
             catalog,
             reports: Mutex::new(reports),
             confirms: AtomicBool::new(false),
+            confirms_once_late: AtomicBool::new(false),
             heard: broadcast::Sender::new(4),
             told: Mutex::default(),
             relayed: broadcast::Sender::new(16),
@@ -64,6 +67,13 @@
         self.said.confirms.store(true, Ordering::Relaxed);
     }
 
+    /// From now on the replica answers one question for a confirmation, behind the answer to
+    /// another call.
+    pub fn confirm_once_late(&self) {
+        self.said.confirms_once_late.store(true, Ordering::Relaxed);
+        self.confirm();
+    }
+
     /// The replica hears of another server and tells so.
     pub fn hear(&self, report: InstanceReport) {
         self.said.reports.lock().expect("no panic").push(report);
@@ -118,12 +128,15 @@
             }
         }
     });
+    let mut held_back = HeldBack::default();
     let mut heard = said.heard.subscribe();
     let mut relayed = said.relayed.subscribe();
     loop {
         let to_send = tokio::select! {
             message = messages.recv() => match message {
-                Some(Message::Request { call, request }) => answers(&said, call, &request),
+                Some(Message::Request { call, request }) => {
+                    held_back.order(&said, &request, answers(&said, call, &request))
+                }
                 Some(Message::RouterNews(news)) => {
                     said.told.lock().expect("no panic").push(news);
                     continue;
@@ -172,3 +185,30 @@
     let heard = heard.map(|report| HeardInstance { report, silent: false }).collect();
     Message::Push(Push::Instances { heard, whole: true })
 }
+
+/// Answers to the first question for a confirmation and to another call, until both have come.
+#[derive(Default)]
+struct HeldBack {
+    confirmed: Vec<Message>,
+    listening: Vec<Message>,
+    is_over: bool,
+}
+
+impl HeldBack {
+    fn order(&mut self, said: &Said, request: &Request, answers: Vec<Message>) -> Vec<Message> {
+        if !said.confirms_once_late.load(Ordering::Relaxed) {
+            return answers;
+        }
+        match request {
+            Request::Confirm if self.is_over || !self.confirmed.is_empty() => return Vec::new(),
+            Request::Confirm => self.confirmed = answers,
+            Request::ListenToRouters { .. } => self.listening = answers,
+            _ => return answers,
+        }
+        self.is_over = !self.confirmed.is_empty() && !self.listening.is_empty();
+        match self.is_over {
+            true => self.listening.drain(..).chain(self.confirmed.drain(..)).collect(),
+            false => Vec::new(),
+        }
+    }
+}
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -116,8 +116,14 @@
 
     /// Starts a gateway whose replica confirms nothing yet.
     pub async fn start_unready(servers: &[&FakeServer]) -> Self {
+        Self::start_with(servers, |_| ()).await
+    }
+
+    /// Starts a gateway whose replica was told what to do before.
+    pub async fn start_with(servers: &[&FakeServer], prepare: impl FnOnce(&FakeControl)) -> Self {
         let reports = servers.iter().map(|server| server.report()).collect();
         let control = FakeControl::start(catalog(), reports).await;
+        prepare(&control);
         let feed = Feed::start(FeedSettings {
             key: ClusterKey::from_text(KEY).expect("long enough"),
             own: identity(PeerRole::Router, 77),
