--- a/crates/control/src/instances.rs
+++ b/crates/control/src/instances.rs
@@ -130,7 +130,7 @@
     }
 
     /// Publishes what has changed, for ever: the first change at once, what follows it within
-    /// [`PUBLISH_INTERVAL`] together.
+    /// `PUBLISH_INTERVAL` together.
     pub async fn keep_publishing(&self) {
         loop {
             self.wake.notified().await;
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -3,7 +3,7 @@
 //! A router tells the replica that it listens to; that replica tells the other replicas once,
 //! and each of them its own listeners. So what one router says crosses to each zone once,
 //! whatever the number of routers there, and a replica's work grows with its own listeners.
-//! What comes within [`GATHER_TIME`] travels in one message that is encoded once for all
+//! What comes within `GATHER_TIME` travels in one message that is encoded once for all
 //! listeners, so that neither wakes up for each prompt.
 //!
 //! Nothing here is repeated: what is lost costs a read of a prompt, or an attempt to reach a
