Limits of tenants over all routers, kept by the replica that owns the tenant

Change: crate limits (the bucket and shares that were in routing::admission, the owner's accounts, a router's own part without an owner, the order of owners); charges over the links to the replicas; 429 with a Retry-After from the refill; rate, burst, unit and plain tokens in the catalog.

--- a/crates/catalog/src/fault.rs
+++ b/crates/catalog/src/fault.rs
@@ -5,7 +5,7 @@
 use crate::model::{Catalog, Route};
 
 /// Why a configuration is invalid.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum CatalogFault {
     /// A route names a service that the configuration doesn't hold.
     #[error("route {route} names the unknown service {service:?}")]
@@ -43,6 +43,16 @@
         /// The later one.
         second: String,
     },
+    /// A limit is no number of units, or below zero.
+    #[error("the {field} of tenant {tenant} is {value}, which is no amount")]
+    Limit {
+        /// The tenant.
+        tenant: String,
+        /// Which part of the limit.
+        field: &'static str,
+        /// What was stated.
+        value: f64,
+    },
     /// Two services have the same name.
     #[error("service {service} stands twice")]
     SameService {
@@ -58,6 +68,7 @@
         faults.extend(self.route_faults());
         faults.extend(self.place_faults());
         faults.extend(self.key_faults());
+        faults.extend(self.limit_faults());
         faults
     }
 
@@ -87,6 +98,19 @@
         faults
     }
 
+    fn limit_faults(&self) -> Vec<CatalogFault> {
+        let mut faults = Vec::new();
+        for tenant in &self.tenants {
+            let Some(limit) = &tenant.limit else { continue };
+            for (field, value) in [("rate", limit.per_second), ("burst", limit.burst)] {
+                if !value.is_finite() || value < 0.0 {
+                    faults.push(CatalogFault::Limit { tenant: tenant.name.clone(), field, value });
+                }
+            }
+        }
+        faults
+    }
+
     fn key_faults(&self) -> Vec<CatalogFault> {
         let mut holders: HashMap<&str, &str> = HashMap::new();
         let mut faults = Vec::new();
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -15,7 +15,7 @@
 pub use index::{CatalogIndex, KeyAccess};
 pub use model::address;
 pub use model::{
-    Catalog, EngineProfile, RequestLimits, Route, RouteKind, Service, SplitPart, StoreProfile,
-    Tenant,
+    Catalog, EngineProfile, LimitUnit, RequestLimits, Route, RouteKind, Service, SplitPart,
+    StoreProfile, Tenant, TenantLimit,
 };
 pub use split::WeightedSplit;
--- a/crates/catalog/src/model.rs
+++ b/crates/catalog/src/model.rs
@@ -209,6 +209,49 @@
     /// Whether its cache entries are shared with no other tenant.
     #[n(3)]
     pub isolated: bool,
+    /// What its requests may cost over all routers together; `None` for no limit.
+    #[n(4)]
+    pub limit: Option<TenantLimit>,
+}
+
+/// What the requests of a tenant may cost over all routers together.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+pub struct TenantLimit {
+    /// Units a second.
+    #[n(0)]
+    pub per_second: f64,
+    /// Units that may come at once beyond the rate.
+    #[n(1)]
+    pub burst: f64,
+    /// What is counted.
+    #[n(2)]
+    pub unit: LimitUnit,
+}
+
+/// What a limit counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum LimitUnit {
+    /// Requests.
+    #[n(0)]
+    Requests,
+    /// Tokens of the prompt and the most that are generated.
+    #[n(1)]
+    Tokens {
+        /// Tokens that a request without a prompt counts as.
+        #[n(0)]
+        plain: u32,
+    },
+}
+
+impl TenantLimit {
+    /// Units that a request costs. `tokens` are those of its prompt and its answer, if it
+    /// states them.
+    pub fn cost(&self, tokens: Option<u64>) -> f64 {
+        match self.unit {
+            LimitUnit::Requests => 1.0,
+            LimitUnit::Tokens { plain } => tokens.unwrap_or(u64::from(plain)) as f64,
+        }
+    }
 }
 
 /// Codec of IPv4 socket addresses: six bytes.
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use juniper_catalog::{
-    Catalog, CatalogFault, CatalogIndex, KeyAccess, RequestLimits, Route, RouteKind, Service,
-    SplitPart, Tenant, WeightedSplit,
+    Catalog, CatalogFault, CatalogIndex, KeyAccess, LimitUnit, RequestLimits, Route, RouteKind,
+    Service, SplitPart, Tenant, TenantLimit, WeightedSplit,
 };
 use quickcheck::quickcheck;
 
@@ -32,7 +32,7 @@
 
 fn tenant(name: &str, keys: &[&str]) -> Tenant {
     let keys = keys.iter().map(|key| (*key).to_owned()).collect();
-    Tenant { name: name.to_owned(), keys, priority: None, isolated: false }
+    Tenant { name: name.to_owned(), keys, priority: None, isolated: false, limit: None }
 }
 
 fn catalog() -> Catalog {
@@ -52,6 +52,25 @@
     }
 }
 
+#[test]
+fn limits_that_are_no_amounts_are_faults() {
+    for (per_second, burst) in [(-1.0, 0.0), (f64::NAN, 0.0), (1.0, f64::INFINITY)] {
+        let mut catalog = catalog();
+        let unit = LimitUnit::Requests;
+        catalog.tenants[1].limit = Some(TenantLimit { per_second, burst, unit });
+        assert!(matches!(catalog.faults()[..], [CatalogFault::Limit { .. }]));
+    }
+}
+
+/// Configurations that were stored before limits were known have none.
+#[test]
+fn tenants_stored_without_a_limit_are_read() {
+    // A tenant of four fields, as an earlier version encoded it.
+    let stored = minicbor::to_vec(("one", ["k1"], None::<u8>, true)).expect("encodes");
+    let read: Tenant = minicbor::decode(&stored).expect("decodes");
+    assert_eq!((read.isolated, read.limit), (true, None));
+}
+
 #[test]
 fn a_valid_configuration_has_no_faults() {
     assert_eq!(catalog().faults(), []);
--- a/crates/control/src/internal/calls.rs
+++ b/crates/control/src/internal/calls.rs
@@ -1,11 +1,13 @@
 //! Answers to the calls of other daemons.
 
 use juniper_control_state::{Answer, Command, MAX_COMMAND_BYTES, to_bytes};
+use juniper_protocol::message::LimitCharge;
 use juniper_protocol::{PeerRole, Refusal, Reply, Request};
 
 use super::session::Peer;
 use super::{InternalFace, follower};
 use crate::clock::unix_seconds;
+use crate::limits::MAX_CONFIRMATION_AGE;
 
 /// When a router should come back that finds the claim table full, in milliseconds.
 const CLAIMS_FULL_RETRY_MS: u64 = 5_000;
@@ -32,17 +34,34 @@
         Request::Propose { command } if peer.identity.role == PeerRole::Control => {
             forwarded(face, command).await
         }
+        Request::Charge(charge) if peer.identity.role == PeerRole::Router => charged(face, &charge),
+        Request::GiveBack { tenant, units } if peer.identity.role == PeerRole::Router => {
+            face.limits.give_back(&tenant, units);
+            Reply::Done
+        }
         Request::Catalog { above } => follower::catalog(face, above),
         Request::Confirm => follower::confirmed(face),
         Request::Follow
         | Request::ListenToRouters { .. }
         | Request::Subscribe { .. }
+        | Request::Charge(_)
+        | Request::GiveBack { .. }
         | Request::Lookup { .. }
         | Request::Share { .. }
         | Request::Propose { .. } => Reply::Refused(Refusal::NotAllowed),
     }
 }
 
+/// Counts a request, unless this replica may be cut off from those that own limits now.
+fn charged(face: &InternalFace, charge: &LimitCharge) -> Reply {
+    let confirmed_at = *face.view.confirmed_at.borrow();
+    let is_owner = confirmed_at.is_some_and(|at| at.elapsed() <= MAX_CONFIRMATION_AGE);
+    match is_owner {
+        true => Reply::Charged(face.limits.charge(charge)),
+        false => Reply::Refused(Refusal::NoQuorum),
+    }
+}
+
 async fn confirmed_revision(face: &InternalFace) -> Reply {
     let read = |state: &juniper_control_state::ControlState| state.settings().revision();
     match face.replica.query(true, read).await {
--- a/crates/control/src/internal/mod.rs
+++ b/crates/control/src/internal/mod.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Semaphore;
 
 use crate::instances::InstanceBoard;
+use crate::limits::OwnedLimits;
 use crate::metrics::Metrics;
 use crate::relay::NewsRelay;
 use crate::replica::{ReplicaHandle, ReplicaView};
@@ -44,6 +45,8 @@
     pub board: Arc<InstanceBoard>,
     /// What routers tell each other.
     pub relay: Arc<NewsRelay>,
+    /// Limits of tenants that this replica owns.
+    pub limits: OwnedLimits,
     /// Counters.
     pub metrics: Arc<Metrics>,
     /// Routers that follow this replica.
@@ -72,6 +75,7 @@
             reports,
             board,
             relay,
+            limits: OwnedLimits::default(),
             metrics,
             following_routers: Arc::default(),
             snapshots: Arc::new(Semaphore::new(MAX_SNAPSHOTS_AT_ONCE)),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod forward;
 pub mod instances;
 pub mod internal;
+pub mod limits;
 pub mod metrics;
 pub mod operator;
 pub mod peers;
--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use juniper_limits::owners;
 use juniper_protocol::message::{CatalogBody, FleetNews, RelayedNews, RenewalNews, RouterNews};
 use juniper_protocol::{ClusterKey, PeerIdentity, PeerRole};
 use juniper_registry::HeardInstance;
@@ -15,6 +16,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
+use crate::charge::{ChargeError, PendingCharge};
 use crate::fold::{FleetFold, FoldOutcome};
 use crate::link::{self, LinkCommand, LinkParts};
 use crate::relay::relay_among;
@@ -206,6 +208,44 @@
     }
 }
 
+/// Have a request counted by the connected replica that comes at `rank` for its tenant.
+pub(crate) struct ChargeLimit {
+    pub(crate) pending: PendingCharge,
+    pub(crate) rank: usize,
+}
+
+impl Message<ChargeLimit> for FeedActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: ChargeLimit, _context: &mut Context<Self, ()>) {
+        let ChargeLimit { pending, rank } = message;
+        match self.owner(&pending.charge.tenant, rank) {
+            Some(owner) => self.command(owner, LinkCommand::Charge(pending)),
+            None => {
+                // The request may have been given up.
+                let _ = pending.answer.send(Err(ChargeError::NoReplica));
+            }
+        }
+    }
+}
+
+/// Tell the owner of a tenant's limit that no server has run what was counted.
+pub(crate) struct GiveBack {
+    pub(crate) tenant: String,
+    pub(crate) units: f64,
+}
+
+impl Message<GiveBack> for FeedActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: GiveBack, _context: &mut Context<Self, ()>) {
+        let GiveBack { tenant, units } = message;
+        if let Some(owner) = self.owner(&tenant, 0) {
+            self.command(owner, LinkCommand::GiveBack { tenant, units });
+        }
+    }
+}
+
 /// Other seeds stand in the settings now.
 pub(crate) struct SetSeeds(pub(crate) Vec<NodeId>);
 
@@ -230,6 +270,12 @@
         }
     }
 
+    /// The connected replica that comes at `rank` in the order in which replicas own the limit of
+    /// `tenant`.
+    fn owner(&self, tenant: &str, rank: usize) -> Option<NodeId> {
+        owners(self.zones.keys().copied(), tenant).get(rank).copied()
+    }
+
     /// Chooses anew the replica that this router tells and listens to.
     fn choose_relay(&mut self) {
         if self.settings.own.role != PeerRole::Router {
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -3,16 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_protocol::message::RouterNews;
+use juniper_protocol::message::{ChargeAnswer, LimitCharge, RouterNews};
 use juniper_types::NodeId;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
-use tokio::sync::{broadcast, watch};
+use tokio::sync::{broadcast, oneshot, watch};
 use tokio::time::Instant;
 
 use crate::actor::{
-    FeedActor, FeedArguments, FeedSettings, Published, RelayedBatch, SetSeeds, TellRouters,
+    ChargeLimit, FeedActor, FeedArguments, FeedSettings, GiveBack, Published, RelayedBatch,
+    SetSeeds, TellRouters,
 };
+use crate::charge::{ChargeError, PendingCharge};
 use crate::view::FleetView;
 
 /// Events that wait for the actor; links wait beyond that.
@@ -96,6 +98,30 @@
         let _ = self.actor.tell(TellRouters(news)).await;
     }
 
+    /// Has a request counted by the replica that owns its tenant's limit: the connected one that
+    /// comes at `rank` in the tenant's order. The caller bounds the wait.
+    ///
+    /// # Errors
+    /// Fails when there is no such replica, or it doesn't answer.
+    pub async fn charge(
+        &self,
+        charge: LimitCharge,
+        rank: usize,
+    ) -> Result<ChargeAnswer, ChargeError> {
+        let (answer, answered) = oneshot::channel();
+        let message = ChargeLimit { pending: PendingCharge { charge, answer }, rank };
+        // A feed that has ended drops the sender, which the wait below notices.
+        let _ = self.actor.tell(message).await;
+        answered.await.unwrap_or(Err(ChargeError::Disconnected))
+    }
+
+    /// Tells the owner of the tenant's limit that no server has run what was counted. If it
+    /// can't be told, the tenant's next requests are admitted a little later.
+    pub async fn give_back(&self, tenant: String, units: f64) {
+        // A feed that has ended reaches nobody.
+        let _ = self.actor.tell(GiveBack { tenant, units }).await;
+    }
+
     /// Takes over the seeds of settings that have changed.
     pub async fn set_seeds(&self, seeds: Vec<NodeId>) {
         // A feed that has ended follows nobody.
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -7,6 +7,7 @@
 //! of one delays nothing.
 
 mod actor;
+mod charge;
 mod feed;
 mod fold;
 mod link;
@@ -14,6 +15,7 @@
 mod view;
 
 pub use actor::{FeedSettings, RelayedBatch};
+pub use charge::ChargeError;
 pub use feed::Feed;
 pub use fold::{FleetFold, FoldOutcome};
 pub use relay::relay_among;
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -1,6 +1,6 @@
 //! The connection to one control replica.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::convert::Infallible;
 use std::time::Duration;
 
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
 use crate::actor::{FeedActor, LinkEvent, ReplicaEvent};
+use crate::charge::{ChargeSender, PendingCharge, read_reply};
 
 /// Time within which a connection must stand.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -79,6 +80,10 @@
     Tell(RouterNews),
     /// Listen to what other routers tell through this replica, or no longer.
     Listen(bool),
+    /// Count a request against its tenant's limit.
+    Charge(PendingCharge),
+    /// No server has run what was counted.
+    GiveBack { tenant: String, units: f64 },
 }
 
 /// Follows the replica until the feed ends.
@@ -129,11 +134,13 @@
     last_call: u64,
     /// Questions for a confirmation that aren't answered, with the time of each.
     confirms: VecDeque<(u64, Instant)>,
+    /// Charges that aren't answered, by the number of the call.
+    charges: HashMap<u64, ChargeSender>,
 }
 
 impl Session {
     fn new(writer: FrameWriter) -> Self {
-        Session { writer, last_call: 0, confirms: VecDeque::new() }
+        Session { writer, last_call: 0, confirms: VecDeque::new(), charges: HashMap::new() }
     }
 
     async fn write(&mut self, message: &Message) -> Result<(), LinkEnd> {
@@ -169,6 +176,15 @@
             LinkCommand::Listen(wanted) => {
                 self.call(Request::ListenToRouters { wanted }).await.map(|_| ())
             }
+            LinkCommand::Charge(PendingCharge { charge, answer }) => {
+                self.charges.retain(|_, waiting| !waiting.is_closed());
+                let call = self.call(Request::Charge(charge)).await?;
+                self.charges.insert(call, answer);
+                Ok(())
+            }
+            LinkCommand::GiveBack { tenant, units } => {
+                self.call(Request::GiveBack { tenant, units }).await.map(|_| ())
+            }
             LinkCommand::Fetch(above) => self.call(Request::Catalog { above }).await.map(|_| ()),
         }
     }
@@ -191,6 +207,11 @@
             Message::RelayedNews(told) => Some(LinkEvent::Told(told)),
             Message::Reply { reply: Reply::Catalog(body), .. } => Some(LinkEvent::Catalog(body)),
             Message::Reply { call, reply } => {
+                if let Some(answer) = self.charges.remove(&call) {
+                    // The request may have been given up.
+                    let _ = answer.send(read_reply(reply));
+                    return None;
+                }
                 let asked = self.asked(call)?;
                 let Reply::Confirmed { age_ms, revision, routers } = reply else { return None };
                 let at = asked.checked_sub(Duration::from_millis(age_ms)).unwrap_or(asked);
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -33,6 +33,8 @@
     NoServer(Duration),
     /// The servers are full. It has not run; it may come back after the pause.
     Full(Duration),
+    /// The tenant's limit is reached. It has not run; it may come back after the pause.
+    OverLimit(Duration),
     /// No time was left to send it. It has not run.
     TooLate,
     /// The server failed; the request may have run.
@@ -48,6 +50,7 @@
             OwnAnswer::UnknownKey => StatusCode::UNAUTHORIZED,
             OwnAnswer::NoRoute => StatusCode::NOT_FOUND,
             OwnAnswer::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            OwnAnswer::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
             OwnAnswer::Starting
             | OwnAnswer::Unconfirmed
             | OwnAnswer::NoServer(_)
@@ -69,6 +72,7 @@
             OwnAnswer::Unconfirmed => "unconfirmed",
             OwnAnswer::NoServer(_) => "no_server",
             OwnAnswer::Full(_) => "full",
+            OwnAnswer::OverLimit(_) => "over_limit",
             OwnAnswer::TooLate => "too_late",
             OwnAnswer::ServerFailed => "server_failed",
             OwnAnswer::DeadlinePassed => "deadline_passed",
@@ -79,7 +83,9 @@
         match self {
             OwnAnswer::Starting => Some(START_PAUSE),
             OwnAnswer::Unconfirmed => Some(UNCONFIRMED_PAUSE),
-            OwnAnswer::NoServer(pause) | OwnAnswer::Full(pause) => Some(pause),
+            OwnAnswer::NoServer(pause) | OwnAnswer::Full(pause) | OwnAnswer::OverLimit(pause) => {
+                Some(pause)
+            }
             _ => None,
         }
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -19,6 +19,7 @@
 use crate::dialect::CallFacts;
 use crate::finish::own_answer;
 use crate::gateway::Gateway;
+use crate::limits::Charged;
 use crate::relay;
 use crate::retry::{Progress, RetryQuestion};
 use crate::search::ServerSearch;
@@ -54,6 +55,8 @@
     pub route: Route,
     pub service: String,
     pub tenant: Option<String>,
+    /// What was counted against the tenant's limit.
+    pub charged: Option<Charged>,
     pub priority: u8,
     /// Names the callers among whom cached parts are shared.
     pub sharing: String,
@@ -77,6 +80,12 @@
         Duration::from_millis(self.route.objective_ms)
     }
 
+    /// Units that a limit counts for it: the tokens of the prompt and the most generated.
+    fn tokens(facts: &CallFacts) -> Option<u64> {
+        let prompt = facts.prompt.as_ref()?;
+        Some(u64::from(prompt.tokens) + u64::from(prompt.output_tokens))
+    }
+
     /// Silence of a server after which it has probably lost the request.
     pub(crate) fn unusual_silence(&self) -> Duration {
         let factor = match self.has_prompt() {
@@ -189,11 +198,20 @@
     let mut headers = head.headers;
     strip_hop_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
+    let charged = match tenant {
+        Some(tenant) => {
+            let shown = facts.id.to_str().unwrap_or("-");
+            let (version, tokens) = (index.catalog().version, Call::tokens(&facts));
+            gateway.charge(shown, tenant, version, tokens).await?
+        }
+        None => None,
+    };
     let service = gateway.pick_service(route).ok_or(OwnAnswer::NoServer(NO_SERVER_PAUSE))?;
     Ok(Some(Call {
         facts,
         service,
         tenant: tenant.map(|tenant| tenant.name.clone()),
+        charged,
         priority: tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority),
         sharing: isolated.map_or_else(|| SHARED.to_owned(), |tenant| format!("t-{}", tenant.name)),
         method: head.method,
--- a/crates/gateway/src/finish.rs
+++ b/crates/gateway/src/finish.rs
@@ -29,6 +29,9 @@
         progress.unreachable,
         call.arrived.elapsed().as_millis()
     );
+    if let Some(charged) = call.charged.as_ref().filter(|_| progress.may_have_run == 0) {
+        gateway.give_back(charged);
+    }
     gateway.metrics.own_answer(Some(call.route.kind), own);
     own.response(&*gateway.dialect, Some(&call.facts.id))
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 
 use crate::dialect::Dialect;
 use crate::life::Stop;
+use crate::limits::Limits;
 use crate::lock::lock;
 use crate::metrics::Metrics;
 use crate::news::NewsQueue;
@@ -54,6 +55,8 @@
     pub news: NewsQueue,
     /// Requests that wait for the first confirmation.
     pub starting: StartQueue,
+    /// Limits of tenants.
+    pub limits: Limits,
     /// Counts the views of the fleet that the placement has taken over.
     pub views_taken: watch::Sender<u64>,
     placement: Mutex<Placement>,
@@ -75,6 +78,7 @@
             splits: Mutex::default(),
             news: NewsQueue::default(),
             starting: StartQueue::default(),
+            limits: Limits::default(),
             pool: Pool::default(),
             views_taken: watch::Sender::new(0),
             settings,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //!   answer, `search` looks for a server, `attempt` is one sending to one server.
 //! - `relay` passes whole answers on, `stream` streams; `finish` logs how requests end.
 //! - `pool` holds connections to servers, `probe` finds out when lost ones are back.
+//! - `limits` counts requests against the limits of their tenants.
 //! - `starting` has requests wait that come before the gateway can serve.
 //! - `news` tells other routers where prompts were sent and which servers are down.
 //! - `life` starts, drains and stops the whole.
@@ -23,6 +24,7 @@
 mod finish;
 mod gateway;
 mod life;
+mod limits;
 mod lock;
 mod metrics;
 mod news;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and latencies of a gateway, in Prometheus text form.
 
+use std::collections::BTreeSet;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use hyper::StatusCode;
@@ -11,10 +13,19 @@
 
 use crate::answer::OwnAnswer;
 use crate::attempt::AttemptError;
+use crate::limits::DecidedBy;
+use crate::lock::lock;
 
 /// Upper bounds of times, in seconds.
 const TIME_BUCKETS: [f64; 11] = [0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 10.0];
 
+/// Tenants with counters of their own; the others are counted together. A few of thousands
+/// reach their limits at a time.
+const MAX_COUNTED_TENANTS: usize = 32;
+
+/// What tenants without a counter of their own are shown as.
+const OTHER_TENANTS: &str = "(others)";
+
 /// The counters.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -22,6 +33,10 @@
     requests: IntCounterVec,
     /// Sendings that came to nothing, by reason.
     attempts_failed: IntCounterVec,
+    /// Requests beyond their tenant's limit, by tenant and by who decided.
+    over_limit: IntCounterVec,
+    /// Tenants that have a counter of their own.
+    limited_tenants: Mutex<BTreeSet<String>>,
     /// Repeats that the budget didn't allow.
     pub budget_spent: IntCounter,
     /// Sightings that the other routers weren't told of.
@@ -98,6 +113,12 @@
                 "Sendings that came to nothing, by reason.",
                 &["reason"],
             )?,
+            over_limit: counters(
+                "over_limit_total",
+                "Requests beyond their tenant's limit, by tenant and by who decided.",
+                &["tenant", "decided_by"],
+            )?,
+            limited_tenants: Mutex::default(),
             sightings_left_out: counter(
                 "sightings_left_out_total",
                 "Prompts that the other routers weren't told of.",
@@ -129,6 +150,16 @@
         self.requests.with_label_values(&[kind, "own_answer", own.reason()]).inc();
     }
 
+    /// A request lay beyond its tenant's limit.
+    pub(crate) fn over_limit(&self, tenant: &str, by: DecidedBy) {
+        let mut known = lock(&self.limited_tenants);
+        if known.len() < MAX_COUNTED_TENANTS && !known.contains(tenant) {
+            known.insert(tenant.to_owned());
+        }
+        let shown = if known.contains(tenant) { tenant } else { OTHER_TENANTS };
+        self.over_limit.with_label_values(&[shown, by.as_str()]).inc();
+    }
+
     /// The caller left before any server had answered.
     pub(crate) fn left_unanswered(&self, kind: RouteKind) {
         self.requests.with_label_values(&[kind_text(kind), "caller_left", "no_answer"]).inc();
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -60,6 +60,11 @@
             };
             self.log_choice(&choice);
             let (gateway, call) = (self.gateway, self.call);
+            if self.progress.may_have_run > 0
+                && let Some(charged) = &call.charged
+            {
+                gateway.charge_again(charged).await;
+            }
             let unanswered = Unanswered::by(gateway, call, &choice.instance, self.progress);
             let sent = send(gateway, call, &choice, last_event, self.give_up_at()).await;
             unanswered.end();
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answers;
+mod limits;
 mod reachability;
 mod starting;
 mod support;
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -5,7 +5,9 @@
 use std::sync::{Arc, Mutex};
 
 use juniper_catalog::Catalog;
-use juniper_protocol::message::{CatalogBody, FleetNews, Reachability, RelayedNews, RouterNews};
+use juniper_protocol::message::{
+    CatalogBody, ChargeAnswer, FleetNews, LimitCharge, Reachability, RelayedNews, RouterNews,
+};
 use juniper_protocol::{
     ClusterKey, Connection, Message, PeerRole, Push, Refusal, Reply, Request, accept,
 };
@@ -27,12 +29,27 @@
     confirms_once_late: AtomicBool,
     /// Tells connections that servers were heard.
     heard: broadcast::Sender<()>,
+    /// What it does with charges.
+    charging: Mutex<Charging>,
+    /// Charges that came.
+    charges: Mutex<Vec<LimitCharge>>,
+    /// Units that were given back.
+    given_back: Mutex<Vec<f64>>,
     /// What the gateway has told the other routers.
     told: Mutex<Vec<RouterNews>>,
     /// What other routers tell the gateway.
     relayed: broadcast::Sender<RelayedNews>,
 }
 
+/// What a replica does with charges.
+#[derive(Clone, Copy, Debug)]
+pub enum Charging {
+    Admits,
+    Refuses { pause_ms: u64 },
+    OwnsNothing,
+    IsSilent,
+}
+
 pub struct FakeControl {
     pub node: NodeId,
     said: Arc<Said>,
@@ -49,6 +66,9 @@
             reports: Mutex::new(reports),
             confirms: AtomicBool::new(false),
             confirms_once_late: AtomicBool::new(false),
+            charging: Mutex::new(Charging::Admits),
+            charges: Mutex::default(),
+            given_back: Mutex::default(),
             heard: broadcast::Sender::new(4),
             told: Mutex::default(),
             relayed: broadcast::Sender::new(16),
@@ -74,6 +94,21 @@
         self.confirm();
     }
 
+    /// From now on the replica does this with charges.
+    pub fn set_charging(&self, charging: Charging) {
+        *self.said.charging.lock().expect("no panic") = charging;
+    }
+
+    /// Charges that came.
+    pub fn charges(&self) -> Vec<LimitCharge> {
+        self.said.charges.lock().expect("no panic").clone()
+    }
+
+    /// Units that were given back.
+    pub fn given_back(&self) -> Vec<f64> {
+        self.said.given_back.lock().expect("no panic").clone()
+    }
+
     /// The replica hears of another server and tells so.
     pub fn hear(&self, report: InstanceReport) {
         self.said.reports.lock().expect("no panic").push(report);
@@ -166,10 +201,28 @@
         Request::Confirm if said.confirms.load(Ordering::Relaxed) => {
             vec![reply(Reply::Confirmed { age_ms: 0, revision: REVISION, routers: 1 })]
         }
+        Request::Charge(charge) => charged(said, charge).map(reply).into_iter().collect(),
+        Request::GiveBack { units, .. } => {
+            said.given_back.lock().expect("no panic").push(*units);
+            vec![reply(Reply::Done)]
+        }
         _ => vec![reply(Reply::Refused(Refusal::NoQuorum))],
     }
 }
 
+fn charged(said: &Said, charge: &LimitCharge) -> Option<Reply> {
+    said.charges.lock().expect("no panic").push(charge.clone());
+    let answer = |refused_for_ms| {
+        Some(Reply::Charged(ChargeAnswer { refused_for_ms, fleet_per_second: 0.0 }))
+    };
+    match *said.charging.lock().expect("no panic") {
+        Charging::Admits => answer(None),
+        Charging::Refuses { pause_ms } => answer(Some(pause_ms)),
+        Charging::OwnsNothing => Some(Reply::Refused(Refusal::NoQuorum)),
+        Charging::IsSilent => None,
+    }
+}
+
 fn news(said: &Said) -> Message {
     Message::Push(Push::Fleet(FleetNews {
         revision: REVISION,
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -8,7 +8,9 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
-use juniper_catalog::{Catalog, RequestLimits, Route, RouteKind, Service, SplitPart, Tenant};
+use juniper_catalog::{
+    Catalog, LimitUnit, RequestLimits, Route, RouteKind, Service, SplitPart, Tenant, TenantLimit,
+};
 use juniper_feed::{Feed, FeedSettings};
 use juniper_gateway::{GatewaySettings, Listeners, run};
 use juniper_placement::RetrySettings;
@@ -53,7 +55,16 @@
     }
 }
 
-/// Routes for each kind of request, one tenant, one service.
+/// The limit of the tenant that has one.
+pub const LIMIT: TenantLimit =
+    TenantLimit { per_second: 1_000.0, burst: 500.0, unit: LimitUnit::Tokens { plain: 200 } };
+
+fn tenant(name: &str, key: &str, limit: Option<TenantLimit>) -> Tenant {
+    let keys = vec![key.to_owned()];
+    Tenant { name: name.to_owned(), keys, priority: None, isolated: false, limit }
+}
+
+/// Routes for each kind of request, a tenant with a limit and one without, one service.
 pub fn catalog() -> Catalog {
     let resumable = Route { resumable: true, ..route("/resumable/", RouteKind::Stream, 2) };
     Catalog {
@@ -73,12 +84,7 @@
             store: None,
         }],
         limits: RequestLimits { body_bytes: 1_000, ..RequestLimits::default() },
-        tenants: vec![Tenant {
-            name: "tenant-1".to_owned(),
-            keys: vec!["good".to_owned()],
-            priority: None,
-            isolated: false,
-        }],
+        tenants: vec![tenant("tenant-1", "good", None), tenant("tenant-2", "limited", Some(LIMIT))],
     }
 }
 
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,26 @@
+//! Limits of tenants that hold over all routers together.
+//!
+//! - [`TokenBucket`] is the one bucket behind every rate of the product.
+//! - [`LimitOwner`] is what a control replica keeps for the tenants that it owns: one
+//!   bucket for the whole fleet, which every router charges before it sends a request.
+//! - [`owners`] orders the replicas for a tenant; the first that a router reaches and
+//!   that a quorum has lately confirmed is the tenant's owner.
+//! - [`LocalLimits`] decides on a router while it reaches no owner: each router then
+//!   keeps to its [`FleetShare`] of a part of the limit.
+//!
+//! Time and random numbers are passed in; nothing here performs I/O. Why it is done
+//! like this, and what other ways came to: `docs/design/fleet-limits.md`.
+
+mod account;
+mod bucket;
+mod local;
+mod owner;
+mod owners;
+mod share;
+
+pub use account::{ChargeRequest, RateLimit, Verdict};
+pub use bucket::TokenBucket;
+pub use local::LocalLimits;
+pub use owner::LimitOwner;
+pub use owners::owners;
+pub use share::FleetShare;
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use juniper_types::Timestamp;
-
-use crate::decay::Decaying;
+use juniper_types::{Decaying, Timestamp};
 
 /// Weight of one outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
--- a/crates/placement/src/lanes.rs
+++ b/crates/placement/src/lanes.rs
@@ -8,9 +8,7 @@
 
 use std::time::Duration;
 
-use juniper_types::Timestamp;
-
-use crate::decay::Decaying;
+use juniper_types::{Decaying, Timestamp};
 
 /// Tokens from which a prompt counts as long.
 const LONG_TOKENS: u32 = 2_000;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,7 +11,6 @@
 mod candidates;
 mod choice;
 mod cost;
-mod decay;
 mod fleet_load;
 mod health;
 mod homes;
--- a/crates/placement/src/memory.rs
+++ b/crates/placement/src/memory.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use juniper_types::Timestamp;
-
-use crate::decay::Decaying;
+use juniper_types::{Decaying, Timestamp};
 
 /// Time in which what was measured loses half of its weight.
 const HALF_LIFE: Duration = Duration::from_secs(6);
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -45,6 +45,41 @@
     pub reached: bool,
 }
 
+/// A request of a tenant that is to be counted against its limit.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct LimitCharge {
+    /// The tenant.
+    #[n(0)]
+    pub tenant: String,
+    /// Version of the configuration that the limit is from.
+    #[n(1)]
+    pub version: u64,
+    /// The limit, in units a second.
+    #[n(2)]
+    pub per_second: f64,
+    /// Units that may come at once beyond it.
+    #[n(3)]
+    pub burst: f64,
+    /// Units that the request costs.
+    #[n(4)]
+    pub units: f64,
+    /// The request runs whatever the answer is.
+    #[n(5)]
+    pub is_certain: bool,
+}
+
+/// What a charge came to.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+pub struct ChargeAnswer {
+    /// Time after which a request that is over its limit has a chance, in milliseconds; `None`
+    /// for one that is within it.
+    #[n(0)]
+    pub refused_for_ms: Option<u64>,
+    /// Units a second that the tenant was admitted of late over all routers.
+    #[n(1)]
+    pub fleet_per_second: f64,
+}
+
 /// What one router tells the others. Losing it costs work, never correctness.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct RouterNews {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -13,8 +13,8 @@
 use minicbor::{Decode, Encode};
 
 pub use crate::fleet::{
-    CatalogBody, FleetNews, KnownVersion, Reachability, RelayedNews, RenewalNews, RouterNews,
-    Sighting,
+    CatalogBody, ChargeAnswer, FleetNews, KnownVersion, LimitCharge, Reachability, RelayedNews,
+    RenewalNews, RouterNews, Sighting,
 };
 
 /// Encodes a message; encoding into memory can't fail.
@@ -183,6 +183,20 @@
         #[n(0)]
         wanted: bool,
     },
+    /// Router to control: count a request against its tenant's limit. The reply is
+    /// [`Reply::Charged`], or a refusal of a replica that no quorum has lately confirmed.
+    #[n(14)]
+    Charge(#[n(0)] LimitCharge),
+    /// Router to control: no server has run a request that was counted.
+    #[n(15)]
+    GiveBack {
+        /// The tenant.
+        #[n(0)]
+        tenant: String,
+        /// Units that were counted.
+        #[n(1)]
+        units: f64,
+    },
 }
 
 /// Answers to [`Request`]s.
@@ -252,6 +266,9 @@
         #[n(2)]
         routers: u32,
     },
+    /// What a charge came to.
+    #[n(11)]
+    Charged(#[n(0)] ChargeAnswer),
     /// News were taken in.
     #[n(8)]
     Shared {
--- a/crates/routing/src/admission/mod.rs
+++ b/crates/routing/src/admission/mod.rs
@@ -14,21 +14,19 @@
 //! time and a burst of one. Shares by demand add the requests whose demand
 //! moved within one exchange between the routers.
 
-mod bucket;
 mod fair;
 mod refusal;
-mod share;
 
 use std::collections::HashMap;
 use std::time::Duration;
 
+pub use juniper_limits::FleetShare;
+use juniper_limits::{RateLimit, TokenBucket};
 use juniper_settings::EffectiveSettings;
 use juniper_types::{ServiceName, TenantName, Timestamp};
 
-use bucket::TokenBucket;
 use fair::FairQueue;
 pub use refusal::{AdmissionRefusal, LimitKind};
-pub use share::FleetShare;
 
 /// Services without traffic for so long are forgotten; a bucket is full by then
 /// unless its rate is below one request a minute.
@@ -78,9 +76,9 @@
 }
 
 impl ServiceState {
-    fn new(now: Timestamp) -> Self {
+    fn new(rate: RateLimit, now: Timestamp) -> Self {
         ServiceState {
-            bucket: TokenBucket::full(now),
+            bucket: TokenBucket::full(rate, now),
             in_flight: 0,
             waiting_tokens: 0,
             residence_us: INITIAL_RESIDENCE.as_micros() as f64,
@@ -127,7 +125,9 @@
     ) -> Result<Ticket, AdmissionRefusal> {
         let AdmissionQuestion { tenant, service, settings, tokens } = *question;
         let key = (tenant.clone(), service.clone());
-        let state = self.services.entry(key.clone()).or_insert_with(|| ServiceState::new(now));
+        let rate = rate_of(settings, share);
+        let state =
+            self.services.entry(key.clone()).or_insert_with(|| ServiceState::new(rate, now));
         state.used_at = now;
         if state.in_flight >= share.of_count(settings.concurrency) {
             let retry_after = state.next_end();
@@ -141,9 +141,7 @@
         }
         self.queue.check(tenant, settings, tokens, now)?;
         // The rate comes last, so that a request refused otherwise uses none of it.
-        let rate = share.of_rate(settings.rate_per_second);
-        let burst = f64::from(share.of_count(settings.burst));
-        state.bucket.take(rate, burst, now).map_err(|retry_after| AdmissionRefusal {
+        state.bucket.take(1.0, rate, now).map_err(|retry_after| AdmissionRefusal {
             limit: LimitKind::Rate,
             retry_after: retry_after.max(MIN_RETRY_AFTER),
         })?;
@@ -194,6 +192,14 @@
     }
 }
 
+/// This router's part of a service's rate. There is room for one request at least.
+fn rate_of(settings: &EffectiveSettings, share: FleetShare) -> RateLimit {
+    RateLimit {
+        per_second: share.of_rate(settings.rate_per_second),
+        burst: f64::from(share.of_count(settings.burst)).max(1.0),
+    }
+}
+
 /// Prompt tokens that may wait in one router's part of the fleet so that the
 /// last of them still gets its first token within `patience`.
 pub fn queue_capacity(
--- a/crates/placement/src/decay.rs
+++ b/crates/types/src/decay.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use juniper_types::Timestamp;
+use crate::time::Timestamp;
 
 /// A decaying sum.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Decaying {
+pub struct Decaying {
     half_life: Duration,
     value: f64,
     updated: Timestamp,
@@ -14,24 +14,24 @@
 
 impl Decaying {
     /// An empty sum.
-    pub(crate) const fn new(half_life: Duration) -> Self {
+    pub const fn new(half_life: Duration) -> Self {
         Decaying { half_life, value: 0.0, updated: Timestamp::ZERO }
     }
 
     /// The sum now.
-    pub(crate) fn at(&self, now: Timestamp) -> f64 {
+    pub fn at(&self, now: Timestamp) -> f64 {
         let halves = now.since(self.updated).as_secs_f64() / self.half_life.as_secs_f64();
         self.value * (-halves).exp2()
     }
 
     /// Adds to the sum.
-    pub(crate) fn add(&mut self, amount: f64, now: Timestamp) {
+    pub fn add(&mut self, amount: f64, now: Timestamp) {
         self.value = self.at(now) + amount;
         self.updated = now;
     }
 
     /// Mixes a sample in with the given weight; the value is then a fading mean.
-    pub(crate) fn mix(&mut self, sample: f64, weight: f64, now: Timestamp) {
+    pub fn mix(&mut self, sample: f64, weight: f64, now: Timestamp) {
         self.value = self.at(now) * (1.0 - weight) + sample * weight;
         self.updated = now;
     }
