Registry: a late heartbeat of a life that has ended revives nobody

A heartbeat that a cut held back, or the list of a replica that knows only the earlier life, hid the living server from routers that had just started. Excluded: order of numbers alone (a life's number stands still once it has ended and is overtaken by the next life's); leaving both lives usable (each router would pay an attempt that is turned away). Change: replicas tell how long a life has lasted at least, from its first heartbeat and from the number of heartbeats before a late one; the life that began last and isn't silent has the address.

--- a/crates/control/src/instances.rs
+++ b/crates/control/src/instances.rs
@@ -23,12 +23,16 @@
 /// rolled out, dozens of servers change each second; hundreds of nodes are told of each change.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time after which a push is encoded anew, since it tells how long servers have lived.
+const FRAME_AGE: Duration = Duration::from_millis(500);
+
 /// An encoded push of what changed between two numbers.
 #[derive(Debug)]
 struct InstanceFrame {
     after: Option<u64>,
     up_to: u64,
     payload: SharedFrame,
+    made_at: Instant,
 }
 
 /// What this replica heard, and numbers that tell of changes.
@@ -95,15 +99,19 @@
         let (up_to, heard) = {
             let heard = self.lock();
             let up_to = heard.revision();
-            let same = frame.as_ref().filter(|known| known.after == after && known.up_to == up_to);
+            let is_same = |known: &&InstanceFrame| {
+                known.after == after && known.up_to == up_to && known.made_at.elapsed() < FRAME_AGE
+            };
+            let same = frame.as_ref().filter(is_same);
             if let Some(known) = same {
                 return (up_to, Arc::clone(&known.payload));
             }
-            (up_to, heard.changes_after(after.unwrap_or(0)))
+            (up_to, heard.changes_after(after.unwrap_or(0), self.now()))
         };
         let push = Push::Instances { heard, whole: after.is_none() };
         let payload = Arc::new(encode(&Message::Push(push)));
-        *frame = Some(InstanceFrame { after, up_to, payload: Arc::clone(&payload) });
+        let made_at = Instant::now();
+        *frame = Some(InstanceFrame { after, up_to, payload: Arc::clone(&payload), made_at });
         (up_to, payload)
     }
 
--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -162,7 +162,7 @@
                 FoldOutcome::default()
             }
             LinkEvent::News(news) => self.fold.news(node, news, now),
-            LinkEvent::Instances { heard, whole } => self.fold.instances(node, heard, whole),
+            LinkEvent::Instances { heard, whole } => self.fold.instances(node, heard, whole, now),
             LinkEvent::Renewals(news) => self.fold.renewals(node, news),
             LinkEvent::Catalog(body) => match self.fold.catalog(body, now) {
                 Ok(outcome) => outcome,
--- a/crates/feed/src/fold.rs
+++ b/crates/feed/src/fold.rs
@@ -161,8 +161,9 @@
         node: NodeId,
         heard: Vec<HeardInstance>,
         whole: bool,
+        now: Timestamp,
     ) -> FoldOutcome {
-        self.directory.hear(node, heard, whole);
+        self.directory.hear(node, heard, whole, now);
         FoldOutcome { changed: self.refresh_instances(), fetch: None }
     }
 
--- a/crates/feed/tests/fold.rs
+++ b/crates/feed/tests/fold.rs
@@ -45,7 +45,7 @@
         models: vec![ModelHolding { model: "m".to_owned(), version: 1 }],
         sequence,
     };
-    HeardInstance { report, silent: false }
+    HeardInstance { report, silent: false, age_ms: 0 }
 }
 
 fn connected() -> FleetFold {
@@ -98,10 +98,10 @@
 #[test]
 fn a_server_that_left_stays_away_whatever_heartbeats_say() {
     let mut fold = connected();
-    fold.instances(FIRST, vec![heard("a", 1), heard("b", 1)], true);
+    fold.instances(FIRST, vec![heard("a", 1), heard("b", 1)], true, Timestamp::ZERO);
     let left = FleetNews { departures: vec![InstanceId::new("a")], ..news(7, 0) };
     assert!(fold.news(FIRST, left, at(0)).changed);
-    fold.instances(SECOND, vec![heard("a", 9)], true);
+    fold.instances(SECOND, vec![heard("a", 9)], true, Timestamp::ZERO);
     assert_eq!(ids(&fold), ["b"]);
 }
 
@@ -109,7 +109,7 @@
 fn servers_of_a_lost_replica_stay_usable() {
     let mut fold = connected();
     fold.news(FIRST, news(1, 0), at(0));
-    fold.instances(FIRST, vec![heard("a", 1)], true);
+    fold.instances(FIRST, vec![heard("a", 1)], true, Timestamp::ZERO);
     fold.set_connected(FIRST, false);
     assert_eq!(ids(&fold), ["a"]);
 }
@@ -128,7 +128,7 @@
 #[test]
 fn renewals_end_when_their_giver_is_lost() {
     let mut fold = connected();
-    fold.instances(FIRST, vec![heard("b", 1)], true);
+    fold.instances(FIRST, vec![heard("b", 1)], true, Timestamp::ZERO);
     assert!(fold.renewals(FIRST, renewing(&["a"], &[], &[("b", 2)])).changed);
     assert!(fold.view().renewing.contains(&InstanceId::new("a")));
     assert!(fold.set_connected(FIRST, false).changed);
@@ -151,11 +151,11 @@
 #[test]
 fn a_version_that_a_server_reports_itself_is_kept_no_longer() {
     let mut fold = connected();
-    fold.instances(FIRST, vec![heard("a", 1), heard("b", 1)], true);
+    fold.instances(FIRST, vec![heard("a", 1), heard("b", 1)], true, Timestamp::ZERO);
     fold.renewals(FIRST, renewing(&[], &[], &[("a", 2)]));
     let mut reported = heard("a", 2);
     reported.report.models = vec![ModelHolding { model: "m".to_owned(), version: 2 }];
-    fold.instances(FIRST, vec![reported], false);
+    fold.instances(FIRST, vec![reported], false, Timestamp::ZERO);
     fold.renewals(FIRST, renewing(&[], &[], &[("b", 2), ("gone", 2)]));
     let versions = fold.view().versions.iter();
     let servers: Vec<_> = versions.map(|known| known.instance.as_str()).collect();
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -235,7 +235,7 @@
 
 fn instances(said: &Said) -> Message {
     let heard = said.reports.lock().expect("no panic").clone().into_iter();
-    let heard = heard.map(|report| HeardInstance { report, silent: false }).collect();
+    let heard = heard.map(|report| HeardInstance { report, silent: false, age_ms: 0 }).collect();
     Message::Push(Push::Instances { heard, whole: true })
 }
 
--- a/crates/registry/src/directory.rs
+++ b/crates/registry/src/directory.rs
@@ -1,9 +1,10 @@
 //! What a router makes of what several replicas heard.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
-use juniper_types::NodeId;
+use juniper_types::{NodeId, Timestamp};
 
 use crate::heard::HeardInstance;
 use crate::report::{InstanceId, InstanceReport, InstanceState};
@@ -19,20 +20,39 @@
     pub leaving: bool,
 }
 
+/// Microseconds from the origin of the router's time, below zero for what was before it.
+type Moment = i64;
+
+/// A server as one replica knows it.
+#[derive(Clone, Debug)]
+struct Known {
+    heard: HeardInstance,
+    /// When its life began, by the replica's word.
+    began: Moment,
+}
+
+/// A server as all replicas together know it.
+#[derive(Clone, Debug)]
+struct Merged {
+    instance: Instance,
+    began: Moment,
+}
+
 /// All servers that are known, by what each replica heard.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
-    sources: BTreeMap<NodeId, BTreeMap<InstanceId, HeardInstance>>,
+    sources: BTreeMap<NodeId, BTreeMap<InstanceId, Known>>,
     departed: BTreeSet<InstanceId>,
-    /// Life that was heard of last at an address. An earlier one there is gone.
-    newest_at: BTreeMap<SocketAddrV4, InstanceId>,
-    merged: BTreeMap<InstanceId, Instance>,
+    /// Lives that are known at an address. One that began later has taken the place of the
+    /// others, in whatever order their heartbeats come.
+    at_address: BTreeMap<SocketAddrV4, BTreeSet<InstanceId>>,
+    merged: BTreeMap<InstanceId, Merged>,
 }
 
 impl Directory {
     /// Takes in what the replica on `source` heard. With `whole` it is all that
     /// the replica knows, and what it knew before is void.
-    pub fn hear(&mut self, source: NodeId, heard: Vec<HeardInstance>, whole: bool) {
+    pub fn hear(&mut self, source: NodeId, heard: Vec<HeardInstance>, whole: bool, now: Timestamp) {
         let mut touched: BTreeSet<InstanceId> = BTreeSet::new();
         let known = self.sources.entry(source).or_default();
         if whole {
@@ -40,11 +60,8 @@
         }
         for instance in heard {
             let id = instance.report.id.clone();
-            let is_new = !self.merged.contains_key(&id) && !instance.silent;
-            if is_new {
-                self.newest_at.insert(instance.report.address, id.clone());
-            }
-            known.insert(id.clone(), instance);
+            let began = moment(now).saturating_sub_unsigned(instance.age_ms.saturating_mul(1_000));
+            known.insert(id.clone(), Known { heard: instance, began });
             touched.insert(id);
         }
         touched.iter().for_each(|id| self.merge(id));
@@ -70,33 +87,58 @@
 
     /// Every server that is known, leaving and silent ones too.
     pub fn instances(&self) -> impl Iterator<Item = &Instance> {
-        self.merged.values()
+        self.merged.values().map(|merged| &merged.instance)
     }
 
     /// The server with this id.
     pub fn get(&self, id: &InstanceId) -> Option<&Instance> {
-        self.merged.get(id)
+        self.merged.get(id).map(|merged| &merged.instance)
     }
 
-    /// The life that was heard of last at an address.
+    /// The life that has an address: of those that aren't silent the one that began last, or that
+    /// has sent fewer heartbeats where replicas don't tell ages.
     pub fn newest_at(&self, address: SocketAddrV4) -> Option<&InstanceId> {
-        self.newest_at.get(&address)
+        let lives = self.at_address.get(&address)?;
+        if lives.len() == 1 {
+            return lives.first();
+        }
+        let rank = |id: &&InstanceId| {
+            let merged = self.merged.get(*id);
+            merged.map(|merged| {
+                let Merged { instance, began } = merged;
+                (!instance.silent, *began, Reverse(instance.report.sequence))
+            })
+        };
+        lives.iter().max_by_key(rank)
     }
 
     fn merge(&mut self, id: &InstanceId) {
+        if let Some(earlier) = self.merged.remove(id) {
+            self.leave_address(earlier.instance.report.address, id);
+        }
         let views = self.sources.values().filter_map(|known| known.get(id));
-        let latest = views.clone().max_by_key(|view| view.report.sequence);
-        let Some(latest) = latest else {
-            if let Some(forgotten) = self.merged.remove(id) {
-                self.newest_at
-                    .retain(|address, newest| *address != forgotten.report.address || newest != id);
-            }
-            return;
-        };
-        let report = latest.report.clone();
-        let silent = views.clone().all(|view| view.silent);
+        let latest = views.clone().max_by_key(|view| view.heard.report.sequence);
+        let Some(latest) = latest else { return };
+        let report = latest.heard.report.clone();
+        let silent = views.clone().all(|view| view.heard.silent);
+        let began = views.clone().map(|view| view.began).min().unwrap_or(latest.began);
         let draining = report.state == InstanceState::Draining;
         let leaving = draining || self.departed.contains(id);
-        self.merged.insert(id.clone(), Instance { report, silent, leaving });
+        self.at_address.entry(report.address).or_default().insert(id.clone());
+        let instance = Instance { report, silent, leaving };
+        self.merged.insert(id.clone(), Merged { instance, began });
+    }
+
+    fn leave_address(&mut self, address: SocketAddrV4, id: &InstanceId) {
+        if let Some(lives) = self.at_address.get_mut(&address) {
+            lives.remove(id);
+            if lives.is_empty() {
+                self.at_address.remove(&address);
+            }
+        }
     }
 }
+
+fn moment(now: Timestamp) -> Moment {
+    i64::try_from(now.0).unwrap_or(i64::MAX)
+}
--- a/crates/registry/src/heard.rs
+++ b/crates/registry/src/heard.rs
@@ -12,6 +12,10 @@
 /// are late by seconds at most.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
+/// Shortest time between two heartbeats of a server; the users' sheets have 1.2 s. Calls that are
+/// repeated for want of an answer come faster, which makes a life look older by as much.
+const LEAST_HEARTBEAT_PACE: Duration = Duration::from_secs(1);
+
 /// A server as one replica heard of it.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct HeardInstance {
@@ -21,6 +25,11 @@
     /// Whether it has been silent for too long.
     #[n(1)]
     pub silent: bool,
+    /// Time for which it has lived at least, in milliseconds: since its first heartbeat was heard,
+    /// or what the number of its heartbeats tells. Zero from a replica of an earlier version.
+    #[n(2)]
+    #[cbor(default)]
+    pub age_ms: u64,
 }
 
 /// What came of a heartbeat.
@@ -39,6 +48,33 @@
     instance: HeardInstance,
     heard_at: Timestamp,
     changed_at: u64,
+    life: LifeStart,
+}
+
+/// When a life began at the latest: its age at a time when it was heard.
+#[derive(Clone, Copy, Debug)]
+struct LifeStart {
+    at: Timestamp,
+    age: Duration,
+}
+
+impl LifeStart {
+    /// What one heartbeat tells. Its number counts the heartbeats before it, so a heartbeat that
+    /// comes late, after another life has begun at the address, still tells that it is of an older
+    /// life.
+    fn told_by(report: &InstanceReport, now: Timestamp) -> Self {
+        let before = u32::try_from(report.sequence.saturating_sub(1)).unwrap_or(u32::MAX);
+        LifeStart { at: now, age: LEAST_HEARTBEAT_PACE.saturating_mul(before) }
+    }
+
+    fn age(&self, now: Timestamp) -> Duration {
+        self.age + now.since(self.at)
+    }
+
+    /// The earlier one of two.
+    fn or_earlier(self, other: LifeStart, now: Timestamp) -> Self {
+        if other.age(now) > self.age(now) { other } else { self }
+    }
 }
 
 /// The servers that sent their heartbeats to this replica.
@@ -65,14 +101,17 @@
                 return Intake::Overtaken;
             }
             entry.heard_at = now;
+            entry.life = entry.life.or_earlier(LifeStart::told_by(&report, now), now);
             if !known.silent && known.report.says_the_same(&report) {
                 entry.instance.report = report;
                 return Intake::Known;
             }
         }
         let id = report.id.clone();
-        let instance = HeardInstance { report, silent: false };
-        self.entries.insert(id, Entry { instance, heard_at: now, changed_at: revision });
+        let told = LifeStart::told_by(&report, now);
+        let life = self.entries.get(&id).map_or(told, |entry| entry.life);
+        let instance = HeardInstance { report, silent: false, age_ms: 0 };
+        self.entries.insert(id, Entry { instance, heard_at: now, changed_at: revision, life });
         self.revision = revision;
         Intake::News
     }
@@ -99,8 +138,12 @@
     }
 
     /// What changed after `revision`; everything for zero.
-    pub fn changes_after(&self, revision: u64) -> Vec<HeardInstance> {
+    pub fn changes_after(&self, revision: u64, now: Timestamp) -> Vec<HeardInstance> {
         let changed = self.entries.values().filter(|entry| entry.changed_at > revision);
-        changed.map(|entry| entry.instance.clone()).collect()
+        let told = |entry: &Entry| {
+            let age_ms = u64::try_from(entry.life.age(now).as_millis()).unwrap_or(u64::MAX);
+            HeardInstance { age_ms, ..entry.instance.clone() }
+        };
+        changed.map(told).collect()
     }
 }
