Placement: how fast servers read is measured only where nothing waits

The time to a first output, queue included, was taken for reading: in a queue the measured speed fell to a tenth, and with it everything that the choice weighs. Excluded: ends that got lost (forgotten after 10 s; the expectation stayed for longer). Change: a prompt measures the speed only if its server had less than a quarter of it still to read. Test that failed before: a_queue_does_not_make_servers_look_slow.

--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -133,4 +133,6 @@
     pub(crate) has_prompt: bool,
     pub(crate) begun: Timestamp,
     pub(crate) had_output: bool,
+    /// Tokens that the server was still to read when the request was sent.
+    pub(crate) tokens_ahead: f64,
 }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -16,6 +16,10 @@
 use crate::server::Server;
 use crate::sighting::ChainSighting;
 
+/// Most that a server may be still to read, relative to a prompt, for the time to that prompt's
+/// first output to tell how fast servers read. Beyond it the time tells how long the queue is.
+const MAX_PART_AHEAD: f64 = 0.25;
+
 /// The servers as one router knows them.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -72,8 +76,8 @@
 
     /// The request is sent to the chosen server.
     pub fn begin(&mut self, choice: &Choice, has_prompt: bool, now: Timestamp) -> Ticket {
-        let sighting = choice.sighting();
-        self.sighted(&sighting, now);
+        let tokens_ahead = self.tokens_ahead(&choice.instance, now);
+        self.sighted(&choice.sighting(), now);
         if has_prompt && let Some(server) = self.servers.get(&choice.instance) {
             let service = server.instance.report.service.clone();
             let tokens = choice.kept_tokens + choice.missed_tokens;
@@ -88,9 +92,17 @@
             has_prompt,
             begun: now,
             had_output: false,
+            tokens_ahead,
         }
     }
 
+    /// Tokens that a server is still to read, as far as routers tell each other.
+    fn tokens_ahead(&self, instance: &InstanceId, now: Timestamp) -> f64 {
+        let Some(server) = self.servers.get(instance) else { return 0.0 };
+        let speed = self.speeds.get(&server.instance.report.service).copied().unwrap_or_default();
+        server.fleet_load.waiting_tokens(speed, now)
+    }
+
     /// A request was sent to a server, by this router or another one.
     pub fn sighted(&mut self, sighting: &ChainSighting, now: Timestamp) {
         let Some(server) = self.servers.get_mut(&sighting.instance) else { return };
@@ -150,7 +162,9 @@
         }
         let speed = self.speeds.entry(server.instance.report.service.clone()).or_default();
         let expected_ms = speed.ms_for(f64::from(ticket.missed_tokens));
-        speed.record(ticket.missed_tokens, took);
+        if ticket.tokens_ahead < f64::from(ticket.missed_tokens) * MAX_PART_AHEAD {
+            speed.record(ticket.missed_tokens, took);
+        }
         let expected = Duration::from_secs_f64(expected_ms / 1_000.0);
         server.health.record_delay(took.saturating_sub(expected), now);
     }
