Placement: parts are fetched only from servers that should have read them

Change: each part is known with the time at which its server should have read it; before, it is a reason to go to that server, but nothing to fetch.

--- a/crates/placement/src/kept_parts.rs
+++ b/crates/placement/src/kept_parts.rs
@@ -6,6 +6,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use juniper_types::Timestamp;
+
 /// Part of the memory that is counted on. The rest goes to generated tokens, to the ends of
 /// blocks, and to prompts that this router was not told of. Measured on ikaze-shops: 0.7 lost
 /// 0.011 of a day's worth against it, 1.1 made no difference (docs/experiments/ikaze-shops.md).
@@ -23,6 +25,8 @@
     pub tokens: &'a [u32],
     /// Tokens that no other prompt has.
     pub own_tokens: u32,
+    /// When the server should have read the prompt. Before, nobody can fetch the parts from it.
+    pub read_at: Timestamp,
 }
 
 /// One use of a part.
@@ -35,13 +39,21 @@
     number: u64,
 }
 
+/// What is known of a part that is kept.
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    /// Number of its latest use.
+    latest: u64,
+    /// When it should have been read first.
+    read_at: Timestamp,
+}
+
 /// Parts that a server should keep.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct KeptParts {
     /// Weights that made them; other weights find none of them.
     version: u64,
-    /// Number of the latest use of each part.
-    latest: HashMap<u64, u64>,
+    parts: HashMap<u64, Kept>,
     /// Uses, the latest last. Those that aren't the latest of their part count for nothing.
     uses: VecDeque<Use>,
     /// Tokens of all parts that are kept.
@@ -60,19 +72,24 @@
             *self = KeptParts { version, ..KeptParts::default() };
         }
         for (key, tokens) in parts.keys.iter().zip(parts.tokens) {
-            self.record_use(Some(*key), *tokens);
+            self.record_use(Some(*key), *tokens, parts.read_at);
         }
-        self.record_use(None, parts.own_tokens);
+        self.record_use(None, parts.own_tokens, parts.read_at);
         self.make_room(capacity);
     }
 
-    fn record_use(&mut self, key: Option<u64>, tokens: u32) {
+    fn record_use(&mut self, key: Option<u64>, tokens: u32, read_at: Timestamp) {
         let number = self.next_number;
         self.next_number += 1;
         self.uses.push_back(Use { key, tokens, number });
-        let was_kept = key.is_some_and(|key| self.latest.insert(key, number).is_some());
-        if !was_kept {
-            self.held_tokens += u64::from(tokens);
+        let known = key.and_then(|key| self.parts.get_mut(&key));
+        if let Some(known) = known {
+            known.latest = number;
+            return;
+        }
+        self.held_tokens += u64::from(tokens);
+        if let Some(key) = key {
+            self.parts.insert(key, Kept { latest: number, read_at });
         }
     }
 
@@ -86,10 +103,12 @@
             && let Some(oldest) = self.uses.pop_front()
         {
             if let Some(key) = oldest.key {
-                if self.latest.get(&key) != Some(&oldest.number) {
+                let is_latest =
+                    self.parts.get(&key).is_some_and(|kept| kept.latest == oldest.number);
+                if !is_latest {
                     continue;
                 }
-                self.latest.remove(&key);
+                self.parts.remove(&key);
             }
             self.held_tokens = self.held_tokens.saturating_sub(u64::from(oldest.tokens));
         }
@@ -97,6 +116,12 @@
 
     /// Whether the server should keep the part, made by weights of `version`.
     pub(crate) fn holds(&self, version: u64, key: u64) -> bool {
-        version == self.version && self.latest.contains_key(&key)
+        version == self.version && self.parts.contains_key(&key)
+    }
+
+    /// Whether the server should have read the part by now, so that others can fetch it.
+    pub(crate) fn has_read(&self, version: u64, key: u64, now: Timestamp) -> bool {
+        let kept = self.parts.get(&key).filter(|_| version == self.version);
+        kept.is_some_and(|kept| kept.read_at <= now)
     }
 }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -118,6 +118,7 @@
             keys: &sighting.keys,
             tokens: &sighting.part_tokens,
             own_tokens: sighting.own_tokens,
+            read_at: now.after(speed.time_for(server.fleet_load.waiting_tokens(speed, now))),
         };
         server.kept.record(sighting.version, parts, capacity);
     }
--- a/crates/placement/src/prompt_work.rs
+++ b/crates/placement/src/prompt_work.rs
@@ -21,8 +21,8 @@
 /// What a prompt means for one server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PromptWork {
-    /// Shared tokens that it should have.
-    pub kept_tokens: u32,
+    /// Shared tokens that it should have read by now, so that others can fetch them.
+    pub ready_tokens: u32,
     /// Tokens that it would have to read.
     pub missed_tokens: u32,
     /// Tokens of shared parts among those that some server has read already.
@@ -46,7 +46,7 @@
 impl Default for PromptWork {
     fn default() -> Self {
         PromptWork {
-            kept_tokens: 0,
+            ready_tokens: 0,
             missed_tokens: 0,
             reread_tokens: 0,
             move_ms: 0.0,
@@ -88,14 +88,19 @@
         let can_move = move_ms > 0.0 && all >= MIN_MOVED_TOKENS;
         let home = chain.home(servers.iter().map(|server| server.hash));
         let versions: Vec<u64> = servers.iter().map(|server| server.version_of(model)).collect();
-        let kept = kept_tokens(servers, &versions, chain);
-        let holders = best_holders(&versions, &kept);
+        let kept = shared_tokens(servers, &versions, chain, |server, version, key| {
+            server.kept.holds(version, key)
+        });
+        let ready = shared_tokens(servers, &versions, chain, |server, version, key| {
+            server.kept.has_read(version, key, now)
+        });
+        let holders = best_holders(&versions, &ready);
         let nobody_has_any = kept.iter().all(|tokens| *tokens == 0);
         let work = |index: usize| {
             let own = kept[index];
             let holder = holders.get(&versions[index]).copied();
-            let source = holder.filter(|holder| can_move && kept[*holder] > own);
-            let fetched = source.map_or(0, |source| kept[source] - own);
+            let source = holder.filter(|holder| can_move && ready[*holder] > own);
+            let fetched = source.map_or(0, |source| ready[source] - own);
             let missed = all - own - fetched;
             let is_home = home == Some(index);
             let reread = match (is_home, nobody_has_any) {
@@ -104,7 +109,7 @@
                 (false, false) => missed,
             };
             PromptWork {
-                kept_tokens: own,
+                ready_tokens: ready[index],
                 missed_tokens: tokens.saturating_sub(own + fetched),
                 reread_tokens: reread,
                 move_ms: move_ms * f64::from(fetched),
@@ -165,12 +170,17 @@
     holders
 }
 
-/// Shared tokens that each server should have, by what was sent there lately.
-fn kept_tokens(servers: &[&Server], versions: &[u64], chain: &ChainKeys) -> Vec<u32> {
-    let kept = |(server, version): (&&Server, &u64)| {
+/// Shared tokens that each server has, where `has` tells whether it has a beginning of the chain.
+fn shared_tokens(
+    servers: &[&Server],
+    versions: &[u64],
+    chain: &ChainKeys,
+    has: impl Fn(&Server, u64, u64) -> bool,
+) -> Vec<u32> {
+    let of_server = |(server, version): (&&Server, &u64)| {
         let mut longest_first = chain.keys.iter().zip(&chain.tokens).rev();
-        let held = longest_first.find(|(key, _)| server.kept.holds(*version, **key));
+        let held = longest_first.find(|(key, _)| has(server, *version, **key));
         held.map_or(0, |(_, tokens)| *tokens)
     };
-    servers.iter().zip(versions).map(kept).collect()
+    servers.iter().zip(versions).map(of_server).collect()
 }
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -172,7 +172,7 @@
     let version = servers[known].version_of(model);
     let zone = &servers[reader].instance.report.zone;
     let has_as_much = |other: &usize| {
-        works[*other].kept_tokens == works[known].kept_tokens
+        works[*other].ready_tokens == works[known].ready_tokens
             && servers[*other].version_of(model) == version
     };
     let rank = |other: &usize| {
