--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -17,7 +17,7 @@
 const CONTEXT_MS: u64 = 3_000;
 
 /// Events that tell of the state of a server or a node.
-const CONTEXT_EVENTS: [&str; 11] = [
+const CONTEXT_EVENTS: [&str; 12] = [
     "instance_heard",
     "instance_silent",
     "server_reached",
@@ -28,6 +28,7 @@
     "replica_lost",
     "catalog_in_force",
     "gateway_leaving",
+    "limit_owner_silent",
     "lines_left_out",
 ];
 
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -352,3 +352,28 @@
     little_shared.parts[0].tokens = 3_000;
     assert_eq!(choose(&mut placement, &little_shared, 1_000).store, None);
 }
+
+/// The time to the first output of a prompt that waited behind others tells how long the queue was,
+/// not how fast servers read.
+#[test]
+fn a_queue_does_not_make_servers_look_slow() {
+    let mut placement = placement(1);
+    send(&mut placement, &prompt(0, 1), 0);
+    let before = choose(&mut placement, &prompt(1, 1), 9_000).cost_ms;
+    for round in 1..6 {
+        let begun = round * 10_000;
+        let choices: Vec<_> =
+            (1..=10).map(|own| choose(&mut placement, &prompt(100 + round, own), begun)).collect();
+        let tickets: Vec<_> =
+            choices.iter().map(|choice| placement.begin(choice, true, at(begun))).collect();
+        for (place, mut ticket) in tickets.into_iter().enumerate() {
+            // Each is read in 175 ms, one after the other.
+            let read_at = begun + (place as u64 + 1) * 175;
+            placement.first_output(&mut ticket, at(read_at));
+            placement.end(ticket, Outcome::Answered, at(read_at));
+        }
+    }
+    // Delays of this server are forgotten by then.
+    let after = choose(&mut placement, &prompt(900, 1), 90_000).cost_ms;
+    assert!(after < before * 1.1, "{before} {after}");
+}
