Feed and placement: a push that changes one server copies none of the others

Cause, read in the code and noted in docs/CAPACITY.md: each push of servers made a router list, copy and compare all of them twice, in the feed and in the placement, so that pushes x servers grew with the square; at 300 machines and 3,002 servers nobody was served for 30 s after all processes had been killed. Change: the directory keeps the usable servers as it goes and shares each one by reference; a view is a list of pointers, and the placement takes over only those that differ. Test that failed before: servers_that_did_not_change_are_shared_between_views.

--- a/crates/feed/src/fold.rs
+++ b/crates/feed/src/fold.rs
@@ -6,7 +6,7 @@
 
 use juniper_catalog::{Catalog, CatalogIndex};
 use juniper_protocol::message::{CatalogBody, FleetNews, KnownVersion, RenewalNews};
-use juniper_registry::{Directory, HeardInstance, Instance, InstanceId};
+use juniper_registry::{Directory, HeardInstance, InstanceId};
 use juniper_types::{NodeId, Timestamp};
 
 use crate::view::{FleetView, WantedWeights};
@@ -245,17 +245,13 @@
     }
 
     fn refresh_instances(&mut self) -> bool {
-        let directory = &self.directory;
-        let is_newest = |instance: &&Instance| {
-            let newest = directory.newest_at(instance.report.address);
-            newest.is_none_or(|newest| *newest == instance.report.id)
-        };
-        let usable = directory.instances().filter(|instance| !instance.leaving).filter(is_newest);
-        let usable: Vec<Instance> = usable.cloned().collect();
-        let changed = usable != *self.view.instances;
-        if changed {
+        let usable = self.directory.usable();
+        let known = &self.view.instances;
+        let is_same = usable.len() == known.len()
+            && usable.iter().zip(known.iter()).all(|(one, other)| Arc::ptr_eq(one, other));
+        if !is_same {
             self.view.instances = Arc::new(usable);
         }
-        changed
+        !is_same
     }
 }
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -64,7 +64,7 @@
     pub weights: BTreeMap<String, WantedWeights>,
     /// Servers that may be used. Those that left, are leaving or were restarted
     /// under another id aren't among them.
-    pub instances: Arc<Vec<Instance>>,
+    pub instances: Arc<Vec<Arc<Instance>>>,
     /// Servers that take no new requests, because they are given new weights.
     pub renewing: Arc<BTreeSet<InstanceId>>,
     /// Versions of weights that servers are known to have, before they say so.
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,7 +1,8 @@
 //! The servers as one router knows them.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Duration;
 
 use juniper_registry::{Instance, InstanceId};
@@ -46,20 +47,37 @@
 
     /// These servers, and no others, may be used from now on. What is known of
     /// those that stay is kept.
-    pub fn set_instances(&mut self, instances: &[Instance]) {
-        let mut servers = HashMap::with_capacity(instances.len());
-        let mut services: HashMap<String, Vec<InstanceId>> = HashMap::new();
+    pub fn set_instances(&mut self, instances: &[Arc<Instance>]) {
+        let mut are_others = self.servers.len() != instances.len();
         for instance in instances {
-            let id = instance.report.id.clone();
-            let server = match self.servers.remove(&id) {
-                Some(known) => Server { instance: instance.clone(), ..known },
-                None => Server::new(instance.clone()),
-            };
-            services.entry(instance.report.service.clone()).or_default().push(id.clone());
-            servers.insert(id, server);
-        }
-        self.servers = servers;
-        self.services = services;
+            match self.servers.get_mut(&instance.report.id) {
+                Some(known) if Arc::ptr_eq(&known.instance, instance) => {}
+                Some(known) => {
+                    are_others |= known.instance.report.service != instance.report.service;
+                    known.instance = Arc::clone(instance);
+                }
+                None => {
+                    let id = instance.report.id.clone();
+                    self.servers.insert(id, Server::new(Arc::clone(instance)));
+                    are_others = true;
+                }
+            }
+        }
+        if are_others {
+            self.keep_only(instances);
+        }
+    }
+
+    /// Forgets all servers but these, and lists them by service.
+    fn keep_only(&mut self, instances: &[Arc<Instance>]) {
+        let wanted: HashSet<&InstanceId> =
+            instances.iter().map(|instance| &instance.report.id).collect();
+        self.servers.retain(|id, _| wanted.contains(id));
+        self.services.clear();
+        for instance in instances {
+            let members = self.services.entry(instance.report.service.clone()).or_default();
+            members.push(instance.report.id.clone());
+        }
     }
 
     /// What moves of memory cost, by service.
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -1,5 +1,7 @@
 //! One server as a router knows it.
 
+use std::sync::Arc;
+
 use juniper_registry::Instance;
 
 use crate::fleet_load::FleetLoad;
@@ -12,7 +14,7 @@
 /// What is known of a server.
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
-    pub(crate) instance: Instance,
+    pub(crate) instance: Arc<Instance>,
     pub(crate) hash: u64,
     pub(crate) health: Health,
     /// What other routers say of it.
@@ -31,7 +33,7 @@
 
 impl Server {
     /// A server of which nothing is known but its report.
-    pub(crate) fn new(instance: Instance) -> Self {
+    pub(crate) fn new(instance: Arc<Instance>) -> Self {
         let hash = hash_of(instance.report.id.as_str());
         let (health, load) = (Health::default(), Load::default());
         Server {
--- a/crates/placement/tests/calls.rs
+++ b/crates/placement/tests/calls.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use juniper_placement::{Choice, Outcome, Placement, ServerRequest};
@@ -26,7 +27,7 @@
     let server = |number: u16, zone: &str| {
         let mut server: Instance = instance(number, 1);
         (server.report.slots, server.report.zone) = (6, zone.to_owned());
-        server
+        Arc::new(server)
     };
     let mut placement = Placement::new("north");
     placement.set_instances(&[server(1, "north"), server(2, "south")]);
--- a/crates/placement/tests/sources.rs
+++ b/crates/placement/tests/sources.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 
 use juniper_placement::{ChainSighting, Placement, Reason};
 use juniper_registry::{Instance, InstanceId};
@@ -20,9 +21,9 @@
         let mut instance: Instance = instance(number, 1);
         let zone = if number.is_multiple_of(2) { "south" } else { "north" };
         instance.report.zone = zone.to_owned();
-        instance
+        Arc::new(instance)
     };
-    let instances: Vec<Instance> = (1..=SERVERS).map(in_zone).collect();
+    let instances: Vec<Arc<Instance>> = (1..=SERVERS).map(in_zone).collect();
     placement.set_instances(&instances);
     let sent = choose(&mut placement, &prompt(1, 1), 0).sighting();
     let (last, holders) = instances.split_last().expect("servers");
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
 use std::time::Duration;
 
 use juniper_placement::{
@@ -40,7 +41,8 @@
 
 pub fn placement(count: u16) -> Placement {
     let mut placement = Placement::new("north");
-    let instances: Vec<Instance> = (1..=count).map(|number| instance(number, 1)).collect();
+    let instances: Vec<Arc<Instance>> =
+        (1..=count).map(|number| Arc::new(instance(number, 1))).collect();
     placement.set_instances(&instances);
     let profile = ServiceProfile { move_ms: 0.005, cache_tokens: 160_000, stores: Vec::new() };
     placement.set_profiles(HashMap::from([(SERVICE.to_owned(), profile)]));
--- a/crates/registry/src/directory.rs
+++ b/crates/registry/src/directory.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 
 use juniper_types::{NodeId, Timestamp};
 
@@ -34,7 +35,8 @@
 /// A server as all replicas together know it.
 #[derive(Clone, Debug)]
 struct Merged {
-    instance: Instance,
+    /// Shared with the views of it, and replaced when something of it changes.
+    instance: Arc<Instance>,
     began: Moment,
 }
 
@@ -47,6 +49,8 @@
     /// others, in whatever order their heartbeats come.
     at_address: BTreeMap<SocketAddrV4, BTreeSet<InstanceId>>,
     merged: BTreeMap<InstanceId, Merged>,
+    /// Servers that may be used: they aren't leaving and have their address.
+    usable: BTreeMap<InstanceId, Arc<Instance>>,
 }
 
 impl Directory {
@@ -87,12 +91,18 @@
 
     /// Every server that is known, leaving and silent ones too.
     pub fn instances(&self) -> impl Iterator<Item = &Instance> {
-        self.merged.values().map(|merged| &merged.instance)
+        self.merged.values().map(|merged| &*merged.instance)
+    }
+
+    /// The servers that may be used. It costs one pointer each, so that a push that changes one of
+    /// thousands costs little.
+    pub fn usable(&self) -> Vec<Arc<Instance>> {
+        self.usable.values().cloned().collect()
     }
 
     /// The server with this id.
     pub fn get(&self, id: &InstanceId) -> Option<&Instance> {
-        self.merged.get(id).map(|merged| &merged.instance)
+        self.merged.get(id).map(|merged| &*merged.instance)
     }
 
     /// The life that has an address: of those that aren't silent the one that began last, or that
@@ -113,9 +123,19 @@
     }
 
     fn merge(&mut self, id: &InstanceId) {
-        if let Some(earlier) = self.merged.remove(id) {
+        let earlier = self.merged.remove(id);
+        if let Some(earlier) = &earlier {
             self.leave_address(earlier.instance.report.address, id);
         }
+        self.usable.remove(id);
+        self.merge_views(id, earlier.as_ref());
+        let addresses = [earlier.as_ref(), self.merged.get(id)];
+        let addresses = addresses.into_iter().flatten().map(|known| known.instance.report.address);
+        let touched: BTreeSet<SocketAddrV4> = addresses.collect();
+        touched.into_iter().for_each(|address| self.refresh_usable(address));
+    }
+
+    fn merge_views(&mut self, id: &InstanceId, earlier: Option<&Merged>) {
         let views = self.sources.values().filter_map(|known| known.get(id));
         let latest = views.clone().max_by_key(|view| view.heard.report.sequence);
         let Some(latest) = latest else { return };
@@ -126,9 +146,24 @@
         let leaving = draining || self.departed.contains(id);
         self.at_address.entry(report.address).or_default().insert(id.clone());
         let instance = Instance { report, silent, leaving };
+        let unchanged = earlier.filter(|earlier| *earlier.instance == instance);
+        let instance =
+            unchanged.map_or_else(|| Arc::new(instance), |earlier| Arc::clone(&earlier.instance));
         self.merged.insert(id.clone(), Merged { instance, began });
     }
 
+    /// Finds out which of the lives at an address may be used.
+    fn refresh_usable(&mut self, address: SocketAddrV4) {
+        let newest = self.newest_at(address).cloned();
+        for id in self.at_address.get(&address).into_iter().flatten() {
+            let merged = self.merged.get(id).filter(|known| !known.instance.leaving);
+            match merged.filter(|_| newest.as_ref() == Some(id)) {
+                Some(known) => self.usable.insert(id.clone(), Arc::clone(&known.instance)),
+                None => self.usable.remove(id),
+            };
+        }
+    }
+
     fn leave_address(&mut self, address: SocketAddrV4, id: &InstanceId) {
         if let Some(lives) = self.at_address.get_mut(&address) {
             lives.remove(id);
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
 use std::time::Duration;
 
 use juniper_registry::{
@@ -148,3 +149,29 @@
     directory.hear(NodeId(2), vec![heard("stale", 1, true)], false, at(8));
     assert_eq!(directory.newest_at(address), Some(&InstanceId::new("lives")));
 }
+
+/// Thousands of servers are pushed as changes of a few: what didn't change isn't copied.
+#[test]
+fn servers_that_did_not_change_are_shared_between_views() {
+    let elsewhere = |id: &str, sequence: u64, port: u16| {
+        let mut heard = heard(id, sequence, false);
+        heard.report.address.set_port(port);
+        heard
+    };
+    let mut directory = Directory::default();
+    let all = vec![elsewhere("a", 1, 1), elsewhere("b", 1, 2), elsewhere("c", 1, 3)];
+    directory.hear(NodeId(1), all.clone(), true, at(0));
+    let before = directory.usable();
+    // Another replica knows the same, and one server says something new.
+    directory.hear(NodeId(2), all, true, at(1));
+    let mut changed = elsewhere("b", 2, 2);
+    changed.report.slots += 1;
+    directory.hear(NodeId(1), vec![changed], false, at(2));
+    let after = directory.usable();
+    let is_shared: Vec<bool> =
+        before.iter().zip(&after).map(|(one, other)| Arc::ptr_eq(one, other)).collect();
+    assert_eq!(is_shared, [true, false, true]);
+    // One that leaves is usable no more, whatever it says.
+    directory.set_departed(BTreeSet::from([InstanceId::new("a")]));
+    assert_eq!(directory.usable().len(), 2);
+}
