--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,9 @@
 use crate::gateway::Gateway;
 use crate::pool::{ConnectError, ServerConnection};
 
+/// Rank of requests that can't be in time any more; the last that servers know.
+const LATE_PRIORITY: u8 = 9;
+
 /// Statuses that promise that a request has not run.
 const PROMISES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
@@ -241,6 +244,12 @@
     Ok(())
 }
 
+/// Rank of a request at a server. One that can't be in time even at the best server gives way to
+/// those that can: if it went first, they would be late too.
+fn priority(call: &Call, choice: &Choice) -> u8 {
+    if choice.is_late { LATE_PRIORITY } else { call.priority }
+}
+
 fn request(
     gateway: &Gateway,
     call: &Call,
@@ -254,7 +263,7 @@
         instance: &choice.instance,
         deadline: call.deadline.saturating_duration_since(Instant::now()),
         tenant: call.tenant.as_deref(),
-        priority: call.priority,
+        priority: priority(call, choice),
         sharing: &sharing,
         last_event,
         has_prompt: call.has_prompt(),
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -133,6 +133,7 @@
             excluded: &self.excluded,
             min_version: self.min_version(),
             objective: self.call.objective(),
+            time_left: self.call.objective().saturating_sub(self.call.arrived.elapsed()),
             max_pause: self.call.max_pause(),
         };
         let now = self.gateway.now();
@@ -187,13 +188,14 @@
         self.gateway.metrics.missed_tokens.inc_by(u64::from(choice.missed_tokens));
         log::info!(
             "event=attempt request={} route={} service={} instance={} reason={} cost_ms={:.1} \
-             kept={} missed={} chain={:08x} version={} source={} candidates={} catalog={} age_ms={} sent={}",
+             late={} kept={} missed={} chain={:08x} version={} source={} candidates={} catalog={} age_ms={} sent={}",
             self.call.id(),
             self.call.route.name,
             self.call.service,
             choice.instance,
             choice.reason.as_str(),
             choice.cost_ms,
+            choice.is_late,
             choice.kept_tokens,
             choice.missed_tokens,
             choice.keys.last().copied().unwrap_or(0) >> 32,
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -55,6 +55,7 @@
         address: report.address,
         reason: Reason::LastResort,
         cost_ms: 0.0,
+        is_late: false,
         kept_tokens: 0,
         missed_tokens: request.prompt.map_or(0, |prompt| prompt.tokens),
         candidates: candidates.len(),
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -48,6 +48,9 @@
     pub reason: Reason,
     /// Expected cost, in milliseconds.
     pub cost_ms: f64,
+    /// Whether its first output is expected too late even there. It gives way to requests that can
+    /// be in time, so nobody waits for it.
+    pub is_late: bool,
     /// Tokens that it should have kept.
     pub kept_tokens: u32,
     /// Tokens that it has to read.
@@ -72,6 +75,11 @@
 }
 
 impl Choice {
+    /// Tokens to read that requests in time wait for.
+    pub(crate) fn tokens_in_line(&self) -> u32 {
+        if self.is_late { 0 } else { self.missed_tokens }
+    }
+
     /// What other routers should know of the choice.
     pub fn sighting(&self) -> ChainSighting {
         ChainSighting {
@@ -81,7 +89,7 @@
             part_tokens: self.part_tokens.clone(),
             own_tokens: self.own_tokens,
             tokens: self.inserted_tokens,
-            read_tokens: self.missed_tokens,
+            read_tokens: self.tokens_in_line(),
         }
     }
 }
@@ -130,7 +138,7 @@
 pub struct Ticket {
     pub(crate) instance: InstanceId,
     pub(crate) missed_tokens: u32,
-    pub(crate) has_prompt: bool,
+    pub(crate) is_measured: bool,
     pub(crate) begun: Timestamp,
     pub(crate) had_output: bool,
     /// Tokens that the server was still to read when the request was sent.
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -102,6 +102,13 @@
         work + zone + lane + full + silent + failures + server.cold_ms
     }
 
+    /// The expected time to the first output of a request that no other overtakes.
+    pub(crate) fn first_output_ms(&self, server: &ServerView<'_>) -> f64 {
+        let reading = self.speed.ms_for(f64::from(server.missed_tokens));
+        let queue = self.speed.ms_for(server.fleet_tokens.max(server.load.waiting_tokens as f64));
+        queue + reading + server.move_ms + server.health.delay_ms(self.now) + server.cold_ms
+    }
+
     /// Streams that run on the server pause while it reads without a break; so will
     /// the request's own stream if the queue before it is long.
     fn pauses_ms(&self, reading_ms: f64, requests: f64, objective_ms: f64) -> f64 {
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -102,12 +102,13 @@
             self.lanes.entry(service).or_default().record(tokens, choice.missed_tokens, now);
         }
         if let Some(server) = self.servers.get_mut(&choice.instance) {
-            server.load.begin(choice.missed_tokens);
+            server.load.begin(choice.tokens_in_line());
         }
         Ticket {
             instance: choice.instance.clone(),
-            missed_tokens: choice.missed_tokens,
-            has_prompt,
+            missed_tokens: choice.tokens_in_line(),
+            // The time of one that gives way tells nothing of the server.
+            is_measured: has_prompt && !choice.is_late,
             begun: now,
             had_output: false,
             tokens_ahead,
@@ -176,7 +177,7 @@
         let Some(server) = self.servers.get_mut(&ticket.instance) else { return };
         server.reports.reached();
         server.load.first_output(ticket.missed_tokens);
-        if !ticket.has_prompt {
+        if !ticket.is_measured {
             return;
         }
         let speed = self.speeds.entry(server.instance.report.service.clone()).or_default();
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -56,6 +56,8 @@
     pub min_version: u64,
     /// Time within which an answer earns its full worth.
     pub objective: Duration,
+    /// Time until the first output is late.
+    pub time_left: Duration,
     /// Longest pause within an answer that still earns its full worth, if it is a stream.
     pub max_pause: Option<Duration>,
 }
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -89,7 +89,9 @@
         let source =
             works[index].source.map(|known| spread(servers, &works, index, known, (model, random)));
         let work = PromptWork { source, ..works[index] };
-        Ok(self.decision(servers, request, chain, Found { index, work, cost_ms }))
+        let first_output_ms = context.first_output_ms(&self.view(servers[index], work, &context));
+        let found = Found { index, work, cost_ms, first_output_ms };
+        Ok(self.decision(servers, request, chain, found))
     }
 
     /// The choice of the server that was found.
@@ -100,7 +102,8 @@
         chain: ChainKeys,
         found: Found,
     ) -> Choice {
-        let Found { index, work, cost_ms } = found;
+        let Found { index, work, cost_ms, first_output_ms } = found;
+        let is_late = first_output_ms > request.time_left.as_secs_f64() * 1_000.0;
         let server = servers[index];
         let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
@@ -113,6 +116,7 @@
             address: server.instance.report.address,
             reason: work.reason,
             cost_ms,
+            is_late: is_late && request.prompt.is_some(),
             kept_tokens: tokens.saturating_sub(work.missed_tokens),
             missed_tokens: work.missed_tokens,
             candidates: servers.len(),
@@ -187,6 +191,7 @@
     index: usize,
     work: PromptWork,
     cost_ms: f64,
+    first_output_ms: f64,
 }
 
 fn mean_failures(servers: &[&Server], now: Timestamp) -> f64 {
--- a/crates/placement/tests/calls.rs
+++ b/crates/placement/tests/calls.rs
@@ -18,6 +18,7 @@
         excluded: &[],
         min_version: 0,
         objective: Duration::from_millis(300),
+        time_left: Duration::from_millis(300),
         max_pause: None,
     }
 }
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -67,6 +67,7 @@
         excluded,
         min_version: 0,
         objective: Duration::from_millis(800),
+        time_left: Duration::from_millis(800),
         max_pause: None,
     }
 }
