Routers name the requests whose ends they tell each other

An end named its server only and counted for the oldest request there. A router that had just started, or had lost a message, heard ends whose beginnings it had not heard; each counted for another request, so a crowded server looked free, and as it stayed crowded, that never mended itself. Excluded: queues of what is told (16 waiting at most; a router sends seven requests a second); slow servers (they weren't before the power was lost). Change: a router numbers what it tells (16 bits, beginning anywhere), an end tells the number, and who hasn't heard of the request passes over it. Test that failed before: the_end_of_a_request_that_was_never_heard_of_changes_nothing.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -86,6 +86,8 @@
     pub instance: InstanceId,
     connection: Option<ServerConnection>,
     ticket: Option<Ticket>,
+    /// Names the request for the other routers, if they are told of it.
+    told: Option<u16>,
     /// Idle time after which the server closes the connection, if it tells.
     stated_idle: Option<Duration>,
     may_keep: bool,
@@ -110,7 +112,9 @@
         if let Some(ticket) = self.ticket.take() {
             let now = self.gateway.now();
             self.gateway.placement().end(ticket, outcome, now);
-            self.gateway.news.push_end(&self.instance);
+            if let Some(number) = self.told.take() {
+                self.gateway.news.push_end(number);
+            }
         }
         if outcome == Outcome::Unreachable {
             self.gateway.news.push_reachability(&self.instance, false);
@@ -157,7 +161,8 @@
 ) -> Result<Answered, AttemptError> {
     let now = gateway.now();
     let ticket = gateway.placement().begin(choice, call.has_prompt(), now);
-    if !gateway.news.push_sighting(choice) {
+    let told = gateway.news.push_sighting(choice);
+    if told.is_none() {
         gateway.metrics.sightings_left_out.inc();
     }
     let mut attempt = Attempt {
@@ -165,6 +170,7 @@
         instance: choice.instance.clone(),
         connection: None,
         ticket: Some(ticket),
+        told,
         stated_idle: None,
         may_keep: false,
         begun: Instant::now(),
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -1,10 +1,11 @@
 //! Routers tell each other which requests they send where, when those end, and which servers
 //! they can't reach.
 
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 
 use juniper_feed::RelayedBatch;
-use juniper_placement::{ChainSighting, Choice, Reporter, SightingBudget};
+use juniper_placement::{ChainSighting, Choice, Reporter, SightingBudget, ToldRequest};
 use juniper_protocol::message::{Reachability, RelayedNews, RouterNews, Sighting};
 use juniper_registry::InstanceId;
 use tokio::sync::Notify;
@@ -19,61 +20,55 @@
 /// Servers whose reachability waits to be told; the rest is told with its next probe.
 const MAX_QUEUED_SERVERS: usize = 64;
 
-/// Requests that the others weren't told of and that haven't ended, at most.
-const MAX_UNTOLD: usize = 64;
-
-/// What waits to be told, and what must not be told any more.
-#[derive(Default)]
-struct Waiting {
-    news: RouterNews,
-    /// Servers of requests that were left out. Their ends must not be told either.
-    untold: Vec<InstanceId>,
-}
-
-impl Waiting {
-    fn leave_out(&mut self, instance: InstanceId) {
-        if self.untold.len() < MAX_UNTOLD {
-            self.untold.push(instance);
-        }
-    }
-}
+/// Ends of requests that wait to be told; others forget the requests of the rest by themselves.
+const MAX_QUEUED_ENDS: usize = 64;
 
 /// What the other routers haven't been told yet.
-#[derive(Default)]
 pub(crate) struct NewsQueue {
-    waiting: Mutex<Waiting>,
+    news: Mutex<RouterNews>,
+    /// Number of the latest request that the others are told of.
+    last_number: AtomicU16,
     wake: Notify,
 }
 
+impl Default for NewsQueue {
+    /// Numbers begin anywhere, so that those of a router that was started again differ from the
+    /// ones that others still remember of its earlier life.
+    fn default() -> Self {
+        let last_number = AtomicU16::new(rand::random());
+        NewsQueue { news: Mutex::default(), last_number, wake: Notify::new() }
+    }
+}
+
 impl NewsQueue {
     /// Notes where a request was sent, which others can't see otherwise: with hundreds of routers
-    /// each sends a small part of what a server gets. Returns whether there was room for it.
-    pub(crate) fn push_sighting(&self, choice: &Choice) -> bool {
-        let mut waiting = lock(&self.waiting);
-        if waiting.news.sightings.len() >= MAX_QUEUED {
-            waiting.leave_out(choice.instance.clone());
-            return false;
+    /// each sends a small part of what a server gets. Returns the request's number, or `None` if
+    /// there was no room for it.
+    pub(crate) fn push_sighting(&self, choice: &Choice) -> Option<u16> {
+        let mut news = lock(&self.news);
+        if news.sightings.len() >= MAX_QUEUED {
+            return None;
         }
-        waiting.news.sightings.push(message(choice.sighting()));
+        // Zero stands for no number.
+        let number = self.last_number.fetch_add(1, Ordering::Relaxed).wrapping_add(1).max(1);
+        news.sightings.push(message(choice.sighting(), number));
         self.wake.notify_one();
-        true
+        Some(number)
     }
 
     /// Notes that a request has ended. If too many ends wait, the others forget the request
     /// after a while by themselves.
-    pub(crate) fn push_end(&self, instance: &InstanceId) {
-        let mut waiting = lock(&self.waiting);
-        if let Some(place) = waiting.untold.iter().position(|untold| untold == instance) {
-            waiting.untold.swap_remove(place);
-        } else if waiting.news.ended.len() < MAX_QUEUED {
-            waiting.news.ended.push(instance.clone());
+    pub(crate) fn push_end(&self, number: u16) {
+        let mut news = lock(&self.news);
+        if news.ended.len() < MAX_QUEUED_ENDS {
+            news.ended.push(number);
             self.wake.notify_one();
         }
     }
 
     /// Notes that this router has reached a server, or could not.
     pub(crate) fn push_reachability(&self, instance: &InstanceId, reached: bool) {
-        let queued = &mut lock(&self.waiting).news.reachability;
+        let queued = &mut lock(&self.news).reachability;
         queued.retain(|told| told.instance != *instance);
         if queued.len() < MAX_QUEUED_SERVERS {
             queued.push(Reachability { instance: instance.clone(), reached });
@@ -81,18 +76,16 @@
         }
     }
 
-    /// What waits, with the sightings that tell most, and how many of them are left out.
+    /// What waits, with the sightings that tell most, and how many of them are left out. Their ends
+    /// are told all the same: who hasn't heard of a request passes over its end.
     fn take(&self, allowed: usize) -> (RouterNews, usize) {
-        let mut waiting = lock(&self.waiting);
-        let mut news = std::mem::take(&mut waiting.news);
+        let mut news = std::mem::take(&mut *lock(&self.news));
         if news.sightings.len() <= allowed {
             return (news, 0);
         }
         news.sightings.sort_by_key(|sighting| std::cmp::Reverse(sighting.tokens));
         let left_out = news.sightings.split_off(allowed);
-        let count = left_out.len();
-        left_out.into_iter().for_each(|sighting| waiting.leave_out(sighting.instance));
-        (news, count)
+        (news, left_out.len())
     }
 }
 
@@ -131,10 +124,15 @@
     let now = gateway.now();
     let mut placement = gateway.placement();
     for RelayedNews { from, zone, news } in batch.iter() {
+        let request = |number: u16| ToldRequest { router: *from, number };
         for sighting in &news.sightings {
-            placement.sighted(&read(sighting), now);
+            match sighting.number {
+                // A router of an earlier version; the request is forgotten after a while.
+                0 => placement.sighted(&read(sighting), now),
+                number => placement.heard_sent(request(number), &read(sighting), now),
+            }
         }
-        news.ended.iter().for_each(|instance| placement.heard_end(instance));
+        news.ended.iter().for_each(|number| placement.heard_end(request(*number)));
         let reporter = Reporter { node: from.0, zone: zone.as_str() };
         for Reachability { instance, reached } in &news.reachability {
             if placement.heard_reachability(reporter, instance, *reached, now) {
@@ -145,10 +143,19 @@
     }
 }
 
-fn message(sighting: ChainSighting) -> Sighting {
+fn message(sighting: ChainSighting, number: u16) -> Sighting {
     let ChainSighting { instance, version, keys, part_tokens, own_tokens, tokens, read_tokens } =
         sighting;
-    Sighting { instance, version, chains: keys, part_tokens, own_tokens, tokens, read_tokens }
+    Sighting {
+        instance,
+        version,
+        chains: keys,
+        part_tokens,
+        own_tokens,
+        tokens,
+        read_tokens,
+        number,
+    }
 }
 
 fn read(sighting: &Sighting) -> ChainSighting {
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -133,7 +133,12 @@
     /// Servers that the gateway has told of the end of requests on.
     pub fn told_ends(&self) -> Vec<InstanceId> {
         let told = self.said.told.lock().expect("no panic");
-        told.iter().flat_map(|news| news.ended.clone()).collect()
+        let sightings: Vec<_> = told.iter().flat_map(|news| &news.sightings).collect();
+        let server_of = |number: &u16| {
+            let told = sightings.iter().find(|sighting| sighting.number == *number);
+            told.expect("only requests that were told of end").instance.clone()
+        };
+        told.iter().flat_map(|news| news.ended.iter().map(server_of)).collect()
     }
 
     /// Servers whose reachability the gateway has told of.
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -7,7 +7,7 @@
 use juniper_types::Timestamp;
 
 use crate::homes::ChainKeys;
-use crate::sighting::ChainSighting;
+use crate::sighting::{ChainSighting, ToldRequest};
 
 /// Why a server was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -141,6 +141,8 @@
     pub(crate) is_measured: bool,
     pub(crate) begun: Timestamp,
     pub(crate) had_output: bool,
+    /// Names the request among those under way.
+    pub(crate) request: ToldRequest,
     /// Tokens that the server was still to read when the request was sent.
     pub(crate) tokens_ahead: f64,
 }
--- a/crates/placement/src/fleet_load.rs
+++ b/crates/placement/src/fleet_load.rs
@@ -7,6 +7,7 @@
 use juniper_types::Timestamp;
 
 use crate::load::ReadingSpeed;
+use crate::sighting::ToldRequest;
 
 /// Age from which a request whose end nobody told of counts no more: its router was killed, or
 /// the word was lost. Few streams take longer.
@@ -19,25 +20,42 @@
     /// Tokens that were still to be read when the last request was told of.
     waiting_tokens: f64,
     updated: Timestamp,
-    /// When each request under way was begun, the oldest first. Which of them ends is not told:
-    /// only their number is used.
-    under_way: VecDeque<Timestamp>,
+    /// Requests under way, the oldest first.
+    under_way: VecDeque<UnderWay>,
+}
+
+/// A request under way.
+#[derive(Clone, Copy, Debug)]
+struct UnderWay {
+    /// Names it, if its end will be told of.
+    request: Option<ToldRequest>,
+    begun: Timestamp,
 }
 
 impl FleetLoad {
     /// A request of which `tokens` have to be read was sent to the server.
-    pub(crate) fn begin(&mut self, tokens: u32, speed: ReadingSpeed, now: Timestamp) {
+    pub(crate) fn begin(
+        &mut self,
+        request: Option<ToldRequest>,
+        tokens: u32,
+        speed: ReadingSpeed,
+        now: Timestamp,
+    ) {
         self.waiting_tokens = self.waiting_tokens(speed, now) + f64::from(tokens);
         self.updated = now;
-        while self.under_way.front().is_some_and(|begun| is_forgotten(*begun, now)) {
+        while self.under_way.front().is_some_and(|oldest| is_forgotten(oldest.begun, now)) {
             self.under_way.pop_front();
         }
-        self.under_way.push_back(now);
+        self.under_way.push_back(UnderWay { request, begun: now });
     }
 
-    /// A request has ended.
-    pub(crate) fn end(&mut self) {
-        self.under_way.pop_front();
+    /// A request has ended. If its beginning wasn't heard of, nothing changes: it must not count for
+    /// another one.
+    pub(crate) fn end(&mut self, request: ToldRequest) {
+        let place = self.under_way.iter().position(|known| known.request == Some(request));
+        if let Some(place) = place {
+            self.under_way.remove(place);
+        }
     }
 
     /// Tokens that should still be unread.
@@ -47,10 +65,10 @@
 
     /// Requests that are under way.
     pub(crate) fn requests(&self, now: Timestamp) -> usize {
-        self.under_way.iter().rev().take_while(|begun| !is_forgotten(**begun, now)).count()
+        self.under_way.iter().rev().take_while(|known| !is_forgotten(known.begun, now)).count()
     }
 }
 
-fn is_forgotten(begun: Timestamp, now: Timestamp) -> bool {
+pub(crate) fn is_forgotten(begun: Timestamp, now: Timestamp) -> bool {
     now.since(begun) >= MAX_AGE
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -34,5 +34,5 @@
 pub use placement::Placement;
 pub use reports::Reporter;
 pub use request::{Prompt, PromptPart, ServerRequest};
-pub use sighting::ChainSighting;
+pub use sighting::{ChainSighting, ToldRequest};
 pub use sighting_budget::SightingBudget;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -6,21 +6,29 @@
 use std::time::Duration;
 
 use juniper_registry::{Instance, InstanceId};
-use juniper_types::Timestamp;
+use juniper_types::{NodeId, Timestamp};
 
 use crate::choice::{Choice, ServiceProfile, Ticket};
+use crate::fleet_load::is_forgotten;
 use crate::health::Outcome;
 use crate::kept_parts::SentParts;
 use crate::lanes::Lanes;
 use crate::load::ReadingSpeed;
 use crate::reports::Reporter;
 use crate::server::Server;
-use crate::sighting::ChainSighting;
+use crate::sighting::{ChainSighting, ToldRequest};
 
 /// Most that a server may be still to read, relative to a prompt, for the time to that prompt's
 /// first output to tell how fast servers read. Beyond it the time tells how long the queue is.
 const MAX_PART_AHEAD: f64 = 0.25;
 
+/// Requests of others below which forgotten ones aren't looked for. The fleet designed for has some
+/// thousands under way.
+const LEAST_TOLD: usize = 4_096;
+
+/// Stands for this router in the names of its own requests; no router has this number.
+const THIS_ROUTER: NodeId = NodeId(0);
+
 /// The servers as one router knows them.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -30,6 +38,12 @@
     pub(crate) speeds: HashMap<String, ReadingSpeed>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
     pub(crate) lanes: HashMap<String, Lanes>,
+    /// Servers of the requests that other routers told of, with the time of each.
+    told: HashMap<ToldRequest, (InstanceId, Timestamp)>,
+    /// Number of requests told of at which forgotten ones are looked for.
+    look_at: usize,
+    /// Number of the latest request of this router.
+    last_own: u16,
 }
 
 impl Placement {
@@ -42,6 +56,9 @@
             speeds: HashMap::new(),
             profiles: HashMap::new(),
             lanes: HashMap::new(),
+            told: HashMap::new(),
+            look_at: LEAST_TOLD,
+            last_own: 0,
         }
     }
 
@@ -95,7 +112,9 @@
     /// The request is sent to the chosen server.
     pub fn begin(&mut self, choice: &Choice, has_prompt: bool, now: Timestamp) -> Ticket {
         let tokens_ahead = self.tokens_ahead(&choice.instance, now);
-        self.sighted(&choice.sighting(), now);
+        self.last_own = self.last_own.wrapping_add(1);
+        let request = ToldRequest { router: THIS_ROUTER, number: self.last_own };
+        self.note_sent(Some(request), &choice.sighting(), now);
         if has_prompt && let Some(server) = self.servers.get(&choice.instance) {
             let service = server.instance.report.service.clone();
             let tokens = choice.kept_tokens + choice.missed_tokens;
@@ -111,6 +130,7 @@
             is_measured: has_prompt && !choice.is_late,
             begun: now,
             had_output: false,
+            request,
             tokens_ahead,
         }
     }
@@ -122,13 +142,32 @@
         server.fleet_load.waiting_tokens(speed, now)
     }
 
-    /// A request was sent to a server, by this router or another one.
+    /// A request was sent to a server. Its end will not be told of.
     pub fn sighted(&mut self, sighting: &ChainSighting, now: Timestamp) {
+        self.note_sent(None, sighting, now);
+    }
+
+    /// Another router has sent a request to a server, and will tell of its end.
+    pub fn heard_sent(&mut self, request: ToldRequest, sighting: &ChainSighting, now: Timestamp) {
+        if self.told.len() >= self.look_at {
+            self.told.retain(|_, (_, begun)| !is_forgotten(*begun, now));
+            self.look_at = (self.told.len() * 2).max(LEAST_TOLD);
+        }
+        self.told.insert(request, (sighting.instance.clone(), now));
+        self.note_sent(Some(request), sighting, now);
+    }
+
+    fn note_sent(
+        &mut self,
+        request: Option<ToldRequest>,
+        sighting: &ChainSighting,
+        now: Timestamp,
+    ) {
         let Some(server) = self.servers.get_mut(&sighting.instance) else { return };
         server.turnover.record(sighting.tokens, now);
         let service = &server.instance.report.service;
         let speed = self.speeds.get(service).copied().unwrap_or_default();
-        server.fleet_load.begin(sighting.read_tokens, speed, now);
+        server.fleet_load.begin(request, sighting.read_tokens, speed, now);
         if sighting.keys.is_empty() && sighting.own_tokens == 0 {
             return;
         }
@@ -143,9 +182,10 @@
     }
 
     /// A request that another router had told of has ended.
-    pub fn heard_end(&mut self, instance: &InstanceId) {
-        if let Some(server) = self.servers.get_mut(instance) {
-            server.fleet_load.end();
+    pub fn heard_end(&mut self, request: ToldRequest) {
+        let Some((instance, _)) = self.told.remove(&request) else { return };
+        if let Some(server) = self.servers.get_mut(&instance) {
+            server.fleet_load.end(request);
         }
     }
 
@@ -196,7 +236,7 @@
             server.load.first_output(ticket.missed_tokens);
         }
         server.load.end();
-        server.fleet_load.end();
+        server.fleet_load.end(ticket.request);
         server.health.record(outcome, now);
     }
 
--- a/crates/placement/src/sighting.rs
+++ b/crates/placement/src/sighting.rs
@@ -1,6 +1,16 @@
 //! What routers tell each other of a request that was sent.
 
 use juniper_registry::InstanceId;
+use juniper_types::NodeId;
+
+/// A request that a router has told of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ToldRequest {
+    /// The router.
+    pub router: NodeId,
+    /// Names the request among those of the router that are under way.
+    pub number: u16,
+}
 
 /// A request that was sent to a server, with the parts of its prompt if it has one.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/placement/tests/calls.rs
+++ b/crates/placement/tests/calls.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_placement::{Choice, Outcome, Placement, ServerRequest};
+use juniper_placement::{Choice, Outcome, Placement, ServerRequest, ToldRequest};
 use juniper_registry::Instance;
+use juniper_types::NodeId;
 
 use support::{SERVICE, at, instance};
 
@@ -42,9 +43,10 @@
 /// The others have so many calls under way on the near server, and many more behind them.
 fn others_send(placement: &mut Placement, under_way: usize) -> Choice {
     let near = choose(placement, 0);
+    let request = |number| ToldRequest { router: NodeId(5), number };
     for number in 0..100 {
-        placement.sighted(&near.sighting(), at(number));
-        placement.heard_end(&near.instance);
+        placement.heard_sent(request(number), &near.sighting(), at(u64::from(number)));
+        placement.heard_end(request(number));
     }
     (0..under_way).for_each(|_| placement.sighted(&near.sighting(), at(1_000)));
     near
@@ -82,3 +84,15 @@
     tickets.into_iter().for_each(|ticket| placement.end(ticket, Outcome::Answered, at(60)));
     assert_eq!(choose(&placement, 70).instance, near.instance);
 }
+
+/// A router that has just started hears of ends of requests whose beginnings it hasn't heard of. If
+/// they counted for others, a crowded server would look free for as long as it stays crowded.
+#[test]
+fn the_end_of_a_request_that_was_never_heard_of_changes_nothing() {
+    let mut placement = near_and_far();
+    let near = others_send(&mut placement, 6);
+    (1_000..1_050).for_each(|number| {
+        placement.heard_end(ToldRequest { router: NodeId(5), number });
+    });
+    assert_ne!(choose(&placement, 1_050).instance, near.instance);
+}
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -32,6 +32,10 @@
     #[n(6)]
     #[cbor(default)]
     pub own_tokens: u32,
+    /// Names the request among those of its router; zero from a peer of an earlier version.
+    #[n(7)]
+    #[cbor(default)]
+    pub number: u16,
 }
 
 /// Whether a router can open connections to a server.
@@ -89,9 +93,14 @@
     /// Servers that it can't reach, and those that it can reach again.
     #[n(1)]
     pub reachability: Vec<Reachability>,
-    /// Servers on which a request has ended that it had told of, once for each request.
+    /// Servers on which requests have ended, as an earlier version told it; always empty. Without
+    /// names of requests, an end whose beginning was lost counted for another request.
     #[n(2)]
-    pub ended: Vec<InstanceId>,
+    pub ended_at: Vec<InstanceId>,
+    /// Numbers of the requests that it had told of and that have ended.
+    #[n(3)]
+    #[cbor(default)]
+    pub ended: Vec<u16>,
 }
 
 impl RouterNews {
--- a/crates/protocol/tests/sizes.rs
+++ b/crates/protocol/tests/sizes.rs
@@ -32,6 +32,7 @@
         read_tokens: 3_000,
         part_tokens: vec![9_000; 2],
         own_tokens: 2_000,
+        number: u16::MAX,
     };
     let told =
         |sightings| bytes(&Message::RouterNews(RouterNews { sightings, ..RouterNews::default() }));
@@ -39,7 +40,12 @@
     let more = told((0..11).map(sighting).collect());
     let each = (more - one) / 10;
     println!("sighting of two beginnings: {each} bytes, alone {one}");
-    assert!(each <= 50, "{each}");
+    let ended = |ended| bytes(&Message::RouterNews(RouterNews { ended, ..RouterNews::default() }));
+    let end = (ended(vec![u16::MAX; 11]) - ended(vec![u16::MAX])) / 10;
+    println!("end of a request: {end} bytes");
+    // The beginning and the end of a request together, which were 50 and 13 bytes while ends named
+    // the server.
+    assert!(each + end <= 56, "{each} {end}");
 }
 
 /// What the size of a message to a listener grows by with each router that told something.
