--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -80,7 +80,7 @@
         Duration::from_millis(self.route.objective_ms)
     }
 
-    /// Units that a limit counts for it: the tokens of the prompt and the most generated.
+    /// Tokens of the prompt and the most that are generated, for limits; `None` without a prompt.
     fn tokens(facts: &CallFacts) -> Option<u64> {
         let prompt = facts.prompt.as_ref()?;
         Some(u64::from(prompt.tokens) + u64::from(prompt.output_tokens))
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,11 +1,13 @@
 //! Limits of tenants: each request is counted by the replica that owns its tenant's limit before
 //! it is sent to a server, or by this router alone while no owner can be asked.
 
+use std::collections::HashMap;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use juniper_catalog::{Tenant, TenantLimit};
 use juniper_feed::ChargeError;
-use juniper_limits::{ChargeRequest, RateLimit, Verdict};
+use juniper_limits::{ChargeRequest, LocalLimits, RateLimit, Verdict};
 use juniper_protocol::message::{ChargeAnswer, LimitCharge};
 use tokio::time::{Instant, timeout};
 
@@ -52,9 +54,9 @@
 /// What this router needs for limits.
 #[derive(Default)]
 pub(crate) struct Limits {
-    local: std::sync::Mutex<juniper_limits::LocalLimits>,
-    /// When an owner was last asked for nothing, by tenant. Few are silent at a time.
-    silent: std::sync::Mutex<std::collections::HashMap<String, Instant>>,
+    local: Mutex<LocalLimits>,
+    /// When a tenant's owner was last asked without an answer, for a short while.
+    silent: Mutex<HashMap<String, Instant>>,
 }
 
 impl Limits {
