--- a/crates/limits/src/local.rs
+++ b/crates/limits/src/local.rs
@@ -16,9 +16,9 @@
 use crate::share::FleetShare;
 
 /// Part of a limit that routers admit together while none of them reaches the owner. The rest
-/// is left for the case that others do. With half of the routers cut off for as long as
-/// they honour keys, what all admit stays within a tenth of the limit over 8 s
-/// (`docs/design/fleet-limits.md`).
+/// is left for the case that others do: a third of the routers, such as those of one zone, that are
+/// cut off for the 4.25 s in which they honour keys add 0.6 x 4.25 / 3 = 0.85 s of the rate, a tenth
+/// of what a window of 8 s with a second's burst allows.
 const UNOWNED_PART: f64 = 0.6;
 
 /// Time without an owner after which a router that decides by itself begins anew.
