Sight: contents of requests are named, and servers that end are told from broken connections

Whether the same content stood behind the ends could not be seen. Change: a keyed fingerprint over method, host, path, tenant and body, worked out only once a request's connection breaks (request_cut); server_ended with its proof (nobody listens, or another life at the address) and the fingerprints that were under way; counters for both. Nothing is decided by it yet.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -17,10 +17,11 @@
 const CONTEXT_MS: u64 = 3_000;
 
 /// Events that tell of the state of a server or a node.
-const CONTEXT_EVENTS: [&str; 12] = [
+const CONTEXT_EVENTS: [&str; 13] = [
     "instance_heard",
     "instance_silent",
     "server_reached",
+    "server_ended",
     "departure_recorded",
     "order_given",
     "order_state",
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::call::Call;
 use crate::dialect::{AnswerFacts, AttemptFacts};
 use crate::gateway::Gateway;
-use crate::pool::{ConnectError, ServerConnection};
+use crate::pool::{ConnectError, ServerConnection, is_refused};
 
 /// Rank of requests that can't be in time any more; the last that servers know.
 const LATE_PRIORITY: u8 = 9;
@@ -64,6 +64,11 @@
         matches!(self, AttemptError::Broken(_) | AttemptError::NoAnswer | AttemptError::Silent)
     }
 
+    /// Whether nobody listens at the server's address.
+    pub(crate) fn is_refused(&self) -> bool {
+        matches!(self, AttemptError::NotSent(ConnectError::Connect(error)) if is_refused(error))
+    }
+
     fn outcome(&self) -> Outcome {
         match self {
             AttemptError::NotSent(ConnectError::Exhausted) | AttemptError::NotRun => Outcome::Full,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,6 +1,6 @@
 //! One request, from its head to the head of its answer.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +11,7 @@
 use hyper::{Method, Request, Response, Uri};
 use juniper_catalog::{KeyAccess, Route};
 use juniper_feed::FleetView;
+use juniper_types::{FingerprintKey, RequestContent, RequestFingerprint};
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::OwnAnswer;
@@ -65,6 +66,8 @@
     /// The caller's headers, without those of its connection.
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Names the content, once that was asked for.
+    fingerprint: OnceLock<RequestFingerprint>,
     pub arrived: Instant,
     pub deadline: Instant,
     /// Age of what was known of the configuration when the request came.
@@ -105,6 +108,20 @@
         self.facts.id.to_str().unwrap_or("-")
     }
 
+    /// Names the content of the request. Worked out when it is first asked for: requests that
+    /// nothing goes wrong with are never hashed.
+    pub(crate) fn fingerprint(&self, key: &FingerprintKey) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            key.fingerprint(&RequestContent {
+                method: self.method.as_str(),
+                host: host_of(&self.headers),
+                path: self.uri.path_and_query().map_or("", |path| path.as_str()),
+                tenant: self.tenant.as_deref(),
+                body: &self.body,
+            })
+        })
+    }
+
     /// Whether the rules of the route allow another sending.
     pub(crate) fn may_repeat(&self, progress: Progress) -> bool {
         let question = RetryQuestion {
@@ -172,9 +189,7 @@
         return Err(OwnAnswer::Starting);
     };
     let is_certain = age < gateway.settings.certain_age_limit();
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
-    let host = host.split(':').next().unwrap_or(host);
-    let place = index.route_at(host, head.uri.path());
+    let place = index.route_at(host_of(&head.headers), head.uri.path());
     let Some(route) = place.and_then(|place| index.route(place)) else {
         return Err(if is_certain { OwnAnswer::NoRoute } else { OwnAnswer::Unconfirmed });
     };
@@ -218,6 +233,7 @@
         uri: head.uri,
         headers,
         body,
+        fingerprint: OnceLock::new(),
         arrived,
         deadline,
         config_age: age,
@@ -226,6 +242,12 @@
     }))
 }
 
+/// The host that was asked for, without a port.
+fn host_of(headers: &HeaderMap) -> &str {
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
+    host.split(':').next().unwrap_or(host)
+}
+
 /// The body of a request.
 enum RequestBody {
     Unread(Incoming),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use juniper_catalog::{Route, WeightedSplit};
 use juniper_feed::{Feed, FleetView};
 use juniper_placement::{Placement, RetryBudget, ServiceProfile};
+use juniper_quarantine::CutRequests;
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 use tokio::sync::watch;
@@ -57,6 +58,8 @@
     pub starting: StartQueue,
     /// Limits of tenants.
     pub limits: Limits,
+    /// Requests whose connection broke, until it is known whether their server has ended.
+    pub cuts: Mutex<CutRequests>,
     /// Counts the views of the fleet that the placement has taken over.
     pub views_taken: watch::Sender<u64>,
     placement: Mutex<Placement>,
@@ -80,6 +83,7 @@
             starting: StartQueue::default(),
             limits: Limits::default(),
             pool: Pool::default(),
+            cuts: Mutex::default(),
             views_taken: watch::Sender::new(0),
             settings,
             dialect,
@@ -162,6 +166,7 @@
             placement.saw_version(&known.instance, known.version);
         }
         drop(placement);
+        self.note_lives(view);
         self.views_taken.send_modify(|taken| *taken += 1);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! - `face` accepts connections, `call` takes one request from its head to its
 //!   answer, `search` looks for a server, `attempt` is one sending to one server.
+//! - `crashes` tells servers that have ended from connections that broke.
 //! - `relay` passes whole answers on, `stream` streams; `finish` logs how requests end.
 //! - `pool` holds connections to servers, `probe` finds out when lost ones are back.
 //! - `limits` counts requests against the limits of their tenants.
@@ -18,6 +19,7 @@
 mod attempt;
 mod body;
 mod call;
+mod crashes;
 mod dialect;
 mod events;
 mod face;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,7 @@
 
 use hyper::StatusCode;
 use juniper_catalog::RouteKind;
+use juniper_quarantine::CrashProof;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
@@ -45,6 +46,10 @@
     pub news_missed: IntCounter,
     /// Servers that counted as unreachable because other routers said so.
     pub servers_reported: IntCounter,
+    /// Servers that ended under requests, by what showed it.
+    servers_ended: IntCounterVec,
+    /// Requests that were under way on them.
+    requests_ended: IntCounter,
     /// New connections to servers.
     pub connections: IntCounter,
     /// Connections of callers.
@@ -119,6 +124,15 @@
                 &["tenant", "decided_by"],
             )?,
             limited_tenants: Mutex::default(),
+            servers_ended: counters(
+                "servers_ended_total",
+                "Servers that ended under requests of this router, by what showed it.",
+                &["proof"],
+            )?,
+            requests_ended: counter(
+                "requests_ended_with_server_total",
+                "Requests that were under way on a server when it ended.",
+            )?,
             sightings_left_out: counter(
                 "sightings_left_out_total",
                 "Prompts that the other routers weren't told of.",
@@ -160,6 +174,12 @@
         self.over_limit.with_label_values(&[shown, by.as_str()]).inc();
     }
 
+    /// A server has ended under so many requests.
+    pub(crate) fn server_ended(&self, proof: CrashProof, requests: usize) {
+        self.servers_ended.with_label_values(&[proof.as_str()]).inc();
+        self.requests_ended.inc_by(requests as u64);
+    }
+
     /// The caller left before any server had answered.
     pub(crate) fn left_unanswered(&self, kind: RouteKind) {
         self.requests.with_label_values(&[kind_text(kind), "caller_left", "no_answer"]).inc();
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to servers.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -44,7 +45,7 @@
     #[error("no connection in time")]
     Timeout,
     #[error("can't connect: {0}")]
-    Connect(#[from] std::io::Error),
+    Connect(#[from] io::Error),
     #[error("can't start HTTP: {0}")]
     Handshake(#[from] hyper::Error),
     #[error("all connections that this node may open are in use")]
@@ -74,16 +75,36 @@
 
 /// Has the system notice a server that is cut off or without power, also while it
 /// owes an answer and nothing is sent.
-fn watch_peer(stream: &TcpStream) -> std::io::Result<()> {
+fn watch_peer(stream: &TcpStream) -> io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
     let probes = TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_AFTER);
     socket.set_tcp_keepalive(&probes.with_retries(PROBES))
 }
 
-/// Whether a connection to the address can be opened; it is closed at once.
-pub(crate) async fn can_connect(address: SocketAddrV4) -> bool {
-    matches!(timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
+/// Whether the failure shows that nobody listens at the address.
+pub(crate) fn is_refused(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::ConnectionRefused
+}
+
+/// What came of an attempt to open a connection that is closed at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reached {
+    /// It stood.
+    Yes,
+    /// Nobody listens.
+    Refused,
+    /// Nothing came, or another failure.
+    No,
+}
+
+/// Tries to open a connection to the address.
+pub(crate) async fn try_connect(address: SocketAddrV4) -> Reached {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Reached::Yes,
+        Ok(Err(error)) if is_refused(&error) => Reached::Refused,
+        Ok(Err(_)) | Err(_) => Reached::No,
+    }
 }
 
 /// Counts of open connections by server.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -9,7 +9,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::gateway::Gateway;
-use crate::pool::can_connect;
+use crate::pool::{Reached, try_connect};
 
 /// Pause between two looks for probes that are due.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
@@ -28,10 +28,14 @@
 }
 
 async fn probe(gateway: Arc<Gateway>, instance: InstanceId, address: SocketAddrV4) {
-    let reached = can_connect(address).await;
-    if reached {
-        log::info!("event=server_reached instance={instance} address={address}");
-        gateway.placement().reached(&instance);
+    let reached = try_connect(address).await;
+    match reached {
+        Reached::Yes => {
+            log::info!("event=server_reached instance={instance} address={address}");
+            gateway.placement().reached(&instance);
+        }
+        Reached::Refused => gateway.note_refused(&instance),
+        Reached::No => {}
     }
-    gateway.news.push_reachability(&instance, reached);
+    gateway.news.push_reachability(&instance, reached == Reached::Yes);
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use juniper_catalog::RouteKind;
 use juniper_placement::Outcome;
 use juniper_registry::InstanceId;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout_at;
 
 use crate::answer::OwnAnswer;
 use crate::attempt::{Answered, Attempt, is_promise};
@@ -81,8 +81,9 @@
             }
             Ok(Read::Long(begun, rest)) => {
                 let (pieces, body) = AnswerBody::pieces();
-                tokio::spawn(pass_pieces(call.deadline, attempt, begun, rest, pieces));
-                return finished(&gateway, &call, head, body, &instance, progress);
+                let response = finished(&gateway, &call, head, body, &instance, progress);
+                tokio::spawn(pass_pieces(gateway, call, attempt, begun, rest, pieces));
+                return response;
             }
             Err(end) => {
                 log::info!(
@@ -90,6 +91,9 @@
                     call.id()
                 );
                 attempt.fail(Outcome::Broken);
+                if end == BodyEnd::Broken {
+                    gateway.note_cut(&call, &instance);
+                }
                 progress.may_have_run += 1;
                 answered = match ask_again(&gateway, &call, &mut progress, instance, end).await {
                     Ok(answered) => answered,
@@ -161,7 +165,8 @@
 
 /// Passes the rest of a long answer on as it comes.
 async fn pass_pieces(
-    deadline: Instant,
+    gateway: Arc<Gateway>,
+    call: Call,
     attempt: Attempt,
     begun: Bytes,
     mut rest: Incoming,
@@ -177,13 +182,17 @@
             return attempt.fail(Outcome::Broken);
         }
         let frame = tokio::select! {
-            frame = timeout_at(deadline, rest.frame()) => frame,
+            frame = timeout_at(call.deadline, rest.frame()) => frame,
             () = pieces.closed() => return,
         };
         next = match frame {
             Ok(None) => return attempt.finish(Outcome::Answered),
             Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
-            Ok(Some(Err(_))) | Err(_) => Err(Incomplete),
+            Ok(Some(Err(_))) => {
+                gateway.note_cut(&call, &attempt.instance);
+                Err(Incomplete)
+            }
+            Err(_) => Err(Incomplete),
         };
     }
 }
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -100,6 +100,11 @@
             self.call.arrived.elapsed().as_millis()
         );
         self.gateway.metrics.attempt_failed(&error);
+        match &error {
+            AttemptError::Broken(_) => self.gateway.note_cut(self.call, &instance),
+            error if error.is_refused() => self.gateway.note_refused(&instance),
+            _ => {}
+        }
         match &error {
             AttemptError::NotSent(_) => self.progress.unreachable += 1,
             error => {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use juniper_placement::RetrySettings;
+use juniper_types::FingerprintKey;
 
 /// Longest time that a request is expected to wait in a server's queue before it begins. 2.2 s
 /// were seen on gltg-boards-large, while a third of the servers was down.
@@ -22,6 +23,8 @@
     pub revoke_within: Duration,
     /// Time after which a request must not begin on weights older than those named.
     pub renew_within: Duration,
+    /// Key under which the contents of requests are named; the same at all routers.
+    pub fingerprint_key: FingerprintKey,
     /// Time that a planned stop may take.
     pub grace: Duration,
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -96,6 +96,9 @@
                 self.last_event
             );
             attempt.fail(Outcome::Broken);
+            if end == BodyEnd::Broken {
+                self.gateway.note_cut(&self.call, &instance);
+            }
             self.progress.may_have_run += 1;
             let next = match end {
                 BodyEnd::Deadline | BodyEnd::Gap => None,
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -15,7 +15,7 @@
 use juniper_gateway::{GatewaySettings, Listeners, run};
 use juniper_placement::RetrySettings;
 use juniper_protocol::{ClusterKey, PeerIdentity, PeerRole};
-use juniper_types::{NodeId, ZoneName};
+use juniper_types::{FingerprintKey, NodeId, ZoneName};
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
@@ -144,6 +144,7 @@
             retry: RetrySettings { ratio: 1.0, free: 50.0, window: Duration::from_secs(10) },
             revoke_within: Duration::from_secs(5),
             renew_within: Duration::from_secs(8),
+            fingerprint_key: FingerprintKey::new([7; 32]),
             grace: Duration::from_secs(8),
         };
         let (stop, stopped) = oneshot::channel::<()>();
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -4,6 +4,7 @@
 
 use juniper_gateway::GatewaySettings;
 use juniper_placement::RetrySettings;
+use juniper_types::FingerprintKey;
 
 fn settings(renew_within: Duration) -> GatewaySettings {
     GatewaySettings {
@@ -12,6 +13,7 @@
         retry: RetrySettings { ratio: 1.0, free: 50.0, window: Duration::from_secs(10) },
         revoke_within: Duration::from_secs(5),
         renew_within,
+        fingerprint_key: FingerprintKey::new([7; 32]),
         grace: Duration::from_secs(8),
     }
 }
--- a/crates/protocol/src/handshake.rs
+++ b/crates/protocol/src/handshake.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use juniper_types::{NodeId, ZoneName};
+use juniper_types::{FingerprintKey, NodeId, ZoneName};
 use minicbor::{Decode, Encode};
 use rand::RngExt;
 use subtle::ConstantTimeEq;
@@ -21,6 +21,7 @@
 pub const MIN_KEY_BYTES: usize = 16;
 
 const KEY_CONTEXT: &str = "juniperhollow cluster key v1";
+const FINGERPRINT_CONTEXT: &str = "juniperhollow request fingerprint v1";
 const CONNECTOR: u8 = 0;
 const ACCEPTOR: u8 = 1;
 const DATAGRAM: u8 = 2;
@@ -43,6 +44,11 @@
         Ok(ClusterKey(blake3::derive_key(KEY_CONTEXT, text.as_bytes())))
     }
 
+    /// The key of the fingerprints of requests: the same on all daemons, and unknown to callers.
+    pub fn fingerprint_key(&self) -> FingerprintKey {
+        FingerprintKey::new(blake3::derive_key(FINGERPRINT_CONTEXT, &self.0))
+    }
+
     /// Keyed hash of a datagram's payload. The prefix keeps it apart from the
     /// proofs of handshakes.
     pub(crate) fn keyed_hash(&self, payload: &[u8]) -> [u8; 32] {
