Requests under which three servers ended are sent to no server any more

Each arrival is a new request to every limit that there is (attempts, retry budget, health), while each one costs a server and what else runs on it. Class: work that ends whoever carries it out is handed on without a count by its cause. Change: routers report each end of a server with the fingerprints that were under way; every router adds them up (one end by life, ends at the same moment once, a whole answer clears), so all stop within a relay's time of the third. Control replicas record the outcome in the log for routers that start later and after a loss of power. The answer is 502 reason=quarantined at once: no promise, no Retry-After, and no 4xx, since the request is allowed.

--- a/crates/control-state/src/answer.rs
+++ b/crates/control-state/src/answer.rs
@@ -44,6 +44,9 @@
     /// Who gives orders from now on.
     #[n(10)]
     OrderLease(#[n(0)] OrderLease),
+    /// The change of the quarantine is recorded, or was before.
+    #[n(11)]
+    Recorded,
 }
 
 /// What a write of settings came to. Only `Accepted` changed anything.
--- a/crates/control-state/src/command.rs
+++ b/crates/control-state/src/command.rs
@@ -6,13 +6,14 @@
 use juniper_registry::InstanceId;
 use juniper_settings::ChangeSet;
 use juniper_types::{
-    BlockHash, ChangeId, ClaimKey, ClaimOutcome, EngineId, Incarnation, NodeId, Revision,
-    TenantName,
+    BlockHash, ChangeId, ClaimKey, ClaimOutcome, EngineId, Incarnation, NodeId, RequestFingerprint,
+    Revision, TenantName,
 };
 use minicbor::{Decode, Encode};
 
 use crate::fleet::AcceptedCatalog;
 use crate::orders::{EndProof, OrderAction};
+use crate::quarantine::QuarantinedRequest;
 
 /// Longest accepted author, in bytes.
 pub const MAX_AUTHOR_BYTES: usize = 128;
@@ -168,4 +169,18 @@
         #[n(0)]
         node: NodeId,
     },
+    /// Send a request to no server any more.
+    #[n(12)]
+    Quarantine {
+        /// The request and why.
+        #[n(0)]
+        request: QuarantinedRequest,
+    },
+    /// A request in quarantine may be sent again.
+    #[n(13)]
+    Release {
+        /// The request.
+        #[n(0)]
+        request: RequestFingerprint,
+    },
 }
--- a/crates/control-state/src/fleet.rs
+++ b/crates/control-state/src/fleet.rs
@@ -6,9 +6,11 @@
 use std::sync::Arc;
 
 use juniper_registry::InstanceId;
-use juniper_types::NodeId;
+use juniper_types::{NodeId, RequestFingerprint};
 use minicbor::{Decode, Encode};
 
+use crate::quarantine::{Quarantine, QuarantinedRequest};
+
 /// Departures kept. A server that left is silent for good within seconds, so
 /// that the oldest of so many can be forgotten.
 pub const MAX_DEPARTURES: usize = 1_024;
@@ -65,6 +67,7 @@
     pub(crate) departures: VecDeque<InstanceId>,
     pub(crate) departures_total: u64,
     pub(crate) order_lease: Option<OrderLease>,
+    pub(crate) quarantine: Quarantine,
 }
 
 /// The encoded form of a [`FleetState`].
@@ -82,6 +85,10 @@
     departures_total: u64,
     #[n(5)]
     order_lease: Option<OrderLease>,
+    /// None in a snapshot of an earlier version.
+    #[n(6)]
+    #[cbor(default)]
+    quarantine: Quarantine,
 }
 
 impl From<&FleetState> for EncodedFleet {
@@ -93,6 +100,7 @@
             departures: state.departures.clone(),
             departures_total: state.departures_total,
             order_lease: state.order_lease,
+            quarantine: state.quarantine.clone(),
         }
     }
 }
@@ -106,6 +114,7 @@
             departures: encoded.departures,
             departures_total: encoded.departures_total,
             order_lease: encoded.order_lease,
+            quarantine: encoded.quarantine,
         }
     }
 }
@@ -148,6 +157,23 @@
         self.order_lease
     }
 
+    /// Requests that are sent to no server.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
+    pub(crate) fn quarantine_request(&mut self, index: u64, request: QuarantinedRequest) {
+        if self.quarantine.add(request) {
+            self.revision = index;
+        }
+    }
+
+    pub(crate) fn release_request(&mut self, index: u64, request: &RequestFingerprint) {
+        if self.quarantine.release(request) {
+            self.revision = index;
+        }
+    }
+
     pub(crate) fn put_catalog(&mut self, index: u64, catalog: AcceptedCatalog) -> CatalogAnswer {
         let held = self.catalog.as_ref().map(|held| held.version);
         if let Some(held) = held.filter(|held| *held >= catalog.version) {
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -83,6 +83,14 @@
                 self.fleet_mut().depart(index, instance);
                 Answer::Departed
             }
+            Command::Quarantine { request } => {
+                self.fleet_mut().quarantine_request(index, request);
+                Answer::Recorded
+            }
+            Command::Release { request } => {
+                self.fleet_mut().release_request(index, &request);
+                Answer::Recorded
+            }
             Command::TakeOrderLease { node } => {
                 self.last_fence += 1;
                 let token = self.last_fence;
--- a/crates/control/src/internal/calls.rs
+++ b/crates/control/src/internal/calls.rs
@@ -5,7 +5,7 @@
 use juniper_protocol::{PeerRole, Refusal, Reply, Request};
 
 use super::session::Peer;
-use super::{InternalFace, follower};
+use super::{InternalFace, follower, quarantine};
 use crate::clock::unix_seconds;
 use crate::limits::MAX_CONFIRMATION_AGE;
 
@@ -39,6 +39,12 @@
             face.limits.give_back(&tenant, units);
             Reply::Done
         }
+        Request::Quarantine(call) if peer.identity.role == PeerRole::Router => {
+            quarantine::record(face, peer, call).await
+        }
+        Request::Release(request) if peer.identity.role == PeerRole::Router => {
+            quarantine::release(face, peer, request).await
+        }
         Request::Catalog { above } => follower::catalog(face, above),
         Request::Confirm => follower::confirmed(face),
         Request::Follow
@@ -46,6 +52,8 @@
         | Request::Subscribe { .. }
         | Request::Charge(_)
         | Request::GiveBack { .. }
+        | Request::Quarantine(_)
+        | Request::Release(_)
         | Request::Lookup { .. }
         | Request::Share { .. }
         | Request::Propose { .. } => Reply::Refused(Refusal::NotAllowed),
--- a/crates/control/src/internal/follower.rs
+++ b/crates/control/src/internal/follower.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use juniper_control_state::FleetState;
-use juniper_protocol::message::{CatalogBody, FleetNews};
+use juniper_control_state::{FleetState, QuarantineChange};
+use juniper_protocol::message::{CatalogBody, FleetNews, QuarantineNews};
 use juniper_protocol::{Message, PeerRole, Push, Reply};
 use juniper_types::NodeId;
 
@@ -46,6 +46,7 @@
     revision: u64,
     members: Vec<NodeId>,
     departures: u64,
+    quarantine: u64,
 }
 
 struct Follower {
@@ -89,10 +90,10 @@
         if sent.is_some_and(|sent| sent.revision == state.revision() && sent.members == members) {
             return Ok(());
         }
-        let departures_sent = sent.map_or(0, |sent| sent.departures);
-        let news = news_after(&state, departures_sent, members.clone());
+        let news = news_after(&state, sent, members.clone());
         let (revision, departures) = (state.revision(), state.departures_total());
-        self.fleet = Some(SentFleet { revision, members, departures });
+        let quarantine = state.quarantine().changes();
+        self.fleet = Some(SentFleet { revision, members, departures, quarantine });
         self.send(Push::Fleet(news)).await
     }
 
@@ -128,16 +129,28 @@
     }
 }
 
-fn news_after(state: &FleetState, departures_sent: u64, members: Vec<NodeId>) -> FleetNews {
+fn news_after(state: &FleetState, sent: Option<&SentFleet>, members: Vec<NodeId>) -> FleetNews {
+    let departures_sent = sent.map_or(0, |sent| sent.departures);
     FleetNews {
         revision: state.revision(),
         catalog_version: state.catalog().map_or(0, |catalog| catalog.version),
         weights: state.weights().clone(),
         departures: state.departures_after(departures_sent).cloned().collect(),
         members,
+        quarantine: quarantine_after(state, sent.map(|sent| sent.quarantine)),
     }
 }
 
+/// What has changed of the quarantine since `sent`; everything for a follower that was sent nothing.
+fn quarantine_after(state: &FleetState, sent: Option<u64>) -> Option<QuarantineNews> {
+    let quarantine = state.quarantine();
+    if sent == Some(quarantine.changes()) {
+        return None;
+    }
+    let QuarantineChange { is_whole, added, released } = quarantine.change_after(sent);
+    Some(QuarantineNews { is_whole, added, released })
+}
+
 /// The configuration in force, for who has an older one.
 pub(super) fn catalog(face: &InternalFace, above: u64) -> Reply {
     let state = Arc::clone(&face.view.fleet.borrow());
--- a/crates/control/src/internal/mod.rs
+++ b/crates/control/src/internal/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod follower;
 mod listener;
+mod quarantine;
 mod session;
 mod subscriber;
 
@@ -16,6 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
+use crate::forward::Group;
 use crate::instances::InstanceBoard;
 use crate::limits::OwnedLimits;
 use crate::metrics::Metrics;
@@ -37,6 +39,8 @@
     pub key: ClusterKey,
     /// The replica.
     pub replica: ReplicaHandle,
+    /// All replicas, through this one.
+    pub group: Group,
     /// What subscribers see.
     pub view: ReplicaView,
     /// What nodes have in force.
@@ -61,7 +65,7 @@
     pub fn new(
         own: PeerIdentity,
         key: ClusterKey,
-        replica: ReplicaHandle,
+        (replica, group): (ReplicaHandle, Group),
         view: ReplicaView,
         shared: (Arc<NodeReports>, Arc<InstanceBoard>, Arc<NewsRelay>, Arc<Metrics>),
         limits: &ControlLimits,
@@ -71,6 +75,7 @@
             own,
             key,
             replica,
+            group,
             view,
             reports,
             board,
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -103,6 +103,7 @@
         let (handle, view) = (replica.handle.clone(), replica.view.clone());
         let group = Group::new(handle.clone(), Arc::clone(&peers));
         let board = Arc::new(InstanceBoard::default());
+        let replicas = (handle, group.clone());
         let fleet = FleetCalls::new(group.clone(), Arc::clone(&board), view.clone());
         let operator = routes(OperatorFace {
             group,
@@ -114,7 +115,8 @@
         });
         let relay = Arc::new(NewsRelay::new(Arc::clone(&metrics)));
         let shared = (reports, Arc::clone(&board), Arc::clone(&relay), metrics);
-        let internal = InternalFace::new(own, key, handle, view.clone(), shared, &settings.limits);
+        let internal =
+            InternalFace::new(own, key, replicas, view.clone(), shared, &settings.limits);
         let internal = Arc::new(internal);
         let helpers = Helpers { board, relay, peers, view };
         Ok(ControlDaemon { replica, internal, operator, listeners, fleet, helpers })
--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -16,7 +16,6 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::charge::{ChargeError, PendingCharge};
 use crate::fold::{FleetFold, FoldOutcome};
 use crate::link::{self, LinkCommand, LinkParts};
 use crate::relay::relay_among;
@@ -75,7 +74,7 @@
     routers: watch::Sender<u32>,
     news: broadcast::Sender<RelayedBatch>,
     /// Zones of the replicas that are connected.
-    zones: BTreeMap<NodeId, ZoneName>,
+    pub(crate) zones: BTreeMap<NodeId, ZoneName>,
     /// The replica through which this router tells others and hears from them.
     relay: Option<NodeId>,
 }
@@ -208,44 +207,6 @@
     }
 }
 
-/// Have a request counted by the connected replica that comes at `rank` for its tenant.
-pub(crate) struct ChargeLimit {
-    pub(crate) pending: PendingCharge,
-    pub(crate) rank: usize,
-}
-
-impl Message<ChargeLimit> for FeedActor {
-    type Reply = ();
-
-    async fn handle(&mut self, message: ChargeLimit, _context: &mut Context<Self, ()>) {
-        let ChargeLimit { pending, rank } = message;
-        match self.owner(&pending.charge.tenant, rank) {
-            Some(owner) => self.command(owner, LinkCommand::Charge(pending)),
-            None => {
-                // The request may have been given up.
-                let _ = pending.answer.send(Err(ChargeError::NoReplica));
-            }
-        }
-    }
-}
-
-/// Tell the owner of a tenant's limit that no server has run what was counted.
-pub(crate) struct GiveBack {
-    pub(crate) tenant: String,
-    pub(crate) units: f64,
-}
-
-impl Message<GiveBack> for FeedActor {
-    type Reply = ();
-
-    async fn handle(&mut self, message: GiveBack, _context: &mut Context<Self, ()>) {
-        let GiveBack { tenant, units } = message;
-        if let Some(owner) = self.owner(&tenant, 0) {
-            self.command(owner, LinkCommand::GiveBack { tenant, units });
-        }
-    }
-}
-
 /// Other seeds stand in the settings now.
 pub(crate) struct SetSeeds(pub(crate) Vec<NodeId>);
 
@@ -263,17 +224,17 @@
         Timestamp::ZERO.after(self.started.elapsed())
     }
 
-    fn command(&self, node: NodeId, command: LinkCommand) {
+    pub(crate) fn command(&self, node: NodeId, command: LinkCommand) {
         if let Some(link) = self.links.get(&node) {
             // A link that has just ended carries nothing out; its replica is chosen no more.
             let _ = link.commands.send(command);
         }
     }
 
-    /// The connected replica that comes at `rank` in the order in which replicas own the limit of
-    /// `tenant`.
-    fn owner(&self, tenant: &str, rank: usize) -> Option<NodeId> {
-        owners(self.zones.keys().copied(), tenant).get(rank).copied()
+    /// The connected replica that comes at `rank` in the order in which replicas own
+    /// `subject`: the limit of a tenant, or a request.
+    pub(crate) fn owner(&self, subject: &str, rank: usize) -> Option<NodeId> {
+        owners(self.zones.keys().copied(), subject).get(rank).copied()
     }
 
     /// Chooses anew the replica that this router tells and listens to.
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -3,18 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_protocol::message::{ChargeAnswer, LimitCharge, RouterNews};
-use juniper_types::NodeId;
+use juniper_protocol::message::{ChargeAnswer, LimitCharge, QuarantineCall, RouterNews};
+use juniper_types::{NodeId, RequestFingerprint};
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
 use tokio::sync::{broadcast, oneshot, watch};
 use tokio::time::Instant;
 
 use crate::actor::{
-    ChargeLimit, FeedActor, FeedArguments, FeedSettings, GiveBack, Published, RelayedBatch,
-    SetSeeds, TellRouters,
+    FeedActor, FeedArguments, FeedSettings, Published, RelayedBatch, SetSeeds, TellRouters,
 };
 use crate::charge::{ChargeError, PendingCharge};
+use crate::replica_calls::{ChargeLimit, GiveBack, RecordQuarantine, RecordRelease};
 use crate::view::FleetView;
 
 /// Events that wait for the actor; links wait beyond that.
@@ -98,6 +98,19 @@
         let _ = self.actor.tell(TellRouters(news)).await;
     }
 
+    /// Has a request recorded as one that is sent to no server any more. `rank` says which replica
+    /// is asked; whoever asks again takes the next one. The view tells when it is recorded.
+    pub async fn record_quarantine(&self, call: QuarantineCall, rank: usize) {
+        // A feed that has ended reaches nobody.
+        let _ = self.actor.tell(RecordQuarantine { call, rank }).await;
+    }
+
+    /// Has it recorded that a request may be sent again.
+    pub async fn record_release(&self, request: RequestFingerprint) {
+        // A feed that has ended reaches nobody.
+        let _ = self.actor.tell(RecordRelease(request)).await;
+    }
+
     /// Has a request counted by the replica that owns its tenant's limit: the connected one that
     /// comes at `rank` in the tenant's order. The caller bounds the wait.
     ///
--- a/crates/feed/src/fold.rs
+++ b/crates/feed/src/fold.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use juniper_catalog::{Catalog, CatalogIndex};
-use juniper_protocol::message::{CatalogBody, FleetNews, KnownVersion, RenewalNews};
+use juniper_protocol::message::{
+    CatalogBody, FleetNews, KnownVersion, QuarantineNews, RenewalNews,
+};
 use juniper_registry::{Directory, HeardInstance, InstanceId};
-use juniper_types::{NodeId, Timestamp};
+use juniper_types::{NodeId, RequestFingerprint, Timestamp};
 
 use crate::view::{FleetView, WantedWeights};
 
@@ -26,6 +28,21 @@
     renewing: BTreeSet<InstanceId>,
     /// A confirmation that waits until the view has caught up with its revision.
     unproved: Option<(Timestamp, u64)>,
+    /// Requests in quarantine as of its revision.
+    quarantined: Arc<BTreeSet<RequestFingerprint>>,
+}
+
+impl Source {
+    fn take_quarantine(&mut self, news: QuarantineNews) {
+        let quarantined = Arc::make_mut(&mut self.quarantined);
+        if news.is_whole {
+            quarantined.clear();
+        }
+        quarantined.extend(news.added);
+        for request in &news.released {
+            quarantined.remove(request);
+        }
+    }
 }
 
 /// What has to be done after something was taken in.
@@ -138,6 +155,9 @@
         source.revision = source.revision.max(news.revision);
         source.catalog_version = source.catalog_version.max(news.catalog_version);
         source.members = news.members;
+        if let Some(news) = news.quarantine {
+            source.take_quarantine(news);
+        }
         let mut changed = self.want_weights(news.weights, now);
         let before = self.departed.len();
         self.departed.extend(news.departures);
@@ -151,10 +171,24 @@
             self.directory.keep_sources(&members);
             changed |= self.refresh_instances();
         }
+        changed |= self.refresh_quarantined();
         changed |= self.advance();
         FoldOutcome { changed, fetch: self.next_fetch(now) }
     }
 
+    /// Takes over the quarantine of the replica that has applied most of the log: one that lags
+    /// behind would bring back what was released.
+    fn refresh_quarantined(&mut self) -> bool {
+        let Some(newest) = self.sources.values().max_by_key(|source| source.revision) else {
+            return false;
+        };
+        let changed = self.view.quarantined != newest.quarantined;
+        if changed {
+            self.view.quarantined = Arc::clone(&newest.quarantined);
+        }
+        changed
+    }
+
     /// Servers that a replica has heard of.
     pub fn instances(
         &mut self,
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -12,6 +12,7 @@
 mod fold;
 mod link;
 mod relay;
+mod replica_calls;
 mod view;
 
 pub use actor::{FeedSettings, RelayedBatch};
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -4,12 +4,12 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use juniper_protocol::message::RouterNews;
+use juniper_protocol::message::{QuarantineCall, RouterNews};
 use juniper_protocol::{
     ClusterKey, Connection, FrameError, FrameReader, FrameWriter, HandshakeError, Message,
     PeerIdentity, Push, Reply, Request, connect,
 };
-use juniper_types::NodeId;
+use juniper_types::{NodeId, RequestFingerprint};
 use kameo::actor::ActorRef;
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
@@ -84,6 +84,10 @@
     Charge(PendingCharge),
     /// No server has run what was counted.
     GiveBack { tenant: String, units: f64 },
+    /// Record that a request is sent to no server any more.
+    Quarantine(QuarantineCall),
+    /// Record that a request may be sent again.
+    Release(RequestFingerprint),
 }
 
 /// Follows the replica until the feed ends.
@@ -185,6 +189,8 @@
             LinkCommand::GiveBack { tenant, units } => {
                 self.call(Request::GiveBack { tenant, units }).await.map(|_| ())
             }
+            LinkCommand::Quarantine(call) => self.call(Request::Quarantine(call)).await.map(|_| ()),
+            LinkCommand::Release(request) => self.call(Request::Release(request)).await.map(|_| ()),
             LinkCommand::Fetch(above) => self.call(Request::Catalog { above }).await.map(|_| ()),
         }
     }
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -7,7 +7,7 @@
 use juniper_catalog::CatalogIndex;
 use juniper_protocol::message::KnownVersion;
 use juniper_registry::{Instance, InstanceId};
-use juniper_types::Timestamp;
+use juniper_types::{RequestFingerprint, Timestamp};
 
 /// Weights that a model should have.
 ///
@@ -69,6 +69,8 @@
     pub renewing: Arc<BTreeSet<InstanceId>>,
     /// Versions of weights that servers are known to have, before they say so.
     pub versions: Arc<Vec<KnownVersion>>,
+    /// Requests that are sent to no server, because servers ended under them.
+    pub quarantined: Arc<BTreeSet<RequestFingerprint>>,
 }
 
 impl FleetView {
--- a/crates/feed/tests/fold.rs
+++ b/crates/feed/tests/fold.rs
@@ -7,9 +7,11 @@
 
 use juniper_catalog::{Catalog, RequestLimits};
 use juniper_feed::FleetFold;
-use juniper_protocol::message::{CatalogBody, FleetNews, KnownVersion, RenewalNews};
+use juniper_protocol::message::{
+    CatalogBody, FleetNews, KnownVersion, QuarantineNews, RenewalNews,
+};
 use juniper_registry::{HeardInstance, InstanceId, InstanceReport, InstanceState, ModelHolding};
-use juniper_types::{NodeId, Timestamp};
+use juniper_types::{NodeId, RequestFingerprint, Timestamp};
 
 const FIRST: NodeId = NodeId(1);
 const SECOND: NodeId = NodeId(2);
@@ -25,6 +27,7 @@
         weights: BTreeMap::new(),
         departures: Vec::new(),
         members: vec![FIRST, SECOND],
+        quarantine: None,
     }
 }
 
@@ -189,3 +192,31 @@
     fold.set_connected(SECOND, false);
     assert_eq!(fold.routers(), 3);
 }
+
+fn quarantine(is_whole: bool, added: &[u8], released: &[u8]) -> Option<QuarantineNews> {
+    let named = |numbers: &[u8]| numbers.iter().map(|it| RequestFingerprint([*it; 16])).collect();
+    Some(QuarantineNews { is_whole, added: named(added), released: named(released) })
+}
+
+fn quarantined(fold: &FleetFold) -> Vec<u8> {
+    fold.view().quarantined.iter().map(|request| request.0[0]).collect()
+}
+
+#[test]
+fn the_replica_that_has_applied_most_says_which_requests_are_in_quarantine() {
+    let mut fold = FleetFold::default();
+    let told = |revision, quarantine| FleetNews { quarantine, ..news(revision, 0) };
+    fold.news(FIRST, told(1, quarantine(true, &[1, 2], &[])), at(0));
+    fold.news(SECOND, told(1, quarantine(true, &[1, 2], &[])), at(0));
+    assert_eq!(quarantined(&fold), [1, 2]);
+    fold.news(FIRST, told(2, quarantine(false, &[3], &[1])), at(1));
+    assert_eq!(quarantined(&fold), [2, 3]);
+    // The other one lags behind and is told something else.
+    assert!(!fold.news(SECOND, told(1, None), at(2)).changed);
+    assert_eq!(quarantined(&fold), [2, 3], "what was released stays so");
+    fold.news(SECOND, told(3, quarantine(false, &[3, 4], &[1])), at(3));
+    assert_eq!(quarantined(&fold), [2, 3, 4]);
+    // A connection that was made again begins with everything.
+    fold.news(FIRST, told(4, quarantine(true, &[4], &[])), at(4));
+    assert_eq!(quarantined(&fold), [4]);
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -37,6 +37,8 @@
     OverLimit(Duration),
     /// No time was left to send it. It has not run.
     TooLate,
+    /// Servers ended under this very request, so it is sent to none. It may have run before.
+    Quarantined,
     /// The server failed; the request may have run.
     ServerFailed,
     /// The deadline has passed; the request may have run.
@@ -56,7 +58,9 @@
             | OwnAnswer::NoServer(_)
             | OwnAnswer::Full(_)
             | OwnAnswer::TooLate => StatusCode::SERVICE_UNAVAILABLE,
-            OwnAnswer::ServerFailed => StatusCode::BAD_GATEWAY,
+            // No promise, since it has run, and no time to come back. A 4xx would say that it is
+            // not allowed, which it is.
+            OwnAnswer::Quarantined | OwnAnswer::ServerFailed => StatusCode::BAD_GATEWAY,
             OwnAnswer::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -74,6 +78,7 @@
             OwnAnswer::Full(_) => "full",
             OwnAnswer::OverLimit(_) => "over_limit",
             OwnAnswer::TooLate => "too_late",
+            OwnAnswer::Quarantined => "quarantined",
             OwnAnswer::ServerFailed => "server_failed",
             OwnAnswer::DeadlinePassed => "deadline_passed",
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::{Request, Response, StatusCode};
 use juniper_placement::{Choice, Outcome, Ticket};
 use juniper_registry::InstanceId;
+use juniper_types::Timestamp;
 use tokio::time::{Instant, timeout_at};
 
 use crate::body::WholeBody;
@@ -89,6 +90,8 @@
 pub(crate) struct Attempt {
     gateway: Arc<Gateway>,
     pub instance: InstanceId,
+    /// When the request was sent.
+    pub sent_at: Timestamp,
     connection: Option<ServerConnection>,
     ticket: Option<Ticket>,
     /// Names the request for the other routers, if they are told of it.
@@ -173,6 +176,7 @@
     let mut attempt = Attempt {
         gateway: Arc::clone(gateway),
         instance: choice.instance.clone(),
+        sent_at: now,
         connection: None,
         ticket: Some(ticket),
         told,
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddrV4;
 
 use juniper_feed::FleetView;
-use juniper_quarantine::{CrashProof, ServerCrash};
+use juniper_quarantine::{CrashProof, CrashReport, CutRequest, ServerCrash};
 use juniper_registry::InstanceId;
+use juniper_types::Timestamp;
 
 use crate::call::Call;
 use crate::gateway::Gateway;
@@ -12,7 +13,7 @@
 
 impl Gateway {
     /// The connection of a request broke before the server's answer was whole.
-    pub(crate) fn note_cut(&self, call: &Call, instance: &InstanceId) {
+    pub(crate) fn note_cut(&self, call: &Call, instance: &InstanceId, sent_at: Timestamp) {
         let fingerprint = call.fingerprint(&self.settings.fingerprint_key);
         log::info!(
             "event=request_cut request={} instance={instance} fingerprint={fingerprint}",
@@ -23,7 +24,8 @@
             // It is leaving or has left: its end says nothing of the request.
             return;
         };
-        let crash = lock(&self.cuts).cut(instance, address, fingerprint, self.now());
+        let cut = CutRequest { request: fingerprint, sent_at, cut_at: self.now() };
+        let crash = lock(&self.cuts).cut(instance, address, cut);
         self.note_crash(crash);
     }
 
@@ -50,7 +52,8 @@
 
     fn note_crash(&self, crash: Option<ServerCrash>) {
         let Some(ServerCrash { instance, proof, requests }) = crash else { return };
-        let fingerprints: Vec<String> = requests.iter().map(ToString::to_string).collect();
+        let fingerprints: Vec<String> =
+            requests.iter().map(|cut| cut.request.to_string()).collect();
         log::warn!(
             "event=server_ended instance={instance} proof={} requests={} fingerprints={}",
             proof.as_str(),
@@ -58,6 +61,11 @@
             fingerprints.join(",")
         );
         self.metrics.server_ended(proof, requests.len());
+        let now = self.now();
+        for CutRequest { request, sent_at, cut_at } in requests {
+            let (age, under_way) = (now.since(cut_at), cut_at.since(sent_at));
+            self.report_crash(CrashReport { request, instance: instance.clone(), age, under_way });
+        }
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::news::NewsQueue;
 use crate::pool::Pool;
+use crate::quarantine::QuarantineBook;
 use crate::settings::GatewaySettings;
 use crate::starting::StartQueue;
 
@@ -60,6 +61,8 @@
     pub limits: Limits,
     /// Requests whose connection broke, until it is known whether their server has ended.
     pub cuts: Mutex<CutRequests>,
+    /// Requests under which servers ended.
+    pub quarantine: QuarantineBook,
     /// Counts the views of the fleet that the placement has taken over.
     pub views_taken: watch::Sender<u64>,
     placement: Mutex<Placement>,
@@ -84,6 +87,7 @@
             limits: Limits::default(),
             pool: Pool::default(),
             cuts: Mutex::default(),
+            quarantine: QuarantineBook::default(),
             views_taken: watch::Sender::new(0),
             settings,
             dialect,
@@ -167,6 +171,7 @@
         }
         drop(placement);
         self.note_lives(view);
+        self.take_over_quarantine(view);
         self.views_taken.send_modify(|taken| *taken += 1);
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,12 @@
     servers_ended: IntCounterVec,
     /// Requests that were under way on them.
     requests_ended: IntCounter,
+    /// Requests that came into quarantine by this router's count.
+    pub quarantined: IntCounter,
+    /// Requests in quarantine that the replicas have recorded.
+    pub quarantine_recorded: IntGauge,
+    /// Requests under which servers ended and that aren't forgotten.
+    pub suspects: IntGauge,
     /// New connections to servers.
     pub connections: IntCounter,
     /// Connections of callers.
@@ -145,6 +151,15 @@
                 "servers_reported_unreachable_total",
                 "Servers left alone because other routers can't reach them.",
             )?,
+            quarantined: counter(
+                "requests_quarantined_total",
+                "Requests that came into quarantine by this router's count.",
+            )?,
+            quarantine_recorded: gauge(
+                "quarantine_recorded",
+                "Requests in quarantine that the replicas have recorded.",
+            )?,
+            suspects: gauge("suspects", "Requests under which servers ended of late.")?,
             budget_spent: counter("budget_spent_total", "Repeats that the budget didn't allow.")?,
             connections: counter("server_connections_total", "New connections to servers.")?,
             callers: gauge("caller_connections", "Connections of callers.")?,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -70,6 +70,9 @@
         match read_whole(&call, &head, body).await {
             Ok(Read::Whole(bytes)) => {
                 attempt.finish(outcome_of(&head));
+                if !head.status.is_server_error() {
+                    gateway.note_answered(&call);
+                }
                 return finished(
                     &gateway,
                     &call,
@@ -90,9 +93,10 @@
                     "event=answer_cut request={} instance={instance} reason=\"{end}\"",
                     call.id()
                 );
+                let sent_at = attempt.sent_at;
                 attempt.fail(Outcome::Broken);
                 if end == BodyEnd::Broken {
-                    gateway.note_cut(&call, &instance);
+                    gateway.note_cut(&call, &instance, sent_at);
                 }
                 progress.may_have_run += 1;
                 answered = match ask_again(&gateway, &call, &mut progress, instance, end).await {
@@ -186,10 +190,13 @@
             () = pieces.closed() => return,
         };
         next = match frame {
-            Ok(None) => return attempt.finish(Outcome::Answered),
+            Ok(None) => {
+                gateway.note_answered(&call);
+                return attempt.finish(Outcome::Answered);
+            }
             Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(_))) => {
-                gateway.note_cut(&call, &attempt.instance);
+                gateway.note_cut(&call, &attempt.instance, attempt.sent_at);
                 Err(Incomplete)
             }
             Err(_) => Err(Incomplete),
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -5,6 +5,7 @@
 
 use juniper_placement::{Choice, NoChoice, ServerRequest};
 use juniper_registry::InstanceId;
+use juniper_types::Timestamp;
 use tokio::time::Instant;
 
 use crate::answer::OwnAnswer;
@@ -49,6 +50,9 @@
             if left < LEAST_TIME {
                 return Err(self.given_up(OwnAnswer::TooLate));
             }
+            if self.gateway.is_quarantined(self.call) {
+                return Err(OwnAnswer::Quarantined);
+            }
             if !self.call.may_repeat(self.progress) || !self.is_within_budget() {
                 return Err(self.given_up(OwnAnswer::Full(FULL_PAUSE)));
             }
@@ -66,6 +70,7 @@
                 gateway.charge_again(charged).await;
             }
             let unanswered = Unanswered::by(gateway, call, &choice.instance, self.progress);
+            let sent_at = gateway.now();
             let sent = send(gateway, call, &choice, last_event, self.give_up_at()).await;
             unanswered.end();
             match sent {
@@ -79,7 +84,7 @@
                     self.progress.may_have_run += 1;
                     self.excluded.push(choice.instance);
                 }
-                Err(error) => self.note(choice.instance, error),
+                Err(error) => self.note(choice.instance, error, sent_at),
             }
         }
     }
@@ -93,7 +98,7 @@
         failed && self.call.may_repeat(after) && time_left > LEAST_TIME * 2
     }
 
-    fn note(&mut self, instance: InstanceId, error: AttemptError) {
+    fn note(&mut self, instance: InstanceId, error: AttemptError, sent_at: Timestamp) {
         log::info!(
             "event=attempt_failed request={} instance={instance} reason=\"{error}\" after_ms={}",
             self.call.id(),
@@ -101,7 +106,9 @@
         );
         self.gateway.metrics.attempt_failed(&error);
         match &error {
-            AttemptError::Broken(_) => self.gateway.note_cut(self.call, &instance),
+            AttemptError::Broken(_) => {
+                self.gateway.note_cut(self.call, &instance, sent_at);
+            }
             error if error.is_refused() => self.gateway.note_refused(&instance),
             _ => {}
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -82,6 +82,7 @@
             let end = match self.pump(&mut attempt, &mut upstream).await {
                 Ok(()) => {
                     attempt.finish(Outcome::Answered);
+                    self.gateway.note_answered(&self.call);
                     return self.done("answered", instance.as_str());
                 }
                 Err(end) => end,
@@ -95,9 +96,10 @@
                 self.call.id(),
                 self.last_event
             );
+            let sent_at = attempt.sent_at;
             attempt.fail(Outcome::Broken);
             if end == BodyEnd::Broken {
-                self.gateway.note_cut(&self.call, &instance);
+                self.gateway.note_cut(&self.call, &instance, sent_at);
             }
             self.progress.may_have_run += 1;
             let next = match end {
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod answers;
 mod limits;
+mod quarantine;
 mod reachability;
 mod starting;
 mod support;
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -6,7 +6,8 @@
 
 use juniper_catalog::Catalog;
 use juniper_protocol::message::{
-    CatalogBody, ChargeAnswer, FleetNews, LimitCharge, Reachability, RelayedNews, RouterNews,
+    CatalogBody, ChargeAnswer, Cleared, Crash, CrashNews, FleetNews, LimitCharge, QuarantineCall,
+    Reachability, RelayedNews, RouterNews,
 };
 use juniper_protocol::{
     ClusterKey, Connection, Message, PeerRole, Push, Refusal, Reply, Request, accept,
@@ -37,6 +38,8 @@
     given_back: Mutex<Vec<f64>>,
     /// What the gateway has told the other routers.
     told: Mutex<Vec<RouterNews>>,
+    /// Requests that the gateway asked to have recorded as in quarantine.
+    quarantined: Mutex<Vec<QuarantineCall>>,
     /// What other routers tell the gateway.
     relayed: broadcast::Sender<RelayedNews>,
 }
@@ -75,6 +78,7 @@
             given_back: Mutex::default(),
             heard: broadcast::Sender::new(4),
             told: Mutex::default(),
+            quarantined: Mutex::default(),
             relayed: broadcast::Sender::new(16),
         });
         let serving = Arc::clone(&said);
@@ -145,6 +149,23 @@
         told.iter().flat_map(|news| news.ended.iter().map(server_of)).collect()
     }
 
+    /// Requests that the gateway asked to have recorded as in quarantine.
+    pub fn quarantined(&self) -> Vec<QuarantineCall> {
+        self.said.quarantined.lock().expect("no panic").clone()
+    }
+
+    /// Ends of servers under requests that the gateway has told of, and those that it took back.
+    pub fn told_crashes(&self) -> (Vec<Crash>, Vec<Cleared>) {
+        let told = self.said.told.lock().expect("no panic");
+        let crashes = told.iter().filter_map(|news| news.crashes.clone());
+        let mut all = CrashNews::default();
+        for news in crashes {
+            all.crashes.extend(news.crashes);
+            all.cleared.extend(news.cleared);
+        }
+        (all.crashes, all.cleared)
+    }
+
     /// Servers whose reachability the gateway has told of.
     pub fn told_reachability(&self) -> Vec<Reachability> {
         let told = self.said.told.lock().expect("no panic");
@@ -222,6 +243,10 @@
             vec![reply(Reply::Confirmed { age_ms: 0, revision: REVISION, routers: 1 })]
         }
         Request::Charge(charge) => charged(said, charge).map(reply).into_iter().collect(),
+        Request::Quarantine(call) => {
+            said.quarantined.lock().expect("no panic").push(call.clone());
+            vec![reply(Reply::Done)]
+        }
         Request::GiveBack { units, .. } => {
             said.given_back.lock().expect("no panic").push(*units);
             vec![reply(Reply::Done)]
@@ -250,6 +275,7 @@
         weights: BTreeMap::new(),
         departures: Vec::new(),
         members: vec![said.node],
+        quarantine: None,
     }))
 }
 
--- a/crates/gateway/tests/paths/support/server.rs
+++ b/crates/gateway/tests/paths/support/server.rs
@@ -7,6 +7,8 @@
 use juniper_registry::{InstanceId, InstanceReport, InstanceState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 /// What a server does with a request.
 #[derive(Clone, Debug)]
@@ -15,6 +17,8 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Ends the server: nobody listens any more, and all connections are closed.
+    End,
 }
 
 type Script = Arc<dyn Fn(usize, &str) -> Vec<Step> + Send + Sync>;
@@ -27,6 +31,7 @@
     /// Connections that the caller closed while the server was at work.
     abandoned: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
+    ended: watch::Sender<bool>,
 }
 
 impl FakeServer {
@@ -43,12 +48,20 @@
             requests: Arc::default(),
             abandoned: Arc::default(),
             connections: Arc::default(),
+            ended: watch::Sender::new(false),
         };
         let (serving, script): (_, Script) = (server.clone(), Arc::new(script));
+        let mut ended = server.ended.subscribe();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            // Dropped with this task, which closes the connections.
+            let mut connections = JoinSet::new();
+            loop {
+                let stream = tokio::select! {
+                    accepted = listener.accept() => accepted.expect("a connection").0,
+                    _ = ended.wait_for(|ended| *ended) => return,
+                };
                 serving.connections.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(serving.clone().serve(stream, Arc::clone(&script)));
+                connections.spawn(serving.clone().serve(stream, Arc::clone(&script)));
             }
         });
         server
@@ -95,6 +108,10 @@
                     }
                     Step::Send(_) => {}
                     Step::Close => return,
+                    Step::End => {
+                        self.ended.send_replace(true);
+                        return std::future::pending().await;
+                    }
                     Step::Wait(time) => {
                         let mut byte = [0];
                         let left = tokio::time::timeout(time, stream.read(&mut byte)).await;
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use juniper_registry::InstanceId;
-use juniper_types::{NodeId, ZoneName};
+use juniper_types::{NodeId, RequestFingerprint, ZoneName};
 use minicbor::{Decode, Encode};
 
 /// Shared parts of a prompt that were sent to a server.
@@ -84,6 +84,70 @@
     pub fleet_per_second: f64,
 }
 
+/// A server ended while a request was under way on it.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Crash {
+    /// The request.
+    #[n(0)]
+    pub request: RequestFingerprint,
+    /// The life that ended.
+    #[n(1)]
+    pub instance: InstanceId,
+    /// Time since the request's connection broke, in milliseconds.
+    #[n(2)]
+    pub age_ms: u64,
+    /// Time for which the request had been under way then, in milliseconds.
+    #[n(3)]
+    pub under_way_ms: u64,
+}
+
+/// A server answered a request whole, so earlier ends were not its doing.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Cleared {
+    /// The request.
+    #[n(0)]
+    pub request: RequestFingerprint,
+    /// The lives whose ends don't count any more.
+    #[n(1)]
+    pub instances: Vec<InstanceId>,
+}
+
+/// What a router tells of servers that ended under requests.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct CrashNews {
+    /// Servers that ended under requests.
+    #[n(0)]
+    pub crashes: Vec<Crash>,
+    /// Requests whose ends of servers don't count any more.
+    #[n(1)]
+    pub cleared: Vec<Cleared>,
+}
+
+/// A request that is to be sent to no server any more.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct QuarantineCall {
+    /// The request.
+    #[n(0)]
+    pub request: RequestFingerprint,
+    /// The lives of servers that ended under it.
+    #[n(1)]
+    pub servers: Vec<InstanceId>,
+}
+
+/// Requests that are sent to no server: all of them, or what has changed on this connection.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct QuarantineNews {
+    /// Whether `added` is all of them.
+    #[n(0)]
+    pub is_whole: bool,
+    /// Requests in quarantine.
+    #[n(1)]
+    pub added: Vec<RequestFingerprint>,
+    /// Requests that may be sent again.
+    #[n(2)]
+    pub released: Vec<RequestFingerprint>,
+}
+
 /// What one router tells the others. Losing it costs work, never correctness.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct RouterNews {
@@ -101,12 +165,19 @@
     #[n(3)]
     #[cbor(default)]
     pub ended: Vec<u16>,
+    /// Servers that ended under requests; absent, and without a byte, nearly always.
+    #[n(4)]
+    #[cbor(default)]
+    pub crashes: Option<CrashNews>,
 }
 
 impl RouterNews {
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.sightings.is_empty() && self.reachability.is_empty() && self.ended.is_empty()
+        self.sightings.is_empty()
+            && self.reachability.is_empty()
+            && self.ended.is_empty()
+            && self.crashes.is_none()
     }
 }
 
@@ -153,6 +224,10 @@
     /// The control replicas, standbys included.
     #[n(5)]
     pub members: Vec<NodeId>,
+    /// Requests in quarantine, if they weren't told on this connection yet.
+    #[n(6)]
+    #[cbor(default)]
+    pub quarantine: Option<QuarantineNews>,
 }
 
 /// What the one who gives orders knows before the servers say so themselves.
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -7,14 +7,14 @@
 use juniper_settings::{ChangeSet, SettingsTree};
 use juniper_sharing::ShareMessage;
 use juniper_types::{
-    BlockHash, ClaimAnswer, ClaimKey, ClaimOutcome, EngineId, Incarnation, NodeId, Revision,
-    TenantName, ZoneName,
+    BlockHash, ClaimAnswer, ClaimKey, ClaimOutcome, EngineId, Incarnation, NodeId,
+    RequestFingerprint, Revision, TenantName, ZoneName,
 };
 use minicbor::{Decode, Encode};
 
 pub use crate::fleet::{
-    CatalogBody, ChargeAnswer, FleetNews, KnownVersion, LimitCharge, Reachability, RelayedNews,
-    RenewalNews, RouterNews, Sighting,
+    CatalogBody, ChargeAnswer, Cleared, Crash, CrashNews, FleetNews, KnownVersion, LimitCharge,
+    QuarantineCall, QuarantineNews, Reachability, RelayedNews, RenewalNews, RouterNews, Sighting,
 };
 
 /// Encodes a message; encoding into memory can't fail.
@@ -197,6 +197,12 @@
         #[n(1)]
         units: f64,
     },
+    /// Router to control: record that a request is sent to no server any more.
+    #[n(16)]
+    Quarantine(#[n(0)] QuarantineCall),
+    /// Router to control: a request in quarantine has ended well and may be sent again.
+    #[n(17)]
+    Release(#[n(0)] RequestFingerprint),
 }
 
 /// Answers to [`Request`]s.
--- a/crates/quarantine/src/cut_requests.rs
+++ b/crates/quarantine/src/cut_requests.rs
@@ -4,7 +4,7 @@
 //! answer. Only a server that has ended refuses new connections at once, or is followed by
 //! another life at its address.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -46,7 +46,18 @@
     /// What showed it.
     pub proof: CrashProof,
     /// The requests that weren't told of before.
-    pub requests: Vec<RequestFingerprint>,
+    pub requests: Vec<CutRequest>,
+}
+
+/// A request whose connection broke before the answer was whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CutRequest {
+    /// The request.
+    pub request: RequestFingerprint,
+    /// When it was sent to the server.
+    pub sent_at: Timestamp,
+    /// When its connection broke.
+    pub cut_at: Timestamp,
 }
 
 #[derive(Clone, Debug)]
@@ -54,7 +65,7 @@
     address: SocketAddrV4,
     last_cut: Timestamp,
     proof: Option<CrashProof>,
-    waiting: BTreeSet<RequestFingerprint>,
+    waiting: BTreeMap<RequestFingerprint, CutRequest>,
 }
 
 /// Requests whose connection broke, by server.
@@ -70,9 +81,9 @@
         &mut self,
         instance: &InstanceId,
         address: SocketAddrV4,
-        request: RequestFingerprint,
-        now: Timestamp,
+        cut: CutRequest,
     ) -> Option<ServerCrash> {
+        let now = cut.cut_at;
         self.forget_old(now);
         let waiting: usize = self.servers.values().map(|server| server.waiting.len()).sum();
         if waiting >= MAX_WAITING {
@@ -82,10 +93,10 @@
             address,
             last_cut: now,
             proof: None,
-            waiting: BTreeSet::new(),
+            waiting: BTreeMap::new(),
         });
         server.last_cut = now;
-        server.waiting.insert(request);
+        server.waiting.entry(cut.request).or_insert(cut);
         let proof = server.proof?;
         self.proved(instance, proof, now)
     }
@@ -101,7 +112,7 @@
         self.forget_old(now);
         let server = self.servers.get_mut(instance)?;
         let proof = *server.proof.get_or_insert(proof);
-        let requests: Vec<_> = std::mem::take(&mut server.waiting).into_iter().collect();
+        let requests: Vec<_> = std::mem::take(&mut server.waiting).into_values().collect();
         let crash = ServerCrash { instance: instance.clone(), proof, requests };
         (!crash.requests.is_empty()).then_some(crash)
     }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -2,9 +2,18 @@
 //!
 //! - [`CutRequests`] tells a server that has ended from a connection that broke, and names the
 //!   requests that were under way on it.
+//! - [`CrashCounts`] counts the ends under each request, from what all routers report; a request
+//!   under which three servers ended is in quarantine. A whole answer clears it.
+//! - [`Retelling`] tells a router's own reports again, since news of routers may be lost.
 //!
 //! Time is passed in; nothing here performs I/O.
 
+mod counts;
 mod cut_requests;
+mod report;
+mod retelling;
 
-pub use cut_requests::{CrashProof, CutRequests, ServerCrash};
+pub use counts::{CRASHES_BEFORE_QUARANTINE, Counted, CrashCounts, Unrecorded};
+pub use cut_requests::{CrashProof, CutRequest, CutRequests, ServerCrash};
+pub use report::{Clearance, CrashReport, Report};
+pub use retelling::Retelling;
--- a/crates/quarantine/tests/cut_requests.rs
+++ b/crates/quarantine/tests/cut_requests.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use juniper_quarantine::{CrashProof, CutRequests};
+use juniper_quarantine::{CrashProof, CutRequest, CutRequests};
 use juniper_registry::InstanceId;
 use juniper_types::{RequestFingerprint, Timestamp};
 
@@ -23,10 +23,16 @@
     Timestamp::ZERO.after(Duration::from_secs(seconds))
 }
 
+/// A request that was sent a second before its connection broke.
+fn cut(request: RequestFingerprint, seconds: u64) -> CutRequest {
+    let sent_at = at(seconds).before(Duration::from_secs(1));
+    CutRequest { request, sent_at, cut_at: at(seconds) }
+}
+
 #[test]
 fn a_broken_connection_alone_is_no_crash() {
     let mut cuts = CutRequests::default();
-    assert_eq!(cuts.cut(&server("a"), address(1), request(1), at(0)), None);
+    assert_eq!(cuts.cut(&server("a"), address(1), cut(request(1), 0)), None);
     let same = server("a");
     assert!(cuts.find_new_lives(at(1), |_| Some(&same)).is_empty(), "it is still the same life");
     assert!(cuts.find_new_lives(at(2), |_| None).is_empty(), "nothing is known of the address");
@@ -35,37 +41,37 @@
 #[test]
 fn a_server_that_refuses_connections_has_ended_under_all_its_requests() {
     let mut cuts = CutRequests::default();
-    cuts.cut(&server("a"), address(1), request(1), at(0));
-    cuts.cut(&server("a"), address(1), request(2), at(0));
-    cuts.cut(&server("b"), address(2), request(3), at(0));
+    cuts.cut(&server("a"), address(1), cut(request(1), 0));
+    cuts.cut(&server("a"), address(1), cut(request(2), 0));
+    cuts.cut(&server("b"), address(2), cut(request(3), 0));
     let crash = cuts.proved(&server("a"), CrashProof::Refused, at(0)).expect("a crash");
     assert_eq!((crash.instance, crash.proof), (server("a"), CrashProof::Refused));
-    assert_eq!(crash.requests, [request(1), request(2)]);
+    assert_eq!(crash.requests, [cut(request(1), 0), cut(request(2), 0)]);
     assert_eq!(cuts.proved(&server("a"), CrashProof::NewLife, at(1)), None, "told once");
-    let late = cuts.cut(&server("a"), address(1), request(4), at(1)).expect("known to have ended");
+    let late = cuts.cut(&server("a"), address(1), cut(request(4), 1)).expect("known to have ended");
     assert_eq!(
         (late.requests.as_slice(), late.proof),
-        ([request(4)].as_slice(), CrashProof::Refused)
+        ([cut(request(4), 1)].as_slice(), CrashProof::Refused)
     );
 }
 
 #[test]
 fn another_life_at_the_address_shows_that_the_server_has_ended() {
     let mut cuts = CutRequests::default();
-    cuts.cut(&server("a"), address(1), request(1), at(0));
-    cuts.cut(&server("b"), address(2), request(2), at(0));
+    cuts.cut(&server("a"), address(1), cut(request(1), 0));
+    cuts.cut(&server("b"), address(2), cut(request(2), 0));
     let (same, next) = (server("b"), server("a2"));
     let lives = |asked| if asked == address(1) { Some(&next) } else { Some(&same) };
     let crashes = cuts.find_new_lives(at(3), lives);
     assert_eq!(crashes.len(), 1);
     assert_eq!((&crashes[0].instance, crashes[0].proof), (&server("a"), CrashProof::NewLife));
-    assert_eq!(crashes[0].requests, [request(1)]);
+    assert_eq!(crashes[0].requests, [cut(request(1), 0)]);
 }
 
 #[test]
 fn a_cut_that_nothing_proves_in_time_is_forgotten() {
     let mut cuts = CutRequests::default();
-    cuts.cut(&server("a"), address(1), request(1), at(0));
+    cuts.cut(&server("a"), address(1), cut(request(1), 0));
     assert_eq!(cuts.proved(&server("a"), CrashProof::Refused, at(10)), None);
     assert!(cuts.is_empty());
 }
@@ -76,7 +82,7 @@
     for number in 0..2_000_u32 {
         let mut bytes = [0; 16];
         bytes[..4].copy_from_slice(&number.to_be_bytes());
-        cuts.cut(&server("a"), address(1), RequestFingerprint(bytes), at(0));
+        cuts.cut(&server("a"), address(1), cut(RequestFingerprint(bytes), 0));
     }
     let crash = cuts.proved(&server("a"), CrashProof::Refused, at(0)).expect("a crash");
     assert_eq!(crash.requests.len(), 1_024);
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -28,6 +28,11 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// This timestamp moved back by `duration`, to the origin at the earliest.
+    pub const fn before(self, duration: Duration) -> Self {
+        Timestamp(self.0.saturating_sub(duration.as_micros() as u64))
+    }
+
     /// This timestamp moved forward by `duration`, saturating.
     pub const fn after(self, duration: Duration) -> Self {
         Timestamp(self.0.saturating_add(duration.as_micros() as u64))
