Crash watch: what a router does about requests that end servers, in a crate for both routers

Cause: the gateway's own glue (cuts, counts, telling, recording) could not be used by the tree's router, which has the same fault. Change: moved to juniper-crash-watch, which tells and hears by the feed itself; the gateway only says what it sees.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,15 +1,13 @@
-//! Servers that end while requests are under way on them.
+//! Requests that end the servers that run them, as the gateway sees them.
 
-use std::net::SocketAddrV4;
+use std::net::SocketAddr;
 
-use juniper_feed::FleetView;
-use juniper_quarantine::{CrashProof, CrashReport, CutRequest, ServerCrash};
+use juniper_quarantine::CrashProof;
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 
 use crate::call::Call;
 use crate::gateway::Gateway;
-use crate::lock::lock;
 
 impl Gateway {
     /// The connection of a request broke before the server's answer was whole.
@@ -20,57 +18,31 @@
             call.id()
         );
         let view = self.feed.latest();
-        let Some(address) = address_of(&view, instance) else {
-            // It is leaving or has left: its end says nothing of the request.
-            return;
-        };
-        let cut = CutRequest { request: fingerprint, sent_at, cut_at: self.now() };
-        let crash = lock(&self.cuts).cut(instance, address, cut);
-        self.note_crash(crash);
+        let known = view.instances.iter().find(|known| known.report.id == *instance);
+        // One that isn't known is leaving or has left: its end says nothing of the request.
+        if let Some(known) = known {
+            let address = SocketAddr::V4(known.report.address);
+            self.crashes.note_cut(instance, address, fingerprint, sent_at);
+        }
     }
 
     /// Nobody listens at the server's address any more.
     pub(crate) fn note_refused(&self, instance: &InstanceId) {
-        let crash = lock(&self.cuts).proved(instance, CrashProof::Refused, self.now());
-        self.note_crash(crash);
+        self.crashes.note_ended(instance, CrashProof::Refused);
     }
 
-    /// Looks for servers that have ended and are back in another life.
-    pub(crate) fn note_lives(&self, view: &FleetView) {
-        let mut cuts = lock(&self.cuts);
-        if cuts.is_empty() {
-            return;
-        }
-        let life_at = |address| {
-            let lives = view.instances.iter().map(|known| &known.report);
-            lives.filter(|report| report.address == address).map(|report| &report.id).next()
-        };
-        let crashes = cuts.find_new_lives(self.now(), life_at);
-        drop(cuts);
-        crashes.into_iter().for_each(|crash| self.note_crash(Some(crash)));
+    /// A server has answered the request whole.
+    pub(crate) fn note_answered(&self, call: &Call) {
+        self.crashes.note_answered(call.id(), || call.fingerprint(&self.settings.fingerprint_key));
     }
 
-    fn note_crash(&self, crash: Option<ServerCrash>) {
-        let Some(ServerCrash { instance, proof, requests }) = crash else { return };
-        let fingerprints: Vec<String> =
-            requests.iter().map(|cut| cut.request.to_string()).collect();
-        log::warn!(
-            "event=server_ended instance={instance} proof={} requests={} fingerprints={}",
-            proof.as_str(),
-            requests.len(),
-            fingerprints.join(",")
-        );
-        self.metrics.server_ended(proof, requests.len());
-        let now = self.now();
-        for CutRequest { request, sent_at, cut_at } in requests {
-            let (age, under_way) = (now.since(cut_at), cut_at.since(sent_at));
-            self.report_crash(CrashReport { request, instance: instance.clone(), age, under_way });
+    /// Whether the request must be sent to no server.
+    pub(crate) fn is_quarantined(&self, call: &Call) -> bool {
+        let name = || call.fingerprint(&self.settings.fingerprint_key);
+        let quarantined = self.crashes.quarantined(name);
+        if let Some(fingerprint) = quarantined {
+            log::info!("event=quarantined request={} fingerprint={fingerprint}", call.id());
         }
+        quarantined.is_some()
     }
 }
-
-/// The address of a server that may be used; none of one that is leaving or has left.
-fn address_of(view: &FleetView, instance: &InstanceId) -> Option<SocketAddrV4> {
-    let known = view.instances.iter().find(|known| known.report.id == *instance);
-    known.map(|known| known.report.address)
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use juniper_catalog::{Route, WeightedSplit};
+use juniper_crash_watch::CrashWatch;
 use juniper_feed::{Feed, FleetView};
 use juniper_placement::{Placement, RetryBudget, ServiceProfile};
-use juniper_quarantine::CutRequests;
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 use tokio::sync::watch;
@@ -20,7 +20,6 @@
 use crate::metrics::Metrics;
 use crate::news::NewsQueue;
 use crate::pool::Pool;
-use crate::quarantine::QuarantineBook;
 use crate::settings::GatewaySettings;
 use crate::starting::StartQueue;
 
@@ -59,10 +58,8 @@
     pub starting: StartQueue,
     /// Limits of tenants.
     pub limits: Limits,
-    /// Requests whose connection broke, until it is known whether their server has ended.
-    pub cuts: Mutex<CutRequests>,
     /// Requests under which servers ended.
-    pub quarantine: QuarantineBook,
+    pub crashes: Arc<CrashWatch>,
     /// Counts the views of the fleet that the placement has taken over.
     pub views_taken: watch::Sender<u64>,
     placement: Mutex<Placement>,
@@ -86,8 +83,7 @@
             starting: StartQueue::default(),
             limits: Limits::default(),
             pool: Pool::default(),
-            cuts: Mutex::default(),
-            quarantine: QuarantineBook::default(),
+            crashes: Arc::new(CrashWatch::new(feed.clone(), metrics.crashes.clone())),
             views_taken: watch::Sender::new(0),
             settings,
             dialect,
@@ -170,8 +166,7 @@
             placement.saw_version(&known.instance, known.version);
         }
         drop(placement);
-        self.note_lives(view);
-        self.take_over_quarantine(view);
+        self.crashes.take_over(view);
         self.views_taken.send_modify(|taken| *taken += 1);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,8 +7,7 @@
 //!
 //! - `face` accepts connections, `call` takes one request from its head to its
 //!   answer, `search` looks for a server, `attempt` is one sending to one server.
-//! - `crashes` tells servers that have ended from connections that broke.
-//! - `quarantine` sends requests to no server any more under which servers ended.
+//! - `crashes` hands what is seen of servers that end to the crash watch.
 //! - `relay` passes whole answers on, `stream` streams; `finish` logs how requests end.
 //! - `pool` holds connections to servers, `probe` finds out when lost ones are back.
 //! - `limits` counts requests against the limits of their tenants.
@@ -33,7 +32,6 @@
 mod news;
 mod pool;
 mod probe;
-mod quarantine;
 mod relay;
 mod retry;
 mod search;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -162,7 +162,7 @@
     let mut helpers = vec![
         tokio::spawn(Arc::clone(gateway).follow_feed()),
         tokio::spawn(news::share(Arc::clone(gateway))),
-        tokio::spawn(Arc::clone(gateway).keep_quarantine()),
+        tokio::spawn(Arc::clone(&gateway.crashes).run()),
         tokio::spawn(probe_unreachable(Arc::clone(gateway))),
         tokio::spawn(log_readiness(Arc::clone(gateway))),
     ];
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,7 +6,7 @@
 
 use hyper::StatusCode;
 use juniper_catalog::RouteKind;
-use juniper_quarantine::CrashProof;
+use juniper_crash_watch::CrashMetrics;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
@@ -46,16 +46,8 @@
     pub news_missed: IntCounter,
     /// Servers that counted as unreachable because other routers said so.
     pub servers_reported: IntCounter,
-    /// Servers that ended under requests, by what showed it.
-    servers_ended: IntCounterVec,
-    /// Requests that were under way on them.
-    requests_ended: IntCounter,
-    /// Requests that came into quarantine by this router's count.
-    pub quarantined: IntCounter,
-    /// Requests in quarantine that the replicas have recorded.
-    pub quarantine_recorded: IntGauge,
-    /// Requests under which servers ended and that aren't forgotten.
-    pub suspects: IntGauge,
+    /// Servers that ended under requests, and quarantines.
+    pub crashes: CrashMetrics,
     /// New connections to servers.
     pub connections: IntCounter,
     /// Connections of callers.
@@ -130,15 +122,7 @@
                 &["tenant", "decided_by"],
             )?,
             limited_tenants: Mutex::default(),
-            servers_ended: counters(
-                "servers_ended_total",
-                "Servers that ended under requests of this router, by what showed it.",
-                &["proof"],
-            )?,
-            requests_ended: counter(
-                "requests_ended_with_server_total",
-                "Requests that were under way on a server when it ended.",
-            )?,
+            crashes: CrashMetrics::new("juniper_gateway", &registry)?,
             sightings_left_out: counter(
                 "sightings_left_out_total",
                 "Prompts that the other routers weren't told of.",
@@ -151,15 +135,6 @@
                 "servers_reported_unreachable_total",
                 "Servers left alone because other routers can't reach them.",
             )?,
-            quarantined: counter(
-                "requests_quarantined_total",
-                "Requests that came into quarantine by this router's count.",
-            )?,
-            quarantine_recorded: gauge(
-                "quarantine_recorded",
-                "Requests in quarantine that the replicas have recorded.",
-            )?,
-            suspects: gauge("suspects", "Requests under which servers ended of late.")?,
             budget_spent: counter("budget_spent_total", "Repeats that the budget didn't allow.")?,
             connections: counter("server_connections_total", "New connections to servers.")?,
             callers: gauge("caller_connections", "Connections of callers.")?,
@@ -189,12 +164,6 @@
         self.over_limit.with_label_values(&[shown, by.as_str()]).inc();
     }
 
-    /// A server has ended under so many requests.
-    pub(crate) fn server_ended(&self, proof: CrashProof, requests: usize) {
-        self.servers_ended.with_label_values(&[proof.as_str()]).inc();
-        self.requests_ended.inc_by(requests as u64);
-    }
-
     /// The caller left before any server had answered.
     pub(crate) fn left_unanswered(&self, kind: RouteKind) {
         self.requests.with_label_values(&[kind_text(kind), "caller_left", "no_answer"]).inc();
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -3,12 +3,10 @@
 
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use juniper_feed::RelayedBatch;
 use juniper_placement::{ChainSighting, Choice, Reporter, SightingBudget, ToldRequest};
-use juniper_protocol::message::{Cleared, Crash, Reachability, RelayedNews, RouterNews, Sighting};
-use juniper_quarantine::{Clearance, CrashReport, Report};
+use juniper_protocol::message::{Reachability, RelayedNews, RouterNews, Sighting};
 use juniper_registry::InstanceId;
 use tokio::sync::Notify;
 use tokio::sync::broadcast::error::RecvError;
@@ -25,9 +23,6 @@
 /// Ends of requests that wait to be told; others forget the requests of the rest by themselves.
 const MAX_QUEUED_ENDS: usize = 64;
 
-/// Reports of servers that ended under requests that wait to be told: those of some servers.
-const MAX_QUEUED_REPORTS: usize = 256;
-
 /// What the other routers haven't been told yet.
 pub(crate) struct NewsQueue {
     news: Mutex<RouterNews>,
@@ -81,23 +76,6 @@
         }
     }
 
-    /// Notes a server that ended under a request, or that one didn't end for it. Beyond the most
-    /// that wait, it is told when it is told again.
-    pub(crate) fn push_report(&self, report: &Report) {
-        let mut news = lock(&self.news);
-        let told = news.crashes.get_or_insert_default();
-        if told.crashes.len() + told.cleared.len() >= MAX_QUEUED_REPORTS {
-            return;
-        }
-        match report {
-            Report::Crash(report) => told.crashes.push(crash_message(report)),
-            Report::Clear(Clearance { request, instances }) => {
-                told.cleared.push(Cleared { request: *request, instances: instances.clone() });
-            }
-        }
-        self.wake.notify_one();
-    }
-
     /// What waits, with the sightings that tell most, and how many of them are left out. Their ends
     /// are told all the same: who hasn't heard of a request passes over its end.
     fn take(&self, allowed: usize) -> (RouterNews, usize) {
@@ -143,11 +121,6 @@
 
 /// Takes in what other routers told.
 fn learn(gateway: &Gateway, batch: &RelayedBatch) {
-    for RelayedNews { from, news, .. } in batch.iter() {
-        if let Some(crashes) = &news.crashes {
-            gateway.hear_reports(*from, crashes);
-        }
-    }
     let now = gateway.now();
     let mut placement = gateway.placement();
     for RelayedNews { from, zone, news } in batch.iter() {
@@ -170,16 +143,6 @@
     }
 }
 
-fn crash_message(report: &CrashReport) -> Crash {
-    let milliseconds = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-    Crash {
-        request: report.request,
-        instance: report.instance.clone(),
-        age_ms: milliseconds(report.age),
-        under_way_ms: milliseconds(report.under_way),
-    }
-}
-
 fn message(sighting: ChainSighting, number: u16) -> Sighting {
     let ChainSighting { instance, version, keys, part_tokens, own_tokens, tokens, read_tokens } =
         sighting;
--- a/crates/quarantine/src/cut_requests.rs
+++ b/crates/quarantine/src/cut_requests.rs
@@ -5,7 +5,7 @@
 //! another life at its address.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddrV4;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use juniper_registry::InstanceId;
@@ -62,7 +62,7 @@
 
 #[derive(Clone, Debug)]
 struct CutServer {
-    address: SocketAddrV4,
+    address: SocketAddr,
     last_cut: Timestamp,
     proof: Option<CrashProof>,
     waiting: BTreeMap<RequestFingerprint, CutRequest>,
@@ -80,7 +80,7 @@
     pub fn cut(
         &mut self,
         instance: &InstanceId,
-        address: SocketAddrV4,
+        address: SocketAddr,
         cut: CutRequest,
     ) -> Option<ServerCrash> {
         let now = cut.cut_at;
@@ -122,7 +122,7 @@
     pub fn find_new_lives<'a>(
         &mut self,
         now: Timestamp,
-        life_at: impl Fn(SocketAddrV4) -> Option<&'a InstanceId>,
+        life_at: impl Fn(SocketAddr) -> Option<&'a InstanceId>,
     ) -> Vec<ServerCrash> {
         let is_replaced = |id: &InstanceId, server: &CutServer| {
             life_at(server.address).is_some_and(|known| known != id)
--- a/crates/quarantine/tests/cut_requests.rs
+++ b/crates/quarantine/tests/cut_requests.rs
@@ -1,6 +1,6 @@
 //! A server that has ended is told from a connection that broke.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use juniper_quarantine::{CrashProof, CutRequest, CutRequests};
@@ -15,8 +15,8 @@
     InstanceId::new(name)
 }
 
-fn address(port: u16) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
 fn at(seconds: u64) -> Timestamp {
