--- a/crates/lab/src/emulate/engine.rs
+++ b/crates/lab/src/emulate/engine.rs
@@ -8,7 +8,7 @@
 use juniper_types::{AdapterName, Incarnation, ModelName, WeightsVersion, ZoneName};
 use lexopt::Arg;
 
-use super::serve::serve;
+use super::serve::{ending_on, serve};
 use crate::arguments::{ArgumentError, parsed};
 
 /// Zone of an engine that is told none.
@@ -21,6 +21,7 @@
     listen: SocketAddr,
     zone: ZoneName,
     options: EngineOptions,
+    ends_on: Option<String>,
 }
 
 /// Runs an engine emulator until the process is ended.
@@ -28,9 +29,9 @@
 /// # Errors
 /// Fails when the arguments are faulty or the address can't be served.
 pub fn run(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
-    let Arguments { listen, zone, options } = read(parser)?;
+    let Arguments { listen, zone, options, ends_on } = read(parser)?;
     log::info!("event=start kind=engine zone={zone}");
-    serve(listen, || router(options))
+    serve(listen, || ending_on(router(options), ends_on))
 }
 
 fn read(parser: &mut lexopt::Parser) -> Result<Arguments, ArgumentError> {
@@ -39,6 +40,7 @@
     let mut model = ModelName::new(DEFAULT_MODEL)?;
     let mut weights = WeightsVersion(1);
     let mut weight_store = None;
+    let mut ends_on = None;
     let mut config = EngineConfig::reference(model.clone(), weights, 1);
     while let Some(argument) = parser.next()? {
         match argument {
@@ -65,6 +67,7 @@
             Arg::Long("weight-store") => {
                 weight_store = Some(parsed(parser, "--weight-store", "an address")?);
             }
+            Arg::Long("ends-on") => ends_on = Some(parsed(parser, "--ends-on", "a text")?),
             other => return Err(other.unexpected().into()),
         }
     }
@@ -74,5 +77,6 @@
         listen: listen.ok_or(ArgumentError::Missing("--listen"))?,
         zone,
         options: EngineOptions { config, incarnation, weight_store },
+        ends_on,
     })
 }
--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -25,6 +25,10 @@
 Options of every kind:
   --listen ADDRESS    where to serve; port 0 picks a free one  [required]
 
+Option of engine, application and preview:
+  --ends-on TEXT      a request with this text in its path or body ends the
+                      process; with '-late' behind it, 0.1 s later
+
 Options of engine:
   --zone NAME         zone it stands in  [default: local]
   --model NAME        model served  [default: base]
--- a/crates/lab/src/emulate/serve.rs
+++ b/crates/lab/src/emulate/serve.rs
@@ -3,8 +3,10 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use axum::Router;
+use juniper_emulators::http::ending;
 
 /// Why an emulator can't serve.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -29,6 +31,19 @@
     Serve(#[source] std::io::Error),
 }
 
+/// Exit status of an emulator that a request has ended.
+const ENDED_STATUS: i32 = 70;
+
+/// The routes of an emulator that a request with `text` in it ends, if there is a text.
+pub fn ending_on(routes: Router, text: Option<String>) -> Router {
+    let Some(text) = text else { return routes };
+    let end = || {
+        log::warn!("event=ended_by_a_request");
+        std::process::exit(ENDED_STATUS);
+    };
+    ending::ending_on(routes, text, Arc::new(end))
+}
+
 /// Serves the routes that `routes` makes within the runtime on `address`, and
 /// announces the address on standard output.
 ///
--- a/crates/lab/src/emulate/servers.rs
+++ b/crates/lab/src/emulate/servers.rs
@@ -12,7 +12,7 @@
 use juniper_emulators::{http, http::application::WORK_TIME, http::preview::PIECE_INTERVAL};
 use lexopt::Arg;
 
-use super::serve::{ServeError, serve};
+use super::serve::{ServeError, ending_on, serve};
 use crate::arguments::{ArgumentError, parsed};
 
 /// Reads the options of one emulator; `--listen` is every emulator's.
@@ -49,9 +49,11 @@
 pub fn application(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
     let mut journal: Option<PathBuf> = None;
     let mut work = WORK_TIME;
+    let mut ends_on = None;
     let listen = read_options(parser, |parser, name| {
         match name {
             "journal" => journal = Some(parser.value()?.into()),
+            "ends-on" => ends_on = Some(parsed(parser, "--ends-on", "a text")?),
             "work-ms" => work = read_millis(parser, "--work-ms")?,
             _ => return Ok(false),
         }
@@ -61,7 +63,7 @@
         Some(path) => Executions::open(path).map_err(ServeError::Journal)?,
         None => Executions::default(),
     };
-    serve(listen, || http::application::router(executions, work))
+    serve(listen, || ending_on(http::application::router(executions, work), ends_on))
 }
 
 /// `juniper-lab emulate preview`.
@@ -70,13 +72,16 @@
 /// Fails when the arguments are faulty or the address can't be served.
 pub fn preview(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
     let mut interval = PIECE_INTERVAL;
+    let mut ends_on = None;
     let listen = read_options(parser, |parser, name| {
-        if name == "piece-ms" {
-            interval = read_millis(parser, "--piece-ms")?;
+        match name {
+            "ends-on" => ends_on = Some(parsed(parser, "--ends-on", "a text")?),
+            "piece-ms" => interval = read_millis(parser, "--piece-ms")?,
+            _ => return Ok(false),
         }
-        Ok(name == "piece-ms")
+        Ok(true)
     })?;
-    serve(listen, || http::preview::router(interval))
+    serve(listen, || ending_on(http::preview::router(interval), ends_on))
 }
 
 /// `juniper-lab emulate store`.
--- a/crates/lab/src/fleet/back_ends.rs
+++ b/crates/lab/src/fleet/back_ends.rs
@@ -13,6 +13,9 @@
 use super::binaries::Binaries;
 use super::process::ManagedProcess;
 
+/// Text of a request that ends each emulator of a fleet that runs it.
+pub const ENDS_BACK_ENDS: &str = "ends-back-ends";
+
 /// Numbers of processes of a fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FleetSizes {
@@ -96,6 +99,8 @@
             kind_name(entry.kind).into(),
             "--listen".into(),
             entry.address.to_string().into(),
+            "--ends-on".into(),
+            ENDS_BACK_ENDS.into(),
         ];
         if entry.kind == BackEndKind::Engine {
             let blocks = self.profile.shape().cache_blocks.to_string();
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -23,7 +23,7 @@
 
 pub use juniper_settings::BackEndKind;
 
-pub use self::back_ends::{BackEndProcess, FleetSizes};
+pub use self::back_ends::{BackEndProcess, ENDS_BACK_ENDS, FleetSizes};
 pub use self::binaries::{Binaries, DAEMON_COMMAND};
 pub use self::error::FleetError;
 pub use self::node_files::{NodeAddress, OPERATOR_KEY};
