The tree's router sends requests under which back ends ended to none any more

Previews whose servers had begun answered 503 not_run=true, which was untrue. Change: the router feeds the crash watch (juniper-crash-watch) through a feed of its own; a broken connection is followed by a look at the back end (nobody listens, or an engine's load report names another life). RequestError::Quarantined: 502, not_run=false, no time to come back. A preview that a server may have begun ends with back_end_failed.

--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the view and the connections to the replicas.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,8 +34,10 @@
     pub key: ClusterKey,
     /// Who this node is.
     pub own: PeerIdentity,
-    /// Replicas to begin with; the numbers are addresses.
+    /// Replicas to begin with.
     pub seeds: Vec<NodeId>,
+    /// Where replicas are reached whose numbers aren't addresses; the others need no entry.
+    pub addresses: BTreeMap<NodeId, SocketAddr>,
 }
 
 /// Something that happened on the link to a replica.
@@ -331,6 +334,7 @@
         let (commands, receiver) = mpsc::unbounded_channel();
         let parts = LinkParts {
             node,
+            address: self.settings.addresses.get(&node).copied(),
             key: self.settings.key.clone(),
             own: self.settings.own.clone(),
             feed: self.own_ref.clone(),
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use juniper_protocol::message::{QuarantineCall, RouterNews};
@@ -60,6 +61,8 @@
 pub(crate) struct LinkParts {
     /// The replica.
     pub node: NodeId,
+    /// Where it is reached, if its number isn't its address.
+    pub address: Option<SocketAddr>,
     /// Secret shared by the daemons.
     pub key: ClusterKey,
     /// Who this node is.
@@ -230,8 +233,9 @@
 
 /// Connects and follows until the connection ends. Sets `connected` once it stands.
 async fn follow(parts: &mut LinkParts, connected: &mut bool) -> Result<Infallible, LinkEnd> {
-    let address = parts.node.address().ok_or(LinkEnd::NoAddress)?;
-    let opening = connect(address.into(), &parts.key, &parts.own);
+    let of_number = || parts.node.address().map(SocketAddr::V4);
+    let address = parts.address.or_else(of_number).ok_or(LinkEnd::NoAddress)?;
+    let opening = connect(address, &parts.key, &parts.own);
     let opened = timeout(CONNECT_TIMEOUT, opening).await;
     let Connection { peer, reader, writer } = opened.map_err(|_| LinkEnd::ConnectTimeout)??;
     *connected = true;
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -134,6 +134,7 @@
             key: ClusterKey::from_text(KEY).expect("long enough"),
             own: identity(PeerRole::Router, 77),
             seeds: vec![control.node],
+            addresses: Default::default(),
         });
         let (caller_listener, callers) = listener().await;
         let (readiness_listener, readiness) = listener().await;
--- a/crates/router/src/applications.rs
+++ b/crates/router/src/applications.rs
@@ -16,6 +16,7 @@
 use crate::access::{Caller, REQUEST_ID_HEADER, authenticate, request_id};
 use crate::backends::Lease;
 use crate::claims::{Claim, Claimed, KEY_HEADER, MAX_KEPT_BODY_BYTES, fingerprint, key_of};
+use crate::crashes::{AskedRequest, SentTo};
 use crate::error::RequestError;
 use crate::faces::{answer_or_error, insert, read_body};
 use crate::shared::{InFlight, Shared};
@@ -63,6 +64,14 @@
     TooLarge,
 }
 
+impl Forward {
+    /// What is asked, as the same request asks it again; its key is a new one then.
+    fn asked(&self) -> AskedRequest<'_> {
+        let (method, path) = (self.method.as_str(), self.path.as_str());
+        AskedRequest { method, path, tenant: &self.tenant, body: &self.body }
+    }
+}
+
 impl IntoResponse for Answer {
     fn into_response(self) -> Response {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -180,6 +189,11 @@
     let mut excluded = Vec::new();
     let deadline = Instant::now() + EXECUTION_LIMIT;
     loop {
+        if let Err(error) = shared.crashes.check(&forward.request_id.to_string(), &forward.asked())
+        {
+            claim.settle(&shared.plane.control, not_run_outcome(&error)).await;
+            return Err(error);
+        }
         let zone = &shared.config.zone;
         let chosen = shared.back_ends.choose(BackEndKind::Application, zone, &excluded);
         let Some(lease) = chosen else {
@@ -236,6 +250,7 @@
     let mut excluded = Vec::new();
     let mut sent = false;
     while excluded.len() < MAX_ATTEMPTS {
+        shared.crashes.check(&forward.request_id.to_string(), &forward.asked())?;
         let zone = &shared.config.zone;
         let chosen = shared.back_ends.choose(BackEndKind::Application, zone, &excluded);
         let Some(lease) = chosen else { break };
@@ -269,15 +284,32 @@
     if let Some(key) = &forward.key {
         request = request.header(KEY_HEADER, key);
     }
-    let response = request.send().await.map_err(|error| {
-        lease.failed();
-        match error.is_connect() {
-            true => ForwardError::Unreachable,
-            false => ForwardError::Broken,
+    let sent = SentTo {
+        back_end: lease.target.id,
+        address: lease.target.address,
+        incarnation: None,
+        sent_at: shared.crashes.now(),
+    };
+    let answered = match request.send().await {
+        Ok(response) => {
+            lease.answered();
+            read_answer(response).await
+        }
+        Err(error) => {
+            lease.failed();
+            Err(match error.is_connect() {
+                true => ForwardError::Unreachable,
+                false => ForwardError::Broken,
+            })
         }
-    })?;
-    lease.answered();
-    read_answer(response).await
+    };
+    let id = forward.request_id.to_string();
+    match &answered {
+        Ok(answer) if answer.status < 500 => shared.crashes.note_answered(&id, &forward.asked()),
+        Err(ForwardError::Broken) => shared.crashes.note_cut(&id, &forward.asked(), sent),
+        _ => {}
+    }
+    answered
 }
 
 async fn read_answer(response: reqwest::Response) -> Result<Answer, ForwardError> {
--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -103,6 +103,11 @@
         self.followed.load(Ordering::Acquire)
     }
 
+    /// Whether the settings say that the back end is leaving, or don't name it any more.
+    pub fn is_leaving(&self, id: EngineId) -> bool {
+        self.lock().get(&id).is_none_or(|state| state.leaving)
+    }
+
     /// Where the back end is reached.
     pub fn address(&self, id: EngineId) -> Option<SocketAddr> {
         self.lock().get(&id).map(|state| state.address)
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -269,6 +269,11 @@
         self.lock().table.set_leaving(engine, source, leaving);
     }
 
+    /// Whether anybody says that the engine is leaving.
+    pub fn is_leaving(&self, engine: EngineId) -> bool {
+        self.lock().table.is_leaving(engine)
+    }
+
     /// Voids the cache entries of an engine whose weights changed while it lives on.
     pub fn void_cache(&self, engine: EngineId) {
         if let Err(error) = self.lock().index.invalidate(engine) {
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -70,6 +70,9 @@
     /// The request was run, or may have been, and its answer isn't known.
     #[error("the request may have run; its outcome is unknown")]
     OutcomeUnknown,
+    /// Back ends ended under this very request, so it is sent to none. It may have run before.
+    #[error("back ends ended under this request; it is sent to none any more")]
+    Quarantined,
     /// The back end failed after work may have begun.
     #[error("the back end failed")]
     BackEndFailed,
@@ -127,6 +130,7 @@
             RequestError::KeyReused => "key_reused",
             RequestError::KeyOutOfRange => "key_out_of_range",
             RequestError::OutcomeUnknown => "outcome_unknown",
+            RequestError::Quarantined => "quarantined",
             RequestError::BackEndFailed => "back_end_failed",
             RequestError::DeadlinePassed => "deadline_passed",
             RequestError::WeightsChanged => "weights_changed",
@@ -148,7 +152,9 @@
             RequestError::KeyReused
             | RequestError::WeightsChanged
             | RequestError::AnswerNotKept { .. } => StatusCode::CONFLICT,
-            RequestError::OutcomeUnknown | RequestError::BackEndFailed => StatusCode::BAD_GATEWAY,
+            RequestError::OutcomeUnknown
+            | RequestError::Quarantined
+            | RequestError::BackEndFailed => StatusCode::BAD_GATEWAY,
             RequestError::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             RequestError::Overloaded { .. }
             | RequestError::NoBackEnd { .. }
@@ -165,6 +171,7 @@
         !matches!(
             self,
             RequestError::OutcomeUnknown
+                | RequestError::Quarantined
                 | RequestError::BackEndFailed
                 | RequestError::DeadlinePassed
                 | RequestError::KeyReused
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod control_client;
 pub mod control_plane;
+pub mod crashes;
 pub mod engine_api;
 pub mod engines;
 pub mod error;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of one router, in Prometheus text.
 
+use juniper_crash_watch::CrashMetrics;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -34,6 +35,8 @@
     pub prompt_tokens: IntCounterVec,
     /// Bytes of lookups among routers, both ways.
     pub lookup_bytes: IntCounterVec,
+    /// Back ends that ended under requests, and quarantines.
+    pub crashes: CrashMetrics,
     /// Bytes sent and received for control.
     pub control_bytes: IntCounterVec,
 }
@@ -76,6 +79,7 @@
             )?,
             prompt_tokens: counters("juniper_prompt_tokens_total", "Prompt tokens", &["cache"])?,
             lookup_bytes: counters("juniper_lookup_bytes_total", "Lookup bytes", &["way"])?,
+            crashes: CrashMetrics::new("juniper", &registry)?,
             control_bytes: counters("juniper_control_bytes_total", "Control bytes", &["way"])?,
             registry,
         })
--- a/crates/router/src/previews.rs
+++ b/crates/router/src/previews.rs
@@ -13,13 +13,14 @@
 use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
 use axum::response::Response;
 use juniper_settings::{BackEndKind, TrafficKind};
-use juniper_types::EngineId;
+use juniper_types::{EngineId, RequestId, TenantName};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::access::{REQUEST_ID_HEADER, authenticate, request_id};
 use crate::backends::Lease;
+use crate::crashes::{AskedRequest, SentTo, asked};
 use crate::error::RequestError;
 use crate::faces::{answer_or_error, insert};
 use crate::shared::{InFlight, Shared};
@@ -47,7 +48,9 @@
 /// Why one server did not deliver.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 enum PreviewError {
-    #[error("the server can't be reached or broke off")]
+    #[error("the server can't be reached")]
+    Unreachable,
+    #[error("the server broke off")]
     Broken,
     #[error("the server sent nothing for too long")]
     Stalled,
@@ -60,18 +63,41 @@
 /// A preview stream that a server has begun.
 struct Begun {
     lease: Lease,
+    sent: SentTo,
     response: reqwest::Response,
     span: Span,
     content_type: Option<HeaderValue>,
     tag: Option<HeaderValue>,
 }
 
+/// What a caller asks for.
+struct PreviewCall {
+    id: RequestId,
+    path: String,
+    tenant: TenantName,
+}
+
+impl PreviewCall {
+    /// What is asked, as the same request asks it again, from whatever byte.
+    fn asked(&self) -> AskedRequest<'_> {
+        asked("GET", &self.path, &self.tenant, &[])
+    }
+}
+
+/// How far the search for a server has come.
+#[derive(Default)]
+struct Search {
+    excluded: Vec<EngineId>,
+    /// Whether a server may have begun the preview.
+    may_have_run: bool,
+}
+
 /// The relay of one preview.
 struct PreviewRelay {
     shared: Arc<Shared>,
-    path: String,
+    call: PreviewCall,
     begun: Begun,
-    excluded: Vec<EngineId>,
+    search: Search,
     _in_flight: InFlight,
 }
 
@@ -98,15 +124,16 @@
         caller.service,
         view.in_force.revision
     );
-    let mut excluded = Vec::new();
-    let begun = begin_somewhere(shared, &path, start, &mut excluded).await?;
+    let call = PreviewCall { id: request_id, path, tenant: caller.home.tenant.clone() };
+    let mut search = Search::default();
+    let begun = begin_somewhere(shared, &call, start, &mut search).await?;
     shared.metrics.first_token.observe(started.elapsed().as_secs_f64());
     let mut response = Response::new(Body::empty());
     describe(&mut response, &begun, start);
     insert(response.headers_mut(), REQUEST_ID_HEADER, &request_id.to_string());
     let (sender, receiver) = mpsc::channel(PIECE_BUFFER);
-    let relay =
-        PreviewRelay { shared: Arc::clone(shared), path, begun, excluded, _in_flight: in_flight };
+    let shared = Arc::clone(shared);
+    let relay = PreviewRelay { shared, call, begun, search, _in_flight: in_flight };
     tokio::spawn(relay.run(sender));
     *response.body_mut() = Body::from_stream(ReceiverStream::new(receiver));
     Ok(response)
@@ -143,42 +170,53 @@
 
 async fn begin_somewhere(
     shared: &Arc<Shared>,
-    path: &str,
+    call: &PreviewCall,
     start: u64,
-    excluded: &mut Vec<EngineId>,
+    search: &mut Search,
 ) -> Result<Begun, RequestError> {
-    while excluded.len() < MAX_ATTEMPTS {
+    while search.excluded.len() < MAX_ATTEMPTS {
+        shared.crashes.check(&call.id.to_string(), &call.asked())?;
         let zone = &shared.config.zone;
-        let chosen = shared.back_ends.choose(BackEndKind::Preview, zone, excluded);
+        let chosen = shared.back_ends.choose(BackEndKind::Preview, zone, &search.excluded);
         let Some(lease) = chosen else { break };
         let server = lease.target.id;
-        match begin(shared, lease, path, start).await {
+        match begin(shared, lease, call, start).await {
             Ok(begun) => return Ok(begun),
             Err(PreviewError::Status(404)) => return Err(RequestError::NotFound),
             Err(PreviewError::Status(416)) => {
                 return Err(RequestError::Malformed("the range starts after the end".into()));
             }
             Err(error) => {
+                search.may_have_run |= error != PreviewError::Unreachable;
                 log::warn!("event=attempt_failed engine={server} reason=\"{error}\"");
             }
         }
-        excluded.push(server);
+        search.excluded.push(server);
     }
-    Err(RequestError::NoBackEnd { retry_after_ms: NO_SERVER_RETRY_MS })
+    Err(match search.may_have_run {
+        true => RequestError::BackEndFailed,
+        false => RequestError::NoBackEnd { retry_after_ms: NO_SERVER_RETRY_MS },
+    })
 }
 
 async fn begin(
     shared: &Shared,
     lease: Lease,
-    path: &str,
+    call: &PreviewCall,
     start: u64,
 ) -> Result<Begun, PreviewError> {
-    let url = format!("http://{}{path}", lease.target.address);
+    let url = format!("http://{}{}", lease.target.address, call.path);
+    let (back_end, address) = (lease.target.id, lease.target.address);
+    let sent = SentTo { back_end, address, incarnation: None, sent_at: shared.crashes.now() };
     let request = shared.http.get(url).header(header::RANGE, format!("bytes={start}-")).send();
     let response = match timeout(STALL_LIMIT, request).await {
         Ok(Ok(response)) => response,
-        Ok(Err(_)) => {
+        Ok(Err(error)) => {
             lease.failed();
+            if error.is_connect() {
+                return Err(PreviewError::Unreachable);
+            }
+            shared.crashes.note_cut(&call.id.to_string(), &call.asked(), sent);
             return Err(PreviewError::Broken);
         }
         Err(_) => {
@@ -196,7 +234,7 @@
     lease.answered();
     let content_type = response.headers().get(header::CONTENT_TYPE).cloned();
     let tag = response.headers().get(header::ETAG).cloned();
-    Ok(Begun { lease, response, span, content_type, tag })
+    Ok(Begun { lease, sent, response, span, content_type, tag })
 }
 
 /// Parses `content-range: bytes A-B/TOTAL`.
@@ -219,6 +257,11 @@
                 Err(error) => error,
             };
             log::warn!("event=preview_interrupted at={next} reason=\"{error}\"");
+            if error == PreviewError::Broken {
+                let id = self.call.id.to_string();
+                self.shared.crashes.note_cut(&id, &self.call.asked(), self.begun.sent);
+            }
+            self.search.may_have_run = true;
             if self.continue_elsewhere(next).await.is_err() {
                 let _ = pieces.send(Err(error)).await;
                 return;
@@ -249,14 +292,15 @@
             }
             *next += length;
         }
+        self.shared.crashes.note_answered(&self.call.id.to_string(), &self.call.asked());
         Ok(())
     }
 
     async fn continue_elsewhere(&mut self, next: u64) -> Result<(), RequestError> {
         self.begun.lease.failed();
-        self.excluded.push(self.begun.lease.target.id);
+        self.search.excluded.push(self.begun.lease.target.id);
         self.shared.metrics.retries.with_label_values(&["preview"]).inc();
-        let begun = begin_somewhere(&self.shared, &self.path, next, &mut self.excluded).await?;
+        let begun = begin_somewhere(&self.shared, &self.call, next, &mut self.search).await?;
         // Another length or tag is another preview; mixing them is never right.
         if begun.span.total != self.begun.span.total || begun.tag != self.begun.tag {
             return Err(RequestError::BackEndFailed);
--- a/crates/router/src/relay/attempt.rs
+++ b/crates/router/src/relay/attempt.rs
@@ -9,8 +9,9 @@
 use serde::Deserialize;
 use tokio::time::{Instant, timeout_at};
 
-use super::job::ChatJob;
+use super::job::{CHAT_PATH, ChatJob};
 use crate::access::REQUEST_ID_HEADER;
+use crate::crashes::SentTo;
 use crate::engines::Dispatch;
 use crate::shared::Shared;
 
@@ -54,6 +55,7 @@
 pub(super) struct Attempt {
     pub(super) id: RequestId,
     pub(super) dispatch: Dispatch,
+    pub(super) sent: SentTo,
     pub(super) response: reqwest::Response,
     pub(super) cancel: CancelGuard,
 }
@@ -101,6 +103,8 @@
     let id = RequestId(rand::random());
     let url = format!("http://{address}/v1/requests/{id}/cancel");
     let mut cancel = CancelGuard { http: shared.http.clone(), url, armed: true };
+    let (back_end, incarnation) = (engine, dispatch.decision.incarnation);
+    let sent = SentTo { back_end, address, incarnation, sent_at: shared.crashes.now() };
     let request = engine_request(shared, job, &dispatch, address, id, from);
     let response = match timeout_at(job.deadline, request.send()).await {
         Err(_) => return Err(AttemptError::Deadline),
@@ -108,11 +112,14 @@
             cancel.armed = false;
             return Err(AttemptError::Unreachable);
         }
-        Ok(Err(_)) => return Err(AttemptError::Broken),
+        Ok(Err(_)) => {
+            shared.crashes.note_cut(&job.request_id.to_string(), &job.asked(), sent);
+            return Err(AttemptError::Broken);
+        }
         Ok(Ok(response)) => response,
     };
     if response.status().is_success() {
-        return Ok(Attempt { id, dispatch, response, cancel });
+        return Ok(Attempt { id, dispatch, sent, response, cancel });
     }
     let is_client_error = response.status().is_client_error();
     let body: EngineErrorBody = response.json().await.unwrap_or_default();
@@ -141,7 +148,7 @@
     let remaining = job.deadline.saturating_duration_since(Instant::now());
     let mut request = shared
         .http
-        .post(format!("http://{address}/v1/chat/completions"))
+        .post(format!("http://{address}{CHAT_PATH}"))
         .header("content-type", "application/json")
         .header(REQUEST_ID_HEADER, id.to_string())
         .header("x-cache-tenant", job.tenant.as_str())
--- a/crates/router/src/relay/job.rs
+++ b/crates/router/src/relay/job.rs
@@ -7,10 +7,14 @@
 use tokio::time::Instant;
 
 use crate::chat::ChatRequest;
+use crate::crashes::{AskedRequest, asked};
 use crate::engines::ChatPlan;
 use crate::error::RequestError;
 use crate::sse::Chunk;
 
+/// Path of chat completions at engines.
+pub(super) const CHAT_PATH: &str = "/v1/chat/completions";
+
 /// Suggested pause when no engine is left, in milliseconds.
 const NO_ENGINE_RETRY_MS: u64 = 1_000;
 
@@ -53,6 +57,11 @@
 }
 
 impl ChatJob {
+    /// What is asked, as the same request asks it again.
+    pub(super) fn asked(&self) -> AskedRequest<'_> {
+        asked("POST", CHAT_PATH, &self.tenant, &self.chat.engine_body)
+    }
+
     /// Time until the first token is due. An answer that has begun is only
     /// bound by its deadline.
     pub(super) fn first_token_within(&self, progress: &Progress) -> Duration {
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -46,7 +46,11 @@
     pub async fn run(mut self, pieces: mpsc::Sender<Piece>) {
         let end = loop {
             match self.pump(&pieces).await {
-                Ok(Pumped::Complete) => break Piece::Done,
+                Ok(Pumped::Complete) => {
+                    let id = self.job.request_id.to_string();
+                    self.shared.crashes.note_answered(&id, &self.job.asked());
+                    break Piece::Done;
+                }
                 Ok(Pumped::CallerLeft) => {
                     log::info!("event=caller_left request={}", self.job.request_id);
                     return;
@@ -64,6 +68,10 @@
     }
 
     async fn continue_elsewhere(&mut self, error: AttemptError) -> Result<(), RequestError> {
+        if error == AttemptError::Broken {
+            let id = self.job.request_id.to_string();
+            self.shared.crashes.note_cut(&id, &self.job.asked(), self.attempt.sent);
+        }
         let engine = self.attempt.dispatch.decision.engine;
         self.progress.excluded.push(engine);
         // Work has begun, so whatever later attempts say, the request has run.
--- a/crates/router/src/relay/opening.rs
+++ b/crates/router/src/relay/opening.rs
@@ -44,6 +44,7 @@
     progress: &mut Progress,
 ) -> Result<Attempt, RequestError> {
     loop {
+        shared.crashes.check(&job.request_id.to_string(), &job.asked())?;
         let within = job.first_token_within(progress);
         let chosen = shared.plane.engines.choose(&job.plan, within, &progress.excluded);
         let dispatch = chosen.map_err(|refusal| progress.refused(refusal))?;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use juniper_crash_watch::CrashWatch;
+use juniper_feed::{Feed, FeedSettings};
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, sleep, timeout};
@@ -13,6 +15,7 @@
 use crate::backends::BackEnds;
 use crate::config::RouterConfig;
 use crate::control_plane::ControlPlane;
+use crate::crashes::{Crashes, follow_quarantine};
 use crate::faces;
 use crate::feeds;
 use crate::limits::Limits;
@@ -127,11 +130,14 @@
         Arc::clone(&plane.hub),
     ));
     tokio::spawn(feeds::maintain(Arc::clone(&plane.engines)));
+    let metrics = Metrics::new()?;
+    let crashes = start_crash_watch(&config, &metrics, &plane, &back_ends);
     Ok(Arc::new(Shared {
+        crashes,
         plane,
         back_ends,
         http,
-        metrics: Metrics::new()?,
+        metrics,
         limits: Arc::new(Limits::default()),
         slots: Arc::new(Semaphore::new(config.limits.max_in_flight)),
         stopping: AtomicBool::new(false),
@@ -141,6 +147,27 @@
     }))
 }
 
+/// Follows the replicas for what all routers know of requests that end back ends.
+fn start_crash_watch(
+    config: &RouterConfig,
+    metrics: &Metrics,
+    plane: &ControlPlane,
+    back_ends: &Arc<BackEnds>,
+) -> Arc<Crashes> {
+    let feed = Feed::start(FeedSettings {
+        key: config.cluster_key.clone(),
+        own: config.identity(),
+        seeds: config.control.iter().map(|replica| replica.id).collect(),
+        addresses: config.control.iter().map(|replica| (replica.id, replica.address)).collect(),
+    });
+    let watch = Arc::new(CrashWatch::new(feed.clone(), metrics.crashes.clone()));
+    tokio::spawn(Arc::clone(&watch).run());
+    tokio::spawn(follow_quarantine(feed, Arc::clone(&watch)));
+    let key = config.cluster_key.fingerprint_key();
+    let known = (Arc::clone(&plane.engines), Arc::clone(back_ends));
+    Arc::new(Crashes::new(watch, key, config.node, known))
+}
+
 async fn follow_back_ends(mut view: watch::Receiver<SettingsView>, back_ends: Arc<BackEnds>) {
     loop {
         let in_force = view.borrow_and_update().in_force.clone();
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -12,6 +12,7 @@
 use crate::backends::BackEnds;
 use crate::config::RouterConfig;
 use crate::control_plane::ControlPlane;
+use crate::crashes::Crashes;
 use crate::error::RequestError;
 use crate::limits::{Admitted, Limits};
 use crate::metrics::Metrics;
@@ -41,6 +42,8 @@
     pub back_ends: Arc<BackEnds>,
     /// Client for all back ends.
     pub http: reqwest::Client,
+    /// Requests that end back ends.
+    pub crashes: Arc<Crashes>,
     /// Metrics.
     pub metrics: Metrics,
     /// Limits of tenants and services.
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -207,6 +207,11 @@
         self.index(engine).is_some_and(|position| self.engines[position].is_usable())
     }
 
+    /// Whether anybody says that `engine` is leaving.
+    pub fn is_leaving(&self, engine: EngineId) -> bool {
+        self.index(engine).is_some_and(|position| self.engines[position].leaving.any())
+    }
+
     /// The engines that new work may be sent to.
     pub fn usable_engines(&self) -> impl Iterator<Item = EngineId> + '_ {
         self.engines.iter().filter(|engine| engine.is_usable()).map(|engine| engine.id)
--- a/tests/fleet_endings.rs
+++ b/tests/fleet_endings.rs
@@ -103,3 +103,11 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_preview_that_ends_its_servers_is_given_up() {
+    is_given_up(BackEndKind::Preview, SIZES.previews, |client, router, _| {
+        client.get(format!("{router}/previews/{ENDS_BACK_ENDS}"))
+    })
+    .await;
+}
