Rollouts: weights that end each server that loads them are tried with one server at a time

Change: ends under orders are counted by model and version; after three, and while no server has loaded the version, the plan goes on with one at a time, 3 s after an end. One good load ends that.

--- a/crates/renewal/src/giver.rs
+++ b/crates/renewal/src/giver.rs
@@ -215,7 +215,7 @@
             token: held.lease.token,
             expected_orders: self.orders.get(&server.instance).copied().unwrap_or(0),
         };
-        self.plan.ordered(&order.instance, version, self.now());
+        self.plan.ordered(server, version, self.now());
         self.under_way.insert(order.instance.clone());
         let task = OrderTask {
             dialect: Arc::clone(&self.dialect),
--- a/crates/renewal/src/lib.rs
+++ b/crates/renewal/src/lib.rs
@@ -10,6 +10,7 @@
 mod giver;
 mod plan;
 mod task;
+mod trials;
 
 pub use exchange::{Order, OrderAnswer, OrderDialect, RunningRequests, ServerState};
 pub use giver::{GiverSettings, OrderGiver};
--- a/crates/renewal/src/plan.rs
+++ b/crates/renewal/src/plan.rs
@@ -12,6 +12,8 @@
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 
+use crate::trials::LoadTrials;
+
 /// Bounds on a renewal.
 #[derive(Clone, Copy, Debug)]
 pub struct PlanSettings {
@@ -60,6 +62,7 @@
 pub struct RenewalPlan {
     settings: PlanSettings,
     ordered: BTreeMap<InstanceId, Ordered>,
+    trials: LoadTrials,
     /// When the next order is due.
     due_at: Timestamp,
     /// Time between two orders, as the latest look at the servers has it.
@@ -70,7 +73,8 @@
     /// Nothing was ordered yet.
     pub fn new(settings: PlanSettings) -> Self {
         let (due_at, interval) = (Timestamp::ZERO, Duration::ZERO);
-        RenewalPlan { settings, ordered: BTreeMap::new(), due_at, interval }
+        let (ordered, trials) = (BTreeMap::new(), LoadTrials::default());
+        RenewalPlan { settings, ordered, trials, due_at, interval }
     }
 
     /// The server to order next, with the version, if one is due now.
@@ -80,6 +84,10 @@
         wanted: &BTreeMap<String, WantedWeights>,
         now: Timestamp,
     ) -> Option<(RenewalServer, u64)> {
+        self.trials.observe(servers, now);
+        for (model, weights) in wanted {
+            self.trials.forget_below(model, weights.version());
+        }
         self.ordered.retain(|id, _| servers.iter().any(|server| server.instance == *id));
         let behind = servers.iter().filter_map(|server| {
             let weights = wanted.get(&server.model)?;
@@ -96,7 +104,8 @@
         self.interval = left / u32::try_from(behind.len() + 1).unwrap_or(u32::MAX);
         let most = (servers.len() as f64 * MAX_UNDER_WAY).ceil() as usize;
         let has_room = under_way < most;
-        let is_due = now >= self.due_at && has_room;
+        let may_load = self.trials.may_order(&first.server.model, first.wanted, now);
+        let is_due = now >= self.due_at && has_room && may_load;
         is_due.then(|| (first.server.clone(), first.wanted))
     }
 
@@ -107,9 +116,10 @@
     }
 
     /// An order was taken, or may have been.
-    pub fn ordered(&mut self, instance: &InstanceId, version: u64, now: Timestamp) {
+    pub fn ordered(&mut self, server: &RenewalServer, version: u64, now: Timestamp) {
         let again_at = now.after(self.settings.repeat_after);
-        self.ordered.insert(instance.clone(), Ordered { version, again_at });
+        self.trials.ordered(server, version, again_at);
+        self.ordered.insert(server.instance.clone(), Ordered { version, again_at });
         // What the pace of looking has missed is made up for, but not what was due
         // long ago.
         let earliest = Timestamp(now.0.saturating_sub(MAX_ARREARS.as_micros() as u64));
--- a/crates/renewal/tests/plan.rs
+++ b/crates/renewal/tests/plan.rs
@@ -55,7 +55,7 @@
         }
         while let Some((server, version)) = plan.next(&known, &wanted, at(millis)) {
             assert_eq!(version, 2);
-            plan.ordered(&server.instance, version, at(millis));
+            plan.ordered(&server, version, at(millis));
             loading.push((millis + load_ms, server.instance));
             most_at_once = most_at_once.max(loading.len());
         }
@@ -101,7 +101,7 @@
     let wanted = wanted(&[(2, 0)]);
     let mut plan = RenewalPlan::new(SETTINGS);
     let id = known[0].instance.clone();
-    plan.ordered(&id, 2, at(0));
+    plan.ordered(&known[0], 2, at(0));
     assert_eq!(plan.next(&known, &wanted, at(3_000)), None);
     assert!(plan.next(&known, &wanted, at(4_500)).is_some());
     plan.postpone(&id, 2, Duration::from_millis(300), at(4_500));
@@ -115,3 +115,65 @@
     assert_eq!(plan.next(&servers(&[2, 3]), &wanted(&[(2, 0)]), at(9_000)), None);
     assert_eq!(plan.next(&servers(&[1]), &BTreeMap::new(), at(9_000)), None);
 }
+
+/// Each server that loads version 2 ends and is back 3 s later, in another life with version 1.
+/// Returns how many have ended, and when all had the version, if they ever did.
+fn ends_of_a_rollout(
+    count: usize,
+    seconds: u64,
+    loads_well: impl Fn(usize) -> bool,
+) -> (usize, Option<u64>) {
+    let mut known = servers(&vec![1; count]);
+    let wanted = wanted(&[(2, 0)]);
+    let mut plan = RenewalPlan::new(SETTINGS);
+    let mut loading: Vec<(u64, InstanceId)> = Vec::new();
+    let mut returning: Vec<u64> = Vec::new();
+    let mut loads = 0;
+    let mut ends = 0;
+    for millis in (0..seconds * 1_000).step_by(100) {
+        let (done, rest) = loading.into_iter().partition(|(done, _)| *done <= millis);
+        loading = rest;
+        for (_, instance) in done {
+            loads += 1;
+            let place = known.iter().position(|server| server.instance == instance);
+            let place = place.expect("it was there");
+            if loads_well(loads) {
+                known[place].version = 2;
+                continue;
+            }
+            ends += 1;
+            known.remove(place);
+            returning.push(millis + 3_000);
+        }
+        for at in returning.extract_if(.., |at| *at <= millis) {
+            let instance = InstanceId::new(format!("again-{at}-{ends}-{}", known.len()));
+            known.push(RenewalServer { instance, model: "m".to_owned(), version: 1 });
+        }
+        if known.len() == count && known.iter().all(|server| server.version == 2) {
+            return (ends, Some(millis));
+        }
+        while let Some((server, version)) = plan.next(&known, &wanted, at(millis)) {
+            plan.ordered(&server, version, at(millis));
+            loading.push((millis + 600, server.instance));
+        }
+    }
+    (ends, None)
+}
+
+#[test]
+fn weights_that_end_each_server_that_loads_them_are_tried_with_one_at_a_time() {
+    let (ends, done) = ends_of_a_rollout(90, 20, |_| false);
+    // Three ends, up to ten more orders under way then, and after that one in 3.6 s. Without the
+    // rule it was 358.
+    assert!(ends <= 3 + 10 + 6, "{ends} servers ended in 20 s");
+    assert_eq!(done, None);
+}
+
+#[test]
+fn servers_that_end_by_chance_hold_no_rollout_up() {
+    // The first three loads end their servers; one of the rest shows that the weights are sound.
+    let (ends, done) = ends_of_a_rollout(30, 20, |load| load > 3);
+    assert_eq!(ends, 3);
+    let done = done.expect("all have them");
+    assert!(done <= 8_000, "the bound of a rollout, and the servers that came back: {done}");
+}
