explain: a request in quarantine leads to the ends that were counted against its content

Cause: a refused request's own lines name its content, but the ends were logged under other ids, long before. Change: lines with the same fingerprint are told, whenever they were written. Test: from a refusal to the ends.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -162,6 +162,8 @@
 struct Surroundings {
     nodes: BTreeSet<String>,
     instances: BTreeSet<String>,
+    /// Names of the request's content: the same one under another id tells of it too.
+    fingerprints: BTreeSet<String>,
     from_ms: u64,
     to_ms: u64,
 }
@@ -172,13 +174,24 @@
         for event in own {
             around.nodes.extend(event.get("node").map(str::to_owned));
             around.instances.extend(event.get("instance").map(str::to_owned));
+            around.fingerprints.extend(event.get("fingerprint").map(str::to_owned));
             around.from_ms = around.from_ms.min(event.time_ms.saturating_sub(CONTEXT_MS));
             around.to_ms = around.to_ms.max(event.time_ms + CONTEXT_MS);
         }
         around
     }
 
+    /// Whether the event tells of a server that ended under the same content, whenever that was.
+    fn tells_of_content(&self, event: &LogEvent) -> bool {
+        let one = event.get("fingerprint").into_iter();
+        let many = event.get("fingerprints").into_iter().flat_map(|names| names.split(','));
+        one.chain(many).any(|name| self.fingerprints.contains(name))
+    }
+
     fn includes(&self, event: &LogEvent) -> bool {
+        if self.tells_of_content(event) {
+            return true;
+        }
         let in_time = (self.from_ms..=self.to_ms).contains(&event.time_ms);
         let tells = CONTEXT_EVENTS.contains(&event.name.as_str());
         let concerns = match event.get("instance") {
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -52,3 +52,29 @@
         story.unreadable + events == lines.count()
     }
 }
+
+const ENDS: &str = "\
+time_ms=100 node=front-1 event=request_cut request=r7 instance=i-1 fingerprint=aa
+time_ms=101 node=front-1 event=server_ended instance=i-1 proof=refused requests=2 fingerprints=bb,aa
+time_ms=102 node=front-2 event=crash_counted fingerprint=aa instance=i-1 from=node-1 crashes=1
+time_ms=103 node=front-2 event=crash_counted fingerprint=bb instance=i-1 from=node-1 crashes=1
+time_ms=60000 node=front-3 event=request_quarantined fingerprint=aa crashes=3 servers=i-1,i-2,i-3
+time_ms=90000 node=front-3 event=quarantined request=r8 fingerprint=aa
+time_ms=90001 node=front-3 event=request_done request=r8 outcome=own_answer reason=quarantined status=502";
+
+/// A refused request leads to the servers that ended under the same content, long before and under
+/// other ids.
+#[test]
+fn a_request_in_quarantine_tells_of_the_ends_that_were_counted() {
+    let story = Story::of("r8", &[ENDS.to_owned()]);
+    let names: Vec<&str> = story.events.iter().map(|event| event.name.as_str()).collect();
+    let expected = [
+        "request_cut",
+        "server_ended",
+        "crash_counted",
+        "request_quarantined",
+        "quarantined",
+        "request_done",
+    ];
+    assert_eq!(names, expected);
+}
