--- a/crates/protocol/tests/sizes.rs
+++ b/crates/protocol/tests/sizes.rs
@@ -1,10 +1,10 @@
 //! Sizes of the messages that every router sends or gets all the time. The figures in
 //! docs/CAPACITY.md rest on them.
 
-use juniper_protocol::message::{RelayedNews, RouterNews, Sighting, encode};
+use juniper_protocol::message::{Crash, CrashNews, RelayedNews, RouterNews, Sighting, encode};
 use juniper_protocol::{Message, Reply, Request};
 use juniper_registry::InstanceId;
-use juniper_types::{NodeId, ZoneName};
+use juniper_types::{NodeId, RequestFingerprint, ZoneName};
 
 /// Bytes before each message on the wire.
 const FRAME_HEADER: usize = 5;
@@ -72,3 +72,24 @@
     let read: Sighting = minicbor::decode(&bytes).expect("it is read");
     assert_eq!((read.chains.len(), read.tokens, read.part_tokens.len()), (2, 20_000, 0));
 }
+
+#[test]
+fn an_end_of_a_server_is_small_and_costs_nothing_where_none_ends() {
+    let crash = |number: u8| Crash {
+        request: RequestFingerprint([number; 16]),
+        instance: InstanceId::new("i-0123456789"),
+        age_ms: 90_000,
+        under_way_ms: 30_000,
+    };
+    let told = |crashes: Option<CrashNews>| {
+        bytes(&Message::RouterNews(RouterNews { crashes, ..RouterNews::default() }))
+    };
+    let with = |count: u8| {
+        told(Some(CrashNews { crashes: (0..count).map(crash).collect(), cleared: Vec::new() }))
+    };
+    let each = (with(11) - with(1)) / 10;
+    println!("end of a server under a request: {each} bytes");
+    assert!(each <= 42, "{each}");
+    // Envelope of 4 bytes and four empty lists, as before there were such reports.
+    assert_eq!(told(None), FRAME_HEADER + 8);
+}
