Quarantine: copies that come together count each, unless the request has ended well before

Cause (read, then shown by a test of the counts): servers that end within 150 ms counted once, meant for a loss of power with copies of a frequent request on many servers. Copies of a request that ends its servers may come together as well; three bursts of three would have ended nine servers before the third count. The test failed before by construction of the rule: it counted 1 for two ends 10 ms apart.

--- a/crates/crash-watch/src/outbox.rs
+++ b/crates/crash-watch/src/outbox.rs
@@ -55,6 +55,7 @@
         instance: report.instance.clone(),
         age_ms: milliseconds(report.age),
         under_way_ms: milliseconds(report.under_way),
+        ended_well: report.ended_well,
     }
 }
 
@@ -65,5 +66,6 @@
         instance: crash.instance.clone(),
         age: Duration::from_millis(crash.age_ms),
         under_way: Duration::from_millis(crash.under_way_ms),
+        ended_well: crash.ended_well,
     }
 }
--- a/crates/crash-watch/src/watch.rs
+++ b/crates/crash-watch/src/watch.rs
@@ -12,8 +12,8 @@
 use juniper_feed::{Feed, FleetView, RelayedBatch};
 use juniper_protocol::message::{Cleared, CrashNews, QuarantineCall, RelayedNews, RouterNews};
 use juniper_quarantine::{
-    Clearance, Counted, CrashCounts, CrashProof, CrashReport, CutRequest, CutRequests, Report,
-    Retelling, ServerCrash,
+    Clearance, Counted, CrashCounts, CrashProof, CrashReport, CutRequest, CutRequests, EndedWell,
+    Report, Retelling, ServerCrash,
 };
 use juniper_registry::InstanceId;
 use juniper_types::{NodeId, RequestFingerprint, Timestamp};
@@ -42,6 +42,7 @@
     feed: Feed,
     metrics: CrashMetrics,
     cuts: Mutex<CutRequests>,
+    ended_well: Mutex<EndedWell>,
     counts: Mutex<CrashCounts>,
     retelling: Mutex<Retelling>,
     outbox: Outbox,
@@ -56,6 +57,7 @@
             feed,
             metrics,
             cuts: Mutex::default(),
+            ended_well: Mutex::default(),
             counts: Mutex::default(),
             retelling: Mutex::default(),
             outbox: Outbox::default(),
@@ -120,7 +122,9 @@
         let now = self.now();
         for CutRequest { request, sent_at, cut_at } in requests {
             let (age, under_way) = (now.since(cut_at), cut_at.since(sent_at));
-            let report = CrashReport { request, instance: instance.clone(), age, under_way };
+            let ended_well = lock(&self.ended_well).has(&request);
+            let instance = instance.clone();
+            let report = CrashReport { request, instance, age, under_way, ended_well };
             self.count(&report, Duration::ZERO, "own");
             self.tell(Report::Crash(report));
         }
@@ -149,11 +153,8 @@
     }
 
     /// A server has answered the request whole: the ends before were not its doing.
-    pub fn note_answered(&self, id: &str, name: impl FnOnce() -> RequestFingerprint) {
-        if lock(&self.counts).is_empty() {
-            return;
-        }
-        let request = name();
+    pub fn note_answered(&self, id: &str, request: RequestFingerprint) {
+        lock(&self.ended_well).note(&request);
         let clearance = lock(&self.counts).answered(request, self.now());
         let Some(clearance) = clearance else { return };
         log::info!(
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -33,7 +33,8 @@
 
     /// A server has answered the request whole.
     pub(crate) fn note_answered(&self, call: &Call) {
-        self.crashes.note_answered(call.id(), || call.fingerprint(&self.settings.fingerprint_key));
+        let fingerprint = call.fingerprint(&self.settings.fingerprint_key);
+        self.crashes.note_answered(call.id(), fingerprint);
     }
 
     /// Whether the request must be sent to no server.
--- a/crates/gateway/tests/paths/quarantine.rs
+++ b/crates/gateway/tests/paths/quarantine.rs
@@ -140,7 +140,7 @@
 
 fn crash(request: RequestFingerprint, server: &str) -> RouterNews {
     let instance = InstanceId::new(server);
-    let crash = Crash { request, instance, age_ms: 0, under_way_ms: 1 };
+    let crash = Crash { request, instance, age_ms: 0, under_way_ms: 1, ended_well: false };
     let crashes = Some(CrashNews { crashes: vec![crash], cleared: Vec::new() });
     RouterNews { crashes, ..RouterNews::default() }
 }
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -99,6 +99,9 @@
     /// Time for which the request had been under way then, in milliseconds.
     #[n(3)]
     pub under_way_ms: u64,
+    /// Whether the router has seen the same request end well before.
+    #[n(4)]
+    pub ended_well: bool,
 }
 
 /// A server answered a request whole, so earlier ends were not its doing.
--- a/crates/protocol/tests/sizes.rs
+++ b/crates/protocol/tests/sizes.rs
@@ -80,6 +80,7 @@
         instance: InstanceId::new("i-0123456789"),
         age_ms: 90_000,
         under_way_ms: 30_000,
+        ended_well: true,
     };
     let told = |crashes: Option<CrashNews>| {
         bytes(&Message::RouterNews(RouterNews { crashes, ..RouterNews::default() }))
--- a/crates/quarantine/src/counts.rs
+++ b/crates/quarantine/src/counts.rs
@@ -17,8 +17,9 @@
 pub const CRASHES_BEFORE_QUARANTINE: usize = 3;
 
 /// Servers that end within this time of each other count once, if the request was under way on
-/// them together: a loss of power takes many at the same moment, and all requests on them, copies
-/// of an innocent one too.
+/// them together and has ended well before: a loss of power takes many at the same moment, and all
+/// requests on them, copies of a frequent and innocent one too. Copies of one that ends its servers
+/// may come together as well, but none of them ever ends well.
 const SAME_EVENT: Duration = Duration::from_millis(150);
 
 /// Time since the latest end after which a request is no suspect any more. Callers come back
@@ -63,6 +64,7 @@
     instance: InstanceId,
     sent_at: Timestamp,
     at: Timestamp,
+    ended_well: bool,
     is_cleared: bool,
 }
 
@@ -78,7 +80,8 @@
     /// Whether both servers may have ended for one cause that isn't the request. One that the
     /// request was sent to after the earlier end ended for another cause.
     fn is_same_event(&self, earlier: &Crash) -> bool {
-        self.at.since(earlier.at) < SAME_EVENT && self.sent_at <= earlier.at
+        let ended_well = self.ended_well || earlier.ended_well;
+        ended_well && self.at.since(earlier.at) < SAME_EVENT && self.sent_at <= earlier.at
     }
 }
 
@@ -149,8 +152,8 @@
         }
         let at = now.before(report.age);
         let sent_at = at.before(report.under_way);
-        let instance = report.instance.clone();
-        suspect.add(Crash { instance, sent_at, at, is_cleared: false });
+        let (instance, ended_well) = (report.instance.clone(), report.ended_well);
+        suspect.add(Crash { instance, sent_at, at, ended_well, is_cleared: false });
         suspect.changed_at = now;
         let servers = suspect.servers();
         if servers.len() < CRASHES_BEFORE_QUARANTINE {
@@ -181,7 +184,8 @@
         for instance in &clearance.instances {
             if !suspect.knows(instance) {
                 let instance = instance.clone();
-                suspect.add(Crash { instance, sent_at: now, at: now, is_cleared: true });
+                let (sent_at, at, ended_well) = (now, now, true);
+                suspect.add(Crash { instance, sent_at, at, ended_well, is_cleared: true });
             }
         }
         let cleared = suspect.crashes.iter_mut();
--- a/crates/quarantine/src/report.rs
+++ b/crates/quarantine/src/report.rs
@@ -16,6 +16,8 @@
     pub age: Duration,
     /// Time for which the request had been under way then.
     pub under_way: Duration,
+    /// Whether the reporting router has seen the same request end well before.
+    pub ended_well: bool,
 }
 
 /// A server answered the request whole, so the ends before were not its doing.
--- a/crates/quarantine/tests/counts.rs
+++ b/crates/quarantine/tests/counts.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use juniper_quarantine::{Counted, CrashCounts, CrashReport, Report, Retelling, Unrecorded};
+use juniper_quarantine::{
+    Counted, CrashCounts, CrashReport, EndedWell, Report, Retelling, Unrecorded,
+};
 use juniper_registry::InstanceId;
 use juniper_types::{RequestFingerprint, Timestamp};
 use quickcheck::quickcheck;
@@ -23,7 +25,8 @@
 
 fn report(asked: u8, ended: u8, age_ms: u64) -> CrashReport {
     let (age, under_way) = (Duration::from_millis(age_ms), Duration::from_millis(500));
-    CrashReport { request: request(asked), instance: server(ended), age, under_way }
+    let (request, instance) = (request(asked), server(ended));
+    CrashReport { request, instance, age, under_way, ended_well: false }
 }
 
 fn crash(counts: &mut CrashCounts, asked: u8, ended: u8, now: Timestamp) -> Counted {
@@ -53,20 +56,42 @@
     assert!(!counts.is_quarantined(&request(1)));
 }
 
-/// All servers lose power at once. Copies of an innocent request were under way on three of them.
+/// All servers lose power at once. Copies of a frequent and innocent request were under way on
+/// many of them.
 #[test]
 fn servers_that_end_at_the_same_moment_count_once() {
     let mut counts = CrashCounts::default();
     for ended in 1..=9 {
-        let told = report(1, ended, u64::from(ended) * 10);
+        let told = CrashReport { ended_well: true, ..report(1, ended, u64::from(ended) * 10) };
         assert_eq!(counts.crashed(&told, at(100), AT_ONCE), Counted::Suspected(1));
     }
     // A report that comes late tells how long ago it was.
-    let late = report(1, 10, 5_000);
+    let late = CrashReport { ended_well: true, ..report(1, 10, 5_000) };
     assert_eq!(counts.crashed(&late, at(105), AT_ONCE), Counted::Suspected(1));
     assert_eq!(crash(&mut counts, 1, 11, at(106)), Counted::Suspected(2), "a later end counts");
 }
 
+/// Copies of a request that ends its servers come at several routers at the same moment.
+#[test]
+fn servers_that_end_together_count_each_if_the_request_never_ended_well() {
+    let mut counts = CrashCounts::default();
+    for ended in 1..=2 {
+        let told = report(1, ended, u64::from(ended) * 10);
+        assert_eq!(counts.crashed(&told, at(100), AT_ONCE), Counted::Suspected(ended.into()));
+    }
+    let third = counts.crashed(&report(1, 3, 30), at(100), AT_ONCE);
+    assert!(matches!(third, Counted::Quarantined(_)), "{third:?}");
+}
+
+#[test]
+fn requests_that_ended_well_are_remembered_until_others_take_their_place() {
+    let mut ended_well = EndedWell::default();
+    assert!(!ended_well.has(&request(0)), "a free place is no request");
+    (1..=9).for_each(|number| ended_well.note(&request(number)));
+    assert!((1..=9).all(|number| ended_well.has(&request(number))));
+    assert!(!ended_well.has(&request(10)));
+}
+
 /// The router sends a request to the next server as soon as one has ended under it.
 #[test]
 fn servers_that_end_one_after_the_other_count_each() {
