Ages of confirmations count the time that a machine was suspended

Cause: the age of what is known of the configuration was measured on the steady clock, which stands still in a suspension; keys, readiness, ownership of limits and the right to give orders rest on it. Change: confirmations of routers (feed, subscription) and of replicas (confirmed_at, and so the age that replicas tell, limits' owners and the giver of orders) are BootInstants. On waking a router is unready and answers 503 until a quorum has confirmed.

--- a/crates/control/src/internal/subscriber.rs
+++ b/crates/control/src/internal/subscriber.rs
@@ -2,8 +2,9 @@
 //! a sign of life every second.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use juniper_clock::BootInstant;
 use juniper_protocol::{Message, Push, Refusal, Reply};
 use juniper_types::Revision;
 use rand::RngExt;
@@ -112,6 +113,6 @@
     }
 }
 
-fn millis_since(instant: Instant) -> u64 {
+fn millis_since(instant: BootInstant) -> u64 {
     u64::try_from(instant.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/control/src/replica/confirm.rs
+++ b/crates/control/src/replica/confirm.rs
@@ -1,7 +1,8 @@
 //! Keeps asking a quorum whether this replica is current.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use juniper_clock::BootInstant;
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -17,13 +18,13 @@
 /// Asks until the replica ends and notes when each confirmed question was asked.
 pub(super) async fn keep_confirmed(
     replica: ReplicaHandle,
-    confirmed_at: watch::Sender<Option<Instant>>,
+    confirmed_at: watch::Sender<Option<BootInstant>>,
 ) {
     let mut ticks = interval(CONFIRM_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while replica.is_alive() {
         ticks.tick().await;
-        let asked = Instant::now();
+        let asked = BootInstant::now();
         match replica.query(true, |_| ()).await {
             Ok(()) => {
                 confirmed_at.send_replace(Some(asked));
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -16,8 +16,8 @@
 mod writer;
 
 use std::sync::Arc;
-use std::time::Instant;
 
+use juniper_clock::BootInstant;
 use juniper_consensus::Status;
 use juniper_control_state::FleetState;
 use tokio::sync::watch;
@@ -38,8 +38,8 @@
     pub published: watch::Receiver<Arc<Published>>,
     /// What the fleet of generic services agrees on.
     pub fleet: watch::Receiver<Arc<FleetState>>,
-    /// When a quorum last confirmed that this replica was current.
-    pub confirmed_at: watch::Receiver<Option<Instant>>,
+    /// When a quorum last confirmed that this replica was current. Its age counts suspensions.
+    pub confirmed_at: watch::Receiver<Option<BootInstant>>,
     /// Role, term, leader and membership.
     pub status: watch::Receiver<Status>,
 }
--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use juniper_clock::BootInstant;
 use juniper_limits::owners;
 use juniper_protocol::message::{CatalogBody, FleetNews, RelayedNews, RenewalNews, RouterNews};
 use juniper_protocol::{ClusterKey, PeerIdentity, PeerRole};
@@ -57,7 +58,7 @@
     Instances { heard: Vec<HeardInstance>, whole: bool },
     Renewals(RenewalNews),
     Catalog(Option<CatalogBody>),
-    Confirmed { at: Instant, revision: u64, routers: u32 },
+    Confirmed { at: BootInstant, revision: u64, routers: u32 },
 }
 
 struct Link {
@@ -70,10 +71,12 @@
     settings: FeedSettings,
     own_ref: ActorRef<FeedActor>,
     started: Instant,
+    /// Origin of the times of confirmations, whose ages count suspensions.
+    booted: BootInstant,
     fold: FleetFold,
     links: BTreeMap<NodeId, Link>,
     view: watch::Sender<Arc<FleetView>>,
-    confirmed_at: watch::Sender<Option<Instant>>,
+    confirmed_at: watch::Sender<Option<BootInstant>>,
     routers: watch::Sender<u32>,
     news: broadcast::Sender<RelayedBatch>,
     /// Zones of the replicas that are connected.
@@ -85,7 +88,7 @@
 /// What the actor publishes.
 pub(crate) struct Published {
     pub(crate) view: watch::Sender<Arc<FleetView>>,
-    pub(crate) confirmed_at: watch::Sender<Option<Instant>>,
+    pub(crate) confirmed_at: watch::Sender<Option<BootInstant>>,
     pub(crate) routers: watch::Sender<u32>,
     pub(crate) news: broadcast::Sender<RelayedBatch>,
 }
@@ -110,6 +113,7 @@
             settings,
             own_ref: actor.clone(),
             started,
+            booted: BootInstant::now(),
             fold: FleetFold::default(),
             links: BTreeMap::new(),
             view: published.view,
@@ -176,7 +180,7 @@
             LinkEvent::Confirmed { at, revision, routers } => {
                 self.fold.set_routers(node, routers);
                 self.routers.send_replace(self.fold.routers());
-                let at = Timestamp::ZERO.after(at.saturating_duration_since(self.started));
+                let at = Timestamp::ZERO.after(at.since(self.booted));
                 self.fold.confirmed(node, at, revision);
                 FoldOutcome::default()
             }
@@ -280,7 +284,7 @@
         }
         self.confirmed_at.send_if_modified(|published| {
             let latest = self.fold.confirmed_at();
-            let latest = latest.map(|at| self.started + at.since(Timestamp::ZERO));
+            let latest = latest.map(|at| self.booted + at.since(Timestamp::ZERO));
             let changed = *published != latest;
             *published = latest;
             changed
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use juniper_clock::BootInstant;
 use juniper_protocol::message::{ChargeAnswer, LimitCharge, QuarantineCall, RouterNews};
 use juniper_types::{NodeId, RequestFingerprint};
 use kameo::actor::{ActorRef, Spawn};
@@ -33,7 +34,7 @@
     actor: ActorRef<FeedActor>,
     started: Instant,
     view: watch::Receiver<Arc<FleetView>>,
-    confirmed_at: watch::Receiver<Option<Instant>>,
+    confirmed_at: watch::Receiver<Option<BootInstant>>,
     routers: watch::Receiver<u32>,
     news: broadcast::Sender<RelayedBatch>,
 }
@@ -67,13 +68,13 @@
         Arc::clone(&self.view.borrow())
     }
 
-    /// Time since a quorum confirmed that the view was complete, if ever.
+    /// Time since a quorum confirmed that the view was complete, if ever; suspensions count.
     pub fn age(&self) -> Option<Duration> {
         self.confirmed_at.borrow().map(|at| at.elapsed())
     }
 
     /// Tells of confirmations.
-    pub fn confirmations(&self) -> watch::Receiver<Option<Instant>> {
+    pub fn confirmations(&self) -> watch::Receiver<Option<BootInstant>> {
         self.confirmed_at.clone()
     }
 
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use juniper_clock::BootInstant;
 use juniper_protocol::message::{QuarantineCall, RouterNews};
 use juniper_protocol::{
     ClusterKey, Connection, FrameError, FrameReader, FrameWriter, HandshakeError, Message,
@@ -14,7 +15,7 @@
 use kameo::actor::ActorRef;
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::actor::{FeedActor, LinkEvent, ReplicaEvent};
 use crate::charge::{ChargeSender, PendingCharge, read_reply};
@@ -70,7 +71,7 @@
     /// Gets everything that the replica says.
     pub feed: ActorRef<FeedActor>,
     /// Whether a quorum has confirmed anything yet.
-    pub confirmed_at: watch::Receiver<Option<Instant>>,
+    pub confirmed_at: watch::Receiver<Option<BootInstant>>,
     /// What to send to the replica.
     pub commands: mpsc::UnboundedReceiver<LinkCommand>,
 }
@@ -140,7 +141,7 @@
     /// Number of the latest call.
     last_call: u64,
     /// Questions for a confirmation that aren't answered, with the time of each.
-    confirms: VecDeque<(u64, Instant)>,
+    confirms: VecDeque<(u64, BootInstant)>,
     /// Charges that aren't answered, by the number of the call.
     charges: HashMap<u64, ChargeSender>,
 }
@@ -171,7 +172,7 @@
         if oldest.is_some_and(|(_, asked)| asked.elapsed() > SILENCE_LIMIT) {
             return Err(LinkEnd::Silent);
         }
-        let asked = Instant::now();
+        let asked = BootInstant::now();
         let call = self.call(Request::Confirm).await?;
         self.confirms.push_back((call, asked));
         Ok(())
@@ -200,7 +201,7 @@
 
     /// When the question that `call` answers was asked. Replies come in any order: one to another
     /// call says nothing of the questions before it.
-    fn asked(&mut self, call: u64) -> Option<Instant> {
+    fn asked(&mut self, call: u64) -> Option<BootInstant> {
         let place = self.confirms.iter().position(|(number, _)| *number == call)?;
         self.confirms.drain(..=place).next_back().map(|(_, asked)| asked)
     }
@@ -223,7 +224,7 @@
                 }
                 let asked = self.asked(call)?;
                 let Reply::Confirmed { age_ms, revision, routers } = reply else { return None };
-                let at = asked.checked_sub(Duration::from_millis(age_ms)).unwrap_or(asked);
+                let at = asked.before(Duration::from_millis(age_ms));
                 Some(LinkEvent::Confirmed { at, revision, routers })
             }
             _ => None,
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use juniper_clock::BootInstant;
 use juniper_crash_watch::CrashWatch;
 use juniper_feed::{Feed, FeedSettings};
 use tokio::net::TcpListener;
@@ -142,7 +143,7 @@
         slots: Arc::new(Semaphore::new(config.limits.max_in_flight)),
         stopping: AtomicBool::new(false),
         closed: AtomicBool::new(false),
-        started: Instant::now(),
+        started: BootInstant::now(),
         config,
     }))
 }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use juniper_clock::BootInstant;
 use juniper_routing::admission::AdmissionQuestion;
 use juniper_settings::{CutOffPolicy, EffectiveSettings};
 use tokio::sync::Semaphore;
-use tokio::time::{Duration, Instant};
+use tokio::time::Duration;
 
 use crate::access::Caller;
 use crate::backends::BackEnds;
@@ -55,7 +56,7 @@
     /// Set a little later: new requests are refused.
     pub closed: AtomicBool,
     /// When the process started.
-    pub started: Instant,
+    pub started: BootInstant,
 }
 
 impl Shared {
--- a/crates/router/src/subscription.rs
+++ b/crates/router/src/subscription.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use juniper_clock::BootInstant;
 use juniper_protocol::{Message as Frame, Push, Refusal, Reply, Request, Traffic, connect};
 use juniper_types::Revision;
 use kameo::Actor;
@@ -16,7 +17,7 @@
 use kameo::message::{Context, Message};
 use rand::RngExt;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 use juniper_settings::node_file::Peer;
 
@@ -46,7 +47,7 @@
     /// The settings in force.
     pub in_force: Arc<InForce>,
     /// When a quorum last confirmed that they are the latest, if ever.
-    pub confirmed_at: Option<Instant>,
+    pub confirmed_at: Option<BootInstant>,
 }
 
 /// Why a push was not applied.
@@ -141,8 +142,9 @@
             let in_force = self.view.borrow().in_force.revision;
             // A replica that is behind this router can't vouch for its settings.
             if *committed >= in_force {
-                let confirmed = Instant::now().checked_sub(Duration::from_millis(*confirmed_ms));
-                self.view.send_modify(|view| view.confirmed_at = view.confirmed_at.max(confirmed));
+                let confirmed = BootInstant::now().before(Duration::from_millis(*confirmed_ms));
+                self.view
+                    .send_modify(|view| view.confirmed_at = view.confirmed_at.max(Some(confirmed)));
             }
             return Ok(None);
         }
