What is left to a caller, and how long a connection was idle, count suspensions; a suspension is logged

Cause: both stood still while the machine slept, so overdue work was sent on and stale connections were used.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -12,6 +12,9 @@
 
 #[cfg(feature = "testing")]
 pub mod testing;
+mod watch;
+
+pub use watch::{SuspensionWatch, log_suspensions};
 
 /// A moment on the clock that counts from the start of the machine, suspensions included.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use juniper_clock::log_suspensions;
 use juniper_protocol::{ClusterKey, PeerIdentity, PeerRole};
 use juniper_settings::ControlSettings;
 use juniper_storage::{Disk, Folder};
@@ -66,7 +67,8 @@
         tokio::join!(
             self.board.keep_expiring(),
             self.board.keep_publishing(),
-            self.relay.run(&self.peers, &self.view)
+            self.relay.run(&self.peers, &self.view),
+            log_suspensions()
         );
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -276,7 +276,7 @@
     let sharing = format!("{}.w{}", call.sharing, choice.version);
     let facts = AttemptFacts {
         instance: &choice.instance,
-        deadline: call.deadline.saturating_duration_since(Instant::now()),
+        deadline: call.time_left(),
         tenant: call.tenant.as_deref(),
         priority: priority(call, choice),
         sharing: &sharing,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -10,6 +10,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
 use juniper_catalog::{KeyAccess, Route};
+use juniper_clock::BootInstant;
 use juniper_feed::FleetView;
 use juniper_types::{FingerprintKey, RequestContent, RequestFingerprint};
 use tokio::time::{Instant, timeout_at};
@@ -70,6 +71,8 @@
     fingerprint: OnceLock<RequestFingerprint>,
     pub arrived: Instant,
     pub deadline: Instant,
+    /// The same on the clock that counts suspensions: the caller's time went on.
+    ends_at: BootInstant,
     /// Age of what was known of the configuration when the request came.
     pub config_age: Duration,
 }
@@ -108,6 +111,12 @@
         self.facts.id.to_str().unwrap_or("-")
     }
 
+    /// Time that is left to the caller, also after a suspension.
+    pub(crate) fn time_left(&self) -> Duration {
+        let awake = self.deadline.saturating_duration_since(Instant::now());
+        awake.min(self.ends_at.since(BootInstant::now()))
+    }
+
     /// Names the content of the request. Worked out when it is first asked for: requests that
     /// nothing goes wrong with are never hashed.
     pub(crate) fn fingerprint(&self, key: &FingerprintKey) -> RequestFingerprint {
@@ -202,6 +211,7 @@
     };
     let wait = wait.min(Duration::from_millis(route.timeout_ms));
     let deadline = arrived + wait.saturating_sub(ANSWER_MARGIN);
+    let ends_at = BootInstant::now() + deadline.saturating_duration_since(Instant::now());
     let limit = index.catalog().limits.body_bytes;
     let body = match body {
         RequestBody::Unread(body) => read_body(&head.headers, body, limit, deadline).await?,
@@ -236,6 +246,7 @@
         fingerprint: OnceLock::new(),
         arrived,
         deadline,
+        ends_at,
         config_age: age,
         route: route.clone(),
         view,
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use juniper_clock::log_suspensions;
 use juniper_feed::Feed;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -165,6 +166,7 @@
         tokio::spawn(Arc::clone(&gateway.crashes).run()),
         tokio::spawn(probe_unreachable(Arc::clone(gateway))),
         tokio::spawn(log_readiness(Arc::clone(gateway))),
+        tokio::spawn(log_suspensions()),
     ];
     if let Some(listener) = readiness {
         helpers.push(tokio::spawn(serve_readiness(Arc::clone(gateway), listener)));
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -8,11 +8,12 @@
 
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use juniper_clock::BootInstant;
 use juniper_registry::InstanceId;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use crate::body::WholeBody;
 use crate::lock::lock;
@@ -70,7 +71,8 @@
 
 struct Idle {
     connection: ServerConnection,
-    until: Instant,
+    /// On the clock that counts suspensions: the server's idle time goes on in them.
+    until: BootInstant,
 }
 
 /// Has the system notice a server that is cut off or without power, also while it
@@ -175,7 +177,7 @@
     fn take_idle(&self, instance: &InstanceId) -> Option<ServerConnection> {
         let mut idle = lock(&self.idle);
         let kept = idle.get_mut(instance)?;
-        let now = Instant::now();
+        let now = BootInstant::now();
         while let Some(Idle { mut connection, until }) = kept.pop() {
             if now < until && connection.sender.is_ready() {
                 connection.reused = true;
@@ -200,14 +202,14 @@
         if idle.is_zero() {
             return;
         }
-        let until = Instant::now() + idle;
+        let until = BootInstant::now() + idle;
         lock(&self.idle).entry(instance.clone()).or_default().push(Idle { connection, until });
     }
 
     /// Closes connections that have been idle for long, and those to servers that
     /// aren't used any more.
     pub(crate) fn sweep(&self, is_used: impl Fn(&InstanceId) -> bool) {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let mut idle = lock(&self.idle);
         idle.retain(|instance, kept| {
             kept.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -46,8 +46,7 @@
     /// Sends to one server after another until one answers.
     pub(crate) async fn run(&mut self, last_event: Option<u64>) -> Result<Answered, OwnAnswer> {
         loop {
-            let left = self.call.deadline.saturating_duration_since(Instant::now());
-            if left < LEAST_TIME {
+            if self.call.time_left() < LEAST_TIME {
                 return Err(self.given_up(OwnAnswer::TooLate));
             }
             if self.gateway.is_quarantined(self.call) {
@@ -94,8 +93,7 @@
         let mut after = self.progress;
         after.may_have_run += 1;
         let failed = status.is_server_error();
-        let time_left = self.call.deadline.saturating_duration_since(Instant::now());
-        failed && self.call.may_repeat(after) && time_left > LEAST_TIME * 2
+        failed && self.call.may_repeat(after) && self.call.time_left() > LEAST_TIME * 2
     }
 
     fn note(&mut self, instance: InstanceId, error: AttemptError, sent_at: Timestamp) {
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use juniper_clock::BootInstant;
+use juniper_clock::{BootInstant, log_suspensions};
 use juniper_crash_watch::CrashWatch;
 use juniper_feed::{Feed, FeedSettings};
 use tokio::net::TcpListener;
@@ -131,6 +131,7 @@
         Arc::clone(&plane.hub),
     ));
     tokio::spawn(feeds::maintain(Arc::clone(&plane.engines)));
+    tokio::spawn(log_suspensions());
     let metrics = Metrics::new()?;
     let crashes = start_crash_watch(&config, &metrics, &plane, &back_ends);
     Ok(Arc::new(Shared {
