--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -15,7 +15,7 @@
 use kameo::actor::ActorRef;
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
 use crate::actor::{FeedActor, LinkEvent, ReplicaEvent};
 use crate::charge::{ChargeSender, PendingCharge, read_reply};
@@ -135,13 +135,24 @@
 /// Messages that wait to be taken in; the replica is read no faster.
 const WAITING_FRAMES: usize = 16;
 
+/// A question for a confirmation that isn't answered.
+struct Question {
+    /// Number of the call.
+    call: u64,
+    /// When it was asked; a suspension makes the confirmation older.
+    asked: BootInstant,
+    /// The same on the clock that stands still in a suspension: a replica isn't taken for dead
+    /// because this node has slept.
+    asked_awake: Instant,
+}
+
 /// A connection that stands.
 struct Session {
     writer: FrameWriter,
     /// Number of the latest call.
     last_call: u64,
     /// Questions for a confirmation that aren't answered, with the time of each.
-    confirms: VecDeque<(u64, BootInstant)>,
+    confirms: VecDeque<Question>,
     /// Charges that aren't answered, by the number of the call.
     charges: HashMap<u64, ChargeSender>,
 }
@@ -169,12 +180,12 @@
     /// Asks the replica how current it is.
     async fn confirm(&mut self) -> Result<(), LinkEnd> {
         let oldest = self.confirms.front();
-        if oldest.is_some_and(|(_, asked)| asked.elapsed() > SILENCE_LIMIT) {
+        if oldest.is_some_and(|oldest| oldest.asked_awake.elapsed() > SILENCE_LIMIT) {
             return Err(LinkEnd::Silent);
         }
-        let asked = BootInstant::now();
+        let (asked, asked_awake) = (BootInstant::now(), Instant::now());
         let call = self.call(Request::Confirm).await?;
-        self.confirms.push_back((call, asked));
+        self.confirms.push_back(Question { call, asked, asked_awake });
         Ok(())
     }
 
@@ -202,8 +213,8 @@
     /// When the question that `call` answers was asked. Replies come in any order: one to another
     /// call says nothing of the questions before it.
     fn asked(&mut self, call: u64) -> Option<BootInstant> {
-        let place = self.confirms.iter().position(|(number, _)| *number == call)?;
-        self.confirms.drain(..=place).next_back().map(|(_, asked)| asked)
+        let place = self.confirms.iter().position(|question| question.call == call)?;
+        self.confirms.drain(..=place).next_back().map(|question| question.asked)
     }
 
     /// What a message of the replica means for the feed, if anything.
