Operators list the requests that are sent to no server, and release one

Cause: a quarantine ended only by later ones; who had mended the servers could not give the request another chance. Change: GET /v1/quarantine and DELETE /v1/quarantine/{fingerprint} at any replica, and the commands quarantine list and quarantine release. Test over three replicas: recorded by two routers, listed at all, released twice with the same answer.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -181,6 +181,19 @@
         "status of every node with the revision in force",
         "juniperhollow nodes --control http://127.0.0.1:7101 --operator-key-file key",
     ),
+    operator(
+        "quarantine list",
+        "",
+        "requests that are sent to no server, because servers ended under them",
+        "juniperhollow quarantine list --control http://127.0.0.1:7101 --operator-key-file key",
+    ),
+    operator(
+        "quarantine release",
+        "FINGERPRINT",
+        "let such a request be sent again, once the servers are mended",
+        "juniperhollow quarantine release 00112233445566778899aabbccddeeff \
+         --control http://127.0.0.1:7101 --operator-key-file key",
+    ),
     Command {
         options: DRAIN_OPTIONS,
         ..operator(
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -103,6 +103,7 @@
         "status" => operator::status(parser),
         "nodes" => operator::nodes(parser),
         "drain" => operator::drain(parser),
+        "quarantine" => operator::quarantine(parser),
         "recover" => recover::recover(parser),
         "explain" => explain::explain(parser),
         _ => Err(ArgumentError::unknown_command(&command).into()),
--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -144,6 +144,19 @@
     read_arguments(parser)?.get("/v1/status")
 }
 
+/// `quarantine list|release FINGERPRINT`.
+pub fn quarantine(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
+    let arguments = read_arguments(parser)?;
+    match arguments.word(0, "a quarantine command")? {
+        "list" => arguments.get("/v1/quarantine"),
+        "release" => {
+            let fingerprint = arguments.word(1, "FINGERPRINT")?;
+            arguments.call(Method::DELETE, &format!("/v1/quarantine/{fingerprint}"), None)
+        }
+        other => Err(ArgumentError::unknown_command(&format!("quarantine {other}")).into()),
+    }
+}
+
 /// `drain ENGINE`.
 pub fn drain(parser: &mut lexopt::Parser) -> miette::Result<ExitCode> {
     let arguments = read_arguments(parser)?;
--- a/crates/control/src/operator/error.rs
+++ b/crates/control/src/operator/error.rs
@@ -7,7 +7,7 @@
 use juniper_control_state::WriteAnswer;
 use juniper_protocol::Refusal;
 use juniper_settings::SettingsPath;
-use juniper_types::{EngineId, Revision};
+use juniper_types::{EngineId, FingerprintError, Revision};
 use serde::Serialize;
 
 /// Why an operator's call was not carried out.
@@ -25,6 +25,8 @@
     Query(#[from] QueryRejection),
     #[error("{0}")]
     Path(#[from] juniper_settings::path::PathError),
+    #[error(transparent)]
+    Fingerprint(#[from] FingerprintError),
     #[error("the tree has no node {0}")]
     NoNode(SettingsPath),
     #[error("the tree has no back end {0}")]
@@ -83,6 +85,7 @@
             OperatorError::Body(rejection) => (rejection.status(), "bad_body"),
             OperatorError::Query(rejection) => (rejection.status(), "bad_query"),
             OperatorError::Path(_) => (S::BAD_REQUEST, "bad_path"),
+            OperatorError::Fingerprint(_) => (S::BAD_REQUEST, "bad_fingerprint"),
             OperatorError::NoNode(_) => (S::NOT_FOUND, "no_node"),
             OperatorError::NoBackEnd(_) => (S::NOT_FOUND, "no_back_end"),
             OperatorError::RevisionUnavailable { .. } => (S::NOT_FOUND, "revision_unavailable"),
--- a/crates/control/src/operator/mod.rs
+++ b/crates/control/src/operator/mod.rs
@@ -3,6 +3,7 @@
 mod access;
 mod error;
 mod nodes;
+mod quarantine;
 mod settings;
 mod status;
 mod writes;
@@ -11,7 +12,7 @@
 
 use axum::Router;
 use axum::extract::DefaultBodyLimit;
-use axum::routing::{get, post};
+use axum::routing::{delete, get, post};
 use juniper_settings::ApiKeyHash;
 
 use crate::forward::Group;
@@ -53,6 +54,8 @@
         .route("/v1/settings/diff", get(settings::diff))
         .route("/v1/back-ends/{id}/drain", post(writes::drain))
         .route("/v1/nodes", get(nodes::nodes))
+        .route("/v1/quarantine", get(quarantine::list))
+        .route("/v1/quarantine/{fingerprint}", delete(quarantine::release))
         .route("/v1/status", get(status::status))
         .layer(axum::middleware::from_fn_with_state(Arc::clone(&face), access::require_key));
     Router::new()
--- a/crates/control/tests/daemons/group_operator.rs
+++ b/crates/control/tests/daemons/group_operator.rs
@@ -2,8 +2,10 @@
 
 use crate::support::group::Group;
 use crate::support::{Daemon, PATIENCE, key, put_zone, router_identity};
-use juniper_protocol::{Message, Push, Request, connect};
-use juniper_types::Revision;
+use juniper_protocol::message::QuarantineCall;
+use juniper_protocol::{Message, Push, Reply, Request, connect};
+use juniper_registry::InstanceId;
+use juniper_types::{RequestFingerprint, Revision};
 use serde_json::json;
 use tokio::time::timeout;
 
@@ -142,3 +144,33 @@
     }
     group.stop_all().await;
 }
+
+/// Two routers ask for the same record, at two replicas; an operator releases it at the third.
+#[tokio::test]
+async fn a_request_in_quarantine_is_listed_everywhere_until_an_operator_releases_it() {
+    let group = Group::start().await;
+    let request = RequestFingerprint([0xab; 16]);
+    let servers = ["i-1", "i-2", "i-3"].map(InstanceId::new).to_vec();
+    let record = Request::Quarantine(QuarantineCall { request, servers });
+    for node in [1, 2] {
+        assert_eq!(group.call(node, &record).await, Reply::Done);
+    }
+    for at in 0..3 {
+        let (status, body) = group.daemon(at).get("/v1/quarantine").await;
+        assert_eq!(status, 200);
+        let listed = body["requests"].as_array().expect("a list");
+        assert_eq!(listed.len(), 1, "{body}");
+        assert_eq!(listed[0]["fingerprint"], request.to_string());
+        assert_eq!(listed[0]["servers"], json!(["i-1", "i-2", "i-3"]));
+    }
+    let path = format!("/v1/quarantine/{request}");
+    for at in [2, 0] {
+        let (status, body) = group.daemon(at).delete(&path).await;
+        assert_eq!((status, &body["released"]), (200, &json!(request.to_string())), "{body}");
+    }
+    let (_, body) = group.daemon(1).get("/v1/quarantine").await;
+    assert_eq!(body["requests"], json!([]));
+    let (status, body) = group.daemon(1).delete("/v1/quarantine/abc").await;
+    assert_eq!((status, &body["error"]["code"]), (400, &json!("bad_fingerprint")), "{body}");
+    group.stop_all().await;
+}
--- a/crates/control/tests/daemons/support/mod.rs
+++ b/crates/control/tests/daemons/support/mod.rs
@@ -96,6 +96,14 @@
         let status = response.status().as_u16();
         (status, response.json().await.unwrap_or(Value::Null))
     }
+
+    /// Deletes what the path names.
+    pub async fn delete(&self, path: &str) -> (u16, Value) {
+        let request = client().delete(format!("http://{}{path}", self.operator));
+        let response = request.bearer_auth(OPERATOR_KEY).send().await.unwrap();
+        let status = response.status().as_u16();
+        (status, response.json().await.unwrap_or(Value::Null))
+    }
 }
 
 pub async fn listeners() -> Listeners {
