Tree's router: signs of life that lay in the socket during a suspension confirm nothing

Cause: a pushed age counts from when it is read; what was sent while the machine slept was taken for new. Change: for 1.2 s after a suspension is noticed no sign of life confirms the settings. Test failed before (age under 1 s after 10 s of sleep), passes twice.

--- a/crates/router/src/subscription.rs
+++ b/crates/router/src/subscription.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_clock::BootInstant;
+use juniper_clock::{BootInstant, SuspensionWatch};
 use juniper_protocol::{Message as Frame, Push, Refusal, Reply, Request, Traffic, connect};
 use juniper_types::Revision;
 use kameo::Actor;
@@ -17,7 +17,7 @@
 use kameo::message::{Context, Message};
 use rand::RngExt;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use juniper_settings::node_file::Peer;
 
@@ -61,6 +61,10 @@
     File(#[from] SettingsFileError),
 }
 
+/// Time in which everything is read that lay in the socket when the machine woke up. Signs of life
+/// come once a second.
+const READ_AGAIN: Duration = Duration::from_millis(1_200);
+
 /// Owns the settings in force.
 #[derive(Actor)]
 pub struct SettingsActor {
@@ -72,6 +76,9 @@
     /// Settings on their way up to the floor. A replica that still has every
     /// change sends them one by one, also those below the floor.
     staged: Option<Arc<InForce>>,
+    suspensions: SuspensionWatch,
+    /// Until when signs of life confirm nothing, after a suspension.
+    distrusted_until: Option<Instant>,
 }
 
 impl SettingsActor {
@@ -90,7 +97,24 @@
             let in_force = Arc::new(InForce::new(revision, tree));
             view.send_modify(|view| view.in_force = in_force);
         }
-        Ok(SettingsActor { view, file, floor, staged: None })
+        Ok(SettingsActor {
+            view,
+            file,
+            floor,
+            staged: None,
+            suspensions: SuspensionWatch::default(),
+            distrusted_until: None,
+        })
+    }
+
+    /// Whether a sign of life may have lain in the socket while the machine was suspended: nobody
+    /// knows how old it is.
+    fn may_be_old(&mut self) -> bool {
+        let now = Instant::now();
+        if self.suspensions.look().is_some() {
+            self.distrusted_until = Some(now + READ_AGAIN);
+        }
+        self.distrusted_until.is_some_and(|until| now < until)
     }
 
     fn put_in_force(&mut self, next: InForce) -> Result<Revision, ApplyError> {
@@ -141,7 +165,7 @@
         if let Push::Alive { committed, confirmed_ms } = &message.0 {
             let in_force = self.view.borrow().in_force.revision;
             // A replica that is behind this router can't vouch for its settings.
-            if *committed >= in_force {
+            if *committed >= in_force && !self.may_be_old() {
                 let confirmed = BootInstant::now().before(Duration::from_millis(*confirmed_ms));
                 self.view
                     .send_modify(|view| view.confirmed_at = view.confirmed_at.max(Some(confirmed)));
