Crash watch wakes up only while something is suspected; a suspension is looked for once a second

Cause: two timers of 200 and 500 ms on every router, for what happens nearly never; processor time is priced. Change: the watch's ticks run while there are suspects or reports to tell again. Tests of counts, gateway paths and the three of real processes pass.

--- a/crates/clock/src/watch.rs
+++ b/crates/clock/src/watch.rs
@@ -7,7 +7,7 @@
 use crate::BootInstant;
 
 /// Pace of the look; a suspension is logged within it after the machine has woken up.
-const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Difference of the clocks that is a suspension: the two are read one after the other.
 const LEAST_SUSPENSION: Duration = Duration::from_millis(100);
--- a/crates/crash-watch/src/watch.rs
+++ b/crates/crash-watch/src/watch.rs
@@ -249,7 +249,8 @@
                     let news = RouterNews { crashes: Some(crashes), ..RouterNews::default() };
                     self.feed.tell(news).await;
                 }
-                _ = ticks.tick() => {
+                // Nearly always there is nothing to keep, and no reason to wake up.
+                _ = ticks.tick(), if self.has_work() => {
                     turn += 1;
                     self.keep(turn).await;
                 }
@@ -257,6 +258,11 @@
         }
     }
 
+    /// Whether anything is suspected, or has to be told again.
+    fn has_work(&self) -> bool {
+        !lock(&self.counts).is_empty() || !lock(&self.retelling).is_empty()
+    }
+
     /// Tells again what is due, forgets what is old, and asks the replicas to record what isn't
     /// recorded yet: another replica each time.
     async fn keep(&self, turn: usize) {
--- a/crates/quarantine/src/retelling.rs
+++ b/crates/quarantine/src/retelling.rs
@@ -40,6 +40,11 @@
         self.waiting.push_back(Waiting { report, made_at: now, told_again: 0, next_at });
     }
 
+    /// Whether nothing is to be told again.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
     /// Reports to tell again now, with their ages as of now.
     pub fn due(&mut self, now: Timestamp) -> Vec<Report> {
         let mut due = Vec::new();
