Gateway: what servers state of their limits is read, logged and counted

Cause: no log could tell which router had heard a server's limit, or that there was one. Change: the header becomes a typed rate at the adapter; event=server_limit_heard with the request, event=server_limit_unreadable, and the counter stated_limits_total. Nothing is decided by it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -226,6 +226,7 @@
     if let Some(version) = facts.version {
         gateway.placement().saw_version(&choice.instance, version);
     }
+    gateway.note_stated_limit(&choice.instance, &facts, call.id());
     check(&facts, head.status, choice.version)?;
     Ok(Response::from_parts(head, body))
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::{request, response};
+use juniper_limits::StatedLimit;
 use juniper_placement::Prompt;
 use juniper_registry::InstanceId;
 
@@ -60,7 +61,7 @@
 }
 
 /// What a server's answer says of itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerFacts {
     /// It answers this very request.
     pub is_own: bool,
@@ -74,6 +75,8 @@
     pub is_other_version: bool,
     /// Version of the weights that it was made with.
     pub version: Option<u64>,
+    /// The requests that the server takes from all routers together.
+    pub stated_limit: StatedLimit,
 }
 
 /// Reads and writes headers.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - `relay` passes whole answers on, `stream` streams; `finish` logs how requests end.
 //! - `pool` holds connections to servers, `probe` finds out when lost ones are back.
 //! - `limits` counts requests against the limits of their tenants.
+//! - `server_limits` hears what servers take from all routers together.
 //! - `starting` has requests wait that come before the gateway can serve.
 //! - `news` tells other routers where prompts were sent and which servers are down.
 //! - `life` starts, drains and stops the whole.
@@ -35,6 +36,7 @@
 mod relay;
 mod retry;
 mod search;
+mod server_limits;
 mod settings;
 mod starting;
 mod stream;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,6 +46,8 @@
     pub news_missed: IntCounter,
     /// Servers that counted as unreachable because other routers said so.
     pub servers_reported: IntCounter,
+    /// Answers in which servers stated what they take from all routers, by whether it could be read.
+    pub stated_limits: IntCounterVec,
     /// Servers that ended under requests, and quarantines.
     pub crashes: CrashMetrics,
     /// New connections to servers.
@@ -122,6 +124,11 @@
                 &["tenant", "decided_by"],
             )?,
             limited_tenants: Mutex::default(),
+            stated_limits: counters(
+                "stated_limits_total",
+                "Answers in which servers stated what they take from all routers.",
+                &["readable"],
+            )?,
             crashes: CrashMetrics::new("juniper_gateway", &registry)?,
             sightings_left_out: counter(
                 "sightings_left_out_total",
--- a/crates/gateway/tests/paths/support/dialect.rs
+++ b/crates/gateway/tests/paths/support/dialect.rs
@@ -5,6 +5,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::{request, response};
 use juniper_gateway::{AnswerFacts, AttemptFacts, CallFacts, CallFault, Dialect};
+use juniper_limits::StatedLimit;
 use juniper_registry::InstanceId;
 
 pub struct TestDialect;
@@ -47,6 +48,7 @@
         id: &HeaderValue,
         _instance: &InstanceId,
     ) -> AnswerFacts {
+        let stated = head.headers.get_all("x-limit").iter();
         let is_misdirected = head.status.as_u16() == 421;
         let has_other_weights = head.headers.contains_key("x-other-weights");
         AnswerFacts {
@@ -56,6 +58,7 @@
             is_other_server: is_misdirected && !has_other_weights,
             is_other_version: is_misdirected && has_other_weights,
             version: None,
+            stated_limit: StatedLimit::read(stated.map(|value| value.to_str().ok())),
         }
     }
 
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -7,6 +7,7 @@
 //!   that a quorum has lately confirmed is the tenant's owner.
 //! - [`LocalLimits`] decides on a router while it reaches no owner: each router then
 //!   keeps to its [`FleetShare`] of a part of the limit.
+//! - [`StatedLimit`] is what a server's answer states of the requests that it takes.
 //!
 //! Time and random numbers are passed in; nothing here performs I/O. Why it is done
 //! like this, and what other ways came to: `docs/design/fleet-limits.md`.
@@ -17,6 +18,7 @@
 mod owner;
 mod owners;
 mod share;
+mod stated;
 
 pub use account::{ChargeRequest, RateLimit, Verdict};
 pub use bucket::TokenBucket;
@@ -24,3 +26,4 @@
 pub use owner::LimitOwner;
 pub use owners::owners;
 pub use share::FleetShare;
+pub use stated::{RateFault, RequestRate, StatedLimit};
