Limits: accounts of tenants and of servers, and what a router knows of a server's limit

Cause: limits over all routers were there for tenants only, with words of tenants throughout; nothing could keep what a server states. Messages: LimitCharge gets a seventh field and RouterNews a sixth, both without a byte where nothing is new. Not connected yet.

Tried and dropped: a limit that ended by itself 10 s after a router had last heard it.

--- a/crates/control/src/internal/calls.rs
+++ b/crates/control/src/internal/calls.rs
@@ -35,8 +35,8 @@
             forwarded(face, command).await
         }
         Request::Charge(charge) if peer.identity.role == PeerRole::Router => charged(face, &charge),
-        Request::GiveBack { tenant, units } if peer.identity.role == PeerRole::Router => {
-            face.limits.give_back(&tenant, units);
+        Request::GiveBack { account, units } if peer.identity.role == PeerRole::Router => {
+            face.limits.give_back(&account, units);
             Reply::Done
         }
         Request::Quarantine(call) if peer.identity.role == PeerRole::Router => {
--- a/crates/control/src/limits.rs
+++ b/crates/control/src/limits.rs
@@ -1,4 +1,4 @@
-//! Limits of the tenants that this replica owns, for all routers.
+//! Limits that this replica owns, for all routers.
 
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -32,11 +32,12 @@
     /// Counts a request.
     pub fn charge(&self, charge: &LimitCharge) -> ChargeAnswer {
         let request = ChargeRequest {
-            tenant: &charge.tenant,
+            account: &charge.account,
             limit: RateLimit { per_second: charge.per_second, burst: charge.burst },
             version: charge.version,
             units: charge.units,
             is_certain: charge.is_certain,
+            reserve: charge.reserve.unwrap_or(0.0),
         };
         let mut owner = self.owner.lock().unwrap_or_else(PoisonError::into_inner);
         match owner.charge(&request, self.now(), rand::random()) {
@@ -51,8 +52,8 @@
     }
 
     /// Takes back what was counted for a request that no server has run.
-    pub fn give_back(&self, tenant: &str, units: f64) {
+    pub fn give_back(&self, account: &str, units: f64) {
         let mut owner = self.owner.lock().unwrap_or_else(PoisonError::into_inner);
-        owner.give_back(tenant, units, self.now());
+        owner.give_back(account, units, self.now());
     }
 }
--- a/crates/feed/src/charge.rs
+++ b/crates/feed/src/charge.rs
@@ -1,4 +1,4 @@
-//! Charges against the limits of tenants, on their way to the replicas that own them.
+//! Charges against limits that hold over all routers, on their way to the replicas that own them.
 
 use juniper_protocol::message::{ChargeAnswer, LimitCharge};
 use juniper_protocol::{Refusal, Reply};
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -112,8 +112,8 @@
         let _ = self.actor.tell(RecordRelease(request)).await;
     }
 
-    /// Has a request counted by the replica that owns its tenant's limit: the connected one that
-    /// comes at `rank` in the tenant's order. The caller bounds the wait.
+    /// Has a request counted by the replica that owns its account: the connected one that
+    /// comes at `rank` in the account's order. The caller bounds the wait.
     ///
     /// # Errors
     /// Fails when there is no such replica, or it doesn't answer.
@@ -129,11 +129,11 @@
         answered.await.unwrap_or(Err(ChargeError::Disconnected))
     }
 
-    /// Tells the owner of the tenant's limit that no server has run what was counted. If it
-    /// can't be told, the tenant's next requests are admitted a little later.
-    pub async fn give_back(&self, tenant: String, units: f64) {
+    /// Tells the owner of the account that no server has run what was counted. If it
+    /// can't be told, the next requests are admitted a little later.
+    pub async fn give_back(&self, account: String, units: f64) {
         // A feed that has ended reaches nobody.
-        let _ = self.actor.tell(GiveBack { tenant, units }).await;
+        let _ = self.actor.tell(GiveBack { account, units }).await;
     }
 
     /// Takes over the seeds of settings that have changed.
--- a/crates/feed/src/following.rs
+++ b/crates/feed/src/following.rs
@@ -54,8 +54,8 @@
         self.command(node, command);
     }
 
-    /// The replica that comes at `rank` in the order in which replicas own `subject`: the limit
-    /// of a tenant, or a request. All routers have to name the same one, so where each follows a
+    /// The replica that comes at `rank` in the order in which replicas own `subject`: an
+    /// account, or a request. All routers have to name the same one, so where each follows a
     /// few, those that it doesn't follow count too.
     pub(crate) fn owner(&self, subject: &str, rank: usize) -> Option<NodeId> {
         let members = self.fold.members();
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -91,10 +91,10 @@
     Tell(RouterNews),
     /// Listen to what other routers tell through this replica, or no longer.
     Listen(bool),
-    /// Count a request against its tenant's limit.
+    /// Count a request against a limit.
     Charge(PendingCharge),
     /// No server has run what was counted.
-    GiveBack { tenant: String, units: f64 },
+    GiveBack { account: String, units: f64 },
     /// Record that a request is sent to no server any more.
     Quarantine(QuarantineCall),
     /// Record that a request may be sent again.
@@ -232,8 +232,8 @@
                 self.charges.insert(call, answer);
                 Ok(())
             }
-            LinkCommand::GiveBack { tenant, units } => {
-                self.call(Request::GiveBack { tenant, units }).await.map(|_| ())
+            LinkCommand::GiveBack { account, units } => {
+                self.call(Request::GiveBack { account, units }).await.map(|_| ())
             }
             LinkCommand::Quarantine(call) => self.call(Request::Quarantine(call)).await.map(|_| ()),
             LinkCommand::Release(request) => self.call(Request::Release(request)).await.map(|_| ()),
--- a/crates/feed/src/replica_calls.rs
+++ b/crates/feed/src/replica_calls.rs
@@ -8,7 +8,7 @@
 use crate::charge::{ChargeError, PendingCharge};
 use crate::link::LinkCommand;
 
-/// Have a request counted by the connected replica that comes at `rank` for its tenant.
+/// Have a request counted by the connected replica that comes at `rank` for its account.
 pub(crate) struct ChargeLimit {
     pub(crate) pending: PendingCharge,
     pub(crate) rank: usize,
@@ -19,7 +19,7 @@
 
     async fn handle(&mut self, message: ChargeLimit, _context: &mut Context<Self, ()>) {
         let ChargeLimit { pending, rank } = message;
-        match self.owner(&pending.charge.tenant, rank) {
+        match self.owner(&pending.charge.account, rank) {
             Some(owner) => self.call(owner, LinkCommand::Charge(pending)),
             None => {
                 // The request may have been given up.
@@ -29,9 +29,9 @@
     }
 }
 
-/// Tell the owner of a tenant's limit that no server has run what was counted.
+/// Tell the owner of an account that no server has run what was counted.
 pub(crate) struct GiveBack {
-    pub(crate) tenant: String,
+    pub(crate) account: String,
     pub(crate) units: f64,
 }
 
@@ -39,9 +39,9 @@
     type Reply = ();
 
     async fn handle(&mut self, message: GiveBack, _context: &mut Context<Self, ()>) {
-        let GiveBack { tenant, units } = message;
-        if let Some(owner) = self.owner(&tenant, 0) {
-            self.call(owner, LinkCommand::GiveBack { tenant, units });
+        let GiveBack { account, units } = message;
+        if let Some(owner) = self.owner(&account, 0) {
+            self.call(owner, LinkCommand::GiveBack { account, units });
         }
     }
 }
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,5 +1,5 @@
-//! Limits of tenants: each request is counted by the replica that owns its tenant's limit before
-//! it is sent to a server, or by this router alone while no owner can be asked.
+//! Limits over all routers: each request of a tenant that has one is counted by the replica that owns
+//! its account before it is sent to a server, or by this router alone while no owner can be asked.
 
 use std::collections::HashMap;
 use std::sync::Mutex;
@@ -17,7 +17,7 @@
 
 /// Longest wait for an owner's answer. A round trip between zones takes 2 to 3 ms; a replica that
 /// needs more than this has lost power, is frozen, or has much to do.
-const ANSWER_LIMIT: Duration = Duration::from_millis(60);
+pub(crate) const ANSWER_LIMIT: Duration = Duration::from_millis(60);
 
 /// The same while this router doesn't know what the tenant uses at all routers, and so not its own
 /// share. It has just started then, often together with many others that ask the same replicas.
@@ -31,7 +31,7 @@
 
 /// What was counted for a request.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Charged(LimitCharge);
+pub(crate) struct Charged(pub(crate) LimitCharge);
 
 /// Who decided on a charge, for logs and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,30 +55,31 @@
 #[derive(Default)]
 pub(crate) struct Limits {
     local: Mutex<LocalLimits>,
-    /// When a tenant's owner was last asked without an answer, for a short while.
+    /// When an account's owner was last asked without an answer, for a short while.
     silent: Mutex<HashMap<String, Instant>>,
 }
 
 impl Limits {
-    fn is_silent(&self, tenant: &str) -> bool {
+    fn is_silent(&self, account: &str) -> bool {
         let silent = lock(&self.silent);
-        silent.get(tenant).is_some_and(|since| since.elapsed() < SILENT_OWNER_PAUSE)
+        silent.get(account).is_some_and(|since| since.elapsed() < SILENT_OWNER_PAUSE)
     }
 
-    fn note_silent(&self, tenant: &str) {
+    fn note_silent(&self, account: &str) {
         let mut silent = lock(&self.silent);
         silent.retain(|_, since| since.elapsed() < SILENT_OWNER_PAUSE);
-        silent.insert(tenant.to_owned(), Instant::now());
+        silent.insert(account.to_owned(), Instant::now());
     }
 }
 
 fn request(charge: &LimitCharge) -> ChargeRequest<'_> {
     ChargeRequest {
-        tenant: &charge.tenant,
+        account: &charge.account,
         limit: RateLimit { per_second: charge.per_second, burst: charge.burst },
         version: charge.version,
         units: charge.units,
         is_certain: charge.is_certain,
+        reserve: charge.reserve.unwrap_or(0.0),
     }
 }
 
@@ -106,7 +107,8 @@
     ) -> Result<Option<Charged>, OwnAnswer> {
         let Some(limit) = &tenant.limit else { return Ok(None) };
         let charge = charge_of(tenant, limit, version, tokens);
-        let (verdict, by) = self.decide(&charge).await;
+        let wait = self.answer_limit(&charge.account);
+        let (verdict, by) = self.decide(&charge, wait).await;
         let Verdict::Refused { pause, fleet_per_second } = verdict else {
             return Ok(Some(Charged(charge)));
         };
@@ -123,10 +125,15 @@
         Err(OwnAnswer::OverLimit(pause))
     }
 
-    async fn decide(&self, charge: &LimitCharge) -> (Verdict, DecidedBy) {
-        let answered = match self.limits.is_silent(&charge.tenant) {
+    /// Decides on a charge: the owner if it answers within `wait`, or else this router.
+    pub(crate) async fn decide(
+        &self,
+        charge: &LimitCharge,
+        wait: Duration,
+    ) -> (Verdict, DecidedBy) {
+        let answered = match self.limits.is_silent(&charge.account) {
             true => None,
-            false => self.ask_owner(charge).await,
+            false => self.ask_owner(charge, wait).await,
         };
         let now = self.now();
         let mut local = lock(&self.limits.local);
@@ -145,31 +152,30 @@
     }
 
     /// How long the owner's answer is worth waiting for.
-    fn answer_limit(&self, tenant: &str) -> Duration {
-        match lock(&self.limits.local).knows(tenant, self.now()) {
+    fn answer_limit(&self, account: &str) -> Duration {
+        match lock(&self.limits.local).knows(account, self.now()) {
             true => ANSWER_LIMIT,
             false => FIRST_ANSWER_LIMIT,
         }
     }
 
     /// The owner's answer, if one answers in time.
-    async fn ask_owner(&self, charge: &LimitCharge) -> Option<ChargeAnswer> {
-        let limit = self.answer_limit(&charge.tenant);
+    async fn ask_owner(&self, charge: &LimitCharge, wait: Duration) -> Option<ChargeAnswer> {
         for rank in 0..MAX_ASKED {
-            match timeout(limit, self.feed.charge(charge.clone(), rank)).await {
+            match timeout(wait, self.feed.charge(charge.clone(), rank)).await {
                 Ok(Ok(answer)) => return Some(answer),
                 // It may be cut off from the other replicas; the next one owns the limit then.
                 Ok(Err(ChargeError::NotOwner(_))) => {}
                 Ok(Err(error)) => {
                     log::debug!(
-                        "event=limit_owner_failed tenant={} reason=\"{error}\"",
-                        charge.tenant
+                        "event=limit_owner_failed account={:?} reason=\"{error}\"",
+                        charge.account
                     );
                     return None;
                 }
                 Err(_) => {
-                    log::info!("event=limit_owner_silent tenant={}", charge.tenant);
-                    self.limits.note_silent(&charge.tenant);
+                    log::info!("event=limit_owner_silent account={:?}", charge.account);
+                    self.limits.note_silent(&charge.account);
                     return None;
                 }
             }
@@ -180,15 +186,15 @@
     /// Counts a request once more that may run a second time. It isn't refused any more.
     pub(crate) async fn charge_again(&self, charged: &Charged) {
         let charge = LimitCharge { is_certain: true, ..charged.0.clone() };
-        self.decide(&charge).await;
+        self.decide(&charge, self.answer_limit(&charge.account)).await;
     }
 
     /// Takes back what was counted for a request that no server has run.
     pub(crate) fn give_back(&self, charged: &Charged) {
-        let LimitCharge { tenant, units, .. } = charged.0.clone();
+        let LimitCharge { account, units, .. } = charged.0.clone();
         let feed = self.feed.clone();
         // The answer to the caller doesn't wait for it.
-        tokio::spawn(async move { feed.give_back(tenant, units).await });
+        tokio::spawn(async move { feed.give_back(account, units).await });
     }
 }
 
@@ -199,11 +205,12 @@
     tokens: Option<u64>,
 ) -> LimitCharge {
     LimitCharge {
-        tenant: tenant.name.clone(),
+        account: tenant.name.clone(),
         version,
         per_second: limit.per_second,
         burst: limit.burst,
         units: limit.cost(tokens),
         is_certain: false,
+        reserve: None,
     }
 }
--- a/crates/gateway/tests/paths/limits.rs
+++ b/crates/gateway/tests/paths/limits.rs
@@ -34,7 +34,7 @@
     assert_eq!(get_limited(&gateway, "/once/x", "r1").await.status, 200);
     let charges = gateway.control.charges();
     assert_eq!(charges.len(), 1);
-    assert_eq!((charges[0].tenant.as_str(), charges[0].units), ("tenant-2", 200.0));
+    assert_eq!((charges[0].account.as_str(), charges[0].units), ("tenant-2", 200.0));
     assert_eq!((charges[0].per_second, charges[0].burst), (1_000.0, 500.0));
     assert!(gateway.control.given_back().is_empty());
 }
--- a/crates/limits/src/account.rs
+++ b/crates/limits/src/account.rs
@@ -12,35 +12,37 @@
     pub burst: f64,
 }
 
-/// One request that is to be counted against a tenant's limit.
+/// One request that is to be counted against a limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ChargeRequest<'a> {
-    /// The tenant.
-    pub tenant: &'a str,
-    /// Its limit as the asking router has it in force.
+    /// Whose limit it is: a tenant's name, or what stands for an incarnation of a server.
+    pub account: &'a str,
+    /// The limit as the asking router has it in force.
     pub limit: RateLimit,
-    /// Version of the configuration that states the limit.
+    /// Version of the limit. The highest one that any router names holds.
     pub version: u64,
     /// Units that the request costs.
     pub units: f64,
     /// It runs whatever the answer is, for example as the second attempt of a request that was
     /// admitted, and is counted in any case.
     pub is_certain: bool,
+    /// Units that are left to more urgent requests: it is admitted only if so many are there.
+    pub reserve: f64,
 }
 
-/// Whether a request lies within its tenant's limit.
+/// Whether a request lies within its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
     /// It does, and was counted.
     Admitted {
-        /// Units a second that the tenant was admitted of late over all routers.
+        /// Units a second that were admitted of late over all routers.
         fleet_per_second: f64,
     },
     /// It doesn't, and was not counted.
     Refused {
         /// Time after which it has a chance.
         pause: Duration,
-        /// Units a second that the tenant was admitted of late over all routers.
+        /// Units a second that were admitted of late over all routers.
         fleet_per_second: f64,
     },
 }
--- a/crates/limits/src/bucket.rs
+++ b/crates/limits/src/bucket.rs
@@ -52,21 +52,22 @@
         Ok(())
     }
 
-    /// Takes `units` if the bucket isn't overdrawn, and may overdraw it. Requests of all sizes
+    /// Takes `units` if the bucket holds `reserve`, and may overdraw it. Requests of all sizes
     /// are admitted alike; what is taken in any time is above rate and burst by one request at
     /// most.
     ///
     /// # Errors
-    /// The time until the bucket isn't overdrawn any more.
+    /// The time until the bucket holds the reserve.
     pub fn take_or_overdraw(
         &mut self,
         units: f64,
+        reserve: f64,
         limit: RateLimit,
         now: Timestamp,
     ) -> Result<(), Duration> {
         self.refill(limit, now);
-        if limit.per_second <= 0.0 || self.level < 0.0 {
-            return Err(self.time_until(0.0, limit));
+        if limit.per_second <= 0.0 || self.level < reserve {
+            return Err(self.time_until(reserve, limit));
         }
         self.level -= units;
         Ok(())
@@ -110,9 +111,9 @@
         self.level = (self.level + units).min(self.burst);
     }
 
-    /// Units that lack until the bucket isn't overdrawn any more.
-    pub fn overdrawn(&self) -> f64 {
-        (-self.level).max(0.0)
+    /// Units that lack until the bucket holds `reserve`.
+    pub fn lacking(&self, reserve: f64) -> f64 {
+        (reserve - self.level).max(0.0)
     }
 
     /// Refills the bucket and takes over a limit that has changed: a larger burst is there at
--- a/crates/limits/src/local.rs
+++ b/crates/limits/src/local.rs
@@ -1,6 +1,6 @@
 //! Limits of a router that reaches no owner.
 //!
-//! The owner of a tenant may have just lost power, or the router may be cut off from all
+//! The owner of an account may have just lost power, or the router may be cut off from all
 //! replicas while other routers still reach the owner. A router then admits its share of
 //! [`UNOWNED_PART`] of the limit by itself. It learns its share while it is told by the owner what
 //! all routers were admitted, and keeps it while it isn't.
@@ -27,11 +27,11 @@
 /// Time for which what an owner told holds; some times the half-life of recent requests.
 const KNOWN_FOR: Duration = Duration::from_secs(10);
 
-/// Tenants without requests for so long are forgotten.
+/// Accounts without requests for so long are forgotten.
 const IDLE_BEFORE_FORGOTTEN: Duration = Duration::from_secs(60);
 
-/// Tenants at whose number idle ones are looked for.
-const MANY_TENANTS: usize = 256;
+/// Accounts at whose number idle ones are looked for.
+const MANY_ACCOUNTS: usize = 256;
 
 /// A router's part of a limit while it decides by itself.
 #[derive(Clone, Copy, Debug)]
@@ -41,7 +41,7 @@
     used_at: Timestamp,
 }
 
-/// What a router knows of one tenant.
+/// What a router knows of one account.
 #[derive(Clone, Copy, Debug)]
 struct Account {
     /// What was admitted here.
@@ -104,7 +104,7 @@
 impl LocalLimits {
     /// Notes what the owner has decided.
     pub fn heard(&mut self, request: &ChargeRequest<'_>, verdict: &Verdict, now: Timestamp) {
-        let account = self.account(request.tenant, now);
+        let account = self.account(request.account, now);
         account.own = None;
         account.heard_at = Some(now);
         match verdict {
@@ -120,8 +120,8 @@
 
     /// Whether an owner has lately told what all routers were admitted. Without it the router's
     /// share isn't known, and deciding alone refuses most of what lies within the limit.
-    pub fn knows(&self, tenant: &str, now: Timestamp) -> bool {
-        let heard = self.accounts.get(tenant).and_then(|account| account.heard_at);
+    pub fn knows(&self, account: &str, now: Timestamp) -> bool {
+        let heard = self.accounts.get(account).and_then(|account| account.heard_at);
         heard.is_some_and(|at| now.since(at) < KNOWN_FOR)
     }
 
@@ -134,7 +134,7 @@
         now: Timestamp,
         draw: f64,
     ) -> Verdict {
-        let account = self.account(request.tenant, now);
+        let account = self.account(request.account, now);
         let fleet_per_second = account.fleet_per_second;
         let own = account.own_part(request.limit, routers, now);
         let part = part_of(request.limit, own.share);
@@ -148,11 +148,11 @@
         }
     }
 
-    fn account(&mut self, tenant: &str, now: Timestamp) -> &mut Account {
-        if self.accounts.len() >= MANY_TENANTS && !self.accounts.contains_key(tenant) {
+    fn account(&mut self, name: &str, now: Timestamp) -> &mut Account {
+        if self.accounts.len() >= MANY_ACCOUNTS && !self.accounts.contains_key(name) {
             self.accounts.retain(|_, account| now.since(account.used_at) < IDLE_BEFORE_FORGOTTEN);
         }
-        let account = self.accounts.entry(tenant.to_owned()).or_insert_with(|| Account::new(now));
+        let account = self.accounts.entry(name.to_owned()).or_insert_with(|| Account::new(now));
         account.used_at = now;
         account
     }
--- a/crates/limits/src/owner.rs
+++ b/crates/limits/src/owner.rs
@@ -8,14 +8,14 @@
 use crate::account::{ChargeRequest, RateLimit, Verdict};
 use crate::bucket::TokenBucket;
 
-/// Half-life of what is known of a tenant's recent requests. A few requests of a tenant
+/// Half-life of what is known of an account's recent requests. A few requests of a tenant
 /// come in it through one router on the deployments that were measured.
 pub(crate) const RECENT: Duration = Duration::from_secs(2);
 
-/// Tenants without requests for so long are forgotten. A bucket is full again by then.
+/// Accounts without requests for so long are forgotten. A bucket is full again by then.
 const IDLE_BEFORE_FORGOTTEN: Duration = Duration::from_secs(60);
 
-/// Time between two looks for tenants to forget.
+/// Time between two looks for accounts to forget.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Shortest pause asked of a caller.
@@ -29,7 +29,7 @@
     sum.at(now) * std::f64::consts::LN_2 / RECENT.as_secs_f64()
 }
 
-/// What is kept of one tenant.
+/// What is kept of one account.
 #[derive(Clone, Copy, Debug)]
 struct Account {
     version: u64,
@@ -63,13 +63,13 @@
     }
 
     fn charge(&mut self, request: &ChargeRequest<'_>, now: Timestamp, draw: f64) -> Verdict {
-        let ChargeRequest { units, is_certain, .. } = *request;
+        let ChargeRequest { units, is_certain, reserve, .. } = *request;
         let taken = match is_certain {
             true => {
                 self.bucket.take_anyway(units, self.limit, now);
                 Ok(())
             }
-            false => self.bucket.take_or_overdraw(units, self.limit, now),
+            false => self.bucket.take_or_overdraw(units, reserve, self.limit, now),
         };
         match taken {
             Ok(()) => {
@@ -77,17 +77,17 @@
                 Verdict::Admitted { fleet_per_second: per_second(&self.admitted, now) }
             }
             Err(_) => {
-                let pause = self.pause(now, draw);
+                let pause = self.pause(reserve, now, draw);
                 self.refused.add(units, now);
                 Verdict::Refused { pause, fleet_per_second: per_second(&self.admitted, now) }
             }
         }
     }
 
-    /// Time until the bucket isn't overdrawn, and a part by chance of the time in which what was
+    /// Time until the bucket holds the reserve, and a part by chance of the time in which what was
     /// refused of late can be admitted: callers that come back are thereby spread over it.
-    fn pause(&self, now: Timestamp, draw: f64) -> Duration {
-        let ahead = self.bucket.overdrawn() + draw * self.refused.at(now);
+    fn pause(&self, reserve: f64, now: Timestamp, draw: f64) -> Duration {
+        let ahead = self.bucket.lacking(reserve) + draw * self.refused.at(now);
         if self.limit.per_second <= 0.0 {
             return MAX_PAUSE;
         }
@@ -96,7 +96,7 @@
     }
 }
 
-/// Buckets of the tenants that one replica owns, for all routers.
+/// Buckets of the accounts that one replica owns, for all routers.
 #[derive(Clone, Debug, Default)]
 pub struct LimitOwner {
     accounts: HashMap<String, Account>,
@@ -104,14 +104,14 @@
 }
 
 impl LimitOwner {
-    /// Counts a request against its tenant's limit, or says why not. `draw` is drawn evenly
+    /// Counts a request against its limit, or says why not. `draw` is drawn evenly
     /// from 0 to 1.
     pub fn charge(&mut self, request: &ChargeRequest<'_>, now: Timestamp, draw: f64) -> Verdict {
         self.forget_idle(now);
-        if !self.accounts.contains_key(request.tenant) {
-            self.accounts.insert(request.tenant.to_owned(), Account::new(request, now));
+        if !self.accounts.contains_key(request.account) {
+            self.accounts.insert(request.account.to_owned(), Account::new(request, now));
         }
-        let Some(account) = self.accounts.get_mut(request.tenant) else {
+        let Some(account) = self.accounts.get_mut(request.account) else {
             unreachable!("the account was just made");
         };
         account.used_at = now;
@@ -120,15 +120,15 @@
     }
 
     /// Takes back what was counted for a request that no server has run.
-    pub fn give_back(&mut self, tenant: &str, units: f64, now: Timestamp) {
-        if let Some(account) = self.accounts.get_mut(tenant) {
+    pub fn give_back(&mut self, account: &str, units: f64, now: Timestamp) {
+        if let Some(account) = self.accounts.get_mut(account) {
             account.bucket.give_back(units);
             account.admitted.add(-units, now);
         }
     }
 
-    /// Tenants that are kept.
-    pub fn tenants(&self) -> usize {
+    /// Accounts that are kept.
+    pub fn accounts(&self) -> usize {
         self.accounts.len()
     }
 
--- a/crates/limits/tests/buckets.rs
+++ b/crates/limits/tests/buckets.rs
@@ -15,7 +15,14 @@
 }
 
 fn request(units: f64) -> ChargeRequest<'static> {
-    ChargeRequest { tenant: "one", limit: LIMIT, version: 1, units, is_certain: false }
+    ChargeRequest {
+        account: "one",
+        limit: LIMIT,
+        version: 1,
+        units,
+        is_certain: false,
+        reserve: 0.0,
+    }
 }
 
 fn charge(owner: &mut LimitOwner, units: f64, now: Timestamp) -> bool {
@@ -29,7 +36,7 @@
         let (mut now, mut taken) = (Timestamp::ZERO, 0.0);
         for (wait, units) in requests {
             now = now.after(Duration::from_millis(u64::from(wait)));
-            if bucket.take_or_overdraw(f64::from(units), LIMIT, now).is_ok() {
+            if bucket.take_or_overdraw(f64::from(units), 0.0, LIMIT, now).is_ok() {
                 taken += f64::from(units);
             }
             let most = LIMIT.burst + LIMIT.per_second * now.as_millis() as f64 / 1_000.0;
@@ -113,10 +120,10 @@
     let none = RateLimit { per_second: 0.0, burst: 0.0 };
     let refused = owner.charge(&ChargeRequest { limit: none, ..request(1.0) }, at(0), 0.0);
     assert!(!refused.is_admitted());
-    assert_eq!(owner.tenants(), 1);
-    let later = ChargeRequest { tenant: "two", ..request(1.0) };
+    assert_eq!(owner.accounts(), 1);
+    let later = ChargeRequest { account: "two", ..request(1.0) };
     owner.charge(&later, at(80_000), 0.0);
-    assert_eq!(owner.tenants(), 1);
+    assert_eq!(owner.accounts(), 1);
 }
 
 #[test]
--- a/crates/limits/tests/ways/owned.rs
+++ b/crates/limits/tests/ways/owned.rs
@@ -44,11 +44,12 @@
 impl Way for OwnedWay {
     fn admits(&mut self, world: &World, arrival: &Arrival, now: Timestamp) -> bool {
         let request = ChargeRequest {
-            tenant: "tenant",
+            account: "tenant",
             limit: world.limit,
             version: 1,
             units: arrival.units,
             is_certain: false,
+            reserve: 0.0,
         };
         for (replica, owner) in self.owners.iter_mut().enumerate() {
             if !world.has_power(replica, arrival.at) {
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -63,13 +63,13 @@
     }
 }
 
-/// A request of a tenant that is to be counted against its limit.
+/// A request that is to be counted against a limit.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct LimitCharge {
-    /// The tenant.
+    /// Whose limit it is: a tenant's name, or [`server_account`].
     #[n(0)]
-    pub tenant: String,
-    /// Version of the configuration that the limit is from.
+    pub account: String,
+    /// Version of the limit; of a tenant's, that of the configuration that states it.
     #[n(1)]
     pub version: u64,
     /// The limit, in units a second.
@@ -84,6 +84,47 @@
     /// The request runs whatever the answer is.
     #[n(5)]
     pub is_certain: bool,
+    /// Units that are left to more urgent requests, if any are; a replica of an earlier version
+    /// leaves none.
+    #[n(6)]
+    #[cbor(default)]
+    pub reserve: Option<f64>,
+}
+
+/// Begins the account of a server, as no tenant's name does.
+const SERVER_ACCOUNT: &str = "\0server\0";
+
+/// The account of the limit that an incarnation of a server states. Replicas of earlier builds keep
+/// it like that of a tenant.
+pub fn server_account(instance: &InstanceId) -> String {
+    format!("{SERVER_ACCOUNT}{}@{}", instance.name(), instance.started().unix_ms())
+}
+
+/// What a server is known to take from all routers together.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct ServerLimitNews {
+    /// The server.
+    #[n(0)]
+    pub instance: InstanceName,
+    /// When its incarnation started.
+    #[n(1)]
+    pub started: StartTime,
+    /// Orders what is told of one server; the highest holds.
+    #[n(2)]
+    pub sequence: u64,
+    /// Requests a second; the latest ones stated if it states none any more.
+    #[n(3)]
+    pub per_second: f64,
+    /// Whether it states a limit no longer.
+    #[n(4)]
+    pub is_over: bool,
+}
+
+impl ServerLimitNews {
+    /// The incarnation that it is about.
+    pub fn id(&self) -> InstanceId {
+        InstanceId::started_at(self.instance.clone(), self.started)
+    }
 }
 
 /// What a charge came to.
@@ -93,7 +134,7 @@
     /// for one that is within it.
     #[n(0)]
     pub refused_for_ms: Option<u64>,
-    /// Units a second that the tenant was admitted of late over all routers.
+    /// Units a second that were admitted of late over all routers.
     #[n(1)]
     pub fleet_per_second: f64,
 }
@@ -194,7 +235,7 @@
 }
 
 /// What one router tells the others. Losing it costs work, never correctness.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct RouterNews {
     /// Where it has sent prompts.
     #[n(0)]
@@ -214,6 +255,11 @@
     #[n(4)]
     #[cbor(default)]
     pub crashes: Option<CrashNews>,
+    /// What servers take from all routers together; absent, and without a byte, unless some state
+    /// it.
+    #[n(5)]
+    #[cbor(default)]
+    pub server_limits: Option<Vec<ServerLimitNews>>,
 }
 
 impl RouterNews {
@@ -223,11 +269,12 @@
             && self.reachability.is_empty()
             && self.ended.is_empty()
             && self.crashes.is_none()
+            && self.server_limits.is_none()
     }
 }
 
 /// What one router tells, on its way to the others.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct RelayedNews {
     /// The router.
     #[n(0)]
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -15,7 +15,8 @@
 
 pub use crate::fleet::{
     CatalogBody, ChargeAnswer, Cleared, Crash, CrashNews, FleetNews, KnownVersion, LimitCharge,
-    QuarantineCall, QuarantineNews, Reachability, RelayedNews, RenewalNews, RouterNews, Sighting,
+    QuarantineCall, QuarantineNews, Reachability, RelayedNews, RenewalNews, RouterNews,
+    ServerLimitNews, Sighting, server_account,
 };
 
 /// Encodes a message; encoding into memory can't fail.
@@ -224,16 +225,16 @@
         #[n(0)]
         wanted: bool,
     },
-    /// Router to control: count a request against its tenant's limit. The reply is
+    /// Router to control: count a request against a limit. The reply is
     /// [`Reply::Charged`], or a refusal of a replica that no quorum has lately confirmed.
     #[n(14)]
     Charge(#[n(0)] LimitCharge),
     /// Router to control: no server has run a request that was counted.
     #[n(15)]
     GiveBack {
-        /// The tenant.
+        /// Whose limit it is, as in the charge.
         #[n(0)]
-        tenant: String,
+        account: String,
         /// Units that were counted.
         #[n(1)]
         units: f64,
