--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -33,6 +33,9 @@
     NoServer(Duration),
     /// The servers are full. It has not run; it may come back after the pause.
     Full(Duration),
+    /// Servers have got what they take from all routers together. It has not run; it may come back
+    /// after the pause.
+    ServersUsedUp(Duration),
     /// The tenant's limit is reached. It has not run; it may come back after the pause.
     OverLimit(Duration),
     /// No time was left to send it. It has not run.
@@ -57,6 +60,7 @@
             | OwnAnswer::Unconfirmed
             | OwnAnswer::NoServer(_)
             | OwnAnswer::Full(_)
+            | OwnAnswer::ServersUsedUp(_)
             | OwnAnswer::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             // No promise, since it has run, and no time to come back. A 4xx would say that it is
             // not allowed, which it is.
@@ -76,6 +80,7 @@
             OwnAnswer::Unconfirmed => "unconfirmed",
             OwnAnswer::NoServer(_) => "no_server",
             OwnAnswer::Full(_) => "full",
+            OwnAnswer::ServersUsedUp(_) => "servers_used_up",
             OwnAnswer::OverLimit(_) => "over_limit",
             OwnAnswer::TooLate => "too_late",
             OwnAnswer::Quarantined => "quarantined",
@@ -88,9 +93,10 @@
         match self {
             OwnAnswer::Starting => Some(START_PAUSE),
             OwnAnswer::Unconfirmed => Some(UNCONFIRMED_PAUSE),
-            OwnAnswer::NoServer(pause) | OwnAnswer::Full(pause) | OwnAnswer::OverLimit(pause) => {
-                Some(pause)
-            }
+            OwnAnswer::NoServer(pause)
+            | OwnAnswer::Full(pause)
+            | OwnAnswer::ServersUsedUp(pause)
+            | OwnAnswer::OverLimit(pause) => Some(pause),
             _ => None,
         }
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -226,7 +226,7 @@
     if let Some(version) = facts.version {
         gateway.placement().saw_version(&choice.instance, version);
     }
-    gateway.note_stated_limit(&choice.instance, &facts, call.id());
+    gateway.note_stated_limit(&choice.instance, &facts, attempt.sent_at, call.id());
     check(&facts, head.status, choice.version)?;
     Ok(Response::from_parts(head, body))
 }
@@ -262,7 +262,7 @@
 
 /// Rank of a request at a server. One that can't be in time even at the best server gives way to
 /// those that can: if it went first, they would be late too.
-fn priority(call: &Call, choice: &Choice) -> u8 {
+pub(crate) fn rank(call: &Call, choice: &Choice) -> u8 {
     if choice.is_late { LATE_PRIORITY } else { call.priority }
 }
 
@@ -279,7 +279,7 @@
         instance: &choice.instance,
         deadline: call.time_left(),
         tenant: call.tenant.as_deref(),
-        priority: priority(call, choice),
+        priority: rank(call, choice),
         sharing: &sharing,
         last_event,
         has_prompt: call.has_prompt(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use hyper::StatusCode;
 use juniper_catalog::RouteKind;
 use juniper_crash_watch::CrashMetrics;
+use juniper_limits::Verdict;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
@@ -48,6 +49,10 @@
     pub servers_reported: IntCounter,
     /// Answers in which servers stated what they take from all routers, by whether it could be read.
     pub stated_limits: IntCounterVec,
+    /// Requests that were to go to servers with such a limit, by outcome and by who decided.
+    server_charges: IntCounterVec,
+    /// Servers that state such a limit.
+    pub limited_servers: IntGauge,
     /// Servers that ended under requests, and quarantines.
     pub crashes: CrashMetrics,
     /// New connections to servers.
@@ -124,6 +129,12 @@
                 &["tenant", "decided_by"],
             )?,
             limited_tenants: Mutex::default(),
+            limited_servers: gauge("limited_servers", "Servers that state what they take.")?,
+            server_charges: counters(
+                "server_charges_total",
+                "Requests for servers that state what they take, by outcome and who decided.",
+                &["outcome", "decided_by"],
+            )?,
             stated_limits: counters(
                 "stated_limits_total",
                 "Answers in which servers stated what they take from all routers.",
@@ -171,6 +182,12 @@
         self.over_limit.with_label_values(&[shown, by.as_str()]).inc();
     }
 
+    /// It was decided whether a request may go to a server that states what it takes.
+    pub(crate) fn server_charged(&self, verdict: &Verdict, by: DecidedBy) {
+        let outcome = if verdict.is_admitted() { "admitted" } else { "refused" };
+        self.server_charges.with_label_values(&[outcome, by.as_str()]).inc();
+    }
+
     /// The caller left before any server had answered.
     pub(crate) fn left_unanswered(&self, kind: RouteKind) {
         self.requests.with_label_values(&[kind_text(kind), "caller_left", "no_answer"]).inc();
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -6,7 +6,7 @@
 
 use juniper_feed::RelayedBatch;
 use juniper_placement::{ChainSighting, Choice, Reporter, SightingBudget, ToldRequest};
-use juniper_protocol::message::{Reachability, RelayedNews, RouterNews, Sighting};
+use juniper_protocol::message::{Reachability, RelayedNews, RouterNews, ServerLimitNews, Sighting};
 use juniper_registry::{InstanceId, StartTime};
 use tokio::sync::Notify;
 use tokio::sync::broadcast::error::RecvError;
@@ -17,7 +17,8 @@
 /// Sightings that wait to be told; the rest is left out.
 const MAX_QUEUED: usize = 16;
 
-/// Servers whose reachability waits to be told; the rest is told with its next probe.
+/// Servers whose reachability, or whose limits, wait to be told; the rest is told with the next probe
+/// or answer.
 const MAX_QUEUED_SERVERS: usize = 64;
 
 /// Ends of requests that wait to be told; others forget the requests of the rest by themselves.
@@ -77,6 +78,18 @@
         }
     }
 
+    /// Notes what a server takes from all routers together. If too much waits, it is told with a
+    /// later answer of the server.
+    pub(crate) fn push_limit(&self, limit: ServerLimitNews) {
+        let mut news = lock(&self.news);
+        let queued = news.server_limits.get_or_insert_default();
+        queued.retain(|told| told.id() != limit.id());
+        if queued.len() < MAX_QUEUED_SERVERS {
+            queued.push(limit);
+            self.wake.notify_one();
+        }
+    }
+
     /// What waits, with the sightings that tell most, and how many of them are left out. Their ends
     /// are told all the same: who hasn't heard of a request passes over its end.
     fn take(&self, allowed: usize) -> (RouterNews, usize) {
@@ -122,6 +135,8 @@
 
 /// Takes in what other routers told.
 fn learn(gateway: &Gateway, batch: &RelayedBatch) {
+    let limits = batch.iter().flat_map(|told| told.news.server_limits.iter().flatten());
+    limits.for_each(|news| gateway.learn_limit(news));
     let now = gateway.now();
     let mut placement = gateway.placement();
     for RelayedNews { from, zone, news } in batch.iter() {
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -13,11 +13,17 @@
 use crate::call::{Call, NO_SERVER_PAUSE};
 use crate::finish::Unanswered;
 use crate::gateway::Gateway;
+use crate::limits::Charged;
 use crate::retry::Progress;
+use crate::server_limits::Admission;
 
 /// Shortest time that is worth sending a request for.
 const LEAST_TIME: Duration = Duration::from_millis(10);
 
+/// Servers that may say that they have got all that they take before only those are asked that state
+/// no limit.
+const MAX_REFUSALS: u32 = 4;
+
 /// Pause asked of a caller when servers are full.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 
@@ -56,8 +62,8 @@
                 return Err(self.given_up(OwnAnswer::Full(FULL_PAUSE)));
             }
             let views = *self.gateway.views_taken.borrow();
-            let choice = match self.choose() {
-                Ok(choice) => choice,
+            let (choice, counted) = match self.choose_admitted().await {
+                Ok(admitted) => admitted,
                 Err(NoChoice::NoServer) if self.waits_for_servers(views).await => continue,
                 Err(refusal) => return Err(self.given_up(self.refusal(refusal))),
             };
@@ -83,7 +89,12 @@
                     self.progress.may_have_run += 1;
                     self.excluded.push(choice.instance);
                 }
-                Err(error) => self.note(choice.instance, error, sent_at),
+                Err(error) => {
+                    if let (AttemptError::NotSent(_), Some(counted)) = (&error, &counted) {
+                        gateway.give_back(counted);
+                    }
+                    self.note(choice.instance, error, sent_at);
+                }
             }
         }
     }
@@ -135,12 +146,26 @@
         taken
     }
 
-    fn choose(&self) -> Result<Choice, NoChoice> {
+    /// Chooses a server that takes the request, with what was counted for it. One that has got all
+    /// that it takes is passed over without a sending.
+    async fn choose_admitted(&self) -> Result<(Choice, Option<Charged>), NoChoice> {
+        for refusals in 0.. {
+            let choice = self.choose(refusals >= MAX_REFUSALS)?;
+            match self.gateway.admit_at_server(self.call, &choice).await {
+                Admission::Granted(counted) => return Ok((choice, counted)),
+                Admission::UsedUp => {}
+            }
+        }
+        unreachable!("servers with limits are left out after some refusals")
+    }
+
+    fn choose(&self, spares_limited: bool) -> Result<Choice, NoChoice> {
         let request = ServerRequest {
             service: &self.call.service,
             prompt: self.call.facts.prompt.as_ref(),
             sharing: sharing_key(&self.call.sharing),
             excluded: &self.excluded,
+            spares_limited,
             min_version: self.min_version(),
             objective: self.call.objective(),
             time_left: self.call.objective().saturating_sub(self.call.arrived.elapsed()),
@@ -179,6 +204,11 @@
         match refusal {
             NoChoice::NoServer | NoChoice::OldWeights => OwnAnswer::NoServer(NO_SERVER_PAUSE),
             NoChoice::AllExcluded => OwnAnswer::Full(FULL_PAUSE),
+            // Spread, so that those who were refused together don't come back together.
+            NoChoice::UsedUp(pause) => {
+                let spread = 1.0 + rand::random::<f64>();
+                OwnAnswer::ServersUsedUp(pause.max(FULL_PAUSE).mul_f64(spread))
+            }
         }
     }
 
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -5,5 +5,6 @@
 mod limits;
 mod quarantine;
 mod reachability;
+mod server_limits;
 mod starting;
 mod support;
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -7,7 +7,7 @@
 use juniper_catalog::Catalog;
 use juniper_protocol::message::{
     CatalogBody, ChargeAnswer, Cleared, Crash, CrashNews, FleetNews, LimitCharge, QuarantineCall,
-    Reachability, RelayedNews, RouterNews,
+    Reachability, RelayedNews, RouterNews, ServerLimitNews,
 };
 use juniper_protocol::{
     ClusterKey, Connection, Message, PeerRole, Push, Refusal, Reply, Request, accept,
@@ -172,6 +172,12 @@
         told.iter().flat_map(|news| news.reachability.clone()).collect()
     }
 
+    /// What the gateway has told of servers that state what they take.
+    pub fn told_limits(&self) -> Vec<ServerLimitNews> {
+        let told = self.said.told.lock().expect("no panic");
+        told.iter().flat_map(|news| news.server_limits.clone().unwrap_or_default()).collect()
+    }
+
     /// From now on it doesn't.
     pub fn stop_confirming(&self) {
         self.said.confirms.store(false, Ordering::Relaxed);
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -14,6 +14,7 @@
         &self,
         members: &[InstanceName],
         request: &ServerRequest<'_>,
+        now: Timestamp,
     ) -> Result<Vec<&Server>, NoChoice> {
         let known = members.iter().filter_map(|id| self.servers.get(id));
         let known: Vec<&Server> = known.filter(|server| !server.health.replaced).collect();
@@ -28,8 +29,16 @@
             }
         }
         fresh.retain(|server| !request.excluded.contains(&server.instance.id));
+        if fresh.is_empty() {
+            return Err(NoChoice::AllExcluded);
+        }
+        // One that has got what it takes from all routers would be sent more than it bears.
+        let pauses = fresh.iter().filter_map(|server| server.pause(now));
+        let shortest = pauses.min().unwrap_or_default();
+        let spares = request.spares_limited;
+        fresh.retain(|server| server.pause(now).is_none() && !(spares && server.limit.is_some()));
         match fresh.is_empty() {
-            true => Err(NoChoice::AllExcluded),
+            true => Err(NoChoice::UsedUp(shortest)),
             false => Ok(fresh),
         }
     }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -1,6 +1,7 @@
 //! What a choice comes to.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use juniper_prefix_index::rendezvous;
 use juniper_registry::InstanceId;
@@ -131,6 +132,9 @@
     /// Every server has older weights than may be used.
     #[error("every server has older weights than may be used")]
     OldWeights,
+    /// Every other server has got what it takes from all routers together.
+    #[error("every server has got what it takes, for {0:?}")]
+    UsedUp(Duration),
 }
 
 /// A request under way on a server.
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -27,6 +27,10 @@
 /// What a full queue adds, relative to the objective.
 const FULL_FACTOR: f64 = 0.5;
 
+/// What a server adds that has got all that it takes from all routers, relative to the objective.
+/// What it has left goes to requests that are worth more there than anywhere else.
+const USED_UP_FACTOR: f64 = 0.25;
+
 /// Part of the longest pause that reading without a break may take: the engine
 /// makes tokens between the pieces it reads, and events hold several tokens.
 const SAFE_READING_PART: f64 = 0.8;
@@ -67,6 +71,8 @@
     pub move_ms: f64,
     /// Whether the server belongs to the lane of prompts of the other length.
     pub other_lane: bool,
+    /// Part that is used of what the server takes from all routers together.
+    pub used_part: f64,
     /// Tokens that give way to the prompt and would have been asked for again.
     pub displaced: f64,
 }
@@ -97,6 +103,7 @@
         let delay = server.health.delay_ms(self.now);
         let lane = if server.other_lane { OTHER_LANE_FACTOR * objective_ms } else { 0.0 };
         let full = if server.health.is_full(self.now) { FULL_FACTOR * objective_ms } else { 0.0 };
+        let used_up = server.used_part * USED_UP_FACTOR * objective_ms;
         let silent = if server.silent { SILENCE_FACTOR * objective_ms } else { 0.0 };
         let excess = server.health.failure_share(self.now) - self.mean_failures - USUAL_FAILURES;
         let failures = excess.max(0.0) * FAILURE_FACTOR * objective_ms;
@@ -104,7 +111,7 @@
         let moving = server.move_ms + displaced;
         let pauses = self.pauses_ms(queue + reading, requests, objective_ms);
         let work = reading + reread + moving + queue + under_way + crowded + delay + pauses;
-        work + zone + lane + full + silent + failures + server.cold_ms
+        work + zone + lane + full + used_up + silent + failures + server.cold_ms
     }
 
     /// The expected time to the first output of a request that no other overtakes.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -24,6 +24,7 @@
 mod request;
 mod search;
 mod server;
+mod server_limits;
 mod sighting;
 mod sighting_budget;
 
@@ -34,5 +35,6 @@
 pub use placement::Placement;
 pub use reports::Reporter;
 pub use request::{Prompt, PromptPart, ServerRequest};
+pub use server_limits::{HeardAt, LimitChange};
 pub use sighting::{ChainSighting, ToldRequest};
 pub use sighting_budget::SightingBudget;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -113,7 +113,7 @@
         self.servers.get(id.name()).filter(|server| server.instance.id.is_same(id))
     }
 
-    fn server_mut(&mut self, id: &InstanceId) -> Option<&mut Server> {
+    pub(crate) fn server_mut(&mut self, id: &InstanceId) -> Option<&mut Server> {
         incarnation(&mut self.servers, id)
     }
 
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -52,6 +52,8 @@
     pub sharing: u64,
     /// Servers that failed this request already.
     pub excluded: &'a [InstanceId],
+    /// Whether servers are left out that state what they take from all routers together.
+    pub spares_limited: bool,
     /// Least version of the model's weights that may be used.
     pub min_version: u64,
     /// Time within which an answer earns its full worth.
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -41,7 +41,7 @@
         if members.is_empty() {
             return Err(NoChoice::NoServer);
         }
-        let candidates = self.candidates(members, request)?;
+        let candidates = self.candidates(members, request, now)?;
         let usable = candidates.iter().copied().filter(|server| is_usable(server, request, now));
         let usable: Vec<&Server> = usable.collect();
         if usable.is_empty() {
@@ -156,6 +156,7 @@
             reread_tokens: work.reread_tokens,
             move_ms: work.move_ms,
             other_lane: work.other_lane,
+            used_part: server.limit.as_ref().map_or(0.0, |limit| limit.used_part(context.now)),
             displaced: f64::from(work.inserted_tokens) * work.displacement_loss,
         }
     }
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -1,8 +1,11 @@
 //! One server as a router knows it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use juniper_limits::ServerLimit;
 use juniper_registry::Instance;
+use juniper_types::Timestamp;
 
 use crate::fleet_load::FleetLoad;
 use crate::health::Health;
@@ -28,6 +31,8 @@
     pub(crate) seen_version: u64,
     /// It takes no new requests, because it is given new weights.
     pub(crate) renewing: bool,
+    /// What it takes from all routers together, if it states that.
+    pub(crate) limit: Option<ServerLimit>,
     pub(crate) turnover: MemoryTurnover,
     /// What it should keep of what all routers have sent.
     pub(crate) kept: KeptParts,
@@ -48,11 +53,17 @@
             fleet_load: FleetLoad::default(),
             seen_version: 0,
             renewing: false,
+            limit: None,
             turnover: MemoryTurnover::default(),
             kept: KeptParts::default(),
         }
     }
 
+    /// Time until it takes a request again; `None` if it takes one now.
+    pub(crate) fn pause(&self, now: Timestamp) -> Option<Duration> {
+        self.limit.as_ref()?.pause(now)
+    }
+
     /// Version of the model's weights that it is known to have; zero for none.
     pub(crate) fn version_of(&self, model: &str) -> u64 {
         self.instance.report.version_of(model).unwrap_or(0).max(self.seen_version)
--- a/crates/placement/tests/calls.rs
+++ b/crates/placement/tests/calls.rs
@@ -17,6 +17,7 @@
         prompt: None,
         sharing: 0,
         excluded: &[],
+        spares_limited: false,
         min_version: 0,
         objective: Duration::from_millis(300),
         time_left: Duration::from_millis(300),
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -68,6 +68,7 @@
         prompt: Some(prompt),
         sharing: 7,
         excluded,
+        spares_limited: false,
         min_version: 0,
         objective: Duration::from_millis(800),
         time_left: Duration::from_millis(800),
