--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answers;
+mod connections;
 mod limits;
 mod quarantine;
 mod reachability;
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -1,7 +1,7 @@
 //! A control replica that says what it is told to.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 
 use juniper_catalog::Catalog;
@@ -30,6 +30,8 @@
     confirms_once_late: AtomicBool,
     /// Tells connections that servers were heard.
     heard: broadcast::Sender<()>,
+    /// Routers that it says follow it.
+    routers: AtomicU32,
     /// What it does with charges.
     charging: Mutex<Charging>,
     /// Charges that came.
@@ -73,6 +75,7 @@
             reports: Mutex::new(reports),
             confirms: AtomicBool::new(false),
             confirms_once_late: AtomicBool::new(false),
+            routers: AtomicU32::new(1),
             charging: Mutex::new(Charging::Admits),
             charges: Mutex::default(),
             given_back: Mutex::default(),
@@ -102,6 +105,11 @@
         self.confirm();
     }
 
+    /// So many routers follow the replica.
+    pub fn set_routers(&self, routers: u32) {
+        self.said.routers.store(routers, Ordering::Relaxed);
+    }
+
     /// From now on the replica does this with charges.
     pub fn set_charging(&self, charging: Charging) {
         *self.said.charging.lock().expect("no panic") = charging;
@@ -246,7 +254,11 @@
             vec![reply(Reply::Catalog(Some(CatalogBody { version: said.catalog.version, body })))]
         }
         Request::Confirm if said.confirms.load(Ordering::Relaxed) => {
-            vec![reply(Reply::Confirmed { age_ms: 0, revision: REVISION, routers: 1 })]
+            vec![reply(Reply::Confirmed {
+                age_ms: 0,
+                revision: REVISION,
+                routers: said.routers.load(Ordering::Relaxed),
+            })]
         }
         Request::Charge(charge) => charged(said, charge).map(reply).into_iter().collect(),
         Request::Quarantine(call) => {
