Connections: a router's floor is one, so that all together open no more than a server accepts

What callers saw: nothing yet; at 985 routers up to 1,970 connections to a server that accepts 1,800, which resets the rest. Cause: the floor of two connections a router, whatever a server states for all. Mend: the part of a count that all routers share, which exists for limits, with its floor of one. Why it holds: 985 x 1 is below 0.7 of 1,800; a site of 80 routers has 5 and more each, as before. Where a server accepts fewer connections than there are routers the sum is still above: open.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use juniper_catalog::{Route, WeightedSplit};
 use juniper_crash_watch::CrashWatch;
 use juniper_feed::{Feed, FleetView};
+use juniper_limits::FleetShare;
 use juniper_placement::{Placement, RetryBudget, ServiceProfile};
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
@@ -27,9 +28,6 @@
 /// for health checks and orders, and for routers that have just started.
 const CONNECTION_PART: f64 = 0.7;
 
-/// Fewest connections that a router may open to one server.
-const MIN_CONNECTIONS: u32 = 2;
-
 /// Connections to a server that states no bound.
 const USUAL_CONNECTIONS: u32 = 64;
 
@@ -132,9 +130,9 @@
         if stated == 0 {
             return USUAL_CONNECTIONS;
         }
-        let routers = f64::from(self.feed.routers().max(1));
-        let share = (f64::from(stated) * CONNECTION_PART / routers) as u32;
-        share.max(MIN_CONNECTIONS)
+        // One at least; a higher floor would add up to more than the server accepts.
+        let for_requests = (f64::from(stated) * CONNECTION_PART) as u32;
+        FleetShare::even(self.feed.routers()).of_count(for_requests)
     }
 
     /// Takes over what the feed publishes, and closes idle connections, for ever.
