--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -33,6 +33,8 @@
     NoServer(Duration),
     /// The servers are full. It has not run; it may come back after the pause.
     Full(Duration),
+    /// Too much waits at the servers. It has not run; it may come back after the pause.
+    Overloaded(Duration),
     /// Servers have got what they take from all routers together. It has not run; it may come back
     /// after the pause.
     ServersUsedUp(Duration),
@@ -60,6 +62,7 @@
             | OwnAnswer::Unconfirmed
             | OwnAnswer::NoServer(_)
             | OwnAnswer::Full(_)
+            | OwnAnswer::Overloaded(_)
             | OwnAnswer::ServersUsedUp(_)
             | OwnAnswer::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             // No promise, since it has run, and no time to come back. A 4xx would say that it is
@@ -80,6 +83,7 @@
             OwnAnswer::Unconfirmed => "unconfirmed",
             OwnAnswer::NoServer(_) => "no_server",
             OwnAnswer::Full(_) => "full",
+            OwnAnswer::Overloaded(_) => "overloaded",
             OwnAnswer::ServersUsedUp(_) => "servers_used_up",
             OwnAnswer::OverLimit(_) => "over_limit",
             OwnAnswer::TooLate => "too_late",
@@ -95,6 +99,7 @@
             OwnAnswer::Unconfirmed => Some(UNCONFIRMED_PAUSE),
             OwnAnswer::NoServer(pause)
             | OwnAnswer::Full(pause)
+            | OwnAnswer::Overloaded(pause)
             | OwnAnswer::ServersUsedUp(pause)
             | OwnAnswer::OverLimit(pause) => Some(pause),
             _ => None,
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_placement::{Choice, NoChoice, ServerRequest};
+use juniper_placement::{Choice, NoChoice, Overload, ServerRequest};
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 use tokio::time::Instant;
@@ -166,6 +166,8 @@
             sharing: sharing_key(&self.call.sharing),
             excluded: &self.excluded,
             spares_limited,
+            rank: self.call.priority,
+            may_be_refused: self.progress.sent == 0 && self.call.facts.last_event.is_none(),
             min_version: self.min_version(),
             objective: self.call.objective(),
             time_left: self.call.objective().saturating_sub(self.call.arrived.elapsed()),
@@ -204,11 +206,11 @@
         match refusal {
             NoChoice::NoServer | NoChoice::OldWeights => OwnAnswer::NoServer(NO_SERVER_PAUSE),
             NoChoice::AllExcluded => OwnAnswer::Full(FULL_PAUSE),
-            // Spread, so that those who were refused together don't come back together.
-            NoChoice::UsedUp(pause) => {
-                let spread = 1.0 + rand::random::<f64>();
-                OwnAnswer::ServersUsedUp(pause.max(FULL_PAUSE).mul_f64(spread))
+            NoChoice::Overloaded(overload) => {
+                self.log_overload(&overload);
+                OwnAnswer::Overloaded(spread(overload.excess()))
             }
+            NoChoice::UsedUp(pause) => OwnAnswer::ServersUsedUp(spread(pause)),
         }
     }
 
@@ -223,6 +225,21 @@
         }
     }
 
+    fn log_overload(&self, overload: &Overload) {
+        log::info!(
+            "event=overloaded request={} route={} service={} rank={} expected_ms={:.0} \
+             wait_ms={:.0} least_waits_ms={:.0} limit_ms={:.0}",
+            self.call.id(),
+            self.call.route.name,
+            self.call.service,
+            self.call.priority,
+            overload.prospect.first_output_ms,
+            overload.prospect.wait_ms,
+            overload.least_waits_ms,
+            overload.limit_ms
+        );
+    }
+
     fn log_choice(&self, choice: &Choice) {
         self.gateway.metrics.kept_tokens.inc_by(u64::from(choice.kept_tokens));
         self.gateway.metrics.missed_tokens.inc_by(u64::from(choice.missed_tokens));
@@ -249,6 +266,11 @@
     }
 }
 
+/// A pause asked of a caller, drawn so that those who were refused together don't come back together.
+fn spread(pause: Duration) -> Duration {
+    pause.max(FULL_PAUSE).mul_f64(1.0 + rand::random::<f64>())
+}
+
 fn sharing_key(sharing: &str) -> u64 {
     sharing.bytes().fold(0, |key, byte| key.wrapping_mul(31).wrapping_add(u64::from(byte)))
 }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -7,6 +7,7 @@
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 
+use crate::admission::Overload;
 use crate::homes::ChainKeys;
 use crate::sighting::{ChainSighting, ToldRequest};
 
@@ -121,7 +122,7 @@
 }
 
 /// Why no server was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
 pub enum NoChoice {
     /// No server of the service is known.
     #[error("no server of the service is known")]
@@ -132,6 +133,9 @@
     /// Every server has older weights than may be used.
     #[error("every server has older weights than may be used")]
     OldWeights,
+    /// Too much waits at the servers for the prompt to begin well in time.
+    #[error("too much waits: {0:?}")]
+    Overloaded(Overload),
     /// Every other server has got what it takes from all routers together.
     #[error("every server has got what it takes, for {0:?}")]
     UsedUp(Duration),
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -117,8 +117,13 @@
     /// The expected time to the first output of a request that no other overtakes.
     pub(crate) fn first_output_ms(&self, server: &ServerView<'_>) -> f64 {
         let reading = self.speed.ms_for(f64::from(server.missed_tokens));
+        self.wait_ms(server) + reading + server.move_ms + server.cold_ms
+    }
+
+    /// The expected time for which it waits behind others.
+    pub(crate) fn wait_ms(&self, server: &ServerView<'_>) -> f64 {
         let queue = self.speed.ms_for(server.fleet_tokens.max(server.load.waiting_tokens as f64));
-        queue + reading + server.move_ms + server.health.delay_ms(self.now) + server.cold_ms
+        queue + server.health.delay_ms(self.now)
     }
 
     /// Streams that run on the server pause while it reads without a break; so will
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,6 +7,7 @@
 //! routers send it), the load and the health of a server decide whether a
 //! request goes home ([`Placement::choose`]).
 
+mod admission;
 mod budget;
 mod candidates;
 mod choice;
@@ -28,6 +29,7 @@
 mod sighting;
 mod sighting_budget;
 
+pub use admission::{Overload, Prospect};
 pub use budget::{RetryBudget, RetrySettings};
 pub use choice::{Choice, NoChoice, Reason, ServiceProfile, Ticket};
 pub use health::Outcome;
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -60,6 +60,10 @@
     pub objective: Duration,
     /// Time until the first output is late.
     pub time_left: Duration,
+    /// Rank among the requests of the service, 0 for the most urgent.
+    pub rank: u8,
+    /// Whether it is turned away if too much waits: nothing was sent of it yet.
+    pub may_be_refused: bool,
     /// Longest pause within an answer that still earns its full worth, if it is a stream.
     pub max_pause: Option<Duration>,
 }
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -3,6 +3,7 @@
 use juniper_prefix_index::rendezvous;
 use juniper_types::Timestamp;
 
+use crate::admission::Prospect;
 use crate::candidates::{is_usable, last_resort};
 use crate::choice::{Choice, NoChoice, ServiceProfile};
 use crate::cost::{CostContext, ServerView};
@@ -89,11 +90,35 @@
         let source =
             works[index].source.map(|known| spread(servers, &works, index, known, (model, random)));
         let work = PromptWork { source, ..works[index] };
-        let first_output_ms = context.first_output_ms(&self.view(servers[index], work, &context));
+        let view = self.view(servers[index], work, &context);
+        let first_output_ms = context.first_output_ms(&view);
+        let prospect = Prospect { first_output_ms, wait_ms: context.wait_ms(&view) };
+        if request.prompt.is_some() && request.may_be_refused {
+            let least_waits_ms = || self.least_waits_ms(servers, &works, &context);
+            let overload = prospect.overload(request.rank, request.time_left, least_waits_ms);
+            overload.map_or(Ok(()), |overload| Err(NoChoice::Overloaded(overload)))?;
+        }
         let found = Found { index, work, cost_ms, first_output_ms };
         Ok(self.decision(servers, request, chain, found))
     }
 
+    /// Time for which the prompt would wait behind others at the server that is the first behind a
+    /// quarter of the servers, by that time. While as many have little waiting, there is room.
+    fn least_waits_ms(
+        &self,
+        servers: &[&Server],
+        works: &[PromptWork],
+        context: &CostContext,
+    ) -> f64 {
+        let waits = servers.iter().zip(works);
+        let mut waits: Vec<f64> = waits
+            .map(|(server, work)| context.wait_ms(&self.view(server, *work, context)))
+            .collect();
+        let place = waits.len() / 4;
+        waits.select_nth_unstable_by(place, f64::total_cmp);
+        waits[place]
+    }
+
     /// The choice of the server that was found.
     fn decision(
         &self,
--- a/crates/placement/tests/calls.rs
+++ b/crates/placement/tests/calls.rs
@@ -18,6 +18,8 @@
         sharing: 0,
         excluded: &[],
         spares_limited: false,
+        rank: 1,
+        may_be_refused: false,
         min_version: 0,
         objective: Duration::from_millis(300),
         time_left: Duration::from_millis(300),
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -69,6 +69,8 @@
         sharing: 7,
         excluded,
         spares_limited: false,
+        rank: 1,
+        may_be_refused: false,
         min_version: 0,
         objective: Duration::from_millis(800),
         time_left: Duration::from_millis(800),
