--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -27,6 +27,10 @@
 /// Pause asked of a caller when servers are full.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 
+/// Shortest pause asked of a caller that was refused since too much waits, relative to its objective:
+/// queues move by then, and one that comes back later can hardly be in time.
+const SOONEST_RETURN: f64 = 0.1;
+
 /// The search for a server that answers.
 pub(crate) struct ServerSearch<'a> {
     gateway: &'a Arc<Gateway>,
@@ -208,9 +212,10 @@
             NoChoice::AllExcluded => OwnAnswer::Full(FULL_PAUSE),
             NoChoice::Overloaded(overload) => {
                 self.log_overload(&overload);
-                OwnAnswer::Overloaded(spread(overload.excess()))
+                let soonest = self.call.objective().mul_f64(SOONEST_RETURN);
+                OwnAnswer::Overloaded(spread(overload.excess().max(soonest)))
             }
-            NoChoice::UsedUp(pause) => OwnAnswer::ServersUsedUp(spread(pause)),
+            NoChoice::UsedUp(pause) => OwnAnswer::ServersUsedUp(spread(pause.max(FULL_PAUSE))),
         }
     }
 
@@ -268,7 +273,7 @@
 
 /// A pause asked of a caller, drawn so that those who were refused together don't come back together.
 fn spread(pause: Duration) -> Duration {
-    pause.max(FULL_PAUSE).mul_f64(1.0 + rand::random::<f64>())
+    pause.mul_f64(1.0 + rand::random::<f64>())
 }
 
 fn sharing_key(sharing: &str) -> u64 {
--- a/crates/placement/src/lanes.rs
+++ b/crates/placement/src/lanes.rs
@@ -21,7 +21,7 @@
 const SHORT_FACTOR: f64 = 1.5;
 
 /// What a server of the other lane costs, relative to the objective.
-pub(crate) const OTHER_LANE_FACTOR: f64 = 0.3;
+pub(crate) const OTHER_LANE_FACTOR: f64 = 0.1;
 
 /// Whether a prompt belongs to the lane of long ones.
 pub(crate) fn is_long(tokens: u32) -> bool {
