--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod frame;
 pub mod handshake;
+pub mod limits;
 pub mod message;
 
 pub use calls::{CallAnswer, CallError, GenerationReader, IncomingFrame, OpenCalls};
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -14,10 +14,10 @@
 use minicbor::{Decode, Decoder, Encode};
 
 pub use crate::fleet::{
-    CatalogBody, ChargeAnswer, Cleared, Crash, CrashNews, FleetNews, KnownVersion, LimitCharge,
-    QuarantineCall, QuarantineNews, Reachability, RelayedNews, RenewalNews, RouterNews,
-    ServerLimitNews, Sighting, server_account,
+    CatalogBody, Cleared, Crash, CrashNews, FleetNews, KnownVersion, QuarantineCall,
+    QuarantineNews, Reachability, RelayedNews, RenewalNews, RouterNews, Sighting,
 };
+pub use crate::limits::{ChargeAnswer, LimitCharge, ServerLimitNews, server_account};
 
 /// Encodes a message; encoding into memory can't fail.
 pub fn encode<T: Encode<()>>(value: &T) -> Vec<u8> {
