Sight: pauses and departures that servers state are read, logged and counted

Change: both become typed values at the adapter (crates/limits/src/notice.rs), with a line (server_pause_heard, server_leaving_heard, and _unreadable for bad values) and a counter (server_notices_total). No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -227,6 +227,7 @@
         gateway.placement().saw_version(&choice.instance, version);
     }
     gateway.note_stated_limit(&choice.instance, &facts, attempt.sent_at, call.id());
+    gateway.note_notice(&choice.instance, &facts, call.id());
     check(&facts, head.status, choice.version)?;
     Ok(Response::from_parts(head, body))
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -5,7 +5,7 @@
 
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::{request, response};
-use juniper_limits::StatedLimit;
+use juniper_limits::{ServerNotice, StatedLimit};
 use juniper_placement::Prompt;
 use juniper_registry::InstanceId;
 
@@ -77,6 +77,8 @@
     pub version: Option<u64>,
     /// The requests that the server takes from all routers together.
     pub stated_limit: StatedLimit,
+    /// What the server asks of this router.
+    pub notice: ServerNotice,
 }
 
 /// Reads and writes headers.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod lock;
 mod metrics;
 mod news;
+mod notices;
 mod pool;
 mod probe;
 mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,6 +49,8 @@
     pub servers_reported: IntCounter,
     /// Answers in which servers stated what they take from all routers, by whether it could be read.
     pub stated_limits: IntCounterVec,
+    /// Answers that asked for a pause or told of a departure, by what and by whether it could be read.
+    notices: IntCounterVec,
     /// Requests that were to go to servers with such a limit, by outcome and by who decided.
     server_charges: IntCounterVec,
     /// Servers that state such a limit.
@@ -140,6 +142,11 @@
                 "Answers in which servers stated what they take from all routers.",
                 &["readable"],
             )?,
+            notices: counters(
+                "server_notices_total",
+                "Answers in which servers asked for a pause or said that they leave.",
+                &["notice", "readable"],
+            )?,
             crashes: CrashMetrics::new("juniper_gateway", &registry)?,
             sightings_left_out: counter(
                 "sightings_left_out_total",
@@ -188,6 +195,12 @@
         self.server_charges.with_label_values(&[outcome, by.as_str()]).inc();
     }
 
+    /// An answer asked for something, which could be read or not.
+    pub(crate) fn noticed(&self, notice: &str, is_readable: bool) {
+        let readable = if is_readable { "yes" } else { "no" };
+        self.notices.with_label_values(&[notice, readable]).inc();
+    }
+
     /// The caller left before any server had answered.
     pub(crate) fn left_unanswered(&self, kind: RouteKind) {
         self.requests.with_label_values(&[kind_text(kind), "caller_left", "no_answer"]).inc();
--- /dev/null
+++ b/crates/gateway/src/notices.rs
@@ -0,0 +1,46 @@
+//! What servers ask of this router in their answers: a pause, or nothing new since they leave.
+
+use juniper_limits::{ServerNotice, StatedDeparture, StatedPause};
+use juniper_registry::InstanceId;
+
+use crate::dialect::AnswerFacts;
+use crate::gateway::Gateway;
+
+impl Gateway {
+    /// Notes what an answer of `instance` asks for. An answer too many, to another request, tells it
+    /// of the server as well; one of another server doesn't.
+    pub(crate) fn note_notice(&self, instance: &InstanceId, facts: &AnswerFacts, request: &str) {
+        if facts.is_other_server {
+            return;
+        }
+        let ServerNotice { pause, departure } = facts.notice;
+        match pause {
+            StatedPause::Nothing => {}
+            StatedPause::For(pause) => {
+                self.metrics.noticed("pause", true);
+                log::info!(
+                    "event=server_pause_heard request={request} instance={instance} pause_ms={}",
+                    pause.as_millis()
+                );
+            }
+            StatedPause::Unreadable(fault) => {
+                self.metrics.noticed("pause", false);
+                log::warn!(
+                    "event=server_pause_unreadable request={request} instance={instance} \
+                     reason=\"{fault}\""
+                );
+            }
+        }
+        match departure {
+            StatedDeparture::Nothing => {}
+            StatedDeparture::Leaving => {
+                self.metrics.noticed("departure", true);
+                log::info!("event=server_leaving_heard request={request} instance={instance}");
+            }
+            StatedDeparture::Unreadable => {
+                self.metrics.noticed("departure", false);
+                log::warn!("event=server_leaving_unreadable request={request} instance={instance}");
+            }
+        }
+    }
+}
--- a/crates/gateway/tests/paths/support/dialect.rs
+++ b/crates/gateway/tests/paths/support/dialect.rs
@@ -5,7 +5,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::{request, response};
 use juniper_gateway::{AnswerFacts, AttemptFacts, CallFacts, CallFault, Dialect};
-use juniper_limits::StatedLimit;
+use juniper_limits::{ServerNotice, StatedDeparture, StatedLimit, StatedPause};
 use juniper_registry::InstanceId;
 
 pub struct TestDialect;
@@ -49,6 +49,7 @@
         _instance: &InstanceId,
     ) -> AnswerFacts {
         let stated = head.headers.get_all("x-limit").iter();
+        let pauses = head.headers.get_all("x-pause").iter();
         let is_misdirected = head.status.as_u16() == 421;
         let has_other_weights = head.headers.contains_key("x-other-weights");
         AnswerFacts {
@@ -59,6 +60,13 @@
             is_other_version: is_misdirected && has_other_weights,
             version: None,
             stated_limit: StatedLimit::read(stated.map(|value| value.to_str().ok())),
+            notice: ServerNotice {
+                pause: StatedPause::read(pauses.map(|value| value.to_str().ok())),
+                departure: match head.headers.contains_key("x-leaving") {
+                    true => StatedDeparture::Leaving,
+                    false => StatedDeparture::Nothing,
+                },
+            },
         }
     }
 
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -9,6 +9,7 @@
 //!   keeps to its [`FleetShare`] of a part of the limit.
 //! - [`StatedLimit`] is what a server's answer states of the requests that it takes, and
 //!   [`ServerLimit`] what a router knows of that limit and tells the others.
+//! - [`ServerNotice`] is what an answer asks of the one router that gets it.
 //!
 //! Time and random numbers are passed in; nothing here performs I/O. Why it is done
 //! like this, and what other ways came to: `docs/design/fleet-limits.md`.
@@ -16,6 +17,7 @@
 mod account;
 mod bucket;
 mod local;
+mod notice;
 mod owner;
 mod owners;
 mod server_limit;
@@ -25,6 +27,7 @@
 pub use account::{ChargeRequest, RateLimit, Verdict};
 pub use bucket::TokenBucket;
 pub use local::LocalLimits;
+pub use notice::{PauseFault, ServerNotice, StatedDeparture, StatedPause};
 pub use owner::LimitOwner;
 pub use owners::owners;
 pub use server_limit::{Allowance, Decider, ServerLimit, ToldLimit};
