Tests of servers that ask for a pause (known red)

Gateway over loopback: 18 requests in a pause of 2 s; one chosen before the refusal and sent 0.2 s after it; servers that all rest are sent to at once.

--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod connections;
 mod limits;
+mod pauses;
 mod quarantine;
 mod reachability;
 mod server_limits;
