--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod answers;
 mod connections;
+mod leaving;
 mod limits;
 mod pauses;
 mod quarantine;
