A server that asks for a pause gets nothing until it is over

What callers saw: 65 of 231 requests to engines refused in 7 s while eight engines of twelve had room, since first sendings and second asks went to the four that turned them away. Cause: nothing read the pause that a server asks for beside 503. Being full is a price for 120 ms, which the parts that the server keeps outweigh. Evidence: 185 sendings turned away in 5.4 s, 141 of them first ones, by the same router to the same server 0.5, 1.0, 1.5 and 2.6 s after it had asked for 3 s; budget_spent 0, then 166. Change: the pause is a fact with an end (crates/placement/src/rest.rs), kept by incarnation and apart from the view, so that a server that is lost from view for a moment still rests. It is no candidate on any road: first choice, second ask, resumed stream, last resort, source of a move. Asked again where the bytes leave, for what was chosen before and waited for a connection or the owner of a limit. After it one request goes first, others follow once it is answered. All rest: refused at once, Retry-After names the earliest end, by rank. Why it holds: the end only moves later; no answer, view or shorter pause ends it. Time is that of the awake machine: after a suspension a rest lasts longer, never shorter.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -38,6 +38,8 @@
     /// Servers have got what they take from all routers together. It has not run; it may come back
     /// after the pause.
     ServersUsedUp(Duration),
+    /// Every server asked for a pause. It has not run; it may come back after the pause.
+    ServersResting(Duration),
     /// The tenant's limit is reached. It has not run; it may come back after the pause.
     OverLimit(Duration),
     /// No time was left to send it. It has not run.
@@ -64,6 +66,7 @@
             | OwnAnswer::Full(_)
             | OwnAnswer::Overloaded(_)
             | OwnAnswer::ServersUsedUp(_)
+            | OwnAnswer::ServersResting(_)
             | OwnAnswer::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             // No promise, since it has run, and no time to come back. A 4xx would say that it is
             // not allowed, which it is.
@@ -85,6 +88,7 @@
             OwnAnswer::Full(_) => "full",
             OwnAnswer::Overloaded(_) => "overloaded",
             OwnAnswer::ServersUsedUp(_) => "servers_used_up",
+            OwnAnswer::ServersResting(_) => "servers_resting",
             OwnAnswer::OverLimit(_) => "over_limit",
             OwnAnswer::TooLate => "too_late",
             OwnAnswer::Quarantined => "quarantined",
@@ -101,6 +105,7 @@
             | OwnAnswer::Full(pause)
             | OwnAnswer::Overloaded(pause)
             | OwnAnswer::ServersUsedUp(pause)
+            | OwnAnswer::ServersResting(pause)
             | OwnAnswer::OverLimit(pause) => Some(pause),
             _ => None,
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -40,6 +40,9 @@
     /// Nothing was sent.
     #[error("not sent: {0}")]
     NotSent(ConnectError),
+    /// Nothing was sent, since the server has asked for a pause meanwhile.
+    #[error("not sent: the server rests for {0:?}")]
+    Resting(Duration),
     /// The server stated that it did not run the request.
     #[error("the server did not run it")]
     NotRun,
@@ -65,6 +68,11 @@
         matches!(self, AttemptError::Broken(_) | AttemptError::NoAnswer | AttemptError::Silent)
     }
 
+    /// Whether nothing was sent.
+    pub(crate) fn is_unsent(&self) -> bool {
+        matches!(self, AttemptError::NotSent(_) | AttemptError::Resting(_))
+    }
+
     /// Whether nobody listens at the server's address.
     pub(crate) fn is_refused(&self) -> bool {
         matches!(self, AttemptError::NotSent(ConnectError::Connect(error)) if is_refused(error))
@@ -76,6 +84,7 @@
             // A kept connection that the server has closed tells nothing of new ones.
             AttemptError::NotSent(ConnectError::Handshake(_)) => Outcome::Broken,
             AttemptError::NotSent(_) => Outcome::Unreachable,
+            AttemptError::Resting(_) => Outcome::Cancelled,
             AttemptError::OtherServer => Outcome::Replaced,
             AttemptError::OtherVersion(version) => Outcome::OtherWeights(*version),
             AttemptError::Broken(_) | AttemptError::NoAnswer | AttemptError::Silent => {
@@ -210,6 +219,10 @@
         gateway.metrics.connections.inc();
     }
     let connection = attempt.connection.insert(connection);
+    // An answer to another request may have asked for it while this one waited for its connection.
+    if let Some(rest) = gateway.placement().rest_left(&choice.instance, gateway.now()) {
+        return Err(AttemptError::Resting(rest));
+    }
     let request = request(gateway, call, choice, last_event);
     let sending = connection.sender.try_send_request(request);
     let mut response = match timeout_at(until, sending).await {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,6 +55,8 @@
     server_charges: IntCounterVec,
     /// Servers that state such a limit.
     pub limited_servers: IntGauge,
+    /// Servers that asked this router for a pause that isn't over.
+    pub resting_servers: IntGauge,
     /// Servers that ended under requests, and quarantines.
     pub crashes: CrashMetrics,
     /// New connections to servers.
@@ -132,6 +134,7 @@
             )?,
             limited_tenants: Mutex::default(),
             limited_servers: gauge("limited_servers", "Servers that state what they take.")?,
+            resting_servers: gauge("resting_servers", "Servers that asked for a pause.")?,
             server_charges: counters(
                 "server_charges_total",
                 "Requests for servers that state what they take, by outcome and who decided.",
@@ -227,6 +230,7 @@
     pub(crate) fn attempt_failed(&self, error: &AttemptError) {
         let reason = match error {
             AttemptError::NotSent(_) => "not_sent",
+            AttemptError::Resting(_) => "resting",
             AttemptError::NotRun => "not_run",
             AttemptError::OtherServer => "other_server",
             AttemptError::OtherVersion(_) => "other_version",
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -18,8 +18,10 @@
             StatedPause::Nothing => {}
             StatedPause::For(pause) => {
                 self.metrics.noticed("pause", true);
+                let is_longer = self.placement().asked_to_pause(instance, pause, self.now());
                 log::info!(
-                    "event=server_pause_heard request={request} instance={instance} pause_ms={}",
+                    "event=server_pause_heard request={request} instance={instance} pause_ms={} \
+                     is_longer={is_longer}",
                     pause.as_millis()
                 );
             }
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -31,6 +31,9 @@
 /// queues move by then, and one that comes back later can hardly be in time.
 const SOONEST_RETURN: f64 = 0.1;
 
+/// Time over which the callers of one rank come back after the rest of all servers.
+const RETURN_SPREAD: Duration = Duration::from_millis(200);
+
 /// The search for a server that answers.
 pub(crate) struct ServerSearch<'a> {
     gateway: &'a Arc<Gateway>,
@@ -94,8 +97,8 @@
                     self.excluded.push(choice.instance);
                 }
                 Err(error) => {
-                    if let (AttemptError::NotSent(_), Some(counted)) = (&error, &counted) {
-                        gateway.give_back(counted);
+                    if let Some(counted) = counted.filter(|_| error.is_unsent()) {
+                        gateway.give_back(&counted);
                     }
                     self.note(choice.instance, error, sent_at);
                 }
@@ -126,7 +129,7 @@
             _ => {}
         }
         match &error {
-            AttemptError::NotSent(_) => self.progress.unreachable += 1,
+            error if error.is_unsent() => self.progress.unreachable += 1,
             error => {
                 self.progress.sent += 1;
                 self.progress.may_have_run += u32::from(error.may_have_run());
@@ -215,6 +218,9 @@
                 let soonest = self.call.objective().mul_f64(SOONEST_RETURN);
                 OwnAnswer::Overloaded(spread(overload.excess().max(soonest)))
             }
+            NoChoice::Resting(rest) => {
+                OwnAnswer::ServersResting(return_after(rest, self.call.priority))
+            }
             NoChoice::UsedUp(pause) => OwnAnswer::ServersUsedUp(spread(pause.max(FULL_PAUSE))),
         }
     }
@@ -276,6 +282,11 @@
     pause.mul_f64(1.0 + rand::random::<f64>())
 }
 
+/// When a caller of this rank is asked back after a rest: the more urgent sooner, and not all together.
+fn return_after(rest: Duration, rank: u8) -> Duration {
+    rest + RETURN_SPREAD.mul_f64(f64::from(rank) + rand::random::<f64>())
+}
+
 fn sharing_key(sharing: &str) -> u64 {
     sharing.bytes().fold(0, |key, byte| key.wrapping_mul(31).wrapping_add(u64::from(byte)))
 }
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -28,6 +28,13 @@
                 return Err(NoChoice::OldWeights);
             }
         }
+        let rests = fresh.iter().filter_map(|server| self.rest_left(&server.instance.id, now));
+        let shortest_rest = rests.min();
+        // Being full is a price, but a rest is a fact: there is no road on which it may be passed over.
+        fresh.retain(|server| self.rest_left(&server.instance.id, now).is_none());
+        if let Some(rest) = shortest_rest.filter(|_| fresh.is_empty()) {
+            return Err(NoChoice::Resting(rest));
+        }
         fresh.retain(|server| !request.excluded.contains(&server.instance.id));
         if fresh.is_empty() {
             return Err(NoChoice::AllExcluded);
@@ -51,6 +58,14 @@
     !server.health.is_unreachable() && !server.renewing && !denied
 }
 
+/// Those of the servers that aren't on trial after a rest, or all if there are no others: many routers
+/// come back to such a server at the same moment, and what it can take isn't known.
+pub(crate) fn spare_trials<'a>(placement: &Placement, servers: Vec<&'a Server>) -> Vec<&'a Server> {
+    let is_proven = |server: &&Server| !placement.rests.is_on_trial(&server.instance.id);
+    let proven: Vec<&Server> = servers.iter().copied().filter(is_proven).collect();
+    if proven.is_empty() { servers } else { proven }
+}
+
 /// Any of the servers, when none is known to work: it may work again.
 pub(crate) fn last_resort(
     candidates: &[&Server],
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -136,6 +136,10 @@
     /// Too much waits at the servers for the prompt to begin well in time.
     #[error("too much waits: {0:?}")]
     Overloaded(Overload),
+    /// Every server asked this router to send nothing for a while; the first one is back after this
+    /// time.
+    #[error("every server rests, for {0:?}")]
+    Resting(Duration),
     /// Every other server has got what it takes from all routers together.
     #[error("every server has got what it takes, for {0:?}")]
     UsedUp(Duration),
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -23,6 +23,7 @@
 mod prompt_work;
 mod reports;
 mod request;
+mod rest;
 mod search;
 mod server;
 mod server_limits;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -15,6 +15,7 @@
 use crate::lanes::Lanes;
 use crate::load::ReadingSpeed;
 use crate::reports::Reporter;
+use crate::rest::Rests;
 use crate::server::Server;
 use crate::sighting::{ChainSighting, ToldRequest};
 
@@ -38,6 +39,7 @@
     pub(crate) servers: HashMap<InstanceName, Server>,
     pub(crate) services: HashMap<String, Vec<InstanceName>>,
     renewing: BTreeSet<InstanceId>,
+    pub(crate) rests: Rests,
     pub(crate) speeds: HashMap<String, ReadingSpeed>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
     pub(crate) lanes: HashMap<String, Lanes>,
@@ -58,6 +60,7 @@
             servers: HashMap::new(),
             services: HashMap::new(),
             renewing: BTreeSet::new(),
+            rests: Rests::default(),
             speeds: HashMap::new(),
             profiles: HashMap::new(),
             lanes: HashMap::new(),
@@ -149,6 +152,7 @@
         if let Some(server) = self.server_mut(&choice.instance) {
             server.load.begin(choice.tokens_in_line());
         }
+        self.rests.sent(&choice.instance, now);
         Ticket {
             instance: choice.instance.clone(),
             missed_tokens: choice.tokens_in_line(),
@@ -239,6 +243,7 @@
         if std::mem::replace(&mut ticket.had_output, true) {
             return;
         }
+        self.rests.answers(&ticket.instance, ticket.begun);
         let took = now.since(ticket.begun);
         let Some(server) = incarnation(&mut self.servers, &ticket.instance) else { return };
         server.reports.reached();
@@ -257,6 +262,7 @@
 
     /// The request has ended on its server.
     pub fn end(&mut self, mut ticket: Ticket, outcome: Outcome, now: Timestamp) {
+        self.rests.ended(&ticket.instance, ticket.begun);
         let Some(server) = self.server_mut(&ticket.instance) else { return };
         if !std::mem::replace(&mut ticket.had_output, true) {
             server.load.first_output(ticket.missed_tokens);
@@ -266,6 +272,22 @@
         server.health.record(outcome, now);
     }
 
+    /// An answer of the server asks this router to send it nothing for `pause`. Returns whether it
+    /// rests for longer than was known.
+    pub fn asked_to_pause(&mut self, server: &InstanceId, pause: Duration, now: Timestamp) -> bool {
+        self.rests.asked(server, pause, now)
+    }
+
+    /// Time for which nothing is to be sent to the server; `None` if it takes requests.
+    pub fn rest_left(&self, server: &InstanceId, now: Timestamp) -> Option<Duration> {
+        self.rests.left(server, now)
+    }
+
+    /// Servers that asked this router for a rest that isn't over.
+    pub fn resting_servers(&self, now: Timestamp) -> usize {
+        self.rests.count(now)
+    }
+
     /// Servers that could not be connected to and are to be probed now, with their
     /// addresses. Until a probe succeeds a request is sent to them only if no other server
     /// may be used.
