A server that says in an answer that it leaves gets nothing new

What callers saw: requests sent to a server that was about to end, long after it had said so, as long as the list of servers hadn't heard of it. Cause: the word was read by nobody; only heartbeats and removals tell the replicas of a departure, and that lags or never comes. Evidence: real processes, servers whose heartbeats say nothing: an engine got 62 and 77 requests in 8 s, one sent 2.04 s after the word. Change: a departure heard in any answer (success, failure, refusal, head of a stream, answer to another request) is kept by the placement with the type that the registry uses for departures, so incarnations that start later aren't covered, and every choice leaves it out at once. Why it holds: nothing takes a departure back; it is kept apart from the view, so a view without the word, or a server that is lost from view and comes back, changes nothing. What was chosen before was sent by its caller before, which is allowed.

--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -37,7 +37,10 @@
             StatedDeparture::Nothing => {}
             StatedDeparture::Leaving => {
                 self.metrics.noticed("departure", true);
-                log::info!("event=server_leaving_heard request={request} instance={instance}");
+                // All its answers say so.
+                if self.placement().heard_leaving(instance, self.now()) {
+                    log::info!("event=server_leaving_heard request={request} instance={instance}");
+                }
             }
             StatedDeparture::Unreadable => {
                 self.metrics.noticed("departure", false);
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -17,7 +17,10 @@
         now: Timestamp,
     ) -> Result<Vec<&Server>, NoChoice> {
         let known = members.iter().filter_map(|id| self.servers.get(id));
-        let known: Vec<&Server> = known.filter(|server| !server.health.replaced).collect();
+        // The list of servers lags behind their own word.
+        let stays = |server: &&Server| !self.departures.covers(&server.instance.id);
+        let known: Vec<&Server> =
+            known.filter(|server| !server.health.replaced).filter(stays).collect();
         if known.is_empty() {
             return Err(NoChoice::NoServer);
         }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_registry::{Instance, InstanceId, InstanceMap, InstanceName};
+use juniper_registry::{Departure, Departures, Instance, InstanceId, InstanceMap, InstanceName};
 use juniper_types::{NodeId, Timestamp};
 
 use crate::choice::{Choice, ServiceProfile, Ticket};
@@ -40,6 +40,8 @@
     pub(crate) services: HashMap<String, Vec<InstanceName>>,
     renewing: BTreeSet<InstanceId>,
     pub(crate) rests: Rests,
+    /// Servers that said themselves that they leave.
+    pub(crate) departures: Departures,
     pub(crate) speeds: HashMap<String, ReadingSpeed>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
     pub(crate) lanes: HashMap<String, Lanes>,
@@ -61,6 +63,7 @@
             services: HashMap::new(),
             renewing: BTreeSet::new(),
             rests: Rests::default(),
+            departures: Departures::default(),
             speeds: HashMap::new(),
             profiles: HashMap::new(),
             lanes: HashMap::new(),
@@ -278,6 +281,18 @@
         self.rests.asked(server, pause, now)
     }
 
+    /// An answer of the server says that it leaves, which it doesn't take back. Returns whether that is
+    /// new.
+    pub fn heard_leaving(&mut self, server: &InstanceId, now: Timestamp) -> bool {
+        if self.departures.covers(server) {
+            return false;
+        }
+        self.departures.add(&Departure::of(server), now);
+        let servers = &self.servers;
+        self.departures.forget(now, |name| servers.contains_key(name));
+        true
+    }
+
     /// Time for which nothing is to be sent to the server; `None` if it takes requests.
     pub fn rest_left(&self, server: &InstanceId, now: Timestamp) -> Option<Duration> {
         self.rests.left(server, now)
--- a/crates/registry/src/departure.rs
+++ b/crates/registry/src/departure.rs
@@ -43,9 +43,9 @@
     at: Timestamp,
 }
 
-/// The departures that a router was told of.
+/// The departures that a router has heard of. None of them is taken back.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Departures {
+pub struct Departures {
     known: BTreeMap<InstanceName, Departed>,
     look_at: usize,
 }
@@ -53,7 +53,7 @@
 impl Departures {
     /// Takes a departure in. Of two that differ the later one counts; one that tells no start time
     /// comes from an earlier build and takes nothing back.
-    pub(crate) fn add(&mut self, departure: &Departure, now: Timestamp) {
+    pub fn add(&mut self, departure: &Departure, now: Timestamp) {
         let through = departure.through;
         let name = departure.name.clone();
         let departed = self.known.entry(name).or_insert(Departed { through, at: now });
@@ -61,14 +61,15 @@
         departed.at = now;
     }
 
-    pub(crate) fn covers(&self, id: &InstanceId) -> bool {
+    /// Whether the incarnation is leaving or has left.
+    pub fn covers(&self, id: &InstanceId) -> bool {
         self.known.get(id.name()).is_some_and(|departed| {
             Departure { name: id.name().clone(), through: departed.through }.covers(id)
         })
     }
 
     /// Forgets departures of servers of which there has been no trace for long.
-    pub(crate) fn forget(&mut self, now: Timestamp, is_known: impl Fn(&InstanceName) -> bool) {
+    pub fn forget(&mut self, now: Timestamp, is_known: impl Fn(&InstanceName) -> bool) {
         if self.known.len() < self.look_at.max(LEAST_LOOK) {
             return;
         }
@@ -76,7 +77,13 @@
         self.look_at = self.known.len() * 2;
     }
 
-    pub(crate) fn len(&self) -> usize {
+    /// Whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// Departures that are remembered.
+    pub fn len(&self) -> usize {
         self.known.len()
     }
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -19,7 +19,7 @@
 mod instance_map;
 mod report;
 
-pub use departure::Departure;
+pub use departure::{Departure, Departures};
 pub use directory::{Directory, Instance};
 pub use heard::{HeardInstance, HeardInstances, Intake};
 pub use incarnation::{InstanceId, InstanceName, StartTime, incarnations, names_and_starts};
