--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -61,14 +61,6 @@
     !server.health.is_unreachable() && !server.renewing && !denied
 }
 
-/// Those of the servers that aren't on trial after a rest, or all if there are no others: many routers
-/// come back to such a server at the same moment, and what it can take isn't known.
-pub(crate) fn spare_trials<'a>(placement: &Placement, servers: Vec<&'a Server>) -> Vec<&'a Server> {
-    let is_proven = |server: &&Server| !placement.rests.is_on_trial(&server.instance.id);
-    let proven: Vec<&Server> = servers.iter().copied().filter(is_proven).collect();
-    if proven.is_empty() { servers } else { proven }
-}
-
 /// Any of the servers, when none is known to work: it may work again.
 pub(crate) fn last_resort(
     candidates: &[&Server],
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -155,7 +155,6 @@
         if let Some(server) = self.server_mut(&choice.instance) {
             server.load.begin(choice.tokens_in_line());
         }
-        self.rests.sent(&choice.instance, now);
         Ticket {
             instance: choice.instance.clone(),
             missed_tokens: choice.tokens_in_line(),
@@ -246,7 +245,6 @@
         if std::mem::replace(&mut ticket.had_output, true) {
             return;
         }
-        self.rests.answers(&ticket.instance, ticket.begun);
         let took = now.since(ticket.begun);
         let Some(server) = incarnation(&mut self.servers, &ticket.instance) else { return };
         server.reports.reached();
@@ -265,7 +263,6 @@
 
     /// The request has ended on its server.
     pub fn end(&mut self, mut ticket: Ticket, outcome: Outcome, now: Timestamp) {
-        self.rests.ended(&ticket.instance, ticket.begun);
         let Some(server) = self.server_mut(&ticket.instance) else { return };
         if !std::mem::replace(&mut ticket.had_output, true) {
             server.load.first_output(ticket.missed_tokens);
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -4,7 +4,7 @@
 use juniper_types::Timestamp;
 
 use crate::admission::Prospect;
-use crate::candidates::{is_usable, last_resort, spare_trials};
+use crate::candidates::{is_usable, last_resort};
 use crate::choice::{Choice, NoChoice, ServiceProfile};
 use crate::cost::{CostContext, ServerView};
 use crate::homes::ChainKeys;
@@ -44,7 +44,7 @@
         }
         let candidates = self.candidates(members, request, now)?;
         let usable = candidates.iter().copied().filter(|server| is_usable(server, request, now));
-        let usable = spare_trials(self, usable.collect());
+        let usable: Vec<&Server> = usable.collect();
         if usable.is_empty() {
             return Ok(last_resort(&candidates, request, random));
         }
