Routers tell each other of pauses and departures that servers ask for

Cause: each router learnt of a server that sheds by being turned away itself. A pause is asked of one router, so another's is a preference only, and two others have to tell of it; a departure holds for all at one word.

--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -5,9 +5,12 @@
 use std::sync::{Arc, Mutex};
 
 use juniper_feed::RelayedBatch;
-use juniper_placement::{ChainSighting, Choice, Reporter, SightingBudget, ToldRequest};
-use juniper_protocol::message::{Reachability, RelayedNews, RouterNews, ServerLimitNews, Sighting};
+use juniper_placement::{ChainSighting, Choice, Placement, Reporter, SightingBudget, ToldRequest};
+use juniper_protocol::message::{
+    Reachability, RelayedNews, RouterNews, ServerLimitNews, ServerNoticeNews, Sighting,
+};
 use juniper_registry::{InstanceId, StartTime};
+use juniper_types::{NodeId, Timestamp};
 use tokio::sync::Notify;
 use tokio::sync::broadcast::error::RecvError;
 
@@ -17,8 +20,8 @@
 /// Sightings that wait to be told; the rest is left out.
 const MAX_QUEUED: usize = 16;
 
-/// Servers whose reachability, or whose limits, wait to be told; the rest is told with the next probe
-/// or answer.
+/// Servers whose reachability, limits or notices wait to be told; the rest is told with the next probe
+/// or answer, or found out by the others.
 const MAX_QUEUED_SERVERS: usize = 64;
 
 /// Ends of requests that wait to be told; others forget the requests of the rest by themselves.
@@ -90,6 +93,16 @@
         }
     }
 
+    /// Notes what a server asked of this router.
+    pub(crate) fn push_notice(&self, notice: ServerNoticeNews) {
+        let mut news = lock(&self.news);
+        let queued = news.notices.get_or_insert_default();
+        if queued.len() < MAX_QUEUED_SERVERS {
+            queued.push(notice);
+            self.wake.notify_one();
+        }
+    }
+
     /// What waits, with the sightings that tell most, and how many of them are left out. Their ends
     /// are told all the same: who hasn't heard of a request passes over its end.
     fn take(&self, allowed: usize) -> (RouterNews, usize) {
@@ -141,6 +154,9 @@
     let mut placement = gateway.placement();
     for RelayedNews { from, zone, news } in batch.iter() {
         let request = |number: u16| ToldRequest { router: *from, number };
+        for notice in news.notices.iter().flatten() {
+            learn_notice(&mut placement, notice, *from, now);
+        }
         for sighting in &news.sightings {
             match sighting.number {
                 // A router of an earlier version; the request is forgotten after a while.
@@ -160,6 +176,22 @@
     }
 }
 
+/// Takes in what a server asked of another router.
+fn learn_notice(
+    placement: &mut Placement,
+    notice: &ServerNoticeNews,
+    from: NodeId,
+    now: Timestamp,
+) {
+    let instance = notice.id();
+    if notice.is_leaving && placement.heard_leaving(&instance, now) {
+        log::info!("event=server_leaving_heard request=- instance={instance} from={from}");
+    }
+    if notice.pause_ms > 0 {
+        placement.told_of_pause(&instance, from, notice.pause(), now);
+    }
+}
+
 fn message(sighting: ChainSighting, number: u16) -> Sighting {
     let ChainSighting { instance, version, keys, part_tokens, own_tokens, tokens, read_tokens } =
         sighting;
--- a/crates/gateway/tests/paths/leaving.rs
+++ b/crates/gateway/tests/paths/leaving.rs
@@ -10,6 +10,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use juniper_protocol::message::{RouterNews, ServerNoticeNews};
+use juniper_registry::StartTime;
 use tokio::time::sleep;
 
 use crate::support::caller::get;
@@ -72,3 +74,29 @@
     assert_eq!((answer.status, server.requests().len()), (503, 1));
     assert!(begun.elapsed() < Duration::from_secs(1), "at once");
 }
+
+#[tokio::test]
+async fn the_other_routers_are_told_and_take_it_over() {
+    let (server, _) = leaving("a", "200 OK").await;
+    let gateway = TestGateway::start(&[&server]).await;
+    get(gateway.callers, "/once/x", "r").await;
+    let begun = Instant::now();
+    while gateway.control.told_notices().is_empty() {
+        assert!(begun.elapsed() < PATIENCE, "told");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let told = gateway.control.told_notices();
+    assert_eq!((told[0].instance.clone(), told[0].is_leaving), (server.report().name, true));
+
+    let (elsewhere, other) = (good("c").await, good("d").await);
+    let gateway = TestGateway::start(&[&elsewhere, &other]).await;
+    let (instance, started) = (elsewhere.report().name, StartTime::UNKNOWN);
+    let notice = ServerNoticeNews { instance, started, pause_ms: 0, is_leaving: true };
+    let news = RouterNews { notices: Some(vec![notice]), ..RouterNews::default() };
+    gateway.control.relay(2, "north", news);
+    sleep(Duration::from_millis(100)).await;
+    for _ in 0..10 {
+        assert_eq!(get(gateway.callers, "/safe/x", "r").await.status, 200);
+    }
+    assert!(elsewhere.requests().is_empty(), "one router's word is enough: it holds for all");
+}
--- a/crates/gateway/tests/paths/pauses.rs
+++ b/crates/gateway/tests/paths/pauses.rs
@@ -14,7 +14,7 @@
 
 use std::time::{Duration, Instant};
 
-use juniper_protocol::message::{RouterNews, ServerLimitNews};
+use juniper_protocol::message::{RouterNews, ServerLimitNews, ServerNoticeNews};
 use juniper_registry::StartTime;
 use tokio::time::sleep;
 
@@ -148,3 +148,51 @@
     assert_eq!(ask(&gateway).await.status, 503);
     assert_eq!(ask(&gateway).await.status, 200);
 }
+
+/// What another router tells that was asked for a pause.
+fn told_of_pause(server: &FakeServer, pause_ms: u64) -> RouterNews {
+    let (instance, started) = (server.report().name, StartTime::UNKNOWN);
+    let notice = ServerNoticeNews { instance, started, pause_ms, is_leaving: false };
+    RouterNews { notices: Some(vec![notice]), ..RouterNews::default() }
+}
+
+#[tokio::test]
+async fn the_other_routers_are_told_of_a_pause_once() {
+    let (pausing, other) = (pausing_once("a", "2").await, good("b").await);
+    let gateway = TestGateway::start(&[&pausing, &other]).await;
+    let heard = ask_until_heard(&gateway, &pausing).await;
+    while gateway.control.told_notices().is_empty() {
+        assert!(heard.elapsed() < PATIENCE, "told");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let told = gateway.control.told_notices();
+    assert_eq!((told.len(), told[0].pause_ms, told[0].is_leaving), (1, 2_000, false));
+    assert_eq!(told[0].instance, pausing.report().name);
+}
+
+/// Two that are turned away are believed; one alone may have asked for too much itself.
+#[tokio::test]
+async fn a_server_that_turns_two_other_routers_away_is_spared_while_others_serve() {
+    let (spared, other) = (good("a").await, good("b").await);
+    let gateway = TestGateway::start(&[&spared, &other]).await;
+    gateway.control.relay(2, "north", told_of_pause(&spared, 60_000));
+    gateway.control.relay(2, "north", told_of_pause(&spared, 60_000));
+    sleep(Duration::from_millis(100)).await;
+    let begun = Instant::now();
+    while spared.requests().is_empty() {
+        assert_eq!(ask(&gateway).await.status, 200);
+        assert!(begun.elapsed() < PATIENCE, "one router alone doesn't count");
+    }
+    gateway.control.relay(3, "north", told_of_pause(&spared, 60_000));
+    sleep(Duration::from_millis(100)).await;
+    let got = spared.requests().len();
+    for _ in 0..12 {
+        assert_eq!(ask(&gateway).await.status, 200);
+    }
+    assert_eq!(spared.requests().len(), got);
+    for from in [2, 3] {
+        gateway.control.relay(from, "north", told_of_pause(&other, 60_000));
+    }
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(ask(&gateway).await.status, 200, "no server has asked this router for a pause");
+}
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -7,7 +7,7 @@
 use juniper_catalog::Catalog;
 use juniper_protocol::message::{
     CatalogBody, ChargeAnswer, Cleared, Crash, CrashNews, FleetNews, LimitCharge, QuarantineCall,
-    Reachability, RelayedNews, RouterNews, ServerLimitNews,
+    Reachability, RelayedNews, RouterNews, ServerLimitNews, ServerNoticeNews,
 };
 use juniper_protocol::{
     ClusterKey, Connection, Message, PeerRole, Push, Refusal, Reply, Request, accept,
@@ -186,6 +186,12 @@
         told.iter().flat_map(|news| news.server_limits.clone().unwrap_or_default()).collect()
     }
 
+    /// What the gateway has told of what servers asked of it.
+    pub fn told_notices(&self) -> Vec<ServerNoticeNews> {
+        let told = self.said.told.lock().expect("no panic");
+        told.iter().flat_map(|news| news.notices.clone().unwrap_or_default()).collect()
+    }
+
     /// From now on it doesn't.
     pub fn stop_confirming(&self) {
         self.said.confirms.store(false, Ordering::Relaxed);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -19,6 +19,7 @@
 mod lanes;
 mod load;
 mod memory;
+mod notices;
 mod placement;
 mod prompt_work;
 mod reports;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_registry::{Departure, Departures, Instance, InstanceId, InstanceMap, InstanceName};
+use juniper_registry::{Departures, Instance, InstanceId, InstanceMap, InstanceName};
 use juniper_types::{NodeId, Timestamp};
 
 use crate::choice::{Choice, ServiceProfile, Ticket};
@@ -272,34 +272,6 @@
         server.health.record(outcome, now);
     }
 
-    /// An answer of the server asks this router to send it nothing for `pause`. Returns whether it
-    /// rests for longer than was known.
-    pub fn asked_to_pause(&mut self, server: &InstanceId, pause: Duration, now: Timestamp) -> bool {
-        self.rests.asked(server, pause, now)
-    }
-
-    /// An answer of the server says that it leaves, which it doesn't take back. Returns whether that is
-    /// new.
-    pub fn heard_leaving(&mut self, server: &InstanceId, now: Timestamp) -> bool {
-        if self.departures.covers(server) {
-            return false;
-        }
-        self.departures.add(&Departure::of(server), now);
-        let servers = &self.servers;
-        self.departures.forget(now, |name| servers.contains_key(name));
-        true
-    }
-
-    /// Time for which nothing is to be sent to the server; `None` if it takes requests.
-    pub fn rest_left(&self, server: &InstanceId, now: Timestamp) -> Option<Duration> {
-        self.rests.left(server, now)
-    }
-
-    /// Servers that asked this router for a rest that isn't over.
-    pub fn resting_servers(&self, now: Timestamp) -> usize {
-        self.rests.count(now)
-    }
-
     /// Servers that could not be connected to and are to be probed now, with their
     /// addresses. Until a probe succeeds a request is sent to them only if no other server
     /// may be used.
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -48,12 +48,10 @@
         if usable.is_empty() {
             return Ok(last_resort(&candidates, request, random));
         }
-        let is_reported = |server: &&Server| server.reports.are_believed(&self.zone, now);
-        let reachable: Vec<&Server> =
-            usable.iter().copied().filter(|server| !is_reported(server)).collect();
-        // Where others can reach none, this router may still.
-        let preferred = if reachable.is_empty() { &usable } else { &reachable };
-        self.cheapest(preferred, request, now, random)
+        // Where others can reach none, or are turned away by all, this router may still be served.
+        let reachable = prefer(usable, |server| !server.reports.are_believed(&self.zone, now));
+        let preferred = prefer(reachable, |server| !self.rests.is_told(&server.instance.id, now));
+        self.cheapest(&preferred, request, now, random)
     }
 
     /// Chooses the server that costs least; `random` decides among nearly equal ones.
@@ -214,6 +212,13 @@
     (0..servers.len()).filter(has_as_much).min_by_key(rank).unwrap_or(known)
 }
 
+/// Those of the servers for which the condition holds, or all if it holds for none.
+fn prefer(servers: Vec<&Server>, condition: impl Fn(&Server) -> bool) -> Vec<&Server> {
+    let preferred: Vec<&Server> =
+        servers.iter().copied().filter(|server| condition(server)).collect();
+    if preferred.is_empty() { servers } else { preferred }
+}
+
 /// The server that costs least.
 struct Found {
     index: usize,
--- a/crates/placement/tests/notices/main.rs
+++ b/crates/placement/tests/notices/main.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::witness::{Second, Witness};
-use crate::world::{Fault, Play, World};
+use crate::world::{Fault, Heeding, Play, World};
 
 /// Seeds of every run; `NOTICE_SEEDS` asks for others.
 const USUAL_SEEDS: u64 = 60;
@@ -60,7 +60,17 @@
     let work_us = 90_000 / (servers * slots) as u64;
     let gap_us = work_us * random.random_range(5..30) / 10;
     let length = Duration::from_secs(12);
-    Play { routers, servers, slots, gap_us, length, shedding, leaving, faults, heeds: true }
+    Play {
+        routers,
+        servers,
+        slots,
+        gap_us,
+        length,
+        shedding,
+        leaving,
+        faults,
+        heeding: Heeding::Told,
+    }
 }
 
 #[test]
@@ -79,7 +89,7 @@
 #[test]
 fn the_check_sees_routers_that_take_no_notice() {
     let caught = (0..USUAL_SEEDS).filter(|seed| {
-        let play = Play { heeds: false, ..drawn(*seed) };
+        let play = Play { heeding: Heeding::Nothing, ..drawn(*seed) };
         World::new(play, *seed).run().breach().is_some()
     });
     let caught = caught.count() as u64;
@@ -88,7 +98,7 @@
 }
 
 /// Four of twelve servers turn requests away from 2 to 7 s and ask for 3 s of rest.
-fn a_third_sheds(routers: usize, heeds: bool) -> Play {
+fn a_third_sheds(routers: usize, heeding: Heeding) -> Play {
     let shedding = (0..4).map(|server| (server, at(2_000), at(7_000), Duration::from_secs(3)));
     Play {
         routers,
@@ -100,7 +110,7 @@
         shedding: shedding.collect(),
         leaving: Vec::new(),
         faults: Vec::new(),
-        heeds,
+        heeding,
     }
 }
 
@@ -125,15 +135,17 @@
 #[test]
 fn while_a_third_of_a_service_sheds_the_others_serve() {
     for routers in [7, 24, 48] {
-        let play = |heeds| -> Vec<Witness> {
+        let play = |heeding| -> Vec<Witness> {
             let seeds = 0..COMPARED_SEEDS;
-            seeds.map(|seed| World::new(a_third_sheds(routers, heeds), seed).run()).collect()
+            seeds.map(|seed| World::new(a_third_sheds(routers, heeding), seed).run()).collect()
         };
-        let [before, after] = [play(false), play(true)].map(|witnesses| {
+        let heedings = [Heeding::Nothing, Heeding::Own, Heeding::Told];
+        let [before, own, told] = heedings.map(|heeding| {
+            let witnesses = play(heeding);
             let (during, ended) = (total(&witnesses, 2, 7), total(&witnesses, 9, 12));
             let turned_away = witnesses.iter().map(Witness::turned_away).sum::<usize>();
             println!(
-                "{routers} routers: in time {:.4}, refused {:.4} while they shed; in time {:.4}, \
+                "{heeding:?} {routers} routers: in time {:.4}, refused {:.4} while they shed; in time {:.4}, \
                  refused {:.4} from 2 s after it; turned away {} a play",
                 share(during.in_time, during.sent),
                 share(during.refused, during.sent),
@@ -144,7 +156,8 @@
             during
         });
 
-        assert!(share(after.refused, after.sent) < share(before.refused, before.sent) / 2.0);
-        assert!(share(after.in_time, after.sent) > share(before.in_time, before.sent));
+        assert!(share(told.refused, told.sent) < share(before.refused, before.sent) / 2.0);
+        assert!(share(told.in_time, told.sent) > share(before.in_time, before.sent));
+        assert!(told.refused <= own.refused, "what others tell spares refusals");
     }
 }
--- a/crates/placement/tests/notices/world.rs
+++ b/crates/placement/tests/notices/world.rs
@@ -48,8 +48,19 @@
     pub leaving: Vec<(usize, Timestamp)>,
     /// Routers that are disturbed, when, how.
     pub faults: Vec<(Timestamp, usize, Fault)>,
-    /// Whether routers take notice of what servers ask for.
-    pub heeds: bool,
+    /// What routers make of what servers ask for.
+    pub heeding: Heeding,
+}
+
+/// What routers make of what servers ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heeding {
+    /// They take no notice.
+    Nothing,
+    /// Each takes notice of what it was asked itself.
+    Own,
+    /// They tell each other, too.
+    Told,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -83,6 +94,8 @@
     Done(usize),
     Told(usize, ToldRequest, ChainSighting),
     ToldEnd(usize, ToldRequest),
+    ToldPause(usize, usize, InstanceId, Duration),
+    ToldLeaving(usize, InstanceId),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -222,6 +235,8 @@
             | Event::Answered(router, ..)
             | Event::Told(router, ..)
             | Event::ToldEnd(router, ..)
+            | Event::ToldPause(router, ..)
+            | Event::ToldLeaving(router, ..)
             | Event::View(router) => Some(*router),
             _ => None,
         };
@@ -246,6 +261,15 @@
                 let now = self.time_of(router);
                 self.routers[router].placement.heard_sent(request, &sighting, now);
             }
+            Event::ToldPause(router, from, id, pause) => {
+                let now = self.time_of(router);
+                let from = NodeId(from as u64 + 1);
+                self.routers[router].placement.told_of_pause(&id, from, pause, now);
+            }
+            Event::ToldLeaving(router, id) => {
+                let now = self.time_of(router);
+                self.routers[router].placement.heard_leaving(&id, now);
+            }
             Event::ToldEnd(router, request) => self.routers[router].placement.heard_end(request),
         }
     }
@@ -391,18 +415,11 @@
         }
         let now = self.time_of(router);
         let id = InstanceId::new(format!("i-{server}"));
-        let placement = &mut self.routers[router].placement;
-        if self.play.heeds {
-            if let Some(pause) = answer.pause {
-                placement.asked_to_pause(&id, pause, now);
-            }
-            if answer.is_leaving {
-                placement.heard_leaving(&id, now);
-            }
-        }
+        self.heed(router, &id, answer, now);
         if answer.is_leaving {
             self.witness.told_leaving(router, server, self.now);
         }
+        let placement = &mut self.routers[router].placement;
         if answer.is_served {
             placement.first_output(&mut ticket, now);
             placement.end(ticket, Outcome::Answered, now);
@@ -417,6 +434,22 @@
         self.search(router, call);
     }
 
+    fn heed(&mut self, router: usize, id: &InstanceId, answer: Answer, now: Timestamp) {
+        if self.play.heeding == Heeding::Nothing {
+            return;
+        }
+        let tells = self.play.heeding == Heeding::Told;
+        let placement = &mut self.routers[router].placement;
+        let is_new = answer.is_leaving && placement.heard_leaving(id, now);
+        let longer = answer.pause.filter(|pause| placement.asked_to_pause(id, *pause, now));
+        if is_new && tells {
+            self.tell(router, |other| Event::ToldLeaving(other, id.clone()));
+        }
+        if let Some(pause) = longer.filter(|_| tells) {
+            self.tell(router, |other| Event::ToldPause(other, router, id.clone(), pause));
+        }
+    }
+
     fn fault(&mut self, router: usize, fault: Fault) {
         let for_time = match fault {
             Fault::Restart => {
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -7,6 +7,7 @@
 use minicbor::{Decode, Encode};
 
 use crate::limits::ServerLimitNews;
+use crate::notices::ServerNoticeNews;
 
 /// Shared parts of a prompt that were sent to a server.
 ///
@@ -186,6 +187,11 @@
     #[n(5)]
     #[cbor(default)]
     pub server_limits: Option<Vec<ServerLimitNews>>,
+    /// Servers that asked for a pause or said that they leave; absent, and without a byte, nearly
+    /// always.
+    #[n(6)]
+    #[cbor(default)]
+    pub notices: Option<Vec<ServerNoticeNews>>,
 }
 
 impl RouterNews {
@@ -196,6 +202,7 @@
             && self.ended.is_empty()
             && self.crashes.is_none()
             && self.server_limits.is_none()
+            && self.notices.is_none()
     }
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod handshake;
 pub mod limits;
 pub mod message;
+pub mod notices;
 
 pub use calls::{CallAnswer, CallError, GenerationReader, IncomingFrame, OpenCalls};
 pub use connection::{Connection, FrameReader, FrameWriter, Traffic, accept, connect};
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -18,6 +18,7 @@
     QuarantineNews, Reachability, RelayedNews, RenewalNews, RouterNews, Sighting,
 };
 pub use crate::limits::{ChargeAnswer, LimitCharge, ServerLimitNews, server_account};
+pub use crate::notices::ServerNoticeNews;
 
 /// Encodes a message; encoding into memory can't fail.
 pub fn encode<T: Encode<()>>(value: &T) -> Vec<u8> {
--- a/crates/protocol/tests/sizes.rs
+++ b/crates/protocol/tests/sizes.rs
@@ -1,7 +1,9 @@
 //! Sizes of the messages that every router sends or gets all the time. The figures in
 //! docs/CAPACITY.md rest on them.
 
-use juniper_protocol::message::{Crash, CrashNews, RelayedNews, RouterNews, Sighting, encode};
+use juniper_protocol::message::{
+    Crash, CrashNews, RelayedNews, RouterNews, ServerNoticeNews, Sighting, encode,
+};
 use juniper_protocol::{Message, Reply, Request};
 use juniper_registry::{InstanceName, StartTime};
 use juniper_types::{NodeId, RequestFingerprint, ZoneName};
@@ -97,3 +99,44 @@
     // Envelope of 4 bytes and four empty lists, as before there were such reports.
     assert_eq!(told(None), FRAME_HEADER + 8);
 }
+
+#[test]
+fn a_notice_of_a_server_is_small_and_costs_nothing_where_there_is_none() {
+    let notice = || ServerNoticeNews {
+        instance: InstanceName::new("i-0123456789"),
+        started: StartTime::from_unix_ms(1_784_840_000_000),
+        pause_ms: 30_000,
+        is_leaving: false,
+    };
+    let told =
+        |notices| bytes(&Message::RouterNews(RouterNews { notices, ..RouterNews::default() }));
+    let with = |count| told(Some((0..count).map(|_| notice()).collect()));
+    let each = (with(11) - with(1)) / 10;
+    println!("notice of a server: {each} bytes");
+    assert!(each <= 28, "{each}");
+    assert_eq!(told(None), FRAME_HEADER + 8);
+}
+
+/// Routers and replicas of builds that know no notices read the rest.
+#[test]
+fn news_with_a_notice_are_read_by_who_knows_none() {
+    #[derive(minicbor::Decode)]
+    struct EarlierNews {
+        #[n(0)]
+        sightings: Vec<Sighting>,
+        #[n(3)]
+        #[cbor(default)]
+        ended: Vec<u16>,
+    }
+    let notice = ServerNoticeNews {
+        instance: InstanceName::new("i-1"),
+        started: StartTime::UNKNOWN,
+        pause_ms: 3_000,
+        is_leaving: true,
+    };
+    let news = RouterNews { ended: vec![7], notices: Some(vec![notice]), ..RouterNews::default() };
+    let bytes = minicbor::to_vec(&news).expect("encodes");
+    let read: EarlierNews = minicbor::decode(&bytes).expect("it is read");
+    assert_eq!((read.sightings.len(), read.ended), (0, vec![7]));
+    assert_eq!(minicbor::decode::<RouterNews>(&bytes).expect("it is read"), news);
+}
