Orders heed pauses and departures that servers ask for in their answers

What was seen: a server that answers an order with 503 and a pause, or that it leaves, got the next order after the usual pause. Cause: of an answer to an order only the status was read, of one to a question for the state only the body. Change: both are read with what they ask for (OrderDialect::read_notice, the same translation as for requests). A pause postpones the next order by its length, and no state is asked for meanwhile; a server that leaves is ordered no more, kept like departures of the registry. An order that was taken is carried out and watched all the same.

--- a/crates/renewal/src/exchange.rs
+++ b/crates/renewal/src/exchange.rs
@@ -6,8 +6,11 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
+use hyper::header::HeaderMap;
+use hyper::http::response;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use juniper_limits::ServerNotice;
 use juniper_registry::InstanceId;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -82,6 +85,9 @@
     /// What the answer to an order says.
     fn read_answer(&self, status: StatusCode) -> OrderAnswer;
 
+    /// What an answer to an order, or to a question for the state, asks for beside that.
+    fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> ServerNotice;
+
     /// The request for a server's state.
     fn state(&self) -> Request<Full<Bytes>>;
 
@@ -102,29 +108,32 @@
     Unreadable,
 }
 
+/// An answer with what it asks for.
+pub(crate) type Noticed<T> = (T, ServerNotice);
+
 /// Sends an order. Without an answer it may have been taken.
 pub(crate) async fn give(
     dialect: &dyn OrderDialect,
     address: SocketAddrV4,
     order: &Order,
-) -> Result<OrderAnswer, ExchangeError> {
-    let (status, _) = exchange(address, dialect.order(order)).await?;
-    Ok(dialect.read_answer(status))
+) -> Result<Noticed<OrderAnswer>, ExchangeError> {
+    let (head, _) = exchange(address, dialect.order(order)).await?;
+    Ok((dialect.read_answer(head.status), dialect.read_notice(head.status, &head.headers)))
 }
 
-/// Asks a server for its state.
+/// Asks a server for its state, which may be unreadable.
 pub(crate) async fn ask_state(
     dialect: &dyn OrderDialect,
     address: SocketAddrV4,
-) -> Result<ServerState, ExchangeError> {
-    let (_, body) = exchange(address, dialect.state()).await?;
-    dialect.read_state(&body).ok_or(ExchangeError::Unreadable)
+) -> Result<Noticed<Option<ServerState>>, ExchangeError> {
+    let (head, body) = exchange(address, dialect.state()).await?;
+    Ok((dialect.read_state(&body), dialect.read_notice(head.status, &head.headers)))
 }
 
 async fn exchange(
     address: SocketAddrV4,
     request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), ExchangeError> {
+) -> Result<(response::Parts, Bytes), ExchangeError> {
     let exchanged = timeout(ANSWER_TIMEOUT, exchange_unbounded(address, request)).await;
     exchanged.map_err(|_| ExchangeError::Timeout)?
 }
@@ -132,7 +141,7 @@
 async fn exchange_unbounded(
     address: SocketAddrV4,
     mut request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), ExchangeError> {
+) -> Result<(response::Parts, Bytes), ExchangeError> {
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(hyper::header::HOST, host);
     }
@@ -143,9 +152,9 @@
     let response = sender.send_request(request).await;
     let read = async {
         let response = response?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
-        Ok((status, body.map_err(|_| ExchangeError::Unreadable)?.to_bytes()))
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        Ok((head, body.map_err(|_| ExchangeError::Unreadable)?.to_bytes()))
     };
     let read = read.await;
     task.abort();
--- a/crates/renewal/src/giver.rs
+++ b/crates/renewal/src/giver.rs
@@ -8,7 +8,7 @@
 use juniper_control::{FleetCalls, Renewals};
 use juniper_control_state::OrderLease;
 use juniper_feed::{Feed, FleetView};
-use juniper_registry::InstanceId;
+use juniper_registry::{Departure, Departures, Instance, InstanceId};
 use juniper_types::{NodeId, Timestamp};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -80,6 +80,8 @@
     orders: BTreeMap<InstanceId, u64>,
     /// Servers with an order under way.
     under_way: BTreeSet<InstanceId>,
+    /// Servers that said in an answer that they leave.
+    departures: Departures,
     versions: BTreeMap<(InstanceId, String), u64>,
     outcomes: mpsc::UnboundedReceiver<TaskOutcome>,
     outcome_sender: mpsc::UnboundedSender<TaskOutcome>,
@@ -104,6 +106,7 @@
             held: None,
             orders: BTreeMap::new(),
             under_way: BTreeSet::new(),
+            departures: Departures::default(),
             versions: BTreeMap::new(),
             outcomes,
             outcome_sender,
@@ -186,7 +189,9 @@
 
     /// The servers of all models with the versions that they are known to have.
     fn servers(&self, view: &FleetView) -> Vec<RenewalServer> {
-        let usable = view.instances.iter().filter(|instance| !instance.silent);
+        // Their own word counts also before it has come to the list of servers.
+        let stays = |instance: &&Arc<Instance>| !self.departures.covers(&instance.id);
+        let usable = view.instances.iter().filter(|instance| !instance.silent).filter(stays);
         let held = usable.flat_map(|instance| {
             let id = &instance.id;
             instance.report.models.iter().map(move |held| (id, held))
@@ -247,6 +252,13 @@
             TaskEnd::Again => {
                 self.plan.postpone(&order.instance, order.version, REPEAT_PAUSE, now);
             }
+            TaskEnd::AgainAfter(pause) => {
+                self.plan.postpone(&order.instance, order.version, pause, now);
+            }
+            TaskEnd::Leaving => {
+                log::info!("event=server_leaving_heard request=- instance={}", order.instance);
+                self.departures.add(&Departure::of(&order.instance), now);
+            }
             TaskEnd::Gone => {}
         }
     }
@@ -259,6 +271,7 @@
             known.map(|known| &known.report)
         };
         self.orders.retain(|instance, _| report(instance).is_some());
+        self.departures.forget(self.now(), |name| view.instances.get(name).is_some());
         self.versions.retain(|(instance, model), version| {
             report(instance).is_some_and(|report| report.version_of(model) < Some(*version))
         });
--- a/crates/renewal/src/task.rs
+++ b/crates/renewal/src/task.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use juniper_control::FleetCalls;
+use juniper_limits::{ServerNotice, StatedDeparture, StatedPause};
 use tokio::time::{Instant, sleep};
 
 use crate::exchange::{
-    ExchangeError, Order, OrderAnswer, OrderDialect, ServerState, ask_state, give,
+    ExchangeError, Noticed, Order, OrderAnswer, OrderDialect, ServerState, ask_state, give,
 };
 use crate::giver::leads;
 
@@ -33,6 +34,10 @@
     Renewed(u64),
     /// It should be ordered again.
     Again,
+    /// It should be ordered again, after the pause that it asks for.
+    AgainAfter(Duration),
+    /// It leaves, and takes no order any more.
+    Leaving,
     /// Another holder gives orders.
     Fenced,
     /// It isn't there any more, or can't carry the order out.
@@ -71,14 +76,22 @@
         let answer = give(&*self.dialect, self.address, &self.order).await;
         self.log_answer(&answer);
         let expected = self.order.expected_orders;
+        let answer = match answer {
+            Ok((answer, notice)) => match end_by(&notice) {
+                // An order that was taken is carried out all the same.
+                Some(end) if answer != OrderAnswer::Taken => return (end, None),
+                _ => Ok(answer),
+            },
+            Err(error) => Err(error),
+        };
         match answer {
             Ok(OrderAnswer::Taken) => self.watch(expected + 1).await,
             Ok(OrderAnswer::AlreadyDone) => (TaskEnd::Renewed(self.order.version), None),
             Ok(OrderAnswer::Fenced) => (TaskEnd::Fenced, None),
             Ok(OrderAnswer::OtherServer | OrderAnswer::Refused(_)) => (TaskEnd::Gone, None),
             Ok(OrderAnswer::Conflict) | Err(_) => match self.state().await {
-                Some(state) => self.judge(&state, TaskEnd::Again),
-                None => (TaskEnd::Again, None),
+                Ok(state) => self.judge(&state, TaskEnd::Again),
+                Err(end) => (end, None),
             },
         }
     }
@@ -90,11 +103,11 @@
         while Instant::now() < until {
             match self.state().await {
                 // The state is from some time ago, perhaps from before the order.
-                Some(state) if state.orders >= taken && !state.busy => {
+                Ok(state) if state.orders >= taken && !state.busy => {
                     return self.judge(&state, TaskEnd::Again);
                 }
-                Some(_) => {}
-                None => return (TaskEnd::Again, None),
+                Ok(_) => {}
+                Err(end) => return (end, None),
             }
             sleep(NEXT_LOOK).await;
         }
@@ -111,28 +124,33 @@
         (end, Some(state.orders))
     }
 
-    async fn state(&self) -> Option<ServerState> {
-        let state = ask_state(&*self.dialect, self.address).await;
+    /// The server's state, or what its lack comes to.
+    async fn state(&self) -> Result<ServerState, TaskEnd> {
         let instance = &self.order.instance;
-        match state {
-            Ok(state) => {
-                let (orders, busy) = (state.orders, state.busy);
-                log::info!(
-                    "event=order_state instance={instance} orders={orders} busy={busy} versions={:?}",
-                    state.versions.iter().map(|held| held.1).collect::<Vec<_>>()
-                );
-                Some(state)
-            }
+        let (state, notice) = match ask_state(&*self.dialect, self.address).await {
+            Ok(asked) => asked,
             Err(error) => {
                 log::warn!("event=order_state_unknown instance={instance} reason=\"{error}\"");
-                None
+                return Err(TaskEnd::Again);
             }
-        }
+        };
+        let Some(state) = state else {
+            log::warn!("event=order_state_unknown instance={instance} reason=unreadable");
+            return Err(end_by(&notice).unwrap_or(TaskEnd::Again));
+        };
+        log::info!(
+            "event=order_state instance={instance} orders={} busy={} versions={:?}",
+            state.orders,
+            state.busy,
+            state.versions.iter().map(|held| held.1).collect::<Vec<_>>()
+        );
+        Ok(state)
     }
 
-    fn log_answer(&self, answer: &Result<OrderAnswer, ExchangeError>) {
+    fn log_answer(&self, answer: &Result<Noticed<OrderAnswer>, ExchangeError>) {
         let shown = match answer {
-            Ok(answer) => format!("{answer:?}"),
+            Ok((answer, notice)) if *notice == ServerNotice::default() => format!("{answer:?}"),
+            Ok((answer, notice)) => format!("{answer:?} {notice:?}"),
             Err(error) => error.to_string(),
         };
         let order = &self.order;
@@ -148,3 +166,14 @@
         );
     }
 }
+
+/// What an order comes to whose server asks for something.
+fn end_by(notice: &ServerNotice) -> Option<TaskEnd> {
+    if notice.departure == StatedDeparture::Leaving {
+        return Some(TaskEnd::Leaving);
+    }
+    match notice.pause {
+        StatedPause::For(pause) => Some(TaskEnd::AgainAfter(pause)),
+        StatedPause::Nothing | StatedPause::Unreadable(_) => None,
+    }
+}
