Logs tell of a request which servers its choices passed over, and why

Line servers_passed_over (request, count, up to eight servers with leaving, resting or turns_others_away) with each attempt or refusal while any server of the service has asked for something; nothing otherwise. Looks at the servers that asked, not at all of the service.

--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -4,9 +4,13 @@
 use juniper_protocol::message::ServerNoticeNews;
 use juniper_registry::InstanceId;
 
+use crate::call::Call;
 use crate::dialect::AnswerFacts;
 use crate::gateway::Gateway;
 
+/// Servers that one line names at most.
+const MAX_SHOWN: usize = 8;
+
 impl Gateway {
     /// Notes what an answer of `instance` asks for. An answer too many, to another request, tells it
     /// of the server as well; one of another server doesn't.
@@ -72,4 +76,21 @@
             }
         }
     }
+
+    /// Logs which servers the choices for a request pass over, and why.
+    pub(crate) fn log_passed_over(&self, call: &Call) {
+        let over = self.placement().passed_over(&call.service, self.now());
+        if over.is_empty() {
+            return;
+        }
+        let shown = over.iter().take(MAX_SHOWN);
+        let shown: Vec<String> =
+            shown.map(|(instance, reason)| format!("{instance}:{}", reason.as_str())).collect();
+        log::info!(
+            "event=servers_passed_over request={} count={} servers={}",
+            call.id(),
+            over.len(),
+            shown.join(",")
+        );
+    }
 }
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -75,6 +75,7 @@
                 Err(refusal) => return Err(self.given_up(self.refusal(refusal))),
             };
             self.log_choice(&choice);
+            self.gateway.log_passed_over(self.call);
             let (gateway, call) = (self.gateway, self.call);
             if self.progress.may_have_run > 0
                 && let Some(charged) = &call.charged
@@ -219,6 +220,7 @@
                 OwnAnswer::Overloaded(spread(overload.excess().max(soonest)))
             }
             NoChoice::Resting(rest) => {
+                self.gateway.log_passed_over(self.call);
                 OwnAnswer::ServersResting(return_after(rest, self.call.priority))
             }
             NoChoice::UsedUp(pause) => OwnAnswer::ServersUsedUp(spread(pause.max(FULL_PAUSE))),
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -36,6 +36,7 @@
 pub use choice::{Choice, NoChoice, Reason, ServiceProfile, Ticket};
 pub use health::Outcome;
 pub use homes::ChainKeys;
+pub use notices::PassedOver;
 pub use placement::Placement;
 pub use reports::Reporter;
 pub use request::{Prompt, PromptPart, ServerRequest};
--- a/crates/placement/src/notices.rs
+++ b/crates/placement/src/notices.rs
@@ -1,12 +1,35 @@
 //! What servers ask of routers: to send them nothing for a while, or nothing new any more.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use juniper_registry::{Departure, InstanceId};
+use juniper_registry::{Departure, InstanceId, InstanceName};
 use juniper_types::{NodeId, Timestamp};
 
 use crate::placement::Placement;
 
+/// Why choices pass over a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PassedOver {
+    /// It said that it leaves.
+    Leaving,
+    /// It asked this router for a pause.
+    Resting,
+    /// It asked other routers for a pause; it is used if there is no other.
+    TurnsOthersAway,
+}
+
+impl PassedOver {
+    /// The reason for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            PassedOver::Leaving => "leaving",
+            PassedOver::Resting => "resting",
+            PassedOver::TurnsOthersAway => "turns_others_away",
+        }
+    }
+}
+
 impl Placement {
     /// An answer of the server asks this router to send it nothing for `pause`. Returns whether it
     /// rests for longer than was known.
@@ -46,4 +69,27 @@
     pub fn resting_servers(&self, now: Timestamp) -> usize {
         self.rests.count(now)
     }
+
+    /// Servers of the service that choices pass over for what they asked for.
+    pub fn passed_over(&self, service: &str, now: Timestamp) -> Vec<(InstanceId, PassedOver)> {
+        // Few servers have asked for anything; the service may have thousands.
+        let asked: BTreeSet<&InstanceName> =
+            self.rests.names().chain(self.departures.names()).collect();
+        let known = asked.into_iter().filter_map(|name| self.servers.get(name));
+        let known = known.filter(|server| server.instance.report.service == service);
+        let over = known.filter_map(|server| {
+            let id = &server.instance.id;
+            let reason = if self.departures.covers(id) {
+                PassedOver::Leaving
+            } else if self.rests.left(id, now).is_some() {
+                PassedOver::Resting
+            } else if self.rests.is_told(id, now) {
+                PassedOver::TurnsOthersAway
+            } else {
+                return None;
+            };
+            Some((id.clone(), reason))
+        });
+        over.collect()
+    }
 }
--- a/crates/registry/src/departure.rs
+++ b/crates/registry/src/departure.rs
@@ -77,13 +77,13 @@
         self.look_at = self.known.len() * 2;
     }
 
-    /// Whether none is remembered.
-    pub fn is_empty(&self) -> bool {
-        self.known.is_empty()
+    /// Servers that have left.
+    pub fn names(&self) -> impl Iterator<Item = &InstanceName> {
+        self.known.keys()
     }
 
     /// Departures that are remembered.
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.known.len()
     }
 }
--- a/crates/registry/src/directory.rs
+++ b/crates/registry/src/directory.rs
@@ -138,7 +138,7 @@
 
     /// Departures that are remembered.
     pub fn departures(&self) -> usize {
-        self.departures.len()
+        self.departures.count()
     }
 
     /// Every server that is known, leaving and silent ones too.
