--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -18,9 +18,8 @@
     ) -> Result<Vec<&Server>, NoChoice> {
         let known = members.iter().filter_map(|id| self.servers.get(id));
         // The list of servers lags behind their own word.
-        let stays = |server: &&Server| !self.departures.covers(&server.instance.id);
-        let known: Vec<&Server> =
-            known.filter(|server| !server.health.replaced).filter(stays).collect();
+        let stays = |server: &&Server| !server.health.replaced && !server.is_leaving;
+        let known: Vec<&Server> = known.filter(stays).collect();
         if known.is_empty() {
             return Err(NoChoice::NoServer);
         }
@@ -31,10 +30,9 @@
                 return Err(NoChoice::OldWeights);
             }
         }
-        let rests = fresh.iter().filter_map(|server| self.rest_left(&server.instance.id, now));
-        let shortest_rest = rests.min();
         // Being full is a price, but a rest is a fact: there is no road on which it may be passed over.
-        fresh.retain(|server| self.rest_left(&server.instance.id, now).is_none());
+        let shortest_rest = fresh.iter().filter_map(|server| self.rest_of(server, now)).min();
+        fresh.retain(|server| self.rest_of(server, now).is_none());
         if let Some(rest) = shortest_rest.filter(|_| fresh.is_empty()) {
             return Err(NoChoice::Resting(rest));
         }
--- a/crates/placement/src/notices.rs
+++ b/crates/placement/src/notices.rs
@@ -7,6 +7,7 @@
 use juniper_types::{NodeId, Timestamp};
 
 use crate::placement::Placement;
+use crate::server::Server;
 
 /// Why choices pass over a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +35,7 @@
     /// An answer of the server asks this router to send it nothing for `pause`. Returns whether it
     /// rests for longer than was known.
     pub fn asked_to_pause(&mut self, server: &InstanceId, pause: Duration, now: Timestamp) -> bool {
+        self.mark(server, |server| server.has_asked_for_rest = true);
         self.rests.asked(server, pause, now)
     }
 
@@ -43,12 +45,29 @@
         if self.departures.covers(server) {
             return false;
         }
+        self.mark(server, |server| server.is_leaving = true);
         self.departures.add(&Departure::of(server), now);
         let servers = &self.servers;
         self.departures.forget(now, |name| servers.contains_key(name));
         true
     }
 
+    /// Marks the server, if it is known, so that choices look up no other.
+    fn mark(&mut self, server: &InstanceId, mark: impl FnOnce(&mut Server)) {
+        if let Some(server) = self.server_mut(server) {
+            mark(server);
+        }
+    }
+
+    pub(crate) fn rest_of(&self, server: &Server, now: Timestamp) -> Option<Duration> {
+        server.has_asked_for_rest.then(|| self.rests.left(&server.instance.id, now)).flatten()
+    }
+
+    /// Whether the server turns other routers away.
+    pub(crate) fn turns_others_away(&self, server: &Server, now: Timestamp) -> bool {
+        server.has_asked_for_rest && self.rests.is_told(&server.instance.id, now)
+    }
+
     /// Time for which nothing is to be sent to the server; `None` if it takes requests.
     pub fn rest_left(&self, server: &InstanceId, now: Timestamp) -> Option<Duration> {
         self.rests.left(server, now)
@@ -62,6 +81,7 @@
         pause: Duration,
         now: Timestamp,
     ) {
+        self.mark(server, |server| server.has_asked_for_rest = true);
         self.rests.told(server, router, pause, now);
     }
 
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -99,6 +99,8 @@
         let place = members.len() - 1;
         let mut server = Server::new(Arc::clone(&instance), place);
         server.renewing = self.renewing.contains(&instance.id);
+        server.has_asked_for_rest = self.rests.knows(&instance.id);
+        server.is_leaving = self.departures.covers(&instance.id);
         self.servers.insert(name.clone(), server);
     }
 
--- a/crates/placement/src/rest.rs
+++ b/crates/placement/src/rest.rs
@@ -82,6 +82,11 @@
         self.0.get(id.name()).filter(|rest| rest.id.is_same(id))
     }
 
+    /// Whether the incarnation has asked for a rest, which may be over.
+    pub(crate) fn knows(&self, id: &InstanceId) -> bool {
+        self.of(id).is_some()
+    }
+
     /// Time that the incarnation still rests from this router; `None` if it takes requests.
     pub(crate) fn left(&self, id: &InstanceId, now: Timestamp) -> Option<Duration> {
         let until = self.of(id)?.until;
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -50,7 +50,7 @@
         }
         // Where others can reach none, or are turned away by all, this router may still be served.
         let reachable = prefer(usable, |server| !server.reports.are_believed(&self.zone, now));
-        let preferred = prefer(reachable, |server| !self.rests.is_told(&server.instance.id, now));
+        let preferred = prefer(reachable, |server| !self.turns_others_away(server, now));
         self.cheapest(&preferred, request, now, random)
     }
 
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -31,6 +31,10 @@
     pub(crate) seen_version: u64,
     /// It takes no new requests, because it is given new weights.
     pub(crate) renewing: bool,
+    /// It has asked a router for a rest, which may be over.
+    pub(crate) has_asked_for_rest: bool,
+    /// It has said in an answer that it leaves.
+    pub(crate) is_leaving: bool,
     /// What it takes from all routers together, if it states that.
     pub(crate) limit: Option<ServerLimit>,
     pub(crate) turnover: MemoryTurnover,
@@ -53,6 +57,8 @@
             fleet_load: FleetLoad::default(),
             seen_version: 0,
             renewing: false,
+            has_asked_for_rest: false,
+            is_leaving: false,
             limit: None,
             turnover: MemoryTurnover::default(),
             kept: KeptParts::default(),
