--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod limits;
 pub mod message;
 pub mod notices;
+pub mod push;
 
 pub use calls::{CallAnswer, CallError, GenerationReader, IncomingFrame, OpenCalls};
 pub use connection::{Connection, FrameReader, FrameWriter, Traffic, accept, connect};
