What other routers tell of a rest is believed for ten seconds at most

Cause: those who were turned away don't ask before their pause is over. A server that asks two routers for an hour would be spared by all for as long, also after it has recovered for the others. Change: the word of others counts for 10 s at most; then somebody finds out anew.

--- a/crates/placement/src/rest.rs
+++ b/crates/placement/src/rest.rs
@@ -13,6 +13,10 @@
 /// too; a server that had enough of one router alone is still of use to the others.
 const ENOUGH_TELL: usize = 2;
 
+/// Longest time for which the word of others counts: then somebody has to find out anew, since those
+/// who were turned away don't ask before their pause is over.
+const MAX_TOLD: Duration = Duration::from_secs(10);
+
 /// A rest that another router was asked for.
 #[derive(Clone, Copy, Debug)]
 struct Told {
@@ -62,7 +66,7 @@
         let told = &mut self.of_mut(id, now).told;
         told.retain(|told| told.router != router && now < told.until);
         if told.len() < ENOUGH_TELL {
-            told.push(Told { router, until: now.after(pause) });
+            told.push(Told { router, until: now.after(pause.min(MAX_TOLD)) });
         }
     }
 
