Servers in view that have asked for something are kept by name

Cause (read at the end): the line servers_passed_over looked up every departure that is remembered, up to 1,024, for each request. Change: the placement keeps the names of marked servers in view. No decision changes.

--- a/crates/placement/src/notices.rs
+++ b/crates/placement/src/notices.rs
@@ -1,9 +1,8 @@
 //! What servers ask of routers: to send them nothing for a while, or nothing new any more.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
-use juniper_registry::{Departure, InstanceId, InstanceName};
+use juniper_registry::{Departure, InstanceId};
 use juniper_types::{NodeId, Timestamp};
 
 use crate::placement::Placement;
@@ -52,13 +51,25 @@
         true
     }
 
-    /// Marks the server, if it is known, so that choices look up no other.
+    /// Marks the server, if it is in view: few have asked for anything, and a service may have
+    /// thousands.
     fn mark(&mut self, server: &InstanceId, mark: impl FnOnce(&mut Server)) {
-        if let Some(server) = self.server_mut(server) {
-            mark(server);
+        let Some(known) = self.server_mut(server) else { return };
+        mark(known);
+        self.marked.insert(server.name().clone());
+    }
+
+    /// Marks a server that comes into view, if it has asked for something before.
+    pub(crate) fn mark_new(&mut self, server: &mut Server) {
+        let id = &server.instance.id;
+        server.has_asked_for_rest = self.rests.knows(id);
+        server.is_leaving = self.departures.covers(id);
+        if server.has_asked_for_rest || server.is_leaving {
+            self.marked.insert(id.name().clone());
         }
     }
 
+    /// Time that the server still rests from this router.
     pub(crate) fn rest_of(&self, server: &Server, now: Timestamp) -> Option<Duration> {
         server.has_asked_for_rest.then(|| self.rests.left(&server.instance.id, now)).flatten()
     }
@@ -92,18 +103,15 @@
 
     /// Servers of the service that choices pass over for what they asked for.
     pub fn passed_over(&self, service: &str, now: Timestamp) -> Vec<(InstanceId, PassedOver)> {
-        // Few servers have asked for anything; the service may have thousands.
-        let asked: BTreeSet<&InstanceName> =
-            self.rests.names().chain(self.departures.names()).collect();
-        let known = asked.into_iter().filter_map(|name| self.servers.get(name));
+        let known = self.marked.iter().filter_map(|name| self.servers.get(name));
         let known = known.filter(|server| server.instance.report.service == service);
         let over = known.filter_map(|server| {
             let id = &server.instance.id;
-            let reason = if self.departures.covers(id) {
+            let reason = if server.is_leaving {
                 PassedOver::Leaving
-            } else if self.rests.left(id, now).is_some() {
+            } else if self.rest_of(server, now).is_some() {
                 PassedOver::Resting
-            } else if self.rests.is_told(id, now) {
+            } else if self.turns_others_away(server, now) {
                 PassedOver::TurnsOthersAway
             } else {
                 return None;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -42,6 +42,8 @@
     pub(crate) rests: Rests,
     /// Servers that said themselves that they leave.
     pub(crate) departures: Departures,
+    /// Servers in view that have asked for something.
+    pub(crate) marked: BTreeSet<InstanceName>,
     pub(crate) speeds: HashMap<String, ReadingSpeed>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
     pub(crate) lanes: HashMap<String, Lanes>,
@@ -64,6 +66,7 @@
             renewing: BTreeSet::new(),
             rests: Rests::default(),
             departures: Departures::default(),
+            marked: BTreeSet::new(),
             speeds: HashMap::new(),
             profiles: HashMap::new(),
             lanes: HashMap::new(),
@@ -99,13 +102,13 @@
         let place = members.len() - 1;
         let mut server = Server::new(Arc::clone(&instance), place);
         server.renewing = self.renewing.contains(&instance.id);
-        server.has_asked_for_rest = self.rests.knows(&instance.id);
-        server.is_leaving = self.departures.covers(&instance.id);
+        self.mark_new(&mut server);
         self.servers.insert(name.clone(), server);
     }
 
     fn remove(&mut self, name: &InstanceName) {
         let Some(server) = self.servers.remove(name) else { return };
+        self.marked.remove(name);
         let service = &server.instance.report.service;
         let Some(members) = self.services.get_mut(service) else { return };
         members.swap_remove(server.place);
--- a/crates/placement/src/rest.rs
+++ b/crates/placement/src/rest.rs
@@ -104,11 +104,6 @@
         told.filter(|told| now < told.until).count() >= ENOUGH_TELL
     }
 
-    /// Servers that asked for a rest, which may be over.
-    pub(crate) fn names(&self) -> impl Iterator<Item = &InstanceName> {
-        self.0.keys()
-    }
-
     /// Servers that rest from this router.
     pub(crate) fn count(&self, now: Timestamp) -> usize {
         self.0.values().filter(|rest| now < rest.until).count()
--- a/crates/registry/src/departure.rs
+++ b/crates/registry/src/departure.rs
@@ -77,11 +77,6 @@
         self.look_at = self.known.len() * 2;
     }
 
-    /// Servers that have left.
-    pub fn names(&self) -> impl Iterator<Item = &InstanceName> {
-        self.known.keys()
-    }
-
     /// Departures that are remembered.
     pub fn count(&self) -> usize {
         self.known.len()
