--- a/tests/support/replicas.rs
+++ b/tests/support/replicas.rs
@@ -229,6 +229,10 @@
             command.arg(format!("--control=http://{}", replica.operator));
         }
         let output = command.output().expect("the binary runs");
+        if !output.status.success() {
+            // Shown if the test fails.
+            println!("{words:?}: {}", String::from_utf8_lossy(&output.stderr));
+        }
         let json = serde_json::from_slice(&output.stdout).unwrap_or(Value::Null);
         (output.status.code(), json)
     }
