Log and count what the retry budget grants and refuses

Cause: no log or metric told what a router's part of the retry budget was, what it refused and by how many routers it divided, so that the hypotheses of the incident could not be told apart. Change: a retry_budget line each second for each service with retries, counters by service and outcome, a gauge of the number of routers; no decision changes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -39,7 +39,7 @@
 /// dozens of times per second, and the cost of an update grows with the number of servers.
 const MIN_VIEW_INTERVAL: Duration = Duration::from_millis(30);
 
-/// Interval between two sweeps of idle connections.
+/// Interval between two sweeps of idle connections, and between two reports of retry budgets.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// State shared by all requests.
@@ -151,7 +151,10 @@
                     self.apply_view(&latest);
                     sleep(MIN_VIEW_INTERVAL).await;
                 }
-                _ = sweep.tick() => self.sweep(),
+                _ = sweep.tick() => {
+                    self.sweep();
+                    self.log_retry_budgets();
+                }
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `limits` charges requests against their tenants' limits.
 //! - `server_limits` enforces limits that servers advertise for all routers together.
 //! - `notices` observes servers' backoffs and departures.
+//! - `retry_budget` charges retries against the budget that all routers share.
 //! - `startup` holds requests that arrive before the gateway has a configuration.
 //! - `updates` exchanges dispatch reports and server state with other routers.
 //! - `lifecycle` starts, drains and stops the gateway.
@@ -36,6 +37,7 @@
 mod probe;
 mod relay;
 mod retry;
+mod retry_budget;
 mod search;
 mod server_limits;
 mod settings;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,7 +40,11 @@
     /// Tenants with a counter of their own.
     limited_tenants: Mutex<BTreeSet<String>>,
     /// Retries refused by the retry budget.
-    pub budget_spent: IntCounter,
+    budget_spent: IntCounter,
+    /// Decisions of the retry budget, by service and outcome.
+    retries: IntCounterVec,
+    /// Number of routers by which common budgets are divided.
+    pub routers: IntGauge,
     /// Dispatch reports not published to the other routers.
     pub dropped_dispatch_reports: IntCounter,
     /// Batches of other routers' updates lost because this router was too slow.
@@ -164,6 +168,12 @@
                 "servers_reported_unreachable_total",
                 "Servers left alone because other routers can't reach them.",
             )?,
+            retries: counters(
+                "retries_total",
+                "Decisions of the retry budget, by service and outcome.",
+                &["service", "outcome"],
+            )?,
+            routers: gauge("routers", "Routers by which common budgets are divided.")?,
             budget_spent: counter("budget_spent_total", "Repeats that the budget didn't allow.")?,
             connections: counter("server_connections_total", "New connections to servers.")?,
             callers: gauge("caller_connections", "Connections of callers.")?,
@@ -193,6 +203,13 @@
         self.over_limit.with_label_values(&[shown, by.as_str()]).inc();
     }
 
+    /// Counts a decision of the retry budget.
+    pub(crate) fn count_retry(&self, service: &str, is_granted: bool) {
+        let outcome = if is_granted { "granted" } else { "refused" };
+        self.retries.with_label_values(&[service, outcome]).inc();
+        self.budget_spent.inc_by(u64::from(!is_granted));
+    }
+
     /// Counts a decision on a charge against an advertised limit.
     pub(crate) fn count_server_charge(&self, verdict: &Verdict, by: DecidedBy) {
         let outcome = if verdict.is_admitted() { "admitted" } else { "refused" };
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -142,16 +142,7 @@
 
     /// Takes a retry from the budget; the first attempt is free. Returns whether the request may be sent.
     fn take_retry_budget(&self) -> bool {
-        if self.progress.sent == 0 {
-            return true;
-        }
-        let now = self.gateway.now();
-        let routers = self.gateway.feed.router_count();
-        let is_allowed = self.gateway.retry_budget().take_retry(&self.call.service, routers, now);
-        if !is_allowed {
-            self.gateway.metrics.budget_spent.inc();
-        }
-        is_allowed
+        self.progress.sent == 0 || self.gateway.take_retry(self.call)
     }
 
     /// Chooses a server that admits the request, and returns the charge against its advertised
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -40,5 +40,5 @@
 pub use reachability_reports::Reporter;
 pub use report_budget::ReportBudget;
 pub use request::{Prompt, PromptSegment, ServerRequest};
-pub use retry_budget::{RetryBudget, RetrySettings};
+pub use retry_budget::{RetryBudget, RetrySettings, RetryUsage};
 pub use server_limits::{LimitChange, ObservedAt};
--- a/crates/placement/src/retry_budget.rs
+++ b/crates/placement/src/retry_budget.rs
@@ -27,11 +27,27 @@
     pub window: Duration,
 }
 
+/// Use of the retry budget of one service at this router.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// Name of the service.
+    pub service: String,
+    /// Requests within the window.
+    pub requests: u32,
+    /// Retries granted within the window.
+    pub granted: u32,
+    /// Retries refused within the window.
+    pub refused: u32,
+    /// Retries that would be granted now.
+    pub available: f64,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
     number: u64,
     requests: u32,
     retries: u32,
+    refused: u32,
 }
 
 /// Counts of one service, by bucket.
@@ -49,9 +65,16 @@
         self.0.back_mut()
     }
 
-    fn totals(&self) -> (f64, f64) {
-        let sum = |count: fn(&Bucket) -> u32| self.0.iter().map(|b| f64::from(count(b))).sum();
-        (sum(|bucket| bucket.requests), sum(|bucket| bucket.retries))
+    fn total(&self, count: fn(&Bucket) -> u32) -> u32 {
+        self.0.iter().map(count).sum()
+    }
+
+    /// Retries that would be granted now, with this number of routers.
+    fn available(&self, settings: RetrySettings, routers: u32) -> f64 {
+        let requests = f64::from(self.total(|bucket| bucket.requests));
+        let free = settings.free / f64::from(routers.max(1));
+        let allowed = BUDGET_SHARE * (settings.ratio * requests + free);
+        allowed - f64::from(self.total(|bucket| bucket.retries))
     }
 }
 
@@ -94,15 +117,31 @@
         if counts.bucket_at(number).is_none() {
             return false;
         }
-        let (requests, retries) = counts.totals();
-        let free = settings.free / f64::from(routers.max(1));
-        let allowed = BUDGET_SHARE * (settings.ratio * requests + free);
-        if retries + 1.0 > allowed {
-            return false;
-        }
+        let is_allowed = counts.available(settings, routers) >= 1.0;
         if let Some(bucket) = counts.bucket_at(number) {
-            bucket.retries += 1;
+            match is_allowed {
+                true => bucket.retries += 1,
+                false => bucket.refused += 1,
+            }
         }
-        true
+        is_allowed
+    }
+
+    /// Use of the budget of each service with retries in the window, granted or refused.
+    pub fn usage(&mut self, routers: u32, now: Timestamp) -> Vec<RetryUsage> {
+        let number = self.bucket_number(now);
+        let settings = self.settings;
+        let usage = |(service, counts): (&String, &mut Counts)| {
+            counts.bucket_at(number);
+            RetryUsage {
+                service: service.clone(),
+                requests: counts.total(|bucket| bucket.requests),
+                granted: counts.total(|bucket| bucket.retries),
+                refused: counts.total(|bucket| bucket.refused),
+                available: counts.available(settings, routers),
+            }
+        };
+        let all = self.services.iter_mut().map(usage);
+        all.filter(|usage| usage.granted + usage.refused > 0).collect()
     }
 }
