Failing tests of the retry budget of all routers, in simulated time

Cause: the budget is a promise over all routers and their incarnations, and no test took the sum at the servers while routers restart, callers move or the number of routers is wrong. Change: routers, the replicas that count them and callers in virtual time, with windows at every offset; a test for each cause by itself (the number exact and nothing but restarts, or but moving callers; nothing restarts and only the number is wrong) and random series. Without faults the bound holds and over half of it is used.

--- /dev/null
+++ b/crates/placement/tests/retry_budget/fleet.rs
@@ -0,0 +1,335 @@
+//! Simulation of routers that share one retry budget, and of the replicas that tell them how many
+//! they are, in virtual time.
+
+use std::time::Duration;
+
+use juniper_feed::FleetViewBuilder;
+use juniper_placement::{RetryBudget, RetrySettings};
+use juniper_types::{NodeId, Timestamp};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::checker::{Record, WorstWindow};
+
+const SERVICE: &str = "app";
+const REPLICAS: usize = 3;
+const STEP: Duration = Duration::from_millis(20);
+
+/// Interval at which a router asks a replica, before and after the first confirmation.
+const FIRST_CONFIRM_INTERVAL: Duration = Duration::from_millis(80);
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Time after which either end of a silent connection closes it.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_100);
+
+/// Time until a router connects again to a replica, at most.
+const MAX_RECONNECT_MS: u64 = 400;
+
+/// Longest time between the charge of a retry and its arrival at a server.
+const MAX_SEND_MS: u64 = 100;
+
+/// Number of routers assumed until a replica has reported it.
+const DEFAULT_ROUTER_COUNT: u32 = 32;
+
+/// How routers learn the number of routers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Counting {
+    /// All routers that there ever are, known at all times.
+    Exact,
+    /// What the replicas report.
+    Reported,
+}
+
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// The router's process ends and starts again after the duration.
+    KillRouter(usize, Duration),
+    /// The replica's process ends and starts again after the duration.
+    KillReplica(usize, Duration),
+    /// The router stands still.
+    FreezeRouter(usize, Duration),
+    /// These routers and replicas are partitioned from the rest.
+    Cut { routers: Vec<usize>, replicas: Vec<usize>, length: Duration },
+    /// These routers don't reach these replicas.
+    Block { routers: Vec<usize>, replicas: Vec<usize>, length: Duration },
+    /// All callers use these routers from now on.
+    MoveCallers(Vec<usize>),
+}
+
+/// A scenario to simulate.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub settings: RetrySettings,
+    pub routers: usize,
+    /// Routers that start only when a fault restarts them.
+    pub absent: Vec<usize>,
+    /// Callers' requests per second, over all routers.
+    pub rate: f64,
+    /// When the servers begin to fail every request.
+    pub failing_from: Duration,
+    pub length: Duration,
+    pub counting: Counting,
+    pub faults: Vec<(Duration, Fault)>,
+}
+
+struct Replica {
+    /// When the process is back, if it is down.
+    down_until: Option<Timestamp>,
+    confirmed_at: Option<Timestamp>,
+    /// Time of the last message of each connected router.
+    heard: Vec<Option<Timestamp>>,
+}
+
+#[derive(Clone, Copy)]
+struct Link {
+    is_up: bool,
+    next_at: Timestamp,
+    heard_at: Timestamp,
+}
+
+struct Router {
+    down_until: Option<Timestamp>,
+    frozen_until: Timestamp,
+    started_at: Timestamp,
+    budget: RetryBudget,
+    builder: FleetViewBuilder,
+    /// Number of routers by which the free retries are divided.
+    router_count: u32,
+    is_confirmed: bool,
+    links: [Link; REPLICAS],
+}
+
+impl Router {
+    fn new(settings: RetrySettings, now: Timestamp) -> Self {
+        Router {
+            down_until: None,
+            frozen_until: now,
+            started_at: now,
+            budget: RetryBudget::new(settings),
+            builder: FleetViewBuilder::default(),
+            router_count: DEFAULT_ROUTER_COUNT,
+            is_confirmed: false,
+            links: [Link { is_up: false, next_at: now, heard_at: now }; REPLICAS],
+        }
+    }
+
+    fn is_running(&self, now: Timestamp) -> bool {
+        self.down_until.is_none() && self.frozen_until <= now
+    }
+
+    /// Time of the router's own clock, which starts with its process.
+    fn local(&self, now: Timestamp) -> Timestamp {
+        Timestamp::ZERO.after(now.since(self.started_at))
+    }
+}
+
+/// The simulated fleet.
+pub struct Fleet {
+    scenario: Scenario,
+    routers: Vec<Router>,
+    replicas: Vec<Replica>,
+    /// Routers that callers use.
+    targets: Vec<usize>,
+    /// Which router doesn't reach which replica, and until when.
+    blocked: Vec<[Timestamp; REPLICAS]>,
+    /// Which replicas don't reach each other, and until when.
+    split: [[Timestamp; REPLICAS]; REPLICAS],
+    record: Record,
+    draws: ChaCha8Rng,
+}
+
+fn node(replica: usize) -> NodeId {
+    NodeId(replica as u64 + 1)
+}
+
+impl Fleet {
+    /// Plays the scenario and returns the window with the most retries.
+    pub fn play(scenario: Scenario, seed: u64) -> WorstWindow {
+        let settings = scenario.settings;
+        let start = Timestamp::ZERO;
+        let mut routers: Vec<Router> =
+            (0..scenario.routers).map(|_| Router::new(settings, start)).collect();
+        for absent in &scenario.absent {
+            routers[*absent].down_until = Some(Timestamp(u64::MAX));
+        }
+        let replica = || Replica {
+            down_until: None,
+            confirmed_at: None,
+            heard: vec![None; scenario.routers],
+        };
+        let mut fleet = Fleet {
+            targets: (0..scenario.routers).collect(),
+            blocked: vec![[start; REPLICAS]; scenario.routers],
+            split: [[start; REPLICAS]; REPLICAS],
+            replicas: (0..REPLICAS).map(|_| replica()).collect(),
+            routers,
+            record: Record::default(),
+            draws: ChaCha8Rng::seed_from_u64(seed),
+            scenario,
+        };
+        fleet.run();
+        fleet.record.worst_window(&settings)
+    }
+
+    fn run(&mut self) {
+        let mut faults = self.scenario.faults.clone();
+        faults.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+        let steps = self.scenario.length.as_micros() / STEP.as_micros();
+        for step in 0..steps as u64 {
+            let now = Timestamp(step * STEP.as_micros() as u64);
+            while faults.last().is_some_and(|(at, _)| Timestamp::ZERO.after(*at) <= now) {
+                let (_, fault) = faults.pop().expect("there is a last fault");
+                self.apply(fault, now);
+            }
+            self.step_replicas(now);
+            (0..self.routers.len()).for_each(|router| self.step_router(router, now));
+            self.send_requests(now);
+        }
+    }
+
+    fn apply(&mut self, fault: Fault, now: Timestamp) {
+        match fault {
+            Fault::KillRouter(router, down) => {
+                self.routers[router].down_until = Some(now.after(down));
+                self.replicas.iter_mut().for_each(|replica| replica.heard[router] = None);
+            }
+            Fault::KillReplica(replica, down) => {
+                let killed = &mut self.replicas[replica];
+                killed.down_until = Some(now.after(down));
+                killed.confirmed_at = None;
+                killed.heard.fill(None);
+                for router in &mut self.routers {
+                    router.links[replica] = Link { is_up: false, next_at: now, heard_at: now };
+                    router.builder.set_connected(node(replica), false);
+                }
+            }
+            Fault::FreezeRouter(router, length) => {
+                self.routers[router].frozen_until = now.after(length);
+            }
+            Fault::Cut { routers, replicas, length } => {
+                let until = now.after(length);
+                let is_inside = |replica: usize| replicas.contains(&replica);
+                for one in 0..REPLICAS {
+                    for other in (0..REPLICAS).filter(|other| is_inside(one) != is_inside(*other)) {
+                        self.split[one][other] = until;
+                    }
+                    for router in 0..self.routers.len() {
+                        if routers.contains(&router) != is_inside(one) {
+                            self.blocked[router][one] = until;
+                        }
+                    }
+                }
+            }
+            Fault::Block { routers, replicas, length } => {
+                let until = now.after(length);
+                for router in routers {
+                    replicas.iter().for_each(|replica| self.blocked[router][*replica] = until);
+                }
+            }
+            Fault::MoveCallers(targets) => self.targets = targets,
+        }
+    }
+
+    fn step_replicas(&mut self, now: Timestamp) {
+        for replica in 0..REPLICAS {
+            if self.replicas[replica].down_until.is_some_and(|until| until <= now) {
+                self.replicas[replica].down_until = None;
+            }
+            if self.replicas[replica].down_until.is_some() {
+                continue;
+            }
+            let reaches = |other: &usize| {
+                self.replicas[*other].down_until.is_none() && self.split[replica][*other] <= now
+            };
+            let has_quorum = (0..REPLICAS).filter(reaches).count() * 2 > REPLICAS;
+            let current = &mut self.replicas[replica];
+            if has_quorum {
+                current.confirmed_at = Some(now);
+            }
+            for heard in &mut current.heard {
+                *heard = heard.filter(|at| now.since(*at) < SILENCE_TIMEOUT);
+            }
+        }
+    }
+
+    fn step_router(&mut self, index: usize, now: Timestamp) {
+        if self.routers[index].down_until.is_some_and(|until| until <= now) {
+            self.routers[index] = Router::new(self.scenario.settings, now);
+        }
+        if self.routers[index].is_running(now) {
+            (0..REPLICAS).for_each(|replica| self.step_link(index, replica, now));
+        }
+    }
+
+    fn step_link(&mut self, index: usize, replica: usize, now: Timestamp) {
+        let link = self.routers[index].links[replica];
+        if link.is_up && now.since(link.heard_at) > SILENCE_TIMEOUT {
+            self.routers[index].links[replica].is_up = false;
+            self.routers[index].builder.set_connected(node(replica), false);
+            return;
+        }
+        if link.next_at > now {
+            return;
+        }
+        let is_reached =
+            self.replicas[replica].down_until.is_none() && self.blocked[index][replica] <= now;
+        let reconnect = Duration::from_millis(self.draws.random_range(100..MAX_RECONNECT_MS));
+        if !is_reached {
+            let pause = if link.is_up { CONFIRM_INTERVAL } else { reconnect };
+            self.routers[index].links[replica].next_at = now.after(pause);
+            return;
+        }
+        let asked = &mut self.replicas[replica];
+        asked.heard[index] = Some(now);
+        let count = asked.heard.iter().flatten().count() as u32;
+        let confirmed_at = asked.confirmed_at;
+        let router = &mut self.routers[index];
+        router.builder.set_connected(node(replica), true);
+        if let Some(_confirmed_at) = confirmed_at {
+            router.builder.set_router_count(node(replica), count);
+            router.router_count = router.builder.router_count();
+            router.is_confirmed = true;
+        }
+        let pause = match router.is_confirmed {
+            true => CONFIRM_INTERVAL,
+            false => FIRST_CONFIRM_INTERVAL,
+        };
+        router.links[replica] = Link { is_up: true, next_at: now.after(pause), heard_at: now };
+    }
+
+    fn send_requests(&mut self, now: Timestamp) {
+        let expected = self.scenario.rate * STEP.as_secs_f64();
+        let count =
+            expected.floor() as usize + usize::from(self.draws.random::<f64>() < expected.fract());
+        for _ in 0..count {
+            self.record.requests.push(now);
+            let running: Vec<usize> = self.targets.clone();
+            let first = self.draws.random_range(0..running.len());
+            let order = running.iter().cycle().skip(first).take(running.len());
+            let found = order.copied().find(|router| self.routers[*router].is_running(now));
+            if let Some(router) = found {
+                self.serve(router, now);
+            }
+        }
+    }
+
+    /// Serves a request; failing servers fail the retries too, of which each request may have two.
+    fn serve(&mut self, index: usize, now: Timestamp) {
+        let count = match self.scenario.counting {
+            Counting::Exact => self.scenario.routers as u32,
+            Counting::Reported => self.routers[index].router_count,
+        };
+        let router = &mut self.routers[index];
+        let local = router.local(now);
+        router.budget.record_request(SERVICE, local);
+        if now < Timestamp::ZERO.after(self.scenario.failing_from) {
+            return;
+        }
+        for _ in 0..2 {
+            if router.budget.take_retry(SERVICE, count, local) {
+                let delay = Duration::from_millis(self.draws.random_range(1..MAX_SEND_MS));
+                self.record.retries.push(now.after(delay));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/retry_budget/main.rs
@@ -0,0 +1,146 @@
+//! All routers together keep the retry budget of a service, in any window.
+
+mod checker;
+mod fleet;
+mod series;
+
+use std::time::Duration;
+
+use juniper_placement::RetrySettings;
+
+use crate::fleet::{Counting, Fault, Fleet, Scenario};
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn scenario(routers: usize, rate: f64, free: f64) -> Scenario {
+    Scenario {
+        settings: RetrySettings { ratio: 0.2, free, window: WINDOW },
+        routers,
+        absent: Vec::new(),
+        rate,
+        failing_from: seconds(15.0),
+        length: seconds(40.0),
+        counting: Counting::Exact,
+        faults: Vec::new(),
+    }
+}
+
+/// Asserts that the scenario keeps the budget with each of the seeds.
+fn assert_kept(scenario: &Scenario, seeds: u64) {
+    for seed in 0..seeds {
+        let worst = Fleet::play(scenario.clone(), seed);
+        assert!(worst.usage() <= 1.0, "seed {seed}: {worst:?}");
+    }
+}
+
+/// Kills of every other router, alternating, `gap` apart.
+fn alternating_kills(routers: usize, from: f64, gap: f64, count: usize) -> Vec<(Duration, Fault)> {
+    let half = move |round: usize| (0..routers).filter(move |router| router % 2 == round % 2);
+    let kills = |round: usize| {
+        let at = seconds(from + gap * round as f64);
+        half(round).map(move |router| (at, Fault::KillRouter(router, seconds(0.5))))
+    };
+    (0..count).flat_map(kills).collect()
+}
+
+#[test]
+fn routers_without_faults_use_most_of_the_budget() {
+    for (routers, rate, free) in [(1, 60.0, 54.0), (7, 60.0, 54.0), (48, 560.0, 180.0)] {
+        let calm = scenario(routers, rate, free);
+        assert_kept(&calm, 4);
+        let worst = Fleet::play(calm, 0);
+        assert!(worst.usage() > 0.5, "{routers} routers: {worst:?}");
+    }
+}
+
+/// Guards against routers that grant their whole share again after each restart.
+#[test]
+fn restarted_routers_exceed_the_retry_budget() {
+    for (routers, rate, free) in [(7, 60.0, 54.0), (48, 560.0, 180.0), (985, 3_600.0, 1_040.0)] {
+        let faults = alternating_kills(routers, 16.0, 2.0, 10);
+        assert_kept(&Scenario { faults, ..scenario(routers, rate, free) }, 4);
+    }
+}
+
+/// Guards against one share for the same window at the routers that callers leave and at those
+/// that they move to.
+#[test]
+fn callers_that_move_between_routers_exceed_the_retry_budget() {
+    for (routers, rate, free) in [(7, 60.0, 20.0), (48, 560.0, 60.0)] {
+        let half = |side: usize| (0..routers).filter(|router| router % 2 == side).collect();
+        let moves = (0..6).map(|round| {
+            let at = seconds(15.5 + 4.0 * f64::from(round));
+            (at, Fault::MoveCallers(half(round as usize % 2)))
+        });
+        let start = (seconds(0.0), Fault::MoveCallers(half(1)));
+        let faults = std::iter::once(start).chain(moves).collect();
+        assert_kept(&Scenario { faults, ..scenario(routers, rate, free) }, 4);
+    }
+}
+
+/// Guards against survivors that take over the free retries of dead routers at once.
+#[test]
+fn survivors_of_dead_routers_exceed_the_retry_budget() {
+    for (routers, free) in [(7, 54.0), (40, 180.0)] {
+        let dead = (0..routers).filter(|router| router % 3 > 0);
+        let kill = |router| (seconds(18.0), Fault::KillRouter(router, seconds(60.0)));
+        let faults = dead.map(kill).collect();
+        let counting = Counting::Reported;
+        assert_kept(&Scenario { faults, counting, ..scenario(routers, 6.0, free) }, 4);
+    }
+}
+
+/// Guards against routers on both sides of a partition that divide the free retries by the number
+/// on their own side.
+#[test]
+fn partitioned_routers_exceed_the_retry_budget() {
+    let (routers, free) = (8, 56.0);
+    let cut = Fault::Cut { routers: vec![0, 1, 2, 3], replicas: vec![0], length: seconds(30.0) };
+    let faults = vec![(seconds(5.0), cut)];
+    let counting = Counting::Reported;
+    assert_kept(&Scenario { faults, counting, ..scenario(routers, 6.0, free) }, 4);
+}
+
+/// Guards against routers that reach different replicas, each of which counts only some of them.
+#[test]
+fn routers_with_different_replicas_exceed_the_retry_budget() {
+    let (routers, free) = (9, 56.0);
+    let block = |router: usize| {
+        let replicas = vec![(router + 1) % 3, (router + 2) % 3];
+        (seconds(1.0), Fault::Block { routers: vec![router], replicas, length: seconds(60.0) })
+    };
+    let faults = (0..routers).map(block).collect();
+    let counting = Counting::Reported;
+    assert_kept(&Scenario { faults, counting, ..scenario(routers, 6.0, free) }, 4);
+}
+
+/// Guards against free retries divided by the few routers that restarted replicas know at first.
+#[test]
+fn restarted_replicas_exceed_the_retry_budget() {
+    for (routers, rate, free) in [(7, 20.0, 54.0), (120, 200.0, 400.0)] {
+        let mut faults = Vec::new();
+        for round in 0..8 {
+            let at = seconds(15.0 + 3.0 * f64::from(round));
+            let kill = |replica| (at, Fault::KillReplica(replica, seconds(0.5)));
+            faults.extend((0..3).map(kill));
+        }
+        let counting = Counting::Reported;
+        assert_kept(&Scenario { faults, counting, ..scenario(routers, rate, free) }, 4);
+    }
+}
+
+/// Number of random series that are played.
+const SERIES: u64 = 150;
+
+/// Guards against combinations of the faults above.
+#[test]
+fn series_of_faults_exceed_the_retry_budget() {
+    for seed in 0..SERIES {
+        let worst = Fleet::play(series::scenario(seed), seed);
+        assert!(worst.usage() <= 1.0, "seed {seed}: {worst:?}");
+    }
+}
