Routers earn retries instead of granting themselves a window's worth

What callers and servers saw: a service got up to 308 retries in 10 s where 255 were allowed while half of the routers were killed again and again, and 273 of 253 while routers were restarted one after the other. Cause: a router granted itself, at any moment, a share of the requests of the last window and its part of the free retries, less what it remembered to have sent. A process that starts remembers nothing and has its part once more; and where callers move, the router that they leave and the one that they come to both spend the share of a whole window. Evidence: retry_budget lines of a router killed five times, 5, 7, 7, 4 and 7 granted within 9 s; the failing tests of restarts and of moving callers, in which the number of routers is exact.

Change: retries are earned with each request, and free ones with time, and only a part of a window's worth can be saved; a router starts with nothing. Why it works: in any window all incarnations together send at most what was saved at its beginning, which is a share of the requests of the window before it, and what was earned since; a restart loses savings and grants none, and a request earns at one router only. No router has to remember or learn anything. Where a router can't save one retry at all it grants by chance.

Measured: restarted_routers_, callers_that_move_, survivors_of_dead_ and restarted_replicas_exceed_the_retry_budget failed before and pass now; three tests of the number of routers stay listed. Sustained use falls from 0.8 to 0.6 of the budget; what that costs is measured separately.

--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -8,8 +8,11 @@
 impl Gateway {
     /// Takes one retry of the request from its service's budget. Returns whether it may be sent.
     pub(crate) fn take_retry(&self, call: &Call) -> bool {
-        let routers = self.feed.router_count();
-        let is_granted = self.retry_budget().take_retry(&call.service, routers, self.now());
+        let now = self.now();
+        let mut budget = self.retry_budget();
+        budget.set_routers(self.feed.router_count(), now);
+        let is_granted = budget.take_retry(&call.service, now, rand::random());
+        drop(budget);
         self.metrics.count_retry(&call.service, is_granted);
         is_granted
     }
@@ -17,7 +20,10 @@
     /// Logs the use of the retry budget of each service that has retried within the window.
     pub(crate) fn log_retry_budgets(&self) {
         let (routers, now) = (self.feed.router_count(), self.now());
-        let used = self.retry_budget().usage(routers, now);
+        let mut budget = self.retry_budget();
+        budget.set_routers(routers, now);
+        let used = budget.usage(now);
+        drop(budget);
         for RetryUsage { service, requests, granted, refused, available } in used {
             log::info!(
                 "event=retry_budget service={service} requests={requests} granted={granted} \
--- a/crates/placement/src/retry_budget.rs
+++ b/crates/placement/src/retry_budget.rs
@@ -1,17 +1,23 @@
 //! Retry budget: bounds retries to a share of the requests of a service.
 //!
-//! The bound holds for all routers together without coordination: each router limits itself to a
-//! share of its own requests plus its share of the free retries. A margin covers temporary errors
-//! in the number of routers.
+//! The bound holds for all routers together without coordination, whatever they forget. A router
+//! earns retries with the requests that it serves and, for its share of the free retries, with the
+//! time for which it runs. It saves only a part of what it has earned, and starts with nothing. In
+//! any window all routers and their earlier incarnations then send at most what was saved when the
+//! window began, which is a share of the requests of the window before it, and what was earned since.
+//! A restart loses savings and grants none, and a request earns retries at one router only.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use juniper_types::Timestamp;
 
-/// Share of the budget that is used. The rest covers errors in the number of routers and retries
-/// that a restarted router no longer counts.
-const BUDGET_SHARE: f64 = 0.8;
+/// Share of the budget that is earned with requests and time.
+const EARNED_SHARE: f64 = 0.6;
+
+/// Share of the budget, for the requests of the last window, that can be saved. Together with
+/// [`EARNED_SHARE`] below one: retries reach their servers some time after they were granted.
+const SAVED_SHARE: f64 = 0.3;
 
 /// Buckets of the sliding window.
 const BUCKETS: u32 = 10;
@@ -50,98 +56,156 @@
     refused: u32,
 }
 
-/// Counts of one service, by bucket.
+/// Account of one service.
 #[derive(Clone, Debug, Default)]
-struct Counts(VecDeque<Bucket>);
+struct Account {
+    /// Counts within the window.
+    buckets: VecDeque<Bucket>,
+    /// Earned retries that haven't been spent.
+    saved: f64,
+    /// Value of [`FreeShare::integral`] up to which free retries were credited.
+    credited: f64,
+}
 
-impl Counts {
-    fn bucket_at(&mut self, number: u64) -> Option<&mut Bucket> {
-        while self.0.front().is_some_and(|bucket| bucket.number + u64::from(BUCKETS) < number) {
-            self.0.pop_front();
+impl Account {
+    /// Starts the bucket of this number, and removes those that have left the window.
+    fn advance(&mut self, number: u64) {
+        while self
+            .buckets
+            .front()
+            .is_some_and(|bucket| bucket.number + u64::from(BUCKETS) <= number)
+        {
+            self.buckets.pop_front();
         }
-        if self.0.back().is_none_or(|bucket| bucket.number < number) {
-            self.0.push_back(Bucket { number, ..Bucket::default() });
+        if self.buckets.back().is_none_or(|bucket| bucket.number < number) {
+            self.buckets.push_back(Bucket { number, ..Bucket::default() });
         }
-        self.0.back_mut()
     }
 
     fn total(&self, count: fn(&Bucket) -> u32) -> u32 {
-        self.0.iter().map(count).sum()
+        self.buckets.iter().map(count).sum()
     }
 
-    /// Retries that would be granted now, with this number of routers.
-    fn available(&self, settings: RetrySettings, routers: u32) -> f64 {
+    fn count(&mut self, change: impl FnOnce(&mut Bucket)) {
+        if let Some(current) = self.buckets.back_mut() {
+            change(current);
+        }
+    }
+
+    /// Most that can be saved.
+    fn max_saved(&self, settings: &RetrySettings, free: &FreeShare) -> f64 {
         let requests = f64::from(self.total(|bucket| bucket.requests));
-        let free = settings.free / f64::from(routers.max(1));
-        let allowed = BUDGET_SHARE * (settings.ratio * requests + free);
-        allowed - f64::from(self.total(|bucket| bucket.retries))
+        SAVED_SHARE * (settings.ratio * requests + settings.free * free.current())
+    }
+
+    /// Credits the free retries earned since the last credit, and applies the maximum.
+    fn credit(&mut self, settings: &RetrySettings, free: &FreeShare) {
+        let windows = (free.integral - self.credited) / settings.window.as_secs_f64();
+        self.credited = free.integral;
+        self.saved += EARNED_SHARE * settings.free * windows;
+        self.saved = self.saved.min(self.max_saved(settings, free));
+    }
+
+    /// Spends one retry. If less than one can be saved at all, the router grants it with the
+    /// probability that is saved, so that on average no more is spent. `draw` is uniform in 0..1.
+    fn spend(&mut self, max_saved: f64, draw: f64) -> bool {
+        if self.saved >= 1.0 {
+            self.saved -= 1.0;
+            return true;
+        }
+        max_saved < 1.0 && draw < std::mem::take(&mut self.saved)
     }
 }
 
-/// This router's share of the retry budget, by service.
+/// This router's share of the free retries over time.
+#[derive(Clone, Copy, Debug)]
+struct FreeShare {
+    /// Number of routers that share them.
+    routers: u32,
+    /// Integral of the share over the time for which this router has run, in seconds.
+    integral: f64,
+    updated: Timestamp,
+}
+
+impl FreeShare {
+    fn current(&self) -> f64 {
+        1.0 / f64::from(self.routers.max(1))
+    }
+
+    fn advance(&mut self, now: Timestamp) {
+        self.integral += self.current() * now.since(self.updated).as_secs_f64();
+        self.updated = self.updated.max(now);
+    }
+}
+
+/// This router's part of the retry budget, by service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     settings: RetrySettings,
-    services: HashMap<String, Counts>,
+    free: FreeShare,
+    accounts: HashMap<String, Account>,
 }
 
 impl RetryBudget {
-    /// A budget without any requests or retries.
-    pub fn new(settings: RetrySettings) -> Self {
-        RetryBudget { settings, services: HashMap::new() }
+    /// A budget without any requests or savings, shared by `routers` routers.
+    pub fn new(settings: RetrySettings, routers: u32) -> Self {
+        let free = FreeShare { routers, integral: 0.0, updated: Timestamp::ZERO };
+        RetryBudget { settings, free, accounts: HashMap::new() }
     }
 
-    fn bucket_number(&self, now: Timestamp) -> u64 {
-        let width = self.settings.window.as_micros() as u64 / u64::from(BUCKETS);
-        now.0 / width.max(1)
+    /// Sets the number of routers that share the budget from now on.
+    pub fn set_routers(&mut self, routers: u32, now: Timestamp) {
+        self.free.advance(now);
+        self.free.routers = routers;
     }
 
-    fn counts(&mut self, service: &str) -> &mut Counts {
-        self.services.entry(service.to_owned()).or_default()
-    }
-
-    /// Counts a caller's request to the service.
+    /// Counts a caller's request to the service, which earns a share of a retry.
     pub fn record_request(&mut self, service: &str, now: Timestamp) {
-        let number = self.bucket_number(now);
-        if let Some(bucket) = self.counts(service).bucket_at(number) {
-            bucket.requests += 1;
-        }
+        let earned = EARNED_SHARE * self.settings.ratio;
+        let account = self.account(service, now);
+        account.saved += earned;
+        account.count(|bucket| bucket.requests += 1);
     }
 
-    /// Takes one retry from the budget. Returns whether `routers` routers together stay within the
-    /// bound.
-    pub fn take_retry(&mut self, service: &str, routers: u32, now: Timestamp) -> bool {
-        let number = self.bucket_number(now);
-        let settings = self.settings;
-        let counts = self.counts(service);
-        if counts.bucket_at(number).is_none() {
-            return false;
-        }
-        let is_allowed = counts.available(settings, routers) >= 1.0;
-        if let Some(bucket) = counts.bucket_at(number) {
-            match is_allowed {
-                true => bucket.retries += 1,
-                false => bucket.refused += 1,
-            }
-        }
-        is_allowed
+    /// Takes one retry from the budget. Returns whether all routers together stay within the bound.
+    /// `draw` is uniform in 0..1.
+    pub fn take_retry(&mut self, service: &str, now: Timestamp, draw: f64) -> bool {
+        let (settings, free) = (self.settings, self.free);
+        let account = self.account(service, now);
+        let max_saved = account.max_saved(&settings, &free);
+        let is_granted = account.spend(max_saved, draw);
+        account.count(|bucket| match is_granted {
+            true => bucket.retries += 1,
+            false => bucket.refused += 1,
+        });
+        is_granted
     }
 
     /// Use of the budget of each service with retries in the window, granted or refused.
-    pub fn usage(&mut self, routers: u32, now: Timestamp) -> Vec<RetryUsage> {
-        let number = self.bucket_number(now);
-        let settings = self.settings;
-        let usage = |(service, counts): (&String, &mut Counts)| {
-            counts.bucket_at(number);
+    pub fn usage(&mut self, now: Timestamp) -> Vec<RetryUsage> {
+        let services: Vec<String> = self.accounts.keys().cloned().collect();
+        let usage = |service: String| {
+            let account = self.account(&service, now);
             RetryUsage {
-                service: service.clone(),
-                requests: counts.total(|bucket| bucket.requests),
-                granted: counts.total(|bucket| bucket.retries),
-                refused: counts.total(|bucket| bucket.refused),
-                available: counts.available(settings, routers),
+                requests: account.total(|bucket| bucket.requests),
+                granted: account.total(|bucket| bucket.retries),
+                refused: account.total(|bucket| bucket.refused),
+                available: account.saved,
+                service,
             }
         };
-        let all = self.services.iter_mut().map(usage);
+        let all = services.into_iter().map(usage);
         all.filter(|usage| usage.granted + usage.refused > 0).collect()
     }
+
+    /// Returns the service's account as of `now`.
+    fn account(&mut self, service: &str, now: Timestamp) -> &mut Account {
+        self.free.advance(now);
+        let width = self.settings.window.as_micros() as u64 / u64::from(BUCKETS);
+        let number = now.0 / width.max(1);
+        let account = self.accounts.entry(service.to_owned()).or_default();
+        account.advance(number);
+        account.credit(&self.settings, &self.free);
+        account
+    }
 }
