--- a/crates/placement/tests/retry_budget/main.rs
+++ b/crates/placement/tests/retry_budget/main.rs
@@ -133,6 +133,17 @@
     }
 }
 
+/// Guards against routers of a growing fleet that divide the free retries by its earlier size.
+#[test]
+fn growing_fleet_exceeds_the_retry_budget() {
+    let routers = 70;
+    let absent: Vec<usize> = (7..routers).collect();
+    let join = |router: &usize| (seconds(18.0), Fault::KillRouter(*router, Duration::ZERO));
+    let faults = absent.iter().map(join).collect();
+    let counting = Counting::Reported;
+    assert_kept(&Scenario { faults, absent, counting, ..scenario(routers, 30.0, 180.0) }, 4);
+}
+
 /// Default number of random series that are played; `RETRY_BUDGET_SERIES` sets another one.
 const DEFAULT_SERIES: u64 = 150;
 
