Say what the shares of the free retries can add up to

Cause: the counter's page and comments called the highest number exact, which it is only if the other routers reach all replicas too. Change: comments and the design page. Measured: nothing was run for this; the figures are arithmetic from the sizes of majorities.

--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -218,7 +218,8 @@
     }
 }
 
-/// Requests a missing catalog again, and expires silent servers and reports of the number of routers.
+/// Requests a missing catalog again, and expires silent servers and outdated reports of the number
+/// of routers.
 struct RetryCatalogFetch;
 
 impl Message<RetryCatalogFetch> for FeedActor {
--- a/crates/feed/src/router_count.rs
+++ b/crates/feed/src/router_count.rs
@@ -9,7 +9,8 @@
 //!   others take over its share after [`RETENTION`], which is longer.
 //! - A replica counts only the routers that reach it. Any two routers reach a common replica if each
 //!   reaches a majority, so that the sum of the numbers that a majority reports is never too low.
-//!   The highest number is exact if all replicas report.
+//!   If all replicas report, the highest number is used. It is exact unless other routers reach
+//!   only some of the replicas; the shares then add up to 1.17 at most.
 //! - Replicas that have just restarted know few routers. After a gap a router uses no share for
 //!   [`SETTLING_TIME`], in which the others reconnect.
 
--- a/crates/placement/src/retry_budget.rs
+++ b/crates/placement/src/retry_budget.rs
@@ -16,7 +16,8 @@
 const EARNED_SHARE: f64 = 0.6;
 
 /// Share of the budget, for the requests of the last window, that can be saved. Together with
-/// [`EARNED_SHARE`] below one: retries reach their servers some time after they were granted.
+/// [`EARNED_SHARE`] below one, because retries reach their servers some time after they were granted
+/// and the shares of the free retries can add up to a little more than one.
 const SAVED_SHARE: f64 = 0.3;
 
 /// Buckets of the sliding window.
