--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -15,7 +15,8 @@
 
 /// Highest term or index accepted from a message or a file.
 ///
-/// Prevents overflow in arithmetic on terms and indexes.
+/// Prevents overflow in arithmetic on terms and indexes. At a million entries per second a log
+/// reaches it after 146,000 years.
 pub const MAX_TERM_OR_INDEX: u64 = 1 << 62;
 
 /// Index and term of a log entry.
--- a/crates/control-state/src/change_ids.rs
+++ b/crates/control-state/src/change_ids.rs
@@ -9,7 +9,7 @@
 use juniper_types::{BlockHash, ChangeId, Revision};
 use minicbor::{Decode, Encode};
 
-/// Maximum number of recorded change ids.
+/// Maximum number of recorded change ids: twelve days at 820 changes a day.
 pub const MAX_CHANGE_IDS: usize = 10_000;
 
 /// Record of an accepted write.
--- a/crates/control-state/src/claims.rs
+++ b/crates/control-state/src/claims.rs
@@ -14,7 +14,7 @@
 
 use crate::answer::{Answer, SettleAnswer};
 
-/// Maximum number of retained claims.
+/// Maximum number of retained claims: with a retention of a day, 23 per second on average.
 pub const MAX_CLAIMS: usize = 2_000_000;
 
 /// Maximum size of a retained outcome body, in bytes.
@@ -51,7 +51,8 @@
     pub now: u64,
 }
 
-/// Time range of the keys in one bucket, in seconds.
+/// Time range of the keys in one bucket, in seconds. At 23 claims per second a bucket holds about
+/// 1,400.
 const BUCKET_SECONDS: u64 = 60;
 
 /// Claims with keys created within the same time range.
--- a/crates/control-state/src/departures.rs
+++ b/crates/control-state/src/departures.rs
@@ -9,10 +9,12 @@
 
 /// Minimum retention time of a departure, in seconds. Longer than the times after which
 /// replicas (60 s) and routers (90 s) evict an unreachable server, so that the departed server
-/// isn't registered again.
+/// isn't registered again. A bound by number alone would last 12 s while a fleet of ten thousand
+/// servers is replaced.
 const RETENTION_SECONDS: u64 = 150;
 
-/// Maximum number of retained departures. Bounds the size of a snapshot to a few megabytes.
+/// Maximum number of retained departures: seven times as many as 64 per second in the retention
+/// time. Bounds the size of a snapshot to a few megabytes.
 const MAX_RETAINED_DEPARTURES: usize = 65_536;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/control-state/src/history.rs
+++ b/crates/control-state/src/history.rs
@@ -6,7 +6,7 @@
 use juniper_types::{ChangeId, Revision};
 use minicbor::{Decode, Encode};
 
-/// Maximum number of retained revisions.
+/// Maximum number of retained revisions: more than a day at 820 changes a day.
 pub const MAX_HISTORY_REVISIONS: usize = 1_000;
 
 /// Maximum size of the retained changes, in bytes. The latest one is retained at any size.
--- a/crates/control-state/src/rate.rs
+++ b/crates/control-state/src/rate.rs
@@ -6,7 +6,7 @@
 
 use minicbor::{Decode, Encode};
 
-/// Average number of writes accepted per minute.
+/// Average number of writes accepted per minute: a thousand times the mean of 820 a day.
 pub const WRITES_PER_MINUTE: u64 = 600;
 
 /// Capacity of the token bucket, in writes.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,7 +5,8 @@
 use juniper_placement::RetrySettings;
 use juniper_types::FingerprintKey;
 
-/// Longest time that a request is expected to wait in a server's queue.
+/// Longest time that a request is expected to wait in a server's queue: 2.2 s occurred with a third
+/// of the servers down.
 const MAX_EXPECTED_QUEUE_TIME: Duration = Duration::from_millis(2_500);
 
 /// Settings of a gateway.
--- a/crates/limits/src/owner.rs
+++ b/crates/limits/src/owner.rs
@@ -8,7 +8,8 @@
 use crate::account::{ChargeRequest, RateLimit, Verdict};
 use crate::bucket::TokenBucket;
 
-/// Half-life of the counters of an account's recent requests.
+/// Half-life of the counters of an account's recent requests. A tenant sends a few requests through
+/// one router in this time.
 pub(crate) const RECENT_HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// Idle time after which an account is removed. Its bucket is full again by then.
--- a/crates/placement/src/cached_segments.rs
+++ b/crates/placement/src/cached_segments.rs
@@ -9,7 +9,8 @@
 use juniper_types::Timestamp;
 
 /// Share of the cache capacity that the model uses. The rest is left for generated tokens, partial
-/// blocks and prompts missing from the dispatch reports.
+/// blocks and prompts missing from the dispatch reports. 0.7 scored lower, and 1.1 no higher
+/// (`docs/experiments/ikaze-shops.md`).
 const USABLE_CACHE_SHARE: f64 = 0.9;
 
 /// Maximum number of recorded uses. The only bound if the cache capacity is unknown.
--- a/crates/quarantine/src/interrupted_requests.rs
+++ b/crates/quarantine/src/interrupted_requests.rs
@@ -12,7 +12,7 @@
 use juniper_types::{RequestFingerprint, Timestamp};
 
 /// Time after the last interruption within which a crash can be proven. Longer than a supervisor
-/// takes to restart a server.
+/// takes to restart a server (3.2 to 3.4 s).
 const PROOF_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Maximum number of interrupted requests that wait for a proof; further ones are ignored.
--- a/crates/renewal/src/load_trials.rs
+++ b/crates/renewal/src/load_trials.rs
@@ -17,7 +17,8 @@
 const MAX_CRASHES: u32 = 3;
 
 /// Delay after a crash until the next server is ordered, once a version is tried with one server at
-/// a time. About the time that a server takes to restart.
+/// a time. About the time that a server takes to restart (3.2 to 3.4 s), so that the service lacks
+/// only one or two servers.
 const CRASH_RETRY_DELAY: Duration = Duration::from_secs(3);
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/routing/src/positions.rs
+++ b/crates/routing/src/positions.rs
@@ -7,7 +7,7 @@
 use crate::groups::Position;
 
 /// Engine numbers below this bound use an array, because one decision may look
-/// up more than a thousand holders.
+/// up each of 1,500 holders, and fleets number their engines from small numbers on.
 const DENSE_ENGINE_NUMBERS: usize = 1 << 16;
 
 /// Array entry of a number without an engine.
--- a/crates/settings/src/ranges.rs
+++ b/crates/settings/src/ranges.rs
@@ -10,7 +10,7 @@
 
 /// One hour.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
-/// Requests per second.
+/// Requests per second. Far above the 3,600 of the largest supported deployment.
 const MAX_RATE_PER_SECOND: f64 = 1_000_000.0;
 const MAX_COUNT: u32 = 1_000_000;
 /// Number of accelerators of the largest supported deployment.
--- a/crates/storage/src/storage.rs
+++ b/crates/storage/src/storage.rs
@@ -16,7 +16,8 @@
 /// Size at which a segment is closed, in bytes.
 ///
 /// Old entries are deleted in units of segments. The bound also limits how much is
-/// written again at start, when entries after the mark are rewritten.
+/// written again at start, when entries after the mark are rewritten; 8 MiB are read in
+/// well under a second.
 const SEGMENT_BYTES: u64 = 8 << 20;
 
 /// Segment that is no longer written to.
