--- a/crates/feed/src/router_count.rs
+++ b/crates/feed/src/router_count.rs
@@ -87,7 +87,7 @@
     }
 
     /// The number as of `now`, in a group of these members; `None` before the first report. Must be
-    /// called several times per [`SETTLING_TIME`].
+    /// called every few hundred milliseconds.
     pub fn count(&mut self, members: &BTreeSet<NodeId>, now: Timestamp) -> Option<RouterCount> {
         let is_current = |report: &Report| now.since(report.confirmed_at) <= MAX_REPORT_AGE;
         let current: Vec<u32> = self
