More of the retries by requests is earned, less is saved

Cause: a part of 0.3 of the retries by requests was kept for bursts, which a restart loses, and 0.6 earned. Change: 0.75 earned and 0.15 saved by requests; the free ones stay at 0.6 and 0.3, so that a quiet service has a whole retry saved. The sum is the same, and so is the bound.

--- a/crates/placement/src/retry_budget.rs
+++ b/crates/placement/src/retry_budget.rs
@@ -12,17 +12,26 @@
 
 use juniper_types::Timestamp;
 
-/// Share of the budget that is earned with requests and time.
-const EARNED_SHARE: f64 = 0.6;
+/// Shares of the retries by requests: of those earned with each request, and of those for the
+/// requests of the last window that can be saved. Together below one, because retries reach their
+/// servers some time after they were granted.
+const BY_REQUESTS: Split = Split { earned: 0.75, saved: 0.15 };
 
-/// Share of the budget, for the requests of the last window, that can be saved. Together with
-/// [`EARNED_SHARE`] below one, because retries reach their servers some time after they were granted
-/// and the shares of the free retries can add up to a little more than one.
-const SAVED_SHARE: f64 = 0.3;
+/// The same shares of the free retries. More is saved, so that a quiet service can retry at once.
+/// Below one also because the shares of all routers can add up to a little more than one.
+const FREE: Split = Split { earned: 0.6, saved: 0.3 };
 
 /// Buckets of the sliding window.
 const BUCKETS: u32 = 10;
 
+/// Shares of a part of the budget.
+struct Split {
+    /// Earned in a window.
+    earned: f64,
+    /// Saved at most.
+    saved: f64,
+}
+
 /// Bounds on retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetrySettings {
@@ -96,14 +105,15 @@
     /// Most that can be saved.
     fn max_saved(&self, settings: &RetrySettings, free: &FreeShare) -> f64 {
         let requests = f64::from(self.total(|bucket| bucket.requests));
-        SAVED_SHARE * (settings.ratio * requests + settings.free * free.current())
+        let by_requests = BY_REQUESTS.saved * settings.ratio * requests;
+        by_requests + FREE.saved * settings.free * free.current()
     }
 
     /// Credits the free retries earned since the last credit, and applies the maximum.
     fn credit(&mut self, settings: &RetrySettings, free: &FreeShare) {
         let windows = (free.integral - self.credited) / settings.window.as_secs_f64();
         self.credited = free.integral;
-        self.saved += EARNED_SHARE * settings.free * windows;
+        self.saved += FREE.earned * settings.free * windows;
         self.saved = self.saved.min(self.max_saved(settings, free));
     }
 
@@ -164,7 +174,7 @@
 
     /// Counts a caller's request to the service, which earns a share of a retry.
     pub fn record_request(&mut self, service: &str, now: Timestamp) {
-        let earned = EARNED_SHARE * self.settings.ratio;
+        let earned = BY_REQUESTS.earned * self.settings.ratio;
         let account = self.account(service, now);
         account.saved += earned;
         account.count(|bucket| bucket.requests += 1);
