--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -9,6 +9,7 @@
 mod fault;
 mod index;
 mod model;
+mod objectives;
 mod split;
 
 pub use fault::CatalogFault;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,10 +1,11 @@
 //! State shared by all requests of a gateway.
 
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use juniper_catalog::{Route, WeightedSplit};
+use juniper_catalog::{EngineProfile, Route, WeightedSplit};
 use juniper_crash_watch::CrashWatch;
 use juniper_feed::{Feed, FleetView};
 use juniper_limits::FleetShare;
@@ -180,19 +181,32 @@
     }
 }
 
-/// Cost of KV transfers and cache size of each service with model engines.
+/// Profiles of the services that run model engines or have tight objectives.
 fn service_profiles(view: &FleetView) -> HashMap<String, ServiceProfile> {
     let Some(index) = &view.catalog else { return HashMap::new() };
-    let services = &index.catalog().services;
-    let stores = services.iter().filter_map(|service| service.store.as_ref());
+    let catalog = index.catalog();
+    let stores = catalog.services.iter().filter_map(|service| service.store.as_ref());
     let stores: Vec<_> = stores.map(|store| store.address).collect();
-    let engines = services.iter().filter_map(|service| {
-        let engine = service.engine.as_ref()?;
-        let bits_per_ms = engine.link_mbps * 1_000.0 * LINK_SHARE;
-        let bits = engine.token_bytes as f64 * 8.0;
-        let transfer_ms_per_token = if bits_per_ms > 0.0 { bits / bits_per_ms } else { 0.0 };
-        let (cache_tokens, stores) = (engine.cache_tokens, stores.clone());
-        Some((service.name.clone(), ServiceProfile { transfer_ms_per_token, cache_tokens, stores }))
+    let profiles = catalog.services.iter().filter_map(|service| {
+        let is_tight = catalog.is_tight(service);
+        let profile = match &service.engine {
+            Some(engine) => engine_profile(engine, stores.clone(), is_tight),
+            None if is_tight => ServiceProfile { is_tight, ..ServiceProfile::default() },
+            None => return None,
+        };
+        Some((service.name.clone(), profile))
     });
-    engines.collect()
+    profiles.collect()
+}
+
+/// Cost of KV transfers and cache size of a service with model engines.
+fn engine_profile(
+    engine: &EngineProfile,
+    stores: Vec<SocketAddrV4>,
+    is_tight: bool,
+) -> ServiceProfile {
+    let bits_per_ms = engine.link_mbps * 1_000.0 * LINK_SHARE;
+    let bits = engine.token_bytes as f64 * 8.0;
+    let transfer_ms_per_token = if bits_per_ms > 0.0 { bits / bits_per_ms } else { 0.0 };
+    ServiceProfile { transfer_ms_per_token, cache_tokens: engine.cache_tokens, stores, is_tight }
 }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -104,6 +104,9 @@
     pub cache_tokens: u64,
     /// Addresses of the KV stores, if there are any.
     pub stores: Vec<SocketAddrV4>,
+    /// Whether the configuration gives the service tight objectives, for which the fixed part of an
+    /// answer's time matters.
+    pub is_tight: bool,
 }
 
 impl ServiceProfile {
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -21,8 +21,12 @@
 const TIE_ROTATION: u32 = 7;
 
 /// Profile of an unknown service.
-static DEFAULT_PROFILE: ServiceProfile =
-    ServiceProfile { transfer_ms_per_token: 0.0, cache_tokens: 0, stores: Vec::new() };
+static DEFAULT_PROFILE: ServiceProfile = ServiceProfile {
+    transfer_ms_per_token: 0.0,
+    cache_tokens: 0,
+    stores: Vec::new(),
+    is_tight: false,
+};
 
 /// Maximum cost of a cold server, in milliseconds.
 const MAX_COLD_COST_MS: f64 = 400.0;
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -331,6 +331,7 @@
         transfer_ms_per_token: 0.005,
         cache_tokens: 160_000,
         stores: stores.clone(),
+        ..ServiceProfile::default()
     };
     placement.set_profiles(HashMap::from([(SERVICE.to_owned(), profile)]));
     let mut chains = [0; 3];
@@ -349,8 +350,12 @@
 fn store_gets_only_prompts_with_uncached_shared_segments() {
     let mut placement = placement(1);
     let store = SocketAddrV4::new(Ipv4Addr::new(172, 20, 0, 1), 8_000);
-    let profile =
-        ServiceProfile { transfer_ms_per_token: 0.005, cache_tokens: 160_000, stores: vec![store] };
+    let profile = ServiceProfile {
+        transfer_ms_per_token: 0.005,
+        cache_tokens: 160_000,
+        stores: vec![store],
+        ..ServiceProfile::default()
+    };
     placement.set_profiles(HashMap::from([(SERVICE.to_owned(), profile)]));
     assert_eq!(send(&mut placement, &prompt(1, 1), 0).store, Some(store));
     let cached = choose(&mut placement, &prompt(1, 2), 1_000);
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -47,8 +47,11 @@
     let mut placement = Placement::new("north");
     let instances: InstanceMap = (1..=count).map(|number| Arc::new(instance(number, 1))).collect();
     placement.set_instances(&instances);
-    let profile =
-        ServiceProfile { transfer_ms_per_token: 0.005, cache_tokens: 160_000, stores: Vec::new() };
+    let profile = ServiceProfile {
+        transfer_ms_per_token: 0.005,
+        cache_tokens: 160_000,
+        ..ServiceProfile::default()
+    };
     placement.set_profiles(HashMap::from([(SERVICE.to_owned(), profile)]));
     placement
 }
