Refusals of limits without waiting for silent owners: known refusals and owner timeouts

Cause: a response with status 429 took 300 ms while the owner of the limit was frozen, and a tenant that floods its limit costs a message to the owner for each request.

Change: KnownRefusals repeats an owner's refusal with a decreasing time. The owner admits while its bucket isn't overdrawn, whatever the size, so a refusal also holds for smaller requests. The time in a refusal has a random part, so it is repeated for at most half of the time in which an empty bucket fills. OwnerTimeout waits 15 ms or three round trips, at most 100 ms, and lets single requests ask a silent owner after 50 to 800 ms.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -7,6 +7,8 @@
 //!   that a quorum has recently confirmed owns the account.
 //! - [`LocalLimits`] decides on a router that reaches no owner. The router then admits its
 //!   [`FleetShare`] of a fraction of the limit.
+//! - [`OwnerTimeout`] decides how long a router waits for an owner, and [`KnownRefusals`] repeats
+//!   refusals of an owner that still hold.
 //! - [`AdvertisedLimit`] is the limit that a server's answer advertises. [`ServerLimit`] tracks it
 //!   on a router and decides when to report it to the other routers.
 //! - [`ServerNotice`] is a backoff request or departure announcement in a server's answer.
@@ -17,9 +19,11 @@
 mod account;
 mod advertised_limit;
 mod bucket;
+mod known_refusals;
 mod local;
 mod notice;
 mod owner;
+mod owner_timeout;
 mod owners;
 mod server_limit;
 mod share;
@@ -27,9 +31,11 @@
 pub use account::{ChargeRequest, RateLimit, Verdict};
 pub use advertised_limit::{AdvertisedLimit, RateError, RequestRate};
 pub use bucket::TokenBucket;
+pub use known_refusals::KnownRefusals;
 pub use local::LocalLimits;
 pub use notice::{BackoffError, DepartureNotice, RequestedBackoff, ServerNotice};
 pub use owner::LimitOwner;
+pub use owner_timeout::{OwnerQuery, OwnerTimeout};
 pub use owners::rank_owners;
 pub use server_limit::{Allowance, Decider, PeerLimit, ServerLimit};
 pub use share::FleetShare;
--- a/crates/limits/src/owner.rs
+++ b/crates/limits/src/owner.rs
@@ -22,7 +22,7 @@
 pub(crate) const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Longest retry delay given to a caller.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+pub(crate) const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
 /// Converts a decaying sum with the half-life [`RECENT_HALF_LIFE`] to units per second.
 pub(crate) fn per_second(sum: &Decaying, now: Timestamp) -> f64 {
--- a/crates/limits/tests/strategies/main.rs
+++ b/crates/limits/tests/strategies/main.rs
@@ -4,10 +4,12 @@
 
 mod owned;
 mod shares;
+mod tight;
 mod world;
 
 use owned::OwnerStrategy;
 use shares::{DemandShares, EvenShares};
+use tight::TightStrategy;
 use world::{Fault, Outcome, World, simulate};
 
 /// Number of seeds unless `LIMIT_SEEDS` is set.
@@ -50,6 +52,61 @@
     }
 }
 
+/// Guards against an excess by short timeouts: routers that decide by their shares while the owner
+/// goes on admitting for others.
+#[test]
+fn with_short_timeouts_the_excess_stays_within_the_documented_bound() {
+    let (mut worst, mut asked, mut arrivals) = (0.0f64, 0, 0);
+    let worlds = (0..seeds()).map(World::random).chain((0..seeds()).map(World::silent_owner));
+    for (index, world) in worlds.enumerate() {
+        let mut strategy = TightStrategy::new(&world);
+        let outcome = simulate(&world, &mut strategy);
+        (asked, arrivals) = (asked + strategy.asked, arrivals + world.arrivals.len());
+        let allowed = world.limit.per_second * world::WINDOW_S + world.limit.burst;
+        let bound = excess_bound(&world);
+        worst = worst.max(outcome.excess);
+        assert!(
+            outcome.most_in_window <= allowed + bound + 1e-6,
+            "world {index}: {} of {allowed} + {bound} with {:?}",
+            outcome.most_in_window,
+            world.fault
+        );
+    }
+    println!("worst excess {worst:.3}, asked {:.3} of requests", asked as f64 / arrivals as f64);
+}
+
+/// Guards against callers over their limit that wait for a frozen owner: its refusals took 300 ms.
+#[test]
+fn the_median_refusal_takes_less_than_20_ms_while_the_owner_is_frozen() {
+    let mut delays = Vec::new();
+    for world in (0..seeds()).map(World::silent_owner) {
+        let Fault::FrozenReplica { from, until, .. } = world.fault else { continue };
+        let mut strategy = TightStrategy::new(&world);
+        simulate(&world, &mut strategy);
+        let frozen = strategy.refusals.iter().filter(|(at, _)| (from..until).contains(at));
+        delays.extend(frozen.map(|(_, delay)| *delay));
+    }
+    delays.sort_unstable();
+    let (median, p95) = (delays[delays.len() / 2], delays[delays.len() * 95 / 100]);
+    println!("refusals while frozen: {}, median {median} ms, p95 {p95} ms", delays.len());
+    assert!(median < 20, "{median} ms");
+    assert!(p95 <= 100, "{p95} ms");
+}
+
+/// Guards against refusals that are repeated for so long that a part of the limit is lost.
+#[test]
+fn repeated_refusals_leave_the_limit_as_utilized_as_the_owner_alone() {
+    for skewed in [true, false] {
+        let world = |seed| if skewed { World::skewed(seed) } else { World::without_fault(seed) };
+        let worlds: Vec<World> = (0..200).map(world).collect();
+        let owned = compare(|world| simulate(world, &mut OwnerStrategy::new(world)), &worlds);
+        let tight = compare(|world| simulate(world, &mut TightStrategy::new(world)), &worlds);
+        println!("skewed {skewed}: owner {owned:?}, known refusals {tight:?}");
+        assert!(tight.0 > owned.0 - 0.01, "{tight:?} {owned:?}");
+        assert!(tight.1 <= owned.1 + 0.01, "{tight:?} {owned:?}");
+    }
+}
+
 /// Mean utilization and worst excess over `worlds`.
 fn compare(strategy: impl Fn(&World) -> Outcome, worlds: &[World]) -> (f64, f64) {
     let outcomes: Vec<Outcome> = worlds.iter().map(strategy).collect();
--- a/crates/limits/tests/strategies/world.rs
+++ b/crates/limits/tests/strategies/world.rs
@@ -1,7 +1,7 @@
 //! Simulated fleet of routers and replicas with the requests of one tenant and one fault.
 
-use juniper_limits::RateLimit;
-use juniper_types::Timestamp;
+use juniper_limits::{RateLimit, rank_owners};
+use juniper_types::{NodeId, Timestamp};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -48,6 +48,25 @@
         from: u64,
         until: u64,
     },
+    /// A replica doesn't answer, and handles what it received when it goes on with its state.
+    FrozenReplica {
+        replica: usize,
+        from: u64,
+        until: u64,
+    },
+    /// A replica answers later by this many milliseconds.
+    SlowReplica {
+        replica: usize,
+        delay: u64,
+        from: u64,
+        until: u64,
+    },
+    /// A replica doesn't answer for 40 ms out of every 200 ms.
+    StallingReplica {
+        replica: usize,
+        from: u64,
+        until: u64,
+    },
 }
 
 /// A request of the tenant.
@@ -91,6 +110,24 @@
         Self::with(rng, routers, replicas, fault, demand_ratio, 1.0)
     }
 
+    /// Creates a world whose owner is frozen, slow or stalls while the demand is 1.2 to 5 times the
+    /// limit.
+    pub fn silent_owner(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let routers = rng.random_range(4..80);
+        let replicas = rng.random_range(3..9);
+        let replica = rank_owners((0..replicas as u64).map(NodeId), "tenant")[0].0 as usize;
+        let from = rng.random_range(2_000..14_000);
+        let until = from + rng.random_range(300..9_000);
+        let fault = match rng.random_range(0..3) {
+            0 => Fault::FrozenReplica { replica, from, until },
+            1 => Fault::SlowReplica { replica, delay: rng.random_range(5..300), from, until },
+            _ => Fault::StallingReplica { replica, from, until },
+        };
+        let demand_ratio = rng.random_range(1.2..5.0);
+        Self::with(rng, routers, replicas, fault, demand_ratio, 1.0)
+    }
+
     /// Creates a world without a fault in which one of many routers receives nearly all requests,
     /// with a demand of twice the limit.
     pub fn skewed(seed: u64) -> Self {
@@ -98,6 +135,12 @@
         Self::with(rng, 40, 6, Fault::None, 2.0, 12.0)
     }
 
+    /// Creates a world without a fault whose 40 routers receive equally many requests, with a demand
+    /// of twice the limit.
+    pub fn without_fault(seed: u64) -> Self {
+        Self::with(ChaCha8Rng::seed_from_u64(seed), 40, 6, Fault::None, 2.0, 1.0)
+    }
+
     /// Creates a world with a demand of `demand_ratio` times the limit. A higher `skew`
     /// concentrates the requests on fewer routers.
     fn with(
@@ -136,6 +179,30 @@
         }
     }
 
+    /// Time at which the replica answers a request that reaches it at `now`, without the round
+    /// trip.
+    pub fn answers_at(&self, replica: usize, now: u64) -> u64 {
+        match self.fault {
+            Fault::FrozenReplica { replica: frozen, from, until }
+                if frozen == replica && (from..until).contains(&now) =>
+            {
+                until
+            }
+            Fault::SlowReplica { replica: slow, delay, from, until }
+                if slow == replica && (from..until).contains(&now) =>
+            {
+                now + delay
+            }
+            Fault::StallingReplica { replica: stalling, from, until }
+                if stalling == replica && (from..until).contains(&now) =>
+            {
+                let (start, length) = ((now - from) / 200 * 200 + from, 40);
+                now.max(start + length)
+            }
+            _ => now,
+        }
+    }
+
     /// Whether the router's requests reach the replica.
     pub fn reaches(&self, router: usize, replica: usize, now: u64) -> bool {
         let is_partitioned = match self.fault {
@@ -152,6 +219,11 @@
 
     /// Whether the router considers the replica connected. A failure is detected with a delay.
     pub fn seems_connected(&self, router: usize, replica: usize, now: u64) -> bool {
+        if let Fault::FrozenReplica { replica: frozen, from, until } = self.fault
+            && frozen == replica
+        {
+            return !(from + DETECTION_MS..until).contains(&now);
+        }
         let earliest = now.saturating_sub(DETECTION_MS);
         self.reaches(router, replica, now)
             || (earliest..now).step_by(50).any(|past| self.reaches(router, replica, past))
