Schedule of the returns of refused callers (juniper-waiting)

Change: ReturnSchedule promises a return only after the expected end of the overload phase, as far as the capacity exceeds the mean load, within a third of the caller's time; other refusals are final.

--- /dev/null
+++ b/crates/waiting/tests/schedule.rs
@@ -0,0 +1,126 @@
+//! Unit tests of the schedule of returns.
+
+use std::time::Duration;
+
+use juniper_types::Timestamp;
+use juniper_waiting::{PromiseCounts, Return, ReturnSchedule};
+use quickcheck::QuickCheck;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+/// Time of a return, in milliseconds; `None` for a final refusal.
+fn wait_ms(answer: Return) -> Option<u64> {
+    match answer {
+        Return::At(wait) => Some(wait.as_millis() as u64),
+        Return::Final => None,
+    }
+}
+
+/// Schedule after 20 s with five urgent and five other requests per second that were admitted.
+fn calm() -> ReturnSchedule {
+    let mut schedule = ReturnSchedule::default();
+    for number in 0..200 {
+        schedule.record_admission((number % 2) as u8, at(number * 100));
+    }
+    schedule
+}
+
+/// Guards against a `Retry-After` that callers don't follow: they wait for up to a third of their
+/// time.
+#[test]
+fn a_return_is_within_a_third_of_the_remaining_time() {
+    fn holds(time_left: u16, excess: u16, rank: u8, random: u8, refusals: u8) -> bool {
+        let (time_left, random) = (ms(u64::from(time_left)), f64::from(random) / 256.0);
+        [ReturnSchedule::default(), calm()].into_iter().all(|mut schedule| {
+            (0..u64::from(refusals % 16)).all(|number| {
+                let now = at(20_000 + number * 100);
+                schedule.record_overload(ms(u64::from(excess)), now);
+                match schedule.next(rank, time_left, now, random) {
+                    Return::At(wait) => wait <= time_left / 3 && wait >= ms(30),
+                    Return::Final => true,
+                }
+            })
+        })
+    }
+    QuickCheck::new().tests(500).quickcheck(holds as fn(u16, u16, u8, u8, u8) -> bool);
+}
+
+/// Guards against a retry that is known to come too early or too late.
+#[test]
+fn a_refusal_is_final_if_the_overload_lasts_longer_than_a_third_of_the_remaining_time() {
+    for mut schedule in [ReturnSchedule::default(), calm()] {
+        schedule.record_overload(ms(1_001), at(20_000));
+        assert_eq!(schedule.next(0, ms(3_000), at(20_000), 0.5), Return::Final);
+    }
+    assert_eq!(calm().next(0, ms(60), at(20_000), 0.5), Return::Final);
+}
+
+/// Guards against a restarted router, without any rates, that tells all callers the same time.
+#[test]
+fn after_a_restart_returns_are_spread_over_the_time_that_callers_wait() {
+    let mut schedule = ReturnSchedule::default();
+    schedule.record_overload(ms(100), at(5));
+    let next = |random| {
+        let answer = schedule.next(1, ms(3_000), at(5), random);
+        wait_ms(answer).expect("a return")
+    };
+    let waits: Vec<u64> = [0.0, 0.25, 0.5, 0.75].map(next).into();
+    assert_eq!(waits, [100, 325, 550, 775]);
+}
+
+#[test]
+fn returns_are_spread_as_far_as_capacity_is_free() {
+    let mut schedule = calm();
+    let waits: Vec<u64> =
+        (0..20).filter_map(|_| wait_ms(schedule.next(1, ms(15_000), at(20_000), 0.5))).collect();
+    assert!((2..20).contains(&waits.len()), "{waits:?}");
+    for (index, wait) in waits.iter().enumerate() {
+        let close = waits.iter().filter(|other| other.abs_diff(*wait) <= 100).count();
+        assert!(close <= 2, "{index}: {waits:?}");
+    }
+}
+
+/// Guards against urgent callers behind less urgent ones that were refused before.
+#[test]
+fn an_urgent_caller_returns_before_less_urgent_ones_that_were_refused_earlier() {
+    let mut schedule = calm();
+    let others: Vec<u64> =
+        (0..10).filter_map(|_| wait_ms(schedule.next(1, ms(15_000), at(20_000), 0.5))).collect();
+    let urgent = wait_ms(schedule.next(0, ms(15_000), at(20_000), 0.5)).expect("a return");
+    assert!(others.iter().all(|other| urgent <= *other), "{urgent} {others:?}");
+}
+
+/// Guards against a better place for callers that don't wait: each refusal gets a later time.
+#[test]
+fn callers_that_return_at_once_get_later_places() {
+    let mut schedule = calm();
+    let first = wait_ms(schedule.next(1, ms(15_000), at(20_000), 0.5)).expect("a return");
+    let mut last = first;
+    for number in 1..5 {
+        let now = 20_000 + number * 5;
+        let Some(wait) = wait_ms(schedule.next(1, ms(15_000), at(now), 0.5)) else { return };
+        assert!(now - 20_000 + wait >= last, "{wait} {last}");
+        last = now - 20_000 + wait;
+    }
+}
+
+#[test]
+fn the_next_request_of_the_rank_after_its_time_tells_whether_a_promise_held() {
+    let mut schedule = ReturnSchedule::default();
+    for now in [0, 1] {
+        assert_eq!(schedule.next(1, ms(3_000), at(now), 0.0), Return::At(ms(30)));
+    }
+    schedule.record_admission(0, at(40));
+    schedule.record_admission(1, at(41));
+    schedule.next(1, ms(10), at(42), 0.0);
+    schedule.record_admission(1, at(43));
+    let counts = schedule.take_counts();
+    assert_eq!(counts, PromiseCounts { promised: 2, held: 1, broken: 1 });
+    assert_eq!(schedule.take_counts(), PromiseCounts::default());
+}
