--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -33,9 +33,9 @@
     NoServer(Duration),
     /// All servers are full. The request has not run and may be retried after the duration.
     Full(Duration),
-    /// The queues of the servers are too long. The request has not run and may be retried after the
-    /// duration.
-    Overloaded(Duration),
+    /// The servers are overloaded. The request has not run and may be retried after the duration;
+    /// without one, no capacity is expected in the time that the caller has left.
+    Overloaded(Option<Duration>),
     /// All servers have reached their advertised limits. The request has not run and may be retried
     /// after the duration.
     ServersAtLimit(Duration),
@@ -106,14 +106,20 @@
             OwnAnswer::Unconfirmed => Some(UNCONFIRMED_RETRY_AFTER),
             OwnAnswer::NoServer(retry_after)
             | OwnAnswer::Full(retry_after)
-            | OwnAnswer::Overloaded(retry_after)
             | OwnAnswer::ServersAtLimit(retry_after)
             | OwnAnswer::ServersBackingOff(retry_after)
             | OwnAnswer::OverLimit(retry_after) => Some(retry_after),
+            OwnAnswer::Overloaded(retry_after) => retry_after,
             _ => None,
         }
     }
 
+    /// `Retry-After` for logs: `retry_after_ms`, -1 for none, and whether the answer is final.
+    pub(crate) fn retry_fields(self) -> String {
+        let retry_after_ms = self.retry_after().map_or(-1, |wait| wait.as_millis() as i64);
+        format!("retry_after_ms={retry_after_ms} final={}", self.retry_after().is_none())
+    }
+
     /// Builds the response; `id` is the caller's request id, if one could be parsed.
     pub(crate) fn response(
         self,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -167,8 +167,9 @@
             let age_ms = gateway.feed.confirmation_age().map_or(-1, |age| age.as_millis() as i64);
             log::info!(
                 "event=request_refused request={request_id} reason={reason} status={status} \
-                 catalog={} age_ms={age_ms}",
-                gateway.feed.latest().catalog_version()
+                 catalog={} age_ms={age_ms} {}",
+                gateway.feed.latest().catalog_version(),
+                answer.retry_fields()
             );
             gateway.metrics.count_own_answer(None, answer);
             Some(answer.response(&*gateway.dialect, Some(&id)))
--- a/crates/gateway/src/finish.rs
+++ b/crates/gateway/src/finish.rs
@@ -19,7 +19,7 @@
 ) -> Response<AnswerBody> {
     log::info!(
         "event=request_done request={} route={} outcome=own_answer reason={} status={} sent={} \
-         may_have_run={} unreachable={} took_ms={}",
+         may_have_run={} unreachable={} took_ms={} {}",
         call.id(),
         call.route.name,
         answer.reason(),
@@ -27,7 +27,8 @@
         progress.sent,
         progress.may_have_run,
         progress.unreachable,
-        call.arrived.elapsed().as_millis()
+        call.arrived.elapsed().as_millis(),
+        answer.retry_fields()
     );
     if let Some(granted_charge) =
         call.granted_charge.as_ref().filter(|_| progress.may_have_run == 0)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use juniper_catalog::{EngineProfile, Route, WeightedSplit};
+use juniper_catalog::{Catalog, EngineProfile, Route, WeightedSplit};
 use juniper_crash_watch::CrashWatch;
 use juniper_feed::{Feed, FleetView};
 use juniper_limits::FleetShare;
@@ -21,6 +21,7 @@
 use crate::lock::lock;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::returns::Returns;
 use crate::settings::GatewaySettings;
 use crate::startup::StartupQueue;
 use crate::updates::UpdateQueue;
@@ -56,7 +57,9 @@
     /// Requests that wait for the first confirmed configuration.
     pub startup: StartupQueue,
     /// Tenants' limits.
-    pub limits: Limits,
+    pub limits: Arc<Limits>,
+    /// Returns of refused callers.
+    pub returns: Returns,
     /// Evidence of requests that crash servers.
     pub crashes: Arc<CrashWatch>,
     /// Number of fleet views that the placement has applied.
@@ -80,7 +83,8 @@
             splits: Mutex::default(),
             updates: UpdateQueue::default(),
             startup: StartupQueue::default(),
-            limits: Limits::default(),
+            limits: Arc::default(),
+            returns: Returns::default(),
             pool: Pool::default(),
             crashes: Arc::new(CrashWatch::new(feed.clone(), metrics.crashes.clone())),
             applied_views: watch::Sender::new(0),
@@ -169,11 +173,21 @@
             placement.observe_version(&known.id(), known.version);
         }
         drop(placement);
+        if let Some(index) = &view.catalog {
+            self.set_tight_services(index.catalog());
+        }
         self.crashes.apply_view(view);
         self.applied_views.send_modify(|count| *count += 1);
     }
 
+    fn set_tight_services(&self, catalog: &Catalog) {
+        let tight = catalog.services.iter().filter(|service| catalog.is_tight(service));
+        let tight: Vec<&str> = tight.map(|service| service.name.as_str()).collect();
+        self.returns.set_services(&tight);
+    }
+
     fn sweep(&self) {
+        self.metrics.count_promises(self.returns.take_counts());
         let view = self.feed.latest();
         let is_used =
             |id: &InstanceId| view.instances.get(id.name()).is_some_and(|known| known.id == *id);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `limits` charges requests against their tenants' limits.
 //! - `server_limits` enforces limits that servers advertise for all routers together.
 //! - `notices` observes servers' backoffs and departures.
+//! - `returns` schedules the returns of refused callers.
 //! - `retry_budget` charges retries against the budget that all routers share.
 //! - `startup` holds requests that arrive before the gateway has a configuration.
 //! - `updates` exchanges dispatch reports and server state with other routers.
@@ -38,6 +39,7 @@
 mod relay;
 mod retry;
 mod retry_budget;
+mod returns;
 mod search;
 mod server_limits;
 mod settings;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use juniper_catalog::RouteKind;
 use juniper_crash_watch::CrashMetrics;
 use juniper_limits::Verdict;
+use juniper_waiting::PromiseCounts;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
@@ -62,6 +63,8 @@
     pub limited_servers: IntGauge,
     /// Servers that are backing off.
     pub backing_off_servers: IntGauge,
+    /// Promised returns of refused callers, by outcome.
+    promises: IntCounterVec,
     /// Crashes of servers under requests, and quarantines.
     pub crashes: CrashMetrics,
     /// New connections to servers.
@@ -155,6 +158,11 @@
                 "Answers in which servers asked for a pause or said that they leave.",
                 &["notice", "readable"],
             )?,
+            promises: counters(
+                "return_promises_total",
+                "Returns promised to refused callers, and whether such a request was then admitted.",
+                &["outcome"],
+            )?,
             crashes: CrashMetrics::new("juniper_gateway", &registry)?,
             dropped_dispatch_reports: counter(
                 "sightings_left_out_total",
@@ -225,6 +233,14 @@
         self.notices.with_label_values(&[notice, readable]).inc();
     }
 
+    /// Counts returns promised to refused callers.
+    pub(crate) fn count_promises(&self, counts: PromiseCounts) {
+        let PromiseCounts { promised, held, broken } = counts;
+        for (outcome, count) in [("promised", promised), ("held", held), ("broken", broken)] {
+            self.promises.with_label_values(&[outcome]).inc_by(count);
+        }
+    }
+
     /// Counts a caller that left before a server had answered.
     pub(crate) fn count_caller_left(&self, kind: RouteKind) {
         self.requests.with_label_values(&[kind_label(kind), "caller_left", "no_answer"]).inc();
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -6,6 +6,7 @@
 use juniper_placement::{Choice, ChoiceError, Overload, ServerRequest};
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
+use juniper_waiting::Return;
 use tokio::time::Instant;
 
 use crate::answer::OwnAnswer;
@@ -74,6 +75,7 @@
                 Err(ChoiceError::NoServer) if self.wait_for_servers(seen_views).await => continue,
                 Err(refusal) => return Err(self.final_answer(self.refusal_answer(refusal))),
             };
+            self.record_admission();
             self.log_choice(&choice);
             self.gateway.log_excluded_servers(self.call);
             let (gateway, call) = (self.gateway, self.call);
@@ -209,8 +211,7 @@
             ChoiceError::AllExcluded => OwnAnswer::Full(FULL_RETRY_AFTER),
             ChoiceError::Overloaded(overload) => {
                 self.log_overload(&overload);
-                let min_retry_after = self.call.objective().mul_f64(MIN_RETRY_AFTER_FACTOR);
-                OwnAnswer::Overloaded(add_jitter(overload.excess().max(min_retry_after)))
+                OwnAnswer::Overloaded(self.overload_retry_after(overload.excess()))
             }
             ChoiceError::BackingOff(backoff) => {
                 self.gateway.log_excluded_servers(self.call);
@@ -222,6 +223,29 @@
         }
     }
 
+    /// `Retry-After` of a request that was refused because of an overload with this excess; `None`
+    /// if the refusal is final.
+    fn overload_retry_after(&self, excess: Duration) -> Option<Duration> {
+        let (gateway, call) = (self.gateway, self.call);
+        let (time_left, now) = (call.time_left(), gateway.now());
+        match gateway.returns.next(&call.service, call.priority, time_left, excess, now) {
+            Some(Return::At(wait)) => Some(wait),
+            Some(Return::Final) => None,
+            None => {
+                let min_retry_after = call.objective().mul_f64(MIN_RETRY_AFTER_FACTOR);
+                Some(add_jitter(excess.max(min_retry_after)))
+            }
+        }
+    }
+
+    /// Records an admitted prompt for the returns of refused callers.
+    fn record_admission(&self) {
+        let (gateway, call) = (self.gateway, self.call);
+        if call.has_prompt() && self.progress == Progress::default() {
+            gateway.returns.record_admission(&call.service, call.priority, gateway.now());
+        }
+    }
+
     /// Final answer to the caller; states that the request has not run only if no server may have
     /// run it.
     fn final_answer(&self, if_not_run: OwnAnswer) -> OwnAnswer {
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -13,7 +13,7 @@
 use crate::call::Call;
 use crate::dialect::AnswerInfo;
 use crate::gateway::Gateway;
-use crate::limits::{DecidedBy, GrantedCharge, OWNER_TIMEOUT};
+use crate::limits::{AccountKind, DecidedBy, GrantedCharge};
 
 /// Outcome of a server's admission check.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,7 +28,7 @@
     fn decider(self) -> Decider {
         match self {
             DecidedBy::Owner => Decider::Owner,
-            DecidedBy::Share => Decider::Router,
+            DecidedBy::Share | DecidedBy::KnownRefusal => Decider::Router,
         }
     }
 }
@@ -108,7 +108,7 @@
         let allowance = self.placement().allowance(&choice.instance, self.now());
         let Some(allowance) = allowance else { return Admission::Granted(None) };
         let charge = charge_of(call, choice, allowance);
-        let (verdict, by) = self.decide(&charge, OWNER_TIMEOUT).await;
+        let (verdict, by) = self.decide(&charge, AccountKind::Server).await;
         let now = self.now();
         self.placement().record_limit_decision(&choice.instance, &verdict, by.decider(), now);
         self.metrics.count_server_charge(&verdict, by);
--- a/crates/gateway/tests/paths/limits.rs
+++ b/crates/gateway/tests/paths/limits.rs
@@ -11,7 +11,7 @@
 use crate::support::server::{FakeServer, Step, complete_answer, healthy};
 use crate::support::{TEST_TIMEOUT, TestGateway};
 
-async fn get_limited(gateway: &TestGateway, path: &str, id: &str) -> Answer {
+pub(crate) async fn get_limited(gateway: &TestGateway, path: &str, id: &str) -> Answer {
     let head = request_head("GET", path, id).replace("x-key: good", "x-key: limited");
     ask(gateway.callers, &format!("{head}\r\n")).await
 }
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod departures;
 mod limits;
+mod limits_soon;
 mod quarantine;
 mod reachability;
 mod server_limits;
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use juniper_catalog::{
-    Catalog, LimitUnit, RequestLimits, Route, RouteKind, Service, SplitPart, Tenant, TenantLimit,
+    Catalog, EngineProfile, LimitUnit, RequestLimits, Route, RouteKind, Service, SplitPart, Tenant,
+    TenantLimit,
 };
 use juniper_feed::{Feed, FeedSettings};
 use juniper_gateway::{GatewaySettings, Listeners, run};
@@ -92,6 +93,21 @@
     }
 }
 
+/// Catalog whose service runs engines, and so has tight objectives.
+pub fn tight_catalog() -> Catalog {
+    let engine = EngineProfile {
+        slots: 8,
+        cache_tokens: 100_000,
+        token_bytes: 1_000,
+        link_mbps: 1_000.0,
+        event_calls: 2,
+        models: Vec::new(),
+    };
+    let mut catalog = catalog();
+    catalog.services[0].engine = Some(engine);
+    catalog
+}
+
 /// A running gateway, aborted when dropped.
 pub struct TestGateway {
     pub callers: SocketAddr,
@@ -111,7 +127,17 @@
 impl TestGateway {
     /// Starts a gateway with `servers` and waits until it is ready.
     pub async fn start(servers: &[&FakeServer]) -> Self {
-        let gateway = Self::start_unready(servers).await;
+        Self::start_unready(servers).await.ready().await
+    }
+
+    /// Starts a gateway whose service has tight objectives, and waits until it is ready.
+    pub async fn start_tight(servers: &[&FakeServer]) -> Self {
+        Self::start_with_catalog(tight_catalog(), servers, |_| ()).await.ready().await
+    }
+
+    /// Confirms the configuration and waits until the gateway is ready.
+    async fn ready(self) -> Self {
+        let gateway = self;
         gateway.control.confirm();
         let ready = async {
             while caller::ask(gateway.readiness, "GET / HTTP/1.1\r\nHost: x\r\n\r\n").await.status
@@ -131,8 +157,16 @@
 
     /// Starts a gateway after `prepare` has configured its replica.
     pub async fn start_with(servers: &[&FakeServer], prepare: impl FnOnce(&FakeControl)) -> Self {
+        Self::start_with_catalog(catalog(), servers, prepare).await
+    }
+
+    async fn start_with_catalog(
+        catalog: Catalog,
+        servers: &[&FakeServer],
+        prepare: impl FnOnce(&FakeControl),
+    ) -> Self {
         let reports = servers.iter().map(|server| server.report()).collect();
-        let control = FakeControl::start(catalog(), reports).await;
+        let control = FakeControl::start(catalog, reports).await;
         prepare(&control);
         let feed = Feed::start(FeedSettings {
             key: ClusterKey::from_text(KEY).expect("long enough"),
