Placement: services with tight objectives use the timing model

Cause: routers expected several times the time that prompts take, and modelled queues that don't exist.

Change: TimingModel is either the earlier ratio (services that aren't tight, unchanged) or the fit; costs, queue drain, expected first output, wait and gaps go through it. Requests are samples unless they are late, excluded or at a cold server. In tight services a request's first output, or its end reported by another router, ends the queue that was ahead of it. Nothing is refused by time before 20 samples. Choice has the expected times. apply_peer_completion gets the time.

--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -173,7 +173,7 @@
         update
             .ended_requests
             .iter()
-            .for_each(|number| placement.apply_peer_completion(request(*number)));
+            .for_each(|number| placement.apply_peer_completion(request(*number), now));
         let reporter = Reporter { node: from.0, zone: zone.as_str() };
         for report in &update.reachability {
             let instance = report.id();
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -76,6 +76,8 @@
         reason: Reason::LastResort,
         cost_ms: 0.0,
         is_late: false,
+        expected: None,
+        transfer_ms: 0.0,
         cached_tokens: 0,
         prefill_tokens: request.prompt.map_or(0, |prompt| prompt.tokens),
         candidates: candidates.len(),
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -10,6 +10,7 @@
 use crate::admission::Overload;
 use crate::dispatch_record::{DispatchRecord, ReportedRequest};
 use crate::homes::ChainKeys;
+use crate::timing_sample::TimingSample;
 
 /// Why a server was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +40,16 @@
     }
 }
 
+/// Expected times of a prompt at the chosen server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExpectedTiming {
+    /// Time to first output, in milliseconds.
+    pub first_output_ms: f64,
+    /// Longest gap between two events of its stream, in milliseconds; `None` in services without
+    /// tight objectives.
+    pub longest_gap_ms: Option<f64>,
+}
+
 /// A chosen server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -53,6 +64,10 @@
     /// Whether the first output is expected after the deadline. The server runs a late request
     /// after those that can still be in time, so it isn't counted as queued.
     pub is_late: bool,
+    /// Expected times of a prompt; `None` without a prompt, or if the server was picked at random.
+    pub expected: Option<ExpectedTiming>,
+    /// Expected time of the KV transfer, in milliseconds.
+    pub transfer_ms: f64,
     /// Prompt tokens expected in the server's cache.
     pub cached_tokens: u32,
     /// Prompt tokens that the server must compute.
@@ -159,4 +174,6 @@
     pub(crate) request: ReportedRequest,
     /// Prefill tokens queued at the server when the request was dispatched.
     pub(crate) tokens_ahead: f64,
+    /// What was expected at dispatch, in services with tight objectives.
+    pub(crate) sample: Option<TimingSample>,
 }
--- a/crates/placement/src/fleet_load.rs
+++ b/crates/placement/src/fleet_load.rs
@@ -6,7 +6,7 @@
 use juniper_types::Timestamp;
 
 use crate::dispatch_record::ReportedRequest;
-use crate::load::PrefillSpeed;
+use crate::timing_model::TimingModel;
 
 /// Age at which a request without a reported end is no longer counted: its router crashed or the
 /// report was lost. Few streams take longer.
@@ -18,8 +18,13 @@
     /// Queued prefill tokens at the time `updated`.
     queued_tokens: f64,
     updated: Timestamp,
+    /// Prefill tokens of all requests so far.
+    added_tokens: f64,
     /// In-flight requests, the oldest first.
     in_flight: VecDeque<InFlight>,
+    /// Queued prefill tokens after each addition, without those before which a later addition
+    /// reached as many: times ascend, tokens descend.
+    peaks: VecDeque<(Timestamp, f64)>,
 }
 
 /// An in-flight request.
@@ -28,6 +33,8 @@
     /// Identity of the request; `None` if its end won't be reported.
     request: Option<ReportedRequest>,
     started_at: Timestamp,
+    /// Prefill tokens of all requests up to and including this one.
+    added_tokens: f64,
 }
 
 impl FleetLoad {
@@ -36,15 +43,42 @@
         &mut self,
         request: Option<ReportedRequest>,
         tokens: u32,
-        speed: PrefillSpeed,
+        timing: &TimingModel,
         now: Timestamp,
     ) {
-        self.queued_tokens = self.queued_tokens(speed, now) + f64::from(tokens);
+        self.queued_tokens = self.queued_tokens(timing, now) + f64::from(tokens);
         self.updated = now;
+        self.added_tokens += f64::from(tokens);
+        if timing.uses_peaks() {
+            self.record_peak(now);
+        }
         while self.in_flight.front().is_some_and(|oldest| is_expired(oldest.started_at, now)) {
             self.in_flight.pop_front();
         }
-        self.in_flight.push_back(InFlight { request, started_at: now });
+        self.in_flight.push_back(InFlight {
+            request,
+            started_at: now,
+            added_tokens: self.added_tokens,
+        });
+    }
+
+    /// Records that the request was computed, and with it those that were queued ahead of it: what
+    /// is still queued was added later. Keeps an error of the expected times from building up a
+    /// queue that doesn't exist. A request that ended within `min_time` may have been refused.
+    pub(crate) fn mark_computed(
+        &mut self,
+        request: ReportedRequest,
+        min_time: Duration,
+        timing: &TimingModel,
+        now: Timestamp,
+    ) {
+        let known = self.in_flight.iter().find(|known| known.request == Some(request));
+        let Some(known) = known else { return };
+        if now.since(known.started_at) >= min_time {
+            let added_later = self.added_tokens - known.added_tokens;
+            self.queued_tokens = self.queued_tokens(timing, now).min(added_later);
+            self.updated = now;
+        }
     }
 
     /// Removes a completed request. Does nothing if its dispatch report was lost: another request
@@ -57,8 +91,24 @@
     }
 
     /// Estimate of the queued prefill tokens.
-    pub(crate) fn queued_tokens(&self, speed: PrefillSpeed, now: Timestamp) -> f64 {
-        (self.queued_tokens - speed.tokens_in(now.since(self.updated))).max(0.0)
+    pub(crate) fn queued_tokens(&self, timing: &TimingModel, now: Timestamp) -> f64 {
+        (self.queued_tokens - timing.tokens_in(now.since(self.updated))).max(0.0)
+    }
+
+    fn record_peak(&mut self, now: Timestamp) {
+        while self.peaks.back().is_some_and(|(_, tokens)| *tokens <= self.queued_tokens) {
+            self.peaks.pop_back();
+        }
+        while self.peaks.front().is_some_and(|(at, _)| is_expired(*at, now)) {
+            self.peaks.pop_front();
+        }
+        self.peaks.push_back((now, self.queued_tokens));
+    }
+
+    /// Largest number of queued prefill tokens reached since `from`; zero if nothing was added.
+    pub(crate) fn peak_tokens_since(&self, from: Timestamp) -> f64 {
+        let first = self.peaks.partition_point(|(at, _)| *at < from);
+        self.peaks.get(first).map_or(0.0, |(_, tokens)| *tokens)
     }
 
     /// Number of in-flight requests.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -29,9 +29,11 @@
 mod search;
 mod server;
 mod server_limits;
+mod timing_model;
+mod timing_sample;
 
 pub use admission::{Overload, StartEstimate};
-pub use choice::{Choice, ChoiceError, Reason, ServiceProfile, Ticket};
+pub use choice::{Choice, ChoiceError, ExpectedTiming, Reason, ServiceProfile, Ticket};
 pub use dispatch_record::{DispatchRecord, ReportedRequest};
 pub use health::Outcome;
 pub use homes::ChainKeys;
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -58,11 +58,6 @@
         tokens / self.0
     }
 
-    /// Prefill time of `tokens`.
-    pub(crate) fn time_for(self, tokens: f64) -> Duration {
-        Duration::from_secs_f64(self.ms_for(tokens) / 1_000.0)
-    }
-
     /// Tokens computed within `time`.
     pub(crate) fn tokens_in(self, time: Duration) -> f64 {
         self.0 * time.as_secs_f64() * 1_000.0
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use juniper_registry::{Departures, Instance, InstanceId, InstanceMap, InstanceName};
+use juniper_timing::ServiceTiming;
 use juniper_types::{NodeId, Timestamp};
 
 use crate::backoffs::Backoffs;
@@ -44,6 +45,8 @@
     /// Listed servers that have requested a backoff or announced their departure.
     pub(crate) noticed: BTreeSet<InstanceName>,
     pub(crate) speeds: HashMap<String, PrefillSpeed>,
+    /// Timing of the services with tight objectives.
+    pub(crate) timings: HashMap<String, ServiceTiming>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
     pub(crate) lanes: HashMap<String, Lanes>,
     /// Requests reported by other routers, with their server and the time of the report.
@@ -67,6 +70,7 @@
             departures: Departures::default(),
             noticed: BTreeSet::new(),
             speeds: HashMap::new(),
+            timings: HashMap::new(),
             profiles: HashMap::new(),
             lanes: HashMap::new(),
             reported_requests: HashMap::new(),
@@ -147,6 +151,7 @@
     /// Records the dispatch of a request to the chosen server.
     pub fn begin_request(&mut self, choice: &Choice, has_prompt: bool, now: Timestamp) -> Ticket {
         let tokens_ahead = self.tokens_ahead(&choice.instance, now);
+        let sample = self.timing_sample(choice, now).filter(|_| has_prompt);
         self.last_request_number = self.last_request_number.wrapping_add(1);
         let request = ReportedRequest { router: LOCAL_ROUTER, number: self.last_request_number };
         self.apply_dispatch(Some(request), &choice.dispatch_record(), now);
@@ -167,14 +172,15 @@
             had_output: false,
             request,
             tokens_ahead,
+            sample,
         }
     }
 
     /// Queued prefill tokens of all routers at a server.
     fn tokens_ahead(&self, instance: &InstanceId, now: Timestamp) -> f64 {
         let Some(server) = self.server(instance) else { return 0.0 };
-        let speed = self.speeds.get(&server.instance.report.service).copied().unwrap_or_default();
-        server.fleet_load.queued_tokens(speed, now)
+        let timing = self.timing_model(&server.instance.report.service, now);
+        server.fleet_load.queued_tokens(&timing, now)
     }
 
     /// Records a dispatch report without a request number: the end of the request won't be
@@ -204,11 +210,12 @@
         dispatch: &DispatchRecord,
         now: Timestamp,
     ) {
+        let Some(server) = self.server(&dispatch.instance) else { return };
+        let timing = self.timing_model(&server.instance.report.service, now);
         let Some(server) = incarnation_mut(&mut self.servers, &dispatch.instance) else { return };
         server.turnover.record(dispatch.tokens, now);
         let service = &server.instance.report.service;
-        let speed = self.speeds.get(service).copied().unwrap_or_default();
-        server.fleet_load.add_request(request, dispatch.prefill_tokens, speed, now);
+        server.fleet_load.add_request(request, dispatch.prefill_tokens, &timing, now);
         if dispatch.keys.is_empty() && dispatch.own_tokens == 0 {
             return;
         }
@@ -217,14 +224,16 @@
             keys: &dispatch.keys,
             tokens: &dispatch.segment_tokens,
             own_tokens: dispatch.own_tokens,
-            computed_at: now.after(speed.time_for(server.fleet_load.queued_tokens(speed, now))),
+            computed_at: now
+                .after(timing.prefill_time(server.fleet_load.queued_tokens(&timing, now))),
         };
         server.cached.record(dispatch.version, prompt, capacity);
     }
 
     /// Records the end of a request that another router has reported.
-    pub fn apply_peer_completion(&mut self, request: ReportedRequest) {
+    pub fn apply_peer_completion(&mut self, request: ReportedRequest, now: Timestamp) {
         let Some((instance, _)) = self.reported_requests.remove(&request) else { return };
+        self.mark_computed(&instance, request, now);
         if let Some(server) = self.server_mut(&instance) {
             server.fleet_load.remove_request(request);
         }
@@ -261,6 +270,15 @@
         if !ticket.is_measured {
             return;
         }
+        if let Some(sample) = &mut ticket.sample {
+            let service = &server.instance.report.service;
+            let timing = match self.timings.get_mut(service) {
+                Some(timing) => timing,
+                None => self.timings.entry(service.clone()).or_default(),
+            };
+            sample.record_first_output(took, timing, server, now);
+            return self.mark_computed(&ticket.instance, ticket.request, now);
+        }
         let speed = self.speeds.entry(server.instance.report.service.clone()).or_default();
         let expected_ms = speed.ms_for(f64::from(ticket.prefill_tokens));
         if ticket.tokens_ahead < f64::from(ticket.prefill_tokens) * MAX_QUEUE_SHARE {
@@ -313,7 +331,7 @@
 }
 
 /// State of a listed incarnation.
-fn incarnation_mut<'a>(
+pub(crate) fn incarnation_mut<'a>(
     servers: &'a mut HashMap<InstanceName, Server>,
     id: &InstanceId,
 ) -> Option<&'a mut Server> {
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -1,11 +1,13 @@
 //! Search for the server with the lowest expected cost.
 
+use std::time::Duration;
+
 use juniper_prefix_index::rendezvous;
 use juniper_types::Timestamp;
 
 use crate::admission::StartEstimate;
 use crate::candidates::{is_usable, last_resort};
-use crate::choice::{Choice, ChoiceError, ServiceProfile};
+use crate::choice::{Choice, ChoiceError, ExpectedTiming, ServiceProfile};
 use crate::cost::{CostContext, ServerView};
 use crate::homes::ChainKeys;
 use crate::placement::Placement;
@@ -28,6 +30,10 @@
     is_tight: false,
 };
 
+/// Time within which the longest queue of a server counts for the gaps of a new stream. Streams take
+/// about that long.
+const RECENT_PEAK_TIME: Duration = Duration::from_secs(1);
+
 /// Maximum cost of a cold server, in milliseconds.
 const MAX_COLD_COST_MS: f64 = 400.0;
 
@@ -71,7 +77,7 @@
         random: u64,
     ) -> Result<Choice, ChoiceError> {
         let context = CostContext {
-            speed: self.speeds.get(request.service).copied().unwrap_or_default(),
+            timing: self.timing_model(request.service, now),
             objective: request.objective,
             max_gap: request.max_gap,
             mean_failure_rate: mean_failure_rate(servers, now),
@@ -98,9 +104,11 @@
             .map(|holder| pick_source(servers, &work_by_server, index, holder, (model, random)));
         let work = PromptWork { source, ..work_by_server[index] };
         let view = self.server_view(servers[index], work, &context);
-        let first_output_ms = context.first_output_ms(&view);
+        let expected = context.expected(&view);
+        let first_output_ms = expected.first_output_ms;
         let estimate = StartEstimate { first_output_ms, wait_ms: context.wait_ms(&view) };
-        if request.prompt.is_some() && request.may_be_refused {
+        let may_be_refused = request.may_be_refused && context.timing.may_refuse();
+        if request.prompt.is_some() && may_be_refused {
             let lower_quartile_wait_ms =
                 || self.lower_quartile_wait_ms(servers, &work_by_server, &context);
             let overload =
@@ -109,7 +117,7 @@
                 return Err(ChoiceError::Overloaded(overload));
             }
         }
-        let cheapest = Cheapest { index, work, cost_ms, first_output_ms };
+        let cheapest = Cheapest { index, work, cost_ms, expected };
         Ok(self.build_choice(servers, request, chain, cheapest))
     }
 
@@ -138,8 +146,8 @@
         chain: ChainKeys,
         cheapest: Cheapest,
     ) -> Choice {
-        let Cheapest { index, work, cost_ms, first_output_ms } = cheapest;
-        let is_late = first_output_ms > request.time_left.as_secs_f64() * 1_000.0;
+        let Cheapest { index, work, cost_ms, expected } = cheapest;
+        let is_late = expected.first_output_ms > request.time_left.as_secs_f64() * 1_000.0;
         let server = servers[index];
         let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
@@ -153,6 +161,8 @@
             reason: work.reason,
             cost_ms,
             is_late: is_late && request.prompt.is_some(),
+            expected: request.prompt.map(|_| expected),
+            transfer_ms: work.transfer_ms,
             cached_tokens: tokens.saturating_sub(work.prefill_tokens),
             prefill_tokens: work.prefill_tokens,
             candidates: servers.len(),
@@ -179,10 +189,13 @@
         context: &CostContext,
     ) -> ServerView<'a> {
         let report = &server.instance.report;
+        let recent = context.now.before(RECENT_PEAK_TIME);
         ServerView {
             health: &server.health,
+            pace: context.timing.pace(&server.health, &server.factor, context.now),
             load: server.load,
-            fleet_queued_tokens: server.fleet_load.queued_tokens(context.speed, context.now),
+            fleet_queued_tokens: server.fleet_load.queued_tokens(&context.timing, context.now),
+            recent_peak_tokens: server.fleet_load.peak_tokens_since(recent),
             fleet_requests: server.fleet_load.requests(context.now) as f64,
             slots: report.slots,
             same_zone: report.zone == self.zone,
@@ -236,7 +249,7 @@
     index: usize,
     work: PromptWork,
     cost_ms: f64,
-    first_output_ms: f64,
+    expected: ExpectedTiming,
 }
 
 fn mean_failure_rate(servers: &[&Server], now: Timestamp) -> f64 {
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -5,6 +5,7 @@
 
 use juniper_limits::ServerLimit;
 use juniper_registry::Instance;
+use juniper_timing::ServerFactor;
 use juniper_types::Timestamp;
 
 use crate::cache_turnover::CacheTurnover;
@@ -22,6 +23,8 @@
     pub(crate) member_index: usize,
     pub(crate) hash: u64,
     pub(crate) health: Health,
+    /// Observed relative to expected first outputs, in services with tight objectives.
+    pub(crate) factor: ServerFactor,
     /// Reports of other routers that the server is unreachable.
     pub(crate) unreachable_reports: UnreachableReports,
     pub(crate) load: Load,
@@ -52,6 +55,7 @@
             member_index,
             hash,
             health,
+            factor: ServerFactor::default(),
             unreachable_reports: UnreachableReports::default(),
             load,
             fleet_load: FleetLoad::default(),
--- a/crates/placement/tests/notices/world.rs
+++ b/crates/placement/tests/notices/world.rs
@@ -276,7 +276,8 @@
                 self.routers[router].placement.record_departure(&id, now);
             }
             Event::PeerCompletion(router, request) => {
-                self.routers[router].placement.apply_peer_completion(request)
+                let now = self.router_time(router);
+                self.routers[router].placement.apply_peer_completion(request, now)
             }
         }
     }
--- a/crates/placement/tests/requests_without_prompt.rs
+++ b/crates/placement/tests/requests_without_prompt.rs
@@ -55,7 +55,7 @@
             &near.dispatch_record(),
             at(u64::from(number)),
         );
-        placement.apply_peer_completion(request(number));
+        placement.apply_peer_completion(request(number), at(u64::from(number)));
     }
     (0..in_flight)
         .for_each(|_| placement.apply_untracked_dispatch(&near.dispatch_record(), at(1_000)));
@@ -102,7 +102,7 @@
     let mut placement = near_and_far_server();
     let near = report_peer_requests(&mut placement, 6);
     (1_000..1_050).for_each(|number| {
-        placement.apply_peer_completion(ReportedRequest { router: NodeId(5), number });
+        placement.apply_peer_completion(ReportedRequest { router: NodeId(5), number }, at(1_050));
     });
     assert_ne!(choose(&placement, 1_050).instance, near.instance);
 }
