Gateway: log and count expected and observed times of prompts

Cause: the error of an expected time could not be told from the log.

Change: event=attempt gets expected_ms, event=request_done of an answered prompt expected_ms, found_ms and expected_pause_ms, all of the attempt that answered; a histogram of observed / expected. Errors, resumed streams and requests during which the machine was suspended are no samples. The longest gap of a stream that ended at its first server is recorded.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,8 @@
 use hyper::client::conn::TrySendError;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use juniper_placement::{Choice, Outcome, Ticket};
+use juniper_clock::BootInstant;
+use juniper_placement::{Choice, ExpectedTiming, Outcome, Ticket};
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 use tokio::time::{Instant, timeout_at};
@@ -15,12 +16,16 @@
 use crate::body::WholeBody;
 use crate::call::Call;
 use crate::dialect::{AnswerInfo, AttemptInfo};
+use crate::finish::FoundTiming;
 use crate::gateway::Gateway;
 use crate::pool::{ConnectError, ServerConnection, is_refused};
 
 /// Priority of requests that can no longer meet their objective; the lowest that servers know.
 const LATE_PRIORITY: u8 = 9;
 
+/// Difference between the clocks above which the machine counts as suspended during a request.
+const MAX_SUSPENSION: Duration = Duration::from_millis(50);
+
 /// Statuses by which a server states that it has not run the request.
 const NOT_RUN_STATUSES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
@@ -112,9 +117,14 @@
     server_idle_timeout: Option<Duration>,
     is_reusable: bool,
     started: Instant,
+    started_boot: BootInstant,
     /// Time without an answer after which the server counts as failing.
     answer_timeout: Duration,
     has_head: bool,
+    /// Expected times of a prompt.
+    expected: Option<ExpectedTiming>,
+    /// Expected and observed times of a prompt, from its first output on.
+    pub timing: Option<FoundTiming>,
 }
 
 impl Drop for Attempt {
@@ -157,11 +167,43 @@
 
     /// Records that the server has begun to answer.
     pub(crate) fn record_first_output(&mut self) {
+        let Some(ticket) = &mut self.ticket else { return };
+        let now = self.gateway.now();
+        if self.timing.is_none()
+            && let Some(expected) = self.expected
+        {
+            let timing = FoundTiming { expected, found: now.since(self.sent_at) };
+            self.gateway.metrics.first_output_ratio.observe(timing.ratio());
+            self.timing = Some(timing);
+        }
+        exclude_if_suspended(ticket, self.started, self.started_boot);
+        self.gateway.placement().record_first_output(ticket, now);
+    }
+
+    /// Leaves the request out of expected and observed times: the answer is an error or the rest of
+    /// a stream.
+    pub(crate) fn exclude_from_timing(&mut self) {
+        self.expected = None;
         if let Some(ticket) = &mut self.ticket {
-            let now = self.gateway.now();
-            self.gateway.placement().record_first_output(ticket, now);
+            ticket.exclude_from_timing();
         }
     }
+
+    /// Records the longest gap of a stream that has ended and wasn't resumed.
+    pub(crate) fn record_longest_gap(&mut self, longest_gap: Duration) {
+        let Some(ticket) = &mut self.ticket else { return };
+        exclude_if_suspended(ticket, self.started, self.started_boot);
+        let now = self.gateway.now();
+        self.gateway.placement().record_longest_gap(ticket, longest_gap, now);
+    }
+}
+
+/// Excludes a request during which the machine was suspended: the monotonic clock stood still, but
+/// the server went on.
+fn exclude_if_suspended(ticket: &mut Ticket, started: Instant, started_boot: BootInstant) {
+    if started_boot.elapsed().saturating_sub(started.elapsed()) > MAX_SUSPENSION {
+        ticket.exclude_from_timing();
+    }
 }
 
 /// An answer whose head has arrived.
@@ -194,9 +236,15 @@
         server_idle_timeout: None,
         is_reusable: false,
         started: Instant::now(),
+        started_boot: BootInstant::now(),
         answer_timeout: call.answer_timeout(),
         has_head: false,
+        expected: choice.expected,
+        timing: None,
     };
+    if last_event.is_some() {
+        attempt.exclude_from_timing();
+    }
     match exchange(gateway, call, choice, last_event, deadline, &mut attempt).await {
         Ok(response) => Ok(Answered { attempt, response }),
         Err(error) => {
--- a/crates/gateway/src/finish.rs
+++ b/crates/gateway/src/finish.rs
@@ -1,6 +1,10 @@
 //! End of a request: its log line, and answers of the gateway itself.
 
+use std::fmt::{Display, Formatter};
+use std::time::Duration;
+
 use hyper::Response;
+use juniper_placement::ExpectedTiming;
 use juniper_registry::InstanceId;
 
 use crate::answer::OwnAnswer;
@@ -38,6 +42,33 @@
     answer.response(&*gateway.dialect, Some(&call.info.id))
 }
 
+/// Expected and observed times of the attempt that answered a prompt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct FoundTiming {
+    pub expected: ExpectedTiming,
+    /// Dispatch to first output.
+    pub found: Duration,
+}
+
+impl FoundTiming {
+    /// Observed time to first output, relative to the expected one.
+    pub(crate) fn ratio(&self) -> f64 {
+        self.found.as_secs_f64() * 1_000.0 / self.expected.first_output_ms.max(1.0)
+    }
+}
+
+impl Display for FoundTiming {
+    /// Log keys, each after a space.
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        let expected_ms = self.expected.first_output_ms;
+        write!(formatter, " expected_ms={expected_ms:.0} found_ms={}", self.found.as_millis())?;
+        match self.expected.longest_gap_ms {
+            Some(gap_ms) => write!(formatter, " expected_pause_ms={gap_ms:.0}"),
+            None => Ok(()),
+        }
+    }
+}
+
 /// Logs the end of a request that was sent to a server.
 pub(crate) fn log_done(
     call: &Call,
@@ -46,6 +77,7 @@
     instance: &str,
     progress: Progress,
     stream: Option<&StreamStats>,
+    timing: Option<FoundTiming>,
 ) {
     let stats = stream.map(|stats| {
         format!(
@@ -58,14 +90,15 @@
     });
     log::info!(
         "event=request_done request={} route={} outcome={outcome} status={status} \
-         instance={instance} sent={} may_have_run={} unreachable={} took_ms={}{}",
+         instance={instance} sent={} may_have_run={} unreachable={} took_ms={}{}{}",
         call.id(),
         call.route.name,
         progress.sent,
         progress.may_have_run,
         progress.unreachable,
         call.arrived.elapsed().as_millis(),
-        stats.unwrap_or_default()
+        stats.unwrap_or_default(),
+        timing.map(|timing| timing.to_string()).unwrap_or_default()
     );
 }
 
@@ -99,7 +132,15 @@
 impl Drop for PendingAnswer<'_> {
     fn drop(&mut self) {
         if !self.has_ended {
-            log_done(self.call, 0, "caller_left", self.instance.as_str(), self.progress, None);
+            log_done(
+                self.call,
+                0,
+                "caller_left",
+                self.instance.as_str(),
+                self.progress,
+                None,
+                None,
+            );
             self.gateway.metrics.count_caller_left(self.call.route.kind);
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,10 @@
 /// Upper bounds of the latency buckets, in seconds.
 const TIME_BUCKETS: [f64; 11] = [0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 10.0];
 
+/// Upper bounds of the buckets of observed / expected times. The median should lie between 0.8 and
+/// 1.25.
+const RATIO_BUCKETS: [f64; 10] = [0.25, 0.5, 0.65, 0.8, 1.0, 1.25, 1.6, 2.5, 4.0, 8.0];
+
 /// Maximum number of tenants with a counter of their own; the others share one. Few of thousands of
 /// tenants reach their limits at a time.
 const MAX_COUNTED_TENANTS: usize = 32;
@@ -72,6 +76,8 @@
     answer_seconds: HistogramVec,
     /// Longest gap between two events of a stream.
     pub gap_seconds: Histogram,
+    /// Observed time to first output of a prompt, relative to the expected one.
+    pub first_output_ratio: Histogram,
     /// Prompt tokens expected in the chosen server's cache.
     pub cached_tokens: IntCounter,
     /// Prompt tokens that the chosen server had to compute.
@@ -121,6 +127,13 @@
         let gap_seconds =
             Histogram::with_opts(times("pause_seconds", "Longest pause in a stream."))?;
         registry.register(Box::new(gap_seconds.clone()))?;
+        let ratio_options = HistogramOpts::new(
+            name("first_output_ratio"),
+            "Observed time to first output of a prompt, relative to the expected one.",
+        );
+        let first_output_ratio =
+            Histogram::with_opts(ratio_options.buckets(RATIO_BUCKETS.to_vec()))?;
+        registry.register(Box::new(first_output_ratio.clone()))?;
         Ok(Metrics {
             requests: counters(
                 "requests_total",
@@ -182,6 +195,7 @@
             callers: gauge("caller_connections", "Connections of callers.")?,
             answer_seconds,
             gap_seconds,
+            first_output_ratio,
             cached_tokens: counter("kept_tokens_total", "Prompt tokens that should be kept.")?,
             prefill_tokens: counter("missed_tokens_total", "Prompt tokens that had to be read.")?,
             catalog_version: gauge("catalog_version", "Version of the configuration.")?,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::attempt::{Answered, Attempt, is_not_run_status};
 use crate::body::{AnswerBody, ChunkSender, IncompleteBody};
 use crate::call::Call;
-use crate::finish::{log_done, own_answer};
+use crate::finish::{FoundTiming, log_done, own_answer};
 use crate::gateway::Gateway;
 use crate::retry::Progress;
 use crate::search::ServerSearch;
@@ -64,27 +64,27 @@
 ) -> Response<AnswerBody> {
     loop {
         let Answered { mut attempt, response } = answered;
+        if !response.status().is_success() {
+            attempt.exclude_from_timing();
+        }
         attempt.record_first_output();
         let (head, body) = response.into_parts();
         let instance = attempt.instance.clone();
         match buffer_body(&call, &head, body).await {
             Ok(BufferedBody::Complete(bytes)) => {
+                let timing = attempt.timing;
                 attempt.finish(outcome_of(&head));
                 if !head.status.is_server_error() {
                     gateway.record_completed(&call);
                 }
-                return finish_answer(
-                    &gateway,
-                    &call,
-                    head,
-                    AnswerBody::whole(bytes),
-                    &instance,
-                    progress,
-                );
+                let body = AnswerBody::whole(bytes);
+                let served = Served { instance: &instance, progress, timing };
+                return finish_answer(&gateway, &call, head, body, served);
             }
             Ok(BufferedBody::TooLong(beginning, rest)) => {
                 let (chunks, body) = AnswerBody::chunks();
-                let response = finish_answer(&gateway, &call, head, body, &instance, progress);
+                let served = Served { instance: &instance, progress, timing: attempt.timing };
+                let response = finish_answer(&gateway, &call, head, body, served);
                 tokio::spawn(relay_chunks(gateway, call, attempt, beginning, rest, chunks));
                 return response;
             }
@@ -209,19 +209,27 @@
     }
 }
 
+/// How a request was served.
+struct Served<'a> {
+    instance: &'a InstanceId,
+    progress: Progress,
+    timing: Option<FoundTiming>,
+}
+
 fn finish_answer(
     gateway: &Gateway,
     call: &Call,
     head: Parts,
     body: AnswerBody,
-    instance: &InstanceId,
-    progress: Progress,
+    served: Served<'_>,
 ) -> Response<AnswerBody> {
+    let Served { instance, progress, timing } = served;
     // The request has run, so a status that states the opposite must not be passed on.
     if is_not_run_status(head.status) {
         return own_answer(gateway, call, OwnAnswer::ServerFailed, progress);
     }
-    log_done(call, head.status.as_u16(), "answered", instance.as_str(), progress, None);
+    let status = head.status.as_u16();
+    log_done(call, status, "answered", instance.as_str(), progress, None, timing);
     gateway.metrics.count_answered(call.route.kind, head.status, call.arrived.elapsed());
     Response::from_parts(head, body)
 }
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -254,7 +254,8 @@
         self.gateway.metrics.prefill_tokens.inc_by(u64::from(choice.prefill_tokens));
         log::info!(
             "event=attempt request={} route={} service={} instance={} reason={} cost_ms={:.1} \
-             late={} kept={} missed={} chain={:08x} version={} source={} candidates={} catalog={} age_ms={} sent={}",
+             late={} kept={} missed={} chain={:08x} version={} source={} candidates={} catalog={} age_ms={} sent={} \
+             expected_ms={:.0}",
             self.call.id(),
             self.call.route.name,
             self.call.service,
@@ -270,7 +271,8 @@
             choice.candidates,
             self.call.view.catalog_version(),
             self.call.config_age.as_millis(),
-            self.progress.sent
+            self.progress.sent,
+            choice.expected.map_or(-1.0, |expected| expected.first_output_ms)
         );
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -15,7 +15,7 @@
 use crate::body::{AnswerBody, ChunkSender, IncompleteBody};
 use crate::call::Call;
 use crate::events::EventSplitter;
-use crate::finish::log_done;
+use crate::finish::{FoundTiming, log_done};
 use crate::gateway::Gateway;
 use crate::relay::BodyError;
 use crate::retry::Progress;
@@ -81,15 +81,19 @@
             let instance = attempt.instance.clone();
             let error = match self.relay_events(&mut attempt, &mut upstream).await {
                 Ok(()) => {
+                    let timing = attempt.timing;
+                    if self.stats.resumed == 0 && self.stats.events > 1 {
+                        attempt.record_longest_gap(self.stats.longest_gap);
+                    }
                     attempt.finish(Outcome::Answered);
                     self.gateway.record_completed(&self.call);
-                    return self.log_end("answered", instance.as_str());
+                    return self.log_end("answered", instance.as_str(), timing);
                 }
                 Err(error) => error,
             };
             if error == BodyError::CallerLeft {
                 drop(attempt);
-                return self.log_end("caller_left", instance.as_str());
+                return self.log_end("caller_left", instance.as_str(), None);
             }
             log::info!(
                 "event=stream_cut request={} instance={instance} reason=\"{error}\" last_event={:?}",
@@ -110,7 +114,7 @@
             };
             let Some(answered) = next else {
                 let _ = self.chunks.send(Err(IncompleteBody)).await;
-                return self.log_end("broken_off", instance.as_str());
+                return self.log_end("broken_off", instance.as_str(), None);
             };
             self.stats.resumed += 1;
             attempt = answered.attempt;
@@ -211,8 +215,9 @@
         self.call.deadline.min(Instant::now() + timeout.max(MIN_STALL_TIMEOUT))
     }
 
-    fn log_end(self, outcome: &str, instance: &str) {
-        log_done(&self.call, self.status, outcome, instance, self.progress, Some(&self.stats));
+    fn log_end(self, outcome: &str, instance: &str, timing: Option<FoundTiming>) {
+        let stats = Some(&self.stats);
+        log_done(&self.call, self.status, outcome, instance, self.progress, stats, timing);
         let metrics = &self.gateway.metrics;
         metrics.count_stream(outcome, self.stats.first_event);
         metrics.gap_seconds.observe(self.stats.longest_gap.as_secs_f64());
--- a/crates/gateway/tests/paths/support/dialect.rs
+++ b/crates/gateway/tests/paths/support/dialect.rs
@@ -6,6 +6,7 @@
 use hyper::http::{request, response};
 use juniper_gateway::{AnswerInfo, AttemptInfo, CallError, CallInfo, Dialect};
 use juniper_limits::{AdvertisedLimit, DepartureNotice, RequestedBackoff, ServerNotice};
+use juniper_placement::{Prompt, PromptSegment};
 use juniper_registry::InstanceId;
 
 pub struct TestDialect;
@@ -14,6 +15,12 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
+/// A prompt of `tokens`, none of them shared.
+fn prompt(tokens: u64) -> Prompt {
+    let segments = vec![PromptSegment { id: tokens, tokens: tokens as u32 }];
+    Prompt { segments, tokens: tokens as u32, ..Prompt::default() }
+}
+
 impl Dialect for TestDialect {
     fn read_call(&self, head: &request::Parts) -> Result<CallInfo, CallError> {
         let headers = &head.headers;
@@ -22,7 +29,7 @@
             id: headers.get("x-id").cloned().ok_or(CallError::MissingId)?,
             timeout: number(headers, "x-deadline").map(Duration::from_millis),
             key: key.map(str::to_owned),
-            prompt: None,
+            prompt: number(headers, "x-prompt").map(prompt),
             last_event: number(headers, "x-last"),
         })
     }
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -131,8 +131,17 @@
 
     /// Starts a gateway after `prepare` has configured its replica.
     pub async fn start_with(servers: &[&FakeServer], prepare: impl FnOnce(&FakeControl)) -> Self {
+        Self::start_with_catalog(catalog(), servers, prepare).await
+    }
+
+    /// Starts a gateway with a catalog after `prepare` has configured its replica.
+    pub async fn start_with_catalog(
+        catalog: Catalog,
+        servers: &[&FakeServer],
+        prepare: impl FnOnce(&FakeControl),
+    ) -> Self {
         let reports = servers.iter().map(|server| server.report()).collect();
-        let control = FakeControl::start(catalog(), reports).await;
+        let control = FakeControl::start(catalog, reports).await;
         prepare(&control);
         let feed = Feed::start(FeedSettings {
             key: ClusterKey::from_text(KEY).expect("long enough"),
