--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -160,7 +160,8 @@
         Self::start_with_catalog(catalog(), servers, prepare).await
     }
 
-    async fn start_with_catalog(
+    /// Starts a gateway with a catalog after `prepare` has configured its replica.
+    pub async fn start_with_catalog(
         catalog: Catalog,
         servers: &[&FakeServer],
         prepare: impl FnOnce(&FakeControl),
