--- /dev/null
+++ b/crates/admission/src/prompts.rs
@@ -0,0 +1,215 @@
+//! Admission of prompts.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use juniper_types::{Decaying, Timestamp};
+
+use crate::scarcity::{Resource, ScarcityLimits, ServiceScarcity};
+use crate::shares::{Demand, fair_level};
+use crate::sizes::{MIN_SIZES, PromptSizes, SizeClass};
+
+/// Half-life of the demand of a class. A router of a large deployment gets about ten prompts per
+/// second, so a shorter one would measure single prompts.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(5);
+
+/// Weight of a rank relative to the next more urgent one: of its demand, at most half as much is
+/// admitted.
+const RANK_WEIGHT: f64 = 0.5;
+
+/// Number of tenants at which those without recent demand are removed.
+const MIN_CLEANUP_THRESHOLD: usize = 1_024;
+
+/// Demand below which a tenant is removed, in tokens.
+const MIN_DEMAND: f64 = 1.0;
+
+/// Step of the rounding thresholds: the golden ratio, whose multiples are evenly distributed.
+const ROUNDING_STEP: f64 = 0.618_033_988_749_895;
+
+/// A prompt that asks for admission.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PromptDemand {
+    /// Priority rank, 0 for the most urgent.
+    pub rank: u8,
+    /// Hash of the tenant's name; zero without tenants.
+    pub tenant: u64,
+    /// Tokens of the whole prompt.
+    pub tokens: u32,
+    /// Tokens of prefill and output on the chosen server.
+    pub work_tokens: u32,
+    /// Latency objective of the first output.
+    pub objective: Duration,
+    /// Longest gap of the stream that is still in time; `None` without a stream.
+    pub max_gap: Option<Duration>,
+}
+
+/// Why a prompt isn't admitted.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+#[error("{} is scarce: {estimate:.2} of {limit:.2}", resource.as_str())]
+pub struct Overload {
+    /// The scarcest resource.
+    pub resource: Resource,
+    /// Size class of the prompt.
+    pub size_class: SizeClass,
+    /// Share of the class's demand that is admitted.
+    pub share: f64,
+    /// Level of use on three quarters of the servers: milliseconds of waits and gaps, shares of
+    /// slots and memory.
+    pub estimate: f64,
+    /// Level from which the resource is scarce.
+    pub limit: f64,
+}
+
+/// Demand of one rank.
+#[derive(Clone, Debug)]
+struct Kind {
+    work: Decaying,
+    sizes: PromptSizes,
+    objective: Duration,
+}
+
+/// Demand of one tenant in one rank.
+#[derive(Clone, Debug)]
+struct TenantDemand {
+    work: Decaying,
+    /// Work to which each size class is entitled less the work that was admitted.
+    balances: [Decaying; SizeClass::COUNT],
+}
+
+impl Default for TenantDemand {
+    fn default() -> Self {
+        let none = Decaying::new(DEMAND_HALF_LIFE);
+        TenantDemand { work: none, balances: [none; SizeClass::COUNT] }
+    }
+}
+
+/// Admission of the prompts of one service at one router.
+///
+/// What can be admitted while a resource is scarce is divided between ranks by weight, within a
+/// rank between tenants by max-min fairness, and within a tenant between size classes in proportion
+/// to their demand.
+#[derive(Clone, Debug)]
+pub struct PromptAdmission {
+    kinds: HashMap<u8, Kind>,
+    tenants: HashMap<(u8, u64), TenantDemand>,
+    cleanup_threshold: usize,
+    /// Threshold from 0 to 1 by which the next entitlement to a part of a prompt is rounded.
+    rounding: f64,
+}
+
+impl Default for PromptAdmission {
+    fn default() -> Self {
+        PromptAdmission {
+            kinds: HashMap::new(),
+            tenants: HashMap::new(),
+            cleanup_threshold: MIN_CLEANUP_THRESHOLD,
+            rounding: ROUNDING_STEP,
+        }
+    }
+}
+
+impl PromptAdmission {
+    /// Decides on a prompt and records its demand.
+    ///
+    /// # Errors
+    /// Returns the scarce resource if the prompt's class is above its share of it.
+    pub fn decide(
+        &mut self,
+        demand: &PromptDemand,
+        scarcity: &ServiceScarcity,
+        now: Timestamp,
+    ) -> Result<(), Overload> {
+        let size_class = self.record(demand, now);
+        let limits =
+            ScarcityLimits { objective: self.shortest_objective(now), max_gap: demand.max_gap };
+        let Some(shortage) = scarcity.scarcest(&limits) else { return Ok(()) };
+        // Shares are unknown after a restart.
+        let Some(size_class) = size_class else { return Ok(()) };
+        let share = self.tenant_share(demand, shortage.admitted_share, now);
+        if self.take(demand, size_class, share, now) {
+            return Ok(());
+        }
+        Err(Overload {
+            resource: shortage.resource,
+            size_class,
+            share,
+            estimate: shortage.level,
+            limit: shortage.limit,
+        })
+    }
+
+    /// Records a demand. Returns the size class, if it is known.
+    fn record(&mut self, demand: &PromptDemand, now: Timestamp) -> Option<SizeClass> {
+        let work = f64::from(demand.work_tokens);
+        let kind = self.kinds.entry(demand.rank).or_insert_with(|| Kind {
+            work: Decaying::new(DEMAND_HALF_LIFE),
+            sizes: PromptSizes::default(),
+            objective: demand.objective,
+        });
+        let size_class = kind.sizes.class_of(demand.tokens);
+        kind.sizes.record(demand.tokens, now);
+        kind.work.add(work, now);
+        kind.objective = demand.objective;
+        if self.tenants.len() >= self.cleanup_threshold {
+            self.tenants.retain(|_, tenant| tenant.work.at(now) >= MIN_DEMAND);
+            self.cleanup_threshold = (self.tenants.len() * 2).max(MIN_CLEANUP_THRESHOLD);
+        }
+        self.tenants.entry((demand.rank, demand.tenant)).or_default().work.add(work, now);
+        size_class
+    }
+
+    /// Shortest objective of the ranks with recent demand. One for all ranks: otherwise an urgent
+    /// rank with a short objective would be refused earlier than a less urgent one with a long one.
+    fn shortest_objective(&self, now: Timestamp) -> Duration {
+        let kinds = self.kinds.values().filter(|kind| kind.work.at(now) >= MIN_DEMAND);
+        kinds.map(|kind| kind.objective).min().unwrap_or_default()
+    }
+
+    /// Share of the tenant's demand that is admitted, if `admitted_share` of all demand is.
+    fn tenant_share(&self, demand: &PromptDemand, admitted_share: f64, now: Timestamp) -> f64 {
+        let weight = |rank: u8| RANK_WEIGHT.powi(i32::from(rank));
+        let ranks = self.kinds.iter();
+        let ranks: Vec<Demand> = ranks
+            .map(|(rank, kind)| Demand { work: kind.work.at(now), weight: weight(*rank) })
+            .collect();
+        let total: f64 = ranks.iter().map(|rank| rank.work).sum();
+        let level = fair_level(ranks, total * admitted_share);
+        let rank_share = (level * weight(demand.rank)).min(1.0);
+
+        let tenants = self.tenants.iter().filter(|((rank, _), _)| *rank == demand.rank);
+        let tenants: Vec<Demand> = tenants
+            .map(|(_, tenant)| tenant.work.at(now).max(MIN_DEMAND))
+            .map(|work| Demand { work, weight: 1.0 / work })
+            .collect();
+        let total: f64 = tenants.iter().map(|tenant| tenant.work).sum();
+        let level = fair_level(tenants, total * rank_share);
+        let own = self.tenants.get(&(demand.rank, demand.tenant));
+        let own = own.map_or(0.0, |tenant| tenant.work.at(now)).max(MIN_DEMAND);
+        (level / own).min(1.0)
+    }
+
+    /// Credits the prompt's class with `share` of the prompt's work, and takes the work if the
+    /// class is entitled to it. Parts of a prompt are rounded at evenly distributed thresholds, so
+    /// that classes with few prompts get their share too.
+    fn take(
+        &mut self,
+        demand: &PromptDemand,
+        size_class: SizeClass,
+        share: f64,
+        now: Timestamp,
+    ) -> bool {
+        let work = f64::from(demand.work_tokens);
+        let tenant = self.tenants.entry((demand.rank, demand.tenant)).or_default();
+        let balance = &mut tenant.balances[size_class as usize];
+        balance.add(work * share, now);
+        let is_entitled = balance.at(now) >= work * self.rounding;
+        if is_entitled {
+            balance.add(-work, now);
+        }
+        self.rounding = (self.rounding + ROUNDING_STEP).fract();
+        is_entitled
+    }
+
+    /// Number of prompts of a rank from which on prompts may be refused.
+    pub const MIN_PROMPTS: usize = MIN_SIZES;
+}
