Tight services: admission by scarce resource, concurrency limit for calls

Cause: StartEstimate refused long prompts for their own prefill while servers were nearly idle, and calls without prompts were never refused before they were sent. Change: in services with tight objectives, prompts are decided by PromptAdmission from waiting time, slots and held KV-cache memory of the servers, calls by ConcurrencyLimit. Services without tight objectives keep the earlier rules.

--- a/crates/admission/src/prompts.rs
+++ b/crates/admission/src/prompts.rs
@@ -5,7 +5,7 @@
 
 use juniper_types::{Decaying, Timestamp};
 
-use crate::scarcity::{Resource, ScarcityLimits, ServiceScarcity};
+use crate::scarcity::{Resource, ScarcityLimits, ServerUsage, ServiceScarcity};
 use crate::shares::{Demand, fair_level};
 use crate::sizes::{MIN_SIZES, PromptSizes, SizeClass};
 
@@ -120,8 +120,7 @@
         now: Timestamp,
     ) -> Result<(), Overload> {
         let size_class = self.record(demand, now);
-        let limits =
-            ScarcityLimits { objective: self.shortest_objective(now), max_gap: demand.max_gap };
+        let limits = self.limits(demand, now);
         let Some(shortage) = scarcity.scarcest(&limits) else { return Ok(()) };
         // Shares are unknown after a restart.
         let Some(size_class) = size_class else { return Ok(()) };
@@ -138,6 +137,12 @@
         })
     }
 
+    /// Whether the best server for the prompt is used so little that the scarcity over all servers
+    /// needn't be computed.
+    pub fn is_spare(&self, demand: &PromptDemand, best: &ServerUsage, now: Timestamp) -> bool {
+        best.is_spare(&self.limits(demand, now))
+    }
+
     /// Records a demand. Returns the size class, if it is known.
     fn record(&mut self, demand: &PromptDemand, now: Timestamp) -> Option<SizeClass> {
         let work = f64::from(demand.work_tokens);
@@ -158,11 +163,14 @@
         size_class
     }
 
-    /// Shortest objective of the ranks with recent demand. One for all ranks: otherwise an urgent
-    /// rank with a short objective would be refused earlier than a less urgent one with a long one.
-    fn shortest_objective(&self, now: Timestamp) -> Duration {
+    /// Levels from which resources are scarce, with the shortest objective of the ranks with recent
+    /// demand. One for all ranks: otherwise an urgent rank with a short objective would be refused
+    /// earlier than a less urgent one with a long one.
+    fn limits(&self, demand: &PromptDemand, now: Timestamp) -> ScarcityLimits {
         let kinds = self.kinds.values().filter(|kind| kind.work.at(now) >= MIN_DEMAND);
-        kinds.map(|kind| kind.objective).min().unwrap_or_default()
+        let objectives = kinds.map(|kind| kind.objective).chain([demand.objective]);
+        let objective = objectives.min().unwrap_or(demand.objective);
+        ScarcityLimits { objective, max_gap: demand.max_gap }
     }
 
     /// Share of the tenant's demand that is admitted, if `admitted_share` of all demand is.
--- a/crates/admission/src/scarcity.rs
+++ b/crates/admission/src/scarcity.rs
@@ -68,6 +68,11 @@
         })
     }
 
+    /// Levels of use that three quarters of the servers reach.
+    pub fn levels(&self) -> ServerUsage {
+        self.0
+    }
+
     /// The scarcest resource; `None` if none is scarce.
     pub(crate) fn scarcest(&self, limits: &ScarcityLimits) -> Option<Shortage> {
         let shortages = limits.shortages(&self.0).into_iter().flatten();
@@ -76,13 +81,24 @@
 }
 
 impl ServerUsage {
-    /// Whether a resource of this server would be scarce if all servers were used like it.
-    pub fn is_scarce(&self, objective: Duration, max_gap: Option<Duration>) -> bool {
-        let limits = ScarcityLimits { objective, max_gap };
-        limits.shortages(self).into_iter().flatten().next().is_some()
+    /// Whether all resources of this server, the best for some prompt, are used so little that none
+    /// can be expected to be scarce on three quarters of the servers.
+    pub(crate) fn is_spare(&self, limits: &ScarcityLimits) -> bool {
+        let scaled = ServerUsage {
+            wait_ms: self.wait_ms / SPARE_SHARE,
+            slot_share: self.slot_share / SPARE_SHARE,
+            memory_share: self.memory_share / SPARE_SHARE,
+            gap_ms: self.gap_ms / SPARE_SHARE,
+        };
+        limits.shortages(&scaled).iter().all(Option::is_none)
     }
 }
 
+/// Use of the best server, relative to the level from which a resource is scarce, below which the
+/// other servers aren't looked at. Under overload, the best server is hardly ever at half the level
+/// of the lower quartile.
+const SPARE_SHARE: f64 = 0.5;
+
 /// Share of the shortest objective that prompts may wait on three quarters of the servers before
 /// prefill time is scarce. Leaves the rest for the fixed part of a first output (52 ms were
 /// measured) and the prefill of the largest tenth (70 to 220 ms).
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use juniper_catalog::RouteKind;
 use juniper_crash_watch::CrashMetrics;
 use juniper_limits::Verdict;
+use juniper_placement::{Shortage, SizeClass};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
@@ -39,6 +40,8 @@
     over_limit: IntCounterVec,
     /// Tenants with a counter of their own.
     limited_tenants: Mutex<BTreeSet<String>>,
+    /// Requests refused because a resource is scarce, by resource and size class.
+    shortages: IntCounterVec,
     /// Retries refused by the retry budget.
     budget_spent: IntCounter,
     /// Decisions of the retry budget, by service and outcome.
@@ -137,6 +140,11 @@
                 "Requests beyond their tenant's limit, by tenant and by who decided.",
                 &["tenant", "decided_by"],
             )?,
+            shortages: counters(
+                "shortages_total",
+                "Requests refused because a resource is scarce, by resource and size class.",
+                &["resource", "size_class"],
+            )?,
             limited_tenants: Mutex::default(),
             limited_servers: gauge("limited_servers", "Servers that state what they take.")?,
             backing_off_servers: gauge("resting_servers", "Servers that asked for a pause.")?,
@@ -206,6 +214,12 @@
         self.over_limit.with_label_values(&[shown, by.as_str()]).inc();
     }
 
+    /// Counts a request refused because a resource is scarce.
+    pub(crate) fn count_shortage(&self, shortage: &Shortage) {
+        let size_class = shortage.size_class.map_or("none", SizeClass::as_str);
+        self.shortages.with_label_values(&[shortage.resource.as_str(), size_class]).inc();
+    }
+
     /// Counts a decision of the retry budget.
     pub(crate) fn count_retry(&self, service: &str, is_granted: bool) {
         let outcome = if is_granted { "granted" } else { "refused" };
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -162,7 +162,8 @@
         let request = ServerRequest {
             service: &self.call.service,
             prompt: self.call.info.prompt.as_ref(),
-            sharing_key: hash_sharing_scope(&self.call.sharing_scope),
+            sharing_key: hash_name(&self.call.sharing_scope),
+            tenant: self.call.tenant.as_deref().map_or(0, hash_name),
             excluded: &self.excluded,
             excludes_limited,
             rank: self.call.priority,
@@ -235,9 +236,14 @@
     }
 
     fn log_overload(&self, overload: &Overload) {
+        let shortage = overload.shortage;
+        if let Some(shortage) = &shortage {
+            self.gateway.metrics.count_shortage(shortage);
+        }
         log::info!(
             "event=overloaded request={} route={} service={} rank={} expected_ms={:.0} \
-             wait_ms={:.0} least_waits_ms={:.0} limit_ms={:.0}",
+             wait_ms={:.0} least_waits_ms={:.0} limit_ms={:.0} \
+             resource={} share={}",
             self.call.id(),
             self.call.route.name,
             self.call.service,
@@ -245,7 +251,9 @@
             overload.estimate.first_output_ms,
             overload.estimate.wait_ms,
             overload.lower_quartile_wait_ms,
-            overload.limit_ms
+            overload.limit_ms,
+            shortage.map_or("-", |shortage| shortage.resource.as_str()),
+            shortage.map_or_else(|| "-".to_owned(), |shortage| format!("{:.2}", shortage.share))
         );
     }
 
@@ -286,6 +294,7 @@
     backoff + RETRY_SPREAD.mul_f64(f64::from(rank) + rand::random::<f64>())
 }
 
-fn hash_sharing_scope(scope: &str) -> u64 {
-    scope.bytes().fold(0, |key, byte| key.wrapping_mul(31).wrapping_add(u64::from(byte)))
+/// Hash of a sharing scope or a tenant's name.
+fn hash_name(name: &str) -> u64 {
+    name.bytes().fold(0, |key, byte| key.wrapping_mul(31).wrapping_add(u64::from(byte)))
 }
--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -4,9 +4,14 @@
 //! and long prefills stall the streams on the server. Beyond some queue length, each further prompt
 //! reduces the number of prompts that finish in time. Prompts that can't start well before their
 //! deadline are therefore rejected before they are sent, the least urgent ones first.
+//!
+//! In services with tight objectives, prompts are admitted by the scarcity of resources instead
+//! ([`crate::scarcity`]).
 
 use std::time::Duration;
 
+use juniper_admission::{Resource, SizeClass};
+
 /// Share of the remaining time within which one of the most urgent prompts must start. The margin
 /// covers the delay of other routers' dispatch reports.
 const MAX_URGENT_START_SHARE: f64 = 0.5;
@@ -43,13 +48,30 @@
     pub lower_quartile_wait_ms: f64,
     /// Time within which the prompt had to start, in milliseconds.
     pub limit_ms: f64,
+    /// The scarce resource, in services with tight objectives.
+    pub shortage: Option<Shortage>,
+}
+
+/// A scarce resource, and the class that gets less of it than it demands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shortage {
+    /// The resource.
+    pub resource: Resource,
+    /// Size class of the prompt; `None` without a prompt.
+    pub size_class: Option<SizeClass>,
+    /// Share of the class's demand that is admitted.
+    pub share: f64,
 }
 
 impl Overload {
     /// Time by which the expected start exceeds the limit.
     pub fn excess(&self) -> Duration {
-        let excess_ms = (self.estimate.first_output_ms - self.limit_ms).max(0.0);
-        Duration::from_secs_f64(excess_ms / 1_000.0)
+        let estimate_ms = match self.shortage.map(|shortage| shortage.resource) {
+            // The queue has to become shorter, and the prompt's own prefill doesn't count.
+            Some(Resource::Prefill) => self.lower_quartile_wait_ms,
+            _ => self.estimate.first_output_ms,
+        };
+        Duration::from_secs_f64((estimate_ms - self.limit_ms).max(0.0) / 1_000.0)
     }
 }
 
@@ -75,6 +97,7 @@
             estimate: self,
             lower_quartile_wait_ms,
             limit_ms,
+            shortage: None,
         })
     }
 }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use juniper_admission::ServerCalls;
 use juniper_prefix_index::rendezvous;
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
@@ -157,6 +158,8 @@
     pub(crate) had_output: bool,
     /// Number of the request among those of this router.
     pub(crate) request: ReportedRequest,
+    /// Calls at the server including this one, if their concurrency is measured.
+    pub(crate) calls: Option<ServerCalls>,
     /// Prefill tokens queued at the server when the request was dispatched.
     pub(crate) tokens_ahead: f64,
 }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -10,6 +10,7 @@
 
 use crate::backoffs::Backoffs;
 use crate::cached_segments::DispatchedPrompt;
+use crate::call_limits::CallLimits;
 use crate::choice::{Choice, ServiceProfile, Ticket};
 use crate::dispatch_record::{DispatchRecord, ReportedRequest};
 use crate::fleet_load::is_expired;
@@ -17,6 +18,7 @@
 use crate::lanes::Lanes;
 use crate::load::PrefillSpeed;
 use crate::reachability_reports::Reporter;
+use crate::scarcity::PromptAdmissions;
 use crate::server::Server;
 
 /// Maximum queued prefill at dispatch, relative to the prompt's own prefill, for the time to first
@@ -46,6 +48,10 @@
     pub(crate) speeds: HashMap<String, PrefillSpeed>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
     pub(crate) lanes: HashMap<String, Lanes>,
+    /// Admission of prompts in services with tight objectives.
+    pub(crate) prompt_admissions: PromptAdmissions,
+    /// Concurrency limits of services without prompts.
+    pub(crate) call_limits: CallLimits,
     /// Requests reported by other routers, with their server and the time of the report.
     reported_requests: HashMap<ReportedRequest, (InstanceId, Timestamp)>,
     /// Number of reported requests at which expired ones are removed.
@@ -69,6 +75,8 @@
             speeds: HashMap::new(),
             profiles: HashMap::new(),
             lanes: HashMap::new(),
+            prompt_admissions: PromptAdmissions::default(),
+            call_limits: CallLimits::default(),
             reported_requests: HashMap::new(),
             cleanup_threshold: MIN_CLEANUP_THRESHOLD,
             last_request_number: 0,
@@ -166,6 +174,7 @@
             started_at: now,
             had_output: false,
             request,
+            calls: self.calls_at(&choice.instance, now).filter(|_| !has_prompt),
             tokens_ahead,
         }
     }
@@ -212,7 +221,11 @@
         if dispatch.keys.is_empty() && dispatch.own_tokens == 0 {
             return;
         }
-        let capacity = self.profiles.get(service).map_or(0, |profile| profile.cache_tokens);
+        let profile = self.profiles.get(service);
+        if profile.is_some_and(|profile| profile.is_tight) {
+            server.held.add(request, dispatch, now);
+        }
+        let capacity = profile.map_or(0, |profile| profile.cache_tokens);
         let prompt = DispatchedPrompt {
             keys: &dispatch.keys,
             tokens: &dispatch.segment_tokens,
@@ -227,6 +240,7 @@
         let Some((instance, _)) = self.reported_requests.remove(&request) else { return };
         if let Some(server) = self.server_mut(&instance) {
             server.fleet_load.remove_request(request);
+            server.held.remove(request);
         }
     }
 
@@ -272,12 +286,14 @@
 
     /// Records the end of a request.
     pub fn end_request(&mut self, mut ticket: Ticket, outcome: Outcome, now: Timestamp) {
+        self.record_call(&ticket, outcome, now);
         let Some(server) = self.server_mut(&ticket.instance) else { return };
         if !std::mem::replace(&mut ticket.had_output, true) {
             server.load.first_output(ticket.prefill_tokens);
         }
         server.load.remove_request();
         server.fleet_load.remove_request(ticket.request);
+        server.held.remove(ticket.request);
         server.health.record(outcome, now);
     }
 
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -50,6 +50,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Key of the callers that share cached segments with each other.
     pub sharing_key: u64,
+    /// Hash of the tenant's name; zero without tenants.
+    pub tenant: u64,
     /// Servers that have already failed this request.
     pub excluded: &'a [InstanceId],
     /// Whether servers with an advertised limit are excluded.
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -11,6 +11,7 @@
 use crate::cached_segments::CachedSegments;
 use crate::fleet_load::FleetLoad;
 use crate::health::Health;
+use crate::held_tokens::HeldTokens;
 use crate::load::Load;
 use crate::reachability_reports::UnreachableReports;
 
@@ -38,6 +39,8 @@
     /// Advertised limit of the server, for all routers together.
     pub(crate) limit: Option<ServerLimit>,
     pub(crate) turnover: CacheTurnover,
+    /// Tokens that in-flight prompts hold in the KV cache.
+    pub(crate) held: HeldTokens,
     /// Model of the segments in the server's KV cache.
     pub(crate) cached: CachedSegments,
 }
@@ -61,6 +64,7 @@
             is_departing: false,
             limit: None,
             turnover: CacheTurnover::default(),
+            held: HeldTokens::default(),
             cached: CachedSegments::default(),
         }
     }
--- a/crates/placement/tests/notices/world.rs
+++ b/crates/placement/tests/notices/world.rs
@@ -312,6 +312,7 @@
             service: SERVICE,
             prompt: None,
             sharing_key: 0,
+            tenant: 0,
             excluded: &call.excluded,
             excludes_limited: false,
             rank: 1,
--- a/crates/placement/tests/requests_without_prompt.rs
+++ b/crates/placement/tests/requests_without_prompt.rs
@@ -16,6 +16,7 @@
         service: SERVICE,
         prompt: None,
         sharing_key: 0,
+        tenant: 0,
         excluded: &[],
         excludes_limited: false,
         rank: 1,
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -71,6 +71,7 @@
         service: SERVICE,
         prompt: Some(prompt),
         sharing_key: 7,
+        tenant: 0,
         excluded,
         excludes_limited: false,
         rank: 1,
