Gateway test: calls that no server can answer in time are refused at once

The test guards against calls that are sent although their answers are known to be late, and against refusals that take long. The test gateway can be started with another configuration.

--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod departures;
 mod limits;
+mod overload;
 mod quarantine;
 mod reachability;
 mod server_limits;
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -112,16 +112,21 @@
     /// Starts a gateway with `servers` and waits until it is ready.
     pub async fn start(servers: &[&FakeServer]) -> Self {
         let gateway = Self::start_unready(servers).await;
-        gateway.control.confirm();
+        gateway.become_ready().await;
+        gateway
+    }
+
+    /// Confirms the configuration and waits until the gateway is ready.
+    pub async fn become_ready(&self) {
+        self.control.confirm();
         let ready = async {
-            while caller::ask(gateway.readiness, "GET / HTTP/1.1\r\nHost: x\r\n\r\n").await.status
+            while caller::ask(self.readiness, "GET / HTTP/1.1\r\nHost: x\r\n\r\n").await.status
                 != 200
             {
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         };
         tokio::time::timeout(TEST_TIMEOUT, ready).await.expect("ready in time");
-        gateway
     }
 
     /// Starts a gateway whose replica doesn't confirm yet.
@@ -131,8 +136,17 @@
 
     /// Starts a gateway after `prepare` has configured its replica.
     pub async fn start_with(servers: &[&FakeServer], prepare: impl FnOnce(&FakeControl)) -> Self {
+        Self::start_with_catalog(catalog(), servers, prepare).await
+    }
+
+    /// Starts a gateway with this configuration after `prepare` has configured its replica.
+    pub async fn start_with_catalog(
+        catalog: Catalog,
+        servers: &[&FakeServer],
+        prepare: impl FnOnce(&FakeControl),
+    ) -> Self {
         let reports = servers.iter().map(|server| server.report()).collect();
-        let control = FakeControl::start(catalog(), reports).await;
+        let control = FakeControl::start(catalog, reports).await;
         prepare(&control);
         let feed = Feed::start(FeedSettings {
             key: ClusterKey::from_text(KEY).expect("long enough"),
