Admission: a long prompt doesn't push its own tenant above its share

Cause: at ten prompts per second and router, with 16 tenants, a tenant had a few prompts in the measured window, and one long prompt made most of its demand. Change: a prompt counts like a mean one in its tenant's demand, which has a half-life of 10 s. The tests run with 100 routers and 16 tenants, ten prompts per second and router.

--- a/crates/admission/src/prompts.rs
+++ b/crates/admission/src/prompts.rs
@@ -13,6 +13,9 @@
 /// second, so a shorter one would measure single prompts.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(5);
 
+/// Half-life of the demand of a tenant, of which a router gets about one prompt per second.
+const TENANT_HALF_LIFE: Duration = Duration::from_secs(10);
+
 /// Weight of a rank relative to the next more urgent one: of its demand, at most half as much is
 /// admitted.
 const RANK_WEIGHT: f64 = 0.5;
@@ -64,10 +67,18 @@
 #[derive(Clone, Debug)]
 struct Kind {
     work: Decaying,
+    prompts: Decaying,
     sizes: PromptSizes,
     objective: Duration,
 }
 
+impl Kind {
+    /// Mean work of recent prompts.
+    fn mean_work(&self, now: Timestamp) -> f64 {
+        self.work.at(now) / self.prompts.at(now).max(f64::MIN_POSITIVE)
+    }
+}
+
 /// Demand of one tenant in one rank.
 #[derive(Clone, Debug)]
 struct TenantDemand {
@@ -79,7 +90,7 @@
 impl Default for TenantDemand {
     fn default() -> Self {
         let none = Decaying::new(DEMAND_HALF_LIFE);
-        TenantDemand { work: none, balances: [none; SizeClass::COUNT] }
+        TenantDemand { work: Decaying::new(TENANT_HALF_LIFE), balances: [none; SizeClass::COUNT] }
     }
 }
 
@@ -148,12 +159,14 @@
         let work = f64::from(demand.work_tokens);
         let kind = self.kinds.entry(demand.rank).or_insert_with(|| Kind {
             work: Decaying::new(DEMAND_HALF_LIFE),
+            prompts: Decaying::new(DEMAND_HALF_LIFE),
             sizes: PromptSizes::default(),
             objective: demand.objective,
         });
         let size_class = kind.sizes.class_of(demand.tokens);
         kind.sizes.record(demand.tokens, now);
         kind.work.add(work, now);
+        kind.prompts.add(1.0, now);
         kind.objective = demand.objective;
         if self.tenants.len() >= self.cleanup_threshold {
             self.tenants.retain(|_, tenant| tenant.work.at(now) >= MIN_DEMAND);
@@ -191,9 +204,12 @@
             .collect();
         let total: f64 = tenants.iter().map(|tenant| tenant.work).sum();
         let level = fair_level(tenants, total * rank_share);
+        // The prompt counts like a mean one. With its own work, a tenant of few prompts would be
+        // above its share whenever it sends a long one.
         let own = self.tenants.get(&(demand.rank, demand.tenant));
-        let own = own.map_or(0.0, |tenant| tenant.work.at(now)).max(MIN_DEMAND);
-        (level / own).min(1.0)
+        let own = own.map_or(0.0, |tenant| tenant.work.at(now)) - f64::from(demand.work_tokens);
+        let mean = self.kinds.get(&demand.rank).map_or(0.0, |kind| kind.mean_work(now));
+        (level / (own.max(0.0) + mean).max(MIN_DEMAND)).min(1.0)
     }
 
     /// Credits the prompt's class with `share` of the prompt's work, and takes the work if the
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -7,9 +7,12 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-pub const TENANTS: u64 = 8;
+pub const TENANTS: u64 = 16;
 const SERVERS: usize = 24;
-const ROUTERS: usize = 12;
+
+/// Each gets about ten prompts per second, as in a deployment of 76 routers.
+const ROUTERS: usize = 100;
+
 const FIXED_MS: f64 = 52.0;
 const MS_PER_TOKEN: f64 = 0.011;
 const SLOTS: f64 = 32.0;
