Calls without prompts: draw servers and time limits, so that routers don't act alike

Cause: routers learn of each other's calls 15 to 60 ms late, all sent to the same least loaded server, and began and ceased to refuse at the same moments. Change: a call goes to the less loaded of two servers drawn by the calls they can still answer in time; the share of the remaining time within which the answer must be expected is drawn from 0.3 to 0.7. Refusals begin after 5 answers instead of 20: 24 restarted routers queued 480 calls.

--- a/crates/admission/src/concurrency.rs
+++ b/crates/admission/src/concurrency.rs
@@ -19,13 +19,15 @@
 /// Bounds of the limit relative to the slots that the server reports.
 const LIMIT_RANGE: (f64, f64) = (0.5, 2.0);
 
-/// Fewest samples from which calls may be refused.
-const MIN_SAMPLES: u32 = 20;
+/// Fewest samples from which calls may be refused. Few, as a restarted router admits everything
+/// until then: with 20, 24 routers queued 480 calls at six servers.
+const MIN_SAMPLES: u32 = 5;
 
-/// Share of the remaining time within which an answer must be expected. Dispatch reports arrive 15
-/// to 60 ms late; at three times the load of six servers with six slots and 60 ms, nine more calls
-/// per server, 90 ms, are dispatched within 30 ms.
-const USABLE_TIME_SHARE: f64 = 0.6;
+/// Shares of the remaining time within which an answer must be expected, drawn for each call.
+/// Dispatch reports arrive 15 to 60 ms late: with a single share, all routers send until the reports
+/// arrive and then all refuse. At three times the load of six servers with six slots, 543 calls per
+/// second were then in time, of 600 that the servers can process (24 routers).
+const USABLE_TIME_SHARES: (f64, f64) = (0.3, 0.7);
 
 /// Calls at one server.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -105,7 +107,19 @@
         }
     }
 
-    /// Decides on a call that would be sent to one of `servers`.
+    /// Number of further calls that the server can answer within `time_left`; the number of its
+    /// slots while its limit is unknown.
+    pub fn room(&self, server: ServerCalls, time_left: Duration) -> f64 {
+        let limit = self.limit(server.slots);
+        if limit.is_infinite() {
+            return f64::from(server.slots.max(1));
+        }
+        let usable_ms = time_left.as_secs_f64() * 1_000.0 * USABLE_TIME_SHARES.1;
+        let in_time = limit * (usable_ms / self.least_ms.max(0.1)).max(1.0);
+        (in_time - server.in_flight).max(0.0)
+    }
+
+    /// Decides on a call that would be sent to one of `servers`. `draw` is a random number from 0 to 1.
     ///
     /// # Errors
     /// Returns the expected answer if every server is above its limit and the answer of the least
@@ -114,6 +128,7 @@
         &self,
         servers: impl Iterator<Item = ServerCalls>,
         time_left: Duration,
+        draw: f64,
     ) -> Result<(), CallOverload> {
         let loads = servers.map(|server| (server.in_flight, self.limit(server.slots)));
         let load = |(in_flight, limit): &(f64, f64)| (in_flight + 1.0) / limit;
@@ -121,7 +136,8 @@
         let Some((in_flight, limit)) = least else { return Ok(()) };
         let load = load(&(in_flight, limit));
         let expected = Duration::from_secs_f64(self.least_ms * load.max(1.0) / 1_000.0);
-        let time_limit = time_left.mul_f64(USABLE_TIME_SHARE);
+        let (least, most) = USABLE_TIME_SHARES;
+        let time_limit = time_left.mul_f64(least + draw * (most - least));
         match load > 1.0 && expected > time_limit {
             true => Err(CallOverload { expected, time_limit, in_flight, limit }),
             false => Ok(()),
--- a/crates/placement/src/scarcity.rs
+++ b/crates/placement/src/scarcity.rs
@@ -10,7 +10,9 @@
 use crate::admission::{Overload, Shortage, StartEstimate};
 use crate::choice::ServiceProfile;
 use crate::cost::{CostContext, ServerView};
+use crate::placement::Placement;
 use crate::request::{Prompt, ServerRequest};
+use crate::search::Considered;
 use crate::server::Server;
 
 /// Time for which the scarcity over all servers isn't computed again. A fraction of the 15 to 60 ms
@@ -35,20 +37,20 @@
 
 /// Prompt that is about to be sent to the server with the lowest cost.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct ChosenPrompt<'a> {
-    pub request: &'a ServerRequest<'a>,
-    pub prompt: &'a Prompt,
-    pub estimate: StartEstimate,
-    pub prefill_tokens: u32,
+struct ChosenPrompt<'a> {
+    request: &'a ServerRequest<'a>,
+    prompt: &'a Prompt,
+    estimate: StartEstimate,
+    prefill_tokens: u32,
     /// Index of the chosen server.
-    pub index: usize,
+    index: usize,
 }
 
 impl ServiceAdmission {
     /// Returns why the prompt isn't sent, if so. `usage` returns the use of the server with an
     /// index below `servers`, given the output tokens of a request. It is called for all servers
     /// only if the chosen server has little to spare.
-    pub(crate) fn overload(
+    fn overload(
         &mut self,
         chosen: &ChosenPrompt<'_>,
         servers: usize,
@@ -98,8 +100,41 @@
     }
 }
 
+impl Placement {
+    /// Returns why the request isn't sent to the chosen server, if so. There it causes a prefill of
+    /// `prefill_tokens` and is expected to start after `estimate`.
+    pub(crate) fn overload(
+        &self,
+        considered: &Considered<'_>,
+        index: usize,
+        prefill_tokens: u32,
+        estimate: StartEstimate,
+    ) -> Option<Overload> {
+        let Considered { request, servers, work, context, .. } = *considered;
+        let profile = self.profile(request.service);
+        let Some(prompt) = request.prompt else {
+            return self.call_overload(considered, index);
+        };
+        if !profile.is_tight {
+            let lower_quartile_wait_ms = || self.lower_quartile_wait_ms(servers, work, context);
+            return estimate.overload(request.rank, request.time_left, lower_quartile_wait_ms);
+        }
+        let usage = |index: usize, output_tokens: f64| {
+            let view = self.server_view(servers[index], work[index], context);
+            server_usage(servers[index], &view, context, profile, output_tokens)
+        };
+        let chosen = ChosenPrompt { request, prompt, estimate, prefill_tokens, index };
+        let mut admissions = self.prompt_admissions.borrow_mut();
+        if !admissions.contains_key(request.service) {
+            admissions.insert(request.service.to_owned(), ServiceAdmission::default());
+        }
+        let admission = admissions.get_mut(request.service)?;
+        admission.overload(&chosen, servers.len(), usage, context.now)
+    }
+}
+
 /// Use of the resources of a server.
-pub(crate) fn server_usage(
+fn server_usage(
     server: &Server,
     view: &ServerView<'_>,
     context: &CostContext,
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -3,7 +3,7 @@
 use juniper_prefix_index::rendezvous;
 use juniper_types::Timestamp;
 
-use crate::admission::{Overload, StartEstimate};
+use crate::admission::StartEstimate;
 use crate::candidates::{is_usable, last_resort};
 use crate::choice::{Choice, ChoiceError, ServiceProfile};
 use crate::cost::{CostContext, ServerView};
@@ -11,7 +11,6 @@
 use crate::placement::Placement;
 use crate::prompt_work::PromptWork;
 use crate::request::ServerRequest;
-use crate::scarcity::{ChosenPrompt, ServiceAdmission, server_usage};
 use crate::server::Server;
 
 /// Costs that differ by less than this many milliseconds count as equal.
@@ -93,6 +92,9 @@
             }
         }
         let (cost_ms, _, index) = best.ok_or(ChoiceError::NoServer)?;
+        let considered =
+            Considered { request, servers, work: &work_by_server, context: &context, random };
+        let (cost_ms, index) = self.spread_call(&considered).unwrap_or((cost_ms, index));
         let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
         let source = work_by_server[index]
             .source
@@ -102,10 +104,8 @@
         let first_output_ms = context.first_output_ms(&view);
         let estimate = StartEstimate { first_output_ms, wait_ms: context.wait_ms(&view) };
         if request.may_be_refused {
-            let chosen = (index, work.prefill_tokens, estimate);
-            if let Some(overload) =
-                self.overload(request, servers, &work_by_server, &context, chosen)
-            {
+            let overload = self.overload(&considered, index, work.prefill_tokens, estimate);
+            if let Some(overload) = overload {
                 return Err(ChoiceError::Overloaded(overload));
             }
         }
@@ -113,45 +113,9 @@
         Ok(self.build_choice(servers, request, chain, cheapest))
     }
 
-    /// Returns why the request isn't sent to the chosen server, if so: its index, the prompt's
-    /// prefill tokens and the expected timing there.
-    fn overload(
-        &self,
-        request: &ServerRequest<'_>,
-        servers: &[&Server],
-        work_by_server: &[PromptWork],
-        context: &CostContext,
-        (index, prefill_tokens, estimate): (usize, u32, StartEstimate),
-    ) -> Option<Overload> {
-        let profile = self.profile(request.service);
-        let Some(prompt) = request.prompt else {
-            return match self.limits_calls(request.service) {
-                true => self.call_overload(request, servers, index, context.now),
-                false => None,
-            };
-        };
-        if !profile.is_tight {
-            let lower_quartile_wait_ms =
-                || self.lower_quartile_wait_ms(servers, work_by_server, context);
-            return estimate.overload(request.rank, request.time_left, lower_quartile_wait_ms);
-        }
-        let usage = |index: usize, output_tokens: f64| {
-            let server = servers[index];
-            let view = self.server_view(server, work_by_server[index], context);
-            server_usage(server, &view, context, profile, output_tokens)
-        };
-        let chosen = ChosenPrompt { request, prompt, estimate, prefill_tokens, index };
-        let mut admissions = self.prompt_admissions.borrow_mut();
-        if !admissions.contains_key(request.service) {
-            admissions.insert(request.service.to_owned(), ServiceAdmission::default());
-        }
-        let admission = admissions.get_mut(request.service)?;
-        admission.overload(&chosen, servers.len(), usage, context.now)
-    }
-
     /// Lower quartile of the servers' queueing times. There is spare capacity while a quarter of
     /// the servers have short queues.
-    fn lower_quartile_wait_ms(
+    pub(crate) fn lower_quartile_wait_ms(
         &self,
         servers: &[&Server],
         work_by_server: &[PromptWork],
@@ -208,7 +172,7 @@
     }
 
     /// Cost inputs of the server for one request.
-    fn server_view<'a>(
+    pub(crate) fn server_view<'a>(
         &self,
         server: &'a Server,
         work: PromptWork,
@@ -267,6 +231,16 @@
     if preferred.is_empty() { servers } else { preferred }
 }
 
+/// A request and the servers that are considered for it.
+pub(crate) struct Considered<'a> {
+    pub request: &'a ServerRequest<'a>,
+    pub servers: &'a [&'a Server],
+    /// Work that the request causes on each server.
+    pub work: &'a [PromptWork],
+    pub context: &'a CostContext,
+    pub random: u64,
+}
+
 /// The server with the lowest cost.
 struct Cheapest {
     index: usize,
