--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -139,7 +139,7 @@
         Self::start_with_catalog(catalog(), servers, prepare).await
     }
 
-    /// Starts a gateway with this configuration after `prepare` has configured its replica.
+    /// Starts a gateway with a catalog after `prepare` has configured its replica.
     pub async fn start_with_catalog(
         catalog: Catalog,
         servers: &[&FakeServer],
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -32,9 +32,11 @@
 mod search;
 mod server;
 mod server_limits;
+mod timing_model;
+mod timing_sample;
 
 pub use admission::{Overload, Shortage, StartEstimate};
-pub use choice::{Choice, ChoiceError, Reason, ServiceProfile, Ticket};
+pub use choice::{Choice, ChoiceError, ExpectedTiming, Reason, ServiceProfile, Ticket};
 pub use dispatch_record::{DispatchRecord, ReportedRequest};
 pub use health::Outcome;
 pub use homes::ChainKeys;
--- a/crates/placement/src/scarcity.rs
+++ b/crates/placement/src/scarcity.rs
@@ -19,6 +19,10 @@
 /// after which dispatch reports arrive.
 const SCARCITY_AGE: Duration = Duration::from_millis(10);
 
+/// The scarcity is also computed again after one admitted prompt for this number of servers, so that
+/// a burst at one router is noticed at once.
+const MAX_ADMITTED_DIVISOR: usize = 8;
+
 /// Weight of a prompt in the mean of the maximum outputs.
 const OUTPUT_WEIGHT: f64 = 0.05;
 
@@ -33,6 +37,8 @@
     output_tokens: Option<f64>,
     /// Scarcity over all servers and when it was computed.
     scarcity: Option<(Timestamp, ServiceScarcity)>,
+    /// Prompts admitted since then.
+    admitted: usize,
 }
 
 /// Prompt that is about to be sent to the server with the lowest cost.
@@ -73,16 +79,24 @@
         let is_spare = self.prompts.is_spare(&demand, &usage(index, output_tokens), now);
         let scarcity = match self.scarcity {
             _ if is_spare => ServiceScarcity::default(),
-            Some((at, scarcity)) if now.since(at) < SCARCITY_AGE => scarcity,
+            Some((at, scarcity))
+                if now.since(at) < SCARCITY_AGE
+                    && self.admitted <= servers / MAX_ADMITTED_DIVISOR =>
+            {
+                scarcity
+            }
             _ => {
                 let usages: Vec<ServerUsage> =
                     (0..servers).map(|index| usage(index, output_tokens)).collect();
                 let scarcity = ServiceScarcity::of(&usages);
-                self.scarcity = Some((now, scarcity));
+                (self.scarcity, self.admitted) = (Some((now, scarcity)), 0);
                 scarcity
             }
         };
-        let overload = self.prompts.decide(&demand, &scarcity, now).err()?;
+        let Err(overload) = self.prompts.decide(&demand, &scarcity, now) else {
+            self.admitted += 1;
+            return None;
+        };
         let shortage = Shortage {
             resource: overload.resource,
             size_class: Some(overload.size_class),
@@ -144,10 +158,15 @@
     let requests = view.fleet_requests.max(f64::from(view.load.requests));
     let share = |used: f64, capacity: f64| if capacity > 0.0 { used / capacity } else { 0.0 };
     let held = server.held.tokens(output_tokens, context.now);
+    // Before enough samples, expected times aren't a reason to refuse a prompt.
+    let (wait_ms, gap_ms) = match context.timing.may_refuse() {
+        true => (context.wait_ms(view), context.timing.gap_ms(view.tokens_ahead(), view.pace)),
+        false => (0.0, None),
+    };
     ServerUsage {
-        wait_ms: context.wait_ms(view),
+        wait_ms,
         slot_share: share(requests, f64::from(view.slots)),
         memory_share: share(held, profile.cache_tokens as f64),
-        gap_ms: 0.0,
+        gap_ms: gap_ms.unwrap_or(0.0),
     }
 }
--- a/crates/placement/tests/call_overload.rs
+++ b/crates/placement/tests/call_overload.rs
@@ -112,7 +112,9 @@
                 );
             }
             Event::Ended(index) => {
-                routers.iter_mut().for_each(|placement| placement.apply_peer_completion(id(index)));
+                routers
+                    .iter_mut()
+                    .for_each(|placement| placement.apply_peer_completion(id(index), at(now)));
             }
         }
     }
--- a/crates/placement/tests/scarcity.rs
+++ b/crates/placement/tests/scarcity.rs
@@ -61,10 +61,23 @@
     }
 }
 
-/// A placement that knows the sizes and shares of prompts, from a time without load.
+/// Time at which prompts are sent under load, in milliseconds.
+const NOW: u64 = 1_000;
+
+/// Sends prompts at a time without load, until times, sizes and shares are known.
+fn learn(placement: &mut Placement) {
+    for _ in 0..40 {
+        let choice = choose(placement, Some(&prompt(1_000)), 0).expect("no load");
+        let mut ticket = placement.begin_request(&choice, true, at(0));
+        placement.record_first_output(&mut ticket, at(60));
+        placement.end_request(ticket, Outcome::Answered, at(60));
+    }
+}
+
+/// A placement with known times, sizes and shares.
 fn with_known_shares() -> Placement {
-    let placement = placement(true, 100_000);
-    (0..40).for_each(|_| assert!(choose(&placement, Some(&prompt(1_000)), 0).is_ok()));
+    let mut placement = placement(true, 100_000);
+    learn(&mut placement);
     placement
 }
 
@@ -86,7 +99,7 @@
     for server in 1..=servers {
         let request = ReportedRequest { router: NodeId(5), number: number * 100 + server };
         let record = DispatchRecord { instance: instance(server, 1).id, ..record.clone() };
-        placement.apply_peer_dispatch(request, &record, at(0));
+        placement.apply_peer_dispatch(request, &record, at(NOW));
     }
 }
 
@@ -101,9 +114,9 @@
 fn long_prompt_is_admitted_while_no_resource_is_scarce() {
     for (is_tight, is_admitted) in [(true, true), (false, false)] {
         let mut placement = placement(is_tight, 200_000);
-        (0..40).for_each(|_| assert!(choose(&placement, Some(&prompt(1_000)), 0).is_ok()));
+        learn(&mut placement);
         report(&mut placement, SERVERS, 0, &dispatch(1, 4_000, 4_000));
-        let result = choose(&placement, Some(&prompt(39_600)), 0);
+        let result = choose(&placement, Some(&prompt(39_600)), NOW);
         assert_eq!(result.is_ok(), is_admitted, "tight: {is_tight}: {result:?}");
     }
 }
@@ -113,7 +126,7 @@
     for (busy, is_admitted) in [(SERVERS, false), (SERVERS / 2, true)] {
         let mut placement = with_known_shares();
         report(&mut placement, busy, 0, &dispatch(1, 80_000, 80_000));
-        match choose(&placement, Some(&prompt(1_000)), 0) {
+        match choose(&placement, Some(&prompt(1_000)), NOW) {
             Ok(_) => assert!(is_admitted),
             Err(overload) => {
                 let shortage = overload.shortage.expect("scarce");
@@ -128,7 +141,7 @@
 /// A prompt that is expected late is sent with the lowest priority while there is spare capacity.
 #[test]
 fn late_prompt_is_sent_while_there_is_spare_capacity() {
-    let choice = choose(&with_known_shares(), Some(&prompt(90_000)), 0).expect("admitted");
+    let choice = choose(&with_known_shares(), Some(&prompt(90_000)), NOW).expect("admitted");
     assert!(choice.is_late);
 }
 
@@ -136,13 +149,13 @@
 fn memory_held_by_running_prompts_is_scarce_until_they_end() {
     let mut placement = with_known_shares();
     hold_memory(&mut placement, SERVERS);
-    let overload = choose(&placement, Some(&prompt(1_000)), 0).expect_err("no memory left");
+    let overload = choose(&placement, Some(&prompt(1_000)), NOW).expect_err("no memory left");
     assert_eq!(overload.shortage.map(|shortage| shortage.resource), Some(Resource::Memory));
     for server in 1..=SERVERS {
         let request = ReportedRequest { router: NodeId(5), number: server };
-        placement.apply_peer_completion(request);
+        placement.apply_peer_completion(request, at(NOW + 20));
     }
-    assert!(choose(&placement, Some(&prompt(1_000)), 20).is_ok());
+    assert!(choose(&placement, Some(&prompt(1_000)), NOW + 20).is_ok());
 }
 
 /// Cached segments without a running request can be evicted, and shared ones are held once.
@@ -152,7 +165,7 @@
     let record =
         DispatchRecord { keys: vec![7], segment_tokens: vec![60_000], ..dispatch(1, 500, 0) };
     (0..5).for_each(|number| report(&mut placement, SERVERS, number, &record));
-    assert!(choose(&placement, Some(&prompt(1_000)), 0).is_ok());
+    assert!(choose(&placement, Some(&prompt(1_000)), NOW).is_ok());
 }
 
 /// Failure: the router of the requests crashed, or their ends were lost.
@@ -160,17 +173,17 @@
 fn memory_of_requests_without_reported_end_expires() {
     let mut placement = with_known_shares();
     hold_memory(&mut placement, SERVERS);
-    assert!(choose(&placement, Some(&prompt(1_000)), 0).is_err());
-    assert!(choose(&placement, Some(&prompt(1_000)), 10_000).is_ok());
+    assert!(choose(&placement, Some(&prompt(1_000)), NOW).is_err());
+    assert!(choose(&placement, Some(&prompt(1_000)), NOW + 10_000).is_ok());
 }
 
 /// Failure: without reports, only this router's own requests count.
 #[test]
 fn prompt_is_admitted_without_reports_of_other_routers() {
     let mut placement = with_known_shares();
-    let own = choose(&placement, Some(&prompt(60_000)), 0).expect("admitted");
-    placement.begin_request(&own, true, at(0));
-    assert!(choose(&placement, Some(&prompt(1_000)), 0).is_ok());
+    let own = choose(&placement, Some(&prompt(60_000)), NOW).expect("admitted");
+    placement.begin_request(&own, true, at(NOW));
+    assert!(choose(&placement, Some(&prompt(1_000)), NOW).is_ok());
 }
 
 /// Failure: a restarted server has an empty cache and no queue, whatever was reported before.
@@ -178,9 +191,9 @@
 fn restarted_servers_are_free() {
     let mut placement = with_known_shares();
     hold_memory(&mut placement, SERVERS);
-    assert!(choose(&placement, Some(&prompt(1_000)), 0).is_err());
+    assert!(choose(&placement, Some(&prompt(1_000)), NOW).is_err());
     placement.set_instances(&instances(2));
-    assert!(choose(&placement, Some(&prompt(1_000)), 20).is_ok());
+    assert!(choose(&placement, Some(&prompt(1_000)), NOW + 20).is_ok());
 }
 
 /// Failure: a restarted router doesn't know the shares of classes.
@@ -188,8 +201,8 @@
 fn restarted_router_admits_at_first() {
     let mut placement = placement(true, 100_000);
     hold_memory(&mut placement, SERVERS);
-    assert!((0..20).all(|_| choose(&placement, Some(&prompt(1_000)), 0).is_ok()));
-    assert!(choose(&placement, Some(&prompt(1_000)), 0).is_err());
+    assert!((0..20).all(|_| choose(&placement, Some(&prompt(1_000)), NOW).is_ok()));
+    assert!(choose(&placement, Some(&prompt(1_000)), NOW).is_err());
 }
 
 /// A service without prompts, of which the answers took 60 ms so far.
@@ -244,3 +257,16 @@
 fn call_is_admitted_while_the_latency_is_unknown() {
     assert_eq!(send_calls(&mut placement(true, 0)).2, None);
 }
+
+/// Guards against a burst at one router that is admitted by the scarcity computed before it.
+#[test]
+fn burst_at_one_router_is_noticed_at_once() {
+    let mut placement = with_known_shares();
+    let admitted = (0..400).filter(|_| {
+        let choice = choose(&placement, Some(&prompt(2_000)), NOW);
+        choice.map(|choice| placement.begin_request(&choice, true, at(NOW))).is_ok()
+    });
+    // Eight servers with six slots: beyond 1.15 of them nothing is admitted.
+    let admitted = admitted.count();
+    assert!((40..=60).contains(&admitted), "{admitted}");
+}
