--- a/crates/admission/src/shares.rs
+++ b/crates/admission/src/shares.rs
@@ -10,9 +10,6 @@
 
 /// Level at which the classes together get `capacity`, if the share of its demand that each gets is
 /// its weight x level, at most 1. Infinite if all demand fits.
-///
-/// With weights of 1 / work this is max-min fairness: each class gets the same amount of work, or
-/// all it demands if that is less.
 pub(crate) fn fair_level(mut demands: Vec<Demand>, capacity: f64) -> f64 {
     demands.retain(|demand| demand.work > 0.0);
     demands.sort_unstable_by(|one, other| other.weight.total_cmp(&one.weight));
@@ -28,3 +25,10 @@
     }
     f64::INFINITY
 }
+
+/// Work at which the classes together get `capacity`, if each gets the same amount of work, or all it
+/// demands if that is less. Infinite if all demand fits.
+pub(crate) fn max_min_level(works: impl Iterator<Item = f64>, capacity: f64) -> f64 {
+    let works = works.filter(|work| *work > 0.0);
+    fair_level(works.map(|work| Demand { work, weight: 1.0 / work }).collect(), capacity)
+}
