Admission: a tenth of the demand is admitted despite long expected waits

Cause: in a trial (replay of tight_services.rs on 20 servers, cold start above capacity) routers with a wrong fit expected waits of 700 ms and more at servers with medians of 25 to 80 ms, and refused nearly everything, so that the fit wasn't corrected. Change: for resources that are judged by expected times (prefill, gaps), at least 0.1 of the demand is admitted. Slots and memory are counted and have no least share.

--- a/crates/admission/src/scarcity.rs
+++ b/crates/admission/src/scarcity.rs
@@ -99,12 +99,17 @@
 /// of the lower quartile.
 const SPARE_SHARE: f64 = 0.5;
 
+/// Least share of the demand that is admitted if a resource is scarce by expected times. Expected
+/// times that are wrong are only corrected by prompts that are sent: without a least share, routers
+/// with wrong ones refused nearly everything for as long as their samples lasted.
+const MIN_ADMITTED_SHARE: f64 = 0.1;
+
 /// Share of the shortest objective that prompts may wait on three quarters of the servers before
 /// prefill time is scarce. Leaves the rest for the fixed part of a first output (52 ms were
 /// measured) and the prefill of the largest tenth (70 to 220 ms).
 const SCARCE_WAIT: f64 = 0.2;
 
-/// Wait relative to the shortest objective at which nothing is admitted: with the fixed part, even
+/// Wait relative to the shortest objective at which least is admitted: with the fixed part, even
 /// small prompts would be late.
 const EXHAUSTED_WAIT: f64 = 0.6;
 
@@ -125,7 +130,7 @@
 /// Expected gap relative to the maximum from which gaps are scarce.
 const SCARCE_GAP: f64 = 1.0;
 
-/// Expected gap relative to the maximum at which nothing is admitted.
+/// Expected gap relative to the maximum at which least is admitted.
 const EXHAUSTED_GAP: f64 = 2.0;
 
 /// Requirements that decide whether a resource is scarce.
@@ -154,9 +159,13 @@
         let objective_ms = self.objective.as_secs_f64() * 1_000.0;
         let max_gap_ms = self.max_gap.map_or(f64::INFINITY, |gap| gap.as_secs_f64() * 1_000.0);
         let shortage = |resource, level: f64, scarce: f64, exhausted: f64| {
+            let least = match resource {
+                Resource::Prefill | Resource::Gaps => MIN_ADMITTED_SHARE,
+                _ => 0.0,
+            };
             // Falls linearly, so that routers that see the same level together admit what fits.
             let admitted_share = (exhausted - level) / (exhausted - scarce);
-            let admitted_share = admitted_share.clamp(0.0, 1.0);
+            let admitted_share = admitted_share.clamp(least, 1.0);
             (level > scarce).then_some(Shortage { resource, level, limit: scarce, admitted_share })
         };
         [
