--- a/crates/catalog/src/objectives.rs
+++ b/crates/catalog/src/objectives.rs
@@ -25,9 +25,11 @@
         }
     }
 
-    /// Whether any streaming route has an objective of at most [`MAX_TIGHT_OBJECTIVE_MS`].
+    /// Whether any streaming route to a service with engines has an objective of at most
+    /// [`MAX_TIGHT_OBJECTIVE_MS`].
     pub fn has_tight_stream(&self) -> bool {
-        self.routes.iter().any(|route| route.kind == RouteKind::Stream && is_tight(route))
+        let mut engines = self.services.iter().filter(|service| service.engine.is_some());
+        engines.any(|service| self.streams_to(&service.name).any(is_tight))
     }
 
     fn has_only_tight_streams(&self, service: &str) -> bool {
--- a/crates/catalog/tests/objectives.rs
+++ b/crates/catalog/tests/objectives.rs
@@ -80,7 +80,9 @@
         ],
         Vec::new(),
     ];
-    for routes in loose {
+    let to_application = vec![route("application", RouteKind::Stream, 300, 1)];
+    assert!(!catalog(to_application.clone()).has_tight_stream());
+    for routes in loose.into_iter().chain([to_application]) {
         assert_eq!(tight(routes.clone()), (false, false), "{routes:?}");
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use juniper_catalog::RouteKind;
 use juniper_crash_watch::CrashMetrics;
 use juniper_limits::Verdict;
+use juniper_placement::Resource;
 use juniper_waiting::PromiseCounts;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
@@ -44,6 +45,8 @@
     over_limit: IntCounterVec,
     /// Tenants with a counter of their own.
     limited_tenants: Mutex<BTreeSet<String>>,
+    /// Requests refused because servers are overloaded, by scarce resource.
+    shortages: IntCounterVec,
     /// Retries refused by the retry budget.
     budget_spent: IntCounter,
     /// Decisions of the retry budget, by service and outcome.
@@ -153,6 +156,11 @@
                 "Requests beyond their tenant's limit, by tenant and by who decided.",
                 &["tenant", "decided_by"],
             )?,
+            shortages: counters(
+                "shortages_total",
+                "Requests refused because servers are overloaded, by scarce resource.",
+                &["resource"],
+            )?,
             limited_tenants: Mutex::default(),
             limited_servers: gauge("limited_servers", "Servers that state what they take.")?,
             backing_off_servers: gauge("resting_servers", "Servers that asked for a pause.")?,
@@ -228,6 +236,11 @@
         self.over_limit.with_label_values(&[shown, by.as_str()]).inc();
     }
 
+    /// Counts a request refused because servers are overloaded.
+    pub(crate) fn count_shortage(&self, resource: Resource) {
+        self.shortages.with_label_values(&[resource.as_str()]).inc();
+    }
+
     /// Counts a decision of the retry budget.
     pub(crate) fn count_retry(&self, service: &str, is_granted: bool) {
         let outcome = if is_granted { "granted" } else { "refused" };
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -27,14 +27,14 @@
         }
     }
 
-    /// Records a prompt that was admitted.
+    /// Records a request that was admitted.
     pub(crate) fn record_admission(&self, service: &str, rank: u8, now: Timestamp) {
         if let Some(schedule) = lock(&self.schedules).get_mut(service) {
             schedule.record_admission(rank, now);
         }
     }
 
-    /// When a caller should return whose prompt was refused because of an overload that is expected
+    /// When a caller should return whose request was refused because of an overload that is expected
     /// to end after `excess`. `None` if the service has no tight objectives.
     pub(crate) fn next(
         &self,
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -238,10 +238,10 @@
         }
     }
 
-    /// Records an admitted prompt for the returns of refused callers.
+    /// Records an admitted request for the returns of refused callers.
     fn record_admission(&self) {
         let (gateway, call) = (self.gateway, self.call);
-        if call.has_prompt() && self.progress == Progress::default() {
+        if self.progress == Progress::default() {
             gateway.returns.record_admission(&call.service, call.priority, gateway.now());
         }
     }
@@ -259,9 +259,11 @@
     }
 
     fn log_overload(&self, overload: &Overload) {
+        self.gateway.metrics.count_shortage(overload.resource);
         log::info!(
             "event=overloaded request={} route={} service={} rank={} expected_ms={:.0} \
-             wait_ms={:.0} least_waits_ms={:.0} limit_ms={:.0}",
+             wait_ms={:.0} least_waits_ms={:.0} limit_ms={:.0} \
+             resource={}",
             self.call.id(),
             self.call.route.name,
             self.call.service,
@@ -269,7 +271,8 @@
             overload.estimate.first_output_ms,
             overload.estimate.wait_ms,
             overload.lower_quartile_wait_ms,
-            overload.limit_ms
+            overload.limit_ms,
+            overload.resource.as_str()
         );
     }
 
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -7,6 +7,7 @@
 mod departures;
 mod limits;
 mod limits_soon;
+mod overload;
 mod quarantine;
 mod reachability;
 mod server_limits;
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -136,7 +136,7 @@
     }
 
     /// Confirms the configuration and waits until the gateway is ready.
-    async fn ready(self) -> Self {
+    pub async fn ready(self) -> Self {
         let gateway = self;
         gateway.control.confirm();
         let ready = async {
--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -43,6 +43,27 @@
     pub lower_quartile_wait_ms: f64,
     /// Time within which the prompt had to start, in milliseconds.
     pub limit_ms: f64,
+    /// What the servers have too little of.
+    pub resource: Resource,
+}
+
+/// Resource of servers that requests compete for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resource {
+    /// Prefill time: how long a prompt waits for those before it.
+    Prefill,
+    /// Calls without prompts that a server processes concurrently.
+    Calls,
+}
+
+impl Resource {
+    /// Value of `resource` in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Resource::Prefill => "prefill",
+            Resource::Calls => "calls",
+        }
+    }
 }
 
 impl Overload {
@@ -75,6 +96,7 @@
             estimate: self,
             lower_quartile_wait_ms,
             limit_ms,
+            resource: Resource::Prefill,
         })
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -10,6 +10,7 @@
 mod backoffs;
 mod cache_turnover;
 mod cached_segments;
+mod call_limits;
 mod candidates;
 mod choice;
 mod cost;
@@ -32,7 +33,7 @@
 mod timing_model;
 mod timing_sample;
 
-pub use admission::{Overload, StartEstimate};
+pub use admission::{Overload, Resource, StartEstimate};
 pub use choice::{Choice, ChoiceError, ExpectedTiming, Reason, ServiceProfile, Ticket};
 pub use dispatch_record::{DispatchRecord, ReportedRequest};
 pub use health::Outcome;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -11,6 +11,7 @@
 
 use crate::backoffs::Backoffs;
 use crate::cached_segments::DispatchedPrompt;
+use crate::call_limits::CallLimits;
 use crate::choice::{Choice, ServiceProfile, Ticket};
 use crate::dispatch_record::{DispatchRecord, ReportedRequest};
 use crate::fleet_load::is_expired;
@@ -49,6 +50,8 @@
     pub(crate) timings: HashMap<String, ServiceTiming>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
     pub(crate) lanes: HashMap<String, Lanes>,
+    /// Concurrency limits of services without prompts.
+    pub(crate) call_limits: CallLimits,
     /// Requests reported by other routers, with their server and the time of the report.
     reported_requests: HashMap<ReportedRequest, (InstanceId, Timestamp)>,
     /// Number of reported requests at which expired ones are removed.
@@ -73,6 +76,7 @@
             timings: HashMap::new(),
             profiles: HashMap::new(),
             lanes: HashMap::new(),
+            call_limits: CallLimits::default(),
             reported_requests: HashMap::new(),
             cleanup_threshold: MIN_CLEANUP_THRESHOLD,
             last_request_number: 0,
@@ -171,6 +175,7 @@
             started_at: now,
             had_output: false,
             request,
+            calls: self.calls_at(&choice.instance, now).filter(|_| !has_prompt),
             tokens_ahead,
             sample,
         }
@@ -290,6 +295,7 @@
 
     /// Records the end of a request.
     pub fn end_request(&mut self, mut ticket: Ticket, outcome: Outcome, now: Timestamp) {
+        self.record_call(&ticket, outcome, now);
         let Some(server) = self.server_mut(&ticket.instance) else { return };
         if !std::mem::replace(&mut ticket.had_output, true) {
             server.load.first_output(ticket.prefill_tokens);
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -5,7 +5,7 @@
 use juniper_prefix_index::rendezvous;
 use juniper_types::Timestamp;
 
-use crate::admission::StartEstimate;
+use crate::admission::{Overload, StartEstimate};
 use crate::candidates::{is_usable, last_resort};
 use crate::choice::{Choice, ChoiceError, ExpectedTiming, ServiceProfile};
 use crate::cost::{CostContext, ServerView};
@@ -98,6 +98,9 @@
             }
         }
         let (cost_ms, _, index) = best.ok_or(ChoiceError::NoServer)?;
+        let considered =
+            Considered { request, servers, work: &work_by_server, context: &context, random };
+        let (cost_ms, index) = self.spread_call(&considered).unwrap_or((cost_ms, index));
         let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
         let source = work_by_server[index]
             .source
@@ -107,12 +110,8 @@
         let expected = context.expected(&view);
         let first_output_ms = expected.first_output_ms;
         let estimate = StartEstimate { first_output_ms, wait_ms: context.wait_ms(&view) };
-        let may_be_refused = request.may_be_refused && context.timing.may_refuse();
-        if request.prompt.is_some() && may_be_refused {
-            let lower_quartile_wait_ms =
-                || self.lower_quartile_wait_ms(servers, &work_by_server, &context);
-            let overload =
-                estimate.overload(request.rank, request.time_left, lower_quartile_wait_ms);
+        if request.may_be_refused {
+            let overload = self.overload(&considered, index, estimate);
             if let Some(overload) = overload {
                 return Err(ChoiceError::Overloaded(overload));
             }
@@ -121,6 +120,25 @@
         Ok(self.build_choice(servers, request, chain, cheapest))
     }
 
+    /// Returns why the request isn't sent to the chosen server, if so, where it is expected to start
+    /// after `estimate`.
+    fn overload(
+        &self,
+        considered: &Considered<'_>,
+        chosen: usize,
+        estimate: StartEstimate,
+    ) -> Option<Overload> {
+        let Considered { request, servers, work, context, .. } = *considered;
+        if request.prompt.is_none() {
+            return self.call_overload(considered, chosen);
+        }
+        if !context.timing.may_refuse() {
+            return None;
+        }
+        let lower_quartile_wait_ms = || self.lower_quartile_wait_ms(servers, work, context);
+        estimate.overload(request.rank, request.time_left, lower_quartile_wait_ms)
+    }
+
     /// Lower quartile of the servers' queueing times. There is spare capacity while a quarter of
     /// the servers have short queues.
     fn lower_quartile_wait_ms(
@@ -182,7 +200,7 @@
     }
 
     /// Cost inputs of the server for one request.
-    fn server_view<'a>(
+    pub(crate) fn server_view<'a>(
         &self,
         server: &'a Server,
         work: PromptWork,
@@ -244,6 +262,16 @@
     if preferred.is_empty() { servers } else { preferred }
 }
 
+/// A request and the servers that are considered for it.
+pub(crate) struct Considered<'a> {
+    pub request: &'a ServerRequest<'a>,
+    pub servers: &'a [&'a Server],
+    /// Work that the request causes on each server.
+    pub work: &'a [PromptWork],
+    pub context: &'a CostContext,
+    pub random: u64,
+}
+
 /// The server with the lowest cost.
 struct Cheapest {
     index: usize,
