Placement: draw among the cheapest servers in tight services; lanes by prefill and slots

Cause: routers see each other's dispatches 15 to 60 ms late and send to the same cheapest server meanwhile. The lanes divide servers by prefill alone: in klb the short lane had about 8% of the servers, its slots were full, and short prompts ran among long prefills (15% of them had a gap above 300 ms).

Change, for services with is_tight only: - select() draws among the cheapest servers. Probabilities are those at which the unreported work of other routers raises the cheapest servers to a common cost. The range is bounded by 6 times the mean unreported work per server, so that cached segments keep their prompts. - The unreported work is the rate of prefill tokens that others report, times 40 ms plus the age of the last report, at most 500 ms. - The lanes are divided by the larger of prefill time and slot time of each lane: dispatches of all routers, durations of own requests. The ratio decides, so that missing reports don't move the border. - The home of a chain is a server of the prompt's lane. Before, long prompts had homes in the short lane in proportion to its size; the effect of this change alone wasn't measured. - A server of the other lane costs a short prompt 0.2 of the objective, a long one 0.1 and 0.01 for each request in flight there.

--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -167,6 +167,8 @@
 pub struct Ticket {
     pub(crate) instance: InstanceId,
     pub(crate) prefill_tokens: u32,
+    /// Length of the prompt; zero without a prompt.
+    pub(crate) prompt_tokens: u32,
     pub(crate) is_measured: bool,
     pub(crate) started_at: Timestamp,
     pub(crate) had_output: bool,
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -8,8 +8,8 @@
 
 use crate::choice::ExpectedTiming;
 use crate::health::Health;
-use crate::lanes::OTHER_LANE_FACTOR;
 use crate::load::Load;
+use crate::selection::OtherLane;
 use crate::timing_model::{ServerPace, TimingModel};
 
 /// Cost of a server in another zone: round trip and traffic between zones.
@@ -103,6 +103,7 @@
 pub(crate) struct CostContext {
     pub timing: TimingModel,
     pub objective: Duration,
+    pub other_lane: OtherLane,
     /// Longest gap between events of a stream that still counts as in time.
     pub max_gap: Option<Duration>,
     /// Mean failure rate of the service's servers.
@@ -123,7 +124,8 @@
         let in_flight = requests * IN_FLIGHT_COST_MS;
         let congestion = self.congestion_ms(server, requests, objective_ms);
         let delay = self.timing.delay_ms(server.first_output_work(), server.pace);
-        let lane = if server.other_lane { OTHER_LANE_FACTOR * objective_ms } else { 0.0 };
+        let lane =
+            if server.other_lane { self.other_lane.factor(requests) * objective_ms } else { 0.0 };
         let full =
             if server.health.is_full(self.now) { FULL_SERVER_FACTOR * objective_ms } else { 0.0 };
         let utilization = server.utilization * UTILIZATION_FACTOR * objective_ms;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -18,6 +18,7 @@
 use crate::lanes::Lanes;
 use crate::load::PrefillSpeed;
 use crate::reachability_reports::Reporter;
+use crate::selection::ServiceDemand;
 use crate::server::Server;
 
 /// Maximum queued prefill at dispatch, relative to the prompt's own prefill, for the time to first
@@ -49,6 +50,8 @@
     pub(crate) timings: HashMap<String, ServiceTiming>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
     pub(crate) lanes: HashMap<String, Lanes>,
+    /// Observations of tight services.
+    pub(crate) demand: HashMap<String, ServiceDemand>,
     /// Requests reported by other routers, with their server and the time of the report.
     reported_requests: HashMap<ReportedRequest, (InstanceId, Timestamp)>,
     /// Number of reported requests at which expired ones are removed.
@@ -73,6 +76,7 @@
             timings: HashMap::new(),
             profiles: HashMap::new(),
             lanes: HashMap::new(),
+            demand: HashMap::new(),
             reported_requests: HashMap::new(),
             cleanup_threshold: MIN_CLEANUP_THRESHOLD,
             last_request_number: 0,
@@ -132,6 +136,10 @@
 
     /// Sets the KV transfer costs and cache capacities, by service.
     pub fn set_profiles(&mut self, profiles: HashMap<String, ServiceProfile>) {
+        self.demand.retain(|service, _| profiles.get(service).is_some_and(|known| known.is_tight));
+        for (service, _) in profiles.iter().filter(|(_, profile)| profile.is_tight) {
+            self.demand.entry(service.clone()).or_default();
+        }
         self.profiles = profiles;
     }
 
@@ -166,6 +174,7 @@
         Ticket {
             instance: choice.instance.clone(),
             prefill_tokens: choice.queued_tokens(),
+            prompt_tokens: choice.cached_tokens + choice.prefill_tokens,
             // Late requests run after others, so their timing isn't a sample of the server's speed.
             is_measured: has_prompt && !choice.is_late,
             started_at: now,
@@ -215,6 +224,10 @@
         let Some(server) = incarnation_mut(&mut self.servers, &dispatch.instance) else { return };
         server.turnover.record(dispatch.tokens, now);
         let service = &server.instance.report.service;
+        if let Some(demand) = self.demand.get_mut(service) {
+            let is_own = request.is_some_and(|request| request.router == LOCAL_ROUTER);
+            demand.record_dispatch(dispatch, is_own, now);
+        }
         server.fleet_load.add_request(request, dispatch.prefill_tokens, &timing, now);
         if dispatch.keys.is_empty() && dispatch.own_tokens == 0 {
             return;
@@ -290,13 +303,17 @@
 
     /// Records the end of a request.
     pub fn end_request(&mut self, mut ticket: Ticket, outcome: Outcome, now: Timestamp) {
-        let Some(server) = self.server_mut(&ticket.instance) else { return };
+        let Some(server) = incarnation_mut(&mut self.servers, &ticket.instance) else { return };
         if !std::mem::replace(&mut ticket.had_output, true) {
             server.load.first_output(ticket.prefill_tokens);
         }
         server.load.remove_request();
         server.fleet_load.remove_request(ticket.request);
         server.health.record(outcome, now);
+        let demand = self.demand.get_mut(&server.instance.report.service);
+        if let Some(demand) = demand.filter(|_| outcome == Outcome::Answered) {
+            demand.lanes.record_duration(ticket.prompt_tokens, now.since(ticket.started_at));
+        }
     }
 
     /// Takes the unreachable servers whose next probe is due, with their addresses. Until a probe
--- a/crates/placement/src/prompt_work.rs
+++ b/crates/placement/src/prompt_work.rs
@@ -87,7 +87,7 @@
         let ServiceProfile { transfer_ms_per_token, cache_tokens, .. } =
             *self.profile(request.service);
         let can_transfer = transfer_ms_per_token > 0.0 && shared_tokens >= MIN_TRANSFER_TOKENS;
-        let home = chain.home(servers.iter().map(|server| server.hash));
+        let home = self.home(servers, request.service, chain, &other_lane);
         let versions: Vec<u64> = servers.iter().map(|server| server.version_of(model)).collect();
         let cached = tokens_by_server(servers, &versions, chain, |server, version, key| {
             server.cached.contains(version, key)
@@ -141,13 +141,14 @@
     ) -> Vec<bool> {
         let none = vec![false; servers.len()];
         let Some(prompt) = request.prompt else { return none };
-        let Some(lanes) = self.lanes.get(request.service) else { return none };
         let members = self.services.get(request.service).map_or(&[][..], Vec::as_slice);
         let members = members.iter().filter_map(|id| self.servers.get(id));
         let mut hashes: Vec<u64> =
             members.filter(|server| !server.health.replaced).map(|server| server.hash).collect();
         hashes.sort_unstable();
-        let short = lanes.short_servers(hashes.len(), now);
+        let Some(short) = self.short_servers(request.service, hashes.len(), now) else {
+            return none;
+        };
         let first_long = hashes.get(short).copied();
         let wants_long = is_long(prompt.tokens);
         let is_other = |server: &&Server| {
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -13,6 +13,7 @@
 use crate::placement::Placement;
 use crate::prompt_work::PromptWork;
 use crate::request::ServerRequest;
+use crate::selection::select;
 use crate::server::Server;
 
 /// Costs that differ by less than this many milliseconds count as equal.
@@ -68,7 +69,7 @@
         self.choose_cheapest(&preferred, request, now, random)
     }
 
-    /// Chooses the server with the lowest cost; `random` breaks ties.
+    /// Chooses the server with the lowest cost, or one of the cheapest in a tight service.
     fn choose_cheapest(
         &self,
         servers: &[&Server],
@@ -79,6 +80,7 @@
         let context = CostContext {
             timing: self.timing_model(request.service, now),
             objective: request.objective,
+            other_lane: self.other_lane_cost(request),
             max_gap: request.max_gap,
             mean_failure_rate: mean_failure_rate(servers, now),
             now,
@@ -86,18 +88,16 @@
         let chain = request.prompt.map(|prompt| ChainKeys::of(prompt, request.sharing_key));
         let chain = chain.unwrap_or_default();
         let work_by_server = self.prompt_work(servers, request, &chain, now);
-        let mut best: Option<(f64, u64, usize)> = None;
-        for (index, server) in servers.iter().enumerate() {
-            let cost = context.cost_ms(&self.server_view(server, work_by_server[index], &context));
-            let tie = random.rotate_left(index as u32 * TIE_ROTATION) ^ server.hash;
-            let is_better = best.is_none_or(|(least, least_tie, _)| {
-                cost < least - TIE_MARGIN_MS || (cost < least + TIE_MARGIN_MS && tie < least_tie)
-            });
-            if is_better {
-                best = Some((cost, tie, index));
-            }
-        }
-        let (cost_ms, _, index) = best.ok_or(ChoiceError::NoServer)?;
+        let views = servers.iter().zip(&work_by_server);
+        let costs =
+            views.map(|(server, work)| context.cost_ms(&self.server_view(server, *work, &context)));
+        let costs: Vec<f64> = costs.collect();
+        let index = match self.demand.get(request.service) {
+            Some(demand) => select(&costs, demand.spread_ms(servers.len(), &context), random),
+            None => cheapest(servers, &costs, random),
+        };
+        let index = index.ok_or(ChoiceError::NoServer)?;
+        let cost_ms = costs[index];
         let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
         let source = work_by_server[index]
             .source
@@ -117,8 +117,8 @@
                 return Err(ChoiceError::Overloaded(overload));
             }
         }
-        let cheapest = Cheapest { index, work, cost_ms, expected };
-        Ok(self.build_choice(servers, request, chain, cheapest))
+        let selected = Selected { index, work, cost_ms, expected };
+        Ok(self.build_choice(servers, request, chain, selected))
     }
 
     /// Lower quartile of the servers' queueing times. There is spare capacity while a quarter of
@@ -144,9 +144,9 @@
         servers: &[&Server],
         request: &ServerRequest<'_>,
         chain: ChainKeys,
-        cheapest: Cheapest,
+        selected: Selected,
     ) -> Choice {
-        let Cheapest { index, work, cost_ms, expected } = cheapest;
+        let Selected { index, work, cost_ms, expected } = selected;
         let is_late = expected.first_output_ms > request.time_left.as_secs_f64() * 1_000.0;
         let server = servers[index];
         let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
@@ -237,6 +237,21 @@
     (0..servers.len()).filter(has_as_much).min_by_key(rank).unwrap_or(holder)
 }
 
+/// Index of the server with the lowest cost; `random` breaks ties.
+fn cheapest(servers: &[&Server], costs: &[f64], random: u64) -> Option<usize> {
+    let mut best: Option<(f64, u64, usize)> = None;
+    for (index, (server, cost)) in servers.iter().zip(costs).enumerate() {
+        let tie = random.rotate_left(index as u32 * TIE_ROTATION) ^ server.hash;
+        let is_better = best.is_none_or(|(least, least_tie, _)| {
+            *cost < least - TIE_MARGIN_MS || (*cost < least + TIE_MARGIN_MS && tie < least_tie)
+        });
+        if is_better {
+            best = Some((*cost, tie, index));
+        }
+    }
+    best.map(|(_, _, index)| index)
+}
+
 /// Keeps the servers that satisfy `condition`, or all if none does.
 fn prefer_matching(servers: Vec<&Server>, condition: impl Fn(&Server) -> bool) -> Vec<&Server> {
     let preferred: Vec<&Server> =
@@ -244,8 +259,8 @@
     if preferred.is_empty() { servers } else { preferred }
 }
 
-/// The server with the lowest cost.
-struct Cheapest {
+/// The selected server.
+struct Selected {
     index: usize,
     work: PromptWork,
     cost_ms: f64,
