KV store contents, server loss and slow start in tight services

Cause: the cost model doesn't know what KV stores hold, so a prompt whose server was lost counts as a full prefill. All routers treat a lost segment alike, however often it is requested, and all send to a restarted server at once.

Change, in services with tight objectives only: - StoredSegments estimates the contents of each store from own saves and from dispatch reports, from which a save is derived by the rule of PromptWork::should_store. Bounded by the store's capacity and 24,576 uses in all stores; least recently used first; dropped when the catalog entry changes, after 30 s without a save or fetch, and after four successive first outputs that took as long as without the store. - prompt_work chooses between servers and stores by tokens, then by transfer time: the slower link, twice the time between zones, and the transfers of the source that this router has requested. A miss costs 1 ms. - LossWatch: while a tenth or more of the servers was lost within two seconds, computing a lost segment away from its home costs in proportion to its decayed request count; nothing if it was requested once. - A newly listed incarnation costs a quarter of the objective more, falling to zero in 400 ms. - ServiceProfile::stores has capacity, zone and link of each store. The modules of cached segments are in src/cache.

Two existing tests set KvStore instead of the address of a store; their assertions are unchanged.

With is_tight false the choices are as before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,15 +1,14 @@
 //! State shared by all requests of a gateway.
 
 use std::collections::HashMap;
-use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use juniper_catalog::{EngineProfile, Route, WeightedSplit};
+use juniper_catalog::{EngineProfile, Route, StoreProfile, WeightedSplit};
 use juniper_crash_watch::CrashWatch;
 use juniper_feed::{Feed, FleetView};
 use juniper_limits::FleetShare;
-use juniper_placement::{Placement, RetryBudget, ServiceProfile};
+use juniper_placement::{KvStore, Placement, RetryBudget, ServiceProfile};
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 use tokio::sync::watch;
@@ -186,11 +185,11 @@
     let Some(index) = &view.catalog else { return HashMap::new() };
     let catalog = index.catalog();
     let stores = catalog.services.iter().filter_map(|service| service.store.as_ref());
-    let stores: Vec<_> = stores.map(|store| store.address).collect();
+    let stores: Vec<&StoreProfile> = stores.collect();
     let profiles = catalog.services.iter().filter_map(|service| {
         let is_tight = catalog.is_tight(service);
         let profile = match &service.engine {
-            Some(engine) => engine_profile(engine, stores.clone(), is_tight),
+            Some(engine) => engine_profile(engine, &stores, is_tight),
             None if is_tight => ServiceProfile { is_tight, ..ServiceProfile::default() },
             None => return None,
         };
@@ -202,11 +201,26 @@
 /// Cost of KV transfers and cache size of a service with model engines.
 fn engine_profile(
     engine: &EngineProfile,
-    stores: Vec<SocketAddrV4>,
+    stores: &[&StoreProfile],
     is_tight: bool,
 ) -> ServiceProfile {
-    let bits_per_ms = engine.link_mbps * 1_000.0 * LINK_SHARE;
-    let bits = engine.token_bytes as f64 * 8.0;
-    let transfer_ms_per_token = if bits_per_ms > 0.0 { bits / bits_per_ms } else { 0.0 };
-    ServiceProfile { transfer_ms_per_token, cache_tokens: engine.cache_tokens, stores, is_tight }
+    // Tight services add zones and waiting for the link to the time over a free link.
+    let link_share = if is_tight { 1.0 } else { LINK_SHARE };
+    let token_bits = engine.token_bytes as f64 * 8.0;
+    let ms_per_token = |link_mbps: f64| {
+        let bits_per_ms = link_mbps * 1_000.0 * link_share;
+        if bits_per_ms > 0.0 { token_bits / bits_per_ms } else { 0.0 }
+    };
+    let store = |store: &&StoreProfile| KvStore {
+        address: store.address,
+        zone: store.zone.clone(),
+        capacity_tokens: store.capacity_tokens,
+        transfer_ms_per_token: ms_per_token(store.link_mbps),
+    };
+    ServiceProfile {
+        transfer_ms_per_token: ms_per_token(engine.link_mbps),
+        cache_tokens: engine.cache_tokens,
+        stores: stores.iter().map(store).collect(),
+        is_tight,
+    }
 }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -8,8 +8,8 @@
 use juniper_types::Timestamp;
 
 use crate::admission::Overload;
+use crate::cache::stored_segments::StoreFetch;
 use crate::dispatch_record::{DispatchRecord, ReportedRequest};
-use crate::homes::ChainKeys;
 
 /// Why a server was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,27 +98,48 @@
 /// Cost of KV transfer and cache capacity for one service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServiceProfile {
-    /// Time to transfer one token, in milliseconds; zero if KV transfer isn't available.
+    /// Time to transfer one token, in milliseconds; zero if KV transfer isn't available. In tight
+    /// services that over a free link within a zone, in others a mean over zones and load.
     pub transfer_ms_per_token: f64,
     /// Capacity of each server's KV cache, in tokens; zero if unknown.
     pub cache_tokens: u64,
-    /// Addresses of the KV stores, if there are any.
-    pub stores: Vec<SocketAddrV4>,
+    /// The KV stores, if there are any.
+    pub stores: Vec<KvStore>,
     /// Whether the configuration gives the service tight objectives, for which the fixed part of an
     /// answer's time matters.
     pub is_tight: bool,
 }
 
 impl ServiceProfile {
+    /// Store in which another router has probably asked the server to save a prompt.
+    pub(crate) fn store_of_report(&self, dispatch: &DispatchRecord) -> Option<SocketAddrV4> {
+        let is_saved = self.transfer_ms_per_token > 0.0 && dispatch.is_saved();
+        self.store_of(&dispatch.keys).filter(|_| is_saved)
+    }
+
     /// Store that holds the chain, by rendezvous hashing. All routers pick the same one, so that
     /// each chain is stored once.
-    pub(crate) fn store_of(&self, chain: &ChainKeys) -> Option<SocketAddrV4> {
-        let key = chain.keys.last()?;
+    pub(crate) fn store_of(&self, keys: &[u64]) -> Option<SocketAddrV4> {
+        let key = keys.last()?;
         let score = |store: &SocketAddrV4| rendezvous::score(*key, address_key(*store));
-        self.stores.iter().copied().max_by_key(|store| (score(store), *store))
+        let addresses = self.stores.iter().map(|store| store.address);
+        addresses.max_by_key(|store| (score(store), *store))
     }
 }
 
+/// A store of KV cache outside the servers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KvStore {
+    /// Address of the store.
+    pub address: SocketAddrV4,
+    /// Zone of the store.
+    pub zone: String,
+    /// Capacity in tokens; zero if unknown.
+    pub capacity_tokens: u64,
+    /// Time to transfer one token over the store's link within a zone, in milliseconds.
+    pub transfer_ms_per_token: f64,
+}
+
 fn address_key(address: SocketAddrV4) -> u64 {
     u64::from(u32::from(*address.ip())) << 16 | u64::from(address.port())
 }
@@ -159,4 +180,6 @@
     pub(crate) request: ReportedRequest,
     /// Prefill tokens queued at the server when the request was dispatched.
     pub(crate) tokens_ahead: f64,
+    /// Segments that the server fetches from a store.
+    pub(crate) store_fetch: Option<StoreFetch>,
 }
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -73,6 +73,8 @@
     pub utilization: f64,
     /// Tokens evicted for the prompt that would have been requested again.
     pub evicted_tokens: f64,
+    /// Cost of a server that has just started.
+    pub slow_start_ms: f64,
 }
 
 /// Inputs of the cost that are the same for all servers.
@@ -113,7 +115,14 @@
         let stream_gap = self.stream_gap_ms(queue + prefill, requests, objective_ms);
         let work =
             prefill + recompute + transfer + queue + in_flight + congestion + delay + stream_gap;
-        work + zone + lane + full + utilization + silent + failures + server.cold_ms
+        work + zone
+            + lane
+            + full
+            + utilization
+            + silent
+            + failures
+            + server.cold_ms
+            + server.slow_start_ms
     }
 
     /// Expected time to first output, if no later request overtakes this one.
--- a/crates/placement/src/dispatch_record.rs
+++ b/crates/placement/src/dispatch_record.rs
@@ -3,6 +3,9 @@
 use juniper_registry::InstanceId;
 use juniper_types::NodeId;
 
+use crate::cache::stored_segments::is_worth_storing;
+use crate::prompt_work::MIN_TRANSFER_TOKENS;
+
 /// Identity of a request that a router has reported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReportedRequest {
@@ -30,3 +33,13 @@
     /// Tokens among those that add to the server's prefill queue.
     pub prefill_tokens: u32,
 }
+
+impl DispatchRecord {
+    /// Whether the server was probably asked to save the prompt in a store: reports don't state it.
+    /// A late request counts as not saved, since its prefill isn't reported.
+    pub(crate) fn is_saved(&self) -> bool {
+        let shared_tokens = self.segment_tokens.iter().sum();
+        shared_tokens >= MIN_TRANSFER_TOKENS
+            && is_worth_storing(self.prefill_tokens, self.own_tokens, shared_tokens)
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,8 +8,7 @@
 
 mod admission;
 mod backoffs;
-mod cache_turnover;
-mod cached_segments;
+mod cache;
 mod candidates;
 mod choice;
 mod cost;
@@ -29,9 +28,10 @@
 mod search;
 mod server;
 mod server_limits;
+mod usability;
 
 pub use admission::{Overload, StartEstimate};
-pub use choice::{Choice, ChoiceError, Reason, ServiceProfile, Ticket};
+pub use choice::{Choice, ChoiceError, KvStore, Reason, ServiceProfile, Ticket};
 pub use dispatch_record::{DispatchRecord, ReportedRequest};
 pub use health::Outcome;
 pub use homes::ChainKeys;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -9,7 +9,10 @@
 use juniper_types::{NodeId, Timestamp};
 
 use crate::backoffs::Backoffs;
-use crate::cached_segments::DispatchedPrompt;
+use crate::cache::cached_segments::DispatchedPrompt;
+use crate::cache::server_loss::{LossWatch, SegmentDemand};
+use crate::cache::stored_segments::{StoredSegments, scope_of};
+use crate::cache::transfer_queues::TransferQueues;
 use crate::choice::{Choice, ServiceProfile, Ticket};
 use crate::dispatch_record::{DispatchRecord, ReportedRequest};
 use crate::fleet_load::is_expired;
@@ -46,6 +49,16 @@
     pub(crate) speeds: HashMap<String, PrefillSpeed>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
     pub(crate) lanes: HashMap<String, Lanes>,
+    /// Contents of the KV stores of tight services.
+    pub(crate) stored: StoredSegments,
+    /// KV transfers that this router has requested in tight services.
+    pub(crate) transfers: TransferQueues,
+    /// Losses of servers, by tight service.
+    pub(crate) losses: HashMap<String, LossWatch>,
+    /// Requests for segments of tight services.
+    pub(crate) demand: SegmentDemand,
+    /// Time of the last recorded event, for updates without a time of their own.
+    pub(crate) last_event: Timestamp,
     /// Requests reported by other routers, with their server and the time of the report.
     reported_requests: HashMap<ReportedRequest, (InstanceId, Timestamp)>,
     /// Number of reported requests at which expired ones are removed.
@@ -69,6 +82,11 @@
             speeds: HashMap::new(),
             profiles: HashMap::new(),
             lanes: HashMap::new(),
+            stored: StoredSegments::default(),
+            transfers: TransferQueues::default(),
+            losses: HashMap::new(),
+            demand: SegmentDemand::default(),
+            last_event: Timestamp::ZERO,
             reported_requests: HashMap::new(),
             cleanup_threshold: MIN_CLEANUP_THRESHOLD,
             last_request_number: 0,
@@ -95,16 +113,24 @@
             }
         }
         self.remove(name);
+        let is_in_use = self.last_event > Timestamp::ZERO;
+        let listed_at = is_in_use.then_some(self.last_event);
         let members = self.services.entry(service.clone()).or_default();
         members.push(name.clone());
         let member_index = members.len() - 1;
         let mut server = Server::new(Arc::clone(&instance), member_index);
         server.renewing = self.renewing.contains(&instance.id);
+        server.listed_at = listed_at;
         self.restore_notices(&mut server);
         self.servers.insert(name.clone(), server);
+        self.record_usability(&instance.id, true, self.last_event);
     }
 
     fn remove(&mut self, name: &InstanceName) {
+        let Some(id) = self.servers.get(name).map(|server| server.instance.id.clone()) else {
+            return;
+        };
+        self.record_usability(&id, false, self.last_event);
         let Some(server) = self.servers.remove(name) else { return };
         self.noticed.remove(name);
         let service = &server.instance.report.service;
@@ -128,7 +154,18 @@
 
     /// Sets the KV transfer costs and cache capacities, by service.
     pub fn set_profiles(&mut self, profiles: HashMap<String, ServiceProfile>) {
+        if self.profiles == profiles {
+            return;
+        }
         self.profiles = profiles;
+        let mut tight: Vec<_> =
+            self.profiles.iter().filter(|(_, profile)| profile.is_tight).collect();
+        // Services that share a store may differ in the time per token; the first one decides.
+        tight.sort_unstable_by_key(|(service, _)| *service);
+        self.stored.set_stores(tight.iter().flat_map(|(_, profile)| &profile.stores));
+        self.losses.retain(|service, _| {
+            self.profiles.get(service).is_some_and(|profile| profile.is_tight)
+        });
     }
 
     /// Sets the servers that accept no new requests during a rollout of new weights.
@@ -149,7 +186,8 @@
         let tokens_ahead = self.tokens_ahead(&choice.instance, now);
         self.last_request_number = self.last_request_number.wrapping_add(1);
         let request = ReportedRequest { router: LOCAL_ROUTER, number: self.last_request_number };
-        self.apply_dispatch(Some(request), &choice.dispatch_record(), now);
+        self.apply_dispatch(Some(request), &choice.dispatch_record(), |_| choice.store, now);
+        let store_fetch = self.begin_transfer(choice, now);
         if has_prompt && let Some(server) = self.server(&choice.instance) {
             let service = server.instance.report.service.clone();
             let tokens = choice.cached_tokens + choice.prefill_tokens;
@@ -167,6 +205,7 @@
             had_output: false,
             request,
             tokens_ahead,
+            store_fetch,
         }
     }
 
@@ -180,7 +219,7 @@
     /// Records a dispatch report without a request number: the end of the request won't be
     /// reported.
     pub fn apply_untracked_dispatch(&mut self, dispatch: &DispatchRecord, now: Timestamp) {
-        self.apply_dispatch(None, dispatch, now);
+        self.apply_dispatch(None, dispatch, |profile| profile.store_of_report(dispatch), now);
     }
 
     /// Records another router's dispatch report; the end of the request will be reported too.
@@ -195,15 +234,18 @@
             self.cleanup_threshold = (self.reported_requests.len() * 2).max(MIN_CLEANUP_THRESHOLD);
         }
         self.reported_requests.insert(request, (dispatch.instance.clone(), now));
-        self.apply_dispatch(Some(request), dispatch, now);
+        let store = |profile: &ServiceProfile| profile.store_of_report(dispatch);
+        self.apply_dispatch(Some(request), dispatch, store, now);
     }
 
     fn apply_dispatch(
         &mut self,
         request: Option<ReportedRequest>,
         dispatch: &DispatchRecord,
+        store: impl Fn(&ServiceProfile) -> Option<SocketAddrV4>,
         now: Timestamp,
     ) {
+        self.last_event = self.last_event.max(now);
         let Some(server) = incarnation_mut(&mut self.servers, &dispatch.instance) else { return };
         server.turnover.record(dispatch.tokens, now);
         let service = &server.instance.report.service;
@@ -212,7 +254,8 @@
         if dispatch.keys.is_empty() && dispatch.own_tokens == 0 {
             return;
         }
-        let capacity = self.profiles.get(service).map_or(0, |profile| profile.cache_tokens);
+        let profile = self.profiles.get(service);
+        let capacity = profile.map_or(0, |profile| profile.cache_tokens);
         let prompt = DispatchedPrompt {
             keys: &dispatch.keys,
             tokens: &dispatch.segment_tokens,
@@ -220,6 +263,13 @@
             computed_at: now.after(speed.time_for(server.fleet_load.queued_tokens(speed, now))),
         };
         server.cached.record(dispatch.version, prompt, capacity);
+        let Some(profile) = profile.filter(|profile| profile.is_tight) else { return };
+        if let Some(key) = dispatch.keys.last() {
+            self.demand.record(*key, now);
+        }
+        if let Some(store) = store(profile) {
+            self.stored.record_save(store, scope_of(service, dispatch.version), prompt);
+        }
     }
 
     /// Records the end of a request that another router has reported.
@@ -242,11 +292,16 @@
         let Some(server) = incarnation_mut(&mut self.servers, instance) else { return false };
         if reached {
             server.unreachable_reports.clear();
+            self.record_usability(instance, true, now);
             return false;
         }
         let was_confirmed = server.unreachable_reports.is_confirmed(&self.zone, now);
         server.unreachable_reports.add(reporter, now);
-        !was_confirmed && server.unreachable_reports.is_confirmed(&self.zone, now)
+        let is_confirmed = server.unreachable_reports.is_confirmed(&self.zone, now);
+        if is_confirmed {
+            self.record_usability(instance, false, now);
+        }
+        !was_confirmed && is_confirmed
     }
 
     /// Records the first output of a request.
@@ -255,6 +310,9 @@
             return;
         }
         let took = now.since(ticket.started_at);
+        if let Some(fetch) = ticket.store_fetch.take() {
+            self.stored.record_fetch(&fetch, took, now);
+        }
         let Some(server) = incarnation_mut(&mut self.servers, &ticket.instance) else { return };
         server.unreachable_reports.clear();
         server.load.first_output(ticket.prefill_tokens);
@@ -278,7 +336,13 @@
         }
         server.load.remove_request();
         server.fleet_load.remove_request(ticket.request);
+        let was_unreachable = server.health.is_unreachable();
         server.health.record(outcome, now);
+        let is_unreachable = server.health.is_unreachable();
+        self.last_event = self.last_event.max(now);
+        if was_unreachable != is_unreachable {
+            self.record_usability(&ticket.instance, !is_unreachable, now);
+        }
     }
 
     /// Takes the unreachable servers whose next probe is due, with their addresses. Until a probe
@@ -296,6 +360,7 @@
         if let Some(server) = self.server_mut(instance) {
             server.health.mark_reachable();
             server.unreachable_reports.clear();
+            self.record_usability(instance, true, self.last_event);
         }
     }
 
--- a/crates/placement/src/prompt_work.rs
+++ b/crates/placement/src/prompt_work.rs
@@ -1,9 +1,13 @@
 //! Work that a prompt causes on each server: cache hits, prefill, KV transfer and evictions.
 
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use juniper_types::Timestamp;
 
+use crate::cache::stored_segments::is_worth_storing;
+use crate::cache::transfer_sources::Transfer;
 use crate::choice::{Reason, ServiceProfile};
 use crate::homes::ChainKeys;
 use crate::lanes::is_long;
@@ -12,12 +16,24 @@
 use crate::server::Server;
 
 /// Minimum shared tokens for a KV transfer between servers.
-const MIN_TRANSFER_TOKENS: u32 = 64;
+pub(crate) const MIN_TRANSFER_TOKENS: u32 = 64;
 
 /// Uncached shared segments that are placed away from their home count as recomputed at one part in
 /// this many: another router may be computing them at the home.
 const OFF_HOME_DIVISOR: u32 = 8;
 
+/// Time that a server spends on asking a store for segments that it doesn't have, in milliseconds.
+const STORE_MISS_MS: f64 = 1.0;
+
+/// Initial cost of a server that has just started, relative to the objective. All routers learn of
+/// an idle server at once, and would all send to it until they see each other's dispatches.
+/// Selection draws only among servers of nearly equal cost, which an idle server isn't.
+const SLOW_START_SHARE: f64 = 0.25;
+
+/// Time in which the cost of a started server falls to zero: several report delays, so that the
+/// prompts that gain most from an idle server come first and are seen by all routers.
+const SLOW_START_TIME: Duration = Duration::from_millis(400);
+
 /// Work that a prompt causes on one server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PromptWork {
@@ -40,6 +56,10 @@
     pub can_transfer: bool,
     /// Index of a server to fetch segments from; other servers may have as many.
     pub source: Option<usize>,
+    /// Store to fetch segments from instead.
+    pub source_store: Option<SocketAddrV4>,
+    /// Cost of a server that has just started, in milliseconds.
+    pub slow_start_ms: f64,
     /// Why this server would be chosen.
     pub reason: Reason,
 }
@@ -56,18 +76,18 @@
             eviction_loss: 0.0,
             can_transfer: false,
             source: None,
+            source_store: None,
+            slow_start_ms: 0.0,
             reason: Reason::LeastCost,
         }
     }
 }
 
 impl PromptWork {
-    /// Whether the computed segments should be saved in a store. The server saves the whole prompt
-    /// including its unshared end, which takes up bandwidth and space of the store. So shared
-    /// segments must be computed, and they must be most of the prompt.
+    /// Whether the computed segments should be saved in a store.
     pub(crate) fn should_store(&self, tokens: u32, shared_tokens: u32) -> bool {
         let own_tokens = tokens.saturating_sub(shared_tokens);
-        self.prefill_tokens > own_tokens && tokens < 2 * shared_tokens
+        is_worth_storing(self.prefill_tokens, own_tokens, shared_tokens)
     }
 }
 
@@ -84,8 +104,8 @@
         let model = request.prompt.map_or("", |prompt| prompt.model.as_str());
         let shared_tokens = chain.all_tokens();
         let other_lane = self.other_lane(servers, request, now);
-        let ServiceProfile { transfer_ms_per_token, cache_tokens, .. } =
-            *self.profile(request.service);
+        let profile = self.profile(request.service);
+        let ServiceProfile { transfer_ms_per_token, cache_tokens, is_tight, .. } = *profile;
         let can_transfer = transfer_ms_per_token > 0.0 && shared_tokens >= MIN_TRANSFER_TOKENS;
         let home = chain.home(servers.iter().map(|server| server.hash));
         let versions: Vec<u64> = servers.iter().map(|server| server.version_of(model)).collect();
@@ -97,14 +117,35 @@
         });
         let holders = best_holders(&versions, &ready);
         let is_uncached = cached.iter().all(|tokens| *tokens == 0);
+        let sources = is_tight.then(|| {
+            let ready = (versions.as_slice(), ready.as_slice());
+            self.transfer_sources(request.service, servers, ready, chain, now)
+        });
+        let restoration_share = self.restoration_share(request.service, chain, now);
+        let can_miss = is_tight && can_transfer && !profile.stores.is_empty();
         let work = |index: usize| {
             let cached_tokens = cached[index];
-            let holder = holders.get(&versions[index]).copied();
-            let source = holder.filter(|holder| can_transfer && ready[*holder] > cached_tokens);
-            let transferred = source.map_or(0, |source| ready[source] - cached_tokens);
+            let transfer = match &sources {
+                _ if !can_transfer => Transfer::default(),
+                Some(sources) => sources.best(servers[index], versions[index], cached_tokens),
+                None => {
+                    let holder = holders.get(&versions[index]).copied();
+                    let server = holder.filter(|holder| ready[*holder] > cached_tokens);
+                    let tokens = server.map_or(0, |server| ready[server] - cached_tokens);
+                    let ms = transfer_ms_per_token * f64::from(tokens);
+                    Transfer { tokens, ms, server, store: None }
+                }
+            };
+            let transferred = transfer.tokens;
             let uncached = shared_tokens - cached_tokens - transferred;
+            let is_miss = can_miss && transferred == 0 && uncached > 0;
             let is_home = home == Some(index);
             let recomputed = match (is_home, is_uncached) {
+                (false, true) if is_tight => {
+                    // Away from home, a fetch from a store is repeated by the next prompt.
+                    let share = restoration_share.unwrap_or(1.0 / f64::from(OFF_HOME_DIVISOR));
+                    (f64::from(uncached + transferred) * share) as u32
+                }
                 (true, _) => 0,
                 (false, true) => uncached / OFF_HOME_DIVISOR,
                 (false, false) => uncached,
@@ -113,12 +154,18 @@
                 ready_tokens: ready[index],
                 prefill_tokens: tokens.saturating_sub(cached_tokens + transferred),
                 recomputed_tokens: recomputed,
-                transfer_ms: transfer_ms_per_token * f64::from(transferred),
+                transfer_ms: transfer.ms + if is_miss { STORE_MISS_MS } else { 0.0 },
                 other_lane: other_lane[index],
                 inserted_tokens: tokens.saturating_sub(cached_tokens),
                 eviction_loss: servers[index].turnover.eviction_loss(cache_tokens, now),
                 can_transfer,
-                source,
+                source: transfer.server,
+                source_store: transfer.store,
+                slow_start_ms: if is_tight {
+                    slow_start_ms(servers[index], request.objective, now)
+                } else {
+                    0.0
+                },
                 reason: match (cached_tokens > 0, transferred > 0, is_home) {
                     (true, false, _) => Reason::Holder,
                     (_, true, _) => Reason::Fetch,
@@ -130,6 +177,14 @@
         (0..servers.len()).map(work).collect()
     }
 
+    /// Share of the prompt's uncached segments that counts as recomputed away from their home, while
+    /// many servers were lost recently; `None` otherwise.
+    fn restoration_share(&self, service: &str, chain: &ChainKeys, now: Timestamp) -> Option<f64> {
+        let _active = self.losses.get(service).filter(|losses| losses.is_active(now))?;
+        let key = chain.keys.last()?;
+        Some(self.demand.restoration_share(*key, now))
+    }
+
     /// For each server, whether it belongs to the lane for prompts of the other length. Lanes
     /// divide all servers, including unreachable and renewing ones, so that they don't change with
     /// availability.
@@ -158,6 +213,13 @@
     }
 }
 
+/// Cost of a server that has just started, in milliseconds.
+fn slow_start_ms(server: &Server, objective: Duration, now: Timestamp) -> f64 {
+    let Some(listed_at) = server.listed_at else { return 0.0 };
+    let passed = now.since(listed_at).as_secs_f64() / SLOW_START_TIME.as_secs_f64();
+    objective.as_secs_f64() * 1_000.0 * SLOW_START_SHARE * (1.0 - passed).max(0.0)
+}
+
 /// The server with most of the prompt in its cache, for each version of the weights. Computed once
 /// for all servers, as searching per server would take quadratic time.
 fn best_holders(versions: &[u64], cached: &[u32]) -> HashMap<u64, usize> {
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -145,7 +145,7 @@
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
         let version = server.version_of(model);
         let profile = self.profile(request.service);
-        let store = profile.store_of(&chain).filter(|_| work.can_transfer);
+        let store = profile.store_of(&chain.keys).filter(|_| work.can_transfer);
         let source = work.source.map(|source| servers[source].instance.report.address);
         Choice {
             instance: server.instance.id.clone(),
@@ -157,7 +157,7 @@
             prefill_tokens: work.prefill_tokens,
             candidates: servers.len(),
             version,
-            source: source.or(store).filter(|_| work.can_transfer),
+            source: work.source_store.or(source).or(store).filter(|_| work.can_transfer),
             store: store.filter(|_| work.should_store(tokens, chain.all_tokens())),
             segment_tokens: chain.segment_tokens(),
             own_tokens: tokens.saturating_sub(chain.all_tokens()),
@@ -194,6 +194,7 @@
             other_lane: work.other_lane,
             utilization: server.limit.as_ref().map_or(0.0, |limit| limit.used_share(context.now)),
             evicted_tokens: f64::from(work.inserted_tokens) * work.eviction_loss,
+            slow_start_ms: work.slow_start_ms,
         }
     }
 }
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -7,8 +7,8 @@
 use juniper_registry::Instance;
 use juniper_types::Timestamp;
 
-use crate::cache_turnover::CacheTurnover;
-use crate::cached_segments::CachedSegments;
+use crate::cache::cache_turnover::CacheTurnover;
+use crate::cache::cached_segments::CachedSegments;
 use crate::fleet_load::FleetLoad;
 use crate::health::Health;
 use crate::load::Load;
@@ -21,6 +21,8 @@
     /// Index of the server in the member list of its service.
     pub(crate) member_index: usize,
     pub(crate) hash: u64,
+    /// When a router that was already in use learned of the incarnation.
+    pub(crate) listed_at: Option<Timestamp>,
     pub(crate) health: Health,
     /// Reports of other routers that the server is unreachable.
     pub(crate) unreachable_reports: UnreachableReports,
@@ -51,6 +53,7 @@
             instance,
             member_index,
             hash,
+            listed_at: None,
             health,
             unreachable_reports: UnreachableReports::default(),
             load,
@@ -77,7 +80,7 @@
 }
 
 /// FNV-1a hash: all routers have to compute the same value, whatever their build.
-fn fnv1a(text: &str) -> u64 {
+pub(crate) fn fnv1a(text: &str) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
     text.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
--- /dev/null
+++ b/crates/placement/src/usability.rs
@@ -0,0 +1,59 @@
+//! Updates of the loss watches and transfers of tight services.
+
+use std::time::Duration;
+
+use juniper_registry::InstanceId;
+use juniper_types::Timestamp;
+
+use crate::cache::stored_segments::{StoreFetch, scope_of};
+use crate::choice::Choice;
+use crate::placement::Placement;
+
+/// Minimum prefill time that a fetch from a store saves, in milliseconds, for the time to first
+/// output to show whether it succeeded. Delays of the network and of decode steps reach this much.
+const MIN_SHOWN_MS: f64 = 40.0;
+
+impl Placement {
+    /// Records that an incarnation became usable or unusable.
+    pub(crate) fn record_usability(&mut self, id: &InstanceId, is_usable: bool, now: Timestamp) {
+        let Some(server) = self.server(id) else { return };
+        let (service, hash) = (server.instance.report.service.as_str(), server.hash);
+        if !self.profile(service).is_tight {
+            return;
+        }
+        let (service, servers) =
+            (service.to_owned(), self.services.get(service).map_or(0, Vec::len));
+        let losses = self.losses.entry(service).or_default();
+        if is_usable {
+            losses.record_recovered(hash, servers);
+        } else {
+            losses.record_lost(hash, servers, now);
+        }
+    }
+
+    /// Records the KV transfer that a server was asked to make. Returns the fetch if it is from a
+    /// store and its success will be visible.
+    pub(crate) fn begin_transfer(&mut self, choice: &Choice, now: Timestamp) -> Option<StoreFetch> {
+        let service = self.server(&choice.instance)?.instance.report.service.clone();
+        let profile = self.profile(&service);
+        let store = choice.source?;
+        let tokens = choice.inserted_tokens.saturating_sub(choice.prefill_tokens);
+        if !profile.is_tight || tokens == 0 {
+            return None;
+        }
+        let ms = f64::from(tokens) * profile.transfer_ms_per_token;
+        self.transfers.add(store, Duration::from_secs_f64(ms / 1_000.0), now);
+        let speed = self.speeds.get(&service).copied().unwrap_or_default();
+        let is_shown = !choice.is_late && speed.ms_for(f64::from(tokens)) >= MIN_SHOWN_MS;
+        if !is_shown || !self.stored.is_store(store) {
+            return None;
+        }
+        let queued = self.server(&choice.instance)?.fleet_load.queued_tokens(speed, now);
+        Some(StoreFetch {
+            store,
+            scope: scope_of(&service, choice.version),
+            keys: choice.keys.clone(),
+            miss_time: speed.time_for(queued + f64::from(tokens)),
+        })
+    }
+}
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -12,7 +12,7 @@
 };
 use juniper_registry::InstanceId;
 
-use support::{SERVICE, at, choose, placement, prompt, request, send};
+use support::{SERVICE, at, choose, kv_store, placement, prompt, request, send};
 
 #[test]
 fn routers_agree_on_the_home_of_uncached_segments() {
@@ -330,7 +330,7 @@
     let profile = ServiceProfile {
         transfer_ms_per_token: 0.005,
         cache_tokens: 160_000,
-        stores: stores.clone(),
+        stores: stores.iter().map(|store| kv_store(*store)).collect(),
         ..ServiceProfile::default()
     };
     placement.set_profiles(HashMap::from([(SERVICE.to_owned(), profile)]));
@@ -353,7 +353,7 @@
     let profile = ServiceProfile {
         transfer_ms_per_token: 0.005,
         cache_tokens: 160_000,
-        stores: vec![store],
+        stores: vec![kv_store(store)],
         ..ServiceProfile::default()
     };
     placement.set_profiles(HashMap::from([(SERVICE.to_owned(), profile)]));
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use juniper_placement::{
-    Choice, Outcome, Placement, Prompt, PromptSegment, ServerRequest, ServiceProfile,
+    Choice, KvStore, Outcome, Placement, Prompt, PromptSegment, ServerRequest, ServiceProfile,
 };
 use juniper_registry::{
     Instance, InstanceId, InstanceMap, InstanceName, InstanceReport, InstanceState, LoadedModel,
@@ -43,6 +43,16 @@
     Instance::of(report)
 }
 
+/// A store whose link is as fast as those of the servers.
+pub fn kv_store(address: SocketAddrV4) -> KvStore {
+    KvStore {
+        address,
+        zone: "north".to_owned(),
+        capacity_tokens: 700_000,
+        transfer_ms_per_token: 0.005,
+    }
+}
+
 pub fn placement(count: u16) -> Placement {
     let mut placement = Placement::new("north");
     let instances: InstanceMap = (1..=count).map(|number| Arc::new(instance(number, 1))).collect();
