--- a/crates/placement/src/cache/server_loss.rs
+++ b/crates/placement/src/cache/server_loss.rs
@@ -93,10 +93,10 @@
     }
 
     /// Share, from 0 to 1, of the lost prefix's recomputation that counts as a loss away from its
-    /// home: the most requested segments are restored first. Zero if it was requested at most once:
-    /// restoring it would delay others.
-    pub(crate) fn restoration_share(&self, key: u64, now: Timestamp) -> f64 {
-        let count = self.counts.get(&key).map_or(0.0, |count| count.at(now));
-        if count < MIN_REPEATED_COUNT { 0.0 } else { (count / POPULAR_COUNT).min(1.0) }
+    /// home: the most requested segments are restored first. Zero if it was requested once:
+    /// restoring it would delay others. `None` if it was never requested: nothing was lost.
+    pub(crate) fn restoration_share(&self, key: u64, now: Timestamp) -> Option<f64> {
+        let count = self.counts.get(&key)?.at(now);
+        Some(if count < MIN_REPEATED_COUNT { 0.0 } else { (count / POPULAR_COUNT).min(1.0) })
     }
 }
--- a/crates/placement/src/prompt_work.rs
+++ b/crates/placement/src/prompt_work.rs
@@ -141,13 +141,11 @@
             let is_miss = can_miss && transferred == 0 && uncached > 0;
             let is_home = home == Some(index);
             let recomputed = match (is_home, is_uncached) {
-                (false, true) if is_tight => {
-                    // Away from home, a fetch from a store is repeated by the next prompt.
-                    let share = restoration_share.unwrap_or(1.0 / f64::from(OFF_HOME_DIVISOR));
-                    (f64::from(uncached + transferred) * share) as u32
-                }
                 (true, _) => 0,
-                (false, true) => uncached / OFF_HOME_DIVISOR,
+                (false, true) => match restoration_share {
+                    Some(share) => (f64::from(uncached) * share) as u32,
+                    None => uncached / OFF_HOME_DIVISOR,
+                },
                 (false, false) => uncached,
             };
             PromptWork {
@@ -177,12 +175,14 @@
         (0..servers.len()).map(work).collect()
     }
 
-    /// Share of the prompt's uncached segments that counts as recomputed away from their home, while
-    /// many servers were lost recently; `None` otherwise.
+    /// Share of the prompt's uncached segments that counts as recomputed away from their home, if
+    /// many servers were lost recently and the segments may be among what they held.
     fn restoration_share(&self, service: &str, chain: &ChainKeys, now: Timestamp) -> Option<f64> {
-        let _active = self.losses.get(service).filter(|losses| losses.is_active(now))?;
         let key = chain.keys.last()?;
-        Some(self.demand.restoration_share(*key, now))
+        if !self.losses.get(service)?.is_active(now) {
+            return None;
+        }
+        self.demand.restoration_share(*key, now)
     }
 
     /// For each server, whether it belongs to the lane for prompts of the other length. Lanes
