--- a/crates/placement/src/cache/stored_segments.rs
+++ b/crates/placement/src/cache/stored_segments.rs
@@ -150,9 +150,9 @@
         contents.evict_least_recently_used(max_uses);
     }
 
-    /// Whether the store is one of the configuration.
-    pub(crate) fn is_store(&self, address: SocketAddrV4) -> bool {
-        self.stores.contains_key(&address)
+    /// The store of the configuration with this address.
+    pub(crate) fn store(&self, address: SocketAddrV4) -> Option<&KvStore> {
+        self.stores.get(&address).map(|contents| &contents.store)
     }
 
     /// For each store that holds shared segments of the prompt, the tokens of the longest prefix.
--- a/crates/placement/src/prompt_work.rs
+++ b/crates/placement/src/prompt_work.rs
@@ -117,7 +117,7 @@
         });
         let holders = best_holders(&versions, &ready);
         let is_uncached = cached.iter().all(|tokens| *tokens == 0);
-        let sources = is_tight.then(|| {
+        let sources = (is_tight && can_transfer).then(|| {
             let ready = (versions.as_slice(), ready.as_slice());
             self.transfer_sources(request.service, servers, ready, chain, now)
         });
--- a/crates/placement/src/usability.rs
+++ b/crates/placement/src/usability.rs
@@ -34,26 +34,29 @@
     /// Records the KV transfer that a server was asked to make. Returns the fetch if it is from a
     /// store and its success will be visible.
     pub(crate) fn begin_transfer(&mut self, choice: &Choice, now: Timestamp) -> Option<StoreFetch> {
-        let service = self.server(&choice.instance)?.instance.report.service.clone();
-        let profile = self.profile(&service);
-        let store = choice.source?;
+        let server = self.server(&choice.instance)?;
+        let service = server.instance.report.service.as_str();
+        let profile = self.profile(service);
+        let source = choice.source?;
         let tokens = choice.inserted_tokens.saturating_sub(choice.prefill_tokens);
         if !profile.is_tight || tokens == 0 {
             return None;
         }
-        let ms = f64::from(tokens) * profile.transfer_ms_per_token;
-        self.transfers.add(store, Duration::from_secs_f64(ms / 1_000.0), now);
-        let speed = self.speeds.get(&service).copied().unwrap_or_default();
+        let store = self.stored.store(source);
+        let store_ms = store.map_or(0.0, |store| store.transfer_ms_per_token);
+        let transfer_ms = f64::from(tokens) * profile.transfer_ms_per_token.max(store_ms);
+        let wait_ms = self.transfers.wait_ms(source, now);
+        let speed = self.speeds.get(service).copied().unwrap_or_default();
         let is_shown = !choice.is_late && speed.ms_for(f64::from(tokens)) >= MIN_SHOWN_MS;
-        if !is_shown || !self.stored.is_store(store) {
-            return None;
-        }
-        let queued = self.server(&choice.instance)?.fleet_load.queued_tokens(speed, now);
-        Some(StoreFetch {
-            store,
-            scope: scope_of(&service, choice.version),
+        let queued = server.fleet_load.queued_tokens(speed, now);
+        let miss_ms = speed.ms_for(queued + f64::from(tokens)) + wait_ms;
+        let fetch = store.filter(|_| is_shown).map(|store| StoreFetch {
+            store: store.address,
+            scope: scope_of(service, choice.version),
             keys: choice.keys.clone(),
-            miss_time: speed.time_for(queued + f64::from(tokens)),
-        })
+            miss_time: Duration::from_secs_f64(miss_ms / 1_000.0),
+        });
+        self.transfers.add(source, Duration::from_secs_f64(transfer_ms / 1_000.0), now);
+        fetch
     }
 }
