--- a/crates/placement/src/cache/stored_segments.rs
+++ b/crates/placement/src/cache/stored_segments.rs
@@ -48,7 +48,9 @@
     pub scope: u64,
     /// Keys of the prompt's shared prefixes.
     pub keys: Vec<u64>,
-    /// Expected time to first output if the store doesn't have the segments.
+    /// Time to first output up to which the store probably had the segments.
+    pub hit_time: Duration,
+    /// Time to first output from which it probably didn't have them.
     pub miss_time: Duration,
 }
 
@@ -81,6 +83,8 @@
     stored_at: Timestamp,
     /// Expected end of the last save or fetch.
     confirmed_at: Timestamp,
+    /// Whether the last fetch seems to have failed. A slow server looks the same.
+    is_missing: bool,
 }
 
 /// A use of a segment.
@@ -128,10 +132,13 @@
     }
 
     /// Records the time to first output of a prompt whose segments were fetched from a store. If it
-    /// is as long as without the store, the segments are removed, and if this happens repeatedly,
-    /// all: the store has restarted.
+    /// is as long as without the store, twice in a row, the segments are removed, and after more
+    /// misses, all: the store has restarted.
     pub(crate) fn record_fetch(&mut self, fetch: &StoreFetch, took: Duration, now: Timestamp) {
-        let is_hit = took < fetch.miss_time;
+        let is_hit = took <= fetch.hit_time;
+        if !is_hit && took < fetch.miss_time {
+            return;
+        }
         let max_uses = MAX_USES / self.stores.len().max(1);
         let Some(contents) = self.stores.get_mut(&fetch.store) else { return };
         contents.misses = if is_hit { 0 } else { contents.misses + 1 };
@@ -140,10 +147,12 @@
             return;
         }
         for key in fetch.keys.iter().map(|key| rendezvous::score(fetch.scope, *key)) {
-            let Some(known) = contents.segments.get(&key) else { continue };
+            let Some(known) = contents.segments.get_mut(&key) else { continue };
+            let was_missing = std::mem::replace(&mut known.is_missing, !is_hit);
             if is_hit {
-                contents.record_use(Some(key), known.tokens, now);
-            } else {
+                let tokens = known.tokens;
+                contents.record_use(Some(key), tokens, now);
+            } else if was_missing {
                 contents.remove(key);
             }
         }
@@ -192,6 +201,7 @@
         if let Some(known) = key.and_then(|key| self.segments.get_mut(&key)) {
             let has_expired = confirmed_at.since(known.confirmed_at) >= MAX_UNCONFIRMED_AGE;
             known.last_use = number;
+            known.is_missing = false;
             known.confirmed_at = known.confirmed_at.max(confirmed_at);
             if has_expired {
                 known.stored_at = confirmed_at;
@@ -201,7 +211,9 @@
         self.tokens += u64::from(tokens);
         if let Some(key) = key {
             let (last_use, stored_at) = (number, confirmed_at);
-            self.segments.insert(key, StoredSegment { last_use, tokens, stored_at, confirmed_at });
+            let is_missing = false;
+            let segment = StoredSegment { last_use, tokens, stored_at, confirmed_at, is_missing };
+            self.segments.insert(key, segment);
         }
     }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -28,10 +28,12 @@
 mod search;
 mod server;
 mod server_limits;
+mod timing_model;
+mod timing_sample;
 mod usability;
 
 pub use admission::{Overload, StartEstimate};
-pub use choice::{Choice, ChoiceError, KvStore, Reason, ServiceProfile, Ticket};
+pub use choice::{Choice, ChoiceError, ExpectedTiming, KvStore, Reason, ServiceProfile, Ticket};
 pub use dispatch_record::{DispatchRecord, ReportedRequest};
 pub use health::Outcome;
 pub use homes::ChainKeys;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use juniper_registry::{Departures, Instance, InstanceId, InstanceMap, InstanceName};
+use juniper_timing::ServiceTiming;
 use juniper_types::{NodeId, Timestamp};
 
 use crate::backoffs::Backoffs;
@@ -19,7 +20,6 @@
 use crate::health::Outcome;
 use crate::lanes::Lanes;
 use crate::load::PrefillSpeed;
-use crate::reachability_reports::Reporter;
 use crate::server::Server;
 
 /// Maximum queued prefill at dispatch, relative to the prompt's own prefill, for the time to first
@@ -47,6 +47,8 @@
     /// Listed servers that have requested a backoff or announced their departure.
     pub(crate) noticed: BTreeSet<InstanceName>,
     pub(crate) speeds: HashMap<String, PrefillSpeed>,
+    /// Timing of the services with tight objectives.
+    pub(crate) timings: HashMap<String, ServiceTiming>,
     pub(crate) profiles: HashMap<String, ServiceProfile>,
     pub(crate) lanes: HashMap<String, Lanes>,
     /// Contents of the KV stores of tight services.
@@ -80,6 +82,7 @@
             departures: Departures::default(),
             noticed: BTreeSet::new(),
             speeds: HashMap::new(),
+            timings: HashMap::new(),
             profiles: HashMap::new(),
             lanes: HashMap::new(),
             stored: StoredSegments::default(),
@@ -184,6 +187,7 @@
     /// Records the dispatch of a request to the chosen server.
     pub fn begin_request(&mut self, choice: &Choice, has_prompt: bool, now: Timestamp) -> Ticket {
         let tokens_ahead = self.tokens_ahead(&choice.instance, now);
+        let sample = self.timing_sample(choice, now).filter(|_| has_prompt);
         self.last_request_number = self.last_request_number.wrapping_add(1);
         let request = ReportedRequest { router: LOCAL_ROUTER, number: self.last_request_number };
         self.apply_dispatch(Some(request), &choice.dispatch_record(), |_| choice.store, now);
@@ -206,14 +210,15 @@
             request,
             tokens_ahead,
             store_fetch,
+            sample,
         }
     }
 
     /// Queued prefill tokens of all routers at a server.
     fn tokens_ahead(&self, instance: &InstanceId, now: Timestamp) -> f64 {
         let Some(server) = self.server(instance) else { return 0.0 };
-        let speed = self.speeds.get(&server.instance.report.service).copied().unwrap_or_default();
-        server.fleet_load.queued_tokens(speed, now)
+        let timing = self.timing_model(&server.instance.report.service, now);
+        server.fleet_load.queued_tokens(&timing, now)
     }
 
     /// Records a dispatch report without a request number: the end of the request won't be
@@ -246,11 +251,12 @@
         now: Timestamp,
     ) {
         self.last_event = self.last_event.max(now);
+        let Some(server) = self.server(&dispatch.instance) else { return };
+        let timing = self.timing_model(&server.instance.report.service, now);
         let Some(server) = incarnation_mut(&mut self.servers, &dispatch.instance) else { return };
         server.turnover.record(dispatch.tokens, now);
         let service = &server.instance.report.service;
-        let speed = self.speeds.get(service).copied().unwrap_or_default();
-        server.fleet_load.add_request(request, dispatch.prefill_tokens, speed, now);
+        server.fleet_load.add_request(request, dispatch.prefill_tokens, &timing, now);
         if dispatch.keys.is_empty() && dispatch.own_tokens == 0 {
             return;
         }
@@ -260,7 +266,8 @@
             keys: &dispatch.keys,
             tokens: &dispatch.segment_tokens,
             own_tokens: dispatch.own_tokens,
-            computed_at: now.after(speed.time_for(server.fleet_load.queued_tokens(speed, now))),
+            computed_at: now
+                .after(timing.prefill_time(server.fleet_load.queued_tokens(&timing, now))),
         };
         server.cached.record(dispatch.version, prompt, capacity);
         let Some(profile) = profile.filter(|profile| profile.is_tight) else { return };
@@ -273,44 +280,21 @@
     }
 
     /// Records the end of a request that another router has reported.
-    pub fn apply_peer_completion(&mut self, request: ReportedRequest) {
+    pub fn apply_peer_completion(&mut self, request: ReportedRequest, now: Timestamp) {
         let Some((instance, _)) = self.reported_requests.remove(&request) else { return };
+        self.mark_computed(&instance, request, now);
         if let Some(server) = self.server_mut(&instance) {
             server.fleet_load.remove_request(request);
         }
     }
 
-    /// Records another router's report on whether it can reach the server. Returns whether the
-    /// report changes the server to unreachable for this router.
-    pub fn apply_peer_reachability(
-        &mut self,
-        reporter: Reporter<'_>,
-        instance: &InstanceId,
-        reached: bool,
-        now: Timestamp,
-    ) -> bool {
-        let Some(server) = incarnation_mut(&mut self.servers, instance) else { return false };
-        if reached {
-            server.unreachable_reports.clear();
-            self.record_usability(instance, true, now);
-            return false;
-        }
-        let was_confirmed = server.unreachable_reports.is_confirmed(&self.zone, now);
-        server.unreachable_reports.add(reporter, now);
-        let is_confirmed = server.unreachable_reports.is_confirmed(&self.zone, now);
-        if is_confirmed {
-            self.record_usability(instance, false, now);
-        }
-        !was_confirmed && is_confirmed
-    }
-
     /// Records the first output of a request.
     pub fn record_first_output(&mut self, ticket: &mut Ticket, now: Timestamp) {
         if std::mem::replace(&mut ticket.had_output, true) {
             return;
         }
         let took = now.since(ticket.started_at);
-        if let Some(fetch) = ticket.store_fetch.take() {
+        if let Some(fetch) = ticket.store_fetch.take().filter(|_| ticket.is_measured) {
             self.stored.record_fetch(&fetch, took, now);
         }
         let Some(server) = incarnation_mut(&mut self.servers, &ticket.instance) else { return };
@@ -319,6 +303,15 @@
         if !ticket.is_measured {
             return;
         }
+        if let Some(sample) = &mut ticket.sample {
+            let service = &server.instance.report.service;
+            let timing = match self.timings.get_mut(service) {
+                Some(timing) => timing,
+                None => self.timings.entry(service.clone()).or_default(),
+            };
+            sample.record_first_output(took, timing, server, now);
+            return self.mark_computed(&ticket.instance, ticket.request, now);
+        }
         let speed = self.speeds.entry(server.instance.report.service.clone()).or_default();
         let expected_ms = speed.ms_for(f64::from(ticket.prefill_tokens));
         if ticket.tokens_ahead < f64::from(ticket.prefill_tokens) * MAX_QUEUE_SHARE {
@@ -345,25 +338,6 @@
         }
     }
 
-    /// Takes the unreachable servers whose next probe is due, with their addresses. Until a probe
-    /// succeeds, they only get requests if no other server is available.
-    pub fn take_due_probes(&mut self, now: Timestamp) -> Vec<(InstanceId, SocketAddrV4)> {
-        let due = self.servers.values_mut().filter_map(|server| {
-            let is_due = server.health.take_due_probe(now);
-            is_due.then(|| (server.instance.id.clone(), server.instance.report.address))
-        });
-        due.collect()
-    }
-
-    /// Records a successful probe of the server.
-    pub fn record_probe_success(&mut self, instance: &InstanceId) {
-        if let Some(server) = self.server_mut(instance) {
-            server.health.mark_reachable();
-            server.unreachable_reports.clear();
-            self.record_usability(instance, true, self.last_event);
-        }
-    }
-
     /// Records the version of the weights in an answer of the server.
     pub fn observe_version(&mut self, instance: &InstanceId, version: u64) {
         if let Some(server) = self.server_mut(instance) {
@@ -378,7 +352,7 @@
 }
 
 /// State of a listed incarnation.
-fn incarnation_mut<'a>(
+pub(crate) fn incarnation_mut<'a>(
     servers: &'a mut HashMap<InstanceName, Server>,
     id: &InstanceId,
 ) -> Option<&'a mut Server> {
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -5,6 +5,7 @@
 
 use juniper_limits::ServerLimit;
 use juniper_registry::Instance;
+use juniper_timing::ServerFactor;
 use juniper_types::Timestamp;
 
 use crate::cache::cache_turnover::CacheTurnover;
@@ -24,6 +25,8 @@
     /// When a router that was already in use learned of the incarnation.
     pub(crate) listed_at: Option<Timestamp>,
     pub(crate) health: Health,
+    /// Observed relative to expected first outputs, in services with tight objectives.
+    pub(crate) factor: ServerFactor,
     /// Reports of other routers that the server is unreachable.
     pub(crate) unreachable_reports: UnreachableReports,
     pub(crate) load: Load,
@@ -55,6 +58,7 @@
             hash,
             listed_at: None,
             health,
+            factor: ServerFactor::default(),
             unreachable_reports: UnreachableReports::default(),
             load,
             fleet_load: FleetLoad::default(),
--- a/crates/placement/tests/server_loss.rs
+++ b/crates/placement/tests/server_loss.rs
@@ -154,6 +154,12 @@
 #[test]
 fn resumed_streams_are_not_refused_after_a_loss() {
     let mut world = after_loss(12, 10);
+    // Without samples of the service's timing nothing is refused.
+    for own in 0..30 {
+        let choice = choose(&mut world.placement, &prompt(2, own), 2_010);
+        let mut ticket = world.placement.begin_request(&choice, true, at(2_010));
+        world.placement.record_first_output(&mut ticket, at(2_040));
+    }
     for number in 1..=SERVERS {
         queue(&mut world.placement, &instance(number, 1).id, 400_000, 2_050);
     }
--- a/crates/placement/tests/two_crashes/world.rs
+++ b/crates/placement/tests/two_crashes/world.rs
@@ -232,7 +232,7 @@
                     self.routers[router].apply_peer_dispatch(request, &record, at(now));
                 }
                 Event::Completed(router, request) => {
-                    self.routers[router].apply_peer_completion(request);
+                    self.routers[router].apply_peer_completion(request, at(now));
                 }
                 Event::Crash(count) => self.crash_servers(count, now, counted_from),
                 Event::Removal => self.remove_crashed(),
