Servers that were lost earlier don't count as lost again when they are unlisted

Cause: the removal of crashed servers from the instance list, seconds after the crash, started the loss state anew; a report of another router that reaches a server ended it while this router didn't reach it.

Change: a removal counts only if the server was reachable; a server counts as recovered only once this router reaches it.

Result: removal_of_servers_that_were_lost_before_is_no_new_loss fails without the first change and passes with it.

--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -130,10 +130,12 @@
     }
 
     fn remove(&mut self, name: &InstanceName) {
-        let Some(id) = self.servers.get(name).map(|server| server.instance.id.clone()) else {
-            return;
-        };
-        self.record_usability(&id, false, self.last_event);
+        let Some(server) = self.servers.get(name) else { return };
+        // The loss of an unreachable server was recorded when it became unreachable.
+        if !server.health.is_unreachable() {
+            let id = server.instance.id.clone();
+            self.record_usability(&id, false, self.last_event);
+        }
         let Some(server) = self.servers.remove(name) else { return };
         self.noticed.remove(name);
         let service = &server.instance.report.service;
--- a/crates/placement/src/usability.rs
+++ b/crates/placement/src/usability.rs
@@ -20,15 +20,17 @@
     pub(crate) fn record_usability(&mut self, id: &InstanceId, is_usable: bool, now: Timestamp) {
         let Some(server) = self.server(id) else { return };
         let (service, hash) = (server.instance.report.service.as_str(), server.hash);
+        // A server that another router reaches may still be unreachable for this one.
+        let is_unreachable = server.health.is_unreachable();
         if !self.profile(service).is_tight {
             return;
         }
         let (service, servers) =
             (service.to_owned(), self.services.get(service).map_or(0, Vec::len));
         let losses = self.losses.entry(service).or_default();
-        if is_usable {
+        if is_usable && !is_unreachable {
             losses.record_recovered(hash, servers);
-        } else {
+        } else if !is_usable {
             losses.record_lost(hash, servers, now);
         }
     }
--- a/crates/placement/tests/server_loss.rs
+++ b/crates/placement/tests/server_loss.rs
@@ -150,6 +150,17 @@
     assert!(world.goes_home(POPULAR_QUEUE, 2_100));
 }
 
+/// A crash that is long past must not count again when its servers leave the instance list.
+#[test]
+fn removal_of_servers_that_were_lost_before_is_no_new_loss() {
+    let mut world = after_loss(12, 4);
+    queue(&mut world.placement, &world.home, 0, 5_000);
+    let kept = (1..=SERVERS).map(|number| Arc::new(instance(number, 1)));
+    let kept = kept.filter(|instance| !world.lost.contains(&instance.id));
+    world.placement.set_instances(&kept.collect::<InstanceMap>());
+    assert!(!world.goes_home(POPULAR_QUEUE, 5_100));
+}
+
 /// The caller has already got part of the answer, so a refusal would waste it.
 #[test]
 fn resumed_streams_are_not_refused_after_a_loss() {
