--- a/crates/placement/tests/tight_services.rs
+++ b/crates/placement/tests/tight_services.rs
@@ -312,3 +312,10 @@
     let best = tight.correlation(|times| times.ordinary_ms);
     assert!(correlation >= best * 0.9, "{correlation} of {best}");
 }
+
+/// Guards against expected times that hardly tell one server from another. Required is 0.6.
+#[test]
+fn expected_and_observed_times_correlate_at_0_6() {
+    let correlation = Replay::run(true, 1).correlation(|times| times.expected_ms);
+    assert!(correlation >= 0.6, "{correlation}");
+}
