--- a/crates/catalog/src/objectives.rs
+++ b/crates/catalog/src/objectives.rs
@@ -9,7 +9,7 @@
 
 impl Catalog {
     /// Whether the service has tight objectives: it runs model engines, and all streaming routes to
-    /// it have an objective of at most [`MAX_TIGHT_OBJECTIVE_MS`]. Beside prompts with longer
+    /// it have an objective of at most `MAX_TIGHT_OBJECTIVE_MS`. Beside prompts with longer
     /// objectives, whose queues urgent prompts overtake, expected times of first outputs were half of
     /// the observed ones under overload.
     ///
@@ -26,7 +26,7 @@
     }
 
     /// Whether any streaming route to a service with engines has an objective of at most
-    /// [`MAX_TIGHT_OBJECTIVE_MS`].
+    /// `MAX_TIGHT_OBJECTIVE_MS`.
     pub fn has_tight_stream(&self) -> bool {
         let mut engines = self.services.iter().filter(|service| service.engine.is_some());
         engines.any(|service| self.streams_to(&service.name).any(is_tight))
