Operator commands: a replica without a quorum isn't the last answer

What operators saw: a `tree apply` ended with 1 although the change could be sent again, and the operations page says to do so (`outcome_unknown`, 504; `no_quorum`, 503).

Cause: the client took the first replica's answer, also "no quorum" after 6 s. Replicas were tried in turn only if one couldn't be reached.

Evidence: `an_operator_command_fails_while_the_first_replica_has_no_quorum` (two of three replicas suspended for 7 s) ended with 1 and status 504 before, with 0 now. Calls are idempotent by their change id; a release from quarantine, which has none, isn't repeated after an unknown outcome.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -1,14 +1,20 @@
 //! Client of the control replicas' operator API.
 
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use reqwest::Method;
+use reqwest::{Method, StatusCode};
 use serde_json::Value;
 
 /// Timeout for one replica's answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for which a call is repeated while replicas have no quorum; several elections long.
+const QUORUM_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Pause before the replicas are asked again.
+const ROUND_DELAY: Duration = Duration::from_millis(500);
+
 /// Failure of an operator call.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum ClientError {
@@ -50,6 +56,20 @@
     serde_json::to_string_pretty(body).unwrap_or_default()
 }
 
+impl ClientError {
+    /// Whether a replica answered that it has no quorum or doesn't know the outcome.
+    fn lacks_quorum(&self) -> bool {
+        let statuses = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::GATEWAY_TIMEOUT];
+        let lacks_quorum = |status: u16| statuses.iter().any(|known| known.as_u16() == status);
+        matches!(self, ClientError::ErrorResponse { status, .. } if lacks_quorum(*status))
+    }
+
+    /// Whether another replica may answer instead.
+    fn is_transient(&self) -> bool {
+        self.lacks_quorum() || matches!(self, ClientError::Unreachable(_))
+    }
+}
+
 /// HTTP client that tries control replicas in turn until one answers.
 pub struct OperatorClient {
     replicas: Vec<String>,
@@ -73,30 +93,61 @@
         Ok(OperatorClient { replicas, key: key.trim().to_owned(), http })
     }
 
-    /// Sends the request to each replica in turn until one answers. Retrying a write is safe,
-    /// since its change id makes it idempotent.
+    /// Sends the request to the replicas in turn until one answers, again for [`QUORUM_TIMEOUT`]
+    /// while those that can be reached have no quorum. Repeating a write is safe, since its change
+    /// id makes it idempotent; a release from quarantine is repeated only if it had no effect.
     pub async fn call(
         &self,
         method: Method,
         path: &str,
         body: Option<&Value>,
     ) -> Result<Value, ClientError> {
-        let mut last_error = None;
-        for replica in &self.replicas {
-            let url = format!("{}{path}", replica.trim_end_matches('/'));
-            let mut request = self.http.request(method.clone(), &url).bearer_auth(&self.key);
-            if let Some(body) = body {
-                request = request.json(body);
+        let started = Instant::now();
+        loop {
+            let mut any_lacks_quorum = false;
+            let mut last_error = ClientError::NoReplica;
+            for replica in &self.replicas {
+                match self.call_replica(replica, &method, path, body).await {
+                    Err(error) if error.is_transient() && is_repeatable(&method, &error) => {
+                        any_lacks_quorum |= error.lacks_quorum();
+                        last_error = error;
+                    }
+                    result => return result,
+                }
             }
-            match request.send().await {
-                Ok(response) => return read_response(url, response).await,
-                Err(error) => last_error = Some(error),
+            if !any_lacks_quorum || started.elapsed() >= QUORUM_TIMEOUT {
+                return Err(last_error);
             }
+            tokio::time::sleep(ROUND_DELAY).await;
+        }
+    }
+
+    async fn call_replica(
+        &self,
+        replica: &str,
+        method: &Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Value, ClientError> {
+        let url = format!("{}{path}", replica.trim_end_matches('/'));
+        let mut request = self.http.request(method.clone(), &url).bearer_auth(&self.key);
+        if let Some(body) = body {
+            request = request.json(body);
         }
-        Err(last_error.map_or(ClientError::NoReplica, ClientError::Unreachable))
+        let response = request.send().await.map_err(ClientError::Unreachable)?;
+        read_response(url, response).await
     }
 }
 
+/// Whether a call may be repeated after the error.
+fn is_repeatable(method: &Method, error: &ClientError) -> bool {
+    let is_unknown = matches!(
+        error,
+        ClientError::ErrorResponse { status, .. } if *status == StatusCode::GATEWAY_TIMEOUT.as_u16()
+    );
+    *method != Method::DELETE || !is_unknown
+}
+
 async fn read_response(url: String, response: reqwest::Response) -> Result<Value, ClientError> {
     let status = response.status();
     let body: Value = response.json().await.map_err(|_| ClientError::NotJson { url })?;
--- a/tests/control_fleet.rs
+++ b/tests/control_fleet.rs
@@ -8,10 +8,14 @@
 mod recovery;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
-use replicas::{Fleet, put_zone};
+use replicas::{Fleet, Replica, put_zone};
 use serde_json::{Value, json};
 
+/// Longer than a replica waits for a quorum before it answers an operator.
+const PAST_REPLICA_TIMEOUT: Duration = Duration::from_secs(7);
+
 /// Writes `count` changes from revision `first` on, through the given replicas in turn;
 /// returns the changes.
 async fn write_changes(fleet: &Fleet, through: &[usize], first: u64, count: u64) -> Vec<Value> {
@@ -224,6 +228,24 @@
     assert_eq!(fleet.command(&["tree", "diff", "1"]).0, Some(2));
 }
 
+/// Guards against a change that an operator sees refused although a repetition is accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_command_fails_while_the_first_replica_has_no_quorum() {
+    let fleet = Fleet::start(3).await;
+    let change = fleet.change_file(&put_zone("hartford", 3, 0, "first"));
+    fleet.replicas[1..].iter().for_each(Replica::freeze);
+    let (code, answer) = tokio::task::block_in_place(|| {
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                std::thread::sleep(PAST_REPLICA_TIMEOUT);
+                fleet.replicas[1..].iter().for_each(Replica::resume);
+            });
+            fleet.command(&["tree", "apply", &change])
+        })
+    });
+    assert_eq!((code, &answer["revision"]), (Some(0), &1.into()), "{answer}");
+}
+
 /// Fault of one replica while the others run.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
