Retry budget: requests that waited for a router that stood still earn no retries beyond its rate

Cause: callers' requests count in the window in which they are sent, but a router counted them when it served them. A router that stands still for seconds serves all that waited for it in the next window, and each earned its share of a retry again there, beside those of that window. On a suspended machine the budget's clock stood still as well, so that savings outlived the window that they were earned in.

A gateway that was suspended for 10 s retried its first request.

Change: the budget notices a gap of over 500 ms between two calls, on the clock that counts suspensions, and for as long as the gap was (a window at most) requests earn at the mean rate before it. Why it works: whether the requests come at once or are transmitted again for as long, no more of them earn than the window's own would. The gateway calls the budget each 100 ms.

The tests of the budget call it as often as a router that runs does.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use juniper_catalog::{Catalog, EngineProfile, Route, WeightedSplit};
+use juniper_clock::BootInstant;
 use juniper_crash_watch::CrashWatch;
 use juniper_feed::{Feed, FleetView};
 use juniper_limits::FleetShare;
@@ -44,6 +45,9 @@
 /// Interval between two sweeps of idle connections, and between two reports of retry budgets.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which the retry budget is told that this process runs.
+const RUNNING_INTERVAL: Duration = Duration::from_millis(100);
+
 /// State shared by all requests.
 pub(crate) struct Gateway {
     pub settings: GatewaySettings,
@@ -67,6 +71,8 @@
     placement: Mutex<Placement>,
     retry_budget: Mutex<RetryBudget>,
     splits: Mutex<HashMap<String, WeightedSplit>>,
+    /// When the gateway was started.
+    started: BootInstant,
 }
 
 impl Gateway {
@@ -81,6 +87,7 @@
             placement: Mutex::new(Placement::new(settings.zone.clone())),
             retry_budget: Mutex::new(RetryBudget::new(settings.retry)),
             splits: Mutex::default(),
+            started: BootInstant::now(),
             updates: UpdateQueue::default(),
             startup: StartupQueue::default(),
             limits: Arc::default(),
@@ -101,6 +108,11 @@
         Timestamp::ZERO.after(self.feed.time_origin().elapsed())
     }
 
+    /// Time since the gateway was started, including time in which the machine was suspended.
+    pub(crate) fn now_with_suspensions(&self) -> Timestamp {
+        Timestamp::ZERO.after(self.started.elapsed())
+    }
+
     /// Locks the placement. The guard must not be held across an await.
     pub(crate) fn placement(&self) -> MutexGuard<'_, Placement> {
         lock(&self.placement)
@@ -146,6 +158,8 @@
         let mut view = self.feed.view();
         let mut sweep = interval(IDLE_SWEEP_INTERVAL);
         sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut running = interval(RUNNING_INTERVAL);
+        running.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 changed = view.changed() => {
@@ -156,6 +170,7 @@
                     self.apply_view(&latest);
                     sleep(MIN_VIEW_INTERVAL).await;
                 }
+                _ = running.tick() => self.retry_budget().record_running(self.now_with_suspensions()),
                 _ = sweep.tick() => {
                     self.sweep();
                     self.log_retry_budgets();
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -8,7 +8,7 @@
 impl Gateway {
     /// Takes one retry of the request from its service's budget. Returns whether it may be sent.
     pub(crate) fn take_retry(&self, call: &Call) -> bool {
-        let now = self.now();
+        let now = self.now_with_suspensions();
         let mut budget = self.retry_budget();
         budget.set_routers(self.feed.sharing_router_count(), now);
         let is_granted = budget.take_retry(&call.service, now, rand::random());
@@ -19,7 +19,7 @@
 
     /// Logs the use of the retry budget of each service that has retried within the window.
     pub(crate) fn log_retry_budgets(&self) {
-        let (routers, now) = (self.feed.sharing_router_count(), self.now());
+        let (routers, now) = (self.feed.sharing_router_count(), self.now_with_suspensions());
         let mut budget = self.retry_budget();
         budget.set_routers(routers, now);
         let used = budget.usage(now);
--- a/crates/gateway/tests/suspension.rs
+++ b/crates/gateway/tests/suspension.rs
@@ -81,3 +81,23 @@
     }
     assert_eq!(server.connections(), 2);
 }
+
+/// Guards against retries that are earned by requests sent before the machine woke, and with savings
+/// of a window that is over.
+#[tokio::test]
+async fn requests_that_waited_for_a_suspended_router_exceed_the_retry_budget() {
+    let _serial = SERIAL.lock().await;
+    let script = |_: usize, _: &str| vec![Step::Close];
+    let (one, other) = (FakeServer::start("a", script).await, FakeServer::start("b", script).await);
+    let gateway = TestGateway::start(&[&one, &other]).await;
+    let arrivals = || one.requests().len() + other.requests().len();
+    assert_eq!(get(gateway.callers, "/safe/x", "r1").await.status, 502);
+    assert_eq!(arrivals(), 2, "a request earns a retry");
+    suspend(SUSPENSION);
+    let started_at = Instant::now();
+    while get(gateway.callers, "/safe/x", "r2").await.status == 503 {
+        assert!(started_at.elapsed() < TEST_TIMEOUT, "the configuration is confirmed again");
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(arrivals(), 3, "none after the suspension");
+}
--- a/crates/placement/src/retry_budget.rs
+++ b/crates/placement/src/retry_budget.rs
@@ -6,6 +6,10 @@
 //! any window all routers and their earlier incarnations then send at most what was saved when the
 //! window began, which is a share of the requests of the window before it, and what was earned since.
 //! A restart loses savings and grants none, and a request earns retries at one router only.
+//!
+//! Requests are counted when they are served. A router that stood still serves those that waited for
+//! it at once, and callers sent them in an earlier window. For as long as it stood still, requests
+//! therefore earn no more often than before.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -21,6 +25,10 @@
 /// Below one also because the shares of all routers can add up to a little more than one.
 const FREE: Split = Split { earned: 0.6, saved: 0.3 };
 
+/// Longest time between two calls of a router that runs; requests that waited longer were sent in
+/// another window. Well above the pauses of a process that shares its processor.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(500);
+
 /// Buckets of the sliding window.
 const BUCKETS: u32 = 10;
 
@@ -48,7 +56,7 @@
 pub struct RetryUsage {
     /// Name of the service.
     pub service: String,
-    /// Requests within the window.
+    /// Requests that earned retries within the window.
     pub requests: u32,
     /// Retries granted within the window.
     pub granted: u32,
@@ -66,6 +74,26 @@
     refused: u32,
 }
 
+/// Limit of the requests that earn retries after the router stood still.
+#[derive(Clone, Copy, Debug)]
+struct EarningLimit {
+    per_second: f64,
+    available: f64,
+    updated: Timestamp,
+}
+
+impl EarningLimit {
+    fn take(&mut self, now: Timestamp) -> bool {
+        self.available += self.per_second * now.since(self.updated).as_secs_f64();
+        self.updated = now;
+        let is_available = self.available >= 1.0;
+        if is_available {
+            self.available -= 1.0;
+        }
+        is_available
+    }
+}
+
 /// Account of one service.
 #[derive(Clone, Debug, Default)]
 struct Account {
@@ -75,6 +103,8 @@
     saved: f64,
     /// Value of [`FreeShare::integral`] up to which free retries were credited.
     credited: f64,
+    /// Limit since the router last stood still, at the rate of requests before.
+    earning_limit: Option<EarningLimit>,
 }
 
 impl Account {
@@ -92,6 +122,13 @@
         }
     }
 
+    /// Limits the requests that earn to the rate of the last window.
+    fn limit_earning(&mut self, window: Duration, now: Timestamp) {
+        let requests = f64::from(self.total(|bucket| bucket.requests));
+        let per_second = requests / window.as_secs_f64();
+        self.earning_limit = Some(EarningLimit { per_second, available: 0.0, updated: now });
+    }
+
     fn total(&self, count: fn(&Bucket) -> u32) -> u32 {
         self.buckets.iter().map(count).sum()
     }
@@ -155,13 +192,36 @@
     settings: RetrySettings,
     free: FreeShare,
     accounts: HashMap<String, Account>,
+    /// Time of the last call.
+    running_at: Timestamp,
+    /// Until when earning is limited.
+    limited_until: Timestamp,
 }
 
 impl RetryBudget {
     /// A budget without any requests or savings, and without a share of the free retries.
     pub fn new(settings: RetrySettings) -> Self {
         let free = FreeShare { routers: None, integral: 0.0, updated: Timestamp::ZERO };
-        RetryBudget { settings, free, accounts: HashMap::new() }
+        RetryBudget {
+            settings,
+            free,
+            accounts: HashMap::new(),
+            running_at: Timestamp::ZERO,
+            limited_until: Timestamp::ZERO,
+        }
+    }
+
+    /// Records that the router runs. Has to be called more often than each [`MAX_IDLE_TIME`], on a
+    /// clock that goes on while the machine is suspended.
+    pub fn record_running(&mut self, now: Timestamp) {
+        let idle = now.since(self.running_at);
+        self.running_at = self.running_at.max(now);
+        if idle <= MAX_IDLE_TIME {
+            return;
+        }
+        let window = self.settings.window;
+        self.limited_until = now.after(idle.min(window));
+        self.accounts.values_mut().for_each(|account| account.limit_earning(window, now));
     }
 
     /// Sets the number of routers that share the free retries from now on; `None` if this router has
@@ -172,10 +232,16 @@
         self.free.routers = routers;
     }
 
-    /// Counts a caller's request to the service, which earns a share of a retry.
+    /// Counts a caller's request to the service, which earns a share of a retry unless it may have
+    /// been sent while the router stood still.
     pub fn record_request(&mut self, service: &str, now: Timestamp) {
+        self.record_running(now);
         let earned = BY_REQUESTS.earned * self.settings.ratio;
+        let is_limited = now < self.limited_until;
         let account = self.account(service, now);
+        if is_limited && !account.earning_limit.as_mut().is_some_and(|limit| limit.take(now)) {
+            return;
+        }
         account.saved += earned;
         account.count(|bucket| bucket.requests += 1);
     }
--- a/crates/placement/tests/budgets.rs
+++ b/crates/placement/tests/budgets.rs
@@ -54,6 +54,7 @@
 #[test]
 fn router_without_a_share_spends_only_what_its_requests_earn() {
     let mut budget = RetryBudget::new(SETTINGS);
+    (10_000..20_000).step_by(100).for_each(|millis| budget.record_running(at(millis)));
     assert!(!budget.take_retry("app", at(20_000), NO_LUCK));
     (0..100).for_each(|_| budget.record_request("app", at(20_000)));
     let granted = (0..100).filter(|_| budget.take_retry("app", at(20_000), NO_LUCK)).count();
@@ -76,6 +77,7 @@
         let (mut requests, mut retries) = (Vec::new(), Vec::new());
         for (step, (router, wanted)) in load.iter().enumerate() {
             let now = step as u64 * 137;
+            budgets.iter_mut().for_each(|budget| budget.record_running(at(now)));
             let budget = &mut budgets[usize::from(*router) % routers];
             budget.record_request("app", at(now));
             requests.push(now);
--- a/crates/placement/tests/retry_budget/fleet.rs
+++ b/crates/placement/tests/retry_budget/fleet.rs
@@ -49,6 +49,9 @@
     KillReplica(usize, Duration),
     /// The router stands still.
     FreezeRouter(usize, Duration),
+    /// The router stands still, and serves the requests that callers sent to it meanwhile afterwards:
+    /// at once, or over as long a time, as they are transmitted again.
+    FreezeRouterWithCallers { router: usize, length: Duration, transmitted_again: bool },
     /// These routers and replicas are partitioned from the rest.
     Cut { routers: Vec<usize>, replicas: Vec<usize>, length: Duration },
     /// These routers don't reach these replicas.
@@ -91,6 +94,12 @@
 struct Router {
     down_until: Option<Timestamp>,
     frozen_until: Timestamp,
+    /// Whether callers send to the router while it stands still.
+    callers_wait: bool,
+    /// Longest time until a request that was sent meanwhile is served once the router runs again.
+    max_delay: Duration,
+    /// When the requests that were sent meanwhile are served.
+    waiting: Vec<Timestamp>,
     started_at: Timestamp,
     budget: RetryBudget,
     counter: RouterCounter,
@@ -105,6 +114,9 @@
         Router {
             down_until: None,
             frozen_until: now,
+            callers_wait: false,
+            max_delay: Duration::ZERO,
+            waiting: Vec::new(),
             started_at: now,
             budget: RetryBudget::new(settings),
             counter: RouterCounter::default(),
@@ -212,6 +224,12 @@
             Fault::FreezeRouter(router, length) => {
                 self.routers[router].frozen_until = now.after(length);
             }
+            Fault::FreezeRouterWithCallers { router, length, transmitted_again } => {
+                let frozen = &mut self.routers[router];
+                frozen.frozen_until = now.after(length);
+                frozen.callers_wait = true;
+                frozen.max_delay = if transmitted_again { length } else { Duration::ZERO };
+            }
             Fault::Cut { routers, replicas, length } => {
                 let until = now.after(length);
                 let is_inside = |replica: usize| replicas.contains(&replica);
@@ -263,6 +281,11 @@
             self.routers[index] = Router::new(self.scenario.settings, now);
         }
         if self.routers[index].is_running(now) {
+            self.routers[index].callers_wait = false;
+            let due = self.routers[index].waiting.extract_if(.., |due| *due <= now).count();
+            (0..due).for_each(|_| self.serve(index, now));
+            let local = self.routers[index].local(now);
+            self.routers[index].budget.record_running(local);
             (0..REPLICAS).for_each(|replica| self.step_link(index, replica, now));
             if now.as_millis().is_multiple_of(CHECK_INTERVAL_MS) {
                 self.routers[index].update_count(now);
@@ -313,9 +336,19 @@
             let running: Vec<usize> = self.targets.clone();
             let first = self.draws.random_range(0..running.len());
             let order = running.iter().cycle().skip(first).take(running.len());
-            let found = order.copied().find(|router| self.routers[*router].is_running(now));
-            if let Some(router) = found {
-                self.serve(router, now);
+            let takes = |router: &usize| {
+                let router = &self.routers[*router];
+                router.is_running(now) || router.callers_wait
+            };
+            match order.copied().find(takes) {
+                Some(router) if self.routers[router].is_running(now) => self.serve(router, now),
+                Some(router) => {
+                    let delay: f64 = self.draws.random();
+                    let waited_for = &mut self.routers[router];
+                    let due = waited_for.frozen_until.after(waited_for.max_delay.mul_f64(delay));
+                    waited_for.waiting.push(due);
+                }
+                None => {}
             }
         }
     }
--- a/crates/placement/tests/retry_budget/main.rs
+++ b/crates/placement/tests/retry_budget/main.rs
@@ -144,6 +144,23 @@
     assert_kept(&Scenario { faults, absent, counting, ..scenario(routers, 30.0, 180.0) }, 4);
 }
 
+/// Guards against requests that earn retries when a router that stood still serves them, although
+/// callers sent them in an earlier window.
+#[test]
+fn requests_that_waited_for_frozen_routers_exceed_the_retry_budget() {
+    let fleets = [(7, 60.0, 0.0), (8, 62.0, 56.0), (48, 560.0, 180.0), (985, 3_600.0, 1_040.0)];
+    for ((routers, rate, free), length) in fleets.into_iter().zip([4.0, 8.0].repeat(2)) {
+        for transmitted_again in [false, true] {
+            let length = seconds(length);
+            let freeze =
+                |router| Fault::FreezeRouterWithCallers { router, length, transmitted_again };
+            let faults = (0..routers).map(|router| (seconds(20.0), freeze(router))).collect();
+            let failing_from = seconds(20.0);
+            assert_kept(&Scenario { faults, failing_from, ..scenario(routers, rate, free) }, 4);
+        }
+    }
+}
+
 /// Default number of random series that are played; `RETRY_BUDGET_SERIES` sets another one.
 const DEFAULT_SERIES: u64 = 150;
 
--- a/crates/placement/tests/retry_budget/series.rs
+++ b/crates/placement/tests/retry_budget/series.rs
@@ -28,7 +28,7 @@
 
     fn faults(&mut self, routers: usize, joining: &[usize]) -> Vec<Fault> {
         let part = self.part(routers);
-        match self.0.random_range(0..7) {
+        match self.0.random_range(0..8) {
             0 => {
                 let down = self.duration(100, 3_000);
                 part.into_iter().map(|router| Fault::KillRouter(router, down)).collect()
@@ -42,6 +42,13 @@
                 let length = self.duration(500, 6_000);
                 part.into_iter().map(|router| Fault::FreezeRouter(router, length)).collect()
             }
+            7 => {
+                let length = self.duration(500, 9_000);
+                let transmitted_again = self.0.random();
+                let freeze =
+                    |router| Fault::FreezeRouterWithCallers { router, length, transmitted_again };
+                part.into_iter().map(freeze).collect()
+            }
             3 => {
                 let (replicas, length) = (self.part(3), self.duration(1_000, 15_000));
                 vec![Fault::Cut { routers: part, replicas, length }]
