Retry budget: a granted retry is sent at once or taken again

Cause: between the grant of a retry and its sending a router waits for the owner of a server's account and for a connection. If the process or the machine stands still meanwhile, the retry leaves in another window.

Evidence: `retries_granted_before_a_suspension_exceed_the_retry_budget` (a retry waits for the owner while the machine is suspended for 1.5 s): it arrived.

Change: a grant holds for 200 ms, on the clock that counts suspensions. After that the retry is taken from the budget again before the head is written, and if there is none, nothing is sent (`retry_expired` among the failed attempts). This is the 0.2 s that the shares of the budget count on.

Result: the test failed before and passes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::finish::FoundTiming;
 use crate::gateway::Gateway;
 use crate::pool::{ConnectError, ServerConnection, is_refused};
+use crate::retry_budget::GrantedRetry;
 
 /// Priority of requests that can no longer meet their objective; the lowest that servers know.
 const LATE_PRIORITY: u8 = 9;
@@ -48,6 +49,9 @@
     /// Nothing was sent, since the server requested a backoff in the meantime.
     #[error("not sent: the server is backing off for {0:?}")]
     BackingOff(Duration),
+    /// Nothing was sent, since the retry was granted too long ago and the budget has no other one.
+    #[error("not sent: the retry was granted too long ago")]
+    RetryExpired,
     /// The server stated that it did not run the request.
     #[error("the server did not run the request")]
     NotRun,
@@ -78,7 +82,10 @@
 
     /// Whether nothing was sent.
     pub(crate) fn is_unsent(&self) -> bool {
-        matches!(self, AttemptError::NotSent(_) | AttemptError::BackingOff(_))
+        matches!(
+            self,
+            AttemptError::NotSent(_) | AttemptError::BackingOff(_) | AttemptError::RetryExpired
+        )
     }
 
     /// Whether the server's address refused the connection.
@@ -92,7 +99,7 @@
             // A reused connection that the server has closed doesn't show that new ones fail.
             AttemptError::NotSent(ConnectError::Handshake(_)) => Outcome::Interrupted,
             AttemptError::NotSent(_) => Outcome::Unreachable,
-            AttemptError::BackingOff(_) => Outcome::Cancelled,
+            AttemptError::BackingOff(_) | AttemptError::RetryExpired => Outcome::Cancelled,
             AttemptError::WrongServer => Outcome::Replaced,
             AttemptError::WrongVersion(version) => Outcome::VersionMismatch(*version),
             AttemptError::Broken(_) | AttemptError::InvalidAnswer | AttemptError::Timeout => {
@@ -219,6 +226,7 @@
     choice: &Choice,
     last_event: Option<u64>,
     deadline: Instant,
+    granted: Option<GrantedRetry>,
 ) -> Result<Answered, AttemptError> {
     let now = gateway.now();
     let ticket = gateway.placement().begin_request(choice, call.has_prompt(), now);
@@ -245,7 +253,7 @@
     if last_event.is_some() {
         attempt.exclude_from_timing();
     }
-    match exchange(gateway, call, choice, last_event, deadline, &mut attempt).await {
+    match exchange(gateway, call, choice, last_event, deadline, granted, &mut attempt).await {
         Ok(response) => Ok(Answered { attempt, response }),
         Err(error) => {
             attempt.fail(error.outcome());
@@ -260,6 +268,7 @@
     choice: &Choice,
     last_event: Option<u64>,
     deadline: Instant,
+    granted: Option<GrantedRetry>,
     attempt: &mut Attempt,
 ) -> Result<Response<Incoming>, AttemptError> {
     let limit = gateway.connection_limit(&call.view, &call.service);
@@ -274,6 +283,9 @@
     if let Some(backoff) = gateway.placement().remaining_backoff(&choice.instance, gateway.now()) {
         return Err(AttemptError::BackingOff(backoff));
     }
+    if granted.is_some_and(|granted| granted.has_expired()) && gateway.take_retry(call).is_none() {
+        return Err(AttemptError::RetryExpired);
+    }
     let request = build_request(gateway, call, choice, last_event);
     let sending = connection.sender.try_send_request(request);
     let mut response = match timeout_at(deadline, sending).await {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -295,6 +295,7 @@
         let reason = match error {
             AttemptError::NotSent(_) => "not_sent",
             AttemptError::BackingOff(_) => "resting",
+            AttemptError::RetryExpired => "retry_expired",
             AttemptError::NotRun => "not_run",
             AttemptError::WrongServer => "other_server",
             AttemptError::WrongVersion(_) => "other_version",
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -1,20 +1,40 @@
 //! Charges retries against the retry budget, and reports its use.
 
+use std::time::Duration;
+
+use juniper_clock::BootInstant;
 use juniper_placement::RetryUsage;
 
 use crate::call::Call;
 use crate::gateway::Gateway;
 
+/// Time for which a retry may be sent after it was granted. The budget bounds retries at servers
+/// only if they arrive soon; a process or machine may stand still in between.
+const MAX_GRANT_AGE: Duration = Duration::from_millis(200);
+
+/// A retry that the budget has granted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GrantedRetry {
+    granted_at: BootInstant,
+}
+
+impl GrantedRetry {
+    /// Whether the retry has to be taken from the budget again before it is sent.
+    pub(crate) fn has_expired(self) -> bool {
+        self.granted_at.elapsed() > MAX_GRANT_AGE
+    }
+}
+
 impl Gateway {
-    /// Takes one retry of the request from its service's budget. Returns whether it may be sent.
-    pub(crate) fn take_retry(&self, call: &Call) -> bool {
+    /// Takes one retry of the request from its service's budget. `None` if it may not be sent.
+    pub(crate) fn take_retry(&self, call: &Call) -> Option<GrantedRetry> {
         let now = self.now_with_suspensions();
         let mut budget = self.retry_budget();
         budget.set_routers(self.feed.sharing_router_count(), now);
         let is_granted = budget.take_retry(&call.service, now, rand::random());
         drop(budget);
         self.metrics.count_retry(&call.service, is_granted);
-        is_granted
+        is_granted.then(|| GrantedRetry { granted_at: BootInstant::now() })
     }
 
     /// Logs the use of the retry budget of each service that has retried within the window.
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -66,9 +66,17 @@
             if self.gateway.is_quarantined(self.call) {
                 return Err(OwnAnswer::Quarantined);
             }
-            if !self.call.may_retry(self.progress) || !self.take_retry_budget() {
+            if !self.call.may_retry(self.progress) {
                 return Err(self.final_answer(OwnAnswer::Full(FULL_RETRY_AFTER)));
             }
+            // The first attempt needs no retry.
+            let granted = match self.progress.sent {
+                0 => None,
+                _ => match self.gateway.take_retry(self.call) {
+                    None => return Err(self.final_answer(OwnAnswer::Full(FULL_RETRY_AFTER))),
+                    granted => granted,
+                },
+            };
             let seen_views = *self.gateway.applied_views.borrow();
             let (choice, charge) = match self.choose_admitted().await {
                 Ok(admitted) => admitted,
@@ -86,7 +94,8 @@
             }
             let pending = PendingAnswer::start(gateway, call, &choice.instance, self.progress);
             let sent_at = gateway.now();
-            let result = send(gateway, call, &choice, last_event, self.attempt_deadline()).await;
+            let deadline = self.attempt_deadline();
+            let result = send(gateway, call, &choice, last_event, deadline, granted).await;
             pending.end();
             match result {
                 Ok(answered) => {
@@ -142,11 +151,6 @@
         self.last_error = Some(error);
     }
 
-    /// Takes a retry from the budget; the first attempt is free. Returns whether the request may be sent.
-    fn take_retry_budget(&self) -> bool {
-        self.progress.sent == 0 || self.gateway.take_retry(self.call)
-    }
-
     /// Chooses a server that admits the request, and returns the charge against its advertised
     /// limit, if any. Nothing is sent to servers at their limits.
     async fn choose_admitted(&self) -> Result<(Choice, Option<GrantedCharge>), ChoiceError> {
--- a/crates/gateway/tests/suspension.rs
+++ b/crates/gateway/tests/suspension.rs
@@ -10,16 +10,22 @@
 use std::time::{Duration, Instant};
 
 use juniper_clock::testing::suspend;
+use juniper_protocol::message::{RouterUpdate, ServerLimitUpdate};
+use juniper_registry::StartTime;
 use tokio::sync::Mutex;
 use tokio::time::sleep;
 
 use support::caller::{ask, get};
+use support::control::ChargeHandling;
 use support::server::{FakeServer, Step, complete_answer, healthy};
 use support::{TEST_TIMEOUT, TestGateway};
 
 /// Longer than the maximum age of the configuration for which keys are accepted.
 const SUSPENSION: Duration = Duration::from_secs(10);
 
+/// Shorter than the caller's deadline, and longer than a granted retry may wait.
+const SHORT_SUSPENSION: Duration = Duration::from_millis(1_500);
+
 /// Lets one test run at a time, since a suspension applies to all of them.
 static SERIAL: Mutex<()> = Mutex::const_new(());
 
@@ -101,3 +107,37 @@
     }
     assert_eq!(arrivals(), 3, "none after the suspension");
 }
+
+/// Guards against a retry that is sent after a suspension, in another window than it was granted in.
+#[tokio::test]
+async fn retries_granted_before_a_suspension_exceed_the_retry_budget() {
+    let _serial = SERIAL.lock().await;
+    let script = |_: usize, _: &str| vec![Step::Wait(Duration::from_millis(200)), Step::Close];
+    let (one, other) = (FakeServer::start("a", script).await, FakeServer::start("b", script).await);
+    let gateway = TestGateway::start(&[&one, &other]).await;
+    let arrivals = || one.requests().len() + other.requests().len();
+    let limit = |server: &FakeServer| ServerLimitUpdate {
+        instance: server.report().name,
+        started: StartTime::UNKNOWN,
+        sequence: 9,
+        per_second: 50.0,
+        is_withdrawn: false,
+    };
+    let server_limits = Some(vec![limit(&one), limit(&other)]);
+    let update = RouterUpdate { server_limits, ..RouterUpdate::default() };
+    gateway.control.send_peer_update(2, "south", update);
+    sleep(Duration::from_millis(100)).await;
+    let suspending = async {
+        while arrivals() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        // The retry waits for the owner of the server's account.
+        gateway.control.set_charge_handling(ChargeHandling::Ignore);
+        while gateway.control.charges().len() < 2 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        suspend(SHORT_SUSPENSION);
+    };
+    let (answer, ()) = tokio::join!(get(gateway.callers, "/safe/x", "r1"), suspending);
+    assert_eq!((answer.status, arrivals()), (502, 1));
+}
