--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,6 @@
 
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
-use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use juniper_clock::BootInstant;
 use juniper_placement::{Choice, ExpectedTiming, Outcome, Ticket};
@@ -15,6 +14,7 @@
 
 use crate::body::WholeBody;
 use crate::call::Call;
+use crate::connection_headers::{requests_close, server_idle_timeout, strip_hop_headers};
 use crate::dialect::{AnswerInfo, AttemptInfo};
 use crate::finish::FoundTiming;
 use crate::gateway::Gateway;
@@ -371,41 +371,3 @@
     *request.headers_mut() = headers;
     request
 }
-
-/// Headers that apply to a single connection (hop-by-hop).
-const HOP_HEADERS: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// Removes hop-by-hop headers, and those that `Connection` lists.
-pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
-    let listed: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in listed.iter().map(String::as_str).chain(HOP_HEADERS) {
-        headers.remove(name);
-    }
-}
-
-fn requests_close(headers: &HeaderMap) -> bool {
-    let close = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
-    headers.get_all(CONNECTION).iter().any(close)
-}
-
-/// Idle time after which the server closes the connection, from its `Keep-Alive` header.
-fn server_idle_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let header = headers.get("keep-alive")?.to_str().ok()?;
-    let seconds = header.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
-}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -16,8 +16,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::OwnAnswer;
-use crate::attempt::strip_hop_headers;
 use crate::body::AnswerBody;
+use crate::connection_headers::strip_hop_headers;
 use crate::dialect::CallInfo;
 use crate::finish::own_answer;
 use crate::gateway::Gateway;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod attempt;
 mod body;
 mod call;
+mod connection_headers;
 mod crashes;
 mod dialect;
 mod events;
