Limits: an owner that starts again begins with what has accrued since its start

What callers of other tenants saw: a tenant, or a server with a limit of its own, got more than the limit while control replicas restarted.

Cause: an account that an owner doesn't know began with half of the burst, also where the process had just started, so that k restarts within a window admitted k half bursts.

Evidence: `an_owner_that_restarts_exceeds_the_limit` (16 restarts 0.5 s apart, 1,000 units a second, burst 500) admitted 560 charges of 20 units, 11,200 units, with half of the burst at each start; 8,320 are allowed.

Change: such an account begins with what the rate has yielded since the process started, half of the burst at most. Why it works: over all incarnations that adds up to the rate. An owner that has run for half a burst's time begins as before.

Result: the test passes.

--- a/crates/limits/src/bucket.rs
+++ b/crates/limits/src/bucket.rs
@@ -28,9 +28,11 @@
         Self::at_level(limit.burst, limit, now)
     }
 
-    /// Creates a half-filled bucket, for a limit that another bucket may have served until now.
-    pub fn half_full(limit: RateLimit, now: Timestamp) -> Self {
-        Self::at_level(limit.burst * UNKNOWN_FILL_FRACTION, limit, now)
+    /// Creates a bucket for a limit that another bucket may have served until now: half full, but
+    /// with no more than has accrued while this process has run, so that restarts grant nothing.
+    pub fn taken_over(limit: RateLimit, running_for: Duration, now: Timestamp) -> Self {
+        let accrued = limit.per_second.max(0.0) * running_for.as_secs_f64();
+        Self::at_level(accrued.min(limit.burst * UNKNOWN_FILL_FRACTION), limit, now)
     }
 
     /// Creates a bucket that holds `level` units, at most the burst.
--- a/crates/limits/src/owner.rs
+++ b/crates/limits/src/owner.rs
@@ -42,11 +42,11 @@
 }
 
 impl Account {
-    fn new(request: &ChargeRequest<'_>, now: Timestamp) -> Self {
+    fn new(request: &ChargeRequest<'_>, running_for: Duration, now: Timestamp) -> Self {
         Account {
             version: request.version,
             limit: request.limit,
-            bucket: TokenBucket::half_full(request.limit, now),
+            bucket: TokenBucket::taken_over(request.limit, running_for, now),
             admitted: Decaying::new(RECENT_HALF_LIFE),
             refused: Decaying::new(RECENT_HALF_LIFE),
             used_at: now,
@@ -100,15 +100,22 @@
 #[derive(Clone, Debug, Default)]
 pub struct LimitOwner {
     accounts: HashMap<String, Account>,
+    started_at: Timestamp,
     cleaned_up_at: Timestamp,
 }
 
 impl LimitOwner {
+    /// Creates the accounts of a replica whose process starts at `started_at`.
+    pub fn starting_at(started_at: Timestamp) -> Self {
+        LimitOwner { started_at, ..LimitOwner::default() }
+    }
+
     /// Charges a request to its account, or refuses it. `draw` is uniform in 0..1.
     pub fn charge(&mut self, request: &ChargeRequest<'_>, now: Timestamp, draw: f64) -> Verdict {
         self.remove_idle(now);
         if !self.accounts.contains_key(request.account) {
-            self.accounts.insert(request.account.to_owned(), Account::new(request, now));
+            let account = Account::new(request, now.since(self.started_at), now);
+            self.accounts.insert(request.account.to_owned(), account);
         }
         let Some(account) = self.accounts.get_mut(request.account) else {
             unreachable!("the account was inserted above");
--- a/crates/limits/tests/buckets.rs
+++ b/crates/limits/tests/buckets.rs
@@ -11,8 +11,11 @@
 
 const LIMIT: RateLimit = RateLimit { per_second: 1_000.0, burst: 500.0 };
 
+/// Age of the process in milliseconds when a test begins; all buckets could be full.
+const RUNNING_MS: u64 = 60_000;
+
 fn at(millis: u64) -> Timestamp {
-    Timestamp::from_millis(millis)
+    Timestamp::from_millis(RUNNING_MS + millis)
 }
 
 fn request(units: f64) -> ChargeRequest<'static> {
@@ -67,6 +70,20 @@
     assert_eq!(admitted, 26);
 }
 
+/// Guards against half a burst with each restart of the process that owns an account.
+#[test]
+fn an_owner_that_restarts_exceeds_the_limit() {
+    let mut admitted = 0;
+    for restart in 0..16 {
+        let start = restart * 500;
+        let mut owner = LimitOwner::starting_at(at(start));
+        let charges = (start + 50..start + 500).step_by(10);
+        admitted += charges.filter(|millis| charge(&mut owner, 20.0, at(*millis))).count();
+    }
+    // 8 s, and one request that overdraws the bucket of each process.
+    assert!(admitted as f64 * 20.0 <= LIMIT.per_second * 8.0 + 16.0 * 20.0, "{admitted}");
+}
+
 #[test]
 fn a_lowered_limit_applies_at_once_and_creates_no_debt() {
     let mut owner = LimitOwner::default();
--- a/crates/limits/tests/known_refusals.rs
+++ b/crates/limits/tests/known_refusals.rs
@@ -9,8 +9,11 @@
 /// An empty bucket fills in 4 s, so a refusal is repeated for up to 2 s.
 const LIMIT: RateLimit = RateLimit { per_second: 1_000.0, burst: 4_000.0 };
 
+/// Age of the process in milliseconds when a test begins; all buckets could be full.
+const RUNNING_MS: u64 = 60_000;
+
 fn at(millis: u64) -> Timestamp {
-    Timestamp::from_millis(millis)
+    Timestamp::from_millis(RUNNING_MS + millis)
 }
 
 fn request(units: f64) -> ChargeRequest<'static> {
--- a/crates/limits/tests/server_limits/strategies.rs
+++ b/crates/limits/tests/server_limits/strategies.rs
@@ -51,7 +51,7 @@
     fn admits(&mut self, fleet: &Fleet, router: usize, now: u64, draw: f64) -> bool {
         for (replica, owner) in self.owners.iter_mut().enumerate() {
             if !fleet.is_up(replica, now) {
-                *owner = LimitOwner::default();
+                *owner = LimitOwner::starting_at(time(now));
             }
         }
         let Router { limit, local } = &mut self.routers[router];
--- a/crates/limits/tests/strategies/owned.rs
+++ b/crates/limits/tests/strategies/owned.rs
@@ -53,7 +53,7 @@
         };
         for (replica, owner) in self.owners.iter_mut().enumerate() {
             if !world.is_up(replica, arrival.at) {
-                *owner = LimitOwner::default();
+                *owner = LimitOwner::starting_at(now);
             }
         }
         let router = arrival.router;
--- a/crates/limits/tests/strategies/tight.rs
+++ b/crates/limits/tests/strategies/tight.rs
@@ -168,7 +168,7 @@
     fn admits(&mut self, world: &World, arrival: &Arrival, now: Timestamp) -> bool {
         for (replica, owner) in self.owners.iter_mut().enumerate() {
             if !world.is_up(replica, arrival.at) {
-                *owner = LimitOwner::default();
+                *owner = LimitOwner::starting_at(now);
             }
         }
         self.handle_events(world, arrival.at);
