Number of routers: a router that stood still waits for reports to settle

Not seen in whole fleets for this cause alone: only the number is shown to be wrong.

Cause: after a gap in the reports of replicas a router uses no share of the free retries for 2 s, in which replicas that restarted learn of the routers. The gap is noticed by regular calls. A router that stood still makes none, and used the first low number at once.

Evidence: `routers_that_stood_still_share_by_a_low_first_number`: seven routers, 6 s without a call, then reports of one router: shared by one.

Change: over 1 s between two calls with reports counts as a gap.

Result: the test failed before and passes.

--- a/crates/feed/src/router_count.rs
+++ b/crates/feed/src/router_count.rs
@@ -12,7 +12,7 @@
 //!   If all replicas report, the highest number is used. It is exact unless other routers reach
 //!   only some of the replicas; the shares then add up to 1.17 at most.
 //! - Replicas that have just restarted know few routers. After a gap a router uses no share for
-//!   [`SETTLING_TIME`], in which the others reconnect.
+//!   [`SETTLING_TIME`], in which the others reconnect. A router that stood still may not have noticed a gap, so that counts as one.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -28,6 +28,9 @@
 /// Time for which a higher number is retained.
 const RETENTION: Duration = Duration::from_secs(5);
 
+/// Longest time between two calls of a router that runs.
+const MAX_CALL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time without gaps after which a share is used; longer than routers take to reconnect.
 const SETTLING_TIME: Duration = Duration::from_secs(2);
 
@@ -77,6 +80,8 @@
     bounds: RecentNumbers,
     /// Since when there has been a bound without gaps.
     bounded_since: Option<Timestamp>,
+    /// Time of the last call with current reports.
+    reported_at: Timestamp,
 }
 
 impl RouterCounter {
@@ -96,8 +101,13 @@
             .filter(|(replica, report)| members.contains(replica) && is_current(report))
             .map(|(_, report)| report.routers)
             .collect();
+        let is_continuous = now.since(self.reported_at) <= MAX_CALL_INTERVAL;
         if let Some(highest) = current.iter().max() {
             self.estimates.record(*highest, now);
+            self.reported_at = now;
+        }
+        if !is_continuous {
+            self.bounded_since = None;
         }
         match bound(&current, members.len()) {
             Some(bound) => {
--- a/crates/feed/tests/router_count.rs
+++ b/crates/feed/tests/router_count.rs
@@ -88,6 +88,17 @@
     assert_eq!(report(&mut counter, &[6, 7, 7], 22_000, 23_000), count(7, Some(7)));
 }
 
+/// Guards against routers that stood still while replicas restarted, and divide the free retries by the
+/// few routers that these know at first.
+#[test]
+fn routers_that_stood_still_share_by_a_low_first_number() {
+    let mut counter = RouterCounter::default();
+    report(&mut counter, &[7, 7, 7], 0, 3_000);
+    // No call in between, in which the lack of reports would be noticed.
+    assert_eq!(report(&mut counter, &[1, 1, 1], 9_000, 10_500), count(1, None));
+    assert_eq!(report(&mut counter, &[7, 7, 7], 11_000, 11_500), count(7, Some(7)));
+}
+
 #[test]
 fn members_of_a_large_group_report_numbers_for_the_whole_fleet() {
     let mut counter = RouterCounter::default();
