Retry budget: a request that took long to arrive earns no retry

Cause: the same as for requests that waited for a router that stood still, on roads that the router can see: a body that comes in slowly, a wait for the first configuration, a silent owner of a tenant's limit. Callers' requests count when they are sent, the router counted them up to a whole deadline later.

Evidence: `requests_with_slow_bodies_exceed_the_retry_budget`: a request whose body took 0.7 s was retried with what it had earned.

Change: a request that is served over 0.5 s after its head was read earns nothing.

Result: the test failed before and passes.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -316,8 +316,7 @@
 
 /// Sends the request to servers until one answers or no further attempt is allowed.
 async fn serve(gateway: &Arc<Gateway>, call: Call) -> Response<AnswerBody> {
-    let now = gateway.now_with_suspensions();
-    gateway.retry_budget().record_request(&call.service, now);
+    gateway.record_request(&call);
     let mut search = ServerSearch::new(gateway, &call);
     match search.run(call.info.last_event).await {
         Ok(answered) => {
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -12,6 +12,10 @@
 /// only if they arrive soon; a process or machine may stand still in between.
 const MAX_GRANT_AGE: Duration = Duration::from_millis(200);
 
+/// Longest time from the head of a request until it is served for which the request earns retries. The
+/// caller may have sent a request that took longer, such as for its body, in an earlier window.
+const MAX_EARNING_DELAY: Duration = Duration::from_millis(500);
+
 /// A retry that the budget has granted.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct GrantedRetry {
@@ -26,6 +30,14 @@
 }
 
 impl Gateway {
+    /// Counts a caller's request towards the retry budget of its service.
+    pub(crate) fn record_request(&self, call: &Call) {
+        if call.arrived.elapsed() <= MAX_EARNING_DELAY {
+            let now = self.now_with_suspensions();
+            self.retry_budget().record_request(&call.service, now);
+        }
+    }
+
     /// Takes one retry of the request from its service's budget. `None` if it may not be sent.
     pub(crate) fn take_retry(&self, call: &Call) -> Option<GrantedRetry> {
         let now = self.now_with_suspensions();
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -10,6 +10,7 @@
 mod overload;
 mod quarantine;
 mod reachability;
+mod retries;
 mod server_limits;
 mod startup;
 mod support;
