Revert "Limits: a router that starts again without an owner begins with what has accrued since its start"

Tried and taken back. The gateway's test `without_an_owner_the_router_keeps_to_its_share_and_does_not_wait` failed 8 of 8 times with it: a router that had just started refused all of a tenant's first requests, although a router that restarts has to serve at once.

--- a/crates/limits/src/local.rs
+++ b/crates/limits/src/local.rs
@@ -67,23 +67,14 @@
     }
 
     /// The router's local bucket, created anew if an owner has answered since it was last used.
-    fn local_bucket(
-        &mut self,
-        limit: RateLimit,
-        routers: u32,
-        running_for: Duration,
-        now: Timestamp,
-    ) -> &mut LocalBucket {
+    fn local_bucket(&mut self, limit: RateLimit, routers: u32, now: Timestamp) -> &mut LocalBucket {
         let recent =
             self.local.filter(|local| now.since(local.used_at) < LOCAL_BUCKET_IDLE_TIMEOUT);
         let local = recent.unwrap_or_else(|| {
             let admitted_here = per_second(&self.admitted, now);
             let share = FleetShare::by_demand(routers, admitted_here, self.fleet_per_second);
-            let limit_here = local_limit(limit, share);
-            let unused = self.unused_fraction(limit) * limit_here.burst;
-            // What an earlier process admitted is unknown.
-            let accrued = limit_here.per_second.max(0.0) * running_for.as_secs_f64();
-            let bucket = TokenBucket::at_level(unused.min(accrued), limit_here, now);
+            let level = self.unused_fraction(limit) * local_limit(limit, share).burst;
+            let bucket = TokenBucket::at_level(level, local_limit(limit, share), now);
             LocalBucket { share, bucket, used_at: now }
         });
         self.local.insert(LocalBucket { used_at: now, ..local })
@@ -110,15 +101,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct LocalLimits {
     accounts: HashMap<String, Account>,
-    started_at: Timestamp,
 }
 
 impl LocalLimits {
-    /// Creates the limits of a router whose process starts at `started_at`.
-    pub fn starting_at(started_at: Timestamp) -> Self {
-        LocalLimits { started_at, ..LocalLimits::default() }
-    }
-
     /// Records the owner's verdict on a request.
     pub fn record_verdict(
         &mut self,
@@ -156,10 +141,9 @@
         now: Timestamp,
         draw: f64,
     ) -> Verdict {
-        let running_for = now.since(self.started_at);
         let account = self.account(request.account, now);
         let fleet_per_second = account.fleet_per_second;
-        let local = account.local_bucket(request.limit, routers, running_for, now);
+        let local = account.local_bucket(request.limit, routers, now);
         let limit = local_limit(request.limit, local.share);
         if request.is_unconditional {
             local.bucket.take_unconditional(request.units, limit, now);
