Retry budget: the log tells for how long requests earn at a limited rate

A `retry_budget` line has `limited_ms`, above zero while the router has lately stood still. Without it a service that is refused retries after a freeze can't be told from one that retries too much. The rule itself has a test (`after_a_router_stood_still_requests_earn_at_the_earlier_rate`).

--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use juniper_clock::BootInstant;
-use juniper_placement::RetryUsage;
 
 use crate::call::Call;
 use crate::gateway::Gateway;
@@ -56,12 +55,18 @@
         budget.set_routers(routers, now);
         let used = budget.usage(now);
         drop(budget);
-        for RetryUsage { service, requests, granted, refused, available } in used {
+        for usage in used {
             log::info!(
-                "event=retry_budget service={service} requests={requests} granted={granted} \
-                 refused={refused} available={available:.1} routers={} counted_ms={}",
+                "event=retry_budget service={} requests={} granted={} refused={} \
+                 available={:.1} routers={} counted_ms={} limited_ms={}",
+                usage.service,
+                usage.requests,
+                usage.granted,
+                usage.refused,
+                usage.available,
                 routers.unwrap_or(0),
-                now.as_millis()
+                now.as_millis(),
+                usage.limited_for.as_millis()
             );
         }
     }
--- a/crates/placement/src/retry_budget.rs
+++ b/crates/placement/src/retry_budget.rs
@@ -68,6 +68,8 @@
     pub refused: u32,
     /// Retries that would be granted now.
     pub available: f64,
+    /// Time for which requests still earn at a limited rate, since the router stood still.
+    pub limited_for: Duration,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -267,6 +269,7 @@
     /// Use of the budget of each service with retries in the window, granted or refused.
     pub fn usage(&mut self, now: Timestamp) -> Vec<RetryUsage> {
         let services: Vec<String> = self.accounts.keys().cloned().collect();
+        let limited_for = self.limited_until.since(now);
         let usage = |service: String| {
             let account = self.account(&service, now);
             RetryUsage {
@@ -274,6 +277,7 @@
                 granted: account.total(|bucket| bucket.retries),
                 refused: account.total(|bucket| bucket.refused),
                 available: account.saved,
+                limited_for,
                 service,
             }
         };
--- a/crates/placement/tests/budgets.rs
+++ b/crates/placement/tests/budgets.rs
@@ -61,6 +61,22 @@
     assert_eq!(granted, 2);
 }
 
+/// Guards against requests that waited for a router and earn beside those of the window.
+#[test]
+fn after_a_router_stood_still_requests_earn_at_the_earlier_rate() {
+    let mut budget = RetryBudget::new(SETTINGS);
+    // Ten requests a second for ten seconds, and forty that waited for four seconds.
+    (0..100).for_each(|step| budget.record_request("app", at(step * 100)));
+    (0..40).for_each(|_| budget.record_request("app", at(14_000)));
+    budget.take_retry("app", at(14_000), NO_LUCK);
+    let usage = budget.usage(at(15_000)).pop().expect("one service");
+    assert_eq!((usage.requests, usage.limited_for), (40, Duration::from_millis(3_100)));
+    (14_100..15_000).step_by(100).for_each(|millis| budget.record_running(at(millis)));
+    (0..100).for_each(|step| budget.record_request("app", at(15_000 + step * 10)));
+    let usage = budget.usage(at(16_000)).pop().expect("one service");
+    assert_eq!(usage.requests, 30 + 19, "ten a second since the router runs again");
+}
+
 #[test]
 fn services_have_separate_budgets() {
     let mut budget = shared_by(1);
