--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -93,8 +93,8 @@
         Ok(OperatorClient { replicas, key: key.trim().to_owned(), http })
     }
 
-    /// Sends the request to the replicas in turn until one answers, again for [`QUORUM_TIMEOUT`]
-    /// while those that can be reached have no quorum. Repeating a write is safe, since its change
+    /// Sends the request to the replicas in turn until one answers, again for some seconds while
+    /// those that can be reached have no quorum. Repeating a write is safe, since its change
     /// id makes it idempotent; a release from quarantine is repeated only if it had no effect.
     pub async fn call(
         &self,
--- a/crates/placement/src/retry_budget.rs
+++ b/crates/placement/src/retry_budget.rs
@@ -217,8 +217,8 @@
         }
     }
 
-    /// Records that the router runs. Has to be called more often than each [`MAX_IDLE_TIME`], on a
-    /// clock that goes on while the machine is suspended.
+    /// Records that the router runs. A router that makes no call for half a second counts as having
+    /// stood still. `now` is on a clock that goes on while the machine is suspended.
     pub fn record_running(&mut self, now: Timestamp) {
         let idle = now.since(self.running_at);
         self.running_at = self.running_at.max(now);
