--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Gateway;
 use crate::limits::GrantedCharge;
 use crate::retry::Progress;
+use crate::retry_budget::GrantedRetry;
 use crate::server_limits::Admission;
 
 /// Shortest time left for which a request is still sent.
@@ -69,14 +70,7 @@
             if !self.call.may_retry(self.progress) {
                 return Err(self.final_answer(OwnAnswer::Full(FULL_RETRY_AFTER)));
             }
-            // The first attempt needs no retry.
-            let granted = match self.progress.sent {
-                0 => None,
-                _ => match self.gateway.take_retry(self.call) {
-                    None => return Err(self.final_answer(OwnAnswer::Full(FULL_RETRY_AFTER))),
-                    granted => granted,
-                },
-            };
+            let granted = self.take_retry()?;
             let seen_views = *self.gateway.applied_views.borrow();
             let (choice, charge) = match self.choose_admitted().await {
                 Ok(admitted) => admitted,
@@ -151,6 +145,15 @@
         self.last_error = Some(error);
     }
 
+    /// Takes a retry from the budget; the first attempt needs none.
+    fn take_retry(&self) -> Result<Option<GrantedRetry>, OwnAnswer> {
+        if self.progress.sent == 0 {
+            return Ok(None);
+        }
+        let granted = self.gateway.take_retry(self.call);
+        granted.map(Some).ok_or_else(|| self.final_answer(OwnAnswer::Full(FULL_RETRY_AFTER)))
+    }
+
     /// Chooses a server that admits the request, and returns the charge against its advertised
     /// limit, if any. Nothing is sent to servers at their limits.
     async fn choose_admitted(&self) -> Result<(Choice, Option<GrantedCharge>), ChoiceError> {
