Tests of routers that are cut off from servers, failing: reports exclude healthy servers, no other way to a server

At a real gateway on loopback, requests at a router that servers refuse or don't answer end with 503 beside a router that reaches them.

--- /dev/null
+++ b/crates/gateway/tests/paths/cut_off.rs
@@ -0,0 +1,96 @@
+//! A router that is partitioned from all servers, beside one that reaches them.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+use juniper_protocol::message::RouterUpdate;
+use juniper_registry::InstanceReport;
+use juniper_types::NodeId;
+use socket2::{Domain, Socket, Type};
+
+use crate::support::caller::get;
+use crate::support::server::{FakeServer, healthy};
+use crate::support::{TEST_TIMEOUT, TestGateway, loopback};
+
+/// How connections to servers fail at the router that is cut off.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    Refused,
+    Silent,
+}
+
+/// Address at which connection attempts fail, and the socket that has to be kept open.
+fn dead_address(cut: Cut) -> (SocketAddrV4, Vec<Socket>) {
+    let socket = || Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let listener = socket();
+    listener.bind(&SocketAddr::V4(loopback(0)).into()).expect("a port");
+    let address = listener.local_addr().expect("bound").as_socket_ipv4().expect("IPv4");
+    if matches!(cut, Cut::Refused) {
+        return (address, vec![listener]);
+    }
+    listener.listen(0).expect("listening");
+    // The queue of unaccepted connections is full after these; further attempts get no answer.
+    let queued = (0..3).map(|_| {
+        let queued = socket();
+        queued.set_nonblocking(true).expect("set");
+        // Completes in the background.
+        let _ = queued.connect(&SocketAddr::V4(address).into());
+        queued
+    });
+    (address, queued.collect::<Vec<_>>().into_iter().chain([listener]).collect())
+}
+
+/// A router that reaches `server`, and one that doesn't but has heard of the first.
+struct CutOffRouter {
+    reaching: TestGateway,
+    cut_off: TestGateway,
+    _sockets: Vec<Socket>,
+}
+
+impl CutOffRouter {
+    async fn start(server: &FakeServer, cut: Cut) -> Self {
+        let reaching = TestGateway::start(&[server]).await;
+        let cut_off = TestGateway::start(&[]).await;
+        let (address, sockets) = dead_address(cut);
+        cut_off.control.add_server(InstanceReport { address, ..server.report() });
+        let router = CutOffRouter { reaching, cut_off, _sockets: sockets };
+        router.announce();
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        router
+    }
+
+    /// Sends an update of the router that reaches the server to the other one.
+    fn announce(&self) {
+        let SocketAddr::V4(internal) = self.reaching.internal else { panic!("IPv4") };
+        let update = RouterUpdate { ended_requests: vec![1], ..RouterUpdate::default() };
+        self.cut_off.control.send_peer_update(NodeId::of_address(internal).0, "north", update);
+    }
+
+    async fn status(&self, path: &str, id: &str) -> u16 {
+        let answer = get(self.cut_off.callers, path, id);
+        tokio::time::timeout(TEST_TIMEOUT, answer).await.expect("in time").status
+    }
+}
+
+#[tokio::test]
+async fn requests_fail_at_a_router_that_servers_refuse() {
+    let server = healthy("a").await;
+    let router = CutOffRouter::start(&server, Cut::Refused).await;
+    for (number, path) in ["/safe/x", "/once/x", "/safe/x"].into_iter().enumerate() {
+        assert_eq!(router.status(path, &format!("r{number}")).await, 200, "{path}");
+    }
+    assert_eq!(server.requests().len(), 3);
+}
+
+#[tokio::test]
+async fn requests_fail_at_a_router_that_gets_no_answer_from_servers() {
+    let server = healthy("a").await;
+    let router = CutOffRouter::start(&server, Cut::Silent).await;
+    // The first requests find the partition.
+    for number in 0..2 {
+        router.status("/safe/x", &format!("first{number}")).await;
+    }
+    for (number, path) in ["/safe/x", "/once/x", "/safe/x"].into_iter().enumerate() {
+        assert_eq!(router.status(path, &format!("r{number}")).await, 200, "{path}");
+    }
+}
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod backoffs;
 mod connections;
+mod cut_off;
 mod departures;
 mod limits;
 mod limits_soon;
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -112,7 +112,10 @@
 pub struct TestGateway {
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    /// Address for other routers.
+    pub internal: SocketAddr,
     pub control: FakeControl,
+    _internal_listener: TcpListener,
     stop: Option<oneshot::Sender<()>>,
     task: JoinHandle<()>,
 }
@@ -177,6 +180,7 @@
         });
         let (caller_listener, callers) = listener().await;
         let (readiness_listener, readiness) = listener().await;
+        let (internal_listener, internal) = listener().await;
         let listeners = Listeners::from_bound(caller_listener, readiness_listener);
         let settings = GatewaySettings {
             node: "gateway".to_owned(),
@@ -198,7 +202,15 @@
                 .await
                 .expect("gateway runs");
         });
-        TestGateway { callers, readiness, control, stop: Some(stop), task }
+        TestGateway {
+            callers,
+            readiness,
+            internal,
+            control,
+            _internal_listener: internal_listener,
+            stop: Some(stop),
+            task,
+        }
     }
 
     /// Starts a planned shutdown.
--- a/crates/placement/tests/reachability_reports.rs
+++ b/crates/placement/tests/reachability_reports.rs
@@ -5,7 +5,7 @@
 use juniper_placement::{Choice, Placement, Reason, Reporter};
 use juniper_registry::InstanceId;
 
-use support::{at, choose, placement, prompt, request};
+use support::{at, choose, placement, prompt, request, send};
 
 const NEAR: &str = "north";
 
@@ -85,3 +85,13 @@
     let choice = placement.choose(&request(&prompt, &[]), at(10), 0).expect("a server");
     assert_eq!((choice.instance, choice.reason), (home.instance, Reason::Home));
 }
+
+/// Guards against reports of routers that are themselves cut off from all servers.
+#[test]
+fn reports_of_cut_off_routers_exclude_a_server_that_has_just_answered() {
+    let mut placement = placement(2);
+    let home = send(&mut placement, &prompt(1, 1), 0);
+    report(&mut placement, 1, NEAR, &home.instance, false);
+    report(&mut placement, 2, NEAR, &home.instance, false);
+    assert!(is_sent_home(&mut placement, &home, 300), "it answered 100 ms ago");
+}
