Reports of routers that are cut off exclude no healthy servers

Cause: a router reported each failed connection attempt, although it reached no server at all, and two reports of one zone or of two zones confirm each other. A receiver's own contact with the server didn't count beyond the next report.

Change: a failure is published only after a later new connection to another server has succeeded, which a probe of a reference server brings about within 0.1 s; a refused connection is no proof of a crash before that. A receiver ignores reports for a second after an answer or new connection of the server, verifies them by a probe of its own (spread over the routers, 50 a second in all), and then ignores the same reporters for 10 s. Crashed servers are still avoided by report (reports_of_crashed_servers_are_believed).

Why it works: a partitioned router has no later success, so it publishes nothing; and one that is cut off from some servers only is contradicted by the first router that has contact.

Tests changed: an_unreachable_server_is_published_after_each_probe had one server only, which no longer tells a router that it isn't cut off: it now has a healthy one beside it and expects the same reports. a_server_that_other_routers_can_not_reach_gets_no_requests asked for the fault itself, that a server which the router reaches gets no request because of two reports: it now has a server that is down, checks that no request tries it, and a_server_that_a_router_reaches_is_excluded_by_reports guards the opposite. New: a router that reaches no server publishes none.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 use crate::dialect::{AnswerInfo, AttemptInfo};
 use crate::finish::FoundTiming;
 use crate::gateway::Gateway;
-use crate::pool::{ConnectError, ServerConnection, is_refused};
+use crate::pool::{ConnectError, ServerConnection};
 use crate::retry_budget::GrantedRetry;
 
 /// Priority of requests that can no longer meet their objective; the lowest that servers know.
@@ -88,11 +88,6 @@
         )
     }
 
-    /// Whether the server's address refused the connection.
-    pub(crate) fn is_refused(&self) -> bool {
-        matches!(self, AttemptError::NotSent(ConnectError::Connect(error)) if is_refused(error))
-    }
-
     fn outcome(&self) -> Outcome {
         match self {
             AttemptError::NotSent(ConnectError::Exhausted) | AttemptError::NotRun => Outcome::Full,
@@ -153,9 +148,6 @@
                 self.gateway.updates.push_completion(number);
             }
         }
-        if outcome == Outcome::Unreachable {
-            self.gateway.updates.push_reachability(&self.instance, false);
-        }
     }
 
     /// Ends a failed attempt and closes its connection.
@@ -272,11 +264,8 @@
     attempt: &mut Attempt,
 ) -> Result<Response<Incoming>, AttemptError> {
     let limit = gateway.connection_limit(&call.view, &call.service);
-    let connecting = gateway.pool.connect(&choice.instance, choice.address, limit);
+    let connecting = gateway.connect_server(&choice.instance, choice.address, limit);
     let connection = connecting.await.map_err(AttemptError::NotSent)?;
-    if !connection.reused {
-        gateway.metrics.connections.inc();
-    }
     let connection = attempt.connection.insert(connection);
     // The answer to another request may have requested a backoff while this request waited for its
     // connection.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,8 @@
 //! - `crashes` reports evidence of crashes to the crash watch.
 //! - `relay` passes on buffered answers, `stream` passes on streams; `finish` logs the end of
 //!   requests.
-//! - `pool` keeps connections to servers, `probe` checks when unreachable servers are back.
+//! - `pool` keeps connections to servers, `connect` opens them, `probe` checks when unreachable
+//!   servers are back and whether this router is cut off.
 //! - `limits` charges requests against their tenants' limits.
 //! - `server_limits` enforces limits that servers advertise for all routers together.
 //! - `notices` observes servers' backoffs and departures.
@@ -23,6 +24,7 @@
 mod attempt;
 mod body;
 mod call;
+mod connect;
 mod connection_headers;
 mod crashes;
 mod dialect;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -16,7 +16,7 @@
 use crate::gateway::Gateway;
 use crate::listener::{serve_callers, serve_metrics, serve_readiness};
 use crate::metrics::Metrics;
-use crate::probe::probe_unreachable;
+use crate::probe::probe_servers;
 use crate::settings::GatewaySettings;
 use crate::updates;
 
@@ -164,7 +164,7 @@
         tokio::spawn(Arc::clone(gateway).follow_feed()),
         tokio::spawn(updates::exchange(Arc::clone(gateway))),
         tokio::spawn(Arc::clone(&gateway.crashes).run()),
-        tokio::spawn(probe_unreachable(Arc::clone(gateway))),
+        tokio::spawn(probe_servers(Arc::clone(gateway))),
         tokio::spawn(log_readiness(Arc::clone(gateway))),
         tokio::spawn(log_suspensions()),
     ];
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,8 @@
     pub dropped_dispatch_reports: IntCounter,
     /// Batches of other routers' updates lost because this router was too slow.
     pub missed_update_batches: IntCounter,
+    /// Times that this router was cut off from all servers.
+    pub cut_offs: IntCounter,
     /// Servers considered unreachable because of other routers' reports.
     pub servers_reported_unreachable: IntCounter,
     /// Answers that advertised a limit, by whether it could be parsed.
@@ -193,6 +195,10 @@
                 "router_news_missed_total",
                 "Batches of what other routers told that came too fast.",
             )?,
+            cut_offs: counter(
+                "cut_offs_total",
+                "Times that this router was cut off from all servers.",
+            )?,
             servers_reported_unreachable: counter(
                 "servers_reported_unreachable_total",
                 "Servers left alone because other routers can't reach them.",
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -127,12 +127,8 @@
             self.call.arrived.elapsed().as_millis()
         );
         self.gateway.metrics.count_failed_attempt(&error);
-        match &error {
-            AttemptError::Broken(_) => {
-                self.gateway.record_interrupted(self.call, &instance, sent_at);
-            }
-            error if error.is_refused() => self.gateway.record_refused(&instance),
-            _ => {}
+        if let AttemptError::Broken(_) = &error {
+            self.gateway.record_interrupted(self.call, &instance, sent_at);
         }
         match &error {
             error if error.is_unsent() => self.progress.unreachable += 1,
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -3,6 +3,7 @@
 
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use juniper_feed::RelayedBatch;
 use juniper_placement::{
@@ -31,6 +32,13 @@
 /// reported.
 const MAX_QUEUED_COMPLETIONS: usize = 64;
 
+/// Average interval between the probes with which all routers verify reports of one server.
+const VERIFICATION_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Bounds on the time over which the routers spread these probes.
+const MIN_VERIFICATION_WINDOW: Duration = Duration::from_millis(100);
+const MAX_VERIFICATION_WINDOW: Duration = Duration::from_secs(2);
+
 /// Updates not yet published to the other routers.
 pub(crate) struct UpdateQueue {
     pending: Mutex<RouterUpdate>,
@@ -155,6 +163,7 @@
     let limits = batch.iter().flat_map(|update| update.update.server_limits.iter().flatten());
     limits.for_each(|limit| gateway.apply_peer_limit(limit));
     let now = gateway.now();
+    let verification_window = verification_window(gateway.feed.router_count());
     let mut placement = gateway.placement();
     for RelayedUpdate { from, zone, update } in batch.iter() {
         let request = |number: u16| ReportedRequest { router: *from, number };
@@ -177,7 +186,9 @@
         let reporter = Reporter { node: from.0, zone: zone.as_str() };
         for report in &update.reachability {
             let instance = report.id();
-            if placement.apply_peer_reachability(reporter, &instance, report.reached, now) {
+            let verify_after = verification_window.mul_f64(rand::random());
+            let reached = report.reached;
+            if placement.apply_peer_reachability(reporter, &instance, reached, verify_after, now) {
                 log::info!("event=server_reported_unreachable instance={instance}");
                 gateway.metrics.servers_reported_unreachable.inc();
             }
@@ -185,6 +196,12 @@
     }
 }
 
+/// Time over which routers spread their probes of a server that was reported as unreachable. The first
+/// probe that succeeds is published, and ends the others' suspicion too.
+fn verification_window(routers: u32) -> Duration {
+    (VERIFICATION_INTERVAL * routers).clamp(MIN_VERIFICATION_WINDOW, MAX_VERIFICATION_WINDOW)
+}
+
 /// Applies a server's notice that another router observed.
 fn apply_peer_notice(
     placement: &mut Placement,
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -68,6 +68,8 @@
     failure_rate: Decaying,
     delay_ms: Decaying,
     unreachable: Option<ProbeSchedule>,
+    /// Whether the latest connection attempt failed.
+    connect_failed: bool,
     full_until: Timestamp,
     rejected_version: Option<RejectedVersion>,
     /// Whether another incarnation listens on the address.
@@ -80,6 +82,7 @@
             failure_rate: Decaying::new(FAILURE_HALF_LIFE),
             delay_ms: Decaying::new(DELAY_HALF_LIFE),
             unreachable: None,
+            connect_failed: false,
             full_until: Timestamp::ZERO,
             rejected_version: None,
             replaced: false,
@@ -104,8 +107,7 @@
                 1.0
             }
             Outcome::Unreachable => {
-                let (interval, next_probe) = (MIN_PROBE_INTERVAL, now.after(MIN_PROBE_INTERVAL));
-                self.unreachable.get_or_insert(ProbeSchedule { next_probe, interval });
+                self.mark_unreachable(now);
                 1.0
             }
             Outcome::Full => {
@@ -158,8 +160,17 @@
         true
     }
 
+    /// Records that a connection attempt failed. Returns whether the one before didn't.
+    pub(crate) fn mark_unreachable(&mut self, now: Timestamp) -> bool {
+        let is_new = !std::mem::replace(&mut self.connect_failed, true);
+        let (interval, next_probe) = (MIN_PROBE_INTERVAL, now.after(MIN_PROBE_INTERVAL));
+        self.unreachable.get_or_insert(ProbeSchedule { next_probe, interval });
+        is_new
+    }
+
     /// Records a successful probe.
     pub(crate) fn mark_reachable(&mut self) {
+        self.connect_failed = false;
         self.unreachable = None;
     }
 
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,7 +1,6 @@
 //! State of all servers as known to one router.
 
 use std::collections::{BTreeSet, HashMap};
-use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,12 +12,12 @@
 use crate::cached_segments::DispatchedPrompt;
 use crate::call_limits::CallLimits;
 use crate::choice::{Choice, ServiceProfile, Ticket};
+use crate::direct_paths::DirectPaths;
 use crate::dispatch_record::{DispatchRecord, ReportedRequest};
 use crate::fleet_load::is_expired;
 use crate::health::Outcome;
 use crate::lanes::Lanes;
 use crate::load::PrefillSpeed;
-use crate::reachability_reports::Reporter;
 use crate::server::Server;
 
 /// Maximum queued prefill at dispatch, relative to the prompt's own prefill, for the time to first
@@ -58,6 +57,8 @@
     cleanup_threshold: usize,
     /// Number of this router's most recent request.
     last_request_number: u16,
+    /// Network paths from this router to the servers.
+    pub(crate) direct_paths: DirectPaths,
 }
 
 impl Placement {
@@ -80,6 +81,7 @@
             reported_requests: HashMap::new(),
             cleanup_threshold: MIN_CLEANUP_THRESHOLD,
             last_request_number: 0,
+            direct_paths: DirectPaths::default(),
         }
     }
 
@@ -244,25 +246,6 @@
         }
     }
 
-    /// Records another router's report on whether it can reach the server. Returns whether the
-    /// report changes the server to unreachable for this router.
-    pub fn apply_peer_reachability(
-        &mut self,
-        reporter: Reporter<'_>,
-        instance: &InstanceId,
-        reached: bool,
-        now: Timestamp,
-    ) -> bool {
-        let Some(server) = incarnation_mut(&mut self.servers, instance) else { return false };
-        if reached {
-            server.unreachable_reports.clear();
-            return false;
-        }
-        let was_confirmed = server.unreachable_reports.is_confirmed(&self.zone, now);
-        server.unreachable_reports.add(reporter, now);
-        !was_confirmed && server.unreachable_reports.is_confirmed(&self.zone, now)
-    }
-
     /// Records the first output of a request.
     pub fn record_first_output(&mut self, ticket: &mut Ticket, now: Timestamp) {
         if std::mem::replace(&mut ticket.had_output, true) {
@@ -270,7 +253,7 @@
         }
         let took = now.since(ticket.started_at);
         let Some(server) = incarnation_mut(&mut self.servers, &ticket.instance) else { return };
-        server.unreachable_reports.clear();
+        server.record_evidence(now);
         server.load.first_output(ticket.prefill_tokens);
         if !ticket.is_measured {
             return;
@@ -302,24 +285,11 @@
         }
         server.load.remove_request();
         server.fleet_load.remove_request(ticket.request);
-        server.health.record(outcome, now);
-    }
-
-    /// Takes the unreachable servers whose next probe is due, with their addresses. Until a probe
-    /// succeeds, they only get requests if no other server is available.
-    pub fn take_due_probes(&mut self, now: Timestamp) -> Vec<(InstanceId, SocketAddrV4)> {
-        let due = self.servers.values_mut().filter_map(|server| {
-            let is_due = server.health.take_due_probe(now);
-            is_due.then(|| (server.instance.id.clone(), server.instance.report.address))
-        });
-        due.collect()
-    }
-
-    /// Records a successful probe of the server.
-    pub fn record_probe_success(&mut self, instance: &InstanceId) {
-        if let Some(server) = self.server_mut(instance) {
-            server.health.mark_reachable();
-            server.unreachable_reports.clear();
+        if let Some(server) = self.server_mut(&ticket.instance) {
+            if outcome == Outcome::Answered {
+                server.record_evidence(now);
+            }
+            server.health.record(outcome, now);
         }
     }
 
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -60,9 +60,8 @@
         }
         // If other routers can reach no server or are rejected by all, this router may still
         // succeed.
-        let reachable = prefer_matching(usable, |server| {
-            !server.unreachable_reports.is_confirmed(&self.zone, now)
-        });
+        let reachable =
+            prefer_matching(usable, |server| !server.is_reported_unreachable(&self.zone, now));
         let preferred =
             prefer_matching(reachable, |server| !self.is_backing_off_from_peers(server, now));
         self.choose_cheapest(&preferred, request, now, random)
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -15,6 +15,9 @@
 use crate::load::Load;
 use crate::reachability_reports::UnreachableReports;
 
+/// Time for which this router's own contact with a server outweighs other routers' reports.
+const EVIDENCE_TIME: Duration = Duration::from_secs(1);
+
 /// State of one server.
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
@@ -27,6 +30,8 @@
     pub(crate) factor: ServerFactor,
     /// Reports of other routers that the server is unreachable.
     pub(crate) unreachable_reports: UnreachableReports,
+    /// When this router last had an answer or a new connection of the server.
+    pub(crate) last_evidence: Option<Timestamp>,
     pub(crate) load: Load,
     /// Requests of all routers to the server.
     pub(crate) fleet_load: FleetLoad,
@@ -57,6 +62,7 @@
             health,
             factor: ServerFactor::default(),
             unreachable_reports: UnreachableReports::default(),
+            last_evidence: None,
             load,
             fleet_load: FleetLoad::default(),
             observed_version: 0,
@@ -69,6 +75,19 @@
         }
     }
 
+    /// Records an answer or a new connection of the server, which contradicts earlier reports that
+    /// it is unreachable.
+    pub(crate) fn record_evidence(&mut self, now: Timestamp) {
+        self.last_evidence = Some(now);
+        self.unreachable_reports.contradict(now);
+    }
+
+    /// Whether a router in `own_zone` avoids the server because of other routers' reports.
+    pub(crate) fn is_reported_unreachable(&self, own_zone: &str, now: Timestamp) -> bool {
+        let has_evidence = self.last_evidence.is_some_and(|at| now.since(at) < EVIDENCE_TIME);
+        !has_evidence && self.unreachable_reports.is_confirmed(own_zone, now)
+    }
+
     /// Time until the advertised limit admits another request; `None` if it admits one now.
     pub(crate) fn limit_wait(&self, now: Timestamp) -> Option<Duration> {
         self.limit.as_ref()?.remaining_wait(now)
