Routers that reach no server connect through another router

Cause: a router had no other way to a server than its own connection.

Change: routers listen on their internal address for authenticated requests of other routers to connect to a registered server, and forward the bytes (256 at most, to servers they reach directly, not while stopping or cut off). Choice, charges, limits, retries and the request stay where the caller is. Tunnels are used again for 2 s, less than a stopping router goes on. Probes go on directly; where they fail, a tunnel is tried, so that the server is chosen as before. The state of the paths is kept by service.

Why it works: every router that can be asked reaches the servers, and a tunnel costs a few round trips once.

--- a/crates/control/src/internal/calls.rs
+++ b/crates/control/src/internal/calls.rs
@@ -59,6 +59,7 @@
         | Request::Release(_)
         | Request::Lookup { .. }
         | Request::Share { .. }
+        | Request::OpenTunnel { .. }
         | Request::Propose { .. } => Reply::Refused(Refusal::NotAllowed),
     }
 }
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -5,6 +5,7 @@
 
 use juniper_clock::BootInstant;
 use juniper_protocol::message::{ChargeAnswer, LimitCharge, QuarantineRequest, RouterUpdate};
+use juniper_protocol::{ClusterKey, PeerIdentity};
 use juniper_types::{NodeId, RequestFingerprint};
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
@@ -34,6 +35,8 @@
 #[derive(Clone)]
 pub struct Feed {
     actor: ActorRef<FeedActor>,
+    key: ClusterKey,
+    own: PeerIdentity,
     started: Instant,
     view: watch::Receiver<Arc<FleetView>>,
     confirmed_at: watch::Receiver<Option<BootInstant>>,
@@ -55,9 +58,20 @@
             router_count: router_count_sender,
             router_updates: router_updates.clone(),
         };
+        let (key, own) = (settings.key.clone(), settings.own.clone());
         let arguments = FeedArguments { settings, started, published };
         let actor = FeedActor::spawn_with_mailbox(arguments, mailbox::bounded(MAILBOX_CAPACITY));
-        Feed { actor, started, view, confirmed_at, router_count, router_updates }
+        Feed { actor, key, own, started, view, confirmed_at, router_count, router_updates }
+    }
+
+    /// Secret shared by all daemons of the cluster.
+    pub fn cluster_key(&self) -> &ClusterKey {
+        &self.key
+    }
+
+    /// Identity of this node.
+    pub fn identity(&self) -> &PeerIdentity {
+        &self.own
     }
 
     /// Watches the view of the fleet.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use juniper_limits::FleetShare;
 use juniper_placement::{Placement, RetryBudget, ServiceProfile};
 use juniper_registry::InstanceId;
+use juniper_tunnel_peers::TunnelPeers;
 use juniper_types::Timestamp;
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -69,6 +70,7 @@
     /// Number of fleet views that the placement has applied.
     pub applied_views: watch::Sender<u64>,
     placement: Mutex<Placement>,
+    tunnel_peers: Mutex<TunnelPeers>,
     retry_budget: Mutex<RetryBudget>,
     splits: Mutex<HashMap<String, WeightedSplit>>,
     /// When the gateway was started.
@@ -85,6 +87,7 @@
     ) -> Self {
         Gateway {
             placement: Mutex::new(Placement::new(settings.zone.clone())),
+            tunnel_peers: Mutex::new(TunnelPeers::new(settings.zone.clone())),
             retry_budget: Mutex::new(RetryBudget::new(settings.retry)),
             splits: Mutex::default(),
             started: BootInstant::now(),
@@ -118,6 +121,11 @@
         lock(&self.placement)
     }
 
+    /// Locks the routers that may open tunnels. The guard must not be held across an await.
+    pub(crate) fn tunnel_peers(&self) -> MutexGuard<'_, TunnelPeers> {
+        lock(&self.tunnel_peers)
+    }
+
     /// Locks the retry budget. The guard must not be held across an await.
     pub(crate) fn retry_budget(&self) -> MutexGuard<'_, RetryBudget> {
         lock(&self.retry_budget)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //!   requests.
 //! - `pool` keeps connections to servers, `connect` opens them, `probe` checks when unreachable
 //!   servers are back and whether this router is cut off.
+//! - `tunnel` reaches servers through another router, `tunnel_server` forwards other routers' tunnels.
 //! - `limits` charges requests against their tenants' limits.
 //! - `server_limits` enforces limits that servers advertise for all routers together.
 //! - `notices` observes servers' backoffs and departures.
@@ -48,6 +49,8 @@
 mod settings;
 mod startup;
 mod stream;
+mod tunnel;
+mod tunnel_server;
 mod updates;
 
 pub use dialect::{AnswerInfo, AttemptInfo, CallError, CallInfo, Dialect};
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -18,6 +18,7 @@
 use crate::metrics::Metrics;
 use crate::probe::probe_servers;
 use crate::settings::GatewaySettings;
+use crate::tunnel_server::serve_tunnels;
 use crate::updates;
 
 /// Time for which new connections are still accepted after the shutdown began. Load balancers check
@@ -61,27 +62,30 @@
 /// Sockets that a gateway listens on.
 pub struct Listeners {
     callers: TcpListener,
+    internal: TcpListener,
     readiness: Option<TcpListener>,
     metrics: Option<TcpListener>,
 }
 
 impl Listeners {
     /// Uses sockets that are already bound.
-    pub fn from_bound(callers: TcpListener, readiness: TcpListener) -> Self {
-        Listeners { callers, readiness: Some(readiness), metrics: None }
+    pub fn from_bound(callers: TcpListener, internal: TcpListener, readiness: TcpListener) -> Self {
+        Listeners { callers, internal, readiness: Some(readiness), metrics: None }
     }
 
-    /// Opens the sockets for callers and, if given, for readiness and metrics.
+    /// Opens the sockets for callers, for other routers and, if given, for readiness and metrics.
     ///
     /// # Errors
     /// Fails when one of them can't be opened.
     pub async fn open(
         callers: SocketAddr,
+        internal: SocketAddr,
         readiness: Option<SocketAddr>,
         metrics: Option<SocketAddr>,
     ) -> Result<Self, GatewayError> {
         Ok(Listeners {
             callers: listen(callers).await?,
+            internal: listen(internal).await?,
             readiness: listen_optional(readiness).await?,
             metrics: listen_optional(metrics).await?,
         })
@@ -136,7 +140,9 @@
     let gateway = Gateway::new(settings, Box::new(dialect), feed, Metrics::new()?, phase_receiver);
     let gateway = Arc::new(gateway);
     let (tracker, mut open) = ConnectionTracker::new();
-    let Listeners { callers, readiness, metrics } = listeners;
+    let Listeners { callers, internal, readiness, metrics } = listeners;
+    let tunnels = serve_tunnels(Arc::clone(&gateway), internal, tracker.track());
+    let tunneling = tokio::spawn(tunnels);
     let accepting = tokio::spawn(serve_callers(Arc::clone(&gateway), callers, tracker));
     let background_tasks = spawn_background_tasks(&gateway, readiness, metrics);
     log::info!("event=gateway_started node={node}");
@@ -145,8 +151,9 @@
     phase.send_replace(ShutdownPhase::Draining);
     sleep(DRAIN_TIME).await;
     phase.send_replace(ShutdownPhase::ClosingConnections);
-    // From here on no connection is accepted. The task also holds a tracker.
+    // From here on no connection is accepted. The tasks also hold trackers.
     accepting.abort();
+    tunneling.abort();
     let remaining = grace_period.mul_f64(GRACE_SHARE).saturating_sub(DRAIN_TIME);
     let is_drained = timeout(remaining, open.recv()).await.is_ok();
     log::info!("event=gateway_stopped node={node} drained={is_drained}");
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -41,7 +41,7 @@
     open: ConnectionTracker,
 ) {
     loop {
-        let Some(stream) = accept(&listener).await else { continue };
+        let Some(stream) = accept_stream(&listener).await else { continue };
         let (gateway, tracked) = (Arc::clone(&gateway), open.track());
         gateway.metrics.callers.inc();
         tokio::spawn(async move {
@@ -52,7 +52,8 @@
     }
 }
 
-async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+/// Accepts a connection; `None` after a failure, for example for lack of file descriptors.
+pub(crate) async fn accept_stream(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
         Ok((stream, _)) => Some(stream),
         Err(error) => {
@@ -158,7 +159,7 @@
 async fn serve_internal(listener: TcpListener, answer: impl Fn() -> (StatusCode, Bytes)) {
     let answer = &answer;
     loop {
-        let Some(stream) = accept(&listener).await else { continue };
+        let Some(stream) = accept_stream(&listener).await else { continue };
         let service = service_fn(move |_request: Request<Incoming>| async move {
             let (status, body) = answer();
             let mut response = Response::new(AnswerBody::whole(body));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,8 @@
     pub dropped_dispatch_reports: IntCounter,
     /// Batches of other routers' updates lost because this router was too slow.
     pub missed_update_batches: IntCounter,
+    /// Tunnels to servers through other routers, and of others through this one, by outcome.
+    tunnels: IntCounterVec,
     /// Times that this router was cut off from all servers.
     pub cut_offs: IntCounter,
     /// Servers considered unreachable because of other routers' reports.
@@ -195,6 +197,11 @@
                 "router_news_missed_total",
                 "Batches of what other routers told that came too fast.",
             )?,
+            tunnels: counters(
+                "tunnels_total",
+                "Tunnels through another router (opened, failed) or of others (served, refused).",
+                &["outcome"],
+            )?,
             cut_offs: counter(
                 "cut_offs_total",
                 "Times that this router was cut off from all servers.",
@@ -296,6 +303,11 @@
         }
     }
 
+    /// Counts a tunnel to a server by its outcome.
+    pub(crate) fn count_tunnel(&self, outcome: &str) {
+        self.tunnels.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a failed attempt.
     pub(crate) fn count_failed_attempt(&self, error: &AttemptError) {
         let reason = match error {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -17,6 +17,7 @@
 
 use crate::body::WholeBody;
 use crate::lock::lock;
+use crate::tunnel::TunnelGuard;
 
 /// Timeout for opening a connection: many round trips between zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -49,14 +50,26 @@
     Connect(#[from] io::Error),
     #[error("HTTP connection failed: {0}")]
     Handshake(#[from] hyper::Error),
+    #[error("neither this router nor others can connect")]
+    NoPath,
     #[error("connection limit of this router reached")]
     Exhausted,
 }
 
+impl ConnectError {
+    /// Whether the address refused the connection.
+    pub(crate) fn is_refused(&self) -> bool {
+        let ConnectError::Connect(error) = self else { return false };
+        error.kind() == io::ErrorKind::ConnectionRefused
+    }
+}
+
 /// A connection that serves one request at a time. Dropping it closes it.
 pub(crate) struct ServerConnection {
     pub sender: SendRequest<WholeBody>,
     pub reused: bool,
+    /// The tunnel that carries the connection, unless it is direct.
+    tunnel: Option<TunnelGuard>,
     task: AbortHandle,
     /// Counts the connection as open until it is dropped.
     _open: OpenGuard,
@@ -76,9 +89,18 @@
     expires_at: BootInstant,
 }
 
+/// Opens a TCP connection to the address.
+pub(crate) async fn open_stream(address: SocketAddrV4) -> Result<TcpStream, ConnectError> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| ConnectError::Timeout)??;
+    stream.set_nodelay(true)?;
+    set_peer_timeouts(&stream)?;
+    Ok(stream)
+}
+
 /// Sets timeouts by which the system notices a server that is partitioned or without power, also
 /// while nothing is sent because an answer is pending.
-fn set_peer_timeouts(stream: &TcpStream) -> io::Result<()> {
+pub(crate) fn set_peer_timeouts(stream: &TcpStream) -> io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let probes =
@@ -86,35 +108,10 @@
     socket.set_tcp_keepalive(&probes.with_retries(KEEPALIVE_PROBES))
 }
 
-/// Whether the address refused the connection.
-pub(crate) fn is_refused(error: &io::Error) -> bool {
-    error.kind() == io::ErrorKind::ConnectionRefused
-}
-
-/// Outcome of a probe of an address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ProbeOutcome {
-    /// The connection was established.
-    Connected,
-    /// No process listens at the address.
-    Refused,
-    /// The attempt timed out or failed otherwise.
-    Failed,
-}
-
-/// Opens a connection to the address and closes it at once.
-pub(crate) async fn probe_address(address: SocketAddrV4) -> ProbeOutcome {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => ProbeOutcome::Connected,
-        Ok(Err(error)) if is_refused(&error) => ProbeOutcome::Refused,
-        Ok(Err(_)) | Err(_) => ProbeOutcome::Failed,
-    }
-}
-
 /// Number of open connections by server.
 type OpenCounts = Arc<Mutex<HashMap<InstanceId, u32>>>;
 
-struct OpenGuard {
+pub(crate) struct OpenGuard {
     counts: OpenCounts,
     instance: InstanceId,
 }
@@ -139,23 +136,13 @@
 }
 
 impl Pool {
-    /// Returns a connection to the server: the most recently used idle one, or a new one if fewer
-    /// than `limit` are open.
-    pub(crate) async fn connect(
+    /// Starts HTTP on a new stream to the server, which was opened under `open`.
+    pub(crate) async fn start_http(
         &self,
-        instance: &InstanceId,
-        address: SocketAddrV4,
-        limit: u32,
+        stream: TcpStream,
+        tunnel: Option<TunnelGuard>,
+        open: OpenGuard,
     ) -> Result<ServerConnection, ConnectError> {
-        if let Some(connection) = self.take_idle(instance) {
-            return Ok(connection);
-        }
-        let open = self.count_open(instance, limit).ok_or(ConnectError::Exhausted)?;
-        let connecting = TcpStream::connect(address);
-        let stream =
-            timeout(CONNECT_TIMEOUT, connecting).await.map_err(|_| ConnectError::Timeout)??;
-        stream.set_nodelay(true)?;
-        set_peer_timeouts(&stream)?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
@@ -163,10 +150,12 @@
             // The error is also reported to the sender of the request.
             let _ = connection.await;
         });
-        Ok(ServerConnection { sender, reused: false, task: task.abort_handle(), _open: open })
+        let task = task.abort_handle();
+        Ok(ServerConnection { sender, reused: false, tunnel, task, _open: open })
     }
 
-    fn count_open(&self, instance: &InstanceId, limit: u32) -> Option<OpenGuard> {
+    /// Counts a new connection to the server, unless `limit` are open.
+    pub(crate) fn count_open(&self, instance: &InstanceId, limit: u32) -> Option<OpenGuard> {
         let mut counts = lock(&self.open);
         let count = counts.entry(instance.clone()).or_default();
         if *count >= limit {
@@ -176,7 +165,19 @@
         Some(OpenGuard { counts: Arc::clone(&self.open), instance: instance.clone() })
     }
 
-    fn take_idle(&self, instance: &InstanceId) -> Option<ServerConnection> {
+    /// Closes the idle direct connections to the servers that satisfy `condition`.
+    pub(crate) fn close_idle(&self, condition: impl Fn(&InstanceId) -> bool) {
+        let mut idle = lock(&self.idle);
+        for (server, pooled) in idle.iter_mut().filter(|(server, _)| condition(server)) {
+            let before = pooled.len();
+            pooled.retain(|idle| idle.connection.tunnel.is_some());
+            let closed = before - pooled.len();
+            log::debug!("event=idle_connections_closed instance={server} count={closed}");
+        }
+    }
+
+    /// Takes the most recently used idle connection to the server.
+    pub(crate) fn take_idle(&self, instance: &InstanceId) -> Option<ServerConnection> {
         let mut idle = lock(&self.idle);
         let pooled = idle.get_mut(instance)?;
         let now = BootInstant::now();
@@ -205,7 +206,11 @@
         if idle.is_zero() {
             return;
         }
-        let expires_at = BootInstant::now() + idle;
+        let idle_until = BootInstant::now() + idle;
+        let expires_at = match &connection.tunnel {
+            Some(tunnel) => idle_until.min(tunnel.reusable_until),
+            None => idle_until,
+        };
         lock(&self.idle)
             .entry(instance.clone())
             .or_default()
--- /dev/null
+++ b/crates/gateway/src/tunnel.rs
@@ -0,0 +1,139 @@
+//! Tunnels to servers that this router can't connect to directly: another router connects to the
+//! server and forwards the bytes of the connection. The choice of the server, limits, retries and the
+//! request itself stay with this router.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniper_clock::BootInstant;
+use juniper_protocol::message::TunnelRefusal;
+use juniper_protocol::{Connection, FrameError, HandshakeError, Message, Reply, Request, connect};
+use juniper_registry::InstanceId;
+use juniper_types::NodeId;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::gateway::Gateway;
+use crate::pool::set_peer_timeouts;
+
+/// Timeout for opening a tunnel, which includes the other router's connection to the server.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Routers that are asked for one tunnel.
+const MAX_PEERS: usize = 4;
+
+/// Routers that have to find the server unreachable before no further one is asked.
+const MAX_UNREACHABLE: usize = 2;
+
+/// Time for which a tunnel serves further requests. Shorter than the time for which a router that
+/// stops goes on forwarding, so that no request is sent through a tunnel that is about to end.
+const REUSE_TIME: Duration = Duration::from_secs(2);
+
+/// Why no tunnel was opened.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum TunnelError {
+    #[error("no other router opens a tunnel")]
+    NoPeer,
+    #[error("other routers can't reach the server either")]
+    ServerUnreachable,
+}
+
+/// Why one router opened no tunnel.
+#[derive(Debug, thiserror::Error)]
+enum PeerError {
+    #[error("the router has no address")]
+    NoAddress,
+    #[error("timed out")]
+    Timeout,
+    #[error(transparent)]
+    Connect(#[from] HandshakeError),
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    #[error(transparent)]
+    Refused(#[from] TunnelRefusal),
+    #[error("unexpected reply")]
+    UnexpectedReply,
+}
+
+/// Counts a tunnel as open until it is dropped.
+pub(crate) struct TunnelGuard {
+    gateway: Arc<Gateway>,
+    peer: NodeId,
+    /// Time after which no further request is sent through the tunnel.
+    pub(crate) reusable_until: BootInstant,
+}
+
+impl Drop for TunnelGuard {
+    fn drop(&mut self) {
+        self.gateway.tunnel_peers().record_closed(self.peer);
+    }
+}
+
+impl Gateway {
+    /// Opens a tunnel to the server through another router.
+    pub(crate) async fn open_tunnel(
+        self: &Arc<Self>,
+        instance: &InstanceId,
+    ) -> Result<(TcpStream, TunnelGuard), TunnelError> {
+        let mut asked = Vec::new();
+        let mut unreachable = 0;
+        while asked.len() < MAX_PEERS && unreachable < MAX_UNREACHABLE {
+            let picked = self.tunnel_peers().pick(&asked, self.now(), rand::random());
+            let Some(peer) = picked else { break };
+            asked.push(peer);
+            let error = match self.ask_for_tunnel(peer, instance).await {
+                Ok(stream) => {
+                    self.metrics.count_tunnel("opened");
+                    self.placement().record_tunnel(instance, true);
+                    self.tunnel_peers().record_opened(peer);
+                    let reusable_until = BootInstant::now() + REUSE_TIME;
+                    let gateway = Arc::clone(self);
+                    return Ok((stream, TunnelGuard { gateway, peer, reusable_until }));
+                }
+                Err(error) => error,
+            };
+            log::info!("event=tunnel_failed instance={instance} router={peer} reason=\"{error}\"");
+            match error {
+                PeerError::Refused(TunnelRefusal::ServerUnreachable) => unreachable += 1,
+                _ => self.tunnel_peers().record_failure(peer, self.now()),
+            }
+        }
+        self.metrics.count_tunnel("failed");
+        self.placement().record_tunnel(instance, false);
+        match unreachable {
+            0 => Err(TunnelError::NoPeer),
+            _ => Err(TunnelError::ServerUnreachable),
+        }
+    }
+
+    async fn ask_for_tunnel(
+        &self,
+        peer: NodeId,
+        instance: &InstanceId,
+    ) -> Result<TcpStream, PeerError> {
+        let asking = async {
+            let address = peer.address().ok_or(PeerError::NoAddress)?;
+            let (key, own) = (self.feed.cluster_key(), self.feed.identity());
+            let mut connection = connect(SocketAddr::V4(address), key, own).await?;
+            let (name, started) = (instance.name().clone(), instance.started());
+            let request = Request::OpenTunnel { instance: name, started };
+            connection.writer.send(&Message::Request { call: 1, request }).await?;
+            await_tunnel(connection).await
+        };
+        timeout(OPEN_TIMEOUT, asking).await.map_err(|_| PeerError::Timeout)?
+    }
+}
+
+/// Waits until the other router has connected to the server.
+async fn await_tunnel(mut connection: Connection) -> Result<TcpStream, PeerError> {
+    match connection.reader.receive().await? {
+        Message::Reply { reply: Reply::Done, .. } => {
+            let stream = connection.into_stream()?;
+            set_peer_timeouts(&stream).map_err(FrameError::from)?;
+            Ok(stream)
+        }
+        Message::Reply { reply: Reply::TunnelRefused(refusal), .. } => Err(refusal.into()),
+        _ => Err(PeerError::UnexpectedReply),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/tunnel_server.rs
@@ -0,0 +1,142 @@
+//! Tunnels of other routers through this one, to servers that they can't connect to.
+//!
+//! Only routers that hold the cluster key may open a tunnel, and only to servers in the registry. A
+//! tunnel leads directly to its server, never through a further router.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use juniper_protocol::message::TunnelRefusal;
+use juniper_protocol::{FrameError, HandshakeError, Message, PeerRole, Reply, Request, accept};
+use juniper_registry::InstanceId;
+use juniper_types::NodeId;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::gateway::Gateway;
+use crate::lifecycle::{ConnectionTracker, ShutdownPhase};
+use crate::listener::accept_stream;
+use crate::pool::set_peer_timeouts;
+
+/// Maximum number of tunnels, including those being opened. Each has two sockets and two buffers of
+/// 8 KiB.
+const MAX_TUNNELS: usize = 256;
+
+/// Why a tunnel was not opened.
+#[derive(Debug, thiserror::Error)]
+enum OpenError {
+    #[error(transparent)]
+    Handshake(#[from] HandshakeError),
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    #[error("not a router asking for a tunnel")]
+    NotAllowed,
+    #[error(transparent)]
+    Refused(#[from] TunnelRefusal),
+}
+
+/// Accepts connections of other routers, and forwards their tunnels. Never returns.
+pub(crate) async fn serve_tunnels(
+    gateway: Arc<Gateway>,
+    listener: TcpListener,
+    open: ConnectionTracker,
+) {
+    let tunnels = Arc::new(Semaphore::new(MAX_TUNNELS));
+    loop {
+        let Some(stream) = accept_stream(&listener).await else { continue };
+        // Without a permit the connection is closed, and the other router asks elsewhere.
+        let Ok(permit) = Arc::clone(&tunnels).try_acquire_owned() else {
+            gateway.metrics.count_tunnel("refused");
+            continue;
+        };
+        let (gateway, tracked) = (Arc::clone(&gateway), open.track());
+        tokio::spawn(async move {
+            serve_tunnel(&gateway, stream).await;
+            drop((permit, tracked));
+        });
+    }
+}
+
+async fn serve_tunnel(gateway: &Arc<Gateway>, stream: TcpStream) {
+    match open(gateway, stream).await {
+        Ok((router, server)) => {
+            gateway.metrics.count_tunnel("served");
+            forward(router, server).await;
+        }
+        Err(error) => {
+            gateway.metrics.count_tunnel("refused");
+            log::debug!("event=tunnel_refused reason=\"{error}\"");
+        }
+    }
+}
+
+/// Handles the request for a tunnel. Returns the streams to the router and to the server.
+async fn open(
+    gateway: &Arc<Gateway>,
+    stream: TcpStream,
+) -> Result<(TcpStream, TcpStream), OpenError> {
+    let (key, own) = (gateway.feed.cluster_key(), gateway.feed.identity());
+    let mut connection = accept(stream, key, own).await?;
+    let message = connection.reader.receive().await?;
+    let Message::Request { call, request: Request::OpenTunnel { instance, started } } = message
+    else {
+        return Err(OpenError::NotAllowed);
+    };
+    if connection.peer.role != PeerRole::Router {
+        return Err(OpenError::NotAllowed);
+    }
+    let instance = InstanceId::started_at(instance, started);
+    let from = connection.peer.node;
+    let (reply, server) = match connect_for(gateway, &instance, from).await {
+        Ok(server) => (Reply::Done, Ok(server)),
+        Err(refusal) => (Reply::TunnelRefused(refusal), Err(refusal)),
+    };
+    connection.writer.send(&Message::Reply { call, reply }).await?;
+    let server = server?;
+    let router = connection.into_stream()?;
+    set_peer_timeouts(&router).map_err(FrameError::from)?;
+    Ok((router, server))
+}
+
+/// Connects to the server on behalf of the router `from`.
+async fn connect_for(
+    gateway: &Arc<Gateway>,
+    instance: &InstanceId,
+    from: NodeId,
+) -> Result<TcpStream, TunnelRefusal> {
+    let address = address_of(gateway, instance).ok_or(TunnelRefusal::Unavailable)?;
+    let is_running = *gateway.shutdown.borrow() == ShutdownPhase::Running;
+    let (is_cut_off, prefers_tunnel) = {
+        let placement = gateway.placement();
+        (placement.is_cut_off(instance), placement.prefers_tunnel(instance))
+    };
+    if !is_running || is_cut_off {
+        return Err(TunnelRefusal::Unavailable);
+    }
+    if prefers_tunnel {
+        return Err(TunnelRefusal::ServerUnreachable);
+    }
+    let server = gateway.connect_directly(instance, address).await;
+    let server = server.map_err(|_| TunnelRefusal::ServerUnreachable)?;
+    log::info!("event=tunnel_opened instance={instance} router={from}");
+    Ok(server)
+}
+
+/// Address of a server in the registry.
+fn address_of(gateway: &Gateway, instance: &InstanceId) -> Option<SocketAddrV4> {
+    let view = gateway.feed.latest();
+    let known = view.instances.get(instance.name()).filter(|known| known.id == *instance);
+    known.map(|known| known.report.address)
+}
+
+/// Forwards bytes in both directions until either side closes its connection; then closes both, since
+/// neither side of an HTTP connection closes just one direction.
+async fn forward(router: TcpStream, server: TcpStream) {
+    let (mut from_router, mut to_router) = router.into_split();
+    let (mut from_server, mut to_server) = server.into_split();
+    // An error ends the tunnel like a close: both sides notice the end of their connection.
+    tokio::select! {
+        _ = tokio::io::copy(&mut from_router, &mut to_server) => {}
+        _ = tokio::io::copy(&mut from_server, &mut to_router) => {}
+    }
+}
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -162,6 +162,7 @@
 fn apply_peer_updates(gateway: &Gateway, batch: &RelayedBatch) {
     let limits = batch.iter().flat_map(|update| update.update.server_limits.iter().flatten());
     limits.for_each(|limit| gateway.apply_peer_limit(limit));
+    record_tunnel_peers(gateway, batch);
     let now = gateway.now();
     let verification_window = verification_window(gateway.feed.router_count());
     let mut placement = gateway.placement();
@@ -196,6 +197,16 @@
     }
 }
 
+/// Records the routers that sent requests to servers, and so may open tunnels.
+fn record_tunnel_peers(gateway: &Gateway, batch: &RelayedBatch) {
+    let mut peers = gateway.tunnel_peers();
+    for RelayedUpdate { from, zone, update } in batch.iter() {
+        if !update.dispatches.is_empty() || !update.ended_requests.is_empty() {
+            peers.record_update(*from, zone.as_str(), gateway.now(), rand::random());
+        }
+    }
+}
+
 /// Time over which routers spread their probes of a server that was reported as unreachable. The first
 /// probe that succeeds is published, and ends the others' suspicion too.
 fn verification_window(routers: u32) -> Duration {
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -115,7 +115,6 @@
     /// Address for other routers.
     pub internal: SocketAddr,
     pub control: FakeControl,
-    _internal_listener: TcpListener,
     stop: Option<oneshot::Sender<()>>,
     task: JoinHandle<()>,
 }
@@ -181,7 +180,8 @@
         let (caller_listener, callers) = listener().await;
         let (readiness_listener, readiness) = listener().await;
         let (internal_listener, internal) = listener().await;
-        let listeners = Listeners::from_bound(caller_listener, readiness_listener);
+        let listeners =
+            Listeners::from_bound(caller_listener, internal_listener, readiness_listener);
         let settings = GatewaySettings {
             node: "gateway".to_owned(),
             zone: "north".to_owned(),
@@ -202,15 +202,7 @@
                 .await
                 .expect("gateway runs");
         });
-        TestGateway {
-            callers,
-            readiness,
-            internal,
-            control,
-            _internal_listener: internal_listener,
-            stop: Some(stop),
-            task,
-        }
+        TestGateway { callers, readiness, internal, control, stop: Some(stop), task }
     }
 
     /// Starts a planned shutdown.
--- a/crates/placement/src/direct_paths.rs
+++ b/crates/placement/src/direct_paths.rs
@@ -1,4 +1,4 @@
-//! Network paths from this router to the servers.
+//! Network paths from this router to the servers of one service.
 //!
 //! A connection attempt fails if the server is down, or if this router is partitioned from it. The
 //! two look alike, but a partitioned router usually reaches no other server either. So a failure is
@@ -94,16 +94,11 @@
         std::mem::take(&mut self.reportable)
     }
 
-    /// Whether this router seems to be cut off from all servers.
+    /// Whether this router seems to be cut off from all servers of the service.
     pub(crate) fn is_cut_off(&self) -> bool {
         self.failures.iter().filter(|failure| failure.is_new).count() >= MIN_FAILED_SERVERS
     }
 
-    /// Whether the latest connection attempt to the server failed.
-    pub(crate) fn has_failed(&self, instance: &InstanceId) -> bool {
-        self.failures.iter().any(|failure| failure.instance == *instance)
-    }
-
     /// Whether another server has to be probed to explain failures; counts as taken.
     pub(crate) fn take_due_reference(&mut self, now: Timestamp) -> bool {
         let is_due = !self.failures.is_empty() && now >= self.next_reference;
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -70,6 +70,8 @@
     unreachable: Option<ProbeSchedule>,
     /// Whether the latest connection attempt failed.
     connect_failed: bool,
+    /// Whether the server was reached through another router since.
+    is_tunneled: bool,
     full_until: Timestamp,
     rejected_version: Option<RejectedVersion>,
     /// Whether another incarnation listens on the address.
@@ -83,6 +85,7 @@
             delay_ms: Decaying::new(DELAY_HALF_LIFE),
             unreachable: None,
             connect_failed: false,
+            is_tunneled: false,
             full_until: Timestamp::ZERO,
             rejected_version: None,
             replaced: false,
@@ -95,7 +98,10 @@
     pub(crate) fn record(&mut self, outcome: Outcome, now: Timestamp) {
         let failure = match outcome {
             Outcome::Answered => {
-                self.unreachable = None;
+                // An answer on an established connection doesn't show that new ones succeed.
+                if !self.connect_failed {
+                    self.unreachable = None;
+                }
                 0.0
             }
             Outcome::ServerError => 1.0,
@@ -144,9 +150,20 @@
         self.delay_ms.at(now)
     }
 
-    /// Whether a connection failed or broke and no probe has succeeded since.
+    /// Whether a connection failed or broke and the server was not reached since, directly or
+    /// through another router.
     pub(crate) fn is_unreachable(&self) -> bool {
-        self.unreachable.is_some()
+        self.unreachable.is_some() && !self.is_tunneled
+    }
+
+    /// Whether the latest attempt of a direct connection failed.
+    pub(crate) fn has_connect_failed(&self) -> bool {
+        self.connect_failed
+    }
+
+    /// Records whether the server was reached through another router.
+    pub(crate) fn record_tunnel(&mut self, is_open: bool) {
+        self.is_tunneled = is_open;
     }
 
     /// Whether a probe is due. If so, schedules the next one with a doubled interval.
@@ -171,6 +188,7 @@
     /// Records a successful probe.
     pub(crate) fn mark_reachable(&mut self) {
         self.connect_failed = false;
+        self.is_tunneled = false;
         self.unreachable = None;
     }
 
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -57,8 +57,8 @@
     cleanup_threshold: usize,
     /// Number of this router's most recent request.
     last_request_number: u16,
-    /// Network paths from this router to the servers.
-    pub(crate) direct_paths: DirectPaths,
+    /// Network paths from this router to the servers of each service.
+    pub(crate) direct_paths: HashMap<String, DirectPaths>,
 }
 
 impl Placement {
@@ -81,7 +81,7 @@
             reported_requests: HashMap::new(),
             cleanup_threshold: MIN_CLEANUP_THRESHOLD,
             last_request_number: 0,
-            direct_paths: DirectPaths::default(),
+            direct_paths: HashMap::new(),
         }
     }
 
--- a/crates/placement/src/reachability.rs
+++ b/crates/placement/src/reachability.rs
@@ -6,7 +6,7 @@
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 
-use crate::direct_paths::ReportableFailure;
+use crate::direct_paths::{DirectPaths, ReportableFailure};
 use crate::placement::{Placement, incarnation_mut};
 use crate::reachability_reports::Reporter;
 use crate::server::Server;
@@ -62,23 +62,29 @@
         due.collect()
     }
 
-    /// Takes a server, selected by `random`, to probe as a reference that tells unreachable servers
+    /// Takes the servers, selected by `random`, to probe as references that tell unreachable servers
     /// from a partition of this router.
-    pub fn take_reference_probe(&mut self, now: Timestamp, random: u64) -> Option<ProbeTarget> {
-        let is_due = self.direct_paths.take_due_reference(now);
-        is_due.then(|| self.reference_server(random).map(probe_target)).flatten()
+    pub fn take_reference_probes(&mut self, now: Timestamp, random: u64) -> Vec<ProbeTarget> {
+        let due = self
+            .direct_paths
+            .iter_mut()
+            .filter_map(|(service, paths)| paths.take_due_reference(now).then(|| service.clone()));
+        let services: Vec<String> = due.collect();
+        let references = services.iter().filter_map(|service| self.reference(service, random));
+        references.map(probe_target).collect()
     }
 
-    /// A random server whose latest connection attempt hasn't failed, or any if there is none.
-    fn reference_server(&self, random: u64) -> Option<&Server> {
-        let untried = self.servers.values().filter(|server| {
-            !server.health.is_unreachable() && !self.direct_paths.has_failed(&server.instance.id)
-        });
-        let untried: Vec<&Server> = untried.collect();
-        match untried.is_empty() {
-            true => self.servers.values().nth(random as usize % self.servers.len().max(1)),
-            false => Some(untried[random as usize % untried.len()]),
-        }
+    /// A random server of the service whose latest connection attempt hasn't failed, or any if there
+    /// is none.
+    fn reference(&self, service: &str, random: u64) -> Option<&Server> {
+        let members = self.services.get(service)?.iter().filter_map(|name| self.servers.get(name));
+        let members: Vec<&Server> = members.collect();
+        let has_failed = |server: &Server| server.health.has_connect_failed();
+        let sound: Vec<&Server> =
+            members.iter().copied().filter(|server| !has_failed(server)).collect();
+        let candidates = if sound.is_empty() { members } else { sound };
+        let index = random.checked_rem(candidates.len() as u64)?;
+        candidates.get(index as usize).copied()
     }
 
     /// Records a new connection from this router to the server, attempted at `started_at`.
@@ -88,11 +94,12 @@
         started_at: Timestamp,
         now: Timestamp,
     ) {
-        self.direct_paths.record_success(instance, started_at, now);
-        if let Some(server) = self.server_mut(instance) {
-            server.health.mark_reachable();
-            server.record_evidence(now);
+        let Some(server) = incarnation_mut(&mut self.servers, instance) else { return };
+        if let Some(paths) = self.direct_paths.get_mut(&server.instance.report.service) {
+            paths.record_success(instance, started_at, now);
         }
+        server.health.mark_reachable();
+        server.record_evidence(now);
     }
 
     /// Records that this router failed to connect to the server. `is_refused` states whether the
@@ -106,7 +113,8 @@
         let Some(server) = incarnation_mut(&mut self.servers, instance) else { return };
         let is_new = server.health.mark_unreachable(now);
         let failed = ReportableFailure { instance: instance.clone(), is_refused };
-        self.direct_paths.record_failure(failed, is_new, now);
+        let service = server.instance.report.service.clone();
+        self.direct_paths.entry(service).or_default().record_failure(failed, is_new, now);
     }
 
     /// Whether the server is unreachable for this router or reported so by others.
@@ -116,14 +124,38 @@
         })
     }
 
+    /// Whether two servers belong to the same service.
+    pub fn share_service(&self, one: &InstanceId, other: &InstanceId) -> bool {
+        let service = |id| self.server(id).map(|server| &server.instance.report.service);
+        service(one).is_some_and(|of_one| service(other) == Some(of_one))
+    }
+
+    /// Whether a new connection to the server should be tunneled through another router.
+    pub fn prefers_tunnel(&self, instance: &InstanceId) -> bool {
+        let has_failed =
+            self.server(instance).is_some_and(|server| server.health.has_connect_failed());
+        has_failed || self.is_cut_off(instance)
+    }
+
+    /// Records whether a connection to the server was opened through another router. Until one
+    /// fails, a server that can't be reached directly is used through tunnels.
+    pub fn record_tunnel(&mut self, instance: &InstanceId, is_open: bool) {
+        if let Some(server) = self.server_mut(instance) {
+            server.health.record_tunnel(is_open);
+        }
+    }
+
     /// Takes the servers to report to the other routers as unreachable: this router has connected to
     /// another server since.
     pub fn take_reportable_failures(&mut self) -> Vec<ReportableFailure> {
-        self.direct_paths.take_reportable()
+        self.direct_paths.values_mut().flat_map(DirectPaths::take_reportable).collect()
     }
 
-    /// Whether this router seems to be partitioned from all servers.
-    pub fn is_cut_off(&self) -> bool {
-        self.direct_paths.is_cut_off()
+    /// Whether this router seems to be partitioned from all servers of this server's service.
+    pub fn is_cut_off(&self, instance: &InstanceId) -> bool {
+        let service = self.server(instance).map(|server| &server.instance.report.service);
+        service
+            .and_then(|service| self.direct_paths.get(service))
+            .is_some_and(DirectPaths::is_cut_off)
     }
 }
--- a/crates/placement/tests/cut_off_routers/world.rs
+++ b/crates/placement/tests/cut_off_routers/world.rs
@@ -212,7 +212,7 @@
         let placement = &mut self.routers[router].placement;
         let verifications = placement.take_due_verifications(now);
         let mut probes = placement.take_due_probes(now);
-        probes.extend(placement.take_reference_probe(now, random));
+        probes.extend(placement.take_reference_probes(now, random));
         let probes = probes.into_iter().map(|(instance, _)| (instance, false));
         let verifications = verifications.into_iter().map(|(instance, _)| (instance, true));
         for (instance, is_verification) in probes.chain(verifications).collect::<Vec<_>>() {
--- a/crates/protocol/src/connection.rs
+++ b/crates/protocol/src/connection.rs
@@ -73,6 +73,19 @@
 }
 
 impl Connection {
+    /// Ends the exchange of frames and returns the stream, for a protocol without frames.
+    ///
+    /// # Errors
+    /// Fails if the peer has sent more than the frames received so far.
+    pub fn into_stream(self) -> Result<TcpStream, FrameError> {
+        if !self.reader.stream.buffer().is_empty() {
+            return Err(FrameError::Io(std::io::ErrorKind::InvalidData.into()));
+        }
+        let reader = self.reader.stream.into_inner();
+        let stream = reader.reunite(self.writer.stream);
+        stream.map_err(|_| FrameError::Io(std::io::ErrorKind::InvalidInput.into()))
+    }
+
     /// Adds all later frames, headers included, to `traffic`.
     pub fn count_traffic_in(&mut self, traffic: &Arc<Traffic>) {
         self.reader.traffic = Some(Arc::clone(traffic));
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use juniper_prefix_index::coarse::{CheckpointHolders, KeyList};
+use juniper_registry::{InstanceName, StartTime};
 use juniper_sharing::ShareMessage;
 use juniper_types::{
     BlockHash, ClaimAnswer, ClaimKey, ClaimOutcome, EngineId, Incarnation, NodeId,
@@ -252,6 +253,17 @@
         #[n(0)]
         servers: bool,
     },
+    /// Router to router: connect to a server. After the reply [`Reply::Done`] the connection carries
+    /// the bytes of the connection to the server, unframed.
+    #[n(19)]
+    OpenTunnel {
+        /// Server to connect to.
+        #[n(0)]
+        instance: InstanceName,
+        /// Start time of the server's incarnation.
+        #[n(1)]
+        started: StartTime,
+    },
 }
 
 /// Answers to [`Request`]s.
@@ -323,6 +335,9 @@
     /// Result of a charge.
     #[n(11)]
     Charged(#[n(0)] ChargeAnswer),
+    /// The tunnel was not opened.
+    #[n(12)]
+    TunnelRefused(#[n(0)] TunnelRefusal),
     /// Cache updates were applied.
     #[n(8)]
     Shared {
@@ -385,3 +400,17 @@
     #[error("not allowed for this role")]
     NotAllowed,
 }
+
+/// Reason for refusing [`Request::OpenTunnel`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode, thiserror::Error)]
+pub enum TunnelRefusal {
+    /// The router can't connect to the server either.
+    #[n(0)]
+    #[error("the server is unreachable")]
+    ServerUnreachable,
+    /// The router opens no tunnels at present: it is stopping, cut off from servers, or doesn't know
+    /// the server.
+    #[n(1)]
+    #[error("no tunnels at present")]
+    Unavailable,
+}
