Dispatch reports only for requests that have a connection

Cause: a dispatch was published before the connection to its server was there, so every failed attempt of a cut-off router put load and cached prefixes on a server that got nothing. Evidence: requests_that_were_not_sent_are_published_as_dispatched failed before (four of four unsent requests published) and passes now. Change: the report is queued once there is a connection. Why it works: nothing is reported for a server that can't have received it. How much of the refusals this caused by itself was not measured.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -222,17 +222,13 @@
 ) -> Result<Answered, AttemptError> {
     let now = gateway.now();
     let ticket = gateway.placement().begin_request(choice, call.has_prompt(), now);
-    let report_number = gateway.updates.push_dispatch(choice);
-    if report_number.is_none() {
-        gateway.metrics.dropped_dispatch_reports.inc();
-    }
     let mut attempt = Attempt {
         gateway: Arc::clone(gateway),
         instance: choice.instance.clone(),
         sent_at: now,
         connection: None,
         ticket: Some(ticket),
-        report_number,
+        report_number: None,
         server_idle_timeout: None,
         is_reusable: false,
         started: Instant::now(),
@@ -267,6 +263,12 @@
     let connecting = gateway.connect_server(&choice.instance, choice.address, limit);
     let connection = connecting.await.map_err(AttemptError::NotSent)?;
     let connection = attempt.connection.insert(connection);
+    // Not before: other routers would attribute load and cached prefixes to a server that gets
+    // nothing.
+    attempt.report_number = gateway.updates.push_dispatch(choice);
+    if attempt.report_number.is_none() {
+        gateway.metrics.dropped_dispatch_reports.inc();
+    }
     // The answer to another request may have requested a backoff while this request waited for its
     // connection.
     if let Some(backoff) = gateway.placement().remaining_backoff(&choice.instance, gateway.now()) {
--- a/crates/gateway/tests/paths/reachability.rs
+++ b/crates/gateway/tests/paths/reachability.rs
@@ -76,6 +76,19 @@
     assert_eq!(gateway.control.published_reachability(), []);
 }
 
+/// Guards against load and cached prefixes that other routers attribute to a server which got nothing.
+#[tokio::test]
+async fn requests_that_were_not_sent_are_published_as_dispatched() {
+    let gateway = TestGateway::start(&[]).await;
+    gateway.control.add_server(refusing_server("down").await);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    for number in 0..4 {
+        assert_eq!(get(gateway.callers, "/once/x", &format!("r{number}")).await.status, 503);
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(gateway.control.published_dispatches(), []);
+}
+
 #[tokio::test]
 async fn a_server_that_other_routers_can_not_reach_gets_no_requests() {
     let reachable = healthy("up").await;
