Connections to servers outlast a silence of 1.5 s

Cause: a connection with unacknowledged data ended after 1.5 s, and one that waits after 2 s: the user timeout of 1.5 s decided that the second keepalive probe was never waited for. Change: 3.5 s without an acknowledgement, and three probes, in one place for direct connections and both ends of tunnels. Why it works: the retransmission after 3 s and a probe after the silence come before the limits. Price: a dead server is noticed by its connection after 3.5 to 4 s, 1.5 to 2 s before; requests that may run again still leave it after their own timeouts (answers 0.5 s or 2 to 3.2 objectives, streams 1.8 s), new connections after 0.3 s. Not yet shown with real packets.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -9,8 +9,8 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use juniper_clock::BootInstant;
+use juniper_protocol::PeerTimeouts;
 use juniper_registry::InstanceId;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -22,16 +22,6 @@
 /// Timeout for opening a connection: many round trips between zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time without an acknowledgement of sent data after which a connection is closed.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Idle time before the first TCP keepalive probe, and interval between probes; the shortest that
-/// the system accepts.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Number of unanswered keepalive probes after which a connection is closed.
-const KEEPALIVE_PROBES: u32 = 2;
-
 /// Longest idle time of a pooled connection, unless the server states a shorter one.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 
@@ -94,20 +84,10 @@
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| ConnectError::Timeout)??;
     stream.set_nodelay(true)?;
-    set_peer_timeouts(&stream)?;
+    PeerTimeouts::SERVER.apply(&stream)?;
     Ok(stream)
 }
 
-/// Sets timeouts by which the system notices a server that is partitioned or without power, also
-/// while nothing is sent because an answer is pending.
-pub(crate) fn set_peer_timeouts(stream: &TcpStream) -> io::Result<()> {
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let probes =
-        TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
-    socket.set_tcp_keepalive(&probes.with_retries(KEEPALIVE_PROBES))
-}
-
 /// Number of open connections by server.
 type OpenCounts = Arc<Mutex<HashMap<InstanceId, u32>>>;
 
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -8,14 +8,15 @@
 
 use juniper_clock::BootInstant;
 use juniper_protocol::message::TunnelRefusal;
-use juniper_protocol::{Connection, FrameError, HandshakeError, Message, Reply, Request, connect};
+use juniper_protocol::{
+    Connection, FrameError, HandshakeError, Message, PeerTimeouts, Reply, Request, connect,
+};
 use juniper_registry::InstanceId;
 use juniper_types::NodeId;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
-use crate::pool::set_peer_timeouts;
 
 /// Timeout for opening a tunnel, which includes the other router's connection to the server.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
@@ -130,7 +131,7 @@
     match connection.reader.receive().await? {
         Message::Reply { reply: Reply::Done, .. } => {
             let stream = connection.into_stream()?;
-            set_peer_timeouts(&stream).map_err(FrameError::from)?;
+            PeerTimeouts::SERVER.apply(&stream).map_err(FrameError::from)?;
             Ok(stream)
         }
         Message::Reply { reply: Reply::TunnelRefused(refusal), .. } => Err(refusal.into()),
--- a/crates/gateway/src/tunnel_server.rs
+++ b/crates/gateway/src/tunnel_server.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 
 use juniper_protocol::message::TunnelRefusal;
-use juniper_protocol::{FrameError, HandshakeError, Message, PeerRole, Reply, Request, accept};
+use juniper_protocol::{
+    FrameError, HandshakeError, Message, PeerRole, PeerTimeouts, Reply, Request, accept,
+};
 use juniper_registry::InstanceId;
 use juniper_types::NodeId;
 use tokio::net::{TcpListener, TcpStream};
@@ -16,7 +18,6 @@
 use crate::gateway::Gateway;
 use crate::lifecycle::{ConnectionTracker, ShutdownPhase};
 use crate::listener::accept_stream;
-use crate::pool::set_peer_timeouts;
 
 /// Maximum number of tunnels, including those being opened. Each has two sockets and two buffers of
 /// 8 KiB.
@@ -94,7 +95,7 @@
     connection.writer.send(&Message::Reply { call, reply }).await?;
     let server = server?;
     let router = connection.into_stream()?;
-    set_peer_timeouts(&router).map_err(FrameError::from)?;
+    PeerTimeouts::SERVER.apply(&router).map_err(FrameError::from)?;
     Ok((router, server))
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod limits;
 pub mod message;
 pub mod notices;
+pub mod peer_timeouts;
 pub mod push;
 
 pub use calls::{CallError, GenerationReader, IncomingFrame, OpenCalls, ReplySender};
@@ -23,3 +24,4 @@
 };
 pub use juniper_types::{ClaimAnswer, ClaimOutcome};
 pub use message::{Message, Push, Refusal, Reply, Request, SettingsDelta};
+pub use peer_timeouts::PeerTimeouts;
