Brittle servers: no request to a server without room, for all routers together

Cause of falls today: a server is filled beyond its slots, counting on its queue, and each router finds out by itself that it is full. Change: the header is decoded once with its unit and bad values (a log line, no effect). The service counts as brittle for 3 s after an answer or another router's report; routers report it once a second together, and each rejection at once. While it is, a server that has rejected a request of any router gets none for 1 to 2 s, checked again where the bytes leave; up to 64 routers share the free room known from dispatch reports, by lot within the delay of a report; more routers keep to a fixed share of the room, or of the servers. If no server has room the request is refused at once.

The account of advertised limits was not used: it counts a rate, and rejections depend on concurrency.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -295,6 +295,8 @@
     }
     gateway.observe_limit(&choice.instance, &info, attempt.sent_at, call.id());
     gateway.observe_notice(&choice.instance, &info, call.id());
+    let is_rejection = info.not_run && !info.is_wrong_version && !head.status.is_success();
+    gateway.observe_tolerance(&choice.instance, &info, is_rejection, call.id());
     check_answer(&info, head.status, choice.version)?;
     Ok(Response::from_parts(head, body))
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -5,7 +5,7 @@
 
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::{request, response};
-use juniper_limits::{AdvertisedLimit, ServerNotice};
+use juniper_limits::{AdvertisedLimit, RejectionTolerance, ServerNotice};
 use juniper_placement::Prompt;
 use juniper_registry::InstanceId;
 
@@ -78,6 +78,8 @@
     pub version: Option<u64>,
     /// Limit that the server advertises for all routers together.
     pub advertised_limit: AdvertisedLimit,
+    /// Rejections per second that the server survives, if it is brittle.
+    pub rejection_tolerance: RejectionTolerance,
     /// Backoff or departure that the server announces to this router.
     pub notice: ServerNotice,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -178,7 +178,11 @@
                     self.apply_view(&latest);
                     sleep(MIN_VIEW_INTERVAL).await;
                 }
-                _ = running.tick() => self.retry_budget().record_running(self.now_with_suspensions()),
+                _ = running.tick() => {
+                    self.retry_budget().record_running(self.now_with_suspensions());
+                    let own_hash = self.feed.identity().node.0;
+                    self.placement().set_routers(self.feed.router_count(), own_hash);
+                }
                 _ = sweep.tick() => {
                     self.sweep();
                     self.log_retry_budgets();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! - `tunnel` reaches servers through another router, `tunnel_server` forwards other routers' tunnels.
 //! - `limits` charges requests against their tenants' limits.
 //! - `server_limits` enforces limits that servers advertise for all routers together.
+//! - `brittle` keeps requests from servers that crash if they have to reject many.
 //! - `notices` observes servers' backoffs and departures.
 //! - `returns` schedules the returns of refused callers.
 //! - `retry_budget` charges retries against the budget that all routers share.
@@ -24,6 +25,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod brittle;
 mod call;
 mod connect;
 mod connection_headers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -59,6 +59,8 @@
     pub missed_update_batches: IntCounter,
     /// Tunnels to servers through other routers, and of others through this one, by outcome.
     tunnels: IntCounterVec,
+    /// Requests that brittle servers rejected.
+    pub brittle_rejections: IntCounter,
     /// Times that this router was cut off from all servers.
     pub cut_offs: IntCounter,
     /// Servers considered unreachable because of other routers' reports.
@@ -202,6 +204,10 @@
                 "Tunnels through another router (opened, failed) or of others (served, refused).",
                 &["outcome"],
             )?,
+            brittle_rejections: counter(
+                "brittle_rejections_total",
+                "Requests that servers rejected which crash if they reject many.",
+            )?,
             cut_offs: counter(
                 "cut_offs_total",
                 "Times that this router was cut off from all servers.",
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -10,8 +10,8 @@
     Choice, DispatchRecord, Placement, ReportBudget, ReportedRequest, Reporter,
 };
 use juniper_protocol::message::{
-    DispatchReport, Reachability, RelayedUpdate, RouterUpdate, ServerLimitUpdate,
-    ServerNoticeUpdate,
+    BrittleServiceUpdate, DispatchReport, Reachability, RelayedUpdate, RouterUpdate,
+    ServerLimitUpdate, ServerNoticeUpdate,
 };
 use juniper_registry::{InstanceId, StartTime};
 use juniper_types::{NodeId, Timestamp};
@@ -114,6 +114,30 @@
         }
     }
 
+    /// Queues that the servers of a service are brittle, and one of them if it has just rejected a
+    /// request.
+    pub(crate) fn push_brittle(
+        &self,
+        service: &str,
+        tolerance: u32,
+        rejecting: Option<&InstanceId>,
+    ) {
+        let mut pending = lock(&self.pending);
+        let queued = pending.brittle_services.get_or_insert_default();
+        let known = queued.iter().position(|known| known.service == service);
+        let position = known.unwrap_or_else(|| {
+            let service = service.to_owned();
+            queued.push(BrittleServiceUpdate { service, tolerance, rejecting: Vec::new() });
+            queued.len() - 1
+        });
+        let update = &mut queued[position];
+        update.tolerance = tolerance;
+        if update.rejecting.len() < MAX_QUEUED_SERVERS {
+            update.rejecting.extend(rejecting.map(|instance| instance.name().clone()));
+        }
+        self.wake.notify_one();
+    }
+
     /// Takes all queued updates, but at most `allowed` dispatch reports, those with most tokens.
     /// Also returns the number of reports dropped. Their ends stay queued: other routers ignore the
     /// end of an unknown request.
@@ -163,6 +187,8 @@
     let limits = batch.iter().flat_map(|update| update.update.server_limits.iter().flatten());
     limits.for_each(|limit| gateway.apply_peer_limit(limit));
     record_tunnel_peers(gateway, batch);
+    let brittle = batch.iter().flat_map(|update| update.update.brittle_services.iter().flatten());
+    brittle.for_each(|update| gateway.apply_peer_brittle(update));
     let now = gateway.now();
     let verification_window = verification_window(gateway.feed.router_count());
     let mut placement = gateway.placement();
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod answers;
 mod backoffs;
+mod brittle;
 mod connections;
 mod cut_off;
 mod departures;
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -6,9 +6,9 @@
 
 use juniper_catalog::Catalog;
 use juniper_protocol::message::{
-    CatalogBody, ChargeAnswer, Crash, CrashClearance, CrashUpdate, FleetUpdate, LimitCharge,
-    QuarantineRequest, Reachability, RelayedUpdate, RouterUpdate, ServerLimitUpdate,
-    ServerNoticeUpdate,
+    BrittleServiceUpdate, CatalogBody, ChargeAnswer, Crash, CrashClearance, CrashUpdate,
+    FleetUpdate, LimitCharge, QuarantineRequest, Reachability, RelayedUpdate, RouterUpdate,
+    ServerLimitUpdate, ServerNoticeUpdate,
 };
 use juniper_protocol::{
     ClusterKey, Connection, Message, PeerRole, Push, Refusal, Reply, Request, accept,
@@ -189,6 +189,13 @@
             .collect()
     }
 
+    /// Services with brittle servers that the gateway published.
+    pub fn published_brittle(&self) -> Vec<BrittleServiceUpdate> {
+        let published = self.state.published.lock().expect("no panic");
+        let updates = published.iter().flat_map(|update| update.brittle_services.clone());
+        updates.flatten().collect()
+    }
+
     /// Notices of servers that the gateway published.
     pub fn published_notices(&self) -> Vec<ServerNoticeUpdate> {
         let published = self.state.published.lock().expect("no panic");
--- a/crates/gateway/tests/paths/support/dialect.rs
+++ b/crates/gateway/tests/paths/support/dialect.rs
@@ -5,7 +5,9 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::{request, response};
 use juniper_gateway::{AnswerInfo, AttemptInfo, CallError, CallInfo, Dialect};
-use juniper_limits::{AdvertisedLimit, DepartureNotice, RequestedBackoff, ServerNotice};
+use juniper_limits::{
+    AdvertisedLimit, DepartureNotice, RejectionTolerance, RequestedBackoff, ServerNotice,
+};
 use juniper_placement::{Prompt, PromptSegment};
 use juniper_registry::InstanceId;
 
@@ -67,6 +69,9 @@
             is_wrong_version: is_misdirected && has_other_weights,
             version: None,
             advertised_limit: AdvertisedLimit::parse(stated.map(|value| value.to_str().ok())),
+            rejection_tolerance: RejectionTolerance::parse(
+                head.headers.get_all("x-brittle").iter().map(|value| value.to_str().ok()),
+            ),
             notice: ServerNotice {
                 backoff: RequestedBackoff::parse(pauses.map(|value| value.to_str().ok())),
                 departure: match head.headers.contains_key("x-leaving") {
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -11,6 +11,7 @@
 //!   refusals of an owner that still hold.
 //! - [`AdvertisedLimit`] is the limit that a server's answer advertises. [`ServerLimit`] tracks it
 //!   on a router and decides when to report it to the other routers.
+//! - [`RejectionTolerance`] states how many rejections per second a brittle server survives.
 //! - [`ServerNotice`] is a backoff request or departure announcement in a server's answer.
 //!
 //! Time and random numbers are passed in; nothing here performs I/O. For the design and the
@@ -25,6 +26,7 @@
 mod owner;
 mod owner_timeout;
 mod owners;
+mod rejection_tolerance;
 mod server_limit;
 mod share;
 
@@ -37,5 +39,6 @@
 pub use owner::LimitOwner;
 pub use owner_timeout::{OwnerQuery, OwnerTimeout};
 pub use owners::rank_owners;
+pub use rejection_tolerance::{RejectionTolerance, ToleranceError};
 pub use server_limit::{Allowance, Decider, PeerLimit, ServerLimit};
 pub use share::FleetShare;
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -41,6 +41,15 @@
         if candidates.is_empty() {
             return Err(ChoiceError::AllExcluded);
         }
+        // A brittle server crashes if it has to reject more than a few requests.
+        let brittle_wait =
+            candidates.iter().filter_map(|server| self.brittle_wait(server, now)).min();
+        if let Some(wait) = brittle_wait {
+            candidates.retain(|server| self.brittle_wait(server, now).is_none());
+            if candidates.is_empty() {
+                return Err(ChoiceError::LimitReached(wait));
+            }
+        }
         // A server at its limit would be overloaded by any further request.
         let limit_waits = candidates.iter().filter_map(|server| server.limit_wait(now));
         let shortest_wait = limit_waits.min().unwrap_or_default();
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod backoffs;
+mod brittle;
 mod cache_turnover;
 mod cached_segments;
 mod call_limits;
--- a/crates/placement/src/notices.rs
+++ b/crates/placement/src/notices.rs
@@ -92,7 +92,8 @@
     /// Time for which this router must not send to the server; `None` if the server accepts
     /// requests.
     pub fn remaining_backoff(&self, server: &InstanceId, now: Timestamp) -> Option<Duration> {
-        self.backoffs.remaining(server, now)
+        let rejection = self.server(server).and_then(|known| self.rejection_backoff(known, now));
+        self.backoffs.remaining(server, now).max(rejection)
     }
 
     /// Records another router's report that the server requested a backoff.
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -9,6 +9,7 @@
 use juniper_types::{NodeId, Timestamp};
 
 use crate::backoffs::Backoffs;
+use crate::brittle::BrittleService;
 use crate::cached_segments::DispatchedPrompt;
 use crate::call_limits::CallLimits;
 use crate::choice::{Choice, ServiceProfile, Ticket};
@@ -57,6 +58,11 @@
     cleanup_threshold: usize,
     /// Number of this router's most recent request.
     last_request_number: u16,
+    /// Number of routers, and this router's hash among them.
+    pub(crate) router_count: u32,
+    pub(crate) router_hash: u64,
+    /// Services whose servers are brittle, or were.
+    pub(crate) brittle: HashMap<String, BrittleService>,
     /// Network paths from this router to the servers of each service.
     pub(crate) direct_paths: HashMap<String, DirectPaths>,
 }
@@ -81,6 +87,9 @@
             reported_requests: HashMap::new(),
             cleanup_threshold: MIN_CLEANUP_THRESHOLD,
             last_request_number: 0,
+            router_count: 1,
+            router_hash: 0,
+            brittle: HashMap::new(),
             direct_paths: HashMap::new(),
         }
     }
@@ -168,6 +177,7 @@
         }
         if let Some(server) = self.server_mut(&choice.instance) {
             server.load.add_request(choice.queued_tokens());
+            server.count_dispatch(now);
         }
         Ticket {
             instance: choice.instance.clone(),
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -8,6 +8,7 @@
 use juniper_timing::ServerFactor;
 use juniper_types::Timestamp;
 
+use crate::brittle::{Rejection, dispatch_interval};
 use crate::cache_turnover::CacheTurnover;
 use crate::cached_segments::CachedSegments;
 use crate::fleet_load::FleetLoad;
@@ -45,6 +46,10 @@
     pub(crate) is_departing: bool,
     /// Advertised limit of the server, for all routers together.
     pub(crate) limit: Option<ServerLimit>,
+    /// Interval of the latest request of this router, and number of its requests in the interval.
+    pub(crate) own_dispatches: (u64, u32),
+    /// Latest rejection of a request while the server was brittle.
+    pub(crate) rejection: Option<Rejection>,
     pub(crate) turnover: CacheTurnover,
     /// Model of the segments in the server's KV cache.
     pub(crate) cached: CachedSegments,
@@ -70,11 +75,21 @@
             has_requested_backoff: false,
             is_departing: false,
             limit: None,
+            own_dispatches: (0, 0),
+            rejection: None,
             turnover: CacheTurnover::default(),
             cached: CachedSegments::default(),
         }
     }
 
+    /// Counts a request of this router.
+    pub(crate) fn count_dispatch(&mut self, now: Timestamp) {
+        let interval = dispatch_interval(now);
+        let (counted, count) = self.own_dispatches;
+        let former = if counted == interval { count } else { 0 };
+        self.own_dispatches = (interval, former + 1);
+    }
+
     /// Records an answer or a new connection of the server, which contradicts earlier reports that
     /// it is unreachable.
     pub(crate) fn record_evidence(&mut self, now: Timestamp) {
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -163,6 +163,20 @@
     pub released: Vec<RequestFingerprint>,
 }
 
+/// Report that the servers of a service crash if they reject more than a few requests per second.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct BrittleServiceUpdate {
+    /// Service.
+    #[n(0)]
+    pub service: String,
+    /// Rejections per second above which a server crashes.
+    #[n(1)]
+    pub tolerance: u32,
+    /// Servers that have just rejected a request of the reporting router.
+    #[n(2)]
+    pub rejecting: Vec<InstanceName>,
+}
+
 /// Update from one router to the others. A lost update costs work, never correctness.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct RouterUpdate {
@@ -193,6 +207,10 @@
     #[n(6)]
     #[cbor(default)]
     pub notices: Option<Vec<ServerNoticeUpdate>>,
+    /// Services whose servers are brittle; usually absent, which takes no bytes.
+    #[n(7)]
+    #[cbor(default)]
+    pub brittle_services: Option<Vec<BrittleServiceUpdate>>,
 }
 
 impl RouterUpdate {
@@ -202,6 +220,7 @@
             && self.reachability.is_empty()
             && self.ended_requests.is_empty()
             && self.crashes.is_none()
+            && self.brittle_services.is_none()
             && self.server_limits.is_none()
             && self.notices.is_none()
     }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -13,8 +13,9 @@
 use minicbor::{Decode, Decoder, Encode};
 
 pub use crate::fleet::{
-    CatalogBody, Crash, CrashClearance, CrashUpdate, DispatchReport, FleetUpdate, KnownVersion,
-    QuarantineRequest, QuarantineUpdate, Reachability, RelayedUpdate, RenewalUpdate, RouterUpdate,
+    BrittleServiceUpdate, CatalogBody, Crash, CrashClearance, CrashUpdate, DispatchReport,
+    FleetUpdate, KnownVersion, QuarantineRequest, QuarantineUpdate, Reachability, RelayedUpdate,
+    RenewalUpdate, RouterUpdate,
 };
 pub use crate::limits::{ChargeAnswer, LimitCharge, ServerLimitUpdate, server_account};
 pub use crate::notices::ServerNoticeUpdate;
