Tunnels: a router that opens none makes no other router probe; brittle servers: no lots while there is room

- A router that failed to connect for another one recorded the failure, probed the server from then on and asked two others for tunnels in turn: at 985 routers one dead server would have been probed by all of them (by arithmetic, 985 probes in 2 s; not played).
It now records nothing, and no tunnel is tried to a server that others report too.
- A request that found no path to four servers was refused as 'full', which is untrue: now 'no_server'.
- Free room of a brittle server is drawn by lot only while the server was half full in the last 2 s or has rejected a request.
Found by a_brittle_server_that_rejects_requests_gets_more_of_them, which failed once (503 for 200): a router that has just started counts 32 routers, so seven free slots were lots for seven of them.
It has passed since with the change, also beside load.

--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -36,10 +36,14 @@
 }
 
 /// Probes the server directly, and if that fails through another router, so that it can be used
-/// again.
+/// again. A server that other routers can't reach either is not worth a tunnel.
 async fn probe(gateway: Arc<Gateway>, (instance, address): ProbeTarget) {
     let is_reached = gateway.connect_directly(&instance, address).await.is_ok();
-    if !is_reached && gateway.placement().is_avoided(&instance, gateway.now()) {
+    let needs_tunnel = {
+        let (placement, now) = (gateway.placement(), gateway.now());
+        placement.is_avoided(&instance, now) && !placement.is_reported_unreachable(&instance, now)
+    };
+    if !is_reached && needs_tunnel {
         // The outcome is recorded where the tunnel is opened.
         let _ = gateway.open_tunnel(&instance).await;
     }
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -18,6 +18,13 @@
     pub unreachable: u32,
 }
 
+impl Progress {
+    /// Whether the search ended because no server could be connected to.
+    pub(crate) fn has_found_no_path(self) -> bool {
+        self.unreachable > MAX_UNREACHABLE
+    }
+}
+
 /// Inputs of the decision on another attempt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RetryCheck {
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -68,7 +68,11 @@
                 return Err(OwnAnswer::Quarantined);
             }
             if !self.call.may_retry(self.progress) {
-                return Err(self.final_answer(OwnAnswer::Full(FULL_RETRY_AFTER)));
+                let answer = match self.progress.has_found_no_path() {
+                    true => OwnAnswer::NoServer(FULL_RETRY_AFTER),
+                    false => OwnAnswer::Full(FULL_RETRY_AFTER),
+                };
+                return Err(self.final_answer(answer));
             }
             let granted = self.take_retry()?;
             let seen_views = *self.gateway.applied_views.borrow();
--- a/crates/gateway/src/tunnel_server.rs
+++ b/crates/gateway/src/tunnel_server.rs
@@ -18,6 +18,7 @@
 use crate::gateway::Gateway;
 use crate::lifecycle::{ConnectionTracker, ShutdownPhase};
 use crate::listener::accept_stream;
+use crate::pool::open_stream;
 
 /// Maximum number of tunnels, including those being opened. Each has two sockets and two buffers of
 /// 8 KiB.
@@ -117,8 +118,12 @@
     if prefers_tunnel {
         return Err(TunnelRefusal::ServerUnreachable);
     }
-    let server = gateway.connect_directly(instance, address).await;
-    let server = server.map_err(|_| TunnelRefusal::ServerUnreachable)?;
+    let started_at = gateway.now();
+    // A failure isn't recorded: otherwise each router that asks for an unreachable server would make
+    // others probe it too.
+    let server = open_stream(address).await.map_err(|_| TunnelRefusal::ServerUnreachable)?;
+    gateway.metrics.connections.inc();
+    gateway.record_connected(instance, started_at);
     log::info!("event=tunnel_opened instance={instance} router={from}");
     Ok(server)
 }
--- a/crates/placement/src/brittle.rs
+++ b/crates/placement/src/brittle.rs
@@ -32,6 +32,10 @@
 /// Time that a dispatch report takes to reach the other routers.
 const REPORT_DELAY: Duration = Duration::from_millis(60);
 
+/// Time for which a server that was half full counts as busy: callers that it had no room for may
+/// come back together.
+const BUSY_TIME: Duration = Duration::from_secs(2);
+
 /// Room that is left free, for requests that routers don't know of.
 const RESERVED_ROOM: usize = 1;
 
@@ -162,11 +166,16 @@
     }
 
     /// Whether this router may use the server's free room now. Reports take `REPORT_DELAY`, in which
-    /// the routers don't know of each other's requests: in each such interval the free room is
-    /// divided among them, and drawn by lot if there is less than one request for each.
+    /// the routers don't know of each other's requests: if the server was at least half full
+    /// recently, its free room is divided among them in each such interval, and drawn by lot if there
+    /// is less than one request for each.
     fn has_free_share(&self, server: &Server, room: usize, now: Timestamp) -> bool {
         let known = server.fleet_load.requests(now);
         let free = (room - room.min(known)).saturating_sub(RESERVED_ROOM) as u64;
+        let was_half_full = server.half_full_at.is_some_and(|at| now.since(at) < BUSY_TIME);
+        if !was_half_full && server.rejection.is_none() {
+            return free > 0;
+        }
         let interval = dispatch_interval(now);
         let (counted, own) = server.own_dispatches;
         let own = if counted == interval { u64::from(own) } else { 0 };
--- a/crates/placement/src/fleet_load.rs
+++ b/crates/placement/src/fleet_load.rs
@@ -111,6 +111,11 @@
         self.peaks.get(first).map_or(0.0, |(_, tokens)| *tokens)
     }
 
+    /// Number of in-flight requests, including those that have expired but weren't removed yet.
+    pub(crate) fn known_requests(&self) -> usize {
+        self.in_flight.len()
+    }
+
     /// Number of in-flight requests.
     pub(crate) fn requests(&self, now: Timestamp) -> usize {
         self.in_flight.iter().rev().take_while(|known| !is_expired(known.started_at, now)).count()
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -231,8 +231,9 @@
         let timing = self.timing_model(&server.instance.report.service, now);
         let Some(server) = incarnation_mut(&mut self.servers, &dispatch.instance) else { return };
         server.turnover.record(dispatch.tokens, now);
-        let service = &server.instance.report.service;
         server.fleet_load.add_request(request, dispatch.prefill_tokens, &timing, now);
+        server.record_fill(now);
+        let service = &server.instance.report.service;
         if dispatch.keys.is_empty() && dispatch.own_tokens == 0 {
             return;
         }
--- a/crates/placement/src/reachability.rs
+++ b/crates/placement/src/reachability.rs
@@ -119,9 +119,15 @@
 
     /// Whether the server is unreachable for this router or reported so by others.
     pub fn is_avoided(&self, instance: &InstanceId, now: Timestamp) -> bool {
-        self.server(instance).is_some_and(|server| {
-            server.health.is_unreachable() || server.is_reported_unreachable(&self.zone, now)
-        })
+        let is_unreachable =
+            self.server(instance).is_some_and(|server| server.health.is_unreachable());
+        is_unreachable || self.is_reported_unreachable(instance, now)
+    }
+
+    /// Whether other routers' reports make the server unreachable.
+    pub fn is_reported_unreachable(&self, instance: &InstanceId, now: Timestamp) -> bool {
+        let server = self.server(instance);
+        server.is_some_and(|server| server.is_reported_unreachable(&self.zone, now))
     }
 
     /// Whether two servers belong to the same service.
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -46,6 +46,8 @@
     pub(crate) is_departing: bool,
     /// Advertised limit of the server, for all routers together.
     pub(crate) limit: Option<ServerLimit>,
+    /// When the requests of all routers last took half of the server's slots.
+    pub(crate) half_full_at: Option<Timestamp>,
     /// Interval of the latest request of this router, and number of its requests in the interval.
     pub(crate) own_dispatches: (u64, u32),
     /// Latest rejection of a request while the server was brittle.
@@ -75,6 +77,7 @@
             has_requested_backoff: false,
             is_departing: false,
             limit: None,
+            half_full_at: None,
             own_dispatches: (0, 0),
             rejection: None,
             turnover: CacheTurnover::default(),
@@ -82,6 +85,14 @@
         }
     }
 
+    /// Records whether the requests of all routers take half of the server's slots.
+    pub(crate) fn record_fill(&mut self, now: Timestamp) {
+        let slots = self.instance.report.slots as usize;
+        if self.fleet_load.known_requests() * 2 >= slots {
+            self.half_full_at = Some(now);
+        }
+    }
+
     /// Counts a request of this router.
     pub(crate) fn count_dispatch(&mut self, now: Timestamp) {
         let interval = dispatch_interval(now);
