Soak of routers whose paths to servers are cut, again and again

Four routers with real sockets, five servers, a proxy for each path that is silent, resets or refuses new connections, for one to three routers at a time; callers of each router, some requests that may run once. Not in it: kills, freezes and restarts of processes beside cuts, for which the platform's soak would need a way to cut single processes off.

--- a/crates/gateway/tests/paths/cut_off.rs
+++ b/crates/gateway/tests/paths/cut_off.rs
@@ -9,6 +9,7 @@
 use socket2::{Domain, Socket, Type};
 
 use crate::support::caller::get;
+use crate::support::link::silent_listener;
 use crate::support::server::{FakeServer, healthy};
 use crate::support::{TEST_TIMEOUT, TestGateway, loopback};
 
@@ -21,23 +22,15 @@
 
 /// Address at which connection attempts fail, and the socket that has to be kept open.
 fn dead_address(cut: Cut) -> (SocketAddrV4, Vec<Socket>) {
-    let socket = || Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    let listener = socket();
-    listener.bind(&SocketAddr::V4(loopback(0)).into()).expect("a port");
-    let address = listener.local_addr().expect("bound").as_socket_ipv4().expect("IPv4");
-    if matches!(cut, Cut::Refused) {
-        return (address, vec![listener]);
+    match cut {
+        Cut::Silent => silent_listener(loopback(0)),
+        Cut::Refused => {
+            let bound = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            bound.bind(&SocketAddr::V4(loopback(0)).into()).expect("a port");
+            let address = bound.local_addr().expect("bound").as_socket_ipv4().expect("IPv4");
+            (address, vec![bound])
+        }
     }
-    listener.listen(0).expect("listening");
-    // The queue of unaccepted connections is full after these; further attempts get no answer.
-    let queued = (0..3).map(|_| {
-        let queued = socket();
-        queued.set_nonblocking(true).expect("set");
-        // Completes in the background.
-        let _ = queued.connect(&SocketAddr::V4(address).into());
-        queued
-    });
-    (address, queued.collect::<Vec<_>>().into_iter().chain([listener]).collect())
 }
 
 /// A router that reaches `server`, and one that doesn't but has heard of the first.
--- /dev/null
+++ b/crates/gateway/tests/paths/cut_off_soak.rs
@@ -0,0 +1,223 @@
+//! Routers under load whose paths to servers are cut at random, again and again. `SOAK_SEED` and
+//! `SOAK_SECONDS` set the seed and the duration.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use juniper_registry::InstanceReport;
+use juniper_types::NodeId;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::support::TestGateway;
+use crate::support::caller::get;
+use crate::support::link::{Link, LinkState};
+use crate::support::server::{FakeServer, header, healthy};
+
+const ROUTERS: usize = 4;
+const SERVERS: usize = 5;
+const CALLERS_PER_ROUTER: usize = 5;
+const DEFAULT_SECONDS: u64 = 16;
+
+/// Time from the start of a cut until the checks hold.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Duration of a cut, and of the pause before the next, in milliseconds.
+const CUT_MS: std::ops::Range<u64> = 4_500..7_000;
+const PAUSE_MS: std::ops::Range<u64> = 100..2_500;
+
+/// Least share of requests served at cut-off routers, relative to that at the others.
+const MIN_RELATIVE_SHARE: f64 = 2.0 / 3.0;
+
+/// Failures at cut-off routers that are tolerated: ten, and one in fifty of all requests.
+const TOLERATED_FAILURES: f64 = 10.0;
+const TOLERATED_SHARE: f64 = 0.02;
+
+/// Least share of requests served at routers that are not cut off.
+const MIN_SOUND_SHARE: f64 = 0.95;
+
+#[derive(Clone, Copy, Debug)]
+struct Outcome {
+    router: usize,
+    at: Instant,
+    is_served: bool,
+}
+
+/// Cut of the paths of some routers to all servers.
+#[derive(Clone, Debug)]
+struct Cut {
+    routers: Vec<usize>,
+    kind: LinkState,
+    from: Instant,
+    until: Instant,
+}
+
+struct Fleet {
+    servers: Vec<FakeServer>,
+    routers: Vec<TestGateway>,
+    /// Paths by router and server.
+    links: Vec<Vec<Link>>,
+    outcomes: Arc<Mutex<Vec<Outcome>>>,
+}
+
+fn number_from_env(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let mut servers = Vec::new();
+        for number in 0..SERVERS {
+            servers.push(healthy(&format!("s{number}")).await);
+        }
+        let (mut routers, mut links) = (Vec::new(), Vec::new());
+        for _ in 0..ROUTERS {
+            let router = TestGateway::start(&[]).await;
+            let paths: Vec<Link> =
+                servers.iter().map(|server| Link::open(server.report().address)).collect();
+            for (server, path) in servers.iter().zip(&paths) {
+                let report = InstanceReport { address: path.address, ..server.report() };
+                router.control.add_server(report);
+                sleep(Duration::from_millis(5)).await;
+            }
+            routers.push(router);
+            links.push(paths);
+        }
+        sleep(Duration::from_millis(200)).await;
+        Fleet { servers, routers, links, outcomes: Arc::default() }
+    }
+
+    fn set_links(&self, routers: &[usize], state: LinkState) {
+        routers.iter().flat_map(|router| &self.links[*router]).for_each(|link| link.set(state));
+    }
+
+    /// Passes each router's updates on to the others.
+    async fn relay_updates(&self) {
+        let mut relayed = vec![0; ROUTERS];
+        loop {
+            for (from, router) in self.routers.iter().enumerate() {
+                let updates = router.control.published_updates(relayed[from]);
+                relayed[from] += updates.len();
+                let SocketAddr::V4(internal) = router.internal else { panic!("IPv4") };
+                let node = NodeId::of_address(internal).0;
+                let others = self.routers.iter().enumerate().filter(|(other, _)| *other != from);
+                for (_, other) in others {
+                    for update in &updates {
+                        other.control.send_peer_update(node, "north", update.clone());
+                    }
+                }
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn spawn_callers(&self) -> JoinSet<()> {
+        let mut callers = JoinSet::new();
+        for number in 0..ROUTERS * CALLERS_PER_ROUTER {
+            let router = number % ROUTERS;
+            let (address, outcomes) = (self.routers[router].callers, Arc::clone(&self.outcomes));
+            callers.spawn(async move {
+                for request in 0.. {
+                    let path = ["/safe/x", "/once/x"][request % 2];
+                    let at = Instant::now();
+                    let answer = get(address, path, &format!("c{number}r{request}")).await;
+                    let is_served = answer.status == 200 && answer.complete;
+                    let outcome = Outcome { router, at, is_served };
+                    outcomes.lock().expect("not poisoned").push(outcome);
+                    sleep(Duration::from_millis(60)).await;
+                }
+            });
+        }
+        callers
+    }
+
+    /// Cuts random routers off, again and again.
+    async fn inject_cuts(&self, seed: u64, duration: Duration) -> Vec<Cut> {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let end = Instant::now() + duration;
+        let mut cuts = Vec::new();
+        while Instant::now() < end {
+            sleep(Duration::from_millis(random.random_range(PAUSE_MS))).await;
+            let kinds = [LinkState::Silent, LinkState::Reset, LinkState::Refusing];
+            let kind = kinds[random.random_range(0..kinds.len())];
+            let count = random.random_range(1..ROUTERS);
+            let first = random.random_range(0..ROUTERS);
+            let routers: Vec<usize> = (0..count).map(|offset| (first + offset) % ROUTERS).collect();
+            let from = Instant::now();
+            self.set_links(&routers, kind);
+            sleep(Duration::from_millis(random.random_range(CUT_MS))).await;
+            self.set_links(&routers, LinkState::Open);
+            cuts.push(Cut { routers, kind, from, until: Instant::now() });
+        }
+        cuts
+    }
+
+    /// Requests served and sent in a cut, at the routers that satisfy `condition`.
+    fn served(&self, cut: &Cut, condition: impl Fn(usize) -> bool) -> (f64, f64) {
+        let outcomes = self.outcomes.lock().expect("not poisoned");
+        let is_counted = |outcome: &&Outcome| {
+            let is_in_cut = outcome.at >= cut.from + CONTACT_TIME && outcome.at < cut.until;
+            is_in_cut && condition(outcome.router)
+        };
+        let counted: Vec<&Outcome> = outcomes.iter().filter(is_counted).collect();
+        let served = counted.iter().filter(|outcome| outcome.is_served).count();
+        (served as f64, counted.len() as f64)
+    }
+
+    fn violations(&self, cuts: &[Cut]) -> Vec<String> {
+        let mut violations = Vec::new();
+        for cut in cuts {
+            let (cut_served, cut_sent) = self.served(cut, |router| cut.routers.contains(&router));
+            let (served, sent) = self.served(cut, |router| !cut.routers.contains(&router));
+            let what = format!(
+                "{:?} of {:?}: served {cut_served} of {cut_sent}, the others {served} of {sent}",
+                cut.kind, cut.routers
+            );
+            let is_worse = cut_served / cut_sent < MIN_RELATIVE_SHARE * served / sent;
+            let tolerated = TOLERATED_FAILURES + TOLERATED_SHARE * (cut_sent + sent);
+            if is_worse && cut_sent - cut_served > tolerated {
+                violations.push(format!("RECOVER: {what}"));
+            }
+            if served / sent < MIN_SOUND_SHARE {
+                violations.push(format!("sound routers: {what}"));
+            }
+        }
+        violations.extend(self.repeated_runs());
+        violations
+    }
+
+    /// Requests that may run at most once but ran more often.
+    fn repeated_runs(&self) -> Vec<String> {
+        let mut runs = BTreeMap::<String, u32>::new();
+        for head in self.servers.iter().flat_map(FakeServer::requests) {
+            if head.contains("/once/") {
+                let id = header(&head, "x-id").expect("an id").to_owned();
+                *runs.entry(id).or_default() += 1;
+            }
+        }
+        let repeated = runs.into_iter().filter(|(_, count)| *count > 1);
+        repeated.map(|(id, count)| format!("TWICE: {id} ran {count} times")).collect()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_cut_off_routers_are_served_far_worse() {
+    let seed = number_from_env("SOAK_SEED", 1);
+    let duration = Duration::from_secs(number_from_env("SOAK_SECONDS", DEFAULT_SECONDS));
+    let fleet = Fleet::start().await;
+    let mut callers = fleet.spawn_callers();
+    let cuts = tokio::select! {
+        cuts = fleet.inject_cuts(seed, duration) => cuts,
+        () = fleet.relay_updates() => unreachable!("runs forever"),
+    };
+    callers.abort_all();
+    while callers.join_next().await.is_some() {}
+    let violations = fleet.violations(&cuts);
+    let sent = fleet.outcomes.lock().expect("not poisoned").len();
+    println!("seed={seed} cuts={} sent={sent}", cuts.len());
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}\ncuts: {cuts:#?}");
+}
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -6,6 +6,7 @@
 mod brittle;
 mod connections;
 mod cut_off;
+mod cut_off_soak;
 mod departures;
 mod limits;
 mod limits_soon;
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -83,7 +83,7 @@
             server_changes: broadcast::Sender::new(4),
             published: Mutex::default(),
             quarantined: Mutex::default(),
-            peer_updates: broadcast::Sender::new(16),
+            peer_updates: broadcast::Sender::new(256),
         });
         let serving = Arc::clone(&state);
         tokio::spawn(async move {
@@ -189,6 +189,11 @@
             .collect()
     }
 
+    /// Updates that the gateway published, without the first `skipped` ones.
+    pub fn published_updates(&self, skipped: usize) -> Vec<RouterUpdate> {
+        self.state.published.lock().expect("no panic").iter().skip(skipped).cloned().collect()
+    }
+
     /// Services with brittle servers that the gateway published.
     pub fn published_brittle(&self) -> Vec<BrittleServiceUpdate> {
         let published = self.state.published.lock().expect("no panic");
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod control;
 pub mod dialect;
+pub mod link;
 pub mod server;
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
