--- a/crates/gateway/tests/paths/cut_off_soak.rs
+++ b/crates/gateway/tests/paths/cut_off_soak.rs
@@ -97,7 +97,7 @@
 
     /// Passes each router's updates on to the others.
     async fn relay_updates(&self) {
-        let mut relayed = vec![0; ROUTERS];
+        let mut relayed = [0; ROUTERS];
         loop {
             for (from, router) in self.routers.iter().enumerate() {
                 let updates = router.control.published_updates(relayed[from]);
