Soak of cut paths: paths have hosts of their own, and requests of other fleets are reported

The ids were the same in all soak processes, and a path that refuses connections frees its port on the common host, where another process may listen meanwhile: the duplicates fit requests of a second soak. Ids now carry the seed, a foreign request is a violation, and each path has a host of its own, as the loopback crate provides for this hazard.

--- a/crates/gateway/tests/paths/cut_off_soak.rs
+++ b/crates/gateway/tests/paths/cut_off_soak.rs
@@ -115,7 +115,7 @@
         }
     }
 
-    fn spawn_callers(&self) -> JoinSet<()> {
+    fn spawn_callers(&self, seed: u64) -> JoinSet<()> {
         let mut callers = JoinSet::new();
         for number in 0..ROUTERS * CALLERS_PER_ROUTER {
             let router = number % ROUTERS;
@@ -124,7 +124,7 @@
                 for request in 0.. {
                     let path = ["/safe/x", "/once/x"][request % 2];
                     let at = Instant::now();
-                    let answer = get(address, path, &format!("c{number}r{request}")).await;
+                    let answer = get(address, path, &format!("s{seed}c{number}r{request}")).await;
                     let is_served = answer.status == 200 && answer.complete;
                     let outcome = Outcome { router, at, is_served };
                     outcomes.lock().expect("not poisoned").push(outcome);
@@ -168,7 +168,7 @@
         (served as f64, counted.len() as f64)
     }
 
-    fn violations(&self, cuts: &[Cut]) -> Vec<String> {
+    fn violations(&self, cuts: &[Cut], seed: u64) -> Vec<String> {
         let mut violations = Vec::new();
         for cut in cuts {
             let (cut_served, cut_sent) = self.served(cut, |router| cut.routers.contains(&router));
@@ -186,10 +186,20 @@
                 violations.push(format!("sound routers: {what}"));
             }
         }
+        violations.extend(self.foreign_requests(seed));
         violations.extend(self.repeated_runs());
         violations
     }
 
+    /// Requests that no caller of this fleet has sent.
+    fn foreign_requests(&self, seed: u64) -> Vec<String> {
+        let prefix = format!("s{seed}c");
+        let heads = self.servers.iter().flat_map(FakeServer::requests);
+        let ids = heads.map(|head| header(&head, "x-id").expect("an id").to_owned());
+        let foreign = ids.filter(|id| !id.starts_with(&prefix));
+        foreign.map(|id| format!("UNASKED: {id}")).collect()
+    }
+
     /// Requests that may run at most once but ran more often.
     fn repeated_runs(&self) -> Vec<String> {
         let mut runs = BTreeMap::<String, u32>::new();
@@ -209,14 +219,14 @@
     let seed = number_from_env("SOAK_SEED", 1);
     let duration = Duration::from_secs(number_from_env("SOAK_SECONDS", DEFAULT_SECONDS));
     let fleet = Fleet::start().await;
-    let mut callers = fleet.spawn_callers();
+    let mut callers = fleet.spawn_callers(seed);
     let cuts = tokio::select! {
         cuts = fleet.inject_cuts(seed, duration) => cuts,
         () = fleet.relay_updates() => unreachable!("runs forever"),
     };
     callers.abort_all();
     while callers.join_next().await.is_some() {}
-    let violations = fleet.violations(&cuts);
+    let violations = fleet.violations(&cuts, seed);
     let sent = fleet.outcomes.lock().expect("not poisoned").len();
     println!("seed={seed} cuts={} sent={sent}", cuts.len());
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}\ncuts: {cuts:#?}");
--- a/crates/gateway/tests/paths/support/link.rs
+++ b/crates/gateway/tests/paths/support/link.rs
@@ -4,13 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use juniper_loopback::unused_address;
 use socket2::{Domain, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use super::loopback;
-
 /// Time after which the system of a real machine ends connections over a silent path.
 const SILENCE_LIMIT: Duration = Duration::from_millis(3_500);
 
@@ -66,9 +65,9 @@
 impl Link {
     /// Opens a path to `target`.
     pub fn open(target: SocketAddrV4) -> Self {
-        let listener = open_listener(loopback(0));
-        let address = listener.local_addr().expect("bound");
-        let SocketAddr::V4(address) = address else { panic!("IPv4") };
+        // Of its own host: while the path refuses connections, no other process may take its port.
+        let SocketAddr::V4(address) = unused_address() else { panic!("IPv4") };
+        let listener = open_listener(address);
         let state = Arc::new(watch::Sender::new(LinkState::Open));
         tokio::spawn(run(address, listener, target, Arc::clone(&state)));
         Link { address, state }
