--- a/crates/gateway/tests/paths/cut_off.rs
+++ b/crates/gateway/tests/paths/cut_off.rs
@@ -1,16 +1,18 @@
 //! A router that is partitioned from all servers, beside one that reaches them.
 
 use std::net::{SocketAddr, SocketAddrV4};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use juniper_protocol::message::RouterUpdate;
 use juniper_registry::InstanceReport;
 use juniper_types::NodeId;
 use socket2::{Domain, Socket, Type};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
-use crate::support::caller::get;
+use crate::support::caller::{get, request_head};
 use crate::support::link::silent_listener;
-use crate::support::server::{FakeServer, healthy};
+use crate::support::server::{FakeServer, Step, healthy};
 use crate::support::{TEST_TIMEOUT, TestGateway, loopback};
 
 /// How connections to servers fail at the router that is cut off.
@@ -87,3 +89,42 @@
         assert_eq!(router.status(path, &format!("r{number}")).await, 200, "{path}");
     }
 }
+
+/// Time within which a server has to notice that the caller has left.
+const RELEASE_TIME: Duration = Duration::from_millis(500);
+
+#[tokio::test]
+async fn a_caller_that_leaves_keeps_a_server_busy_through_a_tunnel() {
+    let server = FakeServer::start("a", |_, _| vec![Step::Wait(TEST_TIMEOUT)]).await;
+    let router = CutOffRouter::start(&server, Cut::Refused).await;
+    let mut caller = TcpStream::connect(router.cut_off.callers).await.expect("connected");
+    let request = format!("{}\r\n", request_head("GET", "/once/x", "r1"));
+    caller.write_all(request.as_bytes()).await.expect("sent");
+    while server.requests().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    drop(caller);
+    let left_at = Instant::now();
+    while server.abandoned() == 0 {
+        assert!(left_at.elapsed() < RELEASE_TIME, "the server still works");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A helper that is killed may have passed the request on.
+#[tokio::test]
+async fn a_request_that_may_not_be_repeated_runs_twice_after_its_tunnel_broke() {
+    let server = FakeServer::start("a", |_, _| vec![Step::Wait(TEST_TIMEOUT)]).await;
+    let CutOffRouter { reaching, cut_off, _sockets } =
+        CutOffRouter::start(&server, Cut::Refused).await;
+    let callers = cut_off.callers;
+    let answer = tokio::spawn(async move { get(callers, "/once/x", "r1").await });
+    while server.requests().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    drop(reaching);
+    let answer = tokio::time::timeout(TEST_TIMEOUT, answer).await.expect("in time");
+    let status = answer.expect("no panic").status;
+    assert!([502, 504].contains(&status), "{status} promises that the request has not run");
+    assert_eq!(server.requests().len(), 1);
+}
