--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -3,7 +3,7 @@
 //! request itself stay with this router.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use juniper_clock::BootInstant;
@@ -59,7 +59,7 @@
 
 /// Counts a tunnel as open until it is dropped.
 pub(crate) struct TunnelGuard {
-    gateway: Arc<Gateway>,
+    gateway: Weak<Gateway>,
     peer: NodeId,
     /// Time after which no further request is sent through the tunnel.
     pub(crate) reusable_until: BootInstant,
@@ -67,7 +67,9 @@
 
 impl Drop for TunnelGuard {
     fn drop(&mut self) {
-        self.gateway.tunnel_peers().record_closed(self.peer);
+        if let Some(gateway) = self.gateway.upgrade() {
+            gateway.tunnel_peers().record_closed(self.peer);
+        }
     }
 }
 
@@ -89,7 +91,7 @@
                     self.placement().record_tunnel(instance, true);
                     self.tunnel_peers().record_opened(peer);
                     let reusable_until = BootInstant::now() + REUSE_TIME;
-                    let gateway = Arc::clone(self);
+                    let gateway = Arc::downgrade(self);
                     return Ok((stream, TunnelGuard { gateway, peer, reusable_until }));
                 }
                 Err(error) => error,
@@ -100,6 +102,9 @@
                 _ => self.tunnel_peers().record_failure(peer, self.now()),
             }
         }
+        if asked.is_empty() {
+            log::info!("event=tunnel_failed instance={instance} router=- reason=\"none known\"");
+        }
         self.metrics.count_tunnel("failed");
         self.placement().record_tunnel(instance, false);
         match unreachable {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod notices;
 pub mod peer_timeouts;
 pub mod push;
+pub mod refusal;
 
 pub use calls::{CallError, GenerationReader, IncomingFrame, OpenCalls, ReplySender};
 pub use connection::{Connection, FrameReader, FrameWriter, Traffic, accept, connect};
