Simulated fleet of cut-off routers: the size that failed first is back

Cause: shrank the test after its fix, to save time: 150 servers for 300 at 985 routers, and 3 requests a second for 4. Change: both values as in, where the test failed.

--- a/crates/placement/tests/cut_off_routers/main.rs
+++ b/crates/placement/tests/cut_off_routers/main.rs
@@ -9,7 +9,7 @@
 const FLEETS: [Sizes; 3] = [
     Sizes { routers: 7, servers: 12 },
     Sizes { routers: 48, servers: 60 },
-    Sizes { routers: 985, servers: 150 },
+    Sizes { routers: 985, servers: 300 },
 ];
 
 /// Time from the cut until the checks hold, in milliseconds.
--- a/crates/placement/tests/cut_off_routers/world.rs
+++ b/crates/placement/tests/cut_off_routers/world.rs
@@ -21,7 +21,7 @@
 const CUT_AT_MS: u64 = 1_000;
 
 /// Requests of each router per second.
-const REQUESTS_PER_SECOND: f64 = 3.0;
+const REQUESTS_PER_SECOND: f64 = 4.0;
 
 /// Routers of each kind, cut off or not, that receive reports and are observed. The others only
 /// send reports, which bounds the work of a large fleet.
