Crashes are proven at once: probes without a pause, references that have not crashed

Cause (one of two, the other follows): since reports need a reference, a refused connection proves a crash only after a connection to another server. That waited for the next check (100 ms) and for the interval of the reference before it (250 ms), and the reference was drawn among servers whose connections had just broken. Two crashes under one stream also made the router count as cut off.

Change: a failed or broken connection wakes the probes; servers that await a probe are no references; a reference that was reached ends the interval.

--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -117,6 +117,7 @@
             });
         }
         drop(placement);
+        self.probes_due.notify_one();
         if became_cut_off {
             log::warn!("event=cut_off instance={instance} refused={is_refused}");
             self.metrics.cut_offs.inc();
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -29,6 +29,7 @@
         if let Some(known) = known {
             let address = SocketAddr::V4(known.report.address);
             self.crashes.record_interrupted_request(instance, address, fingerprint, sent_at);
+            self.probes_due.notify_one();
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use juniper_registry::InstanceId;
 use juniper_tunnel_peers::TunnelPeers;
 use juniper_types::Timestamp;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::dialect::Dialect;
@@ -67,6 +67,8 @@
     pub returns: Returns,
     /// Evidence of requests that crash servers.
     pub crashes: Arc<CrashWatch>,
+    /// Notified when a connection has failed or broken, so that probes are sent at once.
+    pub probes_due: Notify,
     /// Number of fleet views that the placement has applied.
     pub applied_views: watch::Sender<u64>,
     placement: Mutex<Placement>,
@@ -91,6 +93,7 @@
             retry_budget: Mutex::new(RetryBudget::new(settings.retry)),
             splits: Mutex::default(),
             started: BootInstant::now(),
+            probes_due: Notify::new(),
             updates: UpdateQueue::default(),
             startup: StartupQueue::default(),
             limits: Arc::default(),
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -11,7 +11,7 @@
 use crate::gateway::Gateway;
 use crate::pool::open_stream;
 
-/// Interval between two checks for probes that are due.
+/// Interval between two checks for probes that are due, unless a connection fails or breaks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Sends probes as they become due. Never returns.
@@ -19,7 +19,10 @@
     let mut checks = interval(CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        checks.tick().await;
+        tokio::select! {
+            _ = checks.tick() => {}
+            () = gateway.probes_due.notified() => {}
+        }
         let now = gateway.now();
         let mut placement = gateway.placement();
         let verifications = placement.take_due_verifications(now);
--- a/crates/gateway/tests/paths/quarantine.rs
+++ b/crates/gateway/tests/paths/quarantine.rs
@@ -14,6 +14,10 @@
 };
 use crate::support::{TEST_TIMEOUT, TestGateway};
 
+/// Median time from a crash until it is proven: a few round trips on loopback, and less than callers
+/// wait before they repeat a request.
+const MAX_PROOF_TIME: Duration = Duration::from_millis(50);
+
 /// Starts a server that crashes under requests for paths with `bad`, before its answer or in
 /// mid-stream, and answers all others.
 async fn crashing_server(name: &str) -> FakeServer {
@@ -116,6 +120,26 @@
     check_quarantine("/resumable/bad-midway").await;
 }
 
+/// Guards against crashes that are proven only after the request has been repeated at more servers.
+#[tokio::test]
+async fn a_crash_is_proven_late() {
+    let (_servers, gateway) = start(9).await;
+    let mut delays = Vec::new();
+    for number in 1..=7 {
+        let path = format!("/once/bad{number}");
+        get(gateway.callers, &path, &format!("r{number}")).await;
+        let answered_at = Instant::now();
+        while published_crashes(&gateway).len() < number {
+            assert!(answered_at.elapsed() < TEST_TIMEOUT, "the crash is proven");
+            sleep(Duration::from_millis(1)).await;
+        }
+        delays.push(answered_at.elapsed());
+    }
+    delays.sort();
+    let median = delays[delays.len() / 2];
+    assert!(median < MAX_PROOF_TIME, "{delays:?}");
+}
+
 /// The same path with another body or tenant is another request.
 #[tokio::test]
 async fn another_body_or_tenant_is_another_request() {
--- a/crates/placement/src/direct_paths.rs
+++ b/crates/placement/src/direct_paths.rs
@@ -87,6 +87,8 @@
             is_refused: failure.is_refused,
         }));
         self.failures.retain(|failure| !is_explained(failure) && failure.instance != *instance);
+        // The next failure needs a reference of its own; until it has one, a crash isn't proven.
+        self.next_reference = Timestamp::ZERO;
     }
 
     /// Takes the servers to report as unreachable.
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -156,6 +156,11 @@
         self.unreachable.is_some() && !self.is_tunneled
     }
 
+    /// Whether a direct connection failed or broke and none has been established since.
+    pub(crate) fn awaits_probe(&self) -> bool {
+        self.unreachable.is_some()
+    }
+
     /// Whether the latest attempt of a direct connection failed.
     pub(crate) fn has_connect_failed(&self) -> bool {
         self.connect_failed
--- a/crates/placement/src/reachability.rs
+++ b/crates/placement/src/reachability.rs
@@ -74,14 +74,13 @@
         references.map(probe_target).collect()
     }
 
-    /// A random server of the service whose latest connection attempt hasn't failed, or any if there
-    /// is none.
+    /// A random server of the service that isn't unreachable, or any if there is none.
     fn reference(&self, service: &str, random: u64) -> Option<&Server> {
         let members = self.services.get(service)?.iter().filter_map(|name| self.servers.get(name));
         let members: Vec<&Server> = members.collect();
-        let has_failed = |server: &Server| server.health.has_connect_failed();
+        let awaits_probe = |server: &Server| server.health.awaits_probe();
         let sound: Vec<&Server> =
-            members.iter().copied().filter(|server| !has_failed(server)).collect();
+            members.iter().copied().filter(|server| !awaits_probe(server)).collect();
         let candidates = if sound.is_empty() { members } else { sound };
         let index = random.checked_rem(candidates.len() as u64)?;
         candidates.get(index as usize).copied()
