Quarantine: the rest of a resumed stream clears no request

Cause: each run crashed one server, was resumed at another one, which had so little left to produce that it answered completely. That counted as a completion of the whole request and cleared all crashes so far, so that the count never reached three for long.

Price: a stream that other causes interrupt and that is resumed is cleared by its next whole answer, not by the resumed one.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -41,6 +41,7 @@
     let status = head.status;
     let relay = StreamRelay {
         last_event: call.info.last_event,
+        resumed_after: call.info.last_event,
         gateway,
         call,
         progress,
@@ -69,6 +70,8 @@
     progress: Progress,
     chunks: ChunkSender,
     last_event: Option<u64>,
+    /// Last event that the current server was told to skip, if it produces just the rest.
+    resumed_after: Option<u64>,
     stats: StreamStats,
     last_sent_at: Option<Instant>,
     status: u16,
@@ -86,7 +89,10 @@
                         attempt.record_longest_gap(self.stats.longest_gap);
                     }
                     attempt.finish(Outcome::Answered);
-                    self.gateway.record_completed(&self.call);
+                    // The rest of a stream doesn't show that a server survives the whole request.
+                    if self.resumed_after.is_none() {
+                        self.gateway.record_completed(&self.call);
+                    }
                     return self.log_end("answered", instance.as_str(), timing);
                 }
                 Err(error) => error,
@@ -126,6 +132,7 @@
     async fn resume(&mut self, failed: juniper_registry::InstanceId) -> Option<Answered> {
         let mut search =
             ServerSearch::new(&self.gateway, &self.call).continue_from(self.progress, failed);
+        self.resumed_after = self.last_event;
         let found = tokio::select! {
             found = search.run(self.last_event) => found.ok(),
             () = self.chunks.closed() => None,
--- a/crates/gateway/tests/paths/quarantine.rs
+++ b/crates/gateway/tests/paths/quarantine.rs
@@ -10,7 +10,7 @@
 
 use crate::support::caller::{Answer, ask, get, request_head};
 use crate::support::server::{
-    FakeServer, LAST_CHUNK, Step, complete_answer, event, healthy, stream_head,
+    FakeServer, LAST_CHUNK, Step, complete_answer, event, header, healthy, stream_head,
 };
 use crate::support::{TEST_TIMEOUT, TestGateway};
 
@@ -120,6 +120,33 @@
     check_quarantine("/resumable/bad-midway").await;
 }
 
+/// Guards against a request that crashes a server each time and is cleared by the rest of its stream.
+#[tokio::test]
+async fn the_rest_of_a_stream_clears_a_request_that_crashes_servers() {
+    let mut servers = Vec::new();
+    for number in 0..8 {
+        let name = format!("s{number}");
+        let server = FakeServer::start(&name, |_, head| {
+            let first = [Step::Send(stream_head(head, "s")), Step::Send(event(1))];
+            let end = match header(head, "x-last") {
+                None => vec![Step::Wait(Duration::from_millis(30)), Step::Crash],
+                Some(_) => vec![Step::Send(event(2) + LAST_CHUNK)],
+            };
+            first.into_iter().chain(end).collect()
+        });
+        servers.push(server.await);
+    }
+    let gateway = TestGateway::start(&servers.iter().collect::<Vec<_>>()).await;
+    for number in 1..=3 {
+        let answer = get(gateway.callers, "/resumable/x", &format!("r{number}")).await;
+        assert_eq!((answer.status, answer.complete), (200, true), "resumed elsewhere");
+        wait_for("published", || published_crashes(&gateway).len() == number).await;
+    }
+    let answer = get(gateway.callers, "/resumable/x", "r4").await;
+    assert!(answer.body.contains("quarantined"), "{} {}", answer.status, answer.body);
+    assert_eq!(published_crashes(&gateway).len(), 3);
+}
+
 /// Guards against crashes that are proven only after the request has been repeated at more servers.
 #[tokio::test]
 async fn a_crash_is_proven_late() {
--- a/crates/router/src/previews.rs
+++ b/crates/router/src/previews.rs
@@ -294,7 +294,10 @@
             }
             *next += length;
         }
-        self.state.crashes.record_completed(&self.call.id.to_string(), &self.call.identity());
+        // The rest of a preview doesn't show that a server survives the whole request.
+        if self.opened.span.start == 0 {
+            self.state.crashes.record_completed(&self.call.id.to_string(), &self.call.identity());
+        }
         Ok(())
     }
 
--- a/crates/router/src/relay/attempt.rs
+++ b/crates/router/src/relay/attempt.rs
@@ -58,6 +58,8 @@
     pub(super) sent: SentAttempt,
     pub(super) response: reqwest::Response,
     pub(super) cancel: CancelGuard,
+    /// Whether the engine generates the answer from its first token.
+    pub(super) is_whole: bool,
 }
 
 /// Cancels the attempt on the engine when dropped, unless disarmed.
@@ -119,7 +121,8 @@
         Ok(Ok(response)) => response,
     };
     if response.status().is_success() {
-        return Ok(Attempt { id, dispatch, sent, response, cancel });
+        let is_whole = from == 0;
+        return Ok(Attempt { id, dispatch, sent, response, cancel, is_whole });
     }
     let is_client_error = response.status().is_client_error();
     let body: EngineErrorBody = response.json().await.unwrap_or_default();
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -46,8 +46,11 @@
         let end = loop {
             match self.forward_stream(&pieces).await {
                 Ok(StreamEnd::Complete) => {
-                    let id = self.job.request_id.to_string();
-                    self.state.crashes.record_completed(&id, &self.job.identity());
+                    // The rest of an answer doesn't show that an engine survives the whole request.
+                    if self.attempt.is_whole {
+                        let id = self.job.request_id.to_string();
+                        self.state.crashes.record_completed(&id, &self.job.identity());
+                    }
                     break Piece::Done;
                 }
                 Ok(StreamEnd::CallerDisconnected) => {
