Soak of cut paths: kills, freezes, planned stops and restarts beside the cuts

Routers run in runtimes of their own now, which are shut down like a killed process or blocked like a frozen one; faults and cuts overlap. Routers disturbed in the three seconds before a request don't count, as in the users' rule; requests that may run once must not run twice, whoever dies.

--- a/crates/gateway/tests/paths/cut_off_soak.rs
+++ b/crates/gateway/tests/paths/cut_off_soak.rs
@@ -1,8 +1,10 @@
-//! Routers under load whose paths to servers are cut at random, again and again. `SOAK_SEED` and
-//! `SOAK_SECONDS` set the seed and the duration.
+//! Routers under load whose paths to servers are cut at random, again and again, also beside kills,
+//! freezes and restarts. `SOAK_SEED` and `SOAK_SECONDS` set the seed and the duration.
+
+mod faults;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -13,9 +15,10 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::support::TestGateway;
+use self::faults::{Disturbance, RouterSlot};
 use crate::support::caller::get;
 use crate::support::link::{Link, LinkState};
+use crate::support::router::RouterProcess;
 use crate::support::server::{FakeServer, header, healthy};
 
 const ROUTERS: usize = 4;
@@ -23,6 +26,12 @@
 const CALLERS_PER_ROUTER: usize = 5;
 const DEFAULT_SECONDS: u64 = 16;
 
+/// Time that a request takes at most: a fault may interrupt those sent before it.
+const ANSWER_TIME: Duration = Duration::from_millis(1_500);
+
+/// Seed mask that makes the random draws for faults independent of those for cuts.
+const FAULT_SEED_MASK: u64 = 0x6661_756c_0000_0000;
+
 /// Time from the start of a cut until the checks hold.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
@@ -58,7 +67,7 @@
 
 struct Fleet {
     servers: Vec<FakeServer>,
-    routers: Vec<TestGateway>,
+    routers: Arc<Vec<RouterSlot>>,
     /// Paths by router and server.
     links: Vec<Vec<Link>>,
     outcomes: Arc<Mutex<Vec<Outcome>>>,
@@ -74,21 +83,28 @@
         for number in 0..SERVERS {
             servers.push(healthy(&format!("s{number}")).await);
         }
-        let (mut routers, mut links) = (Vec::new(), Vec::new());
-        for _ in 0..ROUTERS {
-            let router = TestGateway::start(&[]).await;
-            let paths: Vec<Link> =
-                servers.iter().map(|server| Link::open(server.report().address)).collect();
-            for (server, path) in servers.iter().zip(&paths) {
-                let report = InstanceReport { address: path.address, ..server.report() };
-                router.control.add_server(report);
-                sleep(Duration::from_millis(5)).await;
-            }
-            routers.push(router);
-            links.push(paths);
+        let open_links =
+            || servers.iter().map(|server| Link::open(server.report().address)).collect();
+        let links = (0..ROUTERS).map(|_| open_links()).collect();
+        let mut fleet = Fleet { servers, routers: Arc::default(), links, outcomes: Arc::default() };
+        let mut routers = Vec::new();
+        for number in 0..ROUTERS {
+            routers.push(RouterSlot::new(fleet.start_router(number).await));
         }
+        fleet.routers = Arc::new(routers);
         sleep(Duration::from_millis(200)).await;
-        Fleet { servers, routers, links, outcomes: Arc::default() }
+        fleet
+    }
+
+    /// Starts a router that knows all servers.
+    async fn start_router(&self, number: usize) -> RouterProcess {
+        let router = RouterProcess::start().await;
+        for (server, path) in self.servers.iter().zip(&self.links[number]) {
+            let report = InstanceReport { address: path.address, ..server.report() };
+            router.gateway.control.add_server(report);
+            sleep(Duration::from_millis(5)).await;
+        }
+        router
     }
 
     fn set_links(&self, routers: &[usize], state: LinkState) {
@@ -97,20 +113,23 @@
 
     /// Passes each router's updates on to the others.
     async fn relay_updates(&self) {
-        let mut relayed = [0; ROUTERS];
+        // Updates by the address of the router that published them.
+        let mut relayed = BTreeMap::<SocketAddrV4, usize>::new();
         loop {
-            for (from, router) in self.routers.iter().enumerate() {
-                let updates = router.control.published_updates(relayed[from]);
-                relayed[from] += updates.len();
-                let SocketAddr::V4(internal) = router.internal else { panic!("IPv4") };
+            let running: Vec<_> = self.routers.iter().filter_map(RouterSlot::process).collect();
+            for router in &running {
+                let SocketAddr::V4(internal) = router.gateway.internal else { panic!("IPv4") };
+                let relayed = relayed.entry(internal).or_default();
+                let updates = router.gateway.control.published_updates(*relayed);
+                *relayed += updates.len();
                 let node = NodeId::of_address(internal).0;
-                let others = self.routers.iter().enumerate().filter(|(other, _)| *other != from);
-                for (_, other) in others {
+                for other in running.iter().filter(|other| !Arc::ptr_eq(other, router)) {
                     for update in &updates {
-                        other.control.send_peer_update(node, "north", update.clone());
+                        other.gateway.control.send_peer_update(node, "north", update.clone());
                     }
                 }
             }
+            drop(running);
             sleep(Duration::from_millis(20)).await;
         }
     }
@@ -119,9 +138,14 @@
         let mut callers = JoinSet::new();
         for number in 0..ROUTERS * CALLERS_PER_ROUTER {
             let router = number % ROUTERS;
-            let (address, outcomes) = (self.routers[router].callers, Arc::clone(&self.outcomes));
+            let (routers, outcomes) = (Arc::clone(&self.routers), Arc::clone(&self.outcomes));
             callers.spawn(async move {
                 for request in 0.. {
+                    let running = routers[router].process();
+                    let Some(address) = running.map(|process| process.gateway.callers) else {
+                        sleep(Duration::from_millis(20)).await;
+                        continue;
+                    };
                     let path = ["/safe/x", "/once/x"][request % 2];
                     let at = Instant::now();
                     let answer = get(address, path, &format!("s{seed}c{number}r{request}")).await;
@@ -156,23 +180,36 @@
         cuts
     }
 
-    /// Requests served and sent in a cut, at the routers that satisfy `condition`.
-    fn served(&self, cut: &Cut, condition: impl Fn(usize) -> bool) -> (f64, f64) {
+    /// Requests served and sent in a cut, at the routers that satisfy `condition` and were not
+    /// disturbed in the time before.
+    fn served(
+        &self,
+        cut: &Cut,
+        disturbances: &[Disturbance],
+        condition: impl Fn(usize) -> bool,
+    ) -> (f64, f64) {
         let outcomes = self.outcomes.lock().expect("not poisoned");
         let is_counted = |outcome: &&Outcome| {
             let is_in_cut = outcome.at >= cut.from + CONTACT_TIME && outcome.at < cut.until;
-            is_in_cut && condition(outcome.router)
+            let is_disturbed = disturbances.iter().any(|disturbance| {
+                disturbance.router == outcome.router
+                    && disturbance.from <= outcome.at + ANSWER_TIME
+                    && outcome.at < disturbance.until + CONTACT_TIME
+            });
+            is_in_cut && !is_disturbed && condition(outcome.router)
         };
         let counted: Vec<&Outcome> = outcomes.iter().filter(is_counted).collect();
         let served = counted.iter().filter(|outcome| outcome.is_served).count();
         (served as f64, counted.len() as f64)
     }
 
-    fn violations(&self, cuts: &[Cut], seed: u64) -> Vec<String> {
+    fn violations(&self, cuts: &[Cut], disturbances: &[Disturbance], seed: u64) -> Vec<String> {
         let mut violations = Vec::new();
         for cut in cuts {
-            let (cut_served, cut_sent) = self.served(cut, |router| cut.routers.contains(&router));
-            let (served, sent) = self.served(cut, |router| !cut.routers.contains(&router));
+            let (cut_served, cut_sent) =
+                self.served(cut, disturbances, |router| cut.routers.contains(&router));
+            let (served, sent) =
+                self.served(cut, disturbances, |router| !cut.routers.contains(&router));
             let what = format!(
                 "{:?} of {:?}: served {cut_served} of {cut_sent}, the others {served} of {sent}",
                 cut.kind, cut.routers
@@ -214,20 +251,39 @@
     }
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn callers_of_cut_off_routers_are_served_far_worse() {
-    let seed = number_from_env("SOAK_SEED", 1);
+async fn run_soak(seed: u64, has_faults: bool) {
     let duration = Duration::from_secs(number_from_env("SOAK_SECONDS", DEFAULT_SECONDS));
     let fleet = Fleet::start().await;
     let mut callers = fleet.spawn_callers(seed);
-    let cuts = tokio::select! {
-        cuts = fleet.inject_cuts(seed, duration) => cuts,
+    let faults_end = Instant::now() + if has_faults { duration } else { Duration::ZERO };
+    let cuts_and_faults = async {
+        tokio::join!(
+            fleet.inject_cuts(seed, duration),
+            fleet.inject_faults(seed ^ FAULT_SEED_MASK, faults_end)
+        )
+    };
+    let (cuts, disturbances) = tokio::select! {
+        injected = cuts_and_faults => injected,
         () = fleet.relay_updates() => unreachable!("runs forever"),
     };
     callers.abort_all();
     while callers.join_next().await.is_some() {}
-    let violations = fleet.violations(&cuts, seed);
+    let violations = fleet.violations(&cuts, &disturbances, seed);
     let sent = fleet.outcomes.lock().expect("not poisoned").len();
-    println!("seed={seed} cuts={} sent={sent}", cuts.len());
-    assert!(violations.is_empty(), "seed {seed}: {violations:#?}\ncuts: {cuts:#?}");
+    println!("seed={seed} cuts={} faults={} sent={sent}", cuts.len(), disturbances.len());
+    assert!(
+        violations.is_empty(),
+        "seed {seed}: {violations:#?}\ncuts: {cuts:#?}\nfaults: {disturbances:#?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_cut_off_routers_are_served_far_worse() {
+    run_soak(number_from_env("SOAK_SEED", 1), false).await;
+}
+
+/// Guards also against requests that run twice when the router that forwards a tunnel dies.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_cut_off_routers_are_served_far_worse_while_other_routers_fail() {
+    run_soak(number_from_env("SOAK_SEED", 1), true).await;
 }
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod dialect;
 pub mod link;
+pub mod router;
 pub mod server;
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
