Tunnels in large fleets: after a failure, a router known to reach servers or of another zone is asked

Cause: the sample of 16 routers changes with others' updates, so in a large fleet what was learnt of one is soon lost. Of routers without tunnels the own zone's came first, all cut off with it, and the four that are asked for one tunnel came from the same zones.

Change: after one has failed, routers with open tunnels are asked, or else those of zones in which fewest have failed; a router with open tunnels isn't replaced in the sample.

Reports of crashed servers are now also played at 7 and 985 routers.

--- a/crates/placement/tests/cut_off_routers/main.rs
+++ b/crates/placement/tests/cut_off_routers/main.rs
@@ -58,10 +58,11 @@
 /// Servers that are really gone are still avoided because of others' reports.
 #[test]
 fn reports_of_crashed_servers_are_believed() {
-    let sizes = FLEETS[1];
-    let mut world = World::new(sizes, |_| false, Cut::Silent, 7);
-    world.crash_servers(sizes.servers / 3);
-    world.play(CONTACT_MS + 3_000);
-    let failed = world.failed_share(CONTACT_MS);
-    assert!(failed < 0.02, "{failed} of the attempts went to crashed servers");
+    for sizes in FLEETS {
+        let mut world = World::new(sizes, |_| false, Cut::Silent, 7);
+        world.crash_servers(sizes.servers / 3);
+        world.play(CONTACT_MS + 3_000);
+        let failed = world.failed_share(CONTACT_MS);
+        assert!(failed < 0.02, "{sizes:?}: {failed} of the attempts went to crashed servers");
+    }
 }
--- a/crates/tunnel-peers/src/lib.rs
+++ b/crates/tunnel-peers/src/lib.rs
@@ -24,14 +24,16 @@
 #[derive(Clone, Debug)]
 struct Peer {
     node: NodeId,
+    zone: String,
     heard_at: Timestamp,
     backing_off_until: Timestamp,
     open_tunnels: u32,
 }
 
 impl Peer {
-    fn new(node: NodeId, now: Timestamp) -> Self {
-        Peer { node, heard_at: now, backing_off_until: Timestamp::ZERO, open_tunnels: 0 }
+    fn new(node: NodeId, zone: &str, now: Timestamp) -> Self {
+        let (zone, backing_off_until) = (zone.to_owned(), Timestamp::ZERO);
+        Peer { node, zone, heard_at: now, backing_off_until, open_tunnels: 0 }
     }
 
     fn is_usable(&self, now: Timestamp) -> bool {
@@ -66,31 +68,51 @@
             return;
         }
         if sample.len() < SAMPLE_SIZE {
-            sample.push(Peer::new(node, now));
+            sample.push(Peer::new(node, zone, now));
             return;
         }
         let unusable = sample.iter().position(|peer| !peer.is_usable(now));
-        let is_replaced = random.is_multiple_of(REPLACEMENT_INTERVAL);
         let drawn = (random / REPLACEMENT_INTERVAL) as usize % sample.len();
+        // Routers with open tunnels are kept, since they are known to reach servers.
+        let is_replaced =
+            random.is_multiple_of(REPLACEMENT_INTERVAL) && sample[drawn].open_tunnels == 0;
         if let Some(position) = unusable.or(is_replaced.then_some(drawn)) {
-            sample[position] = Peer::new(node, now);
+            sample[position] = Peer::new(node, zone, now);
         }
     }
 
     /// Picks the router for a tunnel: of two usable ones drawn at random, the one with fewer
     /// tunnels of this router, and of equal ones the one in the own zone. `None` if there is none
-    /// besides those in `excluded`.
-    pub fn pick(&self, excluded: &[NodeId], now: Timestamp, random: u64) -> Option<NodeId> {
-        let near = self.near.iter().map(|peer| (peer, false));
-        let far = self.far.iter().map(|peer| (peer, true));
-        let is_candidate = |peer: &Peer| peer.is_usable(now) && !excluded.contains(&peer.node);
-        let candidates = near.chain(far).filter(|(peer, _)| is_candidate(peer));
-        let candidates: Vec<(&Peer, bool)> = candidates.collect();
+    /// besides those in `failed`, which were asked for the same tunnel.
+    pub fn pick(&self, failed: &[NodeId], now: Timestamp, random: u64) -> Option<NodeId> {
+        let usable = self.known().filter(|peer| peer.is_usable(now));
+        let usable: Vec<&Peer> = usable.filter(|peer| !failed.contains(&peer.node)).collect();
+        let candidates = match failed.is_empty() {
+            true => usable,
+            false => self.candidates_after(failed, usable),
+        };
         let count = candidates.len() as u64;
-        let drawn = |random: u64| candidates.get(random.checked_rem(count)? as usize);
+        let drawn = |random: u64| Some(candidates[random.checked_rem(count)? as usize]);
         let draws = [drawn(random & 0xffff_ffff), drawn(random >> 32)];
-        let rank = |(peer, is_far): &&(&Peer, bool)| (peer.open_tunnels, *is_far);
-        draws.into_iter().flatten().min_by_key(rank).map(|(peer, _)| peer.node)
+        let rank = |peer: &&Peer| (peer.open_tunnels, peer.zone != self.own_zone);
+        draws.into_iter().flatten().min_by_key(rank).map(|peer| peer.node)
+    }
+
+    /// Candidates after some have failed: those with open tunnels, which reach servers, or else those
+    /// of the zones in which fewest have failed, since all routers of a zone may be cut off.
+    fn candidates_after<'a>(&self, failed: &[NodeId], usable: Vec<&'a Peer>) -> Vec<&'a Peer> {
+        if usable.iter().any(|peer| peer.open_tunnels > 0) {
+            return usable.into_iter().filter(|peer| peer.open_tunnels > 0).collect();
+        }
+        let has_failed = |peer: &&Peer| failed.contains(&peer.node);
+        let failed: Vec<&Peer> = self.known().filter(has_failed).collect();
+        let failures = |peer: &Peer| failed.iter().filter(|other| other.zone == peer.zone).count();
+        let fewest = usable.iter().map(|peer| failures(peer)).min();
+        usable.into_iter().filter(|peer| Some(failures(peer)) == fewest).collect()
+    }
+
+    fn known(&self) -> impl Iterator<Item = &Peer> {
+        self.near.iter().chain(&self.far)
     }
 
     /// Records that a tunnel through the router was opened.
