Limits: one parser of headers that an answer may repeat

Three copies of the same loop (advertised limits, backoffs, rejection tolerance) become parse_single.

--- a/crates/limits/src/advertised_limit.rs
+++ b/crates/limits/src/advertised_limit.rs
@@ -1,5 +1,7 @@
 //! Limits that a server's answer advertises for all routers together.
 
+use crate::header_value::parse_single;
+
 /// Highest accepted rate, in requests per second: more than any server can serve.
 const MAX_PER_SECOND: f64 = 1e6;
 
@@ -58,18 +60,12 @@
 impl AdvertisedLimit {
     /// Parses the values of an answer's header. `None` is a value that isn't text.
     pub fn parse<'a>(values: impl IntoIterator<Item = Option<&'a str>>) -> Self {
-        let mut advertised = AdvertisedLimit::Nothing;
-        for value in values {
-            let next = match value.map_or(Err(RateError::NotANumber), parse_rate) {
-                Ok(rate) => AdvertisedLimit::Rate(rate),
-                Err(error) => return AdvertisedLimit::Invalid(error),
-            };
-            if advertised != AdvertisedLimit::Nothing && advertised != next {
-                return AdvertisedLimit::Invalid(RateError::Conflicting);
-            }
-            advertised = next;
+        let (not_text, conflicting) = (RateError::NotANumber, RateError::Conflicting);
+        match parse_single(values, parse_rate, not_text, conflicting) {
+            Ok(None) => AdvertisedLimit::Nothing,
+            Ok(Some(value)) => AdvertisedLimit::Rate(value),
+            Err(error) => AdvertisedLimit::Invalid(error),
         }
-        advertised
     }
 }
 
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -20,6 +20,7 @@
 mod account;
 mod advertised_limit;
 mod bucket;
+mod header_value;
 mod known_refusals;
 mod local;
 mod notice;
--- a/crates/limits/src/notice.rs
+++ b/crates/limits/src/notice.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::header_value::parse_single;
+
 /// Longest accepted backoff. A longer one could take a server out of service for good.
 const MAX_BACKOFF: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -34,18 +36,12 @@
 impl RequestedBackoff {
     /// Parses the values of an answer's header, in seconds. `None` is a value that isn't text.
     pub fn parse<'a>(values: impl IntoIterator<Item = Option<&'a str>>) -> Self {
-        let mut requested = RequestedBackoff::Nothing;
-        for value in values {
-            let next = match value.map_or(Err(BackoffError::NotANumber), parse_backoff) {
-                Ok(backoff) => RequestedBackoff::For(backoff),
-                Err(error) => return RequestedBackoff::Invalid(error),
-            };
-            if requested != RequestedBackoff::Nothing && requested != next {
-                return RequestedBackoff::Invalid(BackoffError::Conflicting);
-            }
-            requested = next;
+        let (not_text, conflicting) = (BackoffError::NotANumber, BackoffError::Conflicting);
+        match parse_single(values, parse_backoff, not_text, conflicting) {
+            Ok(None) => RequestedBackoff::Nothing,
+            Ok(Some(value)) => RequestedBackoff::For(value),
+            Err(error) => RequestedBackoff::Invalid(error),
         }
-        requested
     }
 }
 
--- a/crates/limits/src/rejection_tolerance.rs
+++ b/crates/limits/src/rejection_tolerance.rs
@@ -1,5 +1,7 @@
 //! How many requests a brittle server may reject per second before it crashes.
 
+use crate::header_value::parse_single;
+
 /// Highest accepted tolerance, in rejections per second: no server rejects more.
 const MAX_PER_SECOND: u32 = 1_000_000;
 
@@ -32,18 +34,12 @@
 impl RejectionTolerance {
     /// Parses the values of an answer's header. `None` is a value that isn't text.
     pub fn parse<'a>(values: impl IntoIterator<Item = Option<&'a str>>) -> Self {
-        let mut stated = RejectionTolerance::Nothing;
-        for value in values {
-            let next = match value.map_or(Err(ToleranceError::NotANumber), parse_tolerance) {
-                Ok(per_second) => RejectionTolerance::PerSecond(per_second),
-                Err(error) => return RejectionTolerance::Invalid(error),
-            };
-            if stated != RejectionTolerance::Nothing && stated != next {
-                return RejectionTolerance::Invalid(ToleranceError::Conflicting);
-            }
-            stated = next;
+        let (not_text, conflicting) = (ToleranceError::NotANumber, ToleranceError::Conflicting);
+        match parse_single(values, parse_tolerance, not_text, conflicting) {
+            Ok(None) => RejectionTolerance::Nothing,
+            Ok(Some(value)) => RejectionTolerance::PerSecond(value),
+            Err(error) => RejectionTolerance::Invalid(error),
         }
-        stated
     }
 }
 
