Tests of placement: the simulated fleets use the simulation's event queue

Two copies of an event queue go. Order of events unchanged (time, then insertion); both fleets' tests pass with the same seeds, sizes and bounds.

--- a/crates/placement/tests/brittle_servers/world.rs
+++ b/crates/placement/tests/brittle_servers/world.rs
@@ -1,8 +1,7 @@
 //! Simulated fleet of routers before servers that reject what they have no room for, and crash if they
 //! reject too many requests per second.
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +12,7 @@
 use juniper_registry::{
     Instance, InstanceId, InstanceMap, InstanceName, InstanceReport, InstanceState, StartTime,
 };
+use juniper_simulation::{EventQueue, MILLI};
 use juniper_types::{NodeId, Timestamp};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -96,10 +96,7 @@
     tolerance: u32,
     routers: Vec<Placement>,
     servers: Vec<Server>,
-    now_ms: u64,
-    events: BinaryHeap<Reverse<(u64, u64)>>,
-    contents: HashMap<u64, Event>,
-    last_event: u64,
+    events: EventQueue<Event>,
     last_request: u16,
     random: ChaCha8Rng,
     crashes: usize,
@@ -142,10 +139,7 @@
             tolerance,
             routers: (0..sizes.routers).map(router).collect(),
             servers: (0..sizes.servers).map(|_| Server::default()).collect(),
-            now_ms: 0,
-            events: BinaryHeap::new(),
-            contents: HashMap::new(),
-            last_event: 0,
+            events: EventQueue::default(),
             last_request: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
             crashes: 0,
@@ -162,27 +156,28 @@
     /// Requests answered, relative to the servers' capacity.
     pub fn utilization(&self) -> f64 {
         let capacity = (self.sizes.servers * SLOTS) as f64 / SERVICE_MS as f64;
-        self.answered as f64 / (capacity * self.now_ms as f64)
+        self.answered as f64 / (capacity * self.now_ms() as f64)
     }
 
     fn now(&self) -> Timestamp {
-        Timestamp::from_millis(self.now_ms)
+        Timestamp::from_millis(self.now_ms())
     }
 
     fn schedule(&mut self, after_ms: u64, event: Event) {
-        self.last_event += 1;
-        self.events.push(Reverse((self.now_ms + after_ms, self.last_event)));
-        self.contents.insert(self.last_event, event);
+        self.events.schedule_after(after_ms * MILLI, event);
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.events.now() / MILLI
     }
 
     /// Plays for this time, in milliseconds.
     pub fn play(&mut self, time_ms: u64) {
-        while let Some(Reverse((at_ms, number))) = self.events.pop() {
-            if at_ms > time_ms {
+        while let Some(event) = self.events.pop() {
+            if self.now_ms() > time_ms {
                 return;
             }
-            self.now_ms = at_ms;
-            match self.contents.remove(&number).expect("scheduled") {
+            match event {
                 Event::Arrival => self.arrive(),
                 Event::AtServer(request, choice) => self.reach_server(request, &choice),
                 Event::ServerEnd(server, life) => self.end_at_server(server, life),
@@ -234,10 +229,10 @@
     fn reach_server(&mut self, mut request: Request, choice: &Choice) {
         let number = number_of(&choice.instance);
         request.excluded.push(choice.instance.clone());
-        if self.now_ms < self.servers[number].down_until_ms {
+        if self.now_ms() < self.servers[number].down_until_ms {
             return self.schedule(NETWORK_MS, Event::Answer(request, Outcome::Unreachable));
         }
-        let queue = if self.now_ms < NO_QUEUE_AT_MS { QUEUE } else { 0 };
+        let queue = if self.now_ms() < NO_QUEUE_AT_MS { QUEUE } else { 0 };
         let server = &mut self.servers[number];
         if server.present.len() >= SLOTS + queue {
             self.schedule(NETWORK_MS, Event::Answer(request, Outcome::Full));
@@ -265,7 +260,7 @@
     }
 
     fn count_rejection(&mut self, number: usize) {
-        let (now_ms, tolerance) = (self.now_ms, self.tolerance as usize);
+        let (now_ms, tolerance) = (self.now_ms(), self.tolerance as usize);
         let server = &mut self.servers[number];
         server.rejections.retain(|at| now_ms - at < 1_000);
         server.rejections.push_back(now_ms);
--- a/crates/placement/tests/cut_off_routers/world.rs
+++ b/crates/placement/tests/cut_off_routers/world.rs
@@ -1,7 +1,5 @@
 //! Simulated fleet: routers with a placement each, servers, and delayed reports between routers.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +8,7 @@
 use juniper_registry::{
     Instance, InstanceId, InstanceMap, InstanceName, InstanceReport, InstanceState, StartTime,
 };
+use juniper_simulation::{EventQueue, MILLI};
 use juniper_types::Timestamp;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -94,10 +93,7 @@
     cut: Cut,
     routers: Vec<Router>,
     crashed: Vec<bool>,
-    now_ms: u64,
-    events: BinaryHeap<Reverse<(u64, u64)>>,
-    contents: std::collections::HashMap<u64, Event>,
-    last_event: u64,
+    events: EventQueue<Event>,
     random: ChaCha8Rng,
     attempts: Vec<ObservedAttempt>,
 }
@@ -141,10 +137,7 @@
             cut,
             routers: routers.collect(),
             crashed: vec![false; sizes.servers],
-            now_ms: 0,
-            events: BinaryHeap::new(),
-            contents: std::collections::HashMap::new(),
-            last_event: 0,
+            events: EventQueue::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
             attempts: Vec::new(),
         };
@@ -162,13 +155,15 @@
     }
 
     fn now(&self) -> Timestamp {
-        Timestamp::from_millis(self.now_ms)
+        Timestamp::from_millis(self.now_ms())
     }
 
     fn schedule(&mut self, after_ms: u64, event: Event) {
-        self.last_event += 1;
-        self.events.push(Reverse((self.now_ms + after_ms, self.last_event)));
-        self.contents.insert(self.last_event, event);
+        self.events.schedule_after(after_ms * MILLI, event);
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.events.now() / MILLI
     }
 
     fn schedule_arrival(&mut self, router: usize) {
@@ -179,12 +174,10 @@
 
     /// Plays until `after_cut_ms` after the cut.
     pub fn play(&mut self, after_cut_ms: u64) {
-        while let Some(Reverse((at_ms, number))) = self.events.pop() {
-            if at_ms > CUT_AT_MS + after_cut_ms {
+        while let Some(event) = self.events.pop() {
+            if self.now_ms() > CUT_AT_MS + after_cut_ms {
                 return;
             }
-            self.now_ms = at_ms;
-            let event = self.contents.remove(&number).expect("scheduled");
             self.handle(event);
         }
     }
@@ -217,14 +210,14 @@
         let verifications = verifications.into_iter().map(|(instance, _)| (instance, true));
         for (instance, is_verification) in probes.chain(verifications).collect::<Vec<_>>() {
             let (ok, after_ms) = self.connect(router, &instance);
-            let probe = Probe { instance, sent_ms: self.now_ms, is_verification };
+            let probe = Probe { instance, sent_ms: self.now_ms(), is_verification };
             self.schedule(after_ms, Event::ProbeEnd { router, probe, ok });
         }
     }
 
     /// Whether a connection is established, and the time that this takes, in milliseconds.
     fn connect(&self, router: usize, instance: &InstanceId) -> (bool, u64) {
-        if self.now_ms < CUT_AT_MS {
+        if self.now_ms() < CUT_AT_MS {
             return (true, 1);
         }
         if self.crashed[number_of(instance)] {
@@ -269,7 +262,7 @@
         let Router { is_cut_off, is_observed, .. } = self.routers[router];
         if is_observed && !is_cut_off && excluded.is_empty() {
             let candidates = choice.candidates;
-            self.attempts.push(ObservedAttempt { at_ms: self.now_ms, candidates, ok });
+            self.attempts.push(ObservedAttempt { at_ms: self.now_ms(), candidates, ok });
         }
         let after_ms = connect_ms + if ok { SERVICE_MS } else { 0 };
         excluded.push(choice.instance.clone());
