--- a/crates/gateway/tests/paths/cut_off_soak/faults.rs
+++ b/crates/gateway/tests/paths/cut_off_soak/faults.rs
@@ -24,8 +24,7 @@
     pub until: Instant,
 }
 
-/// A router, while it runs, and the updates of it that the others have got.
-#[derive(Default)]
+/// Place of a router in the fleet, empty while it is down.
 pub struct RouterSlot {
     process: Mutex<Option<Arc<RouterProcess>>>,
 }
