Dispatches are reported at the choice where the path is proven

Cause: since dispatches are reported only once there is a connection, other routers learn of a request's load later by the time of a handshake, and choose the same servers meanwhile. In this fleet most requests open a connection (9,338 for 14,660).

Change: reported at the choice if this router has connected to servers of the service and no attempt has failed since that a partition may explain, nor a connection to this server; else with the connection, as before. A router that is cut off reports what it chooses until its first failure, 0.3 s at most.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -113,7 +113,9 @@
     pub sent_at: Timestamp,
     connection: Option<ServerConnection>,
     ticket: Option<Ticket>,
-    /// Number of the request in this router's dispatch reports, if it was reported.
+    /// Whether the dispatch was reported to the other routers.
+    is_reported: bool,
+    /// Number of the request in this router's dispatch reports, unless the report was dropped.
     report_number: Option<u16>,
     /// Idle time after which the server closes the connection, if stated.
     server_idle_timeout: Option<Duration>,
@@ -150,6 +152,17 @@
         }
     }
 
+    /// Reports the dispatch to the other routers.
+    fn report_dispatch(&mut self, choice: &Choice) {
+        if std::mem::replace(&mut self.is_reported, true) {
+            return;
+        }
+        self.report_number = self.gateway.updates.push_dispatch(choice);
+        if self.report_number.is_none() {
+            self.gateway.metrics.dropped_dispatch_reports.inc();
+        }
+    }
+
     /// Ends a failed attempt and closes its connection.
     pub(crate) fn fail(mut self, outcome: Outcome) {
         self.close(outcome);
@@ -228,6 +241,7 @@
         sent_at: now,
         connection: None,
         ticket: Some(ticket),
+        is_reported: false,
         report_number: None,
         server_idle_timeout: None,
         is_reusable: false,
@@ -241,6 +255,10 @@
     if last_event.is_some() {
         attempt.exclude_from_timing();
     }
+    // The sooner the other routers know of the load, the fewer choose the same server.
+    if gateway.placement().is_path_proven(&choice.instance) {
+        attempt.report_dispatch(choice);
+    }
     match exchange(gateway, call, choice, last_event, deadline, granted, &mut attempt).await {
         Ok(response) => Ok(Answered { attempt, response }),
         Err(error) => {
@@ -262,13 +280,10 @@
     let limit = gateway.connection_limit(&call.view, &call.service);
     let connecting = gateway.connect_server(&choice.instance, choice.address, limit);
     let connection = connecting.await.map_err(AttemptError::NotSent)?;
+    // Not before where the path isn't proven: other routers would attribute load and cached prefixes
+    // to a server that gets nothing.
+    attempt.report_dispatch(choice);
     let connection = attempt.connection.insert(connection);
-    // Not before: other routers would attribute load and cached prefixes to a server that gets
-    // nothing.
-    attempt.report_number = gateway.updates.push_dispatch(choice);
-    if attempt.report_number.is_none() {
-        gateway.metrics.dropped_dispatch_reports.inc();
-    }
     // The answer to another request may have requested a backoff while this request waited for its
     // connection.
     if let Some(backoff) = gateway.placement().remaining_backoff(&choice.instance, gateway.now()) {
--- a/crates/placement/src/direct_paths.rs
+++ b/crates/placement/src/direct_paths.rs
@@ -49,6 +49,8 @@
     /// Failures to report to the other routers.
     reportable: Vec<ReportableFailure>,
     next_reference: Timestamp,
+    /// Whether any server was reached.
+    has_connected: bool,
 }
 
 impl DirectPaths {
@@ -77,6 +79,7 @@
         started_at: Timestamp,
         now: Timestamp,
     ) {
+        self.has_connected = true;
         let is_explained = |failure: &Failure| failure.at <= started_at;
         let reportable = self.failures.iter().filter(|failure| {
             let is_recent = now.since(failure.at) < MAX_REPORTED_AGE;
@@ -96,6 +99,12 @@
         std::mem::take(&mut self.reportable)
     }
 
+    /// Whether servers have been reached, and no attempt has failed since that a partition of this
+    /// router may explain.
+    pub(crate) fn is_proven(&self) -> bool {
+        self.has_connected && self.failures.is_empty()
+    }
+
     /// Whether this router seems to be cut off from all servers of the service.
     pub(crate) fn is_cut_off(&self) -> bool {
         self.failures.iter().filter(|failure| failure.is_new).count() >= MIN_FAILED_SERVERS
--- a/crates/placement/src/reachability.rs
+++ b/crates/placement/src/reachability.rs
@@ -94,11 +94,10 @@
         now: Timestamp,
     ) {
         let Some(server) = incarnation_mut(&mut self.servers, instance) else { return };
-        if let Some(paths) = self.direct_paths.get_mut(&server.instance.report.service) {
-            paths.record_success(instance, started_at, now);
-        }
         server.health.mark_reachable();
         server.record_evidence(now);
+        let service = server.instance.report.service.clone();
+        self.direct_paths.entry(service).or_default().record_success(instance, started_at, now);
     }
 
     /// Records that this router failed to connect to the server. `is_refused` states whether the
@@ -156,6 +155,15 @@
         self.direct_paths.values_mut().flat_map(DirectPaths::take_reportable).collect()
     }
 
+    /// Whether a request can be expected to reach the server: this router has connected to servers of
+    /// its service, and since then no attempt has failed that a partition of this router may explain,
+    /// nor has a connection to this server failed or broken.
+    pub fn is_path_proven(&self, instance: &InstanceId) -> bool {
+        let Some(server) = self.server(instance) else { return false };
+        let paths = self.direct_paths.get(&server.instance.report.service);
+        paths.is_some_and(DirectPaths::is_proven) && !server.health.awaits_probe()
+    }
+
     /// Whether this router seems to be partitioned from all servers of this server's service.
     pub fn is_cut_off(&self, instance: &InstanceId) -> bool {
         let service = self.server(instance).map(|server| &server.instance.report.service);
