Logs state the software version of the chosen server and the stream that a request resumes

Cause: the adapter dropped the software version of a heartbeat and the header by which a caller names the attempt that began its stream, so no log line could tell which of the two ways led a stream to another version. The registry carries the version as an opaque name of the incarnation, distinct from the version of the weights; unusable names count as unknown. No decision changes.

--- a/crates/control/tests/fleet_log.rs
+++ b/crates/control/tests/fleet_log.rs
@@ -14,6 +14,7 @@
     Arc::new(Instance::of(InstanceReport {
         name: InstanceName::new(format!("i-{number:06}")),
         started: StartTime::from_unix_ms(1_784_840_000_000),
+        software: None,
         service: "llm".to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, (number >> 8) as u8, number as u8), 80),
         zone: "north".to_owned(),
--- a/crates/feed/tests/view_builder.rs
+++ b/crates/feed/tests/view_builder.rs
@@ -44,6 +44,7 @@
     let report = InstanceReport {
         name: InstanceName::new(id),
         started: StartTime::UNKNOWN,
+        software: None,
         service: "llm".to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 80),
         zone: "north".to_owned(),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -22,6 +22,9 @@
     pub prompt: Option<Prompt>,
     /// Number of the last stream event that the caller has received.
     pub last_event: Option<u64>,
+    /// Id of the caller's request whose answer brought the first event of the stream that this
+    /// request resumes, if the caller states it.
+    pub resumed_attempt: Option<HeaderValue>,
 }
 
 /// Why the head of a request can't be parsed.
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -12,6 +12,7 @@
 use crate::answer::OwnAnswer;
 use crate::attempt::{Answered, AttemptError, send};
 use crate::call::{Call, NO_SERVER_RETRY_AFTER};
+use crate::dialect::CallInfo;
 use crate::finish::PendingAnswer;
 use crate::gateway::Gateway;
 use crate::limits::GrantedCharge;
@@ -283,13 +284,20 @@
         );
     }
 
+    /// Id of the request that began the stream which this request resumes, for logs.
+    fn resumed_request(&self) -> &str {
+        let CallInfo { last_event, resumed_attempt, .. } = &self.call.info;
+        let resumed = resumed_attempt.as_ref().filter(|_| last_event.is_some());
+        resumed.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
     fn log_choice(&self, choice: &Choice) {
         self.gateway.metrics.cached_tokens.inc_by(u64::from(choice.cached_tokens));
         self.gateway.metrics.prefill_tokens.inc_by(u64::from(choice.prefill_tokens));
         log::info!(
             "event=attempt request={} route={} service={} instance={} reason={} cost_ms={:.1} \
-             late={} kept={} missed={} chain={:08x} version={} source={} candidates={} catalog={} age_ms={} sent={} \
-             expected_ms={:.0}",
+             late={} kept={} missed={} chain={:08x} version={} software={} resumes={} source={} candidates={} \
+             catalog={} age_ms={} sent={} expected_ms={:.0}",
             self.call.id(),
             self.call.route.name,
             self.call.service,
@@ -301,6 +309,8 @@
             choice.prefill_tokens,
             choice.keys.last().copied().unwrap_or(0) >> 32,
             choice.version,
+            choice.software.as_ref().map_or("-", |software| software.as_str()),
+            self.resumed_request(),
             choice.source.map_or_else(|| "-".to_owned(), |source| source.to_string()),
             choice.candidates,
             self.call.view.catalog_version(),
--- a/crates/gateway/tests/paths/support/dialect.rs
+++ b/crates/gateway/tests/paths/support/dialect.rs
@@ -33,6 +33,7 @@
             key: key.map(str::to_owned),
             prompt: number(headers, "x-prompt").map(prompt),
             last_event: number(headers, "x-last"),
+            resumed_attempt: headers.get("x-resumes").cloned(),
         })
     }
 
--- a/crates/gateway/tests/paths/support/server.rs
+++ b/crates/gateway/tests/paths/support/server.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use juniper_registry::{InstanceName, InstanceReport, InstanceState, StartTime};
+use juniper_registry::{InstanceName, InstanceReport, InstanceState, SoftwareVersion, StartTime};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -27,6 +27,7 @@
 pub struct FakeServer {
     name: String,
     port: u16,
+    software: Option<SoftwareVersion>,
     requests: Arc<Mutex<Vec<String>>>,
     /// Connections that the client closed before the answer was complete.
     abandoned: Arc<AtomicUsize>,
@@ -45,6 +46,7 @@
         let server = FakeServer {
             name: name.to_owned(),
             port,
+            software: SoftwareVersion::new("v1"),
             requests: Arc::default(),
             abandoned: Arc::default(),
             connections: Arc::default(),
@@ -67,10 +69,17 @@
         server
     }
 
+    /// States this software version from now on; an empty one stands for none.
+    pub fn with_software(mut self, version: &str) -> Self {
+        self.software = SoftwareVersion::new(version);
+        self
+    }
+
     pub fn report(&self) -> InstanceReport {
         InstanceReport {
             name: InstanceName::new(&self.name),
             started: StartTime::UNKNOWN,
+            software: self.software.clone(),
             service: "app".to_owned(),
             address: super::loopback(self.port),
             zone: "north".to_owned(),
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -91,6 +91,7 @@
         prefill_tokens: request.prompt.map_or(0, |prompt| prompt.tokens),
         candidates: candidates.len(),
         version: request.prompt.map_or(0, |prompt| candidates[index].version_of(&prompt.model)),
+        software: report.software.clone(),
         source: None,
         store: None,
         keys: Vec::new(),
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -5,7 +5,7 @@
 
 use juniper_admission::ServerCalls;
 use juniper_prefix_index::rendezvous;
-use juniper_registry::InstanceId;
+use juniper_registry::{InstanceId, SoftwareVersion};
 use juniper_types::Timestamp;
 
 use crate::admission::Overload;
@@ -77,6 +77,8 @@
     pub candidates: usize,
     /// Version of the model weights on the server; zero without a model.
     pub version: u64,
+    /// Version of the server's software, if known.
+    pub software: Option<SoftwareVersion>,
     /// Server with the same weights, or store, from which further segments can be fetched.
     pub source: Option<SocketAddrV4>,
     /// Store that should save the prompt's segments after prefill.
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -184,6 +184,7 @@
             prefill_tokens: work.prefill_tokens,
             candidates: servers.len(),
             version,
+            software: server.instance.report.software.clone(),
             source: source.or(store).filter(|_| work.can_transfer),
             store: store.filter(|_| work.should_store(tokens, chain.all_tokens())),
             segment_tokens: chain.segment_tokens(),
--- a/crates/placement/tests/brittle_servers/world.rs
+++ b/crates/placement/tests/brittle_servers/world.rs
@@ -107,6 +107,7 @@
     let report = InstanceReport {
         name: InstanceName::new(format!("i-{number}")),
         started: StartTime::UNKNOWN,
+        software: None,
         service: SERVICE.to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 8, 0, number as u8), 80),
         zone: "north".to_owned(),
--- a/crates/placement/tests/cut_off_routers/world.rs
+++ b/crates/placement/tests/cut_off_routers/world.rs
@@ -102,6 +102,7 @@
     let report = InstanceReport {
         name: InstanceName::new(format!("i-{number}")),
         started: StartTime::UNKNOWN,
+        software: None,
         service: SERVICE.to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 9, (number >> 8) as u8, number as u8), 80),
         zone: ZONES[number % ZONES.len()].to_owned(),
--- a/crates/placement/tests/notices/world.rs
+++ b/crates/placement/tests/notices/world.rs
@@ -150,6 +150,7 @@
     Instance::of(InstanceReport {
         name: InstanceName::new(format!("i-{number}")),
         started: StartTime::UNKNOWN,
+        software: None,
         service: SERVICE.to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number as u8), 80),
         zone: "north".to_owned(),
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -31,6 +31,7 @@
     let report = InstanceReport {
         name: InstanceName::new(format!("i-{number}")),
         started: StartTime::UNKNOWN,
+        software: None,
         service: SERVICE.to_owned(),
         address: address(number),
         zone: "north".to_owned(),
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -17,6 +17,7 @@
 mod instance_map;
 mod observed;
 mod report;
+mod software;
 
 pub use departure::{Departure, Departures};
 pub use directory::{Directory, Instance};
@@ -24,3 +25,4 @@
 pub use instance_map::{InstanceChanges, InstanceMap};
 pub use observed::{HeartbeatOutcome, ObservedInstance, ObservedInstances};
 pub use report::{InstanceReport, InstanceState, LoadedModel};
+pub use software::SoftwareVersion;
--- a/crates/registry/src/report.rs
+++ b/crates/registry/src/report.rs
@@ -5,6 +5,7 @@
 use minicbor::{Decode, Encode};
 
 use crate::incarnation::{InstanceId, InstanceName, StartTime};
+use crate::software::SoftwareVersion;
 
 /// Whether a server accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
@@ -62,6 +63,11 @@
     #[n(9)]
     #[cbor(default)]
     pub started: StartTime,
+    /// Version of the software of the incarnation; `None` if the server states none, or if the
+    /// heartbeat passed through a replica of an earlier build.
+    #[n(10)]
+    #[cbor(default)]
+    pub software: Option<SoftwareVersion>,
 }
 
 impl InstanceReport {
@@ -88,6 +94,7 @@
             && self.slots == other.slots
             && self.state == other.state
             && self.models == other.models
+            && self.software == other.software
             && is_cold(self) == is_cold(other)
     }
 
--- a/crates/registry/tests/incarnations.rs
+++ b/crates/registry/tests/incarnations.rs
@@ -22,6 +22,7 @@
     InstanceReport {
         name: InstanceName::new("a"),
         started: StartTime::from_unix_ms(started),
+        software: None,
         service: "app".to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 80),
         zone: "north".to_owned(),
--- a/crates/registry/tests/instance_map.rs
+++ b/crates/registry/tests/instance_map.rs
@@ -17,6 +17,7 @@
     Arc::new(Instance::of(InstanceReport {
         name: name(number),
         started: StartTime::UNKNOWN,
+        software: None,
         service: "llm".to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, number),
         zone: "north".to_owned(),
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -20,6 +20,7 @@
     InstanceReport {
         name: InstanceName::new(id),
         started: StartTime::UNKNOWN,
+        software: None,
         service: "app".to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 80),
         zone: "north".to_owned(),
