Failing tests: streams that continue at another software version

The gateway's own resume within an answer, and a caller's resume at a router that doesn't know which version began the stream.

--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -15,5 +15,6 @@
 mod reachability;
 mod retries;
 mod server_limits;
+mod software_versions;
 mod startup;
 mod support;
--- /dev/null
+++ b/crates/gateway/tests/paths/software_versions.rs
@@ -0,0 +1,46 @@
+//! Streams continue only at servers of the software version that began them.
+
+use crate::support::TestGateway;
+use crate::support::caller::{Answer, ask, get, request_head};
+use crate::support::server::{FakeServer, LAST_CHUNK, Step, event, header, stream_head};
+
+/// Server whose streams break after their first event, and whose rest of a stream is complete.
+async fn breaking_server(name: &'static str, software: &str) -> FakeServer {
+    let script = move |_: usize, head: &str| match header(head, "x-last") {
+        None => vec![Step::Send(stream_head(head, name)), Step::Send(event(1)), Step::Close],
+        Some(last) => {
+            let next = last.parse::<u64>().expect("a number") + 1;
+            let steps = [stream_head(head, name), event(next), LAST_CHUNK.to_owned()];
+            steps.into_iter().map(Step::Send).collect()
+        }
+    };
+    FakeServer::start(name, script).await.with_software(software)
+}
+
+/// Resumes after the first event the stream that the answer to `began` brought.
+async fn resume(gateway: &TestGateway, id: &str, began: &str) -> Answer {
+    let head = request_head("GET", "/resumable/x", id);
+    ask(gateway.callers, &format!("{head}x-last: 1\r\nx-resumes: {began}\r\n\r\n")).await
+}
+
+fn total_requests(servers: &[&FakeServer]) -> usize {
+    servers.iter().map(|server| server.requests().len()).sum()
+}
+
+#[tokio::test]
+async fn a_router_resumes_a_stream_at_another_software_version() {
+    let (one, other) = (breaking_server("a", "v1").await, breaking_server("b", "v2").await);
+    let gateway = TestGateway::start(&[&one, &other]).await;
+    let answer = get(gateway.callers, "/resumable/x", "r1").await;
+    assert!(!answer.complete && answer.body.contains("d1"), "{answer:?}");
+    assert_eq!(total_requests(&[&one, &other]), 1);
+}
+
+#[tokio::test]
+async fn a_caller_resumes_a_stream_of_unknown_software_version() {
+    let server = breaking_server("a", "v1").await;
+    let gateway = TestGateway::start(&[&server]).await;
+    let answer = resume(&gateway, "r2", "r1").await;
+    assert_eq!((answer.status, answer.header("retry-after")), (503, None), "{answer:?}");
+    assert_eq!(server.requests().len(), 0);
+}
