A router resumes a stream only at a server of the software version that began it

What callers saw: a stream whose server crashed went on, in the same answer, with events that a server of another software version had made.

The first event passed on fixes the version; before it, any version may begin. The placement filters candidates by the version on every way to a choice, the random last resort included. An unknown version equals nothing. Without a server of the version the stream is broken off at once, and no retry is taken from the budget. A log line event=not_resumable names the version, the excluded servers and the reason.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -7,6 +7,7 @@
 
 use crate::body::AnswerBody;
 use crate::dialect::Dialect;
+use crate::resume::ResumeRefusal;
 
 /// `Retry-After` while no configuration is known.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -49,6 +50,8 @@
     /// Servers crashed under the same request, so it isn't sent to any server. It may have run
     /// before.
     Quarantined,
+    /// The stream can't be resumed, now or later. The request has not run.
+    NotResumable(ResumeRefusal),
     /// The server failed; the request may have run.
     ServerFailed,
     /// The deadline has passed; the request may have run.
@@ -70,6 +73,7 @@
             | OwnAnswer::Overloaded(_)
             | OwnAnswer::ServersAtLimit(_)
             | OwnAnswer::ServersBackingOff(_)
+            | OwnAnswer::NotResumable(_)
             | OwnAnswer::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             // Not 503, which would state that the request has not run and may be retried, and not
             // 4xx, since the caller is allowed to send it.
@@ -95,6 +99,7 @@
             OwnAnswer::OverLimit(_) => "over_limit",
             OwnAnswer::TooLate => "too_late",
             OwnAnswer::Quarantined => "quarantined",
+            OwnAnswer::NotResumable(refusal) => refusal.as_str(),
             OwnAnswer::ServerFailed => "server_failed",
             OwnAnswer::DeadlinePassed => "deadline_passed",
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, Response, StatusCode};
 use juniper_clock::BootInstant;
 use juniper_placement::{Choice, ExpectedTiming, Outcome, Ticket};
-use juniper_registry::InstanceId;
+use juniper_registry::{InstanceId, SoftwareVersion};
 use juniper_types::Timestamp;
 use tokio::time::{Instant, timeout_at};
 
@@ -109,6 +109,8 @@
 pub(crate) struct Attempt {
     gateway: Arc<Gateway>,
     pub instance: InstanceId,
+    /// Software version of the server, if known.
+    pub software: Option<SoftwareVersion>,
     /// When the request was sent.
     pub sent_at: Timestamp,
     connection: Option<ServerConnection>,
@@ -238,6 +240,7 @@
     let mut attempt = Attempt {
         gateway: Arc::clone(gateway),
         instance: choice.instance.clone(),
+        software: choice.software.clone(),
         sent_at: now,
         connection: None,
         ticket: Some(ticket),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod pool;
 mod probe;
 mod relay;
+mod resume;
 mod retry;
 mod retry_budget;
 mod returns;
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use juniper_placement::{Choice, ChoiceError, Overload, ServerRequest};
-use juniper_registry::InstanceId;
+use juniper_registry::{InstanceId, SoftwareVersion};
 use juniper_types::Timestamp;
 use juniper_waiting::Return;
 use tokio::time::Instant;
@@ -16,6 +16,7 @@
 use crate::finish::PendingAnswer;
 use crate::gateway::Gateway;
 use crate::limits::GrantedCharge;
+use crate::resume::ResumeRefusal;
 use crate::retry::Progress;
 use crate::retry_budget::GrantedRetry;
 use crate::server_limits::Admission;
@@ -43,13 +44,21 @@
     call: &'a Call,
     pub progress: Progress,
     excluded: Vec<InstanceId>,
+    /// Software version that began the stream; `None` while any version may begin it.
+    software: Option<SoftwareVersion>,
     last_error: Option<AttemptError>,
 }
 
 impl<'a> ServerSearch<'a> {
     pub(crate) fn new(gateway: &'a Arc<Gateway>, call: &'a Call) -> Self {
         let (progress, excluded) = (Progress::default(), Vec::new());
-        ServerSearch { gateway, call, progress, excluded, last_error: None }
+        ServerSearch { gateway, call, progress, excluded, software: None, last_error: None }
+    }
+
+    /// Restricts the search to servers of the software version that began the stream.
+    pub(crate) fn with_software(mut self, software: Option<SoftwareVersion>) -> Self {
+        self.software = software;
+        self
     }
 
     /// Continues a search after an attempt at `failed`.
@@ -75,8 +84,16 @@
                 };
                 return Err(self.final_answer(answer));
             }
-            let granted = self.take_retry()?;
             let seen_views = *self.gateway.applied_views.borrow();
+            if !self.may_find_software() {
+                if self.wait_for_servers(seen_views).await {
+                    continue;
+                }
+                let refusal = ResumeRefusal::NoSoftware;
+                self.log_not_resumable(refusal);
+                return Err(self.final_answer(OwnAnswer::NotResumable(refusal)));
+            }
+            let granted = self.take_retry()?;
             let (choice, charge) = match self.choose_admitted().await {
                 Ok(admitted) => admitted,
                 Err(ChoiceError::NoServer) if self.wait_for_servers(seen_views).await => continue,
@@ -146,6 +163,15 @@
         self.last_error = Some(error);
     }
 
+    /// Whether a server of the required software version is left. Checked before a retry is taken
+    /// from the budget.
+    fn may_find_software(&self) -> bool {
+        let placement = self.gateway.placement();
+        self.software.as_ref().is_none_or(|software| {
+            placement.has_software(&self.call.service, software, &self.excluded)
+        })
+    }
+
     /// Takes a retry from the budget; the first attempt needs none.
     fn take_retry(&self) -> Result<Option<GrantedRetry>, OwnAnswer> {
         if self.progress.sent == 0 {
@@ -174,6 +200,7 @@
             prompt: self.call.info.prompt.as_ref(),
             sharing_key: hash_sharing_scope(&self.call.sharing_scope),
             excluded: &self.excluded,
+            software: self.software.as_ref(),
             excludes_limited,
             rank: self.call.priority,
             may_be_refused: self.progress.sent == 0 && self.call.info.last_event.is_none(),
@@ -216,6 +243,7 @@
             ChoiceError::NoServer | ChoiceError::OutdatedWeights => {
                 OwnAnswer::NoServer(NO_SERVER_RETRY_AFTER)
             }
+            ChoiceError::NoSoftware => OwnAnswer::NotResumable(ResumeRefusal::NoSoftware),
             ChoiceError::AllExcluded => OwnAnswer::Full(FULL_RETRY_AFTER),
             ChoiceError::Overloaded(overload) => {
                 self.log_overload(&overload);
@@ -284,6 +312,18 @@
         );
     }
 
+    fn log_not_resumable(&self, refusal: ResumeRefusal) {
+        log::info!(
+            "event=not_resumable request={} resumes={} service={} software={} reason={} excluded={}",
+            self.call.id(),
+            self.resumed_request(),
+            self.call.service,
+            self.software.as_ref().map_or("-", |software| software.as_str()),
+            refusal.as_str(),
+            self.excluded.len()
+        );
+    }
+
     /// Id of the request that began the stream which this request resumes, for logs.
     fn resumed_request(&self) -> &str {
         let CallInfo { last_event, resumed_attempt, .. } = &self.call.info;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use juniper_placement::Outcome;
+use juniper_registry::SoftwareVersion;
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::{Answered, Attempt};
@@ -42,6 +43,7 @@
     let relay = StreamRelay {
         last_event: call.info.last_event,
         resumed_after: call.info.last_event,
+        software: None,
         gateway,
         call,
         progress,
@@ -72,6 +74,8 @@
     last_event: Option<u64>,
     /// Last event that the current server was told to skip, if it produces just the rest.
     resumed_after: Option<u64>,
+    /// Software version that made the events passed on so far, if known.
+    software: Option<SoftwareVersion>,
     stats: StreamStats,
     last_sent_at: Option<Instant>,
     status: u16,
@@ -116,6 +120,8 @@
                 BodyError::Deadline | BodyError::MissingEvents => None,
                 // Without event numbers the position to resume from is unknown.
                 _ if self.stats.events > 0 && self.last_event.is_none() => None,
+                // Nor is known which servers' events fit those that the caller has.
+                _ if self.stats.events > 0 && self.software.is_none() => None,
                 _ => self.resume(instance.clone()).await,
             };
             let Some(answered) = next else {
@@ -132,6 +138,9 @@
     async fn resume(&mut self, failed: juniper_registry::InstanceId) -> Option<Answered> {
         let mut search =
             ServerSearch::new(&self.gateway, &self.call).continue_from(self.progress, failed);
+        if self.stats.events > 0 {
+            search = search.with_software(self.software.clone());
+        }
         self.resumed_after = self.last_event;
         let found = tokio::select! {
             found = search.run(self.last_event) => found.ok(),
@@ -167,6 +176,9 @@
             let mut output = BytesMut::new();
             for event in events {
                 if self.should_pass_on(event.id)? {
+                    if self.stats.events == 0 {
+                        self.software = attempt.software.clone();
+                    }
                     output.extend_from_slice(&event.bytes);
                     self.stats.events += 1;
                 }
--- a/crates/gateway/tests/paths/software_versions.rs
+++ b/crates/gateway/tests/paths/software_versions.rs
@@ -44,3 +44,28 @@
     assert_eq!((answer.status, answer.header("retry-after")), (503, None), "{answer:?}");
     assert_eq!(server.requests().len(), 0);
 }
+
+#[tokio::test]
+async fn a_router_resumes_a_stream_although_both_versions_are_unknown() {
+    let (one, other) = (breaking_server("a", "").await, breaking_server("b", "").await);
+    let gateway = TestGateway::start(&[&one, &other]).await;
+    let answer = get(gateway.callers, "/resumable/x", "r1").await;
+    assert!(!answer.complete && answer.body.contains("d1"), "{answer:?}");
+    assert_eq!(total_requests(&[&one, &other]), 1);
+}
+
+#[tokio::test]
+async fn a_stream_without_events_begins_at_another_version() {
+    let silent = |_: usize, head: &str| vec![Step::Send(stream_head(head, "a")), Step::Close];
+    let complete = |_: usize, head: &str| {
+        let steps = [stream_head(head, "b"), event(1), LAST_CHUNK.to_owned()];
+        steps.into_iter().map(Step::Send).collect()
+    };
+    let one = FakeServer::start("a", silent).await.with_software("v1");
+    let other = FakeServer::start("b", complete).await.with_software("v2");
+    let gateway = TestGateway::start(&[&one, &other]).await;
+    for number in 0..8 {
+        let answer = get(gateway.callers, "/resumable/x", &format!("r{number}")).await;
+        assert!(answer.complete && answer.body.contains("d1"), "{answer:?}");
+    }
+}
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -1,6 +1,6 @@
 //! Selection of the servers that may serve a request.
 
-use juniper_registry::InstanceName;
+use juniper_registry::{InstanceId, InstanceName, SoftwareVersion};
 use juniper_types::Timestamp;
 
 use crate::choice::{Choice, ChoiceError, Reason};
@@ -9,6 +9,28 @@
 use crate::server::Server;
 
 impl Placement {
+    /// Whether a server of the service that is not in `excluded` runs this software version.
+    pub fn has_software(
+        &self,
+        service: &str,
+        software: &SoftwareVersion,
+        excluded: &[InstanceId],
+    ) -> bool {
+        let members = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        members.iter().filter_map(|name| self.servers.get(name)).any(|server| {
+            server.is_in_service()
+                && server.runs_software(software)
+                && !excluded.contains(&server.instance.id)
+        })
+    }
+
+    /// Software version of a server's current incarnation; `None` if it is unknown, or if the
+    /// incarnation is no longer the current one.
+    pub fn software_of(&self, id: &InstanceId) -> Option<&SoftwareVersion> {
+        let server = self.servers.get(id.name()).filter(|server| server.instance.id == *id)?;
+        server.instance.report.software.as_ref()
+    }
+
     /// Servers that the request may be sent to.
     pub(crate) fn candidates(
         &self,
@@ -17,13 +39,17 @@
         now: Timestamp,
     ) -> Result<Vec<&Server>, ChoiceError> {
         let listed = members.iter().filter_map(|id| self.servers.get(id));
-        // The instance list lags behind the servers' own answers.
-        let is_in_service = |server: &&Server| !server.health.replaced && !server.is_departing;
-        let listed: Vec<&Server> = listed.filter(is_in_service).collect();
+        let listed: Vec<&Server> = listed.filter(|server| server.is_in_service()).collect();
         if listed.is_empty() {
             return Err(ChoiceError::NoServer);
         }
         let mut candidates: Vec<&Server> = listed;
+        if let Some(software) = request.software {
+            candidates.retain(|server| server.runs_software(software));
+            if candidates.is_empty() {
+                return Err(ChoiceError::NoSoftware);
+            }
+        }
         if let Some(prompt) = request.prompt {
             candidates.retain(|server| server.version_of(&prompt.model) >= request.min_version);
             if candidates.is_empty() {
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -147,6 +147,9 @@
     /// The service has no server.
     #[error("the service has no server")]
     NoServer,
+    /// No server of the service runs the required software version.
+    #[error("no server runs the required software version")]
+    NoSoftware,
     /// Every remaining server has already failed this request.
     #[error("every remaining server has already failed this request")]
     AllExcluded,
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use juniper_registry::InstanceId;
+use juniper_registry::{InstanceId, SoftwareVersion};
 
 /// A prefix segment of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,6 +52,9 @@
     pub sharing_key: u64,
     /// Servers that have already failed this request.
     pub excluded: &'a [InstanceId],
+    /// Software version that began the stream which the request resumes; only servers of this version
+    /// may be chosen. `None` for any version.
+    pub software: Option<&'a SoftwareVersion>,
     /// Whether servers with an advertised limit are excluded.
     pub excludes_limited: bool,
     /// Minimum version of the model weights.
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use juniper_limits::ServerLimit;
-use juniper_registry::Instance;
+use juniper_registry::{Instance, SoftwareVersion};
 use juniper_timing::ServerFactor;
 use juniper_types::Timestamp;
 
@@ -119,6 +119,17 @@
         self.limit.as_ref()?.remaining_wait(now)
     }
 
+    /// Whether the server may be used, according to its own answers too: the instance list lags
+    /// behind them.
+    pub(crate) fn is_in_service(&self) -> bool {
+        !self.health.replaced && !self.is_departing
+    }
+
+    /// Whether the server is known to run this software version.
+    pub(crate) fn runs_software(&self, software: &SoftwareVersion) -> bool {
+        self.instance.report.software.as_ref() == Some(software)
+    }
+
     /// Version of the model weights on the server; zero if it has none.
     pub(crate) fn version_of(&self, model: &str) -> u64 {
         self.instance.report.version_of(model).unwrap_or(0).max(self.observed_version)
--- a/crates/placement/tests/notices/world.rs
+++ b/crates/placement/tests/notices/world.rs
@@ -315,6 +315,7 @@
             prompt: None,
             sharing_key: 0,
             excluded: &call.excluded,
+            software: None,
             excludes_limited: false,
             rank: 1,
             may_be_refused: false,
--- a/crates/placement/tests/requests_without_prompt.rs
+++ b/crates/placement/tests/requests_without_prompt.rs
@@ -17,6 +17,7 @@
         prompt: None,
         sharing_key: 0,
         excluded: &[],
+        software: None,
         excludes_limited: false,
         rank: 1,
         may_be_refused: false,
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -73,6 +73,7 @@
         prompt: Some(prompt),
         sharing_key: 7,
         excluded,
+        software: None,
         excludes_limited: false,
         rank: 1,
         may_be_refused: false,
