A stream that a caller resumes continues at the software version that began it

What callers saw: a caller whose router had died, or whose stream had broken, resumed at another router and got the rest of the stream from a server of another software version. Cause: the header by which callers name the attempt that began was passed on and never read, and no router knew what another one began.

The router that passes on the first event records the service and the version under the tenant and the caller's id, and tells the replicas before it sends the event. A resume looks the id up, first in the router's own records, then at all connected replicas at once. A record never changes; two that disagree cancel each other; without one the request is refused at once, before any charge, retry or server: 503 without Retry-After, with the reason. So a lost or late record can prevent a resume but not misdirect it. The rest comes from the service that began, unless the route no longer leads there. The version is checked again when the request is written to its connection.

--- a/crates/control/src/internal/calls.rs
+++ b/crates/control/src/internal/calls.rs
@@ -47,6 +47,9 @@
         Request::Release(request) if peer.identity.role == PeerRole::Router => {
             quarantine::release(api, peer, request).await
         }
+        Request::FindStreamOrigin { stream } if peer.identity.role == PeerRole::Router => {
+            Reply::StreamOrigin(api.relay.find_origin(&stream))
+        }
         Request::Catalog { above } => follower::catalog_reply(api, above),
         Request::Confirm => follower::confirmation_reply(api),
         Request::Follow
@@ -57,6 +60,7 @@
         | Request::Refund { .. }
         | Request::Quarantine(_)
         | Request::Release(_)
+        | Request::FindStreamOrigin { .. }
         | Request::Lookup { .. }
         | Request::Share { .. }
         | Request::OpenTunnel { .. }
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -38,6 +38,8 @@
     pub relayed: IntCounter,
     /// Router updates dropped by this replica.
     pub relayed_lost: IntCounter,
+    /// Streams whose origin this replica knows.
+    pub stream_origins: IntGauge,
     /// Heartbeats rejected because they were malformed or came from another writer.
     pub heartbeats_refused: IntCounter,
     /// Stored claims.
@@ -78,6 +80,10 @@
             learners: gauge("juniper_control_learners", "Members that don't vote")?,
             relayed: counter("juniper_control_relayed", "Messages of routers passed on")?,
             relayed_lost: counter("juniper_control_relayed_lost", "Messages of routers lost")?,
+            stream_origins: gauge(
+                "juniper_control_stream_origins",
+                "Streams whose origin is known",
+            )?,
             heartbeats_refused: counter(
                 "juniper_control_heartbeats_refused",
                 "Heartbeats that named no server",
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -6,18 +6,23 @@
 //! its own subscribers. Updates received within `BATCH_INTERVAL` share one message, encoded once for
 //! all subscribers.
 //!
-//! There are no retransmissions: a lost update costs a cache miss or a failed connection attempt.
+//! There are no retransmissions: a lost update costs a cache miss, a failed connection attempt or a
+//! stream that can't be resumed.
+//!
+//! Records of streams go to the replicas only, which keep them in memory for the routers that ask.
 
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use juniper_clock::BootInstant;
 use juniper_protocol::message::{RelayedUpdate, RouterUpdate, encode};
 use juniper_protocol::{Message, PeerIdentity};
-use juniper_types::NodeId;
+use juniper_stream_origins::{OriginTable, RecordOutcome, StreamOrigin, StreamRecord};
+use juniper_types::{NodeId, StreamKey, Timestamp};
 use tokio::sync::{Notify, broadcast};
 use tokio::time::sleep;
 
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, to_gauge};
 use crate::peers::PeerLinks;
 use crate::renewal_log::SharedFrame;
 use crate::replica::ReplicaView;
@@ -40,11 +45,14 @@
     from_routers: Vec<RelayedUpdate>,
     /// Updates forwarded by other replicas.
     from_replicas: Vec<RelayedUpdate>,
+    /// Records of streams from routers connected to this replica, to be forwarded to the other
+    /// replicas only.
+    stream_records: Vec<RelayedUpdate>,
 }
 
 impl PendingUpdates {
     fn len(&self) -> usize {
-        self.from_routers.len() + self.from_replicas.len()
+        self.from_routers.len() + self.from_replicas.len() + self.stream_records.len()
     }
 }
 
@@ -54,6 +62,9 @@
     wake: Notify,
     frames: broadcast::Sender<SharedFrame>,
     metrics: Arc<Metrics>,
+    /// Origins of the streams that routers have reported to any replica.
+    origins: Mutex<OriginTable>,
+    started: BootInstant,
 }
 
 impl UpdateRelay {
@@ -64,6 +75,8 @@
             wake: Notify::new(),
             frames: broadcast::Sender::new(MAX_QUEUED_FRAMES),
             metrics,
+            origins: Mutex::default(),
+            started: BootInstant::now(),
         }
     }
 
@@ -72,14 +85,49 @@
     }
 
     /// Accepts an update from a router connected to this replica.
-    pub(crate) fn accept_router_update(&self, from: &PeerIdentity, update: RouterUpdate) {
-        let relayed = RelayedUpdate { from: from.node, zone: from.zone.clone(), update };
-        self.add_pending(vec![relayed], |pending| &mut pending.from_routers);
+    pub(crate) fn accept_router_update(&self, from: &PeerIdentity, mut update: RouterUpdate) {
+        let relayed =
+            |update| vec![RelayedUpdate { from: from.node, zone: from.zone.clone(), update }];
+        if let Some(records) = update.stream_records.take() {
+            self.record_origins(&records);
+            let stream_records = Some(records);
+            let update = RouterUpdate { stream_records, ..RouterUpdate::default() };
+            self.add_pending(relayed(update), |pending| &mut pending.stream_records);
+        }
+        if !update.is_empty() {
+            self.add_pending(relayed(update), |pending| &mut pending.from_routers);
+        }
     }
 
     /// Accepts updates forwarded by another replica.
-    pub(crate) fn accept_peer_updates(&self, updates: Vec<RelayedUpdate>) {
-        self.add_pending(updates, |pending| &mut pending.from_replicas);
+    pub(crate) fn accept_peer_updates(&self, mut updates: Vec<RelayedUpdate>) {
+        for relayed in &mut updates {
+            self.record_origins(&relayed.update.stream_records.take().unwrap_or_default());
+        }
+        updates.retain(|relayed| !relayed.update.is_empty());
+        if !updates.is_empty() {
+            self.add_pending(updates, |pending| &mut pending.from_replicas);
+        }
+    }
+
+    /// Origin of a stream, if this replica has a record of it.
+    pub(crate) fn find_origin(&self, stream: &StreamKey) -> Option<StreamOrigin> {
+        self.lock_origins().find(stream).cloned()
+    }
+
+    fn lock_origins(&self) -> MutexGuard<'_, OriginTable> {
+        self.origins.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn record_origins(&self, records: &[StreamRecord]) {
+        let now = Timestamp::ZERO.after(self.started.elapsed());
+        let mut origins = self.lock_origins();
+        for record in records {
+            if origins.record(record, now) == RecordOutcome::Conflicting {
+                log::warn!("event=stream_origin_conflicting service={}", record.origin.service);
+            }
+        }
+        self.metrics.stream_origins.set(to_gauge(origins.len() as u64));
     }
 
     fn add_pending(
@@ -109,13 +157,19 @@
         loop {
             self.wake.notified().await;
             sleep(BATCH_INTERVAL).await;
-            let PendingUpdates { from_routers, from_replicas } = std::mem::take(&mut *self.lock());
-            if !from_routers.is_empty() {
-                let payload = encode(&Message::RelayedUpdate(from_routers.clone()));
+            let PendingUpdates { from_routers, from_replicas, stream_records } =
+                std::mem::take(&mut *self.lock());
+            let mut for_replicas = from_routers.clone();
+            for_replicas.extend(stream_records);
+            if !for_replicas.is_empty() {
+                let payload = encode(&Message::RelayedUpdate(for_replicas));
                 other_replicas(view).for_each(|node| peers.send_encoded(node, payload.clone()));
             }
             let mut all = from_routers;
             all.extend(from_replicas);
+            if all.is_empty() {
+                continue;
+            }
             self.metrics.relayed.inc_by(all.len() as u64);
             // Fails if there is no subscriber at the moment.
             let _ = self.frames.send(Arc::new(encode(&Message::RelayedUpdate(all))));
--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -94,6 +94,8 @@
     pub(crate) zones: BTreeMap<NodeId, ZoneName>,
     /// Replica through which this router exchanges updates with the other routers.
     pub(crate) relay: Option<NodeId>,
+    /// Announces each connection to a relay.
+    pub(crate) relay_changes: watch::Sender<Option<NodeId>>,
     /// Replicas to follow, in order of preference.
     pub(crate) followed: Vec<NodeId>,
     /// Unreachable replicas, with the time of the latest connection loss or failed attempt.
@@ -106,6 +108,7 @@
     pub(crate) confirmed_at: watch::Sender<Option<BootInstant>>,
     pub(crate) router_count: watch::Sender<RouterCount>,
     pub(crate) router_updates: broadcast::Sender<RelayedBatch>,
+    pub(crate) relay_changes: watch::Sender<Option<NodeId>>,
 }
 
 /// Arguments for starting the actor.
@@ -138,6 +141,7 @@
             router_updates: published.router_updates,
             zones: BTreeMap::new(),
             relay: None,
+            relay_changes: published.relay_changes,
             followed: Vec::new(),
             unreachable: BTreeMap::new(),
         };
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -42,6 +42,7 @@
     confirmed_at: watch::Receiver<Option<BootInstant>>,
     router_count: watch::Receiver<RouterCount>,
     router_updates: broadcast::Sender<RelayedBatch>,
+    relay_changes: watch::Receiver<Option<NodeId>>,
 }
 
 impl Feed {
@@ -52,16 +53,28 @@
         let (confirmed_sender, confirmed_at) = watch::channel(None);
         let router_updates = broadcast::Sender::new(ROUTER_UPDATE_CAPACITY);
         let (router_count_sender, router_count) = watch::channel(DEFAULT_ROUTER_COUNT);
+        let (relay_sender, relay_changes) = watch::channel(None);
         let published = PublishedChannels {
             view: view_sender,
             confirmed_at: confirmed_sender,
             router_count: router_count_sender,
             router_updates: router_updates.clone(),
+            relay_changes: relay_sender,
         };
         let (key, own) = (settings.key.clone(), settings.own.clone());
         let arguments = FeedArguments { settings, started, published };
         let actor = FeedActor::spawn_with_mailbox(arguments, mailbox::bounded(MAILBOX_CAPACITY));
-        Feed { actor, key, own, started, view, confirmed_at, router_count, router_updates }
+        Feed {
+            actor,
+            key,
+            own,
+            started,
+            view,
+            confirmed_at,
+            router_count,
+            router_updates,
+            relay_changes,
+        }
     }
 
     /// Secret shared by all daemons of the cluster.
@@ -116,6 +129,21 @@
         self.router_updates.subscribe()
     }
 
+    /// Watches the replica that receives the published updates; `None` while there is none. Each new
+    /// connection to one counts as a change, since the replica may have lost what it knew.
+    pub fn relay_changes(&self) -> watch::Receiver<Option<NodeId>> {
+        self.relay_changes.clone()
+    }
+
+    /// Sends a message to the actor.
+    pub(crate) async fn send<M: Send + 'static>(&self, message: M)
+    where
+        FeedActor: kameo::message::Message<M>,
+    {
+        // Sending fails only if the actor has stopped.
+        let _ = self.actor.tell(message).await;
+    }
+
     /// Publishes an update to the other routers.
     pub async fn publish(&self, update: RouterUpdate) {
         // Sending fails only if the actor has stopped.
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -14,6 +14,7 @@
 mod relay;
 mod replica_calls;
 mod router_count;
+mod stream_origins;
 mod view;
 mod view_builder;
 
@@ -23,5 +24,6 @@
 pub use follow::{FOLLOWED_REPLICAS, FollowRequest, FollowScope, MAX_FULLY_FOLLOWED};
 pub use relay::select_relay;
 pub use router_count::{RouterCount, RouterCounter};
+pub use stream_origins::OriginLookup;
 pub use view::{FleetView, WantedWeights};
 pub use view_builder::{FleetViewBuilder, MergeOutcome};
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -11,7 +11,7 @@
     BuildLevel, ClusterKey, Connection, FrameError, FrameReader, FrameWriter, HandshakeError,
     Message, PeerIdentity, Push, Reply, Request, connect,
 };
-use juniper_types::{NodeId, RequestFingerprint};
+use juniper_types::{NodeId, RequestFingerprint, StreamKey};
 use kameo::actor::ActorRef;
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
@@ -20,6 +20,7 @@
 use crate::actor::{FeedActor, LinkEvent, ReplicaEvent};
 use crate::charge::{ChargeSender, PendingCharge, charge_result};
 use crate::follow::FollowScope;
+use crate::stream_origins::{OriginSender, pass_on};
 
 /// Timeout for connecting, handshake included.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -99,6 +100,8 @@
     Quarantine(QuarantineRequest),
     /// Record the release of a request from quarantine.
     Release(RequestFingerprint),
+    /// Find where a stream began.
+    FindStreamOrigin { stream: StreamKey, answer: OriginSender },
 }
 
 /// Keeps the replica followed until the feed stops.
@@ -161,6 +164,8 @@
     pending_confirmations: VecDeque<PendingConfirmation>,
     /// Charges without a reply, by call id.
     pending_charges: HashMap<u64, ChargeSender>,
+    /// Lookups of stream origins without a reply, by call id.
+    pending_lookups: HashMap<u64, OriginSender>,
     /// Whether the replica pushes the servers that all replicas know, rather than those that it
     /// observed itself.
     is_fleet_wide: bool,
@@ -175,6 +180,7 @@
             last_call: 0,
             pending_confirmations: VecDeque::new(),
             pending_charges: HashMap::new(),
+            pending_lookups: HashMap::new(),
             is_fleet_wide: false,
             level,
         }
@@ -240,6 +246,15 @@
             LinkCommand::Quarantine(request) => {
                 self.call(Request::Quarantine(request)).await.map(|_| ())
             }
+            LinkCommand::FindStreamOrigin { stream, answer } => {
+                if self.level < BuildLevel::FOLLOWS_FLEET {
+                    return Ok(());
+                }
+                self.pending_lookups.retain(|_, waiting| !waiting.is_closed());
+                let call = self.call(Request::FindStreamOrigin { stream }).await?;
+                self.pending_lookups.insert(call, answer);
+                Ok(())
+            }
             LinkCommand::Release(request) => self.call(Request::Release(request)).await.map(|_| ()),
             LinkCommand::Follow(scope) => self.follow(scope).await,
             LinkCommand::Fetch(above) => self.call(Request::Catalog { above }).await.map(|_| ()),
@@ -274,6 +289,10 @@
                     let _ = answer.send(charge_result(reply));
                     return None;
                 }
+                if let Some(answer) = self.pending_lookups.remove(&call) {
+                    pass_on(reply, &answer);
+                    return None;
+                }
                 let sent_at = self.take_confirmation(call)?;
                 let Reply::Confirmed { age_ms, revision, routers } = reply else { return None };
                 let at = sent_at.before(Duration::from_millis(age_ms));
--- a/crates/feed/src/links.rs
+++ b/crates/feed/src/links.rs
@@ -100,6 +100,7 @@
         if let Some(relay) = relay {
             self.send_command(relay, LinkCommand::SubscribeRouters(true));
         }
+        self.relay_changes.send_replace(relay);
     }
 
     /// Whether this router follows only a part of the group.
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -50,7 +50,7 @@
     /// Servers crashed under the same request, so it isn't sent to any server. It may have run
     /// before.
     Quarantined,
-    /// The stream can't be resumed, now or later. The request has not run.
+    /// The stream can't be resumed. The request has not run.
     NotResumable(ResumeRefusal),
     /// The server failed; the request may have run.
     ServerFailed,
@@ -115,6 +115,7 @@
             | OwnAnswer::ServersBackingOff(retry_after)
             | OwnAnswer::OverLimit(retry_after) => Some(retry_after),
             OwnAnswer::Overloaded(retry_after) => retry_after,
+            OwnAnswer::NotResumable(ResumeRefusal::Unanswered) => Some(UNCONFIRMED_RETRY_AFTER),
             _ => None,
         }
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -52,6 +52,9 @@
     /// Nothing was sent, since the retry was granted too long ago and the budget has no other one.
     #[error("not sent: the retry was granted too long ago")]
     RetryExpired,
+    /// Nothing was sent, since the server's software version has changed since it was chosen.
+    #[error("not sent: the server's software version has changed")]
+    SoftwareChanged,
     /// The server stated that it did not run the request.
     #[error("the server did not run the request")]
     NotRun,
@@ -84,7 +87,10 @@
     pub(crate) fn is_unsent(&self) -> bool {
         matches!(
             self,
-            AttemptError::NotSent(_) | AttemptError::BackingOff(_) | AttemptError::RetryExpired
+            AttemptError::NotSent(_)
+                | AttemptError::BackingOff(_)
+                | AttemptError::RetryExpired
+                | AttemptError::SoftwareChanged
         )
     }
 
@@ -94,7 +100,9 @@
             // A reused connection that the server has closed doesn't show that new ones fail.
             AttemptError::NotSent(ConnectError::Handshake(_)) => Outcome::Interrupted,
             AttemptError::NotSent(_) => Outcome::Unreachable,
-            AttemptError::BackingOff(_) | AttemptError::RetryExpired => Outcome::Cancelled,
+            AttemptError::BackingOff(_)
+            | AttemptError::RetryExpired
+            | AttemptError::SoftwareChanged => Outcome::Cancelled,
             AttemptError::WrongServer => Outcome::Replaced,
             AttemptError::WrongVersion(version) => Outcome::VersionMismatch(*version),
             AttemptError::Broken(_) | AttemptError::InvalidAnswer | AttemptError::Timeout => {
@@ -292,6 +300,11 @@
     if let Some(backoff) = gateway.placement().remaining_backoff(&choice.instance, gateway.now()) {
         return Err(AttemptError::BackingOff(backoff));
     }
+    let software = gateway.placement().software_of(&choice.instance).cloned();
+    if last_event.is_some() && software != choice.software {
+        return Err(AttemptError::SoftwareChanged);
+    }
+    attempt.software = software;
     if granted.is_some_and(|granted| granted.has_expired()) && gateway.take_retry(call).is_none() {
         return Err(AttemptError::RetryExpired);
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,9 +9,10 @@
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
-use juniper_catalog::{KeyAccess, Route};
+use juniper_catalog::{KeyAccess, Route, RouteKind};
 use juniper_clock::BootInstant;
 use juniper_feed::FleetView;
+use juniper_registry::SoftwareVersion;
 use juniper_types::{FingerprintKey, RequestContent, RequestFingerprint};
 use tokio::time::{Instant, timeout_at};
 
@@ -56,6 +57,8 @@
     pub info: CallInfo,
     pub route: Route,
     pub service: String,
+    /// Software version that began the stream which the call resumes; `None` if it begins one.
+    pub software: Option<SoftwareVersion>,
     pub tenant: Option<String>,
     /// Charge against the tenant's limit.
     pub granted_charge: Option<GrantedCharge>,
@@ -222,6 +225,12 @@
         RequestBody::Buffered(bytes) => Some(bytes),
     };
     let Some(body) = body else { return Ok(None) };
+    let resumes = route.kind == RouteKind::Stream && info.last_event.is_some();
+    let origin = match resumes {
+        true => Some(gateway.find_origin(route, tenant, &info).await),
+        false => None,
+    };
+    let origin = origin.transpose().map_err(OwnAnswer::NotResumable)?;
     let isolated = tenant.filter(|tenant| tenant.isolated);
     let mut headers = head.headers;
     strip_hop_headers(&mut headers);
@@ -234,10 +243,15 @@
         }
         None => None,
     };
-    let service = gateway.pick_service(route).ok_or(OwnAnswer::NoServer(NO_SERVER_RETRY_AFTER))?;
+    let (service, software) = match origin {
+        Some(origin) => (Some(origin.service), Some(origin.software)),
+        None => (gateway.pick_service(route), None),
+    };
+    let service = service.ok_or(OwnAnswer::NoServer(NO_SERVER_RETRY_AFTER))?;
     Ok(Some(Call {
         info,
         service,
+        software,
         tenant: tenant.map(|tenant| tenant.name.clone()),
         granted_charge,
         priority: tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::lock::lock;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::resume::OwnOrigins;
 use crate::returns::Returns;
 use crate::settings::GatewaySettings;
 use crate::startup::StartupQueue;
@@ -67,6 +68,8 @@
     pub returns: Returns,
     /// Evidence of requests that crash servers.
     pub crashes: Arc<CrashWatch>,
+    /// Origins of the streams that this router began.
+    pub origins: OwnOrigins,
     /// Notified when a connection has failed or broken, so that probes are sent at once.
     pub probes_due: Notify,
     /// Number of fleet views that the placement has applied.
@@ -95,6 +98,7 @@
             started: BootInstant::now(),
             probes_due: Notify::new(),
             updates: UpdateQueue::default(),
+            origins: OwnOrigins::default(),
             startup: StartupQueue::default(),
             limits: Arc::default(),
             returns: Returns::default(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -320,6 +320,7 @@
             AttemptError::NotSent(_) => "not_sent",
             AttemptError::BackingOff(_) => "resting",
             AttemptError::RetryExpired => "retry_expired",
+            AttemptError::SoftwareChanged => "software_changed",
             AttemptError::NotRun => "not_run",
             AttemptError::WrongServer => "other_server",
             AttemptError::WrongVersion(_) => "other_version",
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -1,9 +1,37 @@
-//! Resumption of streams. The events of different software versions don't fit together, so a stream
-//! continues only at servers of the version that began it.
+//! Resumption of streams by callers. The events of different software versions don't fit together,
+//! so a stream continues only at servers of the version that began it.
+//!
+//! The router that passes on the first event of an answer records the version under the caller's id
+//! of the request, and tells the replicas before it sends the event. A caller that resumes the stream
+//! names that id; the router that it asks looks the record up. Without a record nothing is resumed.
+
+use std::sync::Mutex;
+
+use juniper_catalog::{Route, Tenant};
+use juniper_feed::OriginLookup;
+use juniper_protocol::message::RouterUpdate;
+use juniper_registry::SoftwareVersion;
+use juniper_stream_origins::{OriginTable, StreamOrigin, StreamRecord};
+use juniper_types::StreamKey;
+use tokio::time::Instant;
+
+use crate::call::Call;
+use crate::dialect::CallInfo;
+use crate::gateway::Gateway;
+use crate::lock::lock;
+
+/// Maximum number of records in one update to the replicas.
+const MAX_PUBLISHED_RECORDS: usize = 256;
 
 /// Why a stream can't be resumed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ResumeRefusal {
+    /// The caller doesn't name the request that began the stream, or no replica has a record of it.
+    NoRecord,
+    /// No replica answered.
+    Unanswered,
+    /// The route no longer leads to the service that began the stream.
+    NoService,
     /// No server runs the software version that began the stream.
     NoSoftware,
 }
@@ -12,7 +40,84 @@
     /// Value of `reason` in logs, metrics and the body of the answer.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
+            ResumeRefusal::NoRecord => "stream_origin_unknown",
+            ResumeRefusal::Unanswered => "stream_origin_unanswered",
+            ResumeRefusal::NoService => "stream_service_gone",
             ResumeRefusal::NoSoftware => "software_version_gone",
         }
     }
 }
+
+/// Origins of the streams whose first event this router passed on.
+#[derive(Default)]
+pub(crate) struct OwnOrigins(Mutex<OriginTable>);
+
+impl Gateway {
+    /// Records the software version that made the first event of the call's answer. Call it before
+    /// the event is passed on: a caller that has the event may resume at another router.
+    pub(crate) fn record_stream(&self, call: &Call, software: Option<&SoftwareVersion>) {
+        let Some(software) = software.filter(|_| call.route.resumable) else { return };
+        let record = StreamRecord {
+            stream: self.stream_key(call.tenant.as_deref(), call.info.id.as_bytes()),
+            origin: StreamOrigin { service: call.service.clone(), software: software.clone() },
+        };
+        let now = self.now_with_suspensions();
+        lock(&self.origins.0).record(&record, now);
+        self.updates.push_stream_record(record);
+    }
+
+    /// Finds out where the stream began that a caller resumes.
+    pub(crate) async fn find_origin(
+        &self,
+        route: &Route,
+        tenant: Option<&Tenant>,
+        info: &CallInfo,
+    ) -> Result<StreamOrigin, ResumeRefusal> {
+        let asked_at = Instant::now();
+        let attempt = info.resumed_attempt.as_ref().ok_or(ResumeRefusal::NoRecord)?;
+        let stream = self.stream_key(tenant.map(|tenant| tenant.name.as_str()), attempt.as_bytes());
+        let own = lock(&self.origins.0).find(&stream).cloned();
+        let source = if own.is_some() { "own" } else { "replica" };
+        let origin = match own {
+            Some(origin) => origin,
+            None => match self.feed.find_stream_origin(stream).await {
+                OriginLookup::Known(origin) => origin,
+                OriginLookup::Unknown => return Err(ResumeRefusal::NoRecord),
+                OriginLookup::Unanswered => return Err(ResumeRefusal::Unanswered),
+            },
+        };
+        log::info!(
+            "event=stream_origin_found request={} resumes={} service={} software={} source={source} \
+             took_ms={}",
+            info.id.to_str().unwrap_or("-"),
+            attempt.to_str().unwrap_or("-"),
+            origin.service,
+            origin.software,
+            asked_at.elapsed().as_millis()
+        );
+        let is_part = |service: &str| {
+            route.split.iter().any(|part| part.service == service && part.weight > 0)
+        };
+        match is_part(&origin.service) {
+            true => Ok(origin),
+            false => Err(ResumeRefusal::NoService),
+        }
+    }
+
+    /// Tells a replica of all streams that this router began, since it may have restarted.
+    pub(crate) async fn publish_own_origins(&self) {
+        let records: Vec<StreamRecord> = {
+            let mut origins = lock(&self.origins.0);
+            origins.expire(self.now_with_suspensions());
+            origins.records().collect()
+        };
+        for chunk in records.chunks(MAX_PUBLISHED_RECORDS) {
+            let stream_records = Some(chunk.to_vec());
+            self.feed.publish(RouterUpdate { stream_records, ..RouterUpdate::default() }).await;
+        }
+    }
+
+    fn stream_key(&self, tenant: Option<&str>, request_id: &[u8]) -> StreamKey {
+        self.settings.fingerprint_key.stream_key(tenant, request_id)
+    }
+}
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -52,7 +52,8 @@
 impl<'a> ServerSearch<'a> {
     pub(crate) fn new(gateway: &'a Arc<Gateway>, call: &'a Call) -> Self {
         let (progress, excluded) = (Progress::default(), Vec::new());
-        ServerSearch { gateway, call, progress, excluded, software: None, last_error: None }
+        let software = call.software.clone();
+        ServerSearch { gateway, call, progress, excluded, software, last_error: None }
     }
 
     /// Restricts the search to servers of the software version that began the stream.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -43,7 +43,7 @@
     let relay = StreamRelay {
         last_event: call.info.last_event,
         resumed_after: call.info.last_event,
-        software: None,
+        software: call.software.clone(),
         gateway,
         call,
         progress,
@@ -121,7 +121,7 @@
                 // Without event numbers the position to resume from is unknown.
                 _ if self.stats.events > 0 && self.last_event.is_none() => None,
                 // Nor is known which servers' events fit those that the caller has.
-                _ if self.stats.events > 0 && self.software.is_none() => None,
+                _ if self.has_begun() && self.software.is_none() => None,
                 _ => self.resume(instance.clone()).await,
             };
             let Some(answered) = next else {
@@ -138,7 +138,7 @@
     async fn resume(&mut self, failed: juniper_registry::InstanceId) -> Option<Answered> {
         let mut search =
             ServerSearch::new(&self.gateway, &self.call).continue_from(self.progress, failed);
-        if self.stats.events > 0 {
+        if self.has_begun() {
             search = search.with_software(self.software.clone());
         }
         self.resumed_after = self.last_event;
@@ -150,6 +150,15 @@
         found.filter(|answered| answered.response.status().is_success())
     }
 
+    fn is_resumed_by_caller(&self) -> bool {
+        self.call.info.last_event.is_some()
+    }
+
+    /// Whether the caller has events of the stream, from this answer or an earlier one.
+    fn has_begun(&self) -> bool {
+        self.stats.events > 0 || self.is_resumed_by_caller()
+    }
+
     /// Relays the events of one server.
     async fn relay_events(
         &mut self,
@@ -176,8 +185,9 @@
             let mut output = BytesMut::new();
             for event in events {
                 if self.should_pass_on(event.id)? {
-                    if self.stats.events == 0 {
+                    if self.stats.events == 0 && !self.is_resumed_by_caller() {
                         self.software = attempt.software.clone();
+                        self.gateway.record_stream(&self.call, self.software.as_ref());
                     }
                     output.extend_from_slice(&event.bytes);
                     self.stats.events += 1;
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -14,6 +14,7 @@
     ServerLimitUpdate, ServerNoticeUpdate,
 };
 use juniper_registry::{InstanceId, StartTime};
+use juniper_stream_origins::StreamRecord;
 use juniper_types::{NodeId, Timestamp};
 use tokio::sync::Notify;
 use tokio::sync::broadcast::error::RecvError;
@@ -32,6 +33,9 @@
 /// reported.
 const MAX_QUEUED_COMPLETIONS: usize = 64;
 
+/// Maximum number of queued records of streams, more than begin while the queue is being published.
+const MAX_QUEUED_STREAMS: usize = 1_024;
+
 /// Average interval between the probes with which all routers verify reports of one server.
 const VERIFICATION_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -81,6 +85,17 @@
         }
     }
 
+    /// Queues where a stream began. If the queue is full, callers can't resume the stream at other
+    /// routers.
+    pub(crate) fn push_stream_record(&self, record: StreamRecord) {
+        let mut pending = lock(&self.pending);
+        let queued = pending.stream_records.get_or_insert_default();
+        if queued.len() < MAX_QUEUED_STREAMS {
+            queued.push(record);
+            self.wake.notify_one();
+        }
+    }
+
     /// Queues whether this router could connect to a server.
     pub(crate) fn push_reachability(&self, instance: &InstanceId, reached: bool) {
         let queued = &mut lock(&self.pending).reachability;
@@ -155,6 +170,7 @@
 /// Publishes updates to the other routers and applies theirs. Runs until the feed ends.
 pub(crate) async fn exchange(gateway: Arc<Gateway>) {
     let mut received = gateway.feed.subscribe_router_updates();
+    let mut relay = gateway.feed.relay_changes();
     let mut budget = ReportBudget::default();
     loop {
         tokio::select! {
@@ -166,6 +182,14 @@
                 }
                 Err(RecvError::Closed) => return,
             },
+            changed = relay.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                if relay.borrow_and_update().is_some() {
+                    gateway.publish_own_origins().await;
+                }
+            }
             () = gateway.updates.wake.notified() => publish(&gateway, &mut budget).await,
         }
     }
--- a/crates/gateway/tests/paths/software_versions.rs
+++ b/crates/gateway/tests/paths/software_versions.rs
@@ -17,6 +17,13 @@
     FakeServer::start(name, script).await.with_software(software)
 }
 
+/// Gateway that knows the streams which `other` began.
+async fn second_gateway(other: &TestGateway, servers: &[&FakeServer]) -> TestGateway {
+    let gateway = TestGateway::start(servers).await;
+    gateway.control.add_stream_records(other.control.stream_records());
+    gateway
+}
+
 /// Resumes after the first event the stream that the answer to `began` brought.
 async fn resume(gateway: &TestGateway, id: &str, began: &str) -> Answer {
     let head = request_head("GET", "/resumable/x", id);
@@ -69,3 +76,51 @@
         assert!(answer.complete && answer.body.contains("d1"), "{answer:?}");
     }
 }
+
+#[tokio::test]
+async fn a_caller_resumes_a_stream_of_another_router_at_another_software_version() {
+    let (one, other) = (breaking_server("a", "v1").await, breaking_server("b", "v2").await);
+    let first = TestGateway::start(&[&one]).await;
+    assert!(get(first.callers, "/resumable/x", "r1").await.body.contains("d1"));
+    let second = second_gateway(&first, &[&one, &other]).await;
+    for number in 0..6 {
+        let answer = resume(&second, &format!("s{number}"), "r1").await;
+        assert!(answer.complete && answer.body.contains("d2"), "{answer:?}");
+    }
+    assert_eq!(other.requests().len(), 0);
+    let third = second_gateway(&first, &[&other]).await;
+    let answer = resume(&third, "t1", "r1").await;
+    assert_eq!((answer.status, answer.header("retry-after")), (503, None), "{answer:?}");
+    assert!(answer.body.contains("software_version_gone"), "{answer:?}");
+    assert_eq!(other.requests().len(), 0);
+}
+
+/// The caller names the attempt that brought the first event, in whichever answer it has lost.
+#[tokio::test]
+async fn a_stream_that_breaks_again_is_not_resumed_a_second_time() {
+    let once_more = |_: usize, head: &str| match header(head, "x-last") {
+        None => vec![Step::Send(stream_head(head, "a")), Step::Send(event(1)), Step::Close],
+        Some("1") => vec![Step::Send(stream_head(head, "a")), Step::Send(event(2)), Step::Close],
+        Some(_) => [stream_head(head, "a"), event(3), LAST_CHUNK.to_owned()].map(Step::Send).into(),
+    };
+    let server = FakeServer::start("a", once_more).await;
+    let first = TestGateway::start(&[&server]).await;
+    assert!(get(first.callers, "/resumable/x", "r1").await.body.contains("d1"));
+    let second = second_gateway(&first, &[&server]).await;
+    assert!(resume(&second, "r2", "r1").await.body.contains("d2"));
+    let third = second_gateway(&second, &[&server]).await;
+    let head = request_head("GET", "/resumable/x", "r3");
+    let answer = ask(third.callers, &format!("{head}x-last: 2\r\nx-resumes: r1\r\n\r\n")).await;
+    assert!(answer.complete && answer.body.contains("d3"), "{answer:?}");
+}
+
+#[tokio::test]
+async fn a_caller_resumes_a_stream_of_another_tenant() {
+    let server = breaking_server("a", "v1").await;
+    let gateway = TestGateway::start(&[&server]).await;
+    assert!(get(gateway.callers, "/resumable/x", "r1").await.body.contains("d1"));
+    let head = request_head("GET", "/resumable/x", "r2").replace("good", "limited");
+    let answer = ask(gateway.callers, &format!("{head}x-last: 1\r\nx-resumes: r1\r\n\r\n")).await;
+    assert_eq!((answer.status, answer.header("retry-after")), (503, None), "{answer:?}");
+    assert_eq!(server.requests().len(), 1);
+}
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -14,7 +14,8 @@
     ClusterKey, Connection, Message, PeerRole, Push, Refusal, Reply, Request, accept,
 };
 use juniper_registry::{InstanceName, InstanceReport, ObservedInstance};
-use juniper_types::{NodeId, ZoneName};
+use juniper_stream_origins::{StreamOrigin, StreamRecord};
+use juniper_types::{NodeId, StreamKey, ZoneName};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{broadcast, mpsc};
 
@@ -41,6 +42,8 @@
     refunds: Mutex<Vec<f64>>,
     /// Updates that the gateway published to other routers.
     published: Mutex<Vec<RouterUpdate>>,
+    /// Origins of streams, published by the gateway or added.
+    stream_records: Mutex<Vec<StreamRecord>>,
     /// Quarantine requests of the gateway.
     quarantined: Mutex<Vec<QuarantineRequest>>,
     /// Updates of other routers, to be sent to the gateway.
@@ -82,6 +85,7 @@
             refunds: Mutex::default(),
             server_changes: broadcast::Sender::new(4),
             published: Mutex::default(),
+            stream_records: Mutex::default(),
             quarantined: Mutex::default(),
             peer_updates: broadcast::Sender::new(256),
         });
@@ -157,6 +161,16 @@
         published.iter().flat_map(|update| update.ended_requests.iter().map(server_of)).collect()
     }
 
+    /// Origins of streams that the replica knows.
+    pub fn stream_records(&self) -> Vec<StreamRecord> {
+        self.state.stream_records.lock().expect("no panic").clone()
+    }
+
+    /// Adds origins of streams that other routers published.
+    pub fn add_stream_records(&self, records: Vec<StreamRecord>) {
+        self.state.stream_records.lock().expect("no panic").extend(records);
+    }
+
     /// Quarantine requests of the gateway.
     pub fn quarantined(&self) -> Vec<QuarantineRequest> {
         self.state.quarantined.lock().expect("no panic").clone()
@@ -214,6 +228,12 @@
 }
 
 impl ReplicaState {
+    fn origin_of(&self, stream: &StreamKey) -> Option<StreamOrigin> {
+        let records = self.stream_records.lock().expect("no panic");
+        let record = records.iter().find(|record| record.stream == *stream);
+        record.map(|record| record.origin.clone())
+    }
+
     /// Delays the answer to a charge if charges are admitted late.
     async fn delay_charge(&self, request: &Request) {
         let is_late =
@@ -250,6 +270,8 @@
                     reordered.push(&state, &request, answer(&state, call, &request))
                 }
                 Some(Message::RouterUpdate(update)) => {
+                    let records = update.stream_records.clone().unwrap_or_default();
+                    state.stream_records.lock().expect("no panic").extend(records);
                     state.published.lock().expect("no panic").push(update);
                     continue;
                 }
@@ -283,6 +305,9 @@
             })]
         }
         Request::Charge(charge) => handle_charge(state, charge).map(reply).into_iter().collect(),
+        Request::FindStreamOrigin { stream } => {
+            vec![reply(Reply::StreamOrigin(state.origin_of(stream)))]
+        }
         Request::Quarantine(call) => {
             state.quarantined.lock().expect("no panic").push(call.clone());
             vec![reply(Reply::Done)]
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -5,6 +5,7 @@
 use juniper_registry::{
     InstanceId, InstanceName, StartTime, join_incarnations, split_incarnations,
 };
+use juniper_stream_origins::StreamRecord;
 use juniper_types::{NodeId, RequestFingerprint, ZoneName};
 use minicbor::{Decode, Encode};
 
@@ -211,6 +212,11 @@
     #[n(7)]
     #[cbor(default)]
     pub brittle_services: Option<Vec<BrittleServiceUpdate>>,
+    /// Streams that began; usually absent, which takes no bytes. Replicas keep these records and
+    /// don't relay them to routers.
+    #[n(8)]
+    #[cbor(default)]
+    pub stream_records: Option<Vec<StreamRecord>>,
 }
 
 impl RouterUpdate {
@@ -223,6 +229,7 @@
             && self.brittle_services.is_none()
             && self.server_limits.is_none()
             && self.notices.is_none()
+            && self.stream_records.is_none()
     }
 }
 
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -5,9 +5,10 @@
 use juniper_prefix_index::coarse::{CheckpointHolders, KeyList};
 use juniper_registry::{InstanceName, StartTime};
 use juniper_sharing::ShareMessage;
+use juniper_stream_origins::StreamOrigin;
 use juniper_types::{
     BlockHash, ClaimAnswer, ClaimKey, ClaimOutcome, EngineId, Incarnation, NodeId,
-    RequestFingerprint, Revision, TenantName, ZoneName,
+    RequestFingerprint, Revision, StreamKey, TenantName, ZoneName,
 };
 use minicbor::decode::Error as DecodeError;
 use minicbor::{Decode, Decoder, Encode};
@@ -266,6 +267,13 @@
         #[n(1)]
         started: StartTime,
     },
+    /// Router to control: find where a stream began. The reply is [`Reply::StreamOrigin`].
+    #[n(20)]
+    FindStreamOrigin {
+        /// Stream that a caller resumes.
+        #[n(0)]
+        stream: StreamKey,
+    },
 }
 
 /// Answers to [`Request`]s.
@@ -340,6 +348,9 @@
     /// The tunnel was not opened.
     #[n(12)]
     TunnelRefused(#[n(0)] TunnelRefusal),
+    /// Origin of a stream; `None` if the replica has no record of it.
+    #[n(13)]
+    StreamOrigin(#[n(0)] Option<StreamOrigin>),
     /// Cache updates were applied.
     #[n(8)]
     Shared {
--- /dev/null
+++ b/crates/stream-origins/src/lib.rs
@@ -0,0 +1,15 @@
+//! Records of the software versions that began streams.
+//!
+//! The events of different software versions of a server don't fit together, so a stream that a
+//! caller resumes has to continue at the version that began it, whichever router the caller asks. The
+//! router that passes on the first event of an answer records the service and the version under the
+//! caller's id of the request. A record never changes afterwards, so that a lost or late copy can only
+//! prevent a resume, never misdirect one. Two records of one stream that disagree cancel each other.
+//!
+//! Nothing in this crate performs I/O or reads a clock.
+
+mod origin;
+mod table;
+
+pub use origin::{StreamOrigin, StreamRecord};
+pub use table::{OriginTable, RecordOutcome};
--- a/crates/types/src/fingerprint.rs
+++ b/crates/types/src/fingerprint.rs
@@ -25,6 +25,14 @@
     }
 }
 
+/// Key of a stream: of its caller's tenant and of the caller's id of the request that began it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[cbor(transparent)]
+pub struct StreamKey(#[cbor(n(0), with = "minicbor::bytes")] pub [u8; FINGERPRINT_BYTES]);
+
+/// Separates stream keys from fingerprints of requests, which begin with an HTTP method.
+const STREAM_CONTEXT: &[u8] = b"stream key";
+
 /// Error for text that is not a fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("a fingerprint has 32 hexadecimal digits")]
@@ -85,12 +93,26 @@
         hasher.update(&[u8::from(content.tenant.is_some())]);
         update_with_length(&mut hasher, content.tenant.unwrap_or("").as_bytes());
         update_with_length(&mut hasher, content.body);
-        let mut fingerprint = [0; FINGERPRINT_BYTES];
-        fingerprint.copy_from_slice(&hasher.finalize().as_bytes()[..FINGERPRINT_BYTES]);
-        RequestFingerprint(fingerprint)
+        RequestFingerprint(truncated_hash(&hasher))
+    }
+
+    /// Computes the key of the stream that a tenant's request with this id began.
+    pub fn stream_key(&self, tenant: Option<&str>, request_id: &[u8]) -> StreamKey {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        update_with_length(&mut hasher, STREAM_CONTEXT);
+        hasher.update(&[u8::from(tenant.is_some())]);
+        update_with_length(&mut hasher, tenant.unwrap_or("").as_bytes());
+        update_with_length(&mut hasher, request_id);
+        StreamKey(truncated_hash(&hasher))
     }
 }
 
+fn truncated_hash(hasher: &blake3::Hasher) -> [u8; FINGERPRINT_BYTES] {
+    let mut truncated = [0; FINGERPRINT_BYTES];
+    truncated.copy_from_slice(&hasher.finalize().as_bytes()[..FINGERPRINT_BYTES]);
+    truncated
+}
+
 /// Hashes the bytes with a length prefix, so that adjacent fields are unambiguous.
 fn update_with_length(hasher: &mut blake3::Hasher, bytes: &[u8]) {
     hasher.update(&(bytes.len() as u64).to_be_bytes());
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,7 +13,9 @@
 pub use block::{BLOCK_BYTES, BLOCK_TOKENS, BlockHash, CacheScope, PromptBlocks, TOKEN_BYTES};
 pub use claim::{ClaimAnswer, ClaimKey, ClaimKeyError, ClaimOutcome};
 pub use decay::Decaying;
-pub use fingerprint::{FingerprintError, FingerprintKey, RequestContent, RequestFingerprint};
+pub use fingerprint::{
+    FingerprintError, FingerprintKey, RequestContent, RequestFingerprint, StreamKey,
+};
 pub use ids::{
     AdapterName, ChangeId, ChangeIdError, EngineId, Incarnation, ModelName, NameError, NodeId,
     RequestId, Revision, ServiceName, TenantName, WeightsVersion, ZoneName,
