A resume that names no request goes on while one software version served

Now such a stream goes on at the version of the route's only service, if every server known within the route's timeout ran it, the router has known servers for as long, and its configuration is confirmed; otherwise it is refused as before. A request that names an attempt without a record is still refused.

event=not_resumable states what the caller named.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use juniper_limits::FleetShare;
 use juniper_placement::{Placement, RetryBudget, ServiceProfile};
 use juniper_registry::InstanceId;
+use juniper_stream_origins::SoftwareHistory;
 use juniper_tunnel_peers::TunnelPeers;
 use juniper_types::Timestamp;
 use tokio::sync::{Notify, watch};
@@ -70,6 +71,8 @@
     pub crashes: Arc<CrashWatch>,
     /// Origins of the streams that this router began.
     pub origins: OwnOrigins,
+    /// Software versions that servers have run recently.
+    pub software_history: Mutex<SoftwareHistory>,
     /// Notified when a connection has failed or broken, so that probes are sent at once.
     pub probes_due: Notify,
     /// Number of fleet views that the placement has applied.
@@ -99,6 +102,7 @@
             probes_due: Notify::new(),
             updates: UpdateQueue::default(),
             origins: OwnOrigins::default(),
+            software_history: Mutex::default(),
             startup: StartupQueue::default(),
             limits: Arc::default(),
             returns: Returns::default(),
@@ -199,6 +203,7 @@
     }
 
     fn apply_view(&self, view: &FleetView) {
+        lock(&self.software_history).update(&view.instances, self.now_with_suspensions());
         let mut placement = self.placement();
         placement.set_instances(&view.instances);
         placement.set_profiles(service_profiles(view));
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -3,10 +3,13 @@
 //!
 //! The router that passes on the first event of an answer records the version under the caller's id
 //! of the request, and tells the replicas before it sends the event. A caller that resumes the stream
-//! names that id; the router that it asks looks the record up. Without a record nothing is resumed.
+//! names that id; the router that it asks looks the record up. Without a record nothing is resumed,
+//! unless the caller names no id and only one version can have begun the stream.
 
 use std::sync::Mutex;
+use std::time::Duration;
 
+use hyper::header::HeaderValue;
 use juniper_catalog::{Route, Tenant};
 use juniper_feed::OriginLookup;
 use juniper_protocol::message::RouterUpdate;
@@ -74,7 +77,29 @@
         info: &CallInfo,
     ) -> Result<StreamOrigin, ResumeRefusal> {
         let asked_at = Instant::now();
-        let attempt = info.resumed_attempt.as_ref().ok_or(ResumeRefusal::NoRecord)?;
+        let found = self.look_up_origin(route, tenant, info).await;
+        if let Err(refusal) = &found {
+            log::info!(
+                "event=not_resumable request={} resumes={} route={} reason={} took_ms={}",
+                text(&info.id),
+                info.resumed_attempt.as_ref().map_or("-", text),
+                route.name,
+                refusal.as_str(),
+                asked_at.elapsed().as_millis()
+            );
+        }
+        found
+    }
+
+    async fn look_up_origin(
+        &self,
+        route: &Route,
+        tenant: Option<&Tenant>,
+        info: &CallInfo,
+    ) -> Result<StreamOrigin, ResumeRefusal> {
+        let Some(attempt) = &info.resumed_attempt else {
+            return self.sole_origin(route).ok_or(ResumeRefusal::NoRecord);
+        };
         let stream = self.stream_key(tenant.map(|tenant| tenant.name.as_str()), attempt.as_bytes());
         let own = lock(&self.origins.0).find(&stream).cloned();
         let source = if own.is_some() { "own" } else { "replica" };
@@ -87,13 +112,11 @@
             },
         };
         log::info!(
-            "event=stream_origin_found request={} resumes={} service={} software={} source={source} \
-             took_ms={}",
-            info.id.to_str().unwrap_or("-"),
-            attempt.to_str().unwrap_or("-"),
+            "event=stream_origin_found request={} resumes={} service={} software={} source={source}",
+            text(&info.id),
+            text(attempt),
             origin.service,
-            origin.software,
-            asked_at.elapsed().as_millis()
+            origin.software
         );
         let is_part = |service: &str| {
             route.split.iter().any(|part| part.service == service && part.weight > 0)
@@ -104,6 +127,19 @@
         }
     }
 
+    /// Origin of any stream that a caller of the route may resume: its only service, if all servers
+    /// have run one software version for as long as the stream can have lasted.
+    fn sole_origin(&self, route: &Route) -> Option<StreamOrigin> {
+        let age = self.feed.confirmation_age()?;
+        let mut parts = route.split.iter().filter(|part| part.weight > 0);
+        let part = parts.next().filter(|_| parts.next().is_none())?;
+        let window = Duration::from_millis(route.timeout_ms);
+        let history = lock(&self.software_history);
+        let software = history.sole_version(&part.service, window, self.now_with_suspensions())?;
+        let origin = StreamOrigin { service: part.service.clone(), software: software.clone() };
+        Some(origin).filter(|_| age < self.settings.rejection_age_limit())
+    }
+
     /// Tells a replica of all streams that this router began, since it may have restarted.
     pub(crate) async fn publish_own_origins(&self) {
         let records: Vec<StreamRecord> = {
@@ -121,3 +157,8 @@
         self.settings.fingerprint_key.stream_key(tenant, request_id)
     }
 }
+
+/// Header value for logs.
+fn text(value: &HeaderValue) -> &str {
+    value.to_str().unwrap_or("-")
+}
--- a/crates/gateway/tests/paths/software_versions.rs
+++ b/crates/gateway/tests/paths/software_versions.rs
@@ -1,9 +1,14 @@
 //! Streams continue only at servers of the software version that began them.
 
+use std::time::Duration;
+
 use crate::support::TestGateway;
 use crate::support::caller::{Answer, ask, get, request_head};
 use crate::support::server::{FakeServer, LAST_CHUNK, Step, event, header, stream_head};
 
+/// Timeout of the route, longer than any of its streams.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Server whose streams break after their first event, and whose rest of a stream is complete.
 async fn breaking_server(name: &'static str, software: &str) -> FakeServer {
     let script = move |_: usize, head: &str| match header(head, "x-last") {
@@ -124,3 +129,24 @@
     assert_eq!((answer.status, answer.header("retry-after")), (503, None), "{answer:?}");
     assert_eq!(server.requests().len(), 1);
 }
+
+/// Resumes a stream without naming the request that began it.
+async fn resume_unnamed(gateway: &TestGateway, id: &str) -> Answer {
+    let head = request_head("GET", "/resumable/x", id);
+    ask(gateway.callers, &format!("{head}x-last: 1\r\n\r\n")).await
+}
+
+#[tokio::test]
+async fn a_caller_resumes_an_unnamed_stream_while_several_versions_serve() {
+    let (one, other) = (breaking_server("a", "v1").await, breaking_server("b", "v2").await);
+    let gateway = TestGateway::start(&[&one]).await;
+    let answer = resume_unnamed(&gateway, "r1").await;
+    assert_eq!(answer.status, 503, "the history is shorter than a stream: {answer:?}");
+    tokio::time::sleep(ROUTE_TIMEOUT).await;
+    let answer = resume_unnamed(&gateway, "r2").await;
+    assert!(answer.complete && answer.body.contains("d2"), "{answer:?}");
+    gateway.control.add_server(other.report());
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let answer = resume_unnamed(&gateway, "r3").await;
+    assert_eq!((answer.status, answer.header("retry-after")), (503, None), "{answer:?}");
+}
--- a/crates/stream-origins/src/lib.rs
+++ b/crates/stream-origins/src/lib.rs
@@ -6,10 +6,15 @@
 //! caller's id of the request. A record never changes afterwards, so that a lost or late copy can only
 //! prevent a resume, never misdirect one. Two records of one stream that disagree cancel each other.
 //!
+//! A caller may resume a stream without naming that id. Then only a service whose servers have all run
+//! one version for long enough leaves no doubt ([`SoftwareHistory`]).
+//!
 //! Nothing in this crate performs I/O or reads a clock.
 
+mod history;
 mod origin;
 mod table;
 
+pub use history::SoftwareHistory;
 pub use origin::{StreamOrigin, StreamRecord};
 pub use table::{OriginTable, RecordOutcome};
