Pauses that servers ask for hold for requests that pass through tunnels

What servers saw: a server turns a router away with a time to rest, and gets requests from that router's address all the same: those that the router forwards for another one that can't reach the server; or the answer went through the tunnel, and the router that the server meant never read it.

A router with a tunnel open through another takes that one's pauses as its own, since an open connection would carry its next request there.

Evidence: a_pause_that_a_helper_was_asked_for_is_ignored_by_its_tunnels, a_pause_that_came_through_a_tunnel_is_ignored_by_its_helper and a_pause_that_another_router_was_asked_for_is_ignored_by_a_cut_off_router failed before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -295,6 +295,7 @@
     // to a server that gets nothing.
     attempt.report_dispatch(choice);
     let connection = attempt.connection.insert(connection);
+    let tunnel_peer = connection.tunnel_peer();
     // The answer to another request may have requested a backoff while this request waited for its
     // connection.
     if let Some(backoff) = gateway.placement().remaining_backoff(&choice.instance, gateway.now()) {
@@ -325,7 +326,7 @@
         gateway.placement().observe_version(&choice.instance, version);
     }
     gateway.observe_limit(&choice.instance, &info, attempt.sent_at, call.id());
-    gateway.observe_notice(&choice.instance, &info, call.id());
+    gateway.observe_notice(&choice.instance, &info, tunnel_peer, call.id());
     let is_rejection = info.not_run && !info.is_wrong_version && !head.status.is_success();
     gateway.observe_tolerance(&choice.instance, &info, is_rejection, call.id());
     check_answer(&info, head.status, choice.version)?;
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -3,6 +3,7 @@
 use juniper_limits::{DepartureNotice, RequestedBackoff, ServerNotice};
 use juniper_protocol::message::ServerNoticeUpdate;
 use juniper_registry::InstanceId;
+use juniper_types::NodeId;
 
 use crate::call::Call;
 use crate::dialect::AnswerInfo;
@@ -13,8 +14,15 @@
 
 impl Gateway {
     /// Records the notices in an answer of `instance`, also if the answer belongs to another
-    /// request, but not if it is of another server.
-    pub(crate) fn observe_notice(&self, instance: &InstanceId, info: &AnswerInfo, request: &str) {
+    /// request, but not if it is of another server. The server means the router that connected to it,
+    /// which is `tunnel_peer` if the answer came through a tunnel.
+    pub(crate) fn observe_notice(
+        &self,
+        instance: &InstanceId,
+        info: &AnswerInfo,
+        tunnel_peer: Option<NodeId>,
+        request: &str,
+    ) {
         if info.is_wrong_server {
             return;
         }
@@ -28,6 +36,7 @@
                 started,
                 backoff_ms,
                 is_departing,
+                through: tunnel_peer,
             });
         }
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -11,6 +11,7 @@
 use juniper_clock::BootInstant;
 use juniper_protocol::PeerTimeouts;
 use juniper_registry::InstanceId;
+use juniper_types::NodeId;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -65,6 +66,13 @@
     _open: OpenGuard,
 }
 
+impl ServerConnection {
+    /// Router whose tunnel carries the connection, unless it is direct.
+    pub(crate) fn tunnel_peer(&self) -> Option<NodeId> {
+        self.tunnel.as_ref().map(TunnelGuard::peer)
+    }
+}
+
 impl Drop for ServerConnection {
     fn drop(&mut self) {
         // The task owns the socket; aborting it closes the socket, which the server notices at
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -65,6 +65,13 @@
     pub(crate) reusable_until: BootInstant,
 }
 
+impl TunnelGuard {
+    /// Router that forwards the tunnel.
+    pub(crate) fn peer(&self) -> NodeId {
+        self.peer
+    }
+}
+
 impl Drop for TunnelGuard {
     fn drop(&mut self) {
         if let Some(gateway) = self.gateway.upgrade() {
--- a/crates/gateway/src/tunnel_server.rs
+++ b/crates/gateway/src/tunnel_server.rs
@@ -108,11 +108,14 @@
 ) -> Result<TcpStream, TunnelRefusal> {
     let address = address_of(gateway, instance).ok_or(TunnelRefusal::Unavailable)?;
     let is_running = *gateway.shutdown.borrow() == ShutdownPhase::Running;
-    let (is_cut_off, prefers_tunnel) = {
+    let now = gateway.now();
+    let (is_cut_off, prefers_tunnel, is_backing_off) = {
         let placement = gateway.placement();
-        (placement.is_cut_off(instance), placement.prefers_tunnel(instance))
+        let is_backing_off = placement.remaining_backoff(instance, now).is_some();
+        (placement.is_cut_off(instance), placement.prefers_tunnel(instance), is_backing_off)
     };
-    if !is_running || is_cut_off {
+    // The server doesn't tell requests that come through a tunnel from this router's own.
+    if !is_running || is_cut_off || is_backing_off {
         return Err(TunnelRefusal::Unavailable);
     }
     if prefers_tunnel {
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -214,12 +214,14 @@
     let brittle = batch.iter().flat_map(|update| update.update.brittle_services.iter().flatten());
     brittle.for_each(|update| gateway.apply_peer_brittle(update));
     let now = gateway.now();
+    let own = gateway.feed.identity().node;
     let verification_window = verification_window(gateway.feed.router_count());
     let mut placement = gateway.placement();
     for RelayedUpdate { from, zone, update } in batch.iter() {
         let request = |number: u16| ReportedRequest { router: *from, number };
         for notice in update.notices.iter().flatten() {
-            apply_peer_notice(&mut placement, notice, *from, now);
+            let is_shared = notice.through == Some(own) || gateway.tunnel_peers().has_open(*from);
+            apply_peer_notice(&mut placement, notice, *from, is_shared, now);
         }
         for report in &update.dispatches {
             match report.request_number {
@@ -263,18 +265,25 @@
     (VERIFICATION_INTERVAL * routers).clamp(MIN_VERIFICATION_WINDOW, MAX_VERIFICATION_WINDOW)
 }
 
-/// Applies a server's notice that another router observed.
+/// Applies a server's notice that the router `from` observed. `is_shared` states that the server can't
+/// tell the requests of both routers apart, since a tunnel carries those of one of them.
 fn apply_peer_notice(
     placement: &mut Placement,
     notice: &ServerNoticeUpdate,
     from: NodeId,
+    is_shared: bool,
     now: Timestamp,
 ) {
     let instance = notice.id();
     if notice.is_departing && placement.record_departure(&instance, now) {
         log::info!("event=server_leaving_heard request=- instance={instance} from={from}");
     }
-    if notice.backoff_ms > 0 {
+    if notice.backoff_ms == 0 {
+        return;
+    }
+    if is_shared {
+        placement.observe_backoff(&instance, notice.backoff(), now);
+    } else {
         placement.apply_peer_backoff(&instance, from, notice.backoff(), now);
     }
 }
--- a/crates/gateway/tests/paths/backoffs.rs
+++ b/crates/gateway/tests/paths/backoffs.rs
@@ -179,7 +179,8 @@
 /// Another router's report of a requested backoff.
 fn backoff_update(server: &FakeServer, backoff_ms: u64) -> RouterUpdate {
     let (instance, started) = (server.report().name, StartTime::UNKNOWN);
-    let notice = ServerNoticeUpdate { instance, started, backoff_ms, is_departing: false };
+    let notice =
+        ServerNoticeUpdate { instance, started, backoff_ms, is_departing: false, through: None };
     RouterUpdate { notices: Some(vec![notice]), ..RouterUpdate::default() }
 }
 
--- a/crates/gateway/tests/paths/cut_off.rs
+++ b/crates/gateway/tests/paths/cut_off.rs
@@ -3,8 +3,9 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
-use juniper_protocol::message::RouterUpdate;
-use juniper_registry::InstanceReport;
+use juniper_protocol::PeerRole;
+use juniper_protocol::message::{RouterUpdate, ServerNoticeUpdate};
+use juniper_registry::{InstanceReport, StartTime};
 use juniper_types::NodeId;
 use socket2::{Domain, Socket, Type};
 use tokio::io::AsyncWriteExt;
@@ -12,8 +13,8 @@
 
 use crate::support::caller::{get, request_head};
 use crate::support::link::silent_listener;
-use crate::support::server::{FakeServer, Step, healthy};
-use crate::support::{TEST_TIMEOUT, TestGateway, loopback};
+use crate::support::server::{FakeServer, Step, complete_answer, healthy};
+use crate::support::{TEST_TIMEOUT, TestGateway, identity, loopback};
 
 /// How connections to servers fail at the router that is cut off.
 #[derive(Clone, Copy, Debug)]
@@ -128,3 +129,68 @@
     assert!([502, 504].contains(&status), "{status} promises that the request has not run");
     assert_eq!(server.requests().len(), 1);
 }
+
+/// Server that refuses its first request and asks for a pause, and serves the others.
+async fn pausing_server() -> FakeServer {
+    FakeServer::start("a", |number, head| {
+        let status = if number == 0 { "503 Busy\r\nx-not-run: 1\r\nx-pause: 5" } else { "200 OK" };
+        vec![Step::Send(complete_answer(head, status, "text"))]
+    })
+    .await
+}
+
+/// The server sees the helper's address, whichever router sends.
+#[tokio::test]
+async fn a_pause_that_a_helper_was_asked_for_is_ignored_by_its_tunnels() {
+    let server = pausing_server().await;
+    let router = CutOffRouter::start(&server, Cut::Refused).await;
+    assert_eq!(get(router.reaching.callers, "/safe/x", "r0").await.status, 503);
+    for number in 0..3 {
+        assert_eq!(router.status("/once/x", &format!("r{number}")).await, 503);
+    }
+    assert_eq!(server.requests().len(), 1);
+}
+
+#[tokio::test]
+async fn a_pause_that_came_through_a_tunnel_is_ignored_by_its_helper() {
+    let server = pausing_server().await;
+    let router = CutOffRouter::start(&server, Cut::Refused).await;
+    assert_eq!(router.status("/once/x", "r0").await, 503);
+    let published = async {
+        while router.cut_off.control.published_notices().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, published).await.expect("in time");
+    let mut notices = router.cut_off.control.published_notices();
+    let SocketAddr::V4(internal) = router.reaching.internal else { panic!("IPv4") };
+    assert_eq!(notices[0].through, Some(NodeId::of_address(internal)));
+    // The helper's identity in these tests isn't its address.
+    notices[0].through = Some(identity(PeerRole::Router, 77).node);
+    let update = RouterUpdate { notices: Some(notices), ..RouterUpdate::default() };
+    router.reaching.control.send_peer_update(78, "north", update);
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    assert_eq!(get(router.reaching.callers, "/safe/x", "r1").await.status, 503);
+    assert_eq!(server.requests().len(), 1);
+}
+
+/// Tunnels that are open already carry further requests from the helper's address.
+#[tokio::test]
+async fn a_pause_that_another_router_was_asked_for_is_ignored_by_a_cut_off_router() {
+    let server = healthy("a").await;
+    let router = CutOffRouter::start(&server, Cut::Refused).await;
+    assert_eq!(router.status("/once/x", "r0").await, 200);
+    let notice = ServerNoticeUpdate {
+        instance: server.report().name,
+        started: StartTime::UNKNOWN,
+        backoff_ms: 5_000,
+        is_departing: false,
+        through: None,
+    };
+    let update = RouterUpdate { notices: Some(vec![notice]), ..RouterUpdate::default() };
+    let SocketAddr::V4(internal) = router.reaching.internal else { panic!("IPv4") };
+    router.cut_off.control.send_peer_update(NodeId::of_address(internal).0, "north", update);
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    assert_eq!(router.status("/once/x", "r1").await, 503);
+    assert_eq!(server.requests().len(), 1);
+}
--- a/crates/gateway/tests/paths/departures.rs
+++ b/crates/gateway/tests/paths/departures.rs
@@ -90,7 +90,8 @@
     let (elsewhere, other) = (healthy("c").await, healthy("d").await);
     let gateway = TestGateway::start(&[&elsewhere, &other]).await;
     let (instance, started) = (elsewhere.report().name, StartTime::UNKNOWN);
-    let notice = ServerNoticeUpdate { instance, started, backoff_ms: 0, is_departing: true };
+    let notice =
+        ServerNoticeUpdate { instance, started, backoff_ms: 0, is_departing: true, through: None };
     let update = RouterUpdate { notices: Some(vec![notice]), ..RouterUpdate::default() };
     gateway.control.send_peer_update(2, "north", update);
     sleep(Duration::from_millis(100)).await;
--- a/crates/protocol/src/notices.rs
+++ b/crates/protocol/src/notices.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use juniper_registry::{InstanceId, InstanceName, StartTime};
+use juniper_types::NodeId;
 use minicbor::{Decode, Encode};
 
 /// Backoff or departure that a server requested in an answer to the reporting router.
@@ -20,6 +21,11 @@
     /// Whether the server is departing, which concerns all routers.
     #[n(3)]
     pub is_departing: bool,
+    /// Router whose tunnel carried the answer, and which the server therefore meant; `None` if it was
+    /// the reporting router.
+    #[n(4)]
+    #[cbor(default)]
+    pub through: Option<NodeId>,
 }
 
 impl ServerNoticeUpdate {
--- a/crates/protocol/tests/sizes.rs
+++ b/crates/protocol/tests/sizes.rs
@@ -116,6 +116,7 @@
         started: StartTime::from_unix_ms(1_784_840_000_000),
         backoff_ms: 30_000,
         is_departing: false,
+        through: None,
     };
     let with_notices = |notices| {
         wire_bytes(&Message::RouterUpdate(RouterUpdate { notices, ..RouterUpdate::default() }))
@@ -143,6 +144,7 @@
         started: StartTime::UNKNOWN,
         backoff_ms: 3_000,
         is_departing: true,
+        through: None,
     };
     let update = RouterUpdate {
         ended_requests: vec![7],
--- a/crates/tunnel-peers/src/lib.rs
+++ b/crates/tunnel-peers/src/lib.rs
@@ -115,6 +115,11 @@
         self.near.iter().chain(&self.far)
     }
 
+    /// Whether a tunnel through the router is open.
+    pub fn has_open(&self, node: NodeId) -> bool {
+        self.known().any(|peer| peer.node == node && peer.open_tunnels > 0)
+    }
+
     /// Records that a tunnel through the router was opened.
     pub fn record_opened(&mut self, node: NodeId) {
         if let Some(peer) = self.find(node) {
