--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -46,6 +46,9 @@
     /// Replaces a voter's disk and, before that voter has caught up, cuts the power of a
     /// second voter for this long.
     LoseTwoVoters(Micros),
+    /// Replaces the disk with an empty one and cuts the power of all other machines at the same
+    /// moment. All start again after about this long.
+    LoseDiskAndPower(Target, Micros),
     /// Sets the sync duration (first) of the disk for some time (second).
     SlowDisk(Target, Micros, Micros),
     /// Fails a sync after this many successful ones.
@@ -79,7 +82,7 @@
 }
 
 /// Descriptions of the faults, as printed by `--list`.
-pub const FAULT_NAMES: [&str; 18] = [
+pub const FAULT_NAMES: [&str; 19] = [
     "lost, duplicated, reordered and delayed messages",
     "partitions between zones",
     "one-way partitions between zones",
@@ -91,6 +94,7 @@
     "crash loops, together with elections on a bad network",
     "lost disks",
     "a replaced disk, then a second machine lost before the first has caught up",
+    "a lost disk, with a power cut of all other machines at the same moment",
     "slow disks",
     "failed syncs",
     "full disks",
@@ -148,6 +152,21 @@
     schedule
 }
 
+/// Draws the loss of a disk together with all other machines' power, for some runs.
+pub fn draw_lost_disk_and_power(
+    random: &mut Random,
+    machines: u64,
+    start: Micros,
+    end: Micros,
+) -> Option<ScheduledFault> {
+    let target = match random.chance(500) {
+        true => Target::Leader,
+        false => Target::Machine(random.between(0, machines - 1)),
+    };
+    let (at, time) = (random.between(start, end), random.between(50 * MILLI, 2 * SECOND));
+    random.chance(300).then_some((at, Fault::LoseDiskAndPower(target, time)))
+}
+
 /// Draws a leader crash with long network delays and crash-looping voters, so that rival
 /// candidates of one term meet voters that have just restarted.
 fn unsteady_election(
--- a/crates/simulation/src/world/injection.rs
+++ b/crates/simulation/src/world/injection.rs
@@ -31,6 +31,7 @@
                     self.replace_disk_of(node, time);
                 }
             }
+            Fault::LoseDiskAndPower(target, time) => self.lose_disk_and_power(target, time),
             Fault::LoseTwoVoters(time) => self.lose_two_voters(time),
             Fault::SlowDisk(target, sync_time, time) => {
                 self.update_machine(target, |machine| machine.sync_time = sync_time);
@@ -187,6 +188,24 @@
         membership.has_majority(has_disk)
     }
 
+    /// Replaces a disk and cuts the power of all other machines at the same moment, so that what was
+    /// acknowledged is left on their disks only.
+    fn lose_disk_and_power(&mut self, target: Target, time: Micros) {
+        let Some(lost) = self.find_node(target) else { return };
+        if !self.replace_disk_of(lost, time) {
+            return;
+        }
+        let others: Vec<u64> = (0..)
+            .zip(self.machines.keys())
+            .filter(|(_, node)| **node != lost)
+            .map(|(index, _)| index)
+            .collect();
+        for index in others {
+            let restart_after = time + self.random.between(0, 400 * MILLI);
+            self.kill(Target::Machine(index), Kill::Power, restart_after);
+        }
+    }
+
     /// Replaces a voter's disk, then cuts the power of a second voter for `time`, before the
     /// first is likely to have caught up.
     fn lose_two_voters(&mut self, time: Micros) {
--- a/crates/simulation/src/world/setup.rs
+++ b/crates/simulation/src/world/setup.rs
@@ -132,7 +132,16 @@
         let nodes = self.bench.nodes.clone();
         nodes.into_iter().for_each(|node| self.start_machine(node));
         let count = self.machines.len() as u64;
-        for (at, fault) in fault::draw_schedule(&mut self.random, count, QUIET_START, FAULTS_END) {
+        // Drawn separately, so that it doesn't change the other draws of a seed.
+        let mut separate = self.random.clone().fork();
+        let mut schedule = fault::draw_schedule(&mut self.random, count, QUIET_START, FAULTS_END);
+        schedule.extend(fault::draw_lost_disk_and_power(
+            &mut separate,
+            count,
+            QUIET_START,
+            FAULTS_END,
+        ));
+        for (at, fault) in schedule {
             self.queue.schedule_after(at, Event::InjectFault(fault));
         }
         self.with_workload(|workload, bench| workload.start(bench));
