--- a/crates/protocol/tests/sizes.rs
+++ b/crates/protocol/tests/sizes.rs
@@ -4,8 +4,9 @@
     Crash, CrashUpdate, DispatchReport, RelayedUpdate, RouterUpdate, ServerNoticeUpdate, encode,
 };
 use juniper_protocol::{Message, Reply, Request};
-use juniper_registry::{InstanceName, StartTime};
-use juniper_types::{NodeId, RequestFingerprint, ZoneName};
+use juniper_registry::{InstanceName, SoftwareVersion, StartTime};
+use juniper_stream_origins::{StreamOrigin, StreamRecord};
+use juniper_types::{NodeId, RequestFingerprint, StreamKey, ZoneName};
 
 /// Length of a frame header, in bytes.
 const FRAME_HEADER_BYTES: usize = 5;
@@ -156,3 +157,24 @@
     assert_eq!((decoded.dispatches.len(), decoded.ended_requests), (0, vec![7]));
     assert_eq!(minicbor::decode::<RouterUpdate>(&bytes).expect("decode"), update);
 }
+
+#[test]
+fn stream_record_and_lookup_sizes() {
+    let origin = || StreamOrigin {
+        service: "huvo11a".to_owned(),
+        software: SoftwareVersion::new("v1.1").expect("a version"),
+    };
+    let record = |number| StreamRecord { stream: StreamKey([number; 16]), origin: origin() };
+    let with_records = |stream_records| {
+        let update = RouterUpdate { stream_records, ..RouterUpdate::default() };
+        wire_bytes(&Message::RouterUpdate(update))
+    };
+    let with_count = |count| with_records(Some((0..count).map(record).collect()));
+    let each = (with_count(11) - with_count(1)) / 10;
+    let request = Request::FindStreamOrigin { stream: StreamKey([7; 16]) };
+    let lookup = wire_bytes(&Message::Request { call: 100_000, request })
+        + wire_bytes(&Message::Reply { call: 100_000, reply: Reply::StreamOrigin(Some(origin())) });
+    println!("stream record: {each} bytes, lookup: {lookup} bytes both ways");
+    assert!(each <= 36 && lookup <= 66, "{each} {lookup}");
+    assert_eq!(with_records(None), FRAME_HEADER_BYTES + 8);
+}
--- /dev/null
+++ b/crates/stream-origins/tests/fleet/world.rs
@@ -0,0 +1,490 @@
+//! Simulated fleet: routers that pass on streams of servers of several versions, replicas that keep
+//! records, and callers that resume at other routers. Machines are killed, frozen and cut off; servers
+//! crash and are replaced by either version.
+
+use juniper_registry::SoftwareVersion;
+use juniper_simulation::{EventQueue, Random};
+use juniper_stream_origins::{OriginTable, StreamOrigin, StreamRecord};
+use juniper_types::{StreamKey, Timestamp};
+
+const MILLI: u64 = 1_000;
+const END: u64 = 20_000 * MILLI;
+const SERVERS: usize = 12;
+const VERSIONS: u64 = 3;
+
+/// Time after a fault for which a machine doesn't count as in touch.
+const CONTACT_TIME: u64 = 3_000 * MILLI;
+
+/// Time for which a replica batches records for the others.
+const BATCH_TIME: u64 = 15 * MILLI;
+
+/// Requests with which a caller resumes a stream at most.
+const MAX_RESUMES: u32 = 2;
+
+/// Part of the mend that a run leaves out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mend {
+    /// A router resumes only at the version that began.
+    OwnResume,
+    /// A caller's resume goes to the recorded version only.
+    CallersResume,
+    /// Records are sent to the replicas.
+    Publication,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct WorldSettings {
+    pub routers: usize,
+    pub replicas: usize,
+    /// Share of routers that neither record nor heed versions.
+    pub earlier_builds: f64,
+    pub missing: Option<Mend>,
+}
+
+impl Default for WorldSettings {
+    fn default() -> Self {
+        WorldSettings { routers: 7, replicas: 3, earlier_builds: 0.0, missing: None }
+    }
+}
+
+/// What the callers of a run saw.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outcome {
+    pub sent: usize,
+    pub begun: usize,
+    /// Streams with events of two versions, but for those that an earlier build served.
+    pub mixed: usize,
+    pub resumed: usize,
+    /// Resumes at machines in touch while two servers of the version served.
+    pub resumed_in_touch: usize,
+    pub continued_in_touch: usize,
+}
+
+impl Outcome {
+    pub fn add(&mut self, other: &Outcome) {
+        self.sent += other.sent;
+        self.begun += other.begun;
+        self.mixed += other.mixed;
+        self.resumed += other.resumed;
+        self.resumed_in_touch += other.resumed_in_touch;
+        self.continued_in_touch += other.continued_in_touch;
+    }
+
+    pub fn share_begun(&self) -> f64 {
+        self.begun as f64 / self.sent.max(1) as f64
+    }
+
+    pub fn share_continued(&self) -> f64 {
+        self.continued_in_touch as f64 / self.resumed_in_touch.max(1) as f64
+    }
+}
+
+struct Router {
+    is_earlier: bool,
+    down_until: u64,
+    frozen_until: u64,
+    cut_until: u64,
+    last_fault: u64,
+    relay: usize,
+    own: OriginTable,
+}
+
+struct Replica {
+    down_until: u64,
+    cut_until: u64,
+    records: OriginTable,
+}
+
+/// Incarnation of a server.
+struct Server {
+    version: u64,
+    /// When routers learn of it.
+    known_at: u64,
+    died_at: u64,
+}
+
+#[derive(Clone, Default)]
+struct Stream {
+    versions: Vec<u64>,
+    events: u64,
+    total: u64,
+    router: usize,
+    server: usize,
+    /// Number of the run that serves it; events of earlier ones don't reach the caller.
+    run: u32,
+    resumes: u32,
+    own_resumes: u32,
+    is_by_earlier: bool,
+}
+
+enum Event {
+    Begin,
+    Emit { stream: usize, run: u32 },
+    Resume { stream: usize },
+    Answer { stream: usize, router: usize },
+    Record { replica: usize, record: StreamRecord, is_forwarded: bool },
+    Fault,
+    Return { router: usize },
+}
+
+pub struct World {
+    settings: WorldSettings,
+    random: Random,
+    queue: EventQueue<Event>,
+    routers: Vec<Router>,
+    replicas: Vec<Replica>,
+    servers: Vec<Server>,
+    streams: Vec<Stream>,
+    last_core_fault: u64,
+    outcome: Outcome,
+}
+
+fn key(stream: usize) -> StreamKey {
+    let mut key = [0; 16];
+    key[..8].copy_from_slice(&(stream as u64).to_be_bytes());
+    StreamKey(key)
+}
+
+fn origin(version: u64) -> StreamOrigin {
+    let software = SoftwareVersion::new(&format!("v{version}")).expect("a version");
+    StreamOrigin { service: "llm".to_owned(), software }
+}
+
+impl World {
+    pub fn new(seed: u64, settings: WorldSettings) -> Self {
+        let mut random = Random::new(seed);
+        let routers = (0..settings.routers).map(|number| Router {
+            is_earlier: (random.between(0, 999) as f64) < settings.earlier_builds * 1_000.0,
+            down_until: 0,
+            frozen_until: 0,
+            cut_until: 0,
+            last_fault: 0,
+            relay: number % settings.replicas,
+            own: OriginTable::default(),
+        });
+        let routers = routers.collect();
+        let replicas = (0..settings.replicas).map(|_| Replica {
+            down_until: 0,
+            cut_until: 0,
+            records: OriginTable::default(),
+        });
+        let replicas = replicas.collect();
+        let server = |number: usize| Server {
+            version: number as u64 % VERSIONS,
+            known_at: 0,
+            died_at: u64::MAX,
+        };
+        let mut queue = EventQueue::default();
+        queue.schedule_after(0, Event::Begin);
+        queue.schedule_after(CONTACT_TIME, Event::Fault);
+        World {
+            settings,
+            random,
+            queue,
+            routers,
+            replicas,
+            servers: (0..SERVERS).map(server).collect(),
+            streams: Vec::new(),
+            last_core_fault: 0,
+            outcome: Outcome::default(),
+        }
+    }
+
+    pub fn run(mut self) -> Outcome {
+        while self.queue.now() < END
+            && let Some(event) = self.queue.pop()
+        {
+            match event {
+                Event::Begin => self.begin(),
+                Event::Emit { stream, run } => self.emit(stream, run),
+                Event::Resume { stream } => self.resume(stream),
+                Event::Answer { stream, router } => self.answer(stream, router),
+                Event::Record { replica, record, is_forwarded } => {
+                    self.record(replica, &record, is_forwarded);
+                }
+                Event::Fault => self.fault(),
+                Event::Return { router } => self.republish(router),
+            }
+        }
+        let is_mixed = |stream: &&Stream| stream.versions.len() > 1 && !stream.is_by_earlier;
+        self.outcome.mixed = self.streams.iter().filter(is_mixed).count();
+        self.outcome.begun = self.streams.iter().filter(|stream| stream.events > 0).count();
+        self.outcome
+    }
+
+    fn now(&self) -> u64 {
+        self.queue.now()
+    }
+
+    fn is_up(&self, router: usize) -> bool {
+        self.now() >= self.routers[router].down_until
+    }
+
+    /// Server that a router picks: of the version, if one is required, among those that it knows.
+    fn pick_server(&mut self, version: Option<u64>) -> Option<usize> {
+        let now = self.now();
+        let fits = |server: &Server| version.is_none_or(|version| server.version == version);
+        let known: Vec<usize> = (0..self.servers.len())
+            .filter(|index| {
+                let server = &self.servers[*index];
+                server.known_at <= now && server.died_at > now && fits(server)
+            })
+            .collect();
+        self.random.pick(&known)
+    }
+
+    fn begin(&mut self) {
+        let every = 200 * MILLI / self.settings.routers.min(40) as u64;
+        self.queue.schedule_after(every, Event::Begin);
+        let stream = self.streams.len();
+        let router = self.random.between(0, self.routers.len() as u64 - 1) as usize;
+        let total = self.random.between(4, 80);
+        self.streams.push(Stream { total, ..Stream::default() });
+        self.outcome.sent += 1;
+        if self.is_up(router) {
+            self.serve(stream, router, None);
+        }
+    }
+
+    /// Sends the rest of the stream to a server. Returns whether there is one.
+    fn serve(&mut self, stream: usize, router: usize, version: Option<u64>) -> bool {
+        let Some(server) = self.pick_server(version) else { return false };
+        let is_earlier = self.routers[router].is_earlier;
+        let served = &mut self.streams[stream];
+        served.run += 1;
+        (served.router, served.server) = (router, server);
+        served.is_by_earlier |= is_earlier;
+        let run = served.run;
+        let delay = self.random.between(10, 60) * MILLI;
+        self.queue.schedule_after(delay, Event::Emit { stream, run });
+        true
+    }
+
+    /// The next event of a stream arrives at its router, unless the server or the router has died.
+    fn emit(&mut self, stream: usize, run: u32) {
+        let now = self.now();
+        let Stream { router, server, events, total, .. } = self.streams[stream];
+        if self.streams[stream].run != run {
+            return;
+        }
+        if !self.is_up(router) || self.routers[router].last_fault == now {
+            return self.lose(stream);
+        }
+        if self.routers[router].frozen_until > now {
+            let wait = self.routers[router].frozen_until - now;
+            return self.queue.schedule_after(wait, Event::Emit { stream, run });
+        }
+        if self.servers[server].died_at <= now {
+            return self.resume_within_answer(stream);
+        }
+        let version = self.servers[server].version;
+        if events == 0 {
+            self.record_origin(stream, router, version);
+        }
+        let served = &mut self.streams[stream];
+        served.events += 1;
+        if !served.versions.contains(&version) {
+            served.versions.push(version);
+        }
+        if served.events < total {
+            let delay = self.random.between(5, 30) * MILLI;
+            self.queue.schedule_after(delay, Event::Emit { stream, run });
+        }
+    }
+
+    fn resume_within_answer(&mut self, stream: usize) {
+        let Stream { router, events, .. } = self.streams[stream];
+        self.streams[stream].own_resumes += 1;
+        let begun_at = self.streams[stream].versions.first().copied().filter(|_| events > 0);
+        let heeds =
+            !self.routers[router].is_earlier && self.settings.missing != Some(Mend::OwnResume);
+        let version = begun_at.filter(|_| heeds);
+        let may_retry = self.streams[stream].own_resumes <= 1;
+        if !may_retry || !self.serve(stream, router, version) {
+            self.lose(stream);
+        }
+    }
+
+    /// The caller loses its connection, and resumes if it has events.
+    fn lose(&mut self, stream: usize) {
+        let lost = &mut self.streams[stream];
+        lost.run += 1;
+        lost.resumes += 1;
+        if lost.events > 0 && lost.resumes <= MAX_RESUMES {
+            let delay = self.random.between(2, 60) * MILLI;
+            self.queue.schedule_after(delay, Event::Resume { stream });
+        }
+    }
+
+    fn record_origin(&mut self, stream: usize, router: usize, version: u64) {
+        if self.routers[router].is_earlier {
+            return;
+        }
+        let record = StreamRecord { stream: key(stream), origin: origin(version) };
+        let now = Timestamp(self.now());
+        self.routers[router].own.record(&record, now);
+        self.publish(router, record);
+    }
+
+    fn publish(&mut self, router: usize, record: StreamRecord) {
+        let is_cut = self.routers[router].cut_until > self.now();
+        if !is_cut && self.settings.missing != Some(Mend::Publication) {
+            let replica = self.routers[router].relay;
+            let delay = self.random.between(1, 3) * MILLI;
+            self.queue
+                .schedule_after(delay, Event::Record { replica, record, is_forwarded: false });
+        }
+    }
+
+    fn record(&mut self, replica: usize, record: &StreamRecord, is_forwarded: bool) {
+        let now = self.now();
+        let receiver = &mut self.replicas[replica];
+        if receiver.down_until > now || (is_forwarded && receiver.cut_until > now) {
+            return;
+        }
+        receiver.records.record(record, Timestamp(now));
+        if is_forwarded || receiver.cut_until > now {
+            return;
+        }
+        for other in (0..self.replicas.len()).filter(|other| *other != replica) {
+            let delay = BATCH_TIME + self.random.between(1, 3) * MILLI;
+            let event =
+                Event::Record { replica: other, record: record.clone(), is_forwarded: true };
+            self.queue.schedule_after(delay, event);
+        }
+    }
+
+    /// A router has a relay again, and tells it of its own streams.
+    fn republish(&mut self, router: usize) {
+        let records: Vec<StreamRecord> = self.routers[router].own.records().collect();
+        records.into_iter().for_each(|record| self.publish(router, record));
+    }
+
+    fn resume(&mut self, stream: usize) {
+        let up: Vec<usize> = (0..self.routers.len()).filter(|router| self.is_up(*router)).collect();
+        let Some(router) = self.random.pick(&up) else { return };
+        self.outcome.resumed += 1;
+        let delay = self.random.between(2, 6) * MILLI;
+        self.queue.schedule_after(delay, Event::Answer { stream, router });
+    }
+
+    /// A router serves or refuses a resumed stream, after it has asked the replicas.
+    fn answer(&mut self, stream: usize, router: usize) {
+        if !self.is_up(router) {
+            return self.lose(stream);
+        }
+        let version = match self.routers[router].is_earlier
+            || self.settings.missing == Some(Mend::CallersResume)
+        {
+            true => None,
+            false => Some(self.find_version(stream, router)),
+        };
+        let is_counted = self.is_in_touch(router) && self.has_two_servers(stream);
+        let goes_on = match version {
+            Some(None) => false,
+            Some(Some(version)) => self.serve(stream, router, Some(version)),
+            None => self.serve(stream, router, None),
+        };
+        self.outcome.resumed_in_touch += usize::from(is_counted);
+        self.outcome.continued_in_touch += usize::from(is_counted && goes_on);
+    }
+
+    fn find_version(&self, stream: usize, router: usize) -> Option<u64> {
+        let own = self.routers[router].own.find(&key(stream));
+        let is_connected = self.routers[router].cut_until <= self.now();
+        let up = self.replicas.iter().filter(|replica| replica.down_until <= self.now());
+        let asked = up.filter(|_| is_connected);
+        let found = own.or_else(|| asked.filter_map(|it| it.records.find(&key(stream))).next())?;
+        (0..VERSIONS).find(|version| origin(*version) == *found)
+    }
+
+    fn is_in_touch(&self, router: usize) -> bool {
+        let since = |fault: u64| self.now().saturating_sub(fault) >= CONTACT_TIME;
+        let router = &self.routers[router];
+        since(router.last_fault) && since(router.cut_until) && since(self.last_core_fault)
+    }
+
+    fn has_two_servers(&self, stream: usize) -> bool {
+        let now = self.now();
+        let version = self.streams[stream].versions[0];
+        let serves = |server: &&Server| {
+            server.version == version && server.died_at > now && server.known_at <= now
+        };
+        self.servers.iter().filter(serves).count() >= 2
+    }
+
+    fn fault(&mut self) {
+        let next = self.random.between(50, 900) * MILLI;
+        self.queue.schedule_after(next, Event::Fault);
+        let time = self.random.between(100, 2_000) * MILLI;
+        let count = self.routers.len();
+        let one = self.random.between(0, count as u64 - 1) as usize;
+        match self.random.between(0, 11) {
+            0..=2 => self.kill_router(one, time),
+            3 => (0..count).filter(|router| router % 2 == one % 2).for_each(|router| {
+                self.kill_router(router, time);
+            }),
+            4 => {
+                let until = self.now() + time;
+                let frozen = &mut self.routers[one];
+                (frozen.frozen_until, frozen.last_fault) = (until, until);
+            }
+            5 => {
+                self.routers[one].cut_until = self.now() + time;
+                self.queue.schedule_after(time, Event::Return { router: one });
+            }
+            6 => self.fault_replicas(one, time),
+            _ => self.replace_servers(),
+        }
+    }
+
+    fn kill_router(&mut self, router: usize, time: u64) {
+        let until = self.now() + time;
+        let killed = &mut self.routers[router];
+        (killed.down_until, killed.last_fault) = (until, until);
+        killed.own = OriginTable::default();
+        let lost = (0..self.streams.len()).filter(|stream| {
+            let stream = &self.streams[*stream];
+            stream.router == router && stream.run > 0 && stream.events < stream.total
+        });
+        let lost: Vec<usize> = lost.collect();
+        lost.into_iter().for_each(|stream| self.lose(stream));
+    }
+
+    /// Kills one replica or all of them, or cuts one off from the others.
+    fn fault_replicas(&mut self, number: usize, time: u64) {
+        let (now, count) = (self.now(), self.replicas.len());
+        let kind = self.random.between(0, 2);
+        for (replica, faulty) in self.replicas.iter_mut().enumerate() {
+            match kind {
+                0 if replica == number % count => faulty.cut_until = now + time,
+                1 if replica != number % count => {}
+                1 | 2 => {
+                    faulty.down_until = now + time;
+                    faulty.records = OriginTable::default();
+                }
+                _ => {}
+            }
+        }
+        self.last_core_fault = now + time;
+        for router in 0..self.routers.len() {
+            self.queue.schedule_after(time + 100 * MILLI, Event::Return { router });
+        }
+    }
+
+    /// Servers crash, and others of any version take their place.
+    fn replace_servers(&mut self) {
+        let now = self.now();
+        for _ in 0..self.random.between(1, 3) {
+            let alive: Vec<usize> = (0..self.servers.len())
+                .filter(|index| self.servers[*index].died_at > now)
+                .collect();
+            if let Some(index) = self.random.pick(&alive) {
+                self.servers[index].died_at = now;
+            }
+            let version = self.random.between(0, VERSIONS - 1);
+            let known_at = now + self.random.between(20, 400) * MILLI;
+            self.servers.push(Server { version, known_at, died_at: u64::MAX });
+        }
+    }
+}
