--- a/crates/gateway/tests/paths/cut_off.rs
+++ b/crates/gateway/tests/paths/cut_off.rs
@@ -3,8 +3,8 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
-use juniper_protocol::PeerRole;
 use juniper_protocol::message::{RouterUpdate, ServerNoticeUpdate};
+use juniper_protocol::{ClusterKey, Message, PeerRole, Reply, Request, connect};
 use juniper_registry::{InstanceReport, StartTime};
 use juniper_types::NodeId;
 use socket2::{Domain, Socket, Type};
@@ -14,7 +14,7 @@
 use crate::support::caller::{get, request_head};
 use crate::support::link::silent_listener;
 use crate::support::server::{FakeServer, Step, complete_answer, healthy};
-use crate::support::{TEST_TIMEOUT, TestGateway, identity, loopback};
+use crate::support::{KEY, TEST_TIMEOUT, TestGateway, identity, loopback};
 
 /// How connections to servers fail at the router that is cut off.
 #[derive(Clone, Copy, Debug)]
@@ -194,3 +194,89 @@
     assert_eq!(router.status("/once/x", "r1").await, 503);
     assert_eq!(server.requests().len(), 1);
 }
+
+/// A router that is cut off and knows of these others, by the addresses that they listen on.
+async fn cut_off_beside(
+    server: &FakeServer,
+    helpers: &[&TestGateway],
+) -> (TestGateway, Vec<Socket>) {
+    let cut_off = TestGateway::start(&[]).await;
+    let (address, sockets) = dead_address(Cut::Refused);
+    cut_off.control.add_server(InstanceReport { address, ..server.report() });
+    for helper in helpers {
+        let SocketAddr::V4(internal) = helper.internal else { panic!("IPv4") };
+        let update = RouterUpdate { ended_requests: vec![1], ..RouterUpdate::default() };
+        cut_off.control.send_peer_update(NodeId::of_address(internal).0, "north", update);
+    }
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    (cut_off, sockets)
+}
+
+/// A helper that says that it can't reach the server ends the search after two of them.
+#[tokio::test]
+async fn helpers_that_are_cut_off_themselves_hide_one_that_reaches_the_server() {
+    let (server, other) = (healthy("a").await, healthy("b").await);
+    let reaching = TestGateway::start(&[&server]).await;
+    let mut cut_off_helpers = Vec::new();
+    let mut sockets = Vec::new();
+    for _ in 0..3 {
+        let helper = TestGateway::start(&[]).await;
+        for report in [server.report(), other.report()] {
+            let (address, socket) = dead_address(Cut::Refused);
+            helper.control.add_server(InstanceReport { address, ..report });
+            sockets.extend(socket);
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        for number in 0..3 {
+            assert_eq!(get(helper.callers, "/once/x", &format!("h{number}")).await.status, 503);
+        }
+        cut_off_helpers.push(helper);
+    }
+    let helpers: Vec<&TestGateway> = cut_off_helpers.iter().chain([&reaching]).collect();
+    let (cut_off, _sockets) = cut_off_beside(&server, &helpers).await;
+    for number in 0..3 {
+        let answer = get(cut_off.callers, "/safe/x", &format!("r{number}")).await;
+        assert_eq!(answer.status, 200, "request {number}");
+    }
+}
+
+/// A tunnel through a router that is about to end would break with it.
+#[tokio::test]
+async fn a_router_that_stops_opens_tunnels() {
+    let server = FakeServer::start("a", |number, head| match number {
+        0 => vec![Step::Wait(Duration::from_secs(2))],
+        _ => vec![Step::Send(complete_answer(head, "200 OK", "fine"))],
+    })
+    .await;
+    let mut reaching = TestGateway::start(&[&server]).await;
+    // A request in flight keeps the router from ending.
+    let callers = reaching.callers;
+    let in_flight = tokio::spawn(async move { get(callers, "/once/x", "r0").await });
+    while server.requests().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    reaching.stop();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let (cut_off, _sockets) = cut_off_beside(&server, &[&reaching]).await;
+    assert_eq!(get(cut_off.callers, "/once/x", "r1").await.status, 503);
+    assert_eq!(server.requests().len(), 1);
+    in_flight.abort();
+}
+
+/// Replicas hold the same key, but have nothing to send to servers.
+#[tokio::test]
+async fn a_peer_that_is_no_router_opens_a_tunnel() {
+    let server = healthy("a").await;
+    let reaching = TestGateway::start(&[&server]).await;
+    let key = ClusterKey::from_text(KEY).expect("long enough");
+    let is_opened = async |role| {
+        let own = identity(role, 5);
+        let mut connection = connect(reaching.internal, &key, &own).await.expect("connected");
+        let (instance, started) = (server.report().name, StartTime::UNKNOWN);
+        let request = Request::OpenTunnel { instance, started };
+        connection.writer.send(&Message::Request { call: 1, request }).await.expect("sent");
+        matches!(connection.reader.receive().await, Ok(Message::Reply { reply: Reply::Done, .. }))
+    };
+    assert!(is_opened(PeerRole::Router).await);
+    assert!(!is_opened(PeerRole::Control).await);
+}
--- a/crates/gateway/tests/paths/reachability.rs
+++ b/crates/gateway/tests/paths/reachability.rs
@@ -1,23 +1,24 @@
 //! Exchange of unreachable servers, dispatch reports and ends of requests between routers.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use juniper_protocol::message::{Reachability, RouterUpdate};
 use juniper_registry::{InstanceName, InstanceReport, StartTime};
+use socket2::{Domain, Socket, Type};
 
 use crate::support::caller::get;
 use crate::support::server::healthy;
 use crate::support::{TEST_TIMEOUT, TestGateway, loopback};
 
-/// Report of a server at a port that was bound and released, so that connections are refused.
-async fn refusing_server(name: &str) -> InstanceReport {
-    let free = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let port = free.local_addr().expect("bound").port();
-    InstanceReport {
-        name: InstanceName::new(name),
-        address: loopback(port),
-        ..healthy(name).await.report()
-    }
+/// Report of a server whose port is bound but not listened on, so that connections are refused and
+/// no server of another test takes the port. The socket has to be kept.
+async fn refusing_server(name: &str) -> (InstanceReport, Socket) {
+    let bound = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    bound.bind(&SocketAddr::V4(loopback(0)).into()).expect("a port");
+    let address = bound.local_addr().expect("bound").as_socket_ipv4().expect("IPv4");
+    let report = healthy(name).await.report();
+    (InstanceReport { name: InstanceName::new(name), address, ..report }, bound)
 }
 
 fn unreachable_update(server: &str) -> RouterUpdate {
@@ -45,7 +46,8 @@
 async fn an_unreachable_server_is_published_after_each_probe() {
     let reachable = healthy("up").await;
     let gateway = TestGateway::start(&[&reachable]).await;
-    gateway.control.add_server(refusing_server("down").await);
+    let (down, _bound) = refusing_server("down").await;
+    gateway.control.add_server(down);
     tokio::time::sleep(Duration::from_millis(50)).await;
     for number in 0..12 {
         let answer = get(gateway.callers, "/once/x", &format!("r{number}")).await;
@@ -65,8 +67,11 @@
 #[tokio::test]
 async fn a_router_that_reaches_no_server_publishes_none_as_unreachable() {
     let gateway = TestGateway::start(&[]).await;
+    let mut bound = Vec::new();
     for name in ["a", "b", "c"] {
-        gateway.control.add_server(refusing_server(name).await);
+        let (report, socket) = refusing_server(name).await;
+        gateway.control.add_server(report);
+        bound.push(socket);
     }
     tokio::time::sleep(Duration::from_millis(50)).await;
     for number in 0..4 {
@@ -80,7 +85,8 @@
 #[tokio::test]
 async fn requests_that_were_not_sent_are_published_as_dispatched() {
     let gateway = TestGateway::start(&[]).await;
-    gateway.control.add_server(refusing_server("down").await);
+    let (down, _bound) = refusing_server("down").await;
+    gateway.control.add_server(down);
     tokio::time::sleep(Duration::from_millis(50)).await;
     for number in 0..4 {
         assert_eq!(get(gateway.callers, "/once/x", &format!("r{number}")).await.status, 503);
@@ -93,7 +99,8 @@
 async fn a_server_that_other_routers_can_not_reach_gets_no_requests() {
     let reachable = healthy("up").await;
     let gateway = TestGateway::start(&[&reachable]).await;
-    gateway.control.add_server(refusing_server("down").await);
+    let (down, _bound) = refusing_server("down").await;
+    gateway.control.add_server(down);
     tokio::time::sleep(Duration::from_millis(50)).await;
     report_unreachable(&gateway, "down").await;
     for number in 0..24 {
--- a/crates/placement/tests/proven_paths.rs
+++ b/crates/placement/tests/proven_paths.rs
@@ -54,3 +54,17 @@
     placement.end_request(ticket, Outcome::Interrupted, at(FAILED_AT_MS));
     assert!(!placement.is_path_proven(&choice.instance));
 }
+
+/// Guards against tunnels, and refusals to open them, after the crash of a single server.
+#[test]
+fn a_router_counts_as_cut_off_after_one_server_failed() {
+    let mut placement = placement(3);
+    for number in 1..=3 {
+        placement.record_connected(&id_of(number), at(CONNECTED_AT_MS), at(CONNECTED_AT_MS));
+    }
+    placement.record_connect_failure(&id_of(1), false, at(FAILED_AT_MS));
+    placement.record_connect_failure(&id_of(1), false, at(FAILED_AT_MS + 1));
+    assert!(!placement.is_cut_off(&id_of(2)));
+    placement.record_connect_failure(&id_of(2), false, at(FAILED_AT_MS + 2));
+    assert!(placement.is_cut_off(&id_of(3)));
+}
--- a/crates/placement/tests/reachability_reports.rs
+++ b/crates/placement/tests/reachability_reports.rs
@@ -119,3 +119,21 @@
     report(&mut placement, 4, NEAR, &home.instance, false);
     assert!(!is_sent_home(&mut placement, &home, 1_200), "others' are not");
 }
+
+/// Guards against routers that go on reporting a server which they can't reach, but others can.
+#[test]
+fn reports_that_were_contradicted_are_trusted_again_at_once() {
+    let (mut placement, home) = two_servers_and_home();
+    let report_at = |placement: &mut Placement, node, reached, seconds: u64| {
+        let reporter = Reporter { node, zone: NEAR };
+        let now = at(seconds * 1_000);
+        placement.apply_peer_reachability(reporter, &home.instance, reached, VERIFY_AFTER, now);
+    };
+    [1, 2].map(|node| report_at(&mut placement, node, false, 0));
+    assert!(!is_sent_home(&mut placement, &home, 10));
+    report_at(&mut placement, 3, true, 1);
+    [1, 2].map(|node| report_at(&mut placement, node, false, 2));
+    assert!(is_sent_home(&mut placement, &home, 2_010), "the same routers report again");
+    [1, 2].map(|node| report_at(&mut placement, node, false, 12));
+    assert!(!is_sent_home(&mut placement, &home, 12_010), "the contradiction is forgotten");
+}
