No tunnel leads to a server that has announced its departure

What servers saw: requests from a router's address after that router had passed on their departure: those of a cut-off router which hadn't heard of it.

--- a/crates/gateway/src/tunnel_server.rs
+++ b/crates/gateway/src/tunnel_server.rs
@@ -109,13 +109,13 @@
     let address = address_of(gateway, instance).ok_or(TunnelRefusal::Unavailable)?;
     let is_running = *gateway.shutdown.borrow() == ShutdownPhase::Running;
     let now = gateway.now();
-    let (is_cut_off, prefers_tunnel, is_backing_off) = {
+    let (is_cut_off, prefers_tunnel, accepts_requests) = {
         let placement = gateway.placement();
-        let is_backing_off = placement.remaining_backoff(instance, now).is_some();
-        (placement.is_cut_off(instance), placement.prefers_tunnel(instance), is_backing_off)
+        let accepts_requests = placement.accepts_requests(instance, now);
+        (placement.is_cut_off(instance), placement.prefers_tunnel(instance), accepts_requests)
     };
     // The server doesn't tell requests that come through a tunnel from this router's own.
-    if !is_running || is_cut_off || is_backing_off {
+    if !is_running || is_cut_off || !accepts_requests {
         return Err(TunnelRefusal::Unavailable);
     }
     if prefers_tunnel {
--- a/crates/gateway/tests/paths/cut_off.rs
+++ b/crates/gateway/tests/paths/cut_off.rs
@@ -281,3 +281,16 @@
     assert!(is_opened(PeerRole::Router).await);
     assert!(!is_opened(PeerRole::Control).await);
 }
+
+/// The cut-off router may not have heard of the departure.
+#[tokio::test]
+async fn a_server_that_leaves_gets_requests_through_a_tunnel() {
+    let server = FakeServer::start("a", |_, head| {
+        vec![Step::Send(complete_answer(head, "200 OK\r\nx-leaving: 1", "fine"))]
+    })
+    .await;
+    let router = CutOffRouter::start(&server, Cut::Refused).await;
+    assert_eq!(get(router.reaching.callers, "/safe/x", "r0").await.status, 200);
+    assert_eq!(router.status("/once/x", "r1").await, 503);
+    assert_eq!(server.requests().len(), 1);
+}
--- a/crates/placement/src/notices.rs
+++ b/crates/placement/src/notices.rs
@@ -96,6 +96,13 @@
         self.backoffs.remaining(server, now).max(rejection)
     }
 
+    /// Whether the server is known, hasn't announced its departure, and requests no backoff from this
+    /// router.
+    pub fn accepts_requests(&self, server: &InstanceId, now: Timestamp) -> bool {
+        let is_in_service = self.server(server).is_some_and(Server::is_in_service);
+        is_in_service && self.remaining_backoff(server, now).is_none()
+    }
+
     /// Records another router's report that the server requested a backoff.
     pub fn apply_peer_backoff(
         &mut self,
--- a/crates/placement/tests/reachability_reports.rs
+++ b/crates/placement/tests/reachability_reports.rs
@@ -129,11 +129,11 @@
         let now = at(seconds * 1_000);
         placement.apply_peer_reachability(reporter, &home.instance, reached, VERIFY_AFTER, now);
     };
-    [1, 2].map(|node| report_at(&mut placement, node, false, 0));
+    [1, 2].into_iter().for_each(|node| report_at(&mut placement, node, false, 0));
     assert!(!is_sent_home(&mut placement, &home, 10));
     report_at(&mut placement, 3, true, 1);
-    [1, 2].map(|node| report_at(&mut placement, node, false, 2));
+    [1, 2].into_iter().for_each(|node| report_at(&mut placement, node, false, 2));
     assert!(is_sent_home(&mut placement, &home, 2_010), "the same routers report again");
-    [1, 2].map(|node| report_at(&mut placement, node, false, 12));
+    [1, 2].into_iter().for_each(|node| report_at(&mut placement, node, false, 12));
     assert!(!is_sent_home(&mut placement, &home, 12_010), "the contradiction is forgotten");
 }
