Resumed streams are counted and logged by who knew their origin; files split

event=stream_origin_found is written for resumes without a named request too (source=sole_version), and juniper_gateway_stream_resumes_total counts them by source or by the reason of a refusal.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -225,12 +225,13 @@
         RequestBody::Buffered(bytes) => Some(bytes),
     };
     let Some(body) = body else { return Ok(None) };
-    let resumes = route.kind == RouteKind::Stream && info.last_event.is_some();
-    let origin = match resumes {
-        true => Some(gateway.find_origin(route, tenant, &info).await),
-        false => None,
+    let origin = match info.last_event {
+        Some(_) if route.kind == RouteKind::Stream => {
+            let found = gateway.find_origin(route, tenant, &info).await;
+            Some(found.map_err(OwnAnswer::NotResumable)?)
+        }
+        _ => None,
     };
-    let origin = origin.transpose().map_err(OwnAnswer::NotResumable)?;
     let isolated = tenant.filter(|tenant| tenant.isolated);
     let mut headers = head.headers;
     strip_hop_headers(&mut headers);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,8 @@
     pub dropped_dispatch_reports: IntCounter,
     /// Batches of other routers' updates lost because this router was too slow.
     pub missed_update_batches: IntCounter,
+    /// Streams that callers resume, by who knew their origin or by the reason of the refusal.
+    resumes: IntCounterVec,
     /// Tunnels to servers through other routers, and of others through this one, by outcome.
     tunnels: IntCounterVec,
     /// Requests that brittle servers rejected.
@@ -199,6 +201,11 @@
                 "router_news_missed_total",
                 "Batches of what other routers told that came too fast.",
             )?,
+            resumes: counters(
+                "stream_resumes_total",
+                "Streams that callers resume, by who knew their origin or why they were refused.",
+                &["outcome"],
+            )?,
             tunnels: counters(
                 "tunnels_total",
                 "Tunnels through another router (opened, failed) or of others (served, refused).",
@@ -309,6 +316,11 @@
         }
     }
 
+    /// Counts a stream that a caller resumes, by who knew its origin or by the reason of its refusal.
+    pub(crate) fn count_resume(&self, outcome: &str) {
+        self.resumes.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a tunnel to a server by its outcome.
     pub(crate) fn count_tunnel(&self, outcome: &str) {
         self.tunnels.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -10,13 +10,12 @@
 use std::time::Duration;
 
 use hyper::header::HeaderValue;
-use juniper_catalog::{Route, Tenant};
+use juniper_catalog::{Route, SplitPart, Tenant};
 use juniper_feed::OriginLookup;
 use juniper_protocol::message::RouterUpdate;
 use juniper_registry::SoftwareVersion;
 use juniper_stream_origins::{OriginTable, StreamOrigin, StreamRecord};
 use juniper_types::StreamKey;
-use tokio::time::Instant;
 
 use crate::call::Call;
 use crate::dialect::CallInfo;
@@ -51,6 +50,28 @@
     }
 }
 
+/// Who knows where a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OriginSource {
+    /// This router began it.
+    Own,
+    /// A replica has a record.
+    Replica,
+    /// Only one software version can have begun it.
+    SoleVersion,
+}
+
+impl OriginSource {
+    /// Value of `source` in logs, and of `outcome` in metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            OriginSource::Own => "own",
+            OriginSource::Replica => "replica",
+            OriginSource::SoleVersion => "sole_version",
+        }
+    }
+}
+
 /// Origins of the streams whose first event this router passed on.
 #[derive(Default)]
 pub(crate) struct OwnOrigins(Mutex<OriginTable>);
@@ -76,19 +97,35 @@
         tenant: Option<&Tenant>,
         info: &CallInfo,
     ) -> Result<StreamOrigin, ResumeRefusal> {
-        let asked_at = Instant::now();
-        let found = self.look_up_origin(route, tenant, info).await;
-        if let Err(refusal) = &found {
-            log::info!(
-                "event=not_resumable request={} resumes={} route={} reason={} took_ms={}",
-                text(&info.id),
-                info.resumed_attempt.as_ref().map_or("-", text),
-                route.name,
-                refusal.as_str(),
-                asked_at.elapsed().as_millis()
-            );
+        let found = self.look_up_origin(route, tenant, info).await.and_then(|(origin, source)| {
+            let leads_there = |part: &SplitPart| part.service == origin.service && part.weight > 0;
+            match route.split.iter().any(leads_there) {
+                true => Ok((origin, source)),
+                false => Err(ResumeRefusal::NoService),
+            }
+        });
+        let (id, resumed) = (text(&info.id), info.resumed_attempt.as_ref().map_or("-", text));
+        match &found {
+            Ok((origin, source)) => {
+                self.metrics.count_resume(source.as_str());
+                log::info!(
+                    "event=stream_origin_found request={id} resumes={resumed} service={} \
+                     software={} source={}",
+                    origin.service,
+                    origin.software,
+                    source.as_str()
+                );
+            }
+            Err(refusal) => {
+                self.metrics.count_resume(refusal.as_str());
+                log::info!(
+                    "event=not_resumable request={id} resumes={resumed} route={} reason={}",
+                    route.name,
+                    refusal.as_str()
+                );
+            }
         }
-        found
+        found.map(|(origin, _)| origin)
     }
 
     async fn look_up_origin(
@@ -96,34 +133,20 @@
         route: &Route,
         tenant: Option<&Tenant>,
         info: &CallInfo,
-    ) -> Result<StreamOrigin, ResumeRefusal> {
+    ) -> Result<(StreamOrigin, OriginSource), ResumeRefusal> {
         let Some(attempt) = &info.resumed_attempt else {
-            return self.sole_origin(route).ok_or(ResumeRefusal::NoRecord);
+            let sole = self.sole_origin(route).ok_or(ResumeRefusal::NoRecord)?;
+            return Ok((sole, OriginSource::SoleVersion));
         };
         let stream = self.stream_key(tenant.map(|tenant| tenant.name.as_str()), attempt.as_bytes());
         let own = lock(&self.origins.0).find(&stream).cloned();
-        let source = if own.is_some() { "own" } else { "replica" };
-        let origin = match own {
-            Some(origin) => origin,
-            None => match self.feed.find_stream_origin(stream).await {
-                OriginLookup::Known(origin) => origin,
-                OriginLookup::Unknown => return Err(ResumeRefusal::NoRecord),
-                OriginLookup::Unanswered => return Err(ResumeRefusal::Unanswered),
-            },
-        };
-        log::info!(
-            "event=stream_origin_found request={} resumes={} service={} software={} source={source}",
-            text(&info.id),
-            text(attempt),
-            origin.service,
-            origin.software
-        );
-        let is_part = |service: &str| {
-            route.split.iter().any(|part| part.service == service && part.weight > 0)
-        };
-        match is_part(&origin.service) {
-            true => Ok(origin),
-            false => Err(ResumeRefusal::NoService),
+        if let Some(origin) = own {
+            return Ok((origin, OriginSource::Own));
+        }
+        match self.feed.find_stream_origin(stream).await {
+            OriginLookup::Known(origin) => Ok((origin, OriginSource::Replica)),
+            OriginLookup::Unknown => Err(ResumeRefusal::NoRecord),
+            OriginLookup::Unanswered => Err(ResumeRefusal::Unanswered),
         }
     }
 
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -314,6 +314,7 @@
     }
 
     fn log_not_resumable(&self, refusal: ResumeRefusal) {
+        self.gateway.metrics.count_resume(refusal.as_str());
         log::info!(
             "event=not_resumable request={} resumes={} service={} software={} reason={} excluded={}",
             self.call.id(),
--- a/crates/stream-origins/tests/fleet/main.rs
+++ b/crates/stream-origins/tests/fleet/main.rs
@@ -1,9 +1,12 @@
 //! Callers of a simulated fleet never receive events of two software versions in one stream, over all
 //! routers that they try, and most resumed streams go on.
 
+mod faults;
+mod outcome;
 mod world;
 
-use world::{Mend, Outcome, World, WorldSettings};
+use outcome::Outcome;
+use world::{Mend, World, WorldSettings};
 
 /// Resumes below which their share says nothing.
 const MIN_RESUMES: usize = 12;
--- a/crates/stream-origins/tests/fleet/world.rs
+++ b/crates/stream-origins/tests/fleet/world.rs
@@ -7,10 +7,12 @@
 use juniper_stream_origins::{OriginTable, StreamOrigin, StreamRecord};
 use juniper_types::{StreamKey, Timestamp};
 
-const MILLI: u64 = 1_000;
+use crate::outcome::Outcome;
+
+pub const MILLI: u64 = 1_000;
 const END: u64 = 20_000 * MILLI;
 const SERVERS: usize = 12;
-const VERSIONS: u64 = 3;
+pub const VERSIONS: u64 = 3;
 
 /// Time after a fault for which a machine doesn't count as in touch.
 const CONTACT_TIME: u64 = 3_000 * MILLI;
@@ -47,77 +49,45 @@
     }
 }
 
-/// What the callers of a run saw.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Outcome {
-    pub sent: usize,
-    pub begun: usize,
-    /// Streams with events of two versions, but for those that an earlier build served.
-    pub mixed: usize,
-    pub resumed: usize,
-    /// Resumes at machines in touch while two servers of the version served.
-    pub resumed_in_touch: usize,
-    pub continued_in_touch: usize,
-}
-
-impl Outcome {
-    pub fn add(&mut self, other: &Outcome) {
-        self.sent += other.sent;
-        self.begun += other.begun;
-        self.mixed += other.mixed;
-        self.resumed += other.resumed;
-        self.resumed_in_touch += other.resumed_in_touch;
-        self.continued_in_touch += other.continued_in_touch;
-    }
-
-    pub fn share_begun(&self) -> f64 {
-        self.begun as f64 / self.sent.max(1) as f64
-    }
-
-    pub fn share_continued(&self) -> f64 {
-        self.continued_in_touch as f64 / self.resumed_in_touch.max(1) as f64
-    }
-}
-
-struct Router {
+pub struct Router {
     is_earlier: bool,
-    down_until: u64,
-    frozen_until: u64,
-    cut_until: u64,
-    last_fault: u64,
+    pub down_until: u64,
+    pub frozen_until: u64,
+    pub cut_until: u64,
+    pub last_fault: u64,
     relay: usize,
-    own: OriginTable,
+    pub own: OriginTable,
 }
 
-struct Replica {
-    down_until: u64,
-    cut_until: u64,
-    records: OriginTable,
+pub struct Replica {
+    pub down_until: u64,
+    pub cut_until: u64,
+    pub records: OriginTable,
 }
 
 /// Incarnation of a server.
-struct Server {
-    version: u64,
+pub struct Server {
+    pub version: u64,
     /// When routers learn of it.
-    known_at: u64,
-    died_at: u64,
+    pub known_at: u64,
+    pub died_at: u64,
 }
 
 #[derive(Clone, Default)]
-struct Stream {
+pub struct Stream {
     versions: Vec<u64>,
-    events: u64,
-    total: u64,
-    router: usize,
+    pub events: u64,
+    pub total: u64,
+    pub router: usize,
     server: usize,
     /// Number of the run that serves it; events of earlier ones don't reach the caller.
-    run: u32,
+    pub run: u32,
     resumes: u32,
     own_resumes: u32,
     is_by_earlier: bool,
 }
 
-enum Event {
+pub enum Event {
     Begin,
     Emit { stream: usize, run: u32 },
     Resume { stream: usize },
@@ -129,13 +99,13 @@
 
 pub struct World {
     settings: WorldSettings,
-    random: Random,
-    queue: EventQueue<Event>,
-    routers: Vec<Router>,
-    replicas: Vec<Replica>,
-    servers: Vec<Server>,
-    streams: Vec<Stream>,
-    last_core_fault: u64,
+    pub random: Random,
+    pub queue: EventQueue<Event>,
+    pub routers: Vec<Router>,
+    pub replicas: Vec<Replica>,
+    pub servers: Vec<Server>,
+    pub streams: Vec<Stream>,
+    pub last_core_fault: u64,
     outcome: Outcome,
 }
 
@@ -212,7 +182,7 @@
         self.outcome
     }
 
-    fn now(&self) -> u64 {
+    pub fn now(&self) -> u64 {
         self.queue.now()
     }
 
@@ -306,7 +276,7 @@
     }
 
     /// The caller loses its connection, and resumes if it has events.
-    fn lose(&mut self, stream: usize) {
+    pub fn lose(&mut self, stream: usize) {
         let lost = &mut self.streams[stream];
         lost.run += 1;
         lost.resumes += 1;
@@ -412,79 +382,4 @@
         };
         self.servers.iter().filter(serves).count() >= 2
     }
-
-    fn fault(&mut self) {
-        let next = self.random.between(50, 900) * MILLI;
-        self.queue.schedule_after(next, Event::Fault);
-        let time = self.random.between(100, 2_000) * MILLI;
-        let count = self.routers.len();
-        let one = self.random.between(0, count as u64 - 1) as usize;
-        match self.random.between(0, 11) {
-            0..=2 => self.kill_router(one, time),
-            3 => (0..count).filter(|router| router % 2 == one % 2).for_each(|router| {
-                self.kill_router(router, time);
-            }),
-            4 => {
-                let until = self.now() + time;
-                let frozen = &mut self.routers[one];
-                (frozen.frozen_until, frozen.last_fault) = (until, until);
-            }
-            5 => {
-                self.routers[one].cut_until = self.now() + time;
-                self.queue.schedule_after(time, Event::Return { router: one });
-            }
-            6 => self.fault_replicas(one, time),
-            _ => self.replace_servers(),
-        }
-    }
-
-    fn kill_router(&mut self, router: usize, time: u64) {
-        let until = self.now() + time;
-        let killed = &mut self.routers[router];
-        (killed.down_until, killed.last_fault) = (until, until);
-        killed.own = OriginTable::default();
-        let lost = (0..self.streams.len()).filter(|stream| {
-            let stream = &self.streams[*stream];
-            stream.router == router && stream.run > 0 && stream.events < stream.total
-        });
-        let lost: Vec<usize> = lost.collect();
-        lost.into_iter().for_each(|stream| self.lose(stream));
-    }
-
-    /// Kills one replica or all of them, or cuts one off from the others.
-    fn fault_replicas(&mut self, number: usize, time: u64) {
-        let (now, count) = (self.now(), self.replicas.len());
-        let kind = self.random.between(0, 2);
-        for (replica, faulty) in self.replicas.iter_mut().enumerate() {
-            match kind {
-                0 if replica == number % count => faulty.cut_until = now + time,
-                1 if replica != number % count => {}
-                1 | 2 => {
-                    faulty.down_until = now + time;
-                    faulty.records = OriginTable::default();
-                }
-                _ => {}
-            }
-        }
-        self.last_core_fault = now + time;
-        for router in 0..self.routers.len() {
-            self.queue.schedule_after(time + 100 * MILLI, Event::Return { router });
-        }
-    }
-
-    /// Servers crash, and others of any version take their place.
-    fn replace_servers(&mut self) {
-        let now = self.now();
-        for _ in 0..self.random.between(1, 3) {
-            let alive: Vec<usize> = (0..self.servers.len())
-                .filter(|index| self.servers[*index].died_at > now)
-                .collect();
-            if let Some(index) = self.random.pick(&alive) {
-                self.servers[index].died_at = now;
-            }
-            let version = self.random.between(0, VERSIONS - 1);
-            let known_at = now + self.random.between(20, 400) * MILLI;
-            self.servers.push(Server { version, known_at, died_at: u64::MAX });
-        }
-    }
 }
