A resume that names no request needs no long history of its router

All servers that the router knows, and has known within the timeout, still have to run one version. The doubt that is left, a version that left before the router started, concerns only callers that don't name what they resume.

--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -151,7 +151,7 @@
     }
 
     /// Origin of any stream that a caller of the route may resume: its only service, if all servers
-    /// have run one software version for as long as the stream can have lasted.
+    /// that this router has known for as long as the stream can have lasted ran one software version.
     fn sole_origin(&self, route: &Route) -> Option<StreamOrigin> {
         let age = self.feed.confirmation_age()?;
         let mut parts = route.split.iter().filter(|part| part.weight > 0);
--- a/crates/stream-origins/src/lib.rs
+++ b/crates/stream-origins/src/lib.rs
@@ -7,7 +7,7 @@
 //! prevent a resume, never misdirect one. Two records of one stream that disagree cancel each other.
 //!
 //! A caller may resume a stream without naming that id. Then only a service whose servers have all run
-//! one version for long enough leaves no doubt ([`SoftwareHistory`]).
+//! one version as far as the router knows can have begun it ([`SoftwareHistory`]).
 //!
 //! Nothing in this crate performs I/O or reads a clock.
 
