--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -52,7 +52,7 @@
     /// Nothing was sent, since the retry was granted too long ago and the budget has no other one.
     #[error("not sent: the retry was granted too long ago")]
     RetryExpired,
-    /// Nothing was sent, since the server's software version has changed since it was chosen.
+    /// Nothing was sent, since the server no longer runs the software version it was chosen for.
     #[error("not sent: the server's software version has changed")]
     SoftwareChanged,
     /// The server stated that it did not run the request.
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -104,7 +104,8 @@
                 false => Err(ResumeRefusal::NoService),
             }
         });
-        let (id, resumed) = (text(&info.id), info.resumed_attempt.as_ref().map_or("-", text));
+        let (id, resumed) =
+            (header_text(&info.id), info.resumed_attempt.as_ref().map_or("-", header_text));
         match &found {
             Ok((origin, source)) => {
                 self.metrics.count_resume(source.as_str());
@@ -182,6 +183,6 @@
 }
 
 /// Header value for logs.
-fn text(value: &HeaderValue) -> &str {
+fn header_text(value: &HeaderValue) -> &str {
     value.to_str().unwrap_or("-")
 }
