Failing tests: streams of a server that restarts under its name with another version

A server that is back under its name at its address runs another software version than the one that routers know, until its heartbeat is known. Streams that begin there are recorded and resumed as of the former version, and rests of streams come from the other one.

--- a/crates/gateway/tests/paths/software_versions.rs
+++ b/crates/gateway/tests/paths/software_versions.rs
@@ -144,3 +144,85 @@
     let answer = resume_unnamed(&gateway, "r3").await;
     assert_eq!((answer.status, answer.header("retry-after")), (503, None), "{answer:?}");
 }
+
+/// Time in which a router applies a changed list of servers.
+const LIST_DELAY: Duration = Duration::from_millis(200);
+
+/// Server that passes the list of servers two events apart before its streams break. A rest of a
+/// stream is complete.
+async fn slow_server(name: &'static str, software: &str) -> FakeServer {
+    let script = move |_: usize, head: &str| {
+        let next =
+            header(head, "x-last").map_or(1, |last| last.parse::<u64>().expect("a number") + 1);
+        let end = match next {
+            1 => Step::Close,
+            _ => Step::Send(LAST_CHUNK.to_owned()),
+        };
+        vec![
+            Step::Send(stream_head(head, name)),
+            Step::Send(event(next)),
+            Step::Wait(LIST_DELAY * 3),
+            Step::Send(event(next + 1)),
+            Step::Wait(LIST_DELAY),
+            end,
+        ]
+    };
+    FakeServer::start(name, script).await.with_software(software).with_start(1_000)
+}
+
+/// Starts a request and reports `server` with a later start and this version while it is answered.
+async fn ask_during_restart(
+    gateway: &TestGateway,
+    head: String,
+    server: &FakeServer,
+    software: &str,
+) -> Answer {
+    let callers = gateway.callers;
+    let asking = tokio::spawn(async move { ask(callers, &format!("{head}\r\n")).await });
+    tokio::time::sleep(LIST_DELAY).await;
+    let restarted = server.clone().with_software(software).with_start(2_000);
+    gateway.control.add_server(restarted.report());
+    asking.await.expect("no panic")
+}
+
+/// A heartbeat that shows a restart arrives after the new incarnation has begun streams.
+#[tokio::test]
+async fn a_stream_of_a_restarted_server_goes_on_at_the_version_of_its_former_incarnation() {
+    let server = slow_server("a", "v1").await;
+    let gateway = TestGateway::start(&[&server]).await;
+    let other = breaking_server("b", "v1").await;
+    let callers = request_head("GET", "/resumable/x", "r1");
+    let asking = ask_during_restart(&gateway, callers, &server, "v2");
+    let (answer, ()) = tokio::join!(asking, async {
+        tokio::time::sleep(LIST_DELAY).await;
+        gateway.control.add_server(other.report());
+    });
+    assert!(!answer.complete && answer.body.contains("d2"), "{answer:?}");
+    assert_eq!(other.requests().len(), 0);
+    let second = second_gateway(&gateway, &[&other]).await;
+    let answer = resume(&second, "r2", "r1").await;
+    assert_eq!((answer.status, answer.header("retry-after")), (503, None), "{answer:?}");
+    assert_eq!(other.requests().len(), 0);
+}
+
+#[tokio::test]
+async fn a_resumed_stream_goes_on_at_a_server_that_has_restarted_with_another_version() {
+    let breaking = breaking_server("b", "v1").await;
+    let first = TestGateway::start(&[&breaking]).await;
+    assert!(get(first.callers, "/resumable/x", "r1").await.body.contains("d1"));
+    let server = slow_server("a", "v1").await;
+    let second = second_gateway(&first, &[&server]).await;
+    let head = request_head("GET", "/resumable/x", "r2") + "x-last: 1\r\nx-resumes: r1\r\n";
+    let answer = ask_during_restart(&second, head, &server, "v2").await;
+    assert!(!answer.complete && !answer.body.contains("d3"), "{answer:?}");
+}
+
+/// The stream and its rest come from one incarnation or from two of one version.
+#[tokio::test]
+async fn a_restart_with_the_same_version_ends_a_stream() {
+    let server = slow_server("a", "v1").await;
+    let gateway = TestGateway::start(&[&server]).await;
+    let head = request_head("GET", "/resumable/x", "r1");
+    let answer = ask_during_restart(&gateway, head, &server, "v1").await;
+    assert!(answer.complete && answer.body.contains("d4"), "{answer:?}");
+}
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -228,10 +228,13 @@
 }
 
 impl ReplicaState {
+    /// Origin of a stream; `None` if it isn't known, or if records disagree.
     fn origin_of(&self, stream: &StreamKey) -> Option<StreamOrigin> {
         let records = self.stream_records.lock().expect("no panic");
-        let record = records.iter().find(|record| record.stream == *stream);
-        record.map(|record| record.origin.clone())
+        let mut origins =
+            records.iter().filter(|record| record.stream == *stream).map(|record| &record.origin);
+        let first = origins.next()?;
+        origins.all(|origin| origin == first).then(|| first.clone())
     }
 
     /// Delays the answer to a charge if charges are admitted late.
--- a/crates/gateway/tests/paths/support/server.rs
+++ b/crates/gateway/tests/paths/support/server.rs
@@ -27,6 +27,7 @@
 pub struct FakeServer {
     name: String,
     port: u16,
+    started: StartTime,
     software: Option<SoftwareVersion>,
     requests: Arc<Mutex<Vec<String>>>,
     /// Connections that the client closed before the answer was complete.
@@ -46,6 +47,7 @@
         let server = FakeServer {
             name: name.to_owned(),
             port,
+            started: StartTime::UNKNOWN,
             software: SoftwareVersion::new("v1"),
             requests: Arc::default(),
             abandoned: Arc::default(),
@@ -75,10 +77,16 @@
         self
     }
 
+    /// States this start time from now on, in milliseconds.
+    pub fn with_start(mut self, started_ms: u64) -> Self {
+        self.started = StartTime::from_unix_ms(started_ms);
+        self
+    }
+
     pub fn report(&self) -> InstanceReport {
         InstanceReport {
             name: InstanceName::new(&self.name),
-            started: StartTime::UNKNOWN,
+            started: self.started,
             software: self.software.clone(),
             service: "app".to_owned(),
             address: super::loopback(self.port),
