Streams of a server that restarted with another software version are not resumed at the former one

What callers would see: a server crashes and is back under its name at its address with another version. Until its heartbeat is known, routers open connections to it as to the former incarnation; a stream that begins there is recorded, and resumed, as of the former version, and a rest of a stream that is sent there joins both.

Cause: the version was compared at the choice and when the request was written, and never again. Change: compared with what the server states now whenever events are passed on. A restart closes all connections, so events that arrive once it is known are of the new incarnation. A stream that began there is recorded once more with the new version, and the two records cancel each other at all replicas; the router itself doesn't resume it either. A rest of a stream is broken off. The same holds for a version that changes without a restart.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -40,6 +40,8 @@
     CallerLeft,
     #[error("events are missing")]
     MissingEvents,
+    #[error("the server's software version has changed")]
+    SoftwareChanged,
 }
 
 /// Relays an answer whose head has arrived.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -117,7 +117,7 @@
             }
             self.progress.may_have_run += 1;
             let next = match error {
-                BodyError::Deadline | BodyError::MissingEvents => None,
+                BodyError::Deadline | BodyError::MissingEvents | BodyError::SoftwareChanged => None,
                 // Without event numbers the position to resume from is unknown.
                 _ if self.stats.events > 0 && self.last_event.is_none() => None,
                 // Nor is known which servers' events fit those that the caller has.
@@ -182,6 +182,7 @@
             let Ok(data) = frame.into_data() else { continue };
             attempt.record_first_output();
             let events = splitter.push(&data).map_err(|_| BodyError::Broken)?;
+            self.check_software(attempt)?;
             let mut output = BytesMut::new();
             for event in events {
                 if self.should_pass_on(event.id)? {
@@ -201,6 +202,36 @@
         }
     }
 
+    /// Checks that the server still states the software version that it was chosen for. A restart closes
+    /// all connections, so events that arrive once a restart is known are of the new version, and those
+    /// since the connection was opened may be.
+    fn check_software(&mut self, attempt: &mut Attempt) -> Result<(), BodyError> {
+        let changed = {
+            let placement = self.gateway.placement();
+            placement
+                .changed_software(&attempt.instance, attempt.software.as_ref())
+                .map(|software| software.cloned())
+        };
+        let Some(current) = changed else { return Ok(()) };
+        attempt.software = None;
+        // The events before are of another server.
+        if self.resumed_after.is_some() {
+            return Err(BodyError::SoftwareChanged);
+        }
+        if let Some(recorded) = self.software.take() {
+            log::info!(
+                "event=stream_origin_withdrawn request={} instance={} recorded={recorded}",
+                self.call.id(),
+                attempt.instance
+            );
+            // Two records that disagree cancel each other. The first one may have been lost.
+            for software in [Some(&recorded), current.as_ref()] {
+                self.gateway.record_stream(&self.call, software);
+            }
+        }
+        Ok(())
+    }
+
     /// Whether to pass on the event. Earlier events are skipped; a later one means that events are
     /// missing.
     fn should_pass_on(&mut self, id: Option<u64>) -> Result<bool, BodyError> {
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -31,6 +31,17 @@
         server.instance.report.software.as_ref()
     }
 
+    /// Software version that the server listed under the name of `id` states now, if it is another
+    /// one than `software`: the server has restarted, or states it without a restart.
+    pub fn changed_software(
+        &self,
+        id: &InstanceId,
+        software: Option<&SoftwareVersion>,
+    ) -> Option<Option<&SoftwareVersion>> {
+        let listed = self.servers.get(id.name())?.instance.report.software.as_ref();
+        (listed != software).then_some(listed)
+    }
+
     /// Servers that the request may be sent to.
     pub(crate) fn candidates(
         &self,
