Test of the second comparison of software versions, when a request is written

The restart of the chosen server becomes known while the rest of a stream waits to be charged again to a tenant whose owner is silent; the test waits for that charge, so it doesn't depend on timing within 500 ms.

--- a/crates/gateway/tests/paths/software_versions.rs
+++ b/crates/gateway/tests/paths/software_versions.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use crate::support::TestGateway;
+use crate::limits::get_limited;
 use crate::support::caller::{Answer, ask, get, request_head};
+use crate::support::control::ChargeHandling;
 use crate::support::server::{FakeServer, LAST_CHUNK, Step, event, header, stream_head};
+use crate::support::{TEST_TIMEOUT, TestGateway};
 
 /// Server whose streams break after their first event, and whose rest of a stream is complete.
 async fn breaking_server(name: &'static str, software: &str) -> FakeServer {
@@ -226,3 +228,37 @@
     let answer = ask_during_restart(&gateway, head, &server, "v1").await;
     assert!(answer.complete && answer.body.contains("d4"), "{answer:?}");
 }
+
+/// The restart becomes known while the chosen rest of a stream waits to be charged again.
+#[tokio::test]
+async fn a_rest_of_a_stream_is_sent_to_a_server_that_has_changed_since_it_was_chosen() {
+    let first_event = |_: usize, head: &str| {
+        let wait = Step::Wait(LIST_DELAY * 3);
+        vec![Step::Send(stream_head(head, "a")), Step::Send(event(1)), wait, Step::Close]
+    };
+    let server = FakeServer::start("a", first_event).await;
+    let other = breaking_server("b", "v1").await.with_start(1_000);
+    let gateway = TestGateway::start(&[&server]).await;
+    // A request that waits for an owner earns no retry, so one without a limit goes before.
+    get(gateway.callers, "/resumable/x", "r1").await;
+    gateway.control.set_charge_handling(ChargeHandling::Ignore);
+    let restarting = async {
+        wait_until(|| server.requests().len() == 2).await;
+        gateway.control.add_server(other.report());
+        wait_until(|| gateway.control.charges().len() == 2).await;
+        let restarted = other.clone().with_software("v2").with_start(2_000);
+        gateway.control.add_server(restarted.report());
+    };
+    let (answer, ()) = tokio::join!(get_limited(&gateway, "/resumable/x", "r2"), restarting);
+    assert!(!answer.complete && answer.body.contains("d1"), "{answer:?}");
+    assert_eq!(other.requests().len(), 0);
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    let waiting = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, waiting).await.expect("the condition in time");
+}
