Test of records of streams in a real group of twelve replicas

Nine blank replicas join three founders; a record that a router tells the last one is found at all twelve, and so is the cancellation of two records that disagree.

--- a/crates/control/tests/daemons/main.rs
+++ b/crates/control/tests/daemons/main.rs
@@ -10,4 +10,5 @@
 mod seeded;
 mod snapshots;
 mod stalled_disk;
+mod stream_records;
 mod support;
--- a/crates/control/tests/daemons/seeded.rs
+++ b/crates/control/tests/daemons/seeded.rs
@@ -16,15 +16,15 @@
 use crate::support::{TEST_TIMEOUT, listeners, settings};
 
 /// Replica of a seeded cluster.
-struct Seeded {
-    settings: ControlSettings,
+pub(crate) struct Seeded {
+    pub(crate) settings: ControlSettings,
     calls: FleetCalls,
     stop: oneshot::Sender<()>,
     task: JoinHandle<()>,
 }
 
 impl Seeded {
-    fn start(settings: ControlSettings, listeners: Listeners) -> Self {
+    pub(crate) fn start(settings: ControlSettings, listeners: Listeners) -> Self {
         let daemon = ControlDaemon::start(&settings, listeners).expect("start the daemon");
         let calls = daemon.fleet_calls();
         let (stop, stopped) = oneshot::channel::<()>();
@@ -37,6 +37,11 @@
         Seeded { settings, calls, stop, task }
     }
 
+    /// Number of replicas that this one counts as members, whether they vote or not.
+    pub(crate) fn members(&self) -> usize {
+        self.calls.view().status.borrow().membership.members.len()
+    }
+
     fn voters(&self) -> usize {
         self.calls.view().status.borrow().membership.voters().count()
     }
@@ -55,7 +60,7 @@
 }
 
 /// Configuration shared by the replicas of a seeded cluster.
-struct Deployment {
+pub(crate) struct Deployment {
     folder: TempDir,
     seeds: Vec<NodeId>,
 }
@@ -69,7 +74,7 @@
 
 impl Deployment {
     /// Creates sockets and settings for a replica.
-    async fn new_replica(&self, bootstrap: bool) -> (ControlSettings, Listeners) {
+    pub(crate) async fn new_replica(&self, bootstrap: bool) -> (ControlSettings, Listeners) {
         let listeners = listeners().await;
         let internal = listeners.internal.local_addr().expect("bound");
         let operator = listeners.operator.local_addr().expect("bound");
@@ -83,7 +88,7 @@
     }
 
     /// Starts three replicas that found a cluster together.
-    async fn found() -> (Self, Vec<Seeded>) {
+    pub(crate) async fn found() -> (Self, Vec<Seeded>) {
         let mut deployment =
             Deployment { folder: tempfile::tempdir().expect("a folder"), seeds: Vec::new() };
         let mut parts = Vec::new();
@@ -115,7 +120,7 @@
     String::from_utf8(document).ok()
 }
 
-async fn wait_for(what: &str, condition: impl Fn() -> bool) {
+pub(crate) async fn wait_for(what: &str, condition: impl Fn() -> bool) {
     let started = Instant::now();
     while !condition() {
         assert!(started.elapsed() < TEST_TIMEOUT, "{what}");
