Failing tests: completions that go on at an engine of another software version

The tree's router has the fault of the gateway: its own resume within an answer and a caller's resume take any engine with the same weights. Emulated engines state a software version (--software, v1 unless given) in load reports and answers, which the router doesn't read yet. SoftwareVersion moves to the crate of shared types, since both routers need it; the registry still exports it.

--- a/crates/emulators/src/engine/config.rs
+++ b/crates/emulators/src/engine/config.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use juniper_types::{AdapterName, ModelName, WeightsVersion};
+use juniper_types::{AdapterName, ModelName, SoftwareVersion, WeightsVersion};
 
 /// Size of the weights of the reference model: 8 billion parameters of 2 bytes.
 pub const MODEL_BYTES: u64 = 16_000_000_000;
@@ -61,6 +61,9 @@
 /// Grace period after the start of a departure in which new requests are still accepted.
 pub const DEPARTURE_GRACE: Duration = Duration::from_secs(2);
 
+/// Software version of the reference machine.
+const DEFAULT_SOFTWARE: &str = "v1";
+
 /// Delay and loss of an engine's cache events.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EventFaults {
@@ -88,6 +91,8 @@
 pub struct EngineConfig {
     /// Model loaded at start, with its weights; `None` starts empty.
     pub model: Option<(ModelName, WeightsVersion)>,
+    /// Software version that the engine states, if any.
+    pub software: Option<SoftwareVersion>,
     /// Adapters loaded at start.
     pub adapters: Vec<AdapterName>,
     /// KV cache capacity, in blocks.
@@ -119,6 +124,7 @@
     pub fn reference(model: ModelName, weights: WeightsVersion, seed: u64) -> Self {
         EngineConfig {
             model: Some((model, weights)),
+            software: SoftwareVersion::new(DEFAULT_SOFTWARE),
             adapters: Vec::new(),
             cache_blocks: CACHE_BLOCKS,
             token_budget: TOKEN_BUDGET,
--- a/crates/emulators/src/engine/load.rs
+++ b/crates/emulators/src/engine/load.rs
@@ -40,6 +40,9 @@
     pub model: Option<ModelName>,
     /// Version of the model's weights; zero while no model is served.
     pub weights: WeightsVersion,
+    /// Software version of the engine, if it states one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<String>,
     /// Loaded adapters.
     pub adapters: Vec<AdapterName>,
     /// Scheduling role.
--- a/crates/emulators/src/engine/mod.rs
+++ b/crates/emulators/src/engine/mod.rs
@@ -19,7 +19,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use juniper_types::{AdapterName, BlockHash, Incarnation, ModelName, Timestamp, WeightsVersion};
+use juniper_types::{
+    AdapterName, BlockHash, Incarnation, ModelName, SoftwareVersion, Timestamp, WeightsVersion,
+};
 use serde::{Deserialize, Serialize};
 
 use self::batch::Running;
@@ -284,12 +286,18 @@
             cache_capacity: self.cache.capacity(),
             model: serving.map(|(model, _)| model.clone()),
             weights: serving.map_or(WeightsVersion(0), |(_, weights)| weights),
+            software: self.software().map(|software| software.as_str().to_owned()),
             adapters: self.adapters.clone(),
             role: self.role,
             leaving: self.departing_since.is_some(),
         }
     }
 
+    /// Software version that the engine states, if any.
+    pub fn software(&self) -> Option<&SoftwareVersion> {
+        self.config.software.as_ref()
+    }
+
     /// Invariant violations detected so far.
     pub fn witness(&self) -> &Witness {
         &self.witness
--- a/crates/emulators/src/http/engine/completion.rs
+++ b/crates/emulators/src/http/engine/completion.rs
@@ -12,7 +12,8 @@
 use axum::response::{IntoResponse, Response};
 use futures_util::StreamExt;
 use juniper_types::{
-    CacheScope, Incarnation, ModelName, PromptBlocks, RequestId, TenantName, WeightsVersion,
+    CacheScope, Incarnation, ModelName, PromptBlocks, RequestId, SoftwareVersion, TenantName,
+    WeightsVersion,
 };
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::UnboundedReceiverStream;
@@ -61,8 +62,9 @@
     };
     let mut updates = driver.submit(request)?;
     answer.cached_tokens = wait_for_start(&mut updates).await?;
-    let incarnation = driver.with_engine(|engine, _| engine.incarnation());
-    let answer_headers = answer.headers(incarnation);
+    let (incarnation, software) =
+        driver.with_engine(|engine, _| (engine.incarnation(), engine.software().cloned()));
+    let answer_headers = answer.headers(incarnation, software.as_ref());
     let mut response = match body.stream {
         true => stream_response(Arc::new(answer), updates),
         false => complete_response(&answer, updates).await?,
@@ -163,10 +165,14 @@
 }
 
 impl Answer {
-    fn headers(&self, incarnation: Incarnation) -> HeaderMap {
+    fn headers(&self, incarnation: Incarnation, software: Option<&SoftwareVersion>) -> HeaderMap {
         let mut answer_headers = HeaderMap::new();
         answer_headers.insert(headers::ENGINE_INCARNATION, HeaderValue::from(incarnation.0));
         answer_headers.insert(headers::CACHED_TOKENS, HeaderValue::from(self.cached_tokens));
+        let software = software.map(|version| HeaderValue::from_str(version.as_str()));
+        if let Some(Ok(value)) = software {
+            answer_headers.insert(headers::ENGINE_SOFTWARE, value);
+        }
         if let Ok(value) = HeaderValue::from_str(&self.id.to_string()) {
             answer_headers.insert(headers::REQUEST_ID, value);
         }
--- a/crates/emulators/src/http/headers.rs
+++ b/crates/emulators/src/http/headers.rs
@@ -14,6 +14,8 @@
 pub const CACHE_WEIGHTS: &str = "x-cache-weights";
 /// Incarnation that the router planned with; in a response, the incarnation that responds.
 pub const ENGINE_INCARNATION: &str = "x-engine-incarnation";
+/// Software version of the engine that responds, if it states one.
+pub const ENGINE_SOFTWARE: &str = "x-engine-software";
 /// Number of leading blocks that the router expects to be cached.
 pub const EXPECTED_BLOCKS: &str = "x-expected-blocks";
 /// Scheduling priority, from 0 (lowest) to 9.
--- a/crates/lab/src/emulate/engine.rs
+++ b/crates/lab/src/emulate/engine.rs
@@ -5,7 +5,9 @@
 
 use juniper_emulators::engine::EngineConfig;
 use juniper_emulators::http::engine::{EngineOptions, router};
-use juniper_types::{AdapterName, Incarnation, ModelName, WeightsVersion, ZoneName};
+use juniper_types::{
+    AdapterName, Incarnation, ModelName, SoftwareVersion, WeightsVersion, ZoneName,
+};
 use lexopt::Arg;
 
 use super::serve::{ending_on, serve};
@@ -50,6 +52,10 @@
             Arg::Long("weights") => {
                 weights = WeightsVersion(parsed(parser, "--weights", "a number")?);
             }
+            Arg::Long("software") => {
+                let name: String = parsed(parser, "--software", "a name")?;
+                config.software = SoftwareVersion::new(&name);
+            }
             Arg::Long("adapter") => {
                 config.adapters.push(parsed::<AdapterName>(parser, "--adapter", "a name")?);
             }
--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -33,6 +33,7 @@
   --zone NAME         zone it stands in  [default: local]
   --model NAME        model served  [default: base]
   --weights N         version of the weights  [default: 1]
+  --software NAME     software version stated; none if empty  [default: v1]
   --adapter NAME      adapter loaded at start; may be repeated
   --cache-blocks N    memory for keys and values, in blocks  [default: 1024]
   --prefill-us N      time to prefill one token, in microseconds  [default: 267]
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -17,12 +17,11 @@
 mod instance_map;
 mod observed;
 mod report;
-mod software;
 
 pub use departure::{Departure, Departures};
 pub use directory::{Directory, Instance};
 pub use incarnation::{InstanceId, InstanceName, StartTime, join_incarnations, split_incarnations};
 pub use instance_map::{InstanceChanges, InstanceMap};
+pub use juniper_types::SoftwareVersion;
 pub use observed::{HeartbeatOutcome, ObservedInstance, ObservedInstances};
 pub use report::{InstanceReport, InstanceState, LoadedModel};
-pub use software::SoftwareVersion;
--- a/crates/registry/src/report.rs
+++ b/crates/registry/src/report.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddrV4;
 
+use juniper_types::SoftwareVersion;
 use minicbor::{Decode, Encode};
 
 use crate::incarnation::{InstanceId, InstanceName, StartTime};
-use crate::software::SoftwareVersion;
 
 /// Whether a server accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod decay;
 pub mod fingerprint;
 pub mod ids;
+pub mod software;
 pub mod time;
 
 pub use block::{BLOCK_BYTES, BLOCK_TOKENS, BlockHash, CacheScope, PromptBlocks, TOKEN_BYTES};
@@ -20,4 +21,5 @@
     AdapterName, ChangeId, ChangeIdError, EngineId, Incarnation, ModelName, NameError, NodeId,
     RequestId, Revision, ServiceName, TenantName, WeightsVersion, ZoneName,
 };
+pub use software::SoftwareVersion;
 pub use time::Timestamp;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -166,26 +166,39 @@
     .await
 }
 
-/// One control replica, one router and one engine, ready to serve.
+/// One control replica, one router and engines, ready to serve.
 pub struct SmallFleet {
     pub http: reqwest::Client,
     pub chat_url: String,
-    _processes: [Process; 3],
+    pub engines: Vec<SocketAddr>,
+    /// The engines, the control replica and the router.
+    pub processes: Vec<Process>,
     _folder: tempfile::TempDir,
 }
 
-/// Starts the processes and applies the first change, modified by `edit`.
+/// Starts the processes, with one engine, and applies the first change, modified by `edit`.
 pub async fn start_small_fleet(edit: impl FnOnce(&mut Value)) -> SmallFleet {
+    start_fleet_of(&[&[]], edit).await
+}
+
+/// Starts the processes, with an engine for each list of options, and applies the first change,
+/// modified by `edit`.
+pub async fn start_fleet_of(
+    engine_options: &[&[&str]],
+    edit: impl FnOnce(&mut Value),
+) -> SmallFleet {
     let folder = tempfile::tempdir().expect("a folder");
-    let (engine, engine_address) = start_engine(&[]);
+    let (mut processes, engines): (Vec<Process>, Vec<SocketAddr>) =
+        engine_options.iter().map(|options| start_engine(options)).unzip();
     let (own, control) = (Addresses::unused(), Addresses::unused());
     let replica = start_daemon("control", &control_file(folder.path(), control));
     let router = start_daemon("router", &router_file(folder.path(), 11, own, control));
     let http = reqwest::Client::new();
-    let mut change = first_change(&[engine_address]);
+    processes.extend([replica, router]);
+    let mut change = first_change(&engines);
     edit(&mut change);
     apply_change(&http, control, &change).await;
     wait_until_ready(&http, own).await;
     let chat_url = format!("http://{}/v1/chat/completions", own.caller);
-    SmallFleet { http, chat_url, _processes: [engine, replica, router], _folder: folder }
+    SmallFleet { http, chat_url, engines, processes, _folder: folder }
 }
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -2,8 +2,9 @@
 
 mod support;
 
+use reqwest::Response;
 use serde_json::{Value, json};
-use support::{TENANT_KEY, start_small_fleet};
+use support::{SmallFleet, TENANT_KEY, eventually, start_fleet_of, start_small_fleet};
 
 fn chat_body(max_tokens: u32, stream: bool) -> Value {
     json!({
@@ -99,3 +100,74 @@
     assert_eq!(body["error"]["code"], "limited");
     assert_eq!(body["error"]["not_run"], true);
 }
+
+const ONE_VERSION: &[&str] = &["--software", "v1"];
+const OTHER_VERSION: &[&str] = &["--software", "v2"];
+
+/// Number of completions that the engine has accepted; `None` if it doesn't answer.
+async fn accepted(fleet: &SmallFleet, engine: usize) -> Option<u64> {
+    let url = format!("http://{}/v1/emulator/witness", fleet.engines[engine]);
+    let witness: Value = fleet.http.get(url).send().await.ok()?.json().await.ok()?;
+    witness["counters"]["accepted"].as_u64()
+}
+
+/// Index of the engine that answers.
+fn engine_of(response: &Response) -> usize {
+    let header = response.headers()["x-juniper-engine"].to_str().expect("text");
+    header.parse::<usize>().expect("a number") - 1
+}
+
+#[tokio::test]
+async fn a_completion_goes_on_at_an_engine_of_another_software_version() {
+    let earn_retries = |change: &mut Value| {
+        change["edits"][3]["node"]["overrides"]["retry_budget_percent"] = json!(100);
+    };
+    let mut fleet = start_fleet_of(&[ONE_VERSION, OTHER_VERSION], earn_retries).await;
+    let request = fleet.http.post(&fleet.chat_url).bearer_auth(TENANT_KEY);
+    let sent = request.json(&chat_body(200, true)).send();
+    let mut response = sent.await.expect("an answer");
+    let engine = engine_of(&response);
+    let first = response.chunk().await.expect("a stream").expect("a chunk");
+    fleet.processes[engine].0.kill().expect("the engine is killed");
+    let mut text = String::from_utf8_lossy(&first).into_owned();
+    while let Ok(Some(bytes)) = response.chunk().await {
+        text.push_str(&String::from_utf8_lossy(&bytes));
+    }
+    assert!(!text.contains("[DONE]") && text.contains("back_end_failed"), "{text}");
+    assert_eq!(accepted(&fleet, 1 - engine).await, Some(0));
+}
+
+/// Resumes a completion of which the caller has five tokens.
+async fn resume(fleet: &SmallFleet, software: Option<&str>) -> Response {
+    let request = fleet.http.post(&fleet.chat_url).bearer_auth(TENANT_KEY);
+    let request = request.header("x-resume-from", "5").json(&chat_body(12, false));
+    let request = match software {
+        Some(version) => request.header("x-juniper-software", version),
+        None => request,
+    };
+    request.send().await.expect("an answer")
+}
+
+async fn error_code(response: Response) -> (u16, Value) {
+    let status = response.status().as_u16();
+    let body: Value = response.json().await.expect("a JSON error");
+    (status, body["error"]["code"].clone())
+}
+
+#[tokio::test]
+async fn a_caller_resumes_a_completion_at_an_engine_of_another_software_version() {
+    let fleet = start_fleet_of(&[ONE_VERSION, OTHER_VERSION], |_| {}).await;
+    let response = eventually("the engines have reported", async || {
+        let response = resume(&fleet, Some("v2")).await;
+        response.status().is_success().then_some(response)
+    })
+    .await;
+    assert_eq!(response.headers()["x-juniper-software"], "v2");
+    assert_eq!(engine_of(&response), 1);
+    assert_eq!(accepted(&fleet, 0).await, Some(0));
+    let refused = error_code(resume(&fleet, Some("v3")).await).await;
+    assert_eq!(refused, (409, json!("software_gone")));
+    let refused = error_code(resume(&fleet, None).await).await;
+    assert_eq!(refused, (409, json!("software_unknown")));
+    assert_eq!((accepted(&fleet, 0).await, accepted(&fleet, 1).await), (Some(0), Some(1)));
+}
