The tree's router resumes a completion only at an engine of the software version that began it

What callers would see: an engine fails, and the rest of the answer comes from an engine of another software version; or a caller resumes with x-resume-from and gets any engine with the same weights.

Engines state an opaque version in load reports and in the head of answers. The engine that accepts a request first fixes it, since the head of the router's answer names it (x-juniper-software). A resume within the answer excludes engines whose report names another version or none, and checks the answer's own statement again; without an engine of the version the answer is broken off at once, and no retry is taken from the budget. A caller that resumes sends the name back; without it, the rest goes on only while all engines run one version. Otherwise 409 software_gone or software_unknown; while an engine has yet to report, 503 with Retry-After. The lab's callers send the name back and count another version as wrong content. The version travels to the routers of the zone with what an engine serves.

--- a/crates/lab/src/experiment/juniper.rs
+++ b/crates/lab/src/experiment/juniper.rs
@@ -9,7 +9,7 @@
     CostModel, DispatchId, DispatchedWork, EngineDescriptor, EngineLoad, EngineTable, PrefixWait,
     RouteRequest, decide,
 };
-use juniper_types::{EngineId, Incarnation, Timestamp, ZoneName};
+use juniper_types::{EngineId, Incarnation, SoftwareVersion, Timestamp, ZoneName};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -56,6 +56,7 @@
         model: report.model.clone(),
         weights: report.weights,
         adapters: report.adapters.clone(),
+        software: report.software.as_deref().and_then(SoftwareVersion::new),
         leaving: report.leaving,
     }
 }
--- a/crates/lab/src/load/chat.rs
+++ b/crates/lab/src/load/chat.rs
@@ -6,6 +6,7 @@
 use juniper_emulators::http::chat::{ChatBody, ChatMessage, Usage};
 use juniper_settings::overrides::DEFAULT_MODEL;
 use juniper_types::RequestId;
+use reqwest::header::HeaderValue;
 use reqwest::{Method, Response};
 use serde::Deserialize;
 use tokio::time::timeout;
@@ -15,6 +16,9 @@
 use super::retry::{AttemptResult, Caller, RetriedRequest, run_with_retries};
 use super::stream::{AnswerCheck, StreamEvent, StreamReader};
 
+/// Software version that generates an answer; in a request, the one that began the resumed answer.
+const SOFTWARE_HEADER: &str = "x-juniper-software";
+
 /// Parameters of a chat request.
 #[derive(Clone, Debug)]
 pub struct ChatQuestion {
@@ -36,6 +40,8 @@
     check: AnswerCheck,
     first: Option<Duration>,
     cached_tokens: Option<u64>,
+    /// Software version of the first answer.
+    software: Option<HeaderValue>,
 }
 
 #[derive(Deserialize)]
@@ -54,7 +60,7 @@
 impl ChatCall {
     /// Creates a chat whose answer must pass `check`.
     pub fn new(caller: Caller, question: ChatQuestion, check: AnswerCheck) -> Self {
-        ChatCall { caller, question, check, first: None, cached_tokens: None }
+        ChatCall { caller, question, check, first: None, cached_tokens: None, software: None }
     }
 
     /// Retries until the answer is complete or the caller gives up.
@@ -136,16 +142,24 @@
             seed: None,
             user: Some(self.caller.tenant.to_string()),
         };
-        let call = self
+        let mut call = self
             .caller
             .call(client, Method::POST, router, "/v1/chat/completions")
             .header("x-request-id", id)
             .header("x-resume-from", self.check.next())
             .json(&body);
+        if let Some(software) = &self.software {
+            call = call.header(SOFTWARE_HEADER, software);
+        }
         let response = match client.send(call).await {
             Ok(response) => response,
             Err(error) => return AttemptResult::Broken(error),
         };
+        let software = response.headers().get(SOFTWARE_HEADER);
+        if self.check.next() > 0 && software != self.software.as_ref() {
+            return wrong_content("the rest is of another software version".to_owned());
+        }
+        self.software = software.cloned();
         if self.cached_tokens.is_none() {
             self.cached_tokens = Some(cached_tokens(&response));
         }
--- a/crates/lab/src/scale/synthetic.rs
+++ b/crates/lab/src/scale/synthetic.rs
@@ -89,6 +89,7 @@
             model: Some(self.model.clone()),
             weights: WeightsVersion(1),
             adapters: Vec::new(),
+            software: None,
             leaving: false,
         }
     }
--- a/crates/router/src/engine_api.rs
+++ b/crates/router/src/engine_api.rs
@@ -59,6 +59,9 @@
     /// Loaded adapters.
     #[serde(default)]
     pub adapters: Vec<String>,
+    /// Software version of the engine, if it states one.
+    #[serde(default)]
+    pub software: Option<String>,
     /// Whether the engine refuses new requests because it is leaving.
     #[serde(default)]
     pub leaving: bool,
--- a/crates/router/src/engine_pollers.rs
+++ b/crates/router/src/engine_pollers.rs
@@ -11,7 +11,7 @@
 use juniper_prefix_index::EventOutcome;
 use juniper_routing::EngineLoad;
 use juniper_settings::{BackEnd, BackEndKind};
-use juniper_types::{AdapterName, EngineId, ModelName};
+use juniper_types::{AdapterName, EngineId, ModelName, SoftwareVersion};
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn, WeakActorRef};
 use kameo::error::ActorStopReason;
@@ -205,6 +205,7 @@
         model: report.model.as_deref().and_then(|name| ModelName::new(name).ok()),
         weights: report.weights,
         adapters: adapters.collect(),
+        software: report.software.as_deref().and_then(SoftwareVersion::new),
         leaving: report.leaving,
     }
 }
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -18,7 +18,8 @@
 };
 use juniper_settings::{BackEndKind, EffectiveSettings};
 use juniper_types::{
-    CacheScope, EngineId, Incarnation, PromptBlocks, Revision, TenantName, Timestamp,
+    CacheScope, EngineId, Incarnation, PromptBlocks, Revision, SoftwareVersion, TenantName,
+    Timestamp,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -192,7 +193,8 @@
         self.lock().applied_revision.0 > 0
     }
 
-    /// Chooses an engine for `plan` and counts the request as in flight at it.
+    /// Chooses an engine for `plan`, of this software version if one is given, and counts the request
+    /// as in flight at it.
     ///
     /// # Errors
     /// [`Refusal`] when no engine can serve the request in time.
@@ -201,15 +203,19 @@
         plan: &ChatPlan,
         first_token_within: Duration,
         excluded: &[EngineId],
+        software: Option<&SoftwareVersion>,
     ) -> Result<Dispatch, Refusal> {
         let now = self.now();
         let mut state = self.lock();
+        let begun = !excluded.is_empty();
+        let mut excluded = excluded.to_vec();
+        excluded.extend(software.into_iter().flat_map(|it| state.table.engines_not_running(it)));
         let own_holders = state.index.lookup(&plan.blocks.hashes, now);
         let holders = merge_holders(own_holders, &plan.shared_holders);
         let request = RouteRequest {
             first_token_within,
-            excluded,
-            begun: !excluded.is_empty(),
+            excluded: &excluded,
+            begun,
             ..RouteRequest::new(
                 &plan.settings,
                 &plan.serving,
@@ -232,6 +238,21 @@
         Ok(Dispatch { engines: Arc::clone(self), decision, id })
     }
 
+    /// Whether an engine that is not in `excluded` runs this software version.
+    pub fn has_software(&self, software: &SoftwareVersion, excluded: &[EngineId]) -> bool {
+        self.lock().table.engines_running(software).any(|engine| !excluded.contains(&engine))
+    }
+
+    /// Whether an engine has yet to report what it runs, after a start or since it was down.
+    pub fn awaits_reports(&self) -> bool {
+        self.lock().table.awaits_reports()
+    }
+
+    /// Software version of all engines; `None` if there are several, or if one is unknown.
+    pub fn sole_software(&self) -> Option<SoftwareVersion> {
+        self.lock().table.sole_software().cloned()
+    }
+
     /// Adds a caller's request to the retry budget.
     pub fn record_request(&self, retry_percent: u8) {
         let now = self.now();
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -88,6 +88,12 @@
     /// The path doesn't exist at the back ends.
     #[error("not found")]
     NotFound,
+    /// The answer can't be resumed because no engine runs the software version that began it.
+    #[error("no engine runs the software version that began the answer")]
+    SoftwareGone,
+    /// The answer can't be resumed because the software version that began it is unknown.
+    #[error("the software version that began the answer is unknown")]
+    SoftwareUnknown,
     /// The stream can't be resumed because the weights have changed.
     #[error("the weights changed since the stream began")]
     WeightsChanged,
@@ -133,6 +139,8 @@
             RequestError::Quarantined => "quarantined",
             RequestError::BackEndFailed => "back_end_failed",
             RequestError::DeadlinePassed => "deadline_passed",
+            RequestError::SoftwareGone => "software_gone",
+            RequestError::SoftwareUnknown => "software_unknown",
             RequestError::WeightsChanged => "weights_changed",
             RequestError::AnswerNotKept { .. } => "answer_not_kept",
             RequestError::NotFound => "not_found",
@@ -150,6 +158,8 @@
             RequestError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::Limited { .. } => StatusCode::TOO_MANY_REQUESTS,
             RequestError::KeyReused
+            | RequestError::SoftwareGone
+            | RequestError::SoftwareUnknown
             | RequestError::WeightsChanged
             | RequestError::AnswerNotKept { .. } => StatusCode::CONFLICT,
             RequestError::OutcomeUnknown
--- a/crates/router/src/http_api.rs
+++ b/crates/router/src/http_api.rs
@@ -11,6 +11,7 @@
 use axum::routing::{get, post};
 use futures_util::StreamExt;
 use juniper_settings::TrafficKind;
+use juniper_types::{RequestId, SoftwareVersion};
 use serde_json::json;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -31,6 +32,12 @@
 /// Header with the index of the first output token that the caller hasn't received.
 const RESUME_HEADER: &str = "x-resume-from";
 
+/// Software version that generates an answer; in a request, the one that began the resumed answer.
+const SOFTWARE_HEADER: &str = "x-juniper-software";
+
+/// Retry delay suggested while engines haven't reported what they run, in milliseconds.
+const REPORT_RETRY_MS: u64 = 500;
+
 /// Returns the routes of the caller API.
 pub fn caller_api(state: Arc<RouterState>) -> AxumRouter {
     AxumRouter::new()
@@ -130,6 +137,10 @@
     let body = read_body(body, caller.settings.max_body_bytes).await?;
     let chat =
         ChatRequest::parse(&body, &caller.settings.model, caller.settings.max_output_tokens)?;
+    let software = match resume_from {
+        0 => None,
+        _ => Some(resumed_software(&state, &parts.headers)?),
+    };
     let stream = chat.stream;
     let model = caller.settings.model.clone();
     log::info!(
@@ -144,7 +155,7 @@
     let mut plan = ChatPlan::new(&tenant, Arc::clone(&caller.settings), &chat.prompt);
     state.admit(&mut in_flight, &caller)?;
     plan.shared_holders = state.plane.hub.holders(&plan.blocks.hashes).await;
-    let job = ChatJob { request_id, tenant, chat, plan, started, deadline, resume_from };
+    let job = ChatJob { request_id, tenant, chat, plan, started, deadline, resume_from, software };
     let (relay, origin) = open(Arc::clone(&state), job).await?;
     log::info!(
         "event=request_opened request={request_id} engine={} cached_tokens={}",
@@ -163,6 +174,9 @@
     let headers = response.headers_mut();
     insert_header(headers, REQUEST_ID_HEADER, &request_id.to_string());
     insert_header(headers, "x-juniper-engine", &origin.engine.0.to_string());
+    if let Some(software) = &origin.software {
+        insert_header(headers, SOFTWARE_HEADER, software.as_str());
+    }
     insert_header(headers, "x-juniper-revision", &view.in_force.revision.to_string());
     insert_header(headers, "x-cached-tokens", &origin.cached_tokens.to_string());
     Ok(response)
@@ -183,6 +197,31 @@
     number.ok_or_else(|| RequestError::Malformed("x-resume-from is not a number".into()))
 }
 
+/// Software version that began the answer which a caller resumes: the one that the caller got with it,
+/// otherwise the only one that the engines run.
+fn resumed_software(
+    state: &RouterState,
+    headers: &HeaderMap,
+) -> Result<SoftwareVersion, RequestError> {
+    let engines = &state.plane.engines;
+    let stated = match headers.get(SOFTWARE_HEADER) {
+        Some(value) => {
+            let version = value.to_str().ok().and_then(SoftwareVersion::new);
+            let malformed = || RequestError::Malformed(format!("{SOFTWARE_HEADER} is no version"));
+            Some(version.ok_or_else(malformed)?)
+        }
+        None => engines.sole_software(),
+    };
+    match stated {
+        Some(software) if engines.has_software(&software, &[]) => Ok(software),
+        _ if engines.awaits_reports() => {
+            Err(RequestError::NoBackEnd { retry_after_ms: REPORT_RETRY_MS })
+        }
+        Some(_) => Err(RequestError::SoftwareGone),
+        None => Err(RequestError::SoftwareUnknown),
+    }
+}
+
 /// Reads a complete body of at most `limit` bytes.
 pub(crate) async fn read_body(body: Body, limit: u64) -> Result<Bytes, RequestError> {
     let bytes = usize::try_from(limit).unwrap_or(usize::MAX);
@@ -206,7 +245,7 @@
 }
 
 fn stream_response(
-    request_id: juniper_types::RequestId,
+    request_id: RequestId,
     model: String,
     pieces: ReceiverStream<Piece>,
     in_flight: InFlight,
--- a/crates/router/src/relay/attempt.rs
+++ b/crates/router/src/relay/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use juniper_routing::drain::DepartureSource;
-use juniper_types::RequestId;
+use juniper_types::{RequestId, SoftwareVersion};
 use serde::Deserialize;
 use tokio::time::{Instant, timeout_at};
 
@@ -18,6 +18,9 @@
 /// Error code of an engine that refuses new requests because it is leaving.
 const LEAVING_CODE: &str = "leaving";
 
+/// Header in which engines state their software version.
+const SOFTWARE_HEADER: &str = "x-engine-software";
+
 /// Timeout of a cancel request.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -32,6 +35,8 @@
     Broken,
     #[error("the engine sent an invalid stream")]
     Invalid,
+    #[error("the engine runs another software version")]
+    OtherSoftware,
     #[error("the engine rejected the request as invalid")]
     Rejected(String),
     #[error("the deadline passed")]
@@ -57,6 +62,8 @@
     pub(super) dispatch: Dispatch,
     pub(super) sent: SentAttempt,
     pub(super) response: reqwest::Response,
+    /// Software version that the engine states in its answer, if any.
+    pub(super) software: Option<SoftwareVersion>,
     pub(super) cancel: CancelGuard,
     /// Whether the engine generates the answer from its first token.
     pub(super) is_whole: bool,
@@ -122,7 +129,9 @@
     };
     if response.status().is_success() {
         let is_whole = from == 0;
-        return Ok(Attempt { id, dispatch, sent, response, cancel, is_whole });
+        let header = response.headers().get(SOFTWARE_HEADER);
+        let software = header.and_then(|it| it.to_str().ok()).and_then(SoftwareVersion::new);
+        return Ok(Attempt { id, dispatch, sent, response, software, cancel, is_whole });
     }
     let is_client_error = response.status().is_client_error();
     let body: EngineErrorBody = response.json().await.unwrap_or_default();
--- a/crates/router/src/relay/job.rs
+++ b/crates/router/src/relay/job.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use juniper_routing::{Refusal, RefusalCode};
-use juniper_types::{EngineId, RequestId, TenantName};
+use juniper_types::{EngineId, RequestId, SoftwareVersion, TenantName};
 use tokio::time::Instant;
 
 use crate::chat::ChatRequest;
@@ -34,6 +34,8 @@
     pub deadline: Instant,
     /// Index of the first output token to send to the caller.
     pub resume_from: u64,
+    /// Software version that began the answer, if the caller already has tokens of it.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Source of an answer.
@@ -43,6 +45,8 @@
     pub engine: EngineId,
     /// Prompt tokens that were cached on the engine.
     pub cached_tokens: u64,
+    /// Software version of the engine, if it states one.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// A piece of a relayed answer.
@@ -83,14 +87,23 @@
     pub(super) attempts: u32,
     /// Index of the next output token to send to the caller.
     pub(super) next_index: u64,
+    /// Software version of the engine that was first to accept the request, if it stated one. The
+    /// tokens of other versions don't fit.
+    pub(super) software: Option<SoftwareVersion>,
     /// Whether an engine may have run a part of the request.
     pub(super) may_have_run: bool,
 }
 
 impl Progress {
     /// Creates the progress of a request without attempts.
-    pub(super) fn new(next_index: u64) -> Self {
-        Progress { excluded: Vec::new(), attempts: 0, next_index, may_have_run: false }
+    pub(super) fn new(job: &ChatJob) -> Self {
+        Progress {
+            excluded: Vec::new(),
+            attempts: 0,
+            next_index: job.resume_from,
+            software: job.software.clone(),
+            may_have_run: false,
+        }
     }
 
     /// Returns the caller's error after routing found no usable engine.
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -78,11 +78,31 @@
         self.progress.excluded.push(engine);
         // The engine had accepted the request, so it may have run whatever later attempts report.
         self.progress.may_have_run = true;
+        if !self.may_resume() {
+            return Err(RequestError::BackEndFailed);
+        }
         take_retry(&self.state, &self.job, &mut self.progress, engine, &error)?;
         self.attempt = open_attempt(&self.state, &self.job, &mut self.progress).await?;
         Ok(())
     }
 
+    /// Whether another engine can continue the answer: one of the software version that began it.
+    fn may_resume(&self) -> bool {
+        let Progress { software, excluded, next_index, .. } = &self.progress;
+        let may_resume = match software {
+            Some(software) => self.state.plane.engines.has_software(software, excluded),
+            None => *next_index == 0,
+        };
+        if !may_resume {
+            log::info!(
+                "event=not_resumable request={} software={} at={next_index}",
+                self.job.request_id,
+                software.as_ref().map_or("-", |software| software.as_str())
+            );
+        }
+        may_resume
+    }
+
     async fn forward_stream(
         &mut self,
         pieces: &mpsc::Sender<Piece>,
--- a/crates/router/src/relay/opening.rs
+++ b/crates/router/src/relay/opening.rs
@@ -23,11 +23,12 @@
 /// # Errors
 /// Fails when no engine accepts the request; [`RequestError::not_run`] holds only if none ran it.
 pub async fn open(state: Arc<RouterState>, job: ChatJob) -> Result<(Relay, Origin), RequestError> {
-    let mut progress = Progress::new(job.resume_from);
+    let mut progress = Progress::new(&job);
     let attempt = open_attempt(&state, &job, &mut progress).await?;
     let origin = Origin {
         engine: attempt.dispatch.decision.engine,
         cached_tokens: header_number(&attempt.response, "x-cached-tokens").unwrap_or(0),
+        software: attempt.software.clone(),
     };
     let metrics = &state.metrics.prompt_tokens;
     let computed = u64::from(job.plan.blocks.tokens).saturating_sub(origin.cached_tokens);
@@ -49,13 +50,21 @@
     loop {
         state.crashes.check(&job.request_id.to_string(), &job.identity())?;
         let within = job.first_token_within(progress);
-        let chosen = state.plane.engines.choose(&job.plan, within, &progress.excluded);
+        let software = progress.software.clone();
+        let engines = &state.plane.engines;
+        let chosen = engines.choose(&job.plan, within, &progress.excluded, software.as_ref());
         let dispatch = chosen.map_err(|refusal| progress.refusal_error(refusal))?;
         let engine = dispatch.decision.engine;
         log_decision(job, &dispatch);
         progress.attempts += 1;
         let error = match try_engine(state, job, dispatch, progress.next_index).await {
-            Ok(attempt) => return Ok(attempt),
+            Ok(attempt) if software.is_some() && attempt.software != software => {
+                AttemptError::OtherSoftware
+            }
+            Ok(attempt) => {
+                progress.software.clone_from(&attempt.software);
+                return Ok(attempt);
+            }
             Err(error) => error,
         };
         progress.excluded.push(engine);
--- a/crates/router/src/sharing/mod.rs
+++ b/crates/router/src/sharing/mod.rs
@@ -163,6 +163,7 @@
             adapters: load.adapters.clone(),
             leaving: load.leaving,
             up: true,
+            software: load.software.clone(),
         };
         let digest = LoadDigest {
             engine,
@@ -299,6 +300,7 @@
         model: serving.model.clone(),
         weights: serving.weights,
         adapters: serving.adapters.clone(),
+        software: serving.software.clone(),
         leaving: serving.leaving,
     }
 }
--- a/crates/routing/examples/decision_time.rs
+++ b/crates/routing/examples/decision_time.rs
@@ -77,6 +77,7 @@
         model: Some(serving.model.clone()),
         weights: serving.weights,
         adapters: Vec::new(),
+        software: None,
         leaving: false,
     }
 }
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use juniper_types::{
-    AdapterName, EngineId, Incarnation, ModelName, Timestamp, WeightsVersion, ZoneName,
+    AdapterName, EngineId, Incarnation, ModelName, SoftwareVersion, Timestamp, WeightsVersion,
+    ZoneName,
 };
 
 use crate::cost::CostModel;
@@ -40,6 +41,8 @@
     pub weights: WeightsVersion,
     /// Loaded adapters.
     pub adapters: Vec<AdapterName>,
+    /// Software version of the engine, if it states one.
+    pub software: Option<SoftwareVersion>,
     /// Whether the engine is departing and takes no new work.
     pub leaving: bool,
 }
@@ -140,6 +143,8 @@
     pub(crate) leaving: DepartureSources,
     model: Option<(ModelName, WeightsVersion)>,
     adapters: Vec<AdapterName>,
+    /// Software version of the current incarnation, if known.
+    pub(crate) software: Option<SoftwareVersion>,
     reported: Option<ReportedRequests>,
     dispatches: Vec<Dispatch>,
     /// Recent rate of work dispatched by this router.
@@ -156,6 +161,7 @@
             leaving: DepartureSources::default(),
             model: None,
             adapters: Vec::new(),
+            software: None,
             reported: None,
             dispatches: Vec::new(),
             rate: WorkRate::default(),
@@ -208,6 +214,7 @@
         self.leaving.set(DepartureSource::Engine, load.leaving);
         self.model = load.model.clone().map(|model| (model, load.weights));
         self.adapters.clone_from(&load.adapters);
+        self.software.clone_from(&load.software);
     }
 
     pub(crate) fn mark_down(&mut self) {
@@ -215,6 +222,7 @@
         self.incarnation = None;
         self.reported = None;
         self.model = None;
+        self.software = None;
         self.dispatches.clear();
     }
 
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use juniper_types::{EngineId, Incarnation, Timestamp, ZoneName};
+use juniper_types::{EngineId, Incarnation, SoftwareVersion, Timestamp, ZoneName};
 
 use crate::cost::CostModel;
 use crate::drain::DepartureSource;
@@ -222,6 +222,37 @@
         self.engines.iter().filter(|engine| engine.is_usable()).map(|engine| engine.id)
     }
 
+    /// Engines that may take new work and run this software version.
+    pub fn engines_running<'a>(
+        &'a self,
+        software: &'a SoftwareVersion,
+    ) -> impl Iterator<Item = EngineId> + 'a {
+        let running = |engine: &&Engine| engine.software.as_ref() == Some(software);
+        self.engines.iter().filter(|engine| engine.is_usable()).filter(running).map(|it| it.id)
+    }
+
+    /// Engines that run another software version or an unknown one.
+    pub fn engines_not_running<'a>(
+        &'a self,
+        software: &'a SoftwareVersion,
+    ) -> impl Iterator<Item = EngineId> + 'a {
+        let others = |engine: &&Engine| engine.software.as_ref() != Some(software);
+        self.engines.iter().filter(others).map(|engine| engine.id)
+    }
+
+    /// Whether an engine has sent no load report, or none since it was down.
+    pub fn awaits_reports(&self) -> bool {
+        self.engines.iter().any(|engine| !engine.is_known())
+    }
+
+    /// Software version of all engines that have reported; `None` if there are several, or if one
+    /// is unknown.
+    pub fn sole_software(&self) -> Option<&SoftwareVersion> {
+        let mut known = self.engines.iter().filter(|engine| engine.is_known());
+        let first = known.next()?.software.as_ref()?;
+        known.all(|engine| engine.software.as_ref() == Some(first)).then_some(first)
+    }
+
     pub(crate) fn position(&self, engine: EngineId) -> Option<Position> {
         self.positions.get(engine)
     }
--- a/crates/routing/tests/decide.rs
+++ b/crates/routing/tests/decide.rs
@@ -10,7 +10,9 @@
     CostModel, CostWeights, Decision, DispatchId, DispatchedWork, EngineTable, Reason, Refusal,
     RefusalCode, RouteRequest, decide,
 };
-use juniper_types::{BlockHash, EngineId, Incarnation, Timestamp, WeightsVersion, ZoneName};
+use juniper_types::{
+    BlockHash, EngineId, Incarnation, SoftwareVersion, Timestamp, WeightsVersion, ZoneName,
+};
 use quickcheck::QuickCheck;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -334,3 +336,29 @@
     }
     QuickCheck::new().tests(300).quickcheck(holds as fn(u8, Vec<u8>) -> bool);
 }
+
+#[test]
+fn an_engine_of_unknown_software_version_counts_as_one_of_a_known_version() {
+    let mut table = table(3, NOW);
+    let (one, other) = (SoftwareVersion::new("v1"), SoftwareVersion::new("v2"));
+    let (known, unknown) = (one.clone().expect("a version"), other.clone().expect("a version"));
+    assert_eq!(table.sole_software(), None);
+    let mut report = |engine: u32, software: &Option<SoftwareVersion>| {
+        let software = software.clone();
+        let load = juniper_routing::EngineLoad { software, ..idle_load(EngineId(engine)) };
+        table.apply_load_report(EngineId(engine), &load, NOW);
+        let running = table.engines_running(&known).collect::<Vec<_>>();
+        let others = table.engines_not_running(&known).collect::<Vec<_>>();
+        (running, others, table.sole_software().cloned())
+    };
+    let engines = |ids: &[u32]| ids.iter().copied().map(EngineId).collect::<Vec<_>>();
+    assert_eq!(report(0, &one), (engines(&[0]), engines(&[1, 2]), None));
+    assert_eq!(report(1, &one), (engines(&[0, 1]), engines(&[2]), None));
+    assert_eq!(report(2, &one), (engines(&[0, 1, 2]), engines(&[]), one.clone()));
+    assert_eq!(report(2, &other), (engines(&[0, 1]), engines(&[2]), None));
+    assert_eq!(table.engines_running(&unknown).count(), 1);
+    // Until its next report nothing is known of an engine that was down.
+    table.mark_down(EngineId(2));
+    assert_eq!((table.sole_software(), table.awaits_reports()), (one.as_ref(), true));
+    assert_eq!(table.engines_running(&unknown).count(), 0);
+}
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -42,6 +42,7 @@
         model: Some(serving().model),
         weights: serving().weights,
         adapters: Vec::new(),
+        software: None,
         leaving: false,
     }
 }
--- a/crates/sharing/src/message.rs
+++ b/crates/sharing/src/message.rs
@@ -1,7 +1,9 @@
 //! Messages between the routers of a zone.
 
 use juniper_prefix_index::coarse::{CoarseDelta, CoarseUpdate};
-use juniper_types::{AdapterName, EngineId, Incarnation, ModelName, WeightsVersion};
+use juniper_types::{
+    AdapterName, EngineId, Incarnation, ModelName, SoftwareVersion, WeightsVersion,
+};
 use minicbor::{Decode, Encode};
 
 /// Frequently changing part of an engine's load report.
@@ -49,6 +51,9 @@
     /// Whether the engine is reachable.
     #[n(6)]
     pub up: bool,
+    /// Software version of the engine, if known. Routers of earlier builds send none.
+    #[n(7)]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Updates from one router to another in one round.
--- a/crates/sharing/tests/sharing.rs
+++ b/crates/sharing/tests/sharing.rs
@@ -242,6 +242,7 @@
         adapters: Vec::new(),
         leaving,
         up: true,
+        software: None,
     };
     let load =
         LoadDigest { engine: ENGINE, age_ms: 5, running: 1, waiting: 2, waiting_prompt_tokens: 3 };
