--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -202,9 +202,9 @@
         }
     }
 
-    /// Checks that the server still states the software version that it was chosen for. A restart closes
-    /// all connections, so events that arrive once a restart is known are of the new version, and those
-    /// since the connection was opened may be.
+    /// Checks that the server still states the software version with which the request was sent. A
+    /// restart closes all connections: if the list of servers shows another version while events
+    /// arrive, this connection may have reached the new incarnation from the start.
     fn check_software(&mut self, attempt: &mut Attempt) -> Result<(), BodyError> {
         let changed = {
             let placement = self.gateway.placement();
