Failing tests: answers that end with their connection

A stream that crashes each server between two of its events never counts as one that does. Cause: for an answer with neither a length nor chunks the end of the connection counts as a complete answer, also when the server crashed; a tunnel closes its connection in order, whatever happened at the server.

--- a/crates/gateway/tests/paths/cut_off.rs
+++ b/crates/gateway/tests/paths/cut_off.rs
@@ -13,7 +13,7 @@
 
 use crate::support::caller::{get, request_head};
 use crate::support::link::silent_listener;
-use crate::support::server::{FakeServer, Step, complete_answer, healthy};
+use crate::support::server::{FakeServer, Step, complete_answer, healthy, open_ended_head};
 use crate::support::{KEY, TEST_TIMEOUT, TestGateway, identity, loopback};
 
 /// How connections to servers fail at the router that is cut off.
@@ -130,6 +130,25 @@
     assert_eq!(server.requests().len(), 1);
 }
 
+/// Server whose answers have neither a length nor chunks, and whose connections end like this.
+async fn open_ended_server(end: Step) -> FakeServer {
+    FakeServer::start("a", move |_, head| {
+        let first = format!("{}id: 1\ndata: d1\n\n", open_ended_head(head));
+        vec![Step::Send(first), Step::Wait(Duration::from_millis(50)), end.clone()]
+    })
+    .await
+}
+
+#[tokio::test]
+async fn an_answer_that_was_reset_behind_a_tunnel_looks_complete() {
+    for (end, is_complete) in [(Step::Reset, false), (Step::Close, true)] {
+        let server = open_ended_server(end.clone()).await;
+        let router = CutOffRouter::start(&server, Cut::Refused).await;
+        let answer = get(router.cut_off.callers, "/stream/x", "r1").await;
+        assert_eq!((answer.status, answer.complete), (200, is_complete), "{end:?}");
+    }
+}
+
 /// Server that refuses its first request and asks for a pause, and serves the others.
 async fn pausing_server() -> FakeServer {
     FakeServer::start("a", |number, head| {
--- a/crates/gateway/tests/paths/quarantine.rs
+++ b/crates/gateway/tests/paths/quarantine.rs
@@ -10,7 +10,8 @@
 
 use crate::support::caller::{Answer, ask, get, request_head};
 use crate::support::server::{
-    FakeServer, LAST_CHUNK, Step, complete_answer, event, header, healthy, stream_head,
+    FakeServer, LAST_CHUNK, Step, complete_answer, event, header, healthy, open_ended_head,
+    stream_head,
 };
 use crate::support::{TEST_TIMEOUT, TestGateway};
 
@@ -301,3 +302,43 @@
     sleep(Duration::from_millis(700)).await;
     assert!(published_crashes(&gateway).is_empty(), "{:?}", published_crashes(&gateway));
 }
+
+/// Guards against a server whose end after a whole event is taken for the end of its answer: neither a
+/// length nor a last chunk shows that the answer is complete.
+#[tokio::test]
+async fn a_crash_between_two_events_clears_the_stream_that_caused_it() {
+    let mut servers = Vec::new();
+    for number in 0..6 {
+        let name = format!("s{number}");
+        let server = FakeServer::start(&name, |_, head| {
+            let first = format!("{}id: 1\ndata: d1\n\n", open_ended_head(head));
+            vec![Step::Send(first), Step::Wait(Duration::from_millis(30)), Step::Crash]
+        });
+        servers.push(server.await);
+    }
+    let gateway = TestGateway::start(&servers.iter().collect::<Vec<_>>()).await;
+    for number in 1..=3 {
+        let answer = get(gateway.callers, "/stream/x", &format!("r{number}")).await;
+        assert_eq!(answer.status, 200);
+        wait_for("published", || published_crashes(&gateway).len() == number).await;
+    }
+    let answer = get(gateway.callers, "/stream/x", "r4").await;
+    assert!(answer.body.contains("quarantined"), "{} {}", answer.status, answer.body);
+}
+
+/// An answer that ends with its connection is passed on, and counts for nothing while its server
+/// lives.
+#[tokio::test]
+async fn an_answer_that_ends_with_its_connection_counts_as_a_crash() {
+    let server = FakeServer::start("a", |_, head| {
+        vec![Step::Send(format!("{}id: 1\ndata: d1\n\n", open_ended_head(head))), Step::Close]
+    })
+    .await;
+    let gateway = TestGateway::start(&[&server]).await;
+    for number in 0..6 {
+        let answer = get(gateway.callers, "/stream/x", &format!("r{number}")).await;
+        assert_eq!((answer.status, answer.complete), (200, true));
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert!(published_crashes(&gateway).is_empty(), "{:?}", published_crashes(&gateway));
+}
--- a/crates/gateway/tests/paths/support/server.rs
+++ b/crates/gateway/tests/paths/support/server.rs
@@ -17,6 +17,8 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
     /// Stops the server: connections are closed and new ones refused.
     Crash,
 }
@@ -142,6 +144,10 @@
                     }
                     Step::Send(_) => {}
                     Step::Close => return,
+                    Step::Reset => {
+                        let socket = socket2::SockRef::from(&stream);
+                        return socket.set_linger(Some(Duration::ZERO)).expect("set");
+                    }
                     Step::Crash => {
                         self.crashed.send_replace(true);
                         return std::future::pending().await;
@@ -211,6 +217,11 @@
     )
 }
 
+/// Head of a stream that has neither a length nor chunks, and so ends with its connection.
+pub fn open_ended_head(head: &str) -> String {
+    stream_head(head, "s").replace("transfer-encoding: chunked\r\n", "")
+}
+
 /// A chunk of a stream.
 pub fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
