A tunnel resets the router's connection when the server's was reset

Cause: the helping router closed the tunnel in order, whatever the error, and dropping half of a connection shuts it down in order before anything else. Evidence: an_answer_that_was_reset_behind_a_tunnel_looks_complete, 200 and complete before. Change: an error of the server's connection resets the tunnel; an end in order still closes it in order, so that whole answers stay whole (second half of the same test). Result: the test passes, as do all others of tunnels.

--- a/crates/gateway/src/tunnel_server.rs
+++ b/crates/gateway/src/tunnel_server.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::time::Duration;
 
 use juniper_protocol::message::TunnelRefusal;
 use juniper_protocol::{
@@ -12,6 +13,7 @@
 };
 use juniper_registry::InstanceId;
 use juniper_types::NodeId;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
@@ -139,13 +141,21 @@
 }
 
 /// Forwards bytes in both directions until either side closes its connection; then closes both, since
-/// neither side of an HTTP connection closes just one direction.
+/// neither side of an HTTP connection closes just one direction. If the server's connection fails, the
+/// router's is reset: an answer may end with its connection, and this one isn't complete.
 async fn forward(router: TcpStream, server: TcpStream) {
     let (mut from_router, mut to_router) = router.into_split();
     let (mut from_server, mut to_server) = server.into_split();
-    // An error ends the tunnel like a close: both sides notice the end of their connection.
-    tokio::select! {
-        _ = tokio::io::copy(&mut from_router, &mut to_server) => {}
-        _ = tokio::io::copy(&mut from_server, &mut to_router) => {}
+    let copied = tokio::select! {
+        _ = tokio::io::copy(&mut from_router, &mut to_server) => return,
+        copied = tokio::io::copy(&mut from_server, &mut to_router) => copied,
+    };
+    if let Err(error) = copied {
+        log::info!("event=tunnel_reset reason=\"{error}\"");
+        if let Err(error) = SockRef::from(to_router.as_ref()).set_linger(Some(Duration::ZERO)) {
+            log::warn!("event=tunnel_not_reset reason=\"{error}\"");
+        }
+        // Dropping it would first close the connection in order.
+        to_router.forget();
     }
 }
