A connection's end without a crash mark no longer clears a request

What callers saw: servers crash on, since a stream without length and chunks whose server crashes between two events counts as answered whole, which takes back the crashes so far. Cause: the end of a connection was taken for the end of the answer wherever nothing else marks it. Evidence: a_crash_between_two_events_clears_the_stream_that_caused_it: none of 3 crashes counted. Change: such an end is evidence of nothing until the server is known to live or to have crashed, as a broken connection is. The router opens the next connection at once in its place, which tells within a round trip. Result: the test passes; an_answer_that_ends_with_its_connection_counts_as_a_crash holds.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,8 @@
 
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
-use hyper::{Request, Response, StatusCode};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Method, Request, Response, StatusCode};
 use juniper_clock::BootInstant;
 use juniper_placement::{Choice, ExpectedTiming, Outcome, Ticket};
 use juniper_registry::{InstanceId, SoftwareVersion};
@@ -42,6 +43,29 @@
     NOT_RUN_STATUSES.contains(&status)
 }
 
+/// How the end of an answer's body shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyEnd {
+    /// By the length of the body, or by its last chunk.
+    Marked,
+    /// By the end of the connection only, as when the server crashes.
+    ConnectionClosed,
+}
+
+impl BodyEnd {
+    fn of(response: &Response<Incoming>, method: &Method) -> Self {
+        let headers = response.headers();
+        let is_marked = headers.contains_key(CONTENT_LENGTH)
+            || headers.contains_key(TRANSFER_ENCODING)
+            || method == Method::HEAD
+            || [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&response.status());
+        match is_marked {
+            true => BodyEnd::Marked,
+            false => BodyEnd::ConnectionClosed,
+        }
+    }
+}
+
 /// A request in flight at a server. Dropping it closes the connection, so that the server stops
 /// work on the request.
 pub(crate) struct Attempt {
@@ -65,6 +89,8 @@
     /// Time without an answer after which the server counts as failing.
     answer_timeout: Duration,
     has_head: bool,
+    /// How the end of the answer's body shows.
+    pub body_end: BodyEnd,
     /// Expected times of a prompt.
     expected: Option<ExpectedTiming>,
     /// Expected and observed times of a prompt, from its first output on.
@@ -190,6 +216,7 @@
         started_boot: BootInstant::now(),
         answer_timeout: call.answer_timeout(),
         has_head: false,
+        body_end: BodyEnd::Marked,
         expected: choice.expected,
         timing: None,
     };
@@ -257,6 +284,7 @@
     attempt.has_head = true;
     attempt.server_idle_timeout = server_idle_timeout(response.headers());
     attempt.is_reusable = !requests_close(response.headers());
+    attempt.body_end = BodyEnd::of(&response, &call.method);
     strip_hop_headers(response.headers_mut());
     let (head, body) = response.into_parts();
     let info = gateway.dialect.read_answer(&head, &call.info.id, &choice.instance);
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,11 +1,13 @@
 //! Reports evidence of crashes to the crash watch and checks requests for quarantine.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use juniper_quarantine::CrashProof;
 use juniper_registry::InstanceId;
 use juniper_types::Timestamp;
 
+use crate::attempt::BodyEnd;
 use crate::call::Call;
 use crate::gateway::Gateway;
 
@@ -22,6 +24,45 @@
             "event=request_cut request={} instance={instance} fingerprint={fingerprint}",
             call.id()
         );
+        self.track_interrupted(call, instance, sent_at);
+    }
+
+    /// Records that the answer to a request has ended. An answer that ends with its connection is
+    /// complete unless the server has crashed at that moment.
+    pub(crate) fn record_ended(
+        self: &Arc<Self>,
+        call: &Call,
+        instance: &InstanceId,
+        sent_at: Timestamp,
+        end: BodyEnd,
+    ) {
+        match end {
+            BodyEnd::Marked => self.record_completed(call),
+            BodyEnd::ConnectionClosed => {
+                self.track_interrupted(call, instance, sent_at);
+                tokio::spawn(
+                    Arc::clone(self).replace_connection(call.service.clone(), instance.clone()),
+                );
+            }
+        }
+    }
+
+    /// Opens a connection in place of one that ended with its answer, which also shows at once whether
+    /// the server has crashed.
+    async fn replace_connection(self: Arc<Self>, service: String, instance: InstanceId) {
+        let view = self.feed.latest();
+        let known = view.instances.get(instance.name()).filter(|known| known.id == instance);
+        let Some(address) = known.map(|known| known.report.address) else { return };
+        let limit = self.connection_limit(&view, &service);
+        // A failure is recorded where the connection is opened.
+        if let Ok(connection) = self.connect_server(&instance, address, limit).await {
+            self.pool.put_back(&instance, connection, None);
+        }
+    }
+
+    /// Watches whether the server of the request turns out to have crashed.
+    fn track_interrupted(&self, call: &Call, instance: &InstanceId, sent_at: Timestamp) {
+        let fingerprint = call.fingerprint(&self.settings.fingerprint_key);
         let view = self.feed.latest();
         let known = view.instances.get(instance.name()).filter(|known| known.id == *instance);
         // An unknown server is departing or has departed, so its end isn't evidence against the
@@ -39,7 +80,7 @@
     }
 
     /// Records that a server has answered the request completely.
-    pub(crate) fn record_completed(&self, call: &Call) {
+    fn record_completed(&self, call: &Call) {
         let fingerprint = call.fingerprint(&self.settings.fingerprint_key);
         self.crashes.record_completed_request(call.id(), fingerprint);
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -74,10 +74,10 @@
         let instance = attempt.instance.clone();
         match buffer_body(&call, &head, body).await {
             Ok(BufferedBody::Complete(bytes)) => {
-                let timing = attempt.timing;
+                let (timing, sent_at, end) = (attempt.timing, attempt.sent_at, attempt.body_end);
                 attempt.finish(outcome_of(&head));
                 if !head.status.is_server_error() {
-                    gateway.record_completed(&call);
+                    gateway.record_ended(&call, &instance, sent_at, end);
                 }
                 let body = AnswerBody::whole(bytes);
                 let served = Served { instance: &instance, progress, timing };
@@ -198,7 +198,8 @@
         };
         next = match frame {
             Ok(None) => {
-                gateway.record_completed(&call);
+                let end = attempt.body_end;
+                gateway.record_ended(&call, &attempt.instance, attempt.sent_at, end);
                 return attempt.finish(Outcome::Answered);
             }
             Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -92,10 +92,11 @@
                     if self.stats.resumed == 0 && self.stats.events > 1 {
                         attempt.record_longest_gap(self.stats.longest_gap);
                     }
+                    let (sent_at, end) = (attempt.sent_at, attempt.body_end);
                     attempt.finish(Outcome::Answered);
                     // The rest of a stream doesn't show that a server survives the whole request.
                     if self.resumed_after.is_none() {
-                        self.gateway.record_completed(&self.call);
+                        self.gateway.record_ended(&self.call, &instance, sent_at, end);
                     }
                     return self.log_end("answered", instance.as_str(), timing);
                 }
--- a/crates/gateway/tests/paths/cut_off.rs
+++ b/crates/gateway/tests/paths/cut_off.rs
@@ -36,6 +36,13 @@
     }
 }
 
+/// Sends an update of the router that reaches the server to the other one.
+fn announce(reaching: &TestGateway, cut_off: &TestGateway) {
+    let SocketAddr::V4(internal) = reaching.internal else { panic!("IPv4") };
+    let update = RouterUpdate { ended_requests: vec![1], ..RouterUpdate::default() };
+    cut_off.control.send_peer_update(NodeId::of_address(internal).0, "north", update);
+}
+
 /// A router that reaches `server`, and one that doesn't but has heard of the first.
 struct CutOffRouter {
     reaching: TestGateway,
@@ -50,18 +57,11 @@
         let (address, sockets) = dead_address(cut);
         cut_off.control.add_server(InstanceReport { address, ..server.report() });
         let router = CutOffRouter { reaching, cut_off, _sockets: sockets };
-        router.announce();
+        announce(&router.reaching, &router.cut_off);
         tokio::time::sleep(Duration::from_millis(150)).await;
         router
     }
 
-    /// Sends an update of the router that reaches the server to the other one.
-    fn announce(&self) {
-        let SocketAddr::V4(internal) = self.reaching.internal else { panic!("IPv4") };
-        let update = RouterUpdate { ended_requests: vec![1], ..RouterUpdate::default() };
-        self.cut_off.control.send_peer_update(NodeId::of_address(internal).0, "north", update);
-    }
-
     async fn status(&self, path: &str, id: &str) -> u16 {
         let answer = get(self.cut_off.callers, path, id);
         tokio::time::timeout(TEST_TIMEOUT, answer).await.expect("in time").status
