A tunnelled answer that ends with its connection is whole only if the tunnel's router lives

Cause: the system closes the connections of a killed process in order. Evidence: an_answer_looks_complete_after_its_helper_was_killed, 200 and complete before. Change: where such an answer came through a tunnel, its end counts only if the router that forwards the tunnel still accepts connections; otherwise the answer is broken off.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -143,6 +143,16 @@
         self.close(outcome);
     }
 
+    /// Whether the answer whose body has just ended is complete. The end of a tunnel is that of the
+    /// server's connection only if the router that forwards it still runs.
+    pub(crate) async fn is_complete(&self) -> bool {
+        let tunnel_peer = self.connection.as_ref().and_then(ServerConnection::tunnel_peer);
+        match tunnel_peer.filter(|_| self.body_end == BodyEnd::ConnectionClosed) {
+            Some(peer) => self.gateway.is_peer_running(peer).await,
+            None => true,
+        }
+    }
+
     /// Records that the server has begun to answer.
     pub(crate) fn record_first_output(&mut self) {
         let Some(ticket) = &mut self.ticket else { return };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -72,7 +72,11 @@
         attempt.record_first_output();
         let (head, body) = response.into_parts();
         let instance = attempt.instance.clone();
-        match buffer_body(&call, &head, body).await {
+        let buffered = match buffer_body(&call, &head, body).await {
+            Ok(BufferedBody::Complete(_)) if !attempt.is_complete().await => Err(BodyError::Broken),
+            buffered => buffered,
+        };
+        match buffered {
             Ok(BufferedBody::Complete(bytes)) => {
                 let (timing, sent_at, end) = (attempt.timing, attempt.sent_at, attempt.body_end);
                 attempt.finish(outcome_of(&head));
@@ -197,6 +201,7 @@
             () = chunks.closed() => return,
         };
         next = match frame {
+            Ok(None) if !attempt.is_complete().await => Err(IncompleteBody),
             Ok(None) => {
                 let end = attempt.body_end;
                 gateway.record_ended(&call, &attempt.instance, attempt.sent_at, end);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -176,7 +176,9 @@
             let frame = match frame {
                 Err(_) if deadline == self.call.deadline => return Err(BodyError::Deadline),
                 Err(_) => return Err(BodyError::Stalled),
-                Ok(None) if splitter.is_between_events() => return Ok(()),
+                Ok(None) if splitter.is_between_events() && attempt.is_complete().await => {
+                    return Ok(());
+                }
                 Ok(None) | Ok(Some(Err(_))) => return Err(BodyError::Broken),
                 Ok(Some(Ok(frame))) => frame,
             };
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -120,6 +120,24 @@
         }
     }
 
+    /// Whether the router that forwards a tunnel still accepts connections of other routers.
+    pub(crate) async fn is_peer_running(&self, peer: NodeId) -> bool {
+        let Some(address) = peer.address() else { return false };
+        let (key, own) = (self.feed.cluster_key(), self.feed.identity());
+        let connecting = connect(SocketAddr::V4(address), key, own);
+        match timeout(OPEN_TIMEOUT, connecting).await {
+            Ok(Ok(_)) => true,
+            Ok(Err(error)) => {
+                log::info!("event=tunnel_end_unconfirmed router={peer} reason=\"{error}\"");
+                false
+            }
+            Err(_) => {
+                log::info!("event=tunnel_end_unconfirmed router={peer} reason=\"timed out\"");
+                false
+            }
+        }
+    }
+
     async fn ask_for_tunnel(
         &self,
         peer: NodeId,
--- a/crates/gateway/tests/paths/cut_off.rs
+++ b/crates/gateway/tests/paths/cut_off.rs
@@ -13,6 +13,7 @@
 
 use crate::support::caller::{get, request_head};
 use crate::support::link::silent_listener;
+use crate::support::router::RouterProcess;
 use crate::support::server::{FakeServer, Step, complete_answer, healthy, open_ended_head};
 use crate::support::{KEY, TEST_TIMEOUT, TestGateway, identity, loopback};
 
@@ -149,6 +150,29 @@
     }
 }
 
+/// The system closes the connections of a process that was killed in order.
+#[tokio::test]
+async fn an_answer_looks_complete_after_its_helper_was_killed() {
+    let server = open_ended_server(Step::Wait(TEST_TIMEOUT)).await;
+    let helper = RouterProcess::start().await;
+    helper.gateway.control.add_server(server.report());
+    let cut_off = TestGateway::start(&[]).await;
+    let (address, _sockets) = dead_address(Cut::Refused);
+    cut_off.control.add_server(InstanceReport { address, ..server.report() });
+    announce(&helper.gateway, &cut_off);
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let callers = cut_off.callers;
+    let answer = tokio::spawn(async move { get(callers, "/stream/x", "r1").await });
+    while server.requests().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(helper);
+    let answer = tokio::time::timeout(TEST_TIMEOUT, answer).await.expect("in time");
+    let answer = answer.expect("no panic");
+    assert_eq!((answer.status, answer.complete), (200, false));
+}
+
 /// Server that refuses its first request and asks for a pause, and serves the others.
 async fn pausing_server() -> FakeServer {
     FakeServer::start("a", |number, head| {
