A part of prompts that crashes servers is quarantined at all routers

Cause: crashes were counted against whole requests only; prompts that share a part differ in their last part and body, so none gets three crashes. Change: routers report which shared parts were in flight on a crashed server and which parts completed. Each derives the parts that explain the crashes, the most convincing first; a complete answer takes crashes back. A quarantined part is tried once, by one request of the fleet at a time, which frees a neighbour that always came with it. Requests without parts are as before. Why it works: the part is in every crash set and in no complete answer; all else is cleared by answers, explained by the part, or freed by its trial.

--- a/crates/crash-watch/src/lib.rs
+++ b/crates/crash-watch/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod metrics;
 mod outbox;
+mod parts;
 mod watch;
 
 pub use metrics::CrashMetrics;
--- a/crates/crash-watch/src/metrics.rs
+++ b/crates/crash-watch/src/metrics.rs
@@ -16,6 +16,8 @@
     pub(crate) recorded: IntGauge,
     /// Requests under which servers crashed recently.
     pub(crate) suspects: IntGauge,
+    /// Parts of prompts under which servers crashed recently.
+    pub(crate) suspected_parts: IntGauge,
 }
 
 impl CrashMetrics {
@@ -48,12 +50,24 @@
             "suspects",
             "Requests under which servers ended of late.",
         ))?;
+        let suspected_parts = IntGauge::with_opts(options(
+            "suspected_parts",
+            "Parts of prompts under which servers ended of late.",
+        ))?;
+        registry.register(Box::new(suspected_parts.clone()))?;
         registry.register(Box::new(server_crashes.clone()))?;
         registry.register(Box::new(interrupted_requests.clone()))?;
         registry.register(Box::new(quarantined.clone()))?;
         registry.register(Box::new(recorded.clone()))?;
         registry.register(Box::new(suspects.clone()))?;
-        Ok(CrashMetrics { server_crashes, interrupted_requests, quarantined, recorded, suspects })
+        Ok(CrashMetrics {
+            server_crashes,
+            interrupted_requests,
+            quarantined,
+            recorded,
+            suspects,
+            suspected_parts,
+        })
     }
 
     pub(crate) fn record_crash(&self, proof: CrashProof, requests: usize) {
--- a/crates/crash-watch/src/watch.rs
+++ b/crates/crash-watch/src/watch.rs
@@ -10,10 +10,11 @@
 use std::time::Duration;
 
 use juniper_feed::{Feed, FleetView, RelayedBatch};
-use juniper_protocol::message::{CrashUpdate, QuarantineRequest, RelayedUpdate, RouterUpdate};
+use juniper_protocol::message::{CrashUpdate, QuarantineRequest, RelayedUpdate};
 use juniper_quarantine::{
     Clearance, CompletedRequests, CountOutcome, CrashCounts, CrashProof, CrashReport,
-    InterruptedRequest, InterruptedRequests, Rebroadcast, Report, ServerCrash,
+    InterruptedParts, InterruptedRequest, InterruptedRequests, Rebroadcast, Report, ServerCrash,
+    UnrecordedQuarantine,
 };
 use juniper_registry::InstanceId;
 use juniper_types::{NodeId, RequestFingerprint, Timestamp};
@@ -23,6 +24,7 @@
 
 use crate::metrics::CrashMetrics;
 use crate::outbox::{Outbox, decode_report};
+use crate::parts::{PartWatch, join};
 
 /// Interval between checks for reports to be rebroadcast and for quarantines to be recorded.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
@@ -32,6 +34,15 @@
 /// only in case that request was lost, and at random times.
 const PEER_RECORD_DELAY_MS: std::ops::Range<u64> = 1_000..3_000;
 
+/// Draws the delay after which this router has a quarantine or release recorded that another router
+/// has reported.
+pub(crate) fn peer_record_delay() -> Duration {
+    Duration::from_millis(rand::rng().random_range(PEER_RECORD_DELAY_MS))
+}
+
+/// Maximum number of servers that a record lists; replicas refuse longer lists.
+const MAX_RECORDED_SERVERS: usize = 16;
+
 /// Locks a mutex, ignoring poisoning: the data is consistent after each call.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -44,6 +55,7 @@
     interrupted: Mutex<InterruptedRequests>,
     completed: Mutex<CompletedRequests>,
     counts: Mutex<CrashCounts>,
+    parts: PartWatch,
     rebroadcast: Mutex<Rebroadcast>,
     outbox: Outbox,
     /// Quarantined requests that the replicas have recorded.
@@ -59,6 +71,7 @@
             interrupted: Mutex::default(),
             completed: Mutex::default(),
             counts: Mutex::default(),
+            parts: PartWatch::default(),
             rebroadcast: Mutex::default(),
             outbox: Outbox::default(),
             recorded: Mutex::default(),
@@ -89,17 +102,33 @@
         lock(&self.recorded).contains(request)
     }
 
-    /// Records that the connection of a request broke before its answer was complete, on a server
-    /// that wasn't departing.
+    /// Parts of a prompt that are quarantined, all of them. `parts` is called only if any part is
+    /// suspected or quarantined.
+    pub fn quarantined_parts<'a>(
+        &self,
+        parts: impl FnOnce() -> &'a [RequestFingerprint],
+    ) -> Vec<RequestFingerprint> {
+        self.parts.quarantined(parts)
+    }
+
+    /// Whether a request may try the quarantined part, if no other request of the fleet does so at
+    /// the time.
+    pub fn is_trial_due(&self, part: &RequestFingerprint) -> bool {
+        self.parts.is_trial_due(part, self.now())
+    }
+
+    /// Records that the connection of a request broke before its answer was known to be complete, on
+    /// a server that wasn't departing. `prompt` is empty for a request without a prompt.
     pub fn record_interrupted_request(
         &self,
         instance: &InstanceId,
         address: SocketAddr,
         request: RequestFingerprint,
         sent_at: Timestamp,
+        prompt: InterruptedParts<'_>,
     ) {
         let interrupted = InterruptedRequest { request, sent_at, interrupted_at: self.now() };
-        let crash = lock(&self.interrupted).record(instance, address, interrupted);
+        let crash = lock(&self.interrupted).record(instance, address, interrupted, prompt);
         self.handle_crash(crash);
     }
 
@@ -110,14 +139,14 @@
     }
 
     fn handle_crash(&self, crash: Option<ServerCrash>) {
-        let Some(ServerCrash { instance, proof, requests }) = crash else { return };
-        let fingerprints: Vec<String> =
-            requests.iter().map(|interrupted| interrupted.request.to_string()).collect();
+        let Some(crash) = crash else { return };
+        let ServerCrash { instance, proof, requests, parts, trial, interrupted_at } = crash;
         log::warn!(
-            "event=server_ended instance={instance} proof={} requests={} fingerprints={}",
+            "event=server_ended instance={instance} proof={} requests={} fingerprints={} parts={}",
             proof.as_str(),
             requests.len(),
-            fingerprints.join(",")
+            join(requests.iter().map(|interrupted| interrupted.request)),
+            join(parts.iter().copied())
         );
         self.metrics.record_crash(proof, requests.len());
         let now = self.now();
@@ -129,6 +158,8 @@
             self.count_crash(&report, Duration::ZERO, "own");
             self.publish_report(Report::Crash(report));
         }
+        let reported = self.parts.record_own_crash(&instance, interrupted_at, &parts, trial, now);
+        reported.into_iter().for_each(|report| self.publish_report(Report::PartCrash(report)));
     }
 
     fn count_crash(&self, report: &CrashReport, record_after: Duration, from: &str) {
@@ -170,6 +201,12 @@
         self.publish_report(Report::Clear(clearance));
     }
 
+    /// Records that a server completed a prompt with these shared parts, and so survived them.
+    pub fn record_completed_parts(&self, id: &str, parts: &[RequestFingerprint]) {
+        let reports = self.parts.record_completion(id, parts, self.now());
+        reports.into_iter().for_each(|report| self.publish_report(Report::PartCompletion(report)));
+    }
+
     fn publish_report(&self, report: Report) {
         self.outbox.push(&report);
         lock(&self.rebroadcast).schedule(report, self.now());
@@ -188,9 +225,11 @@
         for request in former.difference(&view.quarantined) {
             log::info!("event=quarantine_released fingerprint={request}");
             lock(&self.counts).release(request);
+            self.parts.release(request, self.now());
         }
         for request in view.quarantined.difference(&former) {
             log::info!("event=quarantine_in_force fingerprint={request}");
+            self.parts.adopt(*request, self.now());
         }
         self.metrics.recorded.set(view.quarantined.len() as i64);
     }
@@ -215,8 +254,7 @@
     fn apply_peer_update(&self, from: NodeId, update: &CrashUpdate) {
         let from = from.to_string();
         for crash in &update.crashes {
-            let delay_ms = rand::rng().random_range(PEER_RECORD_DELAY_MS);
-            self.count_crash(&decode_report(crash), Duration::from_millis(delay_ms), &from);
+            self.count_crash(&decode_report(crash), peer_record_delay(), &from);
         }
         for cleared in &update.cleared {
             let clearance = Clearance { request: cleared.request, instances: cleared.ids() };
@@ -229,6 +267,9 @@
             if let Some(crashes) = &update.crashes {
                 self.apply_peer_update(*from, crashes);
             }
+            if let Some(parts) = &update.parts {
+                self.parts.apply_peer_update(*from, parts, self.now());
+            }
         }
     }
 
@@ -247,10 +288,7 @@
                     }
                     Err(RecvError::Closed) => return,
                 },
-                crashes = self.outbox.next_update() => {
-                    let update = RouterUpdate { crashes: Some(crashes), ..RouterUpdate::default() };
-                    self.feed.publish(update).await;
-                }
+                update = self.outbox.next_update() => self.feed.publish(update).await,
                 // The timer is polled only when there is work, so that an idle task doesn't wake
                 // up.
                 _ = ticks.tick(), if self.has_pending_work() => {
@@ -263,7 +301,9 @@
 
     /// Whether any request is suspected, or any report has to be rebroadcast.
     fn has_pending_work(&self) -> bool {
-        !lock(&self.counts).is_empty() || !lock(&self.rebroadcast).is_empty()
+        !lock(&self.counts).is_empty()
+            || self.parts.has_suspects()
+            || !lock(&self.rebroadcast).is_empty()
     }
 
     /// Rebroadcasts due reports, removes expired state, and asks the replicas to record quarantines
@@ -279,10 +319,20 @@
             self.metrics.suspects.set(counts.suspect_count() as i64);
             counts.due_records(now, |request| recorded.contains(request))
         };
-        for unrecorded in unrecorded_requests {
-            let servers = unrecorded.servers.iter().map(|server| server.name().clone()).collect();
-            let call = QuarantineRequest { request: unrecorded.request, servers };
-            self.feed.record_quarantine(call, round).await;
+        let (unrecorded_parts, released_parts) = self.parts.run_maintenance(now);
+        self.metrics.suspected_parts.set(self.parts.suspect_count() as i64);
+        for unrecorded in unrecorded_requests.into_iter().chain(unrecorded_parts) {
+            self.record_quarantine(unrecorded, round).await;
         }
+        for part in released_parts {
+            self.feed.record_release(part).await;
+        }
+    }
+
+    async fn record_quarantine(&self, unrecorded: UnrecordedQuarantine, round: usize) {
+        let servers = unrecorded.servers.iter().take(MAX_RECORDED_SERVERS);
+        let servers = servers.map(|server| server.name().clone()).collect();
+        let call = QuarantineRequest { request: unrecorded.request, servers };
+        self.feed.record_quarantine(call, round).await;
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,5 +1,6 @@
 //! Handling of one request, from its head to the head of its answer.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -72,6 +73,10 @@
     pub body: Bytes,
     /// Fingerprint of the content, computed at first use.
     fingerprint: OnceLock<RequestFingerprint>,
+    /// Fingerprints of the prompt's shared parts, computed at first use.
+    part_fingerprints: OnceLock<Vec<RequestFingerprint>>,
+    /// Quarantined part that the request may try, once granted.
+    pub trial: OnceLock<RequestFingerprint>,
     pub arrived: Instant,
     pub deadline: Instant,
     /// The deadline on the clock that counts suspensions, during which the caller's time goes on.
@@ -134,6 +139,16 @@
         })
     }
 
+    /// Fingerprints of the prompt's shared parts, each once. Computed at first use, as the fingerprint
+    /// of the content.
+    pub(crate) fn part_fingerprints(&self, key: &FingerprintKey) -> &[RequestFingerprint] {
+        self.part_fingerprints.get_or_init(|| {
+            let shared = self.info.prompt.as_ref().map_or(&[][..], |prompt| prompt.shared());
+            let parts = shared.iter().map(|segment| key.part_fingerprint(segment.id));
+            BTreeSet::from_iter(parts).into_iter().collect()
+        })
+    }
+
     /// Whether the route's rules allow another attempt.
     pub(crate) fn may_retry(&self, progress: Progress) -> bool {
         let check = RetryCheck {
@@ -263,6 +278,8 @@
         headers,
         body,
         fingerprint: OnceLock::new(),
+        part_fingerprints: OnceLock::new(),
+        trial: OnceLock::new(),
         arrived,
         deadline,
         boot_deadline,
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,15 +1,30 @@
-//! Reports evidence of crashes to the crash watch and checks requests for quarantine.
+//! Reports evidence of crashes to the crash watch, and checks requests for quarantine.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use juniper_quarantine::CrashProof;
+use juniper_protocol::message::LimitCharge;
+use juniper_quarantine::{CrashProof, InterruptedParts};
 use juniper_registry::InstanceId;
-use juniper_types::Timestamp;
+use juniper_types::{RequestFingerprint, Timestamp};
+use tokio::time::timeout;
 
 use crate::attempt::BodyEnd;
 use crate::call::Call;
 use crate::gateway::Gateway;
+use crate::retry::Progress;
+
+/// Account from which all routers take trials of quarantined parts; never the name of a tenant. There
+/// is one for all parts, so that two of them aren't tried at one server at the same time.
+const TRIAL_ACCOUNT: &str = "\0trial";
+
+/// Trials of quarantined parts per second, of all routers together: a request begins to be answered
+/// within this time.
+const TRIALS_PER_SECOND: f64 = 1.0;
+
+/// Timeout for the grant of a trial.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(150);
 
 impl Gateway {
     /// Records that the connection of a request broke before the answer was complete.
@@ -19,10 +34,14 @@
         instance: &InstanceId,
         sent_at: Timestamp,
     ) {
-        let fingerprint = call.fingerprint(&self.settings.fingerprint_key);
+        let key = &self.settings.fingerprint_key;
+        let parts: Vec<String> =
+            call.part_fingerprints(key).iter().map(ToString::to_string).collect();
         log::info!(
-            "event=request_cut request={} instance={instance} fingerprint={fingerprint}",
-            call.id()
+            "event=request_cut request={} instance={instance} fingerprint={} parts={}",
+            call.id(),
+            call.fingerprint(key),
+            parts.join(",")
         );
         self.track_interrupted(call, instance, sent_at);
     }
@@ -62,14 +81,23 @@
 
     /// Watches whether the server of the request turns out to have crashed.
     fn track_interrupted(&self, call: &Call, instance: &InstanceId, sent_at: Timestamp) {
-        let fingerprint = call.fingerprint(&self.settings.fingerprint_key);
+        let key = &self.settings.fingerprint_key;
         let view = self.feed.latest();
         let known = view.instances.get(instance.name()).filter(|known| known.id == *instance);
         // An unknown server is departing or has departed, so its end isn't evidence against the
         // request.
         if let Some(known) = known {
             let address = SocketAddr::V4(known.report.address);
-            self.crashes.record_interrupted_request(instance, address, fingerprint, sent_at);
+            let trial = call.trial.get().copied();
+            let prompt = InterruptedParts { parts: call.part_fingerprints(key), trial };
+            let fingerprint = call.fingerprint(key);
+            self.crashes.record_interrupted_request(
+                instance,
+                address,
+                fingerprint,
+                sent_at,
+                prompt,
+            );
             self.probes_due.notify_one();
         }
     }
@@ -81,17 +109,61 @@
 
     /// Records that a server has answered the request completely.
     fn record_completed(&self, call: &Call) {
-        let fingerprint = call.fingerprint(&self.settings.fingerprint_key);
-        self.crashes.record_completed_request(call.id(), fingerprint);
+        let key = &self.settings.fingerprint_key;
+        self.crashes.record_completed_request(call.id(), call.fingerprint(key));
+        self.crashes.record_completed_parts(call.id(), call.part_fingerprints(key));
+    }
+
+    /// Whether the request is quarantined, unless it is granted the trial of a part that is due for
+    /// one. A trial is sent once.
+    pub(crate) async fn check_quarantine(&self, call: &Call, progress: Progress) -> bool {
+        let has_tried = call.trial.get().is_some() && progress.sent > 0;
+        if !has_tried
+            && let [part] = self.quarantined_parts(call)[..]
+            && call.trial.get().is_none()
+            && self.crashes.is_trial_due(&part)
+            && self.take_trial().await
+        {
+            log::info!("event=part_trial request={} part={part}", call.id());
+            // Fails only if the request has a trial already.
+            let _ = call.trial.set(part);
+        }
+        self.is_quarantined(call) || (has_tried && !self.quarantined_parts(call).is_empty())
     }
 
     /// Whether the request is quarantined and must not be sent to any server.
     pub(crate) fn is_quarantined(&self, call: &Call) -> bool {
         let fingerprint_of = || call.fingerprint(&self.settings.fingerprint_key);
-        let quarantined = self.crashes.quarantined(fingerprint_of);
-        if let Some(fingerprint) = quarantined {
+        if let Some(fingerprint) = self.crashes.quarantined(fingerprint_of) {
             log::info!("event=quarantined request={} fingerprint={fingerprint}", call.id());
+            return true;
         }
-        quarantined.is_some()
+        let trial = call.trial.get();
+        let parts = self.quarantined_parts(call);
+        let refused = parts.iter().find(|part| Some(*part) != trial);
+        if let Some(part) = refused {
+            self.metrics.quarantined_parts.inc();
+            log::info!("event=quarantined request={} part={part}", call.id());
+        }
+        refused.is_some()
+    }
+
+    fn quarantined_parts(&self, call: &Call) -> Vec<RequestFingerprint> {
+        self.crashes.quarantined_parts(|| call.part_fingerprints(&self.settings.fingerprint_key))
+    }
+
+    /// Takes the permission to try a quarantined part. Without a replica's answer there is none.
+    async fn take_trial(&self) -> bool {
+        let charge = LimitCharge {
+            account: TRIAL_ACCOUNT.to_owned(),
+            version: 1,
+            per_second: TRIALS_PER_SECOND,
+            burst: 1.0,
+            units: 1.0,
+            is_certain: false,
+            reserve: None,
+        };
+        let answer = timeout(TRIAL_TIMEOUT, self.feed.charge(charge, 0)).await;
+        matches!(answer, Ok(Ok(answer)) if answer.retry_after_ms.is_none())
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -92,6 +92,8 @@
     pub gap_seconds: Histogram,
     /// Observed time to first output of a prompt, relative to the expected one.
     pub first_output_ratio: Histogram,
+    /// Requests refused because of a quarantined part of their prompts.
+    pub quarantined_parts: IntCounter,
     /// Prompt tokens expected in the chosen server's cache.
     pub cached_tokens: IntCounter,
     /// Prompt tokens that the chosen server had to compute.
@@ -238,6 +240,10 @@
             answer_seconds,
             gap_seconds,
             first_output_ratio,
+            quarantined_parts: counter(
+                "requests_with_quarantined_parts_total",
+                "Requests refused because of a quarantined part of their prompts.",
+            )?,
             cached_tokens: counter("kept_tokens_total", "Prompt tokens that should be kept.")?,
             prefill_tokens: counter("missed_tokens_total", "Prompt tokens that had to be read.")?,
             catalog_version: gauge("catalog_version", "Version of the configuration.")?,
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -76,7 +76,7 @@
             if self.call.time_left() < MIN_TIME_LEFT {
                 return Err(self.final_answer(OwnAnswer::TooLate));
             }
-            if self.gateway.is_quarantined(self.call) {
+            if self.gateway.check_quarantine(self.call, self.progress).await {
                 return Err(OwnAnswer::Quarantined);
             }
             if !self.call.may_retry(self.progress) {
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod limits_soon;
 mod overload;
+mod prompt_parts;
 mod quarantine;
 mod reachability;
 mod retries;
--- a/crates/gateway/tests/paths/support/dialect.rs
+++ b/crates/gateway/tests/paths/support/dialect.rs
@@ -23,6 +23,14 @@
     Prompt { segments, tokens: tokens as u32, ..Prompt::default() }
 }
 
+/// A prompt of segments with these ids, separated by commas; the last one isn't shared.
+fn prompt_of_segments(ids: &str) -> Prompt {
+    let segment = |id: &str| PromptSegment { id: id.parse().expect("a number"), tokens: 100 };
+    let segments: Vec<PromptSegment> = ids.split(',').map(segment).collect();
+    let tokens = segments.iter().map(|segment| segment.tokens).sum();
+    Prompt { segments, tokens, ..Prompt::default() }
+}
+
 impl Dialect for TestDialect {
     fn read_call(&self, head: &request::Parts) -> Result<CallInfo, CallError> {
         let headers = &head.headers;
@@ -31,7 +39,10 @@
             id: headers.get("x-id").cloned().ok_or(CallError::MissingId)?,
             timeout: number(headers, "x-deadline").map(Duration::from_millis),
             key: key.map(str::to_owned),
-            prompt: number(headers, "x-prompt").map(prompt),
+            prompt: match headers.get("x-segments").and_then(|ids| ids.to_str().ok()) {
+                Some(ids) => Some(prompt_of_segments(ids)),
+                None => number(headers, "x-prompt").map(prompt),
+            },
             last_event: number(headers, "x-last"),
             resumed_attempt: headers.get("x-resumes").cloned(),
         })
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -139,6 +139,56 @@
     pub cleared: Vec<CrashClearance>,
 }
 
+/// Crash of a server while prompts were in flight on it, as observed by one router. Other routers
+/// may report more parts of the same crash.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct PartCrash {
+    /// Server that crashed.
+    #[n(0)]
+    pub instance: InstanceName,
+    /// Start time of the crashed incarnation.
+    #[n(1)]
+    pub started: StartTime,
+    /// Time since the crash, in milliseconds.
+    #[n(2)]
+    pub age_ms: u64,
+    /// Shared parts of the prompts in flight that the router hasn't seen complete recently.
+    #[n(3)]
+    pub parts: Vec<RequestFingerprint>,
+    /// Part that was on trial at the server.
+    #[n(4)]
+    pub trial: Option<RequestFingerprint>,
+}
+
+impl PartCrash {
+    /// Incarnation that crashed.
+    pub fn id(&self) -> InstanceId {
+        InstanceId::started_at(self.instance.clone(), self.started)
+    }
+}
+
+/// Report that a prompt with a suspected part was answered completely.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct PartCompletion {
+    /// Part of the prompt.
+    #[n(0)]
+    pub part: RequestFingerprint,
+    /// Time since the answer was complete, in milliseconds.
+    #[n(1)]
+    pub age_ms: u64,
+}
+
+/// Crashes and completions of prompts, by their shared parts, as reported by one router.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct PartUpdate {
+    /// Servers that crashed under prompts.
+    #[n(0)]
+    pub crashes: Vec<PartCrash>,
+    /// Suspected parts of prompts that were answered completely.
+    #[n(1)]
+    pub completions: Vec<PartCompletion>,
+}
+
 /// Request to quarantine a fingerprint, so that no router dispatches it.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct QuarantineRequest {
@@ -217,6 +267,10 @@
     #[n(8)]
     #[cbor(default)]
     pub stream_records: Option<Vec<StreamRecord>>,
+    /// Crashes under parts of prompts; usually absent, which takes no bytes.
+    #[n(9)]
+    #[cbor(default)]
+    pub parts: Option<PartUpdate>,
 }
 
 impl RouterUpdate {
@@ -230,6 +284,7 @@
             && self.server_limits.is_none()
             && self.notices.is_none()
             && self.stream_records.is_none()
+            && self.parts.is_none()
     }
 }
 
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -15,8 +15,8 @@
 
 pub use crate::fleet::{
     BrittleServiceUpdate, CatalogBody, Crash, CrashClearance, CrashUpdate, DispatchReport,
-    FleetUpdate, KnownVersion, QuarantineRequest, QuarantineUpdate, Reachability, RelayedUpdate,
-    RenewalUpdate, RouterUpdate,
+    FleetUpdate, KnownVersion, PartCompletion, PartCrash, PartUpdate, QuarantineRequest,
+    QuarantineUpdate, Reachability, RelayedUpdate, RenewalUpdate, RouterUpdate,
 };
 pub use crate::limits::{ChargeAnswer, LimitCharge, ServerLimitUpdate, server_account};
 pub use crate::notices::ServerNoticeUpdate;
--- a/crates/quarantine/src/interrupted_requests.rs
+++ b/crates/quarantine/src/interrupted_requests.rs
@@ -4,7 +4,7 @@
 //! A crash is proven when the server refuses new connections, or when another incarnation appears
 //! at its address.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,6 +18,9 @@
 /// Maximum number of interrupted requests that wait for a proof; further ones are ignored.
 const MAX_PENDING: usize = 1_024;
 
+/// Maximum number of prompt parts per server that wait for a proof; further ones are ignored.
+const MAX_PENDING_PARTS: usize = 256;
+
 /// Proof of a server's crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashProof {
@@ -46,6 +49,22 @@
     pub proof: CrashProof,
     /// Interrupted requests that weren't returned with an earlier crash of this incarnation.
     pub requests: Vec<InterruptedRequest>,
+    /// Shared parts of the interrupted prompts that weren't returned with an earlier crash of this
+    /// incarnation.
+    pub parts: Vec<RequestFingerprint>,
+    /// Part that was on trial at the server.
+    pub trial: Option<RequestFingerprint>,
+    /// When the latest connection broke.
+    pub interrupted_at: Timestamp,
+}
+
+/// Shared parts of an interrupted prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct InterruptedParts<'a> {
+    /// Parts of the prompt that other prompts may share.
+    pub parts: &'a [RequestFingerprint],
+    /// Part that the request tried.
+    pub trial: Option<RequestFingerprint>,
 }
 
 /// Request whose connection broke before the answer was complete.
@@ -65,6 +84,8 @@
     last_interrupted_at: Timestamp,
     proof: Option<CrashProof>,
     pending: BTreeMap<RequestFingerprint, InterruptedRequest>,
+    pending_parts: BTreeSet<RequestFingerprint>,
+    trial: Option<RequestFingerprint>,
 }
 
 /// Interrupted requests by server.
@@ -81,6 +102,7 @@
         instance: &InstanceId,
         address: SocketAddr,
         interrupted: InterruptedRequest,
+        prompt: InterruptedParts<'_>,
     ) -> Option<ServerCrash> {
         let now = interrupted.interrupted_at;
         self.remove_expired(now);
@@ -93,9 +115,14 @@
             last_interrupted_at: now,
             proof: None,
             pending: BTreeMap::new(),
+            pending_parts: BTreeSet::new(),
+            trial: None,
         });
         server.last_interrupted_at = now;
         server.pending.entry(interrupted.request).or_insert(interrupted);
+        let room = MAX_PENDING_PARTS.saturating_sub(server.pending_parts.len());
+        server.pending_parts.extend(prompt.parts.iter().take(room));
+        server.trial = server.trial.or(prompt.trial);
         let proof = server.proof?;
         self.record_proof(instance, proof, now)
     }
@@ -111,7 +138,10 @@
         let server = self.servers.get_mut(instance)?;
         let proof = *server.proof.get_or_insert(proof);
         let requests: Vec<_> = std::mem::take(&mut server.pending).into_values().collect();
-        let crash = ServerCrash { instance: instance.clone(), proof, requests };
+        let parts = std::mem::take(&mut server.pending_parts).into_iter().collect();
+        let (trial, interrupted_at) = (server.trial, server.last_interrupted_at);
+        let instance = instance.clone();
+        let crash = ServerCrash { instance, proof, requests, parts, trial, interrupted_at };
         (!crash.requests.is_empty()).then_some(crash)
     }
 
--- a/crates/quarantine/src/rebroadcast.rs
+++ b/crates/quarantine/src/rebroadcast.rs
@@ -62,8 +62,11 @@
 
 fn aged(report: &Report, by: Duration) -> Report {
     let mut aged = report.clone();
-    if let Report::Crash(crash) = &mut aged {
-        crash.age += by;
+    match &mut aged {
+        Report::Crash(crash) => crash.age += by,
+        Report::PartCrash(crash) => crash.age += by,
+        Report::PartCompletion(completion) => completion.age += by,
+        Report::Clear(_) => {}
     }
     aged
 }
--- a/crates/quarantine/src/report.rs
+++ b/crates/quarantine/src/report.rs
@@ -5,6 +5,8 @@
 use juniper_registry::InstanceId;
 use juniper_types::RequestFingerprint;
 
+use crate::part_report::{PartCompletionReport, PartCrashReport};
+
 /// Crash of a server while the request was in flight on it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashReport {
@@ -36,4 +38,8 @@
     Crash(CrashReport),
     /// A request completed.
     Clear(Clearance),
+    /// A server crashed under prompts.
+    PartCrash(PartCrashReport),
+    /// A prompt with a suspected part completed.
+    PartCompletion(PartCompletionReport),
 }
--- a/crates/router/src/crashes.rs
+++ b/crates/router/src/crashes.rs
@@ -7,7 +7,7 @@
 
 use juniper_crash_watch::CrashWatch;
 use juniper_feed::Feed;
-use juniper_quarantine::CrashProof;
+use juniper_quarantine::{CrashProof, InterruptedParts};
 use juniper_registry::InstanceId;
 use juniper_types::{
     EngineId, FingerprintKey, Incarnation, NodeId, RequestContent, RequestFingerprint, TenantName,
@@ -135,7 +135,13 @@
             // A planned shutdown isn't evidence against the request.
             return;
         }
-        self.watch.record_interrupted_request(&instance, sent.address, fingerprint, sent.sent_at);
+        self.watch.record_interrupted_request(
+            &instance,
+            sent.address,
+            fingerprint,
+            sent.sent_at,
+            InterruptedParts::default(),
+        );
         if lock(&self.probed).insert(instance.clone()) {
             let crashes = Arc::clone(self);
             tokio::spawn(async move {
--- a/crates/types/src/fingerprint.rs
+++ b/crates/types/src/fingerprint.rs
@@ -8,7 +8,8 @@
 /// Length of a fingerprint in bytes. Two different requests collide with a probability of 2^-128.
 const FINGERPRINT_BYTES: usize = 16;
 
-/// Fingerprint of a request's content; equal content has the same fingerprint at every router.
+/// Fingerprint of a request's content, or of a shared part of prompts; equal content has the same
+/// fingerprint at every router.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 #[cbor(transparent)]
 pub struct RequestFingerprint(#[cbor(n(0), with = "minicbor::bytes")] pub [u8; FINGERPRINT_BYTES]);
@@ -33,6 +34,9 @@
 /// Separates stream keys from fingerprints of requests, which begin with an HTTP method.
 const STREAM_CONTEXT: &[u8] = b"stream key";
 
+/// Separates fingerprints of prompt parts from those of requests, which begin with an HTTP method.
+const PART_CONTEXT: &[u8] = b"prompt part";
+
 /// Error for text that is not a fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("a fingerprint has 32 hexadecimal digits")]
@@ -96,6 +100,15 @@
         RequestFingerprint(truncated_hash(&hasher))
     }
 
+    /// Computes the fingerprint of a prompt part, which is the same for all models, services and
+    /// tenants.
+    pub fn part_fingerprint(&self, part: u64) -> RequestFingerprint {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        update_with_length(&mut hasher, PART_CONTEXT);
+        update_with_length(&mut hasher, &part.to_be_bytes());
+        RequestFingerprint(truncated_hash(&hasher))
+    }
+
     /// Computes the key of the stream that a tenant's request with this id began.
     pub fn stream_key(&self, tenant: Option<&str>, request_id: &[u8]) -> StreamKey {
         let mut hasher = blake3::Hasher::new_keyed(&self.0);
