Quarantine is checked again where the bytes of a request leave

What callers saw: servers crash under requests that were sent some 100 ms after their part, or the whole request, had been quarantined (BUDGET). Cause: the search asked for quarantine before it chose a server. A request then waits for admission, for a connection or tunnel and for the server's statement of its incarnation. Evidence: a_prompt_that_was_quarantined_while_it_waited_crashes_a_server: 200 from a server although the third crash was reported 120 ms before the request was written. Change: asked again when the request is written; then nothing has been sent, and the charge of an admission is refunded.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -284,6 +284,10 @@
     if granted.is_some_and(|granted| granted.has_expired()) && gateway.take_retry(call).is_none() {
         return Err(AttemptError::RetryExpired);
     }
+    // Admission, a connection or the proof of the server's incarnation may have taken a while.
+    if gateway.is_quarantined(call) {
+        return Err(AttemptError::Quarantined);
+    }
     let request = build_request(gateway, call, choice, last_event);
     let sending = connection.sender.try_send_request(request);
     let mut response = match timeout_at(deadline, sending).await {
--- a/crates/gateway/src/attempt_error.rs
+++ b/crates/gateway/src/attempt_error.rs
@@ -27,6 +27,9 @@
     /// Nothing was sent, since the server didn't state which incarnation it is.
     #[error("not sent: the server did not state when it started")]
     NoStatement,
+    /// Nothing was sent, since the request was quarantined while it waited.
+    #[error("not sent: the request has been quarantined")]
+    Quarantined,
     /// The server stated that it did not run the request.
     #[error("the server did not run the request")]
     NotRun,
@@ -62,6 +65,7 @@
             AttemptError::NotSent(_)
                 | AttemptError::BackingOff(_)
                 | AttemptError::RetryExpired
+                | AttemptError::Quarantined
                 | AttemptError::SoftwareChanged
                 | AttemptError::Restarted
                 | AttemptError::NoStatement
@@ -77,6 +81,7 @@
             AttemptError::NotSent(_) => Outcome::Unreachable,
             AttemptError::BackingOff(_)
             | AttemptError::RetryExpired
+            | AttemptError::Quarantined
             | AttemptError::SoftwareChanged => Outcome::Cancelled,
             AttemptError::WrongServer | AttemptError::Restarted => Outcome::Replaced,
             AttemptError::WrongVersion(version) => Outcome::VersionMismatch(*version),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -338,6 +338,7 @@
             AttemptError::NotSent(_) => "not_sent",
             AttemptError::BackingOff(_) => "resting",
             AttemptError::RetryExpired => "retry_expired",
+            AttemptError::Quarantined => "quarantined",
             AttemptError::SoftwareChanged => "software_changed",
             AttemptError::Restarted => "restarted",
             AttemptError::NoStatement => "no_statement",
--- a/crates/gateway/tests/paths/prompt_parts.rs
+++ b/crates/gateway/tests/paths/prompt_parts.rs
@@ -179,3 +179,26 @@
     let request = format!("{}\r\n", request_head("GET", "/safe/x", "r1"));
     assert_eq!(ask(gateway.callers, &request).await.status, 200);
 }
+
+/// Guards against a prompt that is sent although its part was quarantined while it waited for the
+/// server to state its incarnation.
+#[tokio::test]
+async fn a_prompt_that_was_quarantined_while_it_waited_crashes_a_server() {
+    let server = healthy_stream("a").await.with_start(1_000);
+    server.state_start(1_000);
+    server.delay_statement(200);
+    let gateway = TestGateway::start(&[&server]).await;
+    for crashed in ["e1", "e2"] {
+        gateway.control.send_peer_update(1, "south", crash_update(crashed, &[4]));
+        sleep(Duration::from_millis(200)).await;
+    }
+    let third = async {
+        sleep(Duration::from_millis(80)).await;
+        gateway.control.send_peer_update(1, "south", crash_update("e3", &[4]));
+    };
+    let head = request_head("POST", "/resumable/x", "r1");
+    let request = format!("{head}x-segments: 1,4,9\r\ncontent-length: 0\r\n\r\n");
+    let (answer, ()) = tokio::join!(ask(gateway.callers, &request), third);
+    assert_eq!(answer.status, 502, "{}", answer.body);
+    assert!(server.requests().is_empty());
+}
--- a/crates/gateway/tests/paths/support/server.rs
+++ b/crates/gateway/tests/paths/support/server.rs
@@ -32,6 +32,8 @@
     started: StartTime,
     /// Start time that the server states itself, in milliseconds; 0 for none.
     stated_start: Arc<AtomicU64>,
+    /// Delay of that statement, in milliseconds.
+    statement_delay: Arc<AtomicU64>,
     software: Option<SoftwareVersion>,
     requests: Arc<Mutex<Vec<String>>>,
     /// Connections that the client closed before the answer was complete.
@@ -53,6 +55,7 @@
             port,
             started: StartTime::UNKNOWN,
             stated_start: Arc::default(),
+            statement_delay: Arc::default(),
             software: SoftwareVersion::new("v1"),
             requests: Arc::default(),
             abandoned: Arc::default(),
@@ -93,6 +96,11 @@
         self.stated_start.store(started_ms, Ordering::Relaxed);
     }
 
+    /// Delays the statement of the start time from now on.
+    pub fn delay_statement(&self, delay_ms: u64) {
+        self.statement_delay.store(delay_ms, Ordering::Relaxed);
+    }
+
     pub fn report(&self) -> InstanceReport {
         InstanceReport {
             name: InstanceName::new(&self.name),
@@ -125,6 +133,8 @@
     async fn serve(self, mut stream: TcpStream, script: Script) {
         while let Some(head) = read_request(&mut stream).await {
             if head.starts_with("GET /start ") {
+                let delay_ms = self.statement_delay.load(Ordering::Relaxed);
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
                 let start = self.stated_start.load(Ordering::Relaxed);
                 let answer = complete_answer(&head, "200 OK", &start.to_string());
                 if stream.write_all(answer.as_bytes()).await.is_err() {
