A router with a full link refuses connections and takes no time-out of its own for a server's

What callers saw: while all routers but one had no power, the one that was left answered nothing in time for 8 s at 1.5 times the traffic; it excluded all servers, opened tunnels to routers without power and refused requests for queues that weren't there. Cause: callers' requests fill its link (1,300 of 1,250 KB/s received), connections to servers take over 300 ms (4, 25, 45, 85, 115 ms and then time-outs within 0.9 s), and each time-out counted against its server; callers repeat what fails. Change: the router counts the bytes that it exchanges. Above three quarters of its link's capacity it closes its listener, so that callers ask elsewhere before they send a request, and closes kept connections after their answer. The time-out of connections follows how long they take at all servers; where that is long, a time-out excludes no server and opens no tunnel, and first outputs are left out of the timing model.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -155,6 +155,10 @@
 
     /// Records that the server has begun to answer.
     pub(crate) fn record_first_output(&mut self) {
+        // The answer may have waited on this router's link.
+        if self.ticket.is_some() && self.timing.is_none() && self.gateway.is_congested() {
+            self.exclude_from_timing();
+        }
         let Some(ticket) = &mut self.ticket else { return };
         let now = self.gateway.now();
         if self.timing.is_none()
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -7,8 +7,9 @@
 use juniper_types::Timestamp;
 use tokio::net::TcpStream;
 
+use crate::counted_stream::CountedStream;
 use crate::gateway::Gateway;
-use crate::pool::{ConnectError, ServerConnection, open_stream};
+use crate::pool::{ConnectError, ServerConnection};
 use crate::tunnel::{TunnelError, TunnelGuard};
 
 impl Gateway {
@@ -25,6 +26,7 @@
         }
         let open = self.pool.count_open(instance, limit).ok_or(ConnectError::Exhausted)?;
         let (stream, tunnel) = self.open_path(instance, address).await?;
+        let stream = CountedStream::new(stream, &self.link_counters.servers);
         self.pool.start_http(stream, tunnel, open).await
     }
 
@@ -61,12 +63,16 @@
         address: SocketAddrV4,
     ) -> Result<TcpStream, ConnectError> {
         let started_at = self.now();
-        let result = open_stream(address).await;
+        let result = self.open_server_stream(address).await;
         match &result {
             Ok(_) => {
                 self.metrics.connections.inc();
                 self.record_connected(instance, started_at);
             }
+            // The server's answer may wait behind other packets on this router's link.
+            Err(ConnectError::Timeout) if self.is_congested() => {
+                log::info!("event=own_link_congested instance={instance}");
+            }
             Err(error) => self.record_connect_failure(instance, error.is_refused()),
         }
         result
@@ -75,7 +81,7 @@
     /// Whether the same request may still try a tunnel: a refusal took no time, and if this router is
     /// cut off, other servers would fail too.
     fn should_tunnel_after(&self, instance: &InstanceId, error: &ConnectError) -> bool {
-        error.is_refused() || self.placement().is_cut_off(instance)
+        error.is_refused() || (self.placement().is_cut_off(instance) && !self.is_congested())
     }
 
     /// Records a new connection to the server, attempted at `started_at`.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use juniper_admission::{ConnectTimes, LinkLoad};
 use juniper_catalog::{Catalog, EngineProfile, Route, WeightedSplit};
 use juniper_clock::BootInstant;
 use juniper_crash_watch::CrashWatch;
@@ -15,15 +16,17 @@
 use juniper_stream_origins::SoftwareHistory;
 use juniper_tunnel_peers::TunnelPeers;
 use juniper_types::Timestamp;
+use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
+use crate::counted_stream::LinkCounters;
 use crate::dialect::Dialect;
 use crate::lifecycle::ShutdownPhase;
 use crate::limits::Limits;
 use crate::lock::lock;
 use crate::metrics::Metrics;
-use crate::pool::Pool;
+use crate::pool::{ConnectError, Pool, open_stream};
 use crate::resume::OwnOrigins;
 use crate::returns::Returns;
 use crate::settings::GatewaySettings;
@@ -77,6 +80,10 @@
     pub probes_due: Notify,
     /// Number of fleet views that the placement has applied.
     pub applied_views: watch::Sender<u64>,
+    /// Bytes exchanged with callers and servers.
+    pub link_counters: LinkCounters,
+    link: Mutex<LinkLoad>,
+    connect_times: Mutex<ConnectTimes>,
     placement: Mutex<Placement>,
     tunnel_peers: Mutex<TunnelPeers>,
     retry_budget: Mutex<RetryBudget>,
@@ -100,6 +107,9 @@
             splits: Mutex::default(),
             started: BootInstant::now(),
             probes_due: Notify::new(),
+            link_counters: LinkCounters::default(),
+            connect_times: Mutex::default(),
+            link: Mutex::new(LinkLoad::new(settings.link_bytes_per_second)),
             updates: UpdateQueue::default(),
             origins: OwnOrigins::default(),
             software_history: Mutex::default(),
@@ -149,6 +159,41 @@
         *self.shutdown.borrow() == ShutdownPhase::Running && self.has_started() && is_current
     }
 
+    /// Measures the load of this router's link. The guard must not be held across an await.
+    pub(crate) fn measure_link(&self) -> MutexGuard<'_, LinkLoad> {
+        let mut link = lock(&self.link);
+        link.measure(self.link_counters.totals(), self.now());
+        link
+    }
+
+    /// Whether the link has room for the request of another connection.
+    pub(crate) fn accepts_connections(&self) -> bool {
+        self.measure_link().accepts_connections(self.now())
+    }
+
+    /// Whether time-outs may be due to this router's own link.
+    pub(crate) fn is_congested(&self) -> bool {
+        let now = self.now();
+        self.measure_link().is_congested(now) || lock(&self.connect_times).is_slow(now)
+    }
+
+    /// Opens a TCP connection to a server.
+    pub(crate) async fn open_server_stream(
+        &self,
+        address: SocketAddrV4,
+    ) -> Result<TcpStream, ConnectError> {
+        let started_at = self.now();
+        let connect_timeout = lock(&self.connect_times).timeout(started_at);
+        let result = open_stream(address, connect_timeout).await;
+        let now = self.now();
+        if matches!(result, Err(ConnectError::Timeout)) {
+            lock(&self.connect_times).record_timeout(now.since(started_at), now);
+        }
+        let stream = result?;
+        lock(&self.connect_times).record(now.since(started_at), now);
+        Ok(stream)
+    }
+
     /// Picks the service for the next request of the route.
     pub(crate) fn pick_service(&self, route: &Route) -> Option<String> {
         let mut splits = lock(&self.splits);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod call;
 mod connect;
 mod connection_headers;
+mod counted_stream;
 mod crashes;
 mod dialect;
 mod events;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -13,15 +14,20 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use crate::body::AnswerBody;
 use crate::call;
+use crate::counted_stream::CountedStream;
 use crate::gateway::Gateway;
 use crate::lifecycle::{ConnectionTracker, ShutdownPhase};
 
 /// Delay after `accept` failed, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Interval between two measurements of the link while connections are refused.
+const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Idle timeout of callers' connections while no configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -34,21 +40,72 @@
 /// Timeout of a connection for readiness or metrics. These are served one after the other.
 const INTERNAL_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Accepts connections of callers and serves each in a task of its own.
+/// Accepts connections of callers and serves each in a task of its own. While this router's link is
+/// too busy, new connections are refused, so that their callers ask another router at once.
 pub(crate) async fn serve_callers(
     gateway: Arc<Gateway>,
-    listener: TcpListener,
+    mut listener: TcpListener,
     open: ConnectionTracker,
 ) {
     loop {
-        let Some(stream) = accept_stream(&listener).await else { continue };
-        let (gateway, tracked) = (Arc::clone(&gateway), open.track());
-        gateway.metrics.callers.inc();
-        tokio::spawn(async move {
-            serve_caller(&gateway, stream).await;
-            gateway.metrics.callers.dec();
-            drop(tracked);
-        });
+        if !gateway.accepts_connections() {
+            // Their requests are on the way already.
+            while let Some(Some(stream)) = accept_stream(&listener).now_or_never() {
+                spawn_caller(&gateway, stream, &open);
+            }
+            listener = refuse_callers(&gateway, listener).await;
+        }
+        if let Some(stream) = accept_stream(&listener).await {
+            spawn_caller(&gateway, stream, &open);
+        }
+    }
+}
+
+/// Serves a connection in a task of its own.
+fn spawn_caller(gateway: &Arc<Gateway>, stream: TcpStream, open: &ConnectionTracker) {
+    gateway.measure_link().record_accepted(gateway.now());
+    let (gateway, tracked) = (Arc::clone(gateway), open.track());
+    gateway.metrics.callers.inc();
+    tokio::spawn(async move {
+        serve_caller(&gateway, stream).await;
+        gateway.metrics.callers.dec();
+        drop(tracked);
+    });
+}
+
+/// Closes the listener, so that new connections are refused without a byte of their requests, until
+/// the link is free again. Returns a new listener at the same address.
+async fn refuse_callers(gateway: &Gateway, listener: TcpListener) -> TcpListener {
+    let address = match listener.local_addr() {
+        Ok(address) => address,
+        Err(error) => {
+            log::warn!("event=listener_not_closed reason=\"{error}\"");
+            return listener;
+        }
+    };
+    gateway.metrics.refusing_callers.inc();
+    log::info!(
+        "event=callers_refused link_share={:.2}",
+        gateway.measure_link().share(gateway.now())
+    );
+    drop(listener);
+    while !gateway.accepts_connections() {
+        sleep(LINK_CHECK_INTERVAL).await;
+    }
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => {
+                log::info!(
+                    "event=callers_accepted link_share={:.2}",
+                    gateway.measure_link().share(gateway.now())
+                );
+                return listener;
+            }
+            Err(error) => {
+                log::warn!("event=listen_failed address={address} reason=\"{error}\"");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
     }
 }
 
@@ -58,7 +115,7 @@
         Ok((stream, _)) => Some(stream),
         Err(error) => {
             log::warn!("event=accept_failed reason=\"{error}\"");
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            sleep(ACCEPT_RETRY_DELAY).await;
             None
         }
     }
@@ -74,6 +131,7 @@
     let (idle_timeout, buffer_bytes) = connection_bounds(gateway);
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(idle_timeout).max_buf_size(buffer_bytes);
+    let stream = CountedStream::new(stream, &gateway.link_counters.callers);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut shutdown = gateway.shutdown.clone();
@@ -119,8 +177,11 @@
     gateway: &Arc<Gateway>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, CallerLeft> {
+    gateway.link_counters.record_request();
     let mut response = call::answer_request(gateway, request).await.ok_or(CallerLeft)?;
-    if *gateway.shutdown.borrow() != ShutdownPhase::Running {
+    let is_leaving = *gateway.shutdown.borrow() != ShutdownPhase::Running;
+    // The caller opens its next connection to a router that has room.
+    if is_leaving || !gateway.accepts_connections() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -92,6 +92,8 @@
     pub gap_seconds: Histogram,
     /// Observed time to first output of a prompt, relative to the expected one.
     pub first_output_ratio: Histogram,
+    /// Times that this router's link was too busy to accept connections.
+    pub refusing_callers: IntCounter,
     /// Requests refused because of a quarantined part of their prompts.
     pub quarantined_parts: IntCounter,
     /// Prompt tokens expected in the chosen server's cache.
@@ -240,6 +242,10 @@
             answer_seconds,
             gap_seconds,
             first_output_ratio,
+            refusing_callers: counter(
+                "callers_refused_total",
+                "Times that the router's link was too busy to accept connections.",
+            )?,
             quarantined_parts: counter(
                 "requests_with_quarantined_parts_total",
                 "Requests refused because of a quarantined part of their prompts.",
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -17,12 +17,10 @@
 use tokio::time::timeout;
 
 use crate::body::WholeBody;
+use crate::counted_stream::CountedStream;
 use crate::lock::lock;
 use crate::tunnel::TunnelGuard;
 
-/// Timeout for opening a connection: many round trips between zones.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Longest idle time of a pooled connection, unless the server states a shorter one.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 
@@ -90,8 +88,11 @@
 }
 
 /// Opens a TCP connection to the address.
-pub(crate) async fn open_stream(address: SocketAddrV4) -> Result<TcpStream, ConnectError> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+pub(crate) async fn open_stream(
+    address: SocketAddrV4,
+    connect_timeout: Duration,
+) -> Result<TcpStream, ConnectError> {
+    let stream = timeout(connect_timeout, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| ConnectError::Timeout)??;
     stream.set_nodelay(true)?;
     PeerTimeouts::SERVER.apply(&stream)?;
@@ -129,7 +130,7 @@
     /// Starts HTTP on a new stream to the server, which was opened under `open`.
     pub(crate) async fn start_http(
         &self,
-        stream: TcpStream,
+        stream: CountedStream,
         tunnel: Option<TunnelGuard>,
         open: OpenGuard,
     ) -> Result<ServerConnection, ConnectError> {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -9,7 +9,6 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::gateway::Gateway;
-use crate::pool::open_stream;
 
 /// Interval between two checks for probes that are due, unless a connection fails or breaks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -56,7 +55,7 @@
 /// sent them go on with probes.
 async fn verify(gateway: Arc<Gateway>, (instance, address): ProbeTarget) {
     let started_at = gateway.now();
-    let is_reached = open_stream(address).await.is_ok();
+    let is_reached = gateway.open_server_stream(address).await.is_ok();
     log::info!("event=report_verified instance={instance} reached={is_reached}");
     if is_reached {
         gateway.record_connected(&instance, started_at);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,6 +27,8 @@
     pub fingerprint_key: FingerprintKey,
     /// Grace period of a planned shutdown.
     pub grace_period: Duration,
+    /// Capacity of each direction of the machine's link, in bytes per second, if it is known.
+    pub link_bytes_per_second: Option<f64>,
 }
 
 impl GatewaySettings {
--- a/crates/gateway/src/tunnel_server.rs
+++ b/crates/gateway/src/tunnel_server.rs
@@ -20,7 +20,6 @@
 use crate::gateway::Gateway;
 use crate::lifecycle::{ConnectionTracker, ShutdownPhase};
 use crate::listener::accept_stream;
-use crate::pool::open_stream;
 
 /// Maximum number of tunnels, including those being opened. Each has two sockets and two buffers of
 /// 8 KiB.
@@ -126,7 +125,8 @@
     let started_at = gateway.now();
     // A failure isn't recorded: otherwise each router that asks for an unreachable server would make
     // others probe it too.
-    let server = open_stream(address).await.map_err(|_| TunnelRefusal::ServerUnreachable)?;
+    let server =
+        gateway.open_server_stream(address).await.map_err(|_| TunnelRefusal::ServerUnreachable)?;
     gateway.metrics.connections.inc();
     gateway.record_connected(instance, started_at);
     log::info!("event=tunnel_opened instance={instance} router={from}");
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod limits_soon;
 mod overload;
+mod own_link;
 mod prompt_parts;
 mod quarantine;
 mod reachability;
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -169,6 +169,20 @@
         catalog: Catalog,
         servers: &[&FakeServer],
         prepare: impl FnOnce(&FakeControl),
+    ) -> Self {
+        Self::start_on_link(catalog, servers, None, prepare).await
+    }
+
+    /// Starts a gateway on a link of this capacity, in bytes per second, and waits until it is ready.
+    pub async fn start_with_link(catalog: Catalog, servers: &[&FakeServer], capacity: f64) -> Self {
+        Self::start_on_link(catalog, servers, Some(capacity), |_| ()).await.ready().await
+    }
+
+    async fn start_on_link(
+        catalog: Catalog,
+        servers: &[&FakeServer],
+        link_bytes_per_second: Option<f64>,
+        prepare: impl FnOnce(&FakeControl),
     ) -> Self {
         let reports = servers.iter().map(|server| server.report()).collect();
         let control = FakeControl::start(catalog, reports).await;
@@ -192,6 +206,7 @@
             renew_within: Duration::from_secs(8),
             fingerprint_key: FingerprintKey::new([7; 32]),
             grace_period: Duration::from_secs(8),
+            link_bytes_per_second,
         };
         let (stop, stop_requested) = oneshot::channel::<()>();
         let stop_requested = async {
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -15,6 +15,7 @@
         renew_within,
         fingerprint_key: FingerprintKey::new([7; 32]),
         grace_period: Duration::from_secs(8),
+        link_bytes_per_second: None,
     }
 }
 
