--- a/crates/quarantine/src/part_crashes.rs
+++ b/crates/quarantine/src/part_crashes.rs
@@ -62,7 +62,10 @@
     /// Start of the quarantine, or its latest failed trial.
     judged_at: Timestamp,
     record_at: Timestamp,
-    /// When to ask the replicas to release the part; set once the evidence refutes the quarantine.
+    /// Whether this router's evidence no longer supports a recorded quarantine. It may be incomplete,
+    /// so a trial decides.
+    is_doubted: bool,
+    /// When to ask the replicas to release the part; set once a prompt with it was answered.
     release_at: Option<Timestamp>,
 }
 
@@ -75,6 +78,7 @@
             is_recorded: false,
             judged_at: now,
             record_at: now.after(record_after),
+            is_doubted: false,
             release_at: None,
         }
     }
@@ -109,7 +113,8 @@
         let failed_trials =
             self.suspects.get(part).map_or(0, |suspect| suspect.failed_trials().len());
         let doublings = u32::try_from(failed_trials).unwrap_or(u32::MAX).min(MAX_DOUBLINGS);
-        let delay = match quarantine.is_evident && !quarantine.is_tried {
+        let is_untried = quarantine.is_evident && !quarantine.is_tried;
+        let delay = match is_untried || quarantine.is_doubted {
             true => FIRST_TRIAL_DELAY,
             false => RETRIAL_DELAY * 2_u32.pow(doublings),
         };
@@ -180,6 +185,12 @@
         self.quarantined.entry(part).or_insert_with(start).is_recorded = true;
     }
 
+    /// Parts whose quarantine the replicas have recorded.
+    pub fn recorded(&self) -> impl Iterator<Item = RequestFingerprint> {
+        let recorded = self.quarantined.iter().filter(|(_, quarantine)| quarantine.is_recorded);
+        recorded.map(|(part, _)| *part)
+    }
+
     /// Removes a part that the replicas have released from quarantine. Earlier crashes no longer
     /// count, also those that are reported again.
     pub fn release(&mut self, part: &RequestFingerprint, now: Timestamp) {
@@ -247,10 +258,10 @@
                 Some(explanation) => {
                     quarantine.is_tried = explanation.is_tried;
                     quarantine.servers = explanation.servers;
-                    quarantine.release_at = None;
+                    (quarantine.is_doubted, quarantine.release_at) = (false, None);
                 }
                 None if was_evident => {
-                    quarantine.release_at.get_or_insert(now.after(record_after));
+                    quarantine.is_doubted = true;
                     changes.push(PartChange::Released(*part));
                 }
                 None => {}
--- a/crates/quarantine/src/part_verdicts.rs
+++ b/crates/quarantine/src/part_verdicts.rs
@@ -82,15 +82,17 @@
     }
 }
 
-/// Whether a server crashed while the part was on trial there, and no other candidate was in flight
-/// on it.
+/// Whether a server crashed while the part was on trial there, and no candidate against which as many
+/// crashes count was in flight on it.
 fn has_failed_trial(
     part: &RequestFingerprint,
     suspect: &PartSuspect,
     candidates: &Candidates<'_>,
 ) -> bool {
     let is_alone = |instance: &InstanceId| {
-        !candidates.iter().any(|(other, beside)| other != part && beside.crashed(instance))
+        !candidates.iter().any(|(other, beside)| {
+            other != part && beside.crashed(instance) && beside.count(&[]) >= suspect.count(&[])
+        })
     };
     suspect.failed_trials().iter().any(is_alone)
 }
