Crash times agree over all parts; a record that evidence has refuted is doubted from the start

What callers would see: a sound neighbour of a crashing part stays refused for minutes (LOST). Cause: reports of one crash by several routers differ by the time that they travelled, so that the window for simultaneous crashes could join two crashes of the crashing part and not of its neighbour, whose trial then seemed decisive. And a router that had dropped a quarantine before its record arrived adopted the record as if it knew nothing. Change: the first time heard of a crash holds for all parts; a trial is decisive only if no part with about as many crashes was in flight there; a record that contradicts what this router has heard makes a trial due.

--- a/crates/quarantine/src/part_crashes.rs
+++ b/crates/quarantine/src/part_crashes.rs
@@ -3,7 +3,7 @@
 //! Every router derives the same quarantines from the reports of all routers. A quarantine is a
 //! presumption until one request with the part was tried: a complete answer ends it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use juniper_registry::InstanceId;
@@ -34,6 +34,9 @@
 /// Time since the latest change after which a part is no longer suspected.
 const SUSPECT_TTL: Duration = Duration::from_secs(600);
 
+/// Maximum number of crashed servers whose time is kept.
+const MAX_CRASHED_SERVERS: usize = 256;
+
 /// Maximum number of suspects, at about 300 bytes each.
 const MAX_SUSPECTS: usize = 4_096;
 
@@ -89,6 +92,8 @@
 pub struct PartCrashes {
     suspects: BTreeMap<RequestFingerprint, PartSuspect>,
     quarantined: BTreeMap<RequestFingerprint, PartQuarantine>,
+    /// Latest crashed servers with the time of the crash, which is the same for all parts.
+    crashed_at: VecDeque<(InstanceId, Timestamp)>,
 }
 
 impl PartCrashes {
@@ -129,7 +134,7 @@
         now: Timestamp,
         record_after: Duration,
     ) -> Vec<PartChange> {
-        let at = now.before(report.age);
+        let at = self.crash_time(&report.instance, now.before(report.age));
         let mut needs_verdict = false;
         for part in &report.parts {
             let suspect = self.suspect(*part, now);
@@ -148,6 +153,19 @@
         }
     }
 
+    /// Time of a server's crash. Reports of several routers differ by the time that they travelled.
+    fn crash_time(&mut self, instance: &InstanceId, at: Timestamp) -> Timestamp {
+        let known = self.crashed_at.iter().find(|(crashed, _)| crashed.is_same(instance));
+        if let Some((_, known)) = known {
+            return *known;
+        }
+        if self.crashed_at.len() >= MAX_CRASHED_SERVERS {
+            self.crashed_at.pop_front();
+        }
+        self.crashed_at.push_back((instance.clone(), at));
+        at
+    }
+
     /// Records a complete answer to a prompt with the part. Returns the report for the other routers
     /// if crashes counted against the part or it was quarantined, and the changes.
     pub fn record_completion(
@@ -181,8 +199,15 @@
 
     /// Adopts a quarantine that the replicas have recorded.
     pub fn adopt(&mut self, part: RequestFingerprint, now: Timestamp) {
-        let start = || PartQuarantine::starting(now, Duration::ZERO);
-        self.quarantined.entry(part).or_insert_with(start).is_recorded = true;
+        // All crashes are explained by another part, or were taken back, since the record was asked for.
+        let is_doubted = self.suspects.get(&part).is_some_and(|suspect| {
+            suspect.has_completed() || suspect.count(&[]) >= CRASHES_BEFORE_PART_QUARANTINE
+        });
+        let quarantine = self.quarantined.entry(part).or_insert_with(|| PartQuarantine {
+            is_doubted,
+            ..PartQuarantine::starting(now, Duration::ZERO)
+        });
+        quarantine.is_recorded = true;
     }
 
     /// Parts whose quarantine the replicas have recorded.
--- a/crates/quarantine/src/part_suspect.rs
+++ b/crates/quarantine/src/part_suspect.rs
@@ -78,6 +78,11 @@
         before - self.counted().count()
     }
 
+    /// Whether a prompt with the part was answered completely.
+    pub(crate) fn has_completed(&self) -> bool {
+        self.completed_at.is_some()
+    }
+
     /// Crashes that no complete answer has taken back.
     fn counted(&self) -> impl Iterator<Item = &Crash> {
         let valid_until = self.completed_at.map(|at| at.after(COMPLETION_VALIDITY));
--- a/crates/quarantine/src/part_verdicts.rs
+++ b/crates/quarantine/src/part_verdicts.rs
@@ -82,8 +82,8 @@
     }
 }
 
-/// Whether a server crashed while the part was on trial there, and no candidate against which as many
-/// crashes count was in flight on it.
+/// Whether a server crashed while the part was on trial there, and no candidate against which about as
+/// many crashes count was in flight on it: one report of it may be missing.
 fn has_failed_trial(
     part: &RequestFingerprint,
     suspect: &PartSuspect,
@@ -91,7 +91,7 @@
 ) -> bool {
     let is_alone = |instance: &InstanceId| {
         !candidates.iter().any(|(other, beside)| {
-            other != part && beside.crashed(instance) && beside.count(&[]) >= suspect.count(&[])
+            other != part && beside.crashed(instance) && beside.count(&[]) + 1 >= suspect.count(&[])
         })
     };
     suspect.failed_trials().iter().any(is_alone)
--- a/crates/quarantine/tests/fleet/main.rs
+++ b/crates/quarantine/tests/fleet/main.rs
@@ -65,6 +65,11 @@
     check(4_000..4_300, WorldSettings { faults: true, ..fleet(7, 12, 60) });
 }
 
+#[test]
+fn a_neighbour_stays_refused_after_routers_lost_their_state() {
+    check(24_235..24_236, WorldSettings { faults: true, ..fleet(7, 12, 60) });
+}
+
 #[test]
 fn a_fleet_without_a_crashing_part_refuses_prompts() {
     let settings = WorldSettings { crashing_parts: 0, server_faults: true, ..fleet(7, 12, 60) };
