--- a/crates/quarantine/tests/fleet/world.rs
+++ b/crates/quarantine/tests/fleet/world.rs
@@ -269,7 +269,8 @@
             self.outcome.later_sends += usize::from(is_sent && is_later && is_in_touch);
             return;
         }
-        let last = self.crashes.iter().filter_map(|crashes| crashes.iter().take(CRASHES).last());
+        let last =
+            self.crashes.iter().filter_map(|crashes| crashes.iter().take(CRASHES).next_back());
         let is_judged = last.max().is_some_and(|at| at + JUDGED_AFTER < now);
         let has_first_part = parts[0] == part(1, 0);
         let is_counted = is_judged || self.settings.crashing_parts == 0;
