--- a/crates/crash-watch/src/parts.rs
+++ b/crates/crash-watch/src/parts.rs
@@ -5,8 +5,8 @@
 
 use juniper_protocol::message::{PartCompletion, PartUpdate};
 use juniper_quarantine::{
-    CompletedParts, PartChange, PartCompletionReport, PartCrashReport, PartCrashes,
-    UnrecordedQuarantine,
+    COMPLETION_VALIDITY, CompletedParts, PartChange, PartCompletionReport, PartCrashReport,
+    PartCrashes, UnrecordedQuarantine,
 };
 use juniper_registry::InstanceId;
 use juniper_types::{NodeId, RequestFingerprint, Timestamp};
@@ -14,9 +14,6 @@
 use crate::outbox::decode_part_crash;
 use crate::watch::{lock, peer_record_delay};
 
-/// Time before a crash within which a complete answer shows that the parts of its prompt are sound.
-const COMPLETION_VALIDITY: Duration = Duration::from_secs(1);
-
 /// Maximum number of parts in one report of a crash.
 const MAX_REPORTED_PARTS: usize = 64;
 
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -117,10 +117,12 @@
     /// Whether the request is quarantined, unless it is granted the trial of a part that is due for
     /// one. A trial is sent once.
     pub(crate) async fn check_quarantine(&self, call: &Call, progress: Progress) -> bool {
-        let has_tried = call.trial.get().is_some() && progress.sent > 0;
-        if !has_tried
-            && let [part] = self.quarantined_parts(call)[..]
-            && call.trial.get().is_none()
+        let parts = self.quarantined_parts(call);
+        if call.trial.get().is_some() {
+            let has_tried = progress.sent > 0 && !parts.is_empty();
+            return has_tried || self.is_quarantined(call);
+        }
+        if let [part] = parts[..]
             && self.crashes.is_trial_due(&part)
             && self.take_trial().await
         {
@@ -128,7 +130,7 @@
             // Fails only if the request has a trial already.
             let _ = call.trial.set(part);
         }
-        self.is_quarantined(call) || (has_tried && !self.quarantined_parts(call).is_empty())
+        self.is_quarantined(call)
     }
 
     /// Whether the request is quarantined and must not be sent to any server.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -34,6 +34,7 @@
 };
 pub use part_crashes::{PartChange, PartCrashes};
 pub use part_report::{PartCompletionReport, PartCrashReport};
+pub use part_suspect::COMPLETION_VALIDITY;
 pub use part_verdicts::CRASHES_BEFORE_PART_QUARANTINE;
 pub use rebroadcast::Rebroadcast;
 pub use report::{Clearance, CrashReport, Report};
--- a/crates/quarantine/src/part_suspect.rs
+++ b/crates/quarantine/src/part_suspect.rs
@@ -10,7 +10,7 @@
 const SIMULTANEOUS_WINDOW: Duration = Duration::from_millis(150);
 
 /// Time after a complete answer for which crashes don't count against the parts of its prompt.
-pub(crate) const COMPLETION_VALIDITY: Duration = Duration::from_secs(1);
+pub const COMPLETION_VALIDITY: Duration = Duration::from_secs(1);
 
 /// Maximum number of crashes kept for one part; the oldest are dropped.
 const MAX_CRASHES: usize = 32;
