--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,29 @@
+//! Stand-ins for clients, servers and the platform. Usage: `standin CASE RECORD`.
+
+mod harness;
+mod late_answer;
+
+use std::path::Path;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, record] = &arguments[..] else {
+        eprintln!("usage: standin CASE RECORD");
+        std::process::exit(harness::NOT_RUN);
+    };
+    let record = match harness::Record::create(Path::new(record)) {
+        Ok(record) => record,
+        Err(error) => {
+            eprintln!("no record: {error}");
+            std::process::exit(harness::NOT_RUN);
+        }
+    };
+    let code = match case.as_str() {
+        "late-answer" => late_answer::run(&record),
+        other => {
+            eprintln!("unknown case {other}");
+            harness::NOT_RUN
+        }
+    };
+    std::process::exit(code);
+}
