--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,7 +1,9 @@
 //! Stand-ins for clients, servers and the platform. Usage: `standin CASE RECORD`.
 
+mod engine;
 mod harness;
 mod late_answer;
+mod old_weights;
 
 use std::path::Path;
 
@@ -20,6 +22,7 @@
     };
     let code = match case.as_str() {
         "late-answer" => late_answer::run(&record),
+        "old-weights" => old_weights::run(&record),
         other => {
             eprintln!("unknown case {other}");
             harness::NOT_RUN
