--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -1,25 +1,19 @@
 //! Stand-in of a model server: reads prompts one after the other, streams events, takes orders.
 
-use std::collections::HashMap;
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::harness::{Message, Record, call_control, read_message};
-use crate::memory::{Memory, Part, Turns};
 
 pub const SERVICE: &str = "screen-llm";
 pub const MODEL: &str = "model-a";
 /// Prompt tokens read in a millisecond, and time that new weights take, as on the site's sheet.
 const TOKENS_PER_MS: f64 = 38.4;
 const LOAD_TIME: Duration = Duration::from_millis(630);
-/// Tokens that are read at a time, between those of other requests.
-const PIECE: u64 = 4_096;
-const MEMORY_TOKENS: u64 = 110_556;
-pub const STORE_TOKENS: u64 = 777_391;
 const STEP: Duration = Duration::from_millis(8);
 const EVENTS: u64 = 5;
 const SLOTS: u64 = 64;
@@ -39,12 +33,6 @@
     pub runs: Mutex<Vec<Run>>,
     pub newest: AtomicU64,
     pub is_over: AtomicBool,
-    /// Kept parts of servers and stores, by address.
-    pub memories: Mutex<HashMap<String, Memory>>,
-    /// Parts that a request took although other weights had made them.
-    pub stale: AtomicU64,
-    /// Parts that were taken.
-    pub taken: AtomicU64,
 }
 
 /// One incarnation of a server.
@@ -57,10 +45,9 @@
     is_loading: AtomicBool,
     is_down: AtomicBool,
     running: AtomicU64,
-    /// How many times as long as usual the server works.
-    pub slowness: AtomicU64,
     orders: Mutex<(u64, u64)>,
-    turns: Turns,
+    /// When the prompts begun so far will have been read.
+    read_until: Mutex<Instant>,
     connections: Mutex<Vec<TcpStream>>,
 }
 
@@ -83,13 +70,10 @@
             is_loading: AtomicBool::new(false),
             is_down: AtomicBool::new(false),
             running: AtomicU64::new(0),
-            slowness: AtomicU64::new(1),
             orders: Mutex::new((0, 0)),
-            turns: Turns::default(),
+            read_until: Mutex::new(Instant::now()),
             connections: Mutex::default(),
         });
-        let memory = Memory::with_capacity(MEMORY_TOKENS);
-        shared.memories.lock().unwrap().insert(address.to_string(), memory);
         let listener = TcpListener::bind(address).expect("an address for a server");
         listener.set_nonblocking(true).expect("a listener");
         let accepting = Arc::clone(&engine);
@@ -230,13 +214,8 @@
         self.shared.record.line(&format!("{} loads weights {version}", self.id));
         let engine = Arc::clone(self);
         thread::spawn(move || {
-            engine.turns.take();
             sleep(LOAD_TIME);
             engine.version.store(version, Ordering::SeqCst);
-            let mut memories = engine.shared.memories.lock().unwrap();
-            memories.entry(engine.address.to_string()).or_default().clear();
-            drop(memories);
-            engine.turns.release();
             engine.is_loading.store(false, Ordering::SeqCst);
             engine.shared.record.line(&format!("{} has weights {version}", engine.id));
         });
@@ -275,7 +254,15 @@
         id: &str,
         version: u64,
     ) -> io::Result<()> {
-        self.read_prompt(request, id, version);
+        let tokens = request.header("token-count").and_then(|count| count.split(',').next());
+        let tokens: f64 = tokens.and_then(|count| count.parse().ok()).unwrap_or(0.0);
+        let reading = Duration::from_secs_f64(tokens / TOKENS_PER_MS / 1_000.0);
+        let read_at = {
+            let mut until = self.read_until.lock().unwrap();
+            *until = (*until).max(Instant::now()) + reading;
+            *until
+        };
+        sleep(read_at.saturating_duration_since(Instant::now()));
         write!(
             writer,
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: {}.{id}\r\nInstance-Id: {}\r\n\
@@ -291,84 +278,4 @@
         }
         writer.write_all(b"0\r\n\r\n")
     }
-
-    /// Takes what is kept of the prompt, and reads the rest.
-    fn read_prompt(&self, request: &Message, id: &str, begun_under: u64) {
-        let text = |name: &str| request.header(name).unwrap_or("").to_owned();
-        let (salt, source, store) = (text("cache-salt"), text("kv-fetch"), text("kv-save"));
-        let own = self.address.to_string();
-        let mut chain = String::new();
-        let mut is_kept = true;
-        for part in text("prompt-prefix").split(',').filter(|part| !part.is_empty()) {
-            chain = format!("{chain}/{part}");
-            let tokens = part.split(':').nth(1).and_then(|it| it.parse().ok()).unwrap_or(0);
-            is_kept = is_kept && self.take_part(id, begun_under, (&salt, &chain), (&own, &source));
-            if is_kept {
-                continue;
-            }
-            let made_under = self.read_tokens(tokens);
-            let part = Part::new(tokens, made_under, id);
-            let mut memories = self.shared.memories.lock().unwrap();
-            if !store.is_empty() {
-                let memory = memories.entry(store.clone()).or_default();
-                memory.keep(&salt, &chain, part.clone());
-            }
-            memories.entry(own.clone()).or_default().keep(&salt, &chain, part);
-            drop(memories);
-            if made_under != Some(begun_under) {
-                self.shared.record.line(&format!(
-                    "{} has read {chain} of {id} (begun on {begun_under}, goes on under `retain`) under \
-                     {made_under:?}, kept as {salt:?} here{}",
-                    self.id,
-                    if store.is_empty() { "" } else { " and, as told by Kv-Save, in the store" }
-                ));
-            }
-        }
-    }
-
-    /// Takes one part from this server's memory or from the source of `Kv-Fetch`.
-    fn take_part(
-        &self,
-        id: &str,
-        begun_under: u64,
-        (salt, chain): (&str, &str),
-        (own, source): (&str, &str),
-    ) -> bool {
-        let mut memories = self.shared.memories.lock().unwrap();
-        let here = memories.get_mut(own).and_then(|memory| memory.find(salt, chain));
-        let is_here = here.is_some();
-        let part = here.or_else(|| memories.get_mut(source)?.find(salt, chain));
-        let Some(part) = part else { return false };
-        if !is_here {
-            memories.entry(own.to_owned()).or_default().keep(salt, chain, part.clone());
-        }
-        drop(memories);
-        self.shared.taken.fetch_add(1, Ordering::Relaxed);
-        if let Some(made_under) = part.made_under.filter(|made_under| *made_under != begun_under) {
-            self.shared.stale.fetch_add(1, Ordering::Relaxed);
-            let from = if is_here { "its own memory" } else { source };
-            self.shared.record.line(&format!(
-                "STALE: {id} runs at {} on weights {begun_under}, on {chain} from {from}, which {} made \
-                 under {made_under}",
-                self.id, part.made_by
-            ));
-        }
-        true
-    }
-
-    /// Reads tokens piece by piece; the version under which all were read.
-    fn read_tokens(&self, tokens: u64) -> Option<u64> {
-        let (mut left, mut versions) = (tokens, Vec::new());
-        while left > 0 {
-            let piece = left.min(PIECE);
-            left -= piece;
-            self.turns.take();
-            versions.push(self.version.load(Ordering::SeqCst));
-            let slowness = self.slowness.load(Ordering::Relaxed) as f64;
-            sleep(Duration::from_secs_f64(piece as f64 / TOKENS_PER_MS / 1_000.0 * slowness));
-            self.turns.release();
-        }
-        versions.dedup();
-        versions.first().copied().filter(|_| versions.len() == 1)
-    }
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,9 +3,7 @@
 mod engine;
 mod harness;
 mod late_answer;
-mod memory;
 mod old_weights;
-mod stale_parts;
 
 use std::path::Path;
 
@@ -25,7 +23,6 @@
     let code = match case.as_str() {
         "late-answer" => late_answer::run(&record),
         "old-weights" => old_weights::run(&record),
-        "stale-parts" => stale_parts::run(&record),
         other => {
             eprintln!("unknown case {other}");
             harness::NOT_RUN
--- a/review/standin/old_weights.rs
+++ b/review/standin/old_weights.rs
@@ -95,9 +95,6 @@
         runs: Mutex::default(),
         newest: AtomicU64::new(1),
         is_over: AtomicBool::new(false),
-        memories: Mutex::default(),
-        stale: AtomicU64::new(0),
-        taken: AtomicU64::new(0),
     });
     let mut random = Random::new(seed());
     let addresses: Vec<SocketAddrV4> =
