--- a/review/standin/harness.rs
+++ b/review/standin/harness.rs
@@ -34,9 +34,6 @@
 const PR_SET_PDEATHSIG: i32 = 1;
 
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 /// Lines of `record.txt`, with the time since the start of the case.
 pub struct Record {
@@ -230,11 +227,6 @@
         }
     }
 
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
-
     pub fn control(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.ip, CONTROL_PORT)
     }
