--- a/review/standin/harness.rs
+++ b/review/standin/harness.rs
@@ -365,7 +365,7 @@
     now.map_or(1, |now| now.as_nanos() as u64) ^ u64::from(std::process::id())
 }
 
-/// The disruption is left out with `TROUBLE=0`.
+/// The disruption is left out if the last argument, which `run.sh` takes from `TROUBLE`, is 0.
 pub fn with_trouble() -> bool {
-    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+    std::env::args().next_back().is_none_or(|value| value != "0")
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,4 +1,5 @@
-//! Stand-ins for clients, servers and the platform. Usage: `standin CASE RECORD`.
+//! Stand-ins for clients, servers and the platform. Usage: `standin CASE RECORD TROUBLE`;
+//! TROUBLE 0 leaves out the disruption.
 
 mod engine;
 mod harness;
@@ -9,8 +10,8 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, record] = &arguments[..] else {
-        eprintln!("usage: standin CASE RECORD");
+    let [_, case, record, _trouble] = &arguments[..] else {
+        eprintln!("usage: standin CASE RECORD TROUBLE");
         std::process::exit(harness::NOT_RUN);
     };
     let record = match harness::Record::create(Path::new(record)) {
