--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{broadcast, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
+use crate::confirmation::{Confirmation, ConfirmationFields};
 use crate::link::LinkCommand;
 use crate::links::Link;
 use crate::router_count::{RouterCount, RouterCounter};
@@ -86,7 +87,9 @@
     pub(crate) view_builder: FleetViewBuilder,
     pub(crate) links: BTreeMap<NodeId, Link>,
     view: watch::Sender<Arc<FleetView>>,
-    pub(crate) confirmed_at: watch::Sender<Option<BootInstant>>,
+    pub(crate) confirmation: watch::Sender<Option<Confirmation>>,
+    /// Whether the view was confirmed recently, as logged last.
+    is_confirmed_logged: bool,
     router_counter: RouterCounter,
     router_count: watch::Sender<RouterCount>,
     router_updates: broadcast::Sender<RelayedBatch>,
@@ -105,7 +108,7 @@
 /// Sending ends of the channels that the feed publishes on.
 pub(crate) struct PublishedChannels {
     pub(crate) view: watch::Sender<Arc<FleetView>>,
-    pub(crate) confirmed_at: watch::Sender<Option<BootInstant>>,
+    pub(crate) confirmation: watch::Sender<Option<Confirmation>>,
     pub(crate) router_count: watch::Sender<RouterCount>,
     pub(crate) router_updates: broadcast::Sender<RelayedBatch>,
     pub(crate) relay_changes: watch::Sender<Option<NodeId>>,
@@ -135,7 +138,8 @@
             view_builder: FleetViewBuilder::default(),
             links: BTreeMap::new(),
             view: published.view,
-            confirmed_at: published.confirmed_at,
+            confirmation: published.confirmation,
+            is_confirmed_logged: false,
             router_counter: RouterCounter::default(),
             router_count: published.router_count,
             router_updates: published.router_updates,
@@ -300,13 +304,17 @@
         if outcome.changed {
             self.publish_view();
         }
-        self.confirmed_at.send_if_modified(|published| {
-            let latest = self.view_builder.confirmed_at();
-            let latest = latest.map(|at| self.booted + at.since(Timestamp::ZERO));
+        self.confirmation.send_if_modified(|published| {
+            let latest = self.view_builder.confirmed_at().zip(self.view_builder.confirmed_by());
+            let latest = latest.map(|(at, replica)| {
+                let at = self.booted + at.since(Timestamp::ZERO);
+                Confirmation { at, replica }
+            });
             let changed = *published != latest;
             *published = latest;
             changed
         });
+        self.log_confirmation_state();
         if let Some((node, above)) = outcome.fetch {
             // If the link has just ended, the fetch timer requests the catalog again.
             self.send_command(node, LinkCommand::Fetch(above));
@@ -314,6 +322,21 @@
         self.update_links();
     }
 
+    /// Logs when confirmations stop and when they come again.
+    fn log_confirmation_state(&mut self) {
+        let is_confirmed = !self.is_unconfirmed();
+        if is_confirmed != self.is_confirmed_logged {
+            self.is_confirmed_logged = is_confirmed;
+            let process_age_ms = self.booted.elapsed().as_millis();
+            let confirmation = ConfirmationFields(*self.confirmation.borrow());
+            let version = self.view_builder.view().catalog_version();
+            log::info!(
+                "event=view_confirmed confirmed={is_confirmed} catalog={version} {confirmation} \
+                 process_age_ms={process_age_ms}"
+            );
+        }
+    }
+
     fn publish_view(&self) {
         let view = self.view_builder.view();
         let before = self.view.borrow().catalog_version();
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniper_clock::BootInstant;
 use juniper_protocol::message::{ChargeAnswer, LimitCharge, QuarantineRequest, RouterUpdate};
 use juniper_protocol::{ClusterKey, PeerIdentity};
 use juniper_types::{NodeId, RequestFingerprint};
@@ -17,6 +16,7 @@
     SetSeeds,
 };
 use crate::charge::{ChargeError, PendingCharge};
+use crate::confirmation::Confirmation;
 use crate::replica_calls::{ChargeLimit, RecordQuarantine, RecordRelease, RefundCharge};
 use crate::router_count::RouterCount;
 use crate::view::FleetView;
@@ -39,7 +39,7 @@
     own: PeerIdentity,
     started: Instant,
     view: watch::Receiver<Arc<FleetView>>,
-    confirmed_at: watch::Receiver<Option<BootInstant>>,
+    confirmation: watch::Receiver<Option<Confirmation>>,
     router_count: watch::Receiver<RouterCount>,
     router_updates: broadcast::Sender<RelayedBatch>,
     relay_changes: watch::Receiver<Option<NodeId>>,
@@ -50,13 +50,13 @@
     pub fn start(settings: FeedSettings) -> Self {
         let started = Instant::now();
         let (view_sender, view) = watch::channel(Arc::default());
-        let (confirmed_sender, confirmed_at) = watch::channel(None);
+        let (confirmation_sender, confirmation) = watch::channel(None);
         let router_updates = broadcast::Sender::new(ROUTER_UPDATE_CAPACITY);
         let (router_count_sender, router_count) = watch::channel(DEFAULT_ROUTER_COUNT);
         let (relay_sender, relay_changes) = watch::channel(None);
         let published = PublishedChannels {
             view: view_sender,
-            confirmed_at: confirmed_sender,
+            confirmation: confirmation_sender,
             router_count: router_count_sender,
             router_updates: router_updates.clone(),
             relay_changes: relay_sender,
@@ -70,7 +70,7 @@
             own,
             started,
             view,
-            confirmed_at,
+            confirmation,
             router_count,
             router_updates,
             relay_changes,
@@ -100,12 +100,17 @@
     /// Time since a quorum confirmed that the view was complete, including time in which the host
     /// was suspended; `None` if it has never been confirmed.
     pub fn confirmation_age(&self) -> Option<Duration> {
-        self.confirmed_at.borrow().map(|at| at.elapsed())
+        self.confirmation().map(|confirmation| confirmation.at.elapsed())
     }
 
-    /// Watches the time of the latest confirmation.
-    pub fn confirmations(&self) -> watch::Receiver<Option<BootInstant>> {
-        self.confirmed_at.clone()
+    /// Latest confirmation of the view.
+    pub fn confirmation(&self) -> Option<Confirmation> {
+        *self.confirmation.borrow()
+    }
+
+    /// Watches the latest confirmation.
+    pub fn confirmations(&self) -> watch::Receiver<Option<Confirmation>> {
+        self.confirmation.clone()
     }
 
     /// Best estimate of the number of routers.
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod actor;
 mod charge;
+mod confirmation;
 mod feed;
 mod follow;
 mod link;
@@ -20,6 +21,7 @@
 
 pub use actor::{FeedSettings, RelayedBatch};
 pub use charge::ChargeError;
+pub use confirmation::{Confirmation, ConfirmationFields};
 pub use feed::Feed;
 pub use follow::{FOLLOWED_REPLICAS, FollowRequest, FollowScope, MAX_FULLY_FOLLOWED};
 pub use relay::select_relay;
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -19,6 +19,7 @@
 
 use crate::actor::{FeedActor, LinkEvent, ReplicaEvent};
 use crate::charge::{ChargeSender, PendingCharge, charge_result};
+use crate::confirmation::Confirmation;
 use crate::follow::FollowScope;
 use crate::stream_origins::{OriginSender, pass_on};
 
@@ -72,8 +73,8 @@
     pub own: PeerIdentity,
     /// Actor that receives the events of the link.
     pub feed: ActorRef<FeedActor>,
-    /// Time of the latest confirmation by any replica, if there was one.
-    pub confirmed_at: watch::Receiver<Option<BootInstant>>,
+    /// Latest confirmation by any replica, if there was one.
+    pub confirmation: watch::Receiver<Option<Confirmation>>,
     /// Commands to be sent to the replica.
     pub commands: mpsc::UnboundedReceiver<LinkCommand>,
     /// Scope of the updates that the replica is asked to push.
@@ -127,7 +128,7 @@
 
 impl LinkContext {
     fn reconnect_delay(&self) -> Duration {
-        let range = match self.confirmed_at.borrow().is_none() {
+        let range = match self.confirmation.borrow().is_none() {
             true => FIRST_CONNECT_DELAY_MS,
             false => RECONNECT_DELAY_MS,
         };
@@ -157,11 +158,15 @@
 
 /// Established connection.
 struct Session {
+    /// Replica at the other end.
+    replica: NodeId,
     writer: FrameWriter,
     /// Id of the latest call.
     last_call: u64,
     /// Confirmation requests without a reply, oldest first.
     pending_confirmations: VecDeque<PendingConfirmation>,
+    /// Whether the replica has confirmed anything on this connection.
+    has_confirmed: bool,
     /// Charges without a reply, by call id.
     pending_charges: HashMap<u64, ChargeSender>,
     /// Lookups of stream origins without a reply, by call id.
@@ -174,11 +179,13 @@
 }
 
 impl Session {
-    fn new(writer: FrameWriter, level: BuildLevel) -> Self {
+    fn new(replica: NodeId, writer: FrameWriter, level: BuildLevel) -> Self {
         Session {
+            replica,
             writer,
             last_call: 0,
             pending_confirmations: VecDeque::new(),
+            has_confirmed: false,
             pending_charges: HashMap::new(),
             pending_lookups: HashMap::new(),
             is_fleet_wide: false,
@@ -295,6 +302,13 @@
                 }
                 let sent_at = self.take_confirmation(call)?;
                 let Reply::Confirmed { age_ms, revision, routers } = reply else { return None };
+                if !std::mem::replace(&mut self.has_confirmed, true) {
+                    log::info!(
+                        "event=replica_confirmed replica={} age_ms={age_ms} revision={revision} \
+                         routers={routers}",
+                        self.replica
+                    );
+                }
                 let at = sent_at.before(Duration::from_millis(age_ms));
                 Some(LinkEvent::Confirmed { at, revision, routers })
             }
@@ -318,7 +332,7 @@
     context.has_connected = true;
     let scope = *context.scope.borrow();
     log::info!("event=replica_followed replica={} part={scope:?}", context.node);
-    let mut session = Session::new(writer, level);
+    let mut session = Session::new(context.node, writer, level);
     session.follow(scope).await?;
     if scope != FollowScope::Nothing {
         context.notify_feed(LinkEvent::Connected { zone: peer.zone }).await?;
@@ -358,7 +372,7 @@
                 }
             }
             _ = ticks.tick() => {
-                if context.confirmed_at.borrow().is_none() {
+                if context.confirmation.borrow().is_none() {
                     ticks.reset_after(FIRST_CONFIRM_INTERVAL);
                 }
                 session.confirm().await?;
--- a/crates/feed/src/links.rs
+++ b/crates/feed/src/links.rs
@@ -109,11 +109,10 @@
             && self.view_builder.members().len() > MAX_FULLY_FOLLOWED
     }
 
-    /// Whether no replica has confirmed anything recently although some are connected.
-    fn is_unconfirmed(&self) -> bool {
-        let confirmed_at = *self.confirmed_at.borrow();
-        let age = confirmed_at.map_or(Duration::MAX, |at| at.elapsed());
-        !self.zones.is_empty() && age > UNCONFIRMED_AFTER
+    /// Whether no replica has confirmed anything recently.
+    pub(crate) fn is_unconfirmed(&self) -> bool {
+        let confirmation = *self.confirmation.borrow();
+        confirmation.is_none_or(|latest| latest.at.elapsed() > UNCONFIRMED_AFTER)
     }
 
     /// Replicas to follow, in order of preference.
@@ -131,7 +130,7 @@
             zone: &self.settings.own.zone,
             members: &members,
             unreachable: &self.unreachable_nodes(),
-            is_unconfirmed: self.is_unconfirmed(),
+            is_unconfirmed: !self.zones.is_empty() && self.is_unconfirmed(),
         };
         request.select()
     }
@@ -203,7 +202,7 @@
             key: self.settings.key.clone(),
             own: self.settings.own.clone(),
             feed: self.self_ref.clone(),
-            confirmed_at: self.confirmed_at.subscribe(),
+            confirmation: self.confirmation.subscribe(),
             commands: receiver,
         };
         let task = tokio::spawn(link::run(context)).abort_handle();
--- a/crates/feed/src/view_builder.rs
+++ b/crates/feed/src/view_builder.rs
@@ -62,7 +62,8 @@
     view: FleetView,
     replicas: BTreeMap<NodeId, ReplicaState>,
     directory: Directory,
-    confirmed_at: Option<Timestamp>,
+    /// Latest confirmation, and the replica that reported it.
+    confirmed: Option<(Timestamp, NodeId)>,
     /// Version of the requested catalog, and the time of the request.
     pending_fetch: Option<(u64, Timestamp)>,
 }
@@ -75,7 +76,12 @@
 
     /// Time as of which a quorum has confirmed that the view was complete.
     pub fn confirmed_at(&self) -> Option<Timestamp> {
-        self.confirmed_at
+        self.confirmed.map(|(at, _)| at)
+    }
+
+    /// Replica that reported the latest confirmation.
+    pub fn confirmed_by(&self) -> Option<NodeId> {
+        self.confirmed.map(|(_, replica)| replica)
     }
 
     /// Members of the group according to the connected replicas.
@@ -252,7 +258,7 @@
     /// `revision` then.
     pub fn record_confirmation(&mut self, node: NodeId, at: Timestamp, revision: u64) {
         if self.view.revision >= revision {
-            self.confirmed_at = self.confirmed_at.max(Some(at));
+            self.confirmed = self.confirmed.max(Some((at, node)));
         } else {
             self.replicas.entry(node).or_default().pending_confirmation = Some((at, revision));
         }
@@ -302,11 +308,11 @@
             return false;
         }
         self.view.revision = revision;
-        for replica in self.replicas.values_mut() {
+        for (node, replica) in &mut self.replicas {
             if let Some((at, _)) =
                 replica.pending_confirmation.take_if(|(_, needed)| *needed <= revision)
             {
-                self.confirmed_at = self.confirmed_at.max(Some(at));
+                self.confirmed = self.confirmed.max(Some((at, *node)));
             }
         }
         true
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -12,9 +12,9 @@
 use hyper::{Method, Request, Response, Uri};
 use juniper_catalog::{KeyAccess, Route, RouteKind};
 use juniper_clock::BootInstant;
-use juniper_feed::FleetView;
+use juniper_feed::{ConfirmationFields, FleetView};
 use juniper_registry::SoftwareVersion;
-use juniper_types::{FingerprintKey, RequestContent, RequestFingerprint};
+use juniper_types::{FingerprintKey, NodeId, RequestContent, RequestFingerprint};
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::OwnAnswer;
@@ -83,6 +83,8 @@
     boot_deadline: BootInstant,
     /// Age of the configuration when the request arrived.
     pub config_age: Duration,
+    /// Replica that confirmed the configuration.
+    pub confirmed_by: NodeId,
 }
 
 impl Call {
@@ -182,10 +184,10 @@
         Err(answer) => {
             let request_id = id.to_str().unwrap_or("-");
             let (reason, status) = (answer.reason(), answer.status().as_u16());
-            let age_ms = gateway.feed.confirmation_age().map_or(-1, |age| age.as_millis() as i64);
+            let confirmation = ConfirmationFields(gateway.feed.confirmation());
             log::info!(
                 "event=request_refused request={request_id} reason={reason} status={status} \
-                 catalog={} age_ms={age_ms} {}",
+                 catalog={} {confirmation} {}",
                 gateway.feed.latest().catalog_version(),
                 answer.retry_fields()
             );
@@ -213,9 +215,11 @@
         },
     };
     let view = gateway.feed.latest();
-    let (Some(index), Some(age)) = (view.catalog.clone(), gateway.feed.confirmation_age()) else {
+    let (Some(index), Some(confirmation)) = (view.catalog.clone(), gateway.feed.confirmation())
+    else {
         return Err(OwnAnswer::Starting);
     };
+    let age = confirmation.at.elapsed();
     let may_reject = age < gateway.settings.rejection_age_limit();
     let position = index.find_route_index(host_of(&head.headers), head.uri.path());
     let Some(route) = position.and_then(|position| index.route(position)) else {
@@ -284,6 +288,7 @@
         deadline,
         boot_deadline,
         config_age: age,
+        confirmed_by: confirmation.replica,
         route: route.clone(),
         view,
     }))
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use juniper_clock::log_suspensions;
-use juniper_feed::Feed;
+use juniper_feed::{ConfirmationFields, Feed};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -190,9 +190,9 @@
     loop {
         if gateway.is_ready() != ready {
             ready = !ready;
-            let age_ms = gateway.feed.confirmation_age().map_or(-1, |age| age.as_millis() as i64);
+            let confirmation = ConfirmationFields(gateway.feed.confirmation());
             let version = gateway.feed.latest().catalog_version();
-            log::info!("event=readiness ready={ready} catalog={version} age_ms={age_ms}");
+            log::info!("event=readiness ready={ready} catalog={version} {confirmation}");
         }
         sleep(READINESS_INTERVAL).await;
     }
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -340,7 +340,7 @@
         log::info!(
             "event=attempt request={} route={} service={} instance={} reason={} cost_ms={:.1} \
              late={} kept={} missed={} chain={:08x} version={} software={} resumes={} source={} candidates={} \
-             catalog={} age_ms={} sent={} expected_ms={:.0}",
+             catalog={} age_ms={} confirmed_by={} sent={} expected_ms={:.0}",
             self.call.id(),
             self.call.route.name,
             self.call.service,
@@ -358,6 +358,7 @@
             choice.candidates,
             self.call.view.catalog_version(),
             self.call.config_age.as_millis(),
+            self.call.confirmed_by,
             self.progress.sent,
             choice.expected.map_or(-1.0, |expected| expected.first_output_ms)
         );
