--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod backoffs;
 mod brittle;
+mod confirmations;
 mod connections;
 mod cut_off;
 mod cut_off_soak;
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -1,8 +1,9 @@
 //! Control replica with configurable answers.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use juniper_catalog::Catalog;
 use juniper_protocol::message::{
@@ -34,6 +35,8 @@
     server_changes: broadcast::Sender<()>,
     /// Number of routers in confirmations.
     routers: AtomicU32,
+    /// Age of confirmations, in milliseconds.
+    confirmation_age_ms: AtomicU64,
     /// Handling of charges.
     charge_handling: Mutex<ChargeHandling>,
     /// Charges received.
@@ -80,6 +83,7 @@
             confirms: AtomicBool::new(false),
             confirms_out_of_order: AtomicBool::new(false),
             routers: AtomicU32::new(1),
+            confirmation_age_ms: AtomicU64::new(0),
             charge_handling: Mutex::new(ChargeHandling::Admit),
             charges: Mutex::default(),
             refunds: Mutex::default(),
@@ -103,6 +107,12 @@
         self.state.confirms.store(true, Ordering::Relaxed);
     }
 
+    /// Confirms from now on with this age, as a replica whose quorum was lost.
+    pub fn confirm_with_age(&self, age: Duration) {
+        self.state.confirmation_age_ms.store(age.as_millis() as u64, Ordering::Relaxed);
+        self.confirm();
+    }
+
     /// Confirms once from now on, after the answer to a later request.
     pub fn confirm_once_out_of_order(&self) {
         self.state.confirms_out_of_order.store(true, Ordering::Relaxed);
@@ -302,7 +312,7 @@
         }
         Request::Confirm if state.confirms.load(Ordering::Relaxed) => {
             vec![reply(Reply::Confirmed {
-                age_ms: 0,
+                age_ms: state.confirmation_age_ms.load(Ordering::Relaxed),
                 revision: REVISION,
                 routers: state.routers.load(Ordering::Relaxed),
             })]
