A restarted router no longer honours revoked keys beside a replica without a quorum

Cause: the router kept the time of a confirmation as a distance from its own start, which can't be negative, so a confirmation from before its start counted as one at its start. The router was ready at once and trusted the replica for another 4.25 s. BootInstant had the same fault at the boot of the machine. Class: a moment at which another process knew something is stored on a scale that begins with the one who hears of it.

Change: BootInstant is signed, so that a moment before the boot can be written down, and confirmations and the reports of the number of routers (the same fault: shares of common budgets) are kept as BootInstant throughout; no conversion is left. A gateway has started once a confirmation is recent enough for keys; until then requests wait as before, or are refused at once if all replicas within reach lost their quorum before it started. It asks them every 80 ms meanwhile.

Why it works: an age can only be the replica's own age plus the time since the question was sent, whoever started when.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -16,16 +16,20 @@
 
 pub use watch::{SuspensionWatch, log_suspensions};
 
-/// Instant on `CLOCK_BOOTTIME`: time since the boot of the machine, including suspensions.
+/// Instant on `CLOCK_BOOTTIME`, which includes suspensions, in nanoseconds since the boot of the
+/// machine. Negative before it: what another machine reports may be older than this machine's boot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct BootInstant(Duration);
+pub struct BootInstant(i64);
 
 impl BootInstant {
+    /// Boot of the machine.
+    pub const BOOT: BootInstant = BootInstant(0);
+
     /// Returns the current instant.
     pub fn now() -> Self {
         // CLOCK_BOOTTIME exists since Linux 2.6.39, so the call can't fail on later kernels.
         let time = clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from);
-        BootInstant(time + simulated_suspension())
+        BootInstant::BOOT + time + simulated_suspension()
     }
 
     /// Returns the time elapsed since this instant, including suspensions.
@@ -35,12 +39,12 @@
 
     /// Returns the time elapsed from `earlier` to this instant, or zero if `earlier` is later.
     pub fn since(&self, earlier: BootInstant) -> Duration {
-        self.0.saturating_sub(earlier.0)
+        Duration::from_nanos(self.0.saturating_sub(earlier.0).max(0).unsigned_abs())
     }
 
-    /// Subtracts `duration`, saturating at the boot of the machine.
+    /// Subtracts `duration`. The result may lie before the boot of the machine.
     pub fn before(&self, duration: Duration) -> Self {
-        BootInstant(self.0.saturating_sub(duration))
+        BootInstant(self.0.saturating_sub(nanos(duration)))
     }
 }
 
@@ -48,10 +52,15 @@
     type Output = BootInstant;
 
     fn add(self, duration: Duration) -> BootInstant {
-        BootInstant(self.0.saturating_add(duration))
+        BootInstant(self.0.saturating_add(nanos(duration)))
     }
 }
 
+/// Nanoseconds of `duration`, at most 292 years.
+fn nanos(duration: Duration) -> i64 {
+    i64::try_from(duration.as_nanos()).unwrap_or(i64::MAX)
+}
+
 #[cfg(feature = "testing")]
 fn simulated_suspension() -> Duration {
     testing::simulated_suspension()
--- a/crates/clock/tests/suspension.rs
+++ b/crates/clock/tests/suspension.rs
@@ -33,3 +33,13 @@
     );
     assert_eq!(later.before(Duration::from_secs(3_600)), boot);
 }
+
+/// Guards against an age that another machine reports and that counts only from this machine's boot.
+#[test]
+fn an_instant_before_the_boot_of_the_machine_is_taken_for_the_boot() {
+    let reported = BootInstant::now().before(Duration::from_secs(365 * 86_400));
+    assert!(reported < BootInstant::BOOT);
+    assert!(reported.elapsed() >= Duration::from_secs(365 * 86_400));
+    let oldest = BootInstant::now().before(Duration::from_millis(u64::MAX));
+    assert!(oldest < reported && oldest.elapsed() > reported.elapsed());
+}
--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{broadcast, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::confirmation::{Confirmation, ConfirmationFields};
+use crate::confirmation::{ConfirmationFields, ConfirmedView};
 use crate::link::LinkCommand;
 use crate::links::Link;
 use crate::router_count::{RouterCount, RouterCounter};
@@ -80,14 +80,14 @@
 pub(crate) struct FeedActor {
     pub(crate) settings: FeedSettings,
     pub(crate) self_ref: ActorRef<FeedActor>,
+    /// Origin of the timestamps in the view.
     started: Instant,
-    /// Origin of the timestamps of confirmations; confirmation ages include time in which the host
-    /// was suspended.
-    booted: BootInstant,
+    /// Start of this node on the clock of the confirmations.
+    pub(crate) started_boot: BootInstant,
     pub(crate) view_builder: FleetViewBuilder,
     pub(crate) links: BTreeMap<NodeId, Link>,
     view: watch::Sender<Arc<FleetView>>,
-    pub(crate) confirmation: watch::Sender<Option<Confirmation>>,
+    pub(crate) confirmed_view: watch::Sender<Option<ConfirmedView>>,
     /// Whether the view was confirmed recently, as logged last.
     is_confirmed_logged: bool,
     router_counter: RouterCounter,
@@ -108,7 +108,7 @@
 /// Sending ends of the channels that the feed publishes on.
 pub(crate) struct PublishedChannels {
     pub(crate) view: watch::Sender<Arc<FleetView>>,
-    pub(crate) confirmation: watch::Sender<Option<Confirmation>>,
+    pub(crate) confirmed_view: watch::Sender<Option<ConfirmedView>>,
     pub(crate) router_count: watch::Sender<RouterCount>,
     pub(crate) router_updates: broadcast::Sender<RelayedBatch>,
     pub(crate) relay_changes: watch::Sender<Option<NodeId>>,
@@ -134,11 +134,11 @@
             settings,
             self_ref: actor.clone(),
             started,
-            booted: BootInstant::now(),
+            started_boot: BootInstant::now(),
             view_builder: FleetViewBuilder::default(),
             links: BTreeMap::new(),
             view: published.view,
-            confirmation: published.confirmation,
+            confirmed_view: published.confirmed_view,
             is_confirmed_logged: false,
             router_counter: RouterCounter::default(),
             router_count: published.router_count,
@@ -215,7 +215,6 @@
                 }
             },
             LinkEvent::Confirmed { at, revision, routers } => {
-                let at = Timestamp::ZERO.after(at.since(self.booted));
                 self.router_counter.record(node, routers, at);
                 self.update_router_count();
                 self.view_builder.record_confirmation(node, at, revision);
@@ -283,10 +282,10 @@
         }
     }
 
-    /// Publishes the number of routers as of now, on the clock of the confirmations.
+    /// Publishes the number of routers as of now.
     fn update_router_count(&mut self) {
-        let now = Timestamp::ZERO.after(BootInstant::now().since(self.booted));
-        let Some(count) = self.router_counter.count(&self.view_builder.members(), now) else {
+        let members = self.view_builder.members();
+        let Some(count) = self.router_counter.count(&members, BootInstant::now()) else {
             return;
         };
         let former = self.router_count.send_replace(count);
@@ -304,16 +303,7 @@
         if outcome.changed {
             self.publish_view();
         }
-        self.confirmation.send_if_modified(|published| {
-            let latest = self.view_builder.confirmed_at().zip(self.view_builder.confirmed_by());
-            let latest = latest.map(|(at, replica)| {
-                let at = self.booted + at.since(Timestamp::ZERO);
-                Confirmation { at, replica }
-            });
-            let changed = *published != latest;
-            *published = latest;
-            changed
-        });
+        self.publish_confirmed_view();
         self.log_confirmation_state();
         if let Some((node, above)) = outcome.fetch {
             // If the link has just ended, the fetch timer requests the catalog again.
@@ -322,13 +312,24 @@
         self.update_links();
     }
 
+    fn publish_confirmed_view(&self) {
+        let view = Arc::clone(&self.view.borrow());
+        let confirmation = self.view_builder.confirmation();
+        let latest = confirmation.map(|confirmation| ConfirmedView { view, confirmation });
+        self.confirmed_view.send_if_modified(|published| {
+            let is_changed = *published != latest;
+            *published = latest;
+            is_changed
+        });
+    }
+
     /// Logs when confirmations stop and when they come again.
     fn log_confirmation_state(&mut self) {
         let is_confirmed = !self.is_unconfirmed();
         if is_confirmed != self.is_confirmed_logged {
             self.is_confirmed_logged = is_confirmed;
-            let process_age_ms = self.booted.elapsed().as_millis();
-            let confirmation = ConfirmationFields(*self.confirmation.borrow());
+            let process_age_ms = self.started_boot.elapsed().as_millis();
+            let confirmation = ConfirmationFields(self.view_builder.confirmation());
             let version = self.view_builder.view().catalog_version();
             log::info!(
                 "event=view_confirmed confirmed={is_confirmed} catalog={version} {confirmation} \
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -16,7 +16,7 @@
     SetSeeds,
 };
 use crate::charge::{ChargeError, PendingCharge};
-use crate::confirmation::Confirmation;
+use crate::confirmation::{Confirmation, ConfirmedView};
 use crate::replica_calls::{ChargeLimit, RecordQuarantine, RecordRelease, RefundCharge};
 use crate::router_count::RouterCount;
 use crate::view::FleetView;
@@ -39,7 +39,7 @@
     own: PeerIdentity,
     started: Instant,
     view: watch::Receiver<Arc<FleetView>>,
-    confirmation: watch::Receiver<Option<Confirmation>>,
+    confirmed_view: watch::Receiver<Option<ConfirmedView>>,
     router_count: watch::Receiver<RouterCount>,
     router_updates: broadcast::Sender<RelayedBatch>,
     relay_changes: watch::Receiver<Option<NodeId>>,
@@ -50,13 +50,13 @@
     pub fn start(settings: FeedSettings) -> Self {
         let started = Instant::now();
         let (view_sender, view) = watch::channel(Arc::default());
-        let (confirmation_sender, confirmation) = watch::channel(None);
+        let (confirmed_sender, confirmed_view) = watch::channel(None);
         let router_updates = broadcast::Sender::new(ROUTER_UPDATE_CAPACITY);
         let (router_count_sender, router_count) = watch::channel(DEFAULT_ROUTER_COUNT);
         let (relay_sender, relay_changes) = watch::channel(None);
         let published = PublishedChannels {
             view: view_sender,
-            confirmation: confirmation_sender,
+            confirmed_view: confirmed_sender,
             router_count: router_count_sender,
             router_updates: router_updates.clone(),
             relay_changes: relay_sender,
@@ -70,7 +70,7 @@
             own,
             started,
             view,
-            confirmation,
+            confirmed_view,
             router_count,
             router_updates,
             relay_changes,
@@ -105,12 +105,17 @@
 
     /// Latest confirmation of the view.
     pub fn confirmation(&self) -> Option<Confirmation> {
-        *self.confirmation.borrow()
+        self.confirmed_view.borrow().as_ref().map(|confirmed| confirmed.confirmation)
     }
 
-    /// Watches the latest confirmation.
-    pub fn confirmations(&self) -> watch::Receiver<Option<Confirmation>> {
-        self.confirmation.clone()
+    /// View of the fleet with its latest confirmation; `None` if it has never been confirmed.
+    pub fn confirmed_view(&self) -> Option<ConfirmedView> {
+        self.confirmed_view.borrow().clone()
+    }
+
+    /// Watches the confirmed view.
+    pub fn confirmations(&self) -> watch::Receiver<Option<ConfirmedView>> {
+        self.confirmed_view.clone()
     }
 
     /// Best estimate of the number of routers.
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use actor::{FeedSettings, RelayedBatch};
 pub use charge::ChargeError;
-pub use confirmation::{Confirmation, ConfirmationFields};
+pub use confirmation::{Confirmation, ConfirmationFields, ConfirmedView};
 pub use feed::Feed;
 pub use follow::{FOLLOWED_REPLICAS, FollowRequest, FollowScope, MAX_FULLY_FOLLOWED};
 pub use relay::select_relay;
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -19,8 +19,9 @@
 
 use crate::actor::{FeedActor, LinkEvent, ReplicaEvent};
 use crate::charge::{ChargeSender, PendingCharge, charge_result};
-use crate::confirmation::Confirmation;
+use crate::confirmation::ConfirmedView;
 use crate::follow::FollowScope;
+use crate::links::UNCONFIRMED_AFTER;
 use crate::stream_origins::{OriginSender, pass_on};
 
 /// Timeout for connecting, handshake included.
@@ -29,7 +30,7 @@
 /// Interval between confirmation requests to a replica.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Confirmation interval while no replica has confirmed anything yet: a node that has just started
+/// Confirmation interval while no replica has confirmed anything recent yet: a node that has just started
 /// serves no requests before the first confirmation.
 const FIRST_CONFIRM_INTERVAL: Duration = Duration::from_millis(80);
 
@@ -73,8 +74,10 @@
     pub own: PeerIdentity,
     /// Actor that receives the events of the link.
     pub feed: ActorRef<FeedActor>,
-    /// Latest confirmation by any replica, if there was one.
-    pub confirmation: watch::Receiver<Option<Confirmation>>,
+    /// Start of this node.
+    pub started: BootInstant,
+    /// View with its latest confirmation by any replica, if there was one.
+    pub confirmed_view: watch::Receiver<Option<ConfirmedView>>,
     /// Commands to be sent to the replica.
     pub commands: mpsc::UnboundedReceiver<LinkCommand>,
     /// Scope of the updates that the replica is asked to push.
@@ -127,8 +130,18 @@
 }
 
 impl LinkContext {
+    /// Whether no replica has confirmed anything recent since this node started. A replica without a
+    /// quorum confirms what was current before.
+    fn is_starting(&self) -> bool {
+        self.confirmed_view.borrow().as_ref().is_none_or(
+            |ConfirmedView { confirmation, .. }| {
+                confirmation.at < self.started && confirmation.at.elapsed() > UNCONFIRMED_AFTER
+            },
+        )
+    }
+
     fn reconnect_delay(&self) -> Duration {
-        let range = match self.confirmation.borrow().is_none() {
+        let range = match self.is_starting() {
             true => FIRST_CONNECT_DELAY_MS,
             false => RECONNECT_DELAY_MS,
         };
@@ -372,7 +385,7 @@
                 }
             }
             _ = ticks.tick() => {
-                if context.confirmation.borrow().is_none() {
+                if context.is_starting() {
                     ticks.reset_after(FIRST_CONFIRM_INTERVAL);
                 }
                 session.confirm().await?;
--- a/crates/feed/src/links.rs
+++ b/crates/feed/src/links.rs
@@ -20,7 +20,7 @@
 
 /// Time without any confirmation after which more replicas are followed; longer than two
 /// confirmation intervals.
-const UNCONFIRMED_AFTER: Duration = Duration::from_millis(1_700);
+pub(crate) const UNCONFIRMED_AFTER: Duration = Duration::from_millis(1_700);
 
 /// Idle time after which a connection that was made for calls only is closed.
 const CALL_LINK_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -111,7 +111,7 @@
 
     /// Whether no replica has confirmed anything recently.
     pub(crate) fn is_unconfirmed(&self) -> bool {
-        let confirmation = *self.confirmation.borrow();
+        let confirmation = self.view_builder.confirmation();
         confirmation.is_none_or(|latest| latest.at.elapsed() > UNCONFIRMED_AFTER)
     }
 
@@ -202,7 +202,8 @@
             key: self.settings.key.clone(),
             own: self.settings.own.clone(),
             feed: self.self_ref.clone(),
-            confirmation: self.confirmation.subscribe(),
+            started: self.started_boot,
+            confirmed_view: self.confirmed_view.subscribe(),
             commands: receiver,
         };
         let task = tokio::spawn(link::run(context)).abort_handle();
--- a/crates/feed/src/router_count.rs
+++ b/crates/feed/src/router_count.rs
@@ -18,7 +18,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use juniper_types::{NodeId, Timestamp};
+use juniper_clock::BootInstant;
+use juniper_types::NodeId;
 
 use crate::follow::MAX_FULLY_FOLLOWED;
 
@@ -40,15 +41,15 @@
 struct Report {
     routers: u32,
     /// When a quorum had last confirmed that the replica was current.
-    confirmed_at: Timestamp,
+    confirmed_at: BootInstant,
 }
 
 /// Highest numbers within the retention time.
 #[derive(Clone, Debug, Default)]
-struct RecentNumbers(VecDeque<(Timestamp, u32)>);
+struct RecentNumbers(VecDeque<(BootInstant, u32)>);
 
 impl RecentNumbers {
-    fn record(&mut self, number: u32, now: Timestamp) {
+    fn record(&mut self, number: u32, now: BootInstant) {
         while self.0.back().is_some_and(|(_, lower)| *lower <= number) {
             self.0.pop_back();
         }
@@ -80,21 +81,21 @@
     estimates: RecentNumbers,
     bounds: RecentNumbers,
     /// Since when there has been a bound without gaps.
-    bounded_since: Option<Timestamp>,
-    /// Time of the last call with current reports.
-    reported_at: Timestamp,
+    bounded_since: Option<BootInstant>,
+    /// Time of the last call with current reports, if there was one.
+    reported_at: Option<BootInstant>,
 }
 
 impl RouterCounter {
     /// Records the number that a replica reports, which a quorum had last confirmed as current at
     /// `confirmed_at`.
-    pub fn record(&mut self, replica: NodeId, routers: u32, confirmed_at: Timestamp) {
+    pub fn record(&mut self, replica: NodeId, routers: u32, confirmed_at: BootInstant) {
         self.reports.insert(replica, Report { routers, confirmed_at });
     }
 
     /// The number as of `now`, in a group of these members; `None` before the first report. Must be
     /// called every few hundred milliseconds.
-    pub fn count(&mut self, members: &BTreeSet<NodeId>, now: Timestamp) -> Option<RouterCount> {
+    pub fn count(&mut self, members: &BTreeSet<NodeId>, now: BootInstant) -> Option<RouterCount> {
         let is_current = |report: &Report| now.since(report.confirmed_at) <= MAX_REPORT_AGE;
         let current: Vec<u32> = self
             .reports
@@ -102,13 +103,13 @@
             .filter(|(replica, report)| members.contains(replica) && is_current(report))
             .map(|(_, report)| report.routers)
             .collect();
-        let is_continuous = now.since(self.reported_at) <= MAX_CALL_INTERVAL;
+        let is_continuous = self.reported_at.is_some_and(|at| now.since(at) <= MAX_CALL_INTERVAL);
         if let Some(highest) = current.iter().max() {
             if let Some(before) = self.estimates.highest().filter(|_| !is_continuous) {
                 self.estimates.record(before, now);
             }
             self.estimates.record(*highest, now);
-            self.reported_at = now;
+            self.reported_at = Some(now);
         }
         if !is_continuous {
             self.bounded_since = None;
--- a/crates/feed/src/view_builder.rs
+++ b/crates/feed/src/view_builder.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use juniper_catalog::{Catalog, CatalogIndex};
+use juniper_clock::BootInstant;
 use juniper_protocol::message::{
     CatalogBody, FleetUpdate, KnownVersion, QuarantineUpdate, RenewalUpdate,
 };
 use juniper_registry::{Departure, Directory, InstanceId, InstanceName, ObservedInstance};
 use juniper_types::{NodeId, RequestFingerprint, Timestamp, ZoneName};
 
+use crate::confirmation::Confirmation;
 use crate::view::{FleetView, WantedWeights};
 
 /// Time after which a requested catalog is requested from another replica.
@@ -29,7 +31,7 @@
     /// Servers to which the replica is rolling out new weights.
     renewing: BTreeSet<InstanceId>,
     /// Confirmation (time and log index) that is pending until the view has reached its index.
-    pending_confirmation: Option<(Timestamp, u64)>,
+    pending_confirmation: Option<(BootInstant, u64)>,
     /// Quarantined requests as of the revision.
     quarantined: Arc<BTreeSet<RequestFingerprint>>,
 }
@@ -62,8 +64,7 @@
     view: FleetView,
     replicas: BTreeMap<NodeId, ReplicaState>,
     directory: Directory,
-    /// Latest confirmation, and the replica that reported it.
-    confirmed: Option<(Timestamp, NodeId)>,
+    confirmation: Option<Confirmation>,
     /// Version of the requested catalog, and the time of the request.
     pending_fetch: Option<(u64, Timestamp)>,
 }
@@ -74,14 +75,9 @@
         &self.view
     }
 
-    /// Time as of which a quorum has confirmed that the view was complete.
-    pub fn confirmed_at(&self) -> Option<Timestamp> {
-        self.confirmed.map(|(at, _)| at)
-    }
-
-    /// Replica that reported the latest confirmation.
-    pub fn confirmed_by(&self) -> Option<NodeId> {
-        self.confirmed.map(|(_, replica)| replica)
+    /// Latest confirmation of the view.
+    pub fn confirmation(&self) -> Option<Confirmation> {
+        self.confirmation
     }
 
     /// Members of the group according to the connected replicas.
@@ -256,14 +252,20 @@
 
     /// Records a replica's confirmation that it was current at `at` and had applied the log up to
     /// `revision` then.
-    pub fn record_confirmation(&mut self, node: NodeId, at: Timestamp, revision: u64) {
+    pub fn record_confirmation(&mut self, node: NodeId, at: BootInstant, revision: u64) {
         if self.view.revision >= revision {
-            self.confirmed = self.confirmed.max(Some((at, node)));
+            self.accept_confirmation(Confirmation { at, replica: node });
         } else {
             self.replicas.entry(node).or_default().pending_confirmation = Some((at, revision));
         }
     }
 
+    fn accept_confirmation(&mut self, confirmation: Confirmation) {
+        if self.confirmation.is_none_or(|latest| latest.at < confirmation.at) {
+            self.confirmation = Some(confirmation);
+        }
+    }
+
     /// Replica to request a catalog from and the version held, if a newer catalog exists and no
     /// request is pending.
     pub fn next_fetch(&mut self, now: Timestamp) -> Option<(NodeId, u64)> {
@@ -308,13 +310,14 @@
             return false;
         }
         self.view.revision = revision;
-        for (node, replica) in &mut self.replicas {
-            if let Some((at, _)) =
-                replica.pending_confirmation.take_if(|(_, needed)| *needed <= revision)
-            {
-                self.confirmed = self.confirmed.max(Some((at, *node)));
-            }
-        }
+        let take_reached = |(node, replica): (&NodeId, &mut ReplicaState)| {
+            let pending = &mut replica.pending_confirmation;
+            let (at, _) = pending.take_if(|(_, needed)| *needed <= revision)?;
+            Some(Confirmation { at, replica: *node })
+        };
+        let reached: Vec<Confirmation> =
+            self.replicas.iter_mut().filter_map(take_reached).collect();
+        reached.into_iter().for_each(|confirmation| self.accept_confirmation(confirmation));
         true
     }
 
--- a/crates/feed/tests/router_count.rs
+++ b/crates/feed/tests/router_count.rs
@@ -1,12 +1,18 @@
 //! Number of routers derived from the reports of replicas.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
+use juniper_clock::BootInstant;
 use juniper_feed::{RouterCount, RouterCounter};
-use juniper_types::{NodeId, Timestamp};
+use juniper_types::NodeId;
 
 const INTERVAL_MS: u64 = 500;
 
+fn boot(millis: u64) -> BootInstant {
+    BootInstant::BOOT + Duration::from_millis(millis)
+}
+
 fn members(count: u64) -> BTreeSet<NodeId> {
     (1..=count).map(NodeId).collect()
 }
@@ -20,7 +26,7 @@
 ) -> Option<RouterCount> {
     let mut latest = None;
     for millis in (from_ms..=until_ms).step_by(INTERVAL_MS as usize) {
-        let now = Timestamp::from_millis(millis);
+        let now = boot(millis);
         for (replica, number) in (1..).map(NodeId).zip(numbers) {
             if *number > 0 {
                 counter.record(replica, *number, now);
@@ -38,7 +44,7 @@
 #[test]
 fn nothing_is_shared_before_the_reports_have_settled() {
     let mut counter = RouterCounter::default();
-    assert_eq!(counter.count(&members(3), Timestamp::ZERO), None);
+    assert_eq!(counter.count(&members(3), boot(0)), None);
     assert_eq!(report(&mut counter, &[1, 2, 3], 0, 1_500), count(3, None));
     assert_eq!(report(&mut counter, &[7, 6, 7], 2_000, 2_500), count(7, Some(7)));
 }
@@ -71,18 +77,18 @@
     let mut counter = RouterCounter::default();
     report(&mut counter, &[7, 7, 7], 0, 3_000);
     for millis in (3_500..7_000).step_by(500) {
-        let confirmed_at = Timestamp::from_millis(3_000);
+        let confirmed_at = boot(3_000);
         (1..4).for_each(|replica| counter.record(NodeId(replica), 2, confirmed_at));
-        counter.count(&members(3), Timestamp::from_millis(millis));
+        counter.count(&members(3), boot(millis));
     }
-    assert_eq!(counter.count(&members(3), Timestamp::from_millis(7_000)), count(7, None));
+    assert_eq!(counter.count(&members(3), boot(7_000)), count(7, None));
 }
 
 #[test]
 fn reports_settle_again_after_a_gap() {
     let mut counter = RouterCounter::default();
     report(&mut counter, &[7, 7, 7], 0, 3_000);
-    let later = Timestamp::from_millis(20_000);
+    let later = boot(20_000);
     assert_eq!(counter.count(&members(3), later), count(7, None));
     assert_eq!(report(&mut counter, &[1, 1, 1], 20_500, 21_500), count(7, None));
     assert_eq!(report(&mut counter, &[6, 7, 7], 22_000, 23_000), count(7, Some(7)));
@@ -117,3 +123,16 @@
     numbers[9] = 990;
     assert_eq!(report(&mut counter, &numbers, 0, 3_000), count(990, Some(990)));
 }
+
+/// Guards against a router that starts beside replicas without a quorum and takes their numbers, from
+/// before its start, for current.
+#[test]
+fn reports_confirmed_before_the_start_of_the_router_give_it_a_share() {
+    let mut counter = RouterCounter::default();
+    let boot_of_machine = boot(0);
+    for millis in (0..6_000).step_by(500) {
+        let confirmed_at = boot_of_machine.before(Duration::from_secs(8));
+        (1..4).for_each(|replica| counter.record(NodeId(replica), 2, confirmed_at));
+        assert_eq!(counter.count(&members(3), boot(millis)), None);
+    }
+}
--- a/crates/feed/tests/view_builder.rs
+++ b/crates/feed/tests/view_builder.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use juniper_catalog::{Catalog, RequestLimits};
-use juniper_feed::FleetViewBuilder;
+use juniper_clock::BootInstant;
+use juniper_feed::{Confirmation, FleetViewBuilder};
 use juniper_protocol::message::{
     CatalogBody, FleetUpdate, KnownVersion, QuarantineUpdate, RenewalUpdate,
 };
@@ -22,6 +23,10 @@
     Timestamp::from_millis(millis)
 }
 
+fn boot(millis: u64) -> BootInstant {
+    BootInstant::BOOT + Duration::from_millis(millis)
+}
+
 fn fleet_update(revision: u64, catalog_version: u64) -> FleetUpdate {
     FleetUpdate {
         revision,
@@ -104,14 +109,15 @@
 fn a_confirmation_counts_once_the_view_has_its_revision() {
     let mut builder = connected();
     builder.apply_fleet_update(FIRST, fleet_update(5, 3), at(0));
-    builder.record_confirmation(FIRST, at(100), 5);
-    assert_eq!(builder.confirmed_at(), None, "the catalog has not been received yet");
+    builder.record_confirmation(FIRST, boot(100), 5);
+    assert_eq!(builder.confirmation(), None, "the catalog has not been received yet");
     builder.apply_catalog(body(3), at(200)).expect("readable");
-    assert_eq!(builder.confirmed_at(), Some(at(100)));
-    builder.record_confirmation(SECOND, at(50), 2);
+    let confirmation = Some(Confirmation { at: boot(100), replica: FIRST });
+    assert_eq!(builder.confirmation(), confirmation);
+    builder.record_confirmation(SECOND, boot(50), 2);
     assert_eq!(
-        builder.confirmed_at(),
-        Some(at(100)),
+        builder.confirmation(),
+        confirmation,
         "an older confirmation does not replace a newer one"
     );
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -209,6 +209,7 @@
     let timeout = info.timeout.unwrap_or(DEFAULT_DEADLINE);
     let body = match gateway.has_started() {
         true => RequestBody::Unread(body),
+        false if gateway.lacks_quorum() => return Err(OwnAnswer::Unconfirmed),
         false => match wait_for_start(gateway, &head.headers, body, arrived, timeout).await? {
             Some(bytes) => RequestBody::Buffered(bytes),
             None => return Ok(None),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -89,7 +89,7 @@
     retry_budget: Mutex<RetryBudget>,
     splits: Mutex<HashMap<String, WeightedSplit>>,
     /// When the gateway was started.
-    started: BootInstant,
+    pub(crate) started: BootInstant,
 }
 
 impl Gateway {
--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -1,7 +1,7 @@
 //! Requests that arrive before the gateway has a configuration.
 //!
-//! A gateway has no configuration until a quorum of replicas has confirmed one, some tenths of a
-//! second after the start, or longer if the replicas are restarting too. Callers retry only a few
+//! A gateway has no configuration until a quorum of replicas has recently confirmed one, some tenths of
+//! a second after the start, or longer if the replicas are restarting too. Callers retry only a few
 //! times, so a refused request would mostly be lost. Such requests wait instead, up to a share of
 //! their own deadline and a maximum number; the others are refused with `Retry-After`.
 
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use juniper_feed::ConfirmedView;
 use tokio::time::{Instant, timeout_at};
 
 use crate::gateway::Gateway;
@@ -30,11 +31,14 @@
 /// two heartbeat intervals of 1.2 s.
 const SETTLING_TIME: Duration = Duration::from_millis(2_400);
 
+/// Time within which a gateway that starts connects to all replicas that it can reach.
+const REPLICA_CONNECT_TIME: Duration = Duration::from_secs(1);
+
 /// State of the gateway's start, with the number of waiting requests.
 #[derive(Debug, Default)]
 pub(crate) struct StartupQueue {
     waiting: AtomicUsize,
-    /// Time at which a confirmed configuration was first observed.
+    /// Time at which a recently confirmed configuration was first observed.
     started_at: OnceLock<Instant>,
 }
 
@@ -63,16 +67,30 @@
 }
 
 impl Gateway {
-    /// Whether a configuration confirmed by a quorum is known.
+    /// Whether a configuration has been known that a quorum had confirmed recently enough for keys to
+    /// be honoured. Its confirmation may have become too old since.
     pub(crate) fn has_started(&self) -> bool {
-        let has_started =
-            self.feed.confirmation_age().is_some() && self.feed.latest().catalog.is_some();
+        if self.startup.started_at.get().is_some() {
+            return true;
+        }
+        let is_usable = |ConfirmedView { view, confirmation }: ConfirmedView| {
+            let age = confirmation.at.elapsed();
+            view.catalog.is_some() && age < self.settings.key_age_limit()
+        };
+        let has_started = self.feed.confirmed_view().is_some_and(is_usable);
         if has_started {
             self.startup.started_at.get_or_init(Instant::now);
         }
         has_started
     }
 
+    /// Whether all replicas within reach lost their quorum before this gateway started, so that
+    /// requests are refused at once rather than wait for the start.
+    pub(crate) fn lacks_quorum(&self) -> bool {
+        let has_reached_replicas = self.started.elapsed() > REPLICA_CONNECT_TIME;
+        has_reached_replicas && !self.has_started() && self.feed.confirmation().is_some()
+    }
+
     /// Waits for a confirmed configuration. Returns whether one is known.
     pub(crate) async fn wait_for_start(&self, arrived: Instant, deadline: Instant) -> bool {
         let mut confirmations = self.feed.confirmations();
--- a/crates/placement/tests/retry_budget/fleet.rs
+++ b/crates/placement/tests/retry_budget/fleet.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use juniper_clock::BootInstant;
 use juniper_feed::RouterCounter;
 use juniper_placement::{RetryBudget, RetrySettings};
 use juniper_types::{NodeId, Timestamp};
@@ -32,6 +33,11 @@
 /// Interval at which a router checks the age of the reports.
 const CHECK_INTERVAL_MS: u64 = 400;
 
+/// The same time on the clock of the confirmations.
+fn boot_instant(time: Timestamp) -> BootInstant {
+    BootInstant::BOOT + time.since(Timestamp::ZERO)
+}
+
 /// How routers learn the number of routers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Counting {
@@ -134,7 +140,7 @@
 
     fn update_count(&mut self, now: Timestamp) {
         let members: BTreeSet<NodeId> = (0..REPLICAS).map(node).collect();
-        let count = self.counter.count(&members, now);
+        let count = self.counter.count(&members, boot_instant(now));
         self.router_count = count.and_then(|count| count.sharing);
     }
 
@@ -322,7 +328,7 @@
         let confirmed_at = asked.confirmed_at;
         let router = &mut self.routers[index];
         if let Some(confirmed_at) = confirmed_at {
-            router.counter.record(node(replica), count, confirmed_at);
+            router.counter.record(node(replica), count, boot_instant(confirmed_at));
             router.update_count(now);
             router.is_confirmed = true;
         }
