A request is admitted by one view together with its own confirmation

Suspected, not seen: admit read the view first and the confirmation after it.

Change: the feed publishes the view with its confirmation as one value, and admit reads that value once. A confirmation can't be joined with a view that is older than it, by type.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, Request, Response, Uri};
 use juniper_catalog::{KeyAccess, Route, RouteKind};
 use juniper_clock::BootInstant;
-use juniper_feed::{ConfirmationFields, FleetView};
+use juniper_feed::{ConfirmationFields, ConfirmedView, FleetView};
 use juniper_registry::SoftwareVersion;
 use juniper_types::{FingerprintKey, NodeId, RequestContent, RequestFingerprint};
 use tokio::time::{Instant, timeout_at};
@@ -215,11 +215,10 @@
             None => return Ok(None),
         },
     };
-    let view = gateway.feed.latest();
-    let (Some(index), Some(confirmation)) = (view.catalog.clone(), gateway.feed.confirmation())
-    else {
+    let Some(ConfirmedView { view, confirmation }) = gateway.feed.confirmed_view() else {
         return Err(OwnAnswer::Starting);
     };
+    let Some(index) = view.catalog.clone() else { return Err(OwnAnswer::Starting) };
     let age = confirmation.at.elapsed();
     let may_reject = age < gateway.settings.rejection_age_limit();
     let position = index.find_route_index(host_of(&head.headers), head.uri.path());
