Ages in reports count from before the start of the process that hears them

Callers would see: behind a restart, servers that go on crashing under one part of prompts. A router that has just started hears of three crashes 0.4 to 1.2 s old and of a complete answer 60 s old; all four were moved to its own start, where the answer takes the crashes back, and the part isn't quarantined.

Cause: Timestamp was unsigned with the start of the process as its origin, so before() cut every age off there: the later a process starts, the younger what it hears.

Change: Timestamp is signed. before() can't saturate at the start any more, in quarantine, placement, renewal and the tree's router alike.

Failed before: an_earlier_completion_clears_later_crashes_at_a_router_that_started_since (nothing quarantined).

--- a/crates/emulators/src/engine/batch.rs
+++ b/crates/emulators/src/engine/batch.rs
@@ -7,6 +7,7 @@
 
 use std::collections::btree_map::Entry;
 use std::sync::Arc;
+use std::time::Duration;
 
 use juniper_types::{BLOCK_TOKENS, BlockHash, Timestamp};
 
@@ -131,7 +132,7 @@
             return;
         }
         let nanos = self.plan_iteration();
-        self.iteration_ends_at = Some(Timestamp(now.0 + nanos.div_ceil(1_000)));
+        self.iteration_ends_at = Some(now.after(Duration::from_micros(nanos.div_ceil(1_000))));
     }
 
     /// Assigns work to each request of the batch and returns the iteration's duration in
@@ -277,5 +278,5 @@
     let tokens = u64::from(request.output_tokens.saturating_sub(request.resume_from));
     let iteration = config::WEIGHTS_READ_NS + config::ITERATION_OVERHEAD_NS;
     let nanos = uncached * prefill_token_ns + tokens * iteration;
-    now.0 + nanos / 1_000 > deadline.0
+    now.after(Duration::from_nanos(nanos)) > deadline
 }
--- a/crates/emulators/src/engine/events.rs
+++ b/crates/emulators/src/engine/events.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use juniper_types::{BlockHash, Timestamp};
 use rand::{RngExt, SeedableRng};
@@ -66,9 +67,9 @@
         self.sequence += 1;
         let span = self.faults.delay_max.saturating_sub(self.faults.delay_min);
         let extra = self.random.random_range(0..=span.as_micros() as u64);
-        let due = now.after(self.faults.delay_min).0 + extra;
+        let due = now.after(self.faults.delay_min + Duration::from_micros(extra));
         // Events are published in order, so a delayed event delays all later ones.
-        self.last_published_at = self.last_published_at.max(Timestamp(due));
+        self.last_published_at = self.last_published_at.max(due);
         let lost = self.random.random_bool(self.faults.loss.clamp(0.0, 1.0));
         let event =
             CacheEvent { sequence: self.sequence, stored: change.stored, removed: change.removed };
--- a/crates/emulators/src/engine/load.rs
+++ b/crates/emulators/src/engine/load.rs
@@ -79,8 +79,8 @@
 
     fn sample_time(&self, now: Timestamp) -> Timestamp {
         let interval = (self.interval.as_micros() as u64).max(1);
-        let readable = now.0.saturating_sub(self.lag.as_micros() as u64);
-        Timestamp(readable / interval * interval)
+        let readable = now.before(self.lag).since(Timestamp::ZERO).as_micros() as u64;
+        Timestamp::from_micros(readable / interval * interval)
     }
 
     /// Returns the latest readable sample, or `None` before the first recorded state.
--- a/crates/emulators/src/engine/transfer.rs
+++ b/crates/emulators/src/engine/transfer.rs
@@ -4,6 +4,8 @@
 //! that computed them. An engine imports an entry only for the same tenant,
 //! model, adapter and weights.
 
+use std::time::Duration;
+
 use juniper_types::{BlockHash, CacheScope, Incarnation, Timestamp};
 
 use super::cache::Slot;
@@ -144,8 +146,8 @@
     /// Queues a transfer of `blocks` blocks on the engine's link; returns the time when it
     /// completes.
     fn occupy_link(&mut self, blocks: usize, now: Timestamp) -> Timestamp {
-        let micros = blocks as u64 * TRANSFER_BLOCK_NS / 1_000;
-        self.link_free_at = Timestamp(self.link_free_at.max(now).0 + micros);
+        let duration = Duration::from_nanos(blocks as u64 * TRANSFER_BLOCK_NS);
+        self.link_free_at = self.link_free_at.max(now).after(duration);
         self.link_free_at
     }
 
--- a/crates/emulators/src/http/platform.rs
+++ b/crates/emulators/src/http/platform.rs
@@ -7,6 +7,7 @@
 use axum::extract::State;
 use axum::routing::{get, post};
 use axum::{Json, Router};
+use juniper_types::Timestamp;
 use serde::Serialize;
 
 use super::clock::Clock;
@@ -37,7 +38,7 @@
 async fn machines(State(platform): State<Arc<Platform>>) -> Json<ListBody> {
     let mut list = platform.list.lock().unwrap_or_else(PoisonError::into_inner);
     let (as_of, machines) = list.read(platform.clock.now());
-    Json(ListBody { as_of_ms: as_of.as_millis(), machines })
+    Json(ListBody { as_of_ms: as_of.since(Timestamp::ZERO).as_millis() as u64, machines })
 }
 
 /// `POST /v1/emulator/machines`: the lab reports a change of a machine.
--- a/crates/emulators/src/platform.rs
+++ b/crates/emulators/src/platform.rs
@@ -64,7 +64,6 @@
                 }
             };
         }
-        let as_of = now.0.saturating_sub(self.lag.as_micros() as u64);
-        (Timestamp(as_of), self.visible.values().cloned().collect())
+        (now.before(self.lag).max(Timestamp::ZERO), self.visible.values().cloned().collect())
     }
 }
--- a/crates/emulators/src/weights.rs
+++ b/crates/emulators/src/weights.rs
@@ -1,6 +1,7 @@
 //! Model of the weight store, whose bandwidth is shared by concurrent loads.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use juniper_types::Timestamp;
 
@@ -68,7 +69,7 @@
     pub fn next_end(&self) -> Option<Timestamp> {
         let shortest = self.remaining.values().copied().fold(f64::INFINITY, f64::min);
         let micros = (shortest / self.rate() * 1e6).ceil();
-        micros.is_finite().then(|| Timestamp(self.updated_at.0 + micros as u64))
+        micros.is_finite().then(|| self.updated_at.after(Duration::from_micros(micros as u64)))
     }
 
     /// Number of loads in progress.
--- a/crates/emulators/src/witness.rs
+++ b/crates/emulators/src/witness.rs
@@ -72,7 +72,11 @@
     pub fn record(&mut self, kind: BreachKind, at: Timestamp, detail: impl Into<String>) {
         *self.counts.entry(kind).or_default() += 1;
         if self.described.len() < DESCRIBED_BREACHES {
-            self.described.push(Breach { at_ms: at.as_millis(), kind, detail: detail.into() });
+            self.described.push(Breach {
+                at_ms: at.since(Timestamp::ZERO).as_millis() as u64,
+                kind,
+                detail: detail.into(),
+            });
         }
     }
 
--- a/crates/emulators/tests/engine.rs
+++ b/crates/emulators/tests/engine.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::collections::HashSet;
+use std::time::Duration;
 
 use common::{INCARNATION, check, config, engine, indexes, model, request, run_to_idle};
 use juniper_emulators::engine::orders::{
@@ -277,7 +278,7 @@
     let mut outputs = Vec::new();
     let mut now = at(0);
     for (step, (prefix, length, pause)) in script.iter().enumerate() {
-        now = Timestamp(now.0 + u64::from(*pause) * 1_000);
+        now = now.after(Duration::from_millis(u64::from(*pause)));
         outputs.extend(engine.advance(now));
         let contents: Vec<u32> =
             (0..u32::from(length % 12)).map(|depth| u32::from(prefix % 3) * 100 + depth).collect();
--- a/crates/lab/src/experiment/baselines.rs
+++ b/crates/lab/src/experiment/baselines.rs
@@ -4,6 +4,7 @@
 //! requests it sent since the report; none reads cache events.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use juniper_emulators::engine::LoadReport;
 use juniper_prefix_index::rendezvous::{self, LoadedNode};
@@ -206,7 +207,7 @@
     fn load(&mut self, router: usize, engine: usize, report: &LoadReport, now: Timestamp) {
         let load = &mut self.routers[router].loads[engine];
         load.reported = f64::from(report.running) + f64::from(report.waiting);
-        load.taken_at = Timestamp(now.0.saturating_sub(report.age_ms * 1_000));
+        load.taken_at = now.before(Duration::from_millis(report.age_ms));
     }
 
     fn finished(&mut self, router: usize, engine: usize, attempt: AttemptId, _now: Timestamp) {
--- a/crates/lab/src/experiment/workload.rs
+++ b/crates/lab/src/experiment/workload.rs
@@ -78,7 +78,7 @@
             weights: scope.weights,
         };
         Some(Job {
-            at: Timestamp(record.at_us),
+            at: Timestamp::from_micros(record.at_us),
             zone,
             tenant: record.tenant.clone(),
             service: record.service.clone(),
--- a/crates/lab/src/prove/orders/target.rs
+++ b/crates/lab/src/prove/orders/target.rs
@@ -66,7 +66,7 @@
 
     /// Executes an order that arrived, or crashes and restarts the engine.
     pub fn on_timer(&mut self, bench: &mut Bench, token: u64, record: &mut Record) {
-        let now = Timestamp(bench.now);
+        let now = Timestamp::from_micros(bench.now);
         if token == RESTART_TOKEN {
             let next = Incarnation(self.engine.incarnation().0 + 1);
             bench.note(|| format!("engine {} crashes and starts as {next}", self.client));
--- a/crates/placement/src/retry_budget.rs
+++ b/crates/placement/src/retry_budget.rs
@@ -289,7 +289,8 @@
     fn account(&mut self, service: &str, now: Timestamp) -> &mut Account {
         self.free.advance(now);
         let width = self.settings.window.as_micros() as u64 / u64::from(BUCKETS);
-        let number = now.0 / width.max(1);
+        let elapsed = now.since(Timestamp::ZERO).as_micros() as u64;
+        let number = elapsed / width.max(1);
         let account = self.accounts.entry(service.to_owned()).or_default();
         account.advance(number);
         account.credit(&self.settings, &self.free);
--- a/crates/placement/tests/retry_budget/fleet.rs
+++ b/crates/placement/tests/retry_budget/fleet.rs
@@ -31,7 +31,7 @@
 const MAX_SEND_MS: u64 = 100;
 
 /// Interval at which a router checks the age of the reports.
-const CHECK_INTERVAL_MS: u64 = 400;
+const CHECK_INTERVAL_MS: u128 = 400;
 
 /// The same time on the clock of the confirmations.
 fn boot_instant(time: Timestamp) -> BootInstant {
@@ -179,7 +179,7 @@
         let mut routers: Vec<Router> =
             (0..scenario.routers).map(|_| Router::new(settings, start)).collect();
         for absent in &scenario.absent {
-            routers[*absent].down_until = Some(Timestamp(u64::MAX));
+            routers[*absent].down_until = Some(Timestamp::MAX);
         }
         let replica = || Replica {
             down_until: None,
@@ -206,7 +206,7 @@
         faults.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
         let steps = self.scenario.length.as_micros() / STEP.as_micros();
         for step in 0..steps as u64 {
-            let now = Timestamp(step * STEP.as_micros() as u64);
+            let now = Timestamp::from_micros(step * STEP.as_micros() as u64);
             while faults.last().is_some_and(|(at, _)| Timestamp::ZERO.after(*at) <= now) {
                 let (_, fault) = faults.pop().expect("there is a last fault");
                 self.apply(fault, now);
@@ -299,7 +299,7 @@
             let local = self.routers[index].local(now);
             self.routers[index].budget.record_running(local);
             (0..REPLICAS).for_each(|replica| self.step_link(index, replica, now));
-            if now.as_millis().is_multiple_of(CHECK_INTERVAL_MS) {
+            if now.since(Timestamp::ZERO).as_millis().is_multiple_of(CHECK_INTERVAL_MS) {
                 self.routers[index].update_count(now);
             }
         }
--- a/crates/quarantine/tests/part_crashes.rs
+++ b/crates/quarantine/tests/part_crashes.rs
@@ -217,3 +217,18 @@
         })
     }
 }
+
+/// Guards against ages of reports that count only from the start of the router that hears them.
+#[test]
+fn an_earlier_completion_clears_later_crashes_at_a_router_that_started_since() {
+    let mut crashes = PartCrashes::default();
+    let now = Timestamp::from_millis(50);
+    let completion = PartCompletionReport { part: part(BAD), age: Duration::from_secs(60) };
+    crashes.apply_completion(&completion, now, Duration::ZERO);
+    for (server, age_ms) in [(0, 1_200), (1, 800), (2, 400)] {
+        let age = Duration::from_millis(age_ms);
+        let report = PartCrashReport { age, ..report(server, &[BAD, 4 + server as u8]) };
+        crashes.record_crash(&report, now, Duration::ZERO);
+    }
+    assert_eq!(quarantined(&crashes), [BAD]);
+}
--- a/crates/renewal/src/plan.rs
+++ b/crates/renewal/src/plan.rs
@@ -123,8 +123,7 @@
         self.load_trials.record_order(server, version, retry_at);
         self.ordered.insert(server.instance.clone(), SentOrder { version, retry_at });
         // Orders delayed by the polling interval are caught up, longer delays aren't.
-        let earliest = Timestamp(now.0.saturating_sub(MAX_CATCH_UP.as_micros() as u64));
-        self.next_order_at = self.next_order_at.max(earliest).after(self.interval);
+        self.next_order_at = self.next_order_at.max(now.before(MAX_CATCH_UP)).after(self.interval);
     }
 
     /// Postpones the next order to a server by the given time.
--- a/crates/routing/examples/decision_time.rs
+++ b/crates/routing/examples/decision_time.rs
@@ -108,7 +108,7 @@
             .collect();
     let mut nanos = Vec::with_capacity(DECISIONS);
     for number in 0..DECISIONS {
-        let now = Timestamp(number as u64 * ENGINE_INTERVAL_US / u64::from(engines));
+        let now = Timestamp::from_micros(number as u64 * ENGINE_INTERVAL_US / u64::from(engines));
         let holders = case.holders(engines, random);
         let request = RouteRequest {
             serving: &serving,
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -198,9 +198,8 @@
     }
 
     pub(crate) fn apply_report(&mut self, load: &EngineLoad, now: Timestamp) {
-        let age = u64::try_from(load.age.as_micros()).unwrap_or(u64::MAX);
         self.reported = Some(ReportedRequests {
-            taken_at: Timestamp(now.0.saturating_sub(age)),
+            taken_at: now.before(load.age),
             running: load.running,
             waiting: load.waiting,
             waiting_prompt_tokens: load.waiting_prompt_tokens,
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -1,5 +1,7 @@
 //! Compact per-engine estimates that a decision scans for every engine.
 
+use std::time::Duration;
+
 use juniper_types::{EngineId, Timestamp};
 
 use crate::cost::{ARRIVALS_PER_US, CostFunction, CostModel, CostTerms, Score};
@@ -61,12 +63,13 @@
 
     /// Appends work of this router to the queue.
     pub(crate) fn add_work(&mut self, work_us: f64, now: Timestamp) {
-        self.own_work_until = Timestamp(self.own_work_until.max(now).0 + work_us as u64);
+        self.own_work_until =
+            self.own_work_until.max(now).after(Duration::from_micros(work_us as u64));
     }
 
     /// Replaces this router's pending work by `remaining_us` from `now` on.
     pub(crate) fn reset_work(&mut self, remaining_us: f64, now: Timestamp) {
-        self.own_work_until = Timestamp(now.0 + remaining_us as u64);
+        self.own_work_until = now.after(Duration::from_micros(remaining_us as u64));
     }
 
     pub(crate) fn queue_us(&self, now: Timestamp) -> f32 {
--- a/crates/stream-origins/tests/fleet/records.rs
+++ b/crates/stream-origins/tests/fleet/records.rs
@@ -26,7 +26,7 @@
             return;
         }
         let record = StreamRecord { stream: key(stream), origin: origin(version) };
-        let now = Timestamp(self.now());
+        let now = Timestamp::from_micros(self.now());
         self.routers[router].own.record(&record, now);
         self.publish(router, record);
     }
@@ -47,7 +47,7 @@
         if receiver.down_until > now || (is_forwarded && receiver.cut_until > now) {
             return;
         }
-        receiver.records.record(record, Timestamp(now));
+        receiver.records.record(record, Timestamp::from_micros(now));
         if is_forwarded || receiver.cut_until > now {
             return;
         }
