--- a/crates/registry/src/directory.rs
+++ b/crates/registry/src/directory.rs
@@ -39,16 +39,13 @@
     }
 }
 
-/// Microseconds since the origin of the router's clock; negative for earlier times.
-type SignedMicros = i64;
-
 /// Server as known to one replica.
 #[derive(Clone, Debug)]
 struct Observation {
     report: Arc<InstanceReport>,
     silent: bool,
     /// Start of the incarnation, from the age that the replica reports.
-    began: SignedMicros,
+    began: Timestamp,
     received_at: Timestamp,
 }
 
@@ -57,7 +54,7 @@
 struct Merged {
     /// Shared with the published views, and replaced when it changes.
     instance: Arc<Instance>,
-    began: SignedMicros,
+    began: Timestamp,
 }
 
 /// All known servers, with the observations of each replica.
@@ -91,7 +88,7 @@
         for instance in observed {
             let ObservedInstance { report, silent, age_ms } = instance;
             let name = report.name.clone();
-            let began = signed_micros(now).saturating_sub_unsigned(age_ms.saturating_mul(1_000));
+            let began = now.before(Duration::from_millis(age_ms));
             let report = Arc::new(report);
             known.insert(name.clone(), Observation { report, silent, began, received_at: now });
             touched.insert(name);
@@ -249,7 +246,3 @@
         usable.insert(Arc::clone(instance));
     }
 }
-
-fn signed_micros(now: Timestamp) -> SignedMicros {
-    i64::try_from(now.0).unwrap_or(i64::MAX)
-}
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -74,7 +74,7 @@
 
     pub(crate) fn queue_us(&self, now: Timestamp) -> f32 {
         // Signed integers convert to floating point in one instruction.
-        let own = (self.own_work_until.0 as i64 - now.0 as i64).max(0);
+        let own = (self.own_work_until.0 - now.0).max(0);
         own as f32 + self.other_queue_us
     }
 
