A restarted router counts the age of new weights from their announcement

Cause: a router kept the moment at which it first heard of a version, and replicas told no age, so each restart allowed older weights for 5.5 s more. A router that stood still heard late and was as wrong.

Change: each replica keeps since when it has known the latest four versions of a model, and tells the ages in the first update on a connection, and in confirmations for 10 s after an announcement (a reply, unlike a push, can't have waited longer than its request). Routers keep the earliest time of all replicas. Both fields are left out when empty, so the messages are those of earlier builds then, and the size of a confirmation is unchanged at other times.

Limit: a replica that restarts counts from its start; only if all replicas in reach restarted since the announcement does a router begin anew, and then the core wasn't stable either.

--- a/crates/control/src/internal/follower.rs
+++ b/crates/control/src/internal/follower.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use juniper_clock::BootInstant;
 use juniper_control_state::{FleetState, QuarantineChange};
 use juniper_protocol::message::{CatalogBody, FleetUpdate, QuarantineUpdate};
 use juniper_protocol::{Message, PeerRole, Push, Reply, Request};
@@ -12,6 +13,7 @@
 use super::InternalApi;
 use super::session::{Outgoing, OutgoingSender, Peer};
 use crate::renewal_log::SharedFrame;
+use crate::replica::WeightsLog;
 
 /// Number of replicas that a router subscribes to if not to all; equals `juniper_feed::FOLLOWED_REPLICAS`.
 const FOLLOWED_REPLICAS: usize = 3;
@@ -166,7 +168,8 @@
         if sent.is_some_and(|sent| sent.revision == state.revision() && sent.members == members) {
             return Ok(());
         }
-        let update = update_since(&state, sent, members.clone());
+        let weights_log = self.api.view.weights_log.borrow().clone();
+        let update = update_since(&state, sent, members.clone(), &weights_log);
         let (revision, departures) = (state.revision(), state.departures().total());
         let quarantine = state.quarantine().change_count();
         self.fleet = Some(SentFleet { revision, members, departures, quarantine });
@@ -234,8 +237,11 @@
     state: &FleetState,
     sent: Option<&SentFleet>,
     members: Vec<(NodeId, ZoneName)>,
+    weights_log: &WeightsLog,
 ) -> FleetUpdate {
     let (members, member_zones) = members.into_iter().unzip();
+    let is_first = sent.is_none();
+    let weights_ages = is_first.then(|| weights_log.ages(BootInstant::now()));
     let departures_sent = sent.map_or(0, |sent| sent.departures);
     let departed = state.departures().after(departures_sent);
     let departed = departed.map(|departure| (departure.name.clone(), departure.through));
@@ -248,6 +254,7 @@
         departed_through,
         member_zones,
         members,
+        weights_ages: weights_ages.filter(|ages| !ages.is_empty()),
         quarantine: quarantine_since(state, sent.map(|sent| sent.quarantine)),
     }
 }
@@ -280,7 +287,8 @@
     let age_ms = u64::try_from(confirmed_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     // Read after the confirmation time, so that the revision covers what was confirmed then.
     let revision = api.view.fleet.borrow().revision();
-    Reply::Confirmed { age_ms, revision, routers: estimate_routers(api) }
+    let weights = api.view.weights_log.borrow().recent_ages(BootInstant::now());
+    Reply::Confirmed { age_ms, revision, routers: estimate_routers(api), weights }
 }
 
 /// Estimates the number of routers in the fleet: those subscribed to all replicas, plus those
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -14,6 +14,7 @@
 mod state_machine;
 mod storage_writer;
 mod ticker;
+mod weights_log;
 
 use std::sync::Arc;
 
@@ -30,6 +31,7 @@
 pub use horizon::next_horizon;
 pub use start::{ReplicaParts, RunningReplica, start};
 pub use state_machine::StateMachineError;
+pub use weights_log::WeightsLog;
 
 /// Published state of the replica, readable without calling it.
 #[derive(Clone, Debug)]
@@ -41,6 +43,8 @@
     /// Time at which a quorum last confirmed that this replica was current. The clock includes system
     /// suspensions.
     pub confirmed_at: watch::Receiver<Option<BootInstant>>,
+    /// Times since which this replica has known the target versions of weights.
+    pub weights_log: watch::Receiver<WeightsLog>,
     /// Role, term, leader and membership.
     pub status: watch::Receiver<Status>,
 }
--- a/crates/control/src/replica/start.rs
+++ b/crates/control/src/replica/start.rs
@@ -18,6 +18,7 @@
 use super::state_machine::StateMachine;
 use super::storage_writer::run_writer;
 use super::ticker::{TICK, run_ticker};
+use super::weights_log::{WeightsLog, run_weights_log};
 use super::{ReplicaActor, ReplicaHandle, ReplicaView, data_folder};
 use crate::error::ControlError;
 use crate::metrics::Metrics;
@@ -122,6 +123,7 @@
     let (fleet, fleet_view) = watch::channel(Arc::default());
     let (status, status_view) = watch::channel(replica.status());
     let (confirmed_at, confirmed_view) = watch::channel(None);
+    let (weights_log, weights_view) = watch::channel(WeightsLog::default());
     let (writes, pending_writes) = mpsc::channel();
     let (failed, failure) = oneshot::channel();
     let actor = ReplicaActor::new(ActorParts {
@@ -142,12 +144,14 @@
     tokio::spawn(run_ticker(actor.clone()));
     let handle = ReplicaHandle(actor);
     tokio::spawn(run_confirmations(handle.clone(), confirmed_at));
+    tokio::spawn(run_weights_log(fleet_view.clone(), weights_log));
     let retention = settings.limits.claim_retention_seconds;
     tokio::spawn(run_horizon(handle.clone(), status_view.clone(), retention));
     let view = ReplicaView {
         published: published_view,
         fleet: fleet_view,
         confirmed_at: confirmed_view,
+        weights_log: weights_view,
         status: status_view,
     };
     Ok(RunningReplica { handle, view, failure, writer })
--- a/crates/control/tests/earlier_builds.rs
+++ b/crates/control/tests/earlier_builds.rs
@@ -68,7 +68,7 @@
         assert!(!matches!(request, Request::FollowFleet { .. }));
     }
     let Message::Reply { reply, .. } = recorded_message("confirmed") else { panic!("a reply") };
-    assert_eq!(reply, Reply::Confirmed { age_ms: 3, revision: 9, routers: 4 });
+    assert_eq!(reply, Reply::Confirmed { age_ms: 3, revision: 9, routers: 4, weights: None });
     let identity: PeerIdentity = minicbor::decode(&recorded()["identity"]).expect("an identity");
     assert_eq!(identity.node, NodeId(7));
 }
--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -7,7 +7,7 @@
 
 use juniper_clock::BootInstant;
 use juniper_protocol::message::{
-    CatalogBody, FleetUpdate, RelayedUpdate, RenewalUpdate, RouterUpdate,
+    CatalogBody, FleetUpdate, RelayedUpdate, RenewalUpdate, RouterUpdate, WeightsAge,
 };
 use juniper_protocol::{ClusterKey, PeerIdentity};
 use juniper_registry::{InstanceName, ObservedInstance};
@@ -73,6 +73,7 @@
         at: BootInstant,
         revision: u64,
         routers: u32,
+        weights: Option<Vec<WeightsAge>>,
     },
 }
 
@@ -214,11 +215,11 @@
                     MergeOutcome::default()
                 }
             },
-            LinkEvent::Confirmed { at, revision, routers } => {
+            LinkEvent::Confirmed { at, revision, routers, weights } => {
                 self.router_counter.record(node, routers, at);
                 self.update_router_count();
                 self.view_builder.record_confirmation(node, at, revision);
-                MergeOutcome::default()
+                self.view_builder.apply_weights_ages(weights.unwrap_or_default(), now)
             }
         };
         self.apply_outcome(outcome);
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -314,7 +314,9 @@
                     return None;
                 }
                 let sent_at = self.take_confirmation(call)?;
-                let Reply::Confirmed { age_ms, revision, routers } = reply else { return None };
+                let Reply::Confirmed { age_ms, revision, routers, weights } = reply else {
+                    return None;
+                };
                 if !std::mem::replace(&mut self.has_confirmed, true) {
                     log::info!(
                         "event=replica_confirmed replica={} age_ms={age_ms} revision={revision} \
@@ -323,7 +325,7 @@
                     );
                 }
                 let at = sent_at.before(Duration::from_millis(age_ms));
-                Some(LinkEvent::Confirmed { at, revision, routers })
+                Some(LinkEvent::Confirmed { at, revision, routers, weights })
             }
             _ => None,
         }
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -11,22 +11,40 @@
 
 /// Versions of a model's weights that the fleet should run.
 ///
-/// Each version is kept with the time at which this node learned of it, since the deadline after
-/// which older versions may not be used any more runs separately for each.
+/// Each version is kept with the time of its announcement, as far as known, since the deadline after
+/// which older versions may not be used any more runs separately for each. This node may have started
+/// later, so the replicas report for how long they have known a version.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WantedWeights {
     announced: VecDeque<(u64, Timestamp)>,
 }
 
+/// Smallest correction of the time of an announcement that changes the view.
+const MIN_CORRECTION: Duration = Duration::from_millis(100);
+
 /// Maximum number of versions kept per model.
 const MAX_ANNOUNCED_VERSIONS: usize = 16;
 
 impl WantedWeights {
-    /// Records a newly announced version, which must be higher than all before.
-    pub fn record_version(&mut self, version: u64, now: Timestamp) {
-        self.announced.push_back((version, now));
-        if self.announced.len() > MAX_ANNOUNCED_VERSIONS {
-            self.announced.pop_front();
+    /// Records that a version had been announced at `at`. Returns whether that was not known: of
+    /// several times the earliest is the closest one, since news is never early.
+    pub fn record_version(&mut self, version: u64, at: Timestamp) -> bool {
+        match self.announced.binary_search_by_key(&version, |(announced, _)| *announced) {
+            Ok(index) => {
+                let known = &mut self.announced[index].1;
+                let is_earlier = known.since(at) > MIN_CORRECTION;
+                if is_earlier {
+                    *known = at;
+                }
+                is_earlier
+            }
+            Err(index) => {
+                self.announced.insert(index, (version, at));
+                if self.announced.len() > MAX_ANNOUNCED_VERSIONS {
+                    self.announced.pop_front();
+                }
+                true
+            }
         }
     }
 
@@ -35,7 +53,7 @@
         self.announced.back().map_or(0, |(version, _)| *version)
     }
 
-    /// Time at which this node learned of the latest version.
+    /// Time at which the latest version was announced.
     pub fn since(&self) -> Option<Timestamp> {
         self.announced.back().map(|(_, since)| *since)
     }
--- a/crates/feed/src/view_builder.rs
+++ b/crates/feed/src/view_builder.rs
@@ -7,7 +7,7 @@
 use juniper_catalog::{Catalog, CatalogIndex};
 use juniper_clock::BootInstant;
 use juniper_protocol::message::{
-    CatalogBody, FleetUpdate, KnownVersion, QuarantineUpdate, RenewalUpdate,
+    CatalogBody, FleetUpdate, KnownVersion, QuarantineUpdate, RenewalUpdate, WeightsAge,
 };
 use juniper_registry::{Departure, Directory, InstanceId, InstanceName, ObservedInstance};
 use juniper_types::{NodeId, RequestFingerprint, Timestamp, ZoneName};
@@ -191,6 +191,8 @@
             replica.apply_quarantine(quarantine);
         }
         let mut changed = self.record_wanted_weights(update.weights, now);
+        let ages = update.weights_ages.unwrap_or_default();
+        changed |= self.apply_weights_ages(ages, now).changed;
         for departed in departed {
             self.directory.record_departure(&Departure::of(&departed), now);
         }
@@ -293,13 +295,22 @@
         for (model, version) in wanted {
             let known = self.view.weights.get(&model).map_or(0, WantedWeights::version);
             if version > known {
-                self.view.weights.entry(model).or_default().record_version(version, now);
-                changed = true;
+                changed |= self.view.weights.entry(model).or_default().record_version(version, now);
             }
         }
         changed
     }
 
+    /// Applies the times for which a replica has known versions of weights.
+    pub fn apply_weights_ages(&mut self, ages: Vec<WeightsAge>, now: Timestamp) -> MergeOutcome {
+        let mut changed = false;
+        for WeightsAge { model, version, age_ms } in ages {
+            let at = now.before(Duration::from_millis(age_ms));
+            changed |= self.view.weights.entry(model).or_default().record_version(version, at);
+        }
+        MergeOutcome { changed, fetch: None }
+    }
+
     /// Advances the view's revision to the highest one whose state it holds completely, and accepts
     /// the confirmations that were pending for it.
     fn advance(&mut self) -> bool {
--- a/crates/feed/tests/view_builder.rs
+++ b/crates/feed/tests/view_builder.rs
@@ -8,7 +8,7 @@
 use juniper_clock::BootInstant;
 use juniper_feed::{Confirmation, FleetViewBuilder};
 use juniper_protocol::message::{
-    CatalogBody, FleetUpdate, KnownVersion, QuarantineUpdate, RenewalUpdate,
+    CatalogBody, FleetUpdate, KnownVersion, QuarantineUpdate, RenewalUpdate, WeightsAge,
 };
 use juniper_registry::{
     InstanceId, InstanceName, InstanceReport, InstanceState, LoadedModel, ObservedInstance,
@@ -37,6 +37,7 @@
         quarantine: None,
         departed_through: Vec::new(),
         member_zones: Vec::new(),
+        weights_ages: None,
     }
 }
 
@@ -218,6 +219,38 @@
     assert_eq!(wanted.overdue_since(3), None);
 }
 
+fn weights_age(version: u64, age_ms: u64) -> WeightsAge {
+    WeightsAge { model: "m".to_owned(), version, age_ms }
+}
+
+/// The replica has known the versions since before this router started.
+#[test]
+fn a_restarted_router_allows_old_weights_as_long_as_if_they_had_just_been_replaced() {
+    let mut builder = connected();
+    let update = FleetUpdate {
+        weights: BTreeMap::from([("m".to_owned(), 3)]),
+        weights_ages: Some(vec![weights_age(2, 9_000), weights_age(3, 4_000)]),
+        ..fleet_update(1, 0)
+    };
+    builder.apply_fleet_update(FIRST, update, at(1_000));
+    let wanted = &builder.view().weights["m"];
+    let after = Duration::from_secs(5);
+    assert_eq!((wanted.version(), wanted.floor(at(1_000), after)), (3, 2));
+    assert_eq!(wanted.floor(at(2_000), after), 3);
+}
+
+/// The push waited in the socket while the router stood still; the reply did not.
+#[test]
+fn a_router_that_stood_still_counts_the_age_of_new_weights_from_its_waking() {
+    let mut builder = connected();
+    let weights = BTreeMap::from([("m".to_owned(), 2)]);
+    builder.apply_fleet_update(FIRST, FleetUpdate { weights, ..fleet_update(1, 0) }, at(6_000));
+    assert!(builder.apply_weights_ages(vec![weights_age(2, 5_000)], at(6_100)).changed);
+    // A replica that has restarted since knows a shorter time.
+    assert!(!builder.apply_weights_ages(vec![weights_age(2, 200)], at(6_200)).changed);
+    assert_eq!(builder.view().weights["m"].floor(at(6_150), Duration::from_secs(5)), 2);
+}
+
 fn quarantine(is_complete: bool, added: &[u8], released: &[u8]) -> Option<QuarantineUpdate> {
     let named = |numbers: &[u8]| numbers.iter().map(|it| RequestFingerprint([*it; 16])).collect();
     Some(QuarantineUpdate { is_complete, added: named(added), released: named(released) })
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -315,6 +315,7 @@
                 age_ms: state.confirmation_age_ms.load(Ordering::Relaxed),
                 revision: REVISION,
                 routers: state.routers.load(Ordering::Relaxed),
+                weights: None,
             })]
         }
         Request::Charge(charge) => handle_charge(state, charge).map(reply).into_iter().collect(),
@@ -356,6 +357,7 @@
         quarantine: None,
         departed_through: Vec::new(),
         member_zones: Vec::new(),
+        weights_ages: None,
     }))
 }
 
--- a/crates/placement/tests/retry_budget/checker.rs
+++ b/crates/placement/tests/retry_budget/checker.rs
@@ -29,7 +29,7 @@
 
 /// Number of `times`, which are sorted, in a window of the given start and length.
 fn count(times: &[Timestamp], start: i64, length: i64) -> usize {
-    let before = |limit: i64| times.partition_point(|time| (time.0 as i64) < limit);
+    let before = |limit: i64| times.partition_point(|time| time.0 < limit);
     before(start + length) - before(start)
 }
 
@@ -42,7 +42,7 @@
         self.retries.sort();
         let length = settings.window.as_micros() as i64;
         let window = |start: &Timestamp| {
-            let begin = start.0 as i64;
+            let begin = start.0;
             let earlier = [0, length / 2, length];
             let requests =
                 earlier.map(|shift| count(&self.requests, begin - shift, length)).into_iter().max();
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -345,6 +345,10 @@
     #[n(8)]
     #[cbor(default)]
     pub member_zones: Vec<ZoneName>,
+    /// Ages of the target versions, in the first update on a connection.
+    #[n(9)]
+    #[cbor(default)]
+    pub weights_ages: Option<Vec<WeightsAge>>,
 }
 
 impl FleetUpdate {
@@ -354,6 +358,21 @@
     }
 }
 
+/// Target version of a model's weights, with the time for which a replica has known it.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct WeightsAge {
+    /// Name of the model.
+    #[n(0)]
+    pub model: String,
+    /// Version of the weights.
+    #[n(1)]
+    pub version: u64,
+    /// Time since the replica applied the version, in milliseconds. A replica that has restarted
+    /// since knows a shorter time.
+    #[n(2)]
+    pub age_ms: u64,
+}
+
 /// Rollout state as known to the order dispatcher, ahead of the servers' own reports.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct RenewalUpdate {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -16,7 +16,7 @@
 pub use crate::fleet::{
     BrittleServiceUpdate, CatalogBody, Crash, CrashClearance, CrashUpdate, DispatchReport,
     FleetUpdate, KnownVersion, PartCompletion, PartCrash, PartUpdate, QuarantineRequest,
-    QuarantineUpdate, Reachability, RelayedUpdate, RenewalUpdate, RouterUpdate,
+    QuarantineUpdate, Reachability, RelayedUpdate, RenewalUpdate, RouterUpdate, WeightsAge,
 };
 pub use crate::limits::{ChargeAnswer, LimitCharge, ServerLimitUpdate, server_account};
 pub use crate::notices::ServerNoticeUpdate;
@@ -341,6 +341,11 @@
         /// Number of routers subscribed to the replica.
         #[n(2)]
         routers: u32,
+        /// Versions of weights that were named recently, if there are any. Unlike a push, a reply
+        /// can't have waited for longer than its request.
+        #[n(3)]
+        #[cbor(default)]
+        weights: Option<Vec<WeightsAge>>,
     },
     /// Result of a charge.
     #[n(11)]
--- a/crates/protocol/tests/sizes.rs
+++ b/crates/protocol/tests/sizes.rs
@@ -18,7 +18,7 @@
 #[test]
 fn confirmation_size() {
     let request = Message::Request { call: 100_000, request: Request::Confirm };
-    let reply = Reply::Confirmed { age_ms: 300, revision: 1_000_000, routers: 340 };
+    let reply = Reply::Confirmed { age_ms: 300, revision: 1_000_000, routers: 340, weights: None };
     let both_ways = wire_bytes(&request) + wire_bytes(&Message::Reply { call: 100_000, reply });
     println!("confirmation: {both_ways} bytes both ways");
     assert!(both_ways <= 50, "{both_ways}");
--- a/crates/renewal/tests/plan.rs
+++ b/crates/renewal/tests/plan.rs
@@ -26,7 +26,9 @@
 
 fn wanted(requested: &[(u64, u64)]) -> BTreeMap<String, WantedWeights> {
     let mut weights = WantedWeights::default();
-    requested.iter().for_each(|(version, millis)| weights.record_version(*version, at(*millis)));
+    for (version, millis) in requested {
+        weights.record_version(*version, at(*millis));
+    }
     BTreeMap::from([("m".to_owned(), weights)])
 }
 
