The rejection of another request is not believed

Cause: check_answer believed Not-Executed and 421 before it compared the request's id. A rejection that belongs to the request before, and comes in the place of the next answer, made the running request count as not run.

Change: the id is compared first. An answer without the request's id is no answer to it, whatever it states; the connection is closed, and an at-most-once request gets 502.

Failed before: an_at_most_once_request_runs_twice_after_the_rejection_of_another_request (503 and two runs).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -325,12 +325,16 @@
     }
 }
 
-/// Checks whether the answer may be relayed to the caller.
+/// Checks whether the answer may be relayed to the caller. One to another request tells nothing about
+/// this one, which may be running.
 fn check_answer(
     info: &AnswerInfo,
     status: StatusCode,
     expected_version: u64,
 ) -> Result<(), AttemptError> {
+    if !info.matches_request {
+        return Err(AttemptError::InvalidAnswer);
+    }
     if info.is_wrong_server {
         return Err(AttemptError::WrongServer);
     }
@@ -340,7 +344,7 @@
     if info.not_run && !status.is_success() {
         return Err(AttemptError::NotRun);
     }
-    if !info.matches_request || (status.is_success() && !info.is_sealed) {
+    if status.is_success() && !info.is_sealed {
         return Err(AttemptError::InvalidAnswer);
     }
     Ok(())
