--- a/crates/feed/tests/revocations/fleet.rs
+++ b/crates/feed/tests/revocations/fleet.rs
@@ -30,11 +30,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
     /// A confirmation from before the router's start counts as one at its start.
-    ConfirmationsCountFromTheStart,
+    ClampedToTheStart,
     /// The age of a confirmation counts from the reply, not from the request.
-    ConfirmationsCountFromTheReply,
+    CountedFromTheReply,
     /// A confirmation counts before the view has what was confirmed.
-    ConfirmationsIgnoreTheRevision,
+    WithoutTheRevision,
 }
 
 /// A request that a router admitted with a key that had been revoked too long ago.
@@ -285,15 +285,15 @@
             }
             News::Confirmed { sent_at_ms, age_ms, revision } => {
                 let counted_from = match self.fault {
-                    Some(Fault::ConfirmationsCountFromTheReply) => self.now_ms,
+                    Some(Fault::CountedFromTheReply) => self.now_ms,
                     _ => sent_at_ms,
                 };
                 let mut at_ms = counted_from - age_ms;
-                if self.fault == Some(Fault::ConfirmationsCountFromTheStart) {
+                if self.fault == Some(Fault::ClampedToTheStart) {
                     at_ms = at_ms.max(self.routers[index].started_ms);
                 }
                 let revision = match self.fault {
-                    Some(Fault::ConfirmationsIgnoreTheRevision) => 0,
+                    Some(Fault::WithoutTheRevision) => 0,
                     _ => revision,
                 };
                 let at = self.boot_instant(at_ms);
--- a/crates/feed/tests/revocations/main.rs
+++ b/crates/feed/tests/revocations/main.rs
@@ -18,11 +18,7 @@
 /// Each fault is one that the check must notice.
 #[test]
 fn the_check_notices_planted_faults() {
-    for fault in [
-        Fault::ConfirmationsCountFromTheStart,
-        Fault::ConfirmationsCountFromTheReply,
-        Fault::ConfirmationsIgnoreTheRevision,
-    ] {
+    for fault in [Fault::ClampedToTheStart, Fault::CountedFromTheReply, Fault::WithoutTheRevision] {
         let caught = (0..SEEDS).filter(|seed| !Fleet::new(*seed, Some(fault)).run().is_empty());
         let caught = caught.count();
         println!("{fault:?}: {caught} of {SEEDS} seeds");
