Servers that send bytes without end take up neither memory nor a connection for long

Cause: the HTTP library bounds one head, not the heads before the final one; any block of lines counted as an event; an unmarked body had no bound but the deadline.

Change: 64 KiB up to the end of a head, after which the connection fails; an event is at most 64 KiB (1 MiB before) and has a field or is a comment; an unmarked body is broken off after 1 MiB. The orders' exchanges take in 128 KiB and close their connection at their timeout (by reading, no test: the timeout bounded them before).

A chunked body of valid chunks without end is still bounded by the caller's deadline only.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -293,12 +293,14 @@
         return Err(AttemptError::Quarantined);
     }
     let request = build_request(gateway, call, choice, last_event);
+    connection.head_limit.begin();
     let sending = connection.sender.try_send_request(request);
     let mut response = match timeout_at(deadline, sending).await {
         Err(_) => return Err(AttemptError::Timeout),
         Ok(Err(error)) => return Err(send_error(error)),
         Ok(Ok(response)) => response,
     };
+    connection.head_limit.end();
     attempt.has_head = true;
     attempt.server_idle_timeout = server_idle_timeout(response.headers());
     attempt.is_reusable = !requests_close(response.headers());
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -6,17 +6,30 @@
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
-/// An event exceeds the maximum size.
+/// Names of the fields of an event.
+const FIELDS: [&[u8]; 4] = [b"data", b"id", b"event", b"retry"];
+
+/// Why bytes are no events.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("event exceeds {MAX_EVENT_BYTES} bytes")]
-pub struct EventTooLong;
+pub enum EventError {
+    /// An event exceeds the maximum size.
+    #[error("event exceeds {MAX_EVENT_BYTES} bytes")]
+    TooLong,
+    /// A block of lines has neither a field of an event nor a comment.
+    #[error("no event")]
+    NoEvent,
+}
 
 /// Splits a byte stream into complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    /// Start of the first pending line that isn't known to be complete.
+    line_start: usize,
+    /// Whether a pending line isn't empty.
+    has_line: bool,
 }
 
 /// A complete event.
@@ -32,41 +45,52 @@
     /// Appends bytes and returns the events that are now complete.
     ///
     /// # Errors
-    /// Fails when the pending event exceeds the maximum size.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Event>, EventTooLong> {
+    /// Fails when the pending event exceeds the maximum size, or when a complete block is no event.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Event>, EventError> {
         self.pending.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(end) = end_of_event(&self.pending) {
+        while let Some(end) = self.end_of_event() {
             let bytes = self.pending.split_to(end).freeze();
+            (self.line_start, self.has_line) = (0, false);
+            if !bytes.split(|byte| *byte == b'\n').any(is_field) {
+                return Err(EventError::NoEvent);
+            }
             let id = event_id(&bytes);
             events.push(Event { bytes, id });
         }
         match self.pending.len() > MAX_EVENT_BYTES {
-            true => Err(EventTooLong),
+            true => Err(EventError::TooLong),
             false => Ok(events),
         }
     }
 
+    /// Position after the empty line that ends the first event. Empty lines before an event belong to
+    /// it.
+    fn end_of_event(&mut self) -> Option<usize> {
+        loop {
+            let rest = &self.pending[self.line_start..];
+            let length = rest.iter().position(|byte| *byte == b'\n')?;
+            let line = &rest[..length];
+            let is_empty = line.is_empty() || line == b"\r";
+            self.line_start += length + 1;
+            if is_empty && self.has_line {
+                return Some(self.line_start);
+            }
+            self.has_line |= !is_empty;
+        }
+    }
+
     /// Whether no partial event is pending.
     pub fn is_between_events(&self) -> bool {
         self.pending.is_empty()
     }
 }
 
-/// Position after the empty line that ends the first event.
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (position, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..position];
-        if line.is_empty() || line == b"\r" {
-            return Some(position + 1);
-        }
-        line_start = position + 1;
-    }
-    None
+/// Whether the line is a comment or a field of an event.
+fn is_field(line: &[u8]) -> bool {
+    let name = line.split(|byte| *byte == b':').next().unwrap_or(line);
+    let name = name.strip_suffix(b"\r").unwrap_or(name);
+    (name.is_empty() && line.first() == Some(&b':')) || FIELDS.contains(&name)
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/gateway/src/identity.rs
+++ b/crates/gateway/src/identity.rs
@@ -59,7 +59,9 @@
     if let Ok(host) = HeaderValue::from_str(instance.as_str()) {
         request.headers_mut().insert(HOST, host);
     }
+    connection.head_limit.begin();
     let response = connection.sender.send_request(request).await?;
+    connection.head_limit.end();
     let is_success = response.status() == StatusCode::OK;
     let body = Limited::new(response.into_body(), MAX_STATEMENT_BYTES).collect().await;
     // A statement that can't be read disproves nothing.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod events;
 mod finish;
 mod gateway;
+mod head_limit;
 mod identity;
 mod lifecycle;
 mod limits;
@@ -60,6 +61,6 @@
 mod updates;
 
 pub use dialect::{AnswerInfo, AttemptInfo, CallError, CallInfo, Dialect};
-pub use events::{Event, EventSplitter, EventTooLong};
+pub use events::{Event, EventError, EventSplitter};
 pub use lifecycle::{GatewayError, Listeners, ShutdownPhase, run};
 pub use settings::GatewaySettings;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -18,6 +18,7 @@
 
 use crate::body::WholeBody;
 use crate::counted_stream::CountedStream;
+use crate::head_limit::{HeadLimit, HeadLimitedStream};
 use crate::lock::lock;
 use crate::tunnel::TunnelGuard;
 
@@ -56,6 +57,7 @@
 /// A connection that serves one request at a time. Dropping it closes it.
 pub(crate) struct ServerConnection {
     pub sender: SendRequest<WholeBody>,
+    pub head_limit: HeadLimit,
     pub reused: bool,
     /// Whether the server has stated over this connection that it is the expected incarnation.
     pub is_proven: bool,
@@ -136,13 +138,22 @@
     ) -> Result<ServerConnection, ConnectError> {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES);
+        let (stream, head_limit) = HeadLimitedStream::new(stream);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
         let task = tokio::spawn(async move {
             // The error is also reported to the sender of the request.
             let _ = connection.await;
         });
         let task = task.abort_handle();
-        Ok(ServerConnection { sender, reused: false, is_proven: false, tunnel, task, _open: open })
+        Ok(ServerConnection {
+            sender,
+            head_limit,
+            reused: false,
+            is_proven: false,
+            tunnel,
+            task,
+            _open: open,
+        })
     }
 
     /// Counts a new connection to the server, unless `limit` are open.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout_at;
 
 use crate::answer::OwnAnswer;
-use crate::attempt::{Answered, Attempt, is_not_run_status};
+use crate::attempt::{Answered, Attempt, BodyEnd, is_not_run_status};
 use crate::body::{AnswerBody, ChunkSender, IncompleteBody};
 use crate::call::Call;
 use crate::finish::{FoundTiming, log_done, own_answer};
@@ -27,6 +27,10 @@
 /// off, the request can be retried.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
+/// Longest answer whose end only the end of the connection marks, in bytes: a faulty server may send
+/// without end.
+const MAX_UNMARKED_BYTES: usize = 1 << 20;
+
 /// Why the body of an answer is incomplete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum BodyError {
@@ -187,6 +191,7 @@
     mut rest: Incoming,
     chunks: ChunkSender,
 ) {
+    let mut received = beginning.len();
     let mut next = Ok(beginning);
     loop {
         let failed = next.is_err();
@@ -207,7 +212,15 @@
                 gateway.record_ended(&call, &attempt.instance, attempt.sent_at, end);
                 return attempt.finish(Outcome::Answered);
             }
-            Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
+            Ok(Some(Ok(frame))) => {
+                let data = frame.into_data().unwrap_or_default();
+                received += data.len();
+                let is_endless = received > MAX_UNMARKED_BYTES;
+                match is_endless && attempt.body_end == BodyEnd::ConnectionClosed {
+                    true => Err(IncompleteBody),
+                    false => Ok(data),
+                }
+            }
             Ok(Some(Err(_))) => {
                 gateway.record_interrupted(&call, &attempt.instance, attempt.sent_at);
                 Err(IncompleteBody)
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -9,6 +9,7 @@
 mod cut_off;
 mod cut_off_soak;
 mod departures;
+mod endless_answers;
 mod limits;
 mod limits_soon;
 mod overload;
--- a/crates/gateway/tests/paths/support/server.rs
+++ b/crates/gateway/tests/paths/support/server.rs
@@ -21,6 +21,8 @@
     Reset,
     /// Stops the server: connections are closed and new ones refused.
     Crash,
+    /// Sends the text again and again until the client closes the connection.
+    Pour(String),
 }
 
 type Script = Arc<dyn Fn(usize, &str) -> Vec<Step> + Send + Sync>;
@@ -39,6 +41,10 @@
     /// Connections that the client closed before the answer was complete.
     abandoned: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
+    /// Bytes sent by `Pour`.
+    poured: Arc<AtomicUsize>,
+    /// Connections on which `Pour` goes on.
+    pouring: Arc<AtomicUsize>,
     crashed: watch::Sender<bool>,
 }
 
@@ -60,6 +66,8 @@
             requests: Arc::default(),
             abandoned: Arc::default(),
             connections: Arc::default(),
+            poured: Arc::default(),
+            pouring: Arc::default(),
             crashed: watch::Sender::new(false),
         };
         let (serving, script): (_, Script) = (server.clone(), Arc::new(script));
@@ -130,6 +138,20 @@
         self.abandoned.load(Ordering::Relaxed)
     }
 
+    /// Bytes sent without end so far, and the connections on which that goes on.
+    pub fn poured(&self) -> (usize, usize) {
+        (self.poured.load(Ordering::Relaxed), self.pouring.load(Ordering::Relaxed))
+    }
+
+    async fn pour(&self, stream: &mut TcpStream, text: &str) {
+        let bytes = text.repeat(8_192 / text.len() + 1);
+        self.pouring.fetch_add(1, Ordering::Relaxed);
+        while stream.write_all(bytes.as_bytes()).await.is_ok() {
+            self.poured.fetch_add(bytes.len(), Ordering::Relaxed);
+        }
+        self.pouring.fetch_sub(1, Ordering::Relaxed);
+    }
+
     async fn serve(self, mut stream: TcpStream, script: Script) {
         while let Some(head) = read_request(&mut stream).await {
             if head.starts_with("GET /start ") {
@@ -154,6 +176,7 @@
                     }
                     Step::Send(_) => {}
                     Step::Close => return,
+                    Step::Pour(text) => return self.pour(&mut stream, &text).await,
                     Step::Reset => {
                         let socket = socket2::SockRef::from(&stream);
                         return socket.set_linger(Some(Duration::ZERO)).expect("set");
--- a/crates/renewal/src/exchange.rs
+++ b/crates/renewal/src/exchange.rs
@@ -12,7 +12,9 @@
 use hyper_util::rt::TokioIo;
 use juniper_limits::ServerNotice;
 use juniper_registry::InstanceId;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 /// Timeout of an exchange.
@@ -21,6 +23,9 @@
 /// Maximum size of an answer's body.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
 
+/// Maximum number of bytes received in an exchange: an answer with its head.
+const MAX_EXCHANGE_BYTES: u64 = 128 << 10;
+
 /// Treatment of running requests when a server loads other weights.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunningRequests {
@@ -147,16 +152,13 @@
     }
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
+    let (received, sent) = stream.into_split();
+    let stream = tokio::io::join(received.take(MAX_EXCHANGE_BYTES), sent);
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let task = tokio::spawn(connection);
-    let response = sender.send_request(request).await;
-    let received = async {
-        let response = response?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        Ok((head, body.map_err(|_| ExchangeError::Unreadable)?.to_bytes()))
-    };
-    let received = received.await;
-    task.abort();
-    received
+    // Closes the connection when dropped, also after the timeout.
+    let mut connections = JoinSet::new();
+    connections.spawn(connection);
+    let (head, body) = sender.send_request(request).await?.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    Ok((head, body.map_err(|_| ExchangeError::Unreadable)?.to_bytes()))
 }
