Tree's router: settings that no quorum has confirmed since the start aren't fresh

Callers would see: a service whose settings must not be served late (cut_off = refuse) is served for 5 s after each restart of a router that reaches no replica, by a settings file of any age.

Change: the age is either one of a confirmation or unconfirmed since the start. That bound still begins anew with each restart: the file doesn't tell when it was confirmed (open).

--- a/crates/router/src/http_api.rs
+++ b/crates/router/src/http_api.rs
@@ -68,7 +68,7 @@
 async fn metrics(State(state): State<Arc<RouterState>>) -> Vec<u8> {
     let revision = state.view().in_force.revision.0;
     state.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
-    let age = state.settings_age().as_millis();
+    let age = state.settings_age().at_least().as_millis();
     state.metrics.settings_age_ms.set(i64::try_from(age).unwrap_or(i64::MAX));
     let traffic = &state.plane.traffic;
     let control = &state.metrics.control_bytes;
@@ -93,7 +93,7 @@
         "ready": state.is_ready(),
         "revision": state.view().in_force.revision.0,
         "peers": state.plane.peers.borrow().routers.iter().map(|peer| peer.node.0).collect::<Vec<_>>(),
-        "settings_age_ms": state.settings_age().as_millis() as u64,
+        "settings_age_ms": state.settings_age().at_least().as_millis() as u64,
         "in_flight": state.metrics.in_flight.get(),
     });
     axum::Json(body).into_response()
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod relay;
 pub mod router_state;
 pub mod run;
+pub mod settings_age;
 pub mod settings_file;
 pub mod sharing;
 pub mod sse;
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -5,9 +5,8 @@
 
 use juniper_clock::BootInstant;
 use juniper_routing::admission::AdmissionRequest;
-use juniper_settings::{EffectiveSettings, PartitionPolicy};
+use juniper_settings::EffectiveSettings;
 use tokio::sync::Semaphore;
-use tokio::time::Duration;
 
 use crate::access::Caller;
 use crate::backends::BackEnds;
@@ -17,12 +16,9 @@
 use crate::error::RequestError;
 use crate::limits::{Admitted, Limits};
 use crate::metrics::Metrics;
+use crate::settings_age::SettingsAge;
 use crate::subscription::SettingsView;
 
-/// Time without confirmation by a quorum after which a router counts as cut off from the control
-/// replicas.
-pub const CUT_OFF_AFTER: Duration = Duration::from_secs(5);
-
 /// Retry delay suggested to callers when the router is at its limit of requests in flight, in
 /// milliseconds.
 const FULL_RETRY_MS: u64 = 500;
@@ -66,11 +62,12 @@
         self.plane.settings.borrow().clone()
     }
 
-    /// Returns the time since a quorum last confirmed that the settings in force are the latest,
-    /// or since the start if none has.
-    pub fn settings_age(&self) -> Duration {
-        let confirmed = self.plane.settings.borrow().confirmed_at.unwrap_or(self.started);
-        confirmed.elapsed()
+    /// Returns how long ago a quorum confirmed that the settings in force are the latest.
+    pub fn settings_age(&self) -> SettingsAge {
+        match self.plane.settings.borrow().confirmed_at {
+            Some(confirmed_at) => SettingsAge::Confirmed(confirmed_at.elapsed()),
+            None => SettingsAge::Unconfirmed(self.started.elapsed()),
+        }
     }
 
     /// Whether the router is ready for new requests. Requires that the engines and back ends of
@@ -117,13 +114,10 @@
     /// Refuses a request if the settings are too old, or if its service's policy is to refuse
     /// requests while the router is cut off from the control replicas.
     pub fn check_cut_off(&self, settings: &EffectiveSettings) -> Result<(), RequestError> {
-        let age = self.settings_age();
-        let too_old = age.as_secs() > settings.max_settings_age_seconds;
-        let refuses = settings.cut_off == PartitionPolicy::Refuse && age > CUT_OFF_AFTER;
-        if too_old || refuses {
-            return Err(RequestError::SettingsUnavailable { retry_after_ms: SETTINGS_RETRY_MS });
+        match self.settings_age().allows(settings) {
+            true => Ok(()),
+            false => Err(RequestError::SettingsUnavailable { retry_after_ms: SETTINGS_RETRY_MS }),
         }
-        Ok(())
     }
 }
 
