The limit of a head belongs to the counted stream; test of bytes after a whole answer

The wrapper repeated the stream's methods. bytes_without_end_after_an_answer_hold_its_connection_open passes on the earlier code, too: the HTTP library closes an idle connection on which bytes arrive.

--- a/crates/gateway/src/counted_stream.rs
+++ b/crates/gateway/src/counted_stream.rs
@@ -10,6 +10,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::head_limit::HeadLimit;
+
 /// Bytes that a packet adds to what it carries: headers of Ethernet, IP and TCP.
 const PACKET_OVERHEAD: u64 = 66;
 
@@ -58,11 +60,18 @@
 pub(crate) struct CountedStream {
     stream: TcpStream,
     counters: Arc<ByteCounters>,
+    head_limit: HeadLimit,
 }
 
 impl CountedStream {
     pub(crate) fn new(stream: TcpStream, counters: &Arc<ByteCounters>) -> Self {
-        CountedStream { stream, counters: Arc::clone(counters) }
+        let counters = Arc::clone(counters);
+        CountedStream { stream, counters, head_limit: HeadLimit::default() }
+    }
+
+    /// Limit on what is received, which applies once it has begun.
+    pub(crate) fn head_limit(&self) -> HeadLimit {
+        self.head_limit.clone()
     }
 }
 
@@ -74,7 +83,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        ByteCounters::add(&self.counters.received, buffer.filled().len() - before);
+        let received = buffer.filled().len() - before;
+        ByteCounters::add(&self.counters.received, received);
+        self.head_limit.take(received)?;
         polled
     }
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -18,7 +18,7 @@
 
 use crate::body::WholeBody;
 use crate::counted_stream::CountedStream;
-use crate::head_limit::{HeadLimit, HeadLimitedStream};
+use crate::head_limit::HeadLimit;
 use crate::lock::lock;
 use crate::tunnel::TunnelGuard;
 
@@ -138,7 +138,7 @@
     ) -> Result<ServerConnection, ConnectError> {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES);
-        let (stream, head_limit) = HeadLimitedStream::new(stream);
+        let head_limit = stream.head_limit();
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
         let task = tokio::spawn(async move {
             // The error is also reported to the sender of the request.
--- a/crates/gateway/tests/paths/endless_answers.rs
+++ b/crates/gateway/tests/paths/endless_answers.rs
@@ -85,6 +85,26 @@
     }
 }
 
+/// The answer is whole, and what follows it belongs to no request.
+#[tokio::test]
+async fn bytes_without_end_after_an_answer_hold_its_connection_open() {
+    for text in ["x", "\r\n", "HTTP/1.1 100 Continue\r\n\r\n"] {
+        let whole: fn(&str) -> String = |request| complete_answer(request, "200 OK", "fine");
+        let server = pouring(whole, text).await;
+        let gateway = TestGateway::start(&[&server]).await;
+        let answer = get(gateway.callers, "/once/x", "r1").await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "fine"), "{text:?}");
+        let answered_at = Instant::now();
+        while server.poured().1 > 0 {
+            assert!(answered_at.elapsed() < ANSWER_TIME, "still open: {text:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(server.poured().0 < MAX_BYTES, "{} bytes: {text:?}", server.poured().0);
+        let next = get(gateway.callers, "/once/x", "r2").await;
+        assert_eq!((next.status, next.body.as_str()), (200, "fine"), "{text:?}");
+    }
+}
+
 /// Twenty callers of a server that sends without end, beside callers of a sound one.
 #[tokio::test]
 async fn answers_without_end_keep_others_from_being_served() {
