--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -11,6 +11,7 @@
 mod feed;
 mod follow;
 mod link;
+mod link_error;
 mod links;
 mod relay;
 mod replica_calls;
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -8,8 +8,8 @@
 use juniper_clock::BootInstant;
 use juniper_protocol::message::{QuarantineRequest, RouterUpdate};
 use juniper_protocol::{
-    BuildLevel, ClusterKey, Connection, FrameError, FrameReader, FrameWriter, HandshakeError,
-    Message, PeerIdentity, Push, Reply, Request, connect,
+    BuildLevel, ClusterKey, Connection, FrameError, FrameReader, FrameWriter, Message,
+    PeerIdentity, Push, Reply, Request, connect,
 };
 use juniper_types::{NodeId, RequestFingerprint, StreamKey};
 use kameo::actor::ActorRef;
@@ -21,6 +21,7 @@
 use crate::charge::{ChargeSender, PendingCharge, charge_result};
 use crate::confirmation::ConfirmedView;
 use crate::follow::FollowScope;
+use crate::link_error::LinkError;
 use crate::links::UNCONFIRMED_AFTER;
 use crate::stream_origins::{OriginSender, pass_on};
 
@@ -45,23 +46,6 @@
 /// together with the replicas, and serves no requests before.
 const FIRST_CONNECT_DELAY_MS: std::ops::Range<u64> = 20..80;
 
-/// Reason for which a connection ended.
-#[derive(Debug, thiserror::Error)]
-enum LinkError {
-    #[error("connection attempt timed out")]
-    ConnectTimeout,
-    #[error("connection attempt failed: {0}")]
-    Connect(#[from] HandshakeError),
-    #[error("connection failed: {0}")]
-    Frame(#[from] FrameError),
-    #[error("replica stopped replying")]
-    Unresponsive,
-    #[error("node id of the replica encodes no address")]
-    NoAddress,
-    #[error("feed has stopped")]
-    Stopped,
-}
-
 /// State of a link across its connections.
 pub(crate) struct LinkContext {
     /// Replica at the other end.
