--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod peer_timeouts;
 pub mod push;
 pub mod refusal;
+pub mod weights;
 
 pub use calls::{CallError, GenerationReader, IncomingFrame, OpenCalls, ReplySender};
 pub use connection::{Connection, FrameReader, FrameWriter, Traffic, accept, connect};
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -15,13 +15,14 @@
 
 pub use crate::fleet::{
     BrittleServiceUpdate, CatalogBody, Crash, CrashClearance, CrashUpdate, DispatchReport,
-    FleetUpdate, KnownVersion, PartCompletion, PartCrash, PartUpdate, QuarantineRequest,
-    QuarantineUpdate, Reachability, RelayedUpdate, RenewalUpdate, RouterUpdate, WeightsAge,
+    FleetUpdate, PartCompletion, PartCrash, PartUpdate, QuarantineRequest, QuarantineUpdate,
+    Reachability, RelayedUpdate, RouterUpdate,
 };
 pub use crate::limits::{ChargeAnswer, LimitCharge, ServerLimitUpdate, server_account};
 pub use crate::notices::ServerNoticeUpdate;
 pub use crate::push::{Push, SettingsDelta};
 pub use crate::refusal::{Refusal, TunnelRefusal};
+pub use crate::weights::{KnownVersion, RenewalUpdate, WeightsAge};
 
 /// Encodes `value` as CBOR.
 pub fn encode<T: Encode<()>>(value: &T) -> Vec<u8> {
--- a/crates/protocol/src/push.rs
+++ b/crates/protocol/src/push.rs
@@ -5,7 +5,8 @@
 use juniper_types::Revision;
 use minicbor::{Decode, Encode};
 
-use crate::fleet::{FleetUpdate, RenewalUpdate};
+use crate::fleet::FleetUpdate;
+use crate::weights::RenewalUpdate;
 
 /// Message pushed to a subscriber.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
