--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for case in silence departure foreign memory; do
+for case in models foreign silence departure memory; do
     rustc --edition 2024 -O -D warnings -o "target/review-2/$case" "review/standin-2/$case.rs"
 done
