--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for case in models foreign silence departure memory; do
+for case in models foreign silence departure weights; do
     rustc --edition 2024 -O -o "target/review-2/$case" "review/standin-2/$case.rs"
 done
