--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -74,6 +74,8 @@
     second: u8,
     third: u8,
     next: u8,
+    /// Holds the network until the run ends, so that one that starts at the same moment takes another.
+    _held: TcpListener,
 }
 
 impl Network {
@@ -82,9 +84,8 @@
         loop {
             seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
             let (second, third) = (64 + (seed >> 40) as u8 % 128, (seed >> 50) as u8);
-            let is_free = TcpListener::bind((Ipv4Addr::new(127, second, third, 1), FRONT_PORT));
-            if is_free.is_ok() {
-                return Network { second, third, next: 1 };
+            if let Ok(held) = TcpListener::bind((Ipv4Addr::new(127, second, third, 1), FRONT_PORT)) {
+                return Network { second, third, next: 1, _held: held };
             }
         }
     }
@@ -625,10 +626,10 @@
     }
 }
 
-/// Runs the case; a failure to run it is reported as such.
+/// Runs the case with its record at the path of the first argument; a failure to run it is reported as such.
 pub fn run_case(name: &str, case: impl FnOnce(Record) -> io::Result<i32>) -> ! {
-    let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
-    let record = match Record::create(&Path::new(&folder).join("record.txt")) {
+    let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".to_owned());
+    let record = match Record::create(Path::new(&path)) {
         Ok(record) => record,
         Err(error) => {
             eprintln!("{name}: no record: {error}");
