Departures: log and count which incarnation a deregistration is taken to mean

A server deregisters by name alone. Nothing in the logs said what the replica knew of the server's incarnations at that moment, and a router was silent about a recorded departure that left the listed incarnation in use.

departure_called has the start that this replica observed itself and the one known from all replicas; juniper_control_departures_observed_elsewhere counts calls where the second is later; departure_of_earlier_incarnation says at a router or replica that the listed incarnation stays in use.

--- a/crates/control/src/fleet_calls.rs
+++ b/crates/control/src/fleet_calls.rs
@@ -119,7 +119,18 @@
     /// Fails if no quorum commits the departure in time.
     pub async fn record_departure(&self, name: InstanceName) -> Result<(), Refusal> {
         let now = || StartTime::from_unix_ms(unix_millis());
-        let started = self.instance_publisher.start_of(&name).unwrap_or_else(now);
+        let observed = self.instance_publisher.start_of(&name);
+        let fleet_wide = self.fleet_publisher.start_of(&name);
+        let to_text = |start: Option<StartTime>| start.unwrap_or(StartTime::UNKNOWN).unix_ms();
+        log::info!(
+            "event=departure_called instance={name} observed_start={} fleet_wide_start={}",
+            to_text(observed),
+            to_text(fleet_wide)
+        );
+        if fleet_wide > observed {
+            self.metrics.departures_observed_elsewhere.inc();
+        }
+        let started = observed.unwrap_or_else(now);
         self.commit_departure(&InstanceId::started_at(name, started), "left").await
     }
 
--- a/crates/control/src/fleet_publisher.rs
+++ b/crates/control/src/fleet_publisher.rs
@@ -10,6 +10,7 @@
 use juniper_protocol::{Message, Push};
 use juniper_registry::{
     Instance, InstanceChanges, InstanceMap, InstanceName, InstanceReport, ObservedInstance,
+    StartTime,
 };
 use tokio::sync::watch;
 
@@ -127,6 +128,13 @@
         });
     }
 
+    /// Start time of the latest incarnation of a server that any replica has reported to this node,
+    /// if the server is usable and reports one.
+    pub fn start_of(&self, name: &InstanceName) -> Option<StartTime> {
+        let started = self.servers().latest.get(name)?.id.started();
+        Some(started).filter(|started| started.is_known())
+    }
+
     /// Locks the log of server changes.
     pub fn servers(&self) -> MutexGuard<'_, FleetLog> {
         self.servers.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -42,6 +42,8 @@
     pub stream_origins: IntGauge,
     /// Heartbeats rejected because they were malformed or came from another writer.
     pub heartbeats_refused: IntCounter,
+    /// Departures of servers whose latest incarnation this replica knew from other replicas only.
+    pub departures_observed_elsewhere: IntCounter,
     /// Stored claims.
     pub claims: IntGauge,
     /// Time from proposal to answer on the leader, in seconds.
@@ -88,6 +90,10 @@
                 "juniper_control_heartbeats_refused",
                 "Heartbeats that named no server",
             )?,
+            departures_observed_elsewhere: counter(
+                "juniper_control_departures_observed_elsewhere",
+                "Departures of incarnations that only other replicas observed",
+            )?,
             claims: gauge("juniper_control_claims", "Claims kept")?,
             commit_seconds: register(&registry, commit)?,
             registry,
--- a/crates/feed/src/actor.rs
+++ b/crates/feed/src/actor.rs
@@ -197,7 +197,10 @@
                 self.forward_router_updates(updates);
                 MergeOutcome::default()
             }
-            LinkEvent::Fleet(update) => self.view_builder.apply_fleet_update(node, update, now),
+            LinkEvent::Fleet(update) => {
+                self.log_earlier_departures(&update);
+                self.view_builder.apply_fleet_update(node, update, now)
+            }
             LinkEvent::Instances { observed, is_complete, removed, is_fleet_wide } => {
                 let outcome = self.view_builder.apply_instances(node, observed, is_complete, now);
                 if is_fleet_wide && is_complete {
@@ -272,6 +275,21 @@
         Timestamp::ZERO.after(self.started.elapsed())
     }
 
+    /// Logs departures of earlier incarnations than the listed ones, which stay in use.
+    fn log_earlier_departures(&self, update: &FleetUpdate) {
+        for departed in update.departed() {
+            let listed = self.view_builder.view().instances.get(departed.name());
+            let later = listed.filter(|listed| listed.id.started() > departed.started());
+            if let Some(listed) = later {
+                log::info!(
+                    "event=departure_of_earlier_incarnation instance={departed} through={} listed={}",
+                    departed.started().unix_ms(),
+                    listed.id.started().unix_ms()
+                );
+            }
+        }
+    }
+
     /// Forwards updates of other routers to the subscribers. The relay sends each update to all
     /// routers, so this router's own updates come back and are dropped here.
     fn forward_router_updates(&self, mut updates: Vec<RelayedUpdate>) {
