Weights: log what a router believed when a server rejects a version

other_version counted the rejections, but no line said of which model, which version the router expected and which one the server reports.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -308,9 +308,7 @@
     strip_hop_headers(response.headers_mut());
     let (head, body) = response.into_parts();
     let info = gateway.dialect.read_answer(&head, &call.info.id, &choice.instance);
-    if let Some(version) = info.version {
-        gateway.placement().observe_version(&choice.instance, version);
-    }
+    gateway.observe_weights(call, choice, &info);
     gateway.observe_limit(&choice.instance, &info, attempt.sent_at, call.id());
     gateway.observe_notice(&choice.instance, &info, tunnel_peer, call.id());
     let is_rejection = info.not_run && !info.is_wrong_version && !head.status.is_success();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,7 @@
 mod tunnel;
 mod tunnel_server;
 mod updates;
+mod weights;
 
 pub use dialect::{AnswerInfo, AttemptInfo, CallError, CallInfo, Dialect};
 pub use events::{Event, EventError, EventSplitter};
