--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 use juniper_crash_watch::CrashWatch;
 use juniper_feed::{Feed, FleetView};
 use juniper_limits::FleetShare;
-use juniper_placement::{Placement, RetryBudget, ServiceProfile};
+use juniper_placement::{ModelKey, Placement, RetryBudget, ServiceProfile};
 use juniper_registry::InstanceId;
 use juniper_stream_origins::SoftwareHistory;
 use juniper_tunnel_peers::TunnelPeers;
@@ -254,7 +254,8 @@
         placement.set_profiles(service_profiles(view));
         placement.set_renewing(&view.renewing);
         for known in view.versions.iter() {
-            placement.observe_version(&known.id(), known.version);
+            let model = ModelKey::of(&known.model);
+            placement.observe_version(&known.id(), model, known.version);
         }
         drop(placement);
         if let Some(index) = &view.catalog {
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -7,7 +7,7 @@
 
 use juniper_feed::RelayedBatch;
 use juniper_placement::{
-    Choice, DispatchRecord, Placement, ReportBudget, ReportedRequest, Reporter,
+    Choice, DispatchRecord, ModelKey, Placement, ReportBudget, ReportedRequest, Reporter,
 };
 use juniper_protocol::message::{
     BrittleServiceUpdate, DispatchReport, Reachability, RelayedUpdate, RouterUpdate,
@@ -291,6 +291,7 @@
 fn to_message(report: DispatchRecord, number: u16) -> DispatchReport {
     let DispatchRecord {
         instance,
+        model,
         version,
         keys,
         segment_tokens,
@@ -307,12 +308,14 @@
         uncached_tokens: tokens,
         prefill_tokens,
         request_number: number,
+        model: model.map(ModelKey::number),
     }
 }
 
 fn from_message(report: &DispatchReport) -> DispatchRecord {
     DispatchRecord {
         instance: InstanceId::started_at(report.instance.clone(), StartTime::UNKNOWN),
+        model: report.model.map(ModelKey::from_number),
         version: report.version,
         keys: report.prefix_hashes.clone(),
         segment_tokens: report.segment_tokens.clone(),
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -13,8 +13,10 @@
         if info.is_wrong_version {
             self.log_rejected_version(call, choice, info);
         }
-        if let Some(version) = info.version {
-            self.placement().observe_version(&choice.instance, version);
+        // An answer to another request may be of another model.
+        let version = info.version.filter(|_| info.matches_request);
+        if let (Some(version), Some(model)) = (version, choice.model) {
+            self.placement().observe_version(&choice.instance, model, version);
         }
     }
 
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -22,3 +22,4 @@
 mod software_versions;
 mod startup;
 mod support;
+mod weights;
--- a/crates/gateway/tests/paths/overload.rs
+++ b/crates/gateway/tests/paths/overload.rs
@@ -49,6 +49,7 @@
         segment_tokens: Vec::new(),
         unshared_tokens: 0,
         request_number,
+        model: None,
     };
     RouterUpdate { dispatches: (1..=count).map(report).collect(), ..RouterUpdate::default() }
 }
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -8,8 +8,8 @@
 use juniper_catalog::Catalog;
 use juniper_protocol::message::{
     BrittleServiceUpdate, CatalogBody, ChargeAnswer, Crash, CrashClearance, CrashUpdate,
-    FleetUpdate, LimitCharge, QuarantineRequest, Reachability, RelayedUpdate, RouterUpdate,
-    ServerLimitUpdate, ServerNoticeUpdate,
+    FleetUpdate, LimitCharge, QuarantineRequest, Reachability, RelayedUpdate, RenewalUpdate,
+    RouterUpdate, ServerLimitUpdate, ServerNoticeUpdate,
 };
 use juniper_protocol::{
     ClusterKey, Connection, Message, PeerRole, Push, Refusal, Reply, Request, accept,
@@ -49,6 +49,8 @@
     stream_records: Mutex<Vec<StreamRecord>>,
     /// Quarantine requests of the gateway.
     quarantined: Mutex<Vec<QuarantineRequest>>,
+    /// Rollout state, to be sent to the gateway.
+    renewals: broadcast::Sender<RenewalUpdate>,
     /// Updates of other routers, to be sent to the gateway.
     peer_updates: broadcast::Sender<RelayedUpdate>,
 }
@@ -91,6 +93,7 @@
             published: Mutex::default(),
             stream_records: Mutex::default(),
             quarantined: Mutex::default(),
+            renewals: broadcast::Sender::new(4),
             peer_updates: broadcast::Sender::new(256),
         });
         let serving = Arc::clone(&state);
@@ -140,6 +143,10 @@
     }
 
     /// Adds a server to the list and publishes it.
+    pub fn push_renewals(&self, update: RenewalUpdate) {
+        let _ = self.state.renewals.send(update);
+    }
+
     pub fn add_server(&self, report: InstanceReport) {
         self.state.reports.lock().expect("no panic").push(report);
         // Fails if no gateway is subscribed yet.
@@ -274,6 +281,7 @@
     });
     let mut reordered = ReorderedAnswers::default();
     let mut server_changes = state.server_changes.subscribe();
+    let mut renewals = state.renewals.subscribe();
     let mut peer_updates = state.peer_updates.subscribe();
     loop {
         let to_send = tokio::select! {
@@ -292,6 +300,9 @@
                 None => return,
             },
             _ = server_changes.recv() => vec![instances_push(&state)],
+            update = renewals.recv() => {
+                update.into_iter().map(|update| Message::Push(Push::Renewals(update))).collect()
+            }
             update = peer_updates.recv() => vec![Message::RelayedUpdate(update.into_iter().collect())],
         };
         for message in to_send {
--- a/crates/gateway/tests/paths/support/dialect.rs
+++ b/crates/gateway/tests/paths/support/dialect.rs
@@ -31,6 +31,16 @@
     Prompt { segments, tokens, ..Prompt::default() }
 }
 
+fn read_prompt(headers: &HeaderMap) -> Option<Prompt> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let prompt = match text("x-segments") {
+        Some(ids) => Some(prompt_of_segments(ids)),
+        None => number(headers, "x-prompt").map(prompt),
+    };
+    let model = text("x-model").unwrap_or_default().to_owned();
+    prompt.map(|prompt| Prompt { model, ..prompt })
+}
+
 impl Dialect for TestDialect {
     fn read_call(&self, head: &request::Parts) -> Result<CallInfo, CallError> {
         let headers = &head.headers;
@@ -39,10 +49,7 @@
             id: headers.get("x-id").cloned().ok_or(CallError::MissingId)?,
             timeout: number(headers, "x-deadline").map(Duration::from_millis),
             key: key.map(str::to_owned),
-            prompt: match headers.get("x-segments").and_then(|ids| ids.to_str().ok()) {
-                Some(ids) => Some(prompt_of_segments(ids)),
-                None => number(headers, "x-prompt").map(prompt),
-            },
+            prompt: read_prompt(headers),
             last_event: number(headers, "x-last"),
             resumed_attempt: headers.get("x-resumes").cloned(),
         })
@@ -55,6 +62,9 @@
         };
         set("x-deadline", &info.time_left.as_millis().to_string());
         set("x-instance", info.instance.as_str());
+        if info.version > 0 {
+            set("x-expected-weights", &info.version.to_string());
+        }
         if let Some(tenant) = info.tenant {
             set("x-tenant", tenant);
         }
@@ -88,7 +98,7 @@
             not_run: head.headers.contains_key("x-not-run"),
             is_wrong_server: is_misdirected && !has_other_weights,
             is_wrong_version: is_misdirected && has_other_weights,
-            version: None,
+            version: number(&head.headers, "x-weights"),
             advertised_limit: AdvertisedLimit::parse(stated.map(|value| value.to_str().ok())),
             rejection_tolerance: RejectionTolerance::parse(
                 head.headers.get_all("x-brittle").iter().map(|value| value.to_str().ok()),
--- a/crates/gateway/tests/paths/support/server.rs
+++ b/crates/gateway/tests/paths/support/server.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use juniper_registry::{InstanceName, InstanceReport, InstanceState, SoftwareVersion, StartTime};
+use juniper_registry::{
+    InstanceName, InstanceReport, InstanceState, LoadedModel, SoftwareVersion, StartTime,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -37,6 +39,7 @@
     /// Delay of that statement, in milliseconds.
     statement_delay: Arc<AtomicU64>,
     software: Option<SoftwareVersion>,
+    models: Vec<LoadedModel>,
     requests: Arc<Mutex<Vec<String>>>,
     /// Connections that the client closed before the answer was complete.
     abandoned: Arc<AtomicUsize>,
@@ -63,6 +66,7 @@
             stated_start: Arc::default(),
             statement_delay: Arc::default(),
             software: SoftwareVersion::new("v1"),
+            models: Vec::new(),
             requests: Arc::default(),
             abandoned: Arc::default(),
             connections: Arc::default(),
@@ -93,6 +97,16 @@
         self
     }
 
+    /// Reports these models with their versions from now on.
+    pub fn with_models(mut self, models: &[(&str, u64)]) -> Self {
+        let loaded = |(model, version): &(&str, u64)| LoadedModel {
+            model: (*model).to_owned(),
+            version: *version,
+        };
+        self.models = models.iter().map(loaded).collect();
+        self
+    }
+
     /// Reports this start time from now on, in milliseconds.
     pub fn with_start(mut self, started_ms: u64) -> Self {
         self.started = StartTime::from_unix_ms(started_ms);
@@ -120,7 +134,7 @@
             slots: 8,
             state: InstanceState::Ready,
             cold_remaining_ms: 0,
-            models: Vec::new(),
+            models: self.models.clone(),
             sequence: 1,
         }
     }
--- a/crates/placement/src/cached_segments.rs
+++ b/crates/placement/src/cached_segments.rs
@@ -6,8 +6,11 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use juniper_prefix_index::rendezvous;
 use juniper_types::Timestamp;
 
+use crate::weights::ModelKey;
+
 /// Share of the cache capacity that the model uses. The rest is left for generated tokens, partial
 /// blocks and prompts missing from the dispatch reports. 0.7 scored lower, and 1.1 no higher
 /// (`docs/experiments/ikaze-shops.md`).
@@ -16,6 +19,22 @@
 /// Maximum number of recorded uses. The only bound if the cache capacity is unknown.
 const MAX_USES: usize = 1_024;
 
+/// Weights that compute the segments of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CachedWeights {
+    /// The model if the server has several.
+    pub model: Option<ModelKey>,
+    pub version: u64,
+}
+
+impl CachedWeights {
+    /// Key of a segment; the same text is another segment for each model.
+    fn segment_key(&self, prefix_key: u64) -> u64 {
+        let score = |model: ModelKey| rendezvous::score(prefix_key, u64::from(model.number()));
+        self.model.map_or(prefix_key, score)
+    }
+}
+
 /// Segments of a prompt that was dispatched to a server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DispatchedPrompt<'a> {
@@ -51,8 +70,8 @@
 /// Segments that a server is expected to have in its cache.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CachedSegments {
-    /// Version of the weights that computed the segments; other versions can't use them.
-    version: u64,
+    /// Version of each model's weights that computed the segments; other versions can't use them.
+    versions: Vec<CachedWeights>,
     segments: HashMap<u64, CachedSegment>,
     /// Uses, the most recent last. Only the most recent use of a segment counts.
     uses: VecDeque<Use>,
@@ -62,22 +81,47 @@
 }
 
 impl CachedSegments {
-    /// Applies a prompt dispatched to the server with weights of `version` and a cache of
-    /// `capacity` tokens; zero if the capacity is unknown.
-    pub(crate) fn record(&mut self, version: u64, prompt: DispatchedPrompt<'_>, capacity: u64) {
-        if version < self.version {
+    /// Applies a prompt dispatched to the server with these weights and a cache of `capacity` tokens;
+    /// zero if the capacity is unknown. New weights of any model empty the cache.
+    pub(crate) fn record(
+        &mut self,
+        weights: CachedWeights,
+        prompt: DispatchedPrompt<'_>,
+        capacity: u64,
+    ) {
+        let held = self.version_of(weights.model);
+        if weights.version < held.unwrap_or(0) {
             return;
         }
-        if version > self.version {
-            *self = CachedSegments { version, ..CachedSegments::default() };
+        if held != Some(weights.version) {
+            self.set_version(weights);
         }
         for (key, tokens) in prompt.keys.iter().zip(prompt.tokens) {
-            self.record_use(Some(*key), *tokens, prompt.computed_at);
+            self.record_use(Some(weights.segment_key(*key)), *tokens, prompt.computed_at);
         }
         self.record_use(None, prompt.own_tokens, prompt.computed_at);
         self.evict_least_recently_used(capacity);
     }
 
+    fn version_of(&self, model: Option<ModelKey>) -> Option<u64> {
+        let held = self.versions.iter().find(|held| held.model == model);
+        held.map(|held| held.version)
+    }
+
+    fn set_version(&mut self, weights: CachedWeights) {
+        let mut versions = std::mem::take(&mut self.versions);
+        match versions.iter_mut().find(|held| held.model == weights.model) {
+            Some(held) => {
+                *held = weights;
+                *self = CachedSegments { versions, ..CachedSegments::default() };
+            }
+            None => {
+                versions.push(weights);
+                self.versions = versions;
+            }
+        }
+    }
+
     fn record_use(&mut self, key: Option<u64>, tokens: u32, computed_at: Timestamp) {
         let number = self.next_use;
         self.next_use += 1;
@@ -114,15 +158,19 @@
         }
     }
 
-    /// Whether the segment, computed by weights of `version`, is expected to be cached.
-    pub(crate) fn contains(&self, version: u64, key: u64) -> bool {
-        version == self.version && self.segments.contains_key(&key)
+    /// Whether the segment, computed by these weights, is expected to be cached.
+    pub(crate) fn contains(&self, weights: CachedWeights, key: u64) -> bool {
+        self.find(weights, key).is_some()
     }
 
     /// Whether the prefill of the segment is expected to be complete, so that other servers can
     /// fetch it.
-    pub(crate) fn is_computed(&self, version: u64, key: u64, now: Timestamp) -> bool {
-        let cached = self.segments.get(&key).filter(|_| version == self.version);
-        cached.is_some_and(|cached| cached.computed_at <= now)
+    pub(crate) fn is_computed(&self, weights: CachedWeights, key: u64, now: Timestamp) -> bool {
+        self.find(weights, key).is_some_and(|cached| cached.computed_at <= now)
+    }
+
+    fn find(&self, weights: CachedWeights, key: u64) -> Option<&CachedSegment> {
+        let is_held = self.version_of(weights.model) == Some(weights.version);
+        self.segments.get(&weights.segment_key(key)).filter(|_| is_held)
     }
 }
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -6,7 +6,9 @@
 use crate::choice::{Choice, ChoiceError, Reason};
 use crate::placement::Placement;
 use crate::request::ServerRequest;
+use crate::search::prefer_matching;
 use crate::server::Server;
+use crate::weights::ModelKey;
 
 impl Placement {
     /// Whether a server of the service that is not in `excluded` runs this software version.
@@ -62,6 +64,7 @@
             }
         }
         if let Some(prompt) = request.prompt {
+            candidates = prefer_matching(candidates, |server| server.lists_model(&prompt.model));
             candidates.retain(|server| server.version_of(&prompt.model) >= request.min_version);
             if candidates.is_empty() {
                 return Err(ChoiceError::OutdatedWeights);
@@ -103,8 +106,10 @@
 
 /// Whether the server is known to work and accepts new requests of this kind.
 pub(crate) fn is_usable(server: &Server, request: &ServerRequest<'_>, now: Timestamp) -> bool {
-    let version = request.prompt.map(|prompt| server.version_of(&prompt.model));
-    let is_rejected = version.is_some_and(|version| server.health.rejects_version(version, now));
+    let is_rejected = request.prompt.is_some_and(|prompt| {
+        let version = server.version_of(&prompt.model);
+        server.observed_weights.is_rejected(ModelKey::of(&prompt.model), version, now)
+    });
     !server.health.is_unreachable() && !server.renewing && !is_rejected
 }
 
@@ -115,9 +120,11 @@
     random: u64,
 ) -> Choice {
     let index = (random % candidates.len().max(1) as u64) as usize;
-    let report = &candidates[index].instance.report;
+    let server = candidates[index];
+    let report = &server.instance.report;
+    let model = request.prompt.map(|prompt| prompt.model.as_str());
     Choice {
-        instance: candidates[index].instance.id.clone(),
+        instance: server.instance.id.clone(),
         address: report.address,
         reason: Reason::LastResort,
         cost_ms: 0.0,
@@ -127,7 +134,9 @@
         cached_tokens: 0,
         prefill_tokens: request.prompt.map_or(0, |prompt| prompt.tokens),
         candidates: candidates.len(),
-        version: request.prompt.map_or(0, |prompt| candidates[index].version_of(&prompt.model)),
+        model: model.map(ModelKey::of),
+        cache_model: model.and_then(|model| server.cache_model(model)),
+        version: model.map_or(0, |model| server.version_of(model)),
         software: report.software.clone(),
         source: None,
         store: None,
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -12,6 +12,7 @@
 use crate::dispatch_record::{DispatchRecord, ReportedRequest};
 use crate::homes::ChainKeys;
 use crate::timing_sample::TimingSample;
+use crate::weights::ModelKey;
 
 /// Why a server was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,7 +76,11 @@
     pub prefill_tokens: u32,
     /// Number of servers that were considered.
     pub candidates: usize,
-    /// Version of the model weights on the server; zero without a model.
+    /// The prompt's model; `None` without a prompt.
+    pub model: Option<ModelKey>,
+    /// The model if the server has several, as the owner of cached segments.
+    pub cache_model: Option<ModelKey>,
+    /// Version of the model's weights on the server; zero without a model.
     pub version: u64,
     /// Version of the server's software, if known.
     pub software: Option<SoftwareVersion>,
@@ -103,6 +108,7 @@
     pub fn dispatch_record(&self) -> DispatchRecord {
         DispatchRecord {
             instance: self.instance.clone(),
+            model: self.cache_model,
             version: self.version,
             keys: self.keys.clone(),
             segment_tokens: self.segment_tokens.clone(),
@@ -178,6 +184,8 @@
     pub(crate) had_output: bool,
     /// Number of the request among those of this router.
     pub(crate) request: ReportedRequest,
+    /// The prompt's model.
+    pub(crate) model: Option<ModelKey>,
     /// Calls at the server including this one, if their concurrency is measured.
     pub(crate) calls: Option<ServerCalls>,
     /// Prefill tokens queued at the server when the request was dispatched.
--- a/crates/placement/src/dispatch_record.rs
+++ b/crates/placement/src/dispatch_record.rs
@@ -3,6 +3,8 @@
 use juniper_registry::InstanceId;
 use juniper_types::NodeId;
 
+use crate::weights::ModelKey;
+
 /// Identity of a request that a router has reported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReportedRequest {
@@ -17,7 +19,9 @@
 pub struct DispatchRecord {
     /// Incarnation of the server.
     pub instance: InstanceId,
-    /// Version of the server's weights.
+    /// Model of the prompt; `None` if the server has only one, or in reports of earlier builds.
+    pub model: Option<ModelKey>,
+    /// Version of the model's weights on the server.
     pub version: u64,
     /// Keys of the prompt's shared prefixes, the longest last.
     pub keys: Vec<u64>,
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -17,10 +17,6 @@
 /// Time for which a server that was full has a higher cost.
 const FULL_PENALTY_TIME: Duration = Duration::from_millis(120);
 
-/// Time for which a server isn't used after it rejected a version of the weights, unless it reports
-/// another version before.
-const VERSION_REJECTION_TIME: Duration = Duration::from_secs(1);
-
 /// Weight of one delay sample.
 const DELAY_WEIGHT: f64 = 0.2;
 
@@ -42,19 +38,12 @@
     Full,
     /// Another incarnation listens on the address.
     Replaced,
-    /// The server rejected the request because it doesn't have this version of the weights.
+    /// The server rejected the request because it doesn't have this version of the model's weights.
     VersionMismatch(u64),
     /// The caller disconnected; the request says nothing about the server.
     Cancelled,
 }
 
-/// A version of the weights that the server has rejected.
-#[derive(Clone, Copy, Debug)]
-struct RejectedVersion {
-    version: u64,
-    until: Timestamp,
-}
-
 /// Probe timing of an unreachable server.
 #[derive(Clone, Copy, Debug)]
 struct ProbeSchedule {
@@ -73,7 +62,6 @@
     /// Whether the server was reached through another router since.
     is_tunneled: bool,
     full_until: Timestamp,
-    rejected_version: Option<RejectedVersion>,
     /// Whether another incarnation listens on the address.
     pub(crate) replaced: bool,
 }
@@ -87,7 +75,6 @@
             connect_failed: false,
             is_tunneled: false,
             full_until: Timestamp::ZERO,
-            rejected_version: None,
             replaced: false,
         }
     }
@@ -124,12 +111,7 @@
                 self.replaced = true;
                 return;
             }
-            Outcome::VersionMismatch(version) => {
-                self.rejected_version =
-                    Some(RejectedVersion { version, until: now.after(VERSION_REJECTION_TIME) });
-                return;
-            }
-            Outcome::Cancelled => return,
+            Outcome::VersionMismatch(_) | Outcome::Cancelled => return,
         };
         self.failure_rate.mix(failure, FAILURE_WEIGHT, now);
     }
@@ -197,13 +179,6 @@
         self.unreachable = None;
     }
 
-    /// Whether the server has recently rejected `version` of the weights.
-    pub(crate) fn rejects_version(&self, version: u64, now: Timestamp) -> bool {
-        self.rejected_version.is_some_and(|rejected_version| {
-            rejected_version.version == version && now < rejected_version.until
-        })
-    }
-
     /// Whether the server was recently full.
     pub(crate) fn is_full(&self, now: Timestamp) -> bool {
         now < self.full_until
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -35,6 +35,7 @@
 mod server_limits;
 mod timing_model;
 mod timing_sample;
+mod weights;
 
 pub use admission::{Overload, Resource, StartEstimate};
 pub use choice::{Choice, ChoiceError, ExpectedTiming, Reason, ServiceProfile, Ticket};
@@ -50,3 +51,4 @@
 pub use request::{Prompt, PromptSegment, ServerRequest};
 pub use retry_budget::{RetryBudget, RetrySettings, RetryUsage};
 pub use server_limits::{LimitChange, ObservedAt};
+pub use weights::ModelKey;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -10,7 +10,7 @@
 
 use crate::backoffs::Backoffs;
 use crate::brittle::BrittleService;
-use crate::cached_segments::DispatchedPrompt;
+use crate::cached_segments::{CachedWeights, DispatchedPrompt};
 use crate::call_limits::CallLimits;
 use crate::choice::{Choice, ServiceProfile, Ticket};
 use crate::direct_paths::DirectPaths;
@@ -20,6 +20,7 @@
 use crate::lanes::Lanes;
 use crate::load::PrefillSpeed;
 use crate::server::Server;
+use crate::weights::ModelKey;
 
 /// Maximum queued prefill at dispatch, relative to the prompt's own prefill, for the time to first
 /// output to count as a sample of the prefill speed. Above it the time mostly measures the queue.
@@ -187,6 +188,7 @@
             started_at: now,
             had_output: false,
             request,
+            model: choice.model,
             calls: self.calls_at(&choice.instance, now).filter(|_| !has_prompt),
             tokens_ahead,
             sample,
@@ -245,7 +247,8 @@
             computed_at: now
                 .after(timing.prefill_time(server.fleet_load.queued_tokens(&timing, now))),
         };
-        server.cached.record(dispatch.version, prompt, capacity);
+        let weights = CachedWeights { model: dispatch.model, version: dispatch.version };
+        server.cached.record(weights, prompt, capacity);
     }
 
     /// Records the end of a request that another router has reported.
@@ -300,14 +303,17 @@
             if outcome == Outcome::Answered {
                 server.record_evidence(now);
             }
+            if let (Outcome::VersionMismatch(version), Some(model)) = (outcome, ticket.model) {
+                server.observed_weights.reject(model, version, now);
+            }
             server.health.record(outcome, now);
         }
     }
 
-    /// Records the version of the weights in an answer of the server.
-    pub fn observe_version(&mut self, instance: &InstanceId, version: u64) {
+    /// Records the version of the weights in an answer of the server to a request for `model`.
+    pub fn observe_version(&mut self, instance: &InstanceId, model: ModelKey, version: u64) {
         if let Some(server) = self.server_mut(instance) {
-            server.observed_version = server.observed_version.max(version);
+            server.observed_weights.observe(model, version);
         }
     }
 
--- a/crates/placement/src/prompt_work.rs
+++ b/crates/placement/src/prompt_work.rs
@@ -4,6 +4,7 @@
 
 use juniper_types::Timestamp;
 
+use crate::cached_segments::CachedWeights;
 use crate::choice::{Reason, ServiceProfile};
 use crate::homes::ChainKeys;
 use crate::lanes::is_long;
@@ -90,10 +91,12 @@
         let home = chain.home(servers.iter().map(|server| server.hash));
         let versions: Vec<u64> = servers.iter().map(|server| server.version_of(model)).collect();
         let cached = tokens_by_server(servers, &versions, chain, |server, version, key| {
-            server.cached.contains(version, key)
+            let weights = CachedWeights { model: server.cache_model(model), version };
+            server.cached.contains(weights, key)
         });
         let ready = tokens_by_server(servers, &versions, chain, |server, version, key| {
-            server.cached.is_computed(version, key, now)
+            let weights = CachedWeights { model: server.cache_model(model), version };
+            server.cached.is_computed(weights, key, now)
         });
         let holders = best_holders(&versions, &ready);
         let is_uncached = cached.iter().all(|tokens| *tokens == 0);
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -14,6 +14,7 @@
 use crate::prompt_work::PromptWork;
 use crate::request::ServerRequest;
 use crate::server::Server;
+use crate::weights::ModelKey;
 
 /// Costs that differ by less than this many milliseconds count as equal.
 const TIE_MARGIN_MS: f64 = 1.0;
@@ -183,6 +184,8 @@
             cached_tokens: tokens.saturating_sub(work.prefill_tokens),
             prefill_tokens: work.prefill_tokens,
             candidates: servers.len(),
+            model: request.prompt.map(|prompt| ModelKey::of(&prompt.model)),
+            cache_model: server.cache_model(model),
             version,
             software: server.instance.report.software.clone(),
             source: source.or(store).filter(|_| work.can_transfer),
@@ -256,7 +259,10 @@
 }
 
 /// Keeps the servers that satisfy `condition`, or all if none does.
-fn prefer_matching(servers: Vec<&Server>, condition: impl Fn(&Server) -> bool) -> Vec<&Server> {
+pub(crate) fn prefer_matching(
+    servers: Vec<&Server>,
+    condition: impl Fn(&Server) -> bool,
+) -> Vec<&Server> {
     let preferred: Vec<&Server> =
         servers.iter().copied().filter(|server| condition(server)).collect();
     if preferred.is_empty() { servers } else { preferred }
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -15,6 +15,7 @@
 use crate::health::Health;
 use crate::load::Load;
 use crate::reachability_reports::UnreachableReports;
+use crate::weights::{ModelKey, ObservedWeights};
 
 /// Time for which this router's own contact with a server outweighs other routers' reports.
 const EVIDENCE_TIME: Duration = Duration::from_secs(1);
@@ -36,8 +37,8 @@
     pub(crate) load: Load,
     /// Requests of all routers to the server.
     pub(crate) fleet_load: FleetLoad,
-    /// Highest version of the weights observed in the server's answers.
-    pub(crate) observed_version: u64,
+    /// What the server's answers have shown of its models' weights.
+    pub(crate) observed_weights: ObservedWeights,
     /// Whether the server accepts no new requests during a rollout of new weights.
     pub(crate) renewing: bool,
     /// Whether the server has requested a backoff, which may have expired.
@@ -53,7 +54,7 @@
     /// Latest rejection of a request while the server was brittle.
     pub(crate) rejection: Option<Rejection>,
     pub(crate) turnover: CacheTurnover,
-    /// Model of the segments in the server's KV cache.
+    /// Expected contents of the server's KV cache.
     pub(crate) cached: CachedSegments,
 }
 
@@ -72,7 +73,7 @@
             last_evidence: None,
             load,
             fleet_load: FleetLoad::default(),
-            observed_version: 0,
+            observed_weights: ObservedWeights::default(),
             renewing: false,
             has_requested_backoff: false,
             is_departing: false,
@@ -132,12 +133,24 @@
 
     /// Version of the model weights on the server; zero if it has none.
     pub(crate) fn version_of(&self, model: &str) -> u64 {
-        self.instance.report.version_of(model).unwrap_or(0).max(self.observed_version)
+        let stated = self.instance.report.version_of(model).unwrap_or(0);
+        stated.max(self.observed_weights.version_of(ModelKey::of(model)))
+    }
+
+    /// Whether the server states that it has the model.
+    pub(crate) fn lists_model(&self, model: &str) -> bool {
+        self.instance.report.version_of(model).is_some()
+    }
+
+    /// Model to which cached segments belong; `None` if the server has only one.
+    pub(crate) fn cache_model(&self, model: &str) -> Option<ModelKey> {
+        let has_several = self.instance.report.models.len() > 1;
+        has_several.then(|| ModelKey::of(model))
     }
 }
 
 /// FNV-1a hash: all routers have to compute the same value, whatever their build.
-fn fnv1a(text: &str) -> u64 {
+pub(crate) fn fnv1a(text: &str) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
     text.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use juniper_placement::{
-    ChoiceError, DispatchRecord, Outcome, Placement, Prompt, PromptSegment, Reason, ServerRequest,
-    ServiceProfile,
+    ChoiceError, DispatchRecord, ModelKey, Outcome, Placement, Prompt, PromptSegment, Reason,
+    ServerRequest, ServiceProfile,
 };
 use juniper_registry::InstanceId;
 
@@ -164,7 +164,7 @@
 fn segments_of_other_weights_are_neither_cached_nor_fetched() {
     let mut placement = placement(4);
     let first = send(&mut placement, &prompt(1, 1), 0);
-    placement.observe_version(&first.instance, 2);
+    placement.observe_version(&first.instance, ModelKey::of("m"), 2);
     let second = choose(&mut placement, &prompt(1, 2), 1_000);
     assert_eq!((second.cached_tokens, second.source), (0, None));
 }
@@ -176,7 +176,7 @@
     let strict = ServerRequest { min_version: 2, ..request(&prompt, &[]) };
     assert_eq!(placement.choose(&strict, at(0), 0), Err(ChoiceError::OutdatedWeights));
     let id = InstanceId::new("i-2");
-    placement.observe_version(&id, 2);
+    placement.observe_version(&id, ModelKey::of("m"), 2);
     assert_eq!(placement.choose(&strict, at(0), 0).map(|choice| choice.instance), Ok(id));
 }
 
@@ -240,7 +240,7 @@
     placement.end_request(ticket, Outcome::VersionMismatch(choice.version), at(0));
     let meanwhile = choose(&mut placement, &prompt(1, 1), 900);
     assert_ne!(meanwhile.instance, choice.instance);
-    placement.observe_version(&choice.instance, choice.version + 1);
+    placement.observe_version(&choice.instance, ModelKey::of("m"), choice.version + 1);
     // Other weights invalidate the segments, so only whether the server is used is checked.
     let used = (0..40).any(|shared| {
         choose(&mut placement, &prompt(shared + 10, 1), 900).instance == choice.instance
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -46,6 +46,11 @@
     #[n(7)]
     #[cbor(default)]
     pub request_number: u16,
+    /// Key of the prompt's model; absent if the server has only one, or from a peer of an earlier
+    /// version.
+    #[n(8)]
+    #[cbor(default)]
+    pub model: Option<u32>,
 }
 
 /// Report whether a router can open connections to a server.
--- a/crates/protocol/tests/sizes.rs
+++ b/crates/protocol/tests/sizes.rs
@@ -35,6 +35,7 @@
         segment_tokens: vec![9_000; 2],
         unshared_tokens: 2_000,
         request_number: u16::MAX,
+        model: None,
     };
     let with_reports = |dispatches| {
         wire_bytes(&Message::RouterUpdate(RouterUpdate { dispatches, ..RouterUpdate::default() }))
