Renewal: orders and trials belong to a server and a model

An order counted as in flight by its version alone. The bound of a third of the servers counted each model as a server.

--- a/crates/renewal/src/load_trials.rs
+++ b/crates/renewal/src/load_trials.rs
@@ -58,8 +58,8 @@
         }
         let trials = &mut self.trials;
         self.in_flight.retain(|instance, order| {
-            let known = servers.iter().find(|server| server.instance == *instance);
-            if known.is_none()
+            let mut models = servers.iter().filter(|server| server.instance == *instance).peekable();
+            if models.peek().is_none()
                 && let Some(trial) = trials.get_mut(&(order.model.clone(), order.version))
                 && !trial.has_loaded
             {
@@ -72,6 +72,7 @@
                     trial.crashes
                 );
             }
+            let known = models.find(|server| server.model == order.model);
             known.is_some_and(|known| known.version < order.version) && now < order.retry_at
         });
     }
--- a/crates/renewal/src/order_dispatcher.rs
+++ b/crates/renewal/src/order_dispatcher.rs
@@ -251,10 +251,12 @@
             }
             OrderResult::Fenced => self.held = None,
             OrderResult::Retry => {
-                self.plan.postpone(&order.instance, order.version, ORDER_RETRY_DELAY, now);
+                let weights = (order.model.as_str(), order.version);
+                self.plan.postpone(&order.instance, weights, ORDER_RETRY_DELAY, now);
             }
             OrderResult::RetryAfter(backoff) => {
-                self.plan.postpone(&order.instance, order.version, backoff, now);
+                let weights = (order.model.as_str(), order.version);
+                self.plan.postpone(&order.instance, weights, backoff, now);
             }
             OrderResult::Departing => {
                 log::info!("event=server_leaving_heard request=- instance={}", order.instance);
--- a/crates/renewal/src/plan.rs
+++ b/crates/renewal/src/plan.rs
@@ -4,7 +4,7 @@
 //! nothing while it loads new weights. Orders are therefore spaced evenly over the remaining time,
 //! the most overdue server comes first, and it is ordered to load the newest version directly.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use juniper_feed::WantedWeights;
@@ -29,7 +29,7 @@
 /// Longest delay of orders that is caught up.
 const MAX_CATCH_UP: Duration = Duration::from_millis(250);
 
-/// Server of a model.
+/// Model on a server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RenewalServer {
     /// Incarnation of the server.
@@ -49,8 +49,10 @@
     wanted: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
+/// Latest order to a server, which executes one at a time.
+#[derive(Clone, Debug)]
 struct SentOrder {
+    model: String,
     version: u64,
     /// When another order may be sent.
     retry_at: Timestamp,
@@ -76,7 +78,8 @@
         RenewalPlan { settings, ordered, load_trials, next_order_at, interval }
     }
 
-    /// Returns the server to order next and the version to load, if an order is due now.
+    /// Returns the server to order next and the version to load, if an order is due now. `servers`
+    /// lists the models of a server one after the other.
     pub fn next(
         &mut self,
         servers: &[RenewalServer],
@@ -98,37 +101,53 @@
             (one.overdue_since, &one.server.instance)
                 .cmp(&(other.overdue_since, &other.server.instance))
         });
-        let total = outdated.len();
-        outdated.retain(|outdated| !self.is_in_flight(outdated.server, now));
-        let in_flight = total - outdated.len();
+        // A server that loads weights of one model takes no order for another.
+        let servers_outdated = outdated.iter().map(|outdated| outdated.server);
+        let busy: BTreeSet<InstanceId> = servers_outdated
+            .filter(|server| self.is_in_flight(server, now))
+            .map(|server| server.instance.clone())
+            .collect();
+        outdated.retain(|outdated| !busy.contains(&outdated.server.instance));
         let first = outdated.first()?;
         let remaining = self.settings.deadline.saturating_sub(now.since(first.overdue_since));
         self.interval = remaining / u32::try_from(outdated.len() + 1).unwrap_or(u32::MAX);
-        let max_in_flight = (servers.len() as f64 * MAX_IN_FLIGHT_FRACTION).ceil() as usize;
-        let has_room = in_flight < max_in_flight;
+        // The models of a server follow each other.
+        let instances = servers.chunk_by(|one, next| one.instance == next.instance).count();
+        let max_in_flight = (instances as f64 * MAX_IN_FLIGHT_FRACTION).ceil() as usize;
+        let has_room = busy.len() < max_in_flight;
         let trials_allow = self.load_trials.may_order(&first.server.model, first.wanted, now);
         let is_due = now >= self.next_order_at && has_room && trials_allow;
         is_due.then(|| (first.server.clone(), first.wanted))
     }
 
     fn is_in_flight(&self, server: &RenewalServer, now: Timestamp) -> bool {
-        self.ordered
-            .get(&server.instance)
-            .is_some_and(|ordered| ordered.version > server.version && now < ordered.retry_at)
+        self.ordered.get(&server.instance).is_some_and(|ordered| {
+            ordered.model == server.model
+                && ordered.version > server.version
+                && now < ordered.retry_at
+        })
     }
 
     /// Records an order that is sent to a server.
     pub fn record_order(&mut self, server: &RenewalServer, version: u64, now: Timestamp) {
         let retry_at = now.after(self.settings.retry_after);
         self.load_trials.record_order(server, version, retry_at);
-        self.ordered.insert(server.instance.clone(), SentOrder { version, retry_at });
+        let model = server.model.clone();
+        self.ordered.insert(server.instance.clone(), SentOrder { model, version, retry_at });
         // Orders delayed by the polling interval are caught up, longer delays aren't.
         self.next_order_at = self.next_order_at.max(now.before(MAX_CATCH_UP)).after(self.interval);
     }
 
-    /// Postpones the next order to a server by the given time.
-    pub fn postpone(&mut self, instance: &InstanceId, version: u64, by: Duration, now: Timestamp) {
-        let retry_at = now.after(by);
-        self.ordered.insert(instance.clone(), SentOrder { version, retry_at });
+    /// Postpones the next order to a server by the given time, after one for `version` of the model
+    /// that had no effect.
+    pub fn postpone(
+        &mut self,
+        instance: &InstanceId,
+        (model, version): (&str, u64),
+        by: Duration,
+        now: Timestamp,
+    ) {
+        let order = SentOrder { model: model.to_owned(), version, retry_at: now.after(by) };
+        self.ordered.insert(instance.clone(), order);
     }
 }
--- a/crates/renewal/tests/plan.rs
+++ b/crates/renewal/tests/plan.rs
@@ -105,7 +105,7 @@
     plan.record_order(&servers[0], 2, at(0));
     assert_eq!(plan.next(&servers, &wanted, at(3_000)), None);
     assert!(plan.next(&servers, &wanted, at(4_500)).is_some());
-    plan.postpone(&id, 2, Duration::from_millis(300), at(4_500));
+    plan.postpone(&id, ("m", 2), Duration::from_millis(300), at(4_500));
     assert_eq!(plan.next(&servers, &wanted, at(4_700)), None);
     assert!(plan.next(&servers, &wanted, at(4_900)).is_some());
 }
