Streams resumed without a name go on only if no other version can have begun them (ORDER)

What callers saw (report of a system like ours): streams taken up again after all routers had been killed were answered 200 and joined from two versions of the servers' software.

Cause: a resume that names no request goes on if one version has served within the route's timeout. A router knew this from its own start on only, and took a version that had left before for one that never was.

Change: routers and replicas keep since when they know all versions that have served. A router that is younger than the window asks the replicas, which state the versions, how long each has been gone and for how long they have known all; together they must name one version, and one of them must cover the window. A replica that has restarted or lost its quorum covers nothing for a while; nothing has served before the first configuration. So restarted routers go on serving such resumes while a replica has stayed up.

The statement of a replica: daemons::served_versions.

Left: after a loss of all routers and replicas such resumes are refused for the route's timeout and 4 s; before they went on, joined or not.

--- a/crates/control/src/fleet_publisher.rs
+++ b/crates/control/src/fleet_publisher.rs
@@ -6,11 +6,14 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use juniper_clock::BootInstant;
 use juniper_protocol::message::encode;
 use juniper_protocol::{Message, Push};
 use juniper_registry::{
     Instance, InstanceChanges, InstanceMap, InstanceName, InstanceReport, ObservedInstance,
 };
+use juniper_stream_origins::{ServedVersions, SoftwareHistory};
+use juniper_types::Timestamp;
 use tokio::sync::watch;
 
 use crate::instances::InstancePublisher;
@@ -96,9 +99,22 @@
     pub fleet: Arc<FleetPublisher>,
 }
 
+/// Contact of this replica with a quorum.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuorumContact {
+    /// A quorum has not confirmed this replica's state for a while.
+    Lost,
+    /// A quorum has confirmed that no configuration was accepted yet.
+    BeforeCatalog,
+    /// A quorum has confirmed this replica's state recently.
+    Held,
+}
+
 /// Servers and rollout state of the whole fleet, published to subscribers.
 pub struct FleetPublisher {
+    started: BootInstant,
     servers: Mutex<FleetLog>,
+    software_history: Mutex<SoftwareHistory>,
     renewals: Mutex<RenewalLog>,
     /// Latest published revisions of the servers and of the rollout state.
     published: watch::Sender<(u64, u64)>,
@@ -107,7 +123,9 @@
 impl Default for FleetPublisher {
     fn default() -> Self {
         FleetPublisher {
+            started: BootInstant::now(),
             servers: Mutex::default(),
+            software_history: Mutex::default(),
             renewals: Mutex::default(),
             published: watch::Sender::new((0, 0)),
         }
@@ -117,6 +135,7 @@
 impl FleetPublisher {
     /// Publishes the latest state.
     pub fn publish(&self, servers: &InstanceMap, renewals: Renewals) {
+        self.software_history().update(servers, self.now());
         let servers = self.servers().publish(servers);
         let renewals = {
             let mut log = self.renewals();
@@ -133,6 +152,29 @@
         self.servers().latest.get(name).map(|server| KnownIncarnation::of(&server.report))
     }
 
+    /// Software versions that have served a service.
+    pub fn served_versions(&self, service: &str) -> ServedVersions {
+        self.software_history().served(service, self.now())
+    }
+
+    /// Updates how far the history of software versions is complete. A replica without a quorum may
+    /// miss servers that report to others.
+    pub fn follow_contact(&self, contact: QuorumContact) {
+        match contact {
+            QuorumContact::Lost => self.software_history().interrupt(self.now()),
+            QuorumContact::BeforeCatalog => self.software_history().mark_founded(),
+            QuorumContact::Held => {}
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ZERO.after(self.started.elapsed())
+    }
+
+    fn software_history(&self) -> MutexGuard<'_, SoftwareHistory> {
+        self.software_history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the log of server changes.
     pub fn servers(&self) -> MutexGuard<'_, FleetLog> {
         self.servers.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/control/src/internal/calls.rs
+++ b/crates/control/src/internal/calls.rs
@@ -50,6 +50,9 @@
         Request::FindStreamOrigin { stream } if peer.identity.role == PeerRole::Router => {
             Reply::StreamOrigin(api.relay.find_origin(&stream))
         }
+        Request::FindServedVersions { service } if peer.identity.role == PeerRole::Router => {
+            Reply::ServedVersions(api.fleet_publisher.served_versions(&service))
+        }
         Request::Catalog { above } => follower::catalog_reply(api, above),
         Request::Confirm => follower::confirmation_reply(api),
         Request::Follow
@@ -61,6 +64,7 @@
         | Request::Quarantine(_)
         | Request::Release(_)
         | Request::FindStreamOrigin { .. }
+        | Request::FindServedVersions { .. }
         | Request::Lookup { .. }
         | Request::Share { .. }
         | Request::OpenTunnel { .. }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod operator;
 pub mod peers;
 pub mod published_settings;
+mod quorum_contact;
 pub mod relay;
 pub mod renewal_log;
 pub mod replica;
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -13,6 +13,7 @@
 
 use crate::error::ControlError;
 use crate::fleet_calls::FleetCalls;
+use crate::fleet_publisher::FleetPublisher;
 use crate::fleet_publisher::ServerPublishers;
 use crate::instances::InstancePublisher;
 use crate::internal::InternalApi;
@@ -20,6 +21,7 @@
 use crate::node_reports::NodeReports;
 use crate::operator::{OperatorApi, routes};
 use crate::peers::PeerLinks;
+use crate::quorum_contact::follow_quorum_contact;
 use crate::relay::UpdateRelay;
 use crate::replica::{self, ReplicaFailure, ReplicaParts, ReplicaView, RunningReplica};
 use crate::replica_group::ReplicaGroup;
@@ -58,6 +60,7 @@
 /// Background tasks of the daemon.
 struct BackgroundTasks {
     instance_publisher: Arc<InstancePublisher>,
+    fleet_publisher: Arc<FleetPublisher>,
     relay: Arc<UpdateRelay>,
     peers: Arc<PeerLinks>,
     view: ReplicaView,
@@ -69,6 +72,7 @@
             self.instance_publisher.run_expiry(),
             self.instance_publisher.run_publishing(),
             self.relay.run(&self.peers, &self.view),
+            follow_quorum_contact(&self.fleet_publisher, &self.view),
             log_suspensions()
         );
     }
@@ -107,6 +111,7 @@
         let group = ReplicaGroup::new(handle.clone(), Arc::clone(&peers));
         let publishers = ServerPublishers::default();
         let instance_publisher = Arc::clone(&publishers.observed);
+        let fleet_publisher = Arc::clone(&publishers.fleet);
         let replicas = (handle, group.clone());
         let fleet =
             FleetCalls::new(group.clone(), publishers.clone(), view.clone(), Arc::clone(&metrics));
@@ -122,7 +127,8 @@
         let shared = (reports, publishers, Arc::clone(&relay), metrics);
         let internal = InternalApi::new(own, key, replicas, view.clone(), shared, &settings.limits);
         let internal = Arc::new(internal);
-        let background = BackgroundTasks { instance_publisher, relay, peers, view };
+        let background =
+            BackgroundTasks { instance_publisher, fleet_publisher, relay, peers, view };
         Ok(ControlDaemon { replica, internal, operator, listeners, fleet, background })
     }
 
--- a/crates/control/tests/daemons/main.rs
+++ b/crates/control/tests/daemons/main.rs
@@ -8,6 +8,7 @@
 mod one_replica;
 mod relay;
 mod seeded;
+mod served_versions;
 mod snapshots;
 mod stalled_disk;
 mod stream_records;
--- a/crates/control/tests/daemons/seeded.rs
+++ b/crates/control/tests/daemons/seeded.rs
@@ -18,7 +18,7 @@
 /// Replica of a seeded cluster.
 pub(crate) struct Seeded {
     pub(crate) settings: ControlSettings,
-    calls: FleetCalls,
+    pub(crate) calls: FleetCalls,
     stop: oneshot::Sender<()>,
     task: JoinHandle<()>,
 }
@@ -52,7 +52,7 @@
     }
 
     /// Stops the replica and releases its sockets and folder.
-    async fn stop(self) -> ControlSettings {
+    pub(crate) async fn stop(self) -> ControlSettings {
         let _ = self.stop.send(());
         self.task.await.expect("no panic");
         self.settings
@@ -109,7 +109,7 @@
     Catalog { version, limits: RequestLimits::default(), ..Catalog::default() }
 }
 
-async fn put_catalog(replica: &Seeded, version: u64) {
+pub(crate) async fn put_catalog(replica: &Seeded, version: u64) {
     let text = version.to_string().into_bytes();
     let result = replica.calls.put_catalog(&catalog(version), text).await;
     result.expect("commit the configuration");
@@ -129,7 +129,7 @@
 }
 
 /// Opens the sockets of a stopped replica again.
-async fn reopen_listeners(settings: &ControlSettings) -> Listeners {
+pub(crate) async fn reopen_listeners(settings: &ControlSettings) -> Listeners {
     let started = Instant::now();
     loop {
         match Listeners::open(settings).await {
--- a/crates/feed/src/link.rs
+++ b/crates/feed/src/link.rs
@@ -11,7 +11,7 @@
     BuildLevel, ClusterKey, Connection, FrameError, FrameReader, FrameWriter, Message,
     PeerIdentity, Push, Reply, Request, connect,
 };
-use juniper_types::{NodeId, RequestFingerprint, StreamKey};
+use juniper_types::{NodeId, RequestFingerprint};
 use kameo::actor::ActorRef;
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
@@ -23,7 +23,7 @@
 use crate::follow::FollowScope;
 use crate::link_error::LinkError;
 use crate::links::UNCONFIRMED_AFTER;
-use crate::stream_origins::{OriginSender, pass_on};
+use crate::lookup::Lookup;
 
 /// Timeout for connecting, handshake included.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -88,8 +88,8 @@
     Quarantine(QuarantineRequest),
     /// Record the release of a request from quarantine.
     Release(RequestFingerprint),
-    /// Find where a stream began.
-    FindStreamOrigin { stream: StreamKey, answer: OriginSender },
+    /// Look something up.
+    LookUp(Lookup),
 }
 
 /// Keeps the replica followed until the feed stops.
@@ -167,7 +167,7 @@
     /// Charges without a reply, by call id.
     pending_charges: HashMap<u64, ChargeSender>,
     /// Lookups of stream origins without a reply, by call id.
-    pending_lookups: HashMap<u64, OriginSender>,
+    pending_lookups: HashMap<u64, Lookup>,
     /// Whether the replica pushes the servers that all replicas know, rather than those that it
     /// observed itself.
     is_fleet_wide: bool,
@@ -250,13 +250,13 @@
             LinkCommand::Quarantine(request) => {
                 self.call(Request::Quarantine(request)).await.map(|_| ())
             }
-            LinkCommand::FindStreamOrigin { stream, answer } => {
+            LinkCommand::LookUp(lookup) => {
                 if self.level < BuildLevel::FOLLOWS_FLEET {
                     return Ok(());
                 }
-                self.pending_lookups.retain(|_, waiting| !waiting.is_closed());
-                let call = self.call(Request::FindStreamOrigin { stream }).await?;
-                self.pending_lookups.insert(call, answer);
+                self.pending_lookups.retain(|_, waiting| !waiting.is_abandoned());
+                let call = self.call(lookup.request()).await?;
+                self.pending_lookups.insert(call, lookup);
                 Ok(())
             }
             LinkCommand::Release(request) => self.call(Request::Release(request)).await.map(|_| ()),
@@ -293,8 +293,8 @@
                     let _ = answer.send(charge_result(reply));
                     return None;
                 }
-                if let Some(answer) = self.pending_lookups.remove(&call) {
-                    pass_on(reply, &answer);
+                if let Some(lookup) = self.pending_lookups.remove(&call) {
+                    lookup.pass_on(reply);
                     return None;
                 }
                 let sent_at = self.take_confirmation(call)?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -238,6 +238,7 @@
                     self.retry_budget().record_running(self.now_with_suspensions());
                     let own_hash = self.feed.identity().node.0;
                     self.placement().set_routers(self.feed.router_count(), own_hash);
+                    self.follow_contact();
                 }
                 _ = sweep.tick() => {
                     self.sweep();
@@ -265,6 +266,18 @@
         self.applied_views.send_modify(|count| *count += 1);
     }
 
+    /// Updates how far the history of software versions is complete. Servers may come and go unnoticed
+    /// while this router has no current replica; none has served before the first configuration.
+    fn follow_contact(&self) {
+        let age = self.feed.confirmation_age();
+        let is_current = age.is_some_and(|age| age < self.settings.rejection_age_limit());
+        if !is_current {
+            lock(&self.software_history).interrupt(self.now_with_suspensions());
+        } else if self.feed.latest().catalog_version() == 0 {
+            lock(&self.software_history).mark_founded();
+        }
+    }
+
     fn set_tight_services(&self, catalog: &Catalog) {
         let tight = catalog.services.iter().filter(|service| catalog.is_tight(service));
         let tight: Vec<&str> = tight.map(|service| service.name.as_str()).collect();
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -4,7 +4,8 @@
 //! The router that passes on the first event of an answer records the version under the caller's id
 //! of the request, and tells the replicas before it sends the event. A caller that resumes the stream
 //! names that id; the router that it asks looks the record up. Without a record nothing is resumed,
-//! unless the caller names no id and only one version can have begun the stream.
+//! unless the caller names no id and only one version can have begun the stream. What has served before
+//! a router started it asks the replicas.
 
 use std::sync::Mutex;
 use std::time::Duration;
@@ -14,7 +15,9 @@
 use juniper_feed::OriginLookup;
 use juniper_protocol::message::RouterUpdate;
 use juniper_registry::SoftwareVersion;
-use juniper_stream_origins::{OriginTable, StreamOrigin, StreamRecord};
+use juniper_stream_origins::{
+    OriginTable, ServedVersions, StreamOrigin, StreamRecord, sole_version,
+};
 use juniper_types::StreamKey;
 
 use crate::call::Call;
@@ -25,6 +28,9 @@
 /// Maximum number of records in one update to the replicas.
 const MAX_PUBLISHED_RECORDS: usize = 256;
 
+/// Time for which a router may go on using a server that has left the list.
+const LIST_LAG: Duration = Duration::from_secs(1);
+
 /// Why a stream can't be resumed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ResumeRefusal {
@@ -136,7 +142,7 @@
         info: &CallInfo,
     ) -> Result<(StreamOrigin, OriginSource), ResumeRefusal> {
         let Some(attempt) = &info.resumed_attempt else {
-            let sole = self.sole_origin(route).ok_or(ResumeRefusal::NoRecord)?;
+            let sole = self.sole_origin(route).await.ok_or(ResumeRefusal::NoRecord)?;
             return Ok((sole, OriginSource::SoleVersion));
         };
         let stream = self.stream_key(tenant.map(|tenant| tenant.name.as_str()), attempt.as_bytes());
@@ -151,17 +157,40 @@
         }
     }
 
-    /// Origin of any stream that a caller of the route may resume: its only service, if all servers
-    /// that this router has known for as long as the stream can have lasted ran one software version.
-    fn sole_origin(&self, route: &Route) -> Option<StreamOrigin> {
+    /// Origin of any stream that a caller of the route may resume: its only service, if all its
+    /// servers ran one software version for as long as the stream can have lasted.
+    async fn sole_origin(&self, route: &Route) -> Option<StreamOrigin> {
         let age = self.feed.confirmation_age()?;
+        if age >= self.settings.rejection_age_limit() {
+            return None;
+        }
         let mut parts = route.split.iter().filter(|part| part.weight > 0);
         let part = parts.next().filter(|_| parts.next().is_none())?;
-        let window = Duration::from_millis(route.timeout_ms);
-        let history = lock(&self.software_history);
-        let software = history.sole_version(&part.service, window, self.now_with_suspensions())?;
-        let origin = StreamOrigin { service: part.service.clone(), software: software.clone() };
-        Some(origin).filter(|_| age < self.settings.rejection_age_limit())
+        let window = Duration::from_millis(route.timeout_ms) + LIST_LAG;
+        let statements = self.served_versions(&part.service, window).await;
+        let software = sole_version(&statements, window)?;
+        Some(StreamOrigin { service: part.service.clone(), software })
+    }
+
+    /// Software versions that have served a service. A router that has just started doesn't know those
+    /// that have gone, and asks the replicas, which may have run for longer.
+    async fn served_versions(&self, service: &str, window: Duration) -> Vec<ServedVersions> {
+        let own = lock(&self.software_history).served(service, self.now_with_suspensions());
+        if own.covers(window) {
+            return vec![own];
+        }
+        let mut statements = self.feed.find_served_versions(service).await;
+        log::info!(
+            "event=served_versions_asked service={service} window_ms={} own_known_ms={} \
+             replicas_known_ms={:?} versions={}",
+            window.as_millis(),
+            own.known_ms,
+            statements.iter().map(|statement| statement.known_ms).collect::<Vec<_>>(),
+            statements.iter().map(|statement| statement.versions.len()).max().unwrap_or(0)
+        );
+        // Servers may have registered in the meantime.
+        statements.push(lock(&self.software_history).served(service, self.now_with_suspensions()));
+        statements
     }
 
     /// Tells a replica of all streams that this router began, since it may have restarted.
--- a/crates/gateway/tests/paths/software_versions.rs
+++ b/crates/gateway/tests/paths/software_versions.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use juniper_registry::SoftwareVersion;
+use juniper_stream_origins::{ServedVersion, ServedVersions};
+
 use crate::limits::get_limited;
 use crate::support::caller::{Answer, ask, get, request_head};
 use crate::support::control::ChargeHandling;
@@ -147,6 +150,58 @@
     assert_eq!((answer.status, answer.header("retry-after")), (503, None), "{answer:?}");
 }
 
+fn served(known_ms: u64, versions: &[(&str, Option<u64>)]) -> ServedVersions {
+    let version = |(software, gone_ms): &(&str, Option<u64>)| ServedVersion {
+        software: SoftwareVersion::new(software),
+        gone_ms: *gone_ms,
+    };
+    ServedVersions { known_ms, versions: versions.iter().map(version).collect() }
+}
+
+// Guards against streams joined from two versions at a router that has just started: the version that
+// began them has left before.
+#[tokio::test]
+async fn a_caller_resumes_an_unnamed_stream_of_a_version_that_left_before_the_router_started() {
+    let (one, other) = (breaking_server("a", "v1").await, breaking_server("b", "v2").await);
+    let first = TestGateway::start(&[&one]).await;
+    assert!(get(first.callers, "/resumable/x", "r1").await.body.contains("d1"));
+    // The route's timeout is 3 s.
+    let statements = [
+        // The replicas have run for long and know of the version that has left.
+        served(60_000, &[("v1", Some(500)), ("v2", None)]),
+        served(60_000, &[("v1", Some(3_500)), ("v2", None)]),
+        // They have restarted, too, and know nothing of the time before.
+        served(0, &[("v2", None)]),
+        served(2_900, &[("v2", None)]),
+        // A server of unknown version has served.
+        served(60_000, &[("", Some(500)), ("v2", None)]),
+    ];
+    for statement in statements {
+        let second = TestGateway::start(&[&other]).await;
+        second.control.set_served(statement.clone());
+        let answer = resume_unnamed(&second, "s1").await;
+        assert_eq!((answer.status, answer.header("retry-after")), (503, None), "{statement:?}");
+        assert_eq!(other.requests().len(), 0);
+    }
+}
+
+// Guards against a router that refuses more than it has to after its start.
+#[tokio::test]
+async fn an_unnamed_stream_goes_on_at_a_router_that_has_just_started() {
+    let server = breaking_server("a", "v1").await;
+    let statements = [
+        served(60_000, &[("v1", None)]),
+        served(4_100, &[("v1", None)]),
+        served(60_000, &[("v1", None), ("v0", Some(4_100))]),
+    ];
+    for statement in statements {
+        let gateway = TestGateway::start(&[&server]).await;
+        gateway.control.set_served(statement.clone());
+        let answer = resume_unnamed(&gateway, "s1").await;
+        assert!(answer.complete && answer.body.contains("d2"), "{statement:?}: {answer:?}");
+    }
+}
+
 /// Time after which the list of servers changes, and for which a stream goes on at its end.
 const LIST_DELAY: Duration = Duration::from_millis(200);
 
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -15,7 +15,7 @@
     ClusterKey, Connection, Message, PeerRole, Push, Refusal, Reply, Request, accept,
 };
 use juniper_registry::{InstanceName, InstanceReport, ObservedInstance};
-use juniper_stream_origins::{StreamOrigin, StreamRecord};
+use juniper_stream_origins::{ServedVersion, ServedVersions, StreamOrigin, StreamRecord};
 use juniper_types::{NodeId, StreamKey, ZoneName};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{broadcast, mpsc};
@@ -47,6 +47,8 @@
     published: Mutex<Vec<RouterUpdate>>,
     /// Origins of streams, published by the gateway or added.
     stream_records: Mutex<Vec<StreamRecord>>,
+    /// What the replica states of the versions that have served; the present ones if not set.
+    served: Mutex<Option<ServedVersions>>,
     /// Quarantine requests of the gateway.
     quarantined: Mutex<Vec<QuarantineRequest>>,
     /// Rollout state, to be sent to the gateway.
@@ -92,6 +94,7 @@
             server_changes: broadcast::Sender::new(4),
             published: Mutex::default(),
             stream_records: Mutex::default(),
+            served: Mutex::default(),
             quarantined: Mutex::default(),
             renewals: broadcast::Sender::new(4),
             peer_updates: broadcast::Sender::new(256),
@@ -143,6 +146,11 @@
     }
 
     /// Adds a server to the list and publishes it.
+    /// States this of the versions that have served from now on.
+    pub fn set_served(&self, served: ServedVersions) {
+        *self.state.served.lock().expect("no panic") = Some(served);
+    }
+
     pub fn push_renewals(&self, update: RenewalUpdate) {
         let _ = self.state.renewals.send(update);
     }
@@ -254,6 +262,18 @@
         origins.all(|origin| origin == first).then(|| first.clone())
     }
 
+    /// Versions of the present servers, as known to a replica that has run for long.
+    fn served_versions(&self) -> ServedVersions {
+        let set = self.served.lock().expect("no panic").clone();
+        let reports = self.reports.lock().expect("no panic");
+        let version = |report: &InstanceReport| ServedVersion {
+            software: report.software.clone(),
+            gone_ms: None,
+        };
+        let versions = reports.iter().map(version).collect();
+        set.unwrap_or(ServedVersions { known_ms: 120_000, versions })
+    }
+
     /// Delays the answer to a charge if charges are admitted late.
     async fn delay_charge(&self, request: &Request) {
         let is_late =
@@ -333,6 +353,9 @@
         Request::FindStreamOrigin { stream } => {
             vec![reply(Reply::StreamOrigin(state.origin_of(stream)))]
         }
+        Request::FindServedVersions { .. } => {
+            vec![reply(Reply::ServedVersions(state.served_versions()))]
+        }
         Request::Quarantine(call) => {
             state.quarantined.lock().expect("no panic").push(call.clone());
             vec![reply(Reply::Done)]
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -5,7 +5,7 @@
 use juniper_prefix_index::coarse::{CheckpointHolders, KeyList};
 use juniper_registry::{InstanceName, StartTime};
 use juniper_sharing::ShareMessage;
-use juniper_stream_origins::StreamOrigin;
+use juniper_stream_origins::{ServedVersions, StreamOrigin};
 use juniper_types::{
     BlockHash, ClaimAnswer, ClaimKey, ClaimOutcome, EngineId, Incarnation, NodeId,
     RequestFingerprint, Revision, StreamKey, TenantName, ZoneName,
@@ -275,6 +275,14 @@
         #[n(0)]
         stream: StreamKey,
     },
+    /// Router to control: which software versions have served a service. The reply is
+    /// [`Reply::ServedVersions`].
+    #[n(21)]
+    FindServedVersions {
+        /// Name of the service.
+        #[n(0)]
+        service: String,
+    },
 }
 
 /// Answers to [`Request`]s.
@@ -357,6 +365,9 @@
     /// Origin of a stream; `None` if the replica has no record of it.
     #[n(13)]
     StreamOrigin(#[n(0)] Option<StreamOrigin>),
+    /// Software versions that have served the service, as known to the replica.
+    #[n(14)]
+    ServedVersions(#[n(0)] ServedVersions),
     /// Cache updates were applied.
     #[n(8)]
     Shared {
--- a/crates/stream-origins/src/lib.rs
+++ b/crates/stream-origins/src/lib.rs
@@ -7,14 +7,18 @@
 //! prevent a resume, never misdirect one. Two records of one stream that disagree cancel each other.
 //!
 //! A caller may resume a stream without naming that id. Then only a service whose servers have all run
-//! one version as far as the router knows can have begun it ([`SoftwareHistory`]).
+//! one version for as long as the stream can have lasted can have begun it. Routers and replicas keep
+//! the versions that they have known ([`SoftwareHistory`]), and since when they have known all of them:
+//! one that has just started can't rule out that another version has gone ([`sole_version`]).
 //!
 //! Nothing in this crate performs I/O or reads a clock.
 
 mod history;
 mod origin;
+mod served;
 mod table;
 
 pub use history::SoftwareHistory;
 pub use origin::{StreamOrigin, StreamRecord};
+pub use served::{ServedVersion, ServedVersions, sole_version};
 pub use table::{OriginTable, RecordOutcome};
