Replicas remember over restarts which software versions have served

A replica writes its history of versions to a file in its data folder when a version comes or goes, and restores it at a start. A version that served then counts as served until all servers have reported again; 5 s less than the wall clock says count as elapsed. A file that can't be replaced is removed. A cluster that is being founded has served nothing before, whether or not a replica has seen it without a configuration.

--- a/crates/control/src/fleet_publisher.rs
+++ b/crates/control/src/fleet_publisher.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use juniper_clock::BootInstant;
 use juniper_protocol::message::encode;
@@ -12,7 +13,7 @@
 use juniper_registry::{
     Instance, InstanceChanges, InstanceMap, InstanceName, InstanceReport, ObservedInstance,
 };
-use juniper_stream_origins::{ServedVersions, SoftwareHistory};
+use juniper_stream_origins::{HistorySnapshot, ServedVersions, SoftwareHistory};
 use juniper_types::Timestamp;
 use tokio::sync::watch;
 
@@ -104,10 +105,12 @@
 pub enum QuorumContact {
     /// A quorum has not confirmed this replica's state for a while.
     Lost,
-    /// A quorum has confirmed that no configuration was accepted yet.
+    /// No configuration was accepted yet, as a quorum has confirmed or the founding of the cluster shows.
     BeforeCatalog,
     /// A quorum has confirmed this replica's state recently.
     Held,
+    /// This replica has started recently and was not confirmed yet.
+    Awaited,
 }
 
 /// Servers and rollout state of the whole fleet, published to subscribers.
@@ -160,13 +163,26 @@
     /// Updates how far the history of software versions is complete. A replica without a quorum may
     /// miss servers that report to others.
     pub fn follow_contact(&self, contact: QuorumContact) {
+        let mut history = self.software_history();
         match contact {
-            QuorumContact::Lost => self.software_history().interrupt(self.now()),
-            QuorumContact::BeforeCatalog => self.software_history().mark_founded(),
-            QuorumContact::Held => {}
+            QuorumContact::Lost => history.interrupt(),
+            QuorumContact::BeforeCatalog => history.mark_founded(),
+            QuorumContact::Held => history.resume(self.now()),
+            QuorumContact::Awaited => {}
         }
     }
 
+    /// Number of changes of the history of software versions, and its current state.
+    pub fn history_snapshot(&self) -> (u64, HistorySnapshot) {
+        let history = self.software_history();
+        (history.change_count(), history.snapshot(self.now()))
+    }
+
+    /// Restores the history of software versions as it was `elapsed` ago.
+    pub fn restore_history(&self, snapshot: &HistorySnapshot, elapsed: Duration) {
+        self.software_history().restore(snapshot, elapsed, self.now());
+    }
+
     fn now(&self) -> Timestamp {
         Timestamp::ZERO.after(self.started.elapsed())
     }
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -6,7 +6,7 @@
 
 use juniper_clock::log_suspensions;
 use juniper_protocol::{ClusterKey, PeerIdentity, PeerRole};
-use juniper_settings::ControlSettings;
+use juniper_settings::{ControlSettings, PeerDiscovery};
 use juniper_storage::{Disk, Folder};
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
@@ -15,13 +15,14 @@
 use crate::fleet_calls::FleetCalls;
 use crate::fleet_publisher::FleetPublisher;
 use crate::fleet_publisher::ServerPublishers;
+use crate::history_file::HistoryFile;
+use crate::history_upkeep::{keep_history, restore_history};
 use crate::instances::InstancePublisher;
 use crate::internal::InternalApi;
 use crate::metrics::Metrics;
 use crate::node_reports::NodeReports;
 use crate::operator::{OperatorApi, routes};
 use crate::peers::PeerLinks;
-use crate::quorum_contact::follow_quorum_contact;
 use crate::relay::UpdateRelay;
 use crate::replica::{self, ReplicaFailure, ReplicaParts, ReplicaView, RunningReplica};
 use crate::replica_group::ReplicaGroup;
@@ -61,6 +62,7 @@
 struct BackgroundTasks {
     instance_publisher: Arc<InstancePublisher>,
     fleet_publisher: Arc<FleetPublisher>,
+    history_file: HistoryFile,
     relay: Arc<UpdateRelay>,
     peers: Arc<PeerLinks>,
     view: ReplicaView,
@@ -72,7 +74,7 @@
             self.instance_publisher.run_expiry(),
             self.instance_publisher.run_publishing(),
             self.relay.run(&self.peers, &self.view),
-            follow_quorum_contact(&self.fleet_publisher, &self.view),
+            keep_history(&self.fleet_publisher, &self.view, &self.history_file),
             log_suspensions()
         );
     }
@@ -112,6 +114,10 @@
         let publishers = ServerPublishers::default();
         let instance_publisher = Arc::clone(&publishers.observed);
         let fleet_publisher = Arc::clone(&publishers.fleet);
+        let history_file = HistoryFile::new(&settings.data_folder);
+        let is_founding =
+            matches!(settings.discovery, PeerDiscovery::Seeded { bootstrap: true, .. });
+        restore_history(&fleet_publisher, &history_file, is_founding);
         let replicas = (handle, group.clone());
         let fleet =
             FleetCalls::new(group.clone(), publishers.clone(), view.clone(), Arc::clone(&metrics));
@@ -127,8 +133,14 @@
         let shared = (reports, publishers, Arc::clone(&relay), metrics);
         let internal = InternalApi::new(own, key, replicas, view.clone(), shared, &settings.limits);
         let internal = Arc::new(internal);
-        let background =
-            BackgroundTasks { instance_publisher, fleet_publisher, relay, peers, view };
+        let background = BackgroundTasks {
+            instance_publisher,
+            fleet_publisher,
+            history_file,
+            relay,
+            peers,
+            view,
+        };
         Ok(ControlDaemon { replica, internal, operator, listeners, fleet, background })
     }
 
--- a/crates/control/tests/daemons/seeded.rs
+++ b/crates/control/tests/daemons/seeded.rs
@@ -140,7 +140,7 @@
     }
 }
 
-fn wipe(folder: &Path) {
+pub(crate) fn wipe(folder: &Path) {
     std::fs::remove_dir_all(folder).expect("remove the folder");
 }
 
--- a/crates/control/tests/daemons/served_versions.rs
+++ b/crates/control/tests/daemons/served_versions.rs
@@ -8,10 +8,11 @@
 use juniper_registry::{
     Instance, InstanceMap, InstanceName, InstanceReport, InstanceState, SoftwareVersion, StartTime,
 };
+use juniper_settings::PeerDiscovery;
 use juniper_stream_origins::ServedVersions;
 use tokio::time::{Duration, Instant, sleep, timeout};
 
-use crate::seeded::{Deployment, Seeded, put_catalog, reopen_listeners};
+use crate::seeded::{Deployment, Seeded, put_catalog, reopen_listeners, wipe};
 use crate::support::{TEST_TIMEOUT, key, router_identity};
 
 /// Longer than any stream lasts.
@@ -67,39 +68,53 @@
     [Arc::new(Instance::of(report))].into_iter().collect()
 }
 
-// Guards against a replica that has restarted, or lost its quorum, and states that it knows all versions
-// that have served.
+/// Whether `v1` is known to have gone, `v2` to serve, and nothing else to have served within the window.
+fn knows_both(served: &ServedVersions) -> bool {
+    let is_gone = |software: &str| {
+        let software = SoftwareVersion::new(software);
+        let known = served.versions.iter().find(|version| version.software == software);
+        known.map(|version| version.gone_ms.is_some())
+    };
+    served.covers(WINDOW) && is_gone("v1") == Some(true) && is_gone("v2").is_some()
+}
+
+// Guards against a replica that has lost its disk or its quorum and states that it knows all versions that
+// have served, and against one that forgets them with a restart.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_replica_without_contact_or_memory_states_that_it_knows_all_versions() {
+async fn a_replica_without_memory_or_contact_states_that_it_knows_all_versions() {
     let (_deployment, mut replicas) = Deployment::found().await;
     for replica in &replicas {
         wait_for(replica, "nothing has served before", |served| served.covers(WINDOW)).await;
     }
     put_catalog(&replicas[0], 1).await;
-    replicas[0].calls.publish_fleet(&list("v1"), Renewals::default());
-    replicas[0].calls.publish_fleet(&list("v2"), Renewals::default());
-    let is_listed = |served: &ServedVersions| {
-        let gone = |software: &str| {
-            let software = SoftwareVersion::new(software);
-            let known = served.versions.iter().find(|version| version.software == software);
-            known.map(|version| version.gone_ms.is_some())
-        };
-        served.covers(WINDOW) && gone("v1") == Some(true) && gone("v2") == Some(false)
-    };
-    wait_for(&replicas[0], "both versions", is_listed).await;
-    // A replica that restarts remembers nothing, and the configuration shows that others have served.
+    for replica in &replicas {
+        replica.calls.publish_fleet(&list("v1"), Renewals::default());
+        replica.calls.publish_fleet(&list("v2"), Renewals::default());
+        wait_for(replica, "both versions", knows_both).await;
+    }
+    // The file is written within a moment.
+    sleep(Duration::from_secs(1)).await;
     let settings = replicas.pop().expect("a replica").stop().await;
     let listeners = reopen_listeners(&settings).await;
     let restarted = Seeded::start(settings, listeners);
+    wait_for(&restarted, "both versions after a restart", knows_both).await;
+    // A blank replica remembers nothing, and the configuration shows that servers have served.
+    let mut settings = restarted.stop().await;
+    wipe(&settings.data_folder);
+    if let PeerDiscovery::Seeded { bootstrap, .. } = &mut settings.discovery {
+        *bootstrap = false;
+    }
+    let listeners = reopen_listeners(&settings).await;
+    let blank = Seeded::start(settings, listeners);
     let started = Instant::now();
-    let mut router = connect_router(&restarted).await;
-    while started.elapsed() < Duration::from_secs(4) {
+    let mut router = connect_router(&blank).await;
+    while started.elapsed() < Duration::from_secs(6) {
         let served = served(&mut router).await;
         assert!(Duration::from_millis(served.known_ms) <= started.elapsed(), "{served:?}");
         sleep(Duration::from_millis(50)).await;
     }
     // Without a quorum servers may report elsewhere.
-    restarted.stop().await;
+    blank.stop().await;
     replicas.pop().expect("a replica").stop().await;
     wait_for(&replicas[0], "no contact", |served| served.known_ms == 0).await;
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -271,10 +271,11 @@
     fn follow_contact(&self) {
         let age = self.feed.confirmation_age();
         let is_current = age.is_some_and(|age| age < self.settings.rejection_age_limit());
-        if !is_current {
-            lock(&self.software_history).interrupt(self.now_with_suspensions());
-        } else if self.feed.latest().catalog_version() == 0 {
-            lock(&self.software_history).mark_founded();
+        let mut history = lock(&self.software_history);
+        match is_current {
+            true if self.feed.latest().catalog_version() == 0 => history.mark_founded(),
+            true => history.resume(self.now_with_suspensions()),
+            false => history.interrupt(),
         }
     }
 
--- a/crates/stream-origins/src/lib.rs
+++ b/crates/stream-origins/src/lib.rs
@@ -18,7 +18,7 @@
 mod served;
 mod table;
 
-pub use history::SoftwareHistory;
+pub use history::{HistorySnapshot, ServiceHistory, SoftwareHistory};
 pub use origin::{StreamOrigin, StreamRecord};
 pub use served::{ServedVersion, ServedVersions, sole_version};
 pub use table::{OriginTable, RecordOutcome};
--- a/crates/stream-origins/tests/history.rs
+++ b/crates/stream-origins/tests/history.rs
@@ -65,6 +65,7 @@
 fn a_version_that_left_before_the_start_of_the_observer_leaves_a_doubt() {
     let list = servers(&BTreeMap::from([(1, 2)]));
     let mut history = SoftwareHistory::default();
+    history.resume(at(20));
     history.update(&list, at(20));
     assert_eq!(sole(&history, "app", at(20)), None);
     // Servers may have reported late to the observer, too.
@@ -89,7 +90,9 @@
     history.mark_founded();
     history.update(&servers(&BTreeMap::from([(1, 1)])), at(0));
     assert_eq!(sole(&history, "app", at(20)), software(1));
-    history.interrupt(at(20));
+    history.interrupt();
+    assert_eq!(sole(&history, "app", at(20)), None);
+    history.resume(at(20));
     assert_eq!(sole(&history, "app", at(32)), None);
     assert_eq!(sole(&history, "app", at(33)), software(1));
 }
@@ -132,6 +135,7 @@
                 version => current.insert(number % 4, version),
             };
             if step >= missed {
+                history.resume(at(now));
                 history.update(&servers(&current), at(now));
             }
             let mut recent: Vec<u8> = current.values().copied().collect();
--- a/crates/stream-origins/tests/unnamed/main.rs
+++ b/crates/stream-origins/tests/unnamed/main.rs
@@ -33,4 +33,6 @@
     assert!(run(0..60, Some(Planted::RouterTrustsItself)).joined > 0);
     assert!(run(0..60, Some(Planted::ReplicaTrustsItself)).joined > 0);
     assert!(run(0..60, Some(Planted::NothingAsked)).refused_needlessly > 0);
+    let without_files = run(0..60, Some(Planted::NothingWritten));
+    assert!(without_files.continued < run(0..60, None).continued, "{without_files:?}");
 }
--- a/crates/stream-origins/tests/unnamed/world.rs
+++ b/crates/stream-origins/tests/unnamed/world.rs
@@ -10,7 +10,7 @@
     Instance, InstanceMap, InstanceName, InstanceReport, InstanceState, SoftwareVersion, StartTime,
 };
 use juniper_simulation::{EventQueue, MILLI, Random, SECOND};
-use juniper_stream_origins::{SoftwareHistory, sole_version};
+use juniper_stream_origins::{HistorySnapshot, SoftwareHistory, sole_version};
 use juniper_types::Timestamp;
 
 const REPLICAS: usize = 3;
@@ -40,6 +40,8 @@
     ReplicaTrustsItself,
     /// A router asks no replica.
     NothingAsked,
+    /// Replicas remember nothing after a restart.
+    NothingWritten,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -71,6 +73,8 @@
     up_since: Option<u64>,
     known: BTreeMap<u64, u64>,
     history: SoftwareHistory,
+    /// State on a replica's disk, and when it was written. Some disks are lost.
+    file: Option<(HistorySnapshot, u64)>,
 }
 
 struct Server {
@@ -189,11 +193,13 @@
 
     fn apply_list(&mut self, node: usize) {
         let now = self.time();
-        let Node { known, history, up_since } = &mut self.nodes[node];
+        let written_at = self.queue.now();
+        let Node { known, history, up_since, file } = &mut self.nodes[node];
         if up_since.is_some() {
             let list: InstanceMap =
                 known.iter().map(|(server, version)| instance(*server, *version)).collect();
             history.update(&list, now);
+            *file = Some((history.snapshot(now), written_at)).filter(|_| node < REPLICAS);
         }
     }
 
@@ -311,7 +317,8 @@
         sole_version(&statements, window)
     }
 
-    /// Whether one version only has served, and a replica has run for long enough to know it.
+    /// Whether one version only has served, and the replicas that are up know it: they have run for long
+    /// enough, or remember no other one from before a restart.
     fn is_certain(&self, router: usize) -> bool {
         let now = self.queue.now();
         let is_recent =
@@ -319,12 +326,17 @@
         let recent = self.servers.iter().filter(is_recent);
         let mut versions: Vec<u64> = recent.clone().map(|server| server.version).collect();
         versions.dedup();
-        let is_old = |node: &Node| {
+        // A restored version counts as served until all servers have reported again.
+        let is_settled = |node: &Node| {
             node.up_since.is_some_and(|since| since == 0 || now - since >= REPLICA_TIME)
+                || versions_on_file(node) == 1
         };
         let is_listed = recent.clone().all(|server| server.began + LIST_LAG < now);
         let has_server = !self.nodes[router].known.is_empty();
-        versions.len() == 1 && is_listed && has_server && self.nodes[..REPLICAS].iter().any(is_old)
+        let is_up = |node: &&Node| node.up_since.is_some();
+        let mut up = self.nodes[..REPLICAS].iter().filter(is_up).peekable();
+        let is_known = up.peek().is_some() && up.all(is_settled);
+        versions.len() == 1 && is_listed && has_server && is_known
     }
 
     /// Kills all routers, a replica or all of them, or everything.
@@ -340,6 +352,9 @@
         let first = self.random.between(0, REPLICAS as u64 - 1) as usize;
         let replicas = (0..replicas).map(|number| (first + number) % REPLICAS);
         for node in replicas.chain((0..routers).map(|number| REPLICAS + number)) {
+            if self.random.chance(200) {
+                self.nodes[node].file = None;
+            }
             if self.nodes[node].up_since.take().is_some() {
                 let down = self.random.between(200 * MILLI, 2_500 * MILLI);
                 self.queue.schedule_after(down, Event::Start { node });
@@ -356,7 +371,15 @@
             .filter(|replica| replica.up_since.is_some())
             .flat_map(|replica| replica.known.keys().copied())
             .collect();
-        self.nodes[node] = Node { up_since: Some(self.queue.now()), ..Node::default() };
+        let (now, time) = (self.queue.now(), self.time());
+        let is_written = self.planted != Some(Planted::NothingWritten);
+        let file = self.nodes[node].file.take().filter(|_| is_written);
+        let mut started = Node { up_since: Some(now), ..Node::default() };
+        if let Some((snapshot, written_at)) = file {
+            started.history.restore(&snapshot, Duration::from_micros(now - written_at), time);
+        }
+        started.history.resume(time);
+        self.nodes[node] = started;
         self.apply_list(node);
         for server in known {
             let delay = self.delay();
@@ -364,3 +387,11 @@
         }
     }
 }
+
+/// Versions that a replica's latest state names; none if it doesn't cover the time before a restart.
+fn versions_on_file(node: &Node) -> usize {
+    let snapshot = node.file.as_ref().map(|(snapshot, _)| snapshot);
+    let snapshot = snapshot.filter(|snapshot| snapshot.known_ms >= Some((WINDOW / MILLI) as i64));
+    let services = snapshot.into_iter().flat_map(|snapshot| &snapshot.services);
+    services.map(|service| service.versions.len()).sum()
+}
