--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -248,9 +248,11 @@
         self.lock().table.awaits_reports()
     }
 
-    /// Software version of all engines; `None` if there are several, or if one is unknown.
-    pub fn sole_software(&self) -> Option<SoftwareVersion> {
-        self.lock().table.sole_software().cloned()
+    /// Software version that all engines have run for at least `window`; `None` if there were several,
+    /// if one is unknown, or if this router hasn't known them for as long.
+    pub fn sole_software(&self, window: Duration) -> Option<SoftwareVersion> {
+        let now = self.now();
+        self.lock().table.sole_software(window, now).cloned()
     }
 
     /// Adds a caller's request to the retry budget.
--- a/crates/router/src/http_api.rs
+++ b/crates/router/src/http_api.rs
@@ -139,7 +139,10 @@
         ChatRequest::parse(&body, &caller.settings.model, caller.settings.max_output_tokens)?;
     let software = match resume_from {
         0 => None,
-        _ => Some(resumed_software(&state, &parts.headers)?),
+        _ => {
+            let longest_answer = Duration::from_millis(caller.settings.deadline_ms);
+            Some(resumed_software(&state, &parts.headers, longest_answer)?)
+        }
     };
     let stream = chat.stream;
     let model = caller.settings.model.clone();
@@ -198,10 +201,11 @@
 }
 
 /// Software version that began the answer which a caller resumes: the one that the caller got with it,
-/// otherwise the only one that the engines run.
+/// otherwise the only one that the engines have run for as long as an answer can have lasted.
 fn resumed_software(
     state: &RouterState,
     headers: &HeaderMap,
+    longest_answer: Duration,
 ) -> Result<SoftwareVersion, RequestError> {
     let engines = &state.plane.engines;
     let stated = match headers.get(SOFTWARE_HEADER) {
@@ -210,7 +214,7 @@
             let malformed = || RequestError::Malformed(format!("{SOFTWARE_HEADER} is no version"));
             Some(version.ok_or_else(malformed)?)
         }
-        None => engines.sole_software(),
+        None => engines.sole_software(longest_answer),
     };
     match stated {
         Some(software) if engines.has_software(&software, &[]) => Ok(software),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod request;
 pub mod retry;
 mod search;
+mod software;
 mod table;
 
 pub use cost::{CostModel, CostTerms, CostWeights};
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -12,6 +12,7 @@
 use crate::groups::{Group, Groups, Position};
 use crate::positions::Positions;
 use crate::request::{DispatchId, DispatchedWork, ServingKey};
+use crate::software::SoftwareLog;
 
 /// Engines of the settings in force with their load reports and this router's
 /// requests in flight.
@@ -30,6 +31,7 @@
     groups: Groups,
     round_trips: HashMap<ZoneName, Duration>,
     own_means: OwnWorkMeans,
+    software: SoftwareLog,
 }
 
 impl EngineTable {
@@ -45,6 +47,7 @@
             groups: Groups::default(),
             round_trips: HashMap::new(),
             own_means: OwnWorkMeans::default(),
+            software: SoftwareLog::default(),
         }
     }
 
@@ -88,6 +91,7 @@
         self.incarnations.swap_remove(position);
         self.other_routers_us.swap_remove(position);
         self.positions.remove(engine);
+        self.software.remove(engine);
         if position != last {
             self.positions.insert(self.engines[position].id, position as Position);
             self.join_groups(position);
@@ -118,6 +122,7 @@
         let Some(position) = self.index(engine) else {
             return;
         };
+        self.software.record(engine, &load.software, now);
         let is_new_incarnation = self.engines[position].incarnation != Some(load.incarnation);
         if self.engines[position].changes_service(load) {
             self.update_engine(position, |known| known.apply_report(load, now));
@@ -245,12 +250,10 @@
         self.engines.iter().any(|engine| !engine.is_known())
     }
 
-    /// Software version of all engines that have reported; `None` if there are several, or if one
-    /// is unknown.
-    pub fn sole_software(&self) -> Option<&SoftwareVersion> {
-        let mut known = self.engines.iter().filter(|engine| engine.is_known());
-        let first = known.next()?.software.as_ref()?;
-        known.all(|engine| engine.software.as_ref() == Some(first)).then_some(first)
+    /// Software version that all engines have run for at least `window`, also those that are down.
+    /// `None` if there were several, if one is unknown, or if this router hasn't known them for as long.
+    pub fn sole_software(&self, window: Duration, now: Timestamp) -> Option<&SoftwareVersion> {
+        self.software.sole_version(window, now)
     }
 
     pub(crate) fn position(&self, engine: EngineId) -> Option<Position> {
--- a/crates/routing/tests/decide.rs
+++ b/crates/routing/tests/decide.rs
@@ -342,14 +342,16 @@
     let mut table = table(3, NOW);
     let (one, other) = (SoftwareVersion::new("v1"), SoftwareVersion::new("v2"));
     let (known, unknown) = (one.clone().expect("a version"), other.clone().expect("a version"));
-    assert_eq!(table.sole_software(), None);
+    let window = Duration::from_secs(60);
+    let later = NOW.after(window);
+    assert_eq!(table.sole_software(window, later), None);
     let mut report = |engine: u32, software: &Option<SoftwareVersion>| {
         let software = software.clone();
         let load = juniper_routing::EngineLoad { software, ..idle_load(EngineId(engine)) };
         table.apply_load_report(EngineId(engine), &load, NOW);
         let running = table.engines_running(&known).collect::<Vec<_>>();
         let others = table.engines_not_running(&known).collect::<Vec<_>>();
-        (running, others, table.sole_software().cloned())
+        (running, others, table.sole_software(window, later).cloned())
     };
     let engines = |ids: &[u32]| ids.iter().copied().map(EngineId).collect::<Vec<_>>();
     assert_eq!(report(0, &one), (engines(&[0]), engines(&[1, 2]), None));
@@ -357,8 +359,39 @@
     assert_eq!(report(2, &one), (engines(&[0, 1, 2]), engines(&[]), one.clone()));
     assert_eq!(report(2, &other), (engines(&[0, 1]), engines(&[2]), None));
     assert_eq!(table.engines_running(&unknown).count(), 1);
-    // Until its next report nothing is known of an engine that was down.
+    // Until its next report nothing is known of an engine that was down, but that it may have begun
+    // answers.
     table.mark_down(EngineId(2));
-    assert_eq!((table.sole_software(), table.awaits_reports()), (one.as_ref(), true));
+    assert_eq!((table.sole_software(window, later), table.awaits_reports()), (None, true));
     assert_eq!(table.engines_running(&unknown).count(), 0);
 }
+
+// Guards against answers joined from two versions: one that no engine runs any more may have begun them.
+#[test]
+fn a_version_that_engines_ran_until_recently_is_not_taken_into_account() {
+    let (one, other) = (SoftwareVersion::new("v1"), SoftwareVersion::new("v2"));
+    let window = Duration::from_secs(60);
+    let after = |seconds| NOW.after(Duration::from_secs(seconds));
+    let mut table = table(2, NOW);
+    let report = |table: &mut EngineTable, engine: u32, software: &Option<SoftwareVersion>, now| {
+        let software = software.clone();
+        let load = juniper_routing::EngineLoad { software, ..idle_load(EngineId(engine)) };
+        table.apply_load_report(EngineId(engine), &load, now);
+    };
+    (0..2).for_each(|engine| report(&mut table, engine, &one, after(10)));
+    // A router that has just started doesn't know what ran before.
+    assert_eq!(table.sole_software(window, after(69)), None);
+    assert_eq!(table.sole_software(window, after(70)), one.as_ref());
+    // Both engines restart with another version.
+    (0..2).for_each(|engine| table.mark_down(EngineId(engine)));
+    (0..2).for_each(|engine| report(&mut table, engine, &other, after(100)));
+    assert_eq!(table.sole_software(window, after(159)), None);
+    assert_eq!(table.sole_software(window, after(160)), other.as_ref());
+    // An engine that is removed may have begun answers until then.
+    report(&mut table, 1, &one, after(200));
+    table.remove(EngineId(1));
+    assert_eq!(table.sole_software(window, after(300)), None);
+    report(&mut table, 0, &other, after(300));
+    assert_eq!(table.sole_software(window, after(359)), None);
+    assert_eq!(table.sole_software(window, after(360)), other.as_ref());
+}
