--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use juniper_placement::Outcome;
-use juniper_registry::SoftwareVersion;
+use juniper_registry::{InstanceId, SoftwareVersion};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::{Answered, Attempt};
@@ -22,10 +22,10 @@
 use crate::retry::Progress;
 use crate::search::ServerSearch;
 
-/// Shortest gap in a stream after which its server is abandoned.
+/// Shortest gap in a stream after which another server is looked for.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_800);
 
-/// Gap after which a server is abandoned, relative to the route's maximum gap.
+/// Gap after which another server is looked for, relative to the route's maximum gap.
 const STALL_FACTOR: u32 = 3;
 
 /// Starts to relay a stream in a task of its own.
@@ -51,6 +51,8 @@
         stats: StreamStats::default(),
         last_sent_at: None,
         status: status.as_u16(),
+        splitter: EventSplitter::default(),
+        received: None,
     };
     tokio::spawn(relay.run(attempt, upstream));
     Response::from_parts(head, body)
@@ -79,8 +81,15 @@
     stats: StreamStats,
     last_sent_at: Option<Instant>,
     status: u16,
+    /// Splits the data of the current server.
+    splitter: EventSplitter,
+    /// Data of the current server that arrived while another server was looked for.
+    received: Option<ReceivedFrame>,
 }
 
+/// Next part of a server's answer; `None` at its end.
+type ReceivedFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 impl StreamRelay {
     /// Relays events, resuming at another server where that is allowed.
     async fn run(mut self, mut attempt: Attempt, mut upstream: Incoming) {
@@ -106,11 +115,27 @@
                 drop(attempt);
                 return self.log_end("caller_left", instance.as_str(), None);
             }
-            log::info!(
-                "event=stream_cut request={} instance={instance} reason=\"{error}\" last_event={:?}",
-                self.call.id(),
-                self.last_event
-            );
+            if error == BodyError::Stalled {
+                match self.replace_silent(&instance, &mut upstream).await {
+                    Some(answered) => {
+                        self.log_cut(&instance, error);
+                        attempt.fail(Outcome::Interrupted);
+                        (attempt, upstream) = self.begin_rest(answered);
+                    }
+                    None if self.chunks.is_closed() => {
+                        drop(attempt);
+                        return self.log_end("caller_left", instance.as_str(), None);
+                    }
+                    None => log::info!(
+                        "event=stream_silent request={} instance={instance} last_event={:?} has_data={}",
+                        self.call.id(),
+                        self.last_event,
+                        self.received.is_some()
+                    ),
+                }
+                continue;
+            }
+            self.log_cut(&instance, error);
             let sent_at = attempt.sent_at;
             attempt.fail(Outcome::Interrupted);
             if error == BodyError::Broken {
@@ -119,24 +144,59 @@
             self.progress.may_have_run += 1;
             let next = match error {
                 BodyError::Deadline | BodyError::MissingEvents | BodyError::SoftwareChanged => None,
-                // Without event numbers the position to resume from is unknown.
-                _ if self.stats.events > 0 && self.last_event.is_none() => None,
-                // Nor is known which servers' events fit those that the caller has.
-                _ if self.has_begun() && self.software.is_none() => None,
                 _ => self.resume(instance.clone()).await,
             };
             let Some(answered) = next else {
                 let _ = self.chunks.send(Err(IncompleteBody)).await;
                 return self.log_end("broken_off", instance.as_str(), None);
             };
-            self.stats.resumed += 1;
-            attempt = answered.attempt;
-            upstream = answered.response.into_body();
+            (attempt, upstream) = self.begin_rest(answered);
         }
     }
 
-    /// Resumes the stream at another server.
-    async fn resume(&mut self, failed: juniper_registry::InstanceId) -> Option<Answered> {
+    /// Goes on with the answer of another server.
+    fn begin_rest(&mut self, answered: Answered) -> (Attempt, Incoming) {
+        self.stats.resumed += 1;
+        self.splitter = EventSplitter::default();
+        self.received = None;
+        (answered.attempt, answered.response.into_body())
+    }
+
+    /// Looks for a server to replace one that is silent but may still be at work, until that one sends
+    /// data. Its connection stays open meanwhile: without another server it is waited for.
+    async fn replace_silent(
+        &mut self,
+        silent: &InstanceId,
+        upstream: &mut Incoming,
+    ) -> Option<Answered> {
+        let resumed_after = self.resumed_after;
+        self.progress.may_have_run += 1;
+        let found = tokio::select! {
+            found = self.resume(silent.clone()) => found,
+            frame = upstream.frame() => {
+                // The request may have reached another server by now.
+                self.progress.may_have_run += 1;
+                self.received = Some(frame);
+                None
+            }
+        };
+        if found.is_none() {
+            // The silent server still runs the request, and is counted once it has ended.
+            self.progress.may_have_run -= 1;
+            self.resumed_after = resumed_after;
+        }
+        found
+    }
+
+    /// Resumes the stream at another server, if it is known where to go on and at which servers.
+    async fn resume(&mut self, failed: InstanceId) -> Option<Answered> {
+        // Without event numbers the position to resume from is unknown.
+        let has_position = self.stats.events == 0 || self.last_event.is_some();
+        // Nor is known without a version which servers' events fit those that the caller has.
+        let has_software = !self.has_begun() || self.software.is_some();
+        if !has_position || !has_software {
+            return None;
+        }
         let mut search =
             ServerSearch::new(&self.gateway, &self.call).continue_from(self.progress, failed);
         if self.has_begun() {
@@ -166,17 +226,19 @@
         attempt: &mut Attempt,
         upstream: &mut Incoming,
     ) -> Result<(), BodyError> {
-        let mut splitter = EventSplitter::default();
         loop {
             let deadline = self.stall_deadline();
-            let frame = tokio::select! {
-                frame = timeout_at(deadline, upstream.frame()) => frame,
-                () = self.chunks.closed() => return Err(BodyError::CallerLeft),
+            let frame = match self.received.take() {
+                Some(received) => Ok(received),
+                None => tokio::select! {
+                    frame = timeout_at(deadline, upstream.frame()) => frame,
+                    () = self.chunks.closed() => return Err(BodyError::CallerLeft),
+                },
             };
             let frame = match frame {
                 Err(_) if deadline == self.call.deadline => return Err(BodyError::Deadline),
                 Err(_) => return Err(BodyError::Stalled),
-                Ok(None) if splitter.is_between_events() && attempt.is_complete().await => {
+                Ok(None) if self.splitter.is_between_events() && attempt.is_complete().await => {
                     return Ok(());
                 }
                 Ok(None) | Ok(Some(Err(_))) => return Err(BodyError::Broken),
@@ -184,7 +246,7 @@
             };
             let Ok(data) = frame.into_data() else { continue };
             attempt.record_first_output();
-            let events = splitter.push(&data).map_err(|_| BodyError::Broken)?;
+            let events = self.splitter.push(&data).map_err(|_| BodyError::Broken)?;
             self.check_software(attempt)?;
             let mut output = BytesMut::new();
             for event in events {
@@ -278,6 +340,14 @@
         self.call.deadline.min(Instant::now() + timeout.max(MIN_STALL_TIMEOUT))
     }
 
+    fn log_cut(&self, instance: &InstanceId, error: BodyError) {
+        log::info!(
+            "event=stream_cut request={} instance={instance} reason=\"{error}\" last_event={:?}",
+            self.call.id(),
+            self.last_event
+        );
+    }
+
     fn log_end(self, outcome: &str, instance: &str, timing: Option<FoundTiming>) {
         let stats = Some(&self.stats);
         log_done(&self.call, self.status, outcome, instance, self.progress, stats, timing);
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -19,6 +19,7 @@
 mod reachability;
 mod retries;
 mod server_limits;
+mod silence;
 mod software_versions;
 mod startup;
 mod support;
