--- a/crates/registry/tests/departures/main.rs
+++ b/crates/registry/tests/departures/main.rs
@@ -1,9 +1,12 @@
 //! Deregistrations of servers that restart under their names, over several replicas in virtual time:
 //! an acknowledged departure takes effect at all routers, and takes no other incarnation away.
 
+mod outcome;
+mod server;
 mod world;
 
-use world::{Outcome, Planted, World};
+use outcome::{Outcome, Planted};
+use world::World;
 
 fn run(seeds: std::ops::Range<u64>, planted: Option<Planted>) -> Outcome {
     let mut total = Outcome::default();
--- a/crates/registry/tests/departures/world.rs
+++ b/crates/registry/tests/departures/world.rs
@@ -1,19 +1,20 @@
 //! One server that restarts under its name, replicas that observe its heartbeats, and routers.
 
 use std::collections::BTreeSet;
-use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use juniper_registry::{
-    Departure, Directory, InstanceName, InstanceReport, InstanceState, ObservedInstances, StartTime,
+    Departure, Directory, InstanceName, InstanceReport, ObservedInstances, StartTime,
 };
 use juniper_simulation::{EventQueue, MILLI, Random, SECOND};
 use juniper_types::{NodeId, Timestamp};
 
-const REPLICAS: usize = 3;
+use crate::outcome::{Outcome, Planted};
+
+pub const REPLICAS: usize = 3;
 const ROUTERS: usize = 3;
 const END: u64 = 60 * SECOND;
-const HEARTBEAT_INTERVAL: u64 = 1_200 * MILLI;
+pub const HEARTBEAT_INTERVAL: u64 = 1_200 * MILLI;
 
 /// Time for which a server serves after its deregistration was acknowledged.
 const SERVING_TIME: u64 = 4 * SECOND;
@@ -31,78 +32,30 @@
 /// Unix time at which a run begins, in milliseconds.
 const UNIX_START_MS: u64 = 1_784_840_000_000;
 
-/// Fault that a run contains.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Planted {
-    /// A replica takes the incarnation that it has observed itself.
-    OwnObservationsOnly,
-    /// A replica doesn't ask the server when it started.
-    NothingAsked,
-    /// A replica records departures whose caller has hung up.
-    GoneCallersCount,
-    /// A departure covers everything that started until the replica's time of day.
-    EverythingUntilNow,
-}
-
-#[derive(Clone, Debug, Default)]
-pub struct Outcome {
-    /// Acknowledged departures.
-    pub departures: u64,
-    /// Those of an incarnation that no reachable replica had observed.
-    pub unknown_to_all: u64,
-    /// Acknowledged departures of a server that the replica knows nothing of and whose clock is ahead
-    /// by more than its age: not checked.
-    pub beyond_clock: u64,
-    /// Deregistrations that arrived after their caller had hung up.
-    pub of_gone_callers: u64,
-    /// Incarnations that were used after an earlier one had departed.
-    pub returned: u64,
-    /// Routers that went on using an incarnation whose departure was acknowledged.
-    pub still_used: u64,
-    /// Routers that stopped using an incarnation that had not deregistered.
-    pub wrongly_removed: u64,
-}
-
-impl Outcome {
-    pub fn is_clean(&self) -> bool {
-        self.still_used == 0 && self.wrongly_removed == 0
-    }
-
-    pub fn add(&mut self, other: &Outcome) {
-        self.departures += other.departures;
-        self.beyond_clock += other.beyond_clock;
-        self.unknown_to_all += other.unknown_to_all;
-        self.of_gone_callers += other.of_gone_callers;
-        self.returned += other.returned;
-        self.still_used += other.still_used;
-        self.wrongly_removed += other.wrongly_removed;
-    }
-}
-
-struct Replica {
-    is_up: bool,
-    observed: ObservedInstances,
+pub struct Replica {
+    pub is_up: bool,
+    pub observed: ObservedInstances,
     /// What this replica learns from all replicas.
-    directory: Directory,
+    pub directory: Directory,
     /// Until when the replica hears nothing from the others.
-    cut_off_until: u64,
+    pub cut_off_until: u64,
     /// Difference of its time of day, in milliseconds.
-    clock_error_ms: i64,
+    pub clock_error_ms: i64,
 }
 
 /// Incarnation of the server.
 #[derive(Clone, Debug)]
-struct Incarnation {
-    started: StartTime,
-    sequence: u64,
+pub struct Incarnation {
+    pub started: StartTime,
+    pub sequence: u64,
     /// Replica that it calls.
-    replica: usize,
-    has_left: bool,
-    is_running: bool,
+    pub replica: usize,
+    pub has_left: bool,
+    pub is_running: bool,
 }
 
 #[derive(Clone, Debug)]
-enum Event {
+pub enum Event {
     Start,
     Heartbeat {
         incarnation: usize,
@@ -146,28 +99,28 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-enum Node {
+pub enum Node {
     Router(usize),
     Replica(usize),
 }
 
 pub struct World {
-    random: Random,
-    queue: EventQueue<Event>,
-    planted: Option<Planted>,
-    replicas: Vec<Replica>,
-    routers: Vec<Directory>,
-    incarnations: Vec<Incarnation>,
+    pub random: Random,
+    pub queue: EventQueue<Event>,
+    pub planted: Option<Planted>,
+    pub replicas: Vec<Replica>,
+    pub routers: Vec<Directory>,
+    pub incarnations: Vec<Incarnation>,
     /// Departures in the replicated log.
-    log: Vec<Departure>,
+    pub log: Vec<Departure>,
     /// Difference of the server's time of day, in milliseconds.
-    clock_error_ms: i64,
+    pub clock_error_ms: i64,
     /// Incarnations that a router has used after a departure.
-    returned: BTreeSet<usize>,
-    outcome: Outcome,
+    pub returned: BTreeSet<usize>,
+    pub outcome: Outcome,
 }
 
-fn name() -> InstanceName {
+pub fn name() -> InstanceName {
     InstanceName::new("a")
 }
 
@@ -227,15 +180,15 @@
         Timestamp::ZERO.after(Duration::from_micros(self.queue.now()))
     }
 
-    fn delay(&mut self) -> u64 {
+    pub fn delay(&mut self) -> u64 {
         self.random.between(MILLI, 30 * MILLI)
     }
 
-    fn unix_ms(&self, error_ms: i64) -> u64 {
+    pub fn unix_ms(&self, error_ms: i64) -> u64 {
         (UNIX_START_MS + self.queue.now() / MILLI).saturating_add_signed(error_ms)
     }
 
-    fn current(&self) -> Option<usize> {
+    pub fn current(&self) -> Option<usize> {
         self.incarnations.iter().rposition(|incarnation| incarnation.is_running)
     }
 
@@ -283,53 +236,6 @@
         }
     }
 
-    fn start(&mut self) {
-        let started = StartTime::from_unix_ms(self.unix_ms(self.clock_error_ms));
-        let replica = self.random.between(0, REPLICAS as u64) as usize % REPLICAS;
-        let incarnation = self.incarnations.len();
-        let new = Incarnation { started, sequence: 0, replica, has_left: false, is_running: true };
-        self.incarnations.push(new);
-        self.queue.schedule_after(0, Event::Heartbeat { incarnation });
-        let lifetime = self.random.between(300 * MILLI, 12 * SECOND);
-        let end = match self.random.chance(300) {
-            true => Event::End { incarnation },
-            false => Event::Leave { incarnation },
-        };
-        self.queue.schedule_after(lifetime, end);
-    }
-
-    fn send_heartbeat(&mut self, incarnation: usize) {
-        let moves = self.random.chance(100);
-        let other = self.random.between(0, REPLICAS as u64) as usize % REPLICAS;
-        let is_late = self.random.chance(100);
-        let late = self.random.between(SECOND, 4 * SECOND);
-        let delay = self.delay() + if is_late { late } else { 0 };
-        let sender = &mut self.incarnations[incarnation];
-        if !sender.is_running || sender.has_left {
-            return;
-        }
-        if moves || !self.replicas[sender.replica].is_up {
-            sender.replica = other;
-        }
-        sender.sequence += 1;
-        let report = InstanceReport {
-            name: name(),
-            service: "app".to_owned(),
-            address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 80),
-            zone: "north".to_owned(),
-            slots: 6,
-            state: InstanceState::Ready,
-            cold_remaining_ms: 0,
-            models: Vec::new(),
-            sequence: sender.sequence,
-            started: sender.started,
-            software: None,
-        };
-        let replica = sender.replica;
-        self.queue.schedule_after(delay, Event::Observe { replica, report });
-        self.queue.schedule_after(HEARTBEAT_INTERVAL, Event::Heartbeat { incarnation });
-    }
-
     fn observe(&mut self, replica: usize, report: InstanceReport) {
         let now = self.now();
         if !self.replicas[replica].is_up {
@@ -371,32 +277,6 @@
         }
     }
 
-    /// Calls a replica; the caller hangs up if it doesn't answer, and calls the next one.
-    fn leave(&mut self, incarnation: usize) {
-        let Incarnation { replica, is_running, .. } = self.incarnations[incarnation];
-        if !is_running {
-            return;
-        }
-        let delay = self.delay();
-        if self.random.chance(150) {
-            // A partition holds the call back until its caller has hung up or crashed.
-            let held = self.random.between(2 * SECOND, 8 * SECOND);
-            let call = Event::Call { incarnation, replica, is_connected: false };
-            self.queue.schedule_after(held, call);
-            if self.random.chance(500) {
-                return self.queue.schedule_after(SECOND, Event::End { incarnation });
-            }
-            return self.call_next(incarnation);
-        }
-        self.queue.schedule_after(delay, Event::Call { incarnation, replica, is_connected: true });
-    }
-
-    fn call_next(&mut self, incarnation: usize) {
-        let caller = &mut self.incarnations[incarnation];
-        caller.replica = (caller.replica + 1) % REPLICAS;
-        self.queue.schedule_after(SECOND, Event::Leave { incarnation });
-    }
-
     fn take_call(&mut self, incarnation: usize, replica: usize, is_connected: bool) {
         let up = self.replicas.iter().filter(|replica| replica.is_up).count();
         let has_quorum = up * 2 > REPLICAS && !self.is_cut_off(replica);
@@ -463,13 +343,6 @@
         Departure::of_latest(name(), known, now)
     }
 
-    fn end(&mut self, incarnation: usize) {
-        if std::mem::replace(&mut self.incarnations[incarnation].is_running, false) {
-            let pause = self.random.between(200 * MILLI, 2 * SECOND);
-            self.queue.schedule_after(pause, Event::Start);
-        }
-    }
-
     fn kill(&mut self, replica: usize) {
         if self.replicas.iter().any(|replica| !replica.is_up) {
             return;
