Bounds and separate loops found by reading the whole change

A hung disk held up the check of a replica's contact with a quorum, since one loop did both, and a refused write was logged five times a second: two loops, and 2 s between attempts. A file that can't be replaced is removed as before, and the first error is reported.

--- a/crates/control/src/history_file.rs
+++ b/crates/control/src/history_file.rs
@@ -70,9 +70,10 @@
     pub fn write(&self, snapshot: HistorySnapshot) -> Result<(), HistoryFileError> {
         let record = Record { written_at: unix_millis(), snapshot };
         let bytes = juniper_control_state::to_bytes(&record);
-        self.replace(&bytes).or_else(|error| {
-            fs::remove_file(self.folder.join(FILE_NAME))?;
-            Err(error.into())
+        self.replace(&bytes).map_err(|error| {
+            // Without a file the history starts anew, which is safe. The disk may refuse this, too.
+            let _ = fs::remove_file(self.folder.join(FILE_NAME));
+            error.into()
         })
     }
 
--- a/crates/control/src/history_upkeep.rs
+++ b/crates/control/src/history_upkeep.rs
@@ -13,6 +13,9 @@
 
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time between two attempts to write the file.
+const RETRY_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Age of the latest confirmation above which contact counts as lost; longer than an election.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(5);
 
@@ -38,29 +41,39 @@
     }
 }
 
-/// Keeps the history until cancelled.
-pub(crate) async fn keep_history(
-    publisher: &FleetPublisher,
-    view: &ReplicaView,
-    file: &HistoryFile,
-) {
+/// Follows this replica's contact with a quorum until cancelled.
+pub(crate) async fn follow_quorum_contact(publisher: &FleetPublisher, view: &ReplicaView) {
     let mut ticks = interval(CHECK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let started = BootInstant::now();
-    let mut written = None;
     loop {
         ticks.tick().await;
         publisher.follow_contact(contact(view, started));
+    }
+}
+
+/// Writes the history when it has changed, until cancelled. A disk may take seconds.
+pub(crate) async fn write_changes(publisher: &FleetPublisher, file: &HistoryFile) {
+    let mut ticks = interval(CHECK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut written = None;
+    loop {
+        ticks.tick().await;
         let (changes, snapshot) = publisher.history_snapshot();
         if written == Some(changes) {
             continue;
         }
         let writing = file.clone();
-        match spawn_blocking(move || writing.write(snapshot)).await {
-            Ok(Ok(())) => written = Some(changes),
-            Ok(Err(error)) => log::warn!("event=served_versions_unwritten reason=\"{error}\""),
-            Err(error) => log::error!("event=served_versions_unwritten reason=\"{error}\""),
-        }
+        let failure = match spawn_blocking(move || writing.write(snapshot)).await {
+            Ok(Ok(())) => {
+                written = Some(changes);
+                continue;
+            }
+            Ok(Err(error)) => error.to_string(),
+            Err(error) => error.to_string(),
+        };
+        log::warn!("event=served_versions_unwritten reason=\"{failure}\"");
+        ticks.reset_after(RETRY_INTERVAL);
     }
 }
 
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -13,10 +13,9 @@
 
 use crate::error::ControlError;
 use crate::fleet_calls::FleetCalls;
-use crate::fleet_publisher::FleetPublisher;
-use crate::fleet_publisher::ServerPublishers;
+use crate::fleet_publisher::{FleetPublisher, ServerPublishers};
 use crate::history_file::HistoryFile;
-use crate::history_upkeep::{keep_history, restore_history};
+use crate::history_upkeep::{follow_quorum_contact, restore_history, write_changes};
 use crate::instances::InstancePublisher;
 use crate::internal::InternalApi;
 use crate::metrics::Metrics;
@@ -74,7 +73,8 @@
             self.instance_publisher.run_expiry(),
             self.instance_publisher.run_publishing(),
             self.relay.run(&self.peers, &self.view),
-            keep_history(&self.fleet_publisher, &self.view, &self.history_file),
+            follow_quorum_contact(&self.fleet_publisher, &self.view),
+            write_changes(&self.fleet_publisher, &self.history_file),
             log_suspensions()
         );
     }
--- a/crates/placement/src/cached_segments.rs
+++ b/crates/placement/src/cached_segments.rs
@@ -9,7 +9,7 @@
 use juniper_prefix_index::rendezvous;
 use juniper_types::Timestamp;
 
-use crate::weights::ModelKey;
+use crate::weights::{MAX_MODELS, ModelKey};
 
 /// Share of the cache capacity that the model uses. The rest is left for generated tokens, partial
 /// blocks and prompts missing from the dispatch reports. 0.7 scored lower, and 1.1 no higher
@@ -116,6 +116,9 @@
                 *self = CachedSegments { versions, ..CachedSegments::default() };
             }
             None => {
+                if versions.len() >= MAX_MODELS {
+                    versions.remove(0);
+                }
                 versions.push(weights);
                 self.versions = versions;
             }
--- a/crates/placement/src/weights.rs
+++ b/crates/placement/src/weights.rs
@@ -13,6 +13,9 @@
 /// another version before.
 const REJECTION_TIME: Duration = Duration::from_secs(1);
 
+/// Maximum number of models of one server whose weights are remembered. Callers choose the names.
+pub(crate) const MAX_MODELS: usize = 32;
+
 /// Key of a model's name, the same at all routers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ModelKey(u32);
@@ -52,7 +55,7 @@
 }
 
 /// What answers of a server have shown of its models' weights. The few models of a server are
-/// searched in order.
+/// searched in order, and the first of too many is forgotten.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ObservedWeights(Vec<ObservedModel>);
 
@@ -91,6 +94,9 @@
     fn entry(&mut self, model: ModelKey) -> &mut ObservedModel {
         let position = self.0.iter().position(|observed| observed.model == model);
         let position = position.unwrap_or_else(|| {
+            if self.0.len() >= MAX_MODELS {
+                self.0.remove(0);
+            }
             self.0.push(ObservedModel { model, version: 0, rejected: None });
             self.0.len() - 1
         });
--- a/crates/placement/tests/models.rs
+++ b/crates/placement/tests/models.rs
@@ -175,3 +175,17 @@
     let mut single = servers(&[&[("m0", 1)]]);
     assert_eq!(choose(&mut single, &prompt_for("m0", 1, 1), 0).dispatch_record().model, None);
 }
+
+// Guards against memory that callers fill with names of models, and against a bound that forgets the
+// models in use.
+#[test]
+fn a_flood_of_model_names_leaves_the_models_in_use() {
+    let mut placement = servers(&[&[("m0", 1), ("m1", 1)]]);
+    let id = InstanceId::new("i-1");
+    for number in 0..10_000_u64 {
+        placement.observe_version(&id, ModelKey::of(&format!("x{number}")), number);
+        placement.observe_version(&id, ModelKey::of("m0"), 3);
+    }
+    assert_eq!(placement.version_of(&id, "x1"), Some(0));
+    assert_eq!(placement.version_of(&id, "m0"), Some(3));
+}
