Control: a deregistration reads without positions in a list

Cause: record_departure held three start times in an array and used them by index; its doc comment said who drops the future, but not that it has to be dropped. Found by reading the change as a newcomer.

Change: names for the three starts, KnownIncarnation::later_of, comments. No change of behaviour: log keys and the metric stay.

--- a/crates/control/src/fleet_calls.rs
+++ b/crates/control/src/fleet_calls.rs
@@ -121,8 +121,10 @@
 
     /// Records the departure of a server that doesn't state its incarnation: of the latest one that
     /// any replica has observed or that `ask_start` learns from the server, or else of all that
-    /// started before now. The caller drops the future when the server closes its connection: a call
-    /// that arrives after its server has given up must not remove the incarnation that runs by then.
+    /// started before now.
+    ///
+    /// The future has to be dropped when the server closes its connection. A call that a partition
+    /// delays until its server has ended must not remove the incarnation that runs by then.
     ///
     /// # Errors
     /// Fails if no quorum commits the departure in time.
@@ -138,28 +140,25 @@
         sleep(CALLER_CHECK_TIME).await;
         let observed = self.instance_publisher.incarnation_of(&name);
         let fleet_wide = self.fleet_publisher.incarnation_of(&name);
-        let known = [observed, fleet_wide].into_iter().flatten();
-        let latest = known.max_by_key(|known| known.started);
-        let stated = match latest.filter(|latest| latest.started.is_known()) {
-            Some(latest) => ask_start(latest.address).await,
-            None => StartTime::UNKNOWN,
-        };
-        let start_of = |known: Option<KnownIncarnation>| {
-            known.map_or(StartTime::UNKNOWN, |known| known.started)
+        let stated = match KnownIncarnation::later_of(observed, fleet_wide) {
+            Some(latest) if latest.started.is_known() => ask_start(latest.address).await,
+            _ => StartTime::UNKNOWN,
         };
-        let starts = [start_of(observed), start_of(fleet_wide), stated];
+        let observed = observed.map_or(StartTime::UNKNOWN, |known| known.started);
+        let fleet_wide = fleet_wide.map_or(StartTime::UNKNOWN, |known| known.started);
         log::info!(
             "event=departure_called instance={name} observed_start={} fleet_wide_start={} \
              stated_start={}",
-            starts[0].unix_ms(),
-            starts[1].unix_ms(),
+            observed.unix_ms(),
+            fleet_wide.unix_ms(),
             stated.unix_ms()
         );
-        if starts[1] > starts[0] {
+        if fleet_wide > observed {
             self.metrics.departures_observed_elsewhere.inc();
         }
         let now = StartTime::from_unix_ms(unix_millis());
-        self.commit_departure(Departure::of_latest(name, starts, now), "left").await
+        let departure = Departure::of_latest(name, [observed, fleet_wide, stated], now);
+        self.commit_departure(departure, "left").await
     }
 
     async fn commit_departure(&self, departure: Departure, cause: &str) -> Result<(), Refusal> {
--- a/crates/control/src/known_incarnation.rs
+++ b/crates/control/src/known_incarnation.rs
@@ -18,4 +18,9 @@
     pub fn of(report: &InstanceReport) -> Self {
         KnownIncarnation { started: report.started, address: report.address }
     }
+
+    /// The one that started later.
+    pub fn later_of(one: Option<Self>, other: Option<Self>) -> Option<Self> {
+        [one, other].into_iter().flatten().max_by_key(|known| known.started)
+    }
 }
--- a/crates/registry/src/departure.rs
+++ b/crates/registry/src/departure.rs
@@ -29,9 +29,9 @@
         Departure { name: id.name().clone(), through: id.started() }
     }
 
-    /// Departure of a server that names none of its incarnations and is still connected. Of two
-    /// incarnations the earlier one has ended, so the caller is the latest of `known`. If none is
-    /// known, everything that started until `now` departs, since a first heartbeat may be late.
+    /// Departure of a server that names none of its incarnations and is still connected. Earlier
+    /// incarnations have ended, so the server is the latest of `known`. If none is known, everything
+    /// that started until `now` departs, since a first heartbeat may be late.
     pub fn of_latest(
         name: InstanceName,
         known: impl IntoIterator<Item = StartTime>,
--- a/crates/renewal/tests/models.rs
+++ b/crates/renewal/tests/models.rs
@@ -40,8 +40,9 @@
     models.map(|(model, version)| (model.to_owned(), weights(version))).collect()
 }
 
-/// Rolls out new weights of both models from `start_ms` after their announcement on. Returns the time until all servers have them, the maximum
-/// number of servers that load weights at a time, and the orders to servers that were loading.
+/// Rolls out new weights of both models from `start_ms` after their announcement on. Returns the time
+/// until all servers have them, the maximum number of servers that load weights at a time, and the
+/// number of orders to servers that were loading.
 fn roll_out(start_ms: u64, count: usize, from: [u64; 2], to: [u64; 2]) -> (u64, usize, usize) {
     let (mut servers, wanted) = (servers(count, from), wanted(to));
     let mut plan = RenewalPlan::new(SETTINGS);
