Answers that end early: each has a reason, logged and counted

What was missing: request_done outcome=broken_off named no reason and nothing was counted by reason. The end of a long buffered answer and answers cut at the end of the grace period left no line, and nothing said why no other server went on.

OpenAnswer is the only way to end an answer whose head was passed on: complete, or early with a variant of EarlyEnd. answer_ended_early and answers_ended_early_total{kind,reason} have it, with the time that the request still had. search_ended says why no further server is asked although one may have run the request; own answers hid that behind 502 and 504. A body whose sender is dropped, as by a panic, is now incomplete; it looked whole before.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -2,6 +2,8 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -17,15 +19,63 @@
 #[error("the rest of the answer is unavailable")]
 pub struct IncompleteBody;
 
-/// Sender of the chunks of a response body.
-pub type ChunkSender = mpsc::Sender<Result<Bytes, IncompleteBody>>;
+/// Sender of the chunks of a response body. The body is incomplete if it is dropped before
+/// [`ChunkSender::complete`].
+pub struct ChunkSender {
+    chunks: mpsc::Sender<Bytes>,
+    is_complete: Arc<AtomicBool>,
+}
+
+impl ChunkSender {
+    /// Sends a chunk once the caller has read earlier ones.
+    ///
+    /// # Errors
+    /// Fails if the body was dropped.
+    pub async fn send(&self, chunk: Bytes) -> Result<(), mpsc::error::SendError<Bytes>> {
+        self.chunks.send(chunk).await
+    }
+
+    /// Completes once the body was dropped.
+    pub async fn closed(&self) {
+        self.chunks.closed().await;
+    }
+
+    /// Whether the body was dropped.
+    pub fn is_closed(&self) -> bool {
+        self.chunks.is_closed()
+    }
+
+    /// Marks the chunks sent so far as the whole body.
+    pub fn complete(&self) {
+        self.is_complete.store(true, Ordering::Release);
+    }
+}
+
+/// Receiver of the chunks of a response body.
+pub struct ChunkReceiver {
+    chunks: mpsc::Receiver<Bytes>,
+    is_complete: Arc<AtomicBool>,
+}
+
+impl ChunkReceiver {
+    fn poll(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
+        self.chunks.poll_recv(context).map(|chunk| match chunk {
+            Some(chunk) => Some(Ok(Frame::data(chunk))),
+            None if self.is_complete.load(Ordering::Acquire) => None,
+            None => Some(Err(IncompleteBody)),
+        })
+    }
+}
 
 /// Body of a response to a caller.
 pub enum AnswerBody {
     /// Complete body; `None` once it has been sent.
     Whole(Option<Bytes>),
     /// Body sent in chunks as they arrive.
-    Chunks(mpsc::Receiver<Result<Bytes, IncompleteBody>>),
+    Chunks(ChunkReceiver),
 }
 
 impl AnswerBody {
@@ -37,7 +87,9 @@
     /// Creates a body that is fed by the returned sender.
     pub fn chunks() -> (ChunkSender, Self) {
         let (sender, receiver) = mpsc::channel(QUEUED_CHUNKS);
-        (sender, AnswerBody::Chunks(receiver))
+        let is_complete = Arc::<AtomicBool>::default();
+        let receiver = ChunkReceiver { chunks: receiver, is_complete: Arc::clone(&is_complete) };
+        (ChunkSender { chunks: sender, is_complete }, AnswerBody::Chunks(receiver))
     }
 }
 
@@ -54,9 +106,7 @@
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
-            AnswerBody::Chunks(receiver) => {
-                receiver.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            AnswerBody::Chunks(receiver) => receiver.poll(context),
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,8 +7,8 @@
 //! - `listener` accepts connections, `call` handles one request up to the head of its answer,
 //!   `search` looks for a server, `attempt` sends the request to one server.
 //! - `crashes` reports evidence of crashes to the crash watch.
-//! - `relay` passes on buffered answers, `stream` passes on streams; `finish` logs the end of
-//!   requests.
+//! - `relay` passes on buffered answers, `stream` passes on streams; `open_answer` ends what is passed
+//!   on in chunks, `finish` logs the end of requests.
 //! - `pool` keeps connections to servers, `connect` opens them, `probe` checks when unreachable
 //!   servers are back and whether this router is cut off.
 //! - `tunnel` reaches servers through another router, `tunnel_server` forwards other routers' tunnels.
@@ -44,6 +44,7 @@
 mod lock;
 mod metrics;
 mod notices;
+mod open_answer;
 mod pool;
 mod probe;
 mod relay;
@@ -52,6 +53,7 @@
 mod retry_budget;
 mod returns;
 mod search;
+mod search_end;
 mod server_limits;
 mod settings;
 mod startup;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -136,17 +136,23 @@
     tokio::pin!(connection);
     let mut shutdown = gateway.shutdown.clone();
     tokio::select! {
-        result = connection.as_mut() => return log_connection_end(result),
+        result = connection.as_mut() => return log_connection_end(gateway, result),
         () = wait_for_phase(&mut shutdown, ShutdownPhase::ClosingConnections) => {}
     }
     connection.as_mut().graceful_shutdown();
-    log_connection_end(connection.await);
+    log_connection_end(gateway, connection.await);
 }
 
-fn log_connection_end(result: Result<(), hyper::Error>) {
-    if let Err(error) = result {
-        log::debug!("event=caller_connection_ended reason=\"{error}\"");
-    }
+fn log_connection_end(gateway: &Gateway, result: Result<(), hyper::Error>) {
+    let Err(error) = result else { return };
+    let kind = match &error {
+        error if error.is_timeout() => "head_timeout",
+        error if error.is_parse() => "malformed",
+        error if error.is_user() => "answer_incomplete",
+        _ => "connection",
+    };
+    gateway.metrics.count_failed_caller(kind);
+    log::debug!("event=caller_connection_ended kind={kind} reason=\"{error}\"");
 }
 
 /// Waits until the shutdown has reached `phase`.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,10 @@
     requests: IntCounterVec,
     /// Failed attempts, by reason.
     attempts_failed: IntCounterVec,
+    /// Answers that ended before they were complete, by kind of route and reason.
+    early_ends: IntCounterVec,
+    /// Callers' connections that the HTTP library ended, by reason.
+    failed_callers: IntCounterVec,
     /// Requests over their tenant's limit, by tenant and by who decided.
     over_limit: IntCounterVec,
     /// Tenants with a counter of their own.
@@ -163,6 +167,16 @@
                 "Sendings that came to nothing, by reason.",
                 &["reason"],
             )?,
+            early_ends: counters(
+                "answers_ended_early_total",
+                "Answers that ended before they were complete, by kind of route and reason.",
+                &["kind", "reason"],
+            )?,
+            failed_callers: counters(
+                "caller_connections_failed_total",
+                "Connections of callers that ended with an error, by reason.",
+                &["reason"],
+            )?,
             over_limit: counters(
                 "over_limit_total",
                 "Requests beyond their tenant's limit, by tenant and by who decided.",
@@ -328,6 +342,16 @@
         }
     }
 
+    /// Counts an answer that ended before it was complete.
+    pub(crate) fn count_early_end(&self, kind: RouteKind, reason: &str) {
+        self.early_ends.with_label_values(&[kind_label(kind), reason]).inc();
+    }
+
+    /// Counts a caller's connection that ended with an error.
+    pub(crate) fn count_failed_caller(&self, reason: &str) {
+        self.failed_callers.with_label_values(&[reason]).inc();
+    }
+
     /// Counts a stream that a caller resumes, by who knew its origin or by the reason of its refusal.
     pub(crate) fn count_resume(&self, outcome: &str) {
         self.resumes.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,10 +15,11 @@
 
 use crate::answer::OwnAnswer;
 use crate::attempt::{Answered, Attempt, BodyEnd, is_not_run_status};
-use crate::body::{AnswerBody, ChunkSender, IncompleteBody};
+use crate::body::AnswerBody;
 use crate::call::Call;
 use crate::finish::{FoundTiming, log_done, own_answer};
 use crate::gateway::Gateway;
+use crate::open_answer::{EarlyEnd, NotContinued, OpenAnswer};
 use crate::retry::Progress;
 use crate::search::ServerSearch;
 use crate::stream;
@@ -46,6 +47,26 @@
     MissingEvents,
     #[error("the server's software version has changed")]
     SoftwareChanged,
+    #[error("the answer has no end")]
+    Endless,
+    #[error("the end of the answer could not be confirmed")]
+    Unconfirmed,
+}
+
+impl BodyError {
+    /// Value of `reason` in metrics, and in logs of answers that ended early.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            BodyError::Broken => "server_broke_off",
+            BodyError::Stalled => "silent",
+            BodyError::Deadline => "deadline",
+            BodyError::CallerLeft => "caller_left",
+            BodyError::MissingEvents => "missing_events",
+            BodyError::SoftwareChanged => "software_changed",
+            BodyError::Endless => "endless",
+            BodyError::Unconfirmed => "end_unconfirmed",
+        }
+    }
 }
 
 /// Relays an answer whose head has arrived.
@@ -92,10 +113,10 @@
                 return finish_answer(&gateway, &call, head, body, served);
             }
             Ok(BufferedBody::TooLong(beginning, rest)) => {
-                let (chunks, body) = AnswerBody::chunks();
+                let (open, body) = OpenAnswer::start(&gateway, &call);
                 let served = Served { instance: &instance, progress, timing: attempt.timing };
                 let response = finish_answer(&gateway, &call, head, body, served);
-                tokio::spawn(relay_chunks(gateway, call, attempt, beginning, rest, chunks));
+                tokio::spawn(relay_chunks(gateway, call, attempt, beginning, rest, open));
                 return response;
             }
             Err(error) => {
@@ -189,45 +210,42 @@
     attempt: Attempt,
     beginning: Bytes,
     mut rest: Incoming,
-    chunks: ChunkSender,
+    mut answer: OpenAnswer,
 ) {
     let mut received = beginning.len();
-    let mut next = Ok(beginning);
-    loop {
-        let failed = next.is_err();
-        if chunks.send(next).await.is_err() {
-            return;
-        }
-        if failed {
-            return attempt.fail(Outcome::Interrupted);
+    let mut data = beginning;
+    let error = loop {
+        if answer.send(data).await.is_err() {
+            return answer.end_early(EarlyEnd::CallerLeft, NotContinued::NotResumable);
         }
         let frame = tokio::select! {
             frame = timeout_at(call.deadline, rest.frame()) => frame,
-            () = chunks.closed() => return,
+            () = answer.caller_left() => {
+                return answer.end_early(EarlyEnd::CallerLeft, NotContinued::NotResumable);
+            }
         };
-        next = match frame {
-            Ok(None) if !attempt.is_complete().await => Err(IncompleteBody),
+        data = match frame {
+            Ok(None) if !attempt.is_complete().await => break BodyError::Unconfirmed,
             Ok(None) => {
                 let end = attempt.body_end;
                 gateway.record_ended(&call, &attempt.instance, attempt.sent_at, end);
+                answer.complete();
                 return attempt.finish(Outcome::Answered);
             }
-            Ok(Some(Ok(frame))) => {
-                let data = frame.into_data().unwrap_or_default();
-                received += data.len();
-                let is_endless = received > MAX_UNMARKED_BYTES;
-                match is_endless && attempt.body_end == BodyEnd::ConnectionClosed {
-                    true => Err(IncompleteBody),
-                    false => Ok(data),
-                }
-            }
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             Ok(Some(Err(_))) => {
                 gateway.record_interrupted(&call, &attempt.instance, attempt.sent_at);
-                Err(IncompleteBody)
+                break BodyError::Broken;
             }
-            Err(_) => Err(IncompleteBody),
+            Err(_) => break BodyError::Deadline,
         };
-    }
+        received += data.len();
+        if received > MAX_UNMARKED_BYTES && attempt.body_end == BodyEnd::ConnectionClosed {
+            break BodyError::Endless;
+        }
+    };
+    answer.end_early(EarlyEnd::Incomplete(error), NotContinued::NotResumable);
+    attempt.fail(Outcome::Interrupted);
 }
 
 /// How a request was served.
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -17,9 +17,11 @@
 use crate::finish::PendingAnswer;
 use crate::gateway::Gateway;
 use crate::limits::GrantedCharge;
+use crate::open_answer::NotContinued;
 use crate::resume::ResumeRefusal;
 use crate::retry::Progress;
 use crate::retry_budget::GrantedRetry;
+use crate::search_end::SearchEnd;
 use crate::server_limits::Admission;
 
 /// Shortest time left for which a request is still sent.
@@ -48,13 +50,15 @@
     /// Software version that began the stream; `None` while any version may begin it.
     software: Option<SoftwareVersion>,
     last_error: Option<AttemptError>,
+    /// Why the search ended, once it has without an answer.
+    end: Option<SearchEnd>,
 }
 
 impl<'a> ServerSearch<'a> {
     pub(crate) fn new(gateway: &'a Arc<Gateway>, call: &'a Call) -> Self {
         let (progress, excluded) = (Progress::default(), Vec::new());
         let software = call.software.clone();
-        ServerSearch { gateway, call, progress, excluded, software, last_error: None }
+        ServerSearch { gateway, call, progress, excluded, software, last_error: None, end: None }
     }
 
     /// Restricts the search to servers of the software version that began the stream.
@@ -74,17 +78,17 @@
     pub(crate) async fn run(&mut self, last_event: Option<u64>) -> Result<Answered, OwnAnswer> {
         loop {
             if self.call.time_left() < MIN_TIME_LEFT {
-                return Err(self.final_answer(OwnAnswer::TooLate));
+                return Err(self.end(SearchEnd::TooLate, OwnAnswer::TooLate));
             }
             if self.gateway.check_quarantine(self.call, self.progress).await {
+                self.end = Some(SearchEnd::Quarantined);
                 return Err(OwnAnswer::Quarantined);
             }
             if !self.call.may_retry(self.progress) {
-                let answer = match self.progress.has_found_no_path() {
-                    true => OwnAnswer::NoServer(FULL_RETRY_AFTER),
-                    false => OwnAnswer::Full(FULL_RETRY_AFTER),
-                };
-                return Err(self.final_answer(answer));
+                return Err(match self.progress.has_found_no_path() {
+                    true => self.end(SearchEnd::NoPath, OwnAnswer::NoServer(FULL_RETRY_AFTER)),
+                    false => self.end(SearchEnd::AttemptsSpent, OwnAnswer::Full(FULL_RETRY_AFTER)),
+                });
             }
             let seen_views = *self.gateway.applied_views.borrow();
             if !self.may_find_software() {
@@ -93,13 +97,17 @@
                 }
                 let refusal = ResumeRefusal::NoSoftware;
                 self.log_not_resumable(refusal);
-                return Err(self.final_answer(OwnAnswer::NotResumable(refusal)));
+                return Err(self.end(SearchEnd::NoSoftware, OwnAnswer::NotResumable(refusal)));
             }
             let granted = self.take_retry()?;
             let (choice, charge) = match self.choose_admitted().await {
                 Ok(admitted) => admitted,
                 Err(ChoiceError::NoServer) if self.wait_for_servers(seen_views).await => continue,
-                Err(refusal) => return Err(self.final_answer(self.refusal_answer(refusal))),
+                Err(refusal) => {
+                    let end = SearchEnd::of(&refusal);
+                    let answer = self.refusal_answer(refusal);
+                    return Err(self.end(end, answer));
+                }
             };
             self.record_admission();
             self.log_choice(&choice);
@@ -136,6 +144,11 @@
         }
     }
 
+    /// Why a search that has ended without an answer found no other server.
+    pub(crate) fn not_continued(&self) -> NotContinued {
+        NotContinued::Search(self.end.unwrap_or(SearchEnd::AttemptsSpent))
+    }
+
     /// Whether to retry after a server error.
     fn should_retry(&self, status: hyper::StatusCode) -> bool {
         let mut after = self.progress;
@@ -175,12 +188,13 @@
     }
 
     /// Takes a retry from the budget; the first attempt needs none.
-    fn take_retry(&self) -> Result<Option<GrantedRetry>, OwnAnswer> {
+    fn take_retry(&mut self) -> Result<Option<GrantedRetry>, OwnAnswer> {
         if self.progress.sent == 0 {
             return Ok(None);
         }
         let granted = self.gateway.take_retry(self.call);
-        granted.map(Some).ok_or_else(|| self.final_answer(OwnAnswer::Full(FULL_RETRY_AFTER)))
+        let refused = OwnAnswer::Full(FULL_RETRY_AFTER);
+        granted.map(Some).ok_or_else(|| self.end(SearchEnd::BudgetSpent, refused))
     }
 
     /// Chooses a server that admits the request, and returns the charge against its advertised
@@ -284,12 +298,21 @@
         }
     }
 
-    /// Final answer to the caller; states that the request has not run only if no server may have
-    /// run it.
-    fn final_answer(&self, if_not_run: OwnAnswer) -> OwnAnswer {
+    /// Ends the search. Returns the final answer to the caller, which states that the request has not
+    /// run only if no server may have run it.
+    fn end(&mut self, end: SearchEnd, if_not_run: OwnAnswer) -> OwnAnswer {
+        self.end = Some(end);
         if self.progress.may_have_run == 0 {
             return if_not_run;
         }
+        log::info!(
+            "event=search_ended request={} reason={} sent={} may_have_run={} left_ms={}",
+            self.call.id(),
+            end.as_str(),
+            self.progress.sent,
+            self.progress.may_have_run,
+            self.call.time_left().as_millis()
+        );
         match &self.last_error {
             Some(AttemptError::Timeout) => OwnAnswer::DeadlinePassed,
             _ => OwnAnswer::ServerFailed,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,11 +13,12 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::{Answered, Attempt};
-use crate::body::{AnswerBody, ChunkSender, IncompleteBody};
+use crate::body::AnswerBody;
 use crate::call::Call;
 use crate::events::EventSplitter;
 use crate::finish::{FoundTiming, log_done};
 use crate::gateway::Gateway;
+use crate::open_answer::{EarlyEnd, NotContinued, OpenAnswer};
 use crate::relay::BodyError;
 use crate::retry::Progress;
 use crate::search::ServerSearch;
@@ -38,7 +39,7 @@
     let Answered { attempt, response } = answered;
     let (mut head, upstream) = response.into_parts();
     head.headers.remove(CONTENT_LENGTH);
-    let (chunks, body) = AnswerBody::chunks();
+    let (answer, body) = OpenAnswer::start(&gateway, &call);
     let status = head.status;
     let relay = StreamRelay {
         last_event: call.info.last_event,
@@ -47,7 +48,7 @@
         gateway,
         call,
         progress,
-        chunks,
+        answer,
         stats: StreamStats::default(),
         last_sent_at: None,
         status: status.as_u16(),
@@ -72,7 +73,7 @@
     gateway: Arc<Gateway>,
     call: Call,
     progress: Progress,
-    chunks: ChunkSender,
+    answer: OpenAnswer,
     last_event: Option<u64>,
     /// Last event that the current server was told to skip, if it produces just the rest.
     resumed_after: Option<u64>,
@@ -107,30 +108,31 @@
                     if self.resumed_after.is_none() {
                         self.gateway.record_ended(&self.call, &instance, sent_at, end);
                     }
-                    return self.log_end("answered", instance.as_str(), timing);
+                    self.log_end("answered", &instance, timing);
+                    return self.answer.complete();
                 }
                 Err(error) => error,
             };
             if error == BodyError::CallerLeft {
-                drop(attempt);
-                return self.log_end("caller_left", instance.as_str(), None);
+                return self.end_without_caller(attempt, &instance);
             }
             if error == BodyError::Stalled {
                 match self.replace_silent(&instance, &mut upstream).await {
-                    Some(answered) => {
+                    Ok(answered) => {
                         self.log_cut(&instance, error);
                         attempt.fail(Outcome::Interrupted);
                         (attempt, upstream) = self.begin_rest(answered);
                     }
-                    None if self.chunks.is_closed() => {
-                        drop(attempt);
-                        return self.log_end("caller_left", instance.as_str(), None);
+                    Err(_) if self.answer.has_caller_left() => {
+                        return self.end_without_caller(attempt, &instance);
                     }
-                    None => log::info!(
-                        "event=stream_silent request={} instance={instance} last_event={:?} has_data={}",
+                    Err(reason) => log::info!(
+                        "event=stream_silent request={} instance={instance} last_event={:?} \
+                         has_data={} not_continued={}",
                         self.call.id(),
                         self.last_event,
-                        self.received.is_some()
+                        self.received.is_some(),
+                        reason.as_str()
                     ),
                 }
                 continue;
@@ -138,19 +140,23 @@
             self.log_cut(&instance, error);
             let sent_at = attempt.sent_at;
             attempt.fail(Outcome::Interrupted);
-            if error == BodyError::Broken {
+            if matches!(error, BodyError::Broken | BodyError::Unconfirmed) {
                 self.gateway.record_interrupted(&self.call, &instance, sent_at);
             }
             self.progress.may_have_run += 1;
             let next = match error {
-                BodyError::Deadline | BodyError::MissingEvents | BodyError::SoftwareChanged => None,
+                BodyError::Deadline | BodyError::MissingEvents | BodyError::SoftwareChanged => {
+                    Err(NotContinued::NotResumable)
+                }
                 _ => self.resume(instance.clone()).await,
             };
-            let Some(answered) = next else {
-                let _ = self.chunks.send(Err(IncompleteBody)).await;
-                return self.log_end("broken_off", instance.as_str(), None);
-            };
-            (attempt, upstream) = self.begin_rest(answered);
+            match next {
+                Ok(answered) => (attempt, upstream) = self.begin_rest(answered),
+                Err(reason) => {
+                    self.log_end("broken_off", &instance, None);
+                    return self.answer.end_early(EarlyEnd::Incomplete(error), reason);
+                }
+            }
         }
     }
 
@@ -168,7 +174,7 @@
         &mut self,
         silent: &InstanceId,
         upstream: &mut Incoming,
-    ) -> Option<Answered> {
+    ) -> Result<Answered, NotContinued> {
         let resumed_after = self.resumed_after;
         self.progress.may_have_run += 1;
         let found = tokio::select! {
@@ -177,10 +183,10 @@
                 // The request may have reached another server by now.
                 self.progress.may_have_run += 1;
                 self.received = Some(frame);
-                None
+                Err(NotContinued::DataArrived)
             }
         };
-        if found.is_none() {
+        if found.is_err() {
             // The silent server still runs the request, and is counted once it has ended.
             self.progress.may_have_run -= 1;
             self.resumed_after = resumed_after;
@@ -189,13 +195,14 @@
     }
 
     /// Resumes the stream at another server, if it is known where to go on and at which servers.
-    async fn resume(&mut self, failed: InstanceId) -> Option<Answered> {
+    async fn resume(&mut self, failed: InstanceId) -> Result<Answered, NotContinued> {
         // Without event numbers the position to resume from is unknown.
-        let has_position = self.stats.events == 0 || self.last_event.is_some();
+        if self.stats.events > 0 && self.last_event.is_none() {
+            return Err(NotContinued::NoPosition);
+        }
         // Nor is known without a version which servers' events fit those that the caller has.
-        let has_software = !self.has_begun() || self.software.is_some();
-        if !has_position || !has_software {
-            return None;
+        if self.has_begun() && self.software.is_none() {
+            return Err(NotContinued::UnknownSoftware);
         }
         let mut search =
             ServerSearch::new(&self.gateway, &self.call).continue_from(self.progress, failed);
@@ -204,11 +211,14 @@
         }
         self.resumed_after = self.last_event;
         let found = tokio::select! {
-            found = search.run(self.last_event) => found.ok(),
-            () = self.chunks.closed() => None,
+            found = search.run(self.last_event) => found.map_err(|_| search.not_continued()),
+            () = self.answer.caller_left() => Err(NotContinued::CallerLeft),
         };
         self.progress = search.progress;
-        found.filter(|answered| answered.response.status().is_success())
+        match found {
+            Ok(answered) if !answered.response.status().is_success() => Err(NotContinued::Failed),
+            found => found,
+        }
     }
 
     fn is_resumed_by_caller(&self) -> bool {
@@ -232,14 +242,17 @@
                 Some(received) => Ok(received),
                 None => tokio::select! {
                     frame = timeout_at(deadline, upstream.frame()) => frame,
-                    () = self.chunks.closed() => return Err(BodyError::CallerLeft),
+                    () = self.answer.caller_left() => return Err(BodyError::CallerLeft),
                 },
             };
             let frame = match frame {
                 Err(_) if deadline == self.call.deadline => return Err(BodyError::Deadline),
                 Err(_) => return Err(BodyError::Stalled),
-                Ok(None) if self.splitter.is_between_events() && attempt.is_complete().await => {
-                    return Ok(());
+                Ok(None) if self.splitter.is_between_events() => {
+                    return match attempt.is_complete().await {
+                        true => Ok(()),
+                        false => Err(BodyError::Unconfirmed),
+                    };
                 }
                 Ok(None) | Ok(Some(Err(_))) => return Err(BodyError::Broken),
                 Ok(Some(Ok(frame))) => frame,
@@ -261,8 +274,7 @@
             }
             if !output.is_empty() {
                 self.record_gap();
-                let sent = self.chunks.send(Ok(output.freeze())).await;
-                sent.map_err(|_| BodyError::CallerLeft)?;
+                self.answer.send(output.freeze()).await?;
             }
         }
     }
@@ -348,9 +360,16 @@
         );
     }
 
-    fn log_end(self, outcome: &str, instance: &str, timing: Option<FoundTiming>) {
+    /// Ends the answer of a caller that has left.
+    fn end_without_caller(self, attempt: Attempt, instance: &InstanceId) {
+        drop(attempt);
+        self.log_end("caller_left", instance, None);
+        self.answer.end_early(EarlyEnd::CallerLeft, NotContinued::CallerLeft);
+    }
+
+    fn log_end(&self, outcome: &str, instance: &InstanceId, timing: Option<FoundTiming>) {
         let stats = Some(&self.stats);
-        log_done(&self.call, self.status, outcome, instance, self.progress, stats, timing);
+        log_done(&self.call, self.status, outcome, instance.as_str(), self.progress, stats, timing);
         let metrics = &self.gateway.metrics;
         metrics.count_stream(outcome, self.stats.first_event);
         metrics.gap_seconds.observe(self.stats.longest_gap.as_secs_f64());
--- a/crates/gateway/tests/timing_log.rs
+++ b/crates/gateway/tests/timing_log.rs
@@ -4,16 +4,17 @@
 // This test uses only part of the support module.
 #![allow(dead_code)]
 
+#[path = "paths/support/log_lines.rs"]
+mod log_lines;
 #[path = "paths/support/mod.rs"]
 mod support;
 
-use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use juniper_catalog::EngineProfile;
-use log::{LevelFilter, Log, Metadata, Record};
 use tokio::time::sleep;
 
+use log_lines::{line, value};
 use support::caller::{ask, request_head};
 use support::server::{FakeServer, LAST_CHUNK, Step, event, stream_head};
 use support::{TEST_TIMEOUT, TestGateway, catalog};
@@ -25,50 +26,11 @@
 const GAP: Duration = Duration::from_millis(600);
 const MIN_GAP: Duration = Duration::from_millis(100);
 
-/// Lines logged so far.
-static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
-
-struct LineLogger;
-
-impl Log for LineLogger {
-    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &Record<'_>) {
-        LINES.lock().expect("not poisoned").push(record.args().to_string());
-    }
-
-    fn flush(&self) {}
-}
-
-/// Waits for the log line of the event and request.
-async fn line(event: &str, request: &str) -> String {
-    let started_at = Instant::now();
-    loop {
-        let matches =
-            |line: &&String| line.starts_with(&format!("event={event} request={request} "));
-        let found = LINES.lock().expect("not poisoned").iter().find(matches).cloned();
-        if let Some(line) = found {
-            return line;
-        }
-        assert!(started_at.elapsed() < TEST_TIMEOUT, "no line {event} of {request}");
-        sleep(Duration::from_millis(10)).await;
-    }
-}
-
-/// Value of a key in milliseconds.
-fn value(line: &str, key: &str) -> Option<u128> {
-    let value = line.split(' ').find_map(|part| part.strip_prefix(key)?.strip_prefix('='))?;
-    Some(value.parse().unwrap_or_else(|_| panic!("{key} is no number in {line}")))
-}
-
 /// Guards against logs from which the error of an expected time can't be told: expected and observed
 /// values must belong to the attempt that answered.
 #[tokio::test]
 async fn answered_prompts_log_expected_and_observed_times() {
-    log::set_logger(&LineLogger).expect("the only logger");
-    log::set_max_level(LevelFilter::Info);
+    log_lines::collect();
     let script = |_: usize, head: &str| {
         vec![
             Step::Wait(FIRST_EVENT),
