Known red: requests of slow servers are given up before another server answers

Four tests fail on the current code (504 after 0.6 s of 3 s); the fifth, a takeover from a silent server, passes and stays.

--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -20,6 +20,7 @@
 mod retries;
 mod server_limits;
 mod silence;
+mod slow_heads;
 mod software_versions;
 mod startup;
 mod support;
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -170,18 +170,28 @@
         servers: &[&FakeServer],
         prepare: impl FnOnce(&FakeControl),
     ) -> Self {
-        Self::start_on_link(catalog, servers, None, prepare).await
+        Self::start_changed(catalog, servers, |_| (), prepare).await
+    }
+
+    /// Starts a gateway whose retry budget is always spent, and waits until it is ready.
+    pub async fn start_without_retries(servers: &[&FakeServer]) -> Self {
+        let no_retries = RetrySettings { ratio: 0.0, free: 0.0, window: Duration::from_secs(10) };
+        let change = |settings: &mut GatewaySettings| settings.retry = no_retries;
+        Self::start_changed(catalog(), servers, change, |_| ()).await.ready().await
     }
 
     /// Starts a gateway on a link of this capacity, in bytes per second, and waits until it is ready.
     pub async fn start_with_link(catalog: Catalog, servers: &[&FakeServer], capacity: f64) -> Self {
-        Self::start_on_link(catalog, servers, Some(capacity), |_| ()).await.ready().await
+        let change =
+            |settings: &mut GatewaySettings| settings.link_bytes_per_second = Some(capacity);
+        Self::start_changed(catalog, servers, change, |_| ()).await.ready().await
     }
 
-    async fn start_on_link(
+    /// Starts a gateway with changed settings.
+    async fn start_changed(
         catalog: Catalog,
         servers: &[&FakeServer],
-        link_bytes_per_second: Option<f64>,
+        change: impl FnOnce(&mut GatewaySettings),
         prepare: impl FnOnce(&FakeControl),
     ) -> Self {
         let reports = servers.iter().map(|server| server.report()).collect();
@@ -198,7 +208,7 @@
         let (internal_listener, internal) = listener().await;
         let listeners =
             Listeners::from_bound(caller_listener, internal_listener, readiness_listener);
-        let settings = GatewaySettings {
+        let mut settings = GatewaySettings {
             node: "gateway".to_owned(),
             zone: "north".to_owned(),
             retry: RETRIES,
@@ -206,8 +216,9 @@
             renew_within: Duration::from_secs(8),
             fingerprint_key: FingerprintKey::new([7; 32]),
             grace_period: Duration::from_secs(8),
-            link_bytes_per_second,
+            link_bytes_per_second: None,
         };
+        change(&mut settings);
         let (stop, stop_requested) = oneshot::channel::<()>();
         let stop_requested = async {
             if stop_requested.await.is_err() {
