--- a/crates/gateway/tests/paths/software_versions.rs
+++ b/crates/gateway/tests/paths/software_versions.rs
@@ -314,6 +314,32 @@
     assert_eq!(other.requests().len(), 0);
 }
 
+/// Starts a request and reports `server` without a version while it is answered.
+async fn ask_during_incomplete_report(
+    gateway: &TestGateway,
+    head: String,
+    server: &FakeServer,
+) -> Answer {
+    let callers = gateway.callers;
+    let asking = tokio::spawn(async move { ask(callers, &format!("{head}\r\n")).await });
+    tokio::time::sleep(LIST_DELAY).await;
+    gateway.control.add_server(server.clone().with_software("").report());
+    asking.await.expect("no panic")
+}
+
+// Guards against a resumed stream that is cut because a heartbeat of the same start has no version.
+#[tokio::test]
+async fn a_report_without_a_version_cuts_a_resumed_stream() {
+    let breaking = breaking_server("b", "v1").await;
+    let first = TestGateway::start(&[&breaking]).await;
+    assert!(get(first.callers, "/resumable/x", "r1").await.body.contains("d1"));
+    let server = slow_server("a", "v1").await;
+    let second = second_gateway(&first, &[&server]).await;
+    let head = request_head("GET", "/resumable/x", "r2") + "x-last: 1\r\nx-resumes: r1\r\n";
+    let answer = ask_during_incomplete_report(&second, head, &server).await;
+    assert!(answer.complete && answer.body.contains("d3"), "{answer:?}");
+}
+
 #[tokio::test]
 async fn a_stream_begins_at_a_server_whose_restart_is_not_known_yet() {
     let server = breaking_server("a", "v1").await.with_start(1_000);
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -34,14 +34,19 @@
     }
 
     /// Software version that the server listed under the name of `id` states now, if it is another
-    /// one than `software`: the server has restarted, or states it without a restart.
+    /// one than `software`: the server has restarted, or doesn't tell when it started.
     pub fn changed_software(
         &self,
         id: &InstanceId,
         software: Option<&SoftwareVersion>,
     ) -> Option<Option<&SoftwareVersion>> {
-        let listed = self.servers.get(id.name())?.instance.report.software.as_ref();
-        (listed != software).then_some(listed)
+        let listed = &self.servers.get(id.name())?.instance;
+        // One incarnation runs one version, whatever its latest report lacks.
+        if id.started().is_known() && listed.id == *id {
+            return None;
+        }
+        let software_listed = listed.report.software.as_ref();
+        (software_listed != software).then_some(software_listed)
     }
 
     /// Servers that the request may be sent to.
