--- a/crates/gateway/tests/paths/silence.rs
+++ b/crates/gateway/tests/paths/silence.rs
@@ -75,3 +75,57 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     assert_eq!(total(FakeServer::abandoned), 1);
 }
+
+/// Two servers with the same script, and a gateway before them.
+async fn pair(script: fn(&str) -> Vec<Step>) -> ([FakeServer; 2], TestGateway) {
+    let servers = [
+        FakeServer::start("a", move |_, head| script(head)).await,
+        FakeServer::start("b", move |_, head| script(head)).await,
+    ];
+    let gateway = TestGateway::start(&[&servers[0], &servers[1]]).await;
+    (servers, gateway)
+}
+
+// Guards against events that are lost because they arrive while another server is looked for.
+#[tokio::test]
+async fn data_that_arrives_during_the_search_for_another_server_is_lost() {
+    let (servers, gateway) = pair(|head| match header(head, "x-last") {
+        None => vec![
+            Step::Send(stream_head(head, "s")),
+            Step::Send(event(1)),
+            Step::Wait(SILENCE),
+            Step::Send(event(2)),
+            Step::Send(event(3)),
+            Step::Send(LAST_CHUNK.to_owned()),
+        ],
+        Some(_) => vec![Step::Wait(Duration::from_secs(20))],
+    })
+    .await;
+    let answer = get(gateway.callers, "/resumable/x", "r1").await;
+    assert!(answer.complete, "{answer:?}");
+    let data: Vec<_> = answer.body.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    assert_eq!(data, ["d1", "d2", "d3"]);
+    assert_eq!(servers.iter().map(|server| server.requests().len()).sum::<usize>(), 2);
+}
+
+// Guards against a retry that is spent on a silent server which went on by itself.
+#[tokio::test]
+async fn a_stream_that_was_silent_is_not_resumed_when_it_breaks() {
+    let (_servers, gateway) = pair(|head| match header(head, "x-last") {
+        None if head.contains("/safe/") => vec![Step::Send(complete_answer(head, "200 OK", ""))],
+        None => vec![
+            Step::Send(stream_head(head, "s")),
+            Step::Send(event(1)),
+            Step::Wait(SILENCE),
+            Step::Send(event(2)),
+            Step::Reset,
+        ],
+        Some("1") => vec![Step::Send(complete_answer(head, "503 Full\r\nx-not-run: 1", ""))],
+        Some(_) => [stream_head(head, "s"), event(3), LAST_CHUNK.to_owned()].map(Step::Send).into(),
+    })
+    .await;
+    // Earns a second retry.
+    get(gateway.callers, "/safe/x", "r0").await;
+    let answer = get(gateway.callers, "/resumable/x", "r1").await;
+    assert!(answer.complete && answer.body.contains("d3"), "{answer:?}");
+}
--- a/crates/gateway/tests/paths/software_versions.rs
+++ b/crates/gateway/tests/paths/software_versions.rs
@@ -340,6 +340,32 @@
     assert!(answer.complete && answer.body.contains("d3"), "{answer:?}");
 }
 
+// Guards against the position of a search without result that stays: a whole answer would count as the
+// rest of one, and a restart of its server with another version would cut it.
+#[tokio::test]
+async fn a_stream_that_was_silent_counts_as_the_rest_of_one() {
+    let server = FakeServer::start("a", |_, head| {
+        vec![
+            Step::Send(stream_head(head, "a")),
+            Step::Send(event(1)),
+            Step::Wait(Duration::from_millis(2_200)),
+            Step::Send(event(2)),
+            Step::Send(LAST_CHUNK.to_owned()),
+        ]
+    })
+    .await
+    .with_start(1_000);
+    let gateway = TestGateway::start(&[&server]).await;
+    let callers = gateway.callers;
+    let asking = tokio::spawn(async move { get(callers, "/resumable/x", "r1").await });
+    // After the gap after which another server is looked for.
+    tokio::time::sleep(Duration::from_millis(1_950)).await;
+    let restarted = server.clone().with_software("v2").with_start(2_000);
+    gateway.control.add_server(restarted.report());
+    let answer = asking.await.expect("no panic");
+    assert!(answer.complete && answer.body.contains("d2"), "{answer:?}");
+}
+
 #[tokio::test]
 async fn a_stream_begins_at_a_server_whose_restart_is_not_known_yet() {
     let server = breaking_server("a", "v1").await.with_start(1_000);
