--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to have a request answered by one server.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -89,6 +90,8 @@
     /// Time without an answer after which the server counts as failing.
     answer_timeout: Duration,
     has_head: bool,
+    /// Whether the server already counts as failing because it hasn't answered.
+    is_silent: bool,
     /// How the end of the answer's body shows.
     pub body_end: BodyEnd,
     /// Expected times of a prompt.
@@ -101,8 +104,9 @@
     /// Ends the attempt of a caller that has left. A server that didn't answer within the timeout
     /// counts as failing, since it may not answer the next requests either.
     fn drop(&mut self) {
-        let is_silent = !self.has_head && self.started.elapsed() >= self.answer_timeout;
-        self.close(if is_silent { Outcome::Interrupted } else { Outcome::Cancelled });
+        let has_failed = !self.has_head && self.started.elapsed() >= self.answer_timeout;
+        let is_new = has_failed && !self.is_silent;
+        self.close(if is_new { Outcome::Interrupted } else { Outcome::Cancelled });
     }
 }
 
@@ -204,13 +208,14 @@
     pub response: Response<Incoming>,
 }
 
-/// Sends the request to the chosen server and waits until `until` for the head of the answer.
+/// Sends the request to the chosen server and waits for the head of the answer until the call's
+/// deadline. A server that has not answered at `due` counts as silent.
 pub(crate) async fn send(
     gateway: &Arc<Gateway>,
     call: &Call,
     choice: &Choice,
     last_event: Option<u64>,
-    deadline: Instant,
+    due: Option<Instant>,
     granted: Option<GrantedRetry>,
 ) -> Result<Answered, AttemptError> {
     let now = gateway.now();
@@ -230,6 +235,7 @@
         started_boot: BootInstant::now(),
         answer_timeout: call.answer_timeout(),
         has_head: false,
+        is_silent: false,
         body_end: BodyEnd::Marked,
         expected: choice.expected,
         timing: None,
@@ -241,10 +247,11 @@
     if gateway.placement().is_path_proven(&choice.instance) {
         attempt.report_dispatch(choice);
     }
-    match exchange(gateway, call, choice, last_event, deadline, granted, &mut attempt).await {
+    match exchange(gateway, call, choice, last_event, due, granted, &mut attempt).await {
         Ok(response) => Ok(Answered { attempt, response }),
         Err(error) => {
-            attempt.fail(error.outcome());
+            let is_recorded = attempt.is_silent && matches!(error, AttemptError::Timeout);
+            attempt.fail(if is_recorded { Outcome::Cancelled } else { error.outcome() });
             Err(error)
         }
     }
@@ -255,7 +262,7 @@
     call: &Call,
     choice: &Choice,
     last_event: Option<u64>,
-    deadline: Instant,
+    due: Option<Instant>,
     granted: Option<GrantedRetry>,
     attempt: &mut Attempt,
 ) -> Result<Response<Incoming>, AttemptError> {
@@ -294,8 +301,14 @@
     }
     let request = build_request(gateway, call, choice, last_event);
     connection.head_limit.begin();
-    let sending = connection.sender.try_send_request(request);
-    let mut response = match timeout_at(deadline, sending).await {
+    let mut sending = pin!(connection.sender.try_send_request(request));
+    let mut sent = timeout_at(due.unwrap_or(call.deadline), &mut sending).await;
+    if sent.is_err() && due.is_some() {
+        gateway.placement().record_silence(&choice.instance, gateway.now());
+        attempt.is_silent = true;
+        sent = timeout_at(call.deadline, &mut sending).await;
+    }
+    let mut response = match sent {
         Err(_) => return Err(AttemptError::Timeout),
         Ok(Err(error)) => return Err(send_error(error)),
         Ok(Ok(response)) => response,
--- a/crates/gateway/src/finish.rs
+++ b/crates/gateway/src/finish.rs
@@ -108,20 +108,20 @@
 pub(crate) struct PendingAnswer<'a> {
     gateway: &'a Gateway,
     call: &'a Call,
-    instance: &'a InstanceId,
+    instance: Option<InstanceId>,
     progress: Progress,
     has_ended: bool,
 }
 
 impl<'a> PendingAnswer<'a> {
-    /// Starts the wait for the answer of `instance`.
+    /// Starts the wait for an answer; `instance` is the latest server that was asked.
     pub(crate) fn start(
         gateway: &'a Gateway,
         call: &'a Call,
-        instance: &'a InstanceId,
+        instance: Option<&InstanceId>,
         progress: Progress,
     ) -> Self {
-        PendingAnswer { gateway, call, instance, progress, has_ended: false }
+        PendingAnswer { gateway, call, instance: instance.cloned(), progress, has_ended: false }
     }
 
     /// Ends the wait after an answer or a failure, so that nothing is logged.
@@ -137,7 +137,7 @@
                 self.call,
                 0,
                 "caller_left",
-                self.instance.as_str(),
+                self.instance.as_ref().map_or("-", InstanceId::as_str),
                 self.progress,
                 None,
                 None,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! the rest doesn't depend on the environment.
 //!
 //! - `listener` accepts connections, `call` handles one request up to the head of its answer,
-//!   `search` looks for a server, `attempt` sends the request to one server.
+//!   `search` asks one server after another, `search_choice` chooses the next one, `attempt` sends the
+//!   request to one server.
 //! - `crashes` reports evidence of crashes to the crash watch.
 //! - `relay` passes on buffered answers, `stream` passes on streams; `open_answer` ends what is passed
 //!   on in chunks, `finish` logs the end of requests.
@@ -47,12 +48,14 @@
 mod open_answer;
 mod pool;
 mod probe;
+mod refusal;
 mod relay;
 mod resume;
 mod retry;
 mod retry_budget;
 mod returns;
 mod search;
+mod search_choice;
 mod search_end;
 mod server_limits;
 mod settings;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,8 @@
     requests: IntCounterVec,
     /// Failed attempts, by reason.
     attempts_failed: IntCounterVec,
+    /// Attempts whose servers didn't answer within the answer timeout.
+    pub silent_attempts: IntCounter,
     /// Answers that ended before they were complete, by kind of route and reason.
     early_ends: IntCounterVec,
     /// Callers' connections that the HTTP library ended, by reason.
@@ -167,6 +169,10 @@
                 "Sendings that came to nothing, by reason.",
                 &["reason"],
             )?,
+            silent_attempts: counter(
+                "attempts_silent_total",
+                "Attempts whose servers did not answer within the answer timeout.",
+            )?,
             early_ends: counters(
                 "answers_ended_early_total",
                 "Answers that ended before they were complete, by kind of route and reason.",
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,5 +1,6 @@
 //! Relays streams, and resumes them at another server where that is allowed.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -148,7 +149,7 @@
                 BodyError::Deadline | BodyError::MissingEvents | BodyError::SoftwareChanged => {
                     Err(NotContinued::NotResumable)
                 }
-                _ => self.resume(instance.clone()).await,
+                _ => self.resume(instance.clone(), None).await,
             };
             match next {
                 Ok(answered) => (attempt, upstream) = self.begin_rest(answered),
@@ -177,15 +178,7 @@
     ) -> Result<Answered, NotContinued> {
         let resumed_after = self.resumed_after;
         self.progress.may_have_run += 1;
-        let found = tokio::select! {
-            found = self.resume(silent.clone()) => found,
-            frame = upstream.frame() => {
-                // The request may have reached another server by now.
-                self.progress.may_have_run += 1;
-                self.received = Some(frame);
-                Err(NotContinued::DataArrived)
-            }
-        };
+        let found = self.resume(silent.clone(), Some(upstream)).await;
         if found.is_err() {
             // The silent server still runs the request, and is counted once it has ended.
             self.progress.may_have_run -= 1;
@@ -194,8 +187,13 @@
         found
     }
 
-    /// Resumes the stream at another server, if it is known where to go on and at which servers.
-    async fn resume(&mut self, failed: InstanceId) -> Result<Answered, NotContinued> {
+    /// Resumes the stream at another server, if it is known where to go on and at which servers. Data
+    /// of the silent server, if there is one, ends the search.
+    async fn resume(
+        &mut self,
+        failed: InstanceId,
+        silent: Option<&mut Incoming>,
+    ) -> Result<Answered, NotContinued> {
         // Without event numbers the position to resume from is unknown.
         if self.stats.events > 0 && self.last_event.is_none() {
             return Err(NotContinued::NoPosition);
@@ -210,13 +208,31 @@
             search = search.with_software(self.software.clone());
         }
         self.resumed_after = self.last_event;
+        let frame = async {
+            match silent {
+                Some(upstream) => upstream.frame().await,
+                None => pending().await,
+            }
+        };
         let found = tokio::select! {
-            found = search.run(self.last_event) => found.map_err(|_| search.not_continued()),
-            () = self.answer.caller_left() => Err(NotContinued::CallerLeft),
+            found = search.run(self.last_event) => Some(found),
+            frame = frame => {
+                self.received = Some(frame);
+                None
+            }
+            () = self.answer.caller_left() => None,
+        };
+        self.progress = search.progress_if_dropped();
+        let found = match found {
+            Some(found) => found.map_err(|_| search.not_continued()),
+            None if self.received.is_some() => Err(NotContinued::DataArrived),
+            None => Err(NotContinued::CallerLeft),
         };
-        self.progress = search.progress;
         match found {
-            Ok(answered) if !answered.response.status().is_success() => Err(NotContinued::Failed),
+            Ok(answered) if !answered.response.status().is_success() => {
+                self.progress.may_have_run += 1;
+                Err(NotContinued::Failed)
+            }
             found => found,
         }
     }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -310,6 +310,13 @@
         }
     }
 
+    /// Records that the server has not answered a request within the timeout. The request goes on.
+    pub fn record_silence(&mut self, instance: &InstanceId, now: Timestamp) {
+        if let Some(server) = self.server_mut(instance) {
+            server.health.record(Outcome::Interrupted, now);
+        }
+    }
+
     /// Records the version of the weights in an answer of the server to a request for `model`.
     pub fn observe_version(&mut self, instance: &InstanceId, model: ModelKey, version: u64) {
         if let Some(server) = self.server_mut(instance) {
