--- a/crates/gateway/tests/paths/slow_heads.rs
+++ b/crates/gateway/tests/paths/slow_heads.rs
@@ -1,12 +1,12 @@
 //! Requests whose servers begin to answer later than the timeout after which another one is asked.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::support::TestGateway;
 use crate::support::caller::get;
-use crate::support::server::{
-    FakeServer, LAST_CHUNK, Step, complete_answer, event, healthy, stream_head,
-};
+use crate::support::server::{FakeServer, LAST_CHUNK, Step, complete_answer, event, stream_head};
 
 /// Longer than the answer timeout of all routes, and much shorter than their deadlines.
 const SLOW: Duration = Duration::from_millis(1_600);
@@ -37,6 +37,26 @@
     .await
 }
 
+/// Two servers of which the one that gets the first request waits before it answers.
+async fn pair_with_a_first_wait(wait: Duration) -> [FakeServer; 2] {
+    let has_waited = Arc::<AtomicBool>::default();
+    let start = |name| {
+        let has_waited = Arc::clone(&has_waited);
+        FakeServer::start(name, move |_, head| {
+            let answer = Step::Send(complete_answer(head, "200 OK", "fine"));
+            match has_waited.swap(true, Ordering::Relaxed) {
+                false => vec![Step::Wait(wait), answer],
+                true => vec![answer],
+            }
+        })
+    };
+    [start("a").await, start("b").await]
+}
+
+fn total(servers: &[FakeServer], count: fn(&FakeServer) -> usize) -> usize {
+    servers.iter().map(count).sum()
+}
+
 async fn check_answered(gateway: &TestGateway, id: &str) {
     for path in PATHS {
         let answer = get(gateway.callers, path, &format!("{id}{}", path.len())).await;
@@ -68,16 +88,12 @@
 // Guards against the same once the retry budget is spent.
 #[tokio::test]
 async fn a_request_of_a_slow_server_is_given_up_once_the_retry_budget_is_spent() {
-    let slow = slow_server().await;
-    let gateway = TestGateway::start_without_retries(&[&slow, &healthy("b").await]).await;
-    let mut slow_requests = 0;
-    for number in 0..6 {
-        let answer = get(gateway.callers, "/safe/x", &format!("r{number}")).await;
-        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
-        slow_requests = slow.requests().len();
-    }
-    assert!(slow_requests > 0);
-    assert_eq!(slow.abandoned(), 0);
+    let servers = pair_with_a_first_wait(SLOW).await;
+    let gateway = TestGateway::start_without_retries(&[&servers[0], &servers[1]]).await;
+    let answer = get(gateway.callers, "/safe/x", "r1").await;
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(total(&servers, |server| server.requests().len()), 1);
+    assert_eq!(total(&servers, FakeServer::abandoned), 0);
 }
 
 // Guards against a late rejection that is reported as if the request may have run.
@@ -94,15 +110,13 @@
 // Guards against a silent server that is waited for although another one answers.
 #[tokio::test]
 async fn a_request_of_a_silent_server_waits_for_it_beside_another_server() {
-    let silent = FakeServer::start("a", |_, _| vec![Step::Wait(Duration::from_secs(20))]).await;
-    let gateway = TestGateway::start(&[&silent, &healthy("b").await]).await;
-    for number in 0..4 {
-        let began_at = Instant::now();
-        let answer = get(gateway.callers, "/safe/x", &format!("r{number}")).await;
-        assert_eq!((answer.status, answer.body.as_str()), (200, "fine"), "{answer:?}");
-        assert!(began_at.elapsed() < TAKEN_OVER, "{:?}", began_at.elapsed());
-    }
+    let servers = pair_with_a_first_wait(Duration::from_secs(20)).await;
+    let gateway = TestGateway::start(&[&servers[0], &servers[1]]).await;
+    let began_at = Instant::now();
+    let answer = get(gateway.callers, "/safe/x", "r1").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "fine"), "{answer:?}");
+    assert!(began_at.elapsed() < TAKEN_OVER, "{:?}", began_at.elapsed());
+    assert_eq!(total(&servers, |server| server.requests().len()), 2);
     tokio::time::sleep(Duration::from_millis(100)).await;
-    assert!(!silent.requests().is_empty());
-    assert_eq!(silent.abandoned(), silent.requests().len());
+    assert_eq!(total(&servers, FakeServer::abandoned), 1);
 }
