Tests of requests under way while the configuration changes

Routes dropped and moved, a service dropped, a key revoked, a limit set, a timeout lowered below the age of what is under way, and a server that leaves the list; with a buffered request, one that may run once, a stream and a resumable stream.

--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod backoffs;
 mod brittle;
+mod configuration_changes;
 mod confirmations;
 mod connections;
 mod cut_off;
--- a/crates/gateway/tests/paths/support/control.rs
+++ b/crates/gateway/tests/paths/support/control.rs
@@ -26,11 +26,13 @@
 
 struct ReplicaState {
     node: NodeId,
-    catalog: Catalog,
+    catalog: Mutex<Catalog>,
     reports: Mutex<Vec<InstanceReport>>,
     confirms: AtomicBool,
     /// Confirms only once, after the answer to a later request.
     confirms_out_of_order: AtomicBool,
+    /// Notifies connections that the catalog has changed.
+    catalog_changes: broadcast::Sender<()>,
     /// Notifies connections that the list of servers has changed.
     server_changes: broadcast::Sender<()>,
     /// Number of routers in confirmations.
@@ -82,7 +84,7 @@
         let node = NodeId::of_address(super::loopback(port));
         let state = Arc::new(ReplicaState {
             node,
-            catalog,
+            catalog: Mutex::new(catalog),
             reports: Mutex::new(reports),
             confirms: AtomicBool::new(false),
             confirms_out_of_order: AtomicBool::new(false),
@@ -91,6 +93,7 @@
             charge_handling: Mutex::new(ChargeHandling::Admit),
             charges: Mutex::default(),
             refunds: Mutex::default(),
+            catalog_changes: broadcast::Sender::new(4),
             server_changes: broadcast::Sender::new(4),
             published: Mutex::default(),
             stream_records: Mutex::default(),
@@ -155,6 +158,19 @@
         let _ = self.state.renewals.send(update);
     }
 
+    /// Puts another catalog in force.
+    pub fn set_catalog(&self, catalog: Catalog) {
+        *self.state.catalog.lock().expect("no panic") = catalog;
+        // Fails if no gateway is subscribed yet.
+        let _ = self.state.catalog_changes.send(());
+    }
+
+    /// Removes all servers from the list and publishes it.
+    pub fn remove_servers(&self) {
+        self.state.reports.lock().expect("no panic").clear();
+        let _ = self.state.server_changes.send(());
+    }
+
     pub fn add_server(&self, report: InstanceReport) {
         self.state.reports.lock().expect("no panic").push(report);
         // Fails if no gateway is subscribed yet.
@@ -253,6 +269,11 @@
 }
 
 impl ReplicaState {
+    /// Each catalog has a revision of its own.
+    fn revision(&self) -> u64 {
+        REVISION + self.catalog.lock().expect("no panic").version - 1
+    }
+
     /// Origin of a stream; `None` if it isn't known, or if records disagree.
     fn origin_of(&self, stream: &StreamKey) -> Option<StreamOrigin> {
         let records = self.stream_records.lock().expect("no panic");
@@ -300,6 +321,7 @@
         }
     });
     let mut reordered = ReorderedAnswers::default();
+    let mut catalog_changes = state.catalog_changes.subscribe();
     let mut server_changes = state.server_changes.subscribe();
     let mut renewals = state.renewals.subscribe();
     let mut peer_updates = state.peer_updates.subscribe();
@@ -319,6 +341,7 @@
                 Some(_) => continue,
                 None => return,
             },
+            _ = catalog_changes.recv() => vec![fleet_push(&state)],
             _ = server_changes.recv() => vec![instances_push(&state)],
             update = renewals.recv() => {
                 update.into_iter().map(|update| Message::Push(Push::Renewals(update))).collect()
@@ -338,13 +361,14 @@
     match request {
         Request::Follow => vec![reply(Reply::Done), fleet_push(state), instances_push(state)],
         Request::Catalog { .. } => {
-            let body = minicbor::to_vec(&state.catalog).expect("encodes");
-            vec![reply(Reply::Catalog(Some(CatalogBody { version: state.catalog.version, body })))]
+            let catalog = state.catalog.lock().expect("no panic");
+            let body = minicbor::to_vec(&*catalog).expect("encodes");
+            vec![reply(Reply::Catalog(Some(CatalogBody { version: catalog.version, body })))]
         }
         Request::Confirm if state.confirms.load(Ordering::Relaxed) => {
             vec![reply(Reply::Confirmed {
                 age_ms: state.confirmation_age_ms.load(Ordering::Relaxed),
-                revision: REVISION,
+                revision: state.revision(),
                 routers: state.routers.load(Ordering::Relaxed),
                 weights: None,
             })]
@@ -383,8 +407,8 @@
 
 fn fleet_push(state: &ReplicaState) -> Message {
     Message::Push(Push::Fleet(FleetUpdate {
-        revision: REVISION,
-        catalog_version: state.catalog.version,
+        revision: state.revision(),
+        catalog_version: state.catalog.lock().expect("no panic").version,
         weights: BTreeMap::new(),
         departures: Vec::new(),
         members: vec![state.node],
