--- a/crates/router/src/previews.rs
+++ b/crates/router/src/previews.rs
@@ -1,7 +1,7 @@
 //! Relays preview byte streams, which resume by range requests.
 //!
 //! When a server fails in the middle of a stream, the remaining bytes are fetched
-//! from another server. The response has a content length, so a caller detects a
+//! from another server. A silent one is left only once another one has answered. The response has a content length, so a caller detects a
 //! stream that ends early.
 
 use std::sync::Arc;
@@ -30,7 +30,7 @@
 /// Pieces buffered for a slow caller before backpressure applies to the server's stream.
 const PIECE_BUFFER: usize = 8;
 
-/// Timeout of the response head and of each following piece.
+/// Timeout of the response head, and gap in a stream after which another server is looked for.
 const STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Retry delay suggested to callers when no server is reachable, in milliseconds.
@@ -97,9 +97,17 @@
     call: PreviewCall,
     opened: OpenPreview,
     search: Search,
+    /// What the current server sent while another one was looked for.
+    received: Option<ReceivedPiece>,
     _in_flight: InFlight,
 }
 
+/// Next part of a server's answer; `None` at its end.
+type ReceivedPiece = Result<Option<Bytes>, reqwest::Error>;
+
+/// Sender of the parts of an answer to the caller.
+type PieceSender = mpsc::Sender<Result<Bytes, PreviewError>>;
+
 /// Serves `GET /previews/...`.
 pub async fn preview(State(state): State<Arc<RouterState>>, request: Request) -> Response {
     let result = serve_preview(&state, request).await;
@@ -135,7 +143,7 @@
     insert_header(response.headers_mut(), REQUEST_ID_HEADER, &request_id.to_string());
     let (sender, receiver) = mpsc::channel(PIECE_BUFFER);
     let state = Arc::clone(state);
-    let relay = PreviewRelay { state, call, opened, search, _in_flight: in_flight };
+    let relay = PreviewRelay { state, call, opened, search, received: None, _in_flight: in_flight };
     tokio::spawn(relay.run(sender));
     *response.body_mut() = Body::from_stream(ReceiverStream::new(receiver));
     Ok(response)
@@ -250,12 +258,16 @@
 }
 
 impl PreviewRelay {
-    async fn run(mut self, pieces: mpsc::Sender<Result<Bytes, PreviewError>>) {
+    async fn run(mut self, pieces: PieceSender) {
         let mut next = self.opened.span.start;
         let end = self.opened.span.end;
         while next < end {
             let error = match self.forward_bytes(&pieces, &mut next).await {
                 Ok(()) => return,
+                Err(PreviewError::Stalled) => {
+                    self.replace_silent(next, &pieces).await;
+                    continue;
+                }
                 Err(error) => error,
             };
             log::warn!("event=preview_interrupted at={next} reason=\"{error}\"");
@@ -274,17 +286,21 @@
     /// Forwards bytes until all are sent or the caller has disconnected.
     async fn forward_bytes(
         &mut self,
-        pieces: &mpsc::Sender<Result<Bytes, PreviewError>>,
+        pieces: &PieceSender,
         next: &mut u64,
     ) -> Result<(), PreviewError> {
         let end = self.opened.span.end;
         while *next < end {
-            let piece = timeout(STALL_TIMEOUT, self.opened.response.chunk()).await;
-            let bytes = match piece {
-                Err(_) => return Err(PreviewError::Stalled),
-                Ok(Ok(Some(bytes))) => bytes,
-                Ok(Ok(None) | Err(_)) => return Err(PreviewError::Broken),
+            let piece = match self.received.take() {
+                Some(received) => received,
+                None => tokio::select! {
+                    piece = timeout(STALL_TIMEOUT, self.opened.response.chunk()) => {
+                        piece.map_err(|_| PreviewError::Stalled)?
+                    }
+                    () = pieces.closed() => return Ok(()),
+                },
             };
+            let Ok(Some(bytes)) = piece else { return Err(PreviewError::Broken) };
             let length = bytes.len() as u64;
             if *next + length > end {
                 return Err(PreviewError::Mismatch);
@@ -306,11 +322,41 @@
         self.search.excluded.push(self.opened.lease.target.id);
         self.state.metrics.retries.with_label_values(&["preview"]).inc();
         let opened = open_on_any_server(&self.state, &self.call, next, &mut self.search).await?;
-        // A different length or tag means that the preview has changed.
-        if opened.span.total != self.opened.span.total || opened.tag != self.opened.tag {
+        if !self.is_unchanged(&opened) {
             return Err(RequestError::BackEndFailed);
         }
         self.opened = opened;
         Ok(())
     }
+
+    /// Looks for a server to replace one that is silent but may still be at work, until that one sends
+    /// data. Its connection stays open meanwhile: without another server it is waited for.
+    async fn replace_silent(&mut self, next: u64, pieces: &PieceSender) {
+        let silent = self.opened.lease.target.id;
+        self.opened.lease.record_failure();
+        self.state.metrics.retries.with_label_values(&["preview"]).inc();
+        // The servers that failed before may be back.
+        let mut search = Search { excluded: vec![silent], may_have_run: true };
+        let found = tokio::select! {
+            found = open_on_any_server(&self.state, &self.call, next, &mut search) => found.ok(),
+            piece = self.opened.response.chunk() => {
+                self.received = Some(piece);
+                None
+            }
+            () = pieces.closed() => None,
+        };
+        let found = found.filter(|opened| self.is_unchanged(opened));
+        log::info!("event=preview_silent engine={silent} at={next} replaced={}", found.is_some());
+        if let Some(opened) = found {
+            self.search.excluded.push(silent);
+            self.search.may_have_run = true;
+            self.opened = opened;
+        }
+    }
+
+    /// Whether the rest of the preview fits what was sent: another length or tag means that the
+    /// preview has changed.
+    fn is_unchanged(&self, opened: &OpenPreview) -> bool {
+        opened.span.total == self.opened.span.total && opened.tag == self.opened.tag
+    }
 }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -9,6 +9,7 @@
 use juniper_clock::{BootInstant, log_suspensions};
 use juniper_crash_watch::CrashWatch;
 use juniper_feed::{Feed, FeedSettings};
+use juniper_protocol::PeerTimeouts;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, sleep, timeout};
@@ -117,12 +118,25 @@
     drained
 }
 
+/// Client for requests to back ends. Keepalive probes end connections to hosts without power, whose
+/// answers are otherwise waited for without end.
+fn back_end_client() -> Result<reqwest::Client, reqwest::Error> {
+    let timeouts = PeerTimeouts::SERVER;
+    reqwest::Client::builder()
+        .connect_timeout(BACK_END_CONNECT_TIMEOUT)
+        .tcp_keepalive(timeouts.keepalive_interval)
+        .tcp_keepalive_interval(timeouts.keepalive_interval)
+        .tcp_keepalive_retries(timeouts.keepalive_probes)
+        .tcp_user_timeout(timeouts.unacknowledged)
+        .no_proxy()
+        .build()
+}
+
 async fn start(config: Arc<RouterConfig>) -> Result<Arc<RouterState>, RouterError> {
     let plane = ControlPlane::start(&config, &Reachability::default()).await?;
     let back_ends = Arc::new(BackEnds::default());
     tokio::spawn(apply_back_ends(plane.settings.clone(), Arc::clone(&back_ends)));
-    let http =
-        reqwest::Client::builder().connect_timeout(BACK_END_CONNECT_TIMEOUT).no_proxy().build()?;
+    let http = back_end_client()?;
     tokio::spawn(engine_pollers::manage_pollers(
         plane.settings.clone(),
         plane.peers.clone(),
