Tests of two planted faults that no test of the gateway caught

A server error must not end a request that a silent server is still at work on, and a server that was being asked when the silent one went on counts as an attempt: the retry is spent.

--- a/crates/gateway/tests/paths/silence.rs
+++ b/crates/gateway/tests/paths/silence.rs
@@ -129,3 +129,30 @@
     let answer = get(gateway.callers, "/resumable/x", "r1").await;
     assert!(answer.complete && answer.body.contains("d3"), "{answer:?}");
 }
+
+// Guards against a third server for a stream whose rest was being sent to a second one when the silent
+// server went on.
+#[tokio::test]
+async fn a_stream_is_sent_to_more_servers_than_its_route_allows() {
+    let (servers, gateway) = pair(|head| match header(head, "x-last") {
+        None if head.contains("/safe/") => vec![Step::Send(complete_answer(head, "200 OK", ""))],
+        None => vec![
+            Step::Send(stream_head(head, "s")),
+            Step::Send(event(1)),
+            Step::Wait(SILENCE),
+            Step::Send(event(2)),
+            Step::Wait(Duration::from_millis(100)),
+            Step::Reset,
+        ],
+        Some(_) => vec![Step::Wait(Duration::from_secs(20))],
+    })
+    .await;
+    // Earns a second retry.
+    get(gateway.callers, "/safe/x", "r0").await;
+    let answer = get(gateway.callers, "/resumable/x", "r1").await;
+    assert!(!answer.complete && answer.body.contains("d2"), "{answer:?}");
+    let sent = |server: &FakeServer| {
+        server.requests().iter().filter(|head| head.contains("/resumable/")).count()
+    };
+    assert_eq!(servers.iter().map(sent).sum::<usize>(), 2);
+}
--- a/crates/gateway/tests/paths/slow_heads.rs
+++ b/crates/gateway/tests/paths/slow_heads.rs
@@ -39,15 +39,18 @@
 
 /// Two servers of which the one that gets the first request waits before it answers.
 async fn pair_with_a_first_wait(wait: Duration) -> [FakeServer; 2] {
+    pair(wait, "200 OK").await
+}
+
+/// Two servers of which the one that gets the first request waits before it answers, and which answer
+/// all later ones with this status.
+async fn pair(wait: Duration, later: &'static str) -> [FakeServer; 2] {
     let has_waited = Arc::<AtomicBool>::default();
     let start = |name| {
         let has_waited = Arc::clone(&has_waited);
-        FakeServer::start(name, move |_, head| {
-            let answer = Step::Send(complete_answer(head, "200 OK", "fine"));
-            match has_waited.swap(true, Ordering::Relaxed) {
-                false => vec![Step::Wait(wait), answer],
-                true => vec![answer],
-            }
+        FakeServer::start(name, move |_, head| match has_waited.swap(true, Ordering::Relaxed) {
+            false => vec![Step::Wait(wait), Step::Send(complete_answer(head, "200 OK", "fine"))],
+            true => vec![Step::Send(complete_answer(head, later, "fine"))],
         })
     };
     [start("a").await, start("b").await]
@@ -96,6 +99,17 @@
     assert_eq!(total(&servers, FakeServer::abandoned), 0);
 }
 
+// Guards against the same if another server fails.
+#[tokio::test]
+async fn a_request_of_a_slow_server_is_given_up_if_another_one_fails() {
+    let servers = pair(SLOW, "500 Failed").await;
+    let gateway = TestGateway::start(&[&servers[0], &servers[1]]).await;
+    let answer = get(gateway.callers, "/safe/x", "r1").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "fine"), "{answer:?}");
+    assert_eq!(total(&servers, |server| server.requests().len()), 2);
+    assert_eq!(total(&servers, FakeServer::abandoned), 0);
+}
+
 // Guards against a late rejection that is reported as if the request may have run.
 #[tokio::test]
 async fn a_late_rejection_is_reported_as_a_failure() {
