--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -104,9 +104,9 @@
     /// Ends the attempt of a caller that has left. A server that didn't answer within the timeout
     /// counts as failing, since it may not answer the next requests either.
     fn drop(&mut self) {
-        let has_failed = !self.has_head && self.started.elapsed() >= self.answer_timeout;
-        let is_new = has_failed && !self.is_silent;
-        self.close(if is_new { Outcome::Interrupted } else { Outcome::Cancelled });
+        let is_overdue = !self.has_head && self.started.elapsed() >= self.answer_timeout;
+        let has_failed = is_overdue && !self.is_silent;
+        self.close(if has_failed { Outcome::Interrupted } else { Outcome::Cancelled });
     }
 }
 
@@ -250,6 +250,7 @@
     match exchange(gateway, call, choice, last_event, due, granted, &mut attempt).await {
         Ok(response) => Ok(Answered { attempt, response }),
         Err(error) => {
+            // A silence was recorded when the answer timeout passed.
             let is_recorded = attempt.is_silent && matches!(error, AttemptError::Timeout);
             attempt.fail(if is_recorded { Outcome::Cancelled } else { error.outcome() });
             Err(error)
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -13,7 +13,7 @@
 use crate::search_end::SearchEnd;
 
 /// `Retry-After` when servers are full.
-const FULL_RETRY_AFTER: Duration = Duration::from_millis(150);
+pub(crate) const FULL_RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// Shortest `Retry-After` of an overload, relative to the request's objective: sooner, queues have
 /// hardly become shorter.
@@ -23,23 +23,9 @@
 const RETRY_SPREAD: Duration = Duration::from_millis(200);
 
 impl ServerSearch<'_> {
-    /// Ends the search for another server. Returns the answer to the caller if none is at work.
-    pub(crate) fn end(&mut self, end: SearchEnd) -> OwnAnswer {
-        let answer = match end {
-            SearchEnd::TooLate => OwnAnswer::TooLate,
-            SearchEnd::Quarantined => OwnAnswer::Quarantined,
-            SearchEnd::NoPath | SearchEnd::NoServer => OwnAnswer::NoServer(FULL_RETRY_AFTER),
-            SearchEnd::NoSoftware => OwnAnswer::NotResumable(ResumeRefusal::NoSoftware),
-            SearchEnd::AttemptsSpent
-            | SearchEnd::BudgetSpent
-            | SearchEnd::AllAsked
-            | SearchEnd::Busy => OwnAnswer::Full(FULL_RETRY_AFTER),
-        };
-        self.end_with(end, answer)
-    }
-
-    /// Ends the search for another server with the answer to a request that has not run.
-    pub(crate) fn end_with(&mut self, end: SearchEnd, if_not_run: OwnAnswer) -> OwnAnswer {
+    /// Ends the search for another server. Returns the answer to the caller, which is `if_not_run` only
+    /// if no server may have run the request.
+    pub(crate) fn end(&mut self, end: SearchEnd, if_not_run: OwnAnswer) -> OwnAnswer {
         self.end = Some(end);
         if self.progress.may_have_run == 0 || end == SearchEnd::Quarantined {
             return if_not_run;
@@ -50,8 +36,15 @@
         }
     }
 
+    /// Ends the search after the placement chose no server.
+    pub(crate) fn end_refused(&mut self, refusal: ChoiceError) -> OwnAnswer {
+        let end = SearchEnd::of(&refusal);
+        let answer = self.refusal_answer(refusal);
+        self.end(end, answer)
+    }
+
     /// Answer to a request for which the placement chose no server.
-    pub(crate) fn refusal_answer(&self, refusal: ChoiceError) -> OwnAnswer {
+    fn refusal_answer(&self, refusal: ChoiceError) -> OwnAnswer {
         match refusal {
             ChoiceError::NoServer | ChoiceError::OutdatedWeights => {
                 OwnAnswer::NoServer(NO_SERVER_RETRY_AFTER)
--- a/crates/gateway/src/search_choice.rs
+++ b/crates/gateway/src/search_choice.rs
@@ -7,6 +7,7 @@
 use crate::answer::OwnAnswer;
 use crate::dialect::CallInfo;
 use crate::limits::GrantedCharge;
+use crate::refusal::FULL_RETRY_AFTER;
 use crate::resume::ResumeRefusal;
 use crate::retry_budget::GrantedRetry;
 use crate::search::ServerSearch;
@@ -34,15 +35,15 @@
     pub(crate) async fn choose_next(&mut self) -> Result<AdmittedChoice, OwnAnswer> {
         loop {
             if self.call.time_left() < MIN_TIME_LEFT {
-                return Err(self.end(SearchEnd::TooLate));
+                return Err(self.end(SearchEnd::TooLate, OwnAnswer::TooLate));
             }
             if self.gateway.check_quarantine(self.call, self.progress).await {
-                return Err(self.end(SearchEnd::Quarantined));
+                return Err(self.end(SearchEnd::Quarantined, OwnAnswer::Quarantined));
             }
             if !self.call.may_retry(self.progress) {
                 return Err(match self.progress.has_found_no_path() {
-                    true => self.end(SearchEnd::NoPath),
-                    false => self.end(SearchEnd::AttemptsSpent),
+                    true => self.end(SearchEnd::NoPath, OwnAnswer::NoServer(FULL_RETRY_AFTER)),
+                    false => self.end(SearchEnd::AttemptsSpent, OwnAnswer::Full(FULL_RETRY_AFTER)),
                 });
             }
             let seen_views = *self.gateway.applied_views.borrow();
@@ -50,18 +51,15 @@
                 if self.wait_for_servers(seen_views).await {
                     continue;
                 }
-                self.log_not_resumable(ResumeRefusal::NoSoftware);
-                return Err(self.end(SearchEnd::NoSoftware));
+                let refusal = ResumeRefusal::NoSoftware;
+                self.log_not_resumable(refusal);
+                return Err(self.end(SearchEnd::NoSoftware, OwnAnswer::NotResumable(refusal)));
             }
             let granted = self.take_retry()?;
             match self.choose_admitted().await {
                 Ok((choice, charge)) => return Ok(AdmittedChoice { choice, charge, granted }),
                 Err(ChoiceError::NoServer) if self.wait_for_servers(seen_views).await => {}
-                Err(refusal) => {
-                    let end = SearchEnd::of(&refusal);
-                    let answer = self.refusal_answer(refusal);
-                    return Err(self.end_with(end, answer));
-                }
+                Err(refusal) => return Err(self.end_refused(refusal)),
             }
         }
     }
@@ -81,7 +79,8 @@
             return Ok(None);
         }
         let granted = self.gateway.take_retry(self.call);
-        granted.map(Some).ok_or_else(|| self.end(SearchEnd::BudgetSpent))
+        let refused = OwnAnswer::Full(FULL_RETRY_AFTER);
+        granted.map(Some).ok_or_else(|| self.end(SearchEnd::BudgetSpent, refused))
     }
 
     /// Chooses a server that admits the request, and returns the charge against its advertised
