Tree's router: the search for a preview server is a module of its own

Cause: previews.rs held both the search for a server and the relay of its answer, and the search is about to change. Change: a move; no change of behaviour.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod link;
 pub mod metrics;
 pub mod peers;
+mod preview_search;
 pub mod previews;
 pub mod reachability;
 pub mod relay;
--- a/crates/router/src/previews.rs
+++ b/crates/router/src/previews.rs
@@ -1,96 +1,31 @@
 //! Relays preview byte streams, which resume by range requests.
 //!
-//! When a server fails in the middle of a stream, the remaining bytes are fetched
-//! from another server. A silent one is left only once another one has answered. The response has a content length, so a caller detects a
-//! stream that ends early.
+//! When a server fails in the middle of a stream, the remaining bytes are fetched from another server.
+//! A silent one is left only once another one has answered. The response has a content length, so a
+//! caller detects a stream that ends early.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use axum::body::{Body, Bytes};
 use axum::extract::{Request, State};
 use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
 use axum::response::Response;
-use juniper_settings::{BackEndKind, TrafficKind};
-use juniper_types::{EngineId, RequestId, TenantName};
+use juniper_settings::TrafficKind;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::access::{REQUEST_ID_HEADER, authenticate, request_id};
-use crate::backends::Lease;
-use crate::crashes::{RequestIdentity, SentAttempt, request_identity};
 use crate::error::RequestError;
 use crate::http_api::{insert_header, into_counted_response};
+use crate::preview_search::{
+    OpenPreview, PreviewCall, PreviewError, STALL_TIMEOUT, Search, Span, open_on_any_server,
+};
 use crate::router_state::{InFlight, RouterState};
 
-/// Maximum number of servers tried for one preview.
-const MAX_ATTEMPTS: usize = 4;
-
 /// Pieces buffered for a slow caller before backpressure applies to the server's stream.
 const PIECE_BUFFER: usize = 8;
 
-/// Timeout of the response head, and gap in a stream after which another server is looked for.
-const STALL_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Retry delay suggested to callers when no server is reachable, in milliseconds.
-const NO_SERVER_RETRY_MS: u64 = 1_000;
-
-/// Byte range of a preview that a response covers; `end` is exclusive.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Span {
-    start: u64,
-    end: u64,
-    total: u64,
-}
-
-/// Error of one attempt on a preview server.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-enum PreviewError {
-    #[error("the server is unreachable")]
-    Unreachable,
-    #[error("the connection to the server broke")]
-    Broken,
-    #[error("the server sent nothing within the timeout")]
-    Stalled,
-    #[error("the server answered with an unexpected range or length")]
-    Mismatch,
-    #[error("the server answered with status {0}")]
-    Status(u16),
-}
-
-/// A preview stream whose response head was received.
-struct OpenPreview {
-    lease: Lease,
-    sent: SentAttempt,
-    response: reqwest::Response,
-    span: Span,
-    content_type: Option<HeaderValue>,
-    tag: Option<HeaderValue>,
-}
-
-/// A caller's preview request.
-struct PreviewCall {
-    id: RequestId,
-    path: String,
-    tenant: TenantName,
-}
-
-impl PreviewCall {
-    /// Content that identifies the request across retries; excludes the start of the range.
-    fn identity(&self) -> RequestIdentity<'_> {
-        request_identity("GET", &self.path, &self.tenant, &[])
-    }
-}
-
-/// State of the search for a server.
-#[derive(Default)]
-struct Search {
-    excluded: Vec<EngineId>,
-    /// Whether a server may have started the preview.
-    may_have_run: bool,
-}
-
 /// Relay of one preview stream.
 struct PreviewRelay {
     state: Arc<RouterState>,
@@ -178,85 +113,6 @@
     start.ok_or_else(|| RequestError::Malformed("range must read bytes=N-".into()))
 }
 
-async fn open_on_any_server(
-    state: &Arc<RouterState>,
-    call: &PreviewCall,
-    start: u64,
-    search: &mut Search,
-) -> Result<OpenPreview, RequestError> {
-    while search.excluded.len() < MAX_ATTEMPTS {
-        state.crashes.check(&call.id.to_string(), &call.identity())?;
-        let zone = &state.config.zone;
-        let chosen = state.back_ends.choose(BackEndKind::Preview, zone, &search.excluded);
-        let Some(lease) = chosen else { break };
-        let server = lease.target.id;
-        match open_on_server(state, lease, call, start).await {
-            Ok(opened) => return Ok(opened),
-            Err(PreviewError::Status(404)) => return Err(RequestError::NotFound),
-            Err(PreviewError::Status(416)) => {
-                return Err(RequestError::Malformed("the range starts after the end".into()));
-            }
-            Err(error) => {
-                search.may_have_run |= error != PreviewError::Unreachable;
-                log::warn!("event=attempt_failed engine={server} reason=\"{error}\"");
-            }
-        }
-        search.excluded.push(server);
-    }
-    Err(match search.may_have_run {
-        true => RequestError::BackEndFailed,
-        false => RequestError::NoBackEnd { retry_after_ms: NO_SERVER_RETRY_MS },
-    })
-}
-
-async fn open_on_server(
-    state: &RouterState,
-    lease: Lease,
-    call: &PreviewCall,
-    start: u64,
-) -> Result<OpenPreview, PreviewError> {
-    let url = format!("http://{}{}", lease.target.address, call.path);
-    let (back_end, address) = (lease.target.id, lease.target.address);
-    let sent = SentAttempt { back_end, address, incarnation: None, sent_at: state.crashes.now() };
-    let request = state.http.get(url).header(header::RANGE, format!("bytes={start}-")).send();
-    let response = match timeout(STALL_TIMEOUT, request).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => {
-            lease.record_failure();
-            if error.is_connect() {
-                return Err(PreviewError::Unreachable);
-            }
-            state.crashes.record_interrupted(&call.id.to_string(), &call.identity(), sent);
-            return Err(PreviewError::Broken);
-        }
-        Err(_) => {
-            lease.record_failure();
-            return Err(PreviewError::Stalled);
-        }
-    };
-    if response.status() != StatusCode::PARTIAL_CONTENT {
-        return Err(PreviewError::Status(response.status().as_u16()));
-    }
-    let span = content_range(response.headers()).ok_or(PreviewError::Mismatch)?;
-    if span.start != start || span.end != span.total {
-        return Err(PreviewError::Mismatch);
-    }
-    lease.record_success();
-    let content_type = response.headers().get(header::CONTENT_TYPE).cloned();
-    let tag = response.headers().get(header::ETAG).cloned();
-    Ok(OpenPreview { lease, sent, response, span, content_type, tag })
-}
-
-/// Parses `content-range: bytes A-B/TOTAL`.
-fn content_range(headers: &HeaderMap) -> Option<Span> {
-    let text = headers.get(header::CONTENT_RANGE)?.to_str().ok()?;
-    let (range, total) = text.strip_prefix("bytes ")?.split_once('/')?;
-    let (start, last) = range.split_once('-')?;
-    let start = start.parse().ok()?;
-    let last: u64 = last.parse().ok()?;
-    Some(Span { start, end: last.checked_add(1)?, total: total.parse().ok()? })
-}
-
 impl PreviewRelay {
     async fn run(mut self, pieces: PieceSender) {
         let mut next = self.opened.span.start;
