--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -23,6 +23,7 @@
 mod silence;
 mod slow_heads;
 mod software_versions;
+mod stalled_router;
 mod startup;
 mod support;
 mod weights;
