--- a/crates/router/src/preview_search.rs
+++ b/crates/router/src/preview_search.rs
@@ -1,9 +1,11 @@
 //! Search for a preview server that answers a request.
 
-use std::sync::Arc;
+use std::pin::pin;
 use std::time::Duration;
 
 use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use juniper_settings::BackEndKind;
 use juniper_types::{EngineId, RequestId, TenantName};
 use tokio::time::timeout;
@@ -16,7 +18,7 @@
 /// Maximum number of servers tried for one preview.
 const MAX_ATTEMPTS: usize = 4;
 
-/// Timeout of the response head, and gap in a stream after which another server is looked for.
+/// Time without a response head, and gap in a stream, after which another server is looked for.
 pub(crate) const STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Retry delay suggested to callers when no server is reachable, in milliseconds.
@@ -72,67 +74,149 @@
 /// State of the search for a server.
 #[derive(Default)]
 pub(crate) struct Search {
+    /// Servers that have failed or are silent.
     pub excluded: Vec<EngineId>,
     /// Whether a server may have started the preview.
     pub may_have_run: bool,
 }
 
-pub(crate) async fn open_on_any_server(
-    state: &Arc<RouterState>,
-    call: &PreviewCall,
-    start: u64,
-    search: &mut Search,
-) -> Result<OpenPreview, RequestError> {
-    while search.excluded.len() < MAX_ATTEMPTS {
+impl Search {
+    /// Sends the request to one server after another until one answers. A silent server may still be
+    /// at work: it is abandoned only once another one has answered.
+    pub(crate) async fn run(
+        &mut self,
+        state: &RouterState,
+        call: &PreviewCall,
+        start: u64,
+    ) -> Result<OpenPreview, RequestError> {
+        let mut running = FuturesUnordered::new();
+        // Server of the latest attempt, until it has answered or is silent.
+        let mut awaited = None;
+        loop {
+            if awaited.is_none() {
+                match self.choose_next(state, call) {
+                    Ok(lease) => {
+                        awaited = Some(lease.target.id);
+                        running.push(open_on_server(state, lease, call, start));
+                    }
+                    Err(error) if running.is_empty() => return Err(error),
+                    // A silent server may still answer.
+                    Err(_) => {}
+                }
+            }
+            let Ok(Some((server, result))) = timeout(STALL_TIMEOUT, running.next()).await else {
+                if let Some(silent) = awaited.take() {
+                    self.record_silence(silent);
+                }
+                continue;
+            };
+            awaited.take_if(|awaited| *awaited == server);
+            match result {
+                Ok(opened) => {
+                    self.excluded.retain(|excluded| *excluded != server);
+                    return Ok(opened);
+                }
+                Err(error) => self.record_failure(server, error)?,
+            }
+        }
+    }
+
+    fn choose_next(&self, state: &RouterState, call: &PreviewCall) -> Result<Lease, RequestError> {
         state.crashes.check(&call.id.to_string(), &call.identity())?;
         let zone = &state.config.zone;
-        let chosen = state.back_ends.choose(BackEndKind::Preview, zone, &search.excluded);
-        let Some(lease) = chosen else { break };
-        let server = lease.target.id;
-        match open_on_server(state, lease, call, start).await {
-            Ok(opened) => return Ok(opened),
-            Err(PreviewError::Status(404)) => return Err(RequestError::NotFound),
-            Err(PreviewError::Status(416)) => {
+        let chosen = match self.excluded.len() < MAX_ATTEMPTS {
+            true => state.back_ends.choose(BackEndKind::Preview, zone, &self.excluded),
+            false => None,
+        };
+        chosen.ok_or(match self.may_have_run {
+            true => RequestError::BackEndFailed,
+            false => RequestError::NoBackEnd { retry_after_ms: NO_SERVER_RETRY_MS },
+        })
+    }
+
+    fn record_silence(&mut self, server: EngineId) {
+        log::info!("event=attempt_silent engine={server}");
+        self.may_have_run = true;
+        self.excluded.push(server);
+    }
+
+    /// Records a failed attempt.
+    ///
+    /// # Errors
+    /// Fails if the other servers would answer the same.
+    fn record_failure(
+        &mut self,
+        server: EngineId,
+        error: PreviewError,
+    ) -> Result<(), RequestError> {
+        match error {
+            PreviewError::Status(404) => return Err(RequestError::NotFound),
+            PreviewError::Status(416) => {
                 return Err(RequestError::Malformed("the range starts after the end".into()));
             }
-            Err(error) => {
-                search.may_have_run |= error != PreviewError::Unreachable;
-                log::warn!("event=attempt_failed engine={server} reason=\"{error}\"");
-            }
+            _ => {}
+        }
+        log::warn!("event=attempt_failed engine={server} reason=\"{error}\"");
+        self.may_have_run |= error != PreviewError::Unreachable;
+        if !self.excluded.contains(&server) {
+            self.excluded.push(server);
         }
-        search.excluded.push(server);
+        Ok(())
     }
-    Err(match search.may_have_run {
-        true => RequestError::BackEndFailed,
-        false => RequestError::NoBackEnd { retry_after_ms: NO_SERVER_RETRY_MS },
-    })
 }
 
+/// Sends the request to a server and waits for the head of its answer.
 async fn open_on_server(
     state: &RouterState,
     lease: Lease,
     call: &PreviewCall,
     start: u64,
-) -> Result<OpenPreview, PreviewError> {
-    let url = format!("http://{}{}", lease.target.address, call.path);
+) -> (EngineId, Result<OpenPreview, PreviewError>) {
     let (back_end, address) = (lease.target.id, lease.target.address);
+    let url = format!("http://{address}{}", call.path);
     let sent = SentAttempt { back_end, address, incarnation: None, sent_at: state.crashes.now() };
-    let request = state.http.get(url).header(header::RANGE, format!("bytes={start}-")).send();
-    let response = match timeout(STALL_TIMEOUT, request).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => {
-            lease.record_failure();
-            if error.is_connect() {
-                return Err(PreviewError::Unreachable);
+    let request = state.http.get(url).header(header::RANGE, format!("bytes={start}-"));
+    let result = match receive_head(&lease, request).await {
+        Ok(response) => read_head(lease, sent, response, start),
+        Err(error) => {
+            if error == PreviewError::Broken {
+                state.crashes.record_interrupted(&call.id.to_string(), &call.identity(), sent);
             }
-            state.crashes.record_interrupted(&call.id.to_string(), &call.identity(), sent);
-            return Err(PreviewError::Broken);
+            Err(error)
         }
+    };
+    (back_end, result)
+}
+
+/// Waits for the head of an answer. The server counts as failing once it has been silent for too long.
+async fn receive_head(
+    lease: &Lease,
+    request: reqwest::RequestBuilder,
+) -> Result<reqwest::Response, PreviewError> {
+    let mut sending = pin!(request.send());
+    let sent = match timeout(STALL_TIMEOUT, &mut sending).await {
+        Ok(sent) => sent,
         Err(_) => {
             lease.record_failure();
-            return Err(PreviewError::Stalled);
+            sending.await
         }
     };
+    sent.map_err(|error| {
+        lease.record_failure();
+        match error.is_connect() {
+            true => PreviewError::Unreachable,
+            false => PreviewError::Broken,
+        }
+    })
+}
+
+/// Checks the head of a server's answer.
+fn read_head(
+    lease: Lease,
+    sent: SentAttempt,
+    response: reqwest::Response,
+    start: u64,
+) -> Result<OpenPreview, PreviewError> {
     if response.status() != StatusCode::PARTIAL_CONTENT {
         return Err(PreviewError::Status(response.status().as_u16()));
     }
--- a/crates/router/src/previews.rs
+++ b/crates/router/src/previews.rs
@@ -5,6 +5,7 @@
 //! caller detects a stream that ends early.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::body::{Body, Bytes};
 use axum::extract::{Request, State};
@@ -12,15 +13,13 @@
 use axum::response::Response;
 use juniper_settings::TrafficKind;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::access::{REQUEST_ID_HEADER, authenticate, request_id};
 use crate::error::RequestError;
 use crate::http_api::{insert_header, into_counted_response};
-use crate::preview_search::{
-    OpenPreview, PreviewCall, PreviewError, STALL_TIMEOUT, Search, Span, open_on_any_server,
-};
+use crate::preview_search::{OpenPreview, PreviewCall, PreviewError, STALL_TIMEOUT, Search, Span};
 use crate::router_state::{InFlight, RouterState};
 
 /// Pieces buffered for a slow caller before backpressure applies to the server's stream.
@@ -71,7 +70,9 @@
     );
     let call = PreviewCall { id: request_id, path, tenant: caller.home.tenant.clone() };
     let mut search = Search::default();
-    let opened = open_on_any_server(state, &call, start, &mut search).await?;
+    let deadline = started + Duration::from_millis(caller.settings.deadline_ms);
+    let opening = timeout_at(deadline, search.run(state, &call, start)).await;
+    let opened = opening.map_err(|_| RequestError::DeadlinePassed)??;
     state.metrics.first_token.observe(started.elapsed().as_secs_f64());
     let mut response = Response::new(Body::empty());
     set_headers(&mut response, &opened, start);
@@ -132,7 +133,11 @@
                 self.state.crashes.record_interrupted(&id, &self.call.identity(), self.opened.sent);
             }
             self.search.may_have_run = true;
-            if self.resume_on_another_server(next).await.is_err() {
+            let is_resumed = tokio::select! {
+                resumed = self.resume_on_another_server(next) => resumed.is_ok(),
+                () = pieces.closed() => return,
+            };
+            if !is_resumed {
                 let _ = pieces.send(Err(error)).await;
                 return;
             }
@@ -177,7 +182,7 @@
         self.opened.lease.record_failure();
         self.search.excluded.push(self.opened.lease.target.id);
         self.state.metrics.retries.with_label_values(&["preview"]).inc();
-        let opened = open_on_any_server(&self.state, &self.call, next, &mut self.search).await?;
+        let opened = self.search.run(&self.state, &self.call, next).await?;
         if !self.is_unchanged(&opened) {
             return Err(RequestError::BackEndFailed);
         }
@@ -194,7 +199,7 @@
         // The servers that failed before may be back.
         let mut search = Search { excluded: vec![silent], may_have_run: true };
         let found = tokio::select! {
-            found = open_on_any_server(&self.state, &self.call, next, &mut search) => found.ok(),
+            found = search.run(&self.state, &self.call, next) => found.ok(),
             piece = self.opened.response.chunk() => {
                 self.received = Some(piece);
                 None
