Requests that end without an answer are logged once, with the true reason

What operators saw: request_done outcome=caller_left for streams that went on and were answered (each search for another server that the silent server ended was logged and counted as a caller that left); the same for requests that the end of the grace period ended; and nothing at all for a caller that left while its answer was buffered, while a server was chosen or before.

Cause: the guard that logs a dropped request lived in the search's wait for a server.

Change: PendingAnswer covers a request from its arrival until its answer is passed on, and tells a stopped process (aborted) from a caller that left.

Evidence: a_stream_that_goes_on_after_a_silence_is_logged_as_left_by_its_caller (two lines for one request) and a_request_that_ends_without_an_answer_logs_its_reason (no line) failed before.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -24,6 +24,7 @@
 use crate::finish::own_answer;
 use crate::gateway::Gateway;
 use crate::limits::GrantedCharge;
+use crate::pending_answer::PendingAnswer;
 use crate::relay;
 use crate::retry::{Progress, RetryCheck};
 use crate::search::ServerSearch;
@@ -178,10 +179,15 @@
         }
     };
     let id = info.id.clone();
+    let mut pending = PendingAnswer::start(gateway, &id, arrived);
     match admit(gateway, head, body, info, arrived).await {
-        Ok(Some(call)) => Some(serve(gateway, call).await),
+        Ok(Some(call)) => {
+            pending.set_route(&call);
+            Some(serve(gateway, call, pending).await)
+        }
         Ok(None) => None,
         Err(answer) => {
+            pending.end();
             let request_id = id.to_str().unwrap_or("-");
             let (reason, status) = (answer.reason(), answer.status().as_u16());
             let confirmation = ConfirmationFields(gateway.feed.confirmation());
@@ -352,14 +358,18 @@
 }
 
 /// Sends the request to servers until one answers or no further attempt is allowed.
-async fn serve(gateway: &Arc<Gateway>, call: Call) -> Response<AnswerBody> {
+async fn serve(gateway: &Arc<Gateway>, call: Call, pending: PendingAnswer) -> Response<AnswerBody> {
     gateway.record_request(&call);
-    let mut search = ServerSearch::new(gateway, &call);
+    let mut search = ServerSearch::new(gateway, &call).for_pending(&pending);
     match search.run(call.info.last_event).await {
         Ok(answered) => {
             let progress = search.progress;
-            relay::relay_answer(Arc::clone(gateway), call, answered, progress).await
+            relay::relay_answer(Arc::clone(gateway), call, answered, progress, pending).await
+        }
+        Err(answer) => {
+            let progress = search.progress;
+            pending.end();
+            own_answer(gateway, &call, answer, progress)
         }
-        Err(answer) => own_answer(gateway, &call, answer, search.progress),
     }
 }
--- a/crates/gateway/src/finish.rs
+++ b/crates/gateway/src/finish.rs
@@ -5,7 +5,6 @@
 
 use hyper::Response;
 use juniper_placement::ExpectedTiming;
-use juniper_registry::InstanceId;
 
 use crate::answer::OwnAnswer;
 use crate::body::AnswerBody;
@@ -102,47 +101,3 @@
         timing.map(|timing| timing.to_string()).unwrap_or_default()
     );
 }
-
-/// Logs a caller that leaves before a server has answered: hyper then drops the request's future,
-/// and no other code would log it.
-pub(crate) struct PendingAnswer<'a> {
-    gateway: &'a Gateway,
-    call: &'a Call,
-    instance: Option<InstanceId>,
-    progress: Progress,
-    has_ended: bool,
-}
-
-impl<'a> PendingAnswer<'a> {
-    /// Starts the wait for an answer; `instance` is the latest server that was asked.
-    pub(crate) fn start(
-        gateway: &'a Gateway,
-        call: &'a Call,
-        instance: Option<&InstanceId>,
-        progress: Progress,
-    ) -> Self {
-        PendingAnswer { gateway, call, instance: instance.cloned(), progress, has_ended: false }
-    }
-
-    /// Ends the wait after an answer or a failure, so that nothing is logged.
-    pub(crate) fn end(mut self) {
-        self.has_ended = true;
-    }
-}
-
-impl Drop for PendingAnswer<'_> {
-    fn drop(&mut self) {
-        if !self.has_ended {
-            log_done(
-                self.call,
-                0,
-                "caller_left",
-                self.instance.as_ref().map_or("-", InstanceId::as_str),
-                self.progress,
-                None,
-                None,
-            );
-            self.gateway.metrics.count_caller_left(self.call.route.kind);
-        }
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //!   request to one server.
 //! - `crashes` reports evidence of crashes to the crash watch.
 //! - `relay` passes on buffered answers, `stream` passes on streams; `open_answer` ends what is passed
-//!   on in chunks, `finish` logs the end of requests.
+//!   on in chunks, `pending_answer` logs requests that end without an answer, `finish` all others.
 //! - `pool` keeps connections to servers, `connect` opens them, `probe` checks when unreachable
 //!   servers are back and whether this router is cut off.
 //! - `tunnel` reaches servers through another router, `tunnel_server` forwards other routers' tunnels.
@@ -46,6 +46,7 @@
 mod metrics;
 mod notices;
 mod open_answer;
+mod pending_answer;
 mod pool;
 mod probe;
 mod refusal;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -41,6 +41,8 @@
     Draining,
     /// Idle connections are closed.
     ClosingConnections,
+    /// The gateway has stopped: what is still open is aborted.
+    Stopped,
 }
 
 /// Why a gateway can't start.
@@ -156,6 +158,7 @@
     tunneling.abort();
     let remaining = grace_period.mul_f64(GRACE_SHARE).saturating_sub(DRAIN_TIME);
     let is_drained = timeout(remaining, open.recv()).await.is_ok();
+    phase.send_replace(ShutdownPhase::Stopped);
     log::info!("event=gateway_stopped node={node} drained={is_drained}");
     background_tasks.iter().for_each(JoinHandle::abort);
     Ok(())
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -326,9 +326,10 @@
         }
     }
 
-    /// Counts a caller that left before a server had answered.
-    pub(crate) fn count_caller_left(&self, kind: RouteKind) {
-        self.requests.with_label_values(&[kind_label(kind), "caller_left", "no_answer"]).inc();
+    /// Counts a request that ended without an answer; its route may not be known yet.
+    pub(crate) fn count_unanswered(&self, kind: Option<RouteKind>, outcome: &str) {
+        let kind = kind.map_or("none", kind_label);
+        self.requests.with_label_values(&[kind, outcome, "no_answer"]).inc();
     }
 
     /// Counts a server's answer that was relayed completely.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,6 +20,7 @@
 use crate::finish::{FoundTiming, log_done, own_answer};
 use crate::gateway::Gateway;
 use crate::open_answer::{EarlyEnd, NotContinued, OpenAnswer};
+use crate::pending_answer::PendingAnswer;
 use crate::retry::Progress;
 use crate::search::ServerSearch;
 use crate::stream;
@@ -75,11 +76,16 @@
     call: Call,
     answered: Answered,
     progress: Progress,
+    pending: PendingAnswer,
 ) -> Response<AnswerBody> {
-    if call.route.kind == RouteKind::Stream && answered.response.status().is_success() {
-        return stream::start(gateway, call, answered, progress);
-    }
-    relay_buffered(gateway, call, answered, progress).await
+    let response = match answered.response.status().is_success() {
+        true if call.route.kind == RouteKind::Stream => {
+            stream::start(gateway, call, answered, progress)
+        }
+        _ => relay_buffered(gateway, call, answered, progress, &pending).await,
+    };
+    pending.end();
+    response
 }
 
 /// Buffers an answer and passes it on, or retries at another server if it breaks off.
@@ -88,9 +94,11 @@
     call: Call,
     mut answered: Answered,
     mut progress: Progress,
+    pending: &PendingAnswer,
 ) -> Response<AnswerBody> {
     loop {
         let Answered { mut attempt, response } = answered;
+        pending.record_attempt(Some(&attempt.instance), progress);
         if !response.status().is_success() {
             attempt.exclude_from_timing();
         }
@@ -130,33 +138,23 @@
                     gateway.record_interrupted(&call, &instance, sent_at);
                 }
                 progress.may_have_run += 1;
-                answered =
-                    match retry_elsewhere(&gateway, &call, &mut progress, instance, error).await {
-                        Ok(answered) => answered,
-                        Err(answer) => return own_answer(&gateway, &call, answer, progress),
-                    };
+                if !matches!(error, BodyError::Broken | BodyError::Stalled) {
+                    return own_answer(&gateway, &call, OwnAnswer::DeadlinePassed, progress);
+                }
+                let mut search = ServerSearch::new(&gateway, &call)
+                    .for_pending(pending)
+                    .continue_from(progress, instance);
+                let found = search.run(None).await;
+                progress = search.progress;
+                answered = match found {
+                    Ok(answered) => answered,
+                    Err(answer) => return own_answer(&gateway, &call, answer, progress),
+                };
             }
         }
     }
 }
 
-/// Retries the request at another server after the answer of `failed` has broken off.
-async fn retry_elsewhere(
-    gateway: &Arc<Gateway>,
-    call: &Call,
-    progress: &mut Progress,
-    failed: InstanceId,
-    error: BodyError,
-) -> Result<Answered, OwnAnswer> {
-    if !matches!(error, BodyError::Broken | BodyError::Stalled) {
-        return Err(OwnAnswer::DeadlinePassed);
-    }
-    let mut search = ServerSearch::new(gateway, call).continue_from(*progress, failed);
-    let result = search.run(None).await;
-    *progress = search.progress;
-    result
-}
-
 fn outcome_of(head: &Parts) -> Outcome {
     match head.status.is_server_error() {
         true => Outcome::ServerError,
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -14,10 +14,10 @@
 use crate::attempt::{Answered, send};
 use crate::attempt_error::AttemptError;
 use crate::call::Call;
-use crate::finish::PendingAnswer;
 use crate::gateway::Gateway;
 use crate::limits::GrantedCharge;
 use crate::open_answer::NotContinued;
+use crate::pending_answer::PendingAnswer;
 use crate::retry::Progress;
 use crate::search_choice::{AdmittedChoice, MIN_TIME_LEFT};
 use crate::search_end::SearchEnd;
@@ -47,6 +47,8 @@
 pub(crate) struct ServerSearch<'a> {
     pub(crate) gateway: &'a Arc<Gateway>,
     pub(crate) call: &'a Call,
+    /// The request, unless the head of its answer was passed on.
+    pending: Option<&'a PendingAnswer>,
     /// Attempts so far; those still in progress count once their servers are silent.
     pub progress: Progress,
     /// Number of the latest attempt.
@@ -70,6 +72,7 @@
         ServerSearch {
             gateway,
             call,
+            pending: None,
             progress,
             attempts: 0,
             awaited: None,
@@ -87,6 +90,12 @@
         self
     }
 
+    /// Records each attempt for a request that has no answer yet.
+    pub(crate) fn for_pending(mut self, pending: &'a PendingAnswer) -> Self {
+        self.pending = Some(pending);
+        self
+    }
+
     /// Continues a search after an attempt at `failed`.
     pub(crate) fn continue_from(mut self, progress: Progress, failed: InstanceId) -> Self {
         self.progress = progress;
@@ -164,13 +173,13 @@
             Some(awaited) => awaited.due,
             None => Some(Instant::now() + self.call.answer_timeout()),
         };
-        let (gateway, call) = (self.gateway, self.call);
-        let pending = PendingAnswer::start(gateway, call, self.latest_server(), self.progress);
+        if let Some(pending) = self.pending {
+            pending.record_attempt(self.latest_server(), self.progress);
+        }
         let ended = match due {
             Some(due) => timeout_at(due, running.next()).await.ok().flatten(),
             None => running.next().await,
         };
-        pending.end();
         if ended.is_none() {
             self.count_silence();
         }
--- a/crates/gateway/tests/early_ends.rs
+++ b/crates/gateway/tests/early_ends.rs
@@ -9,22 +9,31 @@
 #[path = "paths/support/mod.rs"]
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use juniper_gateway::GatewaySettings;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use log_lines::{line, text, value};
-use support::TestGateway;
 use support::caller::{get, request_head};
+use support::router::RouterProcess;
 use support::server::{
     FakeServer, LAST_CHUNK, Step, chunk, complete_answer, event, header, open_ended_head,
     stream_head,
 };
+use support::{TestGateway, catalog};
 
 /// Longer than the timeout of the routes.
 const FOREVER: Duration = Duration::from_secs(20);
 
+/// Longer than the gap after which another server is looked for, and shorter than the route's timeout.
+const SILENCE: Duration = Duration::from_millis(2_300);
+
+/// Grace period whose end comes soon after the end of the drain.
+const GRACE_PERIOD: Duration = Duration::from_secs(3);
+
 /// Bytes of an answer that is passed on before its end.
 const LONG: usize = 300_000;
 
@@ -87,3 +96,84 @@
     let line = line("answer_ended_early", "caller").await;
     assert_eq!(text(&line, "reason"), Some("caller_left"), "{line}");
 }
+
+// Guards against a caller that is reported to have left although its stream goes on.
+#[tokio::test]
+async fn a_stream_that_goes_on_after_a_silence_is_logged_as_left_by_its_caller() {
+    log_lines::collect();
+    let script = |_: usize, head: &str| match header(head, "x-last") {
+        None => vec![
+            Step::Send(stream_head(head, "s")),
+            Step::Send(event(1)),
+            Step::Wait(SILENCE),
+            Step::Send(event(2)),
+            Step::Send(LAST_CHUNK.to_owned()),
+        ],
+        Some(_) => vec![Step::Wait(FOREVER)],
+    };
+    let servers = [FakeServer::start("a", script).await, FakeServer::start("b", script).await];
+    let gateway = TestGateway::start(&[&servers[0], &servers[1]]).await;
+    let answer = get(gateway.callers, "/resumable/x", "silent").await;
+    assert!(answer.complete, "{answer:?}");
+    line("stream_silent", "silent").await;
+    line("request_done", "silent").await;
+    let ends = log_lines::lines("request_done", "silent");
+    assert_eq!(ends.len(), 1, "{ends:?}");
+    assert_eq!(text(&ends[0], "outcome"), Some("answered"), "{ends:?}");
+}
+
+/// Sends a request without reading its answer.
+async fn send(callers: SocketAddr, path: &str, id: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(callers).await.expect("connected");
+    let request = format!("{}\r\n", request_head("GET", path, id));
+    caller.write_all(request.as_bytes()).await.expect("sent");
+    caller
+}
+
+// Guards against requests without an answer whose end isn't logged, or for the wrong reason.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_ends_without_an_answer_logs_its_reason() {
+    log_lines::collect();
+    let server = FakeServer::start("a", |_, head| match header(head, "x-id").unwrap_or("") {
+        id if id.ends_with("-body") => vec![
+            Step::Send(complete_answer(head, "200 OK", "fine").replace("fine", "fi")),
+            Step::Wait(FOREVER),
+        ],
+        id if id.ends_with("-stream") => {
+            vec![Step::Send(stream_head(head, "s")), Step::Send(event(1)), Step::Wait(FOREVER)]
+        }
+        _ => vec![Step::Wait(FOREVER)],
+    })
+    .await;
+    let mut router = RouterProcess::start_gateway(async move {
+        let change = |settings: &mut GatewaySettings| settings.grace_period = GRACE_PERIOD;
+        TestGateway::start_changed(catalog(), &[&server], change, |_| ()).await.ready().await
+    })
+    .await;
+    let callers = router.gateway.callers;
+    for id in ["left-head", "left-body"] {
+        let caller = send(callers, "/once/x", id).await;
+        line("attempt", id).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        drop(caller);
+        let end = line("request_done", id).await;
+        assert_eq!(text(&end, "outcome"), Some("caller_left"), "{end}");
+    }
+    router.stop();
+    tokio::time::sleep(GRACE_PERIOD - Duration::from_secs(1)).await;
+    let ids = ["aborted-head", "aborted-body", "aborted-stream"];
+    let mut open = Vec::new();
+    for (id, path) in ids.into_iter().zip(["/once/x", "/once/x", "/stream/x"]) {
+        open.push(send(callers, path, id).await);
+        line("attempt", id).await;
+    }
+    router.gateway.wait_until_stopped().await;
+    drop(router);
+    for id in &ids[..2] {
+        let end = line("request_done", id).await;
+        assert_eq!(text(&end, "outcome"), Some("aborted"), "{end}");
+    }
+    let end = line("answer_ended_early", ids[2]).await;
+    assert_eq!(text(&end, "reason"), Some("aborted"), "{end}");
+    drop(open);
+}
--- a/crates/gateway/tests/paths/support/log_lines.rs
+++ b/crates/gateway/tests/paths/support/log_lines.rs
@@ -1,6 +1,6 @@
 //! Lines that this process has logged. A process has one logger.
 
-use std::sync::Mutex;
+use std::sync::{Mutex, Once};
 use std::time::{Duration, Instant};
 
 use log::{LevelFilter, Log, Metadata, Record};
@@ -11,6 +11,8 @@
 /// Lines logged so far.
 static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
 
+static INSTALL: Once = Once::new();
+
 struct LineLogger;
 
 impl Log for LineLogger {
@@ -25,20 +27,26 @@
     fn flush(&self) {}
 }
 
-/// Collects lines from now on, once in a process.
+/// Collects lines from now on.
 pub fn collect() {
-    log::set_logger(&LineLogger).expect("the only logger");
-    log::set_max_level(LevelFilter::Info);
+    INSTALL.call_once(|| {
+        log::set_logger(&LineLogger).expect("the only logger");
+        log::set_max_level(LevelFilter::Info);
+    });
+}
+
+/// Log lines so far of the event and request.
+pub fn lines(event: &str, request: &str) -> Vec<String> {
+    let beginning = format!("event={event} request={request} ");
+    let lines = LINES.lock().expect("not poisoned");
+    lines.iter().filter(|line| line.starts_with(&beginning)).cloned().collect()
 }
 
 /// Waits for the log line of the event and request.
 pub async fn line(event: &str, request: &str) -> String {
     let started_at = Instant::now();
     loop {
-        let matches =
-            |line: &&String| line.starts_with(&format!("event={event} request={request} "));
-        let found = LINES.lock().expect("not poisoned").iter().find(matches).cloned();
-        if let Some(line) = found {
+        if let Some(line) = lines(event, request).into_iter().next() {
             return line;
         }
         assert!(started_at.elapsed() < TEST_TIMEOUT, "no line {event} of {request}");
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -188,7 +188,7 @@
     }
 
     /// Starts a gateway with changed settings.
-    async fn start_changed(
+    pub async fn start_changed(
         catalog: Catalog,
         servers: &[&FakeServer],
         change: impl FnOnce(&mut GatewaySettings),
@@ -241,7 +241,7 @@
     }
 
     /// Waits until a planned shutdown has completed.
-    pub async fn wait_until_stopped(mut self) {
+    pub async fn wait_until_stopped(&mut self) {
         tokio::time::timeout(TEST_TIMEOUT, &mut self.task)
             .await
             .expect("in time")
--- a/crates/gateway/tests/paths/support/router.rs
+++ b/crates/gateway/tests/paths/support/router.rs
@@ -18,10 +18,17 @@
 impl RouterProcess {
     /// Starts a gateway without servers.
     pub async fn start() -> Self {
+        Self::start_gateway(TestGateway::start(&[])).await
+    }
+
+    /// Starts a gateway in a runtime of its own.
+    pub async fn start_gateway(
+        starting: impl Future<Output = TestGateway> + Send + 'static,
+    ) -> Self {
         // A single worker, which a frozen router blocks.
         let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build();
         let runtime = runtime.expect("a runtime");
-        let mut gateway = runtime.spawn(TestGateway::start(&[])).await.expect("started");
+        let mut gateway = runtime.spawn(starting).await.expect("started");
         let stop = Mutex::new(gateway.stop.take());
         RouterProcess { gateway, runtime: Some(runtime), stop }
     }
