--- a/crates/control/examples/control_group/cluster.rs
+++ b/crates/control/examples/control_group/cluster.rs
@@ -156,7 +156,12 @@
 }
 
 pub fn identity(node: u64, role: PeerRole) -> PeerIdentity {
-    PeerIdentity { node: NodeId(node), role, zone: ZoneName::new("zone-1").expect("a zone") }
+    PeerIdentity {
+        node: NodeId(node),
+        role,
+        zone: ZoneName::new("zone-1").expect("a zone"),
+        incarnation: None,
+    }
 }
 
 /// Waits until `check` returns a value.
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -103,6 +103,7 @@
             node: settings.common.node,
             role: PeerRole::Control,
             zone: settings.common.zone.clone(),
+            incarnation: None,
         };
         let metrics = Arc::new(Metrics::new()?);
         let reports = Arc::new(NodeReports::default());
--- a/crates/control/tests/daemons/support/mod.rs
+++ b/crates/control/tests/daemons/support/mod.rs
@@ -146,6 +146,7 @@
         node: NodeId(node),
         role: PeerRole::Router,
         zone: ZoneName::new("hartford").unwrap(),
+        incarnation: None,
     }
 }
 
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -47,7 +47,8 @@
 
 impl Feed {
     /// Starts following the replicas.
-    pub fn start(settings: FeedSettings) -> Self {
+    pub fn start(mut settings: FeedSettings) -> Self {
+        settings.own.incarnation.get_or_insert_with(rand::random);
         let started = Instant::now();
         let (view_sender, view) = watch::channel(Arc::default());
         let (confirmed_sender, confirmed_view) = watch::channel(None);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,8 +6,7 @@
 
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use juniper_clock::BootInstant;
 use juniper_placement::{Choice, ExpectedTiming, Outcome, Ticket};
 use juniper_registry::{InstanceId, SoftwareVersion};
@@ -15,7 +14,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt_error::AttemptError;
-use crate::body::WholeBody;
+use crate::body::{BodyEnd, WholeBody};
 use crate::call::Call;
 use crate::connection_headers::{requests_close, server_idle_timeout, strip_hop_headers};
 use crate::dialect::{AnswerInfo, AttemptInfo};
@@ -24,6 +23,7 @@
 use crate::identity::prove_incarnation;
 use crate::pool::{ConnectError, ServerConnection};
 use crate::retry_budget::GrantedRetry;
+use crate::tunnel::TunnelGuard;
 
 /// Priority of requests that can no longer meet their objective; the lowest that servers know.
 const LATE_PRIORITY: u8 = 9;
@@ -44,29 +44,6 @@
     NOT_RUN_STATUSES.contains(&status)
 }
 
-/// How the end of an answer's body shows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum BodyEnd {
-    /// By the length of the body, or by its last chunk.
-    Marked,
-    /// By the end of the connection only, as when the server crashes.
-    ConnectionClosed,
-}
-
-impl BodyEnd {
-    fn of(response: &Response<Incoming>, method: &Method) -> Self {
-        let headers = response.headers();
-        let is_marked = headers.contains_key(CONTENT_LENGTH)
-            || headers.contains_key(TRANSFER_ENCODING)
-            || method == Method::HEAD
-            || [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&response.status());
-        match is_marked {
-            true => BodyEnd::Marked,
-            false => BodyEnd::ConnectionClosed,
-        }
-    }
-}
-
 /// A request in flight at a server. Dropping it closes the connection, so that the server stops
 /// work on the request.
 pub(crate) struct Attempt {
@@ -150,9 +127,9 @@
     /// Whether the answer whose body has just ended is complete. The end of a tunnel is that of the
     /// server's connection only if the router that forwards it still runs.
     pub(crate) async fn is_complete(&self) -> bool {
-        let tunnel_peer = self.connection.as_ref().and_then(ServerConnection::tunnel_peer);
-        match tunnel_peer.filter(|_| self.body_end == BodyEnd::ConnectionClosed) {
-            Some(peer) => self.gateway.is_peer_running(peer).await,
+        let tunnel = self.connection.as_ref().and_then(ServerConnection::tunnel);
+        match tunnel.filter(|_| self.body_end == BodyEnd::ConnectionClosed) {
+            Some(tunnel) => self.gateway.is_peer_running(tunnel).await,
             None => true,
         }
     }
@@ -282,7 +259,7 @@
     // to a server that gets nothing.
     attempt.report_dispatch(choice);
     let connection = attempt.connection.insert(connection);
-    let tunnel_peer = connection.tunnel_peer();
+    let tunnel_peer = connection.tunnel().map(TunnelGuard::peer);
     // The answer to another request may have requested a backoff while this request waited for its
     // connection.
     if let Some(backoff) = gateway.placement().remaining_backoff(&choice.instance, gateway.now()) {
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -7,7 +7,9 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, SizeHint};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Method, Response, StatusCode};
 use tokio::sync::mpsc;
 
 /// Chunks queued for a caller that reads slowly.
@@ -150,3 +152,26 @@
         SizeHint::with_exact(self.0.len() as u64)
     }
 }
+
+/// How the end of an answer's body shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyEnd {
+    /// By the length of the body, or by its last chunk.
+    Marked,
+    /// By the end of the connection only, as when the server crashes.
+    ConnectionClosed,
+}
+
+impl BodyEnd {
+    pub(crate) fn of(response: &Response<Incoming>, method: &Method) -> Self {
+        let headers = response.headers();
+        let is_marked = headers.contains_key(CONTENT_LENGTH)
+            || headers.contains_key(TRANSFER_ENCODING)
+            || method == Method::HEAD
+            || [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&response.status());
+        match is_marked {
+            true => BodyEnd::Marked,
+            false => BodyEnd::ConnectionClosed,
+        }
+    }
+}
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -10,7 +10,7 @@
 use juniper_types::{RequestFingerprint, Timestamp};
 use tokio::time::timeout;
 
-use crate::attempt::BodyEnd;
+use crate::body::BodyEnd;
 use crate::call::Call;
 use crate::gateway::Gateway;
 use crate::retry::Progress;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -11,7 +11,6 @@
 use juniper_clock::BootInstant;
 use juniper_protocol::PeerTimeouts;
 use juniper_registry::InstanceId;
-use juniper_types::NodeId;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -69,9 +68,9 @@
 }
 
 impl ServerConnection {
-    /// Router whose tunnel carries the connection, unless it is direct.
-    pub(crate) fn tunnel_peer(&self) -> Option<NodeId> {
-        self.tunnel.as_ref().map(TunnelGuard::peer)
+    /// The tunnel that carries the connection, unless it is direct.
+    pub(crate) fn tunnel(&self) -> Option<&TunnelGuard> {
+        self.tunnel.as_ref()
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,8 +14,8 @@
 use tokio::time::timeout_at;
 
 use crate::answer::OwnAnswer;
-use crate::attempt::{Answered, Attempt, BodyEnd, is_not_run_status};
-use crate::body::AnswerBody;
+use crate::attempt::{Answered, Attempt, is_not_run_status};
+use crate::body::{AnswerBody, BodyEnd};
 use crate::call::Call;
 use crate::finish::{FoundTiming, log_done, own_answer};
 use crate::gateway::Gateway;
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -61,6 +61,8 @@
 pub(crate) struct TunnelGuard {
     gateway: Weak<Gateway>,
     peer: NodeId,
+    /// Process of the peer that forwards the tunnel, if it states one.
+    incarnation: Option<u64>,
     /// Time after which no further request is sent through the tunnel.
     pub(crate) reusable_until: BootInstant,
 }
@@ -93,13 +95,14 @@
             let Some(peer) = picked else { break };
             asked.push(peer);
             let error = match self.ask_for_tunnel(peer, instance).await {
-                Ok(stream) => {
+                Ok((stream, incarnation)) => {
                     self.metrics.count_tunnel("opened");
                     self.placement().record_tunnel(instance, true);
                     self.tunnel_peers().record_opened(peer);
                     let reusable_until = BootInstant::now() + REUSE_TIME;
                     let gateway = Arc::downgrade(self);
-                    return Ok((stream, TunnelGuard { gateway, peer, reusable_until }));
+                    let guard = TunnelGuard { gateway, peer, incarnation, reusable_until };
+                    return Ok((stream, guard));
                 }
                 Err(error) => error,
             };
@@ -120,13 +123,18 @@
         }
     }
 
-    /// Whether the router that forwards a tunnel still accepts connections of other routers.
-    pub(crate) async fn is_peer_running(&self, peer: NodeId) -> bool {
+    /// Whether the process that forwards a tunnel still accepts connections of other routers.
+    pub(crate) async fn is_peer_running(&self, tunnel: &TunnelGuard) -> bool {
+        let peer = tunnel.peer;
         let Some(address) = peer.address() else { return false };
         let (key, own) = (self.feed.cluster_key(), self.feed.identity());
         let connecting = connect(SocketAddr::V4(address), key, own);
         match timeout(OPEN_TIMEOUT, connecting).await {
-            Ok(Ok(_)) => true,
+            Ok(Ok(connection)) if connection.peer.incarnation == tunnel.incarnation => true,
+            Ok(Ok(_)) => {
+                log::info!("event=tunnel_end_unconfirmed router={peer} reason=\"restarted\"");
+                false
+            }
             Ok(Err(error)) => {
                 log::info!("event=tunnel_end_unconfirmed router={peer} reason=\"{error}\"");
                 false
@@ -142,7 +150,7 @@
         &self,
         peer: NodeId,
         instance: &InstanceId,
-    ) -> Result<TcpStream, PeerError> {
+    ) -> Result<(TcpStream, Option<u64>), PeerError> {
         let asking = async {
             let address = peer.address().ok_or(PeerError::NoAddress)?;
             let (key, own) = (self.feed.cluster_key(), self.feed.identity());
@@ -150,7 +158,8 @@
             let (name, started) = (instance.name().clone(), instance.started());
             let request = Request::OpenTunnel { instance: name, started };
             connection.writer.send(&Message::Request { call: 1, request }).await?;
-            await_tunnel(connection).await
+            let incarnation = connection.peer.incarnation;
+            Ok((await_tunnel(connection).await?, incarnation))
         };
         timeout(OPEN_TIMEOUT, asking).await.map_err(|_| PeerError::Timeout)?
     }
--- a/crates/gateway/tests/paths/main.rs
+++ b/crates/gateway/tests/paths/main.rs
@@ -26,4 +26,5 @@
 mod stalled_router;
 mod startup;
 mod support;
+mod tunnel_ends;
 mod weights;
--- a/crates/gateway/tests/paths/support/link.rs
+++ b/crates/gateway/tests/paths/support/link.rs
@@ -1,7 +1,7 @@
 //! Network path from one router to one server, which can be cut.
 
 use std::net::{SocketAddr, SocketAddrV4};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use juniper_loopback::unused_address;
@@ -19,6 +19,8 @@
     Open,
     /// Nothing gets through, and nothing is answered.
     Silent,
+    /// New connections aren't answered; established ones live on.
+    SilentToNew,
     /// Established connections are reset, new ones refused.
     Reset,
     /// New connections are refused; established ones live on.
@@ -28,6 +30,7 @@
 /// A path, as a proxy on loopback.
 pub struct Link {
     pub address: SocketAddrV4,
+    target: Arc<Mutex<SocketAddrV4>>,
     state: Arc<watch::Sender<LinkState>>,
 }
 
@@ -69,8 +72,14 @@
         let SocketAddr::V4(address) = unused_address() else { panic!("IPv4") };
         let listener = open_listener(address);
         let state = Arc::new(watch::Sender::new(LinkState::Open));
-        tokio::spawn(run(address, listener, target, Arc::clone(&state)));
-        Link { address, state }
+        let target = Arc::new(Mutex::new(target));
+        tokio::spawn(run(address, listener, Arc::clone(&target), Arc::clone(&state)));
+        Link { address, target, state }
+    }
+
+    /// Leads new connections to another target.
+    pub fn redirect(&self, target: SocketAddrV4) {
+        *self.target.lock().expect("not poisoned") = target;
     }
 
     pub fn set(&self, state: LinkState) {
@@ -81,7 +90,7 @@
 async fn run(
     address: SocketAddrV4,
     first: TcpListener,
-    target: SocketAddrV4,
+    target: Arc<Mutex<SocketAddrV4>>,
     state: Arc<watch::Sender<LinkState>>,
 ) {
     let mut changes = state.subscribe();
@@ -92,12 +101,12 @@
             LinkState::Open => {
                 let listener = listener.take().unwrap_or_else(|| open_listener(address));
                 tokio::select! {
-                    () = accept_all(&listener, target, &state) => {}
+                    () = accept_all(&listener, &target, &state) => {}
                     _ = changes.changed() => {}
                 }
                 continue;
             }
-            LinkState::Silent => Some(silent_listener(address)),
+            LinkState::Silent | LinkState::SilentToNew => Some(silent_listener(address)),
             LinkState::Reset | LinkState::Refusing => None,
         };
         if changes.changed().await.is_err() {
@@ -109,10 +118,11 @@
 
 async fn accept_all(
     listener: &TcpListener,
-    target: SocketAddrV4,
+    target: &Mutex<SocketAddrV4>,
     state: &Arc<watch::Sender<LinkState>>,
 ) {
     while let Ok((stream, _)) = listener.accept().await {
+        let target = *target.lock().expect("not poisoned");
         tokio::spawn(forward(stream, target, state.subscribe()));
     }
 }
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -41,7 +41,7 @@
 }
 
 pub fn identity(role: PeerRole, number: u64) -> PeerIdentity {
-    PeerIdentity { node: NodeId(number), role, zone: zone() }
+    PeerIdentity { node: NodeId(number), role, zone: zone(), incarnation: None }
 }
 
 fn route(path: &str, kind: RouteKind, max_attempts: u32) -> Route {
--- a/crates/protocol/src/handshake.rs
+++ b/crates/protocol/src/handshake.rs
@@ -92,6 +92,9 @@
     /// Zone of the daemon.
     #[n(2)]
     pub zone: ZoneName,
+    /// Random number of the process, so that a restarted one differs; `None` if not stated.
+    #[n(3)]
+    pub incarnation: Option<u64>,
 }
 
 /// Peer that has proved the cluster key.
--- a/crates/protocol/tests/calls.rs
+++ b/crates/protocol/tests/calls.rs
@@ -16,7 +16,7 @@
 
 fn identity(number: u64) -> PeerIdentity {
     let zone = ZoneName::new("north").expect("valid");
-    PeerIdentity { node: NodeId(number), role: PeerRole::Control, zone }
+    PeerIdentity { node: NodeId(number), role: PeerRole::Control, zone, incarnation: None }
 }
 
 /// Opens a connection and returns both ends.
--- a/crates/protocol/tests/connect_timeout.rs
+++ b/crates/protocol/tests/connect_timeout.rs
@@ -27,7 +27,7 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     let key = ClusterKey::from_text("a cluster key for tests").expect("long enough");
     let zone = ZoneName::new("north").expect("valid");
-    let own = PeerIdentity { node: NodeId(1), role: PeerRole::Router, zone };
+    let own = PeerIdentity { node: NodeId(1), role: PeerRole::Router, zone, incarnation: None };
     let result =
         timeout(RESULT_TIMEOUT, connect(address, &key, &own)).await.expect("connect times out");
     assert!(matches!(result, Err(HandshakeError::Frame(FrameError::ConnectTimeout))));
--- a/crates/protocol/tests/hostile.rs
+++ b/crates/protocol/tests/hostile.rs
@@ -145,7 +145,7 @@
 
 fn identity(node: u64) -> PeerIdentity {
     let zone = ZoneName::new("hartford").expect("a name");
-    PeerIdentity { node: NodeId(node), role: PeerRole::Router, zone }
+    PeerIdentity { node: NodeId(node), role: PeerRole::Router, zone, incarnation: None }
 }
 
 #[test]
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -56,6 +56,11 @@
 
     /// Returns the identity that this router presents to other daemons.
     pub fn identity(&self) -> PeerIdentity {
-        PeerIdentity { node: self.node, role: PeerRole::Router, zone: self.zone.clone() }
+        PeerIdentity {
+            node: self.node,
+            role: PeerRole::Router,
+            zone: self.zone.clone(),
+            incarnation: None,
+        }
     }
 }
