--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -125,11 +125,12 @@
     }
 
     /// Whether the answer whose body has just ended is complete. The end of a tunnel is that of the
-    /// server's connection only if the router that forwards it still runs.
-    pub(crate) async fn is_complete(&self) -> bool {
+    /// server's connection only if the router that forwards it still runs, which is asked until
+    /// `deadline`.
+    pub(crate) async fn is_complete(&self, deadline: Instant) -> bool {
         let tunnel = self.connection.as_ref().and_then(ServerConnection::tunnel);
         match tunnel.filter(|_| self.body_end == BodyEnd::ConnectionClosed) {
-            Some(tunnel) => self.gateway.is_peer_running(tunnel).await,
+            Some(tunnel) => self.gateway.is_peer_running(tunnel, deadline).await,
             None => true,
         }
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -47,6 +47,9 @@
 /// Shortest answer timeout.
 const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which the end of an answer may stay unconfirmed before another server is asked.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// `Retry-After` when no server is available.
 pub(crate) const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -152,6 +155,16 @@
         })
     }
 
+    /// Time until which to wait for a confirmation that an answer has ended; the deadline if no other
+    /// server may be asked.
+    pub(crate) fn confirm_deadline(&self, progress: Progress) -> Instant {
+        let after = Progress { may_have_run: progress.may_have_run + 1, ..progress };
+        match self.may_retry(after) {
+            true => self.deadline.min(Instant::now() + CONFIRM_TIMEOUT),
+            false => self.deadline,
+        }
+    }
+
     /// Whether the route's rules allow another attempt.
     pub(crate) fn may_retry(&self, progress: Progress) -> bool {
         let check = RetryCheck {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use juniper_catalog::RouteKind;
 use juniper_placement::Outcome;
 use juniper_registry::InstanceId;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use crate::answer::OwnAnswer;
 use crate::attempt::{Answered, Attempt, is_not_run_status};
@@ -98,60 +98,91 @@
 ) -> Response<AnswerBody> {
     loop {
         let Answered { mut attempt, response } = answered;
-        pending.record_attempt(Some(&attempt.instance), progress);
+        let instance = attempt.instance.clone();
+        pending.record_attempt(Some(&instance), progress);
         if !response.status().is_success() {
             attempt.exclude_from_timing();
         }
         attempt.record_first_output();
         let (head, body) = response.into_parts();
-        let instance = attempt.instance.clone();
-        let buffered = match buffer_body(&call, &head, body).await {
-            Ok(BufferedBody::Complete(_)) if !attempt.is_complete().await => Err(BodyError::Broken),
-            buffered => buffered,
-        };
-        match buffered {
+        let (error, unconfirmed) = match buffer_body(&call, &head, body).await {
             Ok(BufferedBody::Complete(bytes)) => {
-                let (timing, sent_at, end) = (attempt.timing, attempt.sent_at, attempt.body_end);
-                attempt.finish(outcome_of(&head));
-                if !head.status.is_server_error() {
-                    gateway.record_ended(&call, &instance, sent_at, end);
+                let deadline = call.confirm_deadline(progress);
+                let answer = BufferedAnswer { attempt, head, bytes };
+                if answer.attempt.is_complete(deadline).await {
+                    return answer.deliver(&gateway, &call, progress);
                 }
-                let body = AnswerBody::whole(bytes);
-                let served = Served { instance: &instance, progress, timing };
-                return finish_answer(&gateway, &call, head, body, served);
+                (BodyError::Unconfirmed, Some(answer))
             }
             Ok(BufferedBody::TooLong(beginning, rest)) => {
                 let (open, body) = OpenAnswer::start(&gateway, &call);
-                let served = Served { instance: &instance, progress, timing: attempt.timing };
+                let timing = attempt.timing;
+                let served = Served { instance: &attempt.instance, progress, timing };
                 let response = finish_answer(&gateway, &call, head, body, served);
                 tokio::spawn(relay_chunks(gateway, call, attempt, beginning, rest, open));
                 return response;
             }
             Err(error) => {
-                log::info!(
-                    "event=answer_cut request={} instance={instance} reason=\"{error}\"",
-                    call.id()
-                );
-                let sent_at = attempt.sent_at;
-                attempt.fail(Outcome::Interrupted);
-                if error == BodyError::Broken {
-                    gateway.record_interrupted(&call, &instance, sent_at);
-                }
-                progress.may_have_run += 1;
-                if !matches!(error, BodyError::Broken | BodyError::Stalled) {
-                    return own_answer(&gateway, &call, OwnAnswer::DeadlinePassed, progress);
-                }
-                let mut search = ServerSearch::new(&gateway, &call)
-                    .for_pending(pending)
-                    .continue_from(progress, instance);
-                let found = search.run(None).await;
-                progress = search.progress;
-                answered = match found {
-                    Ok(answered) => answered,
-                    Err(answer) => return own_answer(&gateway, &call, answer, progress),
-                };
+                fail_attempt(&gateway, &call, attempt, error);
+                (error, None)
+            }
+        };
+        progress.may_have_run += 1;
+        if error == BodyError::Deadline {
+            return own_answer(&gateway, &call, OwnAnswer::DeadlinePassed, progress);
+        }
+        let mut search = ServerSearch::new(&gateway, &call)
+            .for_pending(pending)
+            .continue_from(progress, instance);
+        let found = search.run(None).await;
+        progress = search.progress;
+        if let Some(answer) = unconfirmed {
+            if found.is_err() && answer.attempt.is_complete(call.deadline).await {
+                progress.may_have_run -= 1;
+                return answer.deliver(&gateway, &call, progress);
             }
+            fail_attempt(&gateway, &call, answer.attempt, error);
+        }
+        answered = match found {
+            Ok(answered) => answered,
+            Err(answer) => return own_answer(&gateway, &call, answer, progress),
+        };
+    }
+}
+
+/// An answer that has been read to its end.
+struct BufferedAnswer {
+    attempt: Attempt,
+    head: Parts,
+    bytes: Bytes,
+}
+
+impl BufferedAnswer {
+    fn deliver(
+        self,
+        gateway: &Arc<Gateway>,
+        call: &Call,
+        progress: Progress,
+    ) -> Response<AnswerBody> {
+        let BufferedAnswer { attempt, head, bytes } = self;
+        let instance = attempt.instance.clone();
+        let (timing, sent_at, end) = (attempt.timing, attempt.sent_at, attempt.body_end);
+        attempt.finish(outcome_of(&head));
+        if !head.status.is_server_error() {
+            gateway.record_ended(call, &instance, sent_at, end);
         }
+        let served = Served { instance: &instance, progress, timing };
+        finish_answer(gateway, call, head, AnswerBody::whole(bytes), served)
+    }
+}
+
+/// Ends an attempt whose answer is incomplete.
+fn fail_attempt(gateway: &Arc<Gateway>, call: &Call, attempt: Attempt, error: BodyError) {
+    let (instance, sent_at) = (attempt.instance.clone(), attempt.sent_at);
+    log::info!("event=answer_cut request={} instance={instance} reason=\"{error}\"", call.id());
+    attempt.fail(Outcome::Interrupted);
+    if matches!(error, BodyError::Broken | BodyError::Unconfirmed) {
+        gateway.record_interrupted(call, &instance, sent_at);
     }
 }
 
@@ -213,18 +244,18 @@
     let mut received = beginning.len();
     let mut data = beginning;
     let error = loop {
-        if answer.send(data).await.is_err() {
-            return answer.end_early(EarlyEnd::CallerLeft, NotContinued::NotResumable);
+        if let Err(error) = answer.send(data).await {
+            break error;
         }
         let frame = tokio::select! {
             frame = timeout_at(call.deadline, rest.frame()) => frame,
-            () = answer.caller_left() => {
-                return answer.end_early(EarlyEnd::CallerLeft, NotContinued::NotResumable);
-            }
+            () = answer.caller_left() => break BodyError::CallerLeft,
         };
         data = match frame {
-            Ok(None) if !attempt.is_complete().await => break BodyError::Unconfirmed,
             Ok(None) => {
+                if let Err(error) = confirm_end(&attempt, &answer, call.deadline).await {
+                    break error;
+                }
                 let end = attempt.body_end;
                 gateway.record_ended(&call, &attempt.instance, attempt.sent_at, end);
                 answer.complete();
@@ -242,10 +273,26 @@
             break BodyError::Endless;
         }
     };
+    if error == BodyError::CallerLeft {
+        return answer.end_early(EarlyEnd::CallerLeft, NotContinued::NotResumable);
+    }
     answer.end_early(EarlyEnd::Incomplete(error), NotContinued::NotResumable);
     attempt.fail(Outcome::Interrupted);
 }
 
+/// Waits until `deadline` for the confirmation that an answer whose body has ended is complete.
+pub(crate) async fn confirm_end(
+    attempt: &Attempt,
+    answer: &OpenAnswer,
+    deadline: Instant,
+) -> Result<(), BodyError> {
+    let is_complete = tokio::select! {
+        is_complete = attempt.is_complete(deadline) => is_complete,
+        () = answer.caller_left() => return Err(BodyError::CallerLeft),
+    };
+    is_complete.then_some(()).ok_or(BodyError::Unconfirmed)
+}
+
 /// How a request was served.
 struct Served<'a> {
     instance: &'a InstanceId,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -22,7 +22,7 @@
 use crate::finish::{FoundTiming, log_done};
 use crate::gateway::Gateway;
 use crate::open_answer::{EarlyEnd, NotContinued, OpenAnswer};
-use crate::relay::BodyError;
+use crate::relay::{BodyError, confirm_end};
 use crate::retry::Progress;
 use crate::search::ServerSearch;
 
@@ -92,71 +92,86 @@
     /// Relays events, resuming at another server where that is allowed.
     async fn run(mut self, mut attempt: Attempt, mut upstream: Incoming) {
         loop {
-            let instance = attempt.instance.clone();
             let error = match self.relay_events(&mut attempt, &mut upstream).await {
-                Ok(()) => {
-                    let timing = attempt.timing;
-                    if self.stats.resumed == 0 && self.stats.events > 1 {
-                        attempt.record_longest_gap(self.stats.longest_gap);
-                    }
-                    let (sent_at, end) = (attempt.sent_at, attempt.body_end);
-                    attempt.finish(Outcome::Answered);
-                    // The rest of a stream doesn't show that a server survives the whole request.
-                    if self.resumed_after.is_none() {
-                        self.gateway.record_ended(&self.call, &instance, sent_at, end);
-                    }
-                    self.log_end("answered", &instance, timing);
-                    return self.answer.complete();
-                }
+                Ok(()) => return self.complete(attempt),
                 Err(error) => error,
             };
-            if error == BodyError::CallerLeft {
-                return self.end_without_caller(attempt, &instance);
-            }
-            if error == BodyError::Stalled {
-                match self.replace_silent(&instance, &mut upstream).await {
+            let server = attempt.instance.clone();
+            let next = match error {
+                BodyError::CallerLeft => return self.end_without_caller(attempt),
+                BodyError::Stalled => match self.replace(&server, Some(&mut upstream)).await {
+                    Err(_) if self.answer.has_caller_left() => {
+                        return self.end_without_caller(attempt);
+                    }
+                    Err(reason) => {
+                        self.log_silence(&server, reason);
+                        continue;
+                    }
                     Ok(answered) => {
-                        self.log_cut(&instance, error);
-                        attempt.fail(Outcome::Interrupted);
-                        (attempt, upstream) = self.begin_rest(answered);
+                        self.fail(attempt, error);
+                        Ok(answered)
                     }
-                    Err(_) if self.answer.has_caller_left() => {
-                        return self.end_without_caller(attempt, &instance);
+                },
+                BodyError::Unconfirmed => {
+                    let found = self.replace(&server, None).await;
+                    if found.is_err() {
+                        let deadline = self.call.deadline;
+                        match confirm_end(&attempt, &self.answer, deadline).await {
+                            Ok(()) => return self.complete(attempt),
+                            Err(BodyError::CallerLeft) => return self.end_without_caller(attempt),
+                            Err(_) => self.progress.may_have_run += 1,
+                        }
                     }
-                    Err(reason) => log::info!(
-                        "event=stream_silent request={} instance={instance} last_event={:?} \
-                         has_data={} not_continued={}",
-                        self.call.id(),
-                        self.last_event,
-                        self.received.is_some(),
-                        reason.as_str()
-                    ),
+                    self.fail(attempt, error);
+                    found
+                }
+                BodyError::Broken | BodyError::Endless => {
+                    self.fail(attempt, error);
+                    self.progress.may_have_run += 1;
+                    self.resume(server.clone(), None).await
                 }
-                continue;
-            }
-            self.log_cut(&instance, error);
-            let sent_at = attempt.sent_at;
-            attempt.fail(Outcome::Interrupted);
-            if matches!(error, BodyError::Broken | BodyError::Unconfirmed) {
-                self.gateway.record_interrupted(&self.call, &instance, sent_at);
-            }
-            self.progress.may_have_run += 1;
-            let next = match error {
                 BodyError::Deadline | BodyError::MissingEvents | BodyError::SoftwareChanged => {
+                    self.fail(attempt, error);
+                    self.progress.may_have_run += 1;
                     Err(NotContinued::NotResumable)
                 }
-                _ => self.resume(instance.clone(), None).await,
             };
             match next {
                 Ok(answered) => (attempt, upstream) = self.begin_rest(answered),
                 Err(reason) => {
-                    self.log_end("broken_off", &instance, None);
+                    self.log_end("broken_off", &server, None);
                     return self.answer.end_early(EarlyEnd::Incomplete(error), reason);
                 }
             }
         }
     }
 
+    /// Ends the answer after the server's last event.
+    fn complete(self, mut attempt: Attempt) {
+        let (instance, timing) = (attempt.instance.clone(), attempt.timing);
+        if self.stats.resumed == 0 && self.stats.events > 1 {
+            attempt.record_longest_gap(self.stats.longest_gap);
+        }
+        let (sent_at, end) = (attempt.sent_at, attempt.body_end);
+        attempt.finish(Outcome::Answered);
+        // The rest of a stream doesn't show that a server survives the whole request.
+        if self.resumed_after.is_none() {
+            self.gateway.record_ended(&self.call, &instance, sent_at, end);
+        }
+        self.log_end("answered", &instance, timing);
+        self.answer.complete();
+    }
+
+    /// Ends an attempt whose answer is incomplete.
+    fn fail(&self, attempt: Attempt, error: BodyError) {
+        let (instance, sent_at) = (attempt.instance.clone(), attempt.sent_at);
+        self.log_cut(&instance, error);
+        attempt.fail(Outcome::Interrupted);
+        if matches!(error, BodyError::Broken | BodyError::Unconfirmed) {
+            self.gateway.record_interrupted(&self.call, &instance, sent_at);
+        }
+    }
+
     /// Goes on with the answer of another server.
     fn begin_rest(&mut self, answered: Answered) -> (Attempt, Incoming) {
         self.stats.resumed += 1;
@@ -165,18 +180,18 @@
         (answered.attempt, answered.response.into_body())
     }
 
-    /// Looks for a server to replace one that is silent but may still be at work, until that one sends
-    /// data. Its connection stays open meanwhile: without another server it is waited for.
-    async fn replace_silent(
+    /// Looks for a server to replace one that may have answered, or may still do so. If that one is
+    /// only silent, its connection stays open and its data ends the search.
+    async fn replace(
         &mut self,
-        silent: &InstanceId,
-        upstream: &mut Incoming,
+        server: &InstanceId,
+        silent: Option<&mut Incoming>,
     ) -> Result<Answered, NotContinued> {
         let resumed_after = self.resumed_after;
         self.progress.may_have_run += 1;
-        let found = self.resume(silent.clone(), Some(upstream)).await;
+        let found = self.resume(server.clone(), silent).await;
         if found.is_err() {
-            // The silent server still runs the request, and is counted once it has ended.
+            // The server still runs the request, or has run it, and is counted once that has ended.
             self.progress.may_have_run -= 1;
             self.resumed_after = resumed_after;
         }
@@ -242,6 +257,17 @@
         self.stats.events > 0 || self.is_resumed_by_caller()
     }
 
+    fn log_silence(&self, instance: &InstanceId, reason: NotContinued) {
+        log::info!(
+            "event=stream_silent request={} instance={instance} last_event={:?} has_data={} \
+             not_continued={}",
+            self.call.id(),
+            self.last_event,
+            self.received.is_some(),
+            reason.as_str()
+        );
+    }
+
     fn log_cut(&self, instance: &InstanceId, error: BodyError) {
         log::info!(
             "event=stream_cut request={} instance={instance} reason=\"{error}\" last_event={:?}",
@@ -251,9 +277,10 @@
     }
 
     /// Ends the answer of a caller that has left.
-    fn end_without_caller(self, attempt: Attempt, instance: &InstanceId) {
+    fn end_without_caller(self, attempt: Attempt) {
+        let instance = attempt.instance.clone();
         drop(attempt);
-        self.log_end("caller_left", instance, None);
+        self.log_end("caller_left", &instance, None);
         self.answer.end_early(EarlyEnd::CallerLeft, NotContinued::CallerLeft);
     }
 
--- a/crates/gateway/src/stream/relay_events.rs
+++ b/crates/gateway/src/stream/relay_events.rs
@@ -9,7 +9,7 @@
 
 use super::StreamRelay;
 use crate::attempt::Attempt;
-use crate::relay::BodyError;
+use crate::relay::{BodyError, confirm_end};
 
 /// Shortest gap in a stream after which another server is looked for.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_800);
@@ -37,10 +37,8 @@
                 Err(_) if deadline == self.call.deadline => return Err(BodyError::Deadline),
                 Err(_) => return Err(BodyError::Stalled),
                 Ok(None) if self.splitter.is_between_events() => {
-                    return match attempt.is_complete().await {
-                        true => Ok(()),
-                        false => Err(BodyError::Unconfirmed),
-                    };
+                    let deadline = self.call.confirm_deadline(self.progress);
+                    return confirm_end(attempt, &self.answer, deadline).await;
                 }
                 Ok(None) | Ok(Some(Err(_))) => return Err(BodyError::Broken),
                 Ok(Some(Ok(frame))) => frame,
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -2,6 +2,7 @@
 //! server and forwards the bytes of the connection. The choice of the server, limits, retries and the
 //! request itself stay with this router.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
 use std::time::Duration;
@@ -14,13 +15,16 @@
 use juniper_registry::InstanceId;
 use juniper_types::NodeId;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::gateway::Gateway;
 
 /// Timeout for opening a tunnel, which includes the other router's connection to the server.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Delay before a router is asked again whether it still runs.
+const CONFIRM_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Routers that are asked for one tunnel.
 const MAX_PEERS: usize = 4;
 
@@ -57,6 +61,18 @@
     UnexpectedReply,
 }
 
+impl PeerError {
+    /// Whether no process listens at the router's address.
+    fn is_refused(&self) -> bool {
+        match self {
+            PeerError::Connect(HandshakeError::Frame(FrameError::Io(error))) => {
+                error.kind() == ErrorKind::ConnectionRefused
+            }
+            _ => false,
+        }
+    }
+}
+
 /// Counts a tunnel as open until it is dropped.
 pub(crate) struct TunnelGuard {
     gateway: Weak<Gateway>,
@@ -123,27 +139,37 @@
         }
     }
 
-    /// Whether the process that forwards a tunnel still accepts connections of other routers.
-    pub(crate) async fn is_peer_running(&self, tunnel: &TunnelGuard) -> bool {
-        let peer = tunnel.peer;
-        let Some(address) = peer.address() else { return false };
+    /// Whether the process that forwards a tunnel still runs. One that is slow, or behind a lossy link,
+    /// is asked again until `deadline`.
+    pub(crate) async fn is_peer_running(&self, tunnel: &TunnelGuard, deadline: Instant) -> bool {
+        let asking = async {
+            loop {
+                match self.ask_incarnation(tunnel.peer).await {
+                    Ok(incarnation) => return incarnation == tunnel.incarnation,
+                    Err(error) => {
+                        let router = tunnel.peer;
+                        log::info!("event=tunnel_end_unconfirmed router={router} reason=\"{error}\"");
+                        // A router that states no incarnation may have been restarted meanwhile.
+                        if error.is_refused() || tunnel.incarnation.is_none() {
+                            return false;
+                        }
+                    }
+                }
+                sleep(CONFIRM_RETRY_DELAY).await;
+            }
+        };
+        let is_running = timeout_at(deadline, asking).await.unwrap_or(false);
+        log::info!("event=tunnel_ended router={} is_confirmed={is_running}", tunnel.peer);
+        is_running
+    }
+
+    /// Asks a router for its incarnation.
+    async fn ask_incarnation(&self, peer: NodeId) -> Result<Option<u64>, PeerError> {
+        let address = peer.address().ok_or(PeerError::NoAddress)?;
         let (key, own) = (self.feed.cluster_key(), self.feed.identity());
         let connecting = connect(SocketAddr::V4(address), key, own);
-        match timeout(OPEN_TIMEOUT, connecting).await {
-            Ok(Ok(connection)) if connection.peer.incarnation == tunnel.incarnation => true,
-            Ok(Ok(_)) => {
-                log::info!("event=tunnel_end_unconfirmed router={peer} reason=\"restarted\"");
-                false
-            }
-            Ok(Err(error)) => {
-                log::info!("event=tunnel_end_unconfirmed router={peer} reason=\"{error}\"");
-                false
-            }
-            Err(_) => {
-                log::info!("event=tunnel_end_unconfirmed router={peer} reason=\"timed out\"");
-                false
-            }
-        }
+        let connected = timeout(OPEN_TIMEOUT, connecting).await.map_err(|_| PeerError::Timeout)?;
+        Ok(connected?.peer.incarnation)
     }
 
     async fn ask_for_tunnel(
--- a/crates/gateway/tests/paths/tunnel_ends.rs
+++ b/crates/gateway/tests/paths/tunnel_ends.rs
@@ -37,8 +37,8 @@
     helper
 }
 
-/// A stream of a router that reaches the server only through a helper.
-struct TunnelledStream {
+/// A request of a router that reaches the server only through a helper.
+struct TunnelledRequest {
     helper: RouterProcess,
     /// Path to the helper.
     path: Link,
@@ -46,9 +46,9 @@
     _cut_off: TestGateway,
 }
 
-impl TunnelledStream {
-    /// Starts a stream and waits until it has begun.
-    async fn start(server: &FakeServer) -> Self {
+impl TunnelledRequest {
+    /// Starts a request and waits until the server has begun to answer.
+    async fn start(server: &FakeServer, route: &'static str) -> Self {
         let helper = start_helper(server).await;
         let path = Link::open(internal_address(&helper));
         let cut_off = TestGateway::start(&[]).await;
@@ -59,13 +59,13 @@
         let at = NodeId::of_address(path.address).0;
         cut_off.control.send_peer_update(at, "north", update);
         sleep(Duration::from_millis(150)).await;
-        let callers = cut_off.callers;
-        let answer = tokio::spawn(async move { get(callers, "/stream/x", "r1").await });
-        while server.requests().is_empty() {
+        let (callers, earlier) = (cut_off.callers, server.requests().len());
+        let answer = tokio::spawn(async move { get(callers, route, "r1").await });
+        while server.requests().len() == earlier {
             sleep(Duration::from_millis(5)).await;
         }
         sleep(Duration::from_millis(100)).await;
-        TunnelledStream { helper, path, answer, _cut_off: cut_off }
+        TunnelledRequest { helper, path, answer, _cut_off: cut_off }
     }
 
     async fn answer(answer: JoinHandle<Answer>) -> Answer {
@@ -75,15 +75,29 @@
     }
 }
 
+// Guards against whole answers that are broken off because their helper takes a while to confirm them.
+#[tokio::test]
+async fn a_whole_answer_is_broken_off_if_its_helper_confirms_late() {
+    let server = open_ended_server(Duration::from_millis(400)).await;
+    for route in ["/stream/x", "/resumable/x", "/safe/x", "/once/x"] {
+        let stream = TunnelledRequest::start(&server, route).await;
+        stream.path.set(LinkState::SilentToNew);
+        sleep(Duration::from_millis(1_500)).await;
+        stream.path.set(LinkState::Open);
+        let answer = TunnelledRequest::answer(stream.answer).await;
+        assert!(answer.complete, "{route}: {answer:?}");
+    }
+}
+
 // Guards against an answer that looks whole because another process confirms it in place of its helper.
 #[tokio::test]
 async fn an_answer_looks_complete_after_its_helper_was_restarted() {
     let server = open_ended_server(TEST_TIMEOUT).await;
-    let stream = TunnelledStream::start(&server).await;
+    let stream = TunnelledRequest::start(&server, "/stream/x").await;
     let restarted = start_helper(&server).await;
     stream.path.redirect(internal_address(&restarted));
     drop(stream.helper);
-    let answer = TunnelledStream::answer(stream.answer).await;
+    let answer = TunnelledRequest::answer(stream.answer).await;
     assert!(!answer.complete, "{answer:?}");
 }
 
@@ -91,8 +105,8 @@
 #[tokio::test]
 async fn an_answer_looks_complete_although_its_helper_never_confirms() {
     let server = open_ended_server(Duration::from_millis(400)).await;
-    let stream = TunnelledStream::start(&server).await;
+    let stream = TunnelledRequest::start(&server, "/stream/x").await;
     stream.path.set(LinkState::SilentToNew);
-    let answer = TunnelledStream::answer(stream.answer).await;
+    let answer = TunnelledRequest::answer(stream.answer).await;
     assert!(!answer.complete, "{answer:?}");
 }
