--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -122,6 +122,23 @@
     pub(crate) fn track(&self) -> ConnectionTracker {
         self.clone()
     }
+
+    /// Returns a handle that doesn't count as open itself.
+    fn downgrade(&self) -> WeakTracker {
+        WeakTracker { open: self._open.downgrade() }
+    }
+}
+
+/// Handle that doesn't count as open, from which such handles are made.
+pub(crate) struct WeakTracker {
+    open: mpsc::WeakSender<()>,
+}
+
+impl WeakTracker {
+    /// Returns a handle that counts as open until it is dropped; `None` once none is open any more.
+    pub(crate) fn track(&self) -> Option<ConnectionTracker> {
+        self.open.upgrade().map(|open| ConnectionTracker { _open: open })
+    }
 }
 
 /// Runs a gateway until `stop` completes and all requests in flight have ended, or the grace period
@@ -143,7 +160,8 @@
     let gateway = Arc::new(gateway);
     let (tracker, mut open) = ConnectionTracker::new();
     let Listeners { callers, internal, readiness, metrics } = listeners;
-    let tunnels = serve_tunnels(Arc::clone(&gateway), internal, tracker.track());
+    // Until the end: other routers ask here whether this one still forwards their tunnels.
+    let tunnels = serve_tunnels(Arc::clone(&gateway), internal, tracker.downgrade());
     let tunneling = tokio::spawn(tunnels);
     let accepting = tokio::spawn(serve_callers(Arc::clone(&gateway), callers, tracker));
     let background_tasks = spawn_background_tasks(&gateway, readiness, metrics);
@@ -153,12 +171,12 @@
     phase.send_replace(ShutdownPhase::Draining);
     sleep(DRAIN_TIME).await;
     phase.send_replace(ShutdownPhase::ClosingConnections);
-    // From here on no connection is accepted. The tasks also hold trackers.
+    // From here on no caller's connection is accepted. The task also holds a tracker.
     accepting.abort();
-    tunneling.abort();
     let remaining = grace_period.mul_f64(GRACE_SHARE).saturating_sub(DRAIN_TIME);
     let is_drained = timeout(remaining, open.recv()).await.is_ok();
     phase.send_replace(ShutdownPhase::Stopped);
+    tunneling.abort();
     log::info!("event=gateway_stopped node={node} drained={is_drained}");
     background_tasks.iter().for_each(JoinHandle::abort);
     Ok(())
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -148,7 +148,9 @@
                     Ok(incarnation) => return incarnation == tunnel.incarnation,
                     Err(error) => {
                         let router = tunnel.peer;
-                        log::info!("event=tunnel_end_unconfirmed router={router} reason=\"{error}\"");
+                        log::info!(
+                            "event=tunnel_end_unconfirmed router={router} reason=\"{error}\""
+                        );
                         // A router that states no incarnation may have been restarted meanwhile.
                         if error.is_refused() || tunnel.incarnation.is_none() {
                             return false;
--- a/crates/gateway/src/tunnel_server.rs
+++ b/crates/gateway/src/tunnel_server.rs
@@ -16,15 +16,20 @@
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time::sleep;
 
 use crate::gateway::Gateway;
-use crate::lifecycle::{ConnectionTracker, ShutdownPhase};
+use crate::lifecycle::{ShutdownPhase, WeakTracker};
 use crate::listener::accept_stream;
 
 /// Maximum number of tunnels, including those being opened. Each has two sockets and two buffers of
 /// 8 KiB.
 const MAX_TUNNELS: usize = 256;
 
+/// Time for which a router that stops goes on running after a tunnel has ended, so that the other
+/// router can confirm that the answer in it was complete.
+const CONFIRM_TIME: Duration = Duration::from_secs(1);
+
 /// Why a tunnel was not opened.
 #[derive(Debug, thiserror::Error)]
 enum OpenError {
@@ -38,12 +43,8 @@
     Refused(#[from] TunnelRefusal),
 }
 
-/// Accepts connections of other routers, and forwards their tunnels. Never returns.
-pub(crate) async fn serve_tunnels(
-    gateway: Arc<Gateway>,
-    listener: TcpListener,
-    open: ConnectionTracker,
-) {
+/// Accepts connections of other routers, and forwards their tunnels, until none is open in a shutdown.
+pub(crate) async fn serve_tunnels(gateway: Arc<Gateway>, listener: TcpListener, open: WeakTracker) {
     let tunnels = Arc::new(Semaphore::new(MAX_TUNNELS));
     loop {
         let Some(stream) = accept_stream(&listener).await else { continue };
@@ -52,23 +53,31 @@
             gateway.metrics.count_tunnel("refused");
             continue;
         };
-        let (gateway, tracked) = (Arc::clone(&gateway), open.track());
+        let Some(tracked) = open.track() else { return };
+        let gateway = Arc::clone(&gateway);
         tokio::spawn(async move {
-            serve_tunnel(&gateway, stream).await;
-            drop((permit, tracked));
+            let has_forwarded = serve_tunnel(&gateway, stream).await;
+            drop(permit);
+            if has_forwarded && *gateway.shutdown.borrow() != ShutdownPhase::Running {
+                sleep(CONFIRM_TIME).await;
+            }
+            drop(tracked);
         });
     }
 }
 
-async fn serve_tunnel(gateway: &Arc<Gateway>, stream: TcpStream) {
+/// Serves a connection of another router. Returns whether it was a tunnel that has ended.
+async fn serve_tunnel(gateway: &Arc<Gateway>, stream: TcpStream) -> bool {
     match open(gateway, stream).await {
         Ok((router, server)) => {
             gateway.metrics.count_tunnel("served");
             forward(router, server).await;
+            true
         }
         Err(error) => {
             gateway.metrics.count_tunnel("refused");
             log::debug!("event=tunnel_refused reason=\"{error}\"");
+            false
         }
     }
 }
--- a/crates/gateway/tests/paths/tunnel_ends.rs
+++ b/crates/gateway/tests/paths/tunnel_ends.rs
@@ -89,6 +89,16 @@
     }
 }
 
+// Guards against whole answers that are broken off because their helper is about to stop.
+#[tokio::test]
+async fn a_whole_answer_is_broken_off_if_its_helper_is_stopping() {
+    let server = open_ended_server(Duration::from_millis(2_850)).await;
+    let stream = TunnelledRequest::start(&server, "/stream/x").await;
+    stream.helper.stop();
+    let answer = TunnelledRequest::answer(stream.answer).await;
+    assert!(answer.complete, "{answer:?}");
+}
+
 // Guards against an answer that looks whole because another process confirms it in place of its helper.
 #[tokio::test]
 async fn an_answer_looks_complete_after_its_helper_was_restarted() {
