--- a/crates/gateway/tests/paths/tunnel_ends.rs
+++ b/crates/gateway/tests/paths/tunnel_ends.rs
@@ -11,11 +11,17 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::support::caller::{Answer, get};
+use crate::support::caller::{Answer, ask, request_head};
 use crate::support::link::{Link, LinkState};
 use crate::support::router::RouterProcess;
 use crate::support::server::{FakeServer, Step, open_ended_head};
-use crate::support::{TEST_TIMEOUT, TestGateway};
+use crate::support::{TEST_TIMEOUT, TestGateway, catalog};
+
+/// Timeout of all routes and requests, in milliseconds.
+const TIMEOUT_MS: u64 = 6_000;
+
+/// Longer than a router that stops accepts callers.
+const STOPPING: Duration = Duration::from_millis(3_200);
 
 /// Server whose answers end with their connections, after this time.
 async fn open_ended_server(duration: Duration) -> FakeServer {
@@ -51,7 +57,9 @@
     async fn start(server: &FakeServer, route: &'static str) -> Self {
         let helper = start_helper(server).await;
         let path = Link::open(internal_address(&helper));
-        let cut_off = TestGateway::start(&[]).await;
+        let mut catalog = catalog();
+        catalog.routes.iter_mut().for_each(|route| route.timeout_ms = TIMEOUT_MS);
+        let cut_off = TestGateway::start_with_catalog(catalog, &[], |_| ()).await.ready().await;
         // Refuses connections.
         let SocketAddr::V4(address) = unused_address() else { panic!("IPv4") };
         cut_off.control.add_server(InstanceReport { address, ..server.report() });
@@ -60,7 +68,9 @@
         cut_off.control.send_peer_update(at, "north", update);
         sleep(Duration::from_millis(150)).await;
         let (callers, earlier) = (cut_off.callers, server.requests().len());
-        let answer = tokio::spawn(async move { get(callers, route, "r1").await });
+        let head = request_head("GET", route, "r1");
+        let head = head.replace("x-deadline: 3000", &format!("x-deadline: {TIMEOUT_MS}"));
+        let answer = tokio::spawn(async move { ask(callers, &format!("{head}\r\n")).await });
         while server.requests().len() == earlier {
             sleep(Duration::from_millis(5)).await;
         }
@@ -92,9 +102,13 @@
 // Guards against whole answers that are broken off because their helper is about to stop.
 #[tokio::test]
 async fn a_whole_answer_is_broken_off_if_its_helper_is_stopping() {
-    let server = open_ended_server(Duration::from_millis(2_850)).await;
+    let server = open_ended_server(STOPPING).await;
     let stream = TunnelledRequest::start(&server, "/stream/x").await;
     stream.helper.stop();
+    sleep(STOPPING - Duration::from_millis(300)).await;
+    stream.path.set(LinkState::SilentToNew);
+    sleep(Duration::from_millis(600)).await;
+    stream.path.set(LinkState::Open);
     let answer = TunnelledRequest::answer(stream.answer).await;
     assert!(answer.complete, "{answer:?}");
 }
