Tree's router: answers that end early are logged and counted with their reason

What operators saw: no line for a preview whose caller left, no count of any answer that ended early, and nothing for one that the end of the process dropped.

Change: chats and previews end through OpenAnswer, as on the platform (juniper_answers_ended_early_total by kind and reason).

Evidence: a_preview_that_is_broken_off_is_counted_with_its_reason; before, there was no such figure.

--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -207,7 +207,7 @@
         for router in &self.routers {
             self.operator.wait_for(router.node.operator, "/readyz").await?;
         }
-        let addresses: Vec<SocketAddr> = self.routers.iter().map(|r| r.node.operator).collect();
+        let addresses = self.router_operators();
         self.operator.wait_for_revision(&addresses, self.revision).await
     }
 
@@ -237,6 +237,11 @@
         self.routers.iter().map(target).collect()
     }
 
+    /// Returns the operators' addresses of the routers.
+    pub fn router_operators(&self) -> Vec<SocketAddr> {
+        self.routers.iter().map(|router| router.node.operator).collect()
+    }
+
     /// Returns the execution journals of the application servers.
     pub fn execution_sources(&self) -> Vec<ExecutionSource> {
         let journals = self.back_ends.iter().filter_map(|back_end| back_end.journal.clone());
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod limits;
 pub mod link;
 pub mod metrics;
+mod open_answer;
 pub mod peers;
 mod preview_search;
 pub mod previews;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -20,6 +20,8 @@
     pub requests: IntCounterVec,
     /// Retries by cause.
     pub retries: IntCounterVec,
+    /// Answers that ended before they were complete, by kind of traffic and reason.
+    pub early_ends: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Settings revision in force.
@@ -63,6 +65,11 @@
         Ok(Metrics {
             requests: counters("juniper_requests_total", "Requests", &["kind", "code"])?,
             retries: counters("juniper_retries_total", "Retries", &["cause"])?,
+            early_ends: counters(
+                "juniper_answers_ended_early_total",
+                "Answers that ended before they were complete",
+                &["kind", "reason"],
+            )?,
             in_flight: gauge("juniper_in_flight", "Requests in flight")?,
             revision: gauge("juniper_settings_revision", "Settings revision in force")?,
             settings_age_ms: gauge("juniper_settings_age_ms", "Age of the settings in force")?,
--- a/crates/router/src/preview_search.rs
+++ b/crates/router/src/preview_search.rs
@@ -47,6 +47,19 @@
     Status(u16),
 }
 
+impl PreviewError {
+    /// Value of `reason` in metrics.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            PreviewError::Unreachable => "unreachable",
+            PreviewError::Broken => "server_broke_off",
+            PreviewError::Stalled => "silent",
+            PreviewError::Mismatch => "mismatch",
+            PreviewError::Status(_) => "server_status",
+        }
+    }
+}
+
 /// A preview stream whose response head was received.
 pub(crate) struct OpenPreview {
     pub lease: Lease,
--- a/crates/router/src/previews.rs
+++ b/crates/router/src/previews.rs
@@ -19,6 +19,7 @@
 use crate::access::{REQUEST_ID_HEADER, authenticate, request_id};
 use crate::error::RequestError;
 use crate::http_api::{insert_header, into_counted_response};
+use crate::open_answer::{CALLER_LEFT, OpenAnswer};
 use crate::preview_search::{OpenPreview, PreviewCall, PreviewError, STALL_TIMEOUT, Search, Span};
 use crate::router_state::{InFlight, RouterState};
 
@@ -116,11 +117,13 @@
 
 impl PreviewRelay {
     async fn run(mut self, pieces: PieceSender) {
+        let answer = OpenAnswer::start(&self.state, "preview", self.call.id);
         let mut next = self.opened.span.start;
         let end = self.opened.span.end;
         while next < end {
             let error = match self.forward_bytes(&pieces, &mut next).await {
-                Ok(()) => return,
+                Ok(()) if next < end => return answer.end_early(CALLER_LEFT),
+                Ok(()) => break,
                 Err(PreviewError::Stalled) => {
                     self.replace_silent(next, &pieces).await;
                     continue;
@@ -135,13 +138,15 @@
             self.search.may_have_run = true;
             let is_resumed = tokio::select! {
                 resumed = self.resume_on_another_server(next) => resumed.is_ok(),
-                () = pieces.closed() => return,
+                () = pieces.closed() => return answer.end_early(CALLER_LEFT),
             };
             if !is_resumed {
+                answer.end_early(error.label());
                 let _ = pieces.send(Err(error)).await;
                 return;
             }
         }
+        answer.complete();
     }
 
     /// Forwards bytes until all are sent or the caller has disconnected.
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -24,6 +24,7 @@
 use self::job::Progress;
 use self::opening::{open_attempt, take_retry};
 use crate::error::RequestError;
+use crate::open_answer::{CALLER_LEFT, OpenAnswer};
 use crate::router_state::RouterState;
 use crate::sse::{Chunk, Event, EventReader};
 
@@ -43,6 +44,7 @@
     /// Forwards the answer until it is complete, can't be completed, or the
     /// receiver is closed.
     pub async fn run(mut self, pieces: mpsc::Sender<Piece>) {
+        let answer = OpenAnswer::start(&self.state, "chat", self.job.request_id);
         let end = loop {
             match self.forward_stream(&pieces).await {
                 Ok(StreamEnd::Complete) => {
@@ -53,10 +55,7 @@
                     }
                     break Piece::Done;
                 }
-                Ok(StreamEnd::CallerDisconnected) => {
-                    log::info!("event=caller_left request={}", self.job.request_id);
-                    return;
-                }
+                Ok(StreamEnd::CallerDisconnected) => return answer.end_early(CALLER_LEFT),
                 Err(AttemptError::Deadline) => {
                     break Piece::Failed(RequestError::DeadlinePassed);
                 }
@@ -66,6 +65,10 @@
                 },
             }
         };
+        match &end {
+            Piece::Failed(error) => answer.end_early(error.code()),
+            _ => answer.complete(),
+        }
         let _ = pieces.send(end).await;
     }
 
--- a/tests/fleet_silence.rs
+++ b/tests/fleet_silence.rs
@@ -57,6 +57,23 @@
     assert_eq!(received as u64, whole);
 }
 
+// Guards against a preview that ends early without a trace of the reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_preview_that_is_broken_off_is_counted_with_its_reason() {
+    let mut test = start_fleet(Setup::default()).await;
+    let fleet = &mut test.fleet;
+    kill_other_servers(fleet);
+    let mut response = preview_request(fleet).send().await.expect("an answer");
+    response.chunk().await.expect("a piece").expect("more");
+    fleet.back_end_process(BackEndKind::Preview, 0).expect("a server").kill();
+    while let Ok(Some(_)) = response.chunk().await {}
+    let router = fleet.router_operators()[0];
+    let metrics = reqwest::get(format!("http://{router}/metrics")).await.expect("an answer");
+    let text = metrics.text().await.expect("the metrics");
+    let reason = r#"juniper_answers_ended_early_total{kind="preview",reason="server_broke_off"} 1"#;
+    assert!(text.contains(reason), "{text}");
+}
+
 // Guards against requests for previews that fail while their only server is at work.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_preview_request_of_a_silent_server_is_given_up_without_another_server() {
