Test of requests in progress while configurations come in quick succession

Forty versions in a row, the last without routes, beside a buffered request, one that may run once, a stream and a resumable one: all whole, nothing is sent again. No fault was found.

--- a/crates/gateway/tests/paths/configuration_changes.rs
+++ b/crates/gateway/tests/paths/configuration_changes.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use juniper_catalog::{Catalog, LimitUnit, TenantLimit};
+use juniper_catalog::{Catalog, LimitUnit, Route, TenantLimit};
 use tokio::task::JoinSet;
 
 use crate::support::caller::{Answer, get};
@@ -156,3 +156,20 @@
 async fn a_server_that_leaves_the_list_ends_its_requests() {
     check(|gateway| gateway.control.remove_servers(), |answer| answer.status == 503).await;
 }
+
+// Guards against the same if configurations come in quick succession.
+#[tokio::test]
+async fn configurations_in_quick_succession_end_requests() {
+    const VERSIONS: u64 = 40;
+    let change = |gateway: &TestGateway| {
+        for version in 2..VERSIONS {
+            let mut changed = Catalog { version, ..catalog() };
+            let idle =
+                Route { path_prefix: format!("/idle-{version}/"), ..changed.routes[0].clone() };
+            changed.routes.push(idle);
+            gateway.control.set_catalog(changed);
+        }
+        gateway.control.set_catalog(Catalog { version: VERSIONS, routes: vec![], ..catalog() });
+    };
+    check(change, |answer| answer.status == 404).await;
+}
