--- a/crates/router/src/preview_search.rs
+++ b/crates/router/src/preview_search.rs
@@ -86,14 +86,14 @@
 
 /// State of the search for a server.
 #[derive(Default)]
-pub(crate) struct Search {
+pub(crate) struct PreviewSearch {
     /// Servers that have failed or are silent.
     pub excluded: Vec<EngineId>,
     /// Whether a server may have started the preview.
     pub may_have_run: bool,
 }
 
-impl Search {
+impl PreviewSearch {
     /// Sends the request to one server after another until one answers. A silent server may still be
     /// at work: it is abandoned only once another one has answered.
     pub(crate) async fn run(
--- a/crates/router/src/previews.rs
+++ b/crates/router/src/previews.rs
@@ -20,7 +20,9 @@
 use crate::error::RequestError;
 use crate::http_api::{insert_header, into_counted_response};
 use crate::open_answer::{CALLER_LEFT, OpenAnswer};
-use crate::preview_search::{OpenPreview, PreviewCall, PreviewError, STALL_TIMEOUT, Search, Span};
+use crate::preview_search::{
+    OpenPreview, PreviewCall, PreviewError, PreviewSearch, STALL_TIMEOUT, Span,
+};
 use crate::router_state::{InFlight, RouterState};
 
 /// Pieces buffered for a slow caller before backpressure applies to the server's stream.
@@ -31,7 +33,7 @@
     state: Arc<RouterState>,
     call: PreviewCall,
     opened: OpenPreview,
-    search: Search,
+    search: PreviewSearch,
     /// What the current server sent while another one was looked for.
     received: Option<ReceivedPiece>,
     _in_flight: InFlight,
@@ -70,7 +72,7 @@
         view.in_force.revision
     );
     let call = PreviewCall { id: request_id, path, tenant: caller.home.tenant.clone() };
-    let mut search = Search::default();
+    let mut search = PreviewSearch::default();
     let deadline = started + Duration::from_millis(caller.settings.deadline_ms);
     let opening = timeout_at(deadline, search.run(state, &call, start)).await;
     let opened = opening.map_err(|_| RequestError::DeadlinePassed)??;
@@ -202,7 +204,7 @@
         self.opened.lease.record_failure();
         self.state.metrics.retries.with_label_values(&["preview"]).inc();
         // The servers that failed before may be back.
-        let mut search = Search { excluded: vec![silent], may_have_run: true };
+        let mut search = PreviewSearch { excluded: vec![silent], may_have_run: true };
         let found = tokio::select! {
             found = search.run(&self.state, &self.call, next) => found.ok(),
             piece = self.opened.response.chunk() => {
