Router: bodies, connections, heads and answers of callers stay within its memory

What callers saw: a router ended for lack of memory under bodies that stop short, chunks of one byte, bodies that wait for slow servers, connections and heads without end, and answers that nobody reads; beside them ordinary callers got no answer since every descriptor was taken.

Cause: read_body kept each chunk with the buffer in which it had arrived and copied the whole; no sum of bodies, connections or answers was bounded, and memoryMb was not read.

Change: memoryMb and maxFds are read and checked, and everything callers make the router hold is on the account. Bodies are passed on in blocks without a copy; their fingerprint is the same. A body without a byte for idleTimeoutMs gets 408, one that gives way 503 with Retry-After 1 (nothing of it was sent on). Answers are buffered only while there is memory, and relayed otherwise; their memory is given back once written. A caller that reads nothing for idleTimeoutMs is disconnected.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -12,6 +12,9 @@
 /// `Retry-After` while no configuration is known.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// `Retry-After` while the memory for callers is short: bodies that stall give way within a second.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+
 /// `Retry-After` while the configuration can't be confirmed.
 const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -26,6 +29,10 @@
     NoRoute,
     /// The body is too large.
     TooLarge,
+    /// The body stalled, or took longer than its request has. The request has not run.
+    BodyTimeout,
+    /// The memory for callers is short. The request has not run and may be retried.
+    NoMemory,
     /// No configuration is known yet.
     Starting,
     /// The configuration can't be confirmed.
@@ -65,8 +72,10 @@
             OwnAnswer::UnknownKey => StatusCode::UNAUTHORIZED,
             OwnAnswer::NoRoute => StatusCode::NOT_FOUND,
             OwnAnswer::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            OwnAnswer::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             OwnAnswer::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
             OwnAnswer::Starting
+            | OwnAnswer::NoMemory
             | OwnAnswer::Unconfirmed
             | OwnAnswer::NoServer(_)
             | OwnAnswer::Full(_)
@@ -89,6 +98,8 @@
             OwnAnswer::UnknownKey => "unknown_key",
             OwnAnswer::NoRoute => "no_route",
             OwnAnswer::TooLarge => "too_large",
+            OwnAnswer::BodyTimeout => "body_timeout",
+            OwnAnswer::NoMemory => "no_memory",
             OwnAnswer::Starting => "starting",
             OwnAnswer::Unconfirmed => "unconfirmed",
             OwnAnswer::NoServer(_) => "no_server",
@@ -105,9 +116,15 @@
         }
     }
 
+    /// Whether the body was refused, so that the connection can't be used for another request.
+    pub(crate) fn refuses_body(self) -> bool {
+        matches!(self, OwnAnswer::TooLarge | OwnAnswer::BodyTimeout | OwnAnswer::NoMemory)
+    }
+
     fn retry_after(self) -> Option<Duration> {
         match self {
             OwnAnswer::Starting => Some(STARTING_RETRY_AFTER),
+            OwnAnswer::NoMemory => Some(NO_MEMORY_RETRY_AFTER),
             OwnAnswer::Unconfirmed => Some(UNCONFIRMED_RETRY_AFTER),
             OwnAnswer::NoServer(retry_after)
             | OwnAnswer::Full(retry_after)
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,13 +8,14 @@
 use hyper::client::conn::TrySendError;
 use hyper::{Request, Response, StatusCode};
 use juniper_clock::BootInstant;
+use juniper_intake::SegmentedBody;
 use juniper_placement::{Choice, ExpectedTiming, Outcome, Ticket};
 use juniper_registry::{InstanceId, SoftwareVersion};
 use juniper_types::Timestamp;
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt_error::AttemptError;
-use crate::body::{BodyEnd, WholeBody};
+use crate::body::BodyEnd;
 use crate::call::Call;
 use crate::connection_headers::{requests_close, server_idle_timeout, strip_hop_headers};
 use crate::dialect::{AnswerInfo, AttemptInfo};
@@ -310,7 +311,7 @@
 }
 
 /// Hyper returns the message if the request was not sent.
-fn send_error(mut error: TrySendError<Request<WholeBody>>) -> AttemptError {
+fn send_error(mut error: TrySendError<Request<SegmentedBody>>) -> AttemptError {
     match error.take_message() {
         Some(_request) => AttemptError::NotSent(ConnectError::Handshake(error.into_error())),
         None => AttemptError::Broken(error.into_error()),
@@ -353,7 +354,7 @@
     call: &Call,
     choice: &Choice,
     last_event: Option<u64>,
-) -> Request<WholeBody> {
+) -> Request<SegmentedBody> {
     let mut headers = call.headers.clone();
     // Cache entries computed with other weights must not match.
     let sharing_scope = format!("{}.w{}", call.sharing_scope, choice.version);
@@ -370,7 +371,7 @@
         store: choice.store,
     };
     gateway.dialect.write_attempt(&mut headers, &info);
-    let mut request = Request::new(WholeBody(call.body.clone()));
+    let mut request = Request::new(SegmentedBody::from(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = headers;
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,6 +1,5 @@
 //! Bodies of responses to callers and of requests to servers.
 
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -10,6 +9,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Method, Response, StatusCode};
+use juniper_intake::{AnswerLease, RequestGuard, keep_until_written};
 use tokio::sync::mpsc;
 
 /// Chunks queued for a caller that reads slowly.
@@ -129,27 +129,44 @@
     }
 }
 
-/// Body of a request to a server, always complete.
-pub struct WholeBody(pub Bytes);
+/// What a request holds until its answer has been written.
+pub(crate) struct RequestLease {
+    /// The connection isn't idle until then.
+    pub _request: RequestGuard,
+    pub _memory: Option<AnswerLease>,
+}
+
+/// Body of a response that keeps the lease of its request until it has been written.
+pub(crate) struct LeasedBody {
+    body: AnswerBody,
+    lease: Arc<RequestLease>,
+}
 
-impl Body for WholeBody {
+impl LeasedBody {
+    pub(crate) fn new(body: AnswerBody, lease: RequestLease) -> Self {
+        LeasedBody { body, lease: Arc::new(lease) }
+    }
+}
+
+impl Body for LeasedBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = IncompleteBody;
 
     fn poll_frame(
         self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let bytes = std::mem::take(&mut self.get_mut().0);
-        Poll::Ready((!bytes.is_empty()).then(|| Ok(Frame::data(bytes))))
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
+        let LeasedBody { body, lease } = self.get_mut();
+        let polled = Pin::new(body).poll_frame(context);
+        polled.map_ok(|frame| frame.map_data(|data| keep_until_written(data, Arc::clone(lease))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.0.is_empty()
+        self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.0.len() as u64)
+        self.body.size_hint()
     }
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,17 +5,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
 use juniper_catalog::{KeyAccess, Route, RouteKind};
 use juniper_clock::BootInstant;
 use juniper_feed::{ConfirmationFields, ConfirmedView, FleetView};
+use juniper_intake::{HeldBody, ReadError, ReadLimits, discard, read_body};
 use juniper_registry::SoftwareVersion;
 use juniper_types::{FingerprintKey, NodeId, RequestContent, RequestFingerprint};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::answer::OwnAnswer;
 use crate::body::AnswerBody;
@@ -50,6 +50,9 @@
 /// Time for which the end of an answer may stay unconfirmed before another server is asked.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Longest body that the HTTP library is left to skip, in bytes.
+const MAX_SKIPPED_BYTES: u64 = 16 << 10;
+
 /// `Retry-After` when no server is available.
 pub(crate) const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -74,7 +77,7 @@
     pub uri: Uri,
     /// The caller's headers, without hop-by-hop headers.
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: HeldBody,
     /// Fingerprint of the content, computed at first use.
     fingerprint: OnceLock<RequestFingerprint>,
     /// Fingerprints of the prompt's shared parts, computed at first use.
@@ -135,13 +138,14 @@
     /// before it is sent while any request is suspected of crashing servers.
     pub(crate) fn fingerprint(&self, key: &FingerprintKey) -> RequestFingerprint {
         *self.fingerprint.get_or_init(|| {
-            key.fingerprint(&RequestContent {
+            let content = RequestContent {
                 method: self.method.as_str(),
                 host: host_of(&self.headers),
                 path: self.uri.path_and_query().map_or("", |path| path.as_str()),
                 tenant: self.tenant.as_deref(),
-                body: &self.body,
-            })
+                body: &[],
+            };
+            key.fingerprint_in_blocks(&content, self.body.segments().iter().map(Bytes::as_ref))
         })
     }
 
@@ -182,18 +186,20 @@
     request: Request<Incoming>,
 ) -> Option<Response<AnswerBody>> {
     let arrived = Instant::now();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
+    let expects_continue = head.headers.contains_key(EXPECT);
     let info = match gateway.dialect.read_call(&head) {
         Ok(info) => info,
         Err(error) => {
             log::warn!("event=request_refused request=- reason=malformed fault=\"{error}\"");
             gateway.metrics.count_own_answer(None, OwnAnswer::Malformed);
+            leave_unread(body, expects_continue);
             return Some(OwnAnswer::Malformed.response(&*gateway.dialect, None));
         }
     };
     let id = info.id.clone();
     let mut pending = PendingAnswer::start(gateway, &id, arrived);
-    match admit(gateway, head, body, info, arrived).await {
+    match admit(gateway, head, &mut body, info, arrived).await {
         Ok(Some(call)) => {
             pending.set_route(&call);
             Some(serve(gateway, call, pending).await)
@@ -211,17 +217,47 @@
                 answer.retry_fields()
             );
             gateway.metrics.count_own_answer(None, answer);
-            Some(answer.response(&*gateway.dialect, Some(&id)))
+            let mut response = answer.response(&*gateway.dialect, Some(&id));
+            if answer.refuses_body() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            leave_unread(body, expects_continue);
+            Some(response)
         }
     }
 }
 
+/// Refuses a request for which there is no memory.
+pub(crate) fn refuse_for_memory(
+    gateway: &Gateway,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let (head, body) = request.into_parts();
+    let expects_continue = head.headers.contains_key(EXPECT);
+    let info = gateway.dialect.read_call(&head).ok();
+    let id = info.as_ref().map(|info| &info.id);
+    let request_id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
+    log::info!("event=request_refused request={request_id} reason=no_memory status=503");
+    gateway.metrics.count_own_answer(None, OwnAnswer::NoMemory);
+    leave_unread(body, expects_continue);
+    OwnAnswer::NoMemory.response(&*gateway.dialect, id)
+}
+
+/// Leaves a body unread whose request was refused. Short ones are left to the HTTP library, which skips
+/// them; a caller that sends a long one has to be able to read the refusal.
+fn leave_unread(body: Incoming, expects_continue: bool) {
+    let is_short = body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_SKIPPED_BYTES);
+    if !is_short && !expects_continue {
+        discard(body);
+    }
+}
+
 /// Matches the request with a route and checks its key, its body and its tenant's limit. `Ok(None)`
 /// means that the caller has left.
 async fn admit(
     gateway: &Arc<Gateway>,
     head: Parts,
-    body: Incoming,
+    body: &mut Incoming,
     info: CallInfo,
     arrived: Instant,
 ) -> Result<Option<Call>, OwnAnswer> {
@@ -229,7 +265,7 @@
     let body = match gateway.has_started() {
         true => RequestBody::Unread(body),
         false if gateway.lacks_quorum() => return Err(OwnAnswer::Unconfirmed),
-        false => match wait_for_start(gateway, &head.headers, body, arrived, timeout).await? {
+        false => match wait_for_start(gateway, body, arrived, timeout).await? {
             Some(bytes) => RequestBody::Buffered(bytes),
             None => return Ok(None),
         },
@@ -256,7 +292,11 @@
     let boot_deadline = BootInstant::now() + deadline.saturating_duration_since(Instant::now());
     let limit = index.catalog().limits.body_bytes;
     let body = match body {
-        RequestBody::Unread(body) => read_body(&head.headers, body, limit, deadline).await?,
+        RequestBody::Unread(body) => {
+            let idle_timeout = Duration::from_millis(index.catalog().limits.idle_timeout_ms);
+            let limits = ReadLimits { max_bytes: to_usize(limit), idle_timeout, deadline };
+            read_request_body(gateway, body, limits).await?
+        }
         RequestBody::Buffered(bytes) if bytes.len() as u64 > limit => {
             return Err(OwnAnswer::TooLarge);
         }
@@ -320,24 +360,25 @@
 }
 
 /// Body of a caller's request.
-enum RequestBody {
-    Unread(Incoming),
+enum RequestBody<'a> {
+    Unread(&'a mut Incoming),
     /// Read while the request waited for the gateway's start.
-    Buffered(Bytes),
+    Buffered(HeldBody),
 }
 
 /// Reads the body of a request that arrived before the configuration was first confirmed, and waits
 /// for the confirmation. `Ok(None)` means that the caller has left.
 async fn wait_for_start(
     gateway: &Gateway,
-    headers: &HeaderMap,
-    body: Incoming,
+    body: &mut Incoming,
     arrived: Instant,
     timeout: Duration,
-) -> Result<Option<Bytes>, OwnAnswer> {
+) -> Result<Option<HeldBody>, OwnAnswer> {
     let _permit = gateway.startup.try_enter().ok_or(OwnAnswer::Starting)?;
     let deadline = arrived + timeout.saturating_sub(ANSWER_MARGIN);
-    let body = read_body(headers, body, MAX_BODY_BYTES, deadline).await;
+    let max_bytes = to_usize(MAX_BODY_BYTES);
+    let limits = ReadLimits { max_bytes, idle_timeout: DEFAULT_DEADLINE, deadline };
+    let body = read_request_body(gateway, body, limits).await;
     // The configuration may allow longer bodies, but isn't known yet.
     let body = body.map_err(|_| OwnAnswer::Starting)?;
     if !gateway.wait_for_start(arrived, deadline).await {
@@ -348,28 +389,25 @@
 }
 
 /// Reads a complete body. `Ok(None)` means that the caller has left.
-async fn read_body(
-    headers: &HeaderMap,
-    body: Incoming,
-    limit: u64,
-    deadline: Instant,
-) -> Result<Option<Bytes>, OwnAnswer> {
-    let content_length = headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
-    let content_length = content_length.and_then(|length| length.parse::<u64>().ok());
-    if content_length.is_some_and(|length| length > limit) {
-        return Err(OwnAnswer::TooLarge);
-    }
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    match timeout_at(deadline, Limited::new(body, limit).collect()).await {
-        Err(_) => Err(OwnAnswer::TooLate),
-        Ok(Ok(body)) => Ok(Some(body.to_bytes())),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(OwnAnswer::TooLarge)
-        }
-        Ok(Err(_)) => Ok(None),
+async fn read_request_body(
+    gateway: &Gateway,
+    body: &mut Incoming,
+    limits: ReadLimits,
+) -> Result<Option<HeldBody>, OwnAnswer> {
+    match read_body(&gateway.memory, body, limits).await {
+        Ok(body) => Ok(Some(body)),
+        Err(ReadError::CallerLeft) => Ok(None),
+        Err(ReadError::TooLarge) => Err(OwnAnswer::TooLarge),
+        Err(ReadError::TooLate) => Err(OwnAnswer::TooLate),
+        Err(ReadError::Stalled) => Err(OwnAnswer::BodyTimeout),
+        Err(ReadError::NoMemory) => Err(OwnAnswer::NoMemory),
     }
 }
 
+fn to_usize(bytes: u64) -> usize {
+    usize::try_from(bytes).unwrap_or(usize::MAX)
+}
+
 /// Sends the request to servers until one answers or no further attempt is allowed.
 async fn serve(gateway: &Arc<Gateway>, call: Call, pending: PendingAnswer) -> Response<AnswerBody> {
     gateway.record_request(&call);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,9 @@
 use juniper_clock::BootInstant;
 use juniper_crash_watch::CrashWatch;
 use juniper_feed::{Feed, FleetView};
+use juniper_intake::{CallerMemory, Connections};
 use juniper_limits::FleetShare;
+use juniper_memory_budget::BudgetLimits;
 use juniper_placement::{ModelKey, Placement, RetryBudget, ServiceProfile};
 use juniper_registry::InstanceId;
 use juniper_stream_origins::SoftwareHistory;
@@ -82,6 +84,10 @@
     pub applied_views: watch::Sender<u64>,
     /// Bytes exchanged with callers and servers.
     pub link_counters: LinkCounters,
+    /// Memory that callers make this process hold.
+    pub memory: CallerMemory,
+    /// Connections of callers.
+    pub connections: Connections,
     link: Mutex<LinkLoad>,
     connect_times: Mutex<ConnectTimes>,
     placement: Mutex<Placement>,
@@ -100,7 +106,10 @@
         metrics: Metrics,
         shutdown: watch::Receiver<ShutdownPhase>,
     ) -> Self {
+        let memory = CallerMemory::new(BudgetLimits::of_machine(settings.machine));
         Gateway {
+            connections: Connections::new(memory.clone()),
+            memory,
             placement: Mutex::new(Placement::new(settings.zone.clone())),
             tunnel_peers: Mutex::new(TunnelPeers::new(settings.zone.clone())),
             retry_budget: Mutex::new(RetryBudget::new(settings.retry)),
--- a/crates/gateway/src/identity.rs
+++ b/crates/gateway/src/identity.rs
@@ -4,15 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode, Uri};
+use juniper_intake::{HeldBody, SegmentedBody};
 use juniper_registry::{InstanceId, StartTime};
 use tokio::time::timeout;
 
 use crate::attempt_error::AttemptError;
-use crate::body::WholeBody;
 use crate::gateway::Gateway;
 use crate::pool::{ConnectError, ServerConnection};
 
@@ -54,7 +53,7 @@
     instance: &InstanceId,
     connection: &mut ServerConnection,
 ) -> Result<StartTime, ConnectError> {
-    let mut request = Request::new(WholeBody(Bytes::new()));
+    let mut request = Request::new(SegmentedBody::from(HeldBody::default()));
     *request.uri_mut() = Uri::from_static(gateway.dialect.identity_path());
     if let Ok(host) = HeaderValue::from_str(instance.as_str()) {
         request.headers_mut().insert(HOST, host);
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,6 +1,7 @@
 //! HTTP listeners for callers, readiness checks and metrics.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,11 +13,12 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use juniper_intake::{ConnectionLease, WriteTimeoutStream};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::body::AnswerBody;
+use crate::body::{AnswerBody, LeasedBody, RequestLease};
 use crate::call;
 use crate::counted_stream::CountedStream;
 use crate::gateway::Gateway;
@@ -40,6 +42,9 @@
 /// Timeout of a connection for readiness or metrics. These are served one after the other.
 const INTERNAL_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Memory of a request in progress besides its connection and its body, in bytes.
+const REQUEST_BYTES: usize = 16 << 10;
+
 /// Accepts connections of callers and serves each in a task of its own. While this router's link is
 /// too busy, new connections are refused, so that their callers ask another router at once.
 pub(crate) async fn serve_callers(
@@ -51,23 +56,29 @@
         if !gateway.accepts_connections() {
             // Their requests are on the way already.
             while let Some(Some(stream)) = accept_stream(&listener).now_or_never() {
-                spawn_caller(&gateway, stream, &open);
+                spawn_caller(&gateway, stream, &open).await;
             }
             listener = refuse_callers(&gateway, listener).await;
         }
         if let Some(stream) = accept_stream(&listener).await {
-            spawn_caller(&gateway, stream, &open);
+            spawn_caller(&gateway, stream, &open).await;
         }
     }
 }
 
-/// Serves a connection in a task of its own.
-fn spawn_caller(gateway: &Arc<Gateway>, stream: TcpStream, open: &ConnectionTracker) {
+/// Serves a connection in a task of its own, or closes it if there is no room for it.
+async fn spawn_caller(gateway: &Arc<Gateway>, stream: TcpStream, open: &ConnectionTracker) {
     gateway.measure_link().record_accepted(gateway.now());
+    let bounds = ConnectionBounds::of(gateway);
+    let Some(lease) = gateway.connections.admit(bounds.head_bytes).await else {
+        gateway.metrics.count_failed_caller("no_room");
+        let peer = stream.peer_addr().map_or_else(|_| "-".to_owned(), |peer| peer.ip().to_string());
+        return log::warn!("event=caller_not_admitted peer={peer} reason=no_room");
+    };
     let (gateway, tracked) = (Arc::clone(gateway), open.track());
     gateway.metrics.callers.inc();
     tokio::spawn(async move {
-        serve_caller(&gateway, stream).await;
+        serve_caller(&gateway, stream, lease, bounds).await;
         gateway.metrics.callers.dec();
         drop(tracked);
     });
@@ -121,22 +132,28 @@
     }
 }
 
-async fn serve_caller(gateway: &Arc<Gateway>, stream: TcpStream) {
+async fn serve_caller(
+    gateway: &Arc<Gateway>,
+    stream: TcpStream,
+    lease: ConnectionLease,
+    bounds: ConnectionBounds,
+) {
     // Without it the connection is only slower.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(|request| {
-        let gateway = Arc::clone(gateway);
-        async move { handle_request(&gateway, request).await }
-    });
-    let (idle_timeout, buffer_bytes) = connection_bounds(gateway);
+    let service = service_fn(|request| handle_request(gateway, &lease, request));
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(idle_timeout).max_buf_size(buffer_bytes);
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.idle_timeout)
+        .max_buf_size(bounds.head_bytes);
     let stream = CountedStream::new(stream, &gateway.link_counters.callers);
+    let stream = WriteTimeoutStream::new(stream, bounds.idle_timeout);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+    let mut connection = pin!(connection);
     let mut shutdown = gateway.shutdown.clone();
     tokio::select! {
         result = connection.as_mut() => return log_connection_end(gateway, result),
+        () = lease.evicted() => return gateway.metrics.count_failed_caller("evicted"),
         () = wait_for_phase(&mut shutdown, ShutdownPhase::ClosingConnections) => {}
     }
     connection.as_mut().graceful_shutdown();
@@ -162,16 +179,30 @@
     }
 }
 
-/// Idle timeout, which also bounds the time for a request head, and buffer size in bytes.
-fn connection_bounds(gateway: &Gateway) -> (Duration, usize) {
-    let view = gateway.feed.latest();
-    let Some(index) = &view.catalog else {
-        return (DEFAULT_IDLE_TIMEOUT + IDLE_TIMEOUT_SLACK, MIN_BUFFER_BYTES * 2);
-    };
-    let limits = index.catalog().limits;
-    let idle_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
-    let buffer_bytes = (limits.header_bytes as usize).max(MIN_BUFFER_BYTES);
-    (Duration::from_millis(idle_ms) + IDLE_TIMEOUT_SLACK, buffer_bytes)
+/// Bounds on a caller's connection.
+#[derive(Clone, Copy, Debug)]
+struct ConnectionBounds {
+    /// Idle timeout, which also bounds the time for a request head and for reading an answer.
+    idle_timeout: Duration,
+    /// Largest head of a request, in bytes.
+    head_bytes: usize,
+}
+
+impl ConnectionBounds {
+    /// Bounds that the configuration states.
+    fn of(gateway: &Gateway) -> Self {
+        let view = gateway.feed.latest();
+        let Some(index) = &view.catalog else {
+            let idle_timeout = DEFAULT_IDLE_TIMEOUT + IDLE_TIMEOUT_SLACK;
+            return ConnectionBounds { idle_timeout, head_bytes: MIN_BUFFER_BYTES * 2 };
+        };
+        let limits = index.catalog().limits;
+        let idle_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
+        ConnectionBounds {
+            idle_timeout: Duration::from_millis(idle_ms) + IDLE_TIMEOUT_SLACK,
+            head_bytes: (limits.header_bytes as usize).max(MIN_BUFFER_BYTES),
+        }
+    }
 }
 
 /// The caller has left, so there is no one to answer.
@@ -181,16 +212,23 @@
 
 async fn handle_request(
     gateway: &Arc<Gateway>,
+    connection: &ConnectionLease,
     request: Request<Incoming>,
-) -> Result<Response<AnswerBody>, CallerLeft> {
+) -> Result<Response<LeasedBody>, CallerLeft> {
     gateway.link_counters.record_request();
-    let mut response = call::answer_request(gateway, request).await.ok_or(CallerLeft)?;
+    let request_guard = connection.begin_request();
+    let memory = gateway.memory.hold_answer(REQUEST_BYTES);
+    let mut response = match &memory {
+        Some(_) => call::answer_request(gateway, request).await.ok_or(CallerLeft)?,
+        None => call::refuse_for_memory(gateway, request),
+    };
     let is_leaving = *gateway.shutdown.borrow() != ShutdownPhase::Running;
     // The caller opens its next connection to a router that has room.
     if is_leaving || !gateway.accepts_connections() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    let lease = RequestLease { _request: request_guard, _memory: memory };
+    Ok(response.map(|body| LeasedBody::new(body, lease)))
 }
 
 /// Serves readiness checks: 200 while the gateway accepts new callers, 503 otherwise.
@@ -217,6 +255,7 @@
         metrics.limited_servers.set(i64::try_from(limited).unwrap_or(i64::MAX));
         metrics.routers.set(i64::from(gateway.feed.sharing_router_count().unwrap_or(0)));
         metrics.catalog_version.set(gateway.feed.latest().catalog_version() as i64);
+        metrics.set_caller_memory(gateway.memory.usage(), gateway.memory.limits().total);
         (StatusCode::OK, Bytes::from(metrics.text()))
     })
     .await;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -9,13 +9,13 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use juniper_clock::BootInstant;
+use juniper_intake::SegmentedBody;
 use juniper_protocol::PeerTimeouts;
 use juniper_registry::InstanceId;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-use crate::body::WholeBody;
 use crate::counted_stream::CountedStream;
 use crate::head_limit::HeadLimit;
 use crate::lock::lock;
@@ -55,7 +55,7 @@
 
 /// A connection that serves one request at a time. Dropping it closes it.
 pub(crate) struct ServerConnection {
-    pub sender: SendRequest<WholeBody>,
+    pub sender: SendRequest<SegmentedBody>,
     pub head_limit: HeadLimit,
     pub reused: bool,
     /// Whether the server has stated over this connection that it is the expected incarnation.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Response};
 use juniper_catalog::RouteKind;
+use juniper_intake::keep_until_written;
 use juniper_placement::Outcome;
 use juniper_registry::InstanceId;
 use tokio::time::{Instant, timeout_at};
@@ -105,7 +106,7 @@
         }
         attempt.record_first_output();
         let (head, body) = response.into_parts();
-        let (error, unconfirmed) = match buffer_body(&call, &head, body).await {
+        let (error, unconfirmed) = match buffer_body(&gateway, &call, &head, body).await {
             Ok(BufferedBody::Complete(bytes)) => {
                 let deadline = call.confirm_deadline(progress);
                 let answer = BufferedAnswer { attempt, head, bytes };
@@ -195,16 +196,19 @@
 
 enum BufferedBody {
     Complete(Bytes),
-    /// First part of an answer that exceeds the buffer, and the body with the rest.
+    /// First part of an answer that exceeds the buffer or the memory, and the body with the rest.
     TooLong(Bytes, Incoming),
 }
 
+/// Buffers an answer while it is short enough and there is memory for it.
 async fn buffer_body(
+    gateway: &Gateway,
     call: &Call,
     head: &Parts,
     mut body: Incoming,
 ) -> Result<BufferedBody, BodyError> {
     let mut bytes = BytesMut::new();
+    let mut lease = gateway.memory.hold_answer(0);
     loop {
         let frame = match timeout_at(call.deadline, body.frame()).await {
             Err(_) => return Err(BodyError::Deadline),
@@ -212,11 +216,14 @@
             Ok(Some(Err(_))) => return Err(BodyError::Broken),
             Ok(Some(Ok(frame))) => frame,
         };
+        let before = bytes.capacity();
         if let Ok(data) = frame.into_data() {
             bytes.extend_from_slice(&data);
         }
-        if bytes.len() > MAX_BUFFERED_BYTES {
-            return Ok(BufferedBody::TooLong(bytes.freeze(), body));
+        let grown = bytes.capacity() - before;
+        let is_held = lease.as_mut().is_some_and(|lease| lease.grow(grown));
+        if bytes.len() > MAX_BUFFERED_BYTES || !is_held {
+            return Ok(BufferedBody::TooLong(keep_until_written(bytes.freeze(), lease), body));
         }
     }
     // The answer to a HEAD request has no body, whatever its content length is.
@@ -225,7 +232,7 @@
     {
         return Err(BodyError::Broken);
     }
-    Ok(BufferedBody::Complete(bytes.freeze()))
+    Ok(BufferedBody::Complete(keep_until_written(bytes.freeze(), lease)))
 }
 
 fn content_length(head: &Parts) -> Option<usize> {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use juniper_memory_budget::MachineLimits;
 use juniper_placement::RetrySettings;
 use juniper_types::FingerprintKey;
 
@@ -29,6 +30,8 @@
     pub grace_period: Duration,
     /// Capacity of each direction of the machine's link, in bytes per second, if it is known.
     pub link_bytes_per_second: Option<f64>,
+    /// Memory and descriptors of the process.
+    pub machine: MachineLimits,
 }
 
 impl GatewaySettings {
--- a/crates/gateway/tests/paths/support/mod.rs
+++ b/crates/gateway/tests/paths/support/mod.rs
@@ -217,6 +217,7 @@
             fingerprint_key: FingerprintKey::new([7; 32]),
             grace_period: Duration::from_secs(8),
             link_bytes_per_second: None,
+            machine: Default::default(),
         };
         change(&mut settings);
         let (stop, stop_requested) = oneshot::channel::<()>();
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -16,6 +16,7 @@
         fingerprint_key: FingerprintKey::new([7; 32]),
         grace_period: Duration::from_secs(8),
         link_bytes_per_second: None,
+        machine: Default::default(),
     }
 }
 
--- a/crates/settings/src/node_file/roles.rs
+++ b/crates/settings/src/node_file/roles.rs
@@ -13,6 +13,12 @@
 const VOTERS: &str = "one, three or five numbers among this node and its peers";
 const POSITIVE: &str = "a whole number above zero";
 
+/// Smallest memory of a process, in megabytes, and how a fault names it.
+const MIN_MEMORY_MB: (usize, &str) = (32, "at least 32 megabytes");
+
+/// Fewest descriptors of a process, and how a fault names them.
+const MIN_DESCRIPTORS: (usize, &str) = (300, "at least 300 descriptors");
+
 /// Maximum number of voters of the control cluster. Five voters tolerate two failures, and
 /// each further voter adds to the latency of commits.
 const MAX_VOTERS: usize = 5;
@@ -26,6 +32,10 @@
     pub max_handshakes: usize,
     /// Retention of claims and lifetime of their keys, in seconds.
     pub claim_retention_seconds: u64,
+    /// Memory of the process, in megabytes, if its callers are to be bounded by it.
+    pub memory_mb: Option<usize>,
+    /// Descriptors that the process may open, if its callers are to be bounded by them.
+    pub max_descriptors: Option<usize>,
 }
 
 impl Default for ControlLimits {
@@ -35,6 +45,8 @@
             max_connections: 1_024,
             max_handshakes: 32,
             claim_retention_seconds: 86_400,
+            memory_mb: None,
+            max_descriptors: None,
         }
     }
 }
@@ -119,6 +131,10 @@
     pub full_follow_engines: usize,
     /// Timeout for requests in flight during a graceful shutdown, in seconds.
     pub drain_seconds: u64,
+    /// Memory of the process, in megabytes, if its callers are to be bounded by it.
+    pub memory_mb: Option<usize>,
+    /// Descriptors that the process may open, if its callers are to be bounded by them.
+    pub max_descriptors: Option<usize>,
 }
 
 impl Default for RouterLimits {
@@ -129,6 +145,8 @@
             max_in_flight: 4_096,
             full_follow_engines: 64,
             drain_seconds: 120,
+            memory_mb: None,
+            max_descriptors: None,
         }
     }
 }
@@ -216,6 +234,8 @@
     read_positive(&mut section, "max_connections", &mut limits.max_connections);
     read_positive(&mut section, "max_handshakes", &mut limits.max_handshakes);
     read_positive(&mut section, "claim_retention_seconds", &mut limits.claim_retention_seconds);
+    limits.memory_mb = read_at_least(&mut section, "memory_mb", MIN_MEMORY_MB);
+    limits.max_descriptors = read_at_least(&mut section, "max_descriptors", MIN_DESCRIPTORS);
     section.finish();
     limits
 }
@@ -256,10 +276,18 @@
     read_positive(&mut section, "max_in_flight", &mut limits.max_in_flight);
     read_positive(&mut section, "full_follow_engines", &mut limits.full_follow_engines);
     read_positive(&mut section, "drain_seconds", &mut limits.drain_seconds);
+    limits.memory_mb = read_at_least(&mut section, "memory_mb", MIN_MEMORY_MB);
+    limits.max_descriptors = read_at_least(&mut section, "max_descriptors", MIN_DESCRIPTORS);
     section.finish();
     limits
 }
 
+/// Reads an optional number that must not be too small.
+fn read_at_least(section: &mut Section<'_>, key: &str, least: (usize, &str)) -> Option<usize> {
+    let value = section.optional::<usize>(key, least.1);
+    section.check(key, value, |value| *value >= least.0, least.1)
+}
+
 fn read_positive<T>(section: &mut Section<'_>, key: &str, target: &mut T)
 where
     T: serde::de::DeserializeOwned + Default + PartialOrd,
--- a/crates/types/src/fingerprint.rs
+++ b/crates/types/src/fingerprint.rs
@@ -90,13 +90,28 @@
 
     /// Computes the fingerprint of a request in one pass over its body.
     pub fn fingerprint(&self, content: &RequestContent<'_>) -> RequestFingerprint {
+        self.fingerprint_in_blocks(content, std::iter::empty())
+    }
+
+    /// Computes the fingerprint of a request whose body is continued in blocks; the same as with the
+    /// body in one piece.
+    pub fn fingerprint_in_blocks<'a>(
+        &self,
+        content: &RequestContent<'_>,
+        blocks: impl Iterator<Item = &'a [u8]> + Clone,
+    ) -> RequestFingerprint {
         let mut hasher = blake3::Hasher::new_keyed(&self.0);
         update_with_length(&mut hasher, content.method.as_bytes());
         update_with_length(&mut hasher, content.host.to_ascii_lowercase().as_bytes());
         update_with_length(&mut hasher, content.path.as_bytes());
         hasher.update(&[u8::from(content.tenant.is_some())]);
         update_with_length(&mut hasher, content.tenant.unwrap_or("").as_bytes());
-        update_with_length(&mut hasher, content.body);
+        let length = content.body.len() + blocks.clone().map(<[u8]>::len).sum::<usize>();
+        hasher.update(&(length as u64).to_be_bytes());
+        hasher.update(content.body);
+        blocks.for_each(|block| {
+            hasher.update(block);
+        });
         RequestFingerprint(truncated_hash(&hasher))
     }
 
