Readiness and metrics: silent connections no longer delay the others

What callers saw: with silent connections at the readiness address the platform's checks got no answer for minutes, and a router that is well received no new callers.

Cause: connections were served one after the other, each for up to 0.5 s.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,6 +1,5 @@
 //! HTTP listeners for callers, readiness checks and metrics.
 
-use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,12 +12,12 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use juniper_intake::{ConnectionLease, WriteTimeoutStream};
+use juniper_intake::{ConnectionLease, WriteTimeoutStream, serve_brief};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::body::{AnswerBody, LeasedBody, RequestLease};
+use crate::body::{LeasedBody, RequestLease};
 use crate::call;
 use crate::counted_stream::CountedStream;
 use crate::gateway::Gateway;
@@ -39,9 +38,6 @@
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
-/// Timeout of a connection for readiness or metrics. These are served one after the other.
-const INTERNAL_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Memory of a request in progress besides its connection and its body, in bytes.
 const REQUEST_BYTES: usize = 16 << 10;
 
@@ -233,7 +229,7 @@
 
 /// Serves readiness checks: 200 while the gateway accepts new callers, 503 otherwise.
 pub(crate) async fn serve_readiness(gateway: Arc<Gateway>, listener: TcpListener) {
-    serve_internal(listener, move || {
+    serve_brief(listener, move || {
         let status = match gateway.is_ready() {
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
@@ -245,7 +241,7 @@
 
 /// Serves the metrics in Prometheus text format.
 pub(crate) async fn serve_metrics(gateway: Arc<Gateway>, listener: TcpListener) {
-    serve_internal(listener, move || {
+    serve_brief(listener, move || {
         let metrics = &gateway.metrics;
         let age = gateway.feed.confirmation_age().map_or(-1, |age| age.as_millis() as i64);
         metrics.catalog_age_ms.set(age);
@@ -260,24 +256,3 @@
     })
     .await;
 }
-
-/// Answers each request with what `answer` returns.
-async fn serve_internal(listener: TcpListener, answer: impl Fn() -> (StatusCode, Bytes)) {
-    let answer = &answer;
-    loop {
-        let Some(stream) = accept_stream(&listener).await else { continue };
-        let service = service_fn(move |_request: Request<Incoming>| async move {
-            let (status, body) = answer();
-            let mut response = Response::new(AnswerBody::whole(body));
-            *response.status_mut() = status;
-            Ok::<_, Infallible>(response)
-        });
-        let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new()).header_read_timeout(DEFAULT_IDLE_TIMEOUT);
-        let connection = builder.keep_alive(false).serve_connection(TokioIo::new(stream), service);
-        let served = tokio::time::timeout(INTERNAL_REQUEST_TIMEOUT, connection).await;
-        if !matches!(served, Ok(Ok(()))) {
-            log::debug!("event=plain_connection_failed");
-        }
-    }
-}
