Control: calls of operators and servers stay within its memory

What callers saw: a control replica ended under configurations that stop one byte short or come in tiny chunks, under heads without end (the default of the HTTP library is 400 KB a head), and answered no heartbeat once silent connections had taken its descriptors.

Change: the platform's API and the operator API are served by juniper-intake: connections, heads (16 KiB), silence and bodies are on one account with what a handler holds besides the body (four times its length).

--- a/crates/control/src/operator/mod.rs
+++ b/crates/control/src/operator/mod.rs
@@ -23,7 +23,7 @@
 
 /// Maximum size of a request body, in bytes. JSON is somewhat longer than the encoded command, whose
 /// own limit is `MAX_COMMAND_BYTES`.
-const MAX_BODY_BYTES: usize = 8 << 20;
+pub const MAX_BODY_BYTES: usize = 8 << 20;
 
 /// State shared by the handlers of the operator API.
 pub struct OperatorApi {
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -1,15 +1,16 @@
 //! Startup and run loop of the daemon.
 
-use std::future::IntoFuture;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use juniper_clock::log_suspensions;
+use juniper_intake::{CallerMemory, Connections, HttpLimits};
+use juniper_memory_budget::{BudgetLimits, MachineLimits};
 use juniper_protocol::{ClusterKey, PeerIdentity, PeerRole};
 use juniper_settings::{ControlSettings, PeerDiscovery};
 use juniper_storage::{Disk, Folder};
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::error::ControlError;
 use crate::fleet_calls::FleetCalls;
@@ -20,7 +21,7 @@
 use crate::internal::InternalApi;
 use crate::metrics::Metrics;
 use crate::node_reports::NodeReports;
-use crate::operator::{OperatorApi, routes};
+use crate::operator::{MAX_BODY_BYTES, OperatorApi, routes};
 use crate::peers::PeerLinks;
 use crate::relay::UpdateRelay;
 use crate::replica::{self, ReplicaFailure, ReplicaParts, ReplicaView, RunningReplica};
@@ -54,6 +55,7 @@
     operator: axum::Router,
     listeners: Listeners,
     fleet: FleetCalls,
+    connections: Connections,
     background: BackgroundTasks,
 }
 
@@ -86,6 +88,12 @@
         self.fleet.clone()
     }
 
+    /// Connections of operators, servers and others that need no key to connect, which share one
+    /// account of their memory.
+    pub fn connections(&self) -> Connections {
+        self.connections.clone()
+    }
+
     /// Starts the replica. The APIs are served only by [`ControlDaemon::serve`].
     pub fn start(settings: &ControlSettings, listeners: Listeners) -> Result<Self, ControlError> {
         Self::start_with_disk(settings, listeners, |folder| folder)
@@ -134,6 +142,10 @@
         let shared = (reports, publishers, Arc::clone(&relay), metrics);
         let internal = InternalApi::new(own, key, replicas, view.clone(), shared, &settings.limits);
         let internal = Arc::new(internal);
+        let limits = &settings.limits;
+        let machine = MachineLimits::from_megabytes(limits.memory_mb, limits.max_descriptors);
+        let memory = CallerMemory::new(BudgetLimits::of_machine(machine));
+        let connections = Connections::new(memory);
         let background = BackgroundTasks {
             instance_publisher,
             fleet_publisher,
@@ -142,15 +154,27 @@
             peers,
             view,
         };
-        Ok(ControlDaemon { replica, internal, operator, listeners, fleet, background })
+        Ok(ControlDaemon { replica, internal, operator, listeners, fleet, connections, background })
     }
 
     /// Serves both APIs until `stop` completes or the replica fails.
     pub async fn serve(self, stop: impl Future<Output = ()> + Send) -> Result<(), ControlError> {
-        let ControlDaemon { mut replica, internal, operator, listeners, background, .. } = self;
+        let ControlDaemon {
+            mut replica,
+            internal,
+            operator,
+            listeners,
+            connections,
+            background,
+            ..
+        } = self;
         let background = tokio::spawn(background.run());
         let internal = tokio::spawn(internal.serve(listeners.internal));
-        let operator = axum::serve(listeners.operator, operator).into_future();
+        // Served until the replica stops.
+        let (_open, closed) = watch::channel(false);
+        let limits = HttpLimits { body_bytes: Some(MAX_BODY_BYTES), ..HttpLimits::default() };
+        let operator =
+            juniper_intake::serve(listeners.operator, operator, connections, limits, closed);
         let result = tokio::select! {
             result = operator => result.map_err(ControlError::Serve),
             failure = wait_for_failure(&mut replica.failure) => Err(ControlError::Replica(failure)),
