Internal entrances: connections before their handshake are bounded and displaced

What callers saw: 256 silent connections took every place for tunnels of a router and 272 of its descriptors; at a control replica 32 silent ones kept all others waiting for the 3 s of the handshake's time-out.

Change: at most 32 connections that haven't authenticated; one more takes the place of the oldest once that has had 250 ms. The number of tunnels follows from maxFds (243 of 4,100 descriptors, at most 256). The tree's router alike.

--- a/crates/control/src/internal/mod.rs
+++ b/crates/control/src/internal/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
+use juniper_intake::{Handshake, Handshakes};
 use juniper_protocol::{ClusterKey, Connection, PeerIdentity, PeerRole, accept};
 use juniper_settings::node_file::ControlLimits;
 use tokio::net::{TcpListener, TcpStream};
@@ -62,7 +63,7 @@
     pub partial_followers: Arc<AtomicU32>,
     snapshots: Arc<Semaphore>,
     connections: Arc<Semaphore>,
-    handshakes: Arc<Semaphore>,
+    handshakes: Handshakes,
 }
 
 impl InternalApi {
@@ -93,17 +94,15 @@
             partial_followers: Arc::default(),
             snapshots: Arc::new(Semaphore::new(MAX_CONCURRENT_SNAPSHOTS)),
             connections: Arc::new(Semaphore::new(limits.max_connections)),
-            handshakes: Arc::new(Semaphore::new(limits.max_handshakes)),
+            handshakes: Handshakes::new(limits.max_handshakes),
         }
     }
 
     /// Accepts connections until cancelled. Beyond the limit on handshakes, connections wait in the
-    /// system's accept queue, so that many restarting routers take no memory here.
+    /// system's accept queue for a moment, so that many restarting routers take no memory here.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         loop {
-            let Ok(handshake) = Arc::clone(&self.handshakes).acquire_owned().await else {
-                return;
-            };
+            let handshake = self.handshakes.begin().await;
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(error) => {
@@ -117,19 +116,17 @@
         }
     }
 
-    async fn serve_stream(
-        self: Arc<Self>,
-        stream: TcpStream,
-        handshake: tokio::sync::OwnedSemaphorePermit,
-    ) {
+    async fn serve_stream(self: Arc<Self>, stream: TcpStream, handshake: Handshake) {
         let Ok(address) = stream.peer_addr() else {
             return;
         };
-        let connection = accept(stream, &self.key, &self.own).await;
-        drop(handshake);
-        match connection {
-            Ok(connection) => self.serve_peer(connection, address).await,
-            Err(error) => {
+        match handshake.run(accept(stream, &self.key, &self.own)).await {
+            Some(Ok(connection)) => self.serve_peer(connection, address).await,
+            None => {
+                self.metrics.handshakes_failed.inc();
+                log::warn!("event=handshake_failed peer={address} reason=displaced");
+            }
+            Some(Err(error)) => {
                 self.metrics.handshakes_failed.inc();
                 log::warn!("event=handshake_failed peer={address} reason=\"{error}\"");
             }
--- a/crates/gateway/src/tunnel_server.rs
+++ b/crates/gateway/src/tunnel_server.rs
@@ -7,9 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use juniper_intake::{Handshake, Handshakes};
+use juniper_memory_budget::MachineLimits;
 use juniper_protocol::message::TunnelRefusal;
 use juniper_protocol::{
-    FrameError, HandshakeError, Message, PeerRole, PeerTimeouts, Reply, Request, accept,
+    Connection, FrameError, HandshakeError, Message, PeerRole, PeerTimeouts, Reply, Request, accept,
 };
 use juniper_registry::InstanceId;
 use juniper_types::NodeId;
@@ -22,10 +24,16 @@
 use crate::lifecycle::{ShutdownPhase, WeakTracker};
 use crate::listener::accept_stream;
 
-/// Maximum number of tunnels, including those being opened. Each has two sockets and two buffers of
-/// 8 KiB.
+/// Maximum number of tunnels on a machine with enough descriptors. Each has two sockets and two buffers
+/// of 8 KiB.
 const MAX_TUNNELS: usize = 256;
 
+/// Share of the descriptors beyond those for files that tunnels may take, two for each.
+const DESCRIPTOR_SHARE: f64 = 0.125;
+
+/// Maximum number of connections whose request for a tunnel has not been read.
+const MAX_PENDING: usize = 32;
+
 /// Time for which a router that stops goes on running after a tunnel has ended, so that the other
 /// router can confirm that the answer in it was complete.
 const CONFIRM_TIME: Duration = Duration::from_secs(1);
@@ -39,25 +47,25 @@
     Frame(#[from] FrameError),
     #[error("not a router asking for a tunnel")]
     NotAllowed,
+    #[error("a newer connection took its place")]
+    Displaced,
+    #[error("too many tunnels")]
+    TooMany,
     #[error(transparent)]
     Refused(#[from] TunnelRefusal),
 }
 
 /// Accepts connections of other routers, and forwards their tunnels, until none is open in a shutdown.
 pub(crate) async fn serve_tunnels(gateway: Arc<Gateway>, listener: TcpListener, open: WeakTracker) {
-    let tunnels = Arc::new(Semaphore::new(MAX_TUNNELS));
+    let tunnels = Arc::new(Semaphore::new(max_tunnels(gateway.settings.machine)));
+    let pending = Handshakes::new(MAX_PENDING);
     loop {
+        let handshake = pending.begin().await;
         let Some(stream) = accept_stream(&listener).await else { continue };
-        // Without a permit the connection is closed, and the other router asks elsewhere.
-        let Ok(permit) = Arc::clone(&tunnels).try_acquire_owned() else {
-            gateway.metrics.count_tunnel("refused");
-            continue;
-        };
         let Some(tracked) = open.track() else { return };
-        let gateway = Arc::clone(&gateway);
+        let (gateway, tunnels) = (Arc::clone(&gateway), Arc::clone(&tunnels));
         tokio::spawn(async move {
-            let has_forwarded = serve_tunnel(&gateway, stream).await;
-            drop(permit);
+            let has_forwarded = serve_tunnel(&gateway, &tunnels, handshake, stream).await;
             if has_forwarded && *gateway.shutdown.borrow() != ShutdownPhase::Running {
                 sleep(CONFIRM_TIME).await;
             }
@@ -66,10 +74,30 @@
     }
 }
 
+/// Maximum number of tunnels on this machine.
+fn max_tunnels(machine: MachineLimits) -> usize {
+    let by_descriptors = machine.connection_descriptors() as f64 * DESCRIPTOR_SHARE / 2.0;
+    MAX_TUNNELS.min(by_descriptors as usize)
+}
+
 /// Serves a connection of another router. Returns whether it was a tunnel that has ended.
-async fn serve_tunnel(gateway: &Arc<Gateway>, stream: TcpStream) -> bool {
-    match open(gateway, stream).await {
-        Ok((router, server)) => {
+async fn serve_tunnel(
+    gateway: &Arc<Gateway>,
+    tunnels: &Semaphore,
+    handshake: Handshake,
+    stream: TcpStream,
+) -> bool {
+    let opened = handshake.run(authenticate(gateway, stream)).await;
+    let opened = match opened.unwrap_or(Err(OpenError::Displaced)) {
+        // Without a permit the connection is closed, and the other router asks elsewhere.
+        Ok(asked) => match tunnels.try_acquire() {
+            Ok(permit) => open(gateway, asked).await.map(|streams| (streams, permit)),
+            Err(_) => Err(OpenError::TooMany),
+        },
+        Err(error) => Err(error),
+    };
+    match opened {
+        Ok(((router, server), _permit)) => {
             gateway.metrics.count_tunnel("served");
             forward(router, server).await;
             true
@@ -82,11 +110,18 @@
     }
 }
 
-/// Handles the request for a tunnel. Returns the streams to the router and to the server.
-async fn open(
+/// Request of another router for a tunnel.
+struct TunnelRequest {
+    connection: Connection,
+    call: u64,
+    instance: InstanceId,
+}
+
+/// Authenticates the other router and reads its request.
+async fn authenticate(
     gateway: &Arc<Gateway>,
     stream: TcpStream,
-) -> Result<(TcpStream, TcpStream), OpenError> {
+) -> Result<TunnelRequest, OpenError> {
     let (key, own) = (gateway.feed.cluster_key(), gateway.feed.identity());
     let mut connection = accept(stream, key, own).await?;
     let message = connection.reader.receive().await?;
@@ -98,6 +133,15 @@
         return Err(OpenError::NotAllowed);
     }
     let instance = InstanceId::started_at(instance, started);
+    Ok(TunnelRequest { connection, call, instance })
+}
+
+/// Handles the request for a tunnel. Returns the streams to the router and to the server.
+async fn open(
+    gateway: &Arc<Gateway>,
+    asked: TunnelRequest,
+) -> Result<(TcpStream, TcpStream), OpenError> {
+    let TunnelRequest { mut connection, call, instance } = asked;
     let from = connection.peer.node;
     let (reply, server) = match connect_for(gateway, &instance, from).await {
         Ok(server) => (Reply::Done, Ok(server)),
--- a/crates/router/src/sharing/service.rs
+++ b/crates/router/src/sharing/service.rs
@@ -3,18 +3,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use juniper_intake::{Handshake, Handshakes};
 use juniper_protocol::{Connection, Message, PeerRole, Refusal, Reply, Request, accept};
 use juniper_sharing::RouterIncarnation;
 use juniper_types::NodeId;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 
 use super::SharingHub;
 
-/// Maximum number of concurrent connections; a zone has a few dozen routers.
+/// Maximum number of authenticated connections; a zone has a few dozen routers.
 const MAX_CONNECTIONS: usize = 256;
 
+/// Maximum number of connections that haven't authenticated yet.
+const MAX_HANDSHAKES: usize = 32;
+
 /// Timeout of a peer's authentication by the cluster key.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -24,13 +28,13 @@
 /// Serves other routers until the task is aborted.
 pub async fn serve(hub: Arc<SharingHub>, listener: TcpListener) {
     let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let handshakes = Handshakes::new(MAX_HANDSHAKES);
     loop {
-        let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
-            return;
-        };
+        let handshake = handshakes.begin().await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve_stream(Arc::clone(&hub), stream, slot));
+                let (hub, slots) = (Arc::clone(&hub), Arc::clone(&slots));
+                tokio::spawn(serve_stream(hub, stream, handshake, slots));
             }
             Err(error) => {
                 log::warn!("event=accept_failed face=internal reason=\"{error}\"");
@@ -40,18 +44,31 @@
     }
 }
 
-async fn serve_stream(hub: Arc<SharingHub>, stream: TcpStream, _slot: OwnedSemaphorePermit) {
-    let handshake = accept(stream, &hub.key, &hub.identity);
-    let mut connection = match timeout(HANDSHAKE_TIMEOUT, handshake).await {
-        Ok(Ok(connection)) => connection,
-        Ok(Err(error)) => {
+async fn serve_stream(
+    hub: Arc<SharingHub>,
+    stream: TcpStream,
+    handshake: Handshake,
+    slots: Arc<Semaphore>,
+) {
+    let accepting = timeout(HANDSHAKE_TIMEOUT, accept(stream, &hub.key, &hub.identity));
+    let mut connection = match handshake.run(accepting).await {
+        Some(Ok(Ok(connection))) => connection,
+        Some(Ok(Err(error))) => {
             log::warn!("event=handshake_failed reason=\"{error}\"");
             return;
         }
-        Err(_) => {
+        Some(Err(_)) => {
             log::warn!("event=handshake_failed reason=\"timed out\"");
             return;
         }
+        None => {
+            log::warn!("event=handshake_failed reason=displaced");
+            return;
+        }
+    };
+    let Ok(_slot) = slots.try_acquire() else {
+        log::warn!("event=too_many_connections peer={}", connection.peer.node);
+        return;
     };
     connection.count_traffic_in(&hub.traffic);
     let Connection { peer, mut reader, mut writer, .. } = connection;
