Tree's router: bodies and connections stay within its memory

Callers' bodies are read by juniper-intake once the key has been checked; a body that stalls gets 408, one that gives way 503. memory_mb and max_descriptors are settings of both daemons. By reading and by the existing tests; no crowd of its own yet.

--- a/crates/router/src/applications.rs
+++ b/crates/router/src/applications.rs
@@ -105,7 +105,7 @@
     let (parts, body) = request.into_parts();
     let caller = authenticate(&view.in_force, &parts.headers, kind)?;
     state.check_cut_off(&caller.settings)?;
-    let body = read_body(body, caller.settings.max_body_bytes).await?;
+    let body = read_body(&parts, body, &caller).await?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let forward = ForwardedRequest {
         method: parts.method,
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -5,6 +5,10 @@
 use axum::response::{IntoResponse, Response};
 use serde::Serialize;
 
+/// Retry delay suggested while the memory for callers is short, in milliseconds: bodies that stall give
+/// way within a second.
+const NO_MEMORY_RETRY_MS: u64 = 1_000;
+
 /// Error of a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RequestError {
@@ -26,6 +30,12 @@
         /// Largest accepted body, in bytes.
         limit: u64,
     },
+    /// The body stalled, or took longer than the request may.
+    #[error("the body did not arrive in time")]
+    BodyTimeout,
+    /// The memory for callers is short.
+    #[error("the memory for callers is short")]
+    NoMemory,
     /// A limit of the tenant or service is reached.
     #[error("limit reached: {limit}")]
     Limited {
@@ -127,6 +137,8 @@
             RequestError::UnknownModel(_) => "unknown_model",
             RequestError::Malformed(_) => "malformed",
             RequestError::TooLarge { .. } => "too_large",
+            RequestError::BodyTimeout => "body_timeout",
+            RequestError::NoMemory => "no_memory",
             RequestError::Limited { .. } => "limited",
             RequestError::Overloaded { .. } => "overloaded",
             RequestError::NoBackEnd { .. } => "no_back_end",
@@ -156,6 +168,7 @@
             | RequestError::NotFound => StatusCode::NOT_FOUND,
             RequestError::Malformed(_) | RequestError::KeyOutOfRange => StatusCode::BAD_REQUEST,
             RequestError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             RequestError::Limited { .. } => StatusCode::TOO_MANY_REQUESTS,
             RequestError::KeyReused
             | RequestError::SoftwareGone
@@ -170,6 +183,7 @@
             | RequestError::NoBackEnd { .. }
             | RequestError::SettingsUnavailable { .. }
             | RequestError::Stopping
+            | RequestError::NoMemory
             | RequestError::NoQuorum { .. } => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -197,6 +211,7 @@
             | RequestError::NoBackEnd { retry_after_ms }
             | RequestError::SettingsUnavailable { retry_after_ms }
             | RequestError::NoQuorum { retry_after_ms } => Some(*retry_after_ms),
+            RequestError::NoMemory => Some(NO_MEMORY_RETRY_MS),
             RequestError::Stopping => Some(0),
             _ => None,
         }
--- a/crates/router/src/http_api.rs
+++ b/crates/router/src/http_api.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use axum::Router as AxumRouter;
-use axum::body::{Body, Bytes, to_bytes};
+use axum::body::{Body, Bytes};
 use axum::extract::{Request, State};
+use axum::http::request::Parts;
 use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use futures_util::StreamExt;
+use juniper_intake::{CallerMemory, ReadError, ReadLimits};
 use juniper_settings::TrafficKind;
 use juniper_types::{RequestId, SoftwareVersion};
 use serde_json::json;
@@ -17,7 +19,7 @@
 use tokio::time::Instant;
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::access::{REQUEST_ID_HEADER, authenticate, is_operator, request_id};
+use crate::access::{Caller, REQUEST_ID_HEADER, authenticate, is_operator, request_id};
 use crate::applications;
 use crate::chat::ChatRequest;
 use crate::engines::ChatPlan;
@@ -29,6 +31,9 @@
 /// Pieces buffered for a slow caller before backpressure applies to the engine's stream.
 const PIECE_BUFFER: usize = 32;
 
+/// Longest time between two pieces of a caller's body.
+const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Header with the index of the first output token that the caller hasn't received.
 const RESUME_HEADER: &str = "x-resume-from";
 
@@ -134,7 +139,7 @@
     state.check_cut_off(&caller.settings)?;
     let request_id = request_id(&parts.headers)?;
     let resume_from = resume_from(&parts.headers)?;
-    let body = read_body(body, caller.settings.max_body_bytes).await?;
+    let body = read_body(&parts, body, &caller).await?;
     let chat =
         ChatRequest::parse(&body, &caller.settings.model, caller.settings.max_output_tokens)?;
     let software = match resume_from {
@@ -226,10 +231,27 @@
     }
 }
 
-/// Reads a complete body of at most `limit` bytes.
-pub(crate) async fn read_body(body: Body, limit: u64) -> Result<Bytes, RequestError> {
-    let bytes = usize::try_from(limit).unwrap_or(usize::MAX);
-    to_bytes(body, bytes).await.map_err(|_| RequestError::TooLarge { limit })
+/// Reads the complete body of a request, of at most `limit` bytes.
+pub(crate) async fn read_body(
+    parts: &Parts,
+    mut body: Body,
+    caller: &Caller,
+) -> Result<Bytes, RequestError> {
+    let limit = caller.settings.max_body_bytes;
+    let memory = parts.extensions.get::<CallerMemory>().ok_or(RequestError::NoMemory)?;
+    let limits = ReadLimits {
+        max_bytes: usize::try_from(limit).unwrap_or(usize::MAX),
+        idle_timeout: BODY_IDLE_TIMEOUT,
+        deadline: Instant::now() + Duration::from_millis(caller.settings.deadline_ms),
+    };
+    match juniper_intake::read_body(memory, &mut body, limits).await {
+        Ok(body) => Ok(body.into()),
+        Err(ReadError::TooLarge) => Err(RequestError::TooLarge { limit }),
+        Err(ReadError::NoMemory) => Err(RequestError::NoMemory),
+        Err(ReadError::TooLate | ReadError::Stalled | ReadError::CallerLeft) => {
+            Err(RequestError::BodyTimeout)
+        }
+    }
 }
 
 /// Records the time to first token of one stream.
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -9,7 +9,10 @@
 use juniper_clock::{BootInstant, log_suspensions};
 use juniper_crash_watch::CrashWatch;
 use juniper_feed::{Feed, FeedSettings};
+use juniper_intake::{CallerMemory, Connections, HttpLimits};
+use juniper_memory_budget::{BudgetLimits, MachineLimits};
 use juniper_protocol::PeerTimeouts;
+use juniper_settings::node_file::RouterLimits;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, sleep, timeout};
@@ -90,8 +93,14 @@
     let operators = listen(config.operator).await?;
     let state = start(Arc::clone(&config)).await?;
     let (close, closed) = watch::channel(false);
-    let caller_server = serve(callers, http_api::caller_api(Arc::clone(&state)), closed.clone());
-    let operator_server = serve(operators, http_api::operator_api(Arc::clone(&state)), closed);
+    let connections = Connections::new(caller_memory(&config.limits));
+    // Callers' bodies are read once their keys have been checked.
+    let limits = HttpLimits { body_bytes: None, ..HttpLimits::default() };
+    let serve = |listener, api| {
+        juniper_intake::serve(listener, api, connections.clone(), limits, closed.clone())
+    };
+    let caller_server = serve(callers, http_api::caller_api(Arc::clone(&state)));
+    let operator_server = serve(operators, http_api::operator_api(Arc::clone(&state)));
     let servers = async { tokio::try_join!(caller_server, operator_server) };
     log::info!(
         "event=router_started node={} zone={} callers={} operators={}",
@@ -195,15 +204,15 @@
     }
 }
 
-async fn serve(
-    listener: TcpListener,
-    api: axum::Router,
-    mut closed: watch::Receiver<bool>,
-) -> io::Result<()> {
-    let closing = async move {
-        let _ = closed.wait_for(|closed| *closed).await;
+/// Account of the memory that callers and operators make the router hold.
+fn caller_memory(limits: &RouterLimits) -> CallerMemory {
+    let machine = MachineLimits::from_megabytes(limits.memory_mb, limits.max_descriptors);
+    let mut budget = BudgetLimits::of_machine(machine);
+    budget.connections = match machine.descriptors {
+        Some(_) => budget.connections.min(limits.max_connections),
+        None => limits.max_connections,
     };
-    axum::serve(listener, api).with_graceful_shutdown(closing).await
+    CallerMemory::new(budget)
 }
 
 /// Reports not ready, then refuses new requests and waits for those in flight.
