Control: unread configurations no longer fill the memory; keys come before bodies

What callers saw: 40 calls for a configuration of 4 MiB that nobody reads took a control replica to 207 MB of 128. Cause: each call copied the document, in the answer of the replica's actor. Now all calls share the published state; other answers above 64 KiB are on the account.

An own mistake mended with it: since the tree's operator API read a body before it checked the key. A middleware inside of that check reads bodies now, so that callers without a key hold none.

Evicted callers are logged with their address.

--- a/crates/control/src/fleet_calls.rs
+++ b/crates/control/src/fleet_calls.rs
@@ -7,15 +7,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use juniper_catalog::{Catalog, CatalogFault};
-use juniper_control_state::{AcceptedCatalog, Answer, CatalogAnswer, Command, to_bytes};
+use juniper_control_state::{
+    AcceptedCatalog, Answer, CatalogAnswer, Command, FleetState, to_bytes,
+};
 use juniper_protocol::Refusal;
 use juniper_registry::{
     Departure, HeartbeatOutcome, InstanceMap, InstanceName, InstanceReport, InstanceState,
     StartTime,
 };
 use juniper_types::NodeId;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock::{unix_millis, unix_seconds};
 use crate::fleet_publisher::{FleetPublisher, ServerPublishers};
@@ -30,6 +33,9 @@
 /// back delivers them a few round trips apart.
 const CALLER_CHECK_TIME: Duration = Duration::from_millis(50);
 
+/// Longest time until a state that was read is published.
+const PUBLICATION_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Error of a fleet call.
 #[derive(Debug, thiserror::Error)]
 pub enum FleetCallError {
@@ -41,6 +47,15 @@
     Refused(#[from] Refusal),
 }
 
+/// Document of a configuration within the published state, which is not copied.
+struct SharedDocument(Arc<FleetState>);
+
+impl AsRef<[u8]> for SharedDocument {
+    fn as_ref(&self) -> &[u8] {
+        self.0.catalog().map_or(&[], |catalog| &catalog.document)
+    }
+}
+
 /// Handler of fleet calls.
 #[derive(Clone)]
 pub struct FleetCalls {
@@ -89,11 +104,19 @@
     ///
     /// # Errors
     /// Fails if no quorum confirms the read in time.
-    pub async fn catalog_document(&self) -> Result<Option<Vec<u8>>, Refusal> {
-        let document = |state: &juniper_control_state::ControlState| {
-            state.fleet().catalog().map(|catalog| catalog.document.clone())
+    pub async fn catalog_document(&self) -> Result<Option<Bytes>, Refusal> {
+        let version = |state: &juniper_control_state::ControlState| {
+            state.fleet().catalog().map(|catalog| catalog.version)
+        };
+        let Some(version) = self.group.read(false, version).await? else { return Ok(None) };
+        // The state is published a moment after the read. All calls share it.
+        let mut published = self.view.fleet.clone();
+        let is_read = |fleet: &Arc<FleetState>| {
+            fleet.catalog().is_some_and(|catalog| catalog.version >= version)
         };
-        self.group.read(false, document).await
+        let shared = timeout(PUBLICATION_TIMEOUT, published.wait_for(is_read)).await;
+        let shared = shared.map_err(|_| Refusal::NoQuorum)?.map_err(|_| Refusal::NoQuorum)?;
+        Ok(Some(Bytes::from_owner(SharedDocument(Arc::clone(&shared)))))
     }
 
     /// Handles a heartbeat. The departure of a draining server is committed before the answer.
--- a/crates/control/src/operator/mod.rs
+++ b/crates/control/src/operator/mod.rs
@@ -12,7 +12,9 @@
 
 use axum::Router;
 use axum::extract::DefaultBodyLimit;
+use axum::middleware::from_fn_with_state;
 use axum::routing::{delete, get, post};
+use juniper_intake::{MaxBody, hold_body};
 use juniper_settings::ApiKeyHash;
 
 use crate::metrics::Metrics;
@@ -23,7 +25,7 @@
 
 /// Maximum size of a request body, in bytes. JSON is somewhat longer than the encoded command, whose
 /// own limit is `MAX_COMMAND_BYTES`.
-pub const MAX_BODY_BYTES: usize = 8 << 20;
+const MAX_BODY_BYTES: usize = 8 << 20;
 
 /// State shared by the handlers of the operator API.
 pub struct OperatorApi {
@@ -57,7 +59,8 @@
         .route("/v1/quarantine", get(quarantine::list))
         .route("/v1/quarantine/{fingerprint}", delete(quarantine::release))
         .route("/v1/status", get(status::status))
-        .layer(axum::middleware::from_fn_with_state(Arc::clone(&api), access::require_key));
+        .layer(from_fn_with_state(MaxBody(MAX_BODY_BYTES), hold_body))
+        .layer(from_fn_with_state(Arc::clone(&api), access::require_key));
     Router::new()
         .route("/healthz", get(status::healthz))
         .route("/readyz", get(status::readyz))
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -21,7 +21,7 @@
 use crate::internal::InternalApi;
 use crate::metrics::Metrics;
 use crate::node_reports::NodeReports;
-use crate::operator::{MAX_BODY_BYTES, OperatorApi, routes};
+use crate::operator::{OperatorApi, routes};
 use crate::peers::PeerLinks;
 use crate::relay::UpdateRelay;
 use crate::replica::{self, ReplicaFailure, ReplicaParts, ReplicaView, RunningReplica};
@@ -172,7 +172,7 @@
         let internal = tokio::spawn(internal.serve(listeners.internal));
         // Served until the replica stops.
         let (_open, closed) = watch::channel(false);
-        let limits = HttpLimits { body_bytes: Some(MAX_BODY_BYTES), ..HttpLimits::default() };
+        let limits = HttpLimits::default();
         let operator =
             juniper_intake::serve(listeners.operator, operator, connections, limits, closed);
         let result = tokio::select! {
--- a/crates/control/tests/daemons/seeded.rs
+++ b/crates/control/tests/daemons/seeded.rs
@@ -117,7 +117,7 @@
 
 async fn read_catalog(replica: &Seeded) -> Option<String> {
     let document = replica.calls.catalog_document().await.ok()??;
-    String::from_utf8(document).ok()
+    String::from_utf8(document.into()).ok()
 }
 
 pub(crate) async fn wait_for(what: &str, condition: impl Fn() -> bool) {
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,5 +1,6 @@
 //! HTTP listeners for callers, readiness checks and metrics.
 
+use std::net::{IpAddr, Ipv4Addr};
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,7 +69,7 @@
     let bounds = ConnectionBounds::of(gateway);
     let Some(lease) = gateway.connections.admit(bounds.head_bytes).await else {
         gateway.metrics.count_failed_caller("no_room");
-        let peer = stream.peer_addr().map_or_else(|_| "-".to_owned(), |peer| peer.ip().to_string());
+        let peer = peer_of(&stream);
         return log::warn!("event=caller_not_admitted peer={peer} reason=no_room");
     };
     let (gateway, tracked) = (Arc::clone(gateway), open.track());
@@ -128,12 +129,18 @@
     }
 }
 
+/// Address of a caller, for logs.
+fn peer_of(stream: &TcpStream) -> IpAddr {
+    stream.peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip())
+}
+
 async fn serve_caller(
     gateway: &Arc<Gateway>,
     stream: TcpStream,
     lease: ConnectionLease,
     bounds: ConnectionBounds,
 ) {
+    let peer = peer_of(&stream);
     // Without it the connection is only slower.
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request| handle_request(gateway, &lease, request));
@@ -149,7 +156,10 @@
     let mut shutdown = gateway.shutdown.clone();
     tokio::select! {
         result = connection.as_mut() => return log_connection_end(gateway, result),
-        () = lease.evicted() => return gateway.metrics.count_failed_caller("evicted"),
+        () = lease.evicted() => {
+            gateway.metrics.count_failed_caller("evicted");
+            return log::info!("event=idle_caller_evicted peer={peer} reason=no_room");
+        }
         () = wait_for_phase(&mut shutdown, ShutdownPhase::ClosingConnections) => {}
     }
     connection.as_mut().graceful_shutdown();
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -11,12 +11,14 @@
 //! - `kept` ties leases to the bytes of answers.
 //! - `write_timeout` ends connections whose callers don't read their answers.
 //! - `handshakes` bounds connections of other processes that haven't authenticated yet.
+//! - `hold` reads bodies before the handlers of an `axum` router run.
 //! - `server` serves an `axum` router; `brief` serves checks that are answered at once.
 
 mod brief;
 mod connections;
 mod discard;
 mod handshakes;
+mod hold;
 mod kept;
 mod memory;
 mod read;
@@ -28,9 +30,10 @@
 pub use connections::{ConnectionLease, Connections, RequestGuard};
 pub use discard::{DiscardOnDrop, discard};
 pub use handshakes::{Handshake, Handshakes};
+pub use hold::{MaxBody, hold_body};
 pub use kept::keep_until_written;
 pub use memory::{AnswerLease, CallerMemory};
 pub use read::{ReadError, ReadLimits, read_body};
 pub use segments::{HeldBody, SegmentedBody};
-pub use server::{HttpLimits, serve};
+pub use server::{HttpLimits, SharedAnswer, serve};
 pub use write_timeout::WriteTimeoutStream;
--- a/crates/intake/src/server.rs
+++ b/crates/intake/src/server.rs
@@ -9,36 +9,35 @@
 
 use axum::Router;
 use axum::body::Body;
-use axum::response::Response;
+use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
+use hyper::Request;
 use hyper::body::{Frame, Incoming, SizeHint};
-use hyper::header::{CONNECTION, EXPECT, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::connections::{ConnectionLease, Connections, RequestGuard};
-use crate::discard::{DiscardOnDrop, discard};
+use crate::discard::DiscardOnDrop;
+use crate::hold::refusal;
 use crate::kept::keep_until_written;
 use crate::memory::{AnswerLease, CallerMemory};
-use crate::read::{ReadError, ReadLimits, read_body};
-use crate::segments::{HeldBody, SegmentedBody};
+use crate::read::ReadError;
 use crate::write_timeout::WriteTimeoutStream;
 
 /// Delay after `accept` failed, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Bytes that a call's handler holds for each byte of the body: the body in one piece, the parsed
-/// value, the encoded command, and its place in the log.
-const HANDLER_FACTOR: usize = 4;
+/// Answer above which its memory is accounted for, in bytes.
+const SMALL_ANSWER: usize = 64 << 10;
 
-/// Body below which the handler's memory isn't accounted for, in bytes.
-const SMALL_BODY: usize = 64 << 10;
+/// Extension of an answer whose body the process holds anyway, so that it isn't accounted for.
+#[derive(Clone, Copy, Debug)]
+pub struct SharedAnswer;
 
 /// Limits on the requests of an HTTP interface.
 #[derive(Clone, Copy, Debug)]
@@ -47,24 +46,11 @@
     pub head_bytes: usize,
     /// Longest time until the head of the next request has arrived.
     pub head_timeout: Duration,
-    /// Longest body, in bytes. `None` if the handlers read bodies themselves, after they have checked the
-    /// caller, with [`read_body`] and the account that each request carries as an extension.
-    pub body_bytes: Option<usize>,
-    /// Longest time between two pieces of a body.
-    pub body_idle_timeout: Duration,
-    /// Longest time for a whole body.
-    pub body_timeout: Duration,
 }
 
 impl Default for HttpLimits {
     fn default() -> Self {
-        HttpLimits {
-            head_bytes: 16 << 10,
-            head_timeout: Duration::from_secs(60),
-            body_bytes: Some(4 << 20),
-            body_idle_timeout: Duration::from_secs(15),
-            body_timeout: Duration::from_secs(60),
-        }
+        HttpLimits { head_bytes: 16 << 10, head_timeout: Duration::from_secs(60) }
     }
 }
 
@@ -72,6 +58,8 @@
 ///
 /// # Errors
 /// Fails if the listener has no address.
+///
+/// Each request carries the account as an extension, for [`crate::read_body`] or [`crate::hold_body`].
 pub async fn serve(
     listener: TcpListener,
     router: Router,
@@ -95,7 +83,7 @@
             }
         };
         let Some(lease) = connections.admit(limits.head_bytes).await else {
-            log::debug!("event=connection_refused address={address}");
+            log::warn!("event=caller_not_admitted address={address} reason=no_room");
             continue;
         };
         let connection = HttpConnection {
@@ -144,7 +132,7 @@
         let mut connection = std::pin::pin!(connection);
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
-            () = self.lease.evicted() => return log::debug!("event=idle_connection_closed"),
+            () = self.lease.evicted() => return log::info!("event=idle_caller_evicted reason=no_room"),
             () = is_closed(&mut closed) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
@@ -155,92 +143,28 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response, CallerLeft> {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response, Infallible> {
         let guard = self.lease.begin_request();
-        let (request, handling) = match self.limits.body_bytes {
-            Some(max_bytes) => match self.read_request(request, max_bytes).await {
-                Ok((request, handling)) => (request, Some(handling)),
-                Err(refusal) => return refusal.ok_or(CallerLeft),
-            },
-            None => (self.pass_on(request), None),
-        };
-        let service = TowerToHyperService::new(self.router.clone());
-        let Ok(response) = hyper::service::Service::call(&service, request).await;
-        let lease = Arc::new(CallLease { _guard: guard, _handling: handling });
-        Ok(response.map(|body| Body::new(LeasedBody { body, lease })))
-    }
-
-    /// Passes on a request whose body the handler reads.
-    fn pass_on(&self, request: Request<Incoming>) -> Request<Body> {
         let mut request = request.map(|body| Body::new(DiscardOnDrop::new(body)));
         request.extensions_mut().insert(self.memory.clone());
-        request
-    }
-
-    /// Reads the body of a request, and holds what its handler takes. The error is the refusal, if there
-    /// is anyone to refuse.
-    async fn read_request(
-        &self,
-        request: Request<Incoming>,
-        max_bytes: usize,
-    ) -> Result<(Request<Body>, AnswerLease), Option<Response>> {
-        let (head, mut body) = request.into_parts();
-        let limits = ReadLimits {
-            max_bytes,
-            idle_timeout: self.limits.body_idle_timeout,
-            deadline: Instant::now() + self.limits.body_timeout,
+        let service = TowerToHyperService::new(self.router.clone());
+        let Ok(response) = hyper::service::Service::call(&service, request).await;
+        let bytes = hyper::body::Body::size_hint(response.body()).lower();
+        let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+        let is_shared = response.extensions().get::<SharedAnswer>().is_some();
+        let held = if bytes > SMALL_ANSWER && !is_shared { bytes } else { 0 };
+        let Some(memory) = self.memory.hold_answer(held) else {
+            return Ok(refusal(ReadError::NoMemory).into_response());
         };
-        let read = read_body(&self.memory, &mut body, limits).await;
-        let held = read.and_then(|body| {
-            self.hold_handler(&body).map(|handling| (body, handling)).ok_or(ReadError::NoMemory)
-        });
-        match held {
-            Ok((held, handling)) => {
-                Ok((Request::from_parts(head, Body::new(SegmentedBody::from(held))), handling))
-            }
-            Err(error) => {
-                if !head.headers.contains_key(EXPECT) {
-                    discard(body);
-                }
-                Err(refusal(&head.method, head.uri.path(), error))
-            }
-        }
-    }
-
-    /// Holds what the handler takes besides the body.
-    fn hold_handler(&self, body: &HeldBody) -> Option<AnswerLease> {
-        let bytes = if body.len() > SMALL_BODY { body.len() * HANDLER_FACTOR } else { 0 };
-        self.memory.hold_answer(bytes)
+        let lease = Arc::new(CallLease { _guard: guard, _memory: memory });
+        Ok(response.map(|body| Body::new(LeasedBody { body, lease })))
     }
 }
 
-/// The caller has left, so there is no one to answer.
-#[derive(Debug, thiserror::Error)]
-#[error("the caller has left")]
-struct CallerLeft;
-
-/// Answer to a call whose body wasn't read; `None` if the caller has left.
-fn refusal(method: &hyper::Method, path: &str, error: ReadError) -> Option<Response> {
-    let status = match error {
-        ReadError::CallerLeft => return None,
-        ReadError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        ReadError::TooLate | ReadError::Stalled => StatusCode::REQUEST_TIMEOUT,
-        ReadError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
-    };
-    log::info!(
-        "event=call_refused method={method} path={path} status={} reason=\"{error}\"",
-        status.as_u16()
-    );
-    let mut response = Response::new(Body::from(format!("{{\"error\":\"{error}\"}}")));
-    *response.status_mut() = status;
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    Some(response)
-}
-
 /// What a call holds until its answer has been passed to the connection.
 struct CallLease {
     _guard: RequestGuard,
-    _handling: Option<AnswerLease>,
+    _memory: AnswerLease,
 }
 
 /// Body of an answer that keeps the lease of its call until it has been written.
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -94,8 +94,7 @@
     let state = start(Arc::clone(&config)).await?;
     let (close, closed) = watch::channel(false);
     let connections = Connections::new(caller_memory(&config.limits));
-    // Callers' bodies are read once their keys have been checked.
-    let limits = HttpLimits { body_bytes: None, ..HttpLimits::default() };
+    let limits = HttpLimits::default();
     let serve = |listener, api| {
         juniper_intake::serve(listener, api, connections.clone(), limits, closed.clone())
     };
