--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
 use juniper_catalog::{KeyAccess, Route, RouteKind};
 use juniper_clock::BootInstant;
 use juniper_feed::{ConfirmationFields, ConfirmedView, FleetView};
-use juniper_intake::{HeldBody, ReadError, ReadLimits, discard, read_body};
+use juniper_intake::{HeldBody, ReadLimits};
 use juniper_registry::SoftwareVersion;
 use juniper_types::{FingerprintKey, NodeId, RequestContent, RequestFingerprint};
 use tokio::time::Instant;
@@ -26,15 +26,15 @@
 use crate::limits::GrantedCharge;
 use crate::pending_answer::PendingAnswer;
 use crate::relay;
+use crate::request_body::{RequestBody, leave_unread, read_request_body, to_usize, wait_for_start};
 use crate::retry::{Progress, RetryCheck};
 use crate::search::ServerSearch;
-use crate::startup::MAX_BODY_BYTES;
 
 /// Deadline of a caller that states none.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+pub(crate) const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
 /// Time reserved for the gateway's answer to reach the caller before its deadline.
-const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
 /// Answer timeout relative to the objective, after which a retryable request is sent to another
 /// server.
@@ -50,9 +50,6 @@
 /// Time for which the end of an answer may stay unconfirmed before another server is asked.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Longest body that the HTTP library is left to skip, in bytes.
-const MAX_SKIPPED_BYTES: u64 = 16 << 10;
-
 /// `Retry-After` when no server is available.
 pub(crate) const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -227,31 +224,6 @@
     }
 }
 
-/// Refuses a request for which there is no memory.
-pub(crate) fn refuse_for_memory(
-    gateway: &Gateway,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
-    let (head, body) = request.into_parts();
-    let expects_continue = head.headers.contains_key(EXPECT);
-    let info = gateway.dialect.read_call(&head).ok();
-    let id = info.as_ref().map(|info| &info.id);
-    let request_id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
-    log::info!("event=request_refused request={request_id} reason=no_memory status=503");
-    gateway.metrics.count_own_answer(None, OwnAnswer::NoMemory);
-    leave_unread(body, expects_continue);
-    OwnAnswer::NoMemory.response(&*gateway.dialect, id)
-}
-
-/// Leaves a body unread whose request was refused. Short ones are left to the HTTP library, which skips
-/// them; a caller that sends a long one has to be able to read the refusal.
-fn leave_unread(body: Incoming, expects_continue: bool) {
-    let is_short = body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_SKIPPED_BYTES);
-    if !is_short && !expects_continue {
-        discard(body);
-    }
-}
-
 /// Matches the request with a route and checks its key, its body and its tenant's limit. `Ok(None)`
 /// means that the caller has left.
 async fn admit(
@@ -359,55 +331,6 @@
     host.split(':').next().unwrap_or(host)
 }
 
-/// Body of a caller's request.
-enum RequestBody<'a> {
-    Unread(&'a mut Incoming),
-    /// Read while the request waited for the gateway's start.
-    Buffered(HeldBody),
-}
-
-/// Reads the body of a request that arrived before the configuration was first confirmed, and waits
-/// for the confirmation. `Ok(None)` means that the caller has left.
-async fn wait_for_start(
-    gateway: &Gateway,
-    body: &mut Incoming,
-    arrived: Instant,
-    timeout: Duration,
-) -> Result<Option<HeldBody>, OwnAnswer> {
-    let _permit = gateway.startup.try_enter().ok_or(OwnAnswer::Starting)?;
-    let deadline = arrived + timeout.saturating_sub(ANSWER_MARGIN);
-    let max_bytes = to_usize(MAX_BODY_BYTES);
-    let limits = ReadLimits { max_bytes, idle_timeout: DEFAULT_DEADLINE, deadline };
-    let body = read_request_body(gateway, body, limits).await;
-    // The configuration may allow longer bodies, but isn't known yet.
-    let body = body.map_err(|_| OwnAnswer::Starting)?;
-    if !gateway.wait_for_start(arrived, deadline).await {
-        return Err(OwnAnswer::Starting);
-    }
-    log::info!("event=start_awaited waited_ms={}", arrived.elapsed().as_millis());
-    Ok(body)
-}
-
-/// Reads a complete body. `Ok(None)` means that the caller has left.
-async fn read_request_body(
-    gateway: &Gateway,
-    body: &mut Incoming,
-    limits: ReadLimits,
-) -> Result<Option<HeldBody>, OwnAnswer> {
-    match read_body(&gateway.memory, body, limits).await {
-        Ok(body) => Ok(Some(body)),
-        Err(ReadError::CallerLeft) => Ok(None),
-        Err(ReadError::TooLarge) => Err(OwnAnswer::TooLarge),
-        Err(ReadError::TooLate) => Err(OwnAnswer::TooLate),
-        Err(ReadError::Stalled) => Err(OwnAnswer::BodyTimeout),
-        Err(ReadError::NoMemory) => Err(OwnAnswer::NoMemory),
-    }
-}
-
-fn to_usize(bytes: u64) -> usize {
-    usize::try_from(bytes).unwrap_or(usize::MAX)
-}
-
 /// Sends the request to servers until one answers or no further attempt is allowed.
 async fn serve(gateway: &Arc<Gateway>, call: Call, pending: PendingAnswer) -> Response<AnswerBody> {
     gateway.record_request(&call);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `listener` accepts connections, `call` handles one request up to the head of its answer,
 //!   `search` asks one server after another, `search_choice` chooses the next one, `attempt` sends the
 //!   request to one server.
+//! - `request_body` reads the body of a request under the account of the callers' memory.
 //! - `crashes` reports evidence of crashes to the crash watch.
 //! - `relay` passes on buffered answers, `stream` passes on streams; `open_answer` ends what is passed
 //!   on in chunks, `pending_answer` logs requests that end without an answer, `finish` all others.
@@ -43,6 +44,7 @@
 mod limits;
 mod listener;
 mod lock;
+mod memory_metrics;
 mod metrics;
 mod notices;
 mod open_answer;
@@ -51,6 +53,7 @@
 mod probe;
 mod refusal;
 mod relay;
+mod request_body;
 mod resume;
 mod retry;
 mod retry_budget;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -23,6 +23,7 @@
 use crate::counted_stream::CountedStream;
 use crate::gateway::Gateway;
 use crate::lifecycle::{ConnectionTracker, ShutdownPhase};
+use crate::request_body::refuse_for_memory;
 
 /// Delay after `accept` failed, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -226,7 +227,7 @@
     let memory = gateway.memory.hold_answer(REQUEST_BYTES);
     let mut response = match &memory {
         Some(_) => call::answer_request(gateway, request).await.ok_or(CallerLeft)?,
-        None => call::refuse_for_memory(gateway, request),
+        None => refuse_for_memory(gateway, request),
     };
     let is_leaving = *gateway.shutdown.borrow() != ShutdownPhase::Running;
     // The caller opens its next connection to a router that has room.
@@ -261,7 +262,7 @@
         metrics.limited_servers.set(i64::try_from(limited).unwrap_or(i64::MAX));
         metrics.routers.set(i64::from(gateway.feed.sharing_router_count().unwrap_or(0)));
         metrics.catalog_version.set(gateway.feed.latest().catalog_version() as i64);
-        metrics.set_caller_memory(gateway.memory.usage(), gateway.memory.limits().total);
+        metrics.caller_memory.set(gateway.memory.usage(), gateway.memory.limits());
         (StatusCode::OK, Bytes::from(metrics.text()))
     })
     .await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,18 +8,18 @@
 use juniper_catalog::RouteKind;
 use juniper_crash_watch::CrashMetrics;
 use juniper_limits::Verdict;
-use juniper_memory_budget::Usage;
 use juniper_placement::Resource;
 use juniper_waiting::PromiseCounts;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::answer::OwnAnswer;
 use crate::attempt_error::AttemptError;
 use crate::limits::DecidedBy;
 use crate::lock::lock;
+use crate::memory_metrics::MemoryMetrics;
 
 /// Upper bounds of the latency buckets, in seconds.
 const TIME_BUCKETS: [f64; 11] = [0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 10.0];
@@ -93,8 +93,8 @@
     pub connections: IntCounter,
     /// Open connections of callers.
     pub callers: IntGauge,
-    /// Bytes that callers make this process hold, by kind, and their limit.
-    caller_memory: IntGaugeVec,
+    /// Memory that callers make this process hold.
+    pub caller_memory: MemoryMetrics,
     /// Time to the answer, or to the first event of a stream, by kind of route.
     answer_seconds: HistogramVec,
     /// Longest gap between two events of a stream.
@@ -143,14 +143,6 @@
             registry.register(Box::new(counters.clone()))?;
             Ok::<_, prometheus::Error>(counters)
         };
-        let caller_memory = IntGaugeVec::new(
-            Opts::new(
-                name("caller_memory_bytes"),
-                "Bytes held for callers, by kind, and the limit.",
-            ),
-            &["kind"],
-        )?;
-        registry.register(Box::new(caller_memory.clone()))?;
         let times = |short: &str, help: &str| {
             HistogramOpts::new(name(short), help).buckets(TIME_BUCKETS.to_vec())
         };
@@ -270,7 +262,7 @@
             budget_spent: counter("budget_spent_total", "Repeats that the budget didn't allow.")?,
             connections: counter("server_connections_total", "New connections to servers.")?,
             callers: gauge("caller_connections", "Connections of callers.")?,
-            caller_memory,
+            caller_memory: MemoryMetrics::new(&registry)?,
             answer_seconds,
             gap_seconds,
             first_output_ratio,
@@ -290,21 +282,6 @@
         })
     }
 
-    /// Sets the memory that callers make this process hold.
-    pub(crate) fn set_caller_memory(&self, usage: Usage, limit: usize) {
-        let figures = [
-            ("connections", usage.connection_bytes),
-            ("bodies", usage.body_bytes),
-            ("large_bodies", usage.large_bytes),
-            ("answers", usage.answer_bytes),
-            ("limit", limit),
-        ];
-        for (kind, bytes) in figures {
-            let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
-            self.caller_memory.with_label_values(&[kind]).set(bytes);
-        }
-    }
-
     /// Counts a request that the gateway itself answered.
     pub(crate) fn count_own_answer(&self, kind: Option<RouteKind>, answer: OwnAnswer) {
         let kind = kind.map_or("none", kind_label);
--- a/tests/support/replicas.rs
+++ b/tests/support/replicas.rs
@@ -13,7 +13,7 @@
 
 pub use waiting::eventually;
 
-const OPERATOR_KEY: &str = "operator-secret-for-tests";
+pub const OPERATOR_KEY: &str = "operator-secret-for-tests";
 
 /// Timeout for one answer of a replica.
 const CALL_TIMEOUT: Duration = Duration::from_secs(15);
@@ -87,6 +87,24 @@
         assert!(status.success(), "kill {name} {id}");
     }
 
+    /// Adds text to the settings file, which is read at the next start.
+    #[allow(dead_code, reason = "not every test that uses replicas needs it")]
+    pub fn add_settings(&self, text: &str) {
+        let file = self.settings_file();
+        let settings = std::fs::read_to_string(&file).expect("the settings file");
+        std::fs::write(file, settings + text).expect("the file is written");
+    }
+
+    /// Peak of the process's resident memory, in bytes.
+    #[allow(dead_code, reason = "not every test that uses replicas needs it")]
+    pub fn peak_memory(&self) -> usize {
+        let id = self.process.as_ref().expect("the replica runs").id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("a status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()).expect("a peak");
+        kilobytes.parse::<usize>().expect("a number") << 10
+    }
+
     pub fn data_folder(&self) -> PathBuf {
         self.folder.join("data")
     }
