--- a/crates/intake/src/handshakes.rs
+++ b/crates/intake/src/handshakes.rs
@@ -7,9 +7,9 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
-/// Time that a handshake has, whatever else arrives. One takes two round trips, also when many processes
-/// restart together.
-const MIN_TIME: Duration = Duration::from_millis(250);
+/// Time that a handshake has, whatever else arrives. It takes two round trips, and longer while hundreds of
+/// processes restart together on slow machines.
+const MIN_TIME: Duration = Duration::from_secs(1);
 
 /// Handshakes in progress, up to a maximum. One more takes the place of the oldest once that has had its
 /// time, so that silent connections can't keep other processes out.
