--- a/crates/intake/tests/intake.rs
+++ b/crates/intake/tests/intake.rs
@@ -1,14 +1,16 @@
 //! Connections, handshakes and bodies against a small account.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use juniper_intake::{
-    CallerMemory, Connections, Handshakes, ReadError, ReadLimits, SegmentedBody, read_body,
+    CallerMemory, Connections, Handshakes, ReadError, ReadLimits, SegmentedBody, discard, read_body,
 };
 use juniper_memory_budget::{BudgetLimits, Usage};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 const LIMITS: BudgetLimits = BudgetLimits {
     total: 1_000_000,
@@ -77,6 +79,46 @@
     }
 }
 
+/// A body without end, which counts the pieces that were read.
+struct Endless(Arc<AtomicUsize>);
+
+/// Bytes of a piece of it.
+const PIECE_BYTES: usize = 16_384;
+
+impl futures_util::Stream for Endless {
+    type Item = Result<hyper::body::Frame<Bytes>, std::convert::Infallible>;
+
+    fn poll_next(
+        self: std::pin::Pin<&mut Self>,
+        _context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Self::Item>> {
+        self.0.fetch_add(1, Ordering::SeqCst);
+        let piece = Bytes::from(vec![7; PIECE_BYTES]);
+        std::task::Poll::Ready(Some(Ok(hyper::body::Frame::data(piece))))
+    }
+}
+
+impl Drop for Endless {
+    fn drop(&mut self) {
+        self.0.fetch_add(DROPPED, Ordering::SeqCst);
+    }
+}
+
+/// Added to the number of pieces when the body is dropped, which closes its connection.
+const DROPPED: usize = 1_000_000;
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_is_reset_before_its_caller_has_read_the_refusal() {
+    let pieces = Arc::<AtomicUsize>::default();
+    let body = http_body_util::StreamBody::new(Endless(Arc::clone(&pieces)));
+    discard(Box::pin(body));
+    sleep(Duration::from_millis(900)).await;
+    let read = pieces.load(Ordering::SeqCst);
+    assert!((1..=16).contains(&read), "{read} pieces were read, or the body was dropped");
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(pieces.load(Ordering::SeqCst), read + DROPPED);
+}
+
 #[tokio::test]
 async fn a_new_connection_displaces_one_that_sent_nothing_before_one_that_rests() {
     let connections = Connections::new(CallerMemory::new(LIMITS));
