Requests are charged with their connection; answers leave room for bodies

Found by reading the change: a request took 16 KiB of the account when it began, without making anybody give way. A crowd of bodies up to 256 KiB, or of answers that nobody reads, could fill what bodies may take, and ordinary requests would then get 503 until the deadlines of the crowd.

A connection is charged 32 KiB and its head now, which covers the request in progress; buffered answers take up to half of what bodies may. The silence allowed within a body is idleTimeoutMs or headerTimeoutMs, whichever is longer, and a second, as for connections.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Method, Response, StatusCode};
-use juniper_intake::{AnswerLease, RequestGuard, keep_until_written};
+use juniper_intake::{RequestGuard, keep_until_written};
 use tokio::sync::mpsc;
 
 /// Chunks queued for a caller that reads slowly.
@@ -129,22 +129,15 @@
     }
 }
 
-/// What a request holds until its answer has been written.
-pub(crate) struct RequestLease {
-    /// The connection isn't idle until then.
-    pub _request: RequestGuard,
-    pub _memory: Option<AnswerLease>,
-}
-
-/// Body of a response that keeps the lease of its request until it has been written.
+/// Body of a response until whose end the connection isn't idle. The end is when it has been written.
 pub(crate) struct LeasedBody {
     body: AnswerBody,
-    lease: Arc<RequestLease>,
+    request: Arc<RequestGuard>,
 }
 
 impl LeasedBody {
-    pub(crate) fn new(body: AnswerBody, lease: RequestLease) -> Self {
-        LeasedBody { body, lease: Arc::new(lease) }
+    pub(crate) fn new(body: AnswerBody, request: RequestGuard) -> Self {
+        LeasedBody { body, request: Arc::new(request) }
     }
 }
 
@@ -156,9 +149,9 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
-        let LeasedBody { body, lease } = self.get_mut();
+        let LeasedBody { body, request } = self.get_mut();
         let polled = Pin::new(body).poll_frame(context);
-        polled.map_ok(|frame| frame.map_data(|data| keep_until_written(data, Arc::clone(lease))))
+        polled.map_ok(|frame| frame.map_data(|data| keep_until_written(data, Arc::clone(request))))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -265,7 +265,7 @@
     let limit = index.catalog().limits.body_bytes;
     let body = match body {
         RequestBody::Unread(body) => {
-            let idle_timeout = Duration::from_millis(index.catalog().limits.idle_timeout_ms);
+            let idle_timeout = gateway.idle_timeout();
             let limits = ReadLimits { max_bytes: to_usize(limit), idle_timeout, deadline };
             read_request_body(gateway, body, limits).await?
         }
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -18,12 +18,11 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::body::{LeasedBody, RequestLease};
+use crate::body::LeasedBody;
 use crate::call;
 use crate::counted_stream::CountedStream;
 use crate::gateway::Gateway;
 use crate::lifecycle::{ConnectionTracker, ShutdownPhase};
-use crate::request_body::refuse_for_memory;
 
 /// Delay after `accept` failed, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -40,9 +39,6 @@
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
-/// Memory of a request in progress besides its connection and its body, in bytes.
-const REQUEST_BYTES: usize = 16 << 10;
-
 /// Accepts connections of callers and serves each in a task of its own. While this router's link is
 /// too busy, new connections are refused, so that their callers ask another router at once.
 pub(crate) async fn serve_callers(
@@ -199,16 +195,23 @@
     /// Bounds that the configuration states.
     fn of(gateway: &Gateway) -> Self {
         let view = gateway.feed.latest();
-        let Some(index) = &view.catalog else {
-            let idle_timeout = DEFAULT_IDLE_TIMEOUT + IDLE_TIMEOUT_SLACK;
-            return ConnectionBounds { idle_timeout, head_bytes: MIN_BUFFER_BYTES * 2 };
+        let head_bytes = match &view.catalog {
+            Some(index) => (index.catalog().limits.header_bytes as usize).max(MIN_BUFFER_BYTES),
+            None => MIN_BUFFER_BYTES * 2,
         };
-        let limits = index.catalog().limits;
-        let idle_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
-        ConnectionBounds {
-            idle_timeout: Duration::from_millis(idle_ms) + IDLE_TIMEOUT_SLACK,
-            head_bytes: (limits.header_bytes as usize).max(MIN_BUFFER_BYTES),
-        }
+        ConnectionBounds { idle_timeout: gateway.idle_timeout(), head_bytes }
+    }
+}
+
+impl Gateway {
+    /// Time for which callers may send or read nothing.
+    pub(crate) fn idle_timeout(&self) -> Duration {
+        let view = self.feed.latest();
+        let configured = view.catalog.as_ref().map_or(DEFAULT_IDLE_TIMEOUT, |index| {
+            let limits = index.catalog().limits;
+            Duration::from_millis(limits.idle_timeout_ms.max(limits.header_timeout_ms))
+        });
+        configured + IDLE_TIMEOUT_SLACK
     }
 }
 
@@ -224,18 +227,13 @@
 ) -> Result<Response<LeasedBody>, CallerLeft> {
     gateway.link_counters.record_request();
     let request_guard = connection.begin_request();
-    let memory = gateway.memory.hold_answer(REQUEST_BYTES);
-    let mut response = match &memory {
-        Some(_) => call::answer_request(gateway, request).await.ok_or(CallerLeft)?,
-        None => refuse_for_memory(gateway, request),
-    };
+    let mut response = call::answer_request(gateway, request).await.ok_or(CallerLeft)?;
     let is_leaving = *gateway.shutdown.borrow() != ShutdownPhase::Running;
     // The caller opens its next connection to a router that has room.
     if is_leaving || !gateway.accepts_connections() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    let lease = RequestLease { _request: request_guard, _memory: memory };
-    Ok(response.map(|body| LeasedBody::new(body, lease)))
+    Ok(response.map(|body| LeasedBody::new(body, request_guard)))
 }
 
 /// Serves readiness checks: 200 while the gateway accepts new callers, 503 otherwise.
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -3,13 +3,10 @@
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
-use hyper::header::EXPECT;
-use hyper::{Request, Response};
 use juniper_intake::{HeldBody, ReadError, ReadLimits, discard, read_body};
 use tokio::time::Instant;
 
 use crate::answer::OwnAnswer;
-use crate::body::AnswerBody;
 use crate::call::{ANSWER_MARGIN, DEFAULT_DEADLINE};
 use crate::gateway::Gateway;
 use crate::startup::MAX_BODY_BYTES;
@@ -24,22 +21,6 @@
     Buffered(HeldBody),
 }
 
-/// Refuses a request for which there is no memory.
-pub(crate) fn refuse_for_memory(
-    gateway: &Gateway,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
-    let (head, body) = request.into_parts();
-    let expects_continue = head.headers.contains_key(EXPECT);
-    let info = gateway.dialect.read_call(&head).ok();
-    let id = info.as_ref().map(|info| &info.id);
-    let request_id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
-    log::info!("event=request_refused request={request_id} reason=no_memory status=503");
-    gateway.metrics.count_own_answer(None, OwnAnswer::NoMemory);
-    leave_unread(body, expects_continue);
-    OwnAnswer::NoMemory.response(&*gateway.dialect, id)
-}
-
 /// Leaves a body unread whose request was refused. Short ones are left to the HTTP library, which skips
 /// them; a caller that sends a long one has to be able to read the refusal.
 pub(crate) fn leave_unread(body: Incoming, expects_continue: bool) {
--- a/crates/intake/tests/intake.rs
+++ b/crates/intake/tests/intake.rs
@@ -17,6 +17,7 @@
     for_connections: 400_000,
     kept_for_connections: 100_000,
     for_large: 700_000,
+    for_answers: 300_000,
     large_body: 100_000,
     connections: 3,
 };
--- a/crates/memory-budget/src/budget.rs
+++ b/crates/memory-budget/src/budget.rs
@@ -13,8 +13,9 @@
 use crate::body::Body;
 use crate::limits::BudgetLimits;
 
-/// Memory of a connection besides the head of its request, in bytes: its task, and its buffers.
-const CONNECTION_BYTES: usize = 24 << 10;
+/// Memory of a connection besides the head of its request, in bytes: its task, its buffers, and the request
+/// in progress with its connection to a server.
+const CONNECTION_BYTES: usize = 32 << 10;
 
 /// Identifies a body within the account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -117,7 +118,8 @@
     /// Adds bytes of an answer. Returns whether there is room for them; answers make nobody give way,
     /// since they can be passed on without being held.
     pub fn add_answer(&mut self, bytes: usize) -> bool {
-        let is_granted = bytes <= self.room(0);
+        let is_granted =
+            bytes <= self.room(0) && self.usage.answer_bytes + bytes <= self.limits.for_answers;
         if is_granted {
             self.usage.answer_bytes += bytes;
         }
--- a/crates/memory-budget/src/limits.rs
+++ b/crates/memory-budget/src/limits.rs
@@ -33,6 +33,10 @@
 /// Share of what bodies and answers may take that large bodies may take.
 const LARGE_SHARE: f64 = 0.75;
 
+/// Share of what bodies and answers may take that answers may take, so that callers who don't read theirs
+/// leave room for bodies.
+const ANSWER_SHARE: f64 = 0.5;
+
 /// Body above which a request counts as large, in bytes.
 const LARGE_BODY_BYTES: usize = 256 << 10;
 
@@ -108,6 +112,8 @@
     pub kept_for_connections: usize,
     /// Bytes of these that large bodies may take.
     pub for_large: usize,
+    /// Bytes of these that answers may take.
+    pub for_answers: usize,
     /// Body above which a request counts as large, in bytes.
     pub large_body: usize,
     /// Largest number of connections.
@@ -127,6 +133,7 @@
             for_connections: share(total, CONNECTION_SHARE),
             kept_for_connections,
             for_large: share(total - kept_for_connections, LARGE_SHARE),
+            for_answers: share(total - kept_for_connections, ANSWER_SHARE),
             large_body: LARGE_BODY_BYTES,
             connections: for_callers.max(1),
         }
--- a/crates/memory-budget/tests/budget.rs
+++ b/crates/memory-budget/tests/budget.rs
@@ -14,6 +14,7 @@
     for_connections: 600_000,
     kept_for_connections: 200_000,
     for_large: 500_000,
+    for_answers: 300_000,
     large_body: 50_000,
     connections: 10,
 };
@@ -96,6 +97,25 @@
     assert!(budget.add_answer(50_000));
 }
 
+#[test]
+fn answers_that_nobody_reads_leave_room_for_bodies() {
+    let mut budget = MemoryBudget::new(LIMITS);
+    assert!(budget.add_answer(LIMITS.for_answers));
+    assert!(!budget.add_answer(1));
+    add_body(&mut budget, 400_000, at(0));
+}
+
+#[test]
+fn small_bodies_that_stall_give_way_to_a_small_one() {
+    let mut budget = MemoryBudget::new(LIMITS);
+    for _ in 0..16 {
+        add_body(&mut budget, LIMITS.large_body, at(0));
+    }
+    let asking = budget.begin_body(at(2_000));
+    let growth = budget.grow(asking, LIMITS.large_body, at(2_000));
+    assert!(matches!(growth, Ok(Growth::Waits { evicted }) if evicted.len() == 1));
+}
+
 #[test]
 fn connections_are_bounded_by_number_and_by_memory() {
     let mut budget = MemoryBudget::new(LIMITS);
@@ -160,6 +180,7 @@
         let usage = budget.usage();
         let is_within = usage.total() <= LIMITS.total
             && usage.large_bytes <= LIMITS.for_large
+            && usage.answer_bytes <= LIMITS.for_answers
             && usage.connections <= LIMITS.connections
             && usage.connection_bytes <= LIMITS.for_connections;
         if !is_within {
