Control's APIs get the account with their routes

Cause: the middleware that reads bodies took the account from an extension of the request that only juniper-intake's server adds, and refused without it; those tests serve the routes themselves.

Now the routes are built with the account, so that they can't be served without it.

--- a/crates/control/src/operator/mod.rs
+++ b/crates/control/src/operator/mod.rs
@@ -14,7 +14,7 @@
 use axum::extract::DefaultBodyLimit;
 use axum::middleware::from_fn_with_state;
 use axum::routing::{delete, get, post};
-use juniper_intake::{MaxBody, hold_body};
+use juniper_intake::{BodyHolder, CallerMemory, hold_body};
 use juniper_settings::ApiKeyHash;
 
 use crate::metrics::Metrics;
@@ -43,8 +43,9 @@
     pub operator_keys: Vec<ApiKeyHash>,
 }
 
-/// Builds the HTTP routes of the operator API.
-pub fn routes(api: OperatorApi) -> Router {
+/// Builds the HTTP routes of the operator API, whose requests are on the account of `memory`.
+pub fn routes(api: OperatorApi, memory: CallerMemory) -> Router {
+    let bodies = BodyHolder { memory, max_bytes: MAX_BODY_BYTES };
     let api = Arc::new(api);
     let authenticated = Router::new()
         .route("/v1/settings", get(settings::tree))
@@ -59,7 +60,7 @@
         .route("/v1/quarantine", get(quarantine::list))
         .route("/v1/quarantine/{fingerprint}", delete(quarantine::release))
         .route("/v1/status", get(status::status))
-        .layer(from_fn_with_state(MaxBody(MAX_BODY_BYTES), hold_body))
+        .layer(from_fn_with_state(bodies, hold_body))
         .layer(from_fn_with_state(Arc::clone(&api), access::require_key));
     Router::new()
         .route("/healthz", get(status::healthz))
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -130,22 +130,23 @@
         let replicas = (handle, group.clone());
         let fleet =
             FleetCalls::new(group.clone(), publishers.clone(), view.clone(), Arc::clone(&metrics));
-        let operator = routes(OperatorApi {
+        let limits = &settings.limits;
+        let machine = MachineLimits::from_megabytes(limits.memory_mb, limits.max_descriptors);
+        let memory = CallerMemory::new(BudgetLimits::of_machine(machine));
+        let connections = Connections::new(memory.clone());
+        let api = OperatorApi {
             group,
             peers: Arc::clone(&peers),
             view: view.clone(),
             reports: Arc::clone(&reports),
             metrics: Arc::clone(&metrics),
             operator_keys: settings.common.operator_keys.clone(),
-        });
+        };
+        let operator = routes(api, memory);
         let relay = Arc::new(UpdateRelay::new(Arc::clone(&metrics)));
         let shared = (reports, publishers, Arc::clone(&relay), metrics);
         let internal = InternalApi::new(own, key, replicas, view.clone(), shared, &settings.limits);
         let internal = Arc::new(internal);
-        let limits = &settings.limits;
-        let machine = MachineLimits::from_megabytes(limits.memory_mb, limits.max_descriptors);
-        let memory = CallerMemory::new(BudgetLimits::of_machine(machine));
-        let connections = Connections::new(memory);
         let background = BackgroundTasks {
             instance_publisher,
             fleet_publisher,
--- a/crates/intake/src/hold.rs
+++ b/crates/intake/src/hold.rs
@@ -27,20 +27,26 @@
 /// Body below which the handler's memory isn't accounted for, in bytes.
 const SMALL_BODY: usize = 64 << 10;
 
-/// Longest body of a request, in bytes.
-#[derive(Clone, Copy, Debug)]
-pub struct MaxBody(pub usize);
+/// Where and how far the bodies of requests are read.
+#[derive(Clone, Debug)]
+pub struct BodyHolder {
+    /// The account.
+    pub memory: CallerMemory,
+    /// Longest body, in bytes.
+    pub max_bytes: usize,
+}
 
-/// Middleware of routers that [`crate::serve`] serves: reads the body of a request under the account, and
+/// Middleware: reads the body of a request under the account, and
 /// holds what the handler takes besides it. Layered inside of the check of keys, so that others hold
 /// nothing.
-pub async fn hold_body(State(max): State<MaxBody>, request: Request, next: Next) -> Response {
+pub async fn hold_body(
+    State(BodyHolder { memory, max_bytes }): State<BodyHolder>,
+    request: Request,
+    next: Next,
+) -> Response {
     let (head, mut body) = request.into_parts();
-    let Some(memory) = head.extensions.get::<CallerMemory>().cloned() else {
-        return refusal(ReadError::NoMemory).into_response();
-    };
     let limits = ReadLimits {
-        max_bytes: max.0,
+        max_bytes,
         idle_timeout: IDLE_TIMEOUT,
         deadline: Instant::now() + BODY_TIMEOUT,
     };
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -30,7 +30,7 @@
 pub use connections::{ConnectionLease, Connections, RequestGuard};
 pub use discard::{DiscardOnDrop, discard};
 pub use handshakes::{Handshake, Handshakes};
-pub use hold::{MaxBody, hold_body};
+pub use hold::{BodyHolder, hold_body};
 pub use kept::keep_until_written;
 pub use memory::{AnswerLease, CallerMemory};
 pub use read::{ReadError, ReadLimits, read_body};
--- a/crates/intake/src/server.rs
+++ b/crates/intake/src/server.rs
@@ -59,7 +59,7 @@
 /// # Errors
 /// Fails if the listener has no address.
 ///
-/// Each request carries the account as an extension, for [`crate::read_body`] or [`crate::hold_body`].
+/// Each request carries the account as an extension, for handlers that call [`crate::read_body`].
 pub async fn serve(
     listener: TcpListener,
     router: Router,
